--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+# Commands of the project. Each one sets up its own virtual environment.
+VENV ?= .venv
+PYTHON = $(VENV)/bin/python
+export PYTHONPATH := $(CURDIR)
+export PYTHONDONTWRITEBYTECODE := 1
+
+.PHONY: setup format lint test fuzz bench binary demo
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.lock
+	python3 -m venv $(VENV)
+	$(PYTHON) -m pip install -q -r requirements.lock
+	touch $@
+
+format: setup
+	$(PYTHON) -m ruff format wasabipaddle
+	$(PYTHON) -m ruff check --fix wasabipaddle
+
+lint: setup
+	$(PYTHON) -m ruff format --check wasabipaddle
+	$(PYTHON) -m ruff check wasabipaddle
+
+test: setup
+	$(PYTHON) -m pytest
+
+fuzz: setup
+	$(PYTHON) -m wasabipaddle fuzz --seconds 60
+
+bench: setup
+	$(PYTHON) -m wasabipaddle measure all --quick
+
+binary: setup
+	$(PYTHON) -m wasabipaddle.build_binary dist/wasabipaddle
+
+demo: setup
+	$(PYTHON) -m wasabipaddle demo
--- /dev/null
+++ b/wasabipaddle/clock/__init__.py
@@ -0,0 +1,17 @@
+"""Clocks, timers and logical time."""
+
+from wasabipaddle.clock.clocks import Clock, LoopClock, ManualClock
+from wasabipaddle.clock.hybrid import HybridClock, HybridTime
+from wasabipaddle.clock.timers import TimerService
+from wasabipaddle.clock.virtual import VirtualTimeLoop, run_virtual
+
+__all__ = [
+    "Clock",
+    "HybridClock",
+    "HybridTime",
+    "LoopClock",
+    "ManualClock",
+    "TimerService",
+    "VirtualTimeLoop",
+    "run_virtual",
+]
--- /dev/null
+++ b/wasabipaddle/clock/tests/test_clock.py
@@ -0,0 +1,46 @@
+"""Tests of clocks and timers."""
+
+import asyncio
+
+from wasabipaddle.clock import (
+    HybridClock,
+    HybridTime,
+    LoopClock,
+    ManualClock,
+    TimerService,
+    run_virtual,
+)
+
+
+def test_virtual_loop_advances_without_waiting():
+    """Guards against tests that depend on wall time."""
+
+    async def main():
+        clock = LoopClock()
+        await asyncio.sleep(3600)
+        return clock.now(), clock.wall_ms()
+
+    assert run_virtual(main()) == (3600.0, 3_600_000)
+
+
+def test_periodic_timer_stops_when_disposed(rng):
+    """Guards against timers that fire after their owner has stopped."""
+
+    async def main():
+        ticks = []
+        timers = TimerService(random=rng)
+        subscription = timers.every(1.0, jitter=0).subscribe(ticks.append)
+        await asyncio.sleep(3.5)
+        subscription.dispose()
+        await asyncio.sleep(5)
+        return ticks
+
+    assert run_virtual(main()) == [1.0, 2.0, 3.0]
+
+
+def test_hybrid_clock_is_ahead_of_received_stamps():
+    """Guards against an answer that sorts before its question."""
+    hybrid = HybridClock(clock=ManualClock(time_s=1.0))
+    stamp = hybrid.receive(HybridTime(wall_ms=5000, counter=3))
+    assert stamp > HybridTime(wall_ms=5000, counter=3)
+    assert hybrid.tick() > stamp
--- /dev/null
+++ b/wasabipaddle/commands/__init__.py
@@ -0,0 +1,5 @@
+"""Command line."""
+
+from wasabipaddle.commands.cli import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/wasabipaddle/documents/__init__.py
@@ -0,0 +1,27 @@
+"""Service documents: what a service needs and how it may be placed."""
+
+from wasabipaddle.documents.model import (
+    Placement,
+    Quota,
+    RequestPolicy,
+    Resources,
+    RunPolicy,
+    ServiceDocument,
+    ServiceKind,
+    Share,
+    TeamQuota,
+    Urgency,
+)
+
+__all__ = [
+    "Placement",
+    "Quota",
+    "RequestPolicy",
+    "Resources",
+    "RunPolicy",
+    "ServiceDocument",
+    "ServiceKind",
+    "Share",
+    "TeamQuota",
+    "Urgency",
+]
--- /dev/null
+++ b/wasabipaddle/kernel/__init__.py
@@ -0,0 +1,7 @@
+"""Kernel: plug-in registry, life cycle and message bus."""
+
+from wasabipaddle.kernel.bus import Bus, Mailbox
+from wasabipaddle.kernel.kernel import Context, Kernel
+from wasabipaddle.kernel.plugin import PLUGINS, Plugin, Route
+
+__all__ = ["PLUGINS", "Bus", "Context", "Kernel", "Mailbox", "Plugin", "Route"]
--- /dev/null
+++ b/wasabipaddle/messages/__init__.py
@@ -0,0 +1,61 @@
+"""Messages between entry processes and the JSON codec for them."""
+
+from wasabipaddle.messages.codec import decode, encode
+from wasabipaddle.messages.grants import Grant, GrantReply, GrantRequest, PoolDemand
+from wasabipaddle.messages.members import (
+    DataCentreSummary,
+    DrainNotice,
+    Heartbeat,
+    HeartbeatReply,
+    LeaderHandover,
+    LedShard,
+    MemberView,
+)
+from wasabipaddle.messages.revisions import (
+    DocumentRevision,
+    RevisionPage,
+    RevisionQuery,
+)
+from wasabipaddle.messages.runs import (
+    CancelRun,
+    ListRuns,
+    QueryRun,
+    RunOutcome,
+    RunPage,
+    RunState,
+    RunView,
+    StopRun,
+    SubmitRun,
+    TaskView,
+    WaitRun,
+)
+
+__all__ = [
+    "CancelRun",
+    "DataCentreSummary",
+    "DocumentRevision",
+    "DrainNotice",
+    "Grant",
+    "GrantReply",
+    "GrantRequest",
+    "Heartbeat",
+    "HeartbeatReply",
+    "LeaderHandover",
+    "LedShard",
+    "ListRuns",
+    "MemberView",
+    "PoolDemand",
+    "QueryRun",
+    "RevisionPage",
+    "RevisionQuery",
+    "RunOutcome",
+    "RunPage",
+    "RunState",
+    "RunView",
+    "StopRun",
+    "SubmitRun",
+    "TaskView",
+    "WaitRun",
+    "decode",
+    "encode",
+]
--- /dev/null
+++ b/wasabipaddle/messages/grants.py
@@ -0,0 +1,71 @@
+"""Slot grants from a shard leader to entry processes."""
+
+import attrs
+
+__all__ = ["Grant", "GrantReply", "GrantRequest", "PoolDemand"]
+
+
+@attrs.frozen(kw_only=True)
+class PoolDemand:
+    """Demand of one entry process for one endpoint pool.
+
+    Parameters
+    ----------
+    in_progress : int
+        Requests that hold a slot.
+    queued : int
+        Requests that wait for one.
+    """
+
+    pool: str
+    in_progress: int = 0
+    queued: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class GrantRequest:
+    """Request for slots of the endpoints of a shard.
+
+    Parameters
+    ----------
+    in_use : tuple of Grant
+        Slots of each endpoint that requests in progress occupy, whatever grant they
+        started under; the leader never grants these to anybody else.
+    """
+
+    sender: str
+    incarnation: int
+    shard: str
+    demand: tuple[PoolDemand, ...]
+    in_use: tuple["Grant", ...] = ()
+
+
+@attrs.frozen(kw_only=True)
+class Grant:
+    """Right to use some slots of one endpoint.
+
+    Parameters
+    ----------
+    slots : int
+        Largest number of requests in progress of the holder at the endpoint.
+    life_s : float
+        Remaining life in seconds, counted by the holder from the sending time of
+        its request.
+    """
+
+    endpoint: str
+    pool: str
+    host: str
+    port: int
+    slots: int
+    connections: int
+    life_s: float
+
+
+@attrs.frozen(kw_only=True)
+class GrantReply:
+    """All grants of the sender, which replace its earlier ones."""
+
+    shard: str
+    epoch: int
+    grants: tuple[Grant, ...]
--- /dev/null
+++ b/wasabipaddle/metrics/__init__.py
@@ -0,0 +1,5 @@
+"""Counters and histograms."""
+
+from wasabipaddle.metrics.registry import Metrics
+
+__all__ = ["Metrics"]
--- /dev/null
+++ b/wasabipaddle/metrics/registry.py
@@ -0,0 +1,72 @@
+"""Counters, gauges and histograms of one process."""
+
+import attrs
+from hdrh.histogram import HdrHistogram
+
+__all__ = ["Metrics", "HistogramSummary"]
+
+LOWEST_US = 1
+HIGHEST_US = 3_600_000_000
+SIGNIFICANT_DIGITS = 2
+US_PER_S = 1_000_000
+
+
+@attrs.frozen(kw_only=True)
+class HistogramSummary:
+    """Quantiles of one histogram, in seconds."""
+
+    count: int
+    p50_s: float
+    p90_s: float
+    p99_s: float
+    max_s: float
+
+
+class Metrics:
+    """Counters, gauges and latency histograms, created on first use."""
+
+    def __init__(self):
+        self.counters = {}
+        self.gauges = {}
+        self.histograms = {}
+
+    def count(self, name, amount=1):
+        """Add `amount` to the counter `name`."""
+        self.counters[name] = self.counters.get(name, 0) + amount
+
+    def gauge(self, name, value):
+        """Set the gauge `name`."""
+        self.gauges[name] = value
+
+    def observe(self, name, seconds):
+        """Record one duration in the histogram `name`."""
+        histogram = self.histograms.get(name)
+        if histogram is None:
+            histogram = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+            self.histograms[name] = histogram
+        value = min(max(int(seconds * US_PER_S), LOWEST_US), HIGHEST_US)
+        histogram.record_value(value)
+
+    def summary(self, name) -> HistogramSummary | None:
+        """Return quantiles of the histogram `name`, or None if it is empty."""
+        histogram = self.histograms.get(name)
+        if histogram is None:
+            return None
+        return HistogramSummary(
+            count=histogram.get_total_count(),
+            p50_s=histogram.get_value_at_percentile(50) / US_PER_S,
+            p90_s=histogram.get_value_at_percentile(90) / US_PER_S,
+            p99_s=histogram.get_value_at_percentile(99) / US_PER_S,
+            max_s=histogram.get_max_value() / US_PER_S,
+        )
+
+    def snapshot(self):
+        """Return all values as a JSON-compatible mapping."""
+        histograms = {
+            name: attrs.asdict(self.summary(name)) for name in sorted(self.histograms)
+        }
+        return {
+            "counters": dict(sorted(self.counters.items())),
+            "gauges": dict(sorted(self.gauges.items())),
+            "histograms": histograms,
+        }
--- /dev/null
+++ b/wasabipaddle/platform/__init__.py
@@ -0,0 +1,47 @@
+"""Abstract interfaces to the platform and to endpoints."""
+
+from wasabipaddle.platform.endpoint import (
+    EndpointAnswer,
+    EndpointClient,
+    EndpointRequest,
+    RequestState,
+)
+from wasabipaddle.platform.store import Change, Entry, Page, Store
+from wasabipaddle.platform.vms import VmEntry, VmList, VmRole, VmStatus
+from wasabipaddle.platform.worker import (
+    TaskOrder,
+    TaskOutcome,
+    TaskPhase,
+    TaskRefusal,
+    TaskReport,
+    TaskStart,
+    Usage,
+    WorkerClient,
+    WorkerReport,
+    WorkerSync,
+)
+
+__all__ = [
+    "Change",
+    "EndpointAnswer",
+    "EndpointClient",
+    "EndpointRequest",
+    "Entry",
+    "Page",
+    "RequestState",
+    "Store",
+    "TaskOrder",
+    "TaskOutcome",
+    "TaskPhase",
+    "TaskRefusal",
+    "TaskReport",
+    "TaskStart",
+    "Usage",
+    "VmEntry",
+    "VmList",
+    "VmRole",
+    "VmStatus",
+    "WorkerClient",
+    "WorkerReport",
+    "WorkerSync",
+]
--- /dev/null
+++ b/wasabipaddle/platform/endpoint.py
@@ -0,0 +1,96 @@
+"""Interface to an endpoint, which answers requests."""
+
+import abc
+import enum
+from collections.abc import AsyncIterator
+
+import attrs
+from result import Result
+
+from wasabipaddle.exceptions import Failure
+
+__all__ = ["EndpointAnswer", "EndpointClient", "EndpointRequest", "RequestState"]
+
+
+class RequestState(enum.Enum):
+    """What an endpoint knows about a request id."""
+
+    NEVER_SEEN = "never_seen"
+    RUNNING = "running"
+    RAN = "ran"
+
+
+@attrs.frozen(kw_only=True)
+class EndpointRequest:
+    """One request for an endpoint.
+
+    Parameters
+    ----------
+    request : str
+        Request id, which the answer repeats.
+    shard, epoch
+        Fencing token of the slot grant that the request uses.
+    deadline_s : float
+        Time left for the answer.
+    body : bytes
+        Input of the caller.
+    """
+
+    request: str
+    service: str
+    shard: str
+    epoch: int
+    deadline_s: float
+    body: bytes
+
+
+@attrs.frozen(kw_only=True)
+class EndpointAnswer:
+    """Head of an answer and its body in pieces.
+
+    Parameters
+    ----------
+    request : str
+        Id of the request that is answered.
+    length : int
+        Announced number of body bytes.
+    digest : str
+        Announced xxh3 digest of the body, 16 hexadecimal digits.
+    chunks : AsyncIterator of bytes
+        Body; it may end early or stall.
+    """
+
+    request: str
+    length: int
+    digest: str
+    chunks: AsyncIterator[bytes]
+
+
+class EndpointClient(abc.ABC):
+    """Client of one endpoint, which owns its pool of connections."""
+
+    @abc.abstractmethod
+    async def send(self, request) -> Result[EndpointAnswer, Failure]:
+        """Send a request and return the head of its answer.
+
+        Returns
+        -------
+        result.Result
+            The answer, or an `Err` of kind `unreachable` or `no_capacity` or
+            `stale_epoch` or `draining` (surely not run), `endpoint_failed` (ran) or
+            `timeout` (unknown; the connection made no progress).
+        """
+
+    @abc.abstractmethod
+    async def query(self, request) -> Result[RequestState, Failure]:
+        """Ask on another connection what the endpoint knows of a request id."""
+
+    @abc.abstractmethod
+    async def probe(self) -> Result[None, Failure]:
+        """Check that new connections work."""
+
+    async def replace_connections(self):
+        """Close idle connections so that later requests open new ones."""
+
+    async def close(self):
+        """Close connections."""
