--- a/wasabipaddle/commands/cli.py
+++ b/wasabipaddle/commands/cli.py
@@ -1,11 +1,17 @@
 """Root of the command line."""
 
+import sys
+
 import fire
 
 from wasabipaddle import __version__
 
 __all__ = ["Cli", "main"]
 
+EXIT_OK = 0
+EXIT_BROKEN = 1  # a bound, outcome or check does not hold
+EXIT_USAGE = 2
+
 
 class Cli:
     """Run and operate wasabipaddle."""
@@ -14,6 +20,13 @@
         """Print the version."""
         return __version__
 
+    def measure(self, name, seed=1, quick=False, json=False):
+        """Run one measure, or `all`, against its baseline and bounds."""
+        from wasabipaddle.commands.measure import measure
+
+        if not measure(name, seed=seed, quick=quick, json_output=json):
+            sys.exit(EXIT_BROKEN)
+
 
 def main():
     """Run the command line."""
--- /dev/null
+++ b/wasabipaddle/commands/measure.py
@@ -0,0 +1,63 @@
+"""Command `measure`."""
+
+import importlib
+import json
+import pkgutil
+
+import wasabipaddle.measure
+from wasabipaddle.measure import MEASURES
+
+__all__ = ["measure"]
+
+DEFAULT_SEED = 1
+
+
+def measure(name, *, seed=DEFAULT_SEED, quick=False, json_output=False):
+    """Run one measure, or `all`, and print its figures.
+
+    Parameters
+    ----------
+    name : str
+        Name of the measure, or `all`.
+    seed : int
+        Seed of the input.
+    quick : bool
+        Use a smaller size.
+    json_output : bool
+        Print JSON; spelled `--json` on the command line.
+
+    Returns
+    -------
+    bool
+        Whether every bound holds.
+    """
+    _import_measures()
+    names = sorted(MEASURES) if name == "all" else [name]
+    outcomes = [_run(n, seed=seed, quick=quick, as_json=json_output) for n in names]
+    return all(outcomes)
+
+
+def _run(name, *, seed, quick, as_json):
+    outcome = MEASURES[name]().run(seed=seed, quick=quick)
+    if as_json:
+        print(json.dumps(outcome.as_json()))
+    else:
+        _print_text(outcome)
+    return outcome.holds
+
+
+def _print_text(outcome):
+    print(
+        f"{outcome.name} (seed {outcome.seed}): {'holds' if outcome.holds else 'FAILS'}"
+    )
+    limits = {b.figure: f"{b.comparison} {b.value:g}" for b in outcome.bounds}
+    for key, value in outcome.figures.items():
+        plain = outcome.baseline.get(key, "-")
+        limit = limits.get(key, "")
+        print(f"  {key:28} {value!s:>14}  baseline {plain!s:>14}  {limit}")
+
+
+def _import_measures():
+    for module in pkgutil.iter_modules(wasabipaddle.measure.__path__):
+        if module.name != "tests":
+            importlib.import_module(f"wasabipaddle.measure.{module.name}")
