Add transport between entry processes

Roles need one typed call between processes that works over HTTP and, for tests and measurements on virtual time, in memory with latency and partitions. The in-memory network counts bytes per pair of processes, which the measures of control traffic read.

--- a/wasabipaddle/messages/__init__.py
+++ b/wasabipaddle/messages/__init__.py
@@ -11,6 +11,12 @@
     LedShard,
     MemberView,
 )
+from wasabipaddle.messages.requests import (
+    ForwardReply,
+    ForwardRequest,
+    RoutedAnswer,
+    RouteRequest,
+)
 from wasabipaddle.messages.revisions import (
     DocumentRevision,
     RevisionPage,
@@ -35,6 +41,8 @@
     "DataCentreSummary",
     "DocumentRevision",
     "DrainNotice",
+    "ForwardReply",
+    "ForwardRequest",
     "Grant",
     "GrantReply",
     "GrantRequest",
@@ -48,6 +56,8 @@
     "QueryRun",
     "RevisionPage",
     "RevisionQuery",
+    "RouteRequest",
+    "RoutedAnswer",
     "RunOutcome",
     "RunPage",
     "RunState",
--- /dev/null
+++ b/wasabipaddle/serve/__init__.py
@@ -0,0 +1,3 @@
+"""Roles of an entry process, one plug-in per module."""
+
+__all__ = []
--- /dev/null
+++ b/wasabipaddle/transport/http.py
@@ -0,0 +1,86 @@
+"""Calls between entry processes over HTTP with JSON."""
+
+import aiohttp
+from aiohttp import web
+from result import Err
+
+from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.messages import decode, encode
+from wasabipaddle.transport.base import Transport
+
+__all__ = ["HttpTransport"]
+
+PATH = "/internal/v1/{name}"
+CONNECT_TIMEOUT_S = 1.0
+
+
+class HttpTransport(Transport):
+    """Transport over `aiohttp`.
+
+    Parameters
+    ----------
+    peers : dict of str to Peer
+        Addresses of the entry processes.
+    ssl : ssl.SSLContext or None
+        TLS context for calls; None uses plain HTTP.
+    """
+
+    def __init__(self, *, peers, ssl=None):
+        super().__init__()
+        self.peers = peers
+        self.ssl = ssl
+        self.session = None
+
+    def routes(self):
+        """Return the `aiohttp` route that serves the messages of peers."""
+        return [web.post(PATH, self._receive)]
+
+    async def call(self, peer, message, reply_type, *, timeout_s):
+        """Post the message to the internal listener of the peer."""
+        address = self.peers[peer]
+        name = type(message).__name__
+        scheme = "https" if self.ssl else "http"
+        path = PATH.format(name=name)
+        url = f"{scheme}://{address.host}:{address.internal_port}{path}"
+        body = encode(message)
+        self.count_bytes(message, len(body))
+        timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
+        try:
+            async with self._open_session().post(
+                url, data=body, timeout=timeout, ssl=self.ssl or True
+            ) as response:
+                data = await response.read()
+        except aiohttp.ClientConnectorError as error:
+            return Err(Failure(kind=ErrorKind.UNREACHABLE, detail=str(error)))
+        except (TimeoutError, aiohttp.ClientError) as error:
+            detail = f"{name} to {peer}: {type(error).__name__}"
+            return Err(Failure(kind=ErrorKind.TIMEOUT, detail=detail))
+        if response.status != 200:
+            return _decode_failure(data)
+        return decode(data, reply_type)
+
+    async def close(self):
+        """Close the connections to peers."""
+        if self.session is not None:
+            await self.session.close()
+
+    def _open_session(self):
+        if self.session is None:
+            self.session = aiohttp.ClientSession()
+        return self.session
+
+    async def _receive(self, request):
+        reply = await self.serve(request.match_info["name"], await request.read())
+        if reply.is_err():
+            failure = reply.unwrap_err()
+            body = encode(failure)
+            return web.Response(status=failure.answer.status, body=body)
+        return web.Response(body=reply.unwrap(), content_type="application/json")
+
+
+def _decode_failure(data):
+    failure = decode(data, Failure)
+    if failure.is_err():
+        detail = "the peer answered without a known error"
+        return Err(Failure(kind=ErrorKind.INTERNAL, detail=detail))
+    return Err(failure.unwrap())
--- /dev/null
+++ b/wasabipaddle/transport/memory.py
@@ -0,0 +1,96 @@
+"""Calls between entry processes of one test or measurement."""
+
+import asyncio
+
+from result import Err
+
+from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.messages import decode, encode
+from wasabipaddle.transport.base import Transport
+
+__all__ = ["MemoryNetwork", "MemoryTransport"]
+
+
+class MemoryNetwork:
+    """Network of in-memory transports with latency, cuts and stopped processes.
+
+    Parameters
+    ----------
+    latency_s : callable
+        Function from two process names to the one-way latency in seconds.
+    """
+
+    def __init__(self, *, latency_s=lambda source, target: 0.0015):
+        self.latency_s = latency_s
+        self.transports = {}
+        self.cuts = set()
+        self.stopped = set()
+        self.pair_bytes = {}
+
+    def cut(self, source, target):
+        """Drop messages and replies between two processes, in both directions."""
+        self.cuts.add(frozenset((source, target)))
+
+    def heal(self):
+        """Remove every cut."""
+        self.cuts.clear()
+
+    def passes(self, source, target) -> bool:
+        """Return whether a message from `source` reaches `target` now."""
+        if source in self.stopped or target in self.stopped:
+            return False
+        return frozenset((source, target)) not in self.cuts
+
+    def count(self, source, target, size):
+        """Record the traffic of one direction."""
+        pair = (source, target)
+        self.pair_bytes[pair] = self.pair_bytes.get(pair, 0) + size
+
+
+class MemoryTransport(Transport):
+    """Transport of one process on a `MemoryNetwork`.
+
+    Parameters
+    ----------
+    name : str
+        Name of the process.
+    network : MemoryNetwork
+        The network that it joins.
+    """
+
+    def __init__(self, *, name, network):
+        super().__init__()
+        self.name = name
+        self.network = network
+        network.transports[name] = self
+
+    async def call(self, peer, message, reply_type, *, timeout_s):
+        """Deliver the message after the latency of the network."""
+        try:
+            return await asyncio.wait_for(
+                self._deliver(peer, message, reply_type), timeout_s
+            )
+        except TimeoutError:
+            detail = f"no reply from {peer}"
+            return Err(Failure(kind=ErrorKind.TIMEOUT, detail=detail))
+
+    async def _deliver(self, peer, message, reply_type):
+        body = encode(message)
+        self.count_bytes(message, len(body))
+        self.network.count(self.name, peer, len(body))
+        latency = self.network.latency_s(self.name, peer)
+        await asyncio.sleep(latency)
+        if peer in self.network.stopped or peer not in self.network.transports:
+            detail = f"{peer} refuses connections"
+            return Err(Failure(kind=ErrorKind.UNREACHABLE, detail=detail))
+        if not self.network.passes(self.name, peer):
+            await asyncio.get_running_loop().create_future()
+        target = self.network.transports[peer]
+        reply = await target.serve(type(message).__name__, body)
+        await asyncio.sleep(latency)
+        if not self.network.passes(self.name, peer):
+            await asyncio.get_running_loop().create_future()
+        if reply.is_err():
+            return reply
+        self.network.count(peer, self.name, len(reply.unwrap()))
+        return decode(reply.unwrap(), reply_type)
