Add internal listener, VM list reader and worker sessions

Cause: the roles of an entry process need the same listener for peers, and the shard leader needs one place that counts how long a worker's leases can last. Change: roles transport and fleet, worker sessions with a polling and a command task.

--- /dev/null
+++ b/wasabipaddle/runs/workers.py
@@ -0,0 +1,251 @@
+"""Synchronisation of a shard leader with one worker."""
+
+import asyncio
+
+import attrs
+from result import Err
+
+from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.platform import WorkerReport, WorkerSync
+
+__all__ = [
+    "WorkerContact",
+    "WorkerDeposed",
+    "WorkerReported",
+    "WorkerSession",
+    "WorkerUnreachable",
+]
+
+CALL_TIMEOUT_S = 2.0
+RETRY_S = 0.5
+POLL_FRACTION = 3  # polls per task lease
+
+
+@attrs.frozen(kw_only=True)
+class WorkerReported:
+    """A worker answered a synchronisation."""
+
+    worker: str
+    report: WorkerReport
+
+
+@attrs.frozen(kw_only=True)
+class WorkerUnreachable:
+    """A synchronisation failed; its commands may or may not have arrived."""
+
+    worker: str
+    failure: Failure
+
+
+@attrs.frozen(kw_only=True)
+class WorkerDeposed:
+    """A worker has seen a higher epoch of the shard."""
+
+    worker: str
+
+
+@attrs.define(kw_only=True)
+class WorkerContact:
+    """When a worker was last reached.
+
+    Parameters
+    ----------
+    lease_may_last_until : float
+        Time until which a task on the worker may hold a lease that this leader
+        renewed, in seconds; it includes the call timeout, since a call without an
+        answer may have arrived late, and the drift of the worker's clock.
+    answered : bool
+        Whether the worker has answered under the present epoch.
+    failures : int
+        Failed calls since the last answer.
+    """
+
+    lease_may_last_until: float = 0.0
+    answered: bool = False
+    failures: int = 0
+
+
+@attrs.define(kw_only=True)
+class _Commands:
+    """Commands that wait for the next call."""
+
+    starts: list = attrs.field(factory=list)
+    stops: list = attrs.field(factory=list)
+    checkpoints: list = attrs.field(factory=list)
+    throttles: list = attrs.field(factory=list)
+    unthrottles: list = attrs.field(factory=list)
+    acknowledgements: list = attrs.field(factory=list)
+
+    def any(self) -> bool:
+        return any(attrs.astuple(self, recurse=False))
+
+    def merge_back(self, earlier):
+        """Put the commands of a failed call in front.
+
+        Repeating a command is safe, since a worker acts once on each attempt.
+        """
+        for field in attrs.fields(_Commands):
+            getattr(self, field.name)[:0] = getattr(earlier, field.name)
+
+
+class WorkerSession:
+    """Sends commands to one worker, renews its leases and reports its state.
+
+    One task polls the worker and renews the leases; a second one sends commands as
+    soon as there are any. Both report to `notify`.
+
+    Parameters
+    ----------
+    worker : str
+        Name of the worker.
+    client : WorkerClient
+        Its client.
+    shard, epoch, leader
+        Fencing token of the shard leader.
+    lease : LeadershipSettings
+        Task lease and clock drift.
+    clock : Clock
+        Source of time.
+    may_command : callable
+        Coroutine function; False while starts must be held back.
+    notify : callable
+        Receives `WorkerReported`, `WorkerUnreachable` and `WorkerDeposed`.
+    """
+
+    def __init__(
+        self,
+        *,
+        worker,
+        client,
+        shard,
+        epoch,
+        leader,
+        lease,
+        clock,
+        may_command,
+        notify,
+    ):
+        self.worker = worker
+        self.client = client
+        self.shard = shard
+        self.epoch = epoch
+        self.leader = leader
+        self.lease = lease
+        self.clock = clock
+        self.may_command = may_command
+        self.notify = notify
+        self.contact = WorkerContact()
+        self.commands = _Commands()
+        self.wake = asyncio.Event()
+        self.seen_version = -1
+        self.tasks = []
+
+    def start(self):
+        """Start the two tasks of the session."""
+        self.tasks = [
+            asyncio.create_task(self._poll()),
+            asyncio.create_task(self._send()),
+        ]
+
+    async def reset(self):
+        """Drop every waiting command and ask for the whole inventory again.
+
+        Called when the leases of the worker have expired, so that no command of an
+        abandoned attempt is sent later.
+        """
+        await self._cancel()
+        self.commands = _Commands()
+        self.seen_version = -1
+        self.start()
+
+    async def stop(self):
+        """Stop the session; commands that were not sent are dropped."""
+        await self._cancel()
+        await self.client.close()
+
+    async def _cancel(self):
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    def command(self, name, order):
+        """Queue one command, `name` being a field of `WorkerSync`."""
+        getattr(self.commands, name).append(order)
+        self.wake.set()
+
+    def drop_start(self, task, attempt) -> bool:
+        """Remove a start that was not yet sent; return whether it was found."""
+        starts = self.commands.starts
+        kept = [s for s in starts if (s.task, s.attempt) != (task, attempt)]
+        found = len(kept) < len(starts)
+        self.commands.starts = kept
+        return found
+
+    async def _poll(self):
+        wait_s = 0.0
+        while True:
+            result = await self._call(_Commands(), wait_s=wait_s)
+            if result.is_err():
+                await asyncio.sleep(RETRY_S)
+            wait_s = self.lease.task_lease_s / POLL_FRACTION if result.is_ok() else 0.0
+
+    async def _send(self):
+        while True:
+            await self.wake.wait()
+            if not await self.may_command():
+                await asyncio.sleep(RETRY_S)
+                continue
+            self.wake.clear()
+            commands, self.commands = self.commands, _Commands()
+            if not commands.any():
+                continue
+            result = await self._call(commands, wait_s=0.0)
+            if result.is_err():
+                self.commands.merge_back(commands)
+                await asyncio.sleep(RETRY_S)
+                self.wake.set()
+
+    async def _call(self, commands, *, wait_s):
+        sync = self._command(commands, wait_s)
+        self._extend_lease(wait_s)
+        limit = CALL_TIMEOUT_S + wait_s
+        try:
+            result = await asyncio.wait_for(self.client.sync(sync), limit)
+        except TimeoutError:
+            detail = f"no answer from {self.worker}"
+            result = Err(Failure(kind=ErrorKind.TIMEOUT, detail=detail))
+        self._report(result)
+        return result
+
+    def _command(self, commands, wait_s):
+        return WorkerSync(
+            shard=self.shard,
+            epoch=self.epoch,
+            leader=self.leader,
+            lease_s=self.lease.task_lease_s,
+            seen_version=self.seen_version,
+            wait_s=wait_s,
+            **{k: tuple(v) for k, v in attrs.asdict(commands, recurse=False).items()},
+        )
+
+    def _extend_lease(self, wait_s):
+        lease_s = self.lease.task_lease_s * (1 + self.lease.drift)
+        until = self.clock.now() + CALL_TIMEOUT_S + wait_s + lease_s
+        self.contact.lease_may_last_until = max(
+            self.contact.lease_may_last_until, until
+        )
+
+    def _report(self, result):
+        if result.is_ok():
+            report = result.unwrap()
+            self.contact.answered = True
+            self.contact.failures = 0
+            self.seen_version = max(self.seen_version, report.version)
+            self.notify(WorkerReported(worker=self.worker, report=report))
+            return
+        failure = result.unwrap_err()
+        self.contact.failures += 1
+        if failure.kind is ErrorKind.STALE_EPOCH:
+            self.notify(WorkerDeposed(worker=self.worker))
+            return
+        self.notify(WorkerUnreachable(worker=self.worker, failure=failure))
--- /dev/null
+++ b/wasabipaddle/serve/fleet.py
@@ -0,0 +1,91 @@
+"""Role `fleet`: reads the platform's VM list and publishes changes."""
+
+import asyncio
+
+import attrs
+
+from wasabipaddle.kernel import Plugin
+from wasabipaddle.platform import VmEntry, VmRole, VmStatus
+from wasabipaddle.timeline import EventKind
+
+__all__ = ["FleetPlugin", "FleetRead"]
+
+READ_PERIOD_S = 1.0
+
+
+@attrs.frozen(kw_only=True)
+class FleetRead:
+    """The VM list of the data centre changed.
+
+    Parameters
+    ----------
+    entries : tuple of VmEntry
+        Every VM of the data centre.
+    """
+
+    entries: tuple[VmEntry, ...]
+
+
+class FleetPlugin(Plugin):
+    """Keeps the latest VM list of the data centre.
+
+    Attributes
+    ----------
+    entries : dict of str to VmEntry
+        VMs by name; a VM that left the list is kept as `gone`.
+    """
+
+    name = "fleet"
+    requires = ("platform",)
+
+    def __init__(self, *, context):
+        super().__init__(context=context)
+        self.entries = {}
+        self.task = None
+
+    async def start(self):
+        """Start reading the list."""
+        self.task = asyncio.create_task(self._read_forever())
+
+    async def stop(self):
+        """Stop reading the list."""
+        self.task.cancel()
+
+    def is_gone(self, vm) -> bool:
+        """Return whether the list says that a VM no longer exists."""
+        entry = self.entries.get(vm)
+        return entry is not None and entry.status is VmStatus.GONE
+
+    def select(self, role) -> tuple[VmEntry, ...]:
+        """Return the VMs with one role."""
+        return tuple(e for e in self.entries.values() if e.role is role)
+
+    async def _read_forever(self):
+        vms = self.context.plugins["platform"].vms
+        while True:
+            result = await vms.read(data_centre=self.context.settings.data_centre)
+            if result.is_ok():
+                self._update(result.unwrap())
+            else:
+                self.context.metrics.count("vm_list_errors")
+            await asyncio.sleep(READ_PERIOD_S)
+
+    def _update(self, listed):
+        entries = {e.vm: e for e in listed}
+        for vm, known in self.entries.items():
+            if vm not in entries:
+                entries[vm] = attrs.evolve(known, status=VmStatus.GONE)
+        if entries == self.entries:
+            return
+        for vm, entry in entries.items():
+            known = self.entries.get(vm)
+            if known is not None and entry.status is not known.status:
+                detail = f"listed as {entry.status.value}"
+                self.context.events.record(EventKind.VM_LEAVING, vm=vm, detail=detail)
+        self.entries = entries
+        self.context.bus.publish(FleetRead(entries=tuple(entries.values())))
+
+
+def workers_of(entries):
+    """Return the workers among VM entries."""
+    return [e for e in entries if e.role is VmRole.WORKER]
--- /dev/null
+++ b/wasabipaddle/serve/process.py
@@ -0,0 +1,49 @@
+"""One entry process from start to graceful shutdown."""
+
+import asyncio
+import signal
+import time
+
+from wasabipaddle.clock import LoopClock
+from wasabipaddle.kernel import Context, Kernel
+from wasabipaddle.serve.transport import TransportPlugin
+
+__all__ = ["ROLES", "serve"]
+
+ROLES = (
+    "transport",
+    "platform",
+    "fleet",
+    "membership",
+    "leadership",
+    "relay",
+    "documents",
+    "grants",
+    "routing",
+    "runs",
+    "api",
+)
+
+
+async def serve(settings):
+    """Run an entry process until SIGTERM or SIGINT, then drain it.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of the process.
+    """
+    seed = settings.seed or time.time_ns()
+    context = Context.create(
+        settings=settings, clock=LoopClock(), process=settings.process, seed=seed
+    )
+    kernel = Kernel(context=context, names=ROLES)
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    await kernel.start()
+    await context.plugins[TransportPlugin.name].open()
+    await stopping.wait()
+    await kernel.drain()
+    await kernel.stop()
--- /dev/null
+++ b/wasabipaddle/serve/transport.py
@@ -0,0 +1,69 @@
+"""Role `transport`: calls between entry processes and the internal listener."""
+
+import ssl
+
+from aiohttp import web
+
+from wasabipaddle.kernel import Plugin
+from wasabipaddle.transport import HttpTransport
+
+__all__ = ["TransportPlugin", "peer_client_context", "peer_server_context"]
+
+
+def peer_server_context(tls) -> ssl.SSLContext | None:
+    """Return the TLS context of the internal listener, None without TLS."""
+    if not tls.certificate:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(tls.certificate, tls.key)
+    return context
+
+
+def peer_client_context(tls) -> ssl.SSLContext | None:
+    """Return the TLS context of calls to peers, None without TLS."""
+    if not tls.certificate:
+        return None
+    return ssl.create_default_context(cafile=tls.authority or None)
+
+
+class TransportPlugin(Plugin):
+    """Owns the internal listener and the connections to peers.
+
+    Other roles register their message handlers with `transport.handle` in their
+    constructor or `start`. The listener opens last, in `open`, when every role has
+    started.
+    """
+
+    name = "transport"
+
+    def __init__(self, *, context):
+        super().__init__(context=context)
+        settings = context.settings
+        self.transport = HttpTransport(
+            peers={p.name: p for p in settings.deployment.entries},
+            ssl=peer_client_context(settings.api.tls),
+        )
+        self.ssl = peer_server_context(settings.api.tls)
+        self.runner = None
+
+    async def open(self):
+        """Listen on the internal port."""
+        peer = self.context.settings.peer
+        app = web.Application()
+        app.add_routes(self.transport.routes())
+        for plugin in self.context.plugins.values():
+            for route in plugin.routes():
+                if route.internal:
+                    app.router.add_route(route.method, route.path, route.handler)
+        self.runner = web.AppRunner(app, access_log=None)
+        await self.runner.setup()
+        site = web.TCPSite(
+            self.runner, peer.host, peer.internal_port, ssl_context=self.ssl
+        )
+        await site.start()
+
+    async def stop(self):
+        """Close the listener and the connections to peers."""
+        if self.runner is not None:
+            await self.runner.cleanup()
+        await self.transport.close()
