Add merged time line as text, JSON lines and HTML

Cause: one run passes several processes, and no single log shows its path. Change: merge by hybrid logical time, with silent processes named as missing.

--- a/wasabipaddle/timeline/__init__.py
+++ b/wasabipaddle/timeline/__init__.py
@@ -1,5 +1,17 @@
 """Time line of events over all processes."""
 
 from wasabipaddle.timeline.events import Event, EventKind, EventRing
+from wasabipaddle.timeline.html import render_html
+from wasabipaddle.timeline.merge import Timeline, merge_events
+from wasabipaddle.timeline.text import render_json_lines, render_text
 
-__all__ = ["Event", "EventKind", "EventRing"]
+__all__ = [
+    "Event",
+    "EventKind",
+    "EventRing",
+    "Timeline",
+    "merge_events",
+    "render_html",
+    "render_json_lines",
+    "render_text",
+]
--- /dev/null
+++ b/wasabipaddle/timeline/merge.py
@@ -0,0 +1,49 @@
+"""Merge of the events of many processes into one time line."""
+
+import heapq
+import operator
+
+import attrs
+
+from wasabipaddle.timeline.events import Event
+
+__all__ = ["Timeline", "merge_events"]
+
+_sort_key = operator.attrgetter("time", "process")
+
+
+@attrs.frozen(kw_only=True)
+class Timeline:
+    """Events of all processes in hybrid logical order.
+
+    Parameters
+    ----------
+    events : tuple of Event
+        Events in order of their time.
+    processes : tuple of str
+        Processes that answered.
+    missing : tuple of str
+        Processes that did not answer.
+    """
+
+    events: tuple[Event, ...]
+    processes: tuple[str, ...]
+    missing: tuple[str, ...] = ()
+
+
+def merge_events(by_process, *, missing=()) -> Timeline:
+    """Merge the events of each process.
+
+    Parameters
+    ----------
+    by_process : dict of str to sequence of Event
+        Events of each process that answered.
+    missing : sequence of str
+        Processes that did not answer.
+    """
+    ordered = [sorted(events, key=_sort_key) for events in by_process.values()]
+    return Timeline(
+        events=tuple(heapq.merge(*ordered, key=_sort_key)),
+        processes=tuple(sorted(by_process)),
+        missing=tuple(sorted(missing)),
+    )
--- /dev/null
+++ b/wasabipaddle/timeline/tests/test_timeline.py
@@ -0,0 +1,59 @@
+"""Tests of the merged time line."""
+
+import json
+
+import pytest
+
+from wasabipaddle.clock import HybridClock, ManualClock
+from wasabipaddle.timeline import (
+    EventKind,
+    EventRing,
+    merge_events,
+    render_html,
+    render_json_lines,
+    render_text,
+)
+
+
+@pytest.fixture
+def timeline():
+    clock = ManualClock(time_s=1.0)
+    first = EventRing(process="entry-1", hybrid=HybridClock(clock=clock))
+    second = EventRing(process="entry-2", hybrid=HybridClock(clock=clock))
+    sent = first.record(EventKind.RUN_SUBMITTED, run="r1", service="<manifesti>")
+    second.hybrid.receive(sent.time)
+    second.record(EventKind.RUN_ACCEPTED, run="r1")
+    first.record(EventKind.MEMBER_UP, vm="vm-1")
+    return merge_events(
+        {"entry-2": second.events, "entry-1": first.select(run="r1")},
+        missing=["entry-3"],
+    )
+
+
+def test_merge_keeps_cause_before_effect(timeline):
+    """Guards against an acceptance that sorts before its submission."""
+    kinds = [e.kind for e in timeline.events]
+    assert kinds == [EventKind.RUN_SUBMITTED, EventKind.RUN_ACCEPTED]
+
+
+def test_every_rendering_names_missing_processes(timeline):
+    """Guards against a time line that looks whole while a process is silent."""
+    assert "missing: entry-3" in render_text(timeline)
+    assert json.loads(render_json_lines(timeline).splitlines()[-1]) == {
+        "missing": "entry-3"
+    }
+    assert "entry-3 did not answer" in render_html(timeline, title="run r1")
+
+
+def test_html_escapes_what_callers_sent(timeline):
+    """Guards against script injection through names of services."""
+    assert "<manifesti>" not in render_html(timeline, title="<b>")
+
+
+def test_ring_is_bounded():
+    """Guards against memory that grows with the age of a process."""
+    hybrid = HybridClock(clock=ManualClock())
+    ring = EventRing(process="p", hybrid=hybrid, capacity=10)
+    for _ in range(100):
+        ring.record(EventKind.MEMBER_UP)
+    assert len(ring.events) == 10
