Add in-memory stand-ins of workers, endpoints, VM list and link

Workers enforce reservations, epochs, attempts and leases; endpoints enforce slots, connections and epochs. All record into a ledger that the system does not see, and the verdict is computed from it.

--- a/wasabipaddle/platform/worker.py
+++ b/wasabipaddle/platform/worker.py
@@ -96,6 +96,11 @@
     lease_s : float
         New lease of every task of the shard on the worker, in seconds from receipt;
         0 renews nothing.
+    lease_base_s : float or None
+        Reading of the worker's clock from which `lease_s` counts, taken from
+        `WorkerReport.clock_s`; None counts from receipt. A command that is delayed
+        on its way or by a pause of the worker then renews no longer than the leader
+        assumes.
     seen_version : int
         Version of the last report that the leader processed; the worker reports
         what changed after it. -1 asks for the whole inventory.
@@ -107,6 +112,7 @@
     epoch: int
     leader: str
     lease_s: float
+    lease_base_s: float | None = None
     seen_version: int = -1
     wait_s: float = 0.0
     starts: tuple[TaskStart, ...] = ()
@@ -172,6 +178,8 @@
         Measured use of the VM.
     leaving : bool
         Whether the VM is about to leave.
+    clock_s : float
+        Monotonic clock of the worker at the time of the report.
     """
 
     worker: str
@@ -181,6 +189,7 @@
     refusals: tuple[TaskRefusal, ...] = ()
     usage: Usage = Usage()
     leaving: bool = False
+    clock_s: float = 0.0
 
 
 class WorkerClient(abc.ABC):
--- a/wasabipaddle/standins/__init__.py
+++ b/wasabipaddle/standins/__init__.py
@@ -1,5 +1,20 @@
 """Stand-ins of the platform, of workers and of endpoints."""
 
+from wasabipaddle.standins.answers import Broken
+from wasabipaddle.standins.endpoint import EndpointFaults, MemoryEndpoint
+from wasabipaddle.standins.endpoint_view import EndpointView
+from wasabipaddle.standins.ledger import (
+    CutOff,
+    CutOffCause,
+    Discard,
+    Execution,
+    Ledger,
+    LedgerRecord,
+    WorkKind,
+    merge_records,
+)
+from wasabipaddle.standins.link import Link, LinkConnection, LinkedStore, LinkedWorker
+from wasabipaddle.standins.payloads import RequestPayload, TaskPayload
 from wasabipaddle.standins.store import (
     MemoryStore,
     SecondCount,
@@ -7,11 +22,39 @@
     StoreFaults,
     StoreView,
 )
+from wasabipaddle.standins.verdict import Verdict, compute_verdict
+from wasabipaddle.standins.vms import MemoryVmList, VmListFaults
+from wasabipaddle.standins.worker import MemoryWorker, WorkerFaults, WorkerView
 
 __all__ = [
+    "Broken",
+    "CutOff",
+    "CutOffCause",
+    "Discard",
+    "EndpointFaults",
+    "EndpointView",
+    "Execution",
+    "Ledger",
+    "LedgerRecord",
+    "Link",
+    "LinkConnection",
+    "LinkedStore",
+    "LinkedWorker",
+    "MemoryEndpoint",
     "MemoryStore",
+    "MemoryVmList",
+    "MemoryWorker",
+    "RequestPayload",
     "SecondCount",
     "StoreAllowance",
     "StoreFaults",
     "StoreView",
+    "TaskPayload",
+    "Verdict",
+    "VmListFaults",
+    "WorkKind",
+    "WorkerFaults",
+    "WorkerView",
+    "compute_verdict",
+    "merge_records",
 ]
--- /dev/null
+++ b/wasabipaddle/standins/answers.py
@@ -0,0 +1,61 @@
+"""Answers of endpoint stand-ins, whole and damaged."""
+
+import enum
+
+import attrs
+import xxhash
+
+__all__ = ["Answer", "Broken", "break_answer", "make_answer"]
+
+
+class Broken(enum.Enum):
+    """How an answer is damaged."""
+
+    NO = ""
+    SHORT = "short"  # ends after half of its bytes
+    STALL = "stall"  # stalls after half of its bytes
+    DIGEST = "digest"  # has a body that its digest does not match
+    OTHER = "other"  # names another request
+
+
+@attrs.frozen(kw_only=True)
+class Answer:
+    """One answer with what is announced and what is sent.
+
+    Parameters
+    ----------
+    length, digest
+        Announced size and xxh3 digest of the body.
+    body : bytes
+        Bytes that are sent.
+    stalls : bool
+        Whether the connection stalls after the body.
+    """
+
+    request: str
+    length: int
+    digest: str
+    body: bytes
+    stalls: bool = False
+
+
+def make_answer(request, size) -> Answer:
+    """Make an answer of `size` bytes whose content repeats the request id."""
+    pattern = f"{request}\n".encode()
+    body = (pattern * (size // len(pattern) + 1))[:size]
+    digest = xxhash.xxh3_64_hexdigest(body)
+    return Answer(request=request, length=size, digest=digest, body=body)
+
+
+def break_answer(answer, broken) -> Answer:
+    """Return a damaged copy of an answer."""
+    half = answer.body[: len(answer.body) // 2]
+    if broken is Broken.SHORT:
+        return attrs.evolve(answer, body=half)
+    if broken is Broken.STALL:
+        return attrs.evolve(answer, body=half, stalls=True)
+    if broken is Broken.DIGEST:
+        return attrs.evolve(answer, body=bytes(b ^ 1 for b in answer.body))
+    if broken is Broken.OTHER:
+        return attrs.evolve(answer, request=f"{answer.request}-other")
+    return answer
--- /dev/null
+++ b/wasabipaddle/standins/endpoint_view.py
@@ -0,0 +1,177 @@
+"""Client of an in-memory endpoint, which owns its connections."""
+
+import asyncio
+
+import attrs
+from result import Ok
+
+from wasabipaddle.exceptions import ErrorKind
+from wasabipaddle.platform import EndpointAnswer, EndpointClient
+from wasabipaddle.standins.exchange import fail
+
+__all__ = ["Connection", "EndpointView"]
+
+DEFAULT_PROGRESS_S = 1.0
+CHUNK_BYTES = 16_384
+
+
+@attrs.define(kw_only=True, eq=False)
+class Connection:
+    """One open connection to an endpoint; a silent one carries nothing."""
+
+    silent: bool = False
+
+
+class EndpointView(EndpointClient):
+    """Client of a `MemoryEndpoint` for one process.
+
+    Parameters
+    ----------
+    progress_s : float
+        Longest silence of a connection with a request in progress.
+
+    Attributes
+    ----------
+    partitioned : bool
+        Whether the process is cut off from the endpoint.
+    """
+
+    def __init__(self, *, endpoint, progress_s=DEFAULT_PROGRESS_S):
+        self.endpoint = endpoint
+        self.progress_s = progress_s
+        self.partitioned = False
+        self.idle = []
+
+    async def send(self, request):
+        """Send a request on an idle or a new connection."""
+        opened = await self._connect()
+        if opened.is_err():
+            return opened
+        connection = opened.unwrap()
+        try:
+            async with asyncio.timeout(request.deadline_s):
+                result = await self._exchange(connection, request)
+        except TimeoutError:
+            result = fail(ErrorKind.TIMEOUT, "deadline of the request")
+        except asyncio.CancelledError:
+            self._drop(connection)
+            raise
+        if result.is_err():
+            if result.unwrap_err().kind is ErrorKind.TIMEOUT:
+                self._drop(connection)
+            else:
+                self.idle.append(connection)
+            return result
+        return Ok(self._as_answer(connection, result.unwrap()))
+
+    async def query(self, request):
+        """Ask on a new connection."""
+        opened = await self._connect(new=True)
+        if opened.is_err():
+            return opened
+        self._drop(opened.unwrap())
+        return Ok(self.endpoint.state_of(request))
+
+    async def probe(self):
+        """Open and close a connection."""
+        opened = await self._connect(new=True)
+        if opened.is_err():
+            return opened
+        self._drop(opened.unwrap())
+        return Ok(None)
+
+    async def replace_connections(self):
+        """Close idle connections."""
+        for connection in list(self.idle):
+            self._drop(connection)
+
+    async def close(self):
+        """Close connections."""
+        await self.replace_connections()
+
+    async def _connect(self, *, new=False):
+        endpoint = self.endpoint
+        if self.idle and not new:
+            return Ok(self.idle.pop())
+        if self.partitioned or endpoint.faults.silent:
+            await asyncio.sleep(self.progress_s)
+            return fail(ErrorKind.UNREACHABLE, "no connection in time")
+        await asyncio.sleep(endpoint.latency_s)
+        if endpoint.refuses_connections():
+            return fail(ErrorKind.UNREACHABLE, f"{endpoint.name} refuses connections")
+        if len(endpoint.open) >= endpoint.connections:
+            return fail(ErrorKind.NO_CAPACITY, "no free connection")
+        connection = Connection()
+        endpoint.open.add(connection)
+        return Ok(connection)
+
+    async def _exchange(self, connection, request):
+        endpoint = self.endpoint
+        await asyncio.sleep(endpoint.latency_s / 2)
+        if self._is_silent(connection):
+            return await self._stall()
+        if endpoint.refuses_connections():
+            return fail(ErrorKind.TIMEOUT, "connection closed by the endpoint")
+        accepted = endpoint.accept(request)
+        if accepted.is_err():
+            await asyncio.sleep(endpoint.latency_s / 2)
+            return accepted
+        running = accepted.unwrap()
+        try:
+            answered = await self._wait(connection, running)
+        finally:
+            endpoint.disconnect(running)
+        await asyncio.sleep(endpoint.latency_s / 2)
+        return answered
+
+    async def _wait(self, connection, running):
+        """Wait for the end of a request while its connection shows progress."""
+        loop = asyncio.get_running_loop()
+        progress_at_s = loop.time()
+        while True:
+            await asyncio.wait([running.ended], timeout=self.progress_s / 4)
+            silent = self._is_silent(connection)
+            if running.ended.done() and not silent and not running.lost:
+                return running.ended.result()
+            if not silent and loop.time() <= running.pings_until_s:
+                progress_at_s = loop.time()
+            if loop.time() - progress_at_s >= self.progress_s:
+                return fail(ErrorKind.TIMEOUT, "no progress on the connection")
+            if running.ended.done():
+                await asyncio.sleep(self.progress_s / 4)
+
+    def _is_silent(self, connection):
+        silent = connection.silent or self.endpoint.faults.silent
+        return silent or self.partitioned
+
+    async def _stall(self):
+        await asyncio.sleep(self.progress_s)
+        return fail(ErrorKind.TIMEOUT, "no progress on the connection")
+
+    def _as_answer(self, connection, answer):
+        return EndpointAnswer(
+            request=answer.request,
+            length=answer.length,
+            digest=answer.digest,
+            chunks=self._chunks(connection, answer),
+        )
+
+    async def _chunks(self, connection, answer):
+        whole = False
+        try:
+            for start in range(0, len(answer.body), CHUNK_BYTES):
+                await asyncio.sleep(0)
+                yield answer.body[start : start + CHUNK_BYTES]
+            if answer.stalls:
+                await asyncio.sleep(self.progress_s)
+            whole = len(answer.body) == answer.length
+        finally:
+            if whole:
+                self.idle.append(connection)
+            else:
+                self._drop(connection)
+
+    def _drop(self, connection):
+        self.endpoint.open.discard(connection)
+        if connection in self.idle:
+            self.idle.remove(connection)
--- /dev/null
+++ b/wasabipaddle/standins/exchange.py
@@ -0,0 +1,52 @@
+"""Calls to an in-memory stand-in that travel independently of the caller."""
+
+import asyncio
+
+from result import Err
+
+from wasabipaddle.exceptions import ErrorKind, Failure
+
+__all__ = ["exchange", "fail", "reply"]
+
+
+async def exchange(arrive, *, one_way_s, timeout_s, target):
+    """Deliver a call and wait for its answer.
+
+    The call arrives even if the caller has given up or was cancelled.
+
+    Parameters
+    ----------
+    arrive : callable
+        Function that takes the future of the answer and carries the call out.
+    one_way_s, timeout_s : float
+        Time of the call to its target, and longest wait for the answer.
+    target : str
+        Name for the error message.
+
+    Returns
+    -------
+    result.Result
+        The answer, or an `Err` of kind `timeout`.
+    """
+    loop = asyncio.get_running_loop()
+    answer = loop.create_future()
+    loop.call_later(one_way_s, arrive, answer)
+    try:
+        return await asyncio.wait_for(answer, timeout_s)
+    except TimeoutError:
+        return fail(ErrorKind.TIMEOUT, f"no answer of {target}")
+
+
+def reply(answer, result, *, one_way_s):
+    """Set the future of an answer after the way back."""
+
+    def deliver():
+        if not answer.done():
+            answer.set_result(result)
+
+    asyncio.get_running_loop().call_later(one_way_s, deliver)
+
+
+def fail(kind, detail=""):
+    """Return an `Err` of one kind."""
+    return Err(Failure(kind=kind, detail=detail))
--- /dev/null
+++ b/wasabipaddle/standins/link.py
@@ -0,0 +1,226 @@
+"""Link between places: delay, bandwidth, cuts, silent connections and traffic."""
+
+import asyncio
+import math
+
+import msgspec
+
+from wasabipaddle.exceptions import ErrorKind
+from wasabipaddle.platform import Store, WorkerClient
+from wasabipaddle.standins.exchange import fail
+
+__all__ = ["Link", "LinkConnection", "LinkedStore", "LinkedWorker"]
+
+BITS_PER_BYTE = 8
+BITS_PER_MBIT = 1_000_000
+LOCAL_LATENCY_S = 0.0002
+CALL_OVERHEAD_BYTES = 200
+
+
+class Link:
+    """Network between places, where a place is a data centre or a client.
+
+    Parameters
+    ----------
+    regions : dict of str to str
+        Region of each place. A place without a region is a client.
+    settings : LinkSettings
+        Latency and bandwidth.
+
+    Attributes
+    ----------
+    pair_bytes : dict of tuple to int
+        Bytes by (source, target).
+    region_bytes : dict of tuple to int
+        Bytes by (source region, target region), for different regions only.
+    """
+
+    def __init__(self, *, regions, settings):
+        self.regions = regions
+        self.settings = settings
+        self.pair_bytes = {}
+        self.region_bytes = {}
+        self.cuts = set()
+        self.busy_until_s = {}
+        self.connections = set()
+
+    def cut(self, source, target):
+        """Drop everything between two places, in both directions."""
+        self.cuts.add(frozenset((source, target)))
+
+    def cut_off(self, place):
+        """Cut one place off from every other one."""
+        for other in self.regions:
+            if other != place:
+                self.cut(place, other)
+
+    def cut_regions(self, first, second):
+        """Cut two regions off from each other."""
+        for source, source_region in self.regions.items():
+            for target, target_region in self.regions.items():
+                if {source_region, target_region} == {first, second}:
+                    self.cut(source, target)
+
+    def heal(self):
+        """Remove every cut."""
+        self.cuts.clear()
+
+    def silence(self, source, target):
+        """Make the open connections between two places silent; new ones work."""
+        pair = {source, target}
+        for connection in self.connections:
+            if {connection.source, connection.target} == pair:
+                connection.silent = True
+
+    def passes(self, source, target) -> bool:
+        """Return whether anything passes between two places now."""
+        return frozenset((source, target)) not in self.cuts
+
+    def latency_s(self, source, target) -> float:
+        """Return the one-way latency between two places."""
+        first, second = self.regions.get(source), self.regions.get(target)
+        if first is None or second is None:
+            return self.settings.client_latency_ms / 1000
+        if first != second:
+            return self.settings.region_latency_ms / 1000
+        if source != target:
+            return self.settings.data_centre_latency_ms / 1000
+        return LOCAL_LATENCY_S
+
+    def delay_s(self, source, target, size, now) -> float:
+        """Take bandwidth for `size` bytes and return the time until they arrive."""
+        pair = (source, target)
+        self.pair_bytes[pair] = self.pair_bytes.get(pair, 0) + size
+        delay_s = self.latency_s(source, target)
+        regions = (self.regions.get(source), self.regions.get(target))
+        if None in regions or regions[0] == regions[1]:
+            return delay_s
+        self.region_bytes[regions] = self.region_bytes.get(regions, 0) + size
+        rate = self.settings.region_mbit_per_s * BITS_PER_MBIT / BITS_PER_BYTE
+        start_s = max(now, self.busy_until_s.get(regions, -math.inf))
+        self.busy_until_s[regions] = start_s + size / rate
+        return self.busy_until_s[regions] - now + delay_s
+
+    def connect(self, source, target) -> "LinkConnection":
+        """Open a connection between two places."""
+        connection = LinkConnection(link=self, source=source, target=target)
+        self.connections.add(connection)
+        return connection
+
+
+class LinkConnection:
+    """One connection over a link; a silent one carries nothing."""
+
+    def __init__(self, *, link, source, target):
+        self.link = link
+        self.source = source
+        self.target = target
+        self.silent = False
+
+    async def carry(self, size, *, back=False):
+        """Carry `size` bytes; never returns if they are lost."""
+        source, target = self.source, self.target
+        if back:
+            source, target = target, source
+        now = asyncio.get_running_loop().time()
+        delay_s = self.link.delay_s(source, target, size, now)
+        await asyncio.sleep(delay_s)
+        if self.silent or not self.link.passes(source, target):
+            await asyncio.get_running_loop().create_future()
+
+    def close(self):
+        """Close the connection."""
+        self.link.connections.discard(self)
+
+
+class _Linked:
+    """Carries the calls of one client over a link.
+
+    A connection that loses a call is closed, and the next call opens a new one.
+    """
+
+    def __init__(self, *, client, link, source, target, timeout_s=1.0):
+        self.client = client
+        self.link = link
+        self.source = source
+        self.target = target
+        self.timeout_s = timeout_s
+        self.connection = None
+
+    async def _carry(self, size, call, *, wait_s=0.0):
+        if self.connection is None:
+            self.connection = self.link.connect(self.source, self.target)
+        connection = self.connection
+        try:
+            async with asyncio.timeout(self.timeout_s + wait_s):
+                await connection.carry(size + CALL_OVERHEAD_BYTES)
+                result = await call()
+                answer = result.ok() if result.is_ok() else result.err()
+                answered = len(msgspec.json.encode(answer))
+                await connection.carry(answered + CALL_OVERHEAD_BYTES, back=True)
+        except TimeoutError:
+            connection.close()
+            if self.connection is connection:
+                self.connection = None
+            return fail(ErrorKind.TIMEOUT, f"no answer of {self.target}")
+        return result
+
+
+class LinkedWorker(_Linked, WorkerClient):
+    """Client of a worker over a link."""
+
+    async def sync(self, command):
+        """Send one batch of commands."""
+        size = len(msgspec.json.encode(command))
+        return await self._carry(
+            size, lambda: self.client.sync(command), wait_s=command.wait_s
+        )
+
+
+class LinkedStore(_Linked, Store):
+    """Client of a store over a link."""
+
+    async def get(self, key):
+        """Read one key."""
+        return await self._carry(len(key), lambda: self.client.get(key))
+
+    async def list(self, prefix, *, after="", limit=100):
+        """Read one page of keys."""
+        return await self._carry(
+            len(prefix) + len(after),
+            lambda: self.client.list(prefix, after=after, limit=limit),
+        )
+
+    async def put(self, key, value, *, expected_revision=None, lease=None):
+        """Write one key."""
+        return await self._carry(
+            len(key) + len(value),
+            lambda: self.client.put(
+                key, value, expected_revision=expected_revision, lease=lease
+            ),
+        )
+
+    async def delete(self, key, *, expected_revision=None):
+        """Delete one key."""
+        return await self._carry(
+            len(key),
+            lambda: self.client.delete(key, expected_revision=expected_revision),
+        )
+
+    async def watch(self, prefix, *, after_revision, wait_s):
+        """Wait for changes of a prefix."""
+        return await self._carry(
+            len(prefix),
+            lambda: self.client.watch(
+                prefix, after_revision=after_revision, wait_s=wait_s
+            ),
+            wait_s=wait_s,
+        )
+
+    async def grant_lease(self, ttl_s):
+        """Create a lease."""
+        return await self._carry(0, lambda: self.client.grant_lease(ttl_s))
+
+    async def renew_lease(self, lease):
+        """Extend a lease."""
+        return await self._carry(len(lease), lambda: self.client.renew_lease(lease))
--- /dev/null
+++ b/wasabipaddle/standins/payloads.py
@@ -0,0 +1,86 @@
+"""Payloads that set the behaviour of tasks and requests on the stand-ins.
+
+A payload is a JSON object. Unknown keys are ignored, and a payload that is not a
+JSON object of these types means the defaults.
+"""
+
+import attrs
+import msgspec
+
+__all__ = ["RequestPayload", "TaskPayload", "parse_payload", "work_of_task"]
+
+
+@attrs.frozen(kw_only=True)
+class TaskPayload:
+    """Keys of the payload of a task.
+
+    Parameters
+    ----------
+    work : str
+        Name of the work in the ledger, to which the task index is added; empty
+        for the task id.
+    run_s : float or None
+        Run time at full speed; None runs until the task is stopped.
+    cpu_milli, memory_mb : int or None
+        True use; None for the declared need.
+    answer : str
+        Result of the completed task.
+    fail : bool
+        Whether the task fails after its run time.
+    fail_attempts : int
+        Number of first attempts that fail.
+    stop_s : float
+        Time that the task takes to end when it is stopped.
+    checkpointable : bool
+        Whether the task can write a checkpoint.
+    """
+
+    work: str = ""
+    run_s: float | None = 1.0
+    cpu_milli: int | None = None
+    memory_mb: int | None = None
+    answer: str = "{}"
+    fail: bool = False
+    fail_attempts: int = 0
+    stop_s: float = 0.1
+    checkpointable: bool = True
+
+
+@attrs.frozen(kw_only=True)
+class RequestPayload:
+    """Keys of the body of a request.
+
+    Parameters
+    ----------
+    work : str
+        Name of the work in the ledger; empty for the request id.
+    service_s : float
+        Service time.
+    answer_bytes : int
+        Size of the answer.
+    idempotent : bool
+        Whether the ledger allows several executions.
+    fail : bool
+        Whether the request fails after its service time.
+    """
+
+    work: str = ""
+    service_s: float = 0.01
+    answer_bytes: int = 64
+    idempotent: bool = False
+    fail: bool = False
+
+
+def parse_payload(text, payload_type):
+    """Return the payload of a task or request, or its defaults."""
+    try:
+        return msgspec.json.decode(text, type=payload_type)
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return payload_type()
+
+
+def work_of_task(task, payload) -> str:
+    """Return the name of a task in the ledger."""
+    if not payload.work:
+        return task
+    return f"{payload.work}/{task.rpartition('/')[2]}"
--- /dev/null
+++ b/wasabipaddle/standins/tests/test_endpoint.py
@@ -0,0 +1,143 @@
+"""Tests of the in-memory endpoint."""
+
+import asyncio
+
+import pytest
+import xxhash
+
+from wasabipaddle.clock import run_virtual
+from wasabipaddle.exceptions import ErrorKind
+from wasabipaddle.platform import RequestState
+from wasabipaddle.standins import CutOffCause, compute_verdict
+from wasabipaddle.standins.tests.conftest import make_request, read_body
+
+
+def test_answer_is_complete_and_query_knows_it(endpoint):
+    """Guards against an answer that does not match what is announced."""
+
+    async def main():
+        answer = (await endpoint.send(make_request(answer_bytes=40_000))).unwrap()
+        body = await read_body(answer)
+        assert len(body) == answer.length == 40_000
+        assert xxhash.xxh3_64_hexdigest(body) == answer.digest
+        assert (await endpoint.query("q1")).unwrap() is RequestState.RAN
+        assert (await endpoint.query("q2")).unwrap() is RequestState.NEVER_SEEN
+        assert len(endpoint.open) == len(endpoint.view.idle) == 1
+
+    run_virtual(main())
+
+
+def test_long_request_is_kept_alive(endpoint):
+    """Guards against a long request that is taken for a stalled connection."""
+
+    async def main():
+        assert (await endpoint.send(make_request(service_s=5))).is_ok()
+
+    run_virtual(main())
+
+
+def test_refusals_are_true(endpoint, ledger):
+    """Guards against a refused request that ran."""
+
+    async def main():
+        sends = [
+            asyncio.create_task(endpoint.send(make_request(f"q{i}", service_s=1)))
+            for i in range(6)
+        ]
+        results = await asyncio.gather(*sends)
+        kinds = [r.err().kind for r in results if r.is_err()]
+        assert kinds == [ErrorKind.NO_CAPACITY] * 4
+        await endpoint.send(make_request("q7", epoch=2))
+        old = await endpoint.send(make_request("q8", epoch=1))
+        assert old.unwrap_err().kind is ErrorKind.STALE_EPOCH
+        endpoint.set_faults(draining=True)
+        left = await endpoint.send(make_request("q9", epoch=2))
+        assert left.unwrap_err().kind is ErrorKind.DRAINING
+        ran = {e.identifier for e in ledger.record.executions}
+        assert len(ran) == 3 and not ran & {"q8", "q9"}
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize(
+    ("fault", "kind", "runs"),
+    [
+        ({"failing": True}, ErrorKind.ENDPOINT_FAILED, True),
+        ({"late_s": 5.0}, ErrorKind.TIMEOUT, True),
+        ({"lost_answer": 1.0}, ErrorKind.TIMEOUT, True),
+        ({"silent": True}, ErrorKind.UNREACHABLE, False),
+        ({"unreachable": True}, ErrorKind.UNREACHABLE, False),
+        ({"gone": True}, ErrorKind.UNREACHABLE, False),
+    ],
+)
+def test_faults(endpoint, ledger, fault, kind, runs):
+    """Guards against a fault whose effect differs from what it reports."""
+
+    async def main():
+        endpoint.set_faults(**fault)
+        result = await endpoint.send(make_request())
+        assert result.unwrap_err().kind is kind
+        assert len(ledger.record.executions) == runs
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("broken", ["short", "stall", "digest", "other"])
+def test_broken_answers(endpoint, broken):
+    """Guards against a broken answer that a completeness check would pass."""
+
+    async def main():
+        endpoint.set_faults(broken=broken)
+        answer = (await endpoint.send(make_request())).unwrap()
+        body = await read_body(answer)
+        whole = (
+            answer.request == "q1"
+            and len(body) == answer.length
+            and xxhash.xxh3_64_hexdigest(body) == answer.digest
+        )
+        assert not whole
+
+    run_virtual(main())
+
+
+def test_silent_connections_are_replaced(endpoint):
+    """Guards against a stalled connection that is used again."""
+
+    async def main():
+        await read_body((await endpoint.send(make_request())).unwrap())
+        endpoint.silence_connections()
+        stalled = await endpoint.send(make_request("q2"))
+        assert stalled.unwrap_err().kind is ErrorKind.TIMEOUT
+        assert (await endpoint.query("q2")).unwrap() is RequestState.NEVER_SEEN
+        assert (await endpoint.send(make_request("q2"))).is_ok()
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("planned", [True, False])
+def test_cut_off_requests_are_recorded(endpoint, ledger, planned):
+    """Guards against a planned stop that cuts off a request unnoticed."""
+
+    async def main():
+        send = asyncio.create_task(endpoint.send(make_request(service_s=5)))
+        await asyncio.sleep(1)
+        endpoint.set_faults(draining=planned)
+        endpoint.set_faults(gone=True)
+        assert (await send).unwrap_err().kind is ErrorKind.TIMEOUT
+        assert compute_verdict(ledger.record).cut_off == planned
+
+    run_virtual(main())
+
+
+def test_cancelled_send_is_recorded_and_runs_on(endpoint, ledger):
+    """Guards against taking a request for not run because its client left."""
+
+    async def main():
+        send = asyncio.create_task(endpoint.send(make_request(service_s=2)))
+        await asyncio.sleep(1)
+        send.cancel()
+        await asyncio.sleep(2)
+        assert ledger.record.executions[0].completed
+        assert ledger.record.cut_offs[0].cause is CutOffCause.CLIENT_CLOSED
+
+    run_virtual(main())
--- /dev/null
+++ b/wasabipaddle/standins/verdict.py
@@ -0,0 +1,140 @@
+"""Verdict on a ledger."""
+
+import collections
+import math
+
+import attrs
+
+from wasabipaddle.documents import Resources
+from wasabipaddle.standins.ledger import CutOffCause, Discard, WorkKind
+
+__all__ = ["Verdict", "compute_verdict"]
+
+
+@attrs.frozen(kw_only=True)
+class Verdict:
+    """Counts over all recorded work.
+
+    Parameters
+    ----------
+    accepted, completed, cancelled : int
+        Work that was promised, that completed, and that was cancelled.
+    lost : int
+        Accepted work that neither completed nor was cancelled.
+    doubled : int
+        Tasks that completed more than once, and non-repeatable requests that were
+        executed more than once. A completion that the system could not learn of
+        (VM lost or lease expired before the acknowledgement) does not count.
+    two_places : int
+        Tasks with two executions at the same time.
+    overfilled : int
+        VMs that held more than their size or slots at some time.
+    cut_off : int
+        Requests that a planned stop cut off.
+    cut_off_by_failure : int
+        Requests that a failure or a closed connection cut off.
+    reruns : int
+        Completions beyond the first, with those that could not be learned of.
+    pressured : int
+        Workers whose true memory use was above their size at some time.
+    """
+
+    accepted: int
+    completed: int
+    cancelled: int
+    lost: int
+    doubled: int
+    two_places: int
+    overfilled: int
+    cut_off: int
+    cut_off_by_failure: int
+    reruns: int
+    pressured: int
+
+    @property
+    def clean(self) -> bool:
+        """Whether every count of a broken invariant is zero."""
+        broken = (
+            self.lost,
+            self.doubled,
+            self.two_places,
+            self.overfilled,
+            self.cut_off,
+        )
+        return not any(broken)
+
+
+def compute_verdict(record) -> Verdict:
+    """Compute the verdict on a `LedgerRecord`."""
+    by_work = collections.defaultdict(list)
+    by_place = collections.defaultdict(list)
+    for execution in record.executions:
+        by_work[execution.work].append(execution)
+        by_place[execution.place].append(execution)
+    done = {w for w, found in by_work.items() if any(map(_delivered, found))}
+    released = record.cancelled | record.expected_failures
+    planned = [c for c in record.cut_offs if c.cause is CutOffCause.PLANNED_STOP]
+    return Verdict(
+        accepted=len(record.accepted),
+        completed=len(done),
+        cancelled=len(record.cancelled),
+        lost=len(record.accepted - done - released),
+        doubled=sum(map(_is_doubled, by_work.values())),
+        two_places=sum(map(_overlaps, by_work.values())),
+        overfilled=sum(_is_overfilled(record, p, e) for p, e in by_place.items()),
+        cut_off=len(planned),
+        cut_off_by_failure=len(record.cut_offs) - len(planned),
+        reruns=sum(map(_reruns, by_work.values())),
+        pressured=len(record.pressured),
+    )
+
+
+def _delivered(execution):
+    return execution.completed and execution.discarded is not Discard.VM_GONE
+
+
+def _reruns(executions):
+    return max(0, sum(e.completed for e in executions) - 1)
+
+
+def _is_doubled(executions):
+    if executions[0].kind is WorkKind.REQUEST:
+        return len(executions) > 1 and not executions[0].repeatable
+    return sum(e.completed and e.discarded is None for e in executions) > 1
+
+
+def _overlaps(executions):
+    tasks = [e for e in executions if e.kind is WorkKind.TASK]
+    tasks.sort(key=lambda e: (e.started_s, _end(e)))
+    latest = -math.inf
+    for execution in tasks:
+        if execution.started_s < latest:
+            return True
+        latest = max(latest, _end(execution))
+    return False
+
+
+def _end(execution):
+    return math.inf if execution.ended_s is None else execution.ended_s
+
+
+def _is_overfilled(record, place, executions):
+    """Sweep over the starts and ends of one VM; an end goes before a start."""
+    steps = []
+    for execution in executions:
+        steps.append((execution.started_s, 1, execution))
+        steps.append((_end(execution), 0, execution))
+    steps.sort(key=lambda step: step[:2])
+    held, slots = Resources(), 0
+    capacity = record.capacities.get(place)
+    for _, is_start, execution in steps:
+        sign = 1 if is_start else -1
+        if execution.kind is WorkKind.REQUEST:
+            slots += sign
+        else:
+            held = held + execution.needs if is_start else held - execution.needs
+        if capacity is not None and not held.fits(capacity):
+            return True
+        if slots > record.slots.get(place, math.inf):
+            return True
+    return False
--- /dev/null
+++ b/wasabipaddle/standins/vms.py
@@ -0,0 +1,98 @@
+"""In-memory stand-in of the platform's lagging list of VMs."""
+
+import asyncio
+import collections
+
+import attrs
+from result import Ok
+
+from wasabipaddle.exceptions import ErrorKind
+from wasabipaddle.platform import VmList
+from wasabipaddle.standins.exchange import fail
+
+__all__ = ["MemoryVmList", "VmListFaults"]
+
+UNAVAILABLE_WAIT_S = 1.0
+
+
+@attrs.define(kw_only=True)
+class VmListFaults:
+    """Faults of the list.
+
+    Parameters
+    ----------
+    down : bool
+        Answer no call.
+    """
+
+    down: bool = False
+
+
+class MemoryVmList(VmList):
+    """List of VMs that shows each change after a lag.
+
+    Parameters
+    ----------
+    lag_s : float
+        Time from a change to its appearance in the list.
+    latency_s : float
+        Time from a call to its answer.
+    """
+
+    def __init__(self, *, lag_s=5.0, latency_s=0.004):
+        self.lag_s = lag_s
+        self.latency_s = latency_s
+        self.faults = VmListFaults()
+        self.entries = {}
+        self.shown = {}
+        self.pending = collections.deque()
+        self.reads = 0
+
+    def set_faults(self, **changes):
+        """Switch faults by name."""
+        for name, value in changes.items():
+            if not hasattr(self.faults, name):
+                raise ValueError(f"the list of VMs has no fault {name}")
+            setattr(self.faults, name, value)
+
+    def add(self, entry, *, at_once=False):
+        """Add or replace one VM.
+
+        Parameters
+        ----------
+        entry : VmEntry
+            The VM.
+        at_once : bool
+            Show it without the lag, for the initial content.
+        """
+        self.entries[entry.vm] = entry
+        if at_once:
+            self.shown[entry.vm] = entry
+            return
+        due_s = asyncio.get_running_loop().time() + self.lag_s
+        self.pending.append((due_s, entry))
+
+    def set_status(self, vm, status):
+        """Change the status of one VM."""
+        self.add(attrs.evolve(self.entries[vm], status=status))
+
+    async def read(self, *, data_centre=None):
+        """Return the list as it was one lag ago."""
+        if self.faults.down:
+            await asyncio.sleep(UNAVAILABLE_WAIT_S)
+            return fail(ErrorKind.UNREACHABLE, "the list of VMs is down")
+        await asyncio.sleep(self.latency_s)
+        self.reads += 1
+        return Ok(self.listed(data_centre=data_centre))
+
+    def listed(self, *, data_centre=None):
+        """Return the entries that the list shows now, in order of name."""
+        now = asyncio.get_running_loop().time()
+        while self.pending and self.pending[0][0] <= now:
+            entry = self.pending.popleft()[1]
+            self.shown[entry.vm] = entry
+        return tuple(
+            self.shown[vm]
+            for vm in sorted(self.shown)
+            if data_centre in (None, self.shown[vm].data_centre)
+        )
--- /dev/null
+++ b/wasabipaddle/standins/worker.py
@@ -0,0 +1,350 @@
+"""In-memory stand-in of a worker."""
+
+import asyncio
+import random as random_module
+
+import attrs
+from result import Ok
+
+from wasabipaddle.exceptions import ErrorKind
+from wasabipaddle.platform import (
+    TaskPhase,
+    TaskRefusal,
+    WorkerClient,
+    WorkerReport,
+)
+from wasabipaddle.standins.exchange import exchange, fail, reply
+from wasabipaddle.standins.tasks import TaskTable
+
+__all__ = ["MemoryWorker", "WorkerFaults", "WorkerView"]
+
+DEFAULT_TIMEOUT_S = 1.0
+FAIL_DELAY_S = 0.05
+
+
+@attrs.define(kw_only=True)
+class WorkerFaults:
+    """Faults of a worker; change them with `MemoryWorker.set_faults`.
+
+    Parameters
+    ----------
+    fails_starts : bool
+        Every task that starts fails after a short time.
+    unreachable : bool
+        Refuse connections; running tasks continue.
+    silent : bool
+        Drop every call without an answer; running tasks continue.
+    paused : bool
+        Stop the whole VM; leases that expire meanwhile are enforced first when it
+        continues.
+    gone : bool
+        Lose every task and refuse connections. Switching it off brings an empty VM
+        back.
+    lost_answer : float
+        Probability that an answer is lost after the call took effect.
+    extra_latency_s : float
+        Additional time of every call.
+    """
+
+    fails_starts: bool = False
+    unreachable: bool = False
+    silent: bool = False
+    paused: bool = False
+    gone: bool = False
+    lost_answer: float = 0.0
+    extra_latency_s: float = 0.0
+
+
+@attrs.define(kw_only=True, eq=False)
+class _Wait:
+    command: object
+    refusals: tuple
+    answer: asyncio.Future
+    timer: asyncio.TimerHandle | None = None
+
+
+class WorkerView(WorkerClient):
+    """Client of a `MemoryWorker` for one process.
+
+    Attributes
+    ----------
+    partitioned : bool
+        Whether the process is cut off from the worker.
+    """
+
+    def __init__(self, *, worker, timeout_s=DEFAULT_TIMEOUT_S):
+        self.worker = worker
+        self.timeout_s = timeout_s
+        self.partitioned = False
+
+    async def sync(self, command):
+        """Send one batch of commands."""
+
+        def arrive(answer):
+            if not self.partitioned:
+                self.worker.arrive(command, answer)
+
+        faults = self.worker.faults
+        if (faults.unreachable or faults.gone) and not self.partitioned:
+            await asyncio.sleep(2 * self.worker.one_way_s)
+            detail = f"{self.worker.name} refuses connections"
+            return fail(ErrorKind.UNREACHABLE, detail)
+        return await exchange(
+            arrive,
+            one_way_s=self.worker.one_way_s,
+            timeout_s=command.wait_s + self.timeout_s,
+            target=self.worker.name,
+        )
+
+
+class MemoryWorker(WorkerClient):
+    """Worker in memory on the running asyncio loop.
+
+    Parameters
+    ----------
+    name : str
+        Name of the VM.
+    capacity : Resources
+        Size of the VM.
+    ledger : Ledger
+        Record of executions.
+    latency_s : float
+        Time from a call to its answer, without waiting.
+    usage_lag_s : float
+        Age of the reported use.
+    checkpoint_s : float
+        Time that a checkpoint takes.
+    random : random.Random or None
+        Source of lost answers.
+
+    Attributes
+    ----------
+    epochs : dict of str to int
+        Highest epoch of each shard.
+    seen : dict of str to int
+        Highest attempt of each task.
+    syncs : int
+        Calls that arrived.
+    """
+
+    def __init__(
+        self,
+        *,
+        name,
+        capacity,
+        ledger,
+        latency_s=0.001,
+        usage_lag_s=5.0,
+        checkpoint_s=0.2,
+        random=None,
+    ):
+        self.name = name
+        self.latency_s = latency_s
+        self.faults = WorkerFaults()
+        self.random = random or random_module.Random(0)
+        self.epochs = {}
+        self.seen = {}
+        self.syncs = 0
+        self.leaving = False
+        self.waits = set()
+        self.delayed = []
+        self.table = TaskTable(
+            worker=name,
+            capacity=capacity,
+            ledger=ledger,
+            usage_lag_s=usage_lag_s,
+            checkpoint_s=checkpoint_s,
+            changed=self._wake,
+        )
+        self.view = WorkerView(worker=self)
+
+    @property
+    def one_way_s(self) -> float:
+        """Time of a call to the worker, or of an answer back."""
+        return (self.latency_s + self.faults.extra_latency_s) / 2
+
+    def client(self, *, timeout_s=DEFAULT_TIMEOUT_S) -> WorkerView:
+        """Return a client with its own partition switch."""
+        return WorkerView(worker=self, timeout_s=timeout_s)
+
+    async def sync(self, command):
+        """Send one batch of commands."""
+        return await self.view.sync(command)
+
+    def set_faults(self, **changes):
+        """Switch faults by name."""
+        for name, value in changes.items():
+            if not hasattr(self.faults, name):
+                raise ValueError(f"a worker has no fault {name}")
+            setattr(self.faults, name, value)
+        if self.faults.gone:
+            self._lose()
+        if self.faults.paused:
+            self.table.freeze()
+        else:
+            self._continue()
+
+    def leave(self, leaving=True):
+        """Announce in reports that the VM is about to leave."""
+        self.leaving = leaving
+        self.table.version += 1
+        self._wake()
+
+    def arrive(self, command, answer):
+        """Carry out a batch that has reached the worker.
+
+        Parameters
+        ----------
+        command : WorkerSync
+            The batch.
+        answer : asyncio.Future
+            Receives the result, unless a fault prevents it.
+        """
+        if self.faults.gone or self.faults.silent or self.faults.unreachable:
+            return
+        if self.faults.paused:
+            self.delayed.append((command, answer))
+            return
+        self.syncs += 1
+        if command.epoch < self.epochs.get(command.shard, 0):
+            self._reply_stale(command, answer)
+            return
+        self._raise_epoch(command)
+        refusals = self._apply(command)
+        due = self.table.version > command.seen_version or command.seen_version < 0
+        if due or refusals or command.wait_s <= 0:
+            self._report(command, refusals, answer)
+            return
+        wait = _Wait(command=command, refusals=refusals, answer=answer)
+        loop = asyncio.get_running_loop()
+        wait.timer = loop.call_later(command.wait_s, self._finish_wait, wait)
+        self.waits.add(wait)
+
+    def _raise_epoch(self, command):
+        if command.epoch == self.epochs.get(command.shard):
+            return
+        self.epochs[command.shard] = command.epoch
+        for wait in list(self.waits):
+            if wait.command.shard == command.shard:
+                self.waits.discard(wait)
+                wait.timer.cancel()
+                self._reply_stale(wait.command, wait.answer)
+
+    def _apply(self, command):
+        """Carry out a batch; stops go before starts."""
+        if command.lease_s > 0:
+            self.table.renew(command.shard, _lease_until(command))
+        for order in command.acknowledgements:
+            self._for_task(command, order, self.table.acknowledge)
+        for order in command.stops:
+            # A start of this attempt that arrives later is refused.
+            self._see(order)
+            self._for_task(command, order, self.table.stop, order.grace_s)
+        for order in command.checkpoints:
+            self._for_task(command, order, self.table.write_checkpoint)
+        for order in command.throttles:
+            self._for_task(command, order, self.table.throttle, TaskPhase.THROTTLED)
+        for order in command.unthrottles:
+            self._for_task(command, order, self.table.throttle, TaskPhase.RUNNING)
+        refusals = [self._start(command, start) for start in command.starts]
+        return tuple(r for r in refusals if r is not None)
+
+    def _for_task(self, command, order, action, *args):
+        task = self.table.tasks.get(order.task)
+        if task is None or task.shard != command.shard:
+            return
+        if task.start.attempt == order.attempt:
+            action(task, *args)
+
+    def _see(self, order):
+        self.seen[order.task] = max(order.attempt, self.seen.get(order.task, -1))
+
+    def _start(self, command, start):
+        held = self.table.tasks.get(start.task)
+        if held is not None and held.start.attempt == start.attempt:
+            return None  # a repeated command; the report shows the task
+        if start.attempt <= self.seen.get(start.task, -1) or held is not None:
+            return _refuse(start, ErrorKind.CONFLICT)
+        if not self.table.fits(start.needs):
+            return _refuse(start, ErrorKind.NO_CAPACITY)
+        if self.leaving:
+            return _refuse(start, ErrorKind.DRAINING)
+        until_s = _lease_until(command)
+        if until_s <= _now():
+            return _refuse(start, ErrorKind.DEADLINE_UNMEETABLE)
+        self._see(start)
+        task = self.table.start(start, command.shard, until_s)
+        if self.faults.fails_starts:
+            self.table.fail_soon(task, FAIL_DELAY_S)
+        return None
+
+    def _report(self, command, refusals, answer):
+        whole = not 0 <= command.seen_version <= self.table.version
+        tasks = tuple(
+            self.table.report(t)
+            for t in self.table.tasks.values()
+            if t.shard == command.shard and (whole or t.version > command.seen_version)
+        )
+        report = WorkerReport(
+            worker=self.name,
+            version=self.table.version,
+            whole=whole,
+            tasks=tasks,
+            refusals=refusals,
+            usage=self.table.usage(),
+            leaving=self.leaving,
+            clock_s=_now(),
+        )
+        if self.random.random() >= self.faults.lost_answer:
+            reply(answer, Ok(report), one_way_s=self.one_way_s)
+
+    def _reply_stale(self, command, answer):
+        epoch = self.epochs[command.shard]
+        detail = f"epoch {command.epoch} of {command.shard} is below {epoch}"
+        result = fail(ErrorKind.STALE_EPOCH, detail)
+        reply(answer, result, one_way_s=self.one_way_s)
+
+    def _wake(self):
+        for wait in list(self.waits):
+            self._finish_wait(wait)
+
+    def _finish_wait(self, wait):
+        self.waits.discard(wait)
+        wait.timer.cancel()
+        faults = self.faults
+        if faults.gone or faults.silent or faults.unreachable or wait.answer.done():
+            return
+        if faults.paused:
+            self.delayed.append((wait.command, wait.answer))
+            return
+        self._report(wait.command, wait.refusals, wait.answer)
+
+    def _lose(self):
+        self.table.lose_all()
+        self.table.version = 0
+        self.epochs.clear()
+        self.seen.clear()
+        self.delayed.clear()
+        for wait in self.waits:
+            wait.timer.cancel()
+        self.waits.clear()
+
+    def _continue(self):
+        """Enforce expired leases, then carry out the calls that were held back."""
+        self.table.thaw()
+        delayed, self.delayed = self.delayed, []
+        for command, answer in delayed:
+            self.arrive(command, answer)
+
+
+def _now():
+    return asyncio.get_running_loop().time()
+
+
+def _lease_until(command):
+    base_s = _now() if command.lease_base_s is None else command.lease_base_s
+    return base_s + command.lease_s
+
+
+def _refuse(start, kind):
+    return TaskRefusal(task=start.task, attempt=start.attempt, kind=kind)
