--- a/wasabipaddle/documents/__init__.py
+++ b/wasabipaddle/documents/__init__.py
@@ -1,5 +1,10 @@
 """Service documents: what a service needs and how it may be placed."""
 
+from wasabipaddle.documents.loader import (
+    load_document,
+    one_run_needs,
+    parse_document,
+)
 from wasabipaddle.documents.model import (
     Placement,
     Quota,
@@ -24,4 +29,7 @@
     "Share",
     "TeamQuota",
     "Urgency",
+    "load_document",
+    "one_run_needs",
+    "parse_document",
 ]
--- a/wasabipaddle/settings/__init__.py
+++ b/wasabipaddle/settings/__init__.py
@@ -1,9 +1,12 @@
 """Settings of a process and of the deployment that it belongs to."""
 
+from wasabipaddle.settings.loader import load_deployment, load_settings
 from wasabipaddle.settings.model import (
     ApiSettings,
+    CallerToken,
     DataCentre,
     Deployment,
+    EndpointGroup,
     JournalSettings,
     LeadershipSettings,
     LinkSettings,
@@ -14,12 +17,15 @@
     Settings,
     StoreSettings,
     TlsSettings,
+    WorkerRack,
 )
 
 __all__ = [
     "ApiSettings",
+    "CallerToken",
     "DataCentre",
     "Deployment",
+    "EndpointGroup",
     "JournalSettings",
     "LeadershipSettings",
     "LinkSettings",
@@ -30,4 +36,7 @@
     "Settings",
     "StoreSettings",
     "TlsSettings",
+    "WorkerRack",
+    "load_deployment",
+    "load_settings",
 ]
--- /dev/null
+++ b/wasabipaddle/settings/loader.py
@@ -0,0 +1,171 @@
+"""Loading of settings and deployments from YAML."""
+
+import pathlib
+
+import yaml
+from result import Err, Ok, Result
+
+from wasabipaddle.documents.loader import BOUNDS as DOCUMENT_BOUNDS
+from wasabipaddle.documents.loader import NAMES as DOCUMENT_NAMES
+from wasabipaddle.documents.reader import Bounds, Reader, join_problems
+from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.settings.checks import check_deployment, check_settings
+from wasabipaddle.settings.model import Deployment, Settings
+
+__all__ = ["load_deployment", "load_settings"]
+
+MAX_SETTINGS_BYTES = 1_048_576
+PORT = Bounds(low=1, high=65_535)
+PERIOD = Bounds(low=0.001, high=3_600)
+POSITIVE = Bounds(low=1, high=1_000_000_000)
+
+BOUNDS = {
+    **DOCUMENT_BOUNDS,
+    ("Peer", "api_port"): PORT,
+    ("Peer", "internal_port"): PORT,
+    ("WorkerRack", "first_port"): PORT,
+    ("WorkerRack", "count"): Bounds(low=1, high=10_000),
+    ("EndpointGroup", "first_port"): PORT,
+    ("EndpointGroup", "count"): Bounds(low=1, high=10_000),
+    ("EndpointGroup", "slots"): Bounds(low=1, high=10_000),
+    ("EndpointGroup", "connections"): Bounds(low=1, high=10_000),
+    ("DataCentre", "shards"): Bounds(low=1, high=64),
+    ("LinkSettings", "data_centre_latency_ms"): Bounds(high=10_000),
+    ("LinkSettings", "region_latency_ms"): Bounds(high=10_000),
+    ("LinkSettings", "client_latency_ms"): Bounds(high=10_000),
+    ("LinkSettings", "region_mbit_per_s"): Bounds(low=0.001, high=1_000_000),
+    ("ApiSettings", "max_body_bytes"): Bounds(low=1_024, high=1_073_741_824),
+    ("ApiSettings", "max_header_bytes"): Bounds(low=1_024, high=1_048_576),
+    ("ApiSettings", "max_connections"): Bounds(low=1, high=1_000_000),
+    ("ApiSettings", "caller_rate_per_s"): Bounds(low=0.01, high=1_000_000),
+    ("ApiSettings", "caller_burst"): Bounds(low=1, high=10_000_000),
+    ("ApiSettings", "max_wait_s"): Bounds(high=600),
+    ("ApiSettings", "drain_s"): Bounds(high=3_600),
+    ("MembershipSettings", "heartbeat_s"): PERIOD,
+    ("MembershipSettings", "summary_s"): PERIOD,
+    ("MembershipSettings", "suspect_s"): PERIOD,
+    ("LeadershipSettings", "lease_s"): PERIOD,
+    ("LeadershipSettings", "task_lease_s"): PERIOD,
+    ("LeadershipSettings", "drift"): Bounds(high=0.5),
+    ("JournalSettings", "min_interval_s"): Bounds(high=60),
+    # A store value holds at most one megabyte.
+    ("JournalSettings", "max_batch_bytes"): Bounds(low=1_024, high=1_000_000),
+    ("JournalSettings", "compact_after"): Bounds(low=1, high=1_000_000),
+    ("StoreSettings", "timeout_s"): PERIOD,
+    ("StoreSettings", "watch_s"): PERIOD,
+    ("RoutingSettings", "queue_requests"): POSITIVE,
+    ("RoutingSettings", "queue_bytes"): POSITIVE,
+    ("RoutingSettings", "grant_s"): PERIOD,
+    ("RoutingSettings", "grant_period_s"): PERIOD,
+    ("RoutingSettings", "progress_s"): PERIOD,
+    ("RoutingSettings", "buffer_bytes"): Bounds(high=1_073_741_824),
+}
+NAMES = DOCUMENT_NAMES | {
+    "name",
+    "process",
+    "data_centre",
+    "region",
+    "store_region",
+    "rack",
+    "caller",
+}
+KEYS = {
+    ("LinkSettings", "region_mbit_per_s"): "bandwidth",
+    ("LinkSettings", "spill_bytes_per_s"): "spill",
+}
+
+
+def load_settings(path, *, process=None) -> Result[Settings, Failure]:
+    """Read the settings of one process.
+
+    The key `deployment` holds the deployment, or the path of its file relative to
+    the settings file.
+
+    Parameters
+    ----------
+    path : str or pathlib.Path
+        Settings file.
+    process : str or None
+        Name that replaces the key `process`, so that processes can share a file.
+
+    Returns
+    -------
+    result.Result
+        The settings, or an `Err` of kind `invalid_settings` whose detail lists every
+        problem with file, line, key and what is allowed.
+    """
+    reader = _reader(path)
+    node = _compose(path, reader)
+    settings = None
+    if node is not None:
+        preset = {} if process is None else {"process": process}
+        included = _find_include(node)
+        if included is not None:
+            target = pathlib.Path(path).parent / included
+            preset["deployment"] = _read_included(target, reader)
+        settings = reader.read_class(Settings, node, preset=preset)
+    if settings is not None and not reader.problems:
+        if included is None:
+            check_deployment(settings.deployment, reader, prefix="deployment.")
+        check_settings(settings, reader)
+    return _finish(settings, reader.problems)
+
+
+def load_deployment(path) -> Result[Deployment, Failure]:
+    """Read a deployment from its own file; errors as in `load_settings`."""
+    reader = _reader(path)
+    deployment = _read_deployment(path, reader)
+    return _finish(deployment, reader.problems)
+
+
+def _reader(path):
+    return Reader(source=str(path), bounds=BOUNDS, names=NAMES, keys=KEYS)
+
+
+def _compose(path, reader):
+    try:
+        data = pathlib.Path(path).read_bytes()
+    except (OSError, ValueError) as error:
+        reader.report(1, "", f"cannot be read: {error}", "a readable file")
+        return None
+    if len(data) > MAX_SETTINGS_BYTES:
+        reader.report(
+            1, "", "the file is too long", f"at most {MAX_SETTINGS_BYTES} bytes"
+        )
+        return None
+    return reader.compose(data)
+
+
+def _read_deployment(path, reader):
+    node = _compose(path, reader)
+    deployment = None
+    if node is not None:
+        deployment = reader.read_class(Deployment, node)
+    if deployment is not None:
+        check_deployment(deployment, reader)
+    return deployment
+
+
+def _find_include(node):
+    """Return the path under the key `deployment`, None if it is not a path."""
+    if not isinstance(node, yaml.MappingNode):
+        return None
+    for key_node, value_node in node.value:
+        if key_node.value == "deployment" and isinstance(value_node, yaml.ScalarNode):
+            return value_node.value
+    return None
+
+
+def _read_included(path, reader):
+    """Read a deployment file and add its problems to those of `reader`."""
+    inner = _reader(path)
+    deployment = _read_deployment(path, inner)
+    reader.problems.extend(inner.problems)
+    return deployment
+
+
+def _finish(value, problems):
+    if problems:
+        detail = join_problems(problems)
+        return Err(Failure(kind=ErrorKind.INVALID_SETTINGS, detail=detail))
+    return Ok(value)
--- a/wasabipaddle/settings/model.py
+++ b/wasabipaddle/settings/model.py
@@ -6,12 +6,14 @@
 
 import attrs
 
-from wasabipaddle.documents import TeamQuota
+from wasabipaddle.documents import Resources, TeamQuota
 
 __all__ = [
     "ApiSettings",
+    "CallerToken",
     "DataCentre",
     "Deployment",
+    "EndpointGroup",
     "JournalSettings",
     "LeadershipSettings",
     "LinkSettings",
@@ -22,6 +24,7 @@
     "Settings",
     "StoreSettings",
     "TlsSettings",
+    "WorkerRack",
 ]
 
 
@@ -78,9 +81,51 @@
     spill_bytes_per_s: int = 500_000
 
 
+@attrs.frozen(kw_only=True)
+class WorkerRack:
+    """Workers of one rack, with consecutive ports.
+
+    Parameters
+    ----------
+    count : int
+        Number of workers.
+    resources : Resources
+        Size of each worker.
+    """
+
+    rack: str
+    data_centre: str
+    count: int
+    resources: Resources
+    host: str
+    first_port: int
+
+
+@attrs.frozen(kw_only=True)
+class EndpointGroup:
+    """Endpoints of one pool in one rack, with consecutive ports.
+
+    Parameters
+    ----------
+    count : int
+        Number of endpoints.
+    slots, connections : int
+        Limits of each endpoint.
+    """
+
+    pool: str
+    rack: str
+    data_centre: str
+    count: int
+    slots: int
+    connections: int
+    host: str
+    first_port: int
+
+
 @attrs.frozen(kw_only=True)
 class Deployment:
-    """The cell: data centres, entry processes and quotas.
+    """The cell: data centres, entry processes, fleet and quotas.
 
     Parameters
     ----------
@@ -90,6 +135,10 @@
         Region in which the platform's store runs.
     store_url, vm_list_url : str
         Addresses of the platform's store and VM list.
+    racks : tuple of WorkerRack
+        Workers, for stand-ins; processes learn the fleet from the VM list.
+    endpoints : tuple of EndpointGroup
+        Endpoints, for stand-ins.
     """
 
     name: str
@@ -100,6 +149,8 @@
     entries: tuple[Peer, ...]
     link: LinkSettings = LinkSettings()
     quotas: tuple[TeamQuota, ...] = ()
+    racks: tuple[WorkerRack, ...] = ()
+    endpoints: tuple[EndpointGroup, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -119,6 +170,14 @@
     token: str
 
 
+@attrs.frozen(kw_only=True)
+class CallerToken:
+    """Bearer token of one caller of requests."""
+
+    caller: str
+    token: str
+
+
 @attrs.frozen(kw_only=True)
 class ApiSettings:
     """Limits of the interface for callers and operators.
@@ -135,6 +194,10 @@
         Longest waiting read.
     drain_s : float
         Longest graceful shutdown.
+    tokens : tuple of OperatorToken
+        Operators; without any, only loopback addresses may operate the cell.
+    callers : tuple of CallerToken
+        Callers of requests; without any, requests need no token.
     """
 
     max_body_bytes: int = 1_048_576
@@ -145,6 +208,7 @@
     max_wait_s: float = 30.0
     drain_s: float = 30.0
     tokens: tuple[OperatorToken, ...] = ()
+    callers: tuple[CallerToken, ...] = ()
     tls: TlsSettings = TlsSettings()
 
 
