Add catalogue of documents and conditional document edits

Edits of operators are conditional on the revision that they saw. A lost answer is settled by reading the key and the history back and comparing operation ids; a repeated write is conditional on the same revision, so only one can succeed. A deletion stays as a value without text, so that processes that list the store learn of it.

--- /dev/null
+++ b/wasabipaddle/api/tests/test_editor.py
@@ -0,0 +1,121 @@
+"""Tests of conditional edits of documents."""
+
+import itertools
+
+import pytest
+
+from wasabipaddle.api.editor import HISTORY_KEPT, DocumentEditor
+from wasabipaddle.api.tests.fakes import FakeStore
+from wasabipaddle.clock import run_virtual
+from wasabipaddle.documents import Catalogue
+from wasabipaddle.documents.tests.test_catalogue import text
+from wasabipaddle.exceptions import ErrorKind, Outcome
+
+
+@pytest.fixture
+def store():
+    return FakeStore()
+
+
+@pytest.fixture
+def editor(store):
+    numbers = itertools.count()
+    return DocumentEditor(
+        store=store, catalogue=Catalogue(), new_operation=lambda: f"op{next(numbers)}"
+    )
+
+
+def apply(editor, expected, slots=4, team="archive"):
+    return editor.apply(
+        "pages", text(slots=slots), expected_revision=expected, editor=team
+    )
+
+
+def test_edit_on_an_older_revision_is_refused(editor):
+    """Guards against a lost edit of a concurrent operator."""
+
+    async def main():
+        first = (await apply(editor, 0)).unwrap()
+        second = (await apply(editor, first, slots=5)).unwrap()
+        refused = (await apply(editor, first, slots=6)).unwrap_err()
+        assert refused.kind is ErrorKind.REVISION_MISMATCH
+        view = (await editor.read("pages")).unwrap()
+        assert (view.revision, view.text) == (second, text(slots=5))
+        history = (await editor.history("pages")).unwrap()
+        assert [v.revision for v in history] == [first, second]
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize(
+    "faults", [["lost answer"], ["lost call"], ["lost call", "lost answer"]]
+)
+def test_lost_answer_is_settled(editor, store, faults):
+    """Guards against an edit that took effect and is reported as refused."""
+
+    async def main():
+        store.faults = list(faults)
+        revision = (await apply(editor, 0)).unwrap()
+        assert (await editor.read("pages")).unwrap().revision == revision
+
+    run_virtual(main())
+
+
+def test_lost_answer_is_found_in_the_history(editor, store):
+    """Guards against a mismatch reported for an edit that was in force for a while."""
+
+    async def main():
+        first = (await apply(editor, 0)).unwrap()
+
+        async def replace():
+            await apply(editor, store.entries["documents/pages"].revision, slots=9)
+
+        store.faults, store.after_put = ["lost answer"], replace
+        settled = (await apply(editor, first, slots=5)).unwrap()
+        views = {v.revision: v.text for v in (await editor.history("pages")).unwrap()}
+        assert views[settled] == text(slots=5)
+        assert (await editor.read("pages")).unwrap().text == text(slots=9)
+
+    run_virtual(main())
+
+
+def test_unconfirmed_edit_is_unknown(editor, store):
+    """Guards against "not run" for an edit that may still take effect."""
+
+    async def main():
+        store.faults = ["lost call"] * 10
+        failure = (await apply(editor, 0)).unwrap_err()
+        assert failure.kind is ErrorKind.ACCEPTANCE_UNKNOWN
+        assert failure.outcome is Outcome.UNKNOWN
+        store.faults = ["down"]
+        assert (await apply(editor, 0)).unwrap_err().outcome is Outcome.NOT_RUN
+
+    run_virtual(main())
+
+
+def test_deletion_keeps_a_revision_and_the_owner(editor):
+    """Guards against a deleted document that returns at an old revision."""
+
+    async def main():
+        first = (await apply(editor, 0)).unwrap()
+        foreign = await editor.delete("pages", expected_revision=first, editor="other")
+        assert foreign.unwrap_err().kind is ErrorKind.FORBIDDEN
+        gone = await editor.delete("pages", expected_revision=first, editor="archive")
+        view = (await editor.read("pages")).unwrap()
+        assert (view.revision, view.text) == (gone.unwrap(), None)
+        assert (await apply(editor, 0)).unwrap() > gone.unwrap()
+
+    run_virtual(main())
+
+
+def test_history_is_bounded(editor):
+    """Guards against a store that fills with old revisions."""
+
+    async def main():
+        revision = 0
+        for i in range(HISTORY_KEPT + 5):
+            revision = (await apply(editor, revision, slots=i + 1)).unwrap()
+        kept = (await editor.history("pages")).unwrap()
+        assert len(kept) == HISTORY_KEPT + 1
+
+    run_virtual(main())
--- a/wasabipaddle/documents/__init__.py
+++ b/wasabipaddle/documents/__init__.py
@@ -1,5 +1,10 @@
 """Service documents: what a service needs and how it may be placed."""
 
+from wasabipaddle.documents.catalogue import (
+    AppliedDocument,
+    Catalogue,
+    diff_texts,
+)
 from wasabipaddle.documents.loader import (
     load_document,
     one_run_needs,
@@ -17,8 +22,16 @@
     TeamQuota,
     Urgency,
 )
+from wasabipaddle.documents.stored import (
+    StoredDocument,
+    decode_stored,
+    document_key,
+    encode_stored,
+)
 
 __all__ = [
+    "AppliedDocument",
+    "Catalogue",
     "Placement",
     "Quota",
     "RequestPolicy",
@@ -27,8 +40,13 @@
     "ServiceDocument",
     "ServiceKind",
     "Share",
+    "StoredDocument",
     "TeamQuota",
     "Urgency",
+    "decode_stored",
+    "diff_texts",
+    "document_key",
+    "encode_stored",
     "load_document",
     "one_run_needs",
     "parse_document",
--- a/wasabipaddle/documents/reader.py
+++ b/wasabipaddle/documents/reader.py
@@ -103,8 +103,7 @@
     def compose(self, text):
         """Parse YAML into nodes; None after a syntax error."""
         try:
-            if any(isinstance(e, yaml.AliasEvent) for e in yaml.parse(text)):
-                self.report(1, "", "aliases are not supported", "plain YAML values")
+            if not self._check_events(text):
                 return None
             node = yaml.compose(text, Loader=yaml.SafeLoader)
         except (yaml.YAMLError, ValueError, OverflowError, RecursionError) as error:
@@ -116,6 +115,26 @@
             self.report(1, "", "the file is empty", "a mapping")
         return node
 
+    def _check_events(self, text):
+        """Refuse aliases and deep nesting before nodes are built.
+
+        Both can make the cost of a short text exponential or quadratic.
+        """
+        depth = 0
+        for event in yaml.parse(text, Loader=yaml.SafeLoader):
+            line = event.start_mark.line + 1
+            if isinstance(event, yaml.AliasEvent):
+                self.report(line, "", "aliases are not supported", "plain YAML values")
+                return False
+            if isinstance(event, yaml.CollectionStartEvent):
+                depth += 1
+            elif isinstance(event, yaml.CollectionEndEvent):
+                depth -= 1
+            if depth > MAX_DEPTH:
+                self.report(line, "", "too deep", f"at most {MAX_DEPTH} levels")
+                return False
+        return True
+
     def report(self, line, key, detail, allowed=""):
         """Add one problem."""
         self.problems.append(
@@ -137,7 +156,7 @@
         Values of `preset`, by field name, replace those of the text.
         """
         self._mark(key, node)
-        if not isinstance(node, yaml.MappingNode) or key.count(".") > MAX_DEPTH:
+        if not isinstance(node, yaml.MappingNode):
             self._wrong(node, key, "a mapping")
             return None
         hints = typing.get_type_hints(cls)
--- /dev/null
+++ b/wasabipaddle/documents/stored.py
@@ -0,0 +1,79 @@
+"""Form in which service documents are kept in the platform's store."""
+
+import attrs
+import msgspec
+from result import Err, Ok, Result
+
+from wasabipaddle.exceptions import ErrorKind, Failure
+
+__all__ = [
+    "DOCUMENT_PREFIX",
+    "HISTORY_PREFIX",
+    "StoredDocument",
+    "decode_stored",
+    "document_key",
+    "encode_stored",
+    "history_key",
+    "history_prefix",
+]
+
+DOCUMENT_PREFIX = "documents/"
+HISTORY_PREFIX = "documents-history/"
+
+
+@attrs.frozen(kw_only=True)
+class StoredDocument:
+    """Value of one document key.
+
+    A deleted document stays as a value without a text, so that a process that lists
+    the store after an outage learns of the deletion and its revision.
+
+    Parameters
+    ----------
+    operation : str
+        Id of the edit, by which a lost answer is settled.
+    editor : str
+        Team of the operator.
+    team : str
+        Team that owns the document.
+    text : str or None
+        YAML text, None if the document was deleted.
+    """
+
+    operation: str
+    editor: str
+    team: str
+    text: str | None
+
+
+_ENCODER = msgspec.json.Encoder()
+_DECODER = msgspec.json.Decoder(StoredDocument)
+
+
+def encode_stored(stored) -> bytes:
+    """Encode the value of a document key."""
+    return _ENCODER.encode(stored)
+
+
+def decode_stored(value) -> Result[StoredDocument, Failure]:
+    """Decode the value of a document key."""
+    try:
+        return Ok(_DECODER.decode(value))
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        detail = f"the stored document is damaged: {error}"
+        return Err(Failure(kind=ErrorKind.INVALID_DOCUMENT, detail=detail))
+
+
+def document_key(service) -> str:
+    """Return the key of the document of a service."""
+    return f"{DOCUMENT_PREFIX}{service}"
+
+
+def history_prefix(service) -> str:
+    """Return the prefix of the earlier revisions of a service."""
+    return f"{HISTORY_PREFIX}{service}/"
+
+
+def history_key(service, revision) -> str:
+    """Return the key of an earlier revision; keys sort by revision."""
+    return f"{history_prefix(service)}{revision:012d}"
