--- /dev/null
+++ b/wasabipaddle/placement/__init__.py
@@ -0,0 +1,79 @@
+"""Decisions about where and when tasks run."""
+
+from wasabipaddle.placement.estimation import RunTime, UsageEstimator
+from wasabipaddle.placement.fleet import FleetIndex
+from wasabipaddle.placement.gangs import GangPolicy, ReservingGangs, WaitingGangs
+from wasabipaddle.placement.placer import Placer
+from wasabipaddle.placement.plain import DeclaredEstimator, FifoQueue, plain_placer
+from wasabipaddle.placement.preemption import (
+    LeastLossPreemption,
+    NoPreemption,
+    PreemptionPolicy,
+)
+from wasabipaddle.placement.quarantine import (
+    ComparingQuarantine,
+    NoQuarantine,
+    Quarantine,
+    QuarantinePolicy,
+)
+from wasabipaddle.placement.queue import PendingQueue, PendingRun
+from wasabipaddle.placement.running import RunningTask
+from wasabipaddle.placement.scoring import (
+    BestFitScoring,
+    FirstFitScoring,
+    ScoringPolicy,
+)
+from wasabipaddle.placement.shares import ShareLedger
+from wasabipaddle.placement.work import (
+    Assignment,
+    Checkpoint,
+    Decision,
+    GiveUp,
+    Impossible,
+    Resize,
+    Start,
+    Throttle,
+    Unthrottle,
+    Work,
+    run_of,
+    task_id,
+)
+
+__all__ = [
+    "Assignment",
+    "BestFitScoring",
+    "Checkpoint",
+    "ComparingQuarantine",
+    "Decision",
+    "DeclaredEstimator",
+    "FifoQueue",
+    "FirstFitScoring",
+    "FleetIndex",
+    "GangPolicy",
+    "GiveUp",
+    "Impossible",
+    "LeastLossPreemption",
+    "NoPreemption",
+    "NoQuarantine",
+    "PendingQueue",
+    "PendingRun",
+    "Placer",
+    "PreemptionPolicy",
+    "Quarantine",
+    "QuarantinePolicy",
+    "Resize",
+    "ReservingGangs",
+    "RunTime",
+    "RunningTask",
+    "ScoringPolicy",
+    "ShareLedger",
+    "Start",
+    "Throttle",
+    "Unthrottle",
+    "UsageEstimator",
+    "WaitingGangs",
+    "Work",
+    "plain_placer",
+    "run_of",
+    "task_id",
+]
--- /dev/null
+++ b/wasabipaddle/placement/amounts.py
@@ -0,0 +1,62 @@
+"""Arithmetic on `Resources`."""
+
+from wasabipaddle.documents import Resources
+
+__all__ = [
+    "ZERO",
+    "dominant_share",
+    "elementwise_max",
+    "elementwise_min",
+    "fit_count",
+    "scaled",
+]
+
+ZERO = Resources()
+
+
+def elementwise_min(a, b) -> Resources:
+    """Return the smaller amount in each dimension."""
+    return Resources(
+        cpu_milli=min(a.cpu_milli, b.cpu_milli),
+        memory_mb=min(a.memory_mb, b.memory_mb),
+        accelerators=min(a.accelerators, b.accelerators),
+    )
+
+
+def elementwise_max(a, b) -> Resources:
+    """Return the larger amount in each dimension."""
+    return Resources(
+        cpu_milli=max(a.cpu_milli, b.cpu_milli),
+        memory_mb=max(a.memory_mb, b.memory_mb),
+        accelerators=max(a.accelerators, b.accelerators),
+    )
+
+
+def scaled(amount, count) -> Resources:
+    """Return `count` times an amount; `count` is a whole number."""
+    return Resources(
+        cpu_milli=amount.cpu_milli * count,
+        memory_mb=amount.memory_mb * count,
+        accelerators=amount.accelerators * count,
+    )
+
+
+def fit_count(need, free, limit) -> int:
+    """Return how many times `need` fits into `free`, at most `limit`."""
+    count = limit
+    if need.cpu_milli:
+        count = min(count, free.cpu_milli // need.cpu_milli)
+    if need.memory_mb:
+        count = min(count, free.memory_mb // need.memory_mb)
+    if need.accelerators:
+        count = min(count, free.accelerators // need.accelerators)
+    return max(count, 0)
+
+
+def dominant_share(amount, total) -> float:
+    """Return the largest fraction of `total` over the dimensions."""
+    return max(
+        amount.cpu_milli / total.cpu_milli if total.cpu_milli else 0.0,
+        amount.memory_mb / total.memory_mb if total.memory_mb else 0.0,
+        amount.accelerators / total.accelerators if total.accelerators else 0.0,
+    )
--- /dev/null
+++ b/wasabipaddle/placement/book.py
@@ -0,0 +1,125 @@
+"""Book of runs and placed tasks, kept in step with fleet, shares and racks."""
+
+from wasabipaddle.documents import Urgency
+from wasabipaddle.placement.running import RunEntry, RunningTask
+from wasabipaddle.placement.work import task_id
+
+__all__ = ["TaskBook"]
+
+
+class TaskBook:
+    """Runs that have not ended and their placed tasks.
+
+    Parameters
+    ----------
+    fleet : FleetIndex
+        Keeps the reservations.
+    ledger : ShareLedger
+        Counts the amounts by team and service.
+    queue : PendingQueue
+        Is told when the share of a service changes.
+    scoring : ScoringPolicy
+        Is told in which racks tasks are.
+    estimator : UsageEstimator
+        Gives the expected ends.
+    """
+
+    def __init__(self, *, fleet, ledger, queue, scoring, estimator):
+        self.fleet = fleet
+        self.ledger = ledger
+        self.queue = queue
+        self.scoring = scoring
+        self.estimator = estimator
+        self.runs = {}
+        self.running = {}
+
+    def open_run(self, work) -> RunEntry:
+        """Return the entry of a run, made if it is new."""
+        entry = self.runs.get(work.run)
+        if entry is None:
+            entry = RunEntry(work=work, remaining=set(range(work.tasks)))
+            self.runs[work.run] = entry
+        return entry
+
+    def place(self, work, index, worker, needs, now, *, claim=None) -> RunningTask:
+        """Reserve amounts for a task and count it as running.
+
+        Parameters
+        ----------
+        claim : str or None
+            Key of the hold that the amounts are taken from; its share was already
+            taken from the ledger.
+
+        Returns
+        -------
+        RunningTask or None
+            None if the amounts do not fit.
+        """
+        task = task_id(work.run, index)
+        entry = self.open_run(work)
+        history = entry.history_of(index)
+        reclaimable = self.is_reclaimable(work, history)
+        if claim is None:
+            held = self.fleet.reserve(task, worker, needs, reclaimable=reclaimable)
+        else:
+            held = self.fleet.claim(claim, worker, task, needs, reclaimable=reclaimable)
+        if not held:
+            return None
+        placed = RunningTask(
+            work=work,
+            index=index,
+            task=task,
+            worker=worker,
+            needs=needs,
+            started_at=now,
+            expected_end=now + self.estimator.run_time(work, now).high_s,
+            history=history,
+            reclaimable=reclaimable,
+        )
+        self.running[task] = placed
+        entry.running[index] = placed
+        self.scoring.placed(work, self.fleet.workers[worker].rack)
+        if claim is None:
+            self.ledger.take(work, needs)
+            self.queue.share_changed(work.service)
+        return placed
+
+    def remove(self, task) -> RunningTask | None:
+        """Release what a task holds and count it as no longer running."""
+        placed = self.running.pop(task, None)
+        if placed is None:
+            return None
+        state = self.fleet.workers.get(placed.worker)
+        if state is not None:
+            self.scoring.ended(placed.work, state.rack)
+        self.fleet.release(task)
+        self.ledger.give(placed.work, placed.needs)
+        self.queue.share_changed(placed.work.service)
+        self.queue.wake_team(placed.work.team)
+        entry = self.runs.get(placed.work.run)
+        if entry is not None:
+            entry.running.pop(placed.index, None)
+        return placed
+
+    def resize(self, placed, needs) -> bool:
+        """Change the reservation of a placed task."""
+        if not self.fleet.resize(placed.task, needs):
+            return False
+        self.ledger.give(placed.work, placed.needs)
+        self.ledger.take(placed.work, needs)
+        placed.needs = needs
+        self.queue.share_changed(placed.work.service)
+        return True
+
+    def close_if_done(self, entry):
+        """Forget a run with nothing running and nothing left to run."""
+        if not entry.running and (entry.cancelled or not entry.remaining):
+            self.runs.pop(entry.work.run, None)
+
+    @staticmethod
+    def is_reclaimable(work, history) -> bool:
+        """Return whether a task may be preempted for more urgent work."""
+        return (
+            work.urgency is Urgency.DEFERRABLE
+            and history.preemptions < work.max_preemptions
+        )
--- /dev/null
+++ b/wasabipaddle/placement/buckets.py
@@ -0,0 +1,118 @@
+"""Index of names by amounts, with a search cost independent of their number."""
+
+__all__ = ["BucketIndex", "level"]
+
+# Members inspected in a bucket whose members may be smaller than the need.
+BOUNDARY_MEMBERS = 16
+
+
+def level(value) -> int:
+    """Return a logarithmic level that grows with `value`, in steps of a quarter."""
+    if value < 8:
+        return max(value, 0)
+    bits = value.bit_length()
+    return (bits << 2) | ((value >> (bits - 3)) & 3)
+
+
+class BucketIndex:
+    """Names grouped by accelerators and levels of processor and memory.
+
+    Each accelerator count has one bit mask of non-empty processor levels, and each of
+    those a mask of non-empty memory levels. A search visits non-empty buckets only,
+    smallest first, so its cost depends on the number of levels.
+    """
+
+    def __init__(self):
+        self.amounts = {}
+        self.keys = {}
+        self.members = {}
+        self.cpu_masks = {}
+        self.memory_masks = {}
+        self.accelerator_counts = []
+
+    def __contains__(self, name):
+        return name in self.keys
+
+    def put(self, name, amount):
+        """Insert `name`, or move it to its new amount."""
+        key = (amount.accelerators, level(amount.cpu_milli), level(amount.memory_mb))
+        self.amounts[name] = amount
+        previous = self.keys.get(name)
+        if previous == key:
+            return
+        if previous is not None:
+            self._take(name, previous)
+        self.keys[name] = key
+        bucket = self.members.get(key)
+        if bucket is None:
+            bucket = self.members[key] = {}
+            self._mark(key)
+        bucket[name] = None
+
+    def remove(self, name):
+        """Remove `name` if it is present."""
+        key = self.keys.pop(name, None)
+        if key is not None:
+            del self.amounts[name]
+            self._take(name, key)
+
+    def candidates(self, need, limit) -> list[str]:
+        """Return up to `limit` names whose amounts hold `need`, smallest first."""
+        found = []
+        for count in self.accelerator_counts:
+            if count >= need.accelerators:
+                self._search(count, need, limit, found)
+                if len(found) >= limit:
+                    break
+        return found
+
+    def _search(self, count, need, limit, found):
+        lowest_cpu, lowest_memory = level(need.cpu_milli), level(need.memory_mb)
+        cpu_mask = self.cpu_masks[count] >> lowest_cpu << lowest_cpu
+        while cpu_mask:
+            cpu_bit = cpu_mask & -cpu_mask
+            cpu_mask ^= cpu_bit
+            cpu = cpu_bit.bit_length() - 1
+            mask = self.memory_masks[count, cpu] >> lowest_memory << lowest_memory
+            while mask:
+                bit = mask & -mask
+                mask ^= bit
+                memory = bit.bit_length() - 1
+                bucket = self.members[count, cpu, memory]
+                if cpu == lowest_cpu or memory == lowest_memory:
+                    self._collect_fitting(bucket, need, limit, found)
+                else:
+                    for name in bucket:
+                        found.append(name)
+                        if len(found) >= limit:
+                            break
+                if len(found) >= limit:
+                    return
+
+    def _collect_fitting(self, bucket, need, limit, found):
+        for inspected, name in enumerate(bucket):
+            if inspected >= BOUNDARY_MEMBERS or len(found) >= limit:
+                return
+            if need.fits(self.amounts[name]):
+                found.append(name)
+
+    def _mark(self, key):
+        count, cpu, memory = key
+        if count not in self.cpu_masks:
+            self.cpu_masks[count] = 0
+            self.accelerator_counts = sorted(self.cpu_masks)
+        self.cpu_masks[count] |= 1 << cpu
+        pair = (count, cpu)
+        self.memory_masks[pair] = self.memory_masks.get(pair, 0) | (1 << memory)
+
+    def _take(self, name, key):
+        bucket = self.members[key]
+        del bucket[name]
+        if bucket:
+            return
+        del self.members[key]
+        count, cpu, memory = key
+        self.memory_masks[count, cpu] &= ~(1 << memory)
+        if not self.memory_masks[count, cpu]:
+            del self.memory_masks[count, cpu]
+            self.cpu_masks[count] &= ~(1 << cpu)
--- /dev/null
+++ b/wasabipaddle/placement/estimation.py
@@ -0,0 +1,227 @@
+"""Learned usage and run time of services."""
+
+import math
+
+import attrs
+
+from wasabipaddle.documents import Resources
+from wasabipaddle.placement.amounts import dominant_share
+
+__all__ = ["DecayingHistogram", "RunTime", "UsageEstimator"]
+
+BUCKET_RATIO = 1.08
+HALF_LIFE_S = 3600.0
+# Weights are rescaled before they overflow.
+LARGEST_WEIGHT = 1e12
+# Tasks of a service that must have been seen before their use replaces declarations.
+TASKS_NEEDED = 3
+# Added to the learned mean, for use that grows between two reports.
+MARGIN = 0.03
+HIGH_QUANTILE = 0.9
+# Estimates are kept for this time before they are computed again.
+REFRESH_S = 10.0
+DEFAULT_RUN_TIME_S = 600.0
+# A reservation is changed when it differs by more than this fraction from the use.
+RESIZE_FRACTION = 0.1
+
+
+class DecayingHistogram:
+    """Histogram with logarithmic buckets whose counts decay with time.
+
+    Parameters
+    ----------
+    half_life_s : float
+        Time after which an observation counts half.
+    """
+
+    def __init__(self, *, half_life_s=HALF_LIFE_S):
+        self.half_life_s = half_life_s
+        self.counts = {}
+        self.weight = 0.0
+        self.sum = 0.0
+        self.origin = 0.0
+
+    def record(self, value, now):
+        """Count one observation; values under 1 count as 1."""
+        value = max(value, 1.0)
+        exponent = (now - self.origin) / self.half_life_s
+        weight = 2.0**exponent if exponent < 100 else LARGEST_WEIGHT
+        if weight >= LARGEST_WEIGHT:
+            self._rescale(now, exponent)
+            weight = 1.0
+        bucket = int(math.log(value) / math.log(BUCKET_RATIO))
+        self.counts[bucket] = self.counts.get(bucket, 0.0) + weight
+        self.weight += weight
+        self.sum += value * weight
+
+    def mean(self) -> float:
+        """Return the weighted mean."""
+        return self.sum / self.weight if self.weight else 0.0
+
+    def quantile(self, q) -> float:
+        """Return the upper edge of the bucket that holds quantile `q`."""
+        remaining = q * self.weight
+        for bucket in sorted(self.counts):
+            remaining -= self.counts[bucket]
+            if remaining <= 0:
+                return BUCKET_RATIO ** (bucket + 1)
+        return 0.0
+
+    def _rescale(self, now, exponent):
+        factor = 2.0 ** -min(exponent, 1000.0)
+        self.counts = {
+            b: c * factor for b, c in self.counts.items() if c * factor > 1e-9
+        }
+        self.weight = sum(self.counts.values())
+        self.sum *= factor
+        self.origin = now
+
+
+@attrs.define(kw_only=True)
+class ServiceUsage:
+    """What has been learned about one service."""
+
+    cpu: DecayingHistogram = attrs.field(factory=DecayingHistogram)
+    memory: DecayingHistogram = attrs.field(factory=DecayingHistogram)
+    run_time: DecayingHistogram = attrs.field(factory=DecayingHistogram)
+    tasks_seen: int = 0
+    ended: int = 0
+    estimate: Resources | None = None
+    estimated_at: float = -math.inf
+    run_estimate: "RunTime | None" = None
+    run_estimated_at: float = -math.inf
+
+
+@attrs.frozen(kw_only=True)
+class RunTime:
+    """Expected run time of a task in seconds; infinite for services."""
+
+    median_s: float
+    high_s: float
+
+
+class UsageEstimator:
+    """Estimates of use and run time per service.
+
+    The reservation of a task is the learned mean, a margin, and the distance from the
+    mean to a high quantile divided by the square root of the number of such tasks on
+    a worker, because the sum of independent uses deviates less than each of them.
+
+    Parameters
+    ----------
+    fleet : FleetIndex
+        Its largest shape bounds estimates.
+    """
+
+    def __init__(self, *, fleet):
+        self.fleet = fleet
+        self.services = {}
+
+    def observe(self, work, usage, now, *, first):
+        """Record the measured use of one task.
+
+        Parameters
+        ----------
+        usage : Usage
+            Lagging measurement of the worker.
+        first : bool
+            Whether this is the first measurement of the task.
+        """
+        learned = self._of(work.service)
+        learned.cpu.record(usage.cpu_milli, now)
+        learned.memory.record(usage.memory_mb, now)
+        if first:
+            learned.tasks_seen += 1
+            if learned.tasks_seen <= TASKS_NEEDED:
+                learned.estimated_at = -math.inf
+
+    def ended(self, work, duration_s, now):
+        """Record the run time of a completed task."""
+        learned = self._of(work.service)
+        learned.run_time.record(duration_s, now)
+        learned.ended += 1
+
+    def needs(self, work, now) -> Resources:
+        """Return the amounts to reserve for one task of `work`."""
+        learned = self.services.get(work.service)
+        if learned is None or learned.tasks_seen < TASKS_NEEDED:
+            return work.needs
+        if learned.estimate is None or now - learned.estimated_at > REFRESH_S:
+            learned.estimate = self._estimate(work, learned)
+            learned.estimated_at = now
+        return learned.estimate
+
+    def run_time(self, work, now) -> RunTime:
+        """Return the expected run time of one task of `work`."""
+        if work.is_service:
+            return RunTime(median_s=math.inf, high_s=math.inf)
+        learned = self.services.get(work.service)
+        if learned is None or learned.ended < TASKS_NEEDED:
+            declared = work.expected_s or DEFAULT_RUN_TIME_S
+            return RunTime(median_s=declared, high_s=2 * declared)
+        if learned.run_estimate is None or now - learned.run_estimated_at > REFRESH_S:
+            learned.run_estimate = RunTime(
+                median_s=learned.run_time.quantile(0.5),
+                high_s=learned.run_time.quantile(HIGH_QUANTILE),
+            )
+            learned.run_estimated_at = now
+        return learned.run_estimate
+
+    def resized(self, placed, previous) -> Resources | None:
+        """Return a reservation that matches the measured use of a task.
+
+        Parameters
+        ----------
+        placed : RunningTask
+            The task with its latest usage.
+        previous : Usage or None
+            Usage of the report before.
+
+        Returns
+        -------
+        Resources or None
+            None if the present reservation is close enough.
+        """
+        earlier = previous or placed.usage
+        cpu = max(placed.usage.cpu_milli, earlier.cpu_milli)
+        memory = max(placed.usage.memory_mb, earlier.memory_mb)
+        needs = Resources(
+            cpu_milli=max(1, math.ceil(cpu * (1 + MARGIN))),
+            memory_mb=max(1, math.ceil(memory * (1 + MARGIN))),
+            accelerators=placed.needs.accelerators,
+        )
+        if _close(needs.cpu_milli, placed.needs.cpu_milli) and _close(
+            needs.memory_mb, placed.needs.memory_mb
+        ):
+            return None
+        return needs
+
+    def _of(self, service):
+        learned = self.services.get(service)
+        if learned is None:
+            learned = self.services[service] = ServiceUsage()
+        return learned
+
+    def _estimate(self, work, learned):
+        largest = self.fleet.largest_shape(work.placement.data_centres)
+        mean = Resources(
+            cpu_milli=math.ceil(learned.cpu.mean()),
+            memory_mb=math.ceil(learned.memory.mean()),
+        )
+        neighbours = max(1.0, 1.0 / max(dominant_share(mean, largest), 1e-3))
+        return Resources(
+            cpu_milli=_padded(learned.cpu, neighbours, largest.cpu_milli),
+            memory_mb=_padded(learned.memory, neighbours, largest.memory_mb),
+            accelerators=work.needs.accelerators,
+        )
+
+
+def _close(wanted, reserved) -> bool:
+    return abs(wanted - reserved) <= RESIZE_FRACTION * max(wanted, reserved)
+
+
+def _padded(histogram, neighbours, limit) -> int:
+    mean = histogram.mean()
+    spread = max(histogram.quantile(HIGH_QUANTILE) - mean, 0.0)
+    amount = math.ceil(mean * (1 + MARGIN) + spread / math.sqrt(neighbours))
+    return max(1, min(amount, limit)) if limit else amount
--- /dev/null
+++ b/wasabipaddle/placement/fleet.py
@@ -0,0 +1,382 @@
+"""Workers of a shard and an incremental index of their free amounts."""
+
+import attrs
+
+from wasabipaddle.documents import Resources
+from wasabipaddle.placement.amounts import (
+    ZERO,
+    elementwise_max,
+    elementwise_min,
+    fit_count,
+    scaled,
+)
+from wasabipaddle.placement.buckets import BucketIndex
+
+__all__ = ["FleetIndex", "Hold", "Reservation", "WorkerState"]
+
+
+@attrs.frozen(kw_only=True)
+class Reservation:
+    """Amounts of one task on one worker.
+
+    Parameters
+    ----------
+    reclaimable : bool
+        Whether the task may be preempted for urgent work.
+    """
+
+    worker: str
+    amount: Resources
+    reclaimable: bool = False
+
+
+@attrs.define(kw_only=True)
+class Hold:
+    """Amounts that a worker keeps free for work that starts later.
+
+    Parameters
+    ----------
+    wanted : Resources
+        Amounts to collect.
+    amount : Resources
+        Amounts collected so far.
+    """
+
+    wanted: Resources
+    amount: Resources = ZERO
+
+    @property
+    def complete(self) -> bool:
+        """Whether everything wanted has been collected."""
+        return self.amount == self.wanted
+
+
+@attrs.define(kw_only=True)
+class WorkerState:
+    """One worker as the shard leader sees it.
+
+    Parameters
+    ----------
+    free : Resources
+        Size minus reservations and collected holds.
+    reclaimable : Resources
+        Sum of the reservations that may be preempted.
+    """
+
+    name: str
+    rack: str
+    data_centre: str
+    size: Resources
+    free: Resources
+    reclaimable: Resources = ZERO
+    tasks: dict = attrs.field(factory=dict)
+    holds: dict = attrs.field(factory=dict)
+    quarantined: bool = False
+    leaving: bool = False
+    pressured: bool = False
+
+    @property
+    def open(self) -> bool:
+        """Whether new tasks may be placed here."""
+        return not (self.quarantined or self.leaving or self.pressured)
+
+
+class FleetIndex:
+    """Workers, their reservations and an index by free amounts.
+
+    Attributes
+    ----------
+    version : int
+        Grows when the set of shapes (sizes per data centre) changes.
+    membership_version : int
+        Grows when a worker joins or leaves.
+    availability_version : int
+        Grows when a worker stops or begins to take tasks.
+    total : Resources
+        Sum of the sizes of all workers.
+    """
+
+    def __init__(self):
+        self.workers = {}
+        self.names = []
+        self.names_with_accelerators = []
+        self.racks = {}
+        self.shapes = {}
+        self.reservations = {}
+        self.hold_workers = {}
+        self.free_index = BucketIndex()
+        self.reclaim_index = BucketIndex()
+        self.version = 0
+        self.membership_version = 0
+        self.availability_version = 0
+        self.total = ZERO
+        self.total_free = ZERO
+        self.total_reclaimable = ZERO
+
+    def add_worker(self, name, *, rack, data_centre, size):
+        """Add a worker; a known name with the same size keeps its reservations."""
+        known = self.workers.get(name)
+        if known is not None:
+            if known.size == size and known.rack == rack:
+                return
+            self.remove_worker(name)
+        worker = WorkerState(
+            name=name, rack=rack, data_centre=data_centre, size=size, free=size
+        )
+        self.workers[name] = worker
+        self.names.append(name)
+        if size.accelerators:
+            self.names_with_accelerators.append(name)
+        self.racks.setdefault(rack, {})[name] = worker
+        self._count_shape((data_centre, size), 1)
+        self.total += size
+        self.total_free += size
+        self._index(worker)
+
+    def remove_worker(self, name) -> tuple[str, ...]:
+        """Remove a worker and its reservations.
+
+        Returns
+        -------
+        tuple of str
+            Ids of the tasks that were reserved on it.
+        """
+        worker = self.workers.get(name)
+        if worker is None:
+            return ()
+        for run in list(worker.holds):
+            self._drop_hold(worker, run)
+        tasks = tuple(worker.tasks)
+        for task in tasks:
+            self.release(task)
+        del self.workers[name]
+        self.names.remove(name)
+        if worker.size.accelerators:
+            self.names_with_accelerators.remove(name)
+        del self.racks[worker.rack][name]
+        if not self.racks[worker.rack]:
+            del self.racks[worker.rack]
+        self.free_index.remove(name)
+        self.reclaim_index.remove(name)
+        self.total -= worker.size
+        self.total_free -= worker.size
+        self._count_shape((worker.data_centre, worker.size), -1)
+        return tasks
+
+    def reserve(self, task, worker, amount, *, reclaimable=False) -> bool:
+        """Reserve amounts for a task.
+
+        Returns
+        -------
+        bool
+            False, with nothing changed, if the task is already reserved, the worker
+            is unknown or the amounts do not fit.
+        """
+        state = self.workers.get(worker)
+        if state is None or task in self.reservations or not amount.fits(state.free):
+            return False
+        self.reservations[task] = Reservation(
+            worker=worker, amount=amount, reclaimable=reclaimable
+        )
+        state.tasks[task] = amount
+        if reclaimable:
+            state.reclaimable += amount
+            self.total_reclaimable += amount
+        self._change_free(state, ZERO - amount)
+        return True
+
+    def release(self, task) -> str | None:
+        """Release the reservation of a task and return its worker."""
+        reservation = self.reservations.pop(task, None)
+        if reservation is None:
+            return None
+        state = self.workers[reservation.worker]
+        del state.tasks[task]
+        if reservation.reclaimable:
+            state.reclaimable -= reservation.amount
+            self.total_reclaimable -= reservation.amount
+        self._change_free(state, reservation.amount)
+        return reservation.worker
+
+    def resize(self, task, amount) -> bool:
+        """Change the amounts of a reserved task if the new ones fit."""
+        old = self.reservations.get(task)
+        if old is None:
+            return False
+        state = self.workers[old.worker]
+        growth = amount - old.amount
+        if not growth.fits(state.free):
+            return False
+        self.reservations[task] = attrs.evolve(old, amount=amount)
+        state.tasks[task] = amount
+        if old.reclaimable:
+            state.reclaimable += growth
+            self.total_reclaimable += growth
+        self._change_free(state, ZERO - growth)
+        return True
+
+    def keep(self, task):
+        """Stop counting a task as reclaimable, because it is ending or protected."""
+        old = self.reservations.get(task)
+        if old is None or not old.reclaimable:
+            return
+        self.reservations[task] = attrs.evolve(old, reclaimable=False)
+        state = self.workers[old.worker]
+        state.reclaimable -= old.amount
+        self.total_reclaimable -= old.amount
+        self._index(state)
+
+    def borrow(self, run, worker, amount) -> bool:
+        """Free a part of a hold for a task that ends before the held run starts.
+
+        The hold collects the part again once the task has released it.
+        """
+        state = self.workers.get(worker)
+        hold = state.holds.get(run) if state is not None else None
+        if hold is None or not state.open:
+            return False
+        missing = elementwise_max(amount - state.free, ZERO)
+        if not missing.fits(hold.amount):
+            return False
+        hold.amount -= missing
+        state.free += missing
+        self.total_free += missing
+        return True
+
+    def free_of(self, worker) -> Resources:
+        """Return what a worker has neither reserved nor held."""
+        return self.workers[worker].free
+
+    def largest_shape(self, data_centres=()) -> Resources:
+        """Return the largest amount of any worker in each dimension.
+
+        Parameters
+        ----------
+        data_centres : collection of str
+            Only these data centres; empty for all.
+        """
+        largest = ZERO
+        for data_centre, size in self.shapes:
+            if not data_centres or data_centre in data_centres:
+                largest = elementwise_max(largest, size)
+        return largest
+
+    def capacity_for(self, need, limit, data_centres=()) -> int:
+        """Return how many tasks an empty fleet could hold, at most `limit`."""
+        count = 0
+        for (data_centre, size), workers in self.shapes.items():
+            if data_centres and data_centre not in data_centres:
+                continue
+            count += workers * fit_count(need, size, limit)
+            if count >= limit:
+                return limit
+        return count
+
+    def set_quarantined(self, worker, flag):
+        """Set whether a worker is excluded because its tasks fail."""
+        state = self.workers.get(worker)
+        if state is not None:
+            state.quarantined = flag
+            self.availability_version += 1
+            self._index(state)
+
+    def set_pressured(self, worker, flag):
+        """Set whether a worker's measured use leaves no room for new tasks."""
+        state = self.workers.get(worker)
+        if state is not None and state.pressured != flag:
+            state.pressured = flag
+            self._index(state)
+
+    def set_leaving(self, worker, flag):
+        """Set whether a worker is about to leave and gets no new tasks."""
+        state = self.workers.get(worker)
+        if state is not None:
+            state.leaving = flag
+            self.availability_version += 1
+            self._index(state)
+
+    def candidates(self, need, limit) -> list[WorkerState]:
+        """Return up to `limit` open workers that hold `need`, smallest free first."""
+        names = self.free_index.candidates(need, limit)
+        return [self.workers[n] for n in names]
+
+    def reclaim_candidates(self, need, limit) -> list[WorkerState]:
+        """Return open workers that hold `need` once reclaimable tasks have ended."""
+        names = self.reclaim_index.candidates(need, limit)
+        return [self.workers[n] for n in names]
+
+    def hold_tasks(self, run, worker, need, count):
+        """Collect free amounts of a worker for tasks that start later."""
+        state = self.workers[worker]
+        state.holds[run] = Hold(wanted=scaled(need, count))
+        self.hold_workers.setdefault(run, []).append(worker)
+        self._change_free(state, ZERO)
+
+    def claim(self, run, worker, task, amount, *, reclaimable=False) -> bool:
+        """Turn a part of a completed hold into the reservation of a task."""
+        state = self.workers.get(worker)
+        hold = state.holds.get(run) if state is not None else None
+        if hold is None or not amount.fits(hold.amount):
+            return False
+        hold.amount -= amount
+        hold.wanted -= amount
+        if hold.wanted == ZERO:
+            del state.holds[run]
+        state.free += amount
+        self.total_free += amount
+        return self.reserve(task, worker, amount, reclaimable=reclaimable)
+
+    def drop_holds(self, run) -> list[str]:
+        """Free everything that was collected for a run; return the workers."""
+        names = self.hold_workers.pop(run, [])
+        for name in names:
+            state = self.workers.get(name)
+            if state is not None:
+                self._drop_hold(state, run)
+        return names
+
+    def holds_complete(self, run) -> bool:
+        """Return whether every hold of a run has collected what it wants."""
+        names = self.hold_workers.get(run, ())
+        return all(
+            n in self.workers
+            and run in self.workers[n].holds
+            and self.workers[n].holds[run].complete
+            for n in names
+        )
+
+    def _drop_hold(self, state, run):
+        hold = state.holds.pop(run, None)
+        if hold is not None:
+            self._change_free(state, hold.amount)
+
+    def _change_free(self, state, delta):
+        self.total_free += delta
+        state.free += delta
+        for hold in state.holds.values():
+            taken = elementwise_min(hold.wanted - hold.amount, state.free)
+            if taken != ZERO:
+                hold.amount += taken
+                state.free -= taken
+                self.total_free -= taken
+        self._index(state)
+
+    def _index(self, state):
+        if state.open:
+            self.free_index.put(state.name, state.free)
+            self.reclaim_index.put(state.name, state.free + state.reclaimable)
+        else:
+            self.free_index.remove(state.name)
+            self.reclaim_index.remove(state.name)
+
+    def _count_shape(self, shape, change):
+        self.membership_version += 1
+        self.availability_version += 1
+        count = self.shapes.get(shape, 0) + change
+        if count == 0:
+            del self.shapes[shape]
+            self.version += 1
+        else:
+            if shape not in self.shapes:
+                self.version += 1
+            self.shapes[shape] = count
--- /dev/null
+++ b/wasabipaddle/placement/gangs.py
@@ -0,0 +1,180 @@
+"""Placement of gangs and reservation of start times."""
+
+import abc
+import math
+
+import attrs
+
+from wasabipaddle.documents import Resources
+from wasabipaddle.placement.amounts import fit_count
+from wasabipaddle.placement.work import Work
+
+__all__ = ["GangPolicy", "HoldPlan", "ReservingGangs", "WaitingGangs"]
+
+# Workers examined per task of the gang when a start time is planned.
+EXAMINED_PER_TASK = 4
+EXAMINED_MINIMUM = 32
+EXAMINED_MAXIMUM = 256
+# Part of the fleet that holds for later starts may cover.
+LARGEST_HELD_FRACTION = 0.3
+
+
+@attrs.define(kw_only=True, eq=False)
+class HoldPlan:
+    """Workers that collect amounts for work that starts later.
+
+    Parameters
+    ----------
+    key : str
+        Name of the holds in the fleet index.
+    counts : dict of str to int
+        Tasks per worker.
+    start_at : float
+        Time at which the amounts are expected to be free.
+    victims : list of str
+        Tasks whose end was ordered for this plan.
+    """
+
+    key: str
+    work: Work
+    need: Resources
+    counts: dict
+    start_at: float
+    indices: list
+    since: float
+    planned_at: float
+    victims: list = attrs.field(factory=list)
+
+
+class GangPolicy(abc.ABC):
+    """Places the tasks of a gang together."""
+
+    @abc.abstractmethod
+    def place(self, fleet, need, count, allowed):
+        """Return tasks per worker for a start now, or None.
+
+        Parameters
+        ----------
+        allowed : collection of str
+            Data centres; empty for all.
+        """
+
+    @abc.abstractmethod
+    def plan(self, fleet, running, need, count, allowed, now):
+        """Return `(counts, start_at)` for a later start, or None.
+
+        Parameters
+        ----------
+        running : dict of str to RunningTask
+            Placed tasks with their expected ends.
+        """
+
+
+class WaitingGangs(GangPolicy):
+    """Plain policy: a gang starts when by chance enough is free at once."""
+
+    def place(self, fleet, need, count, allowed):
+        """Return the first workers that fit, in order of addition."""
+        counts = {}
+        for worker in fleet.workers.values():
+            if not worker.open or (allowed and worker.data_centre not in allowed):
+                continue
+            fitting = fit_count(need, worker.free, count)
+            if fitting:
+                counts[worker.name] = fitting
+                count -= fitting
+            if count == 0:
+                return counts
+        return None
+
+    def plan(self, fleet, running, need, count, allowed, now):
+        """Return None: nothing is held."""
+        return None
+
+
+class ReservingGangs(GangPolicy):
+    """Starts a gang at once if it fits, else reserves its earliest start.
+
+    All holds of a gang are chosen in one step on workers that no other gang holds,
+    so two gangs never wait for each other.
+
+    Parameters
+    ----------
+    random : random.Random
+        Samples the workers that are examined for a later start.
+    """
+
+    def __init__(self, *, random):
+        self.random = random
+
+    def place(self, fleet, need, count, allowed):
+        """Return the smallest workers that fit, filled one after the other."""
+        candidates = fleet.candidates(need, count)
+        if allowed:
+            candidates = [w for w in candidates if w.data_centre in allowed]
+        counts = {}
+        for worker in candidates:
+            fitting = fit_count(need, worker.free, count)
+            if fitting:
+                counts[worker.name] = fitting
+                count -= fitting
+            if count == 0:
+                return counts
+        return None
+
+    def plan(self, fleet, running, need, count, allowed, now):
+        """Return workers and the earliest time at which they can hold the gang."""
+        if len(fleet.hold_workers) and self._held_fraction(fleet) >= (
+            LARGEST_HELD_FRACTION
+        ):
+            return None
+        ready = []
+        for worker in self._examined(fleet, need, count):
+            if not worker.open or worker.holds:
+                continue
+            if allowed and worker.data_centre not in allowed:
+                continue
+            ready.extend(_ready_times(worker, running, need, count, now))
+        if len(ready) < count:
+            return None
+        ready.sort()
+        counts = {}
+        for _, name in ready[:count]:
+            counts[name] = counts.get(name, 0) + 1
+        return counts, ready[count - 1][0]
+
+    def _examined(self, fleet, need, count):
+        wanted = min(max(EXAMINED_PER_TASK * count, EXAMINED_MINIMUM), EXAMINED_MAXIMUM)
+        names = fleet.names_with_accelerators if need.accelerators else fleet.names
+        if len(names) > wanted:
+            names = self.random.sample(names, wanted)
+        workers = [fleet.workers[n] for n in names]
+        known = {w.name for w in workers}
+        workers.extend(w for w in fleet.candidates(need, count) if w.name not in known)
+        return workers
+
+    def _held_fraction(self, fleet):
+        held = sum(len(names) for names in fleet.hold_workers.values())
+        return held / max(len(fleet.workers), 1)
+
+
+def _ready_times(worker, running, need, count, now):
+    """Return `(time, worker)` for each task that the worker can hold in time."""
+    free = worker.free
+    ends = []
+    for task in worker.tasks:
+        placed = running.get(task)
+        if placed is not None and placed.expected_end < math.inf:
+            ends.append((max(placed.expected_end, now), task))
+    ends.sort()
+    times = []
+    fitting = fit_count(need, free, count)
+    times.extend([(now, worker.name)] * fitting)
+    for end, task in ends:
+        if fitting >= count:
+            break
+        free = free + worker.tasks[task]
+        more = fit_count(need, free, count)
+        times.extend([(end, worker.name)] * (more - fitting))
+        fitting = max(more, fitting)
+    return times
--- /dev/null
+++ b/wasabipaddle/placement/placer.py
@@ -0,0 +1,388 @@
+"""Decisions of a shard leader about where and when tasks run."""
+
+import collections
+
+from wasabipaddle.placement.amounts import scaled
+from wasabipaddle.placement.book import TaskBook
+from wasabipaddle.placement.estimation import UsageEstimator
+from wasabipaddle.placement.gangs import ReservingGangs
+from wasabipaddle.placement.holds import HoldBook
+from wasabipaddle.placement.impossible import ImpossibleWork
+from wasabipaddle.placement.preemption import LeastLossPreemption
+from wasabipaddle.placement.quarantine import ComparingQuarantine
+from wasabipaddle.placement.queue import PendingQueue, PendingRun
+from wasabipaddle.placement.repeats import Repeater
+from wasabipaddle.placement.running import TaskState
+from wasabipaddle.placement.scoring import BestFitScoring
+from wasabipaddle.placement.shares import ShareLedger
+from wasabipaddle.placement.starting import Starter
+from wasabipaddle.placement.work import Checkpoint, Impossible, Resize
+from wasabipaddle.platform import TaskOutcome
+
+__all__ = ["Placer"]
+
+# Reports of a task before its own use replaces the estimate of its service.
+RESIZE_REPORTS = 3
+# Period at which the services parked longest are tried again.
+SWEEP_S = 1.0
+# Period at which overdue plans are looked at.
+REVIEW_S = 0.25
+# Attempts in one call, which bound its duration when nothing fits.
+ATTEMPTS_PER_CALL = 64
+
+
+class Placer:
+    """Places the runs of a shard on its workers.
+
+    All methods are synchronous. The caller applies the decisions and reports what
+    happened to the tasks.
+
+    Parameters
+    ----------
+    fleet : FleetIndex
+        Workers of the shard.
+    random : random.Random
+        Seeded source of random choices.
+    scoring, gangs, preemption, quarantine, estimator, queue : optional
+        Policies; the default is the full implementation of each.
+    resizes : bool
+        Whether the platform can change the reservation of a running task.
+    """
+
+    def __init__(
+        self,
+        *,
+        fleet,
+        random,
+        scoring=None,
+        gangs=None,
+        preemption=None,
+        quarantine=None,
+        estimator=None,
+        queue=None,
+        resizes=True,
+    ):
+        self.fleet = fleet
+        self.random = random
+        self.ledger = ShareLedger(fleet=fleet)
+        self.estimator = estimator or UsageEstimator(fleet=fleet)
+        self.quarantine = quarantine or ComparingQuarantine(fleet=fleet)
+        self.preemption = preemption or LeastLossPreemption()
+        self.queue = (queue or PendingQueue)(ledger=self.ledger)
+        self.book = TaskBook(
+            fleet=fleet,
+            ledger=self.ledger,
+            queue=self.queue,
+            scoring=scoring or BestFitScoring(random=random),
+            estimator=self.estimator,
+        )
+        self.holds = HoldBook(fleet=fleet)
+        self.starter = Starter(
+            book=self.book,
+            holds=self.holds,
+            gangs=gangs or ReservingGangs(random=random),
+            preemption=self.preemption,
+            random=random,
+        )
+        self.impossible = ImpossibleWork(fleet=fleet, ledger=self.ledger)
+        self.impossible_runs = {}
+        self.resizes = resizes
+        self.outbox = collections.deque()
+        self.repeater = Repeater(
+            queue=self.queue,
+            quarantine=self.quarantine,
+            starter=self.starter,
+            outbox=self.outbox,
+        )
+        self.freed = {}
+        self.fleet_seen = -1
+        self.holds_seen = -1
+        self.next_sweep = 0.0
+        self.next_review = 0.0
+
+    # Input from the shard leader.
+
+    def submit(self, work, now, *, indices=None):
+        """Queue a run.
+
+        Parameters
+        ----------
+        work : Work
+            The run.
+        now : float
+            Time in seconds.
+        indices : iterable of int, optional
+            Tasks that are to be placed; all by default.
+        """
+        entry = self.book.open_run(work)
+        waiting = list(range(work.tasks)) if indices is None else list(indices)
+        entry.remaining.update(waiting)
+        reason = self._impossible_reason(work, now)
+        if reason is not None:
+            self.impossible_runs[work.run] = (work, waiting, now)
+            self.outbox.append(Impossible(run=work.run, reason=reason))
+            return
+        self._push(work, waiting, now)
+
+    def adopt(self, work, task, worker, needs, now) -> bool:
+        """Count a task that already runs, as found during a recovery.
+
+        Returns
+        -------
+        bool
+            False if the worker is unknown or its reservations would exceed its size.
+        """
+        index = int(task.rpartition("/")[2])
+        return self.book.place(work, index, worker, needs, now) is not None
+
+    def cancel(self, run) -> tuple[str, ...]:
+        """Drop the waiting tasks of a run.
+
+        Returns
+        -------
+        tuple of str
+            Tasks that are running or starting and have to be stopped; their amounts
+            are released by `ended`.
+        """
+        self.impossible_runs.pop(run, None)
+        self.queue.cancel(run)
+        for plan in list(self.holds.by_run.get(run, {}).values()):
+            self._drop_plan(plan)
+        entry = self.book.runs.get(run)
+        if entry is None:
+            return ()
+        entry.cancelled = True
+        for placed in entry.running.values():
+            placed.state = TaskState.ENDING
+            self.fleet.keep(placed.task)
+        running = tuple(p.task for p in entry.running.values())
+        self.book.close_if_done(entry)
+        return running
+
+    def ended(self, task, outcome, now):
+        """Record the end of a task, or of an attempt that is then repeated.
+
+        Parameters
+        ----------
+        outcome : TaskOutcome
+            `COMPLETED` and `STOPPED` are final. After `FAILED`, `CHECKPOINTED` and
+            `LEASE_EXPIRED` the task is queued again, unless it is given up.
+        """
+        placed = self._remove(task)
+        if placed is None:
+            return
+        entry = self.book.runs[placed.work.run]
+        if outcome in (TaskOutcome.COMPLETED, TaskOutcome.FAILED):
+            failed = outcome is TaskOutcome.FAILED
+            self.quarantine.record(placed.worker, placed.work, now, failed=failed)
+            if not failed:
+                duration = now - placed.started_at
+                self.estimator.ended(placed.work, duration, now)
+        elif placed.is_probe:
+            self.quarantine.probe_unfinished(placed.worker)
+        if outcome in (TaskOutcome.COMPLETED, TaskOutcome.STOPPED):
+            entry.remaining.discard(placed.index)
+        elif not entry.cancelled:
+            self.repeater.repeat(entry, placed, outcome, now)
+        self.repeater.restart_gang(entry, now)
+        self.book.close_if_done(entry)
+
+    def refused(self, task, now):
+        """Record that a worker refused a start, so that the task has not run."""
+        placed = self._remove(task)
+        if placed is None:
+            return
+        self.fleet.set_pressured(placed.worker, True)
+        entry = self.book.runs[placed.work.run]
+        if placed.is_probe:
+            self.quarantine.probe_unfinished(placed.worker)
+        if not entry.cancelled:
+            self.repeater.repeat(entry, placed, None, now)
+        self.repeater.restart_gang(entry, now)
+        self.book.close_if_done(entry)
+
+    def observe(self, worker, usage, tasks, now):
+        """Record the lagging usage that a worker reports.
+
+        Parameters
+        ----------
+        usage : Usage
+            Use of the VM.
+        tasks : dict of str to Usage
+            Use of its tasks; tasks that have not changed may be absent.
+        """
+        state = self.fleet.workers.get(worker)
+        if state is None:
+            return
+        for task, used in tasks.items():
+            placed = self.book.running.get(task)
+            if placed is None or placed.worker != worker:
+                continue
+            first = placed.reports == 0
+            self._observe_task(placed, used, now, first)
+        was_closed = state.pressured
+        running = self.book.running
+        for decision in self.preemption.relieve(self.fleet, running, state, usage, now):
+            if isinstance(decision, Checkpoint):
+                placed = running[decision.task]
+                decision = self.starter.order_checkpoint(placed, decision.reason)
+            self.outbox.append(decision)
+        if was_closed and not state.pressured:
+            self._freed(worker)
+
+    def set_quota(self, team, resources):
+        """Set the quota of a team; None removes it."""
+        self.ledger.set_quota(team, resources)
+        self.queue.wake_team(team)
+        self.fleet_seen = -1
+
+    def set_floor(self, service, guaranteed):
+        """Guarantee a fraction of the fleet to a service."""
+        self.ledger.set_floor(service, guaranteed)
+
+    # Decisions.
+
+    def decide(self, now, limit) -> list:
+        """Return up to about `limit` decisions.
+
+        Decisions that belong together, such as the checkpoints that make room for one
+        urgent task, are returned together even if they exceed the limit.
+        """
+        self._apply_quarantine()
+        self._notice_fleet(now)
+        decisions = []
+        while self.outbox and len(decisions) < limit:
+            decisions.append(self.outbox.popleft())
+        for plan in self.holds.complete():
+            decisions.extend(self.starter.start_held(plan, now))
+        self._review_plans(now, decisions)
+        self._probe(now, decisions)
+        tried = set()
+        while len(decisions) < limit and len(tried) < ATTEMPTS_PER_CALL:
+            queue = self.queue.next_ready()
+            if queue is None:
+                if not self._wake(tried):
+                    break
+                continue
+            started = self.starter.attempt(queue, now)
+            if not started:
+                tried.add(id(queue))
+            decisions.extend(started)
+        return decisions
+
+    @property
+    def more_ready(self) -> bool:
+        """Whether the last `decide` left work that could be tried at once."""
+        return self.queue.next_ready() is not None
+
+    def _push(self, work, indices, now, *, front=False):
+        pending = PendingRun(work=work, indices=collections.deque(indices), since=now)
+        self.queue.push(pending, front=front)
+
+    def _impossible_reason(self, work, now):
+        return self.impossible.reason(work, self.estimator.needs(work, now))
+
+    def _remove(self, task):
+        placed = self.book.remove(task)
+        if placed is not None:
+            self._freed(placed.worker)
+        return placed
+
+    def _freed(self, worker):
+        self.freed[worker] = None
+        self.holds.worker_changed(worker)
+
+    def _wake(self, tried) -> bool:
+        """Let one parked service be tried on a worker that has released amounts."""
+        while self.freed:
+            worker = next(iter(self.freed))
+            state = self.fleet.workers.get(worker)
+            usable = state is not None and state.open
+            if usable and self.queue.wake_one(state.free, tried):
+                return True
+            del self.freed[worker]
+        return False
+
+    def _observe_task(self, placed, used, now, first):
+        placed.reports += 1
+        self.estimator.observe(placed.work, used, now, first=first)
+        previous = placed.usage
+        placed.usage = used
+        if not self.resizes or placed.reports < RESIZE_REPORTS:
+            return
+        needs = self.estimator.resized(placed, previous)
+        if needs is not None and self.book.resize(placed, needs):
+            self._freed(placed.worker)
+            self.outbox.append(
+                Resize(task=placed.task, worker=placed.worker, needs=needs)
+            )
+
+    def _drop_plan(self, plan):
+        self.ledger.give(plan.work, scaled(plan.need, len(plan.indices)))
+        for worker in self.holds.remove(plan):
+            self._freed(worker)
+        self.queue.share_changed(plan.work.service)
+        self.queue.wake_team(plan.work.team)
+
+    def _requeue_plan(self, plan):
+        self._drop_plan(plan)
+        self.starter.plan_times.pop(plan.work.service, None)
+        self._push(plan.work, plan.indices, plan.since, front=True)
+
+    def _review_plans(self, now, decisions):
+        if self.holds_seen != self.fleet.availability_version:
+            self.holds_seen = self.fleet.availability_version
+            for plan in self.holds.broken():
+                self._requeue_plan(plan)
+        if now < self.next_review:
+            return
+        self.next_review = now + REVIEW_S
+        for plan in self.holds.overdue(now):
+            if self.holds.must_replan(plan, now):
+                self._requeue_plan(plan)
+            else:
+                decisions.extend(self._end_backfill(plan))
+
+    def _end_backfill(self, plan):
+        """Checkpoint tasks that still use amounts lent by a plan that is due."""
+        decisions = []
+        for worker in plan.counts:
+            for task in list(self.fleet.workers[worker].tasks):
+                placed = self.book.running.get(task)
+                if placed is None or placed.backfill_for != plan.key:
+                    continue
+                if placed.state is not TaskState.ENDING:
+                    decisions.append(
+                        self.starter.order_checkpoint(placed, "end of backfill")
+                    )
+        return decisions
+
+    def _apply_quarantine(self):
+        for worker in self.quarantine.changes():
+            excluded = self.quarantine.is_excluded(worker)
+            self.fleet.set_quarantined(worker, excluded)
+            if not excluded and worker in self.fleet.workers:
+                self._freed(worker)
+
+    def _notice_fleet(self, now):
+        if now >= self.next_sweep:
+            self.next_sweep = now + SWEEP_S
+            self.queue.wake_oldest()
+        if self.fleet_seen == self.fleet.membership_version:
+            return
+        self.fleet_seen = self.fleet.membership_version
+        self.queue.wake_fleet()
+        for run, (work, indices, since) in list(self.impossible_runs.items()):
+            if self._impossible_reason(work, now) is None:
+                del self.impossible_runs[run]
+                self._push(work, indices, since)
+
+    def _probe(self, now, decisions):
+        for worker in self.quarantine.due_probes(now):
+            state = self.fleet.workers.get(worker)
+            if state is None:
+                self.quarantine.forget(worker)
+                continue
+            if state.leaving:
+                continue
+            decisions.extend(self.starter.start_probe(state, now, self.quarantine))
--- /dev/null
+++ b/wasabipaddle/placement/plain.py
@@ -0,0 +1,59 @@
+"""Plain placement, the baseline of measures.
+
+One queue, first in first out, first fit by declared size, no estimation, no
+preemption and no quarantine.
+"""
+
+from wasabipaddle.documents import Urgency
+from wasabipaddle.placement.estimation import RunTime, UsageEstimator
+from wasabipaddle.placement.gangs import WaitingGangs
+from wasabipaddle.placement.placer import Placer
+from wasabipaddle.placement.preemption import NoPreemption
+from wasabipaddle.placement.quarantine import NoQuarantine
+from wasabipaddle.placement.queue import PendingQueue
+from wasabipaddle.placement.scoring import FirstFitScoring
+
+__all__ = ["DeclaredEstimator", "FifoQueue", "plain_placer"]
+
+
+class FifoQueue(PendingQueue):
+    """One queue for all work; its head blocks what is behind it."""
+
+    def key_of(self, work):
+        """Return the same key for all work."""
+        return "", Urgency.NORMAL
+
+
+class DeclaredEstimator(UsageEstimator):
+    """Believes what documents declare."""
+
+    def observe(self, work, usage, now, *, first):
+        """Ignore the measurement."""
+
+    def ended(self, work, duration_s, now):
+        """Ignore the run time."""
+
+    def needs(self, work, now):
+        """Return the declared need."""
+        return work.needs
+
+    def run_time(self, work, now):
+        """Return the declared run time."""
+        if work.is_service or not work.expected_s:
+            return super().run_time(work, now)
+        return RunTime(median_s=work.expected_s, high_s=work.expected_s)
+
+
+def plain_placer(*, fleet, random) -> Placer:
+    """Return a placer with every plain policy."""
+    return Placer(
+        fleet=fleet,
+        random=random,
+        scoring=FirstFitScoring(),
+        gangs=WaitingGangs(),
+        preemption=NoPreemption(),
+        quarantine=NoQuarantine(),
+        estimator=DeclaredEstimator(fleet=fleet),
+        queue=FifoQueue,
+        resizes=False,
+    )
--- /dev/null
+++ b/wasabipaddle/placement/preemption.py
@@ -0,0 +1,198 @@
+"""Choice of tasks that are throttled or checkpointed for others."""
+
+import abc
+
+import attrs
+
+from wasabipaddle.placement.amounts import fit_count, scaled
+from wasabipaddle.placement.running import TaskState
+from wasabipaddle.placement.work import Checkpoint, Throttle, Unthrottle
+
+__all__ = [
+    "LeastLossPreemption",
+    "NoPreemption",
+    "PreemptionPlan",
+    "PreemptionPolicy",
+]
+
+CANDIDATES = 8
+# Fraction of its use that a throttled task is expected to keep.
+THROTTLED_FRACTION = 0.5
+# Measured use of a VM, as a fraction of its size, at which tasks are slowed, new
+# tasks stay away, and throttles are lifted.
+RELIEF_ABOVE = 0.99
+CLOSED_ABOVE = 0.95
+LIFTED_BELOW = 0.85
+# Checkpoints ordered on one worker for one report, because the next report shows
+# whether more are needed.
+CHECKPOINTS_PER_REPORT = 2
+
+
+@attrs.frozen(kw_only=True)
+class PreemptionPlan:
+    """Tasks to end so that others can start.
+
+    Parameters
+    ----------
+    counts : dict of str to int
+        Tasks to start per worker.
+    victims : tuple of RunningTask
+        Tasks to checkpoint.
+    """
+
+    counts: dict
+    victims: tuple
+
+
+class PreemptionPolicy(abc.ABC):
+    """Answers urgent work without room and workers under pressure."""
+
+    @abc.abstractmethod
+    def make_room(self, fleet, running, work, need, count, now):
+        """Return a `PreemptionPlan` for `count` tasks, or None."""
+
+    @abc.abstractmethod
+    def relieve(self, fleet, running, worker, usage, now):
+        """Return decisions that lower or restore the use of a worker.
+
+        Parameters
+        ----------
+        worker : WorkerState
+            The worker that reported.
+        usage : Usage
+            Its measured use.
+        """
+
+
+class NoPreemption(PreemptionPolicy):
+    """Plain policy: urgent work waits, and pressure is not answered."""
+
+    def make_room(self, fleet, running, work, need, count, now):
+        """Return None."""
+        return None
+
+    def relieve(self, fleet, running, worker, usage, now):
+        """Return no decision."""
+        return ()
+
+
+class LeastLossPreemption(PreemptionPolicy):
+    """Ends the least urgent tasks that lose the least progress."""
+
+    def make_room(self, fleet, running, work, need, count, now):
+        """Return the plan with the least lost progress among some candidates."""
+        limit = CANDIDATES if count == 1 else count
+        allowed = work.placement.data_centres
+        options = []
+        for worker in fleet.reclaim_candidates(need, limit):
+            if allowed and worker.data_centre not in allowed:
+                continue
+            fitting = fit_count(need, worker.free + worker.reclaimable, count)
+            wanted = min(fitting, count)
+            victims = self._victims(worker, running, scaled(need, wanted), now)
+            if victims is not None:
+                loss = sum(_loss(v, now) for v in victims)
+                options.append((loss / wanted, len(options), worker, wanted, victims))
+        options.sort(key=lambda option: option[:2])
+        counts, chosen = {}, []
+        for _, _, worker, wanted, victims in options:
+            used = min(wanted, count)
+            if used < wanted:
+                victims = self._victims(worker, running, scaled(need, used), now)
+            counts[worker.name] = used
+            chosen.extend(victims)
+            count -= used
+            if count == 0:
+                return PreemptionPlan(counts=counts, victims=tuple(chosen))
+        return None
+
+    def relieve(self, fleet, running, worker, usage, now):
+        """Throttle on processor pressure, checkpoint what throttling cannot relieve."""
+        cpu = usage.cpu_milli / max(worker.size.cpu_milli, 1)
+        memory = usage.memory_mb / max(worker.size.memory_mb, 1)
+        fleet.set_pressured(worker.name, max(cpu, memory) >= CLOSED_ABOVE)
+        if max(cpu, memory) < LIFTED_BELOW:
+            return self._lift(running, worker)
+        if max(cpu, memory) < RELIEF_ABOVE:
+            return ()
+        tasks = self._by_loss(worker, running, now)
+        if memory >= RELIEF_ABOVE:
+            excess = usage.memory_mb - CLOSED_ABOVE * worker.size.memory_mb
+            return self._checkpoint(tasks, excess, "memory_mb", "memory pressure")
+        excess = usage.cpu_milli - CLOSED_ABOVE * worker.size.cpu_milli
+        throttles = self._throttle(tasks, excess)
+        if throttles:
+            return throttles
+        return self._checkpoint(tasks, excess, "cpu_milli", "processor pressure")
+
+    def _victims(self, worker, running, wanted, now):
+        """Return tasks whose end frees `wanted`, without superfluous ones."""
+        free = worker.free
+        chosen = []
+        for placed in self._by_loss(worker, running, now):
+            if wanted.fits(free):
+                break
+            if placed.reclaimable:
+                chosen.append(placed)
+                free = free + placed.needs
+        if not wanted.fits(free):
+            return None
+        for placed in list(reversed(chosen)):
+            without = free - placed.needs
+            if wanted.fits(without):
+                chosen.remove(placed)
+                free = without
+        return chosen
+
+    def _by_loss(self, worker, running, now):
+        tasks = [running[t] for t in worker.tasks if t in running]
+        tasks = [t for t in tasks if t.preemptible]
+        tasks.sort(key=lambda t: (-t.work.urgency.rank, _loss(t, now)))
+        return tasks
+
+    def _lift(self, running, worker):
+        throttled = [
+            running[t]
+            for t in worker.tasks
+            if t in running and running[t].state is TaskState.THROTTLED
+        ]
+        if not throttled:
+            return ()
+        first = min(throttled, key=lambda t: t.work.urgency.rank)
+        first.state = TaskState.RUNNING
+        return (Unthrottle(task=first.task, worker=worker.name),)
+
+    def _throttle(self, tasks, excess):
+        decisions = []
+        for placed in tasks:
+            if excess <= 0:
+                break
+            if placed.state is not TaskState.RUNNING or _is_urgent(placed):
+                continue
+            use = placed.usage.cpu_milli if placed.usage else placed.needs.cpu_milli
+            excess -= use * (1 - THROTTLED_FRACTION)
+            placed.state = TaskState.THROTTLED
+            decisions.append(Throttle(task=placed.task, worker=placed.worker))
+        return tuple(decisions)
+
+    def _checkpoint(self, tasks, excess, field, reason):
+        decisions = []
+        for placed in tasks[:CHECKPOINTS_PER_REPORT]:
+            if excess <= 0:
+                break
+            used = placed.usage if placed.usage else placed.needs
+            excess -= getattr(used, field)
+            decisions.append(
+                Checkpoint(task=placed.task, worker=placed.worker, reason=reason)
+            )
+        return tuple(decisions)
+
+
+def _is_urgent(placed):
+    return placed.work.urgency.rank == 0
+
+
+def _loss(placed, now) -> float:
+    """Return the processor time that would be lost if progress is not kept."""
+    elapsed = max(now - placed.started_at, 0.0)
+    return elapsed * max(placed.needs.cpu_milli, 1) + placed.needs.memory_mb
--- /dev/null
+++ b/wasabipaddle/placement/quarantine.py
@@ -0,0 +1,264 @@
+"""Exclusion of workers on which work fails that succeeds elsewhere."""
+
+import abc
+import enum
+import math
+
+import attrs
+
+__all__ = [
+    "ComparingQuarantine",
+    "NoQuarantine",
+    "Quarantine",
+    "QuarantinePolicy",
+    "WorkerPhase",
+]
+
+
+class WorkerPhase(enum.Enum):
+    """Phase of a worker."""
+
+    TRUSTED = "trusted"
+    QUARANTINED = "quarantined"
+    PROBING = "probing"  # one probe task decides
+
+
+# Failure probability of a bad worker.
+BAD_FAILURE = 0.95
+# Log likelihood ratio at which a worker is quarantined: 100 to 1.
+THRESHOLD = math.log(100.0)
+# Largest evidence from one service and from one run, so that one poisoned input
+# cannot condemn a worker.
+SERVICE_CAP = 3.0
+RUN_CAP = 1.5
+# A success is strong evidence, but old successes must not hide a new fault.
+SUCCESS_EVIDENCE = math.log(1 / (1 - BAD_FAILURE))
+LOWEST_SCORE = -3.0
+FIRST_BACKOFF_S = 60.0
+LARGEST_BACKOFF_S = 3600.0
+# Part of the fleet that may be quarantined at one time.
+LARGEST_FRACTION = 0.1
+# Weight of the assumed failure rate of a service without outcomes elsewhere.
+PRIOR_WEIGHT = 1.0
+PRIOR_FAILURES = 0.3
+# Outcomes of a service are halved when this many have been recorded.
+MEMORY = 200.0
+# Outcomes kept per worker.
+RECENT = 32
+
+
+class QuarantinePolicy(abc.ABC):
+    """Decides which workers are excluded."""
+
+    @abc.abstractmethod
+    def record(self, worker, work, now, *, failed):
+        """Record how a task ended on a worker."""
+
+    @abc.abstractmethod
+    def is_excluded(self, worker) -> bool:
+        """Return whether the worker gets no ordinary task."""
+
+    @abc.abstractmethod
+    def suspects(self, worker) -> bool:
+        """Return whether failures on this worker say little about the work."""
+
+    def due_probes(self, now) -> list[str]:
+        """Return workers that need a probe task now."""
+        return []
+
+    def probe_started(self, worker):
+        """Record that a probe task was placed on a worker."""
+
+    def probe_unfinished(self, worker):
+        """Record that a probe task ended without an outcome."""
+
+    def changes(self) -> list[str]:
+        """Return workers whose exclusion changed since the last call."""
+        return []
+
+    def forget(self, worker):
+        """Forget a worker that has left."""
+
+
+class NoQuarantine(QuarantinePolicy):
+    """Plain policy: every worker is trusted."""
+
+    def record(self, worker, work, now, *, failed):
+        """Ignore the outcome."""
+
+    def is_excluded(self, worker):
+        """Return False."""
+        return False
+
+    def suspects(self, worker):
+        """Return False."""
+        return False
+
+
+@attrs.define(kw_only=True)
+class Outcomes:
+    """Decaying counts of completed and failed tasks."""
+
+    completed: float = 0.0
+    failed: float = 0.0
+
+    def add(self, failed):
+        """Count one outcome and halve the counts when they grow large."""
+        if failed:
+            self.failed += 1
+        else:
+            self.completed += 1
+        if self.completed + self.failed > MEMORY:
+            self.completed /= 2
+            self.failed /= 2
+
+
+@attrs.define(kw_only=True)
+class WorkerRecord:
+    """Outcomes on one worker and its phase."""
+
+    recent: list = attrs.field(factory=list)
+    phase: WorkerPhase = WorkerPhase.TRUSTED
+    until: float = 0.0
+    backoff_s: float = FIRST_BACKOFF_S
+    score: float = 0.0
+    probe_running: bool = False
+
+
+class ComparingQuarantine(QuarantinePolicy):
+    """Compares outcomes on a worker with outcomes of the same work elsewhere.
+
+    The score of a worker is the log likelihood ratio between "fails nearly
+    everything" and "fails as the same services fail on other workers".
+
+    Parameters
+    ----------
+    fleet : FleetIndex
+        Its size bounds the number of quarantined workers.
+    """
+
+    def __init__(self, *, fleet):
+        self.fleet = fleet
+        self.workers = {}
+        self.services = {}
+        self.excluded = set()
+        self.changed = {}
+
+    def record(self, worker, work, now, *, failed):
+        """Record an outcome and quarantine or release the worker."""
+        record = self.workers.setdefault(worker, WorkerRecord())
+        if record.phase is WorkerPhase.PROBING:
+            self._probed(worker, record, now, failed)
+            return
+        if record.phase is WorkerPhase.QUARANTINED:
+            return  # tasks from before the quarantine say nothing new
+        self.services.setdefault(work.service, Outcomes()).add(failed)
+        record.recent.append((work.service, work.run, failed))
+        del record.recent[:-RECENT]
+        if not failed:
+            record.score = max(record.score - SUCCESS_EVIDENCE, LOWEST_SCORE)
+            return
+        record.score = self._score(record)
+        if record.score >= THRESHOLD:
+            self._quarantine(worker, record, now)
+
+    def is_excluded(self, worker):
+        """Return whether the worker is quarantined or being probed."""
+        return worker in self.excluded
+
+    def suspects(self, worker):
+        """Return whether the evidence against a worker is at least half."""
+        record = self.workers.get(worker)
+        if record is None:
+            return False
+        return worker in self.excluded or record.score >= THRESHOLD / 2
+
+    def due_probes(self, now):
+        """Return excluded workers whose back-off has passed."""
+        due = []
+        for worker in sorted(self.excluded):
+            record = self.workers[worker]
+            if record.phase is WorkerPhase.QUARANTINED and now >= record.until:
+                record.phase = WorkerPhase.PROBING
+            if record.phase is WorkerPhase.PROBING and not record.probe_running:
+                due.append(worker)
+        return due
+
+    def probe_started(self, worker):
+        """Record that a probe task was placed on a worker."""
+        self.workers[worker].probe_running = True
+
+    def probe_unfinished(self, worker):
+        """Allow another probe after one that was cancelled or preempted."""
+        record = self.workers.get(worker)
+        if record is not None:
+            record.probe_running = False
+
+    def changes(self):
+        """Return workers whose exclusion changed since the last call."""
+        changed, self.changed = list(self.changed), {}
+        return changed
+
+    def forget(self, worker):
+        """Forget a worker that has left."""
+        self.workers.pop(worker, None)
+        self.excluded.discard(worker)
+
+    def _score(self, record):
+        by_service, by_run = {}, {}
+        score = 0.0
+        for service, run, failed in record.recent:
+            if not failed:
+                score = max(score - SUCCESS_EVIDENCE, LOWEST_SCORE)
+                continue
+            rate = self._rate_elsewhere(service, record)
+            gain = max(math.log(BAD_FAILURE / rate), 0.0)
+            gain = min(gain, RUN_CAP - by_run.get(run, 0.0))
+            gain = min(gain, SERVICE_CAP - by_service.get(service, 0.0))
+            by_run[run] = by_run.get(run, 0.0) + gain
+            by_service[service] = by_service.get(service, 0.0) + gain
+            score += gain
+        return score
+
+    def _rate_elsewhere(self, service, record):
+        outcomes = self.services.get(service, Outcomes())
+        here_failed = sum(1 for s, _, f in record.recent if s == service and f)
+        here_completed = sum(1 for s, _, f in record.recent if s == service and not f)
+        failed = max(outcomes.failed - here_failed, 0.0) + PRIOR_FAILURES
+        completed = max(outcomes.completed - here_completed, 0.0)
+        completed += PRIOR_WEIGHT - PRIOR_FAILURES
+        return min(max(failed / (failed + completed), 0.01), 0.99)
+
+    def _quarantine(self, worker, record, now):
+        limit = max(1, int(LARGEST_FRACTION * len(self.fleet.workers)))
+        if len(self.excluded) >= limit:
+            return
+        self._remove_outcomes(record)
+        record.phase = WorkerPhase.QUARANTINED
+        record.until = now + record.backoff_s
+        record.recent.clear()
+        self.excluded.add(worker)
+        self.changed[worker] = None
+
+    def _remove_outcomes(self, record):
+        """Take failures of a bad worker out of the record of the services."""
+        for service, _, failed in record.recent:
+            outcomes = self.services.get(service)
+            if failed and outcomes is not None:
+                outcomes.failed = max(outcomes.failed - 1, 0.0)
+
+    def _probed(self, worker, record, now, failed):
+        record.probe_running = False
+        if failed:
+            record.backoff_s = min(2 * record.backoff_s, LARGEST_BACKOFF_S)
+            record.until = now + record.backoff_s
+            record.phase = WorkerPhase.QUARANTINED
+            return
+        record.phase = WorkerPhase.TRUSTED
+        record.score = 0.0
+        record.recent.clear()
+        self.excluded.discard(worker)
+        self.changed[worker] = None
+
+
+Quarantine = ComparingQuarantine
--- /dev/null
+++ b/wasabipaddle/placement/queue.py
@@ -0,0 +1,294 @@
+"""Runs that wait for placement."""
+
+import collections
+import enum
+import heapq
+import itertools
+
+import attrs
+from sortedcontainers import SortedList
+
+from wasabipaddle.documents import Resources, ServiceKind, Urgency
+from wasabipaddle.placement.amounts import ZERO
+from wasabipaddle.placement.work import Work
+
+__all__ = ["PendingQueue", "PendingRun", "QueueState", "ServiceQueue"]
+
+# Parked services inspected per class when amounts become free.
+WAKE_INSPECTED = 64
+# Services tried again per class in one sweep.
+SWEPT = 16
+# Stale heap entries tolerated per ready service before the heap is rebuilt.
+STALE_FACTOR = 4
+STALE_MINIMUM = 64
+
+
+class QueueState(enum.Enum):
+    """Whether a service's next task can be tried."""
+
+    IDLE = "idle"
+    READY = "ready"
+    QUOTA = "quota"  # waits until its team or service releases amounts
+    SPACE = "space"  # waits until a worker has enough free
+    FLEET = "fleet"  # waits until the fleet changes
+
+
+@attrs.define(kw_only=True, eq=False)
+class PendingRun:
+    """Tasks of a run that wait for placement.
+
+    Parameters
+    ----------
+    since : float
+        Time from which it waits, in seconds.
+    """
+
+    work: Work
+    indices: collections.deque
+    since: float
+    cancelled: bool = False
+
+
+@attrs.define(kw_only=True, eq=False)
+class ServiceQueue:
+    """Waiting runs of one service in one urgency class."""
+
+    service: str
+    team: str
+    urgency: Urgency
+    weight: int
+    runs: collections.deque = attrs.field(factory=collections.deque)
+    state: QueueState = QueueState.IDLE
+    stamp: int = 0
+    need: Resources = ZERO
+    parked_key: tuple | None = None
+
+    def head(self) -> PendingRun | None:
+        """Return the next run and forget cancelled ones before it."""
+        while self.runs and (self.runs[0].cancelled or not self.runs[0].indices):
+            self.runs.popleft()
+        return self.runs[0] if self.runs else None
+
+    def head_since(self) -> float:
+        """Return the time from which the next run waits."""
+        head = self.head()
+        return head.since if head is not None else 0.0
+
+
+class PendingQueue:
+    """Waiting work by urgency class and weighted fair share.
+
+    Services below their guaranteed floor go first, then the most urgent class. Inside
+    a class the service with the smallest held share per weight is next. A service
+    whose next task cannot be placed is parked until quota or space becomes free, so
+    that it blocks no other service.
+
+    Parameters
+    ----------
+    ledger : ShareLedger
+        Source of held shares and floors.
+
+    References
+    ----------
+    Ghodsi et al., "Dominant Resource Fairness", NSDI 2011.
+    """
+
+    def __init__(self, *, ledger):
+        self.ledger = ledger
+        self.queues = {}
+        self.by_service = {}
+        self.by_run = {}
+        self.heaps = [[] for _ in Urgency]
+        self.ready_counts = [0 for _ in Urgency]
+        self.parked_space = [SortedList() for _ in Urgency]
+        self.parked_quota = {}
+        self.parked_fleet = {}
+        self.floor_ready = {}
+        self.sequence = itertools.count()
+
+    def __len__(self):
+        return len(self.by_run)
+
+    def key_of(self, work):
+        """Return the service and class under which a run waits."""
+        return work.service, work.urgency
+
+    def push(self, pending, *, front=False):
+        """Queue a run, or queue it again at the front after an interruption."""
+        work = pending.work
+        key = self.key_of(work)
+        queue = self.queues.get(key)
+        if queue is None:
+            queue = self.queues[key] = ServiceQueue(
+                service=key[0], team=work.team, urgency=key[1], weight=work.weight
+            )
+            self.by_service.setdefault(key[0], []).append(queue)
+        queue.weight = max(work.weight, 1)
+        if front:
+            queue.runs.appendleft(pending)
+        else:
+            queue.runs.append(pending)
+        self.by_run.setdefault(work.run, []).append(pending)
+        if queue.state is QueueState.IDLE or (front and queue.head() is pending):
+            self.make_ready(queue)
+
+    def cancel(self, run):
+        """Drop a waiting run, in constant time per waiting part."""
+        for pending in self.by_run.pop(run, ()):
+            work = pending.work
+            queue = self.queues[self.key_of(work)]
+            at_head = bool(queue.runs) and queue.runs[0] is pending
+            pending.cancelled = True
+            if at_head:
+                self.make_ready(queue)
+
+    def take(self, queue, count):
+        """Remove `count` tasks of the head run and return their indices."""
+        pending = queue.head()
+        taken = [pending.indices.popleft() for _ in range(count)]
+        if not pending.indices:
+            queue.runs.popleft()
+            parts = self.by_run[pending.work.run]
+            parts.remove(pending)
+            if not parts:
+                del self.by_run[pending.work.run]
+        return taken
+
+    def next_ready(self) -> ServiceQueue | None:
+        """Return the service whose head run should be tried next."""
+        for queue in list(self.floor_ready.values()):
+            if queue.head() is None:
+                self._set_state(queue, QueueState.IDLE)
+            elif self.ledger.below_floor(queue.service):
+                return queue
+        for heap in self.heaps:
+            while heap:
+                entry = heap[0]
+                queue = entry[-1]
+                if entry[2] == queue.stamp and queue.state is QueueState.READY:
+                    if queue.head() is not None:
+                        return queue
+                    self._set_state(queue, QueueState.IDLE)
+                heapq.heappop(heap)
+        return None
+
+    def share_changed(self, service):
+        """Order a service anew after the amounts that it holds changed."""
+        for queue in self.by_service.get(service, ()):
+            if queue.state is QueueState.READY:
+                self._push_entry(queue)
+
+    def make_ready(self, queue):
+        """Let a service be tried again."""
+        self._set_state(queue, QueueState.READY)
+        if queue.service in self.ledger.floors:
+            self.floor_ready[queue.service, queue.urgency] = queue
+        self._push_entry(queue)
+
+    def park_space(self, queue, need):
+        """Park a service until a worker has `need` free."""
+        self._set_state(queue, QueueState.SPACE)
+        queue.need = need
+        queue.parked_key = (need.cpu_milli, next(self.sequence))
+        self.parked_space[queue.urgency.rank].add((*queue.parked_key, queue))
+
+    def park_quota(self, queue):
+        """Park a service until its team releases amounts."""
+        queue.team = queue.head().work.team
+        self._set_state(queue, QueueState.QUOTA)
+        self.parked_quota.setdefault(queue.team, {})[id(queue)] = queue
+
+    def park_fleet(self, queue):
+        """Park a service until the fleet changes."""
+        self._set_state(queue, QueueState.FLEET)
+        self.parked_fleet[id(queue)] = queue
+
+    def wake_team(self, team):
+        """Let services that wait for the quota of a team be tried again."""
+        for queue in list(self.parked_quota.get(team, {}).values()):
+            self.make_ready(queue)
+
+    def wake_fleet(self):
+        """Let services that wait for a change of the fleet be tried again."""
+        for queue in list(self.parked_fleet.values()):
+            self.make_ready(queue)
+        self.wake_all_space()
+
+    def wake_all_space(self):
+        """Let all services that wait for space be tried again."""
+        for parked in self.parked_space:
+            for entry in list(parked):
+                self.make_ready(entry[-1])
+
+    def wake_oldest(self):
+        """Let the services that have waited longest for space be tried again."""
+        for parked in self.parked_space:
+            oldest = heapq.nsmallest(SWEPT, parked, key=lambda e: e[-1].head_since())
+            for entry in oldest:
+                self.make_ready(entry[-1])
+
+    def probe_candidate(self, free) -> ServiceQueue | None:
+        """Return a service whose head task is fit to test a worker with `free`."""
+        for queue in itertools.islice(self.queues.values(), WAKE_INSPECTED):
+            head = queue.head()
+            if head is None or head.work.kind is not ServiceKind.BATCH:
+                continue
+            if queue.urgency is not Urgency.URGENT and head.work.needs.fits(free):
+                return queue
+        return None
+
+    def wake_one(self, free, tried) -> bool:
+        """Let the best parked service that `free` can hold be tried again.
+
+        Parameters
+        ----------
+        free : Resources
+            Free amounts of one worker.
+        tried : set of int
+            Identities of queues that are left parked.
+        """
+        for parked in self.parked_space:
+            fitting = parked.irange(maximum=(free.cpu_milli, 1 << 62), reverse=True)
+            best = None
+            for _, sequence, queue in itertools.islice(fitting, WAKE_INSPECTED):
+                if queue.need.fits(free) and id(queue) not in tried:
+                    order = (self._order(queue), sequence)
+                    if best is None or order < best[0]:
+                        best = (order, queue)
+            if best is not None:
+                self.make_ready(best[1])
+                return True
+        return False
+
+    def _order(self, queue):
+        return self.ledger.share(queue.service) / queue.weight
+
+    def _push_entry(self, queue):
+        head = queue.head()
+        if head is None:
+            self._set_state(queue, QueueState.IDLE)
+            return
+        queue.stamp = next(self.sequence)
+        rank = queue.urgency.rank
+        heap = self.heaps[rank]
+        heapq.heappush(heap, (self._order(queue), head.since, queue.stamp, queue))
+        if len(heap) > STALE_FACTOR * self.ready_counts[rank] + STALE_MINIMUM:
+            heap[:] = [e for e in heap if e[2] == e[-1].stamp]
+            heapq.heapify(heap)
+
+    def _set_state(self, queue, state):
+        if queue.state is state:
+            return
+        rank = queue.urgency.rank
+        if queue.state is QueueState.READY:
+            self.ready_counts[rank] -= 1
+            self.floor_ready.pop((queue.service, queue.urgency), None)
+        elif queue.state is QueueState.SPACE:
+            self.parked_space[rank].remove((*queue.parked_key, queue))
+        elif queue.state is QueueState.QUOTA:
+            self.parked_quota[queue.team].pop(id(queue), None)
+        elif queue.state is QueueState.FLEET:
+            self.parked_fleet.pop(id(queue), None)
+        if state is QueueState.READY:
+            self.ready_counts[rank] += 1
+        queue.state = state
--- /dev/null
+++ b/wasabipaddle/placement/repeats.py
@@ -0,0 +1,97 @@
+"""Repetition of tasks whose attempt did not complete."""
+
+import collections
+
+from wasabipaddle.placement.queue import PendingRun
+from wasabipaddle.placement.running import TaskState
+from wasabipaddle.placement.work import GiveUp
+from wasabipaddle.platform import TaskOutcome
+
+__all__ = ["Repeater"]
+
+# Failed attempts on suspected workers count this much less towards giving up.
+SUSPECT_ATTEMPTS_FACTOR = 3
+
+
+class Repeater:
+    """Queues tasks again, or gives up work that fails everywhere.
+
+    Parameters
+    ----------
+    queue : PendingQueue
+        Takes the tasks that are repeated.
+    quarantine : QuarantinePolicy
+        Knows workers whose failures say little about the work.
+    starter : Starter
+        Orders the end of the other members of a broken gang.
+    outbox : collections.deque
+        Takes the decisions.
+    """
+
+    def __init__(self, *, queue, quarantine, starter, outbox):
+        self.queue = queue
+        self.quarantine = quarantine
+        self.starter = starter
+        self.outbox = outbox
+
+    def repeat(self, entry, placed, outcome, now):
+        """Queue a task again after an attempt that did not complete it.
+
+        Parameters
+        ----------
+        outcome : TaskOutcome or None
+            None if the attempt has not run.
+        """
+        history = placed.history
+        if outcome is TaskOutcome.CHECKPOINTED:
+            history.preemptions += 1
+        elif outcome is TaskOutcome.FAILED:
+            history.failed_on.append(placed.worker)
+            reason = self._give_up_reason(placed)
+            if reason is not None:
+                self._give_up(entry, placed, reason)
+                return
+        if entry.work.is_gang:
+            entry.restart.append(placed.index)
+        else:
+            self._push(entry.work, (placed.index,), now)
+
+    def restart_gang(self, entry, now):
+        """End the other members of a broken gang, then queue it as a whole."""
+        if not entry.restart or entry.cancelled:
+            return
+        for placed in entry.running.values():
+            if placed.state is not TaskState.ENDING:
+                self.outbox.append(
+                    self.starter.order_checkpoint(placed, "another gang task ended")
+                )
+        if not entry.running:
+            indices = [i for i in sorted(entry.restart) if i in entry.remaining]
+            entry.restart.clear()
+            self._push(entry.work, indices, now)
+
+    def _push(self, work, indices, now):
+        pending = PendingRun(work=work, indices=collections.deque(indices), since=now)
+        self.queue.push(pending, front=True)
+
+    def _give_up(self, entry, placed, reason):
+        """Report a task, and with it all tasks of a gang, as not retried."""
+        self.outbox.append(GiveUp(run=entry.work.run, task=placed.task, reason=reason))
+        if not entry.work.is_gang:
+            entry.remaining.discard(placed.index)
+            return
+        entry.remaining.clear()
+        entry.restart.clear()
+        for other in entry.running.values():
+            if other.state is not TaskState.ENDING:
+                self.outbox.append(
+                    self.starter.order_checkpoint(other, "the gang is given up")
+                )
+
+    def _give_up_reason(self, placed):
+        failed_on = placed.history.failed_on
+        limit = placed.work.max_attempts
+        counted = [w for w in failed_on if not self.quarantine.suspects(w)]
+        if len(counted) < limit and len(failed_on) < SUSPECT_ATTEMPTS_FACTOR * limit:
+            return None
+        return f"failed {len(failed_on)} times, on {', '.join(sorted(set(failed_on)))}"
--- /dev/null
+++ b/wasabipaddle/placement/scoring.py
@@ -0,0 +1,142 @@
+"""Choice of a worker for one task."""
+
+import abc
+import itertools
+
+from wasabipaddle.placement.amounts import dominant_share
+
+__all__ = ["BestFitScoring", "FirstFitScoring", "ScoringPolicy"]
+
+CANDIDATES = 8
+# Racks looked at for a task that is to be spread.
+SPREAD_RACKS = 16
+WORKERS_PER_RACK = 8
+
+
+class ScoringPolicy(abc.ABC):
+    """Chooses the worker of one task."""
+
+    @abc.abstractmethod
+    def choose(self, fleet, work, need, avoid):
+        """Return the name of a worker, or None if no worker fits.
+
+        Parameters
+        ----------
+        fleet : FleetIndex
+            Workers to choose from.
+        work : Work
+            The run of the task.
+        need : Resources
+            Amounts to reserve.
+        avoid : collection of str
+            Workers on which the task failed.
+        """
+
+    def placed(self, work, rack):
+        """Record that a task of `work` is placed in a rack."""
+
+    def ended(self, work, rack):
+        """Record that a task of `work` has left a rack."""
+
+
+class FirstFitScoring(ScoringPolicy):
+    """First worker in order of addition that fits."""
+
+    def choose(self, fleet, work, need, avoid):
+        """Return the first worker that fits."""
+        for worker in fleet.workers.values():
+            if worker.open and need.fits(worker.free) and _allowed(work, worker):
+                return worker.name
+        return None
+
+
+class BestFitScoring(ScoringPolicy):
+    """Candidate with the least free left over, spread over racks where asked.
+
+    A candidate loses for amounts that it would strand: a large difference between the
+    free shares of processor and memory is of use to no later task.
+
+    Parameters
+    ----------
+    random : random.Random
+        Chooses where the search for a rack starts.
+    """
+
+    def __init__(self, *, random):
+        self.random = random
+        self.rack_counts = {}
+
+    def choose(self, fleet, work, need, avoid):
+        """Return the best of a bounded number of candidates."""
+        if work.placement.spread:
+            name = self._choose_spread(fleet, work, need, avoid)
+            if name is not None:
+                return name
+        candidates = fleet.candidates(need, CANDIDATES)
+        best = None
+        for worker in candidates:
+            if worker.name in avoid or not _allowed(work, worker):
+                continue
+            score = _leftover(worker, need)
+            if best is None or score < best[0]:
+                best = (score, worker.name)
+        if best is not None:
+            return best[1]
+        return self._choose_any(fleet, work, need, avoid) if candidates else None
+
+    def placed(self, work, rack):
+        """Count a task of a spread service in a rack."""
+        if work.placement.spread:
+            counts = self.rack_counts.setdefault(work.service, {})
+            counts[rack] = counts.get(rack, 0) + 1
+
+    def ended(self, work, rack):
+        """Take a task of a spread service out of the count of a rack."""
+        counts = self.rack_counts.get(work.service)
+        if counts and counts.get(rack):
+            counts[rack] -= 1
+            if not counts[rack]:
+                del counts[rack]
+            if not counts:
+                del self.rack_counts[work.service]
+
+    def _choose_spread(self, fleet, work, need, avoid):
+        counts = self.rack_counts.get(work.service, {})
+        racks = list(fleet.racks)
+        start = self.random.randrange(len(racks)) if racks else 0
+        best = None
+        for offset in range(min(SPREAD_RACKS, len(racks))):
+            rack = racks[(start + offset) % len(racks)]
+            if best is not None and counts.get(rack, 0) > best[0]:
+                continue
+            workers = itertools.islice(fleet.racks[rack].values(), WORKERS_PER_RACK)
+            for worker in workers:
+                if not (worker.open and need.fits(worker.free)):
+                    continue
+                if worker.name in avoid or not _allowed(work, worker):
+                    continue
+                score = (counts.get(rack, 0), _leftover(worker, need))
+                if best is None or score < best[:2]:
+                    best = (*score, worker.name)
+        return best[2] if best else None
+
+    def _choose_any(self, fleet, work, need, avoid):
+        for worker in fleet.candidates(need, 8 * CANDIDATES):
+            if worker.name not in avoid and _allowed(work, worker):
+                return worker.name
+        return None
+
+
+def _allowed(work, worker) -> bool:
+    allowed = work.placement.data_centres
+    return not allowed or worker.data_centre in allowed
+
+
+def _leftover(worker, need) -> float:
+    free, size = worker.free, worker.size
+    cpu = (free.cpu_milli - need.cpu_milli) / size.cpu_milli if size.cpu_milli else 0.0
+    memory = (free.memory_mb - need.memory_mb) / size.memory_mb if size.memory_mb else 0
+    idle_accelerators = 0.0
+    if not need.accelerators and free.accelerators:
+        idle_accelerators = dominant_share(free, size)
+    return cpu + memory + 2 * abs(cpu - memory) + idle_accelerators
--- /dev/null
+++ b/wasabipaddle/placement/shares.py
@@ -0,0 +1,126 @@
+"""Amounts in use by team and service, quotas and guaranteed floors."""
+
+from wasabipaddle.documents import Resources
+from wasabipaddle.placement.amounts import ZERO, dominant_share, elementwise_max
+
+__all__ = ["ShareLedger"]
+
+
+class ShareLedger:
+    """Amounts held by running and starting tasks.
+
+    Parameters
+    ----------
+    fleet : FleetIndex
+        Its total is the pool that floors are a fraction of.
+    """
+
+    def __init__(self, *, fleet):
+        self.fleet = fleet
+        self.team_quotas = {}
+        self.team_use = {}
+        self.service_use = {}
+        self.floors = {}
+        self.unmet = {}
+        self.unmet_total = ZERO
+        self.floor_version = -1
+
+    def set_quota(self, team, resources):
+        """Set the quota of a team; None removes it."""
+        if resources is None:
+            self.team_quotas.pop(team, None)
+        else:
+            self.team_quotas[team] = resources
+
+    def set_floor(self, service, guaranteed, *, accelerators=False):
+        """Guarantee a fraction of the fleet to a service; 0 removes the floor."""
+        if guaranteed > 0:
+            self.floors[service] = (guaranteed, accelerators)
+        else:
+            self.floors.pop(service, None)
+        self.floor_version = -1
+
+    def within_quota(self, work, amount) -> bool:
+        """Return whether team and service may hold `amount` in addition."""
+        quota = self.team_quotas.get(work.team)
+        if quota is not None:
+            used = self.team_use.get(work.team, ZERO)
+            if not (used + amount).fits(quota):
+                return False
+        if work.quota == ZERO:
+            return True
+        return (self.service_use.get(work.service, ZERO) + amount).fits(work.quota)
+
+    def quota_ever_holds(self, work, amount) -> bool:
+        """Return whether the quotas would hold `amount` if nothing were in use."""
+        quota = self.team_quotas.get(work.team)
+        if quota is not None and not amount.fits(quota):
+            return False
+        return work.quota == ZERO or amount.fits(work.quota)
+
+    def take(self, work, amount):
+        """Count `amount` as held."""
+        self._add(work, amount)
+
+    def give(self, work, amount):
+        """Count `amount` as no longer held."""
+        self._add(work, ZERO - amount)
+
+    def share(self, service) -> float:
+        """Return the dominant share of the fleet that a service holds."""
+        used = self.service_use.get(service)
+        return dominant_share(used, self.fleet.total) if used else 0.0
+
+    def below_floor(self, service) -> bool:
+        """Return whether a service holds less than its guaranteed fraction."""
+        floor = self.floors.get(service)
+        return floor is not None and self.share(service) < floor[0]
+
+    def respects_floors(self, work, amount, *, reclaimable) -> bool:
+        """Return whether other services can still reach their floors.
+
+        Reclaimable work may use what floors keep free, because it can be preempted
+        for them.
+        """
+        if reclaimable or not self.floors:
+            return True
+        self._refresh()
+        others = self.unmet_total - self.unmet.get(work.service, ZERO)
+        if others == ZERO:
+            return True
+        available = self.fleet.total_free + self.fleet.total_reclaimable
+        return (others + amount).fits(available)
+
+    def _add(self, work, amount):
+        self.team_use[work.team] = self.team_use.get(work.team, ZERO) + amount
+        used = self.service_use.get(work.service, ZERO) + amount
+        if used == ZERO:
+            self.service_use.pop(work.service, None)
+        else:
+            self.service_use[work.service] = used
+        if work.service in self.floors and self.floor_version >= 0:
+            self._set_unmet(work.service)
+
+    def _refresh(self):
+        if self.floor_version == self.fleet.membership_version:
+            return
+        self.floor_version = self.fleet.membership_version
+        self.unmet = {}
+        self.unmet_total = ZERO
+        for service in self.floors:
+            self._set_unmet(service)
+
+    def _set_unmet(self, service):
+        fraction, accelerators = self.floors[service]
+        total = self.fleet.total
+        floor = Resources(
+            cpu_milli=int(total.cpu_milli * fraction),
+            memory_mb=int(total.memory_mb * fraction),
+            accelerators=int(total.accelerators * fraction) if accelerators else 0,
+        )
+        used = self.service_use.get(service, ZERO)
+        unmet = elementwise_max(floor - used, ZERO)
+        if used != ZERO and dominant_share(used, total) >= fraction:
+            unmet = ZERO
+        self.unmet_total += unmet - self.unmet.get(service, ZERO)
+        self.unmet[service] = unmet
--- /dev/null
+++ b/wasabipaddle/placement/tests/test_placer.py
@@ -0,0 +1,119 @@
+"""Tests of the placer as a whole."""
+
+import pytest
+
+from wasabipaddle.documents import Resources, ServiceKind, Urgency
+from wasabipaddle.placement import (
+    Checkpoint,
+    FleetIndex,
+    GiveUp,
+    Impossible,
+    Placer,
+    Start,
+    Work,
+)
+from wasabipaddle.platform import TaskOutcome
+
+SIZE = Resources(cpu_milli=8000, memory_mb=16_000)
+TASK = Resources(cpu_milli=2000, memory_mb=4000)
+
+
+@pytest.fixture
+def fleet():
+    fleet = FleetIndex()
+    for number in range(4):
+        fleet.add_worker(
+            f"w{number}", rack=f"r{number // 2}", data_centre="a", size=SIZE
+        )
+    return fleet
+
+
+@pytest.fixture
+def placer(fleet, rng):
+    return Placer(fleet=fleet, random=rng)
+
+
+def work(run, **changes):
+    values = {"service": "s", "team": "t", "kind": ServiceKind.BATCH, "needs": TASK}
+    return Work(run=run, **(values | changes))
+
+
+def started(decisions):
+    return [a for d in decisions if isinstance(d, Start) for a in d.assignments]
+
+
+def test_impossible_work_is_answered_at_once_and_blocks_nothing(placer):
+    """Guards against a job that fits no VM holding up the queue."""
+    placer.submit(work("big", needs=Resources(cpu_milli=9000)), 0.0)
+    placer.submit(work("small"), 0.0)
+    decisions = placer.decide(0.0, 10)
+    assert "9000" in decisions[0].reason and "8000" in decisions[0].reason
+    assert isinstance(decisions[0], Impossible)
+    assert [a.task for a in started(decisions)] == ["small/0"]
+
+
+def test_impossible_work_starts_after_the_fleet_grew(placer, fleet):
+    """Guards against impossible work being forgotten or retried without cause."""
+    placer.submit(work("big", needs=Resources(cpu_milli=9000)), 0.0)
+    placer.decide(0.0, 10)
+    assert placer.decide(1.0, 10) == []
+    fleet.add_worker(
+        "large", rack="r9", data_centre="a", size=Resources(cpu_milli=16_000)
+    )
+    assert [a.worker for a in started(placer.decide(2.0, 10))] == ["large"]
+
+
+def test_gang_starts_as_a_whole_and_is_not_starved(placer):
+    """Guards against small work taking each place that a gang waits for."""
+    for number in range(16):
+        placer.submit(work(f"b{number}", service="small", expected_s=10), 0.0)
+    assert len(started(placer.decide(0.0, 100))) == 16
+    placer.submit(
+        work("g", service="gang", kind=ServiceKind.GANG, tasks=8, expected_s=10),
+        1.0,
+    )
+    for number in range(16, 64):
+        placer.submit(work(f"b{number}", service="small", expected_s=100), 1.0)
+    now, gang = 1.0, []
+    for number in range(16):
+        placer.ended(f"b{number}/0", TaskOutcome.COMPLETED, now := now + 0.1)
+        gang += [a for a in started(placer.decide(now, 100)) if a.task[0] == "g"]
+    assert len(gang) == 8
+
+
+def test_urgent_work_takes_the_place_of_deferrable_work(placer):
+    """Guards against urgent work that waits behind deferrable work."""
+    for number in range(16):
+        placer.submit(work(f"d{number}", service="d", urgency=Urgency.DEFERRABLE), 0.0)
+    placer.decide(0.0, 100)
+    placer.submit(work("u", service="u", urgency=Urgency.URGENT), 1.0)
+    (order,) = placer.decide(1.0, 100)
+    assert isinstance(order, Checkpoint)
+    placer.ended(order.task, TaskOutcome.CHECKPOINTED, 1.5)
+    assert [a.task for a in started(placer.decide(1.5, 100))] == ["u/0"]
+
+
+def test_cancelled_work_does_not_start(placer):
+    """Guards against a start after a cancellation."""
+    placer.submit(work("a"), 0.0)
+    placer.submit(work("b"), 0.0)
+    assert placer.cancel("a") == ()
+    assert [a.task for a in started(placer.decide(0.0, 10))] == ["b/0"]
+    assert placer.cancel("b") == ("b/0",)
+    placer.ended("b/0", TaskOutcome.STOPPED, 1.0)
+    assert placer.decide(1.0, 10) == []
+    assert not placer.book.runs
+
+
+def test_work_that_fails_everywhere_is_given_up(placer):
+    """Guards against poisoned work that is retried for ever."""
+    placer.submit(work("p"), 0.0)
+    workers = set()
+    for now in range(10):
+        decisions = placer.decide(float(now), 10)
+        for assignment in started(decisions):
+            workers.add(assignment.worker)
+            placer.ended(assignment.task, TaskOutcome.FAILED, now + 0.5)
+    assert len(workers) == 3
+    assert not placer.book.runs
+    assert not any(isinstance(d, GiveUp) for d in placer.decide(20.0, 10))
