--- /dev/null
+++ b/wasabipaddle/admission/__init__.py
@@ -0,0 +1,23 @@
+"""Admission control: quotas, fair shares, floors, bounded queues and shedding."""
+
+from wasabipaddle.admission.base import (
+    AdmissionPolicy,
+    QueueBounds,
+    Taken,
+    Ticket,
+    TicketState,
+)
+from wasabipaddle.admission.fifo import FifoQueue
+from wasabipaddle.admission.ledger import QuotaLedger
+from wasabipaddle.admission.queue import FairQueue
+
+__all__ = [
+    "AdmissionPolicy",
+    "FairQueue",
+    "FifoQueue",
+    "QueueBounds",
+    "QuotaLedger",
+    "Taken",
+    "Ticket",
+    "TicketState",
+]
--- /dev/null
+++ b/wasabipaddle/admission/base.py
@@ -0,0 +1,146 @@
+"""Abstract base class of admission policies."""
+
+import abc
+import enum
+
+import attrs
+from result import Result
+
+from wasabipaddle.documents import ServiceDocument
+from wasabipaddle.exceptions import Failure
+
+__all__ = ["AdmissionPolicy", "QueueBounds", "Taken", "Ticket", "TicketState"]
+
+
+class TicketState(enum.Enum):
+    """Where a ticket is between its offer and its end."""
+
+    NEW = "new"
+    QUEUED = "queued"
+    RUNNING = "running"
+    ENDED = "ended"
+
+
+@attrs.define(kw_only=True, eq=False)
+class Ticket:
+    """One request that waits for a slot or holds one.
+
+    Parameters
+    ----------
+    request : str
+        Request id.
+    document : ServiceDocument
+        Document in force when the request arrived.
+    size : int
+        Bytes of the body.
+    deadline : float
+        Time at which the caller no longer waits, in seconds.
+    owner : object
+        Anything that the owner needs to find its request again.
+    """
+
+    request: str
+    document: ServiceDocument
+    size: int
+    deadline: float
+    owner: object = None
+    state: TicketState = TicketState.NEW
+    queued_at: float = 0.0
+    started_at: float = 0.0
+
+    @property
+    def pool(self) -> str:
+        """Endpoint pool that serves the request."""
+        return self.document.placement.pool
+
+
+@attrs.frozen(kw_only=True)
+class QueueBounds:
+    """Bounds of the queue of one process.
+
+    Parameters
+    ----------
+    requests, size : int
+        Largest number of waiting requests and of their body bytes.
+    service_fraction : float
+        Part of both bounds that one service may occupy.
+    """
+
+    requests: int = 2_000
+    size: int = 33_554_432
+    service_fraction: float = 0.25
+
+
+@attrs.frozen(kw_only=True)
+class Taken:
+    """Result of one `take`.
+
+    Parameters
+    ----------
+    ticket : Ticket or None
+        Ticket that may run now.
+    shed : tuple of (Ticket, Failure)
+        Tickets that were dropped on the way; none of them has run.
+    """
+
+    ticket: Ticket | None
+    shed: tuple[tuple[Ticket, Failure], ...] = ()
+
+
+class AdmissionPolicy(abc.ABC):
+    """Decides which requests wait, run or are refused.
+
+    Every method takes the current time in seconds and does no input or output.
+    """
+
+    @abc.abstractmethod
+    def set_capacity(self, pool, slots, *, now):
+        """Set the number of slots that this process holds in a pool."""
+
+    def set_quotas(self, quotas, *, rank=0, processes=1):
+        """Set the quotas of teams and the part of them that this process may use.
+
+        Parameters
+        ----------
+        quotas : sequence of TeamQuota
+            Quotas of the cell.
+        rank, processes : int
+            Position of this process among the live ones, and their number.
+        """
+
+    @abc.abstractmethod
+    def offer(
+        self, ticket, *, now
+    ) -> Result[tuple[tuple[Ticket, Failure], ...], Failure]:
+        """Append a ticket.
+
+        Returns
+        -------
+        result.Result
+            The tickets that were dropped to make room, or the failure with which
+            the offered ticket is refused. None of them has run.
+        """
+
+    @abc.abstractmethod
+    def take(self, pool, *, now) -> Taken:
+        """Start the next ticket of a pool, if a slot is free."""
+
+    @abc.abstractmethod
+    def remove(self, ticket, *, now) -> bool:
+        """Drop a waiting ticket; return False if it does not wait."""
+
+    @abc.abstractmethod
+    def finish(self, ticket, *, now):
+        """Return the slot of a running ticket."""
+
+    @abc.abstractmethod
+    def queued(self, pool) -> int:
+        """Return the number of waiting tickets of a pool."""
+
+    @abc.abstractmethod
+    def in_use(self, pool) -> int:
+        """Return the number of running tickets of a pool."""
+
+    @abc.abstractmethod
+    def known_pools(self) -> list[str]:
+        """Return the pools for which tickets were offered."""
--- /dev/null
+++ b/wasabipaddle/admission/ledger.py
@@ -0,0 +1,64 @@
+"""Slots in use against the quotas of services and teams."""
+
+import collections
+
+__all__ = ["QuotaLedger"]
+
+
+class QuotaLedger:
+    """Counts slots in use and compares them with the part of one process.
+
+    Quotas hold over the cell. Each process uses the part that `divide` gives it, so
+    no call between processes is needed on the request path. A quota of 0 slots
+    means that none is set.
+    """
+
+    def __init__(self):
+        self.team_quotas = {}
+        self.rank = 0
+        self.processes = 1
+        self.team_in_use = collections.Counter()
+        self.service_in_use = collections.Counter()
+
+    def set_quotas(self, quotas, *, rank, processes):
+        """Replace the team quotas and the position of this process.
+
+        Parameters
+        ----------
+        quotas : sequence of TeamQuota
+            Quotas of the cell.
+        rank, processes : int
+            Position of this process among the live ones, and their number.
+        """
+        self.team_quotas = {q.team: q.quota.slots for q in quotas}
+        self.rank = rank
+        self.processes = max(processes, 1)
+
+    def divide(self, slots) -> int:
+        """Return the part of a quota that this process may use, at least 1."""
+        part, rest = divmod(slots, self.processes)
+        return max(part + (self.rank < rest), 1)
+
+    def team_allows(self, team) -> bool:
+        """Return whether the team may use one more slot."""
+        quota = self.team_quotas.get(team, 0)
+        return quota <= 0 or self.team_in_use[team] < self.divide(quota)
+
+    def allows(self, document) -> bool:
+        """Return whether the service and its team may use one more slot."""
+        quota = document.quota.slots
+        if quota > 0:
+            used = self.service_in_use[document.service]
+            if used >= self.divide(quota):
+                return False
+        return self.team_allows(document.team)
+
+    def take(self, document):
+        """Count one slot of the service and its team as used."""
+        self.service_in_use[document.service] += 1
+        self.team_in_use[document.team] += 1
+
+    def release(self, document):
+        """Count one slot of the service and its team as free."""
+        self.service_in_use[document.service] -= 1
+        self.team_in_use[document.team] -= 1
--- /dev/null
+++ b/wasabipaddle/admission/queue.py
@@ -0,0 +1,285 @@
+"""Fair queue with classes, shares, floors, quotas and early shedding."""
+
+import collections
+import math
+
+from result import Err, Ok
+
+from wasabipaddle.admission.base import (
+    AdmissionPolicy,
+    QueueBounds,
+    Taken,
+    TicketState,
+)
+from wasabipaddle.admission.ledger import QuotaLedger
+from wasabipaddle.admission.shares import DEFAULT_RUN_S, PoolQueues
+from wasabipaddle.exceptions import ErrorKind, Failure
+
+__all__ = ["FairQueue"]
+
+# Part of the caller's time that a request may spend in a queue that is never empty.
+QUEUE_DELAY_FRACTION = 0.25
+MIN_RETRY_AFTER_S = 0.1
+MAX_RETRY_AFTER_S = 30.0
+
+
+class FairQueue(AdmissionPolicy):
+    """Bounded queue of one process over all its pools.
+
+    A free slot goes first to the service that is furthest below its guaranteed
+    floor. What is left goes to the most urgent class that waits, and inside a class
+    by weighted fair shares of slot time.
+
+    Parameters
+    ----------
+    bounds : QueueBounds
+        Largest count and bytes, in total and for one service.
+    """
+
+    def __init__(self, *, bounds=None):
+        self.bounds = bounds or QueueBounds()
+        self.pools = collections.defaultdict(PoolQueues)
+        self.ledger = QuotaLedger()
+        self.parked = {}
+        self.backlogged = 0
+        self.waiting = 0
+        self.size = 0
+
+    def set_capacity(self, pool, slots, *, now):
+        """Set the number of slots that this process holds in a pool."""
+        state = self.pools[pool]
+        if state.capacity != slots:
+            state.capacity = slots
+            state.refresh_all(now=now)
+
+    def set_quotas(self, quotas, *, rank=0, processes=1):
+        """Set the quotas of teams and the part of them that this process may use."""
+        self.ledger.set_quotas(quotas, rank=rank, processes=processes)
+        for team in list(self.parked):
+            self._unpark(team)
+
+    def offer(self, ticket, *, now):
+        """Append a ticket, or refuse it before any work is spent on it."""
+        state = self.pools[ticket.pool]
+        service = state.service(ticket.document)
+        failure = self._refusal(state, service, ticket, now=now)
+        if failure is not None:
+            return Err(failure)
+        room = self._make_room(service, ticket, now=now)
+        if room is None:
+            detail = "the queue of the process is full"
+            return Err(self._full(service, detail, state, now))
+        ticket.state = TicketState.QUEUED
+        ticket.queued_at = now
+        began = not service.tickets
+        service.append(ticket)
+        self._count(state, 1, ticket.size)
+        if began:
+            self.backlogged += 1
+            service.estimate.backlog_began(state.capacity, now=now)
+            state.classes[service.rank].activate(service)
+        state.refresh(service, now=now)
+        return Ok(room)
+
+    def take(self, pool, *, now):
+        """Start the next ticket of a pool, if a slot is free."""
+        state = self.pools[pool]
+        shed = []
+        while state.in_use < state.capacity:
+            service = self._next_service(state, now=now)
+            if service is None:
+                break
+            ticket = service.oldest()
+            self._count(state, -1, -ticket.size)
+            failure = self._late(service, ticket, now=now)
+            if failure is None:
+                self._start(state, service, ticket, now=now)
+                return Taken(ticket=ticket, shed=tuple(shed))
+            ticket.state = TicketState.ENDED
+            shed.append((ticket, failure))
+            self._after_drop(state, service, now=now)
+        return Taken(ticket=None, shed=tuple(shed))
+
+    def remove(self, ticket, *, now):
+        """Drop a waiting ticket; return False if it does not wait."""
+        if ticket.state is not TicketState.QUEUED:
+            return False
+        state = self.pools[ticket.pool]
+        service = state.services[ticket.document.service]
+        service.drop(ticket)
+        ticket.state = TicketState.ENDED
+        self._count(state, -1, -ticket.size)
+        self._after_drop(state, service, now=now)
+        return True
+
+    def finish(self, ticket, *, now):
+        """Return the slot of a running ticket and learn from its run time."""
+        if ticket.state is not TicketState.RUNNING:
+            return
+        ticket.state = TicketState.ENDED
+        state = self.pools[ticket.pool]
+        service = state.services[ticket.document.service]
+        state.in_use -= 1
+        service.in_use -= 1
+        self.ledger.release(ticket.document)
+        run_s = now - ticket.started_at
+        expected_s = service.estimate.run_s or DEFAULT_RUN_S
+        service.estimate.ended(run_s, state.capacity, now=now)
+        state.correct(service, expected_s, run_s)
+        state.refresh(service, now=now)
+        self._unpark(ticket.document.team)
+
+    def queued(self, pool):
+        """Return the number of waiting tickets of a pool."""
+        return self.pools[pool].waiting
+
+    def in_use(self, pool):
+        """Return the number of running tickets of a pool."""
+        return self.pools[pool].in_use
+
+    def known_pools(self):
+        """Return the pools for which tickets were offered."""
+        return list(self.pools)
+
+    def wait_s(self, document, *, now) -> float:
+        """Return the expected wait of a new request of a service, in seconds."""
+        state = self.pools[document.placement.pool]
+        service = state.service(document)
+        floor = state.floor_slots(service)
+        return service.estimate.wait_s(len(service.tickets), floor, now=now)
+
+    def _refusal(self, state, service, ticket, *, now):
+        bounds = self.bounds
+        part = max(bounds.service_fraction, service.document.share.guaranteed)
+        if (
+            len(service.tickets) >= bounds.requests * part
+            or service.size + ticket.size > bounds.size * part
+        ):
+            return self._full(service, "the queue of the service is full", state, now)
+        floor = state.floor_slots(service)
+        estimate = service.estimate
+        wait = estimate.wait_s(len(service.tickets), floor, now=now)
+        left = ticket.deadline - now
+        if (wait + (estimate.run_s or 0.0) > left and wait > 0) or left <= 0:
+            detail = f"expected wait of {wait:.2f} s, {left:.2f} s left"
+            return _refuse(ErrorKind.DEADLINE_UNMEETABLE, detail, wait)
+        if estimate.overloaded(now) and wait > left * QUEUE_DELAY_FRACTION:
+            detail = f"overloaded, expected wait of {wait:.2f} s"
+            return _refuse(ErrorKind.SHED, detail, wait)
+        return None
+
+    def _full(self, service, detail, state, now):
+        floor = state.floor_slots(service)
+        wait = service.estimate.wait_s(len(service.tickets), floor, now=now)
+        return _refuse(ErrorKind.QUEUE_FULL, detail, wait)
+
+    def _make_room(self, service, ticket, *, now):
+        """Return the tickets dropped for a new one, or None if there is no room."""
+        requests = self.waiting + 1 - self.bounds.requests
+        size = self.size + ticket.size - self.bounds.size
+        if requests <= 0 and size <= 0:
+            return ()
+        victim = self._victim(service, size)
+        if victim is None:
+            return None
+        dropped = []
+        while (
+            self.waiting >= self.bounds.requests
+            or self.size + ticket.size > self.bounds.size
+        ):
+            dropped.append(self._evict(*victim, now=now))
+        return tuple(dropped)
+
+    def _victim(self, service, size):
+        """Return pool and service with the longest queue, if `service` is owed room.
+
+        A service that has its equal part of the queue is refused without a search,
+        which keeps the refusal of a flood cheap.
+        """
+        if (len(service.tickets) + 1) * max(self.backlogged, 1) > self.bounds.requests:
+            return None
+        state, longest = max(
+            ((p, s) for p in self.pools.values() for s in p.services.values()),
+            key=lambda pair: len(pair[1].tickets),
+        )
+        if len(longest.tickets) <= len(service.tickets) + 1 or longest.size < size:
+            return None
+        return state, longest
+
+    def _evict(self, state, service, *, now):
+        ticket = service.newest()
+        ticket.state = TicketState.ENDED
+        self._count(state, -1, -ticket.size)
+        self._after_drop(state, service, now=now)
+        detail = "dropped for a service with a shorter queue"
+        return ticket, _refuse(ErrorKind.SHED, detail, 0.0)
+
+    def _next_service(self, state, *, now):
+        service = state.most_owed(self.ledger)
+        if service is not None:
+            return service
+        if not state.has_spare(now=now):
+            return None
+        for queue in state.classes:
+            while (service := queue.pop()) is not None:
+                if self.ledger.allows(service.document):
+                    queue.virtual = max(queue.virtual, service.virtual)
+                    return service
+                self._park(state, service)
+        return None
+
+    def _late(self, service, ticket, *, now):
+        estimate = service.estimate
+        if estimate.cannot_end_by(ticket.deadline, now=now):
+            detail = "too little time left to run"
+            return _refuse(ErrorKind.DEADLINE_UNMEETABLE, detail, 0.0)
+        limit = (ticket.deadline - ticket.queued_at) * QUEUE_DELAY_FRACTION
+        if estimate.overloaded(now) and now - ticket.queued_at > limit:
+            detail = f"waited {now - ticket.queued_at:.2f} s under overload"
+            return _refuse(ErrorKind.SHED, detail, 0.0)
+        return None
+
+    def _start(self, state, service, ticket, *, now):
+        ticket.state = TicketState.RUNNING
+        ticket.started_at = now
+        state.in_use += 1
+        service.in_use += 1
+        self.ledger.take(ticket.document)
+        service.estimate.started(now=now)
+        service.note_peak(now)
+        state.charge(service)
+        if not service.tickets:
+            self._emptied(service)
+        state.refresh(service, now=now)
+
+    def _after_drop(self, state, service, *, now):
+        if not service.tickets:
+            self._emptied(service)
+            state.refresh(service, now=now)
+        elif not service.entry:
+            state.classes[service.rank].push(service)
+
+    def _emptied(self, service):
+        self.backlogged -= 1
+        service.estimate.backlog_ended()
+
+    def _park(self, state, service):
+        services = self.parked.setdefault(service.document.team, {})
+        services[id(service)] = (state, service)
+
+    def _unpark(self, team):
+        for state, service in self.parked.pop(team, {}).values():
+            if service.tickets and not service.entry:
+                state.classes[service.rank].push(service)
+
+    def _count(self, state, requests, size):
+        state.waiting += requests
+        self.waiting += requests
+        self.size += size
+
+
+def _refuse(kind, detail, wait_s):
+    if not math.isfinite(wait_s):
+        wait_s = MAX_RETRY_AFTER_S
+    retry_after_s = min(max(wait_s, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
+    return Failure(kind=kind, detail=detail, retry_after_s=retry_after_s)
--- /dev/null
+++ b/wasabipaddle/admission/shares.py
@@ -0,0 +1,204 @@
+"""Queues of one pool: services, urgency classes, floors and held slots."""
+
+import collections
+import heapq
+import itertools
+import math
+
+from wasabipaddle.admission.estimate import ServiceEstimate
+from wasabipaddle.documents import Urgency
+
+__all__ = ["ClassQueue", "PoolQueues", "ServiceQueue"]
+
+PEAK_DECAY_S = 5.0
+HELD_REFRESH_S = 0.1
+DEFAULT_RUN_S = 0.05
+
+
+class ServiceQueue:
+    """Waiting tickets and slots in use of one service.
+
+    Parameters
+    ----------
+    document : ServiceDocument
+        Latest document of the service.
+    """
+
+    def __init__(self, *, document):
+        self.document = document
+        self.tickets = collections.OrderedDict()
+        self.size = 0
+        self.in_use = 0
+        self.virtual = 0.0
+        self.entry = 0
+        self.held = 0.0
+        self.peak = 0.0
+        self.peak_at = 0.0
+        self.estimate = ServiceEstimate()
+
+    @property
+    def rank(self) -> int:
+        """Rank of the urgency class."""
+        return self.document.urgency.rank
+
+    @property
+    def weight(self) -> int:
+        """Weight inside the class, at least 1."""
+        return max(self.document.share.weight, 1)
+
+    def append(self, ticket):
+        """Add a ticket at the end."""
+        self.tickets[id(ticket)] = ticket
+        self.size += ticket.size
+
+    def drop(self, ticket):
+        """Remove a waiting ticket in O(1)."""
+        del self.tickets[id(ticket)]
+        self.size -= ticket.size
+
+    def oldest(self):
+        """Remove and return the ticket that has waited longest."""
+        _, ticket = self.tickets.popitem(last=False)
+        self.size -= ticket.size
+        return ticket
+
+    def newest(self):
+        """Remove and return the ticket that came last."""
+        _, ticket = self.tickets.popitem()
+        self.size -= ticket.size
+        return ticket
+
+    def recent_peak(self, now) -> float:
+        """Return the largest recent number of slots in use, decayed to `now`."""
+        decayed = self.peak * math.exp((self.peak_at - now) / PEAK_DECAY_S)
+        return max(decayed, self.in_use)
+
+    def note_peak(self, now):
+        """Update the recent peak after a start."""
+        self.peak = self.recent_peak(now)
+        self.peak_at = now
+
+
+class ClassQueue:
+    """Services of one class that wait, ordered by start-time fair queueing.
+
+    The virtual time of a service advances by slot seconds over weight. The heap may
+    contain outdated entries; an entry counts only if its number is the latest of
+    its service.
+
+    Parameters
+    ----------
+    numbers : iterator of int
+        Entry numbers, shared by the classes of a pool.
+
+    References
+    ----------
+    Goyal, Vin and Cheng, "Start-time Fair Queueing", SIGCOMM 1996.
+    """
+
+    def __init__(self, *, numbers):
+        self.heap = []
+        self.virtual = 0.0
+        self.numbers = numbers
+
+    def push(self, service):
+        """Insert a service, or move it to its present virtual time."""
+        service.entry = next(self.numbers)
+        heapq.heappush(self.heap, (service.virtual, service.entry, service))
+
+    def activate(self, service):
+        """Insert a service that begins to wait, without credit for idle time."""
+        service.virtual = max(service.virtual, self.virtual)
+        self.push(service)
+
+    def pop(self):
+        """Remove and return the service with the least virtual time, or None."""
+        while self.heap:
+            _, entry, service = heapq.heappop(self.heap)
+            if entry == service.entry and service.tickets:
+                service.entry = 0
+                return service
+        return None
+
+
+class PoolQueues:
+    """All services of one endpoint pool."""
+
+    def __init__(self):
+        self.capacity = 0
+        self.in_use = 0
+        self.waiting = 0
+        self.services = {}
+        numbers = itertools.count(1)
+        self.classes = [ClassQueue(numbers=numbers) for _ in Urgency]
+        self.owed = {}
+        self.held = 0.0
+        self.held_at = 0.0
+
+    def service(self, document) -> ServiceQueue:
+        """Return the queue of a service, with `document` in force."""
+        queue = self.services.get(document.service)
+        if queue is None:
+            queue = self.services[document.service] = ServiceQueue(document=document)
+        elif queue.document is not document:
+            moved = queue.rank != document.urgency.rank
+            queue.document = document
+            if moved:
+                queue.virtual = 0.0
+                if queue.tickets:
+                    self.classes[queue.rank].activate(queue)
+        return queue
+
+    def floor_slots(self, service) -> float:
+        """Return the guaranteed slots of a service, a fraction of the capacity."""
+        return service.document.share.guaranteed * self.capacity
+
+    def refresh(self, service, *, now):
+        """Update what the pool owes the service and holds free for it."""
+        floor = self.floor_slots(service)
+        below = service.in_use < floor
+        name = service.document.service
+        if below and service.tickets:
+            self.owed[name] = service
+        else:
+            self.owed.pop(name, None)
+        held = 0.0
+        if below and not service.tickets:
+            held = max(min(floor, service.recent_peak(now)) - service.in_use, 0.0)
+        self.held += held - service.held
+        service.held = held
+
+    def refresh_all(self, *, now):
+        """Update every service, after a change of capacity or a while."""
+        for service in self.services.values():
+            self.refresh(service, now=now)
+        self.held = sum(s.held for s in self.services.values())
+        self.held_at = now
+
+    def most_owed(self, ledger):
+        """Return the service that is furthest below its floor, or None."""
+        allowed = [s for s in self.owed.values() if ledger.allows(s.document)]
+        if not allowed:
+            return None
+        return min(allowed, key=lambda s: s.in_use / self.floor_slots(s))
+
+    def has_spare(self, *, now) -> bool:
+        """Return whether a slot is free that is not held for a guarantee."""
+        if self.capacity - self.in_use - math.floor(self.held) >= 1:
+            return True
+        if now - self.held_at > HELD_REFRESH_S:
+            self.refresh_all(now=now)
+        return self.capacity - self.in_use - math.floor(self.held) >= 1
+
+    def charge(self, service):
+        """Advance the virtual time of a service that starts a request."""
+        run_s = service.estimate.run_s or DEFAULT_RUN_S
+        service.virtual += run_s / service.weight
+        if service.tickets:
+            self.classes[service.rank].push(service)
+
+    def correct(self, service, expected_s, actual_s):
+        """Correct the virtual time by the real length of a request."""
+        service.virtual += (actual_s - expected_s) / service.weight
+        if service.tickets and service.entry:
+            self.classes[service.rank].push(service)
--- a/wasabipaddle/messages/grants.py
+++ b/wasabipaddle/messages/grants.py
@@ -31,6 +31,12 @@
     in_use : tuple of Grant
         Slots of each endpoint that requests in progress occupy, whatever grant they
         started under; the leader never grants these to anybody else.
+    sequence : int
+        Number of the request, which increases within one incarnation.
+    applied : int
+        Number of the latest request whose reply is in force, 0 for none.
+    held : tuple of Grant
+        Grants in force with their remaining life, sent after a partial reply.
     """
 
     sender: str
@@ -38,6 +44,9 @@
     shard: str
     demand: tuple[PoolDemand, ...]
     in_use: tuple["Grant", ...] = ()
+    sequence: int = 0
+    applied: int = 0
+    held: tuple["Grant", ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -64,8 +73,24 @@
 
 @attrs.frozen(kw_only=True)
 class GrantReply:
-    """All grants of the sender, which replace its earlier ones."""
+    """All grants of the sender, which replace its earlier ones.
+
+    Parameters
+    ----------
+    sequence : int
+        Number of the request that is answered.
+    unchanged : bool
+        The grants of the `applied` request are renewed for `life_s`; `grants` is
+        empty then.
+    partial : bool
+        The leader is new and waits for grants of the earlier one to expire. Grants
+        that the receiver holds stay in force beside these until they expire.
+    """
 
     shard: str
     epoch: int
     grants: tuple[Grant, ...]
+    sequence: int = 0
+    unchanged: bool = False
+    partial: bool = False
+    life_s: float = 0.0
--- /dev/null
+++ b/wasabipaddle/routing/allocation.py
@@ -0,0 +1,88 @@
+"""Division of slots between processes and over endpoints."""
+
+import heapq
+
+__all__ = ["divide_slots", "spread_slots"]
+
+
+def divide_slots(total, demands):
+    """Divide slots between processes by max-min fairness.
+
+    Everybody gets one slot where possible, then demand is filled evenly, and slots
+    that nobody asks for are divided evenly so that a burst can start at once.
+
+    Parameters
+    ----------
+    total : int
+        Slots to divide.
+    demands : dict of str to int
+        Slots that each process could use.
+
+    Returns
+    -------
+    dict of str to int
+        Slots of each process; the sum is at most `total`.
+    """
+    wanted = {name: max(demand, 1) for name, demand in demands.items()}
+    shares = {}
+    left = total
+    pending = sorted(wanted, key=lambda name: (wanted[name], name))
+    for i, name in enumerate(pending):
+        part = left // (len(pending) - i)
+        shares[name] = min(wanted[name], part)
+        left -= shares[name]
+    if left > 0 and shares:
+        part, rest = divmod(left, len(shares))
+        for i, name in enumerate(sorted(shares)):
+            shares[name] += part + (i < rest)
+    return shares
+
+
+def spread_slots(total, available, current, busy):
+    """Spread the slots of one process over endpoints, near its present grants.
+
+    Parameters
+    ----------
+    total : int
+        Slots of the process.
+    available : dict of str to int
+        Slots of each endpoint that nobody else holds.
+    current : dict of str to int
+        Present grants of the process.
+    busy : dict of str to int
+        Slots of each endpoint that requests of the process occupy.
+
+    Returns
+    -------
+    dict of str to int
+        Slots for each endpoint, without zeros; the sum is at most `total`.
+    """
+    slots = {e: min(current.get(e, 0), free) for e, free in available.items()}
+    excess = sum(slots.values()) - total
+    if excess > 0:
+        _shrink(slots, busy, excess)
+    elif excess < 0:
+        _grow(slots, available, -excess)
+    return {e: n for e, n in slots.items() if n > 0}
+
+
+def _shrink(slots, busy, excess):
+    heap = [(busy.get(e, 0) - n, -n, e) for e, n in slots.items() if n > 0]
+    heapq.heapify(heap)
+    for _ in range(excess):
+        idle, negative, endpoint = heapq.heappop(heap)
+        slots[endpoint] -= 1
+        if slots[endpoint] > 0:
+            heapq.heappush(heap, (idle + 1, negative + 1, endpoint))
+
+
+def _grow(slots, available, wanted):
+    heap = [(n - available[e], n, e) for e, n in slots.items() if n < available[e]]
+    heapq.heapify(heap)
+    for _ in range(wanted):
+        if not heap:
+            return
+        room, held, endpoint = heapq.heappop(heap)
+        slots[endpoint] += 1
+        if slots[endpoint] < available[endpoint]:
+            heapq.heappush(heap, (room + 1, held + 1, endpoint))
--- /dev/null
+++ b/wasabipaddle/routing/dispatcher.py
@@ -0,0 +1,332 @@
+"""Path of a request through the queue, a slot and an endpoint."""
+
+import asyncio
+
+from result import Err, Ok, Result
+
+from wasabipaddle.admission import Ticket
+from wasabipaddle.documents import ServiceKind
+from wasabipaddle.exceptions import ErrorKind, Failure, Outcome
+from wasabipaddle.messages import PoolDemand, RoutedAnswer
+from wasabipaddle.platform import EndpointRequest
+from wasabipaddle.routing.answers import AnswerReader, StreamedBody, whole_body
+from wasabipaddle.routing.budget import RetryBudget
+from wasabipaddle.routing.connections import EndpointConnections
+from wasabipaddle.routing.slots import Job, SlotScheduler, refusal, resolve
+
+__all__ = ["Dispatcher"]
+
+MAX_ATTEMPTS = 4
+DRAIN_POLL_S = 0.05
+
+
+class Dispatcher:
+    """Takes requests through admission, a slot grant and an endpoint.
+
+    Parameters
+    ----------
+    policy : AdmissionPolicy
+        Queue of the process.
+    holder : GrantHolder
+        Slots of the process.
+    connect : callable
+        Function from a `Grant` to an `EndpointClient`.
+    catalogue : object
+        Has `get(service)`, which returns a `ServiceDocument` or None.
+    settings : RoutingSettings
+        Limits of the request path.
+    clock : Clock
+        Source of time; the same as that of the running loop.
+    random : random.Random
+        Source of jitter.
+    metrics : Metrics
+        Counters and histograms.
+    on_demand : callable
+        Called with the pool when requests wait for slots.
+    """
+
+    def __init__(
+        self,
+        *,
+        policy,
+        holder,
+        connect,
+        catalogue,
+        settings,
+        clock,
+        random,
+        metrics,
+        on_demand=None,
+    ):
+        self.policy = policy
+        self.holder = holder
+        self.catalogue = catalogue
+        self.settings = settings
+        self.clock = clock
+        self.random = random
+        self.metrics = metrics
+        self.on_demand = on_demand or (lambda pool: None)
+        self.connections = EndpointConnections(
+            connect=connect,
+            clock=clock,
+            progress_s=settings.progress_s,
+            metrics=metrics,
+        )
+        self.budgets = {}
+        self.slots = SlotScheduler(
+            policy=policy, holder=holder, clock=clock, random=random, metrics=metrics
+        )
+        self.jobs = set()
+        self.draining = False
+
+    async def route(self, message, *, forwarded=False) -> Result[RoutedAnswer, Failure]:
+        """Serve one request.
+
+        Parameters
+        ----------
+        message : RouteRequest
+            The request.
+        forwarded : bool
+            Whether another data centre sent it; it is refused when it had to wait.
+
+        Returns
+        -------
+        result.Result
+            The answer, or a failure whose outcome says what is known.
+        """
+        job = self._job(message, forwarded)
+        if job.is_err():
+            return job
+        job = job.unwrap()
+        refused = self._offer(job)
+        if refused is not None:
+            return self._refused(refused)
+        self.jobs.add(job)
+        streaming = False
+        try:
+            admitted = await self.slots.admitted(job)
+            if admitted.is_err():
+                return self._refused(admitted.unwrap_err())
+            self._budget(job).request()
+            result = await self._serve(job)
+            streaming = job.slot is not None and result.is_ok()
+            return result
+        finally:
+            if not streaming:
+                self._end(job)
+
+    def pump(self):
+        """Give free slots to requests that wait, after any change of slots."""
+        self.slots.pump_all()
+
+    def demand(self) -> list[PoolDemand]:
+        """Return requests in progress and waiting per pool."""
+        pools = sorted(self.holder.pools() | set(self.policy.known_pools()))
+        return [
+            PoolDemand(
+                pool=p,
+                in_progress=self.policy.in_use(p),
+                queued=self.policy.queued(p),
+            )
+            for p in pools
+        ]
+
+    def drain_endpoints(self, endpoints):
+        """Send nothing new to endpoints that are leaving."""
+        self.holder.drain(endpoints)
+        self.pump()
+
+    async def drain(self, *, timeout_s):
+        """Take no new request and wait for those in progress.
+
+        Requests that still wait after half of the time are refused as not run.
+        """
+        self.draining = True
+        now = self.clock.now()
+        refuse_at = now + timeout_s / 2
+        while self.jobs and self.clock.now() < now + timeout_s:
+            if self.clock.now() >= refuse_at:
+                self._refuse_waiting()
+            await asyncio.sleep(DRAIN_POLL_S)
+
+    async def close(self):
+        """Close the connections to endpoints."""
+        await self.connections.close()
+
+    def _job(self, message, forwarded):
+        document = self.catalogue.get(message.service)
+        if self.draining:
+            return refusal(ErrorKind.DRAINING, "the process is draining")
+        if document is None:
+            return refusal(ErrorKind.NOT_FOUND, f"no service {message.service}")
+        if document.kind is not ServiceKind.REQUEST:
+            detail = f"{message.service} takes no requests"
+            return refusal(ErrorKind.INVALID_REQUEST, detail)
+        pool = document.placement.pool
+        if forwarded and self.policy.queued(pool):
+            return refusal(ErrorKind.SHED, "no spare capacity for forwarded work")
+        now = self.clock.now()
+        deadline = min(message.deadline, now + document.request.deadline_s)
+        return Ok(Job(message=message, document=document, deadline=deadline))
+
+    def _offer(self, job):
+        now = self.clock.now()
+        job.waiter = asyncio.get_running_loop().create_future()
+        job.ticket = Ticket(
+            request=job.message.request,
+            document=job.document,
+            size=len(job.message.body),
+            deadline=job.deadline,
+            owner=job,
+        )
+        offered = self.policy.offer(job.ticket, now=now)
+        if offered.is_err():
+            return offered.unwrap_err()
+        for ticket, failure in offered.unwrap():
+            resolve(ticket.owner.waiter, Err(failure))
+        self.slots.pump(job.ticket.pool)
+        if not job.waiter.done():
+            self.on_demand(job.ticket.pool)
+        return None
+
+    async def _serve(self, job):
+        while True:
+            if self.clock.now() >= job.deadline:
+                expired = refusal(ErrorKind.EXPIRED_IN_QUEUE, "no time left to run")
+                return expired if job.doubt is None else Err(job.doubt)
+            job.attempts += 1
+            result = await self._attempt(job)
+            if result.is_ok():
+                return result
+            failure = result.unwrap_err()
+            if failure.outcome is not Outcome.NOT_RUN:
+                job.doubt = failure
+            if not self._may_retry(job, failure):
+                return Err(job.doubt or failure)
+            self.metrics.count("routing.retries")
+            if not await self.slots.another(job):
+                return Err(job.doubt or failure)
+
+    async def _attempt(self, job):
+        slot = job.slot
+        client = self.connections.client(slot.held.grant)
+        request = EndpointRequest(
+            request=job.message.request,
+            service=job.message.service,
+            shard=slot.shard,
+            epoch=slot.epoch,
+            deadline_s=job.deadline - self.clock.now(),
+            body=job.message.body,
+        )
+        job.tried.add(slot.endpoint)
+        self.metrics.count("routing.sent")
+        answer = await self.connections.send(client, request, deadline=job.deadline)
+        if answer.is_ok():
+            result = await self._receive(job, client, answer.unwrap())
+        else:
+            result = answer
+        if result.is_err():
+            result = Err(await self._settled(job, client, request, result.unwrap_err()))
+        self._learn(slot, result)
+        return result
+
+    async def _receive(self, job, client, answer):
+        """Check an answer; buffer it, or begin to stream it if it is long."""
+        if answer.request != job.message.request:
+            self.metrics.count("routing.foreign_answers")
+            detail = "the answer belongs to another request"
+            return Err(Failure(kind=ErrorKind.TIMEOUT, detail=detail))
+        reader = AnswerReader(answer=answer, progress_s=self.settings.progress_s)
+        pieces = await reader.read(self.settings.buffer_bytes)
+        if pieces.is_err():
+            self.metrics.count("routing.broken_answers")
+            if reader.stalled:
+                self.connections.stalled(client)
+            await reader.close()
+            return pieces
+        chunks = whole_body(pieces.unwrap())
+        if reader.ended:
+            self.slots.release(job)
+        else:
+            chunks = StreamedBody(
+                pieces=pieces.unwrap(),
+                reader=reader,
+                deadline=job.deadline,
+                on_end=lambda failure: self._stream_ended(job, client, reader, failure),
+            )
+        return Ok(
+            RoutedAnswer(
+                request=answer.request,
+                length=answer.length,
+                digest=answer.digest,
+                chunks=chunks,
+            )
+        )
+
+    def _stream_ended(self, job, client, reader, failure):
+        if failure is not None:
+            self.metrics.count("routing.aborted_streams")
+        if reader.stalled:
+            self.connections.stalled(client)
+        self._end(job)
+
+    async def _settled(self, job, client, request, failure):
+        """Return the failure, with a doubt settled where that matters."""
+        if failure.outcome is not Outcome.UNKNOWN or job.document.request.idempotent:
+            return failure
+        self.metrics.count("routing.doubts")
+        return await self.connections.settle(client, request, deadline=job.deadline)
+
+    def _learn(self, slot, result):
+        now = self.clock.now()
+        kind = result.unwrap_err().kind if result.is_err() else None
+        if kind is None:
+            self.holder.succeeded(slot, now=now)
+        elif kind is ErrorKind.NO_CAPACITY:
+            self.holder.refused(slot, now=now)
+        elif kind is ErrorKind.DRAINING:
+            self.holder.drain([slot.endpoint])
+        elif kind is ErrorKind.STALE_EPOCH:
+            self.on_demand(slot.held.grant.pool)
+        else:
+            self.holder.failed(slot, now=now)
+
+    def _may_retry(self, job, failure):
+        idempotent = job.document.request.idempotent
+        if job.doubt is not None and not idempotent:
+            return False
+        if job.attempts >= MAX_ATTEMPTS or self.clock.now() >= job.deadline:
+            return False
+        if not self._budget(job).withdraw():
+            self.metrics.count("routing.retries_denied")
+            return False
+        return True
+
+    def _end(self, job):
+        """Return everything that a request holds."""
+        if job not in self.jobs:
+            return
+        self.jobs.discard(job)
+        now = self.clock.now()
+        self.policy.remove(job.ticket, now=now)
+        self.policy.finish(job.ticket, now=now)
+        self.slots.release(job)
+        self.slots.pump(job.ticket.pool)
+
+    def _refuse_waiting(self):
+        for job in list(self.jobs):
+            if self.policy.remove(job.ticket, now=self.clock.now()):
+                failure = Failure(kind=ErrorKind.DRAINING, detail="draining")
+                resolve(job.waiter, Err(failure))
+
+    def _refused(self, failure):
+        self.metrics.count(f"routing.refused.{failure.kind.value}")
+        return Err(failure)
+
+    def _budget(self, job):
+        ratio = job.document.request.retry_budget
+        budget = self.budgets.get(job.document.service)
+        if budget is None:
+            budget = self.budgets[job.document.service] = RetryBudget()
+        budget.ratio = ratio
+        return budget
--- /dev/null
+++ b/wasabipaddle/routing/grants.py
@@ -0,0 +1,244 @@
+"""Slot grants on the shard leader."""
+
+import attrs
+from result import Err, Ok, Result
+
+from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.messages import Grant, GrantReply
+from wasabipaddle.routing.allocation import divide_slots, spread_slots
+
+__all__ = ["EndpointSlots", "GrantTable"]
+
+# Largest relative error of the clock of a holder against that of the leader.
+CLOCK_DRIFT = 0.01
+# Part of its fair target by which a grant may differ before slots are moved.
+HYSTERESIS = 0.125
+
+
+@attrs.frozen(kw_only=True)
+class EndpointSlots:
+    """One endpoint of the shard and its limits."""
+
+    endpoint: str
+    pool: str
+    host: str
+    port: int
+    slots: int
+    connections: int
+
+
+@attrs.define(kw_only=True)
+class _Issued:
+    """Slots of one reply, which count until the holder cannot believe in them."""
+
+    sequence: int
+    expires: float
+    slots: dict
+    partial: bool
+
+
+@attrs.define(kw_only=True)
+class _Holder:
+    """What the leader knows of one incarnation of an entry process."""
+
+    sequence: int = 0
+    heard: float = 0.0
+    demand: dict = attrs.field(factory=dict)
+    in_use: dict = attrs.field(factory=dict)
+    issued: list = attrs.field(factory=list)
+    confirmed: _Issued | None = None
+
+    def prune(self, now, silence_s):
+        """Forget replies that have expired and reports that are too old."""
+        self.issued = [i for i in self.issued if i.expires > now]
+        if self.confirmed is not None and self.confirmed.expires <= now:
+            self.confirmed = None
+        if now - self.heard > silence_s:
+            self.in_use = {}
+            self.demand = {}
+
+    def acknowledge(self, applied):
+        """Forget replies that a later one, which is in force, has replaced."""
+        self.confirmed = None
+        for issued in self.issued:
+            if issued.sequence == applied:
+                self.confirmed = issued
+        if self.confirmed is not None:
+            self.issued = [i for i in self.issued if i.sequence >= applied]
+
+    def outstanding(self, endpoint) -> int:
+        """Return the most slots of an endpoint that the holder may be using."""
+        granted = max((i.slots.get(endpoint, 0) for i in self.issued), default=0)
+        return max(granted, self.in_use.get(endpoint, 0))
+
+
+class GrantTable:
+    """Hands out the slots of the endpoints of one shard to entry processes.
+
+    The sum of the grants that holders may believe in never exceeds the slots of an
+    endpoint. A reply counts until it expires, or until the holder confirms that a
+    later one has replaced it. The holder counts its life from the time at which it
+    sent the request, which is earlier than the time at which the leader replied.
+
+    Parameters
+    ----------
+    shard : str
+        Shard that is led.
+    epoch : int
+        Epoch of this leadership.
+    grant_s : float
+        Life of a grant in seconds.
+    now : float
+        Start of the leadership. Grants of an earlier leader may be in force for
+        `grant_s` from then on.
+    """
+
+    def __init__(self, *, shard, epoch, grant_s, now):
+        self.shard = shard
+        self.epoch = epoch
+        self.grant_s = grant_s
+        self.count_s = grant_s * (1 + CLOCK_DRIFT)
+        self.settled_at = now + self.count_s if epoch > 1 else now
+        self.endpoints = {}
+        self.leaving = set()
+        self.holders = {}
+
+    def set_endpoints(self, endpoints):
+        """Replace the endpoints of the shard."""
+        self.endpoints = {e.endpoint: e for e in endpoints}
+        self.leaving &= set(self.endpoints)
+
+    def mark_leaving(self, endpoint):
+        """Grant no more slots of an endpoint."""
+        self.leaving.add(endpoint)
+
+    def senders(self) -> list[str]:
+        """Return the names of the processes that hold or may hold grants."""
+        return sorted({sender for sender, _ in self.holders})
+
+    def outstanding(self, endpoint, *, now) -> int:
+        """Return the slots of an endpoint that are granted or in use."""
+        self._prune(now)
+        return sum(h.outstanding(endpoint) for h in self.holders.values())
+
+    def request(self, message, *, now) -> Result[GrantReply, Failure]:
+        """Answer a request for slots.
+
+        Returns
+        -------
+        result.Result
+            The reply, or an `Err` of kind `conflict` for a request that is older
+            than one already answered.
+        """
+        self._prune(now)
+        latest = max((i for s, i in self.holders if s == message.sender), default=0)
+        if message.incarnation < latest:
+            return _outdated("a later incarnation of the sender is known")
+        key = (message.sender, message.incarnation)
+        holder = self.holders.setdefault(key, _Holder())
+        if message.sequence <= holder.sequence:
+            return _outdated("a later request of the sender was answered")
+        self._note(holder, message, now)
+        slots, partial = self._allocate(holder, message, now)
+        issued = _Issued(
+            sequence=message.sequence,
+            expires=now + self.count_s,
+            slots=slots,
+            partial=partial,
+        )
+        confirmed = holder.confirmed
+        holder.issued.append(issued)
+        # After a partial reply the holder may still have grants of an earlier leader.
+        unchanged = (
+            confirmed is not None
+            and not (partial or confirmed.partial)
+            and confirmed.slots == slots
+        )
+        return Ok(
+            GrantReply(
+                shard=self.shard,
+                epoch=self.epoch,
+                grants=() if unchanged else self._grants(slots),
+                sequence=message.sequence,
+                unchanged=unchanged,
+                partial=partial,
+                life_s=self.grant_s,
+            )
+        )
+
+    def _prune(self, now):
+        for key, holder in list(self.holders.items()):
+            holder.prune(now, self.count_s)
+            active = holder.issued or holder.in_use or holder.demand
+            if not active and now - holder.heard > 2 * self.count_s:
+                del self.holders[key]
+
+    def _note(self, holder, message, now):
+        holder.sequence = message.sequence
+        holder.heard = now
+        holder.demand = {d.pool: d.in_progress + d.queued for d in message.demand}
+        holder.in_use = {g.endpoint: g.slots for g in message.in_use}
+        holder.acknowledge(message.applied)
+
+    def _allocate(self, holder, message, now):
+        """Return slots by endpoint, and whether they are only those reported."""
+        available = {
+            name: max(e.slots - self._held_by_others(holder, name), 0)
+            for name, e in self.endpoints.items()
+            if name not in self.leaving
+        }
+        if now < self.settled_at:
+            return self._adopted(holder, message, available), True
+        slots = {}
+        for pool in {e.pool for e in self.endpoints.values()}:
+            part = {e: n for e, n in available.items() if self._pool(e) == pool}
+            slots.update(self._pool_slots(holder, pool, part))
+        return slots, False
+
+    def _adopted(self, holder, message, available):
+        held = {g.endpoint: g.slots for g in message.held if g.life_s > 0}
+        wanted = {e: max(held.get(e, 0), holder.in_use.get(e, 0)) for e in available}
+        slots = {e: min(n, available[e]) for e, n in wanted.items()}
+        return {e: n for e, n in slots.items() if n > 0}
+
+    def _pool_slots(self, holder, pool, available):
+        total = sum(self.endpoints[e].slots for e in available)
+        demands = {
+            key: h.demand.get(pool, 0) for key, h in self.holders.items() if h.demand
+        }
+        key = next(k for k, h in self.holders.items() if h is holder)
+        demands.setdefault(key, 0)
+        target = divide_slots(total, demands)[key]
+        confirmed = holder.confirmed.slots if holder.confirmed else {}
+        current = {e: n for e, n in confirmed.items() if e in available}
+        held = sum(min(n, available[e]) for e, n in current.items())
+        if sum(demands.values()) <= total and demands[key] <= held:
+            slack = max(int(target * HYSTERESIS), 1)
+            if abs(held - target) <= slack:
+                target = held
+        return spread_slots(target, available, current, holder.in_use)
+
+    def _held_by_others(self, holder, endpoint):
+        others = (h for h in self.holders.values() if h is not holder)
+        return sum(h.outstanding(endpoint) for h in others)
+
+    def _pool(self, endpoint):
+        return self.endpoints[endpoint].pool
+
+    def _grants(self, slots):
+        return tuple(self._grant(self.endpoints[e], n) for e, n in slots.items())
+
+    def _grant(self, endpoint, slots):
+        return Grant(
+            endpoint=endpoint.endpoint,
+            pool=endpoint.pool,
+            host=endpoint.host,
+            port=endpoint.port,
+            slots=slots,
+            connections=max(endpoint.connections * slots // endpoint.slots, 1),
+            life_s=self.grant_s,
+        )
+
+
+def _outdated(detail):
+    return Err(Failure(kind=ErrorKind.CONFLICT, detail=detail))
--- /dev/null
+++ b/wasabipaddle/routing/holder.py
@@ -0,0 +1,268 @@
+"""Slot grants in an entry process, and the choice of an endpoint."""
+
+import attrs
+
+from wasabipaddle.messages import Grant, GrantRequest
+from wasabipaddle.routing.breaker import CircuitBreaker
+
+__all__ = ["GrantHolder", "HeldEndpoint", "Slot"]
+
+FORGET_S = 60.0
+AVOID_S = 0.1
+# Part of the endpoints of a pool that breakers may close at a time. Beyond it the
+# failures are taken for those of the requests, not of single endpoints.
+MAX_BROKEN_FRACTION = 0.5
+
+
+@attrs.define(kw_only=True, eq=False)
+class HeldEndpoint:
+    """Slots of one endpoint as the entry process knows them.
+
+    Parameters
+    ----------
+    expires : float
+        Time at which the grant ends.
+    limit : int
+        Most slots used after the grant has expired.
+    """
+
+    grant: Grant
+    shard: str
+    epoch: int
+    expires: float
+    breaker: CircuitBreaker
+    in_use: int = 0
+    limit: int = 0
+    draining: bool = False
+    avoid_until: float = 0.0
+    gone_at: float | None = None
+
+    def usable(self, now) -> int:
+        """Return the slots that may be used now, including those in use."""
+        if self.draining or self.gone_at is not None:
+            return 0
+        return self.grant.slots if now < self.expires else self.limit
+
+    def free(self, now) -> int:
+        """Return the slots for new requests, as the breaker allows."""
+        if now < self.avoid_until:
+            return 0
+        return min(self.usable(now), self.breaker.limit(now=now)) - self.in_use
+
+    def renew(self, grant, epoch, expires):
+        """Replace the grant."""
+        self.grant = grant
+        self.epoch = epoch
+        self.expires = expires
+        self.limit = (grant.slots + 1) // 2
+        self.gone_at = None
+
+
+@attrs.define(kw_only=True, eq=False)
+class Slot:
+    """One slot of an endpoint, taken for one attempt of a request."""
+
+    held: HeldEndpoint
+    shard: str
+    epoch: int
+
+    @property
+    def endpoint(self) -> str:
+        """Name of the endpoint."""
+        return self.held.grant.endpoint
+
+
+@attrs.define(kw_only=True)
+class _ShardState:
+    """Numbering of the grant requests to the leader of one shard."""
+
+    sequence: int = 0
+    applied: int = 0
+    sent_at: float = 0.0
+    epoch: int = 0
+    resync: bool = True
+
+
+class GrantHolder:
+    """Slots that this entry process holds, over all shards.
+
+    A grant is used until it expires. After that, while no leader answers, half of it
+    stays in use, less what endpoints refuse: a slot that an endpoint refuses was
+    surely not used, and the endpoint enforces its own limit.
+
+    Parameters
+    ----------
+    sender : str
+        Name of the process.
+    incarnation : int
+        Start number of the process.
+    random : random.Random
+        Source of the choice between endpoints.
+    """
+
+    def __init__(self, *, sender, incarnation, random):
+        self.sender = sender
+        self.incarnation = incarnation
+        self.random = random
+        self.shards = {}
+        self.endpoints = {}
+
+    def request(self, shard, demand, *, now) -> GrantRequest:
+        """Return the next grant request to the leader of a shard.
+
+        Parameters
+        ----------
+        demand : sequence of PoolDemand
+            Requests in progress and waiting, per pool.
+        """
+        state = self.shards.setdefault(shard, _ShardState())
+        state.sequence += 1
+        state.sent_at = now
+        mine = [h for h in self.endpoints.values() if h.shard == shard]
+        held = ()
+        if state.resync:
+            held = tuple(
+                attrs.evolve(h.grant, life_s=h.expires - now)
+                for h in mine
+                if h.expires > now and h.gone_at is None
+            )
+        return GrantRequest(
+            sender=self.sender,
+            incarnation=self.incarnation,
+            shard=shard,
+            demand=tuple(demand),
+            in_use=tuple(_in_use(h, now) for h in mine if h.in_use > 0),
+            sequence=state.sequence,
+            applied=state.applied,
+            held=held,
+        )
+
+    def apply(self, reply, *, now) -> bool:
+        """Put a reply in force; return False if it is late or of an earlier epoch."""
+        state = self.shards.get(reply.shard)
+        if state is None or reply.sequence != state.sequence:
+            return False
+        if reply.epoch < state.epoch:
+            return False
+        state.epoch = reply.epoch
+        state.resync = reply.partial
+        expires = state.sent_at + reply.life_s
+        if reply.unchanged:
+            self._extend(reply, expires)
+        else:
+            self._replace(reply, expires, now)
+        state.applied = reply.sequence
+        return True
+
+    def drain(self, endpoints):
+        """Take no new slot of endpoints that are leaving."""
+        for name in endpoints:
+            if name in self.endpoints:
+                self.endpoints[name].draining = True
+
+    def capacity(self, pool, *, now) -> int:
+        """Return the slots of a pool that are usable or in use."""
+        members = [h for h in self.endpoints.values() if h.grant.pool == pool]
+        if self._too_many_broken(members, now):
+            return sum(max(h.usable(now), h.in_use) for h in members)
+        return sum(h.in_use + max(h.free(now), 0) for h in members)
+
+    def pools(self) -> set[str]:
+        """Return the pools of the known endpoints."""
+        return {h.grant.pool for h in self.endpoints.values()}
+
+    def choose(self, pool, *, now, exclude=()) -> Slot | None:
+        """Take a slot of the less loaded of two endpoints.
+
+        Parameters
+        ----------
+        exclude : collection of str
+            Endpoints that are used only if no other has a free slot.
+        """
+        members = [h for h in self.endpoints.values() if h.grant.pool == pool]
+        free = [h for h in members if h.free(now) > 0]
+        if self._too_many_broken(members, now):
+            free = [h for h in members if h.usable(now) > h.in_use]
+        others = [h for h in free if h.grant.endpoint not in exclude]
+        candidates = others or free
+        if not candidates:
+            return None
+        if len(candidates) > 2:
+            candidates = self.random.sample(candidates, 2)
+        held = min(candidates, key=lambda h: h.in_use / max(h.usable(now), 1))
+        held.in_use += 1
+        return Slot(held=held, shard=held.shard, epoch=held.epoch)
+
+    def release(self, slot):
+        """Return a slot."""
+        slot.held.in_use -= 1
+
+    def succeeded(self, slot, *, now):
+        """Learn that the endpoint answered."""
+        slot.held.breaker.succeeded(now=now)
+
+    def failed(self, slot, *, now):
+        """Learn that the endpoint failed, stalled or could not be reached."""
+        slot.held.breaker.failed(now=now)
+
+    def refused(self, slot, *, now):
+        """Learn that the endpoint had no free slot."""
+        held = slot.held
+        held.avoid_until = now + AVOID_S * self.random.uniform(0.5, 1.5)
+        if now >= held.expires:
+            held.limit = max(held.limit - 1, 1)
+
+    def forget(self, *, now) -> list[str]:
+        """Drop endpoints that left a while ago and return their names."""
+        names = [
+            name
+            for name, h in self.endpoints.items()
+            if h.gone_at is not None and not h.in_use and now - h.gone_at > FORGET_S
+        ]
+        for name in names:
+            del self.endpoints[name]
+        return names
+
+    def _too_many_broken(self, members, now):
+        usable = [h for h in members if h.usable(now) > 0]
+        broken = sum(h.breaker.limit(now=now) == 0 for h in usable)
+        return broken > len(usable) * MAX_BROKEN_FRACTION
+
+    def _extend(self, reply, expires):
+        for held in self.endpoints.values():
+            if held.shard == reply.shard and held.gone_at is None:
+                held.renew(held.grant, reply.epoch, expires)
+
+    def _replace(self, reply, expires, now):
+        granted = {g.endpoint: g for g in reply.grants}
+        for name, held in self.endpoints.items():
+            if held.shard != reply.shard:
+                continue
+            held.epoch = reply.epoch
+            if name not in granted and not reply.partial and held.gone_at is None:
+                held.gone_at = now
+        for grant in granted.values():
+            self._put(grant, reply, expires, now)
+
+    def _put(self, grant, reply, expires, now):
+        held = self.endpoints.get(grant.endpoint)
+        if held is None:
+            self.endpoints[grant.endpoint] = HeldEndpoint(
+                grant=grant,
+                shard=reply.shard,
+                epoch=reply.epoch,
+                expires=expires,
+                limit=(grant.slots + 1) // 2,
+                breaker=CircuitBreaker(random=self.random),
+            )
+            return
+        present = held.usable(now)
+        if reply.partial and present > grant.slots:
+            return
+        if held.gone_at is not None:
+            held.draining = False
+        held.renew(grant, reply.epoch, expires)
+
+
+def _in_use(held, now):
+    return attrs.evolve(held.grant, slots=held.in_use, life_s=held.expires - now)
--- /dev/null
+++ b/wasabipaddle/routing/spill.py
@@ -0,0 +1,219 @@
+"""Choice of another data centre for requests that cannot be served locally."""
+
+import attrs
+from result import Err, Ok
+
+from wasabipaddle.exceptions import ErrorKind, Failure, Outcome
+from wasabipaddle.messages import ForwardReply, ForwardRequest, RoutedAnswer
+from wasabipaddle.routing.answers import digest_of, whole_body
+
+__all__ = ["ByteAllowance", "SpillPolicy", "SpillTarget"]
+
+# Refusals that another data centre may be able to avoid. A quota or a bad request
+# is refused everywhere.
+SPILL_KINDS = frozenset(
+    {
+        ErrorKind.QUEUE_FULL,
+        ErrorKind.SHED,
+        ErrorKind.DEADLINE_UNMEETABLE,
+        ErrorKind.NO_CAPACITY,
+        ErrorKind.NO_LEADER,
+        ErrorKind.UNREACHABLE,
+    }
+)
+ALLOWANCE_BURST_S = 2.0
+# JSON carries a body as base64, with headers and field names around it.
+ENCODED_SIZE = 4 / 3
+ENVELOPE_BYTES = 600
+REFUSED_PAUSE_S = 1.0
+FIRST_ANSWER_BYTES = 4_096.0
+ANSWER_WEIGHT = 0.1
+
+
+class ByteAllowance:
+    """Token bucket of bytes for the link between regions.
+
+    An answer is charged after it has arrived, so the balance may become negative;
+    nothing is sent until it has recovered.
+
+    Parameters
+    ----------
+    bytes_per_s : float
+        Allowance.
+    now : float
+        Time of the start.
+    """
+
+    def __init__(self, *, bytes_per_s, now):
+        self.bytes_per_s = bytes_per_s
+        self.burst = bytes_per_s * ALLOWANCE_BURST_S
+        self.balance = self.burst
+        self.updated_at = now
+
+    def allows(self, size, *, now) -> bool:
+        """Return whether `size` bytes may be sent now."""
+        self._refill(now)
+        return self.balance >= size
+
+    def charge(self, size, *, now):
+        """Count `size` bytes as sent."""
+        self._refill(now)
+        self.balance -= size
+
+    def _refill(self, now):
+        earned = (now - self.updated_at) * self.bytes_per_s
+        self.balance = min(self.balance + earned, self.burst)
+        self.updated_at = now
+
+
+@attrs.frozen(kw_only=True)
+class SpillTarget:
+    """Process that may serve a request, and whether the paid link leads there."""
+
+    process: str
+    data_centre: str
+    crosses_link: bool
+
+
+class SpillPolicy:
+    """Sends requests that were surely not run to another data centre.
+
+    The order is: another data centre of the region, then another region within the
+    allowance of bytes. A data centre that refuses is left out for a while.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of the process.
+    peers : object
+        Has `live(data_centre)`, which returns names of live entry processes.
+    transport : Transport
+        Calls to other entry processes.
+    clock : Clock
+        Source of time.
+    random : random.Random
+        Source of the choice between processes.
+    metrics : Metrics
+        Counters; `link_bytes.{kind}` counts bytes on the link between regions.
+    """
+
+    def __init__(self, *, settings, peers, transport, clock, random, metrics):
+        self.settings = settings
+        self.peers = peers
+        self.transport = transport
+        self.clock = clock
+        self.random = random
+        self.metrics = metrics
+        self.allowance = ByteAllowance(
+            bytes_per_s=settings.deployment.link.spill_bytes_per_s, now=clock.now()
+        )
+        self.paused_until = {}
+        self.answer_bytes = FIRST_ANSWER_BYTES
+
+    def applies(self, failure) -> bool:
+        """Return whether a local failure may be avoided elsewhere."""
+        return failure.outcome is Outcome.NOT_RUN and failure.kind in SPILL_KINDS
+
+    def target(self, document, size) -> SpillTarget | None:
+        """Return where a request of `size` encoded bytes may go, or None."""
+        now = self.clock.now()
+        nearby, distant = self._places(document, now)
+        for centre in nearby:
+            target = self._process_in(centre, crosses_link=False)
+            if target is not None:
+                return target
+        if not self.allowance.allows(size + self.answer_bytes, now=now):
+            self.metrics.count("spill.denied")
+            return None
+        for centre in distant:
+            target = self._process_in(centre, crosses_link=True)
+            if target is not None:
+                return target
+        return None
+
+    async def forward(self, message, document, failure):
+        """Serve a request elsewhere after a local failure.
+
+        Returns
+        -------
+        result.Result
+            The answer; the local failure if the request was not run elsewhere; or an
+            `Err` of kind `outcome_unknown`.
+        """
+        left = message.deadline - self.clock.now()
+        size = len(message.body) * ENCODED_SIZE + ENVELOPE_BYTES
+        if not self.applies(failure) or left <= 0:
+            return Err(failure)
+        target = self.target(document, size)
+        if target is None:
+            return Err(failure)
+        forward = ForwardRequest(
+            sender=self.settings.process,
+            request=message.request,
+            service=message.service,
+            caller=message.caller,
+            deadline_s=left,
+            body=message.body,
+        )
+        self._count(target, "request", size)
+        reply = await self.transport.call(
+            target.process, forward, ForwardReply, timeout_s=left
+        )
+        if reply.is_ok():
+            return Ok(self._answer(target, message, reply.unwrap()))
+        return Err(self._failed(target, failure, reply.unwrap_err()))
+
+    def _places(self, document, now):
+        settings = self.settings
+        placement = document.placement
+        nearby, distant = [], []
+        for centre in settings.deployment.data_centres:
+            if centre.name == settings.data_centre:
+                continue
+            if placement.regions and centre.region not in placement.regions:
+                continue
+            if placement.data_centres and centre.name not in placement.data_centres:
+                continue
+            if self.paused_until.get(centre.name, 0.0) > now:
+                continue
+            same = centre.region == settings.region
+            (nearby if same else distant).append(centre.name)
+        return nearby, distant
+
+    def _process_in(self, centre, *, crosses_link):
+        names = sorted(self.peers.live(centre))
+        if not names:
+            return None
+        return SpillTarget(
+            process=self.random.choice(names),
+            data_centre=centre,
+            crosses_link=crosses_link,
+        )
+
+    def _answer(self, target, message, reply):
+        size = len(reply.body) * ENCODED_SIZE + ENVELOPE_BYTES
+        self._count(target, "answer", size)
+        self.answer_bytes += ANSWER_WEIGHT * (size - self.answer_bytes)
+        self.metrics.count("spill.served")
+        return RoutedAnswer(
+            request=message.request,
+            length=len(reply.body),
+            digest=digest_of(reply.body),
+            chunks=whole_body([reply.body]),
+        )
+
+    def _failed(self, target, local, remote):
+        if remote.outcome is Outcome.NOT_RUN:
+            pause = REFUSED_PAUSE_S * self.random.uniform(0.5, 1.5)
+            self.paused_until[target.data_centre] = self.clock.now() + pause
+            self.metrics.count("spill.refused")
+            return local
+        if remote.outcome is Outcome.RAN:
+            return remote
+        detail = f"forwarded to {target.data_centre}: {remote.detail}"
+        return Failure(kind=ErrorKind.OUTCOME_UNKNOWN, detail=detail)
+
+    def _count(self, target, kind, size):
+        if target.crosses_link:
+            self.allowance.charge(size, now=self.clock.now())
+            self.metrics.count(f"link_bytes.{kind}", int(size))
--- /dev/null
+++ b/wasabipaddle/routing/tests/fakes.py
@@ -0,0 +1,169 @@
+"""Small fakes for tests of the request path."""
+
+import asyncio
+import random
+
+import attrs
+from result import Err, Ok
+
+from wasabipaddle.admission import FairQueue
+from wasabipaddle.clock import LoopClock
+from wasabipaddle.documents import (
+    Placement,
+    RequestPolicy,
+    ServiceDocument,
+    ServiceKind,
+)
+from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.messages import Grant, GrantReply, RouteRequest
+from wasabipaddle.metrics import Metrics
+from wasabipaddle.platform import EndpointAnswer, EndpointClient, RequestState
+from wasabipaddle.routing import Dispatcher, GrantHolder
+from wasabipaddle.routing.answers import digest_of
+from wasabipaddle.settings.model import RoutingSettings
+
+POOL = "pool"
+
+
+def make_document(service="s", *, team="t", idempotent=True, deadline_s=10.0, **more):
+    return ServiceDocument(
+        service=service,
+        team=team,
+        kind=ServiceKind.REQUEST,
+        placement=Placement(pool=POOL),
+        request=RequestPolicy(
+            deadline_s=deadline_s, idempotent=idempotent, retry_budget=1.0
+        ),
+        **more,
+    )
+
+
+@attrs.define(kw_only=True, eq=False)
+class FakeEndpoint(EndpointClient):
+    """Endpoint whose behaviour tests switch."""
+
+    name: str
+    slots: int = 8
+    service_s: float = 0.05
+    body: bytes = b"answer"
+    failures: list = attrs.field(factory=list)
+    stalled: bool = False
+    lose_answer: bool = False
+    announced: int | None = None
+    answer_id: str | None = None
+    known: dict = attrs.field(factory=dict)
+    executed: list = attrs.field(factory=list)
+    replaced: int = 0
+    probed: int = 0
+    query_up: bool = True
+    running: int = 0
+
+    async def send(self, request):
+        """Run the request for its service time, unless a fault is set."""
+        if self.failures:
+            return Err(Failure(kind=self.failures.pop(0)))
+        if self.stalled:
+            await asyncio.get_running_loop().create_future()
+        if self.running >= self.slots:
+            return Err(Failure(kind=ErrorKind.NO_CAPACITY))
+        self.executed.append(request.request)
+        self.known[request.request] = RequestState.RUNNING
+        self.running += 1
+        try:
+            await asyncio.sleep(self.service_s)
+        finally:
+            self.running -= 1
+            self.known[request.request] = RequestState.RAN
+        if self.lose_answer:
+            await asyncio.get_running_loop().create_future()
+        length = len(self.body) if self.announced is None else self.announced
+        return Ok(
+            EndpointAnswer(
+                request=self.answer_id or request.request,
+                length=length,
+                digest=digest_of(self.body),
+                chunks=self.chunks(),
+            )
+        )
+
+    async def chunks(self):
+        """Iterate over the body."""
+        for i in range(0, len(self.body), 10_000):
+            yield self.body[i : i + 10_000]
+
+    async def query(self, request):
+        """Return what is known of a request."""
+        if not self.query_up:
+            return Err(Failure(kind=ErrorKind.UNREACHABLE))
+        return Ok(self.known.get(request, RequestState.NEVER_SEEN))
+
+    async def probe(self):
+        """Count the probe."""
+        self.probed += 1
+        return Ok(None)
+
+    async def replace_connections(self):
+        """Count the replacement."""
+        self.replaced += 1
+
+
+class Bench:
+    """Dispatcher with fake endpoints and grants that do not expire."""
+
+    def __init__(self, *endpoints, documents=None, policy=None, slots=None):
+        self.endpoints = {e.name: e for e in endpoints}
+        documents = documents or [make_document()]
+        self.catalogue = {d.service: d for d in documents}
+        self.metrics = Metrics()
+        self.holder = GrantHolder(sender="p1", incarnation=1, random=random.Random(3))
+        self.dispatcher = Dispatcher(
+            policy=policy or FairQueue(),
+            holder=self.holder,
+            connect=lambda grant: self.endpoints[grant.endpoint],
+            catalogue=self.catalogue,
+            settings=RoutingSettings(),
+            clock=LoopClock(),
+            random=random.Random(5),
+            metrics=self.metrics,
+        )
+        self.holder.request("shard", [], now=0.0)
+        self.holder.apply(
+            GrantReply(
+                shard="shard",
+                epoch=1,
+                sequence=1,
+                life_s=1e9,
+                grants=tuple(make_grant(e.name, slots or e.slots) for e in endpoints),
+            ),
+            now=0.0,
+        )
+        self.sent = 0
+
+    def route(self, service="s", *, body=b"x", wait_s=10.0):
+        """Return the coroutine that serves one request."""
+        self.sent += 1
+        message = RouteRequest(
+            request=f"r{self.sent}",
+            service=service,
+            caller="caller",
+            body=body,
+            deadline=asyncio.get_running_loop().time() + wait_s,
+        )
+        return self.dispatcher.route(message)
+
+
+def make_grant(endpoint, slots, *, life_s=3.0):
+    return Grant(
+        endpoint=endpoint,
+        pool=POOL,
+        host="127.0.0.1",
+        port=1,
+        slots=slots,
+        connections=8 * slots,
+        life_s=life_s,
+    )
+
+
+async def read(answer):
+    """Return the whole body of a routed answer."""
+    return b"".join([chunk async for chunk in answer.chunks])
--- /dev/null
+++ b/wasabipaddle/routing/tests/test_dispatcher.py
@@ -0,0 +1,152 @@
+"""Tests of the path of a request on virtual time."""
+
+import asyncio
+
+import pytest
+
+from wasabipaddle.clock import run_virtual
+from wasabipaddle.exceptions import ErrorKind, Outcome, WasabipaddleError
+from wasabipaddle.routing.tests.fakes import Bench, FakeEndpoint, make_document, read
+
+ONCE = make_document(idempotent=False)
+
+
+def test_answer_reaches_its_caller():
+    """Guards against answers that reach another caller or lose bytes."""
+
+    async def main():
+        bench = Bench(FakeEndpoint(name="e1"), FakeEndpoint(name="e2"))
+        results = await asyncio.gather(*(bench.route() for _ in range(40)))
+        return [(r.unwrap().request, await read(r.unwrap())) for r in results]
+
+    answers = run_virtual(main())
+    assert answers == [(f"r{i + 1}", b"answer") for i in range(40)]
+
+
+def test_refusal_by_one_endpoint_is_retried_on_another():
+    """Guards against a request that fails although another endpoint is free."""
+
+    async def main():
+        kinds = [ErrorKind.UNREACHABLE, ErrorKind.DRAINING]
+        bench = Bench(
+            FakeEndpoint(name="e1", failures=[kinds[0]] * 9),
+            FakeEndpoint(name="e2", failures=[]),
+            documents=[ONCE],
+        )
+        results = [await bench.route() for _ in range(9)]
+        return results, bench.endpoints["e2"].executed
+
+    results, executed = run_virtual(main())
+    assert all(r.is_ok() for r in results)
+    assert len(executed) == len(set(executed)) == 9
+
+
+@pytest.mark.parametrize("query_up", [True, False])
+def test_non_idempotent_request_in_doubt_runs_once(query_up):
+    """Guards against a second execution, and against a false "not run"."""
+
+    async def main():
+        bench = Bench(
+            FakeEndpoint(name="e1", lose_answer=True, query_up=query_up),
+            documents=[ONCE],
+        )
+        result = await bench.route()
+        return result, bench.endpoints["e1"]
+
+    result, endpoint = run_virtual(main())
+    expected = ErrorKind.ANSWER_BROKEN if query_up else ErrorKind.OUTCOME_UNKNOWN
+    assert result.unwrap_err().kind is expected
+    assert endpoint.executed == ["r1"]
+    assert endpoint.replaced == 1
+
+
+def test_stalled_connection_is_replaced_within_three_seconds():
+    """Guards against a request that waits on a dead connection to its deadline."""
+
+    async def main():
+        stuck = FakeEndpoint(name="e1", stalled=True)
+        bench = Bench(stuck, FakeEndpoint(name="e2"))
+        bench.holder.endpoints["e2"].in_use = 7
+        loop = asyncio.get_running_loop()
+        result = await bench.route()
+        return result, loop.time(), stuck, bench.metrics
+
+    result, ended, stuck, metrics = run_virtual(main())
+    assert result.is_ok()
+    assert ended <= 3.0
+    assert stuck.replaced == stuck.probed == 1
+    assert metrics.summary("routing.stall_detection").max_s <= 3.0
+
+
+def test_broken_short_answer_is_never_passed_on():
+    """Guards against a truncated answer that looks complete."""
+
+    async def main():
+        bench = Bench(FakeEndpoint(name="e1", announced=100), documents=[ONCE])
+        return await bench.route()
+
+    failure = run_virtual(main()).unwrap_err()
+    assert failure.kind is ErrorKind.ANSWER_BROKEN
+    assert failure.outcome is Outcome.RAN
+
+
+def test_long_answer_streams_and_aborts_when_it_is_not_whole():
+    """Guards against a streamed answer that ends early without an error."""
+
+    async def main():
+        body = b"y" * 200_000
+        bench = Bench(FakeEndpoint(name="e1", body=body))
+        whole = await read((await bench.route()).unwrap())
+        bench.endpoints["e1"].announced = 300_000
+        answer = (await bench.route()).unwrap()
+        with pytest.raises(WasabipaddleError):
+            await read(answer)
+        return whole == body, bench.holder.endpoints["e1"].in_use, bench.dispatcher.jobs
+
+    assert run_virtual(main()) == (True, 0, set())
+
+
+def test_failure_after_a_doubtful_attempt_is_not_reported_as_not_run():
+    """Guards against a false "not run" when only the last attempt was refused."""
+
+    async def main():
+        kinds = [ErrorKind.ENDPOINT_FAILED] + [ErrorKind.UNREACHABLE] * 9
+        bench = Bench(FakeEndpoint(name="e1", failures=kinds))
+        return await bench.route()
+
+    assert run_virtual(main()).unwrap_err().outcome is Outcome.RAN
+
+
+def test_cancelled_caller_returns_its_slot():
+    """Guards against slots that leak when callers disconnect."""
+
+    async def main():
+        bench = Bench(FakeEndpoint(name="e1", slots=1, service_s=5.0))
+        tasks = [asyncio.ensure_future(bench.route()) for _ in range(3)]
+        await asyncio.sleep(0.01)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        return bench.holder.endpoints["e1"].in_use, bench.dispatcher.policy.waiting
+
+    assert run_virtual(main()) == (0, 0)
+
+
+def test_drain_finishes_what_runs_and_refuses_what_waits():
+    """Guards against a planned stop that cuts off a request in progress."""
+
+    async def main():
+        bench = Bench(FakeEndpoint(name="e1", slots=1, service_s=3.0))
+        tasks = [asyncio.ensure_future(bench.route(wait_s=60)) for _ in range(3)]
+        await asyncio.sleep(0.01)
+        drain = asyncio.ensure_future(bench.dispatcher.drain(timeout_s=4.0))
+        await asyncio.sleep(0.01)
+        late = await bench.route()
+        results = await asyncio.gather(*tasks)
+        await drain
+        return results, late
+
+    results, late = run_virtual(main())
+    assert results[0].is_ok()
+    kinds = [r.unwrap_err().kind for r in [*results[1:], late]]
+    assert kinds == [ErrorKind.DRAINING] * 3
--- /dev/null
+++ b/wasabipaddle/serve/grants.py
@@ -0,0 +1,122 @@
+"""Slot grants and drain notices of the shards that this process leads."""
+
+import asyncio
+
+from absl import logging
+from result import Err
+
+from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.messages import DrainNotice, GrantRequest
+from wasabipaddle.platform import VmRole, VmStatus
+from wasabipaddle.routing import EndpointSlots, GrantTable
+from wasabipaddle.timeline import EventKind
+
+__all__ = ["GrantService"]
+
+NOTICE_TIMEOUT_S = 0.5
+NOTICE_ATTEMPTS = 3
+
+
+class GrantService:
+    """Answers grant requests while this process leads a shard.
+
+    The owner calls `lead` and `step_down` on changes of leadership and
+    `update_endpoints` with every reading of the VM list.
+
+    Parameters
+    ----------
+    context : Context
+        Shared services of the process.
+    transport : Transport
+        Calls to other entry processes.
+    """
+
+    def __init__(self, *, context, transport):
+        self.context = context
+        self.transport = transport
+        self.tables = {}
+        self.notices = set()
+        transport.handle(GrantRequest, self.grant)
+
+    def lead(self, shard, epoch):
+        """Begin to grant slots of a shard under an epoch."""
+        self.tables[shard] = GrantTable(
+            shard=shard,
+            epoch=epoch,
+            grant_s=self.context.settings.routing.grant_s,
+            now=self.context.clock.now(),
+        )
+
+    def step_down(self, shard):
+        """Grant no more slots of a shard."""
+        self.tables.pop(shard, None)
+
+    def update_endpoints(self, shard, entries):
+        """Take endpoints from the VM list and announce those that leave.
+
+        Parameters
+        ----------
+        entries : iterable of VmEntry
+            The VM list of the data centre.
+        """
+        table = self.tables.get(shard)
+        if table is None:
+            return
+        endpoints = [e for e in entries if e.role is VmRole.ENDPOINT]
+        table.set_endpoints(
+            [_slots(e) for e in endpoints if e.status is not VmStatus.GONE]
+        )
+        leaving = [e.vm for e in endpoints if e.status is VmStatus.LEAVING]
+        self.drain(shard, leaving)
+
+    def drain(self, shard, endpoints):
+        """Grant no more slots of endpoints and tell the holders at once."""
+        table = self.tables.get(shard)
+        if table is None:
+            return
+        fresh = [e for e in endpoints if e not in table.leaving]
+        if not fresh:
+            return
+        for endpoint in fresh:
+            table.mark_leaving(endpoint)
+            self.context.events.record(EventKind.VM_LEAVING, vm=endpoint)
+        logging.info("endpoints of shard %s leave: %s", shard, ", ".join(fresh))
+        notice = DrainNotice(
+            sender=self.context.settings.process,
+            shard=shard,
+            epoch=table.epoch,
+            endpoints=tuple(fresh),
+        )
+        for process in table.senders():
+            task = asyncio.ensure_future(self._notify(process, notice))
+            self.notices.add(task)
+            task.add_done_callback(self.notices.discard)
+
+    async def grant(self, message):
+        """Answer a grant request."""
+        table = self.tables.get(message.shard)
+        if table is None:
+            detail = f"this process does not lead shard {message.shard}"
+            return Err(Failure(kind=ErrorKind.NOT_LEADER, detail=detail))
+        return table.request(message, now=self.context.clock.now())
+
+    async def _notify(self, process, notice):
+        # A lost notice is repeated here; the next grant reply leaves the endpoint
+        # out as well.
+        for _ in range(NOTICE_ATTEMPTS):
+            reply = await self.transport.call(
+                process, notice, DrainNotice, timeout_s=NOTICE_TIMEOUT_S
+            )
+            if reply.is_ok():
+                return
+
+
+def _slots(entry):
+    return EndpointSlots(
+        endpoint=entry.vm,
+        pool=entry.pool,
+        host=entry.host,
+        port=entry.port,
+        slots=entry.slots,
+        connections=entry.connections,
+    )
--- /dev/null
+++ b/wasabipaddle/serve/routing.py
@@ -0,0 +1,273 @@
+"""Role `routing`: admission and routing of requests in an entry process."""
+
+import asyncio
+import contextlib
+
+from absl import logging
+from result import Err, Ok
+
+from wasabipaddle.admission import FairQueue, QueueBounds
+from wasabipaddle.exceptions import ErrorKind, Failure, WasabipaddleError
+from wasabipaddle.kernel import Mailbox, Plugin
+from wasabipaddle.messages import (
+    DrainNotice,
+    ForwardReply,
+    ForwardRequest,
+    GrantReply,
+    RouteRequest,
+)
+from wasabipaddle.routing import Dispatcher, GrantHolder, SpillPolicy
+from wasabipaddle.timeline import EventKind
+
+__all__ = ["RequestRouting", "RoutingPlugin"]
+
+# Shortest time between two grant requests to one leader.
+MIN_GRANT_INTERVAL_S = 0.05
+PUMP_PERIOD_S = 0.1
+
+
+class RequestRouting:
+    """Request path of one entry process.
+
+    Parameters
+    ----------
+    context : Context
+        Shared services of the process.
+    transport : Transport
+        Calls to other entry processes.
+    catalogue : object
+        Has `get(service)`, which returns a `ServiceDocument` or None.
+    leaders : object
+        Has `leader_of(shard)`, which returns a process name or None.
+    connect : callable
+        Function from a `Grant` to an `EndpointClient`.
+    peers : object or None
+        Has `live(data_centre)`, which returns names of live entry processes; None
+        disables spill.
+    incarnation : int
+        Start number of the process.
+    """
+
+    def __init__(
+        self,
+        *,
+        context,
+        transport,
+        catalogue,
+        leaders,
+        connect,
+        peers=None,
+        incarnation,
+    ):
+        settings = context.settings
+        routing = settings.routing
+        self.context = context
+        self.settings = settings
+        self.transport = transport
+        self.catalogue = catalogue
+        self.leaders = leaders
+        self.peers = peers
+        bounds = QueueBounds(requests=routing.queue_requests, size=routing.queue_bytes)
+        self.policy = FairQueue(bounds=bounds)
+        self.holder = GrantHolder(
+            sender=settings.process, incarnation=incarnation, random=context.random
+        )
+        self.dispatcher = Dispatcher(
+            policy=self.policy,
+            holder=self.holder,
+            connect=connect,
+            catalogue=catalogue,
+            settings=routing,
+            clock=context.clock,
+            random=context.random,
+            metrics=context.metrics,
+            on_demand=self._demand_rose,
+        )
+        self.spill = None
+        self.mailbox = Mailbox(capacity=routing.queue_requests)
+        self.tasks = set()
+        self.subscriptions = []
+        self.wakes = {}
+
+    async def start(self):
+        """Own requests on the bus and begin to ask for grants."""
+        self.context.bus.own(self.mailbox, RouteRequest)
+        self.transport.handle(DrainNotice, self.drain_notice)
+        self.transport.handle(ForwardRequest, self.serve_forwarded)
+        if self.peers is not None:
+            self.spill = SpillPolicy(
+                settings=self.settings,
+                peers=self.peers,
+                transport=self.transport,
+                clock=self.context.clock,
+                random=self.context.random,
+                metrics=self.context.metrics,
+            )
+        self._update_quotas()
+        self._spawn(self._read_mailbox())
+        for shard in self.settings.shards_of(self.settings.data_centre):
+            self.wakes[shard] = asyncio.Event()
+            self._spawn(self._ask_for_grants(shard))
+        pump = self.context.timers.every(PUMP_PERIOD_S).subscribe(
+            lambda _: self.dispatcher.pump()
+        )
+        self.subscriptions.append(pump)
+
+    async def drain(self):
+        """Take no new request; finish those in progress."""
+        await self.dispatcher.drain(timeout_s=self.settings.api.drain_s)
+
+    async def stop(self):
+        """Stop the tasks and close connections."""
+        for subscription in self.subscriptions:
+            subscription.dispose()
+        for task in list(self.tasks):
+            task.cancel()
+        await self.dispatcher.close()
+
+    async def route(self, message):
+        """Serve one request here or, if that is impossible, elsewhere."""
+        result = await self.dispatcher.route(message)
+        document = self.catalogue.get(message.service)
+        if result.is_ok() or self.spill is None or document is None:
+            return result
+        failure = result.unwrap_err()
+        if not self.spill.applies(failure):
+            return result
+        return await self.spill.forward(message, document, failure)
+
+    async def serve_forwarded(self, message):
+        """Serve a request of another data centre; it is never sent on."""
+        request = RouteRequest(
+            request=message.request,
+            service=message.service,
+            caller=message.caller,
+            body=message.body,
+            deadline=self.context.clock.now() + message.deadline_s,
+        )
+        result = await self.dispatcher.route(request, forwarded=True)
+        if result.is_err():
+            return result
+        try:
+            body = b"".join([chunk async for chunk in result.unwrap().chunks])
+        except WasabipaddleError as error:
+            return Err(error.failure)
+        return Ok(ForwardReply(request=message.request, body=body))
+
+    async def drain_notice(self, message):
+        """Send nothing new to endpoints that are leaving."""
+        state = self.holder.shards.get(message.shard)
+        if state is not None and message.epoch < state.epoch:
+            detail = "a later leader of the shard is known"
+            return Err(Failure(kind=ErrorKind.STALE_EPOCH, detail=detail))
+        self.dispatcher.drain_endpoints(message.endpoints)
+        return Ok(message)
+
+    async def ask_once(self, shard) -> bool:
+        """Send one grant request and put the reply in force."""
+        leader = self.leaders.leader_of(shard)
+        if leader is None:
+            return False
+        now = self.context.clock.now()
+        self._update_quotas()
+        message = self.holder.request(shard, self.dispatcher.demand(), now=now)
+        timeout_s = self.settings.routing.grant_period_s
+        reply = await self.transport.call(
+            leader, message, GrantReply, timeout_s=timeout_s
+        )
+        if reply.is_err():
+            return False
+        now = self.context.clock.now()
+        if not self.holder.apply(reply.unwrap(), now=now):
+            return False
+        if not reply.unwrap().unchanged:
+            self.context.events.record(EventKind.GRANTS_CHANGED, detail=shard)
+        if reply.unwrap().partial and not message.held:
+            self.wakes[shard].set()
+        await self.dispatcher.connections.forget(self.holder.forget(now=now))
+        self.dispatcher.pump()
+        return True
+
+    async def _ask_for_grants(self, shard):
+        period_s = self.settings.routing.grant_period_s
+        answered = True
+        while True:
+            previous = answered
+            answered = await self.ask_once(shard)
+            if answered != previous:
+                word = "answers" if answered else "does not answer"
+                logging.info("leader of shard %s %s", shard, word)
+            await asyncio.sleep(MIN_GRANT_INTERVAL_S)
+            pause_s = period_s * self.context.random.uniform(0.9, 1.1)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(pause_s - MIN_GRANT_INTERVAL_S):
+                    await self.wakes[shard].wait()
+            self.wakes[shard].clear()
+
+    async def _read_mailbox(self):
+        while True:
+            envelope = await self.mailbox.receive()
+            self._spawn(self._answer(envelope))
+
+    async def _answer(self, envelope):
+        envelope.answer(await self.route(envelope.message))
+
+    def _demand_rose(self, pool):
+        for wake in self.wakes.values():
+            wake.set()
+
+    def _update_quotas(self):
+        quotas = self.settings.deployment.quotas
+        names = self._live_entries()
+        rank = names.index(self.settings.process)
+        self.policy.set_quotas(quotas, rank=rank, processes=len(names))
+
+    def _live_entries(self):
+        """Return the sorted names of the live entry processes of the cell."""
+        deployment = self.settings.deployment
+        if self.peers is None:
+            return sorted(p.name for p in deployment.entries)
+        names = {self.settings.process}
+        for centre in deployment.data_centres:
+            names.update(self.peers.live(centre.name))
+        return sorted(names)
+
+    def _spawn(self, coroutine):
+        task = asyncio.ensure_future(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+
+class RoutingPlugin(Plugin):
+    """Plug-in around `RequestRouting`."""
+
+    name = "routing"
+    requires = ("transport", "membership", "relay", "platform")
+
+    def __init__(self, *, context):
+        super().__init__(context=context)
+        self.routing = None
+
+    async def start(self):
+        """Find the other roles and start the request path."""
+        plugins = self.context.plugins
+        membership = plugins["membership"]
+        self.routing = RequestRouting(
+            context=self.context,
+            transport=plugins["transport"].transport,
+            catalogue=plugins["relay"],
+            leaders=membership,
+            connect=plugins["platform"].connect_endpoint,
+            peers=membership,
+            incarnation=membership.table.incarnation,
+        )
+        await self.routing.start()
+
+    async def drain(self):
+        """Take no new request; finish those in progress."""
+        await self.routing.drain()
+
+    async def stop(self):
+        """Stop the request path."""
+        if self.routing is not None:
+            await self.routing.stop()
