--- /dev/null
+++ b/wasabipaddle/runs/__init__.py
@@ -0,0 +1,8 @@
+"""Life cycle of runs on the leader of a shard."""
+
+from wasabipaddle.runs.leader import ShardLeader
+from wasabipaddle.runs.model import Run, Task, TaskState
+from wasabipaddle.runs.table import RunTable
+from wasabipaddle.runs.workers import WorkerSession
+
+__all__ = ["Run", "RunTable", "ShardLeader", "Task", "TaskState", "WorkerSession"]
--- /dev/null
+++ b/wasabipaddle/runs/acceptance.py
@@ -0,0 +1,152 @@
+"""Acceptance of runs: a run is accepted once its record is confirmed."""
+
+from result import Err, Ok
+
+from wasabipaddle.documents import ServiceKind
+from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.runs.model import Run, Task
+from wasabipaddle.runs.records import accepted_record, work_of
+from wasabipaddle.timeline import EventKind
+
+__all__ = ["Acceptance"]
+
+ID_BYTES = 8
+
+
+class Acceptance:
+    """Accepts runs of one shard.
+
+    Parameters
+    ----------
+    shard, epoch
+        The shard and the epoch of its leader.
+    table : RunTable
+        Runs of the shard.
+    placer : Placer
+        Receives accepted runs.
+    commits : JournalCommits
+        Appends to the journal.
+    documents : object
+        Has `get(service)` and `revision_of(service)`.
+    context : Context
+        Shared services of the process.
+    make_id : callable
+        Function from a number of bytes to a random text.
+    """
+
+    def __init__(
+        self, *, shard, epoch, table, placer, commits, documents, context, make_id
+    ):
+        self.shard = shard
+        self.epoch = epoch
+        self.table = table
+        self.placer = placer
+        self.commits = commits
+        self.documents = documents
+        self.clock = context.clock
+        self.events = context.events
+        self.metrics = context.metrics
+        self.make_id = make_id
+        self.pending = {}
+
+    def submit(self, message, envelope):
+        """Accept a run, or answer with the run accepted earlier for its key."""
+        known = self.table.find(message.service, message.key)
+        if known is not None:
+            envelope.answer(_same_run(known, message))
+            return
+        waiting = self.pending.get((message.service, message.key))
+        if waiting is not None:
+            waiting.append(envelope)
+            return
+        document = self.documents.get(message.service)
+        refusal = self._refusal(message, document)
+        if refusal is not None:
+            self.metrics.count(f"runs_refused_{refusal.kind.value}")
+            envelope.answer(Err(refusal))
+            return
+        self._commit(message, document, envelope)
+
+    def abandon(self):
+        """Answer submissions whose record is not confirmed; they may be accepted."""
+        detail = "leadership moved before the run was confirmed"
+        unknown = Err(Failure(kind=ErrorKind.ACCEPTANCE_UNKNOWN, detail=detail))
+        for envelopes in self.pending.values():
+            for envelope in envelopes:
+                envelope.answer(unknown)
+        self.pending.clear()
+
+    def _refusal(self, message, document):
+        if document is None:
+            detail = f"no service {message.service}"
+            return Failure(kind=ErrorKind.NOT_FOUND, detail=detail)
+        if document.kind is ServiceKind.REQUEST:
+            detail = f"{message.service} serves requests and takes no runs"
+            return Failure(kind=ErrorKind.INVALID_REQUEST, detail=detail)
+        reason = self._impossible_reason(document)
+        if reason is not None:
+            return Failure(kind=ErrorKind.IMPOSSIBLE, detail=reason)
+        return None
+
+    def _impossible_reason(self, document):
+        if not self.placer.fleet.workers:
+            return None
+        probe = Run(
+            run="",
+            document=document,
+            key="",
+            payload="",
+            accepted_ms=0,
+            epoch=self.epoch,
+            tasks=[Task(index=i) for i in range(document.run.tasks)],
+        )
+        work = work_of(probe, quota=document.quota)
+        return self.placer.impossible_reason(work, self.clock.now())
+
+    def _commit(self, message, document, envelope):
+        key = (message.service, message.key)
+        self.pending[key] = [envelope]
+        record = accepted_record(
+            run=f"{self.shard}.{self.make_id(ID_BYTES)}",
+            document=document,
+            key=message.key,
+            payload=message.payload,
+            accepted_ms=self.clock.wall_ms(),
+            revision=self.documents.revision_of(message.service),
+        )
+        started = self.clock.now()
+
+        def confirm(result):
+            self.metrics.observe("accept", self.clock.now() - started)
+            envelopes = self.pending.pop(key, ())
+            answer = result
+            if result.is_ok():
+                answer = Ok(self._accept(record, document).view())
+            for waiting in envelopes:
+                waiting.answer(answer)
+
+        self.commits.once(record, confirm)
+
+    def _accept(self, record, document):
+        entry = self.table.accept(
+            run=record.run,
+            document=document,
+            key=record.key,
+            payload=record.payload,
+            accepted_ms=record.accepted_ms,
+            epoch=self.epoch,
+        )
+        self.metrics.count("runs_accepted")
+        self.events.record(
+            EventKind.RUN_ACCEPTED, run=entry.run, service=document.service
+        )
+        work = work_of(entry, quota=document.quota)
+        self.placer.submit(work, self.clock.now())
+        return entry
+
+
+def _same_run(entry, message):
+    if entry.payload != message.payload:
+        detail = f"key {message.key} was used for another payload"
+        return Err(Failure(kind=ErrorKind.CONFLICT, detail=detail))
+    return Ok(entry.view())
--- /dev/null
+++ b/wasabipaddle/runs/leader.py
@@ -0,0 +1,375 @@
+"""Leader of one shard: owns its runs and talks to its workers."""
+
+import asyncio
+import secrets
+
+from absl import logging
+from result import Err, Ok
+
+from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.journal import HandoverFinished, RunCancelled, RunStopped
+from wasabipaddle.kernel import Mailbox
+from wasabipaddle.kernel.bus import Envelope
+from wasabipaddle.messages import (
+    CancelRun,
+    ListRuns,
+    QueryRun,
+    RunOutcome,
+    StopRun,
+    SubmitRun,
+    WaitRun,
+)
+from wasabipaddle.placement import FleetIndex, Placer
+from wasabipaddle.runs.acceptance import Acceptance
+from wasabipaddle.runs.commits import Committed, JournalCommits
+from wasabipaddle.runs.lifecycle import RunLifecycle
+from wasabipaddle.runs.pool import WorkerPool
+from wasabipaddle.runs.records import work_of
+from wasabipaddle.runs.recovery import Adoption, rebuild
+from wasabipaddle.runs.table import RunTable
+from wasabipaddle.runs.waiters import Waiters
+from wasabipaddle.runs.workers import (
+    WorkerDeposed,
+    WorkerReported,
+    WorkerSession,
+    WorkerUnreachable,
+)
+from wasabipaddle.timeline import EventKind
+
+__all__ = ["FleetUpdate", "ShardLeader"]
+
+TICK_S = 0.05
+REVIEW_S = 0.25
+EXPIRY_S = 10.0
+DECISIONS_PER_STEP = 200
+MESSAGES_PER_STEP = 500
+MAILBOX_CAPACITY = 100_000
+
+
+class FleetUpdate:
+    """The VM list of the data centre changed.
+
+    Parameters
+    ----------
+    entries : tuple of VmEntry
+        Every VM of the data centre.
+    """
+
+    def __init__(self, *, entries):
+        self.entries = entries
+
+
+class ShardLeader:
+    """Runs one shard while this process leads it.
+
+    Everything happens in one task, which reads the mailbox; calls to workers and
+    the store run beside it and report by message.
+
+    Parameters
+    ----------
+    election : object
+        Has `shard`, `epoch`, `may_command`, `predecessors_proven` and
+        `settle_predecessors`.
+    journal : Journal
+        Journal of the shard, not yet recovered.
+    connect : callable
+        Function from a `VmEntry` to a `WorkerClient`.
+    documents : object
+        Has `get(service)` and `revision_of(service)`.
+    quotas : sequence of TeamQuota
+        Quotas of the teams.
+    context : Context
+        Shared services of the process.
+    """
+
+    def __init__(self, *, election, journal, connect, documents, quotas, context):
+        self.election = election
+        self.shard = election.shard
+        self.epoch = election.epoch
+        self.journal = journal
+        self.connect = connect
+        self.documents = documents
+        self.context = context
+        self.clock = context.clock
+        self.mailbox = Mailbox(capacity=MAILBOX_CAPACITY)
+        self.table = RunTable()
+        self.fleet = FleetIndex()
+        self.placer = Placer(fleet=self.fleet, random=context.random, resizes=False)
+        for quota in quotas:
+            self.placer.set_quota(quota.team, quota.quota.resources)
+        self.pool = WorkerPool(
+            fleet=self.fleet,
+            make_session=self._make_session,
+            predecessors_proven=election.predecessors_proven,
+            lease=context.settings.leadership,
+            now=self.clock.now(),
+        )
+        self.commits = JournalCommits(journal=journal, notify=self.notify)
+        self.waiters = Waiters()
+        self.lifecycle = RunLifecycle(
+            table=self.table,
+            placer=self.placer,
+            commits=self.commits,
+            pool=self.pool,
+            epoch=self.epoch,
+            context=context,
+            on_ended=self.waiters.ended,
+        )
+        self.acceptance = Acceptance(
+            shard=self.shard,
+            epoch=self.epoch,
+            table=self.table,
+            placer=self.placer,
+            commits=self.commits,
+            documents=documents,
+            context=context,
+            make_id=secrets.token_hex,
+        )
+        self.adoption = None
+        self.entries = None
+        self.inspected = set()
+        self.next_review = 0.0
+        self.next_expiry = 0.0
+        self.task = None
+
+    # Life cycle
+
+    def start(self):
+        """Start the task of the leader; it recovers first."""
+        self.task = asyncio.create_task(self._run())
+
+    async def stop(self):
+        """Stop leading; waiting callers are told to ask the next leader."""
+        if self.task is not None:
+            self.task.cancel()
+            await asyncio.gather(self.task, return_exceptions=True)
+        await self.commits.close()
+        await self.pool.close()
+        await self.journal.close()
+        gone = Err(Failure(kind=ErrorKind.NOT_LEADER, detail="leadership has moved"))
+        self.acceptance.abandon()
+        self.waiters.abandon(gone)
+        while not self.mailbox.queue.empty():
+            self.mailbox.queue.get_nowait().answer(gone)
+
+    def notify(self, message):
+        """Send a message to the task of the leader."""
+        if not self.mailbox.offer(Envelope(message=message)):
+            self.context.metrics.count("leader_messages_dropped")
+
+    async def ask(self, message, *, timeout_s):
+        """Send an operation on runs and wait for its result."""
+        reply = asyncio.get_running_loop().create_future()
+        if not self.mailbox.offer(Envelope(message=message, reply=reply)):
+            return Err(Failure(kind=ErrorKind.QUEUE_FULL, detail="leader is overloaded"))
+        try:
+            return await asyncio.wait_for(reply, timeout_s)
+        except TimeoutError:
+            kind = ErrorKind.TIMEOUT
+            if isinstance(message, SubmitRun):
+                kind = ErrorKind.ACCEPTANCE_UNKNOWN
+            return Err(Failure(kind=kind, detail="the shard leader did not answer"))
+
+    async def _run(self):
+        answer = await self.journal.recover(self.epoch)
+        if answer.is_err():
+            self.election.note_epoch(self.epoch + 1)
+            return
+        recorded = rebuild(self.table, answer.unwrap(), self.epoch)
+        self.adoption = Adoption(
+            table=self.table,
+            placer=self.placer,
+            pool=self.pool,
+            recorded=recorded,
+            quota_of=self._quota_of,
+        )
+        if self.entries is not None:
+            self._update_fleet(self.entries)
+        while True:
+            await self._read_messages()
+            self._step()
+
+    async def _read_messages(self):
+        try:
+            envelope = await asyncio.wait_for(self.mailbox.receive(), TICK_S)
+        except TimeoutError:
+            return
+        self._handle(envelope)
+        for _ in range(MESSAGES_PER_STEP):
+            if self.mailbox.queue.empty():
+                return
+            self._handle(self.mailbox.queue.get_nowait())
+
+    # Messages
+
+    def _handle(self, envelope):
+        message = envelope.message
+        match message:
+            case Committed():
+                message.action(message.result)
+            case WorkerReported():
+                self._worker_reported(message)
+            case WorkerUnreachable():
+                self.pool.unreachable(message.worker)
+                self.context.metrics.count("worker_calls_failed")
+            case WorkerDeposed():
+                self.election.note_epoch(self.epoch + 1)
+            case FleetUpdate():
+                self._update_fleet(message.entries)
+            case SubmitRun():
+                self.acceptance.submit(message, envelope)
+            case QueryRun():
+                envelope.answer(self._view(message.run))
+            case WaitRun():
+                self._wait(message, envelope)
+            case ListRuns():
+                page = self.table.page(
+                    service=message.service, after=message.after, limit=message.limit
+                )
+                envelope.answer(Ok(page))
+            case CancelRun():
+                self._cancel(message, envelope)
+            case StopRun():
+                self._stop_run(message, envelope)
+
+    def _view(self, run):
+        entry = self.table.get(run)
+        if entry is None:
+            return Err(Failure(kind=ErrorKind.NOT_FOUND, detail=f"no run {run}"))
+        return Ok(entry.view())
+
+    def _wait(self, message, envelope):
+        entry = self.table.get(message.run)
+        if entry is None or entry.ended or message.wait_s <= 0:
+            envelope.answer(self._view(message.run))
+            return
+        self.waiters.add(entry, envelope, self.clock.now() + message.wait_s)
+
+    def _cancel(self, message, envelope):
+        entry = self.table.get(message.run)
+        if entry is None or entry.ended:
+            envelope.answer(self._view(message.run))
+            return
+        record = RunCancelled(run=entry.run, at_ms=self.clock.wall_ms())
+
+        def confirm(result):
+            if result.is_err():
+                envelope.answer(result)
+                return
+            self.lifecycle.apply_finish(
+                entry, RunOutcome.CANCELLED, record.at_ms, "cancelled on request"
+            )
+            envelope.answer(Ok(entry.view()))
+
+        self.commits.once(record, confirm)
+
+    def _stop_run(self, message, envelope):
+        entry = self.table.get(message.run)
+        if entry is None or entry.ended:
+            envelope.answer(self._view(message.run))
+            return
+        record = RunStopped(
+            run=entry.run, at_ms=self.clock.wall_ms(), grace_s=message.grace_s
+        )
+
+        def confirm(result):
+            if result.is_err():
+                envelope.answer(result)
+                return
+            entry.stopping = True
+            self.lifecycle.withdraw(entry, grace_s=message.grace_s)
+            self.lifecycle.finish_if_done(entry)
+            envelope.answer(Ok(entry.view()))
+
+        self.commits.once(record, confirm)
+
+    # Workers
+
+    def update_fleet(self, entries):
+        """Take over the VM list of the data centre."""
+        if self.adoption is None:
+            self.entries = entries
+        else:
+            self.notify(FleetUpdate(entries=entries))
+
+    def _update_fleet(self, entries):
+        for worker in self.pool.update(entries):
+            self._worker_gone(worker)
+
+    def _worker_gone(self, worker):
+        self.lifecycle.worker_lost(worker, "the VM is gone")
+        self.recorded_settled(worker)
+        asyncio.ensure_future(self.pool.remove(worker))
+
+    def recorded_settled(self, worker):
+        """Forget a worker that the journal names, because its tasks have ended."""
+        self.adoption.recorded.discard(worker)
+
+    def _make_session(self, entry):
+        return WorkerSession(
+            worker=entry.vm,
+            client=self.connect(entry),
+            shard=self.shard,
+            epoch=self.epoch,
+            leader=self.context.settings.process,
+            lease=self.context.settings.leadership,
+            clock=self.clock,
+            may_command=self.election.may_command,
+            notify=self.notify,
+        )
+
+    def _worker_reported(self, message):
+        worker, report = message.worker, message.report
+        self.pool.answered(worker)
+        if report.leaving:
+            self.fleet.set_leaving(worker, True)
+        if report.whole and worker not in self.inspected:
+            self.inspected.add(worker)
+            self.adoption.inspect(worker, report, self.clock.now())
+        self.lifecycle.report(worker, report)
+
+    # Periodic work
+
+    def _step(self):
+        now = self.clock.now()
+        if now >= self.next_review:
+            self.next_review = now + REVIEW_S
+            self._review(now)
+        if now >= self.next_expiry:
+            self.next_expiry = now + EXPIRY_S
+            self.table.expire(self.clock.wall_ms())
+        if not self.election.may_command():
+            return
+        for decision in self.placer.decide(now, DECISIONS_PER_STEP):
+            self.lifecycle.carry_out(decision)
+
+    def _review(self, now):
+        self.waiters.expire(now)
+        if not self.commits.available:
+            self.lifecycle.send_uncommitted()
+        for worker in self.pool.lapsed(now):
+            if self.table.tasks_on(worker):
+                self.lifecycle.worker_lost(worker, "its leases have expired")
+                asyncio.ensure_future(self.pool.reset(worker))
+        if self.adoption.release(now):
+            self._recovered()
+        for entry in self.table.unended():
+            if entry.stopping:
+                self.lifecycle.finish_if_done(entry)
+
+    def _recovered(self):
+        for entry in self.table.unended():
+            self.lifecycle.finish_if_done(entry)
+        record = HandoverFinished(epoch=self.epoch)
+        self.commits.until_done(record, lambda _: self.election.settle_predecessors())
+        self.context.events.record(EventKind.LEADER_RECOVERED, detail=self.shard)
+        logging.info("shard %s recovered under epoch %d", self.shard, self.epoch)
+
+    def _quota_of(self, service):
+        document = self.documents.get(service)
+        return None if document is None else document.quota
+
+    def resubmit(self, entry):
+        """Queue the waiting tasks of a run again."""
+        work = work_of(entry, quota=self._quota_of(entry.document.service))
+        self.placer.submit(work, self.clock.now())
--- /dev/null
+++ b/wasabipaddle/runs/lifecycle.py
@@ -0,0 +1,384 @@
+"""Life cycle of runs and their tasks under one shard leader."""
+
+from wasabipaddle.exceptions import ErrorKind
+from wasabipaddle.journal import RunEnded, TaskEnded, TaskPlaced
+from wasabipaddle.messages import RunOutcome
+from wasabipaddle.placement import (
+    Checkpoint,
+    GiveUp,
+    Impossible,
+    Start,
+    Throttle,
+    Unthrottle,
+)
+from wasabipaddle.platform import TaskOrder, TaskOutcome, TaskPhase, TaskStart
+from wasabipaddle.runs.model import TaskState, parse_task_id, task_id
+from wasabipaddle.timeline import EventKind
+
+__all__ = ["RunLifecycle"]
+
+MS_PER_S = 1000
+
+
+class RunLifecycle:
+    """Carries out decisions of the placer and records what workers report.
+
+    Parameters
+    ----------
+    table : RunTable
+        Runs of the shard.
+    placer : Placer
+        Decisions.
+    commits : JournalCommits
+        Appends to the journal.
+    pool : WorkerPool
+        Sessions with workers.
+    epoch : int
+        Epoch of the leader.
+    context : Context
+        Shared services of the process.
+    on_ended : callable
+        Receives every run that got its outcome.
+    """
+
+    def __init__(self, *, table, placer, commits, pool, epoch, context, on_ended):
+        self.table = table
+        self.placer = placer
+        self.commits = commits
+        self.pool = pool
+        self.epoch = epoch
+        self.clock = context.clock
+        self.events = context.events
+        self.metrics = context.metrics
+        self.on_ended = on_ended
+        self.unsent = {}
+        self.own_starts = set()
+        self.ending = set()
+
+    # Decisions
+
+    def carry_out(self, decision):
+        """Carry out one decision of the placer."""
+        match decision:
+            case Start():
+                for assignment in decision.assignments:
+                    self._place(assignment)
+            case Checkpoint():
+                self._order("checkpoints", decision.task)
+                self._record(EventKind.TASK_PREEMPTED, decision.task, decision.reason)
+                self.metrics.count("tasks_preempted")
+            case Throttle():
+                self._order("throttles", decision.task)
+            case Unthrottle():
+                self._order("unthrottles", decision.task)
+            case Impossible():
+                self._note_impossible(decision)
+            case GiveUp():
+                self.finish(decision.run, RunOutcome.FAILED, decision.reason)
+
+    def _place(self, assignment):
+        run, index = parse_task_id(assignment.task)
+        entry = self.table.get(run)
+        if entry is None or entry.ended or entry.stopping:
+            self.placer.ended(assignment.task, TaskOutcome.STOPPED, self.clock.now())
+            return
+        task = entry.tasks[index]
+        attempt = task.attempt + 1
+        self.table.place(
+            run=run, index=index, attempt=attempt, worker=assignment.worker
+        )
+        start = TaskStart(
+            task=assignment.task,
+            attempt=attempt,
+            service=entry.document.service,
+            team=entry.document.team,
+            urgency=entry.document.urgency,
+            needs=assignment.needs,
+            payload=entry.payload,
+            checkpoint=task.checkpoint,
+        )
+        self.unsent[assignment.task, attempt] = (assignment.worker, start)
+        record = TaskPlaced(
+            run=run,
+            index=index,
+            attempt=attempt,
+            worker=assignment.worker,
+            epoch=self.epoch,
+        )
+        key = (assignment.task, attempt)
+        self.own_starts.add(key)
+        self.commits.until_done(record, lambda _: self._send(key))
+        self._record(EventKind.TASK_PLACED, assignment.task, assignment.worker)
+        self._observe_wait(entry, attempt)
+
+    def _observe_wait(self, entry, attempt):
+        if attempt != 1:
+            return
+        waited_s = (self.clock.wall_ms() - entry.accepted_ms) / MS_PER_S
+        urgency = entry.document.urgency.value
+        self.metrics.observe(f"placement_wait_{urgency}", max(waited_s, 0.0))
+
+    def _send(self, key):
+        waiting = self.unsent.pop(key, None)
+        if waiting is not None:
+            worker, start = waiting
+            self.pool.command(worker, "starts", start)
+
+    def send_uncommitted(self):
+        """Send starts whose placement cannot be journalled during an outage."""
+        for key in list(self.unsent):
+            self.metrics.count("starts_before_commit")
+            self._send(key)
+
+    def _order(self, name, task, *, grace_s=0.0):
+        run, index = parse_task_id(task)
+        entry = self.table.get(run)
+        if entry is None:
+            return
+        state = entry.tasks[index]
+        if not state.on_worker:
+            return
+        order = TaskOrder(task=task, attempt=state.attempt, grace_s=grace_s)
+        self.pool.command(state.worker, name, order)
+
+    def _note_impossible(self, decision):
+        entry = self.table.get(decision.run)
+        if entry is not None and not entry.ended:
+            entry.reason = decision.reason
+            self.metrics.count("runs_impossible")
+
+    # Reports of workers
+
+    def report(self, worker, report):
+        """Take over the report of a worker."""
+        for task in report.tasks:
+            self._report_task(worker, task)
+        for refusal in report.refusals:
+            self._refused(refusal)
+        if report.whole:
+            self._notice_missing(worker, report)
+        uses = {t.task: t.usage for t in report.tasks if t.phase is not TaskPhase.ENDED}
+        self.placer.observe(worker, report.usage, uses, self.clock.now())
+
+    def _report_task(self, worker, report):
+        run, index = parse_task_id(report.task)
+        entry = self.table.get(run)
+        known = (
+            entry is not None
+            and entry.tasks[index].attempt == report.attempt
+            and entry.tasks[index].on_worker
+            and entry.tasks[index].worker == worker
+        )
+        if report.phase is TaskPhase.ENDED:
+            if known:
+                self._attempt_ended(worker, run, index, report)
+            else:
+                self._acknowledge(worker, report)
+            return
+        if not known or entry.ended:
+            self._stop_attempt(worker, report.task, report.attempt)
+            return
+        task = entry.tasks[index]
+        if task.state is TaskState.PLACED:
+            self.table.running(run=run, index=index, attempt=report.attempt)
+            self._record(EventKind.TASK_STARTED, report.task, worker)
+            if entry.stopping:
+                self._stop_attempt(worker, report.task, report.attempt)
+
+    def _attempt_ended(self, worker, run, index, report):
+        key = (report.task, report.attempt)
+        if key in self.ending:
+            return
+        self.ending.add(key)
+        record = TaskEnded(
+            run=run,
+            index=index,
+            attempt=report.attempt,
+            outcome=report.outcome,
+            result=report.answer,
+            checkpoint=report.checkpoint or "",
+        )
+        self.commits.until_done(
+            record, lambda _: self._confirm_end(worker, report, record)
+        )
+
+    def _confirm_end(self, worker, report, record):
+        self.ending.discard((report.task, report.attempt))
+        self._acknowledge(worker, report)
+        self._apply_end(report.task, record)
+
+    def _apply_end(self, task, record):
+        outcome = record.outcome or TaskOutcome.LEASE_EXPIRED
+        entry = self.table.get(record.run)
+        applied = self.table.end_attempt(
+            run=record.run,
+            index=record.index,
+            attempt=record.attempt,
+            outcome=outcome,
+            answer=record.result,
+            checkpoint=record.checkpoint or None,
+        )
+        self.own_starts.discard((task, record.attempt))
+        if not applied:
+            return
+        self.metrics.count(f"attempts_{outcome.value}")
+        self._record(EventKind.TASK_ENDED, task, outcome.value)
+        now = self.clock.now()
+        final = entry.ended or entry.stopping
+        if final and outcome is not TaskOutcome.COMPLETED:
+            outcome = TaskOutcome.STOPPED
+        self.placer.ended(task, outcome, now)
+        self.finish_if_done(entry)
+
+    def _acknowledge(self, worker, report):
+        order = TaskOrder(task=report.task, attempt=report.attempt)
+        self.pool.command(worker, "acknowledgements", order)
+
+    def _stop_attempt(self, worker, task, attempt, grace_s=0.0):
+        order = TaskOrder(task=task, attempt=attempt, grace_s=grace_s)
+        self.pool.command(worker, "stops", order)
+
+    def _refused(self, refusal):
+        run, index = parse_task_id(refusal.task)
+        entry = self.table.get(run)
+        if entry is None or entry.tasks[index].attempt != refusal.attempt:
+            return
+        if entry.tasks[index].state is not TaskState.PLACED:
+            return
+        self.metrics.count("starts_refused")
+        if refusal.kind is ErrorKind.CONFLICT:
+            # The worker has seen this attempt or holds another one.
+            self.lose_attempt(run, index, "refused as already seen")
+            return
+        self.table.end_attempt(
+            run=run,
+            index=index,
+            attempt=refusal.attempt,
+            outcome=TaskOutcome.STOPPED,
+        )
+        if entry.ended or entry.stopping:
+            self.placer.ended(refusal.task, TaskOutcome.STOPPED, self.clock.now())
+            self.finish_if_done(entry)
+        else:
+            self.placer.refused(refusal.task, self.clock.now())
+
+    def _notice_missing(self, worker, report):
+        """End attempts that a whole inventory does not show.
+
+        A start that is still waiting or on its way is not missing.
+        """
+        shown = {(t.task, t.attempt) for t in report.tasks}
+        for entry, task in self.table.tasks_on(worker):
+            key = (task_id(entry.run, task.index), task.attempt)
+            if key in shown or key in self.ending or self._may_be_on_its_way(key):
+                continue
+            self.lose_attempt(entry.run, task.index, "not on the worker")
+
+    def _may_be_on_its_way(self, key):
+        run, index = parse_task_id(key[0])
+        state = self.table.get(run).tasks[index].state
+        return key in self.own_starts and state is TaskState.PLACED
+
+    # Lost workers
+
+    def worker_lost(self, worker, reason):
+        """End every attempt on a worker on which surely nothing runs any more."""
+        self.metrics.count("workers_lost")
+        self.events.record(EventKind.WORKER_LOST, vm=worker, detail=reason)
+        for entry, task in self.table.tasks_on(worker):
+            self.lose_attempt(entry.run, task.index, reason)
+
+    def lose_attempt(self, run, index, reason):
+        """Record that the present attempt of a task has ended with its worker."""
+        entry = self.table.get(run)
+        task = entry.tasks[index]
+        name = task_id(run, index)
+        key = (name, task.attempt)
+        if key in self.ending:
+            return
+        self.ending.add(key)
+        self.unsent.pop(key, None)
+        record = TaskEnded(
+            run=run, index=index, attempt=task.attempt, outcome=None, reason=reason
+        )
+
+        def confirm(_):
+            self.ending.discard(key)
+            self._apply_end(name, record)
+
+        self.commits.until_done(record, confirm)
+        self._record(EventKind.TASK_RESTARTED, name, reason)
+
+    # Ends of runs
+
+    def finish_if_done(self, entry):
+        """End a run whose tasks have all ended, or that was stopped."""
+        if entry is None or entry.ended:
+            return
+        if all(t.outcome is TaskOutcome.COMPLETED for t in entry.tasks):
+            self.finish(entry.run, RunOutcome.COMPLETED, "")
+        elif entry.stopping and not any(t.on_worker for t in entry.tasks):
+            self.finish(entry.run, RunOutcome.STOPPED, "stopped on request")
+
+    def finish(self, run, outcome, reason):
+        """Journal the outcome of a run, then stop what is left of it."""
+        entry = self.table.get(run)
+        if entry is None or entry.ended or run in self.ending:
+            return
+        self.ending.add(run)
+        now_ms = self.clock.wall_ms()
+        retention_ms = int(entry.document.run.answer_retention_s * MS_PER_S)
+        record = RunEnded(
+            run=run,
+            outcome=outcome,
+            ended_ms=now_ms,
+            keep_until_ms=now_ms + retention_ms,
+            reason=reason,
+        )
+
+        def confirm(_):
+            self.ending.discard(run)
+            self.apply_finish(entry, outcome, now_ms, reason)
+
+        self.commits.until_done(record, confirm)
+
+    def apply_finish(self, entry, outcome, ended_ms, reason):
+        """Give a run its journalled outcome."""
+        if not self.table.end_run(
+            run=entry.run, outcome=outcome, ended_ms=ended_ms, reason=reason
+        ):
+            return
+        self.metrics.count(f"runs_{outcome.value}")
+        self.events.record(
+            EventKind.RUN_ENDED,
+            run=entry.run,
+            service=entry.document.service,
+            detail=outcome.value,
+        )
+        self.withdraw(entry)
+        self.on_ended(entry)
+
+    def withdraw(self, entry, *, grace_s=0.0):
+        """Take a run back from the placer and stop its tasks."""
+        self.placer.cancel(entry.run)
+        now = self.clock.now()
+        for task in entry.tasks:
+            if not task.on_worker:
+                continue
+            name = task_id(entry.run, task.index)
+            key = (name, task.attempt)
+            if self.unsent.pop(key, None) is not None:
+                # The start was never sent, so the attempt has surely not run.
+                self.table.end_attempt(
+                    run=entry.run,
+                    index=task.index,
+                    attempt=task.attempt,
+                    outcome=TaskOutcome.STOPPED,
+                )
+                self.placer.ended(name, TaskOutcome.STOPPED, now)
+                continue
+            self._stop_attempt(task.worker, name, task.attempt, grace_s)
+
+    def _record(self, kind, task, detail):
+        run, _ = parse_task_id(task)
+        self.events.record(kind, run=run, detail=f"{task} {detail}")
--- /dev/null
+++ b/wasabipaddle/runs/records.py
@@ -0,0 +1,72 @@
+"""Conversions between journal records, documents and work for the placer."""
+
+from wasabipaddle.documents import Quota, Resources, ServiceDocument
+from wasabipaddle.journal import RunAccepted
+from wasabipaddle.placement import Work
+
+__all__ = ["accepted_record", "document_of", "work_of"]
+
+
+def accepted_record(
+    *, run, document, key, payload, accepted_ms, revision
+) -> RunAccepted:
+    """Return the record of an accepted run."""
+    return RunAccepted(
+        run=run,
+        service=document.service,
+        team=document.team,
+        key=key,
+        payload=payload,
+        accepted_ms=accepted_ms,
+        revision=revision,
+        kind=document.kind,
+        urgency=document.urgency,
+        needs=document.needs,
+        placement=document.placement,
+        share=document.share,
+        policy=document.run,
+    )
+
+
+def document_of(record) -> ServiceDocument:
+    """Return the document fields that a run needs, as they were accepted."""
+    return ServiceDocument(
+        service=record.service,
+        team=record.team,
+        kind=record.kind,
+        urgency=record.urgency,
+        needs=record.needs,
+        placement=record.placement,
+        share=record.share,
+        run=record.policy,
+    )
+
+
+def work_of(run, *, quota=None) -> Work:
+    """Return the work of a run for the placer.
+
+    Parameters
+    ----------
+    run : Run
+        The run.
+    quota : Quota or None
+        Quota of the service as its document states it now.
+    """
+    document = run.document
+    limit = (quota or Quota()).resources
+    return Work(
+        run=run.run,
+        service=document.service,
+        team=document.team,
+        kind=document.kind,
+        urgency=document.urgency,
+        needs=document.needs or Resources(),
+        tasks=document.run.tasks,
+        weight=document.share.weight,
+        guaranteed=document.share.guaranteed,
+        quota=limit,
+        placement=document.placement,
+        expected_s=document.run.expected_s,
+        max_attempts=document.run.max_attempts,
+        max_preemptions=document.run.max_preemptions,
+    )
--- /dev/null
+++ b/wasabipaddle/runs/waiters.py
@@ -0,0 +1,51 @@
+"""Callers that wait for the end of a run."""
+
+import attrs
+from result import Ok
+
+__all__ = ["Waiters"]
+
+
+@attrs.frozen(kw_only=True, eq=False)
+class _Waiter:
+    entry: object
+    envelope: object
+    until: float
+
+
+class Waiters:
+    """Waiting reads by run."""
+
+    def __init__(self):
+        self.by_run = {}
+
+    def add(self, entry, envelope, until):
+        """Answer the envelope when the run ends or at the time `until`."""
+        waiter = _Waiter(entry=entry, envelope=envelope, until=until)
+        self.by_run.setdefault(entry.run, []).append(waiter)
+
+    def ended(self, entry):
+        """Answer everybody who waits for a run."""
+        for waiter in self.by_run.pop(entry.run, ()):
+            waiter.envelope.answer(Ok(entry.view()))
+
+    def expire(self, now):
+        """Answer those whose time has passed with the present state."""
+        for run, waiters in list(self.by_run.items()):
+            kept = []
+            for waiter in waiters:
+                if waiter.until <= now:
+                    waiter.envelope.answer(Ok(waiter.entry.view()))
+                else:
+                    kept.append(waiter)
+            if kept:
+                self.by_run[run] = kept
+            else:
+                del self.by_run[run]
+
+    def abandon(self, result):
+        """Answer everybody with `result`."""
+        for waiters in self.by_run.values():
+            for waiter in waiters:
+                waiter.envelope.answer(result)
+        self.by_run.clear()
--- a/wasabipaddle/runs/workers.py
+++ b/wasabipaddle/runs/workers.py
@@ -52,17 +52,28 @@
     ----------
     lease_may_last_until : float
         Time until which a task on the worker may hold a lease that this leader
-        renewed, in seconds; it includes the call timeout, since a call without an
-        answer may have arrived late, and the drift of the worker's clock.
+        renewed, in seconds, with the drift of the worker's clock.
     answered : bool
         Whether the worker has answered under the present epoch.
     failures : int
         Failed calls since the last answer.
+    clock_s : float or None
+        Latest reading of the worker's clock.
+    clock_read_at : float
+        Time at which that reading arrived, in seconds.
     """
 
     lease_may_last_until: float = 0.0
     answered: bool = False
     failures: int = 0
+    clock_s: float | None = None
+    clock_read_at: float = 0.0
+
+    def worker_clock(self, now) -> float | None:
+        """Return a lower bound of the worker's clock, None before any answer."""
+        if self.clock_s is None:
+            return None
+        return self.clock_s + now - self.clock_read_at
 
 
 @attrs.define(kw_only=True)
@@ -107,7 +118,7 @@
     clock : Clock
         Source of time.
     may_command : callable
-        Coroutine function; False while starts must be held back.
+        Function; False while commands must be held back.
     notify : callable
         Receives `WorkerReported`, `WorkerUnreachable` and `WorkerDeposed`.
     """
@@ -192,10 +203,14 @@
     async def _send(self):
         while True:
             await self.wake.wait()
-            if not await self.may_command():
+            if not self.may_command():
                 await asyncio.sleep(RETRY_S)
                 continue
             self.wake.clear()
+            if self.contact.clock_s is None:
+                await asyncio.sleep(RETRY_S)
+                self.wake.set()
+                continue
             commands, self.commands = self.commands, _Commands()
             if not commands.any():
                 continue
@@ -207,7 +222,6 @@
 
     async def _call(self, commands, *, wait_s):
         sync = self._command(commands, wait_s)
-        self._extend_lease(wait_s)
         limit = CALL_TIMEOUT_S + wait_s
         try:
             result = await asyncio.wait_for(self.client.sync(sync), limit)
@@ -218,28 +232,32 @@
         return result
 
     def _command(self, commands, wait_s):
+        now = self.clock.now()
+        base = self.contact.worker_clock(now)
+        # Without a reading of the worker's clock a delayed command could renew a
+        # lease for longer than this leader assumes, so it renews nothing.
+        lease_s = 0.0 if base is None else self.lease.task_lease_s
+        if lease_s > 0:
+            until = now + lease_s * (1 + self.lease.drift)
+            self.contact.lease_may_last_until = until
         return WorkerSync(
             shard=self.shard,
             epoch=self.epoch,
             leader=self.leader,
-            lease_s=self.lease.task_lease_s,
+            lease_s=lease_s,
+            lease_base_s=base,
             seen_version=self.seen_version,
             wait_s=wait_s,
             **{k: tuple(v) for k, v in attrs.asdict(commands, recurse=False).items()},
         )
 
-    def _extend_lease(self, wait_s):
-        lease_s = self.lease.task_lease_s * (1 + self.lease.drift)
-        until = self.clock.now() + CALL_TIMEOUT_S + wait_s + lease_s
-        self.contact.lease_may_last_until = max(
-            self.contact.lease_may_last_until, until
-        )
-
     def _report(self, result):
         if result.is_ok():
             report = result.unwrap()
             self.contact.answered = True
             self.contact.failures = 0
+            self.contact.clock_s = report.clock_s
+            self.contact.clock_read_at = self.clock.now()
             self.seen_version = max(self.seen_version, report.version)
             self.notify(WorkerReported(worker=self.worker, report=report))
             return
