--- /dev/null
+++ b/wasabipaddle/journal/journal.py
@@ -0,0 +1,353 @@
+"""Journal of one shard, written by its leader."""
+
+import asyncio
+import collections
+
+import attrs
+from result import Err, Ok
+
+from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.journal.codec import encode_batch, encode_record
+from wasabipaddle.journal.compaction import Compactor
+from wasabipaddle.journal.live import LiveState
+from wasabipaddle.journal.log import JournalKeys, create_once, find_operation
+from wasabipaddle.journal.pacing import Backoff, Pacer
+from wasabipaddle.journal.records import LeaderStarted, RunAccepted
+from wasabipaddle.journal.recovery import Recovery
+
+__all__ = ["Journal"]
+
+ACCEPT_QUEUE_SHARE = 0.5  # of the queue; the rest is for endings and placements
+ACCEPT_PATIENCE_S = 1.0
+COMPACTION_RETRY_S = 10.0
+
+
+@attrs.define(kw_only=True)
+class _Pending:
+    record: object
+    data: bytes
+    done: asyncio.Future
+
+
+@attrs.define(kw_only=True)
+class _Attempt:
+    """Batch on its way to the store.
+
+    Parameters
+    ----------
+    in_doubt : bool
+        Whether an earlier try may have created the key.
+    """
+
+    items: list
+    operation: str
+    value: bytes
+    in_doubt: bool = False
+
+
+class Journal:
+    """Durable log of a shard with one writer.
+
+    Parameters
+    ----------
+    shard : str
+        Name of the shard.
+    process : str
+        Name of this process.
+    incarnation : int
+        Incarnation of this process.
+    store : Store
+        The platform's store.
+    clock : Clock
+        Source of time.
+    settings : JournalSettings
+        Batches, pace and compaction.
+    random : random.Random
+        Source of jitter.
+
+    Attributes
+    ----------
+    live : LiveState
+        Live state of all confirmed records.
+    deposed : bool
+        Whether an append met a later leader; the journal accepts nothing more.
+    available : bool
+        Whether the last call to the store was carried out.
+    """
+
+    def __init__(self, *, shard, process, incarnation, store, clock, settings, random):
+        self.process = process
+        self.incarnation = incarnation
+        self.store = store
+        self.clock = clock
+        self.settings = settings
+        self.keys = JournalKeys(shard=shard)
+        self.pacer = Pacer(
+            clock=clock,
+            min_interval_s=settings.min_interval_s,
+            writes_per_s=settings.writes_per_s,
+        )
+        self.backoff = Backoff(random=random)
+        self.compactor = Compactor(journal=self)
+        self.live = LiveState()
+        self.epoch = 0
+        self.next_sequence = 0
+        self.operations = 0
+        self.appends = 0
+        self.deposed = False
+        self.available = True
+        self.queue = collections.deque()
+        self.filled = asyncio.Event()
+        self.tasks = []
+
+    # Recovery
+
+    async def recover(self, epoch):
+        """Read the live state, fence earlier leaders and start writing.
+
+        Waits while the store is unavailable.
+
+        Returns
+        -------
+        result.Result
+            The `LiveState`, or an `Err` of kind `stale_epoch` if a later leader has
+            written.
+        """
+        self.epoch = epoch
+        recovery = None
+        while True:
+            if recovery is None:
+                recovery = Recovery(store=self.store, keys=self.keys)
+                answer = await recovery.read()
+            else:
+                answer = await recovery.read_tail()
+            if answer.is_err():
+                await self._pause_after(answer.unwrap_err())
+                recovery = None
+                continue
+            recovered = answer.unwrap()
+            if recovered.epoch > epoch:
+                return self._depose(f"epoch {recovered.epoch} has written")
+            if await self._append_start(recovered):
+                self.backoff.reset()
+                return Ok(self._adopt(recovered))
+
+    async def _append_start(self, recovered):
+        record = LeaderStarted(
+            epoch=self.epoch,
+            leader=self.process,
+            incarnation=self.incarnation,
+            at_ms=self.clock.wall_ms(),
+        )
+        attempt = self._attempt([encode_record(record)], [])
+        sequence = recovered.next_sequence
+        while True:
+            answer = await self._try_commit(sequence, attempt)
+            if answer.is_ok():
+                recovered.live.apply(record)
+                recovered.starts[sequence] = record.at_ms
+                recovered.kept.append(sequence)
+                recovered.next_sequence = sequence + 1
+                return True
+            if answer.unwrap_err().kind is ErrorKind.STALE_EPOCH:
+                return False
+            await self._pause_after(answer.unwrap_err())
+
+    def _adopt(self, recovered):
+        self.live = recovered.live
+        self.next_sequence = recovered.next_sequence
+        self.appends = len(recovered.kept)
+        self.compactor.adopt(recovered)
+        self.tasks = [
+            asyncio.create_task(self._write()),
+            asyncio.create_task(self._compact()),
+            asyncio.create_task(self.compactor.run()),
+        ]
+        return self.live
+
+    # Appending
+
+    async def append(self, record):
+        """Commit one record.
+
+        Returns
+        -------
+        result.Result
+            Sequence of the batch that holds the record. An `Err` means that it was
+            not committed, except `acceptance_unknown`, where it may have been.
+        """
+        return await self.submit(record)
+
+    def submit(self, record) -> asyncio.Future:
+        """Queue a record; the future resolves as `append` returns."""
+        done = asyncio.get_running_loop().create_future()
+        refusal = self._refusal(record)
+        if refusal is not None:
+            done.set_result(Err(refusal))
+            return done
+        data = encode_record(record)
+        if len(data) > self.settings.max_batch_bytes:
+            detail = f"a record of {len(data)} bytes is too large"
+            done.set_result(Err(Failure(kind=ErrorKind.BODY_TOO_LARGE, detail=detail)))
+            return done
+        self.queue.append(_Pending(record=record, data=data, done=done))
+        self.filled.set()
+        return done
+
+    def _refusal(self, record):
+        if self.deposed:
+            return Failure(kind=ErrorKind.STALE_EPOCH, detail="a later leader exists")
+        if not self.tasks:
+            return Failure(kind=ErrorKind.NOT_LEADER, detail="not recovered yet")
+        limit = self.settings.max_queue
+        if isinstance(record, RunAccepted):
+            if not self.available:
+                return _unavailable()
+            limit *= ACCEPT_QUEUE_SHARE
+        if len(self.queue) >= limit:
+            return Failure(kind=ErrorKind.QUEUE_FULL, detail="journal queue is full")
+        return None
+
+    async def _write(self):
+        while not self.deposed:
+            await self.filled.wait()
+            await asyncio.sleep(self.pacer.wait_s())
+            items = self._take_batch()
+            if items:
+                await self._commit(items)
+
+    def _take_batch(self):
+        items, size = [], 0
+        while self.queue:
+            size += len(self.queue[0].data) + 1
+            if items and size > self.settings.max_batch_bytes:
+                break
+            items.append(self.queue.popleft())
+        if not self.queue:
+            self.filled.clear()
+        return items
+
+    def _attempt(self, encoded, items):
+        self.operations += 1
+        operation = f"{self.process}.{self.incarnation}.{self.epoch}.{self.operations}"
+        value = encode_batch(operation, self.epoch, encoded)
+        return _Attempt(items=items, operation=operation, value=value)
+
+    async def _commit(self, items):
+        attempt = self._attempt([i.data for i in items], items)
+        while True:
+            answer = await self._try_commit(self.next_sequence, attempt)
+            if answer.is_ok():
+                self._confirm(attempt)
+                return
+            failure = answer.unwrap_err()
+            if failure.kind is ErrorKind.STALE_EPOCH:
+                self._fail(attempt.items, failure)
+                self._depose(failure.detail)
+                return
+            self._note_failure(failure)
+            if not attempt.in_doubt:
+                # The key was surely not created: later records join the batch.
+                self.queue.extendleft(reversed(attempt.items))
+                self._refuse_acceptances(failure)
+                await self._pause_after(failure)
+                self.filled.set()
+                return
+            self._refuse_acceptances(failure)
+            await self._pause_after(failure)
+
+    async def _try_commit(self, sequence, attempt):
+        key = self.keys.batch(sequence)
+        if attempt.in_doubt:
+            found = await find_operation(self.store, key, attempt.operation)
+            if found.is_err():
+                return found
+            if found.unwrap():
+                return Ok(None)
+        self.pacer.appended()
+        answer = await create_once(self.store, key, attempt.value, attempt.operation)
+        if answer.is_err() and answer.unwrap_err().kind is ErrorKind.TIMEOUT:
+            attempt.in_doubt = True
+        return answer
+
+    def _confirm(self, attempt):
+        sequence = self.next_sequence
+        self.next_sequence += 1
+        self.appends += 1
+        self.available = True
+        self.backoff.reset()
+        self.compactor.appended(sequence)
+        for item in attempt.items:
+            self.live.apply(item.record)
+            _resolve(item, Ok(sequence))
+
+    # Failures
+
+    def _note_failure(self, failure):
+        patient = (failure.retry_after_s or 0.0) < ACCEPT_PATIENCE_S
+        throttled = failure.kind is ErrorKind.STORE_THROTTLED
+        self.available = throttled and patient
+
+    def _refuse_acceptances(self, failure):
+        """Refuse waiting runs; they have surely not been accepted."""
+        if self.available:
+            return
+        kept = collections.deque()
+        for item in self.queue:
+            if isinstance(item.record, RunAccepted):
+                _resolve(item, Err(_unavailable(failure)))
+            else:
+                kept.append(item)
+        self.queue = kept
+
+    def _fail(self, items, failure):
+        for item in items:
+            _resolve(item, Err(failure))
+
+    def _depose(self, detail):
+        failure = Failure(kind=ErrorKind.STALE_EPOCH, detail=detail)
+        self.deposed = True
+        self._fail(self.queue, failure)
+        self.queue.clear()
+        for task in self.tasks[1:]:
+            task.cancel()
+        return Err(failure)
+
+    async def _pause_after(self, failure):
+        await asyncio.sleep(self.backoff.next_s(failure))
+
+    # Compaction and end
+
+    async def _compact(self):
+        while True:
+            await asyncio.sleep(self.pacer.min_interval_s)
+            if self.appends < self.settings.compact_after:
+                continue
+            self.appends = 0
+            answer = await self.compactor.compact()
+            if answer.is_err():
+                self.appends = self.settings.compact_after
+                await asyncio.sleep(COMPACTION_RETRY_S)
+
+    async def close(self):
+        """Stop writing; what waits is answered with `acceptance_unknown`."""
+        tasks, self.tasks = self.tasks, []
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        failure = Failure(kind=ErrorKind.ACCEPTANCE_UNKNOWN, detail="journal closed")
+        self._fail(self.queue, failure)
+        self.queue.clear()
+
+
+def _resolve(item, result):
+    if not item.done.done():
+        item.done.set_result(result)
+
+
+def _unavailable(failure=None):
+    return Failure(
+        kind=ErrorKind.STORE_UNAVAILABLE,
+        detail="the store does not take new runs now",
+        retry_after_s=None if failure is None else failure.retry_after_s,
+    )
--- /dev/null
+++ b/wasabipaddle/journal/pacing.py
@@ -0,0 +1,84 @@
+"""Pace of appends under a call allowance, and back-off after failures."""
+
+__all__ = ["Backoff", "Pacer"]
+
+BURST_S = 1.0
+SLOWEST_WRITES = 3.0  # an append and its deletion stay below the allowance
+
+
+class Pacer:
+    """Token bucket of store writes whose level sets the interval of appends.
+
+    With a full bucket the interval is `min_interval_s`. It grows as the bucket
+    empties, so that batches grow and the rate of writes stays below the allowance.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    min_interval_s : float
+        Shortest time between two appends.
+    writes_per_s : float
+        Allowance.
+    """
+
+    def __init__(self, *, clock, min_interval_s, writes_per_s):
+        self.clock = clock
+        self.min_interval_s = min_interval_s
+        self.writes_per_s = writes_per_s
+        self.capacity = BURST_S * writes_per_s
+        self.level = self.capacity
+        self.refilled_at = clock.now()
+        self.appended_at = -min_interval_s
+
+    def spend(self, writes=1):
+        """Account for writes that were sent."""
+        self._refill()
+        self.level = max(self.level - writes, -self.capacity)
+
+    def appended(self):
+        """Account for an append and start the interval to the next one."""
+        self.spend()
+        self.appended_at = self.clock.now()
+
+    def wait_s(self) -> float:
+        """Return the time until the next append may be sent."""
+        self._refill()
+        used = 1 - max(self.level, 0.0) / self.capacity
+        slowest = max(SLOWEST_WRITES / self.writes_per_s, self.min_interval_s)
+        interval = self.min_interval_s + used * (slowest - self.min_interval_s)
+        return max(self.appended_at + interval - self.clock.now(), 0.0)
+
+    def _refill(self):
+        now = self.clock.now()
+        gained = (now - self.refilled_at) * self.writes_per_s
+        self.level = min(self.level + gained, self.capacity)
+        self.refilled_at = now
+
+
+class Backoff:
+    """Growing, jittered pauses between attempts.
+
+    Parameters
+    ----------
+    random : random.Random
+        Source of jitter.
+    """
+
+    SHORTEST_S = 0.2
+    LONGEST_S = 3.0
+
+    def __init__(self, *, random):
+        self.random = random
+        self.failures = 0
+
+    def reset(self):
+        """Return to the shortest pause."""
+        self.failures = 0
+
+    def next_s(self, failure) -> float:
+        """Return the pause after `failure`, at least its `retry_after_s`."""
+        pause = min(self.SHORTEST_S * 2**self.failures, self.LONGEST_S)
+        self.failures = min(self.failures + 1, 10)
+        pause *= 0.5 + self.random.random()
+        return max(pause, failure.retry_after_s or 0.0)
--- /dev/null
+++ b/wasabipaddle/journal/recovery.py
@@ -0,0 +1,132 @@
+"""Rebuilding of the live state from the store."""
+
+import attrs
+from result import Err, Ok
+
+from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.journal.codec import decode_batch
+from wasabipaddle.journal.live import LiveState
+from wasabipaddle.journal.log import LogReader
+from wasabipaddle.journal.records import LeaderStarted, SnapshotTaken
+
+__all__ = ["Recovered", "Recovery"]
+
+FIRST_SEQUENCE = 1
+
+
+@attrs.define(kw_only=True)
+class Recovered:
+    """State of a shard as read from the store.
+
+    Parameters
+    ----------
+    live : LiveState
+        Live records.
+    next_sequence : int
+        Sequence of the next append.
+    kept : list of int
+        Sequences of the batches in the store.
+    starts : dict of int to int
+        Wall-clock times of the `LeaderStarted` batches by sequence, in milliseconds.
+    snapshot : SnapshotTaken or None
+        Latest committed snapshot.
+    epoch : int
+        Highest epoch of a writer.
+    """
+
+    live: LiveState = attrs.field(factory=LiveState)
+    next_sequence: int = FIRST_SEQUENCE
+    kept: list = attrs.field(factory=list)
+    starts: dict = attrs.field(factory=dict)
+    snapshot: SnapshotTaken | None = None
+    epoch: int = 0
+
+    def note(self, sequence, batch):
+        """Take note of a batch in the store without applying it."""
+        self.kept.append(sequence)
+        self.next_sequence = sequence + 1
+        self.epoch = max(self.epoch, batch.epoch)
+        for record in batch.records:
+            if isinstance(record, LeaderStarted):
+                self.starts[sequence] = record.at_ms
+            elif isinstance(record, SnapshotTaken):
+                self.snapshot = record
+
+
+class Recovery:
+    """Reads snapshot and journal while an earlier leader may still be writing.
+
+    Parameters
+    ----------
+    store : Store
+        The platform's store.
+    keys : JournalKeys
+        Keys of the shard.
+    """
+
+    def __init__(self, *, store, keys):
+        self.store = store
+        self.keys = keys
+        self.reader = LogReader(store=store, keys=keys)
+        self.state = Recovered()
+
+    async def read(self):
+        """Read everything.
+
+        Returns
+        -------
+        result.Result
+            The `Recovered` state, an `Err` of kind `conflict` if compaction by the
+            earlier leader interfered, or the failure of the store.
+        """
+        answer = await self.reader.read()
+        if answer.is_err():
+            return answer
+        batches = answer.unwrap()
+        for sequence, batch in batches:
+            self.state.note(sequence, batch)
+        loaded = await self._load_snapshot()
+        if loaded.is_err():
+            return loaded
+        return self._apply(batches, loaded.unwrap())
+
+    async def read_tail(self):
+        """Read what was appended since the last read; as for `read`."""
+        answer = await self.reader.read()
+        if answer.is_err():
+            return answer
+        expected = self.state.next_sequence - 1
+        for sequence, batch in answer.unwrap():
+            self.state.note(sequence, batch)
+        return self._apply(answer.unwrap(), expected)
+
+    async def _load_snapshot(self):
+        snapshot = self.state.snapshot
+        if snapshot is None:
+            return Ok(FIRST_SEQUENCE - 1)
+        for index in range(snapshot.parts):
+            answer = await self.store.get(self.keys.part(snapshot.name, index))
+            if answer.is_err():
+                return answer
+            entry = answer.unwrap()
+            if entry is None:
+                return _conflict(f"part {index} of {snapshot.name} was replaced")
+            for record in decode_batch(entry.value).records:
+                self.state.live.apply(record)
+        return Ok(snapshot.sequence)
+
+    def _apply(self, batches, covered):
+        expected = covered + 1
+        for sequence, batch in batches:
+            if sequence <= covered:
+                continue
+            if sequence != expected:
+                return _conflict(f"batch {expected} was deleted while reading")
+            expected += 1
+            for record in batch.records:
+                self.state.live.apply(record)
+        return Ok(self.state)
+
+
+def _conflict(detail):
+    return Err(Failure(kind=ErrorKind.CONFLICT, detail=detail))
--- /dev/null
+++ b/wasabipaddle/leadership/__init__.py
@@ -0,0 +1,16 @@
+"""Leadership of shards by compare-and-swap in the platform's store."""
+
+from wasabipaddle.leadership.candidacy import Candidacy
+from wasabipaddle.leadership.election import ShardElection
+from wasabipaddle.leadership.facts import LeaderElected, LeaderSteppedDown
+from wasabipaddle.leadership.record import EarlierLeader, LeaderRecord, leader_key
+
+__all__ = [
+    "Candidacy",
+    "EarlierLeader",
+    "LeaderElected",
+    "LeaderRecord",
+    "LeaderSteppedDown",
+    "ShardElection",
+    "leader_key",
+]
--- /dev/null
+++ b/wasabipaddle/leadership/election.py
@@ -0,0 +1,332 @@
+"""Election of the leader of one shard."""
+
+import asyncio
+
+import attrs
+from reactivex.subject import Subject
+from result import Ok
+
+from wasabipaddle.exceptions import ErrorKind
+from wasabipaddle.leadership.facts import LeaderElected, LeaderSteppedDown
+from wasabipaddle.leadership.record import EarlierLeader, LeaderRecord, leader_key
+from wasabipaddle.messages import decode, encode
+
+__all__ = ["ShardElection"]
+
+TICKS_PER_LEASE = 10
+RENEWALS_PER_LEASE = 3
+PAUSE_PER_LEASE = 0.5
+STANDBY_READERS = 2  # candidates that read the record while the leader is heard
+RANK_DELAY_PER_LEASE = 0.1
+
+
+class ShardElection:
+    """Holds or seeks the leadership of one shard for one process.
+
+    Correctness rests on the epoch alone: it grows by compare-and-swap, and workers,
+    endpoints and the journal reject lower epochs. The lease only decides when a
+    candidate tries to take over.
+
+    Parameters
+    ----------
+    shard : str
+        Name of the shard.
+    process : str
+        Name of this process.
+    incarnation : int
+        Incarnation of this process.
+    store : Store
+        The platform's store.
+    clock : Clock
+        Source of time.
+    settings : LeadershipSettings
+        Lease time.
+    candidacy : Candidacy
+        What membership knows about the other processes.
+
+    Attributes
+    ----------
+    changes : reactivex.Subject
+        Emits `LeaderElected` and `LeaderSteppedDown`.
+    """
+
+    def __init__(
+        self, *, shard, process, incarnation, store, clock, settings, candidacy
+    ):
+        self.shard = shard
+        self.process = process
+        self.incarnation = incarnation
+        self.store = store
+        self.clock = clock
+        self.candidacy = candidacy
+        self.lease_s = settings.lease_s
+        self.key = leader_key(shard)
+        self.changes = Subject()
+        self.record = None
+        self.revision = 0
+        self.leading = False
+        self.must_check = False
+        self.in_doubt = False
+        self.next_renewal = 0.0
+        self.next_read = 0.0
+        self.seen = None
+        self.seen_revision = -1
+        self.seen_at = 0.0
+        self.offered = False
+        self.epoch_floor = 0
+        self.last_tick = clock.now()
+        self.busy = asyncio.Lock()
+
+    # State
+
+    @property
+    def epoch(self) -> int:
+        """Epoch under which this process leads, 0 if it does not."""
+        return self.record.epoch if self.leading else 0
+
+    def may_command(self) -> bool:
+        """Return whether commands other than lease renewals may be sent now.
+
+        This is false after a pause until the leader record has been read.
+        """
+        self._notice_pause()
+        return self.leading and not self.must_check
+
+    def predecessors_proven(self) -> bool:
+        """Return whether no earlier leader can still renew worker leases."""
+        return self.leading and all(self._has_stopped(e) for e in self.record.unproven)
+
+    def settle_predecessors(self):
+        """Forget earlier leaders once no task of theirs is in doubt."""
+        if self.leading:
+            self.record = attrs.evolve(self.record, unproven=())
+
+    def note_epoch(self, epoch):
+        """Take note of an epoch that another process claims."""
+        self.epoch_floor = max(self.epoch_floor, epoch)
+        if self.leading and self.record.epoch < epoch:
+            self._step_down(f"epoch {epoch} exists")
+
+    def offer(self, epoch):
+        """Seek the leadership at once after the leader of `epoch` released it."""
+        self.epoch_floor = max(self.epoch_floor, epoch)
+        self.offered = True
+        self.next_read = 0.0
+
+    def tick(self):
+        """Notice a pause of the process; called more often than half the lease."""
+        self._notice_pause()
+
+    def _notice_pause(self):
+        now = self.clock.now()
+        if now - self.last_tick > self.lease_s * PAUSE_PER_LEASE:
+            self.must_check = True
+        self.last_tick = now
+
+    def _has_stopped(self, earlier):
+        return self.candidacy.has_stopped(
+            earlier.leader, earlier.incarnation, self.shard, self.epoch
+        )
+
+    # Tasks
+
+    async def run(self):
+        """Tick and step until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._run_ticks())
+            group.create_task(self._run_steps())
+
+    async def _run_ticks(self):
+        while True:
+            self.tick()
+            await asyncio.sleep(self.lease_s / TICKS_PER_LEASE)
+
+    async def _run_steps(self):
+        while True:
+            await self.step()
+            await asyncio.sleep(self.lease_s / TICKS_PER_LEASE)
+
+    async def step(self):
+        """Renew, check or seek the leadership, whichever is due."""
+        async with self.busy:
+            self._notice_pause()
+            if self.leading:
+                await self._lead()
+            else:
+                await self._seek()
+
+    async def release(self):
+        """Give up the shard so that a candidate can lead at once.
+
+        Returns
+        -------
+        result.Result
+            Released epoch, or the failure of the store. This process no longer leads
+            in either case.
+        """
+        async with self.busy:
+            if not self.leading:
+                return Ok(0)
+            epoch = self.record.epoch
+            released = attrs.evolve(self.record, released=True)
+            self._step_down("released")
+            answer = await self._put(released, self.revision)
+            return Ok(epoch) if answer.is_ok() else answer
+
+    # Leader
+
+    async def _lead(self):
+        if self.must_check:
+            await self._check()
+        elif self.clock.now() >= self.next_renewal:
+            self.next_renewal = self.clock.now() + self.lease_s / RENEWALS_PER_LEASE
+            await (self._check() if self.in_doubt else self._renew())
+
+    async def _renew(self):
+        record = attrs.evolve(self.record, renewal=self.record.renewal + 1)
+        answer = await self._put(record, self.revision)
+        if not self.leading:
+            return
+        if answer.is_ok():
+            self.record = attrs.evolve(self.record, renewal=record.renewal)
+            self.revision = answer.unwrap()
+            return
+        kind = answer.unwrap_err().kind
+        if kind is ErrorKind.REVISION_MISMATCH:
+            self._step_down("renewal refused")
+        elif kind is ErrorKind.TIMEOUT:
+            self.in_doubt = True
+
+    async def _check(self):
+        answer = await self.store.get(self.key)
+        if answer.is_err() or not self.leading:
+            return
+        entry = answer.unwrap()
+        stored = None if entry is None else decode(entry.value, LeaderRecord).unwrap()
+        if stored is None or not stored.is_same_term(self.record) or stored.released:
+            self._step_down("the record names another leader")
+            return
+        self.revision = entry.revision
+        self.record = attrs.evolve(
+            self.record, renewal=max(stored.renewal, self.record.renewal)
+        )
+        self.in_doubt = False
+        self.must_check = False
+
+    def _step_down(self, reason):
+        epoch = self.record.epoch
+        self.leading = False
+        self.in_doubt = False
+        self.epoch_floor = max(self.epoch_floor, epoch)
+        self.seen_revision = -1
+        self.next_read = self.clock.now() + self.lease_s / RENEWALS_PER_LEASE
+        fact = LeaderSteppedDown(shard=self.shard, epoch=epoch, reason=reason)
+        self.changes.on_next(fact)
+
+    # Candidate
+
+    async def _seek(self):
+        rank = self.candidacy.rank(self.shard)
+        now = self.clock.now()
+        if rank is None or now < self.next_read:
+            return
+        if rank >= STANDBY_READERS and not self.offered and self._leader_is_heard():
+            return
+        self.next_read = now + self.lease_s / RENEWALS_PER_LEASE
+        answer = await self.store.get(self.key)
+        if answer.is_err():
+            return
+        self._observe(answer.unwrap())
+        if self._is_lost_acquisition():
+            self._become_leader(self.seen, self.seen_revision)
+        elif self._may_take_over(rank):
+            await self._acquire()
+
+    def _leader_is_heard(self):
+        if self.seen is None or self.seen.released:
+            return False
+        silence = self.candidacy.silence_s(self.seen.leader, self.seen.incarnation)
+        return silence < self.lease_s * PAUSE_PER_LEASE
+
+    def _observe(self, entry):
+        revision = 0 if entry is None else entry.revision
+        if revision == self.seen_revision:
+            return
+        self.seen_revision = revision
+        self.seen_at = self.clock.now()
+        self.seen = None
+        if entry is not None:
+            self.seen = decode(entry.value, LeaderRecord).unwrap()
+
+    def _is_lost_acquisition(self):
+        seen = self.seen
+        return (
+            seen is not None
+            and (seen.leader, seen.incarnation) == (self.process, self.incarnation)
+            and not seen.released
+            and seen.epoch > self.epoch_floor
+        )
+
+    def _may_take_over(self, rank):
+        now = self.clock.now()
+        if self.offered and (self.seen is None or self.seen.released):
+            return True
+        delay = rank * RANK_DELAY_PER_LEASE * self.lease_s
+        if self.seen is None or self.seen.released:
+            ready_at = self.seen_at + delay
+        else:
+            silence = self.candidacy.silence_s(self.seen.leader, self.seen.incarnation)
+            silent_at = now + max(self.lease_s - silence, 0.0)
+            ready_at = max(silent_at, self.seen_at + self.lease_s) + delay
+        if now >= ready_at:
+            return True
+        self.next_read = min(max(ready_at, now), self.next_read)
+        return False
+
+    async def _acquire(self):
+        self.offered = False
+        seen = self.seen
+        last = 0 if seen is None else seen.epoch
+        record = LeaderRecord(
+            leader=self.process,
+            incarnation=self.incarnation,
+            epoch=max(last, self.epoch_floor) + 1,
+            unproven=self._unproven(),
+        )
+        self.next_read = 0.0
+        answer = await self._put(record, self.seen_revision)
+        if answer.is_ok():
+            self._become_leader(record, answer.unwrap())
+
+    def _unproven(self):
+        seen = self.seen
+        if seen is None:
+            return ()
+        last = EarlierLeader(leader=seen.leader, incarnation=seen.incarnation)
+        earlier = dict.fromkeys(seen.unproven)
+        if not seen.released:
+            earlier[last] = None
+        epoch = seen.epoch + 1
+        return tuple(
+            e
+            for e in earlier
+            if not self.candidacy.has_stopped(
+                e.leader, e.incarnation, self.shard, epoch
+            )
+        )
+
+    def _become_leader(self, record, revision):
+        if record.epoch <= self.epoch_floor:
+            return
+        self._notice_pause()
+        self.record = record
+        self.revision = revision
+        self.leading = True
+        self.in_doubt = False
+        self.next_renewal = self.clock.now() + self.lease_s / RENEWALS_PER_LEASE
+        self.changes.on_next(LeaderElected(shard=self.shard, epoch=record.epoch))
+
+    async def _put(self, record, expected_revision):
+        return await self.store.put(
+            self.key, encode(record), expected_revision=expected_revision
+        )
--- /dev/null
+++ b/wasabipaddle/membership/__init__.py
@@ -0,0 +1,21 @@
+"""Members of the cell: liveness, delegates and shard leaders."""
+
+from wasabipaddle.membership.facts import (
+    EpochSeen,
+    MemberDown,
+    MemberUp,
+    RevisionSeen,
+    StorePauseSeen,
+)
+from wasabipaddle.membership.table import LocalState, Member, MemberTable
+
+__all__ = [
+    "EpochSeen",
+    "LocalState",
+    "Member",
+    "MemberDown",
+    "MemberTable",
+    "MemberUp",
+    "RevisionSeen",
+    "StorePauseSeen",
+]
--- /dev/null
+++ b/wasabipaddle/membership/table.py
@@ -0,0 +1,375 @@
+"""What one process knows about the members of the cell."""
+
+import math
+
+import attrs
+import xxhash
+
+from wasabipaddle.membership.claims import ClaimBook
+from wasabipaddle.membership.facts import MemberDown, MemberUp
+from wasabipaddle.messages import (
+    DataCentreSummary,
+    Heartbeat,
+    LedShard,
+    MemberAge,
+    MemberView,
+)
+
+__all__ = ["LocalState", "Member", "MemberTable"]
+
+FAN_OUT = 2
+SEEN_LIMIT = 5
+CLAIM_LIMIT = 3
+SUMMARY_LIMIT = 8
+SUMMARY_PERIODS = 3  # summaries that may be lost before a remote member is suspected
+NEVER = -math.inf
+
+
+@attrs.define(kw_only=True)
+class LocalState:
+    """What this process tells about itself in every heartbeat.
+
+    Parameters
+    ----------
+    revision : int
+        Highest document revision that is applied.
+    led : dict of str to int
+        Epochs of the shards that this process leads.
+    """
+
+    revision: int = 0
+    led: dict = attrs.field(factory=dict)
+    draining: bool = False
+    load: float = 0.0
+
+
+@attrs.define(kw_only=True)
+class Member:
+    """One other process of the cell.
+
+    Parameters
+    ----------
+    incarnation : int
+        Highest incarnation heard of, 0 if none.
+    heard_at : float
+        Time of the last sign of life, direct or through others.
+    up : bool
+        Whether the last published fact was `MemberUp`.
+    """
+
+    name: str
+    data_centre: str
+    incarnation: int = 0
+    heard_at: float = NEVER
+    revision: int = 0
+    led: tuple[LedShard, ...] = ()
+    draining: bool = False
+    load: float = 0.0
+    up: bool = False
+
+
+class MemberTable:
+    """Members by name, with what each last told about itself.
+
+    A process exchanges heartbeats with at most `FAN_OUT` members per period. Each
+    heartbeat carries a bounded sample of ages and shard claims, so that news of any
+    member reaches all members of its data centre in a logarithmic number of periods
+    while the bytes per process do not depend on the number of members.
+
+    Parameters
+    ----------
+    process : str
+        Name of this process.
+    incarnation : int
+        Incarnation of this process.
+    peers : sequence of Peer
+        All entry processes of the cell, this one included.
+    settings : MembershipSettings
+        Periods and suspicion time.
+
+    References
+    ----------
+    van Renesse et al., "A Gossip-Style Failure Detection Service", 1998.
+    """
+
+    def __init__(self, *, process, incarnation, peers, settings):
+        self.process = process
+        self.incarnation = incarnation
+        self.settings = settings
+        self.local = LocalState()
+        own = next(p for p in peers if p.name == process)
+        self.data_centre = own.data_centre
+        self.members = {
+            p.name: Member(name=p.name, data_centre=p.data_centre)
+            for p in peers
+            if p.name != process
+        }
+        names = {d: [] for d in sorted({p.data_centre for p in peers})}
+        for peer in sorted(peers, key=lambda p: p.name):
+            names[peer.data_centre].append(peer.name)
+        self.names = names
+        self.book = ClaimBook()
+        self.round = 0
+        self.cursor = 0
+
+    # Input
+
+    def heard(self, heartbeat, now):
+        """Take over what a member says about itself and about others."""
+        member = self.members.get(heartbeat.sender)
+        if member is None or heartbeat.incarnation < member.incarnation:
+            return
+        self._refresh(member, heartbeat.incarnation, now)
+        member.revision = heartbeat.revision
+        member.draining = heartbeat.draining
+        member.load = heartbeat.load
+        self.book.replace(member, heartbeat.led)
+        for age in heartbeat.seen:
+            self._heard_through(age, now)
+        for claim in heartbeat.claims:
+            self.book.add(claim)
+
+    def heard_reply(self, reply, sent, now):
+        """Take over the reply to the heartbeat `sent`."""
+        self.heard(reply, now)
+        self.book.note_reply(reply, sent)
+
+    def heard_summary(self, summary, now):
+        """Take over the state of another data centre from its delegate."""
+        sender = self.members.get(summary.sender)
+        if sender is None or summary.incarnation < sender.incarnation:
+            return
+        for view in summary.members:
+            member = self.members.get(view.name)
+            if member is None or view.incarnation < member.incarnation:
+                continue
+            if view.live:
+                self._refresh(member, view.incarnation, now)
+            member.revision = view.revision
+            member.draining = view.draining
+            member.load = view.load
+            self.book.replace(member, view.led)
+
+    def _refresh(self, member, incarnation, heard_at):
+        if incarnation > member.incarnation:
+            member.incarnation = incarnation
+            self.book.replace(member, ())
+            member.draining = False
+        member.heard_at = max(member.heard_at, heard_at)
+
+    def _heard_through(self, age, now):
+        member = self.members.get(age.name)
+        if member is None or age.incarnation < member.incarnation:
+            return
+        self._refresh(member, age.incarnation, now - max(age.age_s, 0.0))
+
+    # Questions
+
+    def age(self, name, now, *, incarnation=None) -> float:
+        """Return the time since a member was heard from, infinite for never.
+
+        Parameters
+        ----------
+        incarnation : int or None
+            Only signs of life of this incarnation count; None for any.
+        """
+        if name == self.process:
+            same = incarnation is None or incarnation == self.incarnation
+            return 0.0 if same else math.inf
+        member = self.members.get(name)
+        if member is None:
+            return math.inf
+        if incarnation is not None and member.incarnation != incarnation:
+            return math.inf
+        return now - member.heard_at
+
+    def is_live(self, name, now) -> bool:
+        """Return whether a member was heard from within the suspicion time."""
+        if name == self.process:
+            return True
+        member = self.members.get(name)
+        return member is not None and now - member.heard_at <= self._patience(member)
+
+    def live(self, now, data_centre=None) -> list[str]:
+        """Return the names of live members in rank order, this process included."""
+        centres = self.names if data_centre is None else (data_centre,)
+        return [n for c in centres for n in self.names[c] if self.is_live(n, now)]
+
+    def available(self, now, data_centre) -> list[str]:
+        """Return the live members of a data centre that are not draining."""
+        return [n for n in self.live(now, data_centre) if not self.is_draining(n)]
+
+    def is_draining(self, name) -> bool:
+        """Return whether a member said that it is shutting down."""
+        if name == self.process:
+            return self.local.draining
+        return self.members[name].draining
+
+    def delegate(self, data_centre, now) -> str | None:
+        """Return the highest-ranked available member of a data centre."""
+        return next(iter(self.available(now, data_centre)), None)
+
+    def candidates(self, shard, data_centre, now) -> list[str]:
+        """Return the available members in the order in which they should lead.
+
+        Members that lead fewer shards go first; the order of equals differs from
+        shard to shard.
+        """
+
+        def rank(name):
+            led = self.local.led if name == self.process else self.members[name].led
+            return len(led), xxhash.xxh64_intdigest(f"{shard}/{name}".encode())
+
+        return sorted(self.available(now, data_centre), key=rank)
+
+    def leader_of(self, shard, now) -> str | None:
+        """Return the live member with the highest claimed epoch of a shard."""
+        epoch = self.local.led.get(shard, 0)
+        claim = self.book.claims.get(shard)
+        if claim is None or claim.epoch < epoch:
+            return self.process if epoch else None
+        return claim.leader if self.is_live(claim.leader, now) else None
+
+    def has_stopped(self, name, incarnation, shard, epoch) -> bool:
+        """Return whether an earlier leader is proven not to lead below `epoch`."""
+        if name == self.process:
+            return incarnation <= self.incarnation
+        member = self.members.get(name)
+        if member is not None and member.incarnation > incarnation:
+            return True
+        return self.book.has_answered(name, incarnation, shard, epoch)
+
+    def transitions(self, now) -> list:
+        """Return a `MemberUp` or `MemberDown` for each change since the last call."""
+        facts = []
+        for member in self.members.values():
+            up = self.is_live(member.name, now)
+            if up == member.up:
+                continue
+            member.up = up
+            fact = MemberUp if up else MemberDown
+            facts.append(
+                fact(
+                    name=member.name,
+                    data_centre=member.data_centre,
+                    incarnation=member.incarnation,
+                )
+            )
+        return facts
+
+    def _patience(self, member):
+        if member.data_centre == self.data_centre:
+            return self.settings.suspect_s
+        return self.settings.suspect_s + SUMMARY_PERIODS * self.settings.summary_s
+
+    # Output
+
+    def targets(self) -> list[str]:
+        """Return the members that get a heartbeat in this period.
+
+        Each period uses the next offsets on the ring of members, so that all pairs
+        meet in turn and every member receives as many heartbeats as it sends.
+        """
+        ring = self.names[self.data_centre]
+        position = ring.index(self.process)
+        pairs = len(ring) // 2  # one exchange informs both sides
+        chosen = []
+        for k in range(min(FAN_OUT, pairs)):
+            offset = 1 + (self.round * FAN_OUT + k) % pairs
+            name = ring[(position + offset) % len(ring)]
+            if name not in chosen:
+                chosen.append(name)
+        self.round += 1
+        return chosen
+
+    def probe(self, data_centre) -> str:
+        """Return the next member of a data centre of which none is known to live."""
+        names = self.names[data_centre]
+        return names[self.round % len(names)]
+
+    def heartbeat(self, hlc, now, *, store_pause_s=0.0) -> Heartbeat:
+        """Return the heartbeat of this process."""
+        self.cursor += 1
+        return Heartbeat(
+            sender=self.process,
+            incarnation=self.incarnation,
+            hlc=hlc,
+            revision=self.local.revision,
+            led=self._own_led(),
+            draining=self.local.draining,
+            load=round(self.local.load, 2),
+            store_pause_s=round(store_pause_s, 2),
+            seen=self._sample_ages(now),
+            claims=self._sample_claims(),
+        )
+
+    def summary(self, hlc, now, *, store_pause_s=0.0) -> DataCentreSummary:
+        """Return the summary of the own data centre for other delegates.
+
+        It names this process, the shard leaders and further live members, at most
+        `SUMMARY_LIMIT` in all.
+        """
+        views = [self._own_view()]
+        others = [m for m in self.members.values() if m.data_centre == self.data_centre]
+        others.sort(key=lambda m: (not m.led, now - m.heard_at, m.name))
+        views += [self._view(m, now) for m in others[: SUMMARY_LIMIT - 1]]
+        return DataCentreSummary(
+            sender=self.process,
+            incarnation=self.incarnation,
+            hlc=hlc,
+            data_centre=self.data_centre,
+            revision=self.local.revision,
+            members=tuple(views),
+            store_pause_s=round(store_pause_s, 2),
+        )
+
+    def views(self, now) -> list[MemberView]:
+        """Return a view of every member for `cluster status`, this one first."""
+        return [self._own_view(), *(self._view(m, now) for m in self.members.values())]
+
+    def _own_led(self):
+        return tuple(LedShard(shard=s, epoch=e) for s, e in self.local.led.items())
+
+    def _own_view(self):
+        return MemberView(
+            name=self.process,
+            data_centre=self.data_centre,
+            incarnation=self.incarnation,
+            revision=self.local.revision,
+            live=True,
+            draining=self.local.draining,
+            led=self._own_led(),
+            load=round(self.local.load, 2),
+        )
+
+    def _view(self, member, now):
+        return MemberView(
+            name=member.name,
+            data_centre=member.data_centre,
+            incarnation=member.incarnation,
+            revision=member.revision,
+            live=self.is_live(member.name, now),
+            draining=member.draining,
+            led=member.led,
+            load=member.load,
+        )
+
+    def _sample_ages(self, now):
+        known = [m for m in self.members.values() if self.is_live(m.name, now)]
+        return tuple(
+            MemberAge(
+                name=m.name,
+                incarnation=m.incarnation,
+                age_s=round(now - m.heard_at, 2),
+            )
+            for m in self._rotate(known, SEEN_LIMIT)
+        )
+
+    def _sample_claims(self):
+        return tuple(self._rotate(list(self.book.claims.values()), CLAIM_LIMIT))
+
+    def _rotate(self, items, limit):
+        if len(items) <= limit:
+            return items
+        start = self.cursor * limit % len(items)
+        return (items[start:] + items[:start])[:limit]
--- a/wasabipaddle/messages/__init__.py
+++ b/wasabipaddle/messages/__init__.py
@@ -9,7 +9,9 @@
     HeartbeatReply,
     LeaderHandover,
     LedShard,
+    MemberAge,
     MemberView,
+    ShardClaim,
 )
 from wasabipaddle.messages.requests import (
     ForwardReply,
@@ -51,6 +53,7 @@
     "LeaderHandover",
     "LedShard",
     "ListRuns",
+    "MemberAge",
     "MemberView",
     "PoolDemand",
     "QueryRun",
@@ -62,6 +65,7 @@
     "RunPage",
     "RunState",
     "RunView",
+    "ShardClaim",
     "StopRun",
     "SubmitRun",
     "TaskView",
--- a/wasabipaddle/messages/members.py
+++ b/wasabipaddle/messages/members.py
@@ -11,7 +11,9 @@
     "HeartbeatReply",
     "LeaderHandover",
     "LedShard",
+    "MemberAge",
     "MemberView",
+    "ShardClaim",
 ]
 
 
@@ -23,6 +25,31 @@
     epoch: int
 
 
+@attrs.frozen(kw_only=True)
+class ShardClaim:
+    """Highest known claim to lead a shard."""
+
+    shard: str
+    epoch: int
+    leader: str
+    incarnation: int
+
+
+@attrs.frozen(kw_only=True)
+class MemberAge:
+    """When a member was last heard from, directly or through others.
+
+    Parameters
+    ----------
+    age_s : float
+        Time since then at the sending of the message, in seconds.
+    """
+
+    name: str
+    incarnation: int
+    age_s: float
+
+
 @attrs.frozen(kw_only=True)
 class Heartbeat:
     """Periodic message to a member of the same data centre.
@@ -41,6 +68,10 @@
         Requests in progress over slots held.
     store_pause_s : float
         Remaining pause of store calls after a throttled answer, 0 for none.
+    seen : tuple of MemberAge
+        Bounded sample of the members that the sender knows.
+    claims : tuple of ShardClaim
+        Bounded sample of the shard leaders that the sender knows.
     """
 
     sender: str
@@ -51,6 +82,8 @@
     draining: bool = False
     load: float = 0.0
     store_pause_s: float = 0.0
+    seen: tuple[MemberAge, ...] = ()
+    claims: tuple[ShardClaim, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -90,6 +123,7 @@
     data_centre: str
     revision: int
     members: tuple[MemberView, ...]
+    store_pause_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
--- a/wasabipaddle/platform/__init__.py
+++ b/wasabipaddle/platform/__init__.py
@@ -6,6 +6,7 @@
     EndpointRequest,
     RequestState,
 )
+from wasabipaddle.platform.gate import GatedStore, StoreGate
 from wasabipaddle.platform.store import Change, Entry, Page, Store
 from wasabipaddle.platform.vms import VmEntry, VmList, VmRole, VmStatus
 from wasabipaddle.platform.worker import (
@@ -30,6 +31,8 @@
     "Page",
     "RequestState",
     "Store",
+    "StoreGate",
+    "GatedStore",
     "TaskOrder",
     "TaskOutcome",
     "TaskPhase",
--- /dev/null
+++ b/wasabipaddle/platform/gate.py
@@ -0,0 +1,147 @@
+"""Pause and call counts that all store clients of a process share."""
+
+from result import Err
+
+from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.platform.store import Store
+
+__all__ = ["StoreGate", "GatedStore"]
+
+SHORTEST_PAUSE_S = 0.5
+PAUSE_JITTER = 0.5  # spreads the first calls of all processes after a pause
+PAUSE_HYSTERESIS_S = 0.1  # two processes that echo a pause must not prolong it
+
+READS = frozenset({"get", "list", "watch"})
+
+
+class StoreGate:
+    """Access to the store for one process.
+
+    A throttled answer to any call pauses all calls of the process. A call during the
+    pause is answered with `store_throttled` without reaching the store.
+
+    Parameters
+    ----------
+    store : Store
+        Client of the platform's store.
+    clock : Clock
+        Source of time.
+    random : random.Random
+        Source of jitter.
+    """
+
+    def __init__(self, *, store, clock, random):
+        self.store = store
+        self.clock = clock
+        self.random = random
+        self.announced_until = 0.0
+        self.paused_until = 0.0
+        self.calls = {}
+
+    @property
+    def pause_s(self) -> float:
+        """Remaining pause without jitter, as announced to other processes."""
+        return max(self.announced_until - self.clock.now(), 0.0)
+
+    def pause(self, seconds):
+        """Pause all calls for `seconds` and some jitter."""
+        until = self.clock.now() + seconds
+        if until <= self.announced_until + PAUSE_HYSTERESIS_S:
+            return
+        self.announced_until = until
+        jitter = PAUSE_JITTER * seconds * self.random.random()
+        self.paused_until = max(self.paused_until, until + jitter)
+
+    def refusal(self) -> Failure | None:
+        """Return the failure of a call made now, or None outside a pause."""
+        remaining = self.paused_until - self.clock.now()
+        if remaining <= 0:
+            return None
+        return Failure(
+            kind=ErrorKind.STORE_THROTTLED,
+            detail="store calls are paused",
+            retry_after_s=remaining,
+        )
+
+    def view(self, purpose) -> "GatedStore":
+        """Return the store as seen by the users of one purpose."""
+        return GatedStore(gate=self, purpose=purpose)
+
+    def reads(self) -> int:
+        """Return the number of read calls so far, waiting watches included."""
+        return sum(n for (_, kind), n in self.calls.items() if kind in READS)
+
+    def writes(self) -> int:
+        """Return the number of write calls so far."""
+        return sum(n for (_, kind), n in self.calls.items() if kind not in READS)
+
+    async def call(self, purpose, kind, *args, **kwargs):
+        """Count and carry out one store call unless calls are paused."""
+        refused = self.refusal()
+        if refused is not None:
+            return Err(refused)
+        key = (purpose, kind)
+        self.calls[key] = self.calls.get(key, 0) + 1
+        answer = await getattr(self.store, kind)(*args, **kwargs)
+        if answer.is_err():
+            failure = answer.unwrap_err()
+            if failure.kind is ErrorKind.STORE_THROTTLED:
+                self.pause(max(failure.retry_after_s or 0.0, SHORTEST_PAUSE_S))
+        return answer
+
+
+class GatedStore(Store):
+    """Store whose calls are counted for one purpose and obey the shared pause.
+
+    Parameters
+    ----------
+    gate : StoreGate
+        Access to the store.
+    purpose : str
+        Name under which calls are counted.
+    """
+
+    def __init__(self, *, gate, purpose):
+        self.gate = gate
+        self.purpose = purpose
+
+    async def get(self, key):
+        """Read one key."""
+        return await self.gate.call(self.purpose, "get", key)
+
+    async def list(self, prefix, *, after="", limit=100):
+        """Read keys with a prefix."""
+        return await self.gate.call(
+            self.purpose, "list", prefix, after=after, limit=limit
+        )
+
+    async def put(self, key, value, *, expected_revision=None, lease=None):
+        """Write one key."""
+        return await self.gate.call(
+            self.purpose,
+            "put",
+            key,
+            value,
+            expected_revision=expected_revision,
+            lease=lease,
+        )
+
+    async def delete(self, key, *, expected_revision=None):
+        """Delete one key."""
+        return await self.gate.call(
+            self.purpose, "delete", key, expected_revision=expected_revision
+        )
+
+    async def watch(self, prefix, *, after_revision, wait_s):
+        """Wait for changes under a prefix."""
+        return await self.gate.call(
+            self.purpose, "watch", prefix, after_revision=after_revision, wait_s=wait_s
+        )
+
+    async def grant_lease(self, ttl_s):
+        """Create a store lease."""
+        return await self.gate.call(self.purpose, "grant_lease", ttl_s)
+
+    async def renew_lease(self, lease):
+        """Extend a store lease."""
+        return await self.gate.call(self.purpose, "renew_lease", lease)
--- /dev/null
+++ b/wasabipaddle/serve/leadership.py
@@ -0,0 +1,144 @@
+"""Role `leadership`: elections of the shards of the own data centre."""
+
+from result import Ok
+
+from wasabipaddle.kernel import Plugin
+from wasabipaddle.leadership import (
+    Candidacy,
+    LeaderElected,
+    LeaderSteppedDown,
+    ShardElection,
+)
+from wasabipaddle.membership import EpochSeen
+from wasabipaddle.messages import LeaderHandover
+from wasabipaddle.serve.tasks import TaskSet
+from wasabipaddle.timeline import EventKind
+
+__all__ = ["LeadershipPlugin"]
+
+HANDOVER_TIMEOUT_S = 1.0
+
+
+class MemberCandidacy(Candidacy):
+    """Candidacy of this process as the member table and the VM list show it.
+
+    Parameters
+    ----------
+    membership : MembershipPlugin
+        Members.
+    is_gone : callable
+        Function from a process name to whether its VM no longer exists.
+    """
+
+    def __init__(self, *, membership, is_gone):
+        self.membership = membership
+        self.is_gone = is_gone
+
+    def rank(self, shard):
+        """Return the position of this process among the candidates."""
+        table = self.membership.table
+        names = table.candidates(shard, table.data_centre, self.membership.now())
+        return names.index(table.process) if table.process in names else None
+
+    def silence_s(self, name, incarnation):
+        """Return the time since a process was heard from."""
+        now = self.membership.now()
+        return self.membership.table.age(name, now, incarnation=incarnation)
+
+    def has_stopped(self, name, incarnation, shard, epoch):
+        """Return whether a process is proven not to lead below `epoch`."""
+        table = self.membership.table
+        return self.is_gone(name) or table.has_stopped(name, incarnation, shard, epoch)
+
+
+class LeadershipPlugin(Plugin):
+    """Runs one election per shard and publishes its changes.
+
+    Publishes `LeaderElected` and `LeaderSteppedDown`.
+
+    Attributes
+    ----------
+    elections : dict of str to ShardElection
+        Elections by shard.
+    """
+
+    name = "leadership"
+    requires = ("membership", "store", "fleet")
+
+    def __init__(self, *, context):
+        super().__init__(context=context)
+        self.membership = context.plugins["membership"]
+        self.transport = context.plugins["transport"].transport
+        self.tasks = TaskSet()
+        self.elections = {}
+        settings = context.settings
+        candidacy = MemberCandidacy(
+            membership=self.membership, is_gone=context.plugins["fleet"].is_gone
+        )
+        for shard in settings.shards_of(settings.data_centre):
+            election = ShardElection(
+                shard=shard,
+                process=settings.process,
+                incarnation=self.membership.table.incarnation,
+                store=context.plugins["store"].gate.view("leadership"),
+                clock=context.clock,
+                settings=settings.leadership,
+                candidacy=candidacy,
+            )
+            election.changes.subscribe(self._announce)
+            self.elections[shard] = election
+        context.bus.facts(EpochSeen).subscribe(self._note_epoch)
+        self.transport.handle(LeaderHandover, self._receive_handover)
+
+    async def start(self):
+        """Start the elections."""
+        for election in self.elections.values():
+            self.tasks.spawn(election.run())
+
+    async def drain(self):
+        """Release the led shards and tell the next candidate of each."""
+        self.membership.table.local.draining = True
+        for election in self.elections.values():
+            released = await election.release()
+            if released.is_ok() and released.unwrap():
+                await self._hand_over(election.shard, released.unwrap())
+
+    async def stop(self):
+        """Stop the elections."""
+        await self.tasks.close()
+
+    async def _hand_over(self, shard, epoch):
+        table = self.membership.table
+        now = self.membership.now()
+        for peer in table.candidates(shard, table.data_centre, now):
+            notice = LeaderHandover(sender=table.process, shard=shard, epoch=epoch)
+            answer = await self.transport.call(
+                peer, notice, LeaderHandover, timeout_s=HANDOVER_TIMEOUT_S
+            )
+            if answer.is_ok():
+                return
+
+    async def _receive_handover(self, notice):
+        election = self.elections.get(notice.shard)
+        if election is not None:
+            election.offer(notice.epoch)
+            self.tasks.spawn(election.step())
+        return Ok(notice)
+
+    def _note_epoch(self, fact):
+        election = self.elections.get(fact.shard)
+        if election is not None and fact.leader != self.membership.table.process:
+            election.note_epoch(fact.epoch)
+
+    def _announce(self, fact):
+        led = self.membership.table.local.led
+        if isinstance(fact, LeaderElected):
+            led[fact.shard] = fact.epoch
+            detail = f"{fact.shard} epoch {fact.epoch}"
+            self.context.events.record(EventKind.LEADER_ELECTED, detail=detail)
+        elif isinstance(fact, LeaderSteppedDown):
+            led.pop(fact.shard, None)
+            detail = f"{fact.shard} epoch {fact.epoch}: {fact.reason}"
+            self.context.events.record(EventKind.LEADER_STEPPED_DOWN, detail=detail)
+        self.context.metrics.count("leadership_changes")
+        self.context.bus.publish(fact)
--- /dev/null
+++ b/wasabipaddle/serve/membership.py
@@ -0,0 +1,175 @@
+"""Role `membership`: heartbeats and summaries between entry processes."""
+
+from result import Ok
+
+from wasabipaddle.kernel import Plugin
+from wasabipaddle.membership import (
+    EpochSeen,
+    MemberTable,
+    MemberUp,
+    RevisionSeen,
+    StorePauseSeen,
+)
+from wasabipaddle.messages import DataCentreSummary, Heartbeat, HeartbeatReply
+from wasabipaddle.serve.tasks import TaskSet
+from wasabipaddle.timeline import EventKind
+
+__all__ = ["MembershipPlugin"]
+
+CALL_TIMEOUT_S = 1.0
+
+
+class MembershipPlugin(Plugin):
+    """Exchanges heartbeats and publishes what they tell.
+
+    Publishes `MemberUp`, `MemberDown`, `RevisionSeen`, `EpochSeen` and
+    `StorePauseSeen`. Other roles report their state in `table.local`.
+
+    Attributes
+    ----------
+    table : MemberTable
+        What is known about the members.
+    """
+
+    name = "membership"
+    requires = ("transport", "store")
+
+    def __init__(self, *, context):
+        super().__init__(context=context)
+        settings = context.settings
+        self.period = settings.membership
+        self.table = MemberTable(
+            process=settings.process,
+            incarnation=max(context.clock.wall_ms(), 1),
+            peers=settings.deployment.entries,
+            settings=settings.membership,
+        )
+        self.transport = context.plugins["transport"].transport
+        self.gate = context.plugins["store"].gate
+        self.tasks = TaskSet()
+        self.subscriptions = []
+        self.transport.handle(Heartbeat, self._receive_heartbeat)
+        self.transport.handle(DataCentreSummary, self._receive_summary)
+
+    async def start(self):
+        """Start sending heartbeats."""
+        timers = self.context.timers
+        self.subscriptions = [
+            timers.every(self.period.heartbeat_s).subscribe(self._beat),
+            timers.every(self.period.summary_s).subscribe(self._summarise),
+        ]
+        self._beat(None)
+
+    async def drain(self):
+        """Tell the other members that this process is leaving."""
+        self.table.local.draining = True
+        self._beat(None)
+
+    async def stop(self):
+        """Stop sending heartbeats."""
+        for subscription in self.subscriptions:
+            subscription.dispose()
+        await self.tasks.close()
+
+    def leader_of(self, shard) -> str | None:
+        """Return the live process that leads a shard, as far as is known."""
+        return self.table.leader_of(shard, self.now())
+
+    def delegate(self, data_centre) -> str | None:
+        """Return the highest-ranked available process of a data centre."""
+        return self.table.delegate(data_centre, self.now())
+
+    def live(self, data_centre=None) -> list[str]:
+        """Return the live processes of a data centre, or of all."""
+        return self.table.live(self.now(), data_centre)
+
+    def now(self) -> float:
+        """Return monotonic time in seconds."""
+        return self.context.clock.now()
+
+    # Sending
+
+    def _beat(self, _):
+        self._publish_transitions()
+        for peer in self.table.targets():
+            self.tasks.spawn(self._send_heartbeat(peer))
+
+    async def _send_heartbeat(self, peer):
+        message = self._heartbeat()
+        answer = await self.transport.call(
+            peer, message, HeartbeatReply, timeout_s=CALL_TIMEOUT_S
+        )
+        if answer.is_err():
+            self.context.metrics.count("heartbeats_failed")
+            return
+        reply = answer.unwrap().heartbeat
+        self.context.hybrid.receive(reply.hlc)
+        self.table.heard_reply(reply, message, self.now())
+        self._publish_news(reply)
+
+    def _summarise(self, _):
+        own = self.table.data_centre
+        if self.delegate(own) != self.table.process:
+            return
+        for data_centre in self.table.names:
+            if data_centre != own:
+                self.tasks.spawn(self._send_summary(data_centre))
+
+    async def _send_summary(self, data_centre):
+        peer = self.delegate(data_centre) or self.table.probe(data_centre)
+        answer = await self.transport.call(
+            peer, self._summary(), DataCentreSummary, timeout_s=CALL_TIMEOUT_S
+        )
+        if answer.is_err():
+            self.context.metrics.count("summaries_failed")
+            return
+        self._take_summary(answer.unwrap())
+
+    def _heartbeat(self):
+        hlc = self.context.hybrid.tick()
+        return self.table.heartbeat(hlc, self.now(), store_pause_s=self.gate.pause_s)
+
+    def _summary(self):
+        hlc = self.context.hybrid.tick()
+        return self.table.summary(hlc, self.now(), store_pause_s=self.gate.pause_s)
+
+    # Receiving
+
+    async def _receive_heartbeat(self, heartbeat):
+        self.context.hybrid.receive(heartbeat.hlc)
+        self.table.heard(heartbeat, self.now())
+        self._publish_news(heartbeat)
+        return Ok(HeartbeatReply(heartbeat=self._heartbeat()))
+
+    async def _receive_summary(self, summary):
+        self._take_summary(summary)
+        return Ok(self._summary())
+
+    def _take_summary(self, summary):
+        self.context.hybrid.receive(summary.hlc)
+        self.table.heard_summary(summary, self.now())
+        self._publish_state(summary)
+
+    def _publish_news(self, heartbeat):
+        for claim in (*heartbeat.led, *heartbeat.claims):
+            leader = getattr(claim, "leader", heartbeat.sender)
+            self.context.bus.publish(
+                EpochSeen(shard=claim.shard, epoch=claim.epoch, leader=leader)
+            )
+        self._publish_state(heartbeat)
+
+    def _publish_state(self, message):
+        if message.store_pause_s > 0:
+            self.context.bus.publish(StorePauseSeen(pause_s=message.store_pause_s))
+        if message.revision > self.table.local.revision:
+            self.context.bus.publish(
+                RevisionSeen(peer=message.sender, revision=message.revision)
+            )
+        self._publish_transitions()
+
+    def _publish_transitions(self):
+        for fact in self.table.transitions(self.now()):
+            up = isinstance(fact, MemberUp)
+            kind = EventKind.MEMBER_UP if up else EventKind.MEMBER_DOWN
+            self.context.events.record(kind, vm=fact.name)
+            self.context.bus.publish(fact)
--- /dev/null
+++ b/wasabipaddle/serve/relay.py
@@ -0,0 +1,227 @@
+"""Role `relay`: keeps the documents of this process up to date."""
+
+import asyncio
+
+from result import Ok
+
+from wasabipaddle.documents import decode_stored, parse_document
+from wasabipaddle.documents.stored import DOCUMENT_PREFIX
+from wasabipaddle.exceptions import ErrorKind
+from wasabipaddle.kernel import Plugin
+from wasabipaddle.membership import RevisionSeen
+from wasabipaddle.messages import DocumentRevision, RevisionPage, RevisionQuery
+from wasabipaddle.relay import DocumentApplied, RevisionTable
+from wasabipaddle.serve.tasks import TaskSet
+from wasabipaddle.timeline import EventKind
+
+__all__ = ["RelayPlugin"]
+
+ROLE_CHECK_S = 0.5
+RETRY_S = 1.0
+FETCH_TIMEOUT_S = 3.0
+FAR_GAP_S = 6.0  # several summaries: the relay of the region had time to catch up
+LIST_LIMIT = 100
+
+
+class RelayPlugin(Plugin):
+    """Watches the store for its data centre or fetches documents from peers.
+
+    Publishes `DocumentApplied` for each revision that comes into force.
+
+    Attributes
+    ----------
+    table : RevisionTable
+        Documents in force.
+    loaded : asyncio.Event
+        Set once the documents were read from the store or from a peer.
+    """
+
+    name = "relay"
+    requires = ("membership", "store")
+    parse = staticmethod(parse_document)
+
+    def __init__(self, *, context):
+        super().__init__(context=context)
+        self.membership = context.plugins["membership"]
+        self.transport = context.plugins["transport"].transport
+        self.store = context.plugins["store"].gate.view("documents")
+        self.table = RevisionTable(parse=self.parse)
+        self.loaded = asyncio.Event()
+        self.tasks = TaskSet()
+        self.cursor = None
+        self.fetching = False
+        self.gap_since = None
+        context.bus.facts(RevisionSeen).subscribe(self._consider)
+        self.transport.handle(RevisionQuery, self._answer_query)
+
+    async def start(self):
+        """Start following the store while this process is the relay."""
+        self.tasks.spawn(self._follow())
+
+    async def stop(self):
+        """Stop following the store."""
+        await self.tasks.close()
+
+    def get(self, service):
+        """Return the `ServiceDocument` in force, or None."""
+        return self.table.get(service)
+
+    def documents(self) -> list:
+        """Return all documents in force."""
+        return self.table.documents()
+
+    # Relay
+
+    def watches_store(self) -> bool:
+        """Return whether this process reads the store for others.
+
+        In the region of the store this is the delegate of each data centre. In
+        another region it is the delegate of the first data centre that has one, so
+        that a change crosses the link once.
+        """
+        settings = self.context.settings
+        if self.membership.delegate(settings.data_centre) != settings.process:
+            return False
+        if settings.region == settings.deployment.store_region:
+            return True
+        centres = (d.name for d in settings.deployment.data_centres)
+        region = [c for c in centres if settings.region_of(c) == settings.region]
+        delegates = (self.membership.delegate(c) for c in sorted(region))
+        return next(d for d in delegates if d is not None) == settings.process
+
+    async def _follow(self):
+        while True:
+            if not self.watches_store():
+                await asyncio.sleep(ROLE_CHECK_S)
+                continue
+            if self.cursor is None:
+                answer = await self._read_all()
+            else:
+                answer = await self._watch()
+            if answer.is_err():
+                await self._pause_after(answer.unwrap_err())
+
+    async def _pause_after(self, failure):
+        if failure.kind is ErrorKind.REVISION_MISMATCH:
+            self.cursor = None
+            return
+        self.context.metrics.count("document_reads_failed")
+        pause = RETRY_S * (0.5 + self.context.random.random())
+        await asyncio.sleep(max(pause, failure.retry_after_s or 0.0))
+
+    async def _read_all(self):
+        services, after, first = set(), "", None
+        while after is not None:
+            answer = await self.store.list(
+                DOCUMENT_PREFIX, after=after, limit=LIST_LIMIT
+            )
+            if answer.is_err():
+                return answer
+            page = answer.unwrap()
+            first = page.revision if first is None else first
+            for entry in page.entries:
+                services.add(entry.key.removeprefix(DOCUMENT_PREFIX))
+                self._apply_value(entry.key, entry.value, entry.revision)
+            after = page.next_after
+        for tombstone in self.table.missing_from(services, first):
+            self._apply(tombstone)
+        self.cursor = first
+        self._complete_to(self.table.highest(first))
+        return answer
+
+    async def _watch(self):
+        after = max(self.cursor, self.table.revision)
+        wait_s = self.context.settings.store.watch_s
+        answer = await self.store.watch(
+            DOCUMENT_PREFIX, after_revision=after, wait_s=wait_s
+        )
+        if answer.is_ok() and answer.unwrap():
+            for change in answer.unwrap():
+                self._apply_value(change.key, change.value, change.revision)
+            self.cursor = answer.unwrap()[-1].revision
+            self._complete_to(self.cursor)
+        return answer
+
+    def _apply_value(self, key, value, revision):
+        service = key.removeprefix(DOCUMENT_PREFIX)
+        text = None
+        if value is not None:
+            stored = decode_stored(value)
+            if stored.is_err():
+                self.context.metrics.count("documents_invalid")
+                return
+            text = stored.unwrap().text
+        self._apply(DocumentRevision(service=service, revision=revision, text=text))
+
+    def _apply(self, source):
+        applied = self.table.apply(source)
+        if applied is not None:
+            self._announce(applied)
+        elif source.service in self.table.invalid:
+            self.context.metrics.count("documents_invalid")
+
+    def _announce(self, applied):
+        source = applied.source
+        self.context.events.record(
+            EventKind.DOCUMENT_APPLIED,
+            service=source.service,
+            detail=f"revision {source.revision}",
+        )
+        self.context.bus.publish(
+            DocumentApplied(
+                service=source.service,
+                revision=source.revision,
+                document=applied.document,
+            )
+        )
+
+    def _complete_to(self, revision):
+        self.table.complete_to(revision)
+        self.membership.table.local.revision = self.table.revision
+        self.loaded.set()
+
+    # Peers
+
+    async def _answer_query(self, query):
+        return Ok(self.table.page(query.above))
+
+    def _consider(self, fact):
+        """Fetch from a peer that holds a higher revision, if it is near enough."""
+        if self.fetching or fact.revision <= self.table.revision:
+            return
+        if self._is_near(fact.peer) or self._gap_persists():
+            self.fetching = True
+            self.tasks.spawn(self._fetch(fact.peer))
+
+    def _is_near(self, peer):
+        settings = self.context.settings
+        member = self.membership.table.members[peer]
+        return settings.region_of(member.data_centre) == settings.region
+
+    def _gap_persists(self):
+        now = self.context.clock.now()
+        if self.gap_since is None:
+            self.gap_since = now
+        return now - self.gap_since >= FAR_GAP_S
+
+    async def _fetch(self, peer):
+        try:
+            while True:
+                query = RevisionQuery(
+                    sender=self.context.settings.process, above=self.table.revision
+                )
+                answer = await self.transport.call(
+                    peer, query, RevisionPage, timeout_s=FETCH_TIMEOUT_S
+                )
+                if answer.is_err():
+                    self.context.metrics.count("revision_fetches_failed")
+                    return
+                page = answer.unwrap()
+                if page.revision <= query.above:
+                    return
+                for source in page.documents:
+                    self._apply(source)
+                self._complete_to(page.revision)
+                self.gap_since = None
+        finally:
+            self.fetching = False
--- /dev/null
+++ b/wasabipaddle/serve/store.py
@@ -0,0 +1,31 @@
+"""Role `store`: access to the platform's store under a pause that all share."""
+
+from wasabipaddle.kernel import Plugin
+from wasabipaddle.membership import StorePauseSeen
+from wasabipaddle.platform import StoreGate
+
+__all__ = ["StorePlugin"]
+
+
+class StorePlugin(Plugin):
+    """Owns the `StoreGate` of the process.
+
+    Attributes
+    ----------
+    gate : StoreGate
+        Source of the store views of all other roles.
+    """
+
+    name = "store"
+    requires = ("platform",)
+
+    def __init__(self, *, context):
+        super().__init__(context=context)
+        self.gate = StoreGate(
+            store=context.plugins["platform"].store,
+            clock=context.clock,
+            random=context.random,
+        )
+        context.bus.facts(StorePauseSeen).subscribe(
+            lambda fact: self.gate.pause(fact.pause_s)
+        )
--- /dev/null
+++ b/wasabipaddle/serve/tasks.py
@@ -0,0 +1,33 @@
+"""Tasks that a role owns."""
+
+import asyncio
+
+from absl import logging
+
+__all__ = ["TaskSet"]
+
+
+class TaskSet:
+    """Tasks of one role, cancelled together when the role stops."""
+
+    def __init__(self):
+        self.tasks = set()
+
+    def spawn(self, coroutine) -> asyncio.Task:
+        """Run a coroutine as a task; an exception in it is logged."""
+        task = asyncio.create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self._finished)
+        return task
+
+    async def close(self):
+        """Cancel all tasks and wait for their end."""
+        tasks = list(self.tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _finished(self, task):
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logging.error("task failed", exc_info=task.exception())
--- a/wasabipaddle/settings/model.py
+++ b/wasabipaddle/settings/model.py
@@ -262,11 +262,18 @@
         Largest encoded batch.
     compact_after : int
         Appends after which the journal is compacted.
+    writes_per_s : float
+        Store writes that one shard's journal may make per second, deletions
+        included.
+    max_queue : int
+        Largest number of records that wait for an append.
     """
 
     min_interval_s: float = 0.05
     max_batch_bytes: int = 900_000
     compact_after: int = 500
+    writes_per_s: float = 20.0
+    max_queue: int = 50_000
 
 
 @attrs.frozen(kw_only=True)
