Add HTTP plug-ins for store, workers, endpoints and list of VMs

A connection that shows no byte within progress_s is closed and gives timeout; only a failed connect is reported as surely not delivered. The body of an answer is an AnswerChunks, whose aclose gives the connection back when the body is not read.

--- a/wasabipaddle/platform/__init__.py
+++ b/wasabipaddle/platform/__init__.py
@@ -1,6 +1,7 @@
 """Abstract interfaces to the platform and to endpoints."""
 
 from wasabipaddle.platform.endpoint import (
+    AnswerChunks,
     EndpointAnswer,
     EndpointClient,
     EndpointRequest,
@@ -22,6 +23,7 @@
 )
 
 __all__ = [
+    "AnswerChunks",
     "Change",
     "EndpointAnswer",
     "EndpointClient",
--- a/wasabipaddle/platform/endpoint.py
+++ b/wasabipaddle/platform/endpoint.py
@@ -9,7 +9,13 @@
 
 from wasabipaddle.exceptions import Failure
 
-__all__ = ["EndpointAnswer", "EndpointClient", "EndpointRequest", "RequestState"]
+__all__ = [
+    "AnswerChunks",
+    "EndpointAnswer",
+    "EndpointClient",
+    "EndpointRequest",
+    "RequestState",
+]
 
 
 class RequestState(enum.Enum):
@@ -44,6 +50,52 @@
     body: bytes
 
 
+class AnswerChunks:
+    """Body of an answer in pieces, which gives its connection back once.
+
+    The reader either reads to the end or calls `aclose`. The iteration ends early,
+    without an exception, if the connection fails or stalls.
+
+    Parameters
+    ----------
+    source : async generator
+        Pieces; it raises `OSError` or `TimeoutError` if the connection fails.
+    release : callable
+        Called once with whether the connection may be used again.
+    """
+
+    def __init__(self, *, source, release):
+        self.source = source
+        self.release = release
+        self.released = False
+
+    def __aiter__(self):
+        return self
+
+    async def __anext__(self):
+        try:
+            return await anext(self.source)
+        except StopAsyncIteration:
+            self._release(True)
+            raise
+        except (OSError, TimeoutError):
+            self._release(False)
+            raise StopAsyncIteration from None
+        except BaseException:
+            self._release(False)
+            raise
+
+    async def aclose(self):
+        """Close the connection unless the body has been read to its end."""
+        self._release(False)
+        await self.source.aclose()
+
+    def _release(self, reusable):
+        if not self.released:
+            self.released = True
+            self.release(reusable)
+
+
 @attrs.frozen(kw_only=True)
 class EndpointAnswer:
     """Head of an answer and its body in pieces.
@@ -57,7 +109,7 @@
     digest : str
         Announced xxh3 digest of the body, 16 hexadecimal digits.
     chunks : AsyncIterator of bytes
-        Body; it may end early or stall.
+        Body, an `AnswerChunks` or the like; it may end early or stall.
     """
 
     request: str
--- /dev/null
+++ b/wasabipaddle/platform/http_endpoint.py
@@ -0,0 +1,236 @@
+"""Plug-in for an endpoint behind HTTP.
+
+The answer to a request is a stream: line feeds while the request is in progress, one
+line with an `AnswerHead` as JSON, then the body of the answer. A refusal is an error
+status with a `Failure` as JSON.
+"""
+
+import asyncio
+
+import aiohttp
+import attrs
+import msgspec
+from result import Err, Ok
+
+from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.platform.endpoint import (
+    AnswerChunks,
+    EndpointAnswer,
+    EndpointClient,
+    RequestState,
+)
+from wasabipaddle.platform.http import (
+    CONNECT_TIMEOUT_S,
+    DEFAULT_CONNECTIONS,
+    HttpCaller,
+    decode_failure,
+    is_connect_error,
+)
+
+__all__ = ["AnswerHead", "HttpEndpoint"]
+
+DEFAULT_PROGRESS_S = 1.0
+KEEPALIVE_S = 15.0
+# The time to write a request is not counted as silence of the connection.
+MIN_UPLOAD_BYTES_PER_S = 100_000
+
+
+@attrs.frozen(kw_only=True)
+class AnswerHead:
+    """Head line of an answer; `failure` is set if the request ran and failed."""
+
+    request: str
+    length: int = 0
+    digest: str = ""
+    failure: Failure | None = None
+
+
+class _Pool:
+    """Session whose connections are closed when it is retired and unused."""
+
+    def __init__(self, *, connections):
+        connector = aiohttp.TCPConnector(
+            limit=connections, keepalive_timeout=KEEPALIVE_S
+        )
+        self.session = aiohttp.ClientSession(connector=connector)
+        self.active = 0
+        self.retired = False
+
+    async def close_if_unused(self):
+        if self.retired and self.active == 0:
+            await self.session.close()
+
+
+class HttpEndpoint(EndpointClient):
+    """Client of an endpoint behind HTTP with a bounded pool of connections.
+
+    Parameters
+    ----------
+    host, port
+        Address of the endpoint.
+    vm : str
+        Name of its VM.
+    connections : int
+        Largest number of requests in progress.
+    progress_s : float
+        Longest silence of a connection with a request in progress. A connection that
+        is silent for longer is closed.
+    """
+
+    def __init__(
+        self,
+        *,
+        host,
+        port,
+        vm,
+        connections=DEFAULT_CONNECTIONS,
+        progress_s=DEFAULT_PROGRESS_S,
+    ):
+        self.url = f"http://{host}:{port}/endpoint/v1/{vm}"
+        self.connections = connections
+        self.progress_s = progress_s
+        self.active = 0
+        self.pool = None
+        self.closing = set()
+        self.control = None
+
+    async def send(self, request):
+        """Send a request and return the head of its answer."""
+        if self.active >= self.connections:
+            return _fail(ErrorKind.NO_CAPACITY, "every connection is in use")
+        if self.pool is None:
+            self.pool = _Pool(connections=self.connections)
+        pool = self.pool
+        self._occupy(pool, 1)
+        response = None
+        try:
+            response = await self._post(pool, request)
+            result = await self._read_head(pool, response)
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            self._finish(pool, response, reusable=False)
+            return _classify(error)
+        except BaseException:
+            self._finish(pool, response, reusable=False)
+            raise
+        return result
+
+    async def query(self, request):
+        """Ask on a new connection what the endpoint knows of a request id."""
+        return await self._ask(f"{self.url}/requests/{request}", RequestState)
+
+    async def probe(self):
+        """Check that a new connection works."""
+        return await self._ask(f"{self.url}/health", None)
+
+    async def replace_connections(self):
+        """Close idle connections; those in use are closed after their request."""
+        pool, self.pool = self.pool, None
+        if pool is not None:
+            pool.retired = True
+            await pool.close_if_unused()
+
+    async def close(self):
+        """Close connections."""
+        await self.replace_connections()
+        if self.closing:
+            await asyncio.gather(*self.closing)
+        if self.control is not None:
+            await self.control.close()
+
+    async def _post(self, pool, request):
+        upload_s = len(request.body) / MIN_UPLOAD_BYTES_PER_S
+        timeout = aiohttp.ClientTimeout(
+            total=request.deadline_s,
+            sock_connect=CONNECT_TIMEOUT_S,
+            sock_read=self.progress_s,
+        )
+        fields = {
+            "service": request.service,
+            "shard": request.shard,
+            "epoch": str(request.epoch),
+            "deadline_s": str(request.deadline_s),
+        }
+        # The read timeout of aiohttp starts only when the request is written, which
+        # a silent connection may prevent.
+        async with asyncio.timeout(CONNECT_TIMEOUT_S + self.progress_s + upload_s):
+            return await pool.session.post(
+                f"{self.url}/requests/{request.request}",
+                params=fields,
+                data=request.body,
+                timeout=timeout,
+            )
+
+    async def _read_head(self, pool, response):
+        if response.status != 200:
+            failure = decode_failure(await response.read())
+            self._finish(pool, response, reusable=True)
+            return Err(failure)
+        line = b"\n"
+        while line == b"\n":
+            line = await response.content.readline()
+        if not line.endswith(b"\n"):
+            raise ConnectionError("the answer ended before its head")
+        head = msgspec.json.decode(line, type=AnswerHead)
+        if head.failure is not None:
+            await response.read()
+            self._finish(pool, response, reusable=True)
+            return Err(head.failure)
+
+        def release(reusable):
+            self._finish(pool, response, reusable=reusable)
+
+        chunks = AnswerChunks(source=_read_body(response), release=release)
+        return Ok(
+            EndpointAnswer(
+                request=head.request,
+                length=head.length,
+                digest=head.digest,
+                chunks=chunks,
+            )
+        )
+
+    async def _ask(self, url, answer_type):
+        """Make a small call on a connection of its own."""
+        if self.control is None:
+            self.control = HttpCaller(refused=ErrorKind.UNREACHABLE)
+        return await self.control.call(
+            "GET",
+            url,
+            answer_type,
+            timeout_s=self.progress_s,
+            headers={"Connection": "close"},
+        )
+
+    def _occupy(self, pool, change):
+        self.active += change
+        pool.active += change
+
+    def _finish(self, pool, response, *, reusable):
+        if response is not None:
+            if reusable:
+                response.release()
+            else:
+                response.close()
+        self._occupy(pool, -1)
+        if pool.retired and pool.active == 0:
+            task = asyncio.ensure_future(pool.close_if_unused())
+            self.closing.add(task)
+            task.add_done_callback(self.closing.discard)
+
+
+async def _read_body(response):
+    try:
+        async for chunk in response.content.iter_any():
+            yield chunk
+    except aiohttp.ClientError as error:
+        raise ConnectionError(str(error)) from error
+
+
+def _classify(error):
+    if is_connect_error(error):
+        return _fail(ErrorKind.UNREACHABLE, f"no connection: {error}")
+    return _fail(ErrorKind.TIMEOUT, f"no progress: {type(error).__name__}")
+
+
+def _fail(kind, detail):
+    return Err(Failure(kind=kind, detail=detail))
--- /dev/null
+++ b/wasabipaddle/platform/http_store.py
@@ -0,0 +1,99 @@
+"""Plug-in for a key-value store behind HTTP."""
+
+import attrs
+
+from wasabipaddle.exceptions import ErrorKind
+from wasabipaddle.platform.http import HttpCaller
+from wasabipaddle.platform.store import Change, Entry, Page, Store
+
+__all__ = ["CLIENT_HEADER", "HttpStore", "StoreCall"]
+
+CLIENT_HEADER = "X-Client"
+DEFAULT_TIMEOUT_S = 1.0
+
+
+@attrs.frozen(kw_only=True)
+class StoreCall:
+    """Arguments of one call, posted to `{url}/store/v1/{operation}`.
+
+    Each operation uses the fields that the method of `Store` of the same name has.
+    """
+
+    key: str = ""
+    prefix: str = ""
+    value: bytes = b""
+    after: str = ""
+    limit: int = 100
+    expected_revision: int | None = None
+    lease: str | None = None
+    after_revision: int = 0
+    wait_s: float = 0.0
+    ttl_s: float = 0.0
+
+
+class HttpStore(Store):
+    """Client of a store behind HTTP.
+
+    Parameters
+    ----------
+    url : str
+        Address of the store.
+    client : str
+        Name under which the store counts calls.
+    timeout_s : float
+        Longest wait for one answer, without the time of a waiting watch.
+    """
+
+    def __init__(self, *, url, client, timeout_s=DEFAULT_TIMEOUT_S):
+        self.url = url.rstrip("/")
+        self.headers = {CLIENT_HEADER: client}
+        self.timeout_s = timeout_s
+        self.caller = HttpCaller(refused=ErrorKind.STORE_UNAVAILABLE)
+
+    async def get(self, key):
+        """Read one key."""
+        return await self._call("get", StoreCall(key=key), Entry | None)
+
+    async def list(self, prefix, *, after="", limit=100):
+        """Read one page of keys."""
+        call = StoreCall(prefix=prefix, after=after, limit=limit)
+        return await self._call("list", call, Page)
+
+    async def put(self, key, value, *, expected_revision=None, lease=None):
+        """Write one key."""
+        call = StoreCall(
+            key=key, value=value, expected_revision=expected_revision, lease=lease
+        )
+        return await self._call("put", call, int)
+
+    async def delete(self, key, *, expected_revision=None):
+        """Delete one key."""
+        call = StoreCall(key=key, expected_revision=expected_revision)
+        return await self._call("delete", call, int)
+
+    async def watch(self, prefix, *, after_revision, wait_s):
+        """Wait for changes of a prefix."""
+        call = StoreCall(prefix=prefix, after_revision=after_revision, wait_s=wait_s)
+        return await self._call("watch", call, tuple[Change, ...], wait_s=wait_s)
+
+    async def grant_lease(self, ttl_s):
+        """Create a lease."""
+        return await self._call("grant_lease", StoreCall(ttl_s=ttl_s), str)
+
+    async def renew_lease(self, lease):
+        """Extend a lease."""
+        return await self._call("renew_lease", StoreCall(lease=lease), None)
+
+    async def close(self):
+        """Close connections."""
+        await self.caller.close()
+
+    async def _call(self, operation, call, answer_type, *, wait_s=0.0):
+        return await self.caller.call(
+            "POST",
+            f"{self.url}/store/v1/{operation}",
+            answer_type,
+            timeout_s=self.timeout_s + wait_s,
+            body=call,
+            headers=self.headers,
+        )
--- /dev/null
+++ b/wasabipaddle/platform/http_vms.py
@@ -0,0 +1,41 @@
+"""Plug-in for a list of VMs behind HTTP."""
+
+import urllib.parse
+
+from wasabipaddle.exceptions import ErrorKind
+from wasabipaddle.platform.http import HttpCaller
+from wasabipaddle.platform.vms import VmEntry, VmList
+
+__all__ = ["HttpVmList"]
+
+DEFAULT_TIMEOUT_S = 2.0
+
+
+class HttpVmList(VmList):
+    """Client of a list of VMs behind HTTP.
+
+    Parameters
+    ----------
+    url : str
+        Address of the list.
+    timeout_s : float
+        Longest wait for an answer.
+    """
+
+    def __init__(self, *, url, timeout_s=DEFAULT_TIMEOUT_S):
+        self.url = f"{url.rstrip('/')}/vms/v1"
+        self.timeout_s = timeout_s
+        self.caller = HttpCaller(connections=2, refused=ErrorKind.UNREACHABLE)
+
+    async def read(self, *, data_centre=None):
+        """Return the list, of one data centre or of all."""
+        url = self.url
+        if data_centre is not None:
+            url += "?" + urllib.parse.urlencode({"data_centre": data_centre})
+        return await self.caller.call(
+            "GET", url, tuple[VmEntry, ...], timeout_s=self.timeout_s
+        )
+
+    async def close(self):
+        """Close connections."""
+        await self.caller.close()
--- /dev/null
+++ b/wasabipaddle/platform/http_worker.py
@@ -0,0 +1,43 @@
+"""Plug-in for a worker behind HTTP."""
+
+from wasabipaddle.exceptions import ErrorKind
+from wasabipaddle.platform.http import HttpCaller
+from wasabipaddle.platform.worker import WorkerClient, WorkerReport
+
+__all__ = ["HttpWorker"]
+
+DEFAULT_TIMEOUT_S = 1.0
+
+
+class HttpWorker(WorkerClient):
+    """Client of a worker behind HTTP.
+
+    Parameters
+    ----------
+    host, port
+        Address of the worker.
+    vm : str
+        Name of its VM.
+    timeout_s : float
+        Longest wait for an answer, without the waiting time of the command.
+    caller : HttpCaller or None
+        Connections to share with other clients.
+    """
+
+    def __init__(self, *, host, port, vm, timeout_s=DEFAULT_TIMEOUT_S, caller=None):
+        self.url = f"http://{host}:{port}/worker/v1/{vm}/sync"
+        self.timeout_s = timeout_s
+        self.owns_caller = caller is None
+        self.caller = caller or HttpCaller(refused=ErrorKind.UNREACHABLE)
+
+    async def sync(self, command):
+        """Send one batch of commands."""
+        timeout_s = self.timeout_s + command.wait_s
+        return await self.caller.call(
+            "POST", self.url, WorkerReport, timeout_s=timeout_s, body=command
+        )
+
+    async def close(self):
+        """Close connections that are not shared."""
+        if self.owns_caller:
+            await self.caller.close()
