--- a/wasabipaddle/messages/runs.py
+++ b/wasabipaddle/messages/runs.py
@@ -49,12 +49,15 @@
         Idempotency key of the caller, unique per service.
     payload : str
         Input for every task, JSON text.
+    key_generated : bool
+        Whether the API made the key up, so that no retry can carry it.
     """
 
     shard: str
     service: str
     key: str
     payload: str
+    key_generated: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/wasabipaddle/relay/table.py
+++ b/wasabipaddle/relay/table.py
@@ -91,6 +91,11 @@
         applied = self.applied.get(service)
         return None if applied is None else applied.source
 
+    def revision_of(self, service) -> int:
+        """Return the revision of the document in force, 0 if there is none."""
+        applied = self.applied.get(service)
+        return 0 if applied is None else applied.source.revision
+
     def documents(self) -> list:
         """Return all documents in force, in order of service name."""
         names = sorted(self.applied)
--- a/wasabipaddle/runs/acceptance.py
+++ b/wasabipaddle/runs/acceptance.py
@@ -10,8 +10,6 @@
 
 __all__ = ["Acceptance"]
 
-ID_BYTES = 8
-
 
 class Acceptance:
     """Accepts runs of one shard.
@@ -31,7 +29,7 @@
     context : Context
         Shared services of the process.
     make_id : callable
-        Function from a number of bytes to a random text.
+        Returns the random part of a new run id.
     """
 
     def __init__(
@@ -101,13 +99,13 @@
             tasks=[Task(index=i) for i in range(document.run.tasks)],
         )
         work = work_of(probe, quota=document.quota)
-        return self.placer.impossible_reason(work, self.clock.now())
+        return self.placer.impossible.reason(work, work.needs)
 
     def _commit(self, message, document, envelope):
         key = (message.service, message.key)
         self.pending[key] = [envelope]
         record = accepted_record(
-            run=f"{self.shard}.{self.make_id(ID_BYTES)}",
+            run=f"{self.shard}.{self.make_id()}",
             document=document,
             key=message.key,
             payload=message.payload,
--- a/wasabipaddle/runs/leader.py
+++ b/wasabipaddle/runs/leader.py
@@ -3,6 +3,7 @@
 import asyncio
 import secrets
 
+import attrs
 from absl import logging
 from result import Err, Ok
 
@@ -24,7 +25,6 @@
 from wasabipaddle.runs.commits import Committed, JournalCommits
 from wasabipaddle.runs.lifecycle import RunLifecycle
 from wasabipaddle.runs.pool import WorkerPool
-from wasabipaddle.runs.records import work_of
 from wasabipaddle.runs.recovery import Adoption, rebuild
 from wasabipaddle.runs.table import RunTable
 from wasabipaddle.runs.waiters import Waiters
@@ -44,19 +44,29 @@
 DECISIONS_PER_STEP = 200
 MESSAGES_PER_STEP = 500
 MAILBOX_CAPACITY = 100_000
+ID_BYTES = 8
 
 
+@attrs.frozen(kw_only=True)
 class FleetUpdate:
     """The VM list of the data centre changed.
 
     Parameters
     ----------
     entries : tuple of VmEntry
-        Every VM of the data centre.
+        VMs of the shard.
     """
 
-    def __init__(self, *, entries):
-        self.entries = entries
+    entries: tuple
+
+
+@attrs.frozen(kw_only=True)
+class DocumentsChanged:
+    """Documents came into force or were deleted."""
+
+
+def _random_id():
+    return secrets.token_hex(ID_BYTES)
 
 
 class ShardLeader:
@@ -80,9 +90,21 @@
         Quotas of the teams.
     context : Context
         Shared services of the process.
+    make_id : callable
+        Returns the random part of a new run id.
     """
 
-    def __init__(self, *, election, journal, connect, documents, quotas, context):
+    def __init__(
+        self,
+        *,
+        election,
+        journal,
+        connect,
+        documents,
+        quotas,
+        context,
+        make_id=_random_id,
+    ):
         self.election = election
         self.shard = election.shard
         self.epoch = election.epoch
@@ -123,8 +145,9 @@
             commits=self.commits,
             documents=documents,
             context=context,
-            make_id=secrets.token_hex,
+            make_id=make_id,
         )
+        self.handlers = self._handlers()
         self.adoption = None
         self.entries = None
         self.inspected = set()
@@ -161,7 +184,9 @@
         """Send an operation on runs and wait for its result."""
         reply = asyncio.get_running_loop().create_future()
         if not self.mailbox.offer(Envelope(message=message, reply=reply)):
-            return Err(Failure(kind=ErrorKind.QUEUE_FULL, detail="leader is overloaded"))
+            return Err(
+                Failure(kind=ErrorKind.QUEUE_FULL, detail="leader is overloaded")
+            )
         try:
             return await asyncio.wait_for(reply, timeout_s)
         except TimeoutError:
@@ -183,6 +208,7 @@
             recorded=recorded,
             quota_of=self._quota_of,
         )
+        self._update_floors()
         if self.entries is not None:
             self._update_fleet(self.entries)
         while True:
@@ -203,34 +229,29 @@
     # Messages
 
     def _handle(self, envelope):
-        message = envelope.message
-        match message:
-            case Committed():
-                message.action(message.result)
-            case WorkerReported():
-                self._worker_reported(message)
-            case WorkerUnreachable():
-                self.pool.unreachable(message.worker)
-                self.context.metrics.count("worker_calls_failed")
-            case WorkerDeposed():
-                self.election.note_epoch(self.epoch + 1)
-            case FleetUpdate():
-                self._update_fleet(message.entries)
-            case SubmitRun():
-                self.acceptance.submit(message, envelope)
-            case QueryRun():
-                envelope.answer(self._view(message.run))
-            case WaitRun():
-                self._wait(message, envelope)
-            case ListRuns():
-                page = self.table.page(
-                    service=message.service, after=message.after, limit=message.limit
-                )
-                envelope.answer(Ok(page))
-            case CancelRun():
-                self._cancel(message, envelope)
-            case StopRun():
-                self._stop_run(message, envelope)
+        self.handlers[type(envelope.message)](envelope.message, envelope)
+
+    def _handlers(self):
+        return {
+            Committed: lambda m, _: m.action(m.result),
+            WorkerReported: lambda m, _: self._worker_reported(m),
+            WorkerUnreachable: lambda m, _: self._worker_unreachable(m),
+            WorkerDeposed: lambda m, _: self.election.note_epoch(self.epoch + 1),
+            FleetUpdate: lambda m, _: self._update_fleet(m.entries),
+            DocumentsChanged: lambda m, _: self._update_floors(),
+            SubmitRun: self.acceptance.submit,
+            QueryRun: lambda m, envelope: envelope.answer(self._view(m.run)),
+            WaitRun: self._wait,
+            ListRuns: self._list,
+            CancelRun: self._cancel,
+            StopRun: self._stop_run,
+        }
+
+    def _list(self, message, envelope):
+        page = self.table.page(
+            service=message.service, after=message.after, limit=message.limit
+        )
+        envelope.answer(Ok(page))
 
     def _view(self, run):
         entry = self.table.get(run)
@@ -259,6 +280,7 @@
             self.lifecycle.apply_finish(
                 entry, RunOutcome.CANCELLED, record.at_ms, "cancelled on request"
             )
+            self.lifecycle.record_outcome(entry)
             envelope.answer(Ok(entry.view()))
 
         self.commits.once(record, confirm)
@@ -292,18 +314,23 @@
         else:
             self.notify(FleetUpdate(entries=entries))
 
+    def documents_changed(self):
+        """Take over floors and quotas of changed documents."""
+        if self.adoption is not None:
+            self.notify(DocumentsChanged())
+
+    def _update_floors(self):
+        for document in self.documents.documents():
+            self.placer.set_floor(document.service, document.share.guaranteed)
+
     def _update_fleet(self, entries):
         for worker in self.pool.update(entries):
             self._worker_gone(worker)
 
     def _worker_gone(self, worker):
         self.lifecycle.worker_lost(worker, "the VM is gone")
-        self.recorded_settled(worker)
-        asyncio.ensure_future(self.pool.remove(worker))
-
-    def recorded_settled(self, worker):
-        """Forget a worker that the journal names, because its tasks have ended."""
         self.adoption.recorded.discard(worker)
+        self.pool.remove(worker)
 
     def _make_session(self, entry):
         return WorkerSession(
@@ -318,6 +345,10 @@
             notify=self.notify,
         )
 
+    def _worker_unreachable(self, message):
+        self.pool.unreachable(message.worker)
+        self.context.metrics.count("worker_calls_failed")
+
     def _worker_reported(self, message):
         worker, report = message.worker, message.report
         self.pool.answered(worker)
@@ -347,10 +378,10 @@
         self.waiters.expire(now)
         if not self.commits.available:
             self.lifecycle.send_uncommitted()
-        for worker in self.pool.lapsed(now):
+        for worker in self.pool.take_lapsed(now):
+            self.pool.reset(worker)
             if self.table.tasks_on(worker):
                 self.lifecycle.worker_lost(worker, "its leases have expired")
-                asyncio.ensure_future(self.pool.reset(worker))
         if self.adoption.release(now):
             self._recovered()
         for entry in self.table.unended():
@@ -368,8 +399,3 @@
     def _quota_of(self, service):
         document = self.documents.get(service)
         return None if document is None else document.quota
-
-    def resubmit(self, entry):
-        """Queue the waiting tasks of a run again."""
-        work = work_of(entry, quota=self._quota_of(entry.document.service))
-        self.placer.submit(work, self.clock.now())
--- a/wasabipaddle/runs/lifecycle.py
+++ b/wasabipaddle/runs/lifecycle.py
@@ -326,22 +326,19 @@
         if entry is None or entry.ended or run in self.ending:
             return
         self.ending.add(run)
-        now_ms = self.clock.wall_ms()
-        retention_ms = int(entry.document.run.answer_retention_s * MS_PER_S)
-        record = RunEnded(
-            run=run,
-            outcome=outcome,
-            ended_ms=now_ms,
-            keep_until_ms=now_ms + retention_ms,
-            reason=reason,
-        )
+        record = _ended_record(entry, outcome, self.clock.wall_ms(), reason)
 
         def confirm(_):
             self.ending.discard(run)
-            self.apply_finish(entry, outcome, now_ms, reason)
+            self.apply_finish(entry, outcome, record.ended_ms, reason)
 
         self.commits.until_done(record, confirm)
 
+    def record_outcome(self, entry):
+        """Journal the outcome of a run that another record has already ended."""
+        record = _ended_record(entry, entry.outcome, entry.ended_ms, entry.reason)
+        self.commits.until_done(record, lambda _: None)
+
     def apply_finish(self, entry, outcome, ended_ms, reason):
         """Give a run its journalled outcome."""
         if not self.table.end_run(
@@ -382,3 +379,14 @@
     def _record(self, kind, task, detail):
         run, _ = parse_task_id(task)
         self.events.record(kind, run=run, detail=f"{task} {detail}")
+
+
+def _ended_record(entry, outcome, ended_ms, reason):
+    retention_ms = int(entry.document.run.answer_retention_s * MS_PER_S)
+    return RunEnded(
+        run=entry.run,
+        outcome=outcome,
+        ended_ms=ended_ms,
+        keep_until_ms=ended_ms + retention_ms,
+        reason=reason,
+    )
--- a/wasabipaddle/runs/pool.py
+++ b/wasabipaddle/runs/pool.py
@@ -1,5 +1,7 @@
 """Sessions of a shard leader with all its workers."""
 
+import asyncio
+
 import attrs
 
 from wasabipaddle.platform import VmRole, VmStatus
@@ -12,7 +14,7 @@
 class _Member:
     entry: object
     session: WorkerSession
-    closed: bool = False
+    lapse_noted: bool = False
 
 
 class WorkerPool:
@@ -39,6 +41,7 @@
         self.lease = lease
         self.members = {}
         self.gone = set()
+        self.closing = set()
         self.listed = False
         self.proven_at = None
         self.started_at = now
@@ -87,12 +90,13 @@
         contact = member.session.contact
         reachable = contact.answered and contact.failures == 0
         open_ = reachable and member.entry.status is VmStatus.LIVE
-        member.closed = not open_
         self.fleet.set_leaving(worker, not open_)
 
     def answered(self, worker):
         """Note that a worker has answered."""
-        if worker in self.members:
+        member = self.members.get(worker)
+        if member is not None:
+            member.lapse_noted = False
             self._refresh(worker)
 
     def unreachable(self, worker):
@@ -100,12 +104,15 @@
         if worker in self.members:
             self._refresh(worker)
 
-    async def remove(self, worker):
+    def remove(self, worker):
         """Close the session of a worker that is gone."""
         member = self.members.pop(worker, None)
         self.fleet.remove_worker(worker)
         if member is not None:
-            await member.session.stop()
+            member.session.abandon()
+            closing = asyncio.ensure_future(member.session.stop())
+            self.closing.add(closing)
+            closing.add_done_callback(self.closing.discard)
 
     def command(self, worker, name, order) -> bool:
         """Queue a command; return False if the worker is not known."""
@@ -115,16 +122,18 @@
         member.session.command(name, order)
         return True
 
-    def drop_start(self, worker, task, attempt):
-        """Remove a start that was not yet sent."""
-        member = self.members.get(worker)
-        if member is not None:
-            member.session.drop_start(task, attempt)
+    def take_lapsed(self, now) -> list[str]:
+        """Return unreachable workers on which every lease has expired.
 
-    def lapsed(self, now) -> list[str]:
-        """Return unreachable workers on which every lease has surely expired."""
+        A worker is returned once until it answers again.
+        """
         self._note_proof(now)
-        return [w for w, m in self.members.items() if self._has_lapsed(m, now)]
+        lapsed = []
+        for worker, member in self.members.items():
+            if not member.lapse_noted and self._has_lapsed(member, now):
+                member.lapse_noted = True
+                lapsed.append(worker)
+        return lapsed
 
     def accounted(self, now, recorded) -> bool:
         """Return whether no task of an earlier leader can be unknown.
@@ -161,13 +170,14 @@
             return False
         return contact.answered or self._earlier_leases_over(now)
 
-    async def reset(self, worker):
+    def reset(self, worker):
         """Start the session of a worker anew after its leases have expired."""
         member = self.members.get(worker)
         if member is not None:
-            await member.session.reset()
+            member.session.reset()
 
     async def close(self):
         """Close all sessions."""
         for worker in list(self.members):
             await self.members.pop(worker).session.stop()
+        await asyncio.gather(*self.closing, return_exceptions=True)
--- a/wasabipaddle/runs/recovery.py
+++ b/wasabipaddle/runs/recovery.py
@@ -65,9 +65,7 @@
             checkpoint=ending.checkpoint or None,
         )
     if placed is not None and placed.attempt not in endings:
-        table.place(
-            run=run, index=index, attempt=placed.attempt, worker=placed.worker
-        )
+        table.place(run=run, index=index, attempt=placed.attempt, worker=placed.worker)
         workers.add(placed.worker)
     if task.state is not TaskState.ENDED:
         task.attempt = max(task.attempt, last)
@@ -132,9 +130,7 @@
             return
         if task.attempt == report.attempt and not task.on_worker:
             return
-        self.table.place(
-            run=run, index=index, attempt=report.attempt, worker=worker
-        )
+        self.table.place(run=run, index=index, attempt=report.attempt, worker=worker)
         if report.phase is not TaskPhase.ENDED:
             work = work_of(entry, quota=self.quota_of(entry.document.service))
             self.placer.adopt(work, report.task, worker, report.needs, now)
--- a/wasabipaddle/runs/workers.py
+++ b/wasabipaddle/runs/workers.py
@@ -158,40 +158,34 @@
             asyncio.create_task(self._send()),
         ]
 
-    async def reset(self):
+    def reset(self):
         """Drop every waiting command and ask for the whole inventory again.
 
         Called when the leases of the worker have expired, so that no command of an
-        abandoned attempt is sent later.
+        abandoned attempt is sent later. A command that is already on its way carries
+        an expired lease, which the worker refuses.
         """
-        await self._cancel()
-        self.commands = _Commands()
+        self.abandon()
         self.seen_version = -1
         self.start()
 
-    async def stop(self):
-        """Stop the session; commands that were not sent are dropped."""
-        await self._cancel()
-        await self.client.close()
-
-    async def _cancel(self):
+    def abandon(self):
+        """Cancel the calls in progress and drop the waiting commands."""
         for task in self.tasks:
             task.cancel()
+        self.commands = _Commands()
+
+    async def stop(self):
+        """Stop the session; commands that were not sent are dropped."""
+        self.abandon()
         await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.client.close()
 
     def command(self, name, order):
         """Queue one command, `name` being a field of `WorkerSync`."""
         getattr(self.commands, name).append(order)
         self.wake.set()
 
-    def drop_start(self, task, attempt) -> bool:
-        """Remove a start that was not yet sent; return whether it was found."""
-        starts = self.commands.starts
-        kept = [s for s in starts if (s.task, s.attempt) != (task, attempt)]
-        found = len(kept) < len(starts)
-        self.commands.starts = kept
-        return found
-
     async def _poll(self):
         wait_s = 0.0
         while True:
--- a/wasabipaddle/serve/process.py
+++ b/wasabipaddle/serve/process.py
@@ -10,19 +10,7 @@
 
 __all__ = ["ROLES", "serve"]
 
-ROLES = (
-    "transport",
-    "platform",
-    "fleet",
-    "membership",
-    "leadership",
-    "relay",
-    "documents",
-    "grants",
-    "routing",
-    "runs",
-    "api",
-)
+ROLES = ("routing", "runs", "api")
 
 
 async def serve(settings):
--- a/wasabipaddle/serve/relay.py
+++ b/wasabipaddle/serve/relay.py
@@ -66,6 +66,10 @@
         """Return the `ServiceDocument` in force, or None."""
         return self.table.get(service)
 
+    def revision_of(self, service) -> int:
+        """Return the revision of the document in force, 0 if there is none."""
+        return self.table.revision_of(service)
+
     def documents(self) -> list:
         """Return all documents in force."""
         return self.table.documents()
--- /dev/null
+++ b/wasabipaddle/serve/runs.py
@@ -0,0 +1,239 @@
+"""Role `runs`: takes operations on runs to the leader of their shard."""
+
+import asyncio
+
+import attrs
+import xxhash
+from result import Err, Ok
+
+from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.kernel import Mailbox, Plugin
+from wasabipaddle.messages import (
+    CancelRun,
+    ListRuns,
+    QueryRun,
+    RunPage,
+    RunView,
+    StopRun,
+    SubmitRun,
+    WaitRun,
+)
+from wasabipaddle.serve.tasks import TaskSet
+from wasabipaddle.timeline import EventKind
+
+__all__ = ["RunsPlugin", "home_shard"]
+
+CALL_TIMEOUT_S = 3.0
+# A change of leadership takes up to a lease and a recovery.
+PATIENCE_S = 8.0
+RETRY_S = 0.25
+
+_RETRIED = frozenset(
+    {
+        ErrorKind.NOT_LEADER,
+        ErrorKind.NO_LEADER,
+        ErrorKind.UNREACHABLE,
+        ErrorKind.TIMEOUT,
+        ErrorKind.ACCEPTANCE_UNKNOWN,
+        ErrorKind.STALE_EPOCH,
+    }
+)
+_DOUBTFUL = frozenset(
+    {ErrorKind.TIMEOUT, ErrorKind.ACCEPTANCE_UNKNOWN, ErrorKind.STALE_EPOCH}
+)
+
+
+def home_shard(shards, service, key) -> str:
+    """Return the shard that accepts a key, the same from every entry process.
+
+    Two submissions with the same key reach the same leader, whichever entry process
+    they arrive at, so a retry never becomes a second run.
+
+    References
+    ----------
+    Thaler and Ravishankar, "Using Name-Based Mappings to Increase Hit Rates", 1998.
+    """
+    return max(shards, key=lambda s: xxhash.xxh3_64_intdigest(f"{s}/{service}/{key}"))
+
+
+class RunsPlugin(Plugin):
+    """Owner of operations on runs on the bus, and their server for peers."""
+
+    name = "runs"
+    requires = ("transport", "membership", "shards", "relay")
+
+    def __init__(self, *, context):
+        super().__init__(context=context)
+        plugins = context.plugins
+        self.transport = plugins["transport"].transport
+        self.membership = plugins["membership"]
+        self.leaders = plugins["shards"].leaders
+        self.documents = plugins["relay"]
+        self.mailbox = Mailbox()
+        self.tasks = TaskSet()
+        for message_type in (
+            SubmitRun,
+            QueryRun,
+            WaitRun,
+            CancelRun,
+            StopRun,
+            ListRuns,
+        ):
+            self.transport.handle(message_type, self.serve_peer)
+
+    async def start(self):
+        """Own the operations on the bus."""
+        self.context.bus.own(
+            self.mailbox, SubmitRun, QueryRun, WaitRun, CancelRun, StopRun, ListRuns
+        )
+        self.tasks.spawn(self._read_mailbox())
+
+    async def stop(self):
+        """Stop the tasks."""
+        await self.tasks.close()
+
+    async def serve_peer(self, message):
+        """Answer an operation on a shard that this process leads."""
+        shard = _shard_of(message)
+        leader = self.leaders.get(shard)
+        if leader is None:
+            detail = f"this process does not lead shard {shard}"
+            return Err(Failure(kind=ErrorKind.NOT_LEADER, detail=detail))
+        return await leader.ask(message, timeout_s=_timeout_s(message))
+
+    async def _read_mailbox(self):
+        while True:
+            envelope = await self.mailbox.receive()
+            self.tasks.spawn(self._answer(envelope))
+
+    async def _answer(self, envelope):
+        envelope.answer(await self.operate(envelope.message))
+
+    async def operate(self, message):
+        """Carry out one operation, wherever its shard is led."""
+        if isinstance(message, SubmitRun):
+            return await self._submit(message)
+        if isinstance(message, ListRuns) and not message.shard:
+            return await self._list_all(message)
+        shard = _shard_of(message)
+        if shard not in self._shards():
+            detail = "no such run"
+            return Err(Failure(kind=ErrorKind.NOT_FOUND, detail=detail))
+        return await self._call(shard, message)
+
+    # Submission
+
+    async def _submit(self, message):
+        document = self.documents.get(message.service)
+        if document is None:
+            detail = f"no service {message.service}"
+            return Err(Failure(kind=ErrorKind.NOT_FOUND, detail=detail))
+        shards = self._allowed_shards(document)
+        if not shards:
+            detail = "the document allows no data centre of this cell"
+            return Err(Failure(kind=ErrorKind.IMPOSSIBLE, detail=detail))
+        local = [s for s in shards if s in self._local_shards()]
+        if message.key_generated and local:
+            shards = local
+        shard = home_shard(shards, message.service, message.key)
+        addressed = attrs.evolve(message, shard=shard)
+        result = await self._call(shard, addressed)
+        if result.is_ok():
+            run = result.unwrap().run
+            self.context.events.record(
+                EventKind.RUN_SUBMITTED, run=run, service=message.service
+            )
+        return result
+
+    def _allowed_shards(self, document):
+        settings = self.context.settings
+        allowed = []
+        for centre in settings.deployment.data_centres:
+            placement = document.placement
+            if placement.data_centres and centre.name not in placement.data_centres:
+                continue
+            if placement.regions and centre.region not in placement.regions:
+                continue
+            allowed.extend(settings.shards_of(centre.name))
+        return allowed
+
+    def _shards(self):
+        settings = self.context.settings
+        centres = settings.deployment.data_centres
+        return [s for c in centres for s in settings.shards_of(c.name)]
+
+    def _local_shards(self):
+        settings = self.context.settings
+        return settings.shards_of(settings.data_centre)
+
+    # Listing
+
+    async def _list_all(self, message):
+        shards = sorted(self._shards())
+        first = message.after.rpartition(".")[0]
+        views = []
+        for shard in (s for s in shards if s >= first):
+            wanted = message.limit - len(views)
+            part = attrs.evolve(message, shard=shard, limit=wanted)
+            result = await self._call(shard, part)
+            if result.is_err():
+                return result
+            views.extend(result.unwrap().runs)
+            if len(views) >= message.limit:
+                return Ok(RunPage(runs=tuple(views), next_after=views[-1].run))
+        return Ok(RunPage(runs=tuple(views)))
+
+    # Calls
+
+    async def _call(self, shard, message):
+        """Ask the leader of a shard, again while leadership moves.
+
+        Every operation is idempotent: a submission by its key, the others by the
+        run id.
+        """
+        clock = self.context.clock
+        give_up_at = clock.now() + PATIENCE_S
+        doubtful = False
+        while True:
+            result = await self._call_once(shard, message)
+            if result.is_ok() or result.unwrap_err().kind not in _RETRIED:
+                return result
+            doubtful = doubtful or result.unwrap_err().kind in _DOUBTFUL
+            if clock.now() >= give_up_at:
+                return _give_up(message, result, doubtful)
+            await asyncio.sleep(RETRY_S)
+
+    async def _call_once(self, shard, message):
+        if shard in self.leaders:
+            return await self.serve_peer(message)
+        leader = self.membership.leader_of(shard)
+        if leader is None or leader == self.context.settings.process:
+            detail = f"no leader of shard {shard} is known"
+            return Err(
+                Failure(kind=ErrorKind.NO_LEADER, detail=detail, retry_after_s=1.0)
+            )
+        reply_type = RunPage if isinstance(message, ListRuns) else RunView
+        timeout_s = _timeout_s(message) + RETRY_S
+        return await self.transport.call(
+            leader, message, reply_type, timeout_s=timeout_s
+        )
+
+
+def _shard_of(message):
+    if isinstance(message, SubmitRun | ListRuns):
+        return message.shard
+    return message.run.rpartition(".")[0]
+
+
+def _timeout_s(message):
+    wait_s = message.wait_s if isinstance(message, WaitRun) else 0.0
+    return CALL_TIMEOUT_S + wait_s
+
+
+def _give_up(message, result, doubtful):
+    failure = result.unwrap_err()
+    if isinstance(message, SubmitRun) and doubtful:
+        return Err(attrs.evolve(failure, kind=ErrorKind.ACCEPTANCE_UNKNOWN))
+    if failure.kind is ErrorKind.NOT_LEADER:
+        return Err(attrs.evolve(failure, kind=ErrorKind.NO_LEADER, retry_after_s=1.0))
+    return result
--- /dev/null
+++ b/wasabipaddle/serve/shards.py
@@ -0,0 +1,126 @@
+"""Role `shards`: runs the shards that this process leads."""
+
+import asyncio
+
+import xxhash
+from absl import logging
+
+from wasabipaddle.journal import Journal
+from wasabipaddle.kernel import Plugin
+from wasabipaddle.leadership import LeaderElected, LeaderSteppedDown
+from wasabipaddle.relay import DocumentApplied
+from wasabipaddle.runs import ShardLeader
+from wasabipaddle.serve.fleet import FleetRead
+from wasabipaddle.serve.grants import GrantService
+
+__all__ = ["ShardsPlugin", "entries_of_shard"]
+
+
+def entries_of_shard(entries, shard, shards):
+    """Return the VMs of one shard of a data centre.
+
+    Parameters
+    ----------
+    entries : iterable of VmEntry
+        VMs of the data centre.
+    shard : str
+        Name of the shard.
+    shards : sequence of str
+        Names of all shards of the data centre.
+    """
+    position = shards.index(shard)
+    return tuple(
+        e for e in entries if xxhash.xxh3_64_intdigest(e.rack) % len(shards) == position
+    )
+
+
+class ShardsPlugin(Plugin):
+    """Starts and stops a `ShardLeader` and slot grants as leadership changes.
+
+    Attributes
+    ----------
+    leaders : dict of str to ShardLeader
+        Leaders of the shards that this process leads.
+    """
+
+    name = "shards"
+    requires = ("transport", "platform", "fleet", "leadership", "relay", "store")
+
+    def __init__(self, *, context):
+        super().__init__(context=context)
+        plugins = context.plugins
+        self.leaders = {}
+        self.stopping = set()
+        self.fleet = plugins["fleet"]
+        self.elections = plugins["leadership"].elections
+        self.relay = plugins["relay"]
+        self.grants = GrantService(
+            context=context, transport=plugins["transport"].transport
+        )
+        bus = context.bus
+        bus.facts(LeaderElected).subscribe(self._elected)
+        bus.facts(LeaderSteppedDown).subscribe(lambda f: self._stepped_down(f.shard))
+        bus.facts(FleetRead).subscribe(lambda f: self._fleet_read(f.entries))
+        bus.facts(DocumentApplied).subscribe(lambda _: self._documents_changed())
+
+    async def stop(self):
+        """Stop every leader."""
+        for shard in list(self.leaders):
+            self._stepped_down(shard)
+        await asyncio.gather(*self.stopping, return_exceptions=True)
+
+    def _elected(self, fact):
+        self._stepped_down(fact.shard)
+        leader = self._make_leader(fact.shard)
+        self.leaders[fact.shard] = leader
+        self.grants.lead(fact.shard, fact.epoch)
+        self._update(fact.shard, self.fleet.entries.values())
+        leader.start()
+        logging.info("leading shard %s under epoch %d", fact.shard, fact.epoch)
+
+    def _stepped_down(self, shard):
+        leader = self.leaders.pop(shard, None)
+        if leader is None:
+            return
+        self.grants.step_down(shard)
+        task = asyncio.ensure_future(leader.stop())
+        self.stopping.add(task)
+        task.add_done_callback(self.stopping.discard)
+        logging.info("no longer leading shard %s", shard)
+
+    def _make_leader(self, shard):
+        context = self.context
+        settings = context.settings
+        journal = Journal(
+            shard=shard,
+            process=settings.process,
+            incarnation=context.plugins["membership"].table.incarnation,
+            store=context.plugins["store"].gate.view("journal"),
+            clock=context.clock,
+            settings=settings.journal,
+            random=context.random,
+        )
+        return ShardLeader(
+            election=self.elections[shard],
+            journal=journal,
+            connect=context.plugins["platform"].connect_worker,
+            documents=self.relay,
+            quotas=settings.deployment.quotas,
+            context=context,
+        )
+
+    def _fleet_read(self, entries):
+        for shard in self.leaders:
+            self._update(shard, entries)
+
+    def _update(self, shard, entries):
+        settings = self.context.settings
+        shards = settings.shards_of(settings.data_centre)
+        own = entries_of_shard(entries, shard, shards)
+        if own:
+            self.leaders[shard].update_fleet(own)
+            self.grants.update_endpoints(shard, own)
+
+    def _documents_changed(self):
+        for leader in self.leaders.values():
+            leader.documents_changed()
