Test runs over a whole cell in memory

Cause: a lost worker was never given up, because each failed call extended the time until which its leases might last. Change: renewals stop after a failed call until the next answer.

--- a/wasabipaddle/measure/cell.py
+++ b/wasabipaddle/measure/cell.py
@@ -100,11 +100,15 @@
         cell.incarnations += 1
         plugins = self.context.plugins
         plugins["transport"] = _Holder(transport=self.transport)
-        plugins["platform"] = _Holder(store=self.store)
+        plugins["platform"] = self.make_platform()
         plugins["fleet"] = _Holder(gone=cell.gone)
         for role in cell.roles:
             plugins[role.name] = role(context=self.context)
 
+    def make_platform(self):
+        """Return the platform clients of this process."""
+        return _Holder(store=self.store)
+
     @property
     def membership(self):
         """Role `membership`."""
@@ -164,6 +168,8 @@
         Plug-ins of each process in starting order.
     """
 
+    process_type = MemoryProcess
+
     def __init__(
         self, *, entries, data_centres, seed=1, membership=None, roles=ROLES, **store
     ):
@@ -202,7 +208,7 @@
         settings = Settings(
             process=name, deployment=self.deployment, membership=self.membership
         )
-        process = MemoryProcess(settings=settings, cell=self)
+        process = self.process_type(settings=settings, cell=self)
         self.processes[name] = process
         await process.start()
         return process
--- a/wasabipaddle/runs/workers.py
+++ b/wasabipaddle/runs/workers.py
@@ -69,6 +69,16 @@
     clock_s: float | None = None
     clock_read_at: float = 0.0
 
+    @property
+    def in_touch(self) -> bool:
+        """Whether leases may be renewed and tasks started.
+
+        Without a reading of the worker's clock a delayed command could renew a lease
+        for longer than the leader assumes. After a failed call renewals stop until
+        the next answer, so that the leases expire at a known time.
+        """
+        return self.clock_s is not None and self.failures == 0
+
     def worker_clock(self, now) -> float | None:
         """Return a lower bound of the worker's clock, None before any answer."""
         if self.clock_s is None:
@@ -201,7 +211,7 @@
                 await asyncio.sleep(RETRY_S)
                 continue
             self.wake.clear()
-            if self.contact.clock_s is None:
+            if not self.contact.in_touch:
                 await asyncio.sleep(RETRY_S)
                 self.wake.set()
                 continue
@@ -228,9 +238,7 @@
     def _command(self, commands, wait_s):
         now = self.clock.now()
         base = self.contact.worker_clock(now)
-        # Without a reading of the worker's clock a delayed command could renew a
-        # lease for longer than this leader assumes, so it renews nothing.
-        lease_s = 0.0 if base is None else self.lease.task_lease_s
+        lease_s = self.lease.task_lease_s if self.contact.in_touch else 0.0
         if lease_s > 0:
             until = now + lease_s * (1 + self.lease.drift)
             self.contact.lease_may_last_until = until
--- a/wasabipaddle/serve/runs.py
+++ b/wasabipaddle/serve/runs.py
@@ -53,7 +53,11 @@
     ----------
     Thaler and Ravishankar, "Using Name-Based Mappings to Increase Hit Rates", 1998.
     """
-    return max(shards, key=lambda s: xxhash.xxh3_64_intdigest(f"{s}/{service}/{key}"))
+
+    def weight(shard):
+        return xxhash.xxh3_64_intdigest(f"{shard}/{service}/{key}".encode())
+
+    return max(shards, key=weight)
 
 
 class RunsPlugin(Plugin):
--- a/wasabipaddle/serve/shards.py
+++ b/wasabipaddle/serve/shards.py
@@ -30,7 +30,9 @@
     """
     position = shards.index(shard)
     return tuple(
-        e for e in entries if xxhash.xxh3_64_intdigest(e.rack) % len(shards) == position
+        e
+        for e in entries
+        if xxhash.xxh3_64_intdigest(e.rack.encode()) % len(shards) == position
     )
 
 
