--- a/wasabipaddle/commands/cli.py
+++ b/wasabipaddle/commands/cli.py
@@ -5,6 +5,7 @@
 import fire
 
 from wasabipaddle import __version__
+from wasabipaddle.exceptions import WasabipaddleError
 
 __all__ = ["Cli", "main"]
 
@@ -27,6 +28,16 @@
         if not measure(name, seed=seed, quick=quick, json_output=json):
             sys.exit(EXIT_BROKEN)
 
+    def standin(self, file):
+        """Run the stand-ins of a YAML file until SIGINT or SIGTERM."""
+        from wasabipaddle.commands.standin import standin
+
+        try:
+            standin(file)
+        except WasabipaddleError as error:
+            print(error, file=sys.stderr)
+            sys.exit(EXIT_USAGE)
+
 
 def main():
     """Run the command line."""
--- a/wasabipaddle/platform/http_endpoint.py
+++ b/wasabipaddle/platform/http_endpoint.py
@@ -33,6 +33,7 @@
 KEEPALIVE_S = 15.0
 # The time to write a request is not counted as silence of the connection.
 MIN_UPLOAD_BYTES_PER_S = 100_000
+NO_ANSWER = (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError)
 
 
 @attrs.frozen(kw_only=True)
@@ -106,7 +107,7 @@
         try:
             response = await self._post(pool, request)
             result = await self._read_head(pool, response)
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        except NO_ANSWER as error:
             self._finish(pool, response, reusable=False)
             return _classify(error)
         except BaseException:
--- /dev/null
+++ b/wasabipaddle/standins/control.py
@@ -0,0 +1,82 @@
+"""Client for drivers that switch faults and read ledgers of stand-in processes."""
+
+from result import Result
+
+from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.platform.http import HttpCaller
+from wasabipaddle.standins.host import FaultCommand, LinkCommand, Traffic, VmCommand
+from wasabipaddle.standins.ledger import LedgerRecord, merge_records
+from wasabipaddle.standins.store import SecondCount
+from wasabipaddle.standins.verdict import Verdict, compute_verdict
+
+__all__ = ["StandinControl"]
+
+TIMEOUT_S = 10.0
+
+
+class StandinControl:
+    """Control of the stand-in processes of one cell.
+
+    Each command goes to the processes in order until one knows its target.
+
+    Parameters
+    ----------
+    urls : tuple of str
+        Control addresses of the processes.
+    """
+
+    def __init__(self, *, urls):
+        self.urls = tuple(url.rstrip("/") for url in urls)
+        self.caller = HttpCaller(refused=ErrorKind.UNREACHABLE)
+
+    async def set_faults(self, target, **changes) -> Result[None, Failure]:
+        """Change the faults of `store`, `vm_list` or a VM."""
+        return await self._post("faults", FaultCommand(target=target, changes=changes))
+
+    async def set_vm_status(self, vm, status) -> Result[None, Failure]:
+        """Change the status of a VM in the list of VMs."""
+        return await self._post("vms", VmCommand(vm=vm, status=status))
+
+    async def change_link(self, **fields) -> Result[None, Failure]:
+        """Change the link; the arguments are the fields of `LinkCommand`."""
+        return await self._post("link", LinkCommand(**fields))
+
+    async def record(self) -> LedgerRecord:
+        """Return the joined ledger of all processes."""
+        return merge_records(await self._get_all("ledger", LedgerRecord))
+
+    async def verdict(self, *own_records) -> Verdict:
+        """Return the verdict on all processes and on records of the driver."""
+        return compute_verdict(merge_records([await self.record(), *own_records]))
+
+    async def traffic(self) -> tuple[Traffic, ...]:
+        """Return the bytes carried by the links, by pair of places."""
+        found = await self._get_all("traffic", tuple[Traffic, ...])
+        return sum(found, ())
+
+    async def store_calls(self) -> tuple[SecondCount, ...]:
+        """Return the calls of the store by second."""
+        return sum(await self._get_all("calls", tuple[SecondCount, ...]), ())
+
+    async def close(self):
+        """Close connections."""
+        await self.caller.close()
+
+    async def _post(self, path, command):
+        result = None
+        for url in self.urls:
+            result = await self.caller.call(
+                "POST", f"{url}/{path}", None, timeout_s=TIMEOUT_S, body=command
+            )
+            if result.is_ok():
+                break
+        return result
+
+    async def _get_all(self, path, answer_type):
+        found = []
+        for url in self.urls:
+            result = await self.caller.call(
+                "GET", f"{url}/{path}", answer_type, timeout_s=TIMEOUT_S
+            )
+            found.append(result.unwrap())
+        return found
--- a/wasabipaddle/standins/endpoint.py
+++ b/wasabipaddle/standins/endpoint.py
@@ -11,6 +11,7 @@
 from wasabipaddle.standins.answers import Broken, break_answer, make_answer
 from wasabipaddle.standins.endpoint_view import DEFAULT_PROGRESS_S, EndpointView
 from wasabipaddle.standins.exchange import fail
+from wasabipaddle.standins.faults import change_faults
 from wasabipaddle.standins.ledger import CutOffCause, Execution, WorkKind
 from wasabipaddle.standins.payloads import RequestPayload, parse_payload
 
@@ -144,11 +145,7 @@
 
     def set_faults(self, **changes):
         """Switch faults by name."""
-        for name, value in changes.items():
-            if not hasattr(self.faults, name):
-                raise ValueError(f"an endpoint has no fault {name}")
-            value = Broken(value) if name == "broken" else value
-            setattr(self.faults, name, value)
+        change_faults(self.faults, changes)
         if self.faults.gone:
             self._cut_all()
 
--- /dev/null
+++ b/wasabipaddle/standins/listener.py
@@ -0,0 +1,107 @@
+"""Listening port of one stand-in, which can refuse connections."""
+
+import asyncio
+
+import msgspec
+from aiohttp import web
+
+from wasabipaddle.exceptions import ErrorKind
+
+__all__ = ["Listener", "failure_response", "hang", "json_response", "result_response"]
+
+MAX_BODY_BYTES = 4_000_000
+SHUTDOWN_S = 0.2
+HANG_S = 60.0
+HANG_CHECK_S = 0.2
+
+
+class Listener:
+    """HTTP listener whose port can be closed and opened again.
+
+    Parameters
+    ----------
+    routes : list
+        Routes of `aiohttp`.
+    host : str
+        IP address.
+    port : int
+        Port; 0 takes a free one at the first start.
+    """
+
+    def __init__(self, *, routes, host, port=0):
+        self.routes = routes
+        self.host = host
+        self.port = port
+        self.runner = None
+        self.site = None
+
+    async def start(self):
+        """Open the port."""
+        app = web.Application(client_max_size=MAX_BODY_BYTES)
+        app.add_routes(self.routes)
+        self.runner = web.AppRunner(
+            app, access_log=None, shutdown_timeout=SHUTDOWN_S, handle_signals=False
+        )
+        await self.runner.setup()
+        await self.accept()
+
+    async def accept(self):
+        """Accept connections again."""
+        if self.site is not None:
+            return
+        self.site = web.TCPSite(
+            self.runner, self.host, self.port, reuse_address=True, backlog=512
+        )
+        await self.site.start()
+        self.port = self.runner.addresses[0][1]
+
+    async def refuse(self):
+        """Close the port and abort open connections."""
+        if self.site is not None:
+            site, self.site = self.site, None
+            await site.stop()
+        for transport in self.transports():
+            transport.abort()
+
+    def transports(self):
+        """Return the transports of the open connections."""
+        handlers = self.runner.server.connections
+        return [h.transport for h in handlers if h.transport is not None]
+
+    async def close(self):
+        """Close the port and the connections."""
+        await self.refuse()
+        await self.runner.cleanup()
+
+
+def json_response(value) -> web.Response:
+    """Return a response with a value as JSON."""
+    return web.Response(
+        body=msgspec.json.encode(value), content_type="application/json"
+    )
+
+
+def failure_response(failure) -> web.Response:
+    """Return a response with the status and body of a failure."""
+    body = msgspec.json.encode(failure)
+    status = failure.answer.status
+    return web.Response(body=body, status=status, content_type="application/json")
+
+
+async def result_response(request, result) -> web.Response:
+    """Return the response for a result; no answer for a timeout."""
+    if result.is_ok():
+        return json_response(result.unwrap())
+    failure = result.unwrap_err()
+    if failure.kind is ErrorKind.TIMEOUT:
+        await hang(request)
+    return failure_response(failure)
+
+
+async def hang(request):
+    """Keep a connection silent until the client closes it."""
+    for _ in range(int(HANG_S / HANG_CHECK_S)):
+        transport = request.transport
+        if transport is None or transport.is_closing():
+            return
+        await asyncio.sleep(HANG_CHECK_S)
--- /dev/null
+++ b/wasabipaddle/standins/proxy.py
@@ -0,0 +1,159 @@
+"""TCP proxy that carries traffic between processes over a `Link`.
+
+While two places are cut, bytes on open connections are held and delivered after the
+cut is healed, as TCP does. A new connection is accepted and shows no progress.
+"""
+
+import asyncio
+
+import attrs
+
+__all__ = ["LinkProxy", "ProxyRoute"]
+
+PIECE_BYTES = 16_384
+QUEUE_PIECES = 32
+CUT_CHECK_S = 0.05
+
+
+@attrs.frozen(kw_only=True)
+class ProxyRoute:
+    """Listening port that leads to a target over the link.
+
+    Parameters
+    ----------
+    port : int
+        Listening port; 0 takes a free one.
+    target_host, target_port
+        Address to which connections lead.
+    source, target : str
+        Place of the connecting side and of the target.
+    """
+
+    port: int
+    target_host: str
+    target_port: int
+    source: str
+    target: str
+
+
+class LinkProxy:
+    """Proxy for the routes of one process.
+
+    Parameters
+    ----------
+    link : Link
+        Delay, bandwidth, cuts and byte counts.
+    host : str
+        IP address of the listening ports.
+    routes : tuple of ProxyRoute
+        Ports and their targets.
+
+    Attributes
+    ----------
+    ports : dict of ProxyRoute to int
+        Ports in use, after `start`.
+    """
+
+    def __init__(self, *, link, host, routes):
+        self.link = link
+        self.host = host
+        self.routes = routes
+        self.ports = {}
+        self.servers = []
+        self.tasks = set()
+
+    async def start(self):
+        """Open the listening ports."""
+        for route in self.routes:
+            server = await asyncio.start_server(
+                self._handler(route), self.host, route.port, limit=PIECE_BYTES
+            )
+            self.servers.append(server)
+            self.ports[route] = server.sockets[0].getsockname()[1]
+
+    async def close(self):
+        """Close ports and connections."""
+        for server in self.servers:
+            server.close()
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    def _handler(self, route):
+        async def handle(reader, writer):
+            task = asyncio.current_task()
+            self.tasks.add(task)
+            try:
+                await self._carry(route, reader, writer)
+            except asyncio.CancelledError:
+                pass  # the proxy is closing
+            finally:
+                self.tasks.discard(task)
+                writer.transport.abort()
+
+        return handle
+
+    async def _carry(self, route, reader, writer):
+        """Relay one connection until both directions have ended."""
+        connection = self.link.connect(route.source, route.target)
+        upstream = None
+        try:
+            await asyncio.sleep(self.link.latency_s(route.source, route.target))
+            await self._wait_for_passage(connection, route.source, route.target)
+            target_reader, upstream = await asyncio.open_connection(
+                route.target_host, route.target_port, limit=PIECE_BYTES
+            )
+            async with asyncio.TaskGroup() as group:
+                group.create_task(
+                    self._pump(connection, route.source, route.target, reader, upstream)
+                )
+                group.create_task(
+                    self._pump(
+                        connection, route.target, route.source, target_reader, writer
+                    )
+                )
+        except* OSError:
+            pass  # a side closed the connection, which closes the other side
+        finally:
+            connection.close()
+            if upstream is not None:
+                upstream.transport.abort()
+
+    async def _pump(self, connection, source, target, reader, writer):
+        """Relay one direction with delay and bandwidth."""
+        queue = asyncio.Queue(maxsize=QUEUE_PIECES)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._read(connection, source, target, reader, queue))
+            group.create_task(self._write(connection, source, target, writer, queue))
+
+    async def _read(self, connection, source, target, reader, queue):
+        loop = asyncio.get_running_loop()
+        while True:
+            data = await reader.read(PIECE_BYTES)
+            now = loop.time()
+            delay_s = self.link.latency_s(source, target)
+            if data:
+                delay_s = self.link.delay_s(source, target, len(data), now)
+            if not data and connection.silent:
+                raise ConnectionResetError("closed while silent")
+            await queue.put((now + delay_s, data))
+            if not data:
+                return
+
+    async def _write(self, connection, source, target, writer, queue):
+        loop = asyncio.get_running_loop()
+        while True:
+            due_s, data = await queue.get()
+            await asyncio.sleep(due_s - loop.time())
+            await self._wait_for_passage(connection, source, target)
+            if not data:
+                if writer.can_write_eof():
+                    writer.write_eof()
+                return
+            writer.write(data)
+            await writer.drain()
+
+    async def _wait_for_passage(self, connection, source, target):
+        """Wait while the link is cut; a silent connection waits for ever."""
+        while connection.silent or not self.link.passes(source, target):
+            await asyncio.sleep(CUT_CHECK_S)
--- a/wasabipaddle/standins/store.py
+++ b/wasabipaddle/standins/store.py
@@ -10,6 +10,7 @@
 
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.platform import Store
+from wasabipaddle.standins.faults import change_faults
 from wasabipaddle.standins.keyspace import KeySpace
 from wasabipaddle.standins.rates import TokenBucket
 
@@ -215,6 +216,10 @@
         self.read_bucket = TokenBucket(rate_per_s=allowance.reads_per_s)
         self.write_bucket = TokenBucket(rate_per_s=allowance.writes_per_s)
 
+    def set_faults(self, **changes):
+        """Switch faults by name."""
+        change_faults(self.faults, changes)
+
     def client(self, name, *, timeout_s=DEFAULT_TIMEOUT_S) -> StoreView:
         """Return the view of one process, the same one for the same name."""
         if name not in self.views:
--- a/wasabipaddle/standins/vms.py
+++ b/wasabipaddle/standins/vms.py
@@ -9,6 +9,7 @@
 from wasabipaddle.exceptions import ErrorKind
 from wasabipaddle.platform import VmList
 from wasabipaddle.standins.exchange import fail
+from wasabipaddle.standins.faults import change_faults
 
 __all__ = ["MemoryVmList", "VmListFaults"]
 
@@ -50,10 +51,7 @@
 
     def set_faults(self, **changes):
         """Switch faults by name."""
-        for name, value in changes.items():
-            if not hasattr(self.faults, name):
-                raise ValueError(f"the list of VMs has no fault {name}")
-            setattr(self.faults, name, value)
+        change_faults(self.faults, changes)
 
     def add(self, entry, *, at_once=False):
         """Add or replace one VM.
--- a/wasabipaddle/standins/worker.py
+++ b/wasabipaddle/standins/worker.py
@@ -14,6 +14,7 @@
     WorkerReport,
 )
 from wasabipaddle.standins.exchange import exchange, fail, reply
+from wasabipaddle.standins.faults import change_faults
 from wasabipaddle.standins.tasks import TaskTable
 
 __all__ = ["MemoryWorker", "WorkerFaults", "WorkerView"]
@@ -84,8 +85,7 @@
             if not self.partitioned:
                 self.worker.arrive(command, answer)
 
-        faults = self.worker.faults
-        if (faults.unreachable or faults.gone) and not self.partitioned:
+        if self.worker.refuses_connections() and not self.partitioned:
             await asyncio.sleep(2 * self.worker.one_way_s)
             detail = f"{self.worker.name} refuses connections"
             return fail(ErrorKind.UNREACHABLE, detail)
@@ -173,10 +173,7 @@
 
     def set_faults(self, **changes):
         """Switch faults by name."""
-        for name, value in changes.items():
-            if not hasattr(self.faults, name):
-                raise ValueError(f"a worker has no fault {name}")
-            setattr(self.faults, name, value)
+        change_faults(self.faults, changes)
         if self.faults.gone:
             self._lose()
         if self.faults.paused:
@@ -184,6 +181,10 @@
         else:
             self._continue()
 
+    def refuses_connections(self) -> bool:
+        """Return whether connections are refused."""
+        return self.faults.unreachable or self.faults.gone
+
     def leave(self, leaving=True):
         """Announce in reports that the VM is about to leave."""
         self.leaving = leaving
@@ -200,7 +201,7 @@
         answer : asyncio.Future
             Receives the result, unless a fault prevents it.
         """
-        if self.faults.gone or self.faults.silent or self.faults.unreachable:
+        if self.refuses_connections() or self.faults.silent:
             return
         if self.faults.paused:
             self.delayed.append((command, answer))
@@ -311,10 +312,10 @@
     def _finish_wait(self, wait):
         self.waits.discard(wait)
         wait.timer.cancel()
-        faults = self.faults
-        if faults.gone or faults.silent or faults.unreachable or wait.answer.done():
+        cut = self.refuses_connections() or self.faults.silent
+        if cut or wait.answer.done():
             return
-        if faults.paused:
+        if self.faults.paused:
             self.delayed.append((wait.command, wait.answer))
             return
         self._report(wait.command, wait.refusals, wait.answer)
