Add HTTP interface for callers and operators

The interface is the role api: requests, runs, service documents, health, readiness, metrics, events and members under /v1. The fuzz found an Expect header outside ASCII that was answered with internal; it is answered with invalid_request now.

--- /dev/null
+++ b/wasabipaddle/api/auth.py
@@ -0,0 +1,102 @@
+"""Authentication of operators and callers by bearer token."""
+
+import hashlib
+import hmac
+import ipaddress
+
+import attrs
+
+from wasabipaddle.api.answers import fail
+from wasabipaddle.exceptions import ErrorKind
+
+__all__ = ["Authenticator", "Operator"]
+
+SCHEME = "bearer"
+
+
+@attrs.frozen(kw_only=True)
+class Operator:
+    """The operator behind a call.
+
+    Parameters
+    ----------
+    team : str or None
+        Team of the token; None if the cell has no tokens and every team is allowed.
+    """
+
+    team: str | None
+
+    def check(self, team):
+        """Raise `forbidden` unless the operator may act for `team`."""
+        if self.team not in (None, team):
+            detail = f"team {self.team} may not act for team {team}"
+            fail(ErrorKind.FORBIDDEN, detail)
+
+
+class Authenticator:
+    """Finds the operator or caller of a call.
+
+    Parameters
+    ----------
+    settings : ApiSettings
+        Tokens of operators and callers.
+    """
+
+    def __init__(self, *, settings):
+        self.teams = [(t.team, _digest(t.token)) for t in settings.tokens]
+        self.callers = [(c.caller, _digest(c.token)) for c in settings.callers]
+
+    def identify(self, request) -> str:
+        """Return the name by which the rate of a call is limited."""
+        for prefix, known in (("team", self.teams), ("caller", self.callers)):
+            name = _find(request, known)
+            if name is not None:
+                return f"{prefix}:{name}"
+        return f"address:{request.remote}"
+
+    def operator(self, request) -> Operator:
+        """Return the operator of a call, or raise `unauthenticated`.
+
+        Without tokens in the settings only loopback addresses are operators.
+        """
+        if not self.teams:
+            if _is_loopback(request.remote):
+                return Operator(team=None)
+            fail(ErrorKind.UNAUTHENTICATED, "the settings of the cell have no tokens")
+        team = _find(request, self.teams)
+        if team is None:
+            fail(ErrorKind.UNAUTHENTICATED, "the bearer token of a team is required")
+        return Operator(team=team)
+
+    def caller(self, request) -> str:
+        """Return the caller of a request, or raise `unauthenticated`."""
+        if not self.callers:
+            return str(request.remote)
+        caller = _find(request, self.callers)
+        if caller is None:
+            fail(ErrorKind.UNAUTHENTICATED, "the bearer token of a caller is required")
+        return caller
+
+
+def _find(request, known):
+    """Compare with every token, so that the time does not tell which one is near."""
+    scheme, _, token = request.headers.get("Authorization", "").partition(" ")
+    if scheme.lower() != SCHEME or not token:
+        return None
+    digest = _digest(token.strip())
+    found = None
+    for name, expected in known:
+        if hmac.compare_digest(digest, expected):
+            found = name
+    return found
+
+
+def _digest(token):
+    return hashlib.sha256(token.encode("utf-8", "surrogateescape")).digest()
+
+
+def _is_loopback(remote):
+    try:
+        return ipaddress.ip_address(remote or "").is_loopback
+    except ValueError:
+        return False
--- /dev/null
+++ b/wasabipaddle/api/idempotency.py
@@ -0,0 +1,134 @@
+"""Answers kept for repeated idempotency keys of requests."""
+
+import collections
+
+import attrs
+from result import Err, Ok, Result
+
+from wasabipaddle.exceptions import ErrorKind, Failure, Outcome
+
+__all__ = ["KeptAnswer", "KeptAnswers"]
+
+MAX_ANSWERS = 10_000
+MAX_BYTES = 16_777_216
+MAX_ANSWER_BYTES = 65_536
+RETENTION_S = 600.0
+
+
+@attrs.frozen(kw_only=True)
+class KeptAnswer:
+    """How an earlier request with the same key ended.
+
+    Parameters
+    ----------
+    body : bytes or None
+        Whole answer; None if the request failed or the answer was too large.
+    digest : str
+        Digest of the answer.
+    failure : Failure or None
+        The failure that was answered.
+    """
+
+    request: str
+    body: bytes | None = None
+    digest: str = ""
+    failure: Failure | None = None
+
+
+@attrs.define(kw_only=True)
+class _Entry:
+    fingerprint: bytes
+    answer: KeptAnswer | None = None
+    expires: float = 0.0
+
+    @property
+    def size(self):
+        body = self.answer.body if self.answer is not None else None
+        return len(body or b"")
+
+
+class KeptAnswers:
+    """Keeps ended requests by idempotency key, bounded in count, bytes and time.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    max_answers, max_bytes : int
+        Bounds of the kept answers; the oldest are forgotten first.
+    retention_s : float
+        Longest time that an answer is kept.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock,
+        max_answers=MAX_ANSWERS,
+        max_bytes=MAX_BYTES,
+        retention_s=RETENTION_S,
+    ):
+        self.clock = clock
+        self.max_answers = max_answers
+        self.max_bytes = max_bytes
+        self.retention_s = retention_s
+        self.in_progress = {}
+        self.ended = collections.OrderedDict()
+        self.bytes = 0
+
+    def begin(self, key, fingerprint) -> Result[KeptAnswer | None, Failure]:
+        """Start a request.
+
+        Parameters
+        ----------
+        key : tuple of str
+            Caller, service and idempotency key.
+        fingerprint : bytes
+            Digest of the request body.
+
+        Returns
+        -------
+        result.Result
+            None if the request should run, the kept answer of an ended one, or an
+            `Err` of kind `conflict`.
+        """
+        self._expire()
+        entry = self.in_progress.get(key) or self.ended.get(key)
+        if entry is None:
+            self.in_progress[key] = _Entry(fingerprint=fingerprint)
+            return Ok(None)
+        if entry.fingerprint != fingerprint:
+            return _conflict("the idempotency key belongs to a different request")
+        if entry.answer is None:
+            return _conflict("a request with this idempotency key is in progress")
+        if entry.answer.body is None and entry.answer.failure is None:
+            return _conflict("the request has run; its answer was too large to keep")
+        return Ok(entry.answer)
+
+    def end(self, key, answer):
+        """Keep the end of a request, unless it surely has not run."""
+        entry = self.in_progress.pop(key)
+        failure = answer.failure
+        if failure is not None and failure.outcome is Outcome.NOT_RUN:
+            return
+        if answer.body is not None and len(answer.body) > MAX_ANSWER_BYTES:
+            answer = attrs.evolve(answer, body=None)
+        entry.answer = answer
+        entry.expires = self.clock.now() + self.retention_s
+        self.ended[key] = entry
+        self.bytes += entry.size
+        while len(self.ended) > self.max_answers or self.bytes > self.max_bytes:
+            self._drop_oldest()
+
+    def _expire(self):
+        now = self.clock.now()
+        while self.ended and next(iter(self.ended.values())).expires <= now:
+            self._drop_oldest()
+
+    def _drop_oldest(self):
+        _, entry = self.ended.popitem(last=False)
+        self.bytes -= entry.size
+
+
+def _conflict(detail):
+    return Err(Failure(kind=ErrorKind.CONFLICT, detail=detail))
--- /dev/null
+++ b/wasabipaddle/api/limits.py
@@ -0,0 +1,53 @@
+"""Rate limits per caller."""
+
+import collections
+
+import attrs
+
+__all__ = ["CallerLimits"]
+
+MAX_CALLERS = 10_000
+
+
+@attrs.define(kw_only=True)
+class _Bucket:
+    tokens: float
+    time: float
+
+
+class CallerLimits:
+    """One token bucket per caller; the least recent callers are forgotten.
+
+    Parameters
+    ----------
+    rate_per_s, burst : float
+        Refill rate and size of a bucket.
+    clock : Clock
+        Source of time.
+    max_callers : int
+        Number of buckets kept.
+    """
+
+    def __init__(self, *, rate_per_s, burst, clock, max_callers=MAX_CALLERS):
+        self.rate_per_s = rate_per_s
+        self.burst = burst
+        self.clock = clock
+        self.max_callers = max_callers
+        self.buckets = collections.OrderedDict()
+
+    def take(self, caller) -> float:
+        """Take one token and return 0, or return the time until there is one."""
+        now = self.clock.now()
+        bucket = self.buckets.get(caller)
+        if bucket is None:
+            bucket = self.buckets[caller] = _Bucket(tokens=self.burst, time=now)
+            if len(self.buckets) > self.max_callers:
+                self.buckets.popitem(last=False)
+        self.buckets.move_to_end(caller)
+        refill = (now - bucket.time) * self.rate_per_s
+        bucket.tokens = min(bucket.tokens + refill, self.burst)
+        bucket.time = now
+        if bucket.tokens >= 1:
+            bucket.tokens -= 1
+            return 0.0
+        return (1 - bucket.tokens) / self.rate_per_s
--- /dev/null
+++ b/wasabipaddle/api/listener.py
@@ -0,0 +1,159 @@
+"""Listener for callers and operators, with bounded connections and a drain."""
+
+import asyncio
+
+from aiohttp import web
+from aiohttp.http_exceptions import LineTooLong
+
+from wasabipaddle.api.answers import failure_response
+from wasabipaddle.api.middleware import Middleware, http_failure
+from wasabipaddle.exceptions import ErrorKind, Failure
+
+__all__ = ["Listener"]
+
+FIRST_REQUEST_S = 10.0
+KEEPALIVE_S = 75.0
+LINGERING_S = 2.0
+# The balancer needs a moment to see the failed readiness before work is refused.
+LEAVE_PAUSE_S = 1.0
+DRAIN_CHECK_S = 0.02
+CONTINUE = "100-continue"
+
+
+class _Protocol(web.RequestHandler):
+    """Connection that must send its first request soon."""
+
+    def connection_made(self, transport):
+        super().connection_made(transport)
+        loop = asyncio.get_running_loop()
+        self.first_request = loop.call_later(FIRST_REQUEST_S, transport.abort)
+
+    def connection_lost(self, exc):
+        self.first_request.cancel()
+        super().connection_lost(exc)
+
+    def request_arrived(self):
+        """Note that a request has arrived."""
+        self.first_request.cancel()
+
+    def handle_error(self, request, status=500, exc=None, message=None):
+        """Answer what could not be read as a request with a listed kind."""
+        if request.writer.output_size > 0:
+            raise ConnectionError("the answer has already begun")
+        if isinstance(exc, LineTooLong):
+            failure = Failure(kind=ErrorKind.HEADERS_TOO_LARGE)
+        elif status >= 500:
+            failure = Failure(kind=ErrorKind.INTERNAL)
+        else:
+            detail = "the call is not valid HTTP"
+            failure = Failure(kind=ErrorKind.INVALID_REQUEST, detail=detail)
+        response = failure_response(failure)
+        response.force_close()
+        return response
+
+
+class _Refusal(asyncio.Protocol):
+    """Connection above the limit, which is closed with an error answer."""
+
+    def connection_made(self, transport):
+        detail = "too many open connections"
+        failure = Failure(kind=ErrorKind.QUEUE_FULL, detail=detail)
+        answer = failure_response(failure)
+        head = (
+            f"HTTP/1.1 {answer.status} Service Unavailable\r\n"
+            "Content-Type: application/json\r\n"
+            f"Content-Length: {len(answer.body)}\r\n"
+            "Retry-After: 1\r\nConnection: close\r\n\r\n"
+        )
+        transport.write(head.encode() + answer.body)
+        transport.close()
+
+
+class Listener:
+    """HTTP server of the interface.
+
+    Parameters
+    ----------
+    state : ApiState
+        Shared objects of the routes.
+    routes : list of Route
+        Routes to serve.
+    ssl : ssl.SSLContext or None
+        TLS context; None serves plain HTTP.
+    """
+
+    def __init__(self, *, state, routes, ssl=None):
+        self.state = state
+        self.ssl = ssl
+        self.middleware = Middleware(state=state)
+        self.app = web.Application(
+            middlewares=self.middleware.all(),
+            client_max_size=state.settings.max_body_bytes,
+        )
+        for route in routes:
+            self.app.router.add_route(route.method, route.path, route.handler)
+        limit = state.settings.max_header_bytes
+        self.options = {
+            "max_line_size": limit,
+            "max_field_size": limit,
+            "keepalive_timeout": KEEPALIVE_S,
+            "lingering_time": LINGERING_S,
+            "auto_decompress": False,
+            "access_log": None,
+        }
+        self.runner = web.AppRunner(self.app, shutdown_timeout=1.0, **self.options)
+        self.server = None
+        self.app_handler = None
+
+    @property
+    def port(self) -> int:
+        """Port of the open listener."""
+        return self.server.sockets[0].getsockname()[1]
+
+    async def open(self, host, port):
+        """Listen on an address."""
+        await self.runner.setup()
+        self.app_handler = self.runner.server.request_handler
+        self.runner.server.request_handler = self._handle
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(
+            self._make_protocol, host, port, ssl=self.ssl
+        )
+
+    async def drain(self):
+        """Fail readiness, refuse new work and wait for the work in progress."""
+        loop = asyncio.get_running_loop()
+        drain_s = self.state.settings.drain_s
+        end = loop.time() + drain_s
+        self.state.readiness.leaving.set()
+        await asyncio.sleep(min(LEAVE_PAUSE_S, drain_s / 4))
+        self.state.readiness.refusing = True
+        while self.middleware.in_progress and loop.time() < end:
+            await asyncio.sleep(DRAIN_CHECK_S)
+        if self.runner.server is not None:
+            self.runner.server.pre_shutdown()
+
+    async def close(self):
+        """Close the listener and every connection."""
+        if self.server is not None:
+            self.server.close()
+        await self.runner.cleanup()
+
+    async def _handle(self, request):
+        """Serve one call; `aiohttp` answers some errors before the middlewares."""
+        if request.headers.get("Expect", CONTINUE).lower() != CONTINUE:
+            detail = f"Expect is not {CONTINUE}"
+            failure = Failure(kind=ErrorKind.INVALID_REQUEST, detail=detail)
+            return failure_response(failure)
+        try:
+            return await self.app_handler(request)
+        except web.HTTPException as error:
+            return failure_response(http_failure(error))
+
+    def _make_protocol(self):
+        server = self.runner.server
+        if len(server.connections) >= self.state.settings.max_connections:
+            self.state.context.metrics.count("api.connections_refused")
+            return _Refusal()
+        loop = asyncio.get_running_loop()
+        return _Protocol(server, loop=loop, **self.options)
--- /dev/null
+++ b/wasabipaddle/api/middleware.py
@@ -0,0 +1,95 @@
+"""Checks around every call: errors, limits and shutdown."""
+
+from absl import logging
+from aiohttp import web
+
+from wasabipaddle.api.answers import fail, failure_response
+from wasabipaddle.api.cluster import HEALTH_PATHS
+from wasabipaddle.exceptions import ErrorKind, Failure, WasabipaddleError
+
+__all__ = ["Middleware", "http_failure"]
+
+HTTP_KINDS = {
+    400: ErrorKind.INVALID_REQUEST,
+    404: ErrorKind.NOT_FOUND,
+    405: ErrorKind.METHOD_NOT_ALLOWED,
+    413: ErrorKind.BODY_TOO_LARGE,
+    431: ErrorKind.HEADERS_TOO_LARGE,
+}
+HEADER_OVERHEAD = 4  # colon, space, carriage return and line feed
+
+
+class Middleware:
+    """Middlewares of the listener, outermost first.
+
+    Parameters
+    ----------
+    state : ApiState
+        Shared objects of the routes.
+
+    Attributes
+    ----------
+    in_progress : int
+        Calls whose answer has not ended.
+    """
+
+    def __init__(self, *, state):
+        self.state = state
+        self.in_progress = 0
+
+    def all(self):
+        """Return the middlewares in the order of `aiohttp`."""
+        return [self.answer_errors, self.check_limits]
+
+    @web.middleware
+    async def answer_errors(self, request, handler):
+        """Answer every error with a listed kind and no stack trace."""
+        self.in_progress += 1
+        try:
+            response = await handler(request)
+        except WasabipaddleError as error:
+            response = self._failed(error.failure)
+        except web.HTTPException as error:
+            response = self._failed(http_failure(error))
+        except (ConnectionError, web.RequestPayloadError) as error:
+            detail = f"the connection broke: {type(error).__name__}"
+            response = self._failed(
+                Failure(kind=ErrorKind.INVALID_REQUEST, detail=detail)
+            )
+        except Exception:
+            logging.exception("unexpected error in %s %s", request.method, request.path)
+            response = self._failed(Failure(kind=ErrorKind.INTERNAL))
+        finally:
+            self.in_progress -= 1
+        if self.state.readiness.leaving.is_set() and not response.prepared:
+            response.force_close()
+        return response
+
+    @web.middleware
+    async def check_limits(self, request, handler):
+        """Refuse calls over the limits and new work during a shutdown."""
+        request.protocol.request_arrived()
+        if request.path in HEALTH_PATHS:
+            return await handler(request)
+        size = sum(len(n) + len(v) + HEADER_OVERHEAD for n, v in request.raw_headers)
+        if size > self.state.settings.max_header_bytes:
+            allowed = self.state.settings.max_header_bytes
+            fail(ErrorKind.HEADERS_TOO_LARGE, f"{size} bytes (allowed: {allowed})")
+        wait_s = self.state.limits.take(self.state.auth.identify(request))
+        if wait_s > 0:
+            fail(ErrorKind.RATE_LIMITED, "too many calls of this caller", wait_s)
+        if self.state.readiness.refusing and request.method != "GET":
+            fail(ErrorKind.DRAINING, "this process is shutting down")
+        return await handler(request)
+
+    def _failed(self, failure):
+        self.state.context.metrics.count(f"api.failed.{failure.kind.value}")
+        return failure_response(failure)
+
+
+def http_failure(error) -> Failure:
+    """Return the listed failure for an error of `aiohttp`."""
+    kind = HTTP_KINDS.get(error.status)
+    if kind is None:
+        kind = ErrorKind.INTERNAL if error.status >= 500 else ErrorKind.INVALID_REQUEST
+    return Failure(kind=kind, detail=error.reason or "")
--- /dev/null
+++ b/wasabipaddle/api/state.py
@@ -0,0 +1,118 @@
+"""What the routes of the HTTP interface share."""
+
+import asyncio
+import re
+import secrets
+
+import attrs
+
+from wasabipaddle.api.answers import fail, unwrap
+from wasabipaddle.api.auth import Authenticator
+from wasabipaddle.api.editor import DocumentEditor
+from wasabipaddle.api.idempotency import KeptAnswers
+from wasabipaddle.api.limits import CallerLimits
+from wasabipaddle.api.readiness import Readiness
+from wasabipaddle.documents import Catalogue
+from wasabipaddle.exceptions import ErrorKind
+from wasabipaddle.kernel import Context
+
+__all__ = ["ApiState", "read_body", "read_integer"]
+
+KEY = re.compile(r"[!-~]{1,128}")
+KEY_HEADER = "Idempotency-Key"
+ASK_MARGIN_S = 1.0
+BODY_TIMEOUT_S = 15.0
+
+
+@attrs.define(kw_only=True)
+class ApiState:
+    """Shared objects of the routes.
+
+    Parameters
+    ----------
+    context : Context
+        Shared services of the process.
+    catalogue : Catalogue
+        Documents in force.
+    editor : DocumentEditor or None
+        Editor of documents; None without a store.
+    """
+
+    context: Context
+    catalogue: Catalogue
+    editor: DocumentEditor | None
+    auth: Authenticator
+    limits: CallerLimits
+    readiness: Readiness
+    kept: KeptAnswers
+
+    @classmethod
+    def create(cls, *, context, catalogue, store):
+        """Make the shared objects from the settings of the process."""
+        settings = context.settings.api
+        editor = None
+        if store is not None:
+            editor = DocumentEditor(store=store, catalogue=catalogue)
+        return cls(
+            context=context,
+            catalogue=catalogue,
+            editor=editor,
+            auth=Authenticator(settings=settings),
+            limits=CallerLimits(
+                rate_per_s=settings.caller_rate_per_s,
+                burst=settings.caller_burst,
+                clock=context.clock,
+            ),
+            readiness=Readiness(),
+            kept=KeptAnswers(clock=context.clock),
+        )
+
+    @property
+    def settings(self):
+        """`ApiSettings` of the process."""
+        return self.context.settings.api
+
+    def document(self, service):
+        """Return the document in force, or raise `not_found`."""
+        document = self.catalogue.get(service)
+        if document is None:
+            fail(ErrorKind.NOT_FOUND, f"there is no service {service[:100]!r}")
+        return document
+
+    async def ask(self, message, *, timeout_s):
+        """Ask the owner of a message and return its reply, or raise its failure."""
+        reply = await self.context.bus.ask(message, timeout_s=timeout_s)
+        return unwrap(reply)
+
+    def key_of(self, request, *, generate) -> str:
+        """Return the idempotency key of a call, a new one, or an empty text."""
+        key = request.headers.get(KEY_HEADER)
+        if key is None:
+            return secrets.token_hex(16) if generate else ""
+        if KEY.fullmatch(key) is None:
+            detail = f"{KEY_HEADER} is not 1 to 128 printable ASCII characters"
+            fail(ErrorKind.INVALID_REQUEST, detail)
+        return key
+
+
+async def read_body(request) -> bytes:
+    """Read the body within the size limit and the time limit for slow senders."""
+    try:
+        async with asyncio.timeout(BODY_TIMEOUT_S):
+            return await request.read()
+    except TimeoutError:
+        detail = f"the body did not arrive within {BODY_TIMEOUT_S:g} s"
+        fail(ErrorKind.INVALID_REQUEST, detail)
+
+
+def read_integer(request, name, default, *, low=0, high) -> int:
+    """Return a whole number from the query, or raise `invalid_request`."""
+    text = request.query.get(name)
+    if text is None:
+        return default
+    if not (text.isascii() and text.isdigit() and len(text) <= 16):
+        fail(ErrorKind.INVALID_REQUEST, f"{name} is not a whole number")
+    value = int(text)
+    if not low <= value <= high:
+        fail(ErrorKind.INVALID_REQUEST, f"{name} is not between {low} and {high}")
+    return value
--- a/wasabipaddle/messages/__init__.py
+++ b/wasabipaddle/messages/__init__.py
@@ -1,5 +1,6 @@
 """Messages between entry processes and the JSON codec for them."""
 
+from wasabipaddle.messages.cluster import ClusterView, QueryCluster
 from wasabipaddle.messages.codec import decode, encode
 from wasabipaddle.messages.grants import Grant, GrantReply, GrantRequest, PoolDemand
 from wasabipaddle.messages.members import (
@@ -38,6 +39,7 @@
 
 __all__ = [
     "CancelRun",
+    "ClusterView",
     "DataCentreSummary",
     "DocumentRevision",
     "DrainNotice",
@@ -53,6 +55,7 @@
     "ListRuns",
     "MemberView",
     "PoolDemand",
+    "QueryCluster",
     "QueryRun",
     "RevisionPage",
     "RevisionQuery",
