--- a/wasabipaddle/commands/cli.py
+++ b/wasabipaddle/commands/cli.py
@@ -21,6 +21,19 @@
         """Print the version."""
         return __version__
 
+    def serve(self, settings, process=None):
+        """Run an entry process with the roles of the settings file SETTINGS."""
+        from wasabipaddle.commands.serve import serve
+
+        serve(settings, process=process)
+
+    def demo(self, examples="examples", seed=1, keep=None):
+        """Run both example deployments with faults and print the verdicts."""
+        from wasabipaddle.demo import run_demo
+
+        if not run_demo(examples, seed=seed, keep=keep):
+            sys.exit(EXIT_BROKEN)
+
     def measure(self, name, seed=1, quick=False, json=False):
         """Run one measure, or `all`, against its baseline and bounds."""
         from wasabipaddle.commands.measure import measure
--- /dev/null
+++ b/wasabipaddle/demo/__init__.py
@@ -0,0 +1,5 @@
+"""Driver that starts the processes of a deployment and injects faults."""
+
+from wasabipaddle.demo.demo import run_demo
+
+__all__ = ["run_demo"]
--- /dev/null
+++ b/wasabipaddle/demo/callers.py
@@ -0,0 +1,265 @@
+"""Concurrent callers of one demonstration and what they were promised."""
+
+import asyncio
+import collections
+import json
+
+import aiohttp
+
+from wasabipaddle.documents import ServiceKind
+from wasabipaddle.standins import CutOffCause, Ledger
+
+__all__ = ["Callers"]
+
+REQUEST_TIMEOUT_S = 10.0
+RUN_TIMEOUT_S = 12.0
+RETRY_S = 0.2
+WAIT_S = 5
+# A run whose end is not known by then counts as lost.
+END_TIMEOUT_S = 25.0
+
+
+class Callers:
+    """Sends requests, runs and cancellations through the entry processes.
+
+    Parameters
+    ----------
+    layout : Layout
+        Addresses.
+    documents : sequence of ServiceDocument
+        Services that are called.
+    random : random.Random
+        Source of the load.
+
+    Attributes
+    ----------
+    ledger : Ledger
+        What callers were promised, and requests that were cut off.
+    refused : set of str
+        Work of refusals that said "not run".
+    outcomes : collections.Counter
+        Answers by kind.
+    """
+
+    def __init__(self, *, layout, documents, random):
+        self.layout = layout
+        self.documents = documents
+        self.random = random
+        self.ledger = Ledger()
+        self.refused = set()
+        self.outcomes = collections.Counter()
+        self.available = {e.name: e for e in layout.deployment.entries}
+        self.draining = set()
+        self.session = None
+        self.runs = {}
+        self.cancelled = set()
+        self.tasks = set()
+        self.counter = 0
+
+    async def open(self):
+        """Open the connections."""
+        connector = aiohttp.TCPConnector(limit=0)
+        self.session = aiohttp.ClientSession(connector=connector)
+
+    async def close(self):
+        """Close the connections."""
+        await self.session.close()
+
+    def take_out(self, name):
+        """Send nothing more to a process, as the balancer does."""
+        self.available.pop(name, None)
+
+    def put_back(self, name):
+        """Send calls to a process again."""
+        entry = next(e for e in self.layout.deployment.entries if e.name == name)
+        self.available[name] = entry
+
+    # Load
+
+    async def send_requests(self, until, *, period_s):
+        """Send requests of the urgent services until the loop time `until`."""
+        services = [d for d in self.documents if d.kind is ServiceKind.REQUEST]
+        while asyncio.get_running_loop().time() < until:
+            self._spawn(self._request(self.random.choice(services)))
+            await asyncio.sleep(self.random.expovariate(1 / period_s))
+
+    async def submit_runs(self, until, *, period_s):
+        """Submit runs of every kind until the loop time `until`."""
+        kinds = (ServiceKind.BATCH, ServiceKind.GANG)
+        services = [d for d in self.documents if d.kind in kinds]
+        while asyncio.get_running_loop().time() < until:
+            self._spawn(self._run(self.random.choice(services)))
+            await asyncio.sleep(self.random.expovariate(1 / period_s))
+
+    async def cancel_some(self, until, *, period_s):
+        """Cancel random runs until the loop time `until`."""
+        while asyncio.get_running_loop().time() < until:
+            await asyncio.sleep(self.random.expovariate(1 / period_s))
+            candidates = [k for k in self.runs if k not in self.cancelled]
+            if candidates:
+                self._spawn(self._cancel(self.random.choice(candidates)))
+
+    async def finish(self):
+        """Wait for everything that was sent."""
+        while self.tasks:
+            await asyncio.gather(*self.tasks)
+
+    # Requests
+
+    async def _request(self, document):
+        self.counter += 1
+        work = f"request-{self.counter}"
+        service_s = round(self.random.uniform(0.02, 0.3), 3)
+        body = json.dumps(
+            {
+                "work": work,
+                "service_s": service_s,
+                "answer_bytes": self.random.choice([100, 3_000, 200_000]),
+                "idempotent": document.request.idempotent,
+            }
+        )
+        entry = self._choose()
+        url = f"{_base(entry)}/v1/services/{document.service}/requests"
+        timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
+        try:
+            async with self.session.post(url, data=body, timeout=timeout) as response:
+                content = await response.read()
+                self._request_answered(work, response, content)
+        except (aiohttp.ClientError, TimeoutError):
+            self.outcomes["request broken"] += 1
+            if entry.name in self.draining:
+                self._cut_off(work, entry)
+
+    def _request_answered(self, work, response, content):
+        if response.status == 200:
+            self.outcomes["request answered"] += 1
+            self.ledger.accept(work)
+            return
+        answer = json.loads(content)
+        self.outcomes[f"request {answer['kind']}"] += 1
+        if answer["outcome"] == "not_run":
+            self.refused.add(work)
+
+    def _cut_off(self, work, entry):
+        self.ledger.cut_off(
+            work,
+            place=entry.name,
+            cause=CutOffCause.PLANNED_STOP,
+            time_s=asyncio.get_running_loop().time(),
+        )
+
+    # Runs
+
+    async def _run(self, document):
+        self.counter += 1
+        key = f"{document.service}-{self.counter}"
+        payload = json.dumps({"work": key, "run_s": self.random.choice([0.5, 1, 2, 4])})
+        view = await self._submit(document, key, payload)
+        if view is None:
+            return
+        for index in range(document.run.tasks):
+            self.ledger.accept(f"{key}/{index}")
+        self.runs[key] = view["run"]
+        await self._follow(document, key)
+
+    async def _submit(self, document, key, payload):
+        """Submit a run, again with the same key while the answer is in doubt."""
+        path = f"/v1/services/{document.service}/runs"
+        headers = {"Idempotency-Key": key}
+        in_doubt = False
+        give_up_at = asyncio.get_running_loop().time() + END_TIMEOUT_S
+        while asyncio.get_running_loop().time() < give_up_at:
+            status, answer = await self._call(
+                "POST", path, data=payload, headers=headers
+            )
+            if status == 202:
+                self.outcomes["run accepted"] += 1
+                return answer
+            self.outcomes[f"run {answer['kind']}"] += 1
+            if answer["outcome"] == "not_run" and not in_doubt:
+                for index in range(document.run.tasks):
+                    self.refused.add(f"{key}/{index}")
+                return None
+            in_doubt = True
+            await asyncio.sleep(RETRY_S)
+        self.outcomes["run never settled"] += 1
+        return None
+
+    async def _follow(self, document, key):
+        path = f"/v1/runs/{self.runs[key]}?wait={WAIT_S}s"
+        give_up_at = asyncio.get_running_loop().time() + END_TIMEOUT_S
+        while asyncio.get_running_loop().time() < give_up_at:
+            status, answer = await self._call("GET", path)
+            if status == 200 and answer["state"] == "ended":
+                outcome = answer["outcome"]
+                self.outcomes[f"run {outcome}"] += 1
+                if outcome == "cancelled":
+                    self._note_cancelled(document, key)
+                del self.runs[key]
+                return
+            await asyncio.sleep(RETRY_S)
+        self.outcomes["run not ended"] += 1
+
+    def _note_cancelled(self, document, key):
+        for index in range(document.run.tasks):
+            self.ledger.cancel(f"{key}/{index}")
+
+    async def _cancel(self, key):
+        self.cancelled.add(key)
+        run = self.runs.get(key)
+        if run is not None:
+            await self._call("POST", f"/v1/runs/{run}/cancel")
+
+    # Calls
+
+    async def apply(self, service, text, *, revision=None):
+        """Create a document, or edit the revision that was read before."""
+        headers = {"If-None-Match": "*"}
+        if revision is not None:
+            headers = {"If-Match": revision}
+        path = f"/v1/services/{service}"
+        return await self._call("PUT", path, data=text, headers=headers)
+
+    async def in_force(self, services) -> bool:
+        """Return whether every process knows the documents of `services`."""
+        for entry in list(self.available.values()):
+            async with self.session.get(f"{_base(entry)}/v1/services") as response:
+                answer = json.loads(await response.read())
+            known = {s["service"] for s in answer["services"]}
+            if not known.issuperset(services):
+                return False
+        return True
+
+    async def read_revision(self, service):
+        """Return the entity tag of a document, None if it cannot be read."""
+        entry = self._choose()
+        url = f"{_base(entry)}/v1/services/{service}"
+        try:
+            async with self.session.get(url) as response:
+                return response.headers.get("ETag")
+        except aiohttp.ClientError:
+            return None
+
+    async def _call(self, method, path, **options):
+        entry = self._choose()
+        timeout = aiohttp.ClientTimeout(total=RUN_TIMEOUT_S)
+        try:
+            async with self.session.request(
+                method, _base(entry) + path, timeout=timeout, **options
+            ) as response:
+                return response.status, json.loads(await response.read())
+        except (aiohttp.ClientError, TimeoutError) as error:
+            kind = f"call broken ({type(error).__name__})"
+            return 0, {"kind": kind, "outcome": "unknown"}
+
+    def _choose(self):
+        return self.random.choice(list(self.available.values()))
+
+    def _spawn(self, coroutine):
+        task = asyncio.create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+
+def _base(entry):
+    return f"http://{entry.host}:{entry.api_port}"
--- /dev/null
+++ b/wasabipaddle/demo/demo.py
@@ -0,0 +1,178 @@
+"""Demonstration of both deployments under failures."""
+
+import asyncio
+import pathlib
+import random
+import sys
+import tempfile
+import time
+
+import attrs
+
+from wasabipaddle.demo.callers import Callers
+from wasabipaddle.demo.layout import write_layout
+from wasabipaddle.demo.processes import ProcessGroup
+from wasabipaddle.demo.scenario import Scenario
+from wasabipaddle.documents import parse_document
+from wasabipaddle.settings import load_deployment
+from wasabipaddle.standins.control import StandinControl
+
+__all__ = ["DemoResult", "run_demo"]
+
+LOAD_S = 15.0
+REQUEST_PERIOD_S = 0.01
+RUN_PERIOD_S = 0.25
+CANCEL_PERIOD_S = 1.5
+DOCUMENT_TIMEOUT_S = 10.0
+NOT_DOCUMENTS = ("deployment.yaml", "settings.yaml")
+
+
+@attrs.frozen(kw_only=True)
+class DemoResult:
+    """Result of one deployment.
+
+    Parameters
+    ----------
+    verdict : Verdict
+        Counts from the records of the stand-ins.
+    false_refusals : int
+        Refusals that said "not run" of work that was executed.
+    problems : tuple of str
+        Steps of the scenario that failed.
+    """
+
+    name: str
+    verdict: object
+    false_refusals: int
+    problems: tuple[str, ...]
+
+    @property
+    def clean(self) -> bool:
+        """Whether nothing was broken."""
+        return self.verdict.clean and not self.false_refusals and not self.problems
+
+    def line(self) -> str:
+        """Return the closing line."""
+        v = self.verdict
+        return (
+            f"{self.name}: accepted {v.accepted}, completed {v.completed}, "
+            f"cancelled {v.cancelled}, lost {v.lost}, doubled {v.doubled}, "
+            f"overfilled {v.overfilled}, cut off {v.cut_off}"
+        )
+
+
+def run_demo(directory, *, seed=1, keep=None) -> bool:
+    """Run every deployment below a directory of examples.
+
+    Parameters
+    ----------
+    directory : path
+        Directory with one example per deployment.
+    seed : int
+        Seed of the load.
+    keep : path or None
+        Where files and logs of the processes are kept; None discards them.
+
+    Returns
+    -------
+    bool
+        Whether nothing was lost, doubled, overfilled or cut off.
+    """
+    results = []
+    for name in ("lapidea", "bitacora"):
+        source = pathlib.Path(directory) / name
+        with tempfile.TemporaryDirectory(prefix="wasabipaddle-") as temporary:
+            target = pathlib.Path(keep or temporary) / name
+            target.mkdir(parents=True, exist_ok=True)
+            result = asyncio.run(_run_deployment(name, source, target, seed))
+        results.append(result)
+        print(result.line(), flush=True)
+        for problem in result.problems:
+            print(f"{name}: {problem}", file=sys.stderr)
+        if result.false_refusals:
+            count = result.false_refusals
+            print(f"{name}: {count} refusals were false", file=sys.stderr)
+    return all(r.clean for r in results)
+
+
+def _read_documents(source):
+    files = sorted(p for p in source.glob("*.yaml") if p.name not in NOT_DOCUMENTS)
+    texts = [p.read_text(encoding="utf-8") for p in files]
+    documents = [
+        parse_document(t, p.name).unwrap() for t, p in zip(texts, files, strict=True)
+    ]
+    by_service = {d.service: t for d, t in zip(documents, texts, strict=True)}
+    return documents, by_service
+
+
+async def _run_deployment(name, source, directory, seed):
+    started = time.monotonic()
+
+    def say(text):
+        elapsed = time.monotonic() - started
+        print(f"{name} {elapsed:5.1f} s  {text}", flush=True)
+
+    deployment = load_deployment(source / "deployment.yaml").unwrap()
+    documents, texts = _read_documents(source)
+    layout = write_layout(deployment, source, directory)
+    processes = ProcessGroup(layout=layout, directory=directory)
+    callers = Callers(layout=layout, documents=documents, random=random.Random(seed))
+    control = StandinControl(urls=layout.controls)
+    scenario = Scenario(
+        processes=processes,
+        control=control,
+        callers=callers,
+        deployment=deployment,
+        documents=texts,
+        say=say,
+    )
+    try:
+        entries = len(deployment.entries)
+        say(f"start {entries} entry processes, {len(layout.standins)} stand-ins")
+        await processes.start_all()
+        await callers.open()
+        say(f"apply {len(texts)} documents")
+        await _apply_documents(callers, texts)
+        say("send requests, runs, gangs and cancellations")
+        await _load(callers, scenario)
+        say("wait for the last runs")
+        await callers.finish()
+        verdict = await control.verdict(callers.ledger.record)
+        record = await control.record()
+    finally:
+        await callers.close()
+        await control.close()
+        await processes.stop_all()
+    say(", ".join(f"{k} {v}" for k, v in sorted(callers.outcomes.items())))
+    executed = {e.work for e in record.executions}
+    return DemoResult(
+        name=name,
+        verdict=verdict,
+        false_refusals=len(callers.refused & executed),
+        problems=tuple(scenario.problems),
+    )
+
+
+async def _apply_documents(callers, texts):
+    for service, text in texts.items():
+        async with asyncio.timeout(DOCUMENT_TIMEOUT_S):
+            while True:
+                status, answer = await callers.apply(service, text)
+                if status in (200, 201):
+                    break
+                if answer["outcome"] == "unknown" or status == 412:
+                    break
+                await asyncio.sleep(0.2)
+    async with asyncio.timeout(DOCUMENT_TIMEOUT_S):
+        while not await callers.in_force(texts):
+            await asyncio.sleep(0.1)
+
+
+async def _load(callers, scenario):
+    until = asyncio.get_running_loop().time() + LOAD_S
+    await asyncio.gather(
+        callers.send_requests(until, period_s=REQUEST_PERIOD_S),
+        callers.submit_runs(until, period_s=RUN_PERIOD_S),
+        callers.cancel_some(until, period_s=CANCEL_PERIOD_S),
+        scenario.run(),
+    )
--- /dev/null
+++ b/wasabipaddle/demo/layout.py
@@ -0,0 +1,243 @@
+"""Files of one demonstration: settings of entry processes and of stand-ins.
+
+Traffic between data centres and to the platform passes the link stand-in. Each data
+centre therefore has its own view of the deployment, in which the addresses of other
+data centres are ports of the link.
+"""
+
+import pathlib
+
+import attrs
+import cattrs
+import yaml
+
+from wasabipaddle.platform import VmEntry, VmRole, VmStatus
+from wasabipaddle.standins.proxy import ProxyRoute
+from wasabipaddle.standins.settings import (
+    EndpointStandin,
+    LinkStandin,
+    Place,
+    StandinSettings,
+    StoreStandin,
+    VmListStandin,
+    WorkerStandin,
+)
+
+__all__ = ["Layout", "write_layout"]
+
+HOST = "127.0.0.1"
+PLATFORM = "platform"
+VM_LIST_LAG_S = 1.0
+PROXY_PORT_OFFSET = 500
+CONTROL_PORT_OFFSET = 900
+
+
+@attrs.frozen(kw_only=True)
+class Layout:
+    """Files and addresses of one demonstration.
+
+    Parameters
+    ----------
+    settings : dict of str to pathlib.Path
+        Settings file by entry process.
+    standins : tuple of pathlib.Path
+        Settings files of the stand-in processes.
+    controls : tuple of str
+        Control addresses of the stand-in processes.
+    """
+
+    deployment: object
+    settings: dict
+    standins: tuple
+    controls: tuple
+
+
+class _LinkPorts:
+    """Hands out ports of the link, one for each source place and target."""
+
+    def __init__(self, first):
+        self.next = first
+        self.routes = {}
+
+    def port(self, source, target, port):
+        """Return the port at which `source` reaches a port of another place."""
+        key = (source, target, port)
+        if key not in self.routes:
+            self.routes[key] = ProxyRoute(
+                port=self.next,
+                target_host=HOST,
+                target_port=port,
+                source=source,
+                target=target,
+            )
+            self.next += 1
+        return self.routes[key].port
+
+
+def write_layout(deployment, source, directory) -> Layout:
+    """Write the files of a demonstration.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        The deployment of the example.
+    source : pathlib.Path
+        Directory of the example, with `deployment.yaml` and `settings.yaml`.
+    directory : pathlib.Path
+        Where the files go.
+    """
+    base = _port_of(deployment.store_url)
+    links = _LinkPorts(base + PROXY_PORT_OFFSET)
+    settings = {}
+    for centre in deployment.data_centres:
+        view = _view(yaml.safe_load(_read(source / "deployment.yaml")), centre, links)
+        name = f"deployment-{centre.name}.yaml"
+        (directory / name).write_text(yaml.safe_dump(view), encoding="utf-8")
+        path = directory / f"settings-{centre.name}.yaml"
+        process = yaml.safe_load(_read(source / "settings.yaml"))
+        process["deployment"] = name
+        process["process"] = _first_entry(deployment, centre)
+        path.write_text(yaml.safe_dump(process), encoding="utf-8")
+        for entry in deployment.entries:
+            if entry.data_centre == centre.name:
+                settings[entry.name] = path
+    parts = _standins(deployment, base, links)
+    files = []
+    for index, part in enumerate(parts):
+        path = directory / f"standin-{index}.yaml"
+        text = yaml.safe_dump(cattrs.unstructure(part))
+        path.write_text(text, encoding="utf-8")
+        files.append(path)
+    return Layout(
+        deployment=deployment,
+        settings=settings,
+        standins=tuple(files),
+        controls=tuple(f"http://{HOST}:{p.control_port}" for p in parts),
+    )
+
+
+def _read(path):
+    return pathlib.Path(path).read_text(encoding="utf-8")
+
+
+def _port_of(url):
+    return int(url.rpartition(":")[2])
+
+
+def _first_entry(deployment, centre):
+    return next(e.name for e in deployment.entries if e.data_centre == centre.name)
+
+
+def _view(data, centre, links):
+    """Return the deployment as one data centre addresses it."""
+    for key in ("store_url", "vm_list_url"):
+        port = links.port(centre.name, PLATFORM, _port_of(data[key]))
+        data[key] = f"http://{HOST}:{port}"
+    for entry in data["entries"]:
+        target = entry["data_centre"]
+        if target != centre.name:
+            port = links.port(centre.name, target, entry["internal_port"])
+            entry["internal_port"] = port
+    return data
+
+
+def _standins(deployment, base, links):
+    """Return the settings of the stand-in processes."""
+    controls = iter(range(base + CONTROL_PORT_OFFSET, base + CONTROL_PORT_OFFSET + 50))
+    platform = StandinSettings(
+        control_port=next(controls),
+        store=StoreStandin(port=base),
+        vm_list=VmListStandin(
+            port=_port_of(deployment.vm_list_url),
+            lag_s=VM_LIST_LAG_S,
+            vms=tuple(_vms(deployment)),
+        ),
+    )
+    places = [Place(name=c.name, region=c.region) for c in deployment.data_centres]
+    places.append(Place(name=PLATFORM, region=deployment.store_region))
+    link = StandinSettings(
+        control_port=next(controls),
+        link=LinkStandin(
+            places=tuple(places),
+            routes=tuple(links.routes.values()),
+            settings=deployment.link,
+        ),
+    )
+    fleets = [
+        StandinSettings(
+            control_port=next(controls),
+            workers=tuple(_workers(deployment, centre)),
+            endpoints=tuple(_endpoints(deployment, centre)),
+        )
+        for centre in deployment.data_centres
+    ]
+    return (platform, link, *fleets)
+
+
+def _vms(deployment):
+    for entry in deployment.entries:
+        yield VmEntry(
+            vm=entry.name,
+            role=VmRole.ENTRY,
+            status=VmStatus.LIVE,
+            data_centre=entry.data_centre,
+            rack="entries",
+            host=entry.host,
+            port=entry.api_port,
+        )
+    for rack in deployment.racks:
+        for i in range(rack.count):
+            yield VmEntry(
+                vm=f"{rack.rack}-w{i + 1}",
+                role=VmRole.WORKER,
+                status=VmStatus.LIVE,
+                data_centre=rack.data_centre,
+                rack=rack.rack,
+                host=rack.host,
+                port=rack.first_port + i,
+                resources=rack.resources,
+            )
+    for group in deployment.endpoints:
+        for i in range(group.count):
+            yield VmEntry(
+                vm=_endpoint_name(group, i),
+                role=VmRole.ENDPOINT,
+                status=VmStatus.LIVE,
+                data_centre=group.data_centre,
+                rack=group.rack,
+                host=group.host,
+                port=group.first_port + i,
+                pool=group.pool,
+                slots=group.slots,
+                connections=group.connections,
+            )
+
+
+def _endpoint_name(group, index):
+    return f"{group.rack}-{group.pool}-{index + 1}"
+
+
+def _workers(deployment, centre):
+    for rack in deployment.racks:
+        if rack.data_centre != centre.name:
+            continue
+        for i in range(rack.count):
+            yield WorkerStandin(
+                vm=f"{rack.rack}-w{i + 1}",
+                port=rack.first_port + i,
+                resources=rack.resources,
+                usage_lag_s=1.0,
+            )
+
+
+def _endpoints(deployment, centre):
+    for group in deployment.endpoints:
+        if group.data_centre != centre.name:
+            continue
+        for i in range(group.count):
+            yield EndpointStandin(
+                vm=_endpoint_name(group, i),
+                port=group.first_port + i,
+                slots=group.slots,
+                connections=group.connections,
+            )
--- /dev/null
+++ b/wasabipaddle/demo/processes.py
@@ -0,0 +1,120 @@
+"""Processes of one demonstration."""
+
+import asyncio
+import os
+import signal
+import sys
+
+import aiohttp
+
+__all__ = ["ProcessGroup"]
+
+READY_TIMEOUT_S = 20.0
+READY_POLL_S = 0.1
+STOP_TIMEOUT_S = 15.0
+
+
+class ProcessGroup:
+    """Starts, stops and pauses the processes of a layout.
+
+    The driver starts them; a process of the system starts no other process.
+
+    Parameters
+    ----------
+    layout : Layout
+        Files and addresses.
+    directory : pathlib.Path
+        Where the output of each process goes.
+    """
+
+    def __init__(self, *, layout, directory):
+        self.layout = layout
+        self.directory = directory
+        self.children = {}
+        self.stopped = set()
+
+    async def start_all(self):
+        """Start the stand-ins and the entry processes and wait for readiness."""
+        for index, path in enumerate(self.layout.standins):
+            await self._spawn(f"standin-{index}", "standin", path)
+        await self._wait_for(f"{url}/verdict" for url in self.layout.controls)
+        for entry in self.layout.deployment.entries:
+            await self.start_entry(entry.name)
+        await self.wait_ready()
+
+    async def start_entry(self, name):
+        """Start one entry process."""
+        self.stopped.discard(name)
+        path = self.layout.settings[name]
+        await self._spawn(name, "serve", path, "--process", name)
+
+    async def wait_ready(self):
+        """Wait until every entry process that runs is ready."""
+        running = [
+            e for e in self.layout.deployment.entries if e.name not in self.stopped
+        ]
+        await self._wait_for(f"http://{e.host}:{e.api_port}/readyz" for e in running)
+
+    def kill(self, name):
+        """End a process at once."""
+        self.stopped.add(name)
+        self.children[name].kill()
+
+    def pause(self, name):
+        """Suspend a process."""
+        self.children[name].send_signal(signal.SIGSTOP)
+
+    def resume(self, name):
+        """Let a suspended process go on."""
+        self.children[name].send_signal(signal.SIGCONT)
+
+    async def drain(self, name) -> bool:
+        """Shut a process down gracefully; return whether it ended in time."""
+        self.stopped.add(name)
+        child = self.children[name]
+        child.terminate()
+        try:
+            await asyncio.wait_for(child.wait(), STOP_TIMEOUT_S)
+        except TimeoutError:
+            return False
+        return child.returncode == 0
+
+    async def stop_all(self):
+        """End every process."""
+        for child in self.children.values():
+            if child.returncode is None:
+                child.send_signal(signal.SIGCONT)
+                child.kill()
+        for child in self.children.values():
+            await child.wait()
+
+    async def _spawn(self, name, *arguments):
+        log = open(self.directory / f"{name}.log", "ab")  # noqa: SIM115
+        environment = {**os.environ, "PYTHONUNBUFFERED": "1"}
+        self.children[name] = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "wasabipaddle",
+            *(str(a) for a in arguments),
+            stdout=log,
+            stderr=log,
+            stdin=asyncio.subprocess.DEVNULL,
+            env=environment,
+        )
+        log.close()
+
+    async def _wait_for(self, urls):
+        async with aiohttp.ClientSession() as session:
+            await asyncio.gather(*(_wait_until_ok(session, url) for url in urls))
+
+
+async def _wait_until_ok(session, url):
+    async with asyncio.timeout(READY_TIMEOUT_S):
+        while True:
+            try:
+                async with session.get(url) as response:
+                    if response.status == 200:
+                        return
+            except aiohttp.ClientError:
+                pass
+            await asyncio.sleep(READY_POLL_S)
--- /dev/null
+++ b/wasabipaddle/demo/scenario.py
@@ -0,0 +1,112 @@
+"""Faults of one demonstration, in order of their time."""
+
+import asyncio
+
+from wasabipaddle.platform import VmStatus
+
+__all__ = ["Scenario"]
+
+DRAIN_LIST_S = 4.0
+
+
+class Scenario:
+    """Injects the faults while the callers send their load.
+
+    Parameters
+    ----------
+    processes : ProcessGroup
+        Processes of the system.
+    control : StandinControl
+        Control of the stand-ins.
+    callers : Callers
+        Load.
+    deployment : Deployment
+        Names of what can fail.
+    documents : dict of str to str
+        YAML text by service.
+    say : callable
+        Prints progress.
+    """
+
+    def __init__(self, *, processes, control, callers, deployment, documents, say):
+        self.processes = processes
+        self.control = control
+        self.callers = callers
+        self.deployment = deployment
+        self.documents = documents
+        self.say = say
+        self.problems = []
+
+    async def run(self):
+        """Inject every fault."""
+        first, second, third = (c.name for c in self.deployment.data_centres)
+        await self._after(1.0, self._edit_document())
+        await self._after(0.5, self._kill(self._entry(first, 0)))
+        await self._after(1.0, self._pause(self._entry(second, 0), 5.0))
+        await self._after(0.0, self._drain_endpoint(first))
+        await self._after(0.5, self._store_outage(3.0))
+        await self._after(0.5, self._cut_off(third, 3.0))
+        await self._after(0.0, self._drain_entry(self._entry(first, 1)))
+
+    async def _after(self, delay_s, step):
+        await asyncio.sleep(delay_s)
+        await step
+
+    def _entry(self, data_centre, index):
+        names = [
+            e.name for e in self.deployment.entries if e.data_centre == data_centre
+        ]
+        return names[index]
+
+    async def _edit_document(self):
+        service, text = next(iter(sorted(self.documents.items())))
+        self.say(f"edit the document of {service}")
+        revision = await self.callers.read_revision(service)
+        status, answer = await self.callers.apply(
+            service, text + "# edited\n", revision=revision
+        )
+        if status not in (200, 201):
+            self.problems.append(f"edit of {service}: {answer}")
+
+    async def _kill(self, name):
+        self.say(f"kill entry process {name}")
+        self.processes.kill(name)
+        self.callers.take_out(name)
+        await self.control.set_vm_status(name, VmStatus.GONE)
+
+    async def _pause(self, name, length_s):
+        self.say(f"pause entry process {name} for {length_s:g} s, past its lease")
+        self.processes.pause(name)
+        self.callers.take_out(name)
+        await asyncio.sleep(length_s)
+        self.processes.resume(name)
+        self.callers.put_back(name)
+
+    async def _drain_endpoint(self, data_centre):
+        group = next(
+            g for g in self.deployment.endpoints if g.data_centre == data_centre
+        )
+        name = f"{group.rack}-{group.pool}-1"
+        self.say(f"drain endpoint {name}")
+        await self.control.set_vm_status(name, VmStatus.LEAVING)
+        await self.control.set_faults(name, draining=True)
+
+    async def _store_outage(self, length_s):
+        self.say(f"take the store down for {length_s:g} s")
+        await self.control.set_faults("store", down=True)
+        await asyncio.sleep(length_s)
+        await self.control.set_faults("store", down=False)
+
+    async def _cut_off(self, data_centre, length_s):
+        self.say(f"cut off data centre {data_centre} for {length_s:g} s")
+        await self.control.change_link(cut=(data_centre,))
+        await asyncio.sleep(length_s)
+        self.say(f"reconnect data centre {data_centre}")
+        await self.control.change_link(heal=True)
+
+    async def _drain_entry(self, name):
+        self.say(f"shut down entry process {name} gracefully")
+        self.callers.draining.add(name)
+        self.callers.take_out(name)
+        if not await self.processes.drain(name):
+            self.problems.append(f"{name} did not shut down cleanly")
--- a/wasabipaddle/serve/process.py
+++ b/wasabipaddle/serve/process.py
@@ -6,9 +6,35 @@
 
 from wasabipaddle.clock import LoopClock
 from wasabipaddle.kernel import Context, Kernel
+from wasabipaddle.serve import (
+    api,
+    fleet,
+    leadership,
+    membership,
+    platform,
+    relay,
+    routing,
+    runs,
+    shards,
+    store,
+)
 from wasabipaddle.serve.transport import TransportPlugin
 
-__all__ = ["ROLES", "serve"]
+__all__ = ["PLUGIN_MODULES", "ROLES", "serve"]
+
+# Importing a module registers its plug-in.
+PLUGIN_MODULES = (
+    api,
+    fleet,
+    leadership,
+    membership,
+    platform,
+    relay,
+    routing,
+    runs,
+    shards,
+    store,
+)
 
 ROLES = ("routing", "runs", "api")
 
--- a/wasabipaddle/serve/relay.py
+++ b/wasabipaddle/serve/relay.py
@@ -26,7 +26,8 @@
 class RelayPlugin(Plugin):
     """Watches the store for its data centre or fetches documents from peers.
 
-    Publishes `DocumentApplied` for each revision that comes into force.
+    Publishes `DocumentApplied` and its source, a `DocumentRevision`, for each revision
+    that comes into force.
 
     Attributes
     ----------
@@ -171,6 +172,7 @@
             service=source.service,
             detail=f"revision {source.revision}",
         )
+        self.context.bus.publish(source)
         self.context.bus.publish(
             DocumentApplied(
                 service=source.service,
