--- a/wasabipaddle/standins/__init__.py
+++ b/wasabipaddle/standins/__init__.py
@@ -13,7 +13,13 @@
     WorkKind,
     merge_records,
 )
-from wasabipaddle.standins.link import Link, LinkConnection, LinkedStore, LinkedWorker
+from wasabipaddle.standins.link import (
+    Link,
+    LinkConnection,
+    LinkedStore,
+    LinkedVmList,
+    LinkedWorker,
+)
 from wasabipaddle.standins.payloads import RequestPayload, TaskPayload
 from wasabipaddle.standins.store import (
     MemoryStore,
@@ -39,6 +45,7 @@
     "Link",
     "LinkConnection",
     "LinkedStore",
+    "LinkedVmList",
     "LinkedWorker",
     "MemoryEndpoint",
     "MemoryStore",
--- a/wasabipaddle/standins/control.py
+++ b/wasabipaddle/standins/control.py
@@ -17,7 +17,8 @@
 class StandinControl:
     """Control of the stand-in processes of one cell.
 
-    Each command goes to the processes in order until one knows its target.
+    A command goes to the processes in order until one knows its target; a change of
+    the link goes to every process that has a link.
 
     Parameters
     ----------
@@ -39,7 +40,9 @@
 
     async def change_link(self, **fields) -> Result[None, Failure]:
         """Change the link; the arguments are the fields of `LinkCommand`."""
-        return await self._post("link", LinkCommand(**fields))
+        command = LinkCommand(**fields)
+        results = [await self._post_to(url, "link", command) for url in self.urls]
+        return next((r for r in results if r.is_ok()), results[0])
 
     async def record(self) -> LedgerRecord:
         """Return the joined ledger of all processes."""
@@ -65,13 +68,16 @@
     async def _post(self, path, command):
         result = None
         for url in self.urls:
-            result = await self.caller.call(
-                "POST", f"{url}/{path}", None, timeout_s=TIMEOUT_S, body=command
-            )
+            result = await self._post_to(url, path, command)
             if result.is_ok():
                 break
         return result
 
+    async def _post_to(self, url, path, command):
+        return await self.caller.call(
+            "POST", f"{url}/{path}", None, timeout_s=TIMEOUT_S, body=command
+        )
+
     async def _get_all(self, path, answer_type):
         found = []
         for url in self.urls:
--- a/wasabipaddle/standins/endpoint.py
+++ b/wasabipaddle/standins/endpoint.py
@@ -148,6 +148,8 @@
         change_faults(self.faults, changes)
         if self.faults.gone:
             self._cut_all()
+        if self.refuses_connections():
+            self.open.clear()
 
     def silence_connections(self):
         """Make every open connection silent; new ones work."""
@@ -260,6 +262,5 @@
             self._record_cut_off(running, cause)
             if not running.ended.done():
                 running.ended.set_result(closed)
-        self.open.clear()
         self.states.clear()
         self.epochs.clear()
--- a/wasabipaddle/standins/endpoint_view.py
+++ b/wasabipaddle/standins/endpoint_view.py
@@ -92,8 +92,10 @@
 
     async def _connect(self, *, new=False):
         endpoint = self.endpoint
-        if self.idle and not new:
-            return Ok(self.idle.pop())
+        while self.idle and not new:
+            connection = self.idle.pop()
+            if connection in endpoint.open:
+                return Ok(connection)
         if self.partitioned:
             await asyncio.sleep(self.progress_s)
             return fail(ErrorKind.UNREACHABLE, "no connection in time")
@@ -111,7 +113,7 @@
         await asyncio.sleep(endpoint.latency_s / 2)
         if self._is_silent(connection):
             return await self._stall()
-        if endpoint.refuses_connections():
+        if connection not in endpoint.open:
             return fail(ErrorKind.TIMEOUT, "connection closed by the endpoint")
         accepted = endpoint.accept(request)
         if accepted.is_err():
@@ -134,6 +136,8 @@
             silent = self._is_silent(connection)
             if running.ended.done() and not silent and not running.lost:
                 return running.ended.result()
+            if connection not in self.endpoint.open:
+                return fail(ErrorKind.TIMEOUT, "connection closed by the endpoint")
             if not silent and loop.time() <= running.pings_until_s:
                 progress_at_s = loop.time()
             if loop.time() - progress_at_s >= self.progress_s:
--- a/wasabipaddle/standins/link.py
+++ b/wasabipaddle/standins/link.py
@@ -6,10 +6,10 @@
 import msgspec
 
 from wasabipaddle.exceptions import ErrorKind
-from wasabipaddle.platform import Store, WorkerClient
+from wasabipaddle.platform import Store, VmList, WorkerClient
 from wasabipaddle.standins.exchange import fail
 
-__all__ = ["Link", "LinkConnection", "LinkedStore", "LinkedWorker"]
+__all__ = ["Link", "LinkConnection", "LinkedStore", "LinkedVmList", "LinkedWorker"]
 
 BITS_PER_BYTE = 8
 BITS_PER_MBIT = 1_000_000
@@ -23,7 +23,8 @@
     Parameters
     ----------
     regions : dict of str to str
-        Region of each place. A place without a region is a client.
+        Region of each place, also of the place of the store. A place that is not
+        listed is a client, which `cut_off` leaves connected.
     settings : LinkSettings
         Latency and bandwidth.
 
@@ -177,6 +178,14 @@
         )
 
 
+class LinkedVmList(_Linked, VmList):
+    """Client of a list of VMs over a link."""
+
+    async def read(self, *, data_centre=None):
+        """Return the list, of one data centre or of all."""
+        return await self._carry(0, lambda: self.client.read(data_centre=data_centre))
+
+
 class LinkedStore(_Linked, Store):
     """Client of a store over a link."""
 
--- a/wasabipaddle/standins/listener.py
+++ b/wasabipaddle/standins/listener.py
@@ -1,6 +1,7 @@
 """Listening port of one stand-in, which can refuse connections."""
 
 import asyncio
+import socket
 
 import msgspec
 from aiohttp import web
@@ -34,6 +35,7 @@
         self.port = port
         self.runner = None
         self.site = None
+        self.holder = None
 
     async def start(self):
         """Open the port."""
@@ -43,6 +45,8 @@
             app, access_log=None, shutdown_timeout=SHUTDOWN_S, handle_signals=False
         )
         await self.runner.setup()
+        if self.port == 0:
+            self._hold_port()
         await self.accept()
 
     async def accept(self):
@@ -50,10 +54,14 @@
         if self.site is not None:
             return
         self.site = web.TCPSite(
-            self.runner, self.host, self.port, reuse_address=True, backlog=512
+            self.runner,
+            self.host,
+            self.port,
+            reuse_address=True,
+            reuse_port=self.holder is not None,
+            backlog=512,
         )
         await self.site.start()
-        self.port = self.runner.addresses[0][1]
 
     async def refuse(self):
         """Close the port and abort open connections."""
@@ -72,6 +80,19 @@
         """Close the port and the connections."""
         await self.refuse()
         await self.runner.cleanup()
+        if self.holder is not None:
+            self.holder.close()
+
+    def _hold_port(self):
+        """Take a free port and keep it while connections to it are refused.
+
+        A bound socket that does not listen refuses connections, and no other process
+        can be given its port.
+        """
+        self.holder = socket.socket()
+        self.holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        self.holder.bind((self.host, 0))
+        self.port = self.holder.getsockname()[1]
 
 
 def json_response(value) -> web.Response:
--- a/wasabipaddle/standins/store.py
+++ b/wasabipaddle/standins/store.py
@@ -217,8 +217,11 @@
         self.write_bucket = TokenBucket(rate_per_s=allowance.writes_per_s)
 
     def set_faults(self, **changes):
-        """Switch faults by name."""
+        """Switch faults by name; an outage ends waiting watches."""
         change_faults(self.faults, changes)
+        if self.faults.down:
+            for watch in list(self.waiting):
+                self._finish_watch(watch)
 
     def client(self, name, *, timeout_s=DEFAULT_TIMEOUT_S) -> StoreView:
         """Return the view of one process, the same one for the same name."""
--- a/wasabipaddle/standins/tests/test_endpoint.py
+++ b/wasabipaddle/standins/tests/test_endpoint.py
@@ -100,6 +100,22 @@
     run_virtual(main())
 
 
+def test_broken_connections_are_not_reused(endpoint):
+    """Guards against a pooled connection that outlives its endpoint."""
+
+    async def main():
+        await read_body((await endpoint.send(make_request())).unwrap())
+        send = asyncio.create_task(endpoint.send(make_request("q2", service_s=5)))
+        await asyncio.sleep(1)
+        endpoint.set_faults(unreachable=True)
+        assert (await send).unwrap_err().kind is ErrorKind.TIMEOUT
+        endpoint.set_faults(unreachable=False)
+        await read_body((await endpoint.send(make_request("q3"))).unwrap())
+        assert len(endpoint.open) == 1
+
+    run_virtual(main())
+
+
 def test_unread_answer_gives_its_connection_back(endpoint):
     """Guards against a dropped answer that occupies a connection for ever."""
 
--- a/wasabipaddle/standins/tests/test_store.py
+++ b/wasabipaddle/standins/tests/test_store.py
@@ -126,6 +126,19 @@
     run_virtual(main())
 
 
+def test_outage_ends_a_waiting_watch(store):
+    """Guards against a watch that sleeps through an outage."""
+
+    async def main():
+        watch = asyncio.create_task(store.watch("a", after_revision=0, wait_s=60))
+        await asyncio.sleep(1)
+        store.set_faults(down=True)
+        assert (await watch).unwrap_err().kind is ErrorKind.STORE_UNAVAILABLE
+        assert asyncio.get_running_loop().time() < 2
+
+    run_virtual(main())
+
+
 def test_partition_affects_one_process(store):
     """Guards against a partition that cuts the whole cell off."""
 
