--- a/wasabipaddle/api/__init__.py
+++ b/wasabipaddle/api/__init__.py
@@ -3,6 +3,7 @@
 from wasabipaddle.api.cluster import ClusterRoutes
 from wasabipaddle.api.editor import DocumentEditor, DocumentView
 from wasabipaddle.api.listener import Listener
+from wasabipaddle.api.readiness import Readiness
 from wasabipaddle.api.requests import RequestRoutes
 from wasabipaddle.api.runs import RunRoutes
 from wasabipaddle.api.services import DocumentRoutes
@@ -17,6 +18,7 @@
     "DocumentRoutes",
     "DocumentView",
     "Listener",
+    "Readiness",
     "RequestRoutes",
     "RunRoutes",
     "server_context",
--- a/wasabipaddle/api/state.py
+++ b/wasabipaddle/api/state.py
@@ -47,7 +47,7 @@
     kept: KeptAnswers
 
     @classmethod
-    def create(cls, *, context, catalogue, store):
+    def create(cls, *, context, catalogue, readiness, store):
         """Make the shared objects from the settings of the process."""
         settings = context.settings.api
         editor = None
@@ -63,7 +63,7 @@
                 burst=settings.caller_burst,
                 clock=context.clock,
             ),
-            readiness=Readiness(),
+            readiness=readiness,
             kept=KeptAnswers(clock=context.clock),
         )
 
--- a/wasabipaddle/commands/cli.py
+++ b/wasabipaddle/commands/cli.py
@@ -1,33 +1,113 @@
 """Root of the command line."""
 
+import contextlib
+import io
+import re
 import sys
 
 import fire
 
 from wasabipaddle import __version__
+from wasabipaddle.commands.action import Action, UsageError, run_action
+from wasabipaddle.commands.cluster import ClusterCommands
+from wasabipaddle.commands.exit_codes import (
+    EXIT_BROKEN,
+    EXIT_HELP,
+    EXIT_USAGE,
+    exit_code,
+)
+from wasabipaddle.commands.run import RunCommands
+from wasabipaddle.commands.service import ServiceCommands
+from wasabipaddle.exceptions import WasabipaddleError
 
 __all__ = ["Cli", "main"]
 
-EXIT_OK = 0
-EXIT_BROKEN = 1  # a bound, outcome or check does not hold
-EXIT_USAGE = 2
+EXIT_INTERRUPTED = 130
+ANSI_COLOUR = re.compile("\x1b\\[[0-9;]*m")
 
 
 class Cli:
     """Run and operate wasabipaddle."""
 
+    # Every command returns an `Action`, which runs after the command line was read.
+
+    def __init__(self):
+        self.service = ServiceCommands()
+        self.run = RunCommands()
+        self.cluster = ClusterCommands()
+
     def version(self):
         """Print the version."""
-        return __version__
+        return Action(run=lambda: print(__version__))
 
     def measure(self, name, seed=1, quick=False, json=False):
         """Run one measure, or `all`, against its baseline and bounds."""
         from wasabipaddle.commands.measure import measure
 
-        if not measure(name, seed=seed, quick=quick, json_output=json):
-            sys.exit(EXIT_BROKEN)
+        def run():
+            holds = measure(name, seed=seed, quick=quick, json_output=json)
+            return None if holds else EXIT_BROKEN
+
+        return Action(run=run)
+
+
+def main(arguments=None):
+    """Run the command line.
+
+    Parameters
+    ----------
+    arguments : list of str or None
+        Arguments after the program name; None takes those of the process.
+    """
+    try:
+        action = _read(arguments)
+        if action is not None:
+            sys.exit(run_action(action))
+    except UsageError as error:
+        _quit(str(error), EXIT_USAGE)
+    except WasabipaddleError as error:
+        code = getattr(error, "exit_code", exit_code(error.failure))
+        _quit(f"{error.failure.kind.value}: {error.failure.detail}", code)
+    except KeyboardInterrupt:
+        _quit("interrupted", EXIT_INTERRUPTED)
+
+
+def _read(arguments):
+    """Return the action of a command line; None if help was printed.
+
+    `fire` writes help and usage errors of many lines to standard error, help through
+    a pager. Help goes to standard output, and an error is shortened to its line.
+    """
+    fire.core.Display = _display
+    written = io.StringIO()
+    try:
+        with contextlib.redirect_stderr(written):
+            result = fire.Fire(
+                Cli(), command=arguments, name="wasabipaddle", serialize=_shown
+            )
+    except fire.core.FireExit as error:
+        if error.code == 0:
+            print(written.getvalue() + EXIT_HELP)
+            return None
+        text = ANSI_COLOUR.sub("", written.getvalue()).strip()
+        line = text.partition("\n")[0].removeprefix("ERROR: ")
+        raise UsageError(f"{line} (see --help)") from error
+    if isinstance(result, Action):
+        return result
+    if arguments or len(sys.argv) > 1:
+        print(EXIT_HELP)
+    return None
+
+
+def _display(lines, out):
+    out.write("\n".join(lines) + "\n")
+
+
+def _shown(result):
+    """Return what `fire` prints of a result; an action prints by itself."""
+    return None if isinstance(result, Action) else result
 
 
-def main():
-    """Run the command line."""
-    fire.Fire(Cli, name="wasabipaddle")
+def _quit(message, code):
+    print(f"wasabipaddle: {' '.join(message.split())}", file=sys.stderr)
+    sys.exit(code)
--- /dev/null
+++ b/wasabipaddle/commands/cluster.py
@@ -0,0 +1,54 @@
+"""Command `cluster status`."""
+
+import json as json_module
+
+from fire.decorators import SetParseFns
+
+from wasabipaddle.commands.action import Action
+from wasabipaddle.commands.client import ApiClient, connection
+
+__all__ = ["ClusterCommands"]
+
+ROW = "{:24} {:22} {:6} {:9} {:>5}  {}"
+
+
+class ClusterCommands:
+    """Show the state of the cell.
+
+    The flags --server, --token_file and --authority default to the environment
+    variables WASABIPADDLE_SERVER, WASABIPADDLE_TOKEN_FILE (or WASABIPADDLE_TOKEN)
+    and WASABIPADDLE_AUTHORITY.
+    """
+
+    @SetParseFns(server=str, token_file=str, authority=str)
+    def status(self, server="", token_file="", authority="", json=False):
+        """Show the process that answers and the members that it knows."""
+        place = connection(server=server, token_file=token_file, authority=authority)
+
+        async def run():
+            async with ApiClient(connection=place) as client:
+                body = (await client.call("GET", "/v1/cluster")).body
+            print(json_module.dumps(body) if json else _as_text(body))
+
+        return Action(run=run)
+
+
+def _as_text(body):
+    ready = "ready" if body["ready"] else f"not ready ({', '.join(body['reasons'])})"
+    place = f"{body['data_centre']}, {body['region']}"
+    lines = [f"{body['process']} ({place}): {ready}, revision {body['revision']}"]
+    if body["members_error"]:
+        lines.append(f"members unknown: {body['members_error']}")
+    if body["members"]:
+        lines.append(
+            ROW.format("process", "data centre", "state", "revision", "load", "leads")
+        )
+    for member in body["members"]:
+        state = "live" if member["live"] else "down"
+        if member["draining"]:
+            state = "leaves"
+        led = ", ".join(f"{s['shard']}@{s['epoch']}" for s in member["led"])
+        load = f"{member['load']:.2f}"
+        name, centre = member["name"], member["data_centre"]
+        lines.append(ROW.format(name, centre, state, member["revision"], load, led))
+    return "\n".join(lines)
--- /dev/null
+++ b/wasabipaddle/commands/run.py
@@ -0,0 +1,181 @@
+"""Commands `run submit|status|wait|stop|cancel`."""
+
+import asyncio
+import json as json_module
+import pathlib
+import secrets
+import urllib.parse
+
+from fire.decorators import SetParseFns
+
+from wasabipaddle.commands.action import Action, UsageError
+from wasabipaddle.commands.client import ApiClient, connection
+from wasabipaddle.commands.exit_codes import EXIT_BROKEN, EXIT_UNKNOWN
+from wasabipaddle.documents.units import parse_quantity, rule_for
+from wasabipaddle.exceptions import ErrorKind, Outcome, WasabipaddleError
+
+__all__ = ["RunCommands"]
+
+SUBMIT_ATTEMPTS = 4
+RETRY_PAUSE_S = 0.5
+WAIT_STEP_S = 20.0
+
+
+class RunCommands:
+    """Submit, follow and end runs.
+
+    The flags --server, --token_file and --authority default to the environment
+    variables WASABIPADDLE_SERVER, WASABIPADDLE_TOKEN_FILE (or WASABIPADDLE_TOKEN)
+    and WASABIPADDLE_AUTHORITY.
+    """
+
+    @SetParseFns(
+        service=str, payload=str, key=str, server=str, token_file=str, authority=str
+    )
+    def submit(
+        self,
+        service,
+        payload="",
+        key="",
+        server="",
+        token_file="",
+        authority="",
+        json=False,
+    ):
+        """Submit a run; the payload is the name of a JSON file.
+
+        A call whose acceptance is unknown is repeated with the same key, which
+        cannot start a second run.
+        """
+        place = connection(server=server, token_file=token_file, authority=authority)
+        data = _read_payload(payload)
+        key = key or secrets.token_hex(16)
+
+        async def run():
+            async with ApiClient(connection=place) as client:
+                reply = await _submit(client, service, key, data)
+            view = reply.body
+            line = f"{view['run']} is {view['state']} (key {key})"
+            print(json_module.dumps(view) if json else line)
+
+        return Action(run=run)
+
+    @SetParseFns(run=str, server=str, token_file=str, authority=str)
+    def status(self, run, server="", token_file="", authority="", json=False):
+        """Show the state of a run."""
+        place = connection(server=server, token_file=token_file, authority=authority)
+
+        async def act():
+            async with ApiClient(connection=place) as client:
+                reply = await client.call("GET", _path(run))
+            _print_run(reply.body, json)
+
+        return Action(run=act)
+
+    @SetParseFns(run=str, timeout=str, server=str, token_file=str, authority=str)
+    def wait(
+        self, run, timeout="1h", server="", token_file="", authority="", json=False
+    ):
+        """Wait for the end of a run.
+
+        The exit code is 1 if it did not complete, and 4 if it has not ended in time.
+        """
+        place = connection(server=server, token_file=token_file, authority=authority)
+        timeout_s = _duration("--timeout", timeout)
+
+        async def act():
+            async with ApiClient(connection=place) as client:
+                view = await _wait(client, run, timeout_s)
+            _print_run(view, json)
+            if view["state"] != "ended":
+                return EXIT_UNKNOWN
+            return None if view["outcome"] == "completed" else EXIT_BROKEN
+
+        return Action(run=act)
+
+    @SetParseFns(run=str, grace=str, server=str, token_file=str, authority=str)
+    def stop(
+        self, run, grace="10s", server="", token_file="", authority="", json=False
+    ):
+        """End a run gracefully, with a checkpoint where possible."""
+        place = connection(server=server, token_file=token_file, authority=authority)
+        params = {"grace": f"{_duration('--grace', grace):g}s"}
+        return Action(run=lambda: _post(place, run, "stop", params, json))
+
+    @SetParseFns(run=str, server=str, token_file=str, authority=str)
+    def cancel(self, run, server="", token_file="", authority="", json=False):
+        """End a run without a result."""
+        place = connection(server=server, token_file=token_file, authority=authority)
+        return Action(run=lambda: _post(place, run, "cancel", None, json))
+
+
+async def _submit(client, service, key, data):
+    path = f"/v1/services/{urllib.parse.quote(service, safe='')}/runs"
+    headers = {"Idempotency-Key": key}
+    for attempt in range(SUBMIT_ATTEMPTS):
+        try:
+            return await client.call("POST", path, headers=headers, data=data)
+        except WasabipaddleError as error:
+            failure = error.failure
+            is_last = attempt == SUBMIT_ATTEMPTS - 1
+            # "internal" is a fault of the server, which a repetition would not mend.
+            in_doubt = failure.outcome is Outcome.UNKNOWN
+            if is_last or not in_doubt or failure.kind is ErrorKind.INTERNAL:
+                raise
+        await asyncio.sleep(RETRY_PAUSE_S * 2**attempt)
+    raise AssertionError("unreachable")
+
+
+async def _wait(client, run, timeout_s):
+    loop = asyncio.get_running_loop()
+    end = loop.time() + timeout_s
+    while True:
+        step_s = max(min(end - loop.time(), WAIT_STEP_S), 0.0)
+        params = {"wait": f"{step_s:.3f}s"}
+        reply = await client.call("GET", _path(run), params=params, wait_s=step_s)
+        if reply.body["state"] == "ended" or loop.time() >= end:
+            return reply.body
+        # A server that is shutting down answers waiting reads early.
+        await asyncio.sleep(min(RETRY_PAUSE_S, max(end - loop.time(), 0.0)))
+
+
+async def _post(place, run, action, params, json):
+    async with ApiClient(connection=place) as client:
+        reply = await client.call("POST", f"{_path(run)}/{action}", params=params)
+    _print_run(reply.body, json)
+
+
+def _print_run(view, json):
+    if json:
+        print(json_module.dumps(view))
+        return
+    outcome = f", {view['outcome']}" if view["outcome"] else ""
+    reason = f": {view['reason']}" if view["reason"] else ""
+    print(f"{view['run']} of {view['service']}: {view['state']}{outcome}{reason}")
+    for task in view["tasks"]:
+        place = task["worker"] or "-"
+        attempt = task["attempt"]
+        print(f"  task {task['index']} attempt {attempt} on {place}: {task['phase']}")
+    for answer in view["answers"]:
+        print(f"  answer {answer}")
+
+
+def _read_payload(name):
+    if not name:
+        return b""
+    try:
+        return pathlib.Path(name).read_bytes()
+    except OSError as error:
+        raise UsageError(f"the payload cannot be read: {name}") from error
+
+
+def _duration(flag, text):
+    rule = rule_for("wait_s")
+    value = parse_quantity(text, rule, whole=False)
+    if value is None:
+        raise UsageError(f"{flag} is {rule.allowed}")
+    return value
+
+
+def _path(run):
+    return f"/v1/runs/{urllib.parse.quote(run, safe='')}"
--- /dev/null
+++ b/wasabipaddle/commands/service.py
@@ -0,0 +1,155 @@
+"""Commands `service check|apply|show|diff|history`."""
+
+import json as json_module
+import pathlib
+
+from fire.decorators import SetParseFns
+
+from wasabipaddle.commands.action import Action, UsageError
+from wasabipaddle.commands.client import ApiClient, connection
+from wasabipaddle.commands.exit_codes import EXIT_BROKEN
+from wasabipaddle.documents import diff_texts, load_document
+from wasabipaddle.exceptions import ErrorKind, WasabipaddleError
+
+__all__ = ["ServiceCommands"]
+
+
+class ServiceCommands:
+    """Check, apply and read service documents.
+
+    The flags --server, --token_file and --authority default to the environment
+    variables WASABIPADDLE_SERVER, WASABIPADDLE_TOKEN_FILE (or WASABIPADDLE_TOKEN)
+    and WASABIPADDLE_AUTHORITY.
+    """
+
+    @SetParseFns(file=str)
+    def check(self, file, json=False):
+        """Check a document file without a server."""
+
+        def run():
+            loaded = load_document(file)
+            if json:
+                detail = "" if loaded.is_ok() else loaded.unwrap_err().detail
+                print(json_module.dumps({"valid": loaded.is_ok(), "detail": detail}))
+            elif loaded.is_ok():
+                print(f"{file}: valid document of {loaded.unwrap().service}")
+            else:
+                raise WasabipaddleError(loaded.unwrap_err())
+            return None if loaded.is_ok() else EXIT_BROKEN
+
+        return Action(run=_as_check(run))
+
+    @SetParseFns(file=str, server=str, token_file=str, authority=str)
+    def apply(
+        self, file, revision=0, server="", token_file="", authority="", json=False
+    ):
+        """Apply a document file on the revision that you saw; 0 for a new service."""
+        if isinstance(revision, bool) or not isinstance(revision, int) or revision < 0:
+            raise UsageError("--revision is a whole number from 0")
+        place = connection(server=server, token_file=token_file, authority=authority)
+
+        async def run():
+            document, text = _read(file)
+            condition = {"If-Match": f'"{revision}"'}
+            if revision == 0:
+                condition = {"If-None-Match": "*"}
+            path = f"/v1/services/{document.service}"
+            async with ApiClient(connection=place) as client:
+                reply = await client.call(
+                    "PUT", path, headers=condition, data=text.encode()
+                )
+            body = reply.body
+            line = f"{body['service']} is applied as revision {body['revision']}"
+            print(json_module.dumps(body) if json else line)
+
+        return Action(run=run)
+
+    @SetParseFns(service=str, server=str, token_file=str, authority=str)
+    def show(self, service, server="", token_file="", authority="", json=False):
+        """Show the stored document and its revision."""
+        place = connection(server=server, token_file=token_file, authority=authority)
+
+        async def run():
+            view = await _fetch(place, f"/v1/services/{service}")
+            if json:
+                print(json_module.dumps(view))
+                return
+            print(f"# revision {view['revision']}, team {view['team']}")
+            print(view["text"], end="")
+
+        return Action(run=run)
+
+    @SetParseFns(file=str, server=str, token_file=str, authority=str)
+    def diff(self, file, server="", token_file="", authority="", json=False):
+        """Show how a document file differs from the stored document."""
+        place = connection(server=server, token_file=token_file, authority=authority)
+
+        async def run():
+            document, text = _read(file)
+            service, stored, revision = document.service, "", 0
+            try:
+                view = await _fetch(place, f"/v1/services/{service}")
+                stored, revision = view["text"], view["revision"]
+            except WasabipaddleError as error:
+                if error.failure.kind is not ErrorKind.NOT_FOUND:
+                    raise
+            name = f"{service}@{revision}"
+            diff = diff_texts(stored, text, old_name=name, new_name=file)
+            body = {"service": service, "revision": revision, "diff": diff}
+            print(json_module.dumps(body) if json else diff or f"equal to {name}")
+
+        return Action(run=run)
+
+    @SetParseFns(service=str, server=str, token_file=str, authority=str)
+    def history(self, service, server="", token_file="", authority="", json=False):
+        """List the kept revisions with the changes between them."""
+        place = connection(server=server, token_file=token_file, authority=authority)
+
+        async def run():
+            body = await _fetch(place, f"/v1/services/{service}/history")
+            if json:
+                print(json_module.dumps(body))
+                return
+            earlier = {"text": "", "revision": 0}
+            for view in body["revisions"]:
+                change = "deleted" if view["text"] is None else "applied"
+                editor = view["editor"] or "a local operator"
+                print(f"revision {view['revision']}: {change} by {editor}")
+                print(_change(service, earlier, view))
+                earlier = view
+
+        return Action(run=run)
+
+
+def _change(service, old, new):
+    return diff_texts(
+        old["text"],
+        new["text"],
+        old_name=f"{service}@{old['revision']}",
+        new_name=f"{service}@{new['revision']}",
+    )
+
+
+def _as_check(run):
+    """Turn the refusal of a check into the exit code of a broken check."""
+
+    def checked():
+        try:
+            return run()
+        except WasabipaddleError as error:
+            error.exit_code = EXIT_BROKEN
+            raise
+
+    return checked
+
+
+def _read(file):
+    loaded = load_document(file)
+    if loaded.is_err():
+        raise WasabipaddleError(loaded.unwrap_err())
+    return loaded.unwrap(), pathlib.Path(file).read_text(encoding="utf-8")
+
+
+async def _fetch(place, path):
+    async with ApiClient(connection=place) as client:
+        return (await client.call("GET", path)).body
--- a/wasabipaddle/serve/api.py
+++ b/wasabipaddle/serve/api.py
@@ -6,6 +6,7 @@
     ClusterRoutes,
     DocumentRoutes,
     Listener,
+    Readiness,
     RequestRoutes,
     RunRoutes,
     server_context,
@@ -22,13 +23,16 @@
 class ApiPlugin(Plugin):
     """Owns the listener for callers and operators.
 
-    The store is that of the role `platform` and the documents in force are those of
-    the role `documents`, if these roles run; without the latter, `DocumentRevision`
-    facts on the bus are applied. Other roles veto readiness by `ReadinessChanged`
-    facts. Their public routes are served to operators.
+    The documents in force come as `DocumentRevision` facts on the bus. Other roles
+    veto readiness by `ReadinessChanged` facts. Their public routes are served to
+    operators.
 
     Attributes
     ----------
+    catalogue : Catalogue
+        Documents in force.
+    readiness : Readiness
+        Vetoes of the roles.
     state : ApiState
         Shared objects of the routes.
     listener : Listener or None
@@ -39,26 +43,26 @@
 
     def __init__(self, *, context):
         super().__init__(context=context)
+        self.catalogue = Catalogue(quotas=context.settings.deployment.quotas)
+        self.readiness = Readiness()
         self.state = None
         self.listener = None
-        self.subscriptions = []
+        # Roles that start earlier may publish facts before this one starts.
+        bus = context.bus
+        self.subscriptions = [
+            bus.facts(DocumentRevision).subscribe(self._apply),
+            bus.facts(ReadinessChanged).subscribe(self.readiness.update),
+        ]
 
     async def start(self):
         """Open the listener."""
         settings = self.context.settings
-        plugins = self.context.plugins
-        store = getattr(plugins.get("platform"), "store", None)
-        catalogue = getattr(plugins.get("documents"), "catalogue", None)
-        bus = self.context.bus
-        if catalogue is None:
-            catalogue = Catalogue(quotas=settings.deployment.quotas)
-            facts = bus.facts(DocumentRevision)
-            self.subscriptions.append(facts.subscribe(self._apply))
         self.state = ApiState.create(
-            context=self.context, catalogue=catalogue, store=store
+            context=self.context,
+            catalogue=self.catalogue,
+            readiness=self.readiness,
+            store=self._find_store(),
         )
-        facts = bus.facts(ReadinessChanged)
-        self.subscriptions.append(facts.subscribe(self.state.readiness.update))
         ssl = server_context(settings.api.tls)
         if ssl is not None:
             self._watch_certificate(ssl)
@@ -77,6 +81,13 @@
         if self.listener is not None:
             await self.listener.close()
 
+    def _find_store(self):
+        """Return the store client with the pauses of the process, if it has one."""
+        plugins = self.context.plugins
+        if "store" in plugins:
+            return plugins["store"].gate.view("documents")
+        return getattr(plugins.get("platform"), "store", None)
+
     def _own_routes(self):
         parts = (RequestRoutes, RunRoutes, DocumentRoutes, ClusterRoutes)
         return [route for part in parts for route in part(state=self.state).routes()]
@@ -108,6 +119,6 @@
         self.subscriptions.append(ticks.subscribe(lambda _: reloader.check()))
 
     def _apply(self, fact):
-        applied = self.state.catalogue.apply(fact.service, fact.revision, fact.text)
+        applied = self.catalogue.apply(fact.service, fact.revision, fact.text)
         if applied.is_err():
             self.context.metrics.count("api.documents_refused")
