--- a/wasabipaddle/commands/cli.py
+++ b/wasabipaddle/commands/cli.py
@@ -50,6 +50,12 @@
 
         return Action(run=run)
 
+    def standin(self, file):
+        """Run the stand-ins of a YAML file until SIGINT or SIGTERM."""
+        from wasabipaddle.commands.standin import standin
+
+        return Action(run=lambda: standin(file))
+
 
 def main(arguments=None):
     """Run the command line.
--- a/wasabipaddle/messages/__init__.py
+++ b/wasabipaddle/messages/__init__.py
@@ -10,7 +10,9 @@
     HeartbeatReply,
     LeaderHandover,
     LedShard,
+    MemberAge,
     MemberView,
+    ShardClaim,
 )
 from wasabipaddle.messages.requests import (
     ForwardReply,
@@ -53,6 +55,7 @@
     "LeaderHandover",
     "LedShard",
     "ListRuns",
+    "MemberAge",
     "MemberView",
     "PoolDemand",
     "QueryCluster",
@@ -65,6 +68,7 @@
     "RunPage",
     "RunState",
     "RunView",
+    "ShardClaim",
     "StopRun",
     "SubmitRun",
     "TaskView",
--- a/wasabipaddle/platform/__init__.py
+++ b/wasabipaddle/platform/__init__.py
@@ -1,11 +1,13 @@
 """Abstract interfaces to the platform and to endpoints."""
 
 from wasabipaddle.platform.endpoint import (
+    AnswerChunks,
     EndpointAnswer,
     EndpointClient,
     EndpointRequest,
     RequestState,
 )
+from wasabipaddle.platform.gate import GatedStore, StoreGate
 from wasabipaddle.platform.store import Change, Entry, Page, Store
 from wasabipaddle.platform.vms import VmEntry, VmList, VmRole, VmStatus
 from wasabipaddle.platform.worker import (
@@ -22,6 +24,7 @@
 )
 
 __all__ = [
+    "AnswerChunks",
     "Change",
     "EndpointAnswer",
     "EndpointClient",
@@ -30,6 +33,8 @@
     "Page",
     "RequestState",
     "Store",
+    "StoreGate",
+    "GatedStore",
     "TaskOrder",
     "TaskOutcome",
     "TaskPhase",
