--- /dev/null
+++ b/wasabipaddle/measure/packing.py
@@ -0,0 +1,106 @@
+"""Measure `packing`: true work carried on a day of mixed work."""
+
+import functools
+
+from wasabipaddle.measure.base import Bound, Measure
+from wasabipaddle.measure.driver import Driver
+from wasabipaddle.measure.inputs import InputSpec, generate
+from wasabipaddle.measure.outcomes import median, percentile
+from wasabipaddle.placement import Placer, plain_placer
+
+__all__ = ["Packing", "packed_ratio"]
+
+TICK_S = 1.0
+SAMPLE_S = 60.0
+REPORT_S = 30.0
+LAG_S = 10.0
+
+
+def packed_ratio(samples, capacity) -> float:
+    """Return the true work carried over what the fleet could carry.
+
+    What the fleet could carry at one time is the smaller of its capacity and the true
+    use of all running and waiting tasks, in the scarcer of processor and memory.
+    """
+    sizes = (capacity.cpu_milli, capacity.memory_mb)
+    demand = [sum(s.demand[d] for s in samples) / sizes[d] for d in (0, 1)]
+    scarce = 0 if demand[0] >= demand[1] else 1
+    carried = sum(s.carried[scarce] for s in samples)
+    possible = sum(min(s.demand[scarce], sizes[scarce]) for s in samples)
+    return carried / possible if possible else 0.0
+
+
+class Packing(Measure):
+    """Packing density with true use far from declared use."""
+
+    name = "packing"
+    bounds = (
+        Bound(figure="packed_ratio", comparison=">=", value=0.85),
+        Bound(figure="overfilled", comparison="==", value=0),
+    )
+
+    def run(self, *, seed, quick):
+        """Drive the full and the plain placer through the same day."""
+        spec = InputSpec(
+            seed=seed,
+            workers=20 if quick else 60,
+            accelerators=32 if quick else 88,
+            teams=40 if quick else 160,
+            services=60 if quick else 240,
+            duration_s=14_400.0 if quick else 86_400.0,
+            start_of_day_s=36_000.0 if quick else 0.0,
+            load=1.25,
+            median_run_s=1200.0,
+            largest_gang=8 if quick else 32,
+            bad_workers=0.05,
+        )
+        inputs = generate(spec)
+        figures = self._figures(inputs, Placer)
+        baseline = self._figures(inputs, plain_placer)
+        sizes = {
+            "workers": spec.workers,
+            "jobs": len(inputs.jobs),
+            "tasks": sum(len(j.tasks) for j in inputs.jobs),
+            "hours": spec.duration_s / 3600,
+        }
+        return self.measurement(
+            seed=seed, sizes=sizes, figures=figures, baseline=baseline
+        )
+
+    def _figures(self, inputs, make_placer):
+        driver = Driver(
+            inputs=inputs,
+            make_placer=functools.partial(make_placer),
+            tick_s=TICK_S,
+            report_s=REPORT_S,
+            lag_s=LAG_S,
+            sample_s=SAMPLE_S,
+        )
+        driver.run(inputs.spec.duration_s)
+        out = driver.outcomes
+        workers = len(driver.workers) * max(len(out.carried), 1)
+        return {
+            "packed_ratio": round(packed_ratio(out.carried, inputs.capacity), 4),
+            "overfilled": out.overfilled,
+            "evicted_ratio": round(out.evicted / max(out.starts, 1), 4),
+            "overloaded_ratio": round(
+                sum(s.overloaded for s in out.carried) / workers, 4
+            ),
+            "starts": out.starts,
+            "completed": out.completed,
+            "throttled": out.throttled,
+            "resized": out.resized,
+            "partial_gangs": out.partial_gangs,
+            "two_places": out.two_places,
+            "over_quota": out.over_quota,
+            "gang_starts": len(out.gang_waits),
+            "gang_wait_median_s": round(median(out.gang_waits), 1),
+            "gang_wait_p99_s": round(percentile(out.gang_waits, 0.99), 1),
+            "quarantined_good": len(out.quarantined_good),
+            "quarantined_bad": len(out.quarantined_bad),
+            "bad_workers": sum(w.bad for w in inputs.workers),
+            "given_up": out.given_up,
+            "given_up_wrong": out.given_up_wrong,
+            "impossible_blocking_s": out.impossible_blocking_s,
+            "refused_possible": out.refused_possible,
+        }
--- /dev/null
+++ b/wasabipaddle/measure/records.py
@@ -0,0 +1,181 @@
+"""Records of the input of measures."""
+
+import attrs
+
+from wasabipaddle.documents import Resources, ServiceKind, TeamQuota, Urgency
+from wasabipaddle.placement import Work
+
+__all__ = [
+    "DAY_S",
+    "InputSpec",
+    "Inputs",
+    "Job",
+    "ServiceProfile",
+    "TaskTruth",
+    "WorkerSpec",
+]
+
+DAY_S = 86_400.0
+
+
+@attrs.frozen(kw_only=True)
+class InputSpec:
+    """Parameters of an input.
+
+    Parameters
+    ----------
+    workers, accelerators : int
+        Size of the fleet; accelerators come in eights.
+    duration_s : float
+        Time over which jobs arrive.
+    load : float
+        True use that the jobs need in the mean, over the fleet's capacity, in the
+        scarcer of processor and memory.
+    service_load, gang_load : float
+        Parts of `load` that are long-running services and gangs.
+    peak_starts_s : float or None
+        Task starts per second at the peak; run times are scaled to reach `load`.
+        None keeps run times and sets the arrival rate instead.
+    start_of_day_s : float
+        Time of day at which the input begins; the peak is at noon.
+    diurnal : float
+        Amplitude of the daily curve, relative to the mean.
+    declared_error : float
+        Largest factor between declared and true mean use.
+    usage_sigma : float
+        Deviation of the logarithm of use between tasks of one service.
+    growing : float
+        Fraction of tasks whose use grows up to twofold during the run.
+    cancel_burst_every_s : float
+        Mean time between bursts of cancellations; 0 for none.
+    cancel_burst_jobs : int
+        Most recent jobs that a burst cancels.
+    urgencies : tuple of float
+        Fractions of batch services that are urgent, normal and deferrable.
+    """
+
+    seed: int
+    workers: int = 1000
+    accelerators: int = 1400
+    teams: int = 160
+    services: int = 320
+    duration_s: float = DAY_S
+    load: float = 0.9
+    service_load: float = 0.2
+    gang_load: float = 0.1
+    largest_gang: int = 64
+    peak_starts_s: float | None = None
+    start_of_day_s: float = 0.0
+    diurnal: float = 0.2
+    declared_error: float = 10.0
+    usage_sigma: float = 0.25
+    growing: float = 0.02
+    median_run_s: float = 600.0
+    impossible: float = 0.005
+    poisoned: float = 0.005
+    bad_workers: float = 0.01
+    cancel_burst_every_s: float = 1800.0
+    cancel_burst_jobs: int = 50
+    urgencies: tuple[float, float, float] = (0.15, 0.5, 0.35)
+
+
+@attrs.frozen(kw_only=True)
+class WorkerSpec:
+    """One worker.
+
+    Parameters
+    ----------
+    bad : bool
+        Whether every task fails on it.
+    """
+
+    name: str
+    rack: str
+    data_centre: str
+    size: Resources
+    bad: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class ServiceProfile:
+    """One service: what it declares and how it behaves.
+
+    Parameters
+    ----------
+    needs : Resources
+        Declared need of one task.
+    true : Resources
+        Mean use of one task.
+    median_run_s : float
+        Median run time; infinite for services.
+    popularity : float
+        Relative number of jobs.
+    mean_tasks : float
+        Mean number of tasks of one job.
+    """
+
+    service: str
+    team: str
+    kind: ServiceKind
+    urgency: Urgency
+    needs: Resources
+    true: Resources
+    median_run_s: float
+    run_sigma: float
+    popularity: float
+    mean_tasks: float
+    weight: int = 1
+    spread: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class TaskTruth:
+    """True behaviour of one task.
+
+    Parameters
+    ----------
+    use : Resources
+        Use at the start.
+    run_s : float
+        Run time without throttling; infinite for services.
+    growth : float
+        Relative growth of use until the end.
+    fails : bool
+        Whether it fails on every worker.
+    """
+
+    use: Resources
+    run_s: float
+    growth: float = 0.0
+    fails: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class Job:
+    """One run and its truth.
+
+    Parameters
+    ----------
+    impossible : bool
+        Whether no VM or quota can hold it.
+    cancel_at : float or None
+        Time of its cancellation.
+    """
+
+    at: float
+    work: Work
+    tasks: tuple[TaskTruth, ...]
+    impossible: bool = False
+    cancel_at: float | None = None
+
+
+@attrs.frozen(kw_only=True)
+class Inputs:
+    """A generated input; jobs are ordered by arrival."""
+
+    spec: InputSpec
+    workers: tuple[WorkerSpec, ...]
+    quotas: tuple[TeamQuota, ...]
+    profiles: tuple[ServiceProfile, ...]
+    jobs: tuple[Job, ...]
+    capacity: Resources
--- a/wasabipaddle/placement/placer.py
+++ b/wasabipaddle/placement/placer.py
@@ -16,7 +16,7 @@
 from wasabipaddle.placement.scoring import BestFitScoring
 from wasabipaddle.placement.shares import ShareLedger
 from wasabipaddle.placement.starting import Starter
-from wasabipaddle.placement.work import Checkpoint, Impossible, Resize
+from wasabipaddle.placement.work import Checkpoint, GiveUp, Impossible, Resize
 from wasabipaddle.platform import TaskOutcome
 
 __all__ = ["Placer"]
@@ -141,8 +141,8 @@
         Returns
         -------
         tuple of str
-            Tasks that are running or starting and have to be stopped; their amounts
-            are released by `ended`.
+            Tasks that are running or starting, also those whose `Start` is not yet
+            applied. Their amounts are released by `ended`.
         """
         self.impossible_runs.pop(run, None)
         self.queue.cancel(run)
@@ -252,7 +252,9 @@
         self._notice_fleet(now)
         decisions = []
         while self.outbox and len(decisions) < limit:
-            decisions.append(self.outbox.popleft())
+            decision = self.outbox.popleft()
+            if self._is_current(decision):
+                decisions.append(decision)
         for plan in self.holds.complete():
             decisions.extend(self.starter.start_held(plan, now))
         self._review_plans(now, decisions)
@@ -275,6 +277,15 @@
         """Whether the last `decide` left work that could be tried at once."""
         return self.queue.next_ready() is not None
 
+    def _is_current(self, decision) -> bool:
+        """Return whether a kept decision still applies."""
+        if isinstance(decision, Impossible):
+            return decision.run in self.impossible_runs
+        if isinstance(decision, GiveUp):
+            return True
+        placed = self.book.running.get(decision.task)
+        return placed is not None and placed.worker == decision.worker
+
     def _push(self, work, indices, now, *, front=False):
         pending = PendingRun(work=work, indices=collections.deque(indices), since=now)
         self.queue.push(pending, front=front)
--- a/wasabipaddle/placement/repeats.py
+++ b/wasabipaddle/placement/repeats.py
@@ -43,6 +43,8 @@
             None if the attempt has not run.
         """
         history = placed.history
+        if placed.index not in entry.remaining:
+            return
         if outcome is TaskOutcome.CHECKPOINTED:
             history.preemptions += 1
         elif outcome is TaskOutcome.FAILED:
@@ -68,7 +70,8 @@
         if not entry.running:
             indices = [i for i in sorted(entry.restart) if i in entry.remaining]
             entry.restart.clear()
-            self._push(entry.work, indices, now)
+            if indices:
+                self._push(entry.work, indices, now)
 
     def _push(self, work, indices, now):
         pending = PendingRun(work=work, indices=collections.deque(indices), since=now)
