Add measure of floods and keep slots of requests in doubt

Cause: queue delay control refused work below its floor, slots held idle for floors cost use of the fleet, and a slot was reused while its timed-out request still ran at the endpoint. Change: work with a guarantee may wait half of its time; slots are held only where requests run longer than a quarter of the caller's time; the slot of a request in doubt is kept until the endpoint no longer runs it. Conclusion: next-slot priority is enough for short requests.

--- a/wasabipaddle/admission/estimate.py
+++ b/wasabipaddle/admission/estimate.py
@@ -6,7 +6,10 @@
 
 RATE_WINDOW_S = 2.0
 RUN_WEIGHT = 0.1
-OVERLOAD_AFTER_S = 0.5
+# A queue that has not been empty for this part of the caller's time, or for the
+# longest such time, is a standing queue and no burst.
+OVERLOAD_FRACTION = 0.5
+MAX_OVERLOAD_AFTER_S = 5.0
 PROBE_S = 1.0
 
 
@@ -75,10 +78,18 @@
             rate = max(rate, floor_slots / self.run_s)
         return ahead / rate if rate > 0 else math.inf
 
-    def overloaded(self, now) -> bool:
-        """Return whether the queue has not been empty for a while."""
-        since = self.backlog_since
-        return since is not None and now - since > OVERLOAD_AFTER_S
+    def overloaded(self, patience_s, *, now) -> bool:
+        """Return whether a queue is standing.
+
+        Parameters
+        ----------
+        patience_s : float
+            Time from receipt to the deadline of a request.
+        """
+        if self.backlog_since is None:
+            return False
+        after_s = min(patience_s * OVERLOAD_FRACTION, MAX_OVERLOAD_AFTER_S)
+        return now - self.backlog_since > after_s
 
     def cannot_end_by(self, deadline, *, now) -> bool:
         """Return whether a start now would end after `deadline`.
--- a/wasabipaddle/admission/queue.py
+++ b/wasabipaddle/admission/queue.py
@@ -17,8 +17,10 @@
 
 __all__ = ["FairQueue"]
 
-# Part of the caller's time that a request may spend in a queue that is never empty.
+# Part of the caller's time that a request may spend in a standing queue. Work with a
+# guarantee may wait longer, since the rate at which it is served is assured.
 QUEUE_DELAY_FRACTION = 0.25
+GUARANTEED_DELAY_FRACTION = 0.5
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 30.0
 
@@ -126,6 +128,7 @@
         expected_s = service.estimate.run_s or DEFAULT_RUN_S
         service.estimate.ended(run_s, state.capacity, now=now)
         state.correct(service, expected_s, run_s)
+        state.learn_run_time(run_s)
         state.refresh(service, now=now)
         self._unpark(ticket.document.team)
 
@@ -163,7 +166,9 @@
         if (wait + (estimate.run_s or 0.0) > left and wait > 0) or left <= 0:
             detail = f"expected wait of {wait:.2f} s, {left:.2f} s left"
             return _refuse(ErrorKind.DEADLINE_UNMEETABLE, detail, wait)
-        if estimate.overloaded(now) and wait > left * QUEUE_DELAY_FRACTION:
+        if wait > left * _delay_fraction(service) and estimate.overloaded(
+            left, now=now
+        ):
             detail = f"overloaded, expected wait of {wait:.2f} s"
             return _refuse(ErrorKind.SHED, detail, wait)
         return None
@@ -233,9 +238,11 @@
         if estimate.cannot_end_by(ticket.deadline, now=now):
             detail = "too little time left to run"
             return _refuse(ErrorKind.DEADLINE_UNMEETABLE, detail, 0.0)
-        limit = (ticket.deadline - ticket.queued_at) * QUEUE_DELAY_FRACTION
-        if estimate.overloaded(now) and now - ticket.queued_at > limit:
-            detail = f"waited {now - ticket.queued_at:.2f} s under overload"
+        patience_s = ticket.deadline - ticket.queued_at
+        waited_s = now - ticket.queued_at
+        limit_s = patience_s * _delay_fraction(service)
+        if waited_s > limit_s and estimate.overloaded(patience_s, now=now):
+            detail = f"waited {waited_s:.2f} s under overload"
             return _refuse(ErrorKind.SHED, detail, 0.0)
         return None
 
@@ -278,6 +285,12 @@
         self.size += size
 
 
+def _delay_fraction(service):
+    if service.document.share.guaranteed > 0:
+        return GUARANTEED_DELAY_FRACTION
+    return QUEUE_DELAY_FRACTION
+
+
 def _refuse(kind, detail, wait_s):
     if not math.isfinite(wait_s):
         wait_s = MAX_RETRY_AFTER_S
--- a/wasabipaddle/admission/shares.py
+++ b/wasabipaddle/admission/shares.py
@@ -12,6 +12,10 @@
 
 PEAK_DECAY_S = 5.0
 HELD_REFRESH_S = 0.1
+# Slots are held free only where requests run longer than this part of the caller's
+# time; otherwise the next slot that gets free comes soon enough.
+HOLD_FRACTION = 0.25
+RUN_WEIGHT = 0.05
 DEFAULT_RUN_S = 0.05
 
 
@@ -134,6 +138,7 @@
         self.owed = {}
         self.held = 0.0
         self.held_at = 0.0
+        self.run_s = 0.0
 
     def service(self, document) -> ServiceQueue:
         """Return the queue of a service, with `document` in force."""
@@ -163,7 +168,9 @@
         else:
             self.owed.pop(name, None)
         held = 0.0
-        if below and not service.tickets:
+        patience_s = service.document.request.deadline_s
+        long_runs = self.run_s > patience_s * HOLD_FRACTION
+        if long_runs and below and not service.tickets:
             held = max(min(floor, service.recent_peak(now)) - service.in_use, 0.0)
         self.held += held - service.held
         service.held = held
@@ -175,6 +182,10 @@
         self.held = sum(s.held for s in self.services.values())
         self.held_at = now
 
+    def learn_run_time(self, run_s):
+        """Update the mean run time of the requests of the pool."""
+        self.run_s += RUN_WEIGHT * (run_s - self.run_s)
+
     def most_owed(self, ledger):
         """Return the service that is furthest below its floor, or None."""
         allowed = [s for s in self.owed.values() if ledger.allows(s.document)]
--- /dev/null
+++ b/wasabipaddle/measure/flood.py
@@ -0,0 +1,214 @@
+"""Measure `flood`: service that other work keeps during an overload."""
+
+import asyncio
+
+import attrs
+
+from wasabipaddle.clock import run_virtual
+from wasabipaddle.documents import Urgency
+from wasabipaddle.measure.base import Bound, Measure
+from wasabipaddle.measure.request_cell import (
+    SLOTS,
+    Caller,
+    RequestCell,
+    arrivals,
+    lognormal_s,
+    make_service,
+)
+
+__all__ = ["FloodMeasure"]
+
+MEDIAN_S = 0.3
+MEAN_S = MEDIAN_S * 1.46  # mean of the cut lognormal distribution
+OTHER_LOAD = 0.6
+FLOOD_LOAD = 10.0
+FLOOR_MARGIN = 1.4
+# Shorter than the flood, so that work which waits for its end counts as lost.
+DEADLINE_S = 3.0
+WARM_S = 1.0
+FLOOR_WAIT_S = 1.0
+SAMPLE_S = 0.1
+
+
+@attrs.frozen(kw_only=True)
+class _Scenario:
+    """One flood: class and number of teams; None floods nothing."""
+
+    urgency: Urgency | None = None
+    teams: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class _Size:
+    entries: int
+    endpoints: int
+    flood_s: float
+
+
+@attrs.define(kw_only=True)
+class _Outcome:
+    """What one run shows."""
+
+    answered: dict
+    busy_s: float
+    not_run_false: int
+    floor_broken: int
+
+
+FULL = _Size(entries=8, endpoints=24, flood_s=8.0)
+QUICK = _Size(entries=2, endpoints=2, flood_s=3.5)
+SCENARIOS = (
+    _Scenario(urgency=Urgency.DEFERRABLE, teams=1),
+    _Scenario(urgency=Urgency.DEFERRABLE, teams=20),
+    _Scenario(urgency=Urgency.URGENT, teams=1),
+    _Scenario(urgency=Urgency.URGENT, teams=20),
+)
+
+
+class FloodMeasure(Measure):
+    """Floods of the least and the most urgent requests, from one team and twenty."""
+
+    name = "flood"
+    bounds = (
+        Bound(figure="kept_ratio_min", comparison=">=", value=0.95),
+        Bound(figure="refused_not_run_false", comparison="==", value=0),
+        Bound(figure="floor_broken", comparison="==", value=0),
+        Bound(figure="fleet_use_ratio", comparison=">=", value=0.9),
+    )
+
+    def run(self, *, seed, quick):
+        """Run every flood, and the plain approach on the same input."""
+        size = QUICK if quick else FULL
+        return self.measurement(
+            seed=seed,
+            sizes={**attrs.asdict(size), "scenarios": len(SCENARIOS)},
+            figures=_figures(seed, size, plain=False),
+            baseline=_figures(seed, size, plain=True),
+        )
+
+
+def _figures(seed, size, *, plain):
+    calm = run_virtual(_run(seed, size, _Scenario(), plain))
+    figures = {"kept_ratio_min": 1.0}
+    floods = []
+    for scenario in SCENARIOS:
+        outcome = run_virtual(_run(seed, size, scenario, plain))
+        kept = min(outcome.answered[s] / max(n, 1) for s, n in calm.answered.items())
+        key = f"kept_{scenario.urgency.value}_{scenario.teams}"
+        figures[key] = round(kept, 4)
+        figures["kept_ratio_min"] = min(figures["kept_ratio_min"], round(kept, 4))
+        floods.append(outcome)
+    use = min(o.busy_s for o in floods) / calm.busy_s
+    figures["refused_not_run_false"] = sum(o.not_run_false for o in floods)
+    figures["floor_broken"] = sum(o.floor_broken for o in floods)
+    figures["fleet_use_ratio"] = round(use, 4)
+    return figures
+
+
+def _other_services():
+    """Return six services, two of each class, with a floor above their load."""
+    part = OTHER_LOAD / 6
+    return [
+        make_service(
+            f"{urgency.value}-{i}",
+            urgency=urgency,
+            guaranteed=part * FLOOR_MARGIN,
+            idempotent=True,
+            deadline_s=DEADLINE_S,
+        )
+        for urgency in Urgency
+        for i in range(2)
+    ]
+
+
+def _flood_services(scenario):
+    return [
+        make_service(
+            f"flood-{i}",
+            urgency=scenario.urgency,
+            idempotent=True,
+            deadline_s=DEADLINE_S,
+        )
+        for i in range(scenario.teams)
+    ]
+
+
+async def _run(seed, size, scenario, plain):
+    others = _other_services()
+    floods = _flood_services(scenario)
+    cell = RequestCell(
+        seed=seed,
+        entries=size.entries,
+        endpoints=size.endpoints,
+        documents=others + floods,
+        plain=plain,
+    )
+    await cell.start()
+    loop = asyncio.get_running_loop()
+    begin = loop.time()
+    until = begin + WARM_S + size.flood_s
+    capacity = size.endpoints * SLOTS / MEAN_S
+    caller, flood = Caller(), Caller()
+
+    def send(service, load, to):
+        return arrivals(
+            cell=cell,
+            caller=to,
+            service=service,
+            rate=capacity * load,
+            until=until,
+            seed=seed,
+            sample_s=lognormal_s(MEDIAN_S),
+            deadline_s=DEADLINE_S,
+        )
+
+    tasks = [
+        asyncio.ensure_future(send(d.service, OTHER_LOAD / len(others), caller))
+        for d in others
+    ]
+    watch = asyncio.ensure_future(_watch_floors(cell, others, until))
+    await asyncio.sleep(WARM_S)
+    busy_before = cell.busy_s()
+    tasks += [
+        asyncio.ensure_future(send(d.service, FLOOD_LOAD / len(floods), flood))
+        for d in floods
+    ]
+    await asyncio.gather(*tasks)
+    busy_s = cell.busy_s() - busy_before
+    broken = await watch
+    await caller.finished()
+    await flood.finished()
+    await cell.stop()
+    not_run = caller.not_run | flood.not_run
+    return _Outcome(
+        answered=dict(caller.answered),
+        busy_s=busy_s,
+        not_run_false=sum(cell.executions(r) > 0 for r in not_run),
+        floor_broken=broken,
+    )
+
+
+async def _watch_floors(cell, services, until):
+    """Count samples at which a service waits although it is below its floor."""
+    loop = asyncio.get_running_loop()
+    broken = 0
+    while loop.time() < until:
+        await asyncio.sleep(SAMPLE_S)
+        if not cell.plain:
+            broken += sum(
+                _below_floor(routing.policy, document, loop.time())
+                for routing in cell.routings.values()
+                for document in services
+            )
+    return broken
+
+
+def _below_floor(policy, document, now):
+    state = policy.pools[document.placement.pool]
+    service = state.services.get(document.service)
+    if service is None or not service.tickets:
+        return False
+    oldest = next(iter(service.tickets.values()))
+    if now - oldest.queued_at < FLOOR_WAIT_S:
+        return False
+    return service.in_use + 1 <= state.floor_slots(service)
--- a/wasabipaddle/routing/connections.py
+++ b/wasabipaddle/routing/connections.py
@@ -13,6 +13,8 @@
 SETTLE_PAUSE_S = 0.1
 SETTLE_MAX_ERRORS = 3
 STALL_CONFIRMATIONS = 2
+LINGER_S = 30.0
+LINGER_PAUSE_S = 0.25
 
 
 class EndpointConnections:
@@ -62,7 +64,7 @@
                 if self.clock.now() >= deadline:
                     return _unknown("no answer by the deadline")
                 asked_at = self.clock.now()
-                state = await self._query(client, request)
+                state = await self._query(client, request.request)
                 if state is RequestState.RUNNING:
                     alive_at, signs, wait_s = asked_at, 0, self.progress_s
                     continue
@@ -103,7 +105,7 @@
         """
         errors = 0
         while errors < SETTLE_MAX_ERRORS and self.clock.now() < deadline:
-            state = await self._query(client, request)
+            state = await self._query(client, request.request)
             if state is RequestState.RAN:
                 detail = "the request ran, its answer was lost"
                 return Failure(kind=ErrorKind.ANSWER_BROKEN, detail=detail)
@@ -120,6 +122,20 @@
         detail = "the endpoint cannot tell whether the request ran"
         return Failure(kind=ErrorKind.OUTCOME_UNKNOWN, detail=detail)
 
+    async def wait_for_end(self, client, request):
+        """Wait until the endpoint no longer runs a request, as far as it tells.
+
+        Parameters
+        ----------
+        request : str
+            Request id whose caller has been answered.
+        """
+        end = self.clock.now() + LINGER_S
+        while self.clock.now() < end:
+            await asyncio.sleep(LINGER_PAUSE_S)
+            if await self._query(client, request) is not RequestState.RUNNING:
+                return
+
     async def forget(self, endpoints):
         """Close the clients of endpoints that are gone."""
         for name in endpoints:
@@ -141,7 +157,7 @@
     async def _query(self, client, request):
         with contextlib.suppress(TimeoutError, OSError):
             async with asyncio.timeout(self.progress_s / 2):
-                state = await client.query(request.request)
+                state = await client.query(request)
                 return state.ok()
         return None
 
--- a/wasabipaddle/routing/dispatcher.py
+++ b/wasabipaddle/routing/dispatcher.py
@@ -77,6 +77,7 @@
             policy=policy, holder=holder, clock=clock, random=random, metrics=metrics
         )
         self.jobs = set()
+        self.lingering = set()
         self.draining = False
 
     async def route(self, message, *, forwarded=False) -> Result[RoutedAnswer, Failure]:
@@ -151,6 +152,8 @@
 
     async def close(self):
         """Close the connections to endpoints."""
+        for task in list(self.lingering):
+            task.cancel()
         await self.connections.close()
 
     def _job(self, message, forwarded):
@@ -171,7 +174,6 @@
 
     def _offer(self, job):
         now = self.clock.now()
-        job.waiter = asyncio.get_running_loop().create_future()
         job.ticket = Ticket(
             request=job.message.request,
             document=job.document,
@@ -182,6 +184,7 @@
         offered = self.policy.offer(job.ticket, now=now)
         if offered.is_err():
             return offered.unwrap_err()
+        job.waiter = asyncio.get_running_loop().create_future()
         for ticket, failure in offered.unwrap():
             resolve(ticket.owner.waiter, Err(failure))
         self.slots.pump(job.ticket.pool)
@@ -228,6 +231,8 @@
         if result.is_err():
             result = Err(await self._settled(job, client, request, result.unwrap_err()))
         self._learn(slot, result)
+        if result.is_err() and result.unwrap_err().outcome is Outcome.UNKNOWN:
+            self._linger(job, client)
         return result
 
     async def _receive(self, job, client, answer):
@@ -263,6 +268,17 @@
             )
         )
 
+    def _linger(self, job, client):
+        """Keep the slot of a request that may still run until it has ended."""
+        pool = job.ticket.pool
+        slot = self.slots.detach(job)
+        task = asyncio.ensure_future(
+            self.connections.wait_for_end(client, job.message.request)
+        )
+        self.lingering.add(task)
+        task.add_done_callback(lambda _: self.slots.reclaim(slot, pool))
+        task.add_done_callback(self.lingering.discard)
+
     def _stream_ended(self, job, client, reader, failure):
         if failure is not None:
             self.metrics.count("routing.aborted_streams")
--- a/wasabipaddle/routing/holder.py
+++ b/wasabipaddle/routing/holder.py
@@ -3,12 +3,13 @@
 import attrs
 
 from wasabipaddle.messages import Grant, GrantRequest
-from wasabipaddle.routing.breaker import CircuitBreaker
+from wasabipaddle.routing.breaker import BreakerState, CircuitBreaker
 
 __all__ = ["GrantHolder", "HeldEndpoint", "Slot"]
 
 FORGET_S = 60.0
 AVOID_S = 0.1
+CAPACITY_CACHE_S = 0.02
 # Part of the endpoints of a pool that breakers may close at a time. Beyond it the
 # failures are taken for those of the requests, not of single endpoints.
 MAX_BROKEN_FRACTION = 0.5
@@ -72,6 +73,15 @@
         return self.held.grant.endpoint
 
 
+@attrs.frozen(kw_only=True)
+class _Capacity:
+    """Slots of a pool at one time."""
+
+    slots: int
+    too_many_broken: bool
+    valid_until: float
+
+
 @attrs.define(kw_only=True)
 class _ShardState:
     """Numbering of the grant requests to the leader of one shard."""
@@ -106,6 +116,8 @@
         self.random = random
         self.shards = {}
         self.endpoints = {}
+        self.members = {}
+        self.capacities = {}
 
     def request(self, shard, demand, *, now) -> GrantRequest:
         """Return the next grant request to the leader of a shard.
@@ -152,6 +164,7 @@
         else:
             self._replace(reply, expires, now)
         state.applied = reply.sequence
+        self._changed()
         return True
 
     def drain(self, endpoints):
@@ -159,17 +172,22 @@
         for name in endpoints:
             if name in self.endpoints:
                 self.endpoints[name].draining = True
+        self.capacities.clear()
 
     def capacity(self, pool, *, now) -> int:
-        """Return the slots of a pool that are usable or in use."""
-        members = [h for h in self.endpoints.values() if h.grant.pool == pool]
-        if self._too_many_broken(members, now):
-            return sum(max(h.usable(now), h.in_use) for h in members)
-        return sum(h.in_use + max(h.free(now), 0) for h in members)
+        """Return the slots of a pool that are usable or in use.
+
+        The figure may be `CAPACITY_CACHE_S` old; `choose` decides on fresh ones.
+        """
+        cached = self.capacities.get(pool)
+        if cached is None or now >= cached.valid_until:
+            cached = self._measure(pool, now)
+            self.capacities[pool] = cached
+        return cached.slots
 
     def pools(self) -> set[str]:
         """Return the pools of the known endpoints."""
-        return {h.grant.pool for h in self.endpoints.values()}
+        return set(self.members)
 
     def choose(self, pool, *, now, exclude=()) -> Slot | None:
         """Take a slot of the less loaded of two endpoints.
@@ -179,17 +197,20 @@
         exclude : collection of str
             Endpoints that are used only if no other has a free slot.
         """
-        members = [h for h in self.endpoints.values() if h.grant.pool == pool]
-        free = [h for h in members if h.free(now) > 0]
-        if self._too_many_broken(members, now):
-            free = [h for h in members if h.usable(now) > h.in_use]
-        others = [h for h in free if h.grant.endpoint not in exclude]
-        candidates = others or free
-        if not candidates:
+        members = self.members.get(pool)
+        if not members:
             return None
-        if len(candidates) > 2:
-            candidates = self.random.sample(candidates, 2)
-        held = min(candidates, key=lambda h: h.in_use / max(h.usable(now), 1))
+        self.capacity(pool, now=now)
+        spread = self.capacities[pool].too_many_broken
+        pair = self.random.choices(members, k=2)
+        if exclude or not all(_has_slot(h, now, spread) for h in pair):
+            free = [h for h in members if _has_slot(h, now, spread)]
+            others = [h for h in free if h.grant.endpoint not in exclude]
+            pair = others or free
+            if not pair:
+                return None
+            pair = self.random.choices(pair, k=2)
+        held = min(pair, key=lambda h: h.in_use / max(h.usable(now), 1))
         held.in_use += 1
         return Slot(held=held, shard=held.shard, epoch=held.epoch)
 
@@ -199,11 +220,15 @@
 
     def succeeded(self, slot, *, now):
         """Learn that the endpoint answered."""
-        slot.held.breaker.succeeded(now=now)
+        breaker = slot.held.breaker
+        if breaker.state is not BreakerState.CLOSED:
+            self.capacities.clear()
+        breaker.succeeded(now=now)
 
     def failed(self, slot, *, now):
         """Learn that the endpoint failed, stalled or could not be reached."""
         slot.held.breaker.failed(now=now)
+        self.capacities.clear()
 
     def refused(self, slot, *, now):
         """Learn that the endpoint had no free slot."""
@@ -211,6 +236,7 @@
         held.avoid_until = now + AVOID_S * self.random.uniform(0.5, 1.5)
         if now >= held.expires:
             held.limit = max(held.limit - 1, 1)
+        self.capacities.clear()
 
     def forget(self, *, now) -> list[str]:
         """Drop endpoints that left a while ago and return their names."""
@@ -221,12 +247,30 @@
         ]
         for name in names:
             del self.endpoints[name]
+        if names:
+            self._changed()
         return names
 
-    def _too_many_broken(self, members, now):
+    def _measure(self, pool, now):
+        members = self.members.get(pool, ())
         usable = [h for h in members if h.usable(now) > 0]
         broken = sum(h.breaker.limit(now=now) == 0 for h in usable)
-        return broken > len(usable) * MAX_BROKEN_FRACTION
+        if broken > len(usable) * MAX_BROKEN_FRACTION:
+            slots = sum(max(h.usable(now), h.in_use) for h in members)
+        else:
+            slots = sum(h.in_use + max(h.free(now), 0) for h in members)
+        return _Capacity(
+            slots=slots,
+            too_many_broken=broken > len(usable) * MAX_BROKEN_FRACTION,
+            valid_until=now + CAPACITY_CACHE_S,
+        )
+
+    def _changed(self):
+        """Rebuild what is derived from the set of endpoints."""
+        self.capacities.clear()
+        self.members = {}
+        for held in self.endpoints.values():
+            self.members.setdefault(held.grant.pool, []).append(held)
 
     def _extend(self, reply, expires):
         for held in self.endpoints.values():
@@ -266,3 +310,9 @@
 
 def _in_use(held, now):
     return attrs.evolve(held.grant, slots=held.in_use, life_s=held.expires - now)
+
+
+def _has_slot(held, now, ignore_breaker):
+    if ignore_breaker:
+        return held.usable(now) > held.in_use
+    return held.free(now) > 0
--- a/wasabipaddle/routing/slots.py
+++ b/wasabipaddle/routing/slots.py
@@ -63,6 +63,7 @@
         self.random = random
         self.metrics = metrics
         self.retrying = collections.defaultdict(collections.deque)
+        self.lingering = collections.Counter()
 
     def pump_all(self):
         """Give free slots of every pool to requests that wait."""
@@ -72,14 +73,15 @@
     def pump(self, pool):
         """Give free slots of a pool to requests that wait."""
         now = self.clock.now()
-        self.policy.set_capacity(pool, self.holder.capacity(pool, now=now), now=now)
+        capacity = self.holder.capacity(pool, now=now) - self.lingering[pool]
+        self.policy.set_capacity(pool, capacity, now=now)
         retrying = self.retrying[pool]
         while retrying:
             slot = self.holder.choose(pool, now=now, exclude=retrying[0].tried)
             if slot is None:
                 return
             self._give(retrying.popleft(), slot)
-        while self.policy.queued(pool):
+        while self.policy.queued(pool) and self.policy.in_use(pool) < capacity:
             slot = self.holder.choose(pool, now=now)
             if slot is None:
                 return
@@ -125,6 +127,19 @@
             self.holder.release(job.slot)
             job.slot = None
 
+    def detach(self, job):
+        """Take the slot of a request that may still run at the endpoint."""
+        slot = job.slot
+        job.slot = None
+        self.lingering[job.ticket.pool] += 1
+        return slot
+
+    def reclaim(self, slot, pool):
+        """Return a slot that `detach` took."""
+        self.lingering[pool] -= 1
+        self.holder.release(slot)
+        self.pump(pool)
+
     def _give(self, job, slot):
         job.slot = slot
         resolve(job.waiter, Ok(None))
--- a/wasabipaddle/serve/routing.py
+++ b/wasabipaddle/serve/routing.py
@@ -46,6 +46,8 @@
         disables spill.
     incarnation : int
         Start number of the process.
+    policy : AdmissionPolicy or None
+        Queue of the process; None uses `FairQueue` with the bounds of the settings.
     """
 
     def __init__(
@@ -58,6 +60,7 @@
         connect,
         peers=None,
         incarnation,
+        policy=None,
     ):
         settings = context.settings
         routing = settings.routing
@@ -68,7 +71,7 @@
         self.leaders = leaders
         self.peers = peers
         bounds = QueueBounds(requests=routing.queue_requests, size=routing.queue_bytes)
-        self.policy = FairQueue(bounds=bounds)
+        self.policy = policy or FairQueue(bounds=bounds)
         self.holder = GrantHolder(
             sender=settings.process, incarnation=incarnation, random=context.random
         )
