Add merged time line over all processes, cluster state and a playground

Cause: one run passes several processes, and an operator could see only one. Change: every process answers peers with its events; any process returns the merged time line and names silent processes. Not measured.

--- a/wasabipaddle/commands/cli.py
+++ b/wasabipaddle/commands/cli.py
@@ -6,6 +6,7 @@
 import sys
 
 import fire
+from fire.decorators import SetParseFns
 
 from wasabipaddle import __version__
 from wasabipaddle.commands.action import Action, UsageError, run_action
@@ -44,14 +45,54 @@
         """Run an entry process with the roles of the settings file SETTINGS."""
         from wasabipaddle.commands.serve import serve
 
-        serve(settings, process=process)
+        return Action(run=lambda: serve(settings, process=process))
 
     def demo(self, examples="examples", seed=1, keep=None):
         """Run both example deployments with faults and print the verdicts."""
         from wasabipaddle.demo import run_demo
 
-        if not run_demo(examples, seed=seed, keep=keep):
-            sys.exit(EXIT_BROKEN)
+        def run():
+            clean = run_demo(examples, seed=seed, keep=keep)
+            return None if clean else EXIT_BROKEN
+
+        return Action(run=run)
+
+    def playground(self, example):
+        """Start a deployment with stand-ins and keep it running until Ctrl-C."""
+        from wasabipaddle.demo import run_playground
+
+        return Action(run=lambda: run_playground(example))
+
+    @SetParseFns(run=str, vm=str, service=str, server=str, token_file=str)
+    def timeline(
+        self,
+        run="",
+        vm="",
+        service="",
+        since="",
+        limit=1000,
+        json=False,
+        html="",
+        server="",
+        token_file="",
+        authority="",
+    ):
+        """Print the events of all processes in order, or write them as a page.
+
+        Select with --run, --vm, --service and --since (milliseconds since the
+        epoch); --html FILE writes a page with one lane for each process.
+        """
+        from wasabipaddle.commands.timeline import timeline_action
+
+        filters = {
+            "run": run,
+            "vm": vm,
+            "service": service,
+            "since": since,
+            "limit": limit,
+        }
+        place = {"server": server, "token_file": token_file, "authority": authority}
+        return timeline_action(filters=filters, place=place, json=json, html=html)
 
     def measure(self, name, seed=1, quick=False, json=False):
         """Run one measure, or `all`, against its baseline and bounds."""
--- /dev/null
+++ b/wasabipaddle/commands/timeline.py
@@ -0,0 +1,46 @@
+"""Command `timeline`: the merged events of all processes."""
+
+import pathlib
+
+import msgspec
+
+from wasabipaddle.commands.action import Action
+from wasabipaddle.commands.client import ApiClient, connection
+from wasabipaddle.timeline import (
+    Timeline,
+    render_html,
+    render_json_lines,
+    render_text,
+)
+
+__all__ = ["timeline_action"]
+
+
+def timeline_action(*, filters, place, json, html) -> Action:
+    """Return the action that prints a time line or writes a page.
+
+    Parameters
+    ----------
+    filters : dict of str to str
+        Query of `/v1/timeline`; empty values are left out.
+    place : dict of str to str
+        Arguments of `connection`.
+    json : bool
+        Print JSON lines.
+    html : str
+        File for a page; empty prints text.
+    """
+    target = connection(**place)
+    params = {k: str(v) for k, v in filters.items() if v not in ("", None)}
+
+    async def run():
+        async with ApiClient(connection=target) as client:
+            body = (await client.call("GET", "/v1/timeline", params=params)).body
+        found = msgspec.convert(body, Timeline)
+        if html:
+            title = " ".join(f"{k} {v}" for k, v in params.items()) or "all events"
+            page = render_html(found, title=f"Time line: {title}")
+            pathlib.Path(html).write_text(page, encoding="utf-8")
+        print(render_json_lines(found) if json else render_text(found))
+
+    return Action(run=run)
--- a/wasabipaddle/demo/__init__.py
+++ b/wasabipaddle/demo/__init__.py
@@ -1,5 +1,5 @@
 """Driver that starts the processes of a deployment and injects faults."""
 
-from wasabipaddle.demo.demo import run_demo
+from wasabipaddle.demo.demo import run_demo, run_playground
 
-__all__ = ["run_demo"]
+__all__ = ["run_demo", "run_playground"]
--- a/wasabipaddle/demo/demo.py
+++ b/wasabipaddle/demo/demo.py
@@ -17,7 +17,7 @@
 from wasabipaddle.settings import load_deployment
 from wasabipaddle.standins.control import StandinControl
 
-__all__ = ["DemoResult", "run_demo"]
+__all__ = ["DemoResult", "run_demo", "run_playground"]
 
 LOAD_S = 15.0
 REQUEST_PERIOD_S = 0.01
@@ -95,6 +95,35 @@
     return all(r.clean for r in results)
 
 
+def run_playground(source):
+    """Start one deployment with stand-ins and keep it running until SIGINT.
+
+    Parameters
+    ----------
+    source : path
+        Directory of the example.
+    """
+    with tempfile.TemporaryDirectory(prefix="wasabipaddle-") as directory:
+        try:
+            asyncio.run(_stay(pathlib.Path(source), pathlib.Path(directory)))
+        except KeyboardInterrupt:
+            print("stopped", flush=True)
+
+
+async def _stay(source, directory):
+    deployment = load_deployment(source / "deployment.yaml").unwrap()
+    layout = write_layout(deployment, source, directory)
+    processes = ProcessGroup(layout=layout, directory=directory)
+    try:
+        await processes.start_all()
+        for entry in deployment.entries:
+            print(f"{entry.name}  http://{entry.host}:{entry.api_port}", flush=True)
+        print("running; stop with Ctrl-C", flush=True)
+        await asyncio.Event().wait()
+    finally:
+        await processes.stop_all()
+
+
 def _read_documents(source):
     files = sorted(p for p in source.glob("*.yaml") if p.name not in NOT_DOCUMENTS)
     texts = [p.read_text(encoding="utf-8") for p in files]
--- a/wasabipaddle/messages/__init__.py
+++ b/wasabipaddle/messages/__init__.py
@@ -2,6 +2,7 @@
 
 from wasabipaddle.messages.cluster import ClusterView, QueryCluster
 from wasabipaddle.messages.codec import decode, encode
+from wasabipaddle.messages.events import EventPage, QueryEvents
 from wasabipaddle.messages.grants import Grant, GrantReply, GrantRequest, PoolDemand
 from wasabipaddle.messages.members import (
     DataCentreSummary,
@@ -45,6 +46,7 @@
     "DataCentreSummary",
     "DocumentRevision",
     "DrainNotice",
+    "EventPage",
     "ForwardReply",
     "ForwardRequest",
     "Grant",
@@ -59,6 +61,7 @@
     "MemberView",
     "PoolDemand",
     "QueryCluster",
+    "QueryEvents",
     "QueryRun",
     "RevisionPage",
     "RevisionQuery",
--- a/wasabipaddle/serve/process.py
+++ b/wasabipaddle/serve/process.py
@@ -8,6 +8,7 @@
 from wasabipaddle.kernel import Context, Kernel
 from wasabipaddle.serve import (
     api,
+    cluster,
     fleet,
     leadership,
     membership,
@@ -17,6 +18,7 @@
     runs,
     shards,
     store,
+    timeline,
 )
 from wasabipaddle.serve.transport import TransportPlugin
 
@@ -25,6 +27,7 @@
 # Importing a module registers its plug-in.
 PLUGIN_MODULES = (
     api,
+    cluster,
     fleet,
     leadership,
     membership,
@@ -34,9 +37,10 @@
     runs,
     shards,
     store,
+    timeline,
 )
 
-ROLES = ("routing", "runs", "api")
+ROLES = ("routing", "runs", "cluster", "timeline", "api")
 
 
 async def serve(settings):
