Settle edits against the in-memory store and keep tokens out of messages

Tokens no longer appear in refusals of settings and in the representation of settings. A TLS handshake has 5 s.

--- a/wasabipaddle/api/editor.py
+++ b/wasabipaddle/api/editor.py
@@ -8,7 +8,6 @@
 
 from wasabipaddle.documents import parse_document
 from wasabipaddle.documents.stored import (
-    DOCUMENT_PREFIX,
     StoredDocument,
     decode_stored,
     document_key,
@@ -71,12 +70,6 @@
         entry = found.unwrap()
         return Ok(None) if entry is None else _view(service, entry)
 
-    async def list(self, *, after="", limit=PAGE) -> Result[object, Failure]:
-        """Return a page of the store; its entries hold documents in order."""
-        start = document_key(after) if after else ""
-        found = await self.store.list(DOCUMENT_PREFIX, after=start, limit=limit)
-        return _not_run(found) if found.is_err() else found
-
     async def history(self, service) -> Result[tuple[DocumentView, ...], Failure]:
         """Return kept earlier revisions and the current one, oldest first."""
         current = await self.read(service)
--- a/wasabipaddle/api/listener.py
+++ b/wasabipaddle/api/listener.py
@@ -12,6 +12,7 @@
 __all__ = ["Listener"]
 
 FIRST_REQUEST_S = 10.0
+HANDSHAKE_S = 5.0
 KEEPALIVE_S = 75.0
 LINGERING_S = 2.0
 # The balancer needs a moment to see the failed readiness before work is refused.
@@ -116,8 +117,13 @@
         self.app_handler = self.runner.server.request_handler
         self.runner.server.request_handler = self._handle
         loop = asyncio.get_running_loop()
+        timeout_s = None if self.ssl is None else HANDSHAKE_S
         self.server = await loop.create_server(
-            self._make_protocol, host, port, ssl=self.ssl
+            self._make_protocol,
+            host,
+            port,
+            ssl=self.ssl,
+            ssl_handshake_timeout=timeout_s,
         )
 
     async def drain(self):
--- a/wasabipaddle/api/tests/test_api.py
+++ b/wasabipaddle/api/tests/test_api.py
@@ -9,6 +9,7 @@
 from wasabipaddle.exceptions import ErrorKind, Failure, WasabipaddleError
 from wasabipaddle.kernel import ReadinessChanged
 from wasabipaddle.messages import StopRun, SubmitRun
+from wasabipaddle.timeline import EventKind
 
 REQUESTS = "/v1/services/manifesti/requests"
 RUNS = "/v1/services/anniversary-pages/runs"
@@ -177,6 +178,21 @@
     in_cell(check, tokens=())
 
 
+def test_events_are_filtered():
+    """Guards against a filter that hides, or adds, an event."""
+
+    async def check(cell):
+        events = cell.plugin.context.events
+        events.record(EventKind.RUN_ACCEPTED, run="s.1", service="pages")
+        events.record(EventKind.RUN_ENDED, run="s.2", service="pages")
+        for query, count in (("", 2), ("?run=s.1", 1), ("?since=9999999999999", 0)):
+            body = (await cell.call("GET", "/v1/events" + query, headers=ARCHIVE))[2]
+            assert len(body["events"]) == count
+        assert body["process"] == "brescia-a-e1"
+
+    in_cell(check)
+
+
 def test_callers_need_a_token_if_tokens_are_configured():
     """Guards against anonymous requests in a cell with known callers."""
 
--- a/wasabipaddle/api/tests/test_editor.py
+++ b/wasabipaddle/api/tests/test_editor.py
@@ -1,8 +1,12 @@
 """Tests of conditional edits of documents."""
 
+import asyncio
 import itertools
+import random
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from wasabipaddle.api.editor import HISTORY_KEPT, DocumentEditor
 from wasabipaddle.api.tests.fakes import FakeStore
@@ -10,6 +14,7 @@
 from wasabipaddle.documents import Catalogue
 from wasabipaddle.documents.tests.test_catalogue import text
 from wasabipaddle.exceptions import ErrorKind, Outcome
+from wasabipaddle.standins import MemoryStore
 
 
 @pytest.fixture
@@ -119,3 +124,43 @@
         assert len(kept) == HISTORY_KEPT + 1
 
     run_virtual(main())
+
+
+async def edit_often(editor, slots, ends):
+    """Make edits on the revision seen before each and note how they end."""
+    for number in slots:
+        view = (await editor.read("pages")).unwrap_or(None)
+        expected = 0 if view is None else view.revision
+        ends[number] = await apply(editor, expected, slots=number)
+
+
+@given(
+    seed=st.integers(0, 2**16),
+    lost_call=st.sampled_from([0.0, 0.2, 0.6]),
+    lost_answer=st.sampled_from([0.0, 0.2, 0.6]),
+)
+def test_no_edit_is_lost_or_made_up(seed, lost_call, lost_answer):
+    """Guards against false reports of concurrent edits while answers are lost."""
+
+    async def main():
+        store = MemoryStore(random=random.Random(seed))
+        store.faults.lost_call, store.faults.lost_answer = lost_call, lost_answer
+        ends = {}
+        editors = [
+            DocumentEditor(store=store.client(name), catalogue=Catalogue())
+            for name in ("a", "b")
+        ]
+        slots = (range(1, 6), range(11, 16))
+        edits = [edit_often(e, s, ends) for e, s in zip(editors, slots, strict=True)]
+        await asyncio.gather(*edits)
+        store.faults.lost_call = store.faults.lost_answer = 0.0
+        kept = (await editors[0].history("pages")).unwrap()
+        in_force = {v.text: v.revision for v in kept}
+        for number, end in ends.items():
+            revision = in_force.get(text(slots=number))
+            if end.is_ok():
+                assert revision == end.unwrap()
+            elif end.unwrap_err().outcome is Outcome.NOT_RUN:
+                assert revision is None
+
+    run_virtual(main())
--- a/wasabipaddle/commands/cli.py
+++ b/wasabipaddle/commands/cli.py
@@ -23,6 +23,12 @@
 __all__ = ["Cli", "main"]
 
 EXIT_INTERRUPTED = 130
+DECORATOR_GROUP = """
+GROUPS
+    GROUP is one of the following:
+
+     FIRE_METADATA
+"""
 ANSI_COLOUR = re.compile("\x1b\\[[0-9;]*m")
 
 
@@ -93,9 +99,9 @@
             )
     except fire.core.FireExit as error:
         if error.code == 0:
-            print(written.getvalue() + EXIT_HELP)
+            print(_clean(written.getvalue()) + EXIT_HELP)
             return None
-        text = ANSI_COLOUR.sub("", written.getvalue()).strip()
+        text = _clean(written.getvalue()).strip()
         line = text.partition("\n")[0].removeprefix("ERROR: ")
         raise UsageError(f"{line} (see --help)") from error
     if isinstance(result, Action):
@@ -105,6 +111,14 @@
     return None
 
 
+def _clean(text):
+    """Remove colours, and the group that stands for decorators of `fire`."""
+    text = ANSI_COLOUR.sub("", text)
+    if DECORATOR_GROUP in text:
+        text = text.replace(DECORATOR_GROUP, "").replace("GROUP | ", "")
+    return text
+
+
 def _display(lines, out):
     out.write("\n".join(lines) + "\n")
 
--- a/wasabipaddle/documents/reader.py
+++ b/wasabipaddle/documents/reader.py
@@ -18,6 +18,7 @@
 MAX_STRING = 1_024
 MAX_NUMBER = 10**15
 MAX_REPORTED = 20
+SECRETS = frozenset({"token"})  # never shown in a message
 NAME = re.compile(r"[a-z0-9](?:[a-z0-9-]{0,61}[a-z0-9])?")
 NAME_ALLOWED = "1 to 63 lower-case letters, digits and inner hyphens"
 INTEGER = re.compile(r"-?[0-9]{1,15}")
@@ -294,7 +295,9 @@
         return node.value
 
     def _wrong(self, node, key, allowed):
-        if isinstance(node, yaml.ScalarNode):
+        if key.rpartition(".")[2] in SECRETS:
+            detail = "the value is not allowed"
+        elif isinstance(node, yaml.ScalarNode):
             detail = f"{node.value[:80]!r} is not allowed"
         else:
             detail = f"a {node.id} is not allowed"
--- a/wasabipaddle/settings/model.py
+++ b/wasabipaddle/settings/model.py
@@ -167,7 +167,7 @@
     """Bearer token of the operators of one team."""
 
     team: str
-    token: str
+    token: str = attrs.field(repr=False)
 
 
 @attrs.frozen(kw_only=True)
@@ -175,7 +175,7 @@
     """Bearer token of one caller of requests."""
 
     caller: str
-    token: str
+    token: str = attrs.field(repr=False)
 
 
 @attrs.frozen(kw_only=True)
--- a/wasabipaddle/settings/tests/test_settings.py
+++ b/wasabipaddle/settings/tests/test_settings.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from wasabipaddle.exceptions import ErrorKind
-from wasabipaddle.settings import load_settings
+from wasabipaddle.settings import OperatorToken, load_settings
 
 EXAMPLES = pathlib.Path(__file__).parents[3] / "examples"
 INLINE = (EXAMPLES / "lapidea/settings.yaml").read_text()
@@ -71,6 +71,16 @@
     assert name in detail or "cannot be read" in detail
 
 
+def test_tokens_are_never_shown(cell):
+    """Guards against a token in a log line or error message."""
+    original = (cell / "settings.yaml").read_text()
+    for token in ('"secret-secret-secret\\u0007"', "secret"):
+        text = f"api:\n  tokens: [{{team: a, token: {token}}}]"
+        assert "secret" not in refuse(cell, "settings.yaml", "api:", text)
+        (cell / "settings.yaml").write_text(original)
+    assert "secret" not in repr(OperatorToken(team="a", token="secret"))
+
+
 @given(st.sampled_from(INLINE.splitlines()), st.text(max_size=30))
 def test_any_changed_line_ends_in_settings_or_a_listed_kind(
     tmp_path_factory, line, text
