--- a/wasabipaddle/clock/__init__.py
+++ b/wasabipaddle/clock/__init__.py
@@ -3,7 +3,7 @@
 from wasabipaddle.clock.clocks import Clock, LoopClock, ManualClock
 from wasabipaddle.clock.hybrid import HybridClock, HybridTime
 from wasabipaddle.clock.timers import TimerService
-from wasabipaddle.clock.virtual import VirtualTimeLoop, run_virtual
+from wasabipaddle.clock.virtual import VirtualTimeLoop, process_context, run_virtual
 
 __all__ = [
     "Clock",
@@ -13,5 +13,6 @@
     "ManualClock",
     "TimerService",
     "VirtualTimeLoop",
+    "process_context",
     "run_virtual",
 ]
--- a/wasabipaddle/measure/whole_cell.py
+++ b/wasabipaddle/measure/whole_cell.py
@@ -1,14 +1,18 @@
 """Entry processes with all roles, workers and endpoints on virtual time."""
 
+import asyncio
+
 import attrs
-from result import Ok
+from result import Err, Ok
 
+from wasabipaddle.clock import process_context
 from wasabipaddle.documents import (
     Resources,
     StoredDocument,
     document_key,
     encode_stored,
 )
+from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.measure.cell import ROLES, MemoryCell, MemoryProcess
 from wasabipaddle.messages import RouteRequest, SubmitRun
 from wasabipaddle.platform import VmEntry, VmRole, VmStatus
@@ -22,6 +26,7 @@
 
 ALL_ROLES = (FleetPlugin, *ROLES, ShardsPlugin, RoutingPlugin, RunsPlugin)
 WORKERS_PER_RACK = 8
+CALLER_TIMEOUT_S = 60.0
 
 
 @attrs.frozen(kw_only=True)
@@ -60,12 +65,70 @@
 
 
 class WholeProcess(MemoryProcess):
-    """Entry process with every role but the HTTP interface."""
+    """Entry process with every role but the HTTP interface.
+
+    All its tasks belong to one process of the virtual-time loop, which a pause
+    holds and a kill drops, as a real process is stopped without warning.
+    """
+
+    def __init__(self, *, settings, cell):
+        self.identity = f"{settings.process}#{cell.incarnations}"
+        self.vars = process_context(self.identity)
+        super().__init__(settings=settings, cell=cell)
+        self.transport.context = self.vars
+        self.dead = asyncio.get_running_loop().create_future()
 
     def make_platform(self):
         """Return the platform clients of this process."""
         return _Platform(cell=self.cell, name=self.name)
 
+    async def run(self, coroutine, *, timeout_s=CALLER_TIMEOUT_S):
+        """Run a coroutine as a part of this process.
+
+        Returns
+        -------
+        object
+            What the coroutine returns, or an `Err` of kind `timeout` if the process is
+            killed before or does not answer in time, as a caller sees it.
+        """
+        task = asyncio.create_task(coroutine, context=self.vars)
+        await asyncio.wait(
+            (task, self.dead),
+            timeout=timeout_s,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        if task.done():
+            return task.result()
+        return Err(Failure(kind=ErrorKind.TIMEOUT, detail=f"no answer of {self.name}"))
+
+    def kill(self):
+        """End the process without warning."""
+        asyncio.get_running_loop().kill(self.identity)
+        self.dead.set_result(None)
+
+    async def start(self):
+        """Start the roles."""
+        await self.run(super().start())
+
+    async def pause(self):
+        """Suspend the process without warning."""
+        asyncio.get_running_loop().pause(self.identity)
+
+    async def resume(self):
+        """Let a suspended process go on."""
+        asyncio.get_running_loop().resume(self.identity)
+
+    async def drain(self):
+        """Shut down gracefully."""
+        await self.run(self._drain())
+
+    async def _drain(self):
+        for role in reversed(self.cell.roles):
+            await self.context.plugins[role.name].drain()
+        for role in reversed(self.cell.roles):
+            await self.context.plugins[role.name].stop()
+        self.cell.network.stopped.add(self.name)
+
 
 class WholeCell(MemoryCell):
     """Cell whose processes run every role against in-memory stand-ins.
@@ -78,16 +141,21 @@
         Seed of all random numbers.
     vm_list_lag_s : float
         Lag of the VM list.
+    shards : type
+        Plug-in that leads shards; a measure passes one with a plain policy.
     """
 
     process_type = WholeProcess
 
-    def __init__(self, *, size, seed=1, vm_list_lag_s=5.0, **store):
+    def __init__(
+        self, *, size, seed=1, vm_list_lag_s=5.0, shards=ShardsPlugin, **store
+    ):
+        roles = tuple(shards if r is ShardsPlugin else r for r in ALL_ROLES)
         super().__init__(
             entries=size.entries,
             data_centres=size.data_centres,
             seed=seed,
-            roles=ALL_ROLES,
+            roles=roles,
             **store,
         )
         self.size = size
@@ -200,7 +268,9 @@
 
     async def kill(self, name):
         """End a process without a graceful shutdown; its VM goes too."""
-        await super().kill(name)
+        process = self.processes.pop(name)
+        process.kill()
+        self.network.stopped.add(name)
         self.vms.set_status(name, VmStatus.GONE)
 
     async def start_process(self, name):
@@ -217,14 +287,18 @@
         answer = await self.store.put(document_key(service), encode_stored(stored))
         return answer.unwrap()
 
-    async def submit(self, process, service, key, payload):
+    async def submit(
+        self, process, service, key, payload, *, timeout_s=CALLER_TIMEOUT_S
+    ):
         """Submit a run to one process."""
         message = SubmitRun(shard="", service=service, key=key, payload=payload)
-        return await self.operate(process, message)
+        return await self.operate(process, message, timeout_s=timeout_s)
 
-    async def operate(self, process, message):
+    async def operate(self, process, message, *, timeout_s=CALLER_TIMEOUT_S):
         """Carry out an operation on runs at one process."""
-        return await self.processes[process].context.plugins["runs"].operate(message)
+        target = self.processes[process]
+        operation = target.context.plugins["runs"].operate(message)
+        return await target.run(operation, timeout_s=timeout_s)
 
     async def request(self, process, service, request, body, *, deadline_s):
         """Send a request to one process and return the whole answer."""
@@ -236,7 +310,11 @@
             body=body,
             deadline=context.clock.now() + deadline_s,
         )
-        result = await context.plugins["routing"].routing.route(message)
-        if result.is_err():
-            return result
-        return Ok(b"".join([c async for c in result.unwrap().chunks]))
+        return await self.processes[process].run(_whole_answer(context, message))
+
+
+async def _whole_answer(context, message):
+    result = await context.plugins["routing"].routing.route(message)
+    if result.is_err():
+        return result
+    return Ok(b"".join([c async for c in result.unwrap().chunks]))
--- a/wasabipaddle/runs/__init__.py
+++ b/wasabipaddle/runs/__init__.py
@@ -2,7 +2,18 @@
 
 from wasabipaddle.runs.leader import ShardLeader
 from wasabipaddle.runs.model import Run, Task, TaskState
+from wasabipaddle.runs.recovery import Adoption, LeaseExpiry, RecoveryPolicy
 from wasabipaddle.runs.table import RunTable
 from wasabipaddle.runs.workers import WorkerSession
 
-__all__ = ["Run", "RunTable", "ShardLeader", "Task", "TaskState", "WorkerSession"]
+__all__ = [
+    "Adoption",
+    "LeaseExpiry",
+    "RecoveryPolicy",
+    "Run",
+    "RunTable",
+    "ShardLeader",
+    "Task",
+    "TaskState",
+    "WorkerSession",
+]
--- a/wasabipaddle/runs/leader.py
+++ b/wasabipaddle/runs/leader.py
@@ -92,6 +92,8 @@
         Shared services of the process.
     make_id : callable
         Returns the random part of a new run id.
+    recovery : type
+        `RecoveryPolicy` to use.
     """
 
     def __init__(
@@ -104,6 +106,7 @@
         quotas,
         context,
         make_id=_random_id,
+        recovery=Adoption,
     ):
         self.election = election
         self.shard = election.shard
@@ -148,6 +151,7 @@
             make_id=make_id,
         )
         self.handlers = self._handlers()
+        self.recovery = recovery
         self.adoption = None
         self.entries = None
         self.inspected = set()
@@ -201,7 +205,7 @@
             self.election.note_epoch(self.epoch + 1)
             return
         recorded = rebuild(self.table, answer.unwrap(), self.epoch)
-        self.adoption = Adoption(
+        self.adoption = self.recovery(
             table=self.table,
             placer=self.placer,
             pool=self.pool,
--- a/wasabipaddle/runs/recovery.py
+++ b/wasabipaddle/runs/recovery.py
@@ -1,11 +1,13 @@
 """Rebuilding of the run table after a change of leadership."""
 
+import abc
+
 from wasabipaddle.messages import RunOutcome
 from wasabipaddle.platform import TaskOutcome, TaskPhase
 from wasabipaddle.runs.model import TaskState, parse_task_id
 from wasabipaddle.runs.records import document_of, work_of
 
-__all__ = ["Adoption", "rebuild"]
+__all__ = ["Adoption", "LeaseExpiry", "RecoveryPolicy", "rebuild"]
 
 
 def rebuild(table, live, epoch):
@@ -87,8 +89,8 @@
         )
 
 
-class Adoption:
-    """Adopts running tasks from inventories and releases runs once it is safe.
+class RecoveryPolicy(abc.ABC):
+    """Decides when runs of an earlier leader may be placed again.
 
     Parameters
     ----------
@@ -112,29 +114,13 @@
         self.quota_of = quota_of
         self.finished = False
 
+    @abc.abstractmethod
     def inspect(self, worker, report, now):
-        """Take over the tasks of an inventory that the table allows to run."""
-        for task in report.tasks:
-            self._inspect_task(worker, task, now)
+        """Look at the first inventory of a worker."""
 
-    def _inspect_task(self, worker, report, now):
-        run, index = parse_task_id(report.task)
-        entry = self.table.get(run)
-        if entry is None or entry.ended or index >= len(entry.tasks):
-            return
-        task = entry.tasks[index]
-        if task.state is TaskState.ENDED or report.attempt < task.attempt:
-            return
-        is_recorded = task.attempt == report.attempt and task.on_worker
-        if is_recorded and task.worker != worker:
-            return
-        if task.attempt == report.attempt and not task.on_worker:
-            return
-        self.table.place(run=run, index=index, attempt=report.attempt, worker=worker)
-        if report.phase is not TaskPhase.ENDED:
-            work = work_of(entry, quota=self.quota_of(entry.document.service))
-            self.placer.adopt(work, report.task, worker, report.needs, now)
-            self.table.running(run=run, index=index, attempt=report.attempt)
+    @abc.abstractmethod
+    def is_safe(self, now) -> bool:
+        """Return whether no task of an earlier leader can be unknown."""
 
     def release(self, now) -> bool:
         """Queue every run that is no longer in doubt.
@@ -144,7 +130,7 @@
         bool
             Whether the recovery has finished with this call.
         """
-        if self.finished or not self.pool.accounted(now, self.recorded):
+        if self.finished or not self.is_safe(now):
             return False
         self.finished = True
         for entry in self.table.unended():
@@ -160,3 +146,54 @@
         if waiting:
             work = work_of(entry, quota=self.quota_of(entry.document.service))
             self.placer.submit(work, now, indices=waiting)
+
+
+class LeaseExpiry(RecoveryPolicy):
+    """Plain policy: adopts nothing and waits until every lease has expired."""
+
+    def inspect(self, worker, report, now):
+        """Ignore the inventory; the tasks in it are stopped as unknown."""
+        for entry, task in self.table.tasks_on(worker):
+            self.table.end_attempt(
+                run=entry.run,
+                index=task.index,
+                attempt=task.attempt,
+                outcome=TaskOutcome.LEASE_EXPIRED,
+            )
+
+    def is_safe(self, now):
+        """Return whether a task lease has passed since the leader started."""
+        lease = self.pool.lease
+        return now > self.pool.started_at + lease.task_lease_s * (1 + lease.drift)
+
+
+class Adoption(RecoveryPolicy):
+    """Adopts running tasks from inventories and waits for every worker."""
+
+    def inspect(self, worker, report, now):
+        """Take over the tasks of an inventory that the table allows to run."""
+        for task in report.tasks:
+            self._inspect_task(worker, task, now)
+
+    def is_safe(self, now):
+        """Return whether every worker has answered, is gone or has no lease left."""
+        return self.pool.accounted(now, self.recorded)
+
+    def _inspect_task(self, worker, report, now):
+        run, index = parse_task_id(report.task)
+        entry = self.table.get(run)
+        if entry is None or entry.ended or index >= len(entry.tasks):
+            return
+        task = entry.tasks[index]
+        if task.state is TaskState.ENDED or report.attempt < task.attempt:
+            return
+        is_recorded = task.attempt == report.attempt and task.on_worker
+        if is_recorded and task.worker != worker:
+            return
+        if task.attempt == report.attempt and not task.on_worker:
+            return
+        self.table.place(run=run, index=index, attempt=report.attempt, worker=worker)
+        if report.phase is not TaskPhase.ENDED:
+            work = work_of(entry, quota=self.quota_of(entry.document.service))
+            self.placer.adopt(work, report.task, worker, report.needs, now)
+            self.table.running(run=run, index=index, attempt=report.attempt)
--- a/wasabipaddle/serve/runs.py
+++ b/wasabipaddle/serve/runs.py
@@ -145,7 +145,10 @@
         if result.is_ok():
             run = result.unwrap().run
             self.context.events.record(
-                EventKind.RUN_SUBMITTED, run=run, service=message.service
+                EventKind.RUN_SUBMITTED,
+                run=run,
+                service=message.service,
+                detail="acceptance received",
             )
         return result
 
--- a/wasabipaddle/serve/shards.py
+++ b/wasabipaddle/serve/shards.py
@@ -9,7 +9,7 @@
 from wasabipaddle.kernel import Plugin
 from wasabipaddle.leadership import LeaderElected, LeaderSteppedDown
 from wasabipaddle.relay import DocumentApplied
-from wasabipaddle.runs import ShardLeader
+from wasabipaddle.runs import Adoption, ShardLeader
 from wasabipaddle.serve.fleet import FleetRead
 from wasabipaddle.serve.grants import GrantService
 
@@ -46,6 +46,7 @@
     """
 
     name = "shards"
+    recovery = Adoption
     requires = ("transport", "platform", "fleet", "leadership", "relay", "store")
 
     def __init__(self, *, context):
@@ -109,6 +110,7 @@
             documents=self.relay,
             quotas=settings.deployment.quotas,
             context=context,
+            recovery=self.recovery,
         )
 
     def _fleet_read(self, entries):
--- a/wasabipaddle/standins/endpoint.py
+++ b/wasabipaddle/standins/endpoint.py
@@ -10,7 +10,7 @@
 from wasabipaddle.platform import EndpointClient, RequestState
 from wasabipaddle.standins.answers import Broken, break_answer, make_answer
 from wasabipaddle.standins.endpoint_view import DEFAULT_PROGRESS_S, EndpointView
-from wasabipaddle.standins.exchange import fail
+from wasabipaddle.standins.exchange import call_later, fail
 from wasabipaddle.standins.faults import change_faults
 from wasabipaddle.standins.ledger import CutOffCause, Execution, WorkKind
 from wasabipaddle.standins.payloads import RequestPayload, parse_payload
@@ -195,7 +195,7 @@
             pings_until_s=loop.time() + payload.service_s,
         )
         service_s = payload.service_s + self.faults.late_s
-        running.timer = loop.call_later(service_s, self._finish, running)
+        running.timer = call_later(service_s, self._finish, running)
         self.running[id(running)] = running
         return Ok(running)
 
--- a/wasabipaddle/standins/exchange.py
+++ b/wasabipaddle/standins/exchange.py
@@ -1,12 +1,23 @@
 """Calls to an in-memory stand-in that travel independently of the caller."""
 
 import asyncio
+import contextvars
 
 from result import Err
 
 from wasabipaddle.exceptions import ErrorKind, Failure
 
-__all__ = ["exchange", "fail", "reply"]
+__all__ = ["call_later", "exchange", "fail", "reply"]
+
+
+def call_later(delay_s, action, *args) -> asyncio.TimerHandle:
+    """Schedule an action of a stand-in, outside the context of the caller.
+
+    On a virtual-time loop the action then happens even if the process that made the
+    call is paused or killed.
+    """
+    loop = asyncio.get_running_loop()
+    return loop.call_later(delay_s, action, *args, context=contextvars.Context())
 
 
 async def exchange(arrive, *, one_way_s, timeout_s, target):
@@ -30,7 +41,7 @@
     """
     loop = asyncio.get_running_loop()
     answer = loop.create_future()
-    loop.call_later(one_way_s, arrive, answer)
+    call_later(one_way_s, arrive, answer)
     try:
         return await asyncio.wait_for(answer, timeout_s)
     except TimeoutError:
@@ -44,7 +55,7 @@
         if not answer.done():
             answer.set_result(result)
 
-    asyncio.get_running_loop().call_later(one_way_s, deliver)
+    call_later(one_way_s, deliver)
 
 
 def fail(kind, detail=""):
--- a/wasabipaddle/standins/store.py
+++ b/wasabipaddle/standins/store.py
@@ -10,6 +10,7 @@
 
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.platform import Store
+from wasabipaddle.standins.exchange import call_later
 from wasabipaddle.standins.faults import change_faults
 from wasabipaddle.standins.keyspace import KeySpace
 from wasabipaddle.standins.rates import TokenBucket
@@ -125,7 +126,7 @@
         def arrive():
             self.store.arrive_watch(self, answer, prefix, after_revision, wait_s)
 
-        loop.call_later(self.store.one_way_s, arrive)
+        call_later(self.store.one_way_s, arrive)
         return await self._wait(answer, wait_s + self.timeout_s, "watch")
 
     async def grant_lease(self, ttl_s):
@@ -148,7 +149,7 @@
 
         # The call travels on its own: a change takes effect even if the caller
         # has given up or was cancelled.
-        loop.call_later(self.store.one_way_s, arrive)
+        call_later(self.store.one_way_s, arrive)
         return await self._wait(answer, self.timeout_s, kind)
 
     async def _wait(self, answer, timeout_s, kind):
@@ -291,8 +292,7 @@
             view=view, answer=answer, prefix=prefix, after_revision=after_revision
         )
         self.waiting.add(watch)
-        loop = asyncio.get_running_loop()
-        watch.timer = loop.call_later(wait_s, self._finish_watch, watch)
+        watch.timer = call_later(wait_s, self._finish_watch, watch)
 
     def start_lease(self, ttl_s, now):
         """Create a lease and start the timer of its expiry."""
@@ -304,7 +304,7 @@
         loop = asyncio.get_running_loop()
         left_s = self.keys.expire(lease, loop.time())
         if left_s > 0:
-            loop.call_later(left_s, self._check_lease, lease)
+            call_later(left_s, self._check_lease, lease)
 
     def _accept(self, view, answer, kind):
         """Count a call and return whether it is carried out."""
@@ -350,7 +350,7 @@
             if not answer.done() and not view.partitioned:
                 answer.set_result(result)
 
-        asyncio.get_running_loop().call_later(self.one_way_s, deliver)
+        call_later(self.one_way_s, deliver)
 
     def _notify(self, change):
         for watch in list(self.waiting):
--- a/wasabipaddle/standins/tasks.py
+++ b/wasabipaddle/standins/tasks.py
@@ -14,6 +14,7 @@
     TaskStart,
     Usage,
 )
+from wasabipaddle.standins.exchange import call_later
 from wasabipaddle.standins.ledger import Discard, Execution, WorkKind
 from wasabipaddle.standins.payloads import TaskPayload, parse_payload, work_of_task
 
@@ -124,9 +125,7 @@
         self.reserved = self.reserved + start.needs
         self._arm_lease(task)
         self._arm_end(task)
-        asyncio.get_running_loop().call_later(
-            self.usage_lag_s + TIMER_MARGIN_S, self._use_due, task
-        )
+        call_later(self.usage_lag_s + TIMER_MARGIN_S, self._use_due, task)
         self._touch(task)
         return task
 
@@ -272,9 +271,7 @@
 
     def _arm_lease(self, task):
         delay_s = max(0.0, task.lease_until_s - _now())
-        task.lease_timer = asyncio.get_running_loop().call_later(
-            delay_s, self._lease_due, task
-        )
+        task.lease_timer = call_later(delay_s, self._lease_due, task)
 
     def _lease_due(self, task):
         if self.tasks.get(task.start.task) is not task:
@@ -321,7 +318,7 @@
 
     def _replace_timer(self, timer, delay_s, action, *args):
         _cancel(timer)
-        return asyncio.get_running_loop().call_later(delay_s, action, *args)
+        return call_later(delay_s, action, *args)
 
 
 def _now():
--- a/wasabipaddle/standins/worker.py
+++ b/wasabipaddle/standins/worker.py
@@ -13,7 +13,7 @@
     WorkerClient,
     WorkerReport,
 )
-from wasabipaddle.standins.exchange import exchange, fail, reply
+from wasabipaddle.standins.exchange import call_later, exchange, fail, reply
 from wasabipaddle.standins.faults import change_faults
 from wasabipaddle.standins.tasks import TaskTable
 
@@ -217,8 +217,7 @@
             self._report(command, refusals, answer)
             return
         wait = _Wait(command=command, refusals=refusals, answer=answer)
-        loop = asyncio.get_running_loop()
-        wait.timer = loop.call_later(command.wait_s, self._finish_wait, wait)
+        wait.timer = call_later(command.wait_s, self._finish_wait, wait)
         self.waits.add(wait)
 
     def _raise_epoch(self, command):
--- a/wasabipaddle/transport/memory.py
+++ b/wasabipaddle/transport/memory.py
@@ -56,12 +56,15 @@
         Name of the process.
     network : MemoryNetwork
         The network that it joins.
+    context : contextvars.Context or None
+        Context in which received messages are handled, see `process_context`.
     """
 
-    def __init__(self, *, name, network):
+    def __init__(self, *, name, network, context=None):
         super().__init__()
         self.name = name
         self.network = network
+        self.context = context
         network.transports[name] = self
 
     async def call(self, peer, message, reply_type, *, timeout_s):
@@ -86,7 +89,8 @@
         if not self.network.passes(self.name, peer):
             await asyncio.get_running_loop().create_future()
         target = self.network.transports[peer]
-        reply = await target.serve(type(message).__name__, body)
+        serving = target.serve(type(message).__name__, body)
+        reply = await asyncio.create_task(serving, context=target.context)
         await asyncio.sleep(latency)
         if not self.network.passes(self.name, peer):
             await asyncio.get_running_loop().create_future()
