Keep reservations in step with measured use

Change: a reservation follows the first measurement; what does not fit is added when the worker releases amounts. At most one held place per 50 workers for single tasks, after 600 s. Gangs start early from holds and free amounts. Pressure ends one task that covers the excess. Parked services are swept every 10 s.

--- a/wasabipaddle/placement/fleet.py
+++ b/wasabipaddle/placement/fleet.py
@@ -305,10 +305,20 @@
         names = self.reclaim_index.candidates(need, limit)
         return [self.workers[n] for n in names]
 
-    def hold_tasks(self, run, worker, need, count):
-        """Collect free amounts of a worker for tasks that start later."""
+    def hold_tasks(self, run, worker, need, count, *, first=False):
+        """Collect free amounts of a worker for tasks that start later.
+
+        Parameters
+        ----------
+        first : bool
+            Whether amounts that become free go to this hold before older ones.
+        """
         state = self.workers[worker]
-        state.holds[run] = Hold(wanted=scaled(need, count))
+        hold = Hold(wanted=scaled(need, count))
+        if first:
+            state.holds = {run: hold, **state.holds}
+        else:
+            state.holds[run] = hold
         self.hold_workers.setdefault(run, []).append(worker)
         self._change_free(state, ZERO)
 
--- a/wasabipaddle/placement/gangs.py
+++ b/wasabipaddle/placement/gangs.py
@@ -31,8 +31,8 @@
         Tasks per worker.
     start_at : float
         Time at which the amounts are expected to be free.
-    victims : list of str
-        Tasks whose end was ordered for this plan.
+    preempts : bool
+        Whether tasks were checkpointed for this plan.
     """
 
     key: str
@@ -43,7 +43,7 @@
     indices: list
     since: float
     planned_at: float
-    victims: list = attrs.field(factory=list)
+    preempts: bool = False
 
 
 class GangPolicy(abc.ABC):
--- a/wasabipaddle/placement/holds.py
+++ b/wasabipaddle/placement/holds.py
@@ -1,5 +1,7 @@
 """Book of work that waits for amounts held on chosen workers."""
 
+from wasabipaddle.placement.amounts import fit_count, scaled
+
 __all__ = ["HoldBook"]
 
 # Time past the planned start after which a plan is made again.
@@ -30,7 +32,9 @@
         self.by_run.setdefault(plan.work.run, {})[plan.key] = plan
         self.changed[plan.key] = None
         for worker, count in plan.counts.items():
-            self.fleet.hold_tasks(plan.key, worker, plan.need, count)
+            self.fleet.hold_tasks(
+                plan.key, worker, plan.need, count, first=plan.preempts
+            )
 
     def remove(self, plan) -> list[str]:
         """Forget a plan and free what it holds; return its workers."""
@@ -63,6 +67,35 @@
             if any(not self._usable(worker) for worker in p.counts)
         ]
 
+    def gangs(self) -> list:
+        """Return plans of gangs that do not wait for preempted tasks."""
+        return [p for p in self.plans.values() if p.work.is_gang and not p.preempts]
+
+    def counts_now(self, plan) -> dict | None:
+        """Return tasks per worker for a start with what is held or free now."""
+        missing = len(plan.indices)
+        counts = {}
+        for worker in plan.counts:
+            state = self.fleet.workers.get(worker)
+            if state is None or plan.key not in state.holds or not state.open:
+                return None
+            available = state.free + state.holds[plan.key].amount
+            counts[worker] = fit_count(plan.need, available, missing)
+            missing -= counts[worker]
+            if not missing:
+                return counts
+        if not scaled(plan.need, missing).fits(self.fleet.total_free):
+            return None
+        allowed = plan.work.placement.data_centres
+        for state in self.fleet.candidates(plan.need, missing + len(counts)):
+            if state.name in counts or (allowed and state.data_centre not in allowed):
+                continue
+            counts[state.name] = fit_count(plan.need, state.free, missing)
+            missing -= counts[state.name]
+            if not missing:
+                return counts
+        return None
+
     def overdue(self, now) -> list:
         """Return plans whose planned start has passed."""
         return [p for p in self.plans.values() if now >= p.start_at]
--- a/wasabipaddle/placement/placer.py
+++ b/wasabipaddle/placement/placer.py
@@ -2,31 +2,28 @@
 
 import collections
 
-from wasabipaddle.placement.amounts import scaled
 from wasabipaddle.placement.book import TaskBook
 from wasabipaddle.placement.estimation import UsageEstimator
 from wasabipaddle.placement.gangs import ReservingGangs
 from wasabipaddle.placement.holds import HoldBook
 from wasabipaddle.placement.impossible import ImpossibleWork
+from wasabipaddle.placement.plans import PlanKeeper
 from wasabipaddle.placement.preemption import LeastLossPreemption
 from wasabipaddle.placement.quarantine import ComparingQuarantine
 from wasabipaddle.placement.queue import PendingQueue, PendingRun
 from wasabipaddle.placement.repeats import Repeater
+from wasabipaddle.placement.reservations import ReservationKeeper
 from wasabipaddle.placement.running import TaskState
 from wasabipaddle.placement.scoring import BestFitScoring
 from wasabipaddle.placement.shares import ShareLedger
 from wasabipaddle.placement.starting import Starter
-from wasabipaddle.placement.work import Checkpoint, GiveUp, Impossible, Resize
+from wasabipaddle.placement.work import Checkpoint, GiveUp, Impossible
 from wasabipaddle.platform import TaskOutcome
 
 __all__ = ["Placer"]
 
-# Reports of a task before its own use replaces the estimate of its service.
-RESIZE_REPORTS = 3
 # Period at which the services parked longest are tried again.
-SWEEP_S = 1.0
-# Period at which overdue plans are looked at.
-REVIEW_S = 0.25
+SWEEP_S = 10.0
 # Attempts in one call, which bound its duration when nothing fits.
 ATTEMPTS_PER_CALL = 64
 
@@ -86,8 +83,13 @@
         )
         self.impossible = ImpossibleWork(fleet=fleet, ledger=self.ledger)
         self.impossible_runs = {}
-        self.resizes = resizes
         self.outbox = collections.deque()
+        self.usage = ReservationKeeper(
+            book=self.book, outbox=self.outbox, enabled=resizes
+        )
+        self.plans = PlanKeeper(
+            book=self.book, holds=self.holds, starter=self.starter, freed=self._freed
+        )
         self.repeater = Repeater(
             queue=self.queue,
             quarantine=self.quarantine,
@@ -96,9 +98,7 @@
         )
         self.freed = {}
         self.fleet_seen = -1
-        self.holds_seen = -1
         self.next_sweep = 0.0
-        self.next_review = 0.0
 
     # Input from the shard leader.
 
@@ -147,7 +147,7 @@
         self.impossible_runs.pop(run, None)
         self.queue.cancel(run)
         for plan in list(self.holds.by_run.get(run, {}).values()):
-            self._drop_plan(plan)
+            self.plans.drop(plan)
         entry = self.book.runs.get(run)
         if entry is None:
             return ()
@@ -218,8 +218,8 @@
             placed = self.book.running.get(task)
             if placed is None or placed.worker != worker:
                 continue
-            first = placed.reports == 0
-            self._observe_task(placed, used, now, first)
+            if self.usage.observe(placed, used, now):
+                self._freed(worker)
         was_closed = state.pressured
         running = self.book.running
         for decision in self.preemption.relieve(self.fleet, running, state, usage, now):
@@ -255,9 +255,8 @@
             decision = self.outbox.popleft()
             if self._is_current(decision):
                 decisions.append(decision)
-        for plan in self.holds.complete():
-            decisions.extend(self.starter.start_held(plan, now))
-        self._review_plans(now, decisions)
+        decisions.extend(self.plans.start_complete(now))
+        decisions.extend(self.plans.review(now))
         self._probe(now, decisions)
         tried = set()
         while len(decisions) < limit and len(tried) < ATTEMPTS_PER_CALL:
@@ -300,6 +299,7 @@
         return placed
 
     def _freed(self, worker):
+        self.usage.settle(worker)
         self.freed[worker] = None
         self.holds.worker_changed(worker)
 
@@ -314,60 +314,6 @@
             del self.freed[worker]
         return False
 
-    def _observe_task(self, placed, used, now, first):
-        placed.reports += 1
-        self.estimator.observe(placed.work, used, now, first=first)
-        previous = placed.usage
-        placed.usage = used
-        if not self.resizes or placed.reports < RESIZE_REPORTS:
-            return
-        needs = self.estimator.resized(placed, previous)
-        if needs is not None and self.book.resize(placed, needs):
-            self._freed(placed.worker)
-            self.outbox.append(
-                Resize(task=placed.task, worker=placed.worker, needs=needs)
-            )
-
-    def _drop_plan(self, plan):
-        self.ledger.give(plan.work, scaled(plan.need, len(plan.indices)))
-        for worker in self.holds.remove(plan):
-            self._freed(worker)
-        self.queue.share_changed(plan.work.service)
-        self.queue.wake_team(plan.work.team)
-
-    def _requeue_plan(self, plan):
-        self._drop_plan(plan)
-        self.starter.plan_times.pop(plan.work.service, None)
-        self._push(plan.work, plan.indices, plan.since, front=True)
-
-    def _review_plans(self, now, decisions):
-        if self.holds_seen != self.fleet.availability_version:
-            self.holds_seen = self.fleet.availability_version
-            for plan in self.holds.broken():
-                self._requeue_plan(plan)
-        if now < self.next_review:
-            return
-        self.next_review = now + REVIEW_S
-        for plan in self.holds.overdue(now):
-            if self.holds.must_replan(plan, now):
-                self._requeue_plan(plan)
-            else:
-                decisions.extend(self._end_backfill(plan))
-
-    def _end_backfill(self, plan):
-        """Checkpoint tasks that still use amounts lent by a plan that is due."""
-        decisions = []
-        for worker in plan.counts:
-            for task in list(self.fleet.workers[worker].tasks):
-                placed = self.book.running.get(task)
-                if placed is None or placed.backfill_for != plan.key:
-                    continue
-                if placed.state is not TaskState.ENDING:
-                    decisions.append(
-                        self.starter.order_checkpoint(placed, "end of backfill")
-                    )
-        return decisions
-
     def _apply_quarantine(self):
         for worker in self.quarantine.changes():
             excluded = self.quarantine.is_excluded(worker)
--- /dev/null
+++ b/wasabipaddle/placement/plans.py
@@ -0,0 +1,115 @@
+"""Upkeep of planned starts."""
+
+import collections
+
+from wasabipaddle.placement.amounts import scaled
+from wasabipaddle.placement.queue import PendingRun
+from wasabipaddle.placement.running import TaskState
+
+__all__ = ["PlanKeeper"]
+
+# Period at which plans are looked at.
+REVIEW_S = 0.25
+
+
+class PlanKeeper:
+    """Starts, repairs and drops the plans in a hold book.
+
+    Parameters
+    ----------
+    book : TaskBook
+        Keeps placed tasks.
+    holds : HoldBook
+        Keeps the plans.
+    starter : Starter
+        Starts tasks and orders checkpoints.
+    freed : callable
+        Called with each worker on which amounts became free.
+    """
+
+    def __init__(self, *, book, holds, starter, freed):
+        self.book = book
+        self.fleet = book.fleet
+        self.ledger = book.ledger
+        self.queue = book.queue
+        self.holds = holds
+        self.starter = starter
+        self.freed = freed
+        self.holds_seen = -1
+        self.next_review = 0.0
+
+    def drop(self, plan):
+        """Forget a plan and free what it holds."""
+        for worker in self._remove(plan):
+            self.freed(worker)
+
+    def _remove(self, plan):
+        self.ledger.give(plan.work, scaled(plan.need, len(plan.indices)))
+        workers = self.holds.remove(plan)
+        self.queue.share_changed(plan.work.service)
+        self.queue.wake_team(plan.work.team)
+        return workers
+
+    def _requeue(self, plan):
+        """Drop a plan and queue its tasks again at the front."""
+        self.drop(plan)
+        self._push(plan)
+
+    def _push(self, plan):
+        self.starter.plan_times.pop(plan.work.service, None)
+        indices = collections.deque(plan.indices)
+        pending = PendingRun(work=plan.work, indices=indices, since=plan.since)
+        self.queue.push(pending, front=True)
+
+    def start_complete(self, now) -> list:
+        """Start the tasks of plans whose holds are complete."""
+        decisions = []
+        for plan in self.holds.complete():
+            decisions.extend(self.starter.start_held(plan, now))
+        return decisions
+
+    def review(self, now) -> list:
+        """Make broken and overdue plans again, and end backfill that is in the way."""
+        if self.holds_seen != self.fleet.availability_version:
+            self.holds_seen = self.fleet.availability_version
+            for plan in self.holds.broken():
+                self._requeue(plan)
+        if now < self.next_review:
+            return []
+        decisions = []
+        self.next_review = now + REVIEW_S
+        for plan in self.holds.overdue(now):
+            if self.holds.must_replan(plan, now):
+                self._requeue(plan)
+            else:
+                decisions.extend(self._end_backfill(plan))
+        for plan in self.holds.gangs():
+            decisions.extend(self._start_early(plan, now))
+        return decisions
+
+    def _start_early(self, plan, now):
+        """Start a planned gang that fits into its holds and other free amounts."""
+        counts = self.holds.counts_now(plan)
+        if counts is None:
+            return []
+        workers = self._remove(plan)
+        started = self.starter.start_gang(plan, counts, now)
+        if not started:  # other holds on the same workers collected the amounts
+            self._push(plan)
+        for worker in workers:
+            self.freed(worker)
+        return started
+
+    def _end_backfill(self, plan):
+        """Checkpoint tasks that still use amounts lent by a plan that is due."""
+        decisions = []
+        for worker in plan.counts:
+            for task in list(self.fleet.workers[worker].tasks):
+                placed = self.book.running.get(task)
+                if placed is None or placed.backfill_for != plan.key:
+                    continue
+                if placed.state is not TaskState.ENDING:
+                    decisions.append(
+                        self.starter.order_checkpoint(placed, "end of backfill")
+                    )
+        return decisions
--- a/wasabipaddle/placement/preemption.py
+++ b/wasabipaddle/placement/preemption.py
@@ -4,9 +4,11 @@
 
 import attrs
 
+from wasabipaddle.documents import ServiceKind, Urgency
 from wasabipaddle.placement.amounts import fit_count, scaled
 from wasabipaddle.placement.running import TaskState
 from wasabipaddle.placement.work import Checkpoint, Throttle, Unthrottle
+from wasabipaddle.platform import Usage
 
 __all__ = [
     "LeastLossPreemption",
@@ -20,9 +22,9 @@
 THROTTLED_FRACTION = 0.5
 # Measured use of a VM, as a fraction of its size, at which tasks are slowed, new
 # tasks stay away, and throttles are lifted.
-RELIEF_ABOVE = 0.99
-CLOSED_ABOVE = 0.95
-LIFTED_BELOW = 0.85
+RELIEF_ABOVE = 1.0
+CLOSED_ABOVE = 0.98
+LIFTED_BELOW = 0.9
 # Checkpoints ordered on one worker for one report, because the next report shows
 # whether more are needed.
 CHECKPOINTS_PER_REPORT = 2
@@ -44,6 +46,11 @@
     victims: tuple
 
 
+# Order in which kinds are preempted: ending one task of a gang ends all of them.
+_RANKS = {u: u.rank for u in Urgency}
+_KINDS = {ServiceKind.BATCH: 0, ServiceKind.GANG: 1, ServiceKind.SERVICE: 2}
+
+
 class PreemptionPolicy(abc.ABC):
     """Answers urgent work without room and workers under pressure."""
 
@@ -108,6 +115,7 @@
 
     def relieve(self, fleet, running, worker, usage, now):
         """Throttle on processor pressure, checkpoint what throttling cannot relieve."""
+        usage = _without_ending(running, worker, usage)
         cpu = usage.cpu_milli / max(worker.size.cpu_milli, 1)
         memory = usage.memory_mb / max(worker.size.memory_mb, 1)
         fleet.set_pressured(worker.name, max(cpu, memory) >= CLOSED_ABOVE)
@@ -147,7 +155,9 @@
     def _by_loss(self, worker, running, now):
         tasks = [running[t] for t in worker.tasks if t in running]
         tasks = [t for t in tasks if t.preemptible]
-        tasks.sort(key=lambda t: (-t.work.urgency.rank, _loss(t, now)))
+        tasks.sort(
+            key=lambda t: (-_RANKS[t.work.urgency], _KINDS[t.work.kind], _loss(t, now))
+        )
         return tasks
 
     def _lift(self, running, worker):
@@ -176,18 +186,38 @@
         return tuple(decisions)
 
     def _checkpoint(self, tasks, excess, field, reason):
+        """Checkpoint the first task that covers the excess, or the largest ones."""
         decisions = []
-        for placed in tasks[:CHECKPOINTS_PER_REPORT]:
-            if excess <= 0:
-                break
-            used = placed.usage if placed.usage else placed.needs
-            excess -= getattr(used, field)
+        tasks = list(tasks)
+        while tasks and excess > 0 and len(decisions) < CHECKPOINTS_PER_REPORT:
+            first = (tasks[0].work.urgency, tasks[0].work.kind)
+            group = [t for t in tasks if (t.work.urgency, t.work.kind) == first]
+            covering = (t for t in group if _used(t, field) >= excess)
+            largest = max(group, key=lambda t: _used(t, field))
+            placed = next(covering, largest)
+            tasks.remove(placed)
+            excess -= _used(placed, field)
             decisions.append(
                 Checkpoint(task=placed.task, worker=placed.worker, reason=reason)
             )
         return tuple(decisions)
 
 
+def _without_ending(running, worker, usage):
+    """Return the use of a worker without tasks whose end is ordered."""
+    cpu, memory = usage.cpu_milli, usage.memory_mb
+    for task in worker.tasks:
+        placed = running.get(task)
+        if placed is not None and placed.state is TaskState.ENDING and placed.usage:
+            cpu -= placed.usage.cpu_milli
+            memory -= placed.usage.memory_mb
+    return Usage(cpu_milli=max(cpu, 0), memory_mb=max(memory, 0))
+
+
+def _used(placed, field) -> int:
+    return getattr(placed.usage or placed.needs, field)
+
+
 def _is_urgent(placed):
     return placed.work.urgency.rank == 0
 
@@ -195,4 +225,5 @@
 def _loss(placed, now) -> float:
     """Return the processor time that would be lost if progress is not kept."""
     elapsed = max(now - placed.started_at, 0.0)
-    return elapsed * max(placed.needs.cpu_milli, 1) + placed.needs.memory_mb
+    tasks = placed.work.tasks if placed.work.is_gang else 1
+    return tasks * elapsed * max(placed.needs.cpu_milli, 1) + placed.needs.memory_mb
--- a/wasabipaddle/placement/queue.py
+++ b/wasabipaddle/placement/queue.py
@@ -17,7 +17,7 @@
 # Parked services inspected per class when amounts become free.
 WAKE_INSPECTED = 64
 # Services tried again per class in one sweep.
-SWEPT = 16
+SWEPT = 8
 # Stale heap entries tolerated per ready service before the heap is rebuilt.
 STALE_FACTOR = 4
 STALE_MINIMUM = 64
@@ -57,6 +57,7 @@
     team: str
     urgency: Urgency
     weight: int
+    rank: int
     runs: collections.deque = attrs.field(factory=collections.deque)
     state: QueueState = QueueState.IDLE
     stamp: int = 0
@@ -120,7 +121,11 @@
         queue = self.queues.get(key)
         if queue is None:
             queue = self.queues[key] = ServiceQueue(
-                service=key[0], team=work.team, urgency=key[1], weight=work.weight
+                service=key[0],
+                team=work.team,
+                urgency=key[1],
+                weight=work.weight,
+                rank=key[1].rank,
             )
             self.by_service.setdefault(key[0], []).append(queue)
         queue.weight = max(work.weight, 1)
@@ -190,7 +195,7 @@
         self._set_state(queue, QueueState.SPACE)
         queue.need = need
         queue.parked_key = (need.cpu_milli, next(self.sequence))
-        self.parked_space[queue.urgency.rank].add((*queue.parked_key, queue))
+        self.parked_space[queue.rank].add((*queue.parked_key, queue))
 
     def park_quota(self, queue):
         """Park a service until its team releases amounts."""
@@ -269,7 +274,7 @@
             self._set_state(queue, QueueState.IDLE)
             return
         queue.stamp = next(self.sequence)
-        rank = queue.urgency.rank
+        rank = queue.rank
         heap = self.heaps[rank]
         heapq.heappush(heap, (self._order(queue), head.since, queue.stamp, queue))
         if len(heap) > STALE_FACTOR * self.ready_counts[rank] + STALE_MINIMUM:
@@ -279,7 +284,7 @@
     def _set_state(self, queue, state):
         if queue.state is state:
             return
-        rank = queue.urgency.rank
+        rank = queue.rank
         if queue.state is QueueState.READY:
             self.ready_counts[rank] -= 1
             self.floor_ready.pop((queue.service, queue.urgency), None)
--- /dev/null
+++ b/wasabipaddle/placement/reservations.py
@@ -0,0 +1,77 @@
+"""Reservations of running tasks, kept in step with their measured use."""
+
+from wasabipaddle.placement.amounts import elementwise_min
+from wasabipaddle.placement.work import Resize
+
+__all__ = ["ReservationKeeper"]
+
+
+class ReservationKeeper:
+    """Passes measurements on and resizes reservations.
+
+    Parameters
+    ----------
+    book : TaskBook
+        Keeps the reservations.
+    outbox : collections.deque
+        Takes the decisions.
+    enabled : bool
+        Whether the platform can change the reservation of a running task.
+    """
+
+    def __init__(self, *, book, outbox, enabled):
+        self.book = book
+        self.fleet = book.fleet
+        self.estimator = book.estimator
+        self.outbox = outbox
+        self.enabled = enabled
+        self.deficits = {}
+
+    def observe(self, placed, used, now) -> bool:
+        """Record the measured use of a task.
+
+        Returns
+        -------
+        bool
+            Whether its reservation was reconsidered.
+        """
+        first = placed.reports == 0
+        placed.reports += 1
+        self.estimator.observe(placed.work, used, now, first=first)
+        previous = placed.usage
+        placed.usage = used
+        if not self.enabled:
+            return False
+        needs = self.estimator.resized(placed, previous)
+        if needs is None:
+            return False
+        self._resize(placed, needs)
+        return True
+
+    def _resize(self, placed, needs):
+        """Change a reservation, as far as the worker has room.
+
+        What does not fit is noted and added once the worker releases amounts, before
+        new tasks get them.
+        """
+        room = placed.needs + self.fleet.free_of(placed.worker)
+        granted = elementwise_min(needs, room)
+        if granted != placed.needs and self.book.resize(placed, granted):
+            self.outbox.append(
+                Resize(task=placed.task, worker=placed.worker, needs=granted)
+            )
+        if granted != needs:
+            self.deficits.setdefault(placed.worker, {})[placed.task] = needs
+        elif placed.worker in self.deficits:
+            self.deficits[placed.worker].pop(placed.task, None)
+
+    def settle(self, worker):
+        """Give released amounts to tasks that use more than is reserved."""
+        for task, needs in list(self.deficits.get(worker, {}).items()):
+            placed = self.book.running.get(task)
+            if placed is not None and placed.worker == worker:
+                self._resize(placed, needs)
+            else:
+                self.deficits[worker].pop(task)
+        if not self.deficits.get(worker, True):
+            del self.deficits[worker]
--- a/wasabipaddle/placement/starting.py
+++ b/wasabipaddle/placement/starting.py
@@ -1,15 +1,19 @@
 """Attempts to place the head run of a service."""
 
 from wasabipaddle.documents import Urgency
-from wasabipaddle.placement.amounts import scaled
+from wasabipaddle.placement.amounts import fit_count, scaled
 from wasabipaddle.placement.gangs import HoldPlan
 from wasabipaddle.placement.running import TaskState
 from wasabipaddle.placement.work import Assignment, Checkpoint, Start, task_id
 
 __all__ = ["Starter"]
 
+# Waiting time after which a task may return to a worker on which it failed.
+AVOID_S = 60.0
 # Waiting time after which a single task that does not fit gets a held place.
-STARVED_S = 60.0
+STARVED_S = 600.0
+# Each held place is idle until enough has been collected, so few are held at a time.
+WORKERS_PER_STARVED_PLAN = 50
 # Pause between two attempts to plan the start of work that needs a held place.
 PLAN_PAUSE_S = 5.0
 # Urgent tasks that may wait for preempted tasks to end at one time.
@@ -89,6 +93,13 @@
         self.holds.remove(plan)
         return [Start(run=plan.work.run, assignments=tuple(assignments))]
 
+    def start_gang(self, plan, counts, now) -> list:
+        """Start a gang whose plan was dropped, if it fits now."""
+        for worker, count in counts.items():
+            if fit_count(plan.need, self.fleet.free_of(worker), count) < count:
+                return []
+        return self._start_gang(plan.work, plan.indices, counts, plan.need, now)
+
     def order_checkpoint(self, placed, reason) -> Checkpoint:
         """Order the end of a task that is queued again."""
         placed.state = TaskState.ENDING
@@ -101,7 +112,7 @@
         entry = self.book.open_run(work)
         avoid = entry.history_of(index).failed_on
         waited = now - pending.since
-        if avoid and waited > STARVED_S:
+        if avoid and waited > AVOID_S:
             avoid = NOT_HELD
         worker = self.book.scoring.choose(self.fleet, work, need, avoid)
         if worker is not None:
@@ -115,7 +126,7 @@
             decisions = self._make_room(queue, need, 1, now)
             if decisions is not None:
                 return decisions
-        elif waited > STARVED_S and self._plan(queue, need, 1, now):
+        elif self._is_starved(waited) and self._plan(queue, need, 1, now):
             return []
         self.queue.park_space(queue, need)
         return []
@@ -136,6 +147,13 @@
         quarantine.probe_started(state.name)
         return started
 
+    def _is_starved(self, waited) -> bool:
+        """Return whether a single task may get a held place."""
+        if waited <= STARVED_S:
+            return False
+        singles = sum(1 for p in self.holds.plans.values() if not p.work.is_gang)
+        return singles < max(1, len(self.fleet.workers) // WORKERS_PER_STARVED_PLAN)
+
     def _attempt_gang(self, queue, need, count, now):
         pending = queue.head()
         work = pending.work
@@ -174,7 +192,7 @@
     def _backfill(self, work, need, now):
         if work.is_service or not self.holds.plans:
             return None
-        end_by = now + self.estimator.run_time(work, now).high_s
+        end_by = now + self.estimator.run_time(work, now).median_s
         return self.holds.borrow(need, end_by, self.random)
 
     def _make_room(self, queue, need, count, now):
@@ -186,7 +204,7 @@
         room = self.preemption.make_room(self.fleet, running, work, need, count, now)
         if room is None:
             return None
-        self._hold(queue, need, room.counts, count, now, now)
+        self._hold(queue, need, room.counts, count, now, now, preempts=True)
         return [
             self.order_checkpoint(v, f"room for {work.urgency.value} work")
             for v in room.victims
@@ -205,7 +223,7 @@
         self._hold(queue, need, plan[0], count, plan[1], now)
         return True
 
-    def _hold(self, queue, need, counts, count, start_at, now):
+    def _hold(self, queue, need, counts, count, start_at, now, *, preempts=False):
         pending = queue.head()
         work, since = pending.work, pending.since
         indices = self.queue.take(queue, count)
@@ -218,6 +236,7 @@
             indices=indices,
             since=since,
             planned_at=now,
+            preempts=preempts,
         )
         self.ledger.take(work, scaled(need, count))
         self.holds.add(plan)
