Add the measures of placement and waiting

Cause: rate, duration and waiting of placement had no figures; urgent work waited 9 s when deferrable work could not make room, or when a declared size needed a whole VM.

Change: normal work is preempted for urgent work if deferrable work is not enough; an urgent task of a service without measurements may start with a part of its declared size. The plain placer skips a head that does not fit, so that it is not blocked for ever.

--- a/wasabipaddle/measure/driver.py
+++ b/wasabipaddle/measure/driver.py
@@ -78,6 +78,8 @@
         Period of usage reports and their delay.
     sample_s : float
         Period of the samples of true use; 0 for none.
+    count_from_s : float
+        Waits are recorded for jobs that arrive from this time on.
     """
 
     def __init__(
@@ -90,6 +92,7 @@
         report_s=10.0,
         lag_s=2.0,
         sample_s=0.0,
+        count_from_s=0.0,
     ):
         self.inputs = inputs
         self.tick_s = tick_s
@@ -97,6 +100,7 @@
         self.report_s = report_s
         self.lag_s = lag_s
         self.sample_s = sample_s
+        self.count_from_s = count_from_s
         self.random = random.Random(f"driver {inputs.spec.seed}")
         self.fleet = FleetIndex()
         self.workers = {}
@@ -168,6 +172,36 @@
             self.outcomes.cancelled += 1
             self._close(run)
 
+    def reset_counts(self):
+        """Begin new counts, for example after the fleet has filled up."""
+        self.outcomes = Outcomes()
+
+    def rack_spread(self) -> float:
+        """Return racks used by spread services over the most that they could use."""
+        racks = {}
+        for live in self.live.values():
+            if self.runs[live.run].job.work.placement.spread:
+                racks.setdefault(live.run, []).append(
+                    self.workers[live.worker].spec.rack
+                )
+        most = len({w.spec.rack for w in self.workers.values()})
+        used = sum(len(set(r)) for r in racks.values())
+        return used / max(sum(min(len(r), most) for r in racks.values()), 1)
+
+    def unfinished_waits(self, urgency) -> list:
+        """Return how long tasks have waited that have not started, except gangs."""
+        waits = []
+        for run in self.runs.values():
+            work = run.job.work
+            if run.closed or work.is_gang or work.is_service:
+                continue
+            if run.job.at < self.count_from_s or not run.job.tasks:
+                continue
+            if work.urgency is urgency:
+                never = run.remaining - run.started
+                waits.extend([self.now - run.job.at] * len(never))
+        return waits
+
     def _schedule_first(self):
         self.jobs = iter(self.inputs.jobs)
         self._schedule_job()
@@ -213,8 +247,10 @@
             start = time.perf_counter()
             decisions = self.placer.decide(self.now, self.limit)
             elapsed = time.perf_counter() - start
-            self.outcomes.decide_s.append(elapsed)
+            if decisions:  # calls that find nothing to do are short
+                self.outcomes.decide_s.append(elapsed)
             self.outcomes.call_s += elapsed
+            self.outcomes.decisions += len(decisions)
             for decision in decisions:
                 self._apply(decision)
             if not decisions:
@@ -258,7 +294,7 @@
         first = True
         for assignment in decision.assignments:
             first &= self._start_task(run, assignment)
-        if first and work.is_gang:
+        if first and work.is_gang and run.job.at >= self.count_from_s:
             self.outcomes.gang_waits.append(self.now - run.job.at)
 
     def _start_task(self, run, assignment) -> bool:
@@ -291,7 +327,8 @@
         if index in run.started:
             return False
         run.started.add(index)
-        if not work.is_gang and not work.is_service:
+        counts = run.job.at >= self.count_from_s
+        if counts and not work.is_gang and not work.is_service:
             self.outcomes.waits[work.urgency].append(self.now - run.job.at)
         return True
 
@@ -364,10 +401,12 @@
                 chosen = found.quarantined_bad if bad else found.quarantined_good
                 chosen.add(worker.spec.name)
         waiting = self.waiting_use
+        reserved = sum((w.reserved for w in self.workers.values()), Resources())
         self.outcomes.carried.append(
             Sample(
                 at=self.now,
                 carried=(cpu, memory),
+                reserved=(reserved.cpu_milli, reserved.memory_mb),
                 demand=(cpu + waiting[0], memory + waiting[1]),
                 running=len(self.live),
                 overloaded=overloaded,
--- a/wasabipaddle/measure/inputs.py
+++ b/wasabipaddle/measure/inputs.py
@@ -40,13 +40,18 @@
     "WorkerSpec",
     "daily_curve",
     "generate",
+    "generate_offering",
     "make_fleet",
+    "offered_use",
 ]
 
 # Longest run time as a multiple of the median of the service.
 TAIL_LIMIT = 30.0
 TAIL_PROBABILITY = 0.03
 TAIL_EXPONENT = 1.5
+# Heavy tails make the offered use differ from the nominal load.
+OFFER_ROUNDS = 8
+OFFER_TOLERANCE = 0.02
 
 
 def generate(spec) -> Inputs:
@@ -66,6 +71,38 @@
     )
 
 
+def offered_use(inputs, start, end) -> float:
+    """Return the mean true use, over capacity, if every task ran from its arrival.
+
+    The scarcer of processor and memory counts, between two times.
+    """
+    cpu = memory = 0.0
+    for job in inputs.jobs:
+        gone = math.inf if job.cancel_at is None else job.cancel_at
+        for task in job.tasks:
+            ends = min(job.at + (0.0 if task.fails else task.run_s), gone, end)
+            seconds = max(ends - max(job.at, start), 0.0)
+            cpu += task.use.cpu_milli * seconds
+            memory += task.use.memory_mb * seconds
+    capacity, length = inputs.capacity, end - start
+    return max(cpu / capacity.cpu_milli, memory / capacity.memory_mb) / length
+
+
+def generate_offering(spec, use, start, end) -> Inputs:
+    """Return an input whose `offered_use` between two times is at least `use`.
+
+    The load is adjusted until the offered use is just above `use`.
+    """
+    for _ in range(OFFER_ROUNDS):
+        inputs = generate(spec)
+        offered = offered_use(inputs, start, end)
+        if use <= offered <= use + 2 * OFFER_TOLERANCE:
+            break
+        aim = use + OFFER_TOLERANCE
+        spec = attrs.evolve(spec, load=spec.load * aim / offered)
+    return inputs
+
+
 def _jobs(spec, rng, profiles, capacity):
     """Return jobs in order of arrival, and profiles with their final figures."""
     services = [p for p in profiles if p.kind is ServiceKind.SERVICE]
--- a/wasabipaddle/measure/outcomes.py
+++ b/wasabipaddle/measure/outcomes.py
@@ -30,6 +30,8 @@
         Seconds from arrival to first start, per task that is not part of a gang.
     gang_waits : list of float
         Seconds from arrival to first start, per gang.
+    decisions : int
+        Decisions that were applied.
     overfilled : int
         Starts and resizes after which reservations exceeded a worker's size.
     two_places : int
@@ -46,6 +48,7 @@
 
     waits: dict = attrs.field(factory=lambda: {u: [] for u in Urgency})
     gang_waits: list = attrs.field(factory=list)
+    decisions: int = 0
     starts: int = 0
     completed: int = 0
     overfilled: int = 0
@@ -76,6 +79,8 @@
     ----------
     carried : tuple of float
         Use on all workers, at most the size of each.
+    reserved : tuple of float
+        Reservations as the workers keep them.
     demand : tuple of float
         The same with the use of waiting tasks.
     overloaded : int
@@ -84,6 +89,7 @@
 
     at: float
     carried: tuple[float, float]
+    reserved: tuple[float, float]
     demand: tuple[float, float]
     running: int
     overloaded: int
--- a/wasabipaddle/measure/packing.py
+++ b/wasabipaddle/measure/packing.py
@@ -30,6 +30,11 @@
     return carried / possible if possible else 0.0
 
 
+def _is_saturated(sample, capacity) -> bool:
+    cpu, memory = sample.demand
+    return cpu >= capacity.cpu_milli or memory >= capacity.memory_mb
+
+
 class Packing(Measure):
     """Packing density with true use far from declared use."""
 
@@ -49,7 +54,7 @@
             services=60 if quick else 240,
             duration_s=14_400.0 if quick else 86_400.0,
             start_of_day_s=36_000.0 if quick else 0.0,
-            load=1.25,
+            load=1.4,
             median_run_s=1200.0,
             largest_gang=8 if quick else 32,
             bad_workers=0.05,
@@ -78,9 +83,12 @@
         )
         driver.run(inputs.spec.duration_s)
         out = driver.outcomes
+        saturated = [s for s in out.carried if _is_saturated(s, inputs.capacity)]
         workers = len(driver.workers) * max(len(out.carried), 1)
         return {
             "packed_ratio": round(packed_ratio(out.carried, inputs.capacity), 4),
+            "saturated_ratio": round(packed_ratio(saturated, inputs.capacity), 4),
+            "saturated_part": round(len(saturated) / max(len(out.carried), 1), 3),
             "overfilled": out.overfilled,
             "evicted_ratio": round(out.evicted / max(out.starts, 1), 4),
             "overloaded_ratio": round(
--- a/wasabipaddle/placement/book.py
+++ b/wasabipaddle/placement/book.py
@@ -2,9 +2,10 @@
 
 from wasabipaddle.documents import Urgency
 from wasabipaddle.placement.running import RunEntry, RunningTask
+from wasabipaddle.placement.state import Reclaim
 from wasabipaddle.placement.work import task_id
 
-__all__ = ["TaskBook"]
+__all__ = ["TaskBook", "reclaim_class"]
 
 
 class TaskBook:
@@ -58,11 +59,11 @@
         task = task_id(work.run, index)
         entry = self.open_run(work)
         history = entry.history_of(index)
-        reclaimable = self.is_reclaimable(work, history)
+        reclaim = reclaim_class(work, history)
         if claim is None:
-            held = self.fleet.reserve(task, worker, needs, reclaimable=reclaimable)
+            held = self.fleet.reserve(task, worker, needs, reclaim=reclaim)
         else:
-            held = self.fleet.claim(claim, worker, task, needs, reclaimable=reclaimable)
+            held = self.fleet.claim(claim, worker, task, needs, reclaim=reclaim)
         if not held:
             return None
         placed = RunningTask(
@@ -74,7 +75,7 @@
             started_at=now,
             expected_end=now + self.estimator.run_time(work, now).high_s,
             history=history,
-            reclaimable=reclaimable,
+            reclaim=reclaim,
         )
         self.running[task] = placed
         entry.running[index] = placed
@@ -116,10 +117,11 @@
         if not entry.running and (entry.cancelled or not entry.remaining):
             self.runs.pop(entry.work.run, None)
 
-    @staticmethod
-    def is_reclaimable(work, history) -> bool:
-        """Return whether a task may be preempted for more urgent work."""
-        return (
-            work.urgency is Urgency.DEFERRABLE
-            and history.preemptions < work.max_preemptions
-        )
+
+def reclaim_class(work, history) -> Reclaim:
+    """Return when a task may be preempted for urgent work."""
+    if work.urgency is Urgency.URGENT or work.is_service:
+        return Reclaim.NEVER
+    if history.preemptions >= work.max_preemptions:
+        return Reclaim.NEVER
+    return Reclaim.FIRST if work.urgency is Urgency.DEFERRABLE else Reclaim.LAST
--- a/wasabipaddle/placement/estimation.py
+++ b/wasabipaddle/placement/estimation.py
@@ -141,11 +141,16 @@
         learned.run_time.record(duration_s, now)
         learned.ended += 1
 
+    def is_learned(self, work) -> bool:
+        """Return whether measurements have replaced the declared need."""
+        learned = self.services.get(work.service)
+        return learned is not None and learned.tasks_seen >= TASKS_NEEDED
+
     def needs(self, work, now) -> Resources:
         """Return the amounts to reserve for one task of `work`."""
-        learned = self.services.get(work.service)
-        if learned is None or learned.tasks_seen < TASKS_NEEDED:
+        if not self.is_learned(work):
             return work.needs
+        learned = self.services[work.service]
         if learned.estimate is None or now - learned.estimated_at > REFRESH_S:
             learned.estimate = self._estimate(work, learned)
             learned.estimated_at = now
--- a/wasabipaddle/placement/fleet.py
+++ b/wasabipaddle/placement/fleet.py
@@ -11,74 +11,9 @@
     scaled,
 )
 from wasabipaddle.placement.buckets import BucketIndex
+from wasabipaddle.placement.state import Hold, Reclaim, Reservation, WorkerState
 
-__all__ = ["FleetIndex", "Hold", "Reservation", "WorkerState"]
-
-
-@attrs.frozen(kw_only=True)
-class Reservation:
-    """Amounts of one task on one worker.
-
-    Parameters
-    ----------
-    reclaimable : bool
-        Whether the task may be preempted for urgent work.
-    """
-
-    worker: str
-    amount: Resources
-    reclaimable: bool = False
-
-
-@attrs.define(kw_only=True)
-class Hold:
-    """Amounts that a worker keeps free for work that starts later.
-
-    Parameters
-    ----------
-    wanted : Resources
-        Amounts to collect.
-    amount : Resources
-        Amounts collected so far.
-    """
-
-    wanted: Resources
-    amount: Resources = ZERO
-
-    @property
-    def complete(self) -> bool:
-        """Whether everything wanted has been collected."""
-        return self.amount == self.wanted
-
-
-@attrs.define(kw_only=True)
-class WorkerState:
-    """One worker as the shard leader sees it.
-
-    Parameters
-    ----------
-    free : Resources
-        Size minus reservations and collected holds.
-    reclaimable : Resources
-        Sum of the reservations that may be preempted.
-    """
-
-    name: str
-    rack: str
-    data_centre: str
-    size: Resources
-    free: Resources
-    reclaimable: Resources = ZERO
-    tasks: dict = attrs.field(factory=dict)
-    holds: dict = attrs.field(factory=dict)
-    quarantined: bool = False
-    leaving: bool = False
-    pressured: bool = False
-
-    @property
-    def open(self) -> bool:
-        """Whether new tasks may be placed here."""
-        return not (self.quarantined or self.leaving or self.pressured)
+__all__ = ["FleetIndex"]
 
 
 class FleetIndex:
@@ -105,7 +40,10 @@
         self.reservations = {}
         self.hold_workers = {}
         self.free_index = BucketIndex()
-        self.reclaim_index = BucketIndex()
+        self.reclaim_indexes = {
+            Reclaim.FIRST: BucketIndex(),
+            Reclaim.LAST: BucketIndex(),
+        }
         self.version = 0
         self.membership_version = 0
         self.availability_version = 0
@@ -157,13 +95,14 @@
         if not self.racks[worker.rack]:
             del self.racks[worker.rack]
         self.free_index.remove(name)
-        self.reclaim_index.remove(name)
+        for index in self.reclaim_indexes.values():
+            index.remove(name)
         self.total -= worker.size
         self.total_free -= worker.size
         self._count_shape((worker.data_centre, worker.size), -1)
         return tasks
 
-    def reserve(self, task, worker, amount, *, reclaimable=False) -> bool:
+    def reserve(self, task, worker, amount, *, reclaim=Reclaim.NEVER) -> bool:
         """Reserve amounts for a task.
 
         Returns
@@ -176,12 +115,10 @@
         if state is None or task in self.reservations or not amount.fits(state.free):
             return False
         self.reservations[task] = Reservation(
-            worker=worker, amount=amount, reclaimable=reclaimable
+            worker=worker, amount=amount, reclaim=reclaim
         )
         state.tasks[task] = amount
-        if reclaimable:
-            state.reclaimable += amount
-            self.total_reclaimable += amount
+        self._count_reclaimable(state, reclaim, amount)
         self._change_free(state, ZERO - amount)
         return True
 
@@ -192,9 +129,7 @@
             return None
         state = self.workers[reservation.worker]
         del state.tasks[task]
-        if reservation.reclaimable:
-            state.reclaimable -= reservation.amount
-            self.total_reclaimable -= reservation.amount
+        self._count_reclaimable(state, reservation.reclaim, ZERO - reservation.amount)
         self._change_free(state, reservation.amount)
         return reservation.worker
 
@@ -209,21 +144,18 @@
             return False
         self.reservations[task] = attrs.evolve(old, amount=amount)
         state.tasks[task] = amount
-        if old.reclaimable:
-            state.reclaimable += growth
-            self.total_reclaimable += growth
+        self._count_reclaimable(state, old.reclaim, growth)
         self._change_free(state, ZERO - growth)
         return True
 
     def keep(self, task):
         """Stop counting a task as reclaimable, because it is ending or protected."""
         old = self.reservations.get(task)
-        if old is None or not old.reclaimable:
+        if old is None or old.reclaim is Reclaim.NEVER:
             return
-        self.reservations[task] = attrs.evolve(old, reclaimable=False)
+        self.reservations[task] = attrs.evolve(old, reclaim=Reclaim.NEVER)
         state = self.workers[old.worker]
-        state.reclaimable -= old.amount
-        self.total_reclaimable -= old.amount
+        self._count_reclaimable(state, old.reclaim, ZERO - old.amount)
         self._index(state)
 
     def borrow(self, run, worker, amount) -> bool:
@@ -300,9 +232,15 @@
         names = self.free_index.candidates(need, limit)
         return [self.workers[n] for n in names]
 
-    def reclaim_candidates(self, need, limit) -> list[WorkerState]:
-        """Return open workers that hold `need` once reclaimable tasks have ended."""
-        names = self.reclaim_index.candidates(need, limit)
+    def reclaim_candidates(self, need, limit, reclaim) -> list[WorkerState]:
+        """Return open workers that hold `need` once reclaimable tasks have ended.
+
+        Parameters
+        ----------
+        reclaim : Reclaim
+            `FIRST` for deferrable tasks only, `LAST` for all reclaimable ones.
+        """
+        names = self.reclaim_indexes[reclaim].candidates(need, limit)
         return [self.workers[n] for n in names]
 
     def hold_tasks(self, run, worker, need, count, *, first=False):
@@ -322,7 +260,7 @@
         self.hold_workers.setdefault(run, []).append(worker)
         self._change_free(state, ZERO)
 
-    def claim(self, run, worker, task, amount, *, reclaimable=False) -> bool:
+    def claim(self, run, worker, task, amount, *, reclaim=Reclaim.NEVER) -> bool:
         """Turn a part of a completed hold into the reservation of a task."""
         state = self.workers.get(worker)
         hold = state.holds.get(run) if state is not None else None
@@ -334,7 +272,7 @@
             del state.holds[run]
         state.free += amount
         self.total_free += amount
-        return self.reserve(task, worker, amount, reclaimable=reclaimable)
+        return self.reserve(task, worker, amount, reclaim=reclaim)
 
     def drop_holds(self, run) -> list[str]:
         """Free everything that was collected for a run; return the workers."""
@@ -371,13 +309,23 @@
                 self.total_free -= taken
         self._index(state)
 
+    def _count_reclaimable(self, state, reclaim, change):
+        if reclaim is Reclaim.NEVER:
+            return
+        self.total_reclaimable += change
+        state.reclaimable[Reclaim.LAST] += change
+        if reclaim is Reclaim.FIRST:
+            state.reclaimable[Reclaim.FIRST] += change
+
     def _index(self, state):
         if state.open:
             self.free_index.put(state.name, state.free)
-            self.reclaim_index.put(state.name, state.free + state.reclaimable)
+            for reclaim, index in self.reclaim_indexes.items():
+                index.put(state.name, state.free + state.reclaimable[reclaim])
         else:
             self.free_index.remove(state.name)
-            self.reclaim_index.remove(state.name)
+            for index in self.reclaim_indexes.values():
+                index.remove(state.name)
 
     def _count_shape(self, shape, change):
         self.membership_version += 1
--- a/wasabipaddle/placement/placer.py
+++ b/wasabipaddle/placement/placer.py
@@ -44,6 +44,8 @@
         Policies; the default is the full implementation of each.
     resizes : bool
         Whether the platform can change the reservation of a running task.
+    attempts : int
+        Failed attempts to place work after which `decide` returns.
     """
 
     def __init__(
@@ -58,6 +60,7 @@
         estimator=None,
         queue=None,
         resizes=True,
+        attempts=ATTEMPTS_PER_CALL,
     ):
         self.fleet = fleet
         self.random = random
@@ -83,6 +86,7 @@
         )
         self.impossible = ImpossibleWork(fleet=fleet, ledger=self.ledger)
         self.impossible_runs = {}
+        self.attempts = attempts
         self.outbox = collections.deque()
         self.usage = ReservationKeeper(
             book=self.book, outbox=self.outbox, enabled=resizes
@@ -258,8 +262,8 @@
         decisions.extend(self.plans.start_complete(now))
         decisions.extend(self.plans.review(now))
         self._probe(now, decisions)
-        tried = set()
-        while len(decisions) < limit and len(tried) < ATTEMPTS_PER_CALL:
+        tried, failures = set(), 0
+        while len(decisions) < limit and failures < self.attempts:
             queue = self.queue.next_ready()
             if queue is None:
                 if not self._wake(tried):
@@ -268,6 +272,7 @@
             started = self.starter.attempt(queue, now)
             if not started:
                 tried.add(id(queue))
+                failures += 1
             decisions.extend(started)
         return decisions
 
--- a/wasabipaddle/placement/plain.py
+++ b/wasabipaddle/placement/plain.py
@@ -16,13 +16,33 @@
 __all__ = ["DeclaredEstimator", "FifoQueue", "plain_placer"]
 
 
+# Each failed attempt looks at every worker.
+ATTEMPTS_PER_CALL = 8
+
+
 class FifoQueue(PendingQueue):
-    """One queue for all work; its head blocks what is behind it."""
+    """One queue for all work; a head that does not fit goes to the end."""
+
+    def park_space(self, queue, need):
+        """Move the head to the end."""
+        self._rotate(queue)
+
+    def park_quota(self, queue):
+        """Move the head to the end."""
+        self._rotate(queue)
+
+    def park_fleet(self, queue):
+        """Move the head to the end."""
+        self._rotate(queue)
 
     def key_of(self, work):
         """Return the same key for all work."""
         return "", Urgency.NORMAL
 
+    def _rotate(self, queue):
+        queue.runs.rotate(-1)
+        self.make_ready(queue)
+
 
 class DeclaredEstimator(UsageEstimator):
     """Believes what documents declare."""
@@ -56,4 +76,5 @@
         estimator=DeclaredEstimator(fleet=fleet),
         queue=FifoQueue,
         resizes=False,
+        attempts=ATTEMPTS_PER_CALL,
     )
--- a/wasabipaddle/placement/preemption.py
+++ b/wasabipaddle/placement/preemption.py
@@ -7,6 +7,7 @@
 from wasabipaddle.documents import ServiceKind, Urgency
 from wasabipaddle.placement.amounts import fit_count, scaled
 from wasabipaddle.placement.running import TaskState
+from wasabipaddle.placement.state import Reclaim
 from wasabipaddle.placement.work import Checkpoint, Throttle, Unthrottle
 from wasabipaddle.platform import Usage
 
@@ -87,16 +88,27 @@
     """Ends the least urgent tasks that lose the least progress."""
 
     def make_room(self, fleet, running, work, need, count, now):
-        """Return the plan with the least lost progress among some candidates."""
+        """Return the plan with the least lost progress among some candidates.
+
+        Work that is not deferrable is ended only if deferrable work is not enough.
+        """
+        for reclaim in (Reclaim.FIRST, Reclaim.LAST):
+            room = self._make_room(fleet, running, work, need, count, now, reclaim)
+            if room is not None:
+                return room
+        return None
+
+    def _make_room(self, fleet, running, work, need, count, now, reclaim):
         limit = CANDIDATES if count == 1 else count
         allowed = work.placement.data_centres
         options = []
-        for worker in fleet.reclaim_candidates(need, limit):
+        for worker in fleet.reclaim_candidates(need, limit, reclaim):
             if allowed and worker.data_centre not in allowed:
                 continue
-            fitting = fit_count(need, worker.free + worker.reclaimable, count)
-            wanted = min(fitting, count)
-            victims = self._victims(worker, running, scaled(need, wanted), now)
+            room = worker.free + worker.reclaimable[reclaim]
+            wanted = fit_count(need, room, count)
+            amount = scaled(need, wanted)
+            victims = self._victims(worker, running, amount, now, reclaim)
             if victims is not None:
                 loss = sum(_loss(v, now) for v in victims)
                 options.append((loss / wanted, len(options), worker, wanted, victims))
@@ -105,7 +117,8 @@
         for _, _, worker, wanted, victims in options:
             used = min(wanted, count)
             if used < wanted:
-                victims = self._victims(worker, running, scaled(need, used), now)
+                amount = scaled(need, used)
+                victims = self._victims(worker, running, amount, now, reclaim)
             counts[worker.name] = used
             chosen.extend(victims)
             count -= used
@@ -133,14 +146,14 @@
             return throttles
         return self._checkpoint(tasks, excess, "cpu_milli", "processor pressure")
 
-    def _victims(self, worker, running, wanted, now):
+    def _victims(self, worker, running, wanted, now, reclaim):
         """Return tasks whose end frees `wanted`, without superfluous ones."""
         free = worker.free
         chosen = []
         for placed in self._by_loss(worker, running, now):
             if wanted.fits(free):
                 break
-            if placed.reclaimable:
+            if placed.reclaim >= reclaim:
                 chosen.append(placed)
                 free = free + placed.needs
         if not wanted.fits(free):
--- a/wasabipaddle/placement/running.py
+++ b/wasabipaddle/placement/running.py
@@ -7,6 +7,7 @@
 import attrs
 
 from wasabipaddle.documents import Resources
+from wasabipaddle.placement.state import Reclaim
 from wasabipaddle.placement.work import Work
 from wasabipaddle.platform import Usage
 
@@ -58,7 +59,7 @@
     history: TaskHistory
     usage: Usage | None = None
     backfill_for: str | None = None
-    reclaimable: bool = False
+    reclaim: Reclaim = Reclaim.NEVER
     reports: int = 0
     is_probe: bool = False
 
--- a/wasabipaddle/placement/starting.py
+++ b/wasabipaddle/placement/starting.py
@@ -1,9 +1,11 @@
 """Attempts to place the head run of a service."""
 
-from wasabipaddle.documents import Urgency
+from wasabipaddle.documents import Resources, Urgency
 from wasabipaddle.placement.amounts import fit_count, scaled
+from wasabipaddle.placement.book import reclaim_class
 from wasabipaddle.placement.gangs import HoldPlan
 from wasabipaddle.placement.running import TaskState
+from wasabipaddle.placement.state import Reclaim
 from wasabipaddle.placement.work import Assignment, Checkpoint, Start, task_id
 
 __all__ = ["Starter"]
@@ -16,8 +18,11 @@
 WORKERS_PER_STARVED_PLAN = 50
 # Pause between two attempts to plan the start of work that needs a held place.
 PLAN_PAUSE_S = 5.0
+PRESSING_PAUSE_S = 0.1
 # Urgent tasks that may wait for preempted tasks to end at one time.
 LARGEST_ROOM_PLANS = 512
+# Parts of an unconfirmed declared size with which an urgent task may start.
+REDUCED_DIVISORS = (2, 4, 8)
 NOT_HELD = frozenset()
 
 
@@ -68,7 +73,8 @@
         if not self.ledger.within_quota(work, amount):
             self.queue.park_quota(queue)
             return []
-        reclaimable = work.urgency is Urgency.DEFERRABLE
+        history = self.book.open_run(work).history_of(queue.head().indices[0])
+        reclaimable = reclaim_class(work, history) is not Reclaim.NEVER
         if not self.ledger.respects_floors(work, amount, reclaimable=reclaimable):
             self.queue.park_space(queue, need)
             return []
@@ -122,11 +128,14 @@
         if lent is not None:
             self.queue.take(queue, 1)
             return self._start_task(work, index, lent[0], need, now, lent[1])
-        if work.urgency is Urgency.URGENT or self.ledger.below_floor(work.service):
+        pressing = self._is_pressing(work)
+        if pressing:
             decisions = self._make_room(queue, need, 1, now)
+            if decisions is None and not self.estimator.is_learned(work):
+                decisions = self._start_reduced(queue, need, now)
             if decisions is not None:
                 return decisions
-        elif self._is_starved(waited) and self._plan(queue, need, 1, now):
+        if (pressing or self._is_starved(waited)) and self._plan(queue, need, 1, now):
             return []
         self.queue.park_space(queue, need)
         return []
@@ -147,6 +156,32 @@
         quarantine.probe_started(state.name)
         return started
 
+    def _start_reduced(self, queue, need, now):
+        """Start an urgent task whose declared size finds no room with a smaller one.
+
+        The declaration has not been confirmed by a measurement. If the true use is
+        larger, the reservation grows and less urgent work on the worker makes room.
+        """
+        work, index = queue.head().work, queue.head().indices[0]
+        for divisor in REDUCED_DIVISORS:
+            reduced = Resources(
+                cpu_milli=max(need.cpu_milli // divisor, 1),
+                memory_mb=max(need.memory_mb // divisor, 1),
+                accelerators=need.accelerators,
+            )
+            worker = self.book.scoring.choose(self.fleet, work, reduced, NOT_HELD)
+            if worker is not None:
+                self.queue.take(queue, 1)
+                return self._start_task(work, index, worker, reduced, now, None)
+            decisions = self._make_room(queue, reduced, 1, now)
+            if decisions is not None:
+                return decisions
+        return None
+
+    def _is_pressing(self, work) -> bool:
+        """Return whether other work is preempted for this work."""
+        return work.urgency is Urgency.URGENT or self.ledger.below_floor(work.service)
+
     def _is_starved(self, waited) -> bool:
         """Return whether a single task may get a held place."""
         if waited <= STARVED_S:
@@ -164,7 +199,7 @@
         if counts is not None:
             indices = self.queue.take(queue, count)
             return self._start_gang(work, indices, counts, need, now)
-        if work.urgency is Urgency.URGENT or self.ledger.below_floor(work.service):
+        if self._is_pressing(work):
             decisions = self._make_room(queue, need, count, now)
             if decisions is not None:
                 return decisions
@@ -215,7 +250,8 @@
         work = queue.head().work
         if now < self.plan_times.get(work.service, 0.0):
             return False
-        self.plan_times[work.service] = now + PLAN_PAUSE_S
+        pause = PRESSING_PAUSE_S if self._is_pressing(work) else PLAN_PAUSE_S
+        self.plan_times[work.service] = now + pause
         allowed = work.placement.data_centres
         plan = self.gangs.plan(self.fleet, self.book.running, need, count, allowed, now)
         if plan is None:
