Choose parked work by fit, preempt deferrable work for starved work

Cause: free processor was left over beside full memory, and gangs waited for natural ends. Change: of the fitting parked services with the smallest shares, the one whose need is most like the free amounts goes first. Normal work that has waited 600 s may preempt deferrable work.

--- a/wasabipaddle/measure/workers.py
+++ b/wasabipaddle/measure/workers.py
@@ -101,6 +101,17 @@
             memory += used.memory_mb
         return Usage(cpu_milli=cpu, memory_mb=memory)
 
+    def useful(self, now) -> Usage:
+        """Return the sum of the true uses of attempts that can complete."""
+        cpu = memory = 0
+        if not self.spec.bad:
+            for live in self.tasks.values():
+                if not live.truth.fails:
+                    used = live.use(now)
+                    cpu += used.cpu_milli
+                    memory += used.memory_mb
+        return Usage(cpu_milli=cpu, memory_mb=memory)
+
     def report(self, now) -> tuple[Usage, dict]:
         """Return the use of the worker and of tasks that changed since the last."""
         cpu = memory = 0
--- a/wasabipaddle/placement/preemption.py
+++ b/wasabipaddle/placement/preemption.py
@@ -7,7 +7,6 @@
 from wasabipaddle.documents import ServiceKind, Urgency
 from wasabipaddle.placement.amounts import fit_count, scaled
 from wasabipaddle.placement.running import TaskState
-from wasabipaddle.placement.state import Reclaim
 from wasabipaddle.placement.work import Checkpoint, Throttle, Unthrottle
 from wasabipaddle.platform import Usage
 
@@ -56,8 +55,14 @@
     """Answers urgent work without room and workers under pressure."""
 
     @abc.abstractmethod
-    def make_room(self, fleet, running, work, need, count, now):
-        """Return a `PreemptionPlan` for `count` tasks, or None."""
+    def make_room(self, fleet, running, work, need, count, now, classes):
+        """Return a `PreemptionPlan` for `count` tasks, or None.
+
+        Parameters
+        ----------
+        classes : sequence of Reclaim
+            Classes of tasks that may be preempted, tried in this order.
+        """
 
     @abc.abstractmethod
     def relieve(self, fleet, running, worker, usage, now):
@@ -75,7 +80,7 @@
 class NoPreemption(PreemptionPolicy):
     """Plain policy: urgent work waits, and pressure is not answered."""
 
-    def make_room(self, fleet, running, work, need, count, now):
+    def make_room(self, fleet, running, work, need, count, now, classes):
         """Return None."""
         return None
 
@@ -87,12 +92,12 @@
 class LeastLossPreemption(PreemptionPolicy):
     """Ends the least urgent tasks that lose the least progress."""
 
-    def make_room(self, fleet, running, work, need, count, now):
+    def make_room(self, fleet, running, work, need, count, now, classes):
         """Return the plan with the least lost progress among some candidates.
 
         Work that is not deferrable is ended only if deferrable work is not enough.
         """
-        for reclaim in (Reclaim.FIRST, Reclaim.LAST):
+        for reclaim in classes:
             room = self._make_room(fleet, running, work, need, count, now, reclaim)
             if room is not None:
                 return room
--- a/wasabipaddle/placement/queue.py
+++ b/wasabipaddle/placement/queue.py
@@ -9,7 +9,7 @@
 from sortedcontainers import SortedList
 
 from wasabipaddle.documents import Resources, ServiceKind, Urgency
-from wasabipaddle.placement.amounts import ZERO
+from wasabipaddle.placement.amounts import ZERO, imbalance
 from wasabipaddle.placement.work import Work
 
 __all__ = ["PendingQueue", "PendingRun", "QueueState", "ServiceQueue"]
@@ -243,7 +243,11 @@
         return None
 
     def wake_one(self, free, tried) -> bool:
-        """Let the best parked service that `free` can hold be tried again.
+        """Let one parked service that `free` can hold be tried again.
+
+        Of the half of the fitting services with the smallest shares, the one is taken
+        whose need is most like the free amounts, so that neither processor nor memory
+        is left over alone.
 
         Parameters
         ----------
@@ -254,14 +258,16 @@
         """
         for parked in self.parked_space:
             fitting = parked.irange(maximum=(free.cpu_milli, 1 << 62), reverse=True)
-            best = None
-            for _, sequence, queue in itertools.islice(fitting, WAKE_INSPECTED):
-                if queue.need.fits(free) and id(queue) not in tried:
-                    order = (self._order(queue), sequence)
-                    if best is None or order < best[0]:
-                        best = (order, queue)
-            if best is not None:
-                self.make_ready(best[1])
+            options = [
+                (self._order(queue), sequence, queue)
+                for _, sequence, queue in itertools.islice(fitting, WAKE_INSPECTED)
+                if queue.need.fits(free) and id(queue) not in tried
+            ]
+            if options:
+                options.sort(key=lambda option: option[:2])
+                first = options[: max(1, len(options) // 2)]
+                best = min(first, key=lambda option: imbalance(option[2].need, free))
+                self.make_ready(best[2])
                 return True
         return False
 
--- a/wasabipaddle/placement/starting.py
+++ b/wasabipaddle/placement/starting.py
@@ -129,12 +129,11 @@
             self.queue.take(queue, 1)
             return self._start_task(work, index, lent[0], need, now, lent[1])
         pressing = self._is_pressing(work)
-        if pressing:
-            decisions = self._make_room(queue, need, 1, now)
-            if decisions is None and not self.estimator.is_learned(work):
-                decisions = self._start_reduced(queue, need, now)
-            if decisions is not None:
-                return decisions
+        decisions = self._make_room(queue, need, 1, now)
+        if decisions is None and pressing and not self.estimator.is_learned(work):
+            decisions = self._start_reduced(queue, need, now)
+        if decisions is not None:
+            return decisions
         if (pressing or self._is_starved(waited)) and self._plan(queue, need, 1, now):
             return []
         self.queue.park_space(queue, need)
@@ -182,6 +181,14 @@
         """Return whether other work is preempted for this work."""
         return work.urgency is Urgency.URGENT or self.ledger.below_floor(work.service)
 
+    def _reclaimed_for(self, work, waited) -> tuple:
+        """Return the classes of tasks that may be preempted for a run, in order."""
+        if self._is_pressing(work):
+            return (Reclaim.FIRST, Reclaim.LAST)
+        if work.urgency is Urgency.NORMAL and waited > STARVED_S:
+            return (Reclaim.FIRST,)
+        return ()
+
     def _is_starved(self, waited) -> bool:
         """Return whether a single task may get a held place."""
         if waited <= STARVED_S:
@@ -199,10 +206,9 @@
         if counts is not None:
             indices = self.queue.take(queue, count)
             return self._start_gang(work, indices, counts, need, now)
-        if self._is_pressing(work):
-            decisions = self._make_room(queue, need, count, now)
-            if decisions is not None:
-                return decisions
+        decisions = self._make_room(queue, need, count, now)
+        if decisions is not None:
+            return decisions
         if not self._plan(queue, need, count, now):
             self.queue.park_space(queue, need)
         return []
@@ -235,8 +241,12 @@
         if len(self.holds.plans) >= LARGEST_ROOM_PLANS:
             return None
         work = queue.head().work
-        running = self.book.running
-        room = self.preemption.make_room(self.fleet, running, work, need, count, now)
+        classes = self._reclaimed_for(work, now - queue.head().since)
+        if not classes:
+            return None
+        room = self.preemption.make_room(
+            self.fleet, self.book.running, work, need, count, now, classes
+        )
         if room is None:
             return None
         self._hold(queue, need, room.counts, count, now, now, preempts=True)
