Reduce unconfirmed declared sizes of work that waits

Cause: one gang that declared ten times its use held a third of the fleet for hours, and other gangs waited behind it for up to 58000 s. Change: work of a service without measurements is tried with a half, a quarter and an eighth of its declared size after each 300 s. Plans for other sizes than the present estimate are made again. Held amounts count, not held workers.

--- a/wasabipaddle/measure/workers.py
+++ b/wasabipaddle/measure/workers.py
@@ -39,6 +39,7 @@
     ending: bool = False
     version: int = 0
     reported: Usage | None = None
+    constant: Usage | None = None
 
     def advance(self, now):
         """Count the progress until `now`."""
@@ -48,6 +49,13 @@
 
     def use(self, now) -> Usage:
         """Return the true use."""
+        if not self.truth.growth and not self.throttled:
+            if self.constant is None:
+                self.constant = Usage(
+                    cpu_milli=self.truth.use.cpu_milli,
+                    memory_mb=self.truth.use.memory_mb,
+                )
+            return self.constant
         factor = 1.0
         if self.truth.growth and not math.isinf(self.truth.run_s):
             rate = THROTTLED_RATE if self.throttled else 1.0
@@ -120,6 +128,8 @@
             used = live.use(now)
             cpu += used.cpu_milli
             memory += used.memory_mb
+            if used is live.reported:
+                continue
             if live.reported is None or _differs(used, live.reported):
                 live.reported = changed[live.task] = used
         return Usage(cpu_milli=cpu, memory_mb=memory), changed
--- a/wasabipaddle/placement/gangs.py
+++ b/wasabipaddle/placement/gangs.py
@@ -6,7 +6,7 @@
 import attrs
 
 from wasabipaddle.documents import Resources
-from wasabipaddle.placement.amounts import fit_count
+from wasabipaddle.placement.amounts import ZERO, dominant_share, fit_count
 from wasabipaddle.placement.work import Work
 
 __all__ = ["GangPolicy", "HoldPlan", "ReservingGangs", "WaitingGangs"]
@@ -154,8 +154,13 @@
         return workers
 
     def _held_fraction(self, fleet):
-        held = sum(len(names) for names in fleet.hold_workers.values())
-        return held / max(len(fleet.workers), 1)
+        wanted = ZERO
+        for key, names in fleet.hold_workers.items():
+            for name in names:
+                state = fleet.workers.get(name)
+                if state is not None and key in state.holds:
+                    wanted += state.holds[key].wanted
+        return dominant_share(wanted, fleet.total)
 
 
 def _ready_times(worker, running, need, count, now):
--- a/wasabipaddle/placement/plans.py
+++ b/wasabipaddle/placement/plans.py
@@ -9,7 +9,11 @@
 __all__ = ["PlanKeeper"]
 
 # Period at which plans are looked at.
-REVIEW_S = 0.25
+REVIEW_S = 0.5
+# Age after which a plan made for a declared size is made again for a smaller one.
+UNCONFIRMED_S = 300.0
+# After this many steps the size is not reduced further.
+LARGEST_REDUCTION = 4
 
 
 class PlanKeeper:
@@ -78,6 +82,9 @@
             return []
         decisions = []
         self.next_review = now + REVIEW_S
+        for plan in list(self.holds.plans.values()):
+            if self._is_outdated(plan, now):
+                self._requeue(plan)
         for plan in self.holds.overdue(now):
             if self.holds.must_replan(plan, now):
                 self._requeue(plan)
@@ -87,6 +94,15 @@
             decisions.extend(self._start_early(plan, now))
         return decisions
 
+    def _is_outdated(self, plan, now) -> bool:
+        """Return whether a plan holds declared amounts that may be too large."""
+        if plan.preempts or now - plan.planned_at < UNCONFIRMED_S:
+            return False
+        estimator = self.book.estimator
+        if not estimator.is_learned(plan.work):
+            return now - plan.since < LARGEST_REDUCTION * UNCONFIRMED_S
+        return not plan.need.fits(estimator.needs(plan.work, now))
+
     def _start_early(self, plan, now):
         """Start a planned gang that fits into its holds and other free amounts."""
         counts = self.holds.counts_now(plan)
--- a/wasabipaddle/placement/preemption.py
+++ b/wasabipaddle/placement/preemption.py
@@ -92,6 +92,9 @@
 class LeastLossPreemption(PreemptionPolicy):
     """Ends the least urgent tasks that lose the least progress."""
 
+    def __init__(self):
+        self.throttled = set()
+
     def make_room(self, fleet, running, work, need, count, now, classes):
         """Return the plan with the least lost progress among some candidates.
 
@@ -133,6 +136,12 @@
 
     def relieve(self, fleet, running, worker, usage, now):
         """Throttle on processor pressure, checkpoint what throttling cannot relieve."""
+        cpu = usage.cpu_milli / max(worker.size.cpu_milli, 1)
+        memory = usage.memory_mb / max(worker.size.memory_mb, 1)
+        if max(cpu, memory) < CLOSED_ABOVE and not worker.pressured:
+            if max(cpu, memory) < LIFTED_BELOW and worker.name in self.throttled:
+                return self._lift(running, worker)
+            return ()
         usage = _without_ending(running, worker, usage)
         cpu = usage.cpu_milli / max(worker.size.cpu_milli, 1)
         memory = usage.memory_mb / max(worker.size.memory_mb, 1)
@@ -185,6 +194,7 @@
             if t in running and running[t].state is TaskState.THROTTLED
         ]
         if not throttled:
+            self.throttled.discard(worker.name)
             return ()
         first = min(throttled, key=lambda t: t.work.urgency.rank)
         first.state = TaskState.RUNNING
@@ -200,6 +210,7 @@
             use = placed.usage.cpu_milli if placed.usage else placed.needs.cpu_milli
             excess -= use * (1 - THROTTLED_FRACTION)
             placed.state = TaskState.THROTTLED
+            self.throttled.add(placed.worker)
             decisions.append(Throttle(task=placed.task, worker=placed.worker))
         return tuple(decisions)
 
--- a/wasabipaddle/placement/starting.py
+++ b/wasabipaddle/placement/starting.py
@@ -21,8 +21,10 @@
 PRESSING_PAUSE_S = 0.1
 # Urgent tasks that may wait for preempted tasks to end at one time.
 LARGEST_ROOM_PLANS = 512
-# Parts of an unconfirmed declared size with which an urgent task may start.
+# Parts of an unconfirmed declared size with which work may start if it finds no room:
+# urgent work at once, other work with one more step after each such time.
 REDUCED_DIVISORS = (2, 4, 8)
+REDUCE_AFTER_S = 300.0
 NOT_HELD = frozenset()
 
 
@@ -64,7 +66,7 @@
             Empty if nothing could be started.
         """
         work = queue.head().work
-        need = self.estimator.needs(work, now)
+        need = self._need(work, now - queue.head().since, now)
         count = len(queue.head().indices) if work.is_gang else 1
         amount = scaled(need, count)
         if self.fleet.capacity_for(need, 1, work.placement.data_centres) < 1:
@@ -155,6 +157,18 @@
         quarantine.probe_started(state.name)
         return started
 
+    def _need(self, work, waited, now):
+        """Return the amounts to reserve, less for declarations that find no room.
+
+        A declaration that no measurement has confirmed may be ten times too large, and
+        a gang would wait for hours for room that it does not need.
+        """
+        need = self.estimator.needs(work, now)
+        if waited < REDUCE_AFTER_S or self.estimator.is_learned(work):
+            return need
+        steps = min(int(waited / REDUCE_AFTER_S), len(REDUCED_DIVISORS))
+        return _divided(need, REDUCED_DIVISORS[steps - 1])
+
     def _start_reduced(self, queue, need, now):
         """Start an urgent task whose declared size finds no room with a smaller one.
 
@@ -163,11 +177,7 @@
         """
         work, index = queue.head().work, queue.head().indices[0]
         for divisor in REDUCED_DIVISORS:
-            reduced = Resources(
-                cpu_milli=max(need.cpu_milli // divisor, 1),
-                memory_mb=max(need.memory_mb // divisor, 1),
-                accelerators=need.accelerators,
-            )
+            reduced = _divided(need, divisor)
             worker = self.book.scoring.choose(self.fleet, work, reduced, NOT_HELD)
             if worker is not None:
                 self.queue.take(queue, 1)
@@ -287,3 +297,12 @@
         self.ledger.take(work, scaled(need, count))
         self.holds.add(plan)
         self.queue.share_changed(work.service)
+
+
+def _divided(need, divisor) -> Resources:
+    """Return a part of a need; accelerators are declared as they are used."""
+    return Resources(
+        cpu_milli=max(need.cpu_milli // divisor, 1),
+        memory_mb=max(need.memory_mb // divisor, 1),
+        accelerators=need.accelerators,
+    )
