Lend held amounts to tasks that can be checkpointed

Cause: amounts held for gangs were idle, 5 to 16% of the fleet. Change: they are lent to any task that may be preempted, which is checkpointed as soon as the gang would be complete without it; a plan whose loans were called lends no more.

--- a/wasabipaddle/placement/gangs.py
+++ b/wasabipaddle/placement/gangs.py
@@ -33,6 +33,8 @@
         Time at which the amounts are expected to be free.
     preempts : bool
         Whether tasks were checkpointed for this plan.
+    lends : bool
+        Whether held amounts may be lent to other tasks.
     """
 
     key: str
@@ -44,6 +46,7 @@
     since: float
     planned_at: float
     preempts: bool = False
+    lends: bool = True
 
 
 class GangPolicy(abc.ABC):
--- a/wasabipaddle/placement/holds.py
+++ b/wasabipaddle/placement/holds.py
@@ -1,12 +1,14 @@
 """Book of work that waits for amounts held on chosen workers."""
 
-from wasabipaddle.placement.amounts import fit_count, scaled
+from wasabipaddle.placement.amounts import ZERO, fit_count, scaled
 
 __all__ = ["HoldBook"]
 
 # Time past the planned start after which a plan is made again.
 REPLAN_MINIMUM_S = 30.0
 REPLAN_FRACTION = 0.5
+# Least time for which amounts are lent to a task that is checkpointed afterwards.
+LENT_S = 60.0
 # Held workers examined for one backfill.
 BACKFILL_EXAMINED = 12
 
@@ -105,16 +107,35 @@
         wait = max(REPLAN_FRACTION * (plan.start_at - plan.planned_at), 0.0)
         return now > plan.start_at + max(wait, REPLAN_MINIMUM_S)
 
-    def borrow(self, need, end_by, random):
+    def lendable(self, state):
+        """Return the held amounts of a worker that may be lent."""
+        amount = ZERO
+        for key, hold in state.holds.items():
+            if self.plans[key].lends:
+                amount += hold.amount
+        return amount
+
+    def borrow(self, need, now, run_s, random, *, preemptible):
         """Lend held amounts to a task that ends before the held work starts.
 
+        Parameters
+        ----------
+        run_s : float
+            Expected run time of the task.
+        preemptible : bool
+            Whether the task can be checkpointed as soon as the held work could start.
+            Such a task may also be expected to run longer.
+
         Returns
         -------
         tuple of str or None
             Worker and key of the plan.
         """
         for plan in self.plans.values():
-            if plan.start_at < end_by:
+            if not plan.lends:
+                continue
+            left_s = plan.start_at - now
+            if left_s < min(run_s, LENT_S if preemptible else run_s):
                 continue
             workers = list(plan.counts)
             if len(workers) > BACKFILL_EXAMINED:
--- a/wasabipaddle/placement/placer.py
+++ b/wasabipaddle/placement/placer.py
@@ -314,8 +314,10 @@
             worker = next(iter(self.freed))
             state = self.fleet.workers.get(worker)
             usable = state is not None and state.open
-            if usable and self.queue.wake_one(state.free, tried):
-                return True
+            if usable:
+                available = state.free + self.holds.lendable(state)
+                if self.queue.wake_one(available, tried):
+                    return True
             del self.freed[worker]
         return False
 
--- a/wasabipaddle/placement/plans.py
+++ b/wasabipaddle/placement/plans.py
@@ -2,7 +2,7 @@
 
 import collections
 
-from wasabipaddle.placement.amounts import scaled
+from wasabipaddle.placement.amounts import ZERO, scaled
 from wasabipaddle.placement.queue import PendingRun
 from wasabipaddle.placement.running import TaskState
 
@@ -92,6 +92,8 @@
                 decisions.extend(self._end_backfill(plan))
         for plan in self.holds.gangs():
             decisions.extend(self._start_early(plan, now))
+            if plan.key in self.holds.plans and self._only_lent_missing(plan):
+                decisions.extend(self._end_backfill(plan))
         return decisions
 
     def _is_outdated(self, plan, now) -> bool:
@@ -116,8 +118,25 @@
             self.freed(worker)
         return started
 
+    def _only_lent_missing(self, plan) -> bool:
+        """Return whether a plan would be complete if lent amounts came back."""
+        for worker in plan.counts:
+            state = self.fleet.workers[worker]
+            hold = state.holds.get(plan.key)
+            if hold is None:
+                return False
+            missing = hold.wanted - hold.amount
+            for task, amount in state.tasks.items():
+                placed = self.book.running.get(task)
+                if placed is not None and placed.backfill_for == plan.key:
+                    missing -= amount
+            if not missing.fits(ZERO):
+                return False
+        return True
+
     def _end_backfill(self, plan):
         """Checkpoint tasks that still use amounts lent by a plan that is due."""
+        plan.lends = False
         decisions = []
         for worker in plan.counts:
             for task in list(self.fleet.workers[worker].tasks):
--- a/wasabipaddle/placement/starting.py
+++ b/wasabipaddle/placement/starting.py
@@ -126,7 +126,7 @@
         if worker is not None:
             self.queue.take(queue, 1)
             return self._start_task(work, index, worker, need, now, None)
-        lent = self._backfill(work, need, now)
+        lent = self._backfill(work, index, need, now)
         if lent is not None:
             self.queue.take(queue, 1)
             return self._start_task(work, index, lent[0], need, now, lent[1])
@@ -240,11 +240,13 @@
                 )
         return [Start(run=work.run, assignments=tuple(assignments))]
 
-    def _backfill(self, work, need, now):
+    def _backfill(self, work, index, need, now):
         if work.is_service or not self.holds.plans:
             return None
-        end_by = now + self.estimator.run_time(work, now).median_s
-        return self.holds.borrow(need, end_by, self.random)
+        run_s = self.estimator.run_time(work, now).median_s
+        history = self.book.open_run(work).history_of(index)
+        preemptible = reclaim_class(work, history) is not Reclaim.NEVER
+        return self.holds.borrow(need, now, run_s, self.random, preemptible=preemptible)
 
     def _make_room(self, queue, need, count, now):
         """Checkpoint reclaimable tasks for the head run, or return None."""
@@ -293,6 +295,7 @@
             since=since,
             planned_at=now,
             preempts=preempts,
+            lends=not preempts,
         )
         self.ledger.take(work, scaled(need, count))
         self.holds.add(plan)
