Keep resizes within quotas, count failures per worker

Cause: a reservation that followed the measured use could exceed the team's quota, and three failures on one worker gave up good work. Change: a resize grows only within the quota; giving up needs failures on different workers. Tests of driver and inputs, one of which overfills on purpose.

--- a/wasabipaddle/placement/repeats.py
+++ b/wasabipaddle/placement/repeats.py
@@ -9,8 +9,9 @@
 
 __all__ = ["Repeater"]
 
-# Failed attempts on suspected workers count this much less towards giving up.
-SUSPECT_ATTEMPTS_FACTOR = 3
+# Attempts that fail on suspected workers, or again on the same worker, count this much
+# less towards giving up.
+REPEATED_ATTEMPTS_FACTOR = 3
 
 
 class Repeater:
@@ -94,7 +95,7 @@
     def _give_up_reason(self, placed):
         failed_on = placed.history.failed_on
         limit = placed.work.max_attempts
-        counted = [w for w in failed_on if not self.quarantine.suspects(w)]
-        if len(counted) < limit and len(failed_on) < SUSPECT_ATTEMPTS_FACTOR * limit:
+        counted = {w for w in failed_on if not self.quarantine.suspects(w)}
+        if len(counted) < limit and len(failed_on) < REPEATED_ATTEMPTS_FACTOR * limit:
             return None
         return f"failed {len(failed_on)} times, on {', '.join(sorted(set(failed_on)))}"
--- a/wasabipaddle/placement/reservations.py
+++ b/wasabipaddle/placement/reservations.py
@@ -1,6 +1,6 @@
 """Reservations of running tasks, kept in step with their measured use."""
 
-from wasabipaddle.placement.amounts import elementwise_min
+from wasabipaddle.placement.amounts import ZERO, elementwise_max, elementwise_min
 from wasabipaddle.placement.work import Resize
 
 __all__ = ["ReservationKeeper"]
@@ -52,10 +52,14 @@
         """Change a reservation, as far as the worker has room.
 
         What does not fit is noted and added once the worker releases amounts, before
-        new tasks get them.
+        new tasks get them. A team at its quota gets no larger reservation; the answer
+        to its use is then that to pressure.
         """
         room = placed.needs + self.fleet.free_of(placed.worker)
         granted = elementwise_min(needs, room)
+        growth = elementwise_max(granted - placed.needs, ZERO)
+        if not self.book.ledger.within_quota(placed.work, growth):
+            granted = needs = elementwise_min(granted, placed.needs)
         if granted != placed.needs and self.book.resize(placed, granted):
             self.outbox.append(
                 Resize(task=placed.task, worker=placed.worker, needs=granted)
--- a/wasabipaddle/placement/tests/test_placer.py
+++ b/wasabipaddle/placement/tests/test_placer.py
@@ -112,6 +112,20 @@
     assert not placer.book.runs
 
 
+def test_failures_on_one_worker_do_not_give_up_work(rng):
+    """Guards against good work that is given up because of one bad worker."""
+    fleet = FleetIndex()
+    fleet.add_worker("w0", rack="r0", data_centre="a", size=SIZE)
+    placer = Placer(fleet=fleet, random=rng)
+    placer.submit(work("p"), 0.0)
+    for now in (0.0, 100.0, 200.0, 300.0):
+        (assignment,) = started(placer.decide(now, 10))
+        placer.ended(assignment.task, TaskOutcome.FAILED, now + 1)
+    fleet.add_worker("w1", rack="r1", data_centre="a", size=SIZE)
+    (assignment,) = started(placer.decide(310.0, 10))
+    assert assignment.worker == "w1"
+
+
 def test_work_that_fails_everywhere_is_given_up(placer):
     """Guards against poisoned work that is retried for ever."""
     placer.submit(work("p"), 0.0)
--- a/wasabipaddle/placement/tests/test_policies.py
+++ b/wasabipaddle/placement/tests/test_policies.py
@@ -188,6 +188,18 @@
     assert fleet.free_of(placed.worker) == SIZE - decision.needs
 
 
+def test_resize_respects_the_quota(fleet, rng):
+    """Guards against a team that exceeds its quota by using more than declared."""
+    placer = Placer(fleet=fleet, random=rng)
+    placer.set_quota("t", TASK)
+    placer.submit(work("s", kind=ServiceKind.SERVICE), 0.0)
+    (placed,) = started(placer.decide(0.0, 9))
+    use = Usage(cpu_milli=3000, memory_mb=1000)
+    placer.observe(placed.worker, use, {placed.task: use}, 10.0)
+    assert fleet.reservations[placed.task].amount.fits(TASK)
+    assert fleet.reservations[placed.task].amount.memory_mb < 1100
+
+
 def test_preemptions_of_one_task_are_bounded(fleet, rng):
     """Guards against deferrable work that never ends because of urgent work."""
     placer = Placer(fleet=fleet, random=rng)
