--- a/wasabipaddle/placement/starting.py
+++ b/wasabipaddle/placement/starting.py
@@ -1,19 +1,30 @@
 """Attempts to place the head run of a service."""
 
-from wasabipaddle.documents import Urgency
-from wasabipaddle.placement.amounts import scaled
+from wasabipaddle.documents import Resources, Urgency
+from wasabipaddle.placement.amounts import fit_count, scaled
+from wasabipaddle.placement.book import reclaim_class
 from wasabipaddle.placement.gangs import HoldPlan
 from wasabipaddle.placement.running import TaskState
+from wasabipaddle.placement.state import Reclaim
 from wasabipaddle.placement.work import Assignment, Checkpoint, Start, task_id
 
 __all__ = ["Starter"]
 
+# Waiting time after which a task may return to a worker on which it failed.
+AVOID_S = 60.0
 # Waiting time after which a single task that does not fit gets a held place.
-STARVED_S = 60.0
+STARVED_S = 600.0
+# Each held place is idle until enough has been collected, so few are held at a time.
+WORKERS_PER_STARVED_PLAN = 50
 # Pause between two attempts to plan the start of work that needs a held place.
 PLAN_PAUSE_S = 5.0
+PRESSING_PAUSE_S = 0.1
 # Urgent tasks that may wait for preempted tasks to end at one time.
 LARGEST_ROOM_PLANS = 512
+# Parts of an unconfirmed declared size with which work may start if it finds no room:
+# urgent work at once, other work with one more step after each such time.
+REDUCED_DIVISORS = (2, 4, 8)
+REDUCE_AFTER_S = 300.0
 NOT_HELD = frozenset()
 
 
@@ -55,7 +66,7 @@
             Empty if nothing could be started.
         """
         work = queue.head().work
-        need = self.estimator.needs(work, now)
+        need = self._need(work, now - queue.head().since, now)
         count = len(queue.head().indices) if work.is_gang else 1
         amount = scaled(need, count)
         if self.fleet.capacity_for(need, 1, work.placement.data_centres) < 1:
@@ -64,7 +75,8 @@
         if not self.ledger.within_quota(work, amount):
             self.queue.park_quota(queue)
             return []
-        reclaimable = work.urgency is Urgency.DEFERRABLE
+        history = self.book.open_run(work).history_of(queue.head().indices[0])
+        reclaimable = reclaim_class(work, history) is not Reclaim.NEVER
         if not self.ledger.respects_floors(work, amount, reclaimable=reclaimable):
             self.queue.park_space(queue, need)
             return []
@@ -89,6 +101,13 @@
         self.holds.remove(plan)
         return [Start(run=plan.work.run, assignments=tuple(assignments))]
 
+    def start_gang(self, plan, counts, now) -> list:
+        """Start a gang whose plan was dropped, if it fits now."""
+        for worker, count in counts.items():
+            if fit_count(plan.need, self.fleet.free_of(worker), count) < count:
+                return []
+        return self._start_gang(plan.work, plan.indices, counts, plan.need, now)
+
     def order_checkpoint(self, placed, reason) -> Checkpoint:
         """Order the end of a task that is queued again."""
         placed.state = TaskState.ENDING
@@ -101,21 +120,23 @@
         entry = self.book.open_run(work)
         avoid = entry.history_of(index).failed_on
         waited = now - pending.since
-        if avoid and waited > STARVED_S:
+        if avoid and waited > AVOID_S:
             avoid = NOT_HELD
         worker = self.book.scoring.choose(self.fleet, work, need, avoid)
         if worker is not None:
             self.queue.take(queue, 1)
             return self._start_task(work, index, worker, need, now, None)
-        lent = self._backfill(work, need, now)
+        lent = self._backfill(work, index, need, now)
         if lent is not None:
             self.queue.take(queue, 1)
             return self._start_task(work, index, lent[0], need, now, lent[1])
-        if work.urgency is Urgency.URGENT or self.ledger.below_floor(work.service):
-            decisions = self._make_room(queue, need, 1, now)
-            if decisions is not None:
-                return decisions
-        elif waited > STARVED_S and self._plan(queue, need, 1, now):
+        pressing = self._is_pressing(work)
+        decisions = self._make_room(queue, need, 1, now)
+        if decisions is None and pressing and not self.estimator.is_learned(work):
+            decisions = self._start_reduced(queue, need, now)
+        if decisions is not None:
+            return decisions
+        if (pressing or self._is_starved(waited)) and self._plan(queue, need, 1, now):
             return []
         self.queue.park_space(queue, need)
         return []
@@ -136,6 +157,55 @@
         quarantine.probe_started(state.name)
         return started
 
+    def _need(self, work, waited, now):
+        """Return the amounts to reserve, less for declarations that find no room.
+
+        A declaration that no measurement has confirmed may be ten times too large, and
+        a gang would wait for hours for room that it does not need.
+        """
+        need = self.estimator.needs(work, now)
+        if waited < REDUCE_AFTER_S or self.estimator.is_learned(work):
+            return need
+        steps = min(int(waited / REDUCE_AFTER_S), len(REDUCED_DIVISORS))
+        return _divided(need, REDUCED_DIVISORS[steps - 1])
+
+    def _start_reduced(self, queue, need, now):
+        """Start an urgent task whose declared size finds no room with a smaller one.
+
+        The declaration has not been confirmed by a measurement. If the true use is
+        larger, the reservation grows and less urgent work on the worker makes room.
+        """
+        work, index = queue.head().work, queue.head().indices[0]
+        for divisor in REDUCED_DIVISORS:
+            reduced = _divided(need, divisor)
+            worker = self.book.scoring.choose(self.fleet, work, reduced, NOT_HELD)
+            if worker is not None:
+                self.queue.take(queue, 1)
+                return self._start_task(work, index, worker, reduced, now, None)
+            decisions = self._make_room(queue, reduced, 1, now)
+            if decisions is not None:
+                return decisions
+        return None
+
+    def _is_pressing(self, work) -> bool:
+        """Return whether other work is preempted for this work."""
+        return work.urgency is Urgency.URGENT or self.ledger.below_floor(work.service)
+
+    def _reclaimed_for(self, work, waited) -> tuple:
+        """Return the classes of tasks that may be preempted for a run, in order."""
+        if self._is_pressing(work):
+            return (Reclaim.FIRST, Reclaim.LAST)
+        if work.urgency is Urgency.NORMAL and waited > STARVED_S:
+            return (Reclaim.FIRST,)
+        return ()
+
+    def _is_starved(self, waited) -> bool:
+        """Return whether a single task may get a held place."""
+        if waited <= STARVED_S:
+            return False
+        singles = sum(1 for p in self.holds.plans.values() if not p.work.is_gang)
+        return singles < max(1, len(self.fleet.workers) // WORKERS_PER_STARVED_PLAN)
+
     def _attempt_gang(self, queue, need, count, now):
         pending = queue.head()
         work = pending.work
@@ -146,10 +216,9 @@
         if counts is not None:
             indices = self.queue.take(queue, count)
             return self._start_gang(work, indices, counts, need, now)
-        if work.urgency is Urgency.URGENT or self.ledger.below_floor(work.service):
-            decisions = self._make_room(queue, need, count, now)
-            if decisions is not None:
-                return decisions
+        decisions = self._make_room(queue, need, count, now)
+        if decisions is not None:
+            return decisions
         if not self._plan(queue, need, count, now):
             self.queue.park_space(queue, need)
         return []
@@ -171,22 +240,28 @@
                 )
         return [Start(run=work.run, assignments=tuple(assignments))]
 
-    def _backfill(self, work, need, now):
+    def _backfill(self, work, index, need, now):
         if work.is_service or not self.holds.plans:
             return None
-        end_by = now + self.estimator.run_time(work, now).high_s
-        return self.holds.borrow(need, end_by, self.random)
+        run_s = self.estimator.run_time(work, now).median_s
+        history = self.book.open_run(work).history_of(index)
+        preemptible = reclaim_class(work, history) is not Reclaim.NEVER
+        return self.holds.borrow(need, now, run_s, self.random, preemptible=preemptible)
 
     def _make_room(self, queue, need, count, now):
         """Checkpoint reclaimable tasks for the head run, or return None."""
         if len(self.holds.plans) >= LARGEST_ROOM_PLANS:
             return None
         work = queue.head().work
-        running = self.book.running
-        room = self.preemption.make_room(self.fleet, running, work, need, count, now)
+        classes = self._reclaimed_for(work, now - queue.head().since)
+        if not classes:
+            return None
+        room = self.preemption.make_room(
+            self.fleet, self.book.running, work, need, count, now, classes
+        )
         if room is None:
             return None
-        self._hold(queue, need, room.counts, count, now, now)
+        self._hold(queue, need, room.counts, count, now, now, preempts=True)
         return [
             self.order_checkpoint(v, f"room for {work.urgency.value} work")
             for v in room.victims
@@ -197,7 +272,8 @@
         work = queue.head().work
         if now < self.plan_times.get(work.service, 0.0):
             return False
-        self.plan_times[work.service] = now + PLAN_PAUSE_S
+        pause = PRESSING_PAUSE_S if self._is_pressing(work) else PLAN_PAUSE_S
+        self.plan_times[work.service] = now + pause
         allowed = work.placement.data_centres
         plan = self.gangs.plan(self.fleet, self.book.running, need, count, allowed, now)
         if plan is None:
@@ -205,7 +281,7 @@
         self._hold(queue, need, plan[0], count, plan[1], now)
         return True
 
-    def _hold(self, queue, need, counts, count, start_at, now):
+    def _hold(self, queue, need, counts, count, start_at, now, *, preempts=False):
         pending = queue.head()
         work, since = pending.work, pending.since
         indices = self.queue.take(queue, count)
@@ -218,7 +294,18 @@
             indices=indices,
             since=since,
             planned_at=now,
+            preempts=preempts,
+            lends=not preempts,
         )
         self.ledger.take(work, scaled(need, count))
         self.holds.add(plan)
         self.queue.share_changed(work.service)
+
+
+def _divided(need, divisor) -> Resources:
+    """Return a part of a need; accelerators are declared as they are used."""
+    return Resources(
+        cpu_milli=max(need.cpu_milli // divisor, 1),
+        memory_mb=max(need.memory_mb // divisor, 1),
+        accelerators=need.accelerators,
+    )
