--- a/wasabipaddle/admission/queue.py
+++ b/wasabipaddle/admission/queue.py
@@ -3,6 +3,7 @@
 import collections
 import math
 
+import attrs
 from result import Err, Ok
 
 from wasabipaddle.admission.base import (
@@ -67,7 +68,7 @@
         service = state.service(ticket.document)
         failure = self._refusal(state, service, ticket, now=now)
         if failure is not None:
-            return Err(failure)
+            return Err(self._with_cause(failure, ticket.document))
         room = self._make_room(service, ticket, now=now)
         if room is None:
             detail = "the queue of the process is full"
@@ -174,6 +175,13 @@
             return _refuse(ErrorKind.SHED, detail, wait)
         return None
 
+    def _with_cause(self, failure, document):
+        """Name the quota where it is what makes the service wait."""
+        if self.ledger.allows(document):
+            return failure
+        detail = f"the quota of slots is in use; {failure.detail}"
+        return attrs.evolve(failure, kind=ErrorKind.QUOTA_EXCEEDED, detail=detail)
+
     def _full(self, service, detail, state, now):
         floor = state.floor_slots(service)
         wait = service.estimate.wait_s(len(service.tickets), floor, now=now)
--- a/wasabipaddle/admission/tests/test_queue.py
+++ b/wasabipaddle/admission/tests/test_queue.py
@@ -105,6 +105,16 @@
     assert serve(queue, 1) == {"a": 1, "b": 2, "c": 2}
 
 
+def test_refusal_names_the_quota_that_causes_it():
+    """Guards against spill of work that is over its quota."""
+    queue = make_queue(10, requests=4, service_fraction=0.5)
+    document = make_document("a", slots=1)
+    fill(queue, document, 1)
+    assert queue.take(POOL, now=0.0).ticket is not None
+    results = fill(queue, document, 3)
+    assert results[-1].unwrap_err().kind is ErrorKind.QUOTA_EXCEEDED
+
+
 def test_parts_of_a_quota_add_up_to_the_quota():
     """Guards against processes that together exceed the quota of a team."""
     queue = make_queue(1)
