--- a/wasabipaddle/documents/__init__.py
+++ b/wasabipaddle/documents/__init__.py
@@ -1,5 +1,15 @@
 """Service documents: what a service needs and how it may be placed."""
 
+from wasabipaddle.documents.catalogue import (
+    AppliedDocument,
+    Catalogue,
+    diff_texts,
+)
+from wasabipaddle.documents.loader import (
+    load_document,
+    one_run_needs,
+    parse_document,
+)
 from wasabipaddle.documents.model import (
     Placement,
     Quota,
@@ -12,8 +22,16 @@
     TeamQuota,
     Urgency,
 )
+from wasabipaddle.documents.stored import (
+    StoredDocument,
+    decode_stored,
+    document_key,
+    encode_stored,
+)
 
 __all__ = [
+    "AppliedDocument",
+    "Catalogue",
     "Placement",
     "Quota",
     "RequestPolicy",
@@ -22,6 +40,14 @@
     "ServiceDocument",
     "ServiceKind",
     "Share",
+    "StoredDocument",
     "TeamQuota",
     "Urgency",
+    "decode_stored",
+    "diff_texts",
+    "document_key",
+    "encode_stored",
+    "load_document",
+    "one_run_needs",
+    "parse_document",
 ]
--- a/wasabipaddle/messages/__init__.py
+++ b/wasabipaddle/messages/__init__.py
@@ -1,6 +1,8 @@
 """Messages between entry processes and the JSON codec for them."""
 
+from wasabipaddle.messages.cluster import ClusterView, QueryCluster
 from wasabipaddle.messages.codec import decode, encode
+from wasabipaddle.messages.events import EventPage, QueryEvents
 from wasabipaddle.messages.grants import Grant, GrantReply, GrantRequest, PoolDemand
 from wasabipaddle.messages.members import (
     DataCentreSummary,
@@ -9,7 +11,9 @@
     HeartbeatReply,
     LeaderHandover,
     LedShard,
+    MemberAge,
     MemberView,
+    ShardClaim,
 )
 from wasabipaddle.messages.requests import (
     ForwardReply,
@@ -38,9 +42,11 @@
 
 __all__ = [
     "CancelRun",
+    "ClusterView",
     "DataCentreSummary",
     "DocumentRevision",
     "DrainNotice",
+    "EventPage",
     "ForwardReply",
     "ForwardRequest",
     "Grant",
@@ -51,8 +57,11 @@
     "LeaderHandover",
     "LedShard",
     "ListRuns",
+    "MemberAge",
     "MemberView",
     "PoolDemand",
+    "QueryCluster",
+    "QueryEvents",
     "QueryRun",
     "RevisionPage",
     "RevisionQuery",
@@ -62,6 +71,7 @@
     "RunPage",
     "RunState",
     "RunView",
+    "ShardClaim",
     "StopRun",
     "SubmitRun",
     "TaskView",
--- a/wasabipaddle/runs/workers.py
+++ b/wasabipaddle/runs/workers.py
@@ -52,17 +52,38 @@
     ----------
     lease_may_last_until : float
         Time until which a task on the worker may hold a lease that this leader
-        renewed, in seconds; it includes the call timeout, since a call without an
-        answer may have arrived late, and the drift of the worker's clock.
+        renewed, in seconds, with the drift of the worker's clock.
     answered : bool
         Whether the worker has answered under the present epoch.
     failures : int
         Failed calls since the last answer.
+    clock_s : float or None
+        Latest reading of the worker's clock.
+    clock_read_at : float
+        Time at which that reading arrived, in seconds.
     """
 
     lease_may_last_until: float = 0.0
     answered: bool = False
     failures: int = 0
+    clock_s: float | None = None
+    clock_read_at: float = 0.0
+
+    @property
+    def in_touch(self) -> bool:
+        """Whether leases may be renewed and tasks started.
+
+        Without a reading of the worker's clock a delayed command could renew a lease
+        for longer than the leader assumes. After a failed call renewals stop until
+        the next answer, so that the leases expire at a known time.
+        """
+        return self.clock_s is not None and self.failures == 0
+
+    def worker_clock(self, now) -> float | None:
+        """Return a lower bound of the worker's clock, None before any answer."""
+        if self.clock_s is None:
+            return None
+        return self.clock_s + now - self.clock_read_at
 
 
 @attrs.define(kw_only=True)
@@ -107,7 +128,7 @@
     clock : Clock
         Source of time.
     may_command : callable
-        Coroutine function; False while starts must be held back.
+        Function; False while commands must be held back.
     notify : callable
         Receives `WorkerReported`, `WorkerUnreachable` and `WorkerDeposed`.
     """
@@ -147,40 +168,34 @@
             asyncio.create_task(self._send()),
         ]
 
-    async def reset(self):
+    def reset(self):
         """Drop every waiting command and ask for the whole inventory again.
 
         Called when the leases of the worker have expired, so that no command of an
-        abandoned attempt is sent later.
+        abandoned attempt is sent later. A command that is already on its way carries
+        an expired lease, which the worker refuses.
         """
-        await self._cancel()
-        self.commands = _Commands()
+        self.abandon()
         self.seen_version = -1
         self.start()
 
-    async def stop(self):
-        """Stop the session; commands that were not sent are dropped."""
-        await self._cancel()
-        await self.client.close()
-
-    async def _cancel(self):
+    def abandon(self):
+        """Cancel the calls in progress and drop the waiting commands."""
         for task in self.tasks:
             task.cancel()
+        self.commands = _Commands()
+
+    async def stop(self):
+        """Stop the session; commands that were not sent are dropped."""
+        self.abandon()
         await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.client.close()
 
     def command(self, name, order):
         """Queue one command, `name` being a field of `WorkerSync`."""
         getattr(self.commands, name).append(order)
         self.wake.set()
 
-    def drop_start(self, task, attempt) -> bool:
-        """Remove a start that was not yet sent; return whether it was found."""
-        starts = self.commands.starts
-        kept = [s for s in starts if (s.task, s.attempt) != (task, attempt)]
-        found = len(kept) < len(starts)
-        self.commands.starts = kept
-        return found
-
     async def _poll(self):
         wait_s = 0.0
         while True:
@@ -192,10 +207,14 @@
     async def _send(self):
         while True:
             await self.wake.wait()
-            if not await self.may_command():
+            if not self.may_command():
                 await asyncio.sleep(RETRY_S)
                 continue
             self.wake.clear()
+            if not self.contact.in_touch:
+                await asyncio.sleep(RETRY_S)
+                self.wake.set()
+                continue
             commands, self.commands = self.commands, _Commands()
             if not commands.any():
                 continue
@@ -207,7 +226,6 @@
 
     async def _call(self, commands, *, wait_s):
         sync = self._command(commands, wait_s)
-        self._extend_lease(wait_s)
         limit = CALL_TIMEOUT_S + wait_s
         try:
             result = await asyncio.wait_for(self.client.sync(sync), limit)
@@ -218,28 +236,30 @@
         return result
 
     def _command(self, commands, wait_s):
+        now = self.clock.now()
+        base = self.contact.worker_clock(now)
+        lease_s = self.lease.task_lease_s if self.contact.in_touch else 0.0
+        if lease_s > 0:
+            until = now + lease_s * (1 + self.lease.drift)
+            self.contact.lease_may_last_until = until
         return WorkerSync(
             shard=self.shard,
             epoch=self.epoch,
             leader=self.leader,
-            lease_s=self.lease.task_lease_s,
+            lease_s=lease_s,
+            lease_base_s=base,
             seen_version=self.seen_version,
             wait_s=wait_s,
             **{k: tuple(v) for k, v in attrs.asdict(commands, recurse=False).items()},
         )
 
-    def _extend_lease(self, wait_s):
-        lease_s = self.lease.task_lease_s * (1 + self.lease.drift)
-        until = self.clock.now() + CALL_TIMEOUT_S + wait_s + lease_s
-        self.contact.lease_may_last_until = max(
-            self.contact.lease_may_last_until, until
-        )
-
     def _report(self, result):
         if result.is_ok():
             report = result.unwrap()
             self.contact.answered = True
             self.contact.failures = 0
+            self.contact.clock_s = report.clock_s
+            self.contact.clock_read_at = self.clock.now()
             self.seen_version = max(self.seen_version, report.version)
             self.notify(WorkerReported(worker=self.worker, report=report))
             return
--- a/wasabipaddle/serve/process.py
+++ b/wasabipaddle/serve/process.py
@@ -6,24 +6,42 @@
 
 from wasabipaddle.clock import LoopClock
 from wasabipaddle.kernel import Context, Kernel
+from wasabipaddle.serve import (
+    api,
+    cluster,
+    fleet,
+    leadership,
+    membership,
+    platform,
+    relay,
+    routing,
+    runs,
+    shards,
+    store,
+    timeline,
+)
 from wasabipaddle.serve.transport import TransportPlugin
 
-__all__ = ["ROLES", "serve"]
-
-ROLES = (
-    "transport",
-    "platform",
-    "fleet",
-    "membership",
-    "leadership",
-    "relay",
-    "documents",
-    "grants",
-    "routing",
-    "runs",
-    "api",
+__all__ = ["PLUGIN_MODULES", "ROLES", "serve"]
+
+# Importing a module registers its plug-in.
+PLUGIN_MODULES = (
+    api,
+    cluster,
+    fleet,
+    leadership,
+    membership,
+    platform,
+    relay,
+    routing,
+    runs,
+    shards,
+    store,
+    timeline,
 )
 
+ROLES = ("routing", "runs", "cluster", "timeline", "api")
+
 
 async def serve(settings):
     """Run an entry process until SIGTERM or SIGINT, then drain it.
