--- a/wasabipaddle/messages/grants.py
+++ b/wasabipaddle/messages/grants.py
@@ -85,6 +85,8 @@
     partial : bool
         The leader is new and waits for grants of the earlier one to expire. Grants
         that the receiver holds stay in force beside these until they expire.
+    leaving : tuple of str
+        Endpoints that get no new work, whatever grant names them.
     """
 
     shard: str
@@ -94,3 +96,4 @@
     unchanged: bool = False
     partial: bool = False
     life_s: float = 0.0
+    leaving: tuple[str, ...] = ()
--- a/wasabipaddle/routing/grants.py
+++ b/wasabipaddle/routing/grants.py
@@ -163,6 +163,7 @@
                 unchanged=unchanged,
                 partial=partial,
                 life_s=self.grant_s,
+                leaving=tuple(sorted(self.leaving)),
             )
         )
 
--- a/wasabipaddle/routing/holder.py
+++ b/wasabipaddle/routing/holder.py
@@ -167,6 +167,7 @@
             self._extend(reply, expires)
         else:
             self._replace(reply, expires, now)
+        self.drain(reply.leaving)
         state.applied = reply.sequence
         state.applied_at = state.sent_at
         self._changed()
--- a/wasabipaddle/routing/tests/test_grants.py
+++ b/wasabipaddle/routing/tests/test_grants.py
@@ -256,6 +256,15 @@
     assert holder.capacity(POOL, now=0.6) == 4
 
 
+def test_new_leader_takes_leaving_endpoints_out_of_use_at_once():
+    """Guards against a notice that is lost between two leaders."""
+    holder = make_holder()
+    exchange(holder, make_table(), 9, 0.0)
+    new = make_table(epoch=2, now=1.0)
+    new.mark_leaving("e1")
+    assert exchange(holder, new, 9, 1.0) == 4
+
+
 def test_older_request_is_refused():
     """Guards against a delayed report that hides slots in use."""
     table, holder = make_table(), make_holder()
