End the wait of a new leader when every member has reported

Change: holders report what they hold with the epoch they know; the new leader settles when all processes of the data centre have reported, and a draining process gives its slots back. Conclusion: expiry is needed only for processes that cannot report.

--- a/wasabipaddle/messages/grants.py
+++ b/wasabipaddle/messages/grants.py
@@ -37,6 +37,10 @@
         Number of the latest request whose reply is in force, 0 for none.
     held : tuple of Grant
         Grants in force with their remaining life, sent after a partial reply.
+    epoch : int
+        Highest epoch that the sender knows; it refuses replies of a lower one.
+    draining : bool
+        The sender takes no new requests and needs slots only for those it has.
     """
 
     sender: str
@@ -47,6 +51,8 @@
     sequence: int = 0
     applied: int = 0
     held: tuple["Grant", ...] = ()
+    epoch: int = 0
+    draining: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/wasabipaddle/routing/grants.py
+++ b/wasabipaddle/routing/grants.py
@@ -45,6 +45,7 @@
     heard: float = 0.0
     demand: dict = attrs.field(factory=dict)
     in_use: dict = attrs.field(factory=dict)
+    draining: bool = False
     issued: list = attrs.field(factory=list)
     confirmed: _Issued | None = None
 
@@ -91,14 +92,19 @@
     now : float
         Start of the leadership. Grants of an earlier leader may be in force for
         `grant_s` from then on.
+    members : collection of str
+        Every process that an earlier leader may have granted slots to. When all of
+        them have reported what they hold, the wait for earlier grants ends.
     """
 
-    def __init__(self, *, shard, epoch, grant_s, now):
+    def __init__(self, *, shard, epoch, grant_s, now, members=()):
         self.shard = shard
         self.epoch = epoch
         self.grant_s = grant_s
         self.count_s = grant_s / (1 - CLOCK_DRIFT)
         self.settled_at = now + self.count_s if epoch > 1 else now
+        self.unreported = set(members)
+        self.counts_reports = bool(members)
         self.endpoints = {}
         self.leaving = set()
         self.holders = {}
@@ -177,9 +183,34 @@
     def _note(self, holder, message, now):
         holder.sequence = message.sequence
         holder.heard = now
+        holder.draining = message.draining
         holder.demand = {d.pool: d.in_progress + d.queued for d in message.demand}
         holder.in_use = {g.endpoint: g.slots for g in message.in_use}
         holder.acknowledge(message.applied)
+        if now < self.settled_at:
+            self._note_report(holder, message, now)
+
+    def _note_report(self, holder, message, now):
+        """Count what a holder has from an earlier leader.
+
+        A report is complete if the holder knows of this epoch, since it then refuses
+        what an earlier leader may still send.
+        """
+        if message.held:
+            slots = {g.endpoint: g.slots for g in message.held}
+            life_s = max(g.life_s for g in message.held) * self.count_s / self.grant_s
+            holder.issued.append(
+                _Issued(
+                    sequence=message.sequence,
+                    expires=now + life_s,
+                    slots=slots,
+                    partial=True,
+                )
+            )
+        if message.epoch == self.epoch:
+            self.unreported.discard(message.sender)
+        if self.counts_reports and not self.unreported:
+            self.settled_at = now
 
     def _allocate(self, holder, message, now):
         """Return slots by endpoint, and whether they are only those reported."""
@@ -205,8 +236,13 @@
     def _pool_slots(self, holder, pool, available):
         total = sum(self.endpoints[e].slots for e in available)
         demands = {
-            key: h.demand.get(pool, 0) for key, h in self.holders.items() if h.demand
+            key: h.demand.get(pool, 0)
+            for key, h in self.holders.items()
+            if h.demand and not h.draining
         }
+        if holder.draining:
+            wanted = min(holder.demand.get(pool, 0), total)
+            return spread_slots(wanted, available, {}, holder.in_use)
         key = next(k for k, h in self.holders.items() if h is holder)
         demands.setdefault(key, 0)
         target = divide_slots(total, demands)[key]
--- a/wasabipaddle/routing/holder.py
+++ b/wasabipaddle/routing/holder.py
@@ -123,13 +123,15 @@
         self.members = {}
         self.capacities = {}
 
-    def request(self, shard, demand, *, now) -> GrantRequest:
+    def request(self, shard, demand, *, now, draining=False) -> GrantRequest:
         """Return the next grant request to the leader of a shard.
 
         Parameters
         ----------
         demand : sequence of PoolDemand
             Requests in progress and waiting, per pool.
+        draining : bool
+            Whether slots are needed only for requests that were accepted.
         """
         state = self.shards.setdefault(shard, _ShardState())
         state.sequence += 1
@@ -151,6 +153,8 @@
             sequence=state.sequence,
             applied=state.applied,
             held=held,
+            epoch=state.epoch,
+            draining=draining,
         )
 
     def apply(self, reply, *, now) -> bool:
--- a/wasabipaddle/routing/tests/test_grants.py
+++ b/wasabipaddle/routing/tests/test_grants.py
@@ -17,8 +17,10 @@
 SLOTS = {"e1": 8, "e2": 3, "e3": 1}
 
 
-def make_table(*, epoch=1, now=0.0, slots=SLOTS):
-    table = GrantTable(shard="s", epoch=epoch, grant_s=GRANT_S, now=now)
+def make_table(*, epoch=1, now=0.0, slots=SLOTS, members=()):
+    table = GrantTable(
+        shard="s", epoch=epoch, grant_s=GRANT_S, now=now, members=members
+    )
     table.set_endpoints(
         [
             EndpointSlots(
@@ -133,7 +135,10 @@
     def change_leader(self):
         """Let another process lead under the next epoch."""
         self.table = make_table(
-            epoch=self.table.epoch + 1, now=self.now, slots=MACHINE_SLOTS
+            epoch=self.table.epoch + 1,
+            now=self.now,
+            slots=MACHINE_SLOTS,
+            members=NAMES,
         )
 
     @rule(queued=st.permutations([0, 9]), rounds=st.sampled_from([1, 3]))
@@ -235,6 +240,32 @@
     assert exchange(first, new, 50, 4.2) == 12
 
 
+def test_take_over_ends_its_wait_when_every_member_has_reported():
+    """Guards against slots that stand idle after a planned change of leader."""
+    old = make_table()
+    first, second = make_holder("p1"), make_holder("p2")
+    for holder in (first, second, first):
+        exchange(holder, old, 9, 0.0)
+    new = make_table(epoch=2, now=1.0, members=("p1", "p2"))
+    for holder in (first, second, first, second):
+        exchange(holder, new, 50 if holder is first else 0, 1.0)
+    for now in (1.5, 2.0):
+        slots = [exchange(first, new, 50, now), exchange(second, new, 0, now)]
+    assert slots == [11, 1]
+
+
+def test_draining_process_gives_its_slots_back():
+    """Guards against slots that a leaving process keeps until they expire."""
+    table = make_table()
+    leaving, staying = make_holder("p1"), make_holder("p2")
+    for now in (0.0, 0.5, 1.0):
+        exchange(leaving, table, 2, now)
+        exchange(staying, table, 50, now)
+        request = leaving.request("s", [], now=now, draining=True)
+        leaving.apply(table.request(request, now=now).unwrap(), now=now)
+    assert leaving.capacity(POOL, now=1.0) == 0
+
+
 def test_half_of_an_expired_grant_stays_in_use_without_a_leader():
     """Guards against an outage of requests while no process can take over."""
     table, holder = make_table(), make_holder()
--- a/wasabipaddle/serve/grants.py
+++ b/wasabipaddle/serve/grants.py
@@ -40,11 +40,15 @@
 
     def lead(self, shard, epoch):
         """Begin to grant slots of a shard under an epoch."""
+        settings = self.context.settings
+        centre = settings.data_centre
+        peers = settings.deployment.entries
         self.tables[shard] = GrantTable(
             shard=shard,
             epoch=epoch,
-            grant_s=self.context.settings.routing.grant_s,
+            grant_s=settings.routing.grant_s,
             now=self.context.clock.now(),
+            members=[p.name for p in peers if p.data_centre == centre],
         )
 
     def step_down(self, shard):
--- a/wasabipaddle/serve/routing.py
+++ b/wasabipaddle/serve/routing.py
@@ -173,7 +173,12 @@
             return False
         now = self.context.clock.now()
         self._update_quotas()
-        message = self.holder.request(shard, self.dispatcher.demand(), now=now)
+        message = self.holder.request(
+            shard,
+            self.dispatcher.demand(),
+            now=now,
+            draining=self.dispatcher.draining,
+        )
         timeout_s = self.settings.routing.grant_period_s
         reply = await self.transport.call(
             leader, message, GrantReply, timeout_s=timeout_s
