Keep the slot of a cancelled request and drop work that nobody waits for

Cause: a caller that gave up left its request in the queue, and a request that was cancelled in progress returned its slot while the endpoint still ran it.

--- a/wasabipaddle/routing/dispatcher.py
+++ b/wasabipaddle/routing/dispatcher.py
@@ -223,18 +223,27 @@
         )
         job.tried.add(slot.endpoint)
         self.metrics.count("routing.sent")
-        answer = await self.connections.send(client, request, deadline=job.deadline)
-        if answer.is_ok():
-            result = await self._receive(job, client, answer.unwrap())
-        else:
-            result = answer
-        if result.is_err():
-            result = Err(await self._settled(job, client, request, result.unwrap_err()))
+        try:
+            result = await self._exchange(job, client, request)
+        except asyncio.CancelledError:
+            # The caller has gone, but the endpoint may still run the request.
+            self._linger(job, client)
+            raise
         self._learn(slot, result)
         if result.is_err() and result.unwrap_err().outcome is Outcome.UNKNOWN:
             self._linger(job, client)
         return result
 
+    async def _exchange(self, job, client, request):
+        """Send a request, check its answer, and settle a doubt about it."""
+        answer = await self.connections.send(client, request, deadline=job.deadline)
+        result = answer
+        if answer.is_ok():
+            result = await self._receive(job, client, answer.unwrap())
+        if result.is_ok():
+            return result
+        return Err(await self._settled(job, client, request, result.unwrap_err()))
+
     async def _receive(self, job, client, answer):
         """Check an answer; buffer it, or begin to stream it if it is long."""
         if answer.request != job.message.request:
@@ -270,6 +279,8 @@
 
     def _linger(self, job, client):
         """Keep the slot of a request that may still run until it has ended."""
+        if job.slot is None:
+            return
         pool = job.ticket.pool
         slot = self.slots.detach(job)
         task = asyncio.ensure_future(
--- a/wasabipaddle/serve/routing.py
+++ b/wasabipaddle/serve/routing.py
@@ -215,10 +215,17 @@
     async def _read_mailbox(self):
         while True:
             envelope = await self.mailbox.receive()
-            self._spawn(self._answer(envelope))
+            task = self._spawn(self._answer(envelope))
+            if envelope.reply is not None:
+                envelope.reply.add_done_callback(
+                    lambda reply, task=task: reply.cancelled() and task.cancel()
+                )
 
     async def _answer(self, envelope):
-        envelope.answer(await self.route(envelope.message))
+        result = await self.route(envelope.message)
+        if envelope.reply is not None and envelope.reply.done() and result.is_ok():
+            await result.unwrap().chunks.aclose()
+        envelope.answer(result)
 
     def _demand_rose(self, pool):
         for wake in self.wakes.values():
@@ -244,6 +251,7 @@
         task = asyncio.ensure_future(coroutine)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
+        return task
 
 
 class RoutingPlugin(Plugin):
--- a/wasabipaddle/serve/tests/test_routing.py
+++ b/wasabipaddle/serve/tests/test_routing.py
@@ -151,6 +151,20 @@
     assert run(body) == (b"answer", {"a": 1, "b": 0, "c": 0})
 
 
+def test_caller_that_gives_up_leaves_the_queue():
+    """Guards against slots spent on requests that nobody waits for."""
+
+    async def body(cell):
+        bus = cell.routings["a"].context.bus
+        cell.endpoints["a"].service_s = 1.0
+        first = asyncio.ensure_future(bus.ask(cell.message(), timeout_s=5.0))
+        await asyncio.sleep(0.01)
+        second = await bus.ask(cell.message(), timeout_s=0.1)
+        return (await first).is_ok(), second.is_ok(), cell.executed()["a"]
+
+    assert run(body) == (True, False, 1)
+
+
 def test_spill_prefers_the_own_region():
     """Guards against traffic on the paid link while the region has capacity."""
 
