Report floods of runs in the measure of floods

Cause: the measure covered request work only, and the placer is available now. Change: the same floods drive the placer through the shared driver, with their own figures and the same bounds.

--- a/wasabipaddle/measure/flood.py
+++ b/wasabipaddle/measure/flood.py
@@ -7,6 +7,7 @@
 from wasabipaddle.clock import run_virtual
 from wasabipaddle.documents import Urgency
 from wasabipaddle.measure.base import Bound, Measure
+from wasabipaddle.measure.flood_runs import run_flood
 from wasabipaddle.measure.request_cell import (
     SLOTS,
     Caller,
@@ -43,6 +44,8 @@
     entries: int
     endpoints: int
     flood_s: float
+    workers: int
+    runs_flood_s: float
 
 
 @attrs.define(kw_only=True)
@@ -56,8 +59,8 @@
 
 
 # One data centre of the deployments: 24 endpoints and 8 processes over three.
-FULL = _Size(entries=3, endpoints=8, flood_s=6.0)
-QUICK = _Size(entries=2, endpoints=2, flood_s=3.2)
+FULL = _Size(entries=3, endpoints=8, flood_s=6.0, workers=4, runs_flood_s=16.0)
+QUICK = _Size(entries=2, endpoints=2, flood_s=3.2, workers=1, runs_flood_s=10.0)
 SCENARIOS = (
     _Scenario(urgency=Urgency.DEFERRABLE, teams=1),
     _Scenario(urgency=Urgency.DEFERRABLE, teams=20),
@@ -67,7 +70,11 @@
 
 
 class FloodMeasure(Measure):
-    """Floods of the least and the most urgent requests, from one team and twenty."""
+    """Floods of the least and the most urgent work, from one team and twenty.
+
+    Figures with the prefix `runs_` come from the placer, all others from the request
+    path.
+    """
 
     name = "flood"
     bounds = (
@@ -75,6 +82,9 @@
         Bound(figure="refused_not_run_false", comparison="==", value=0),
         Bound(figure="floor_broken", comparison="==", value=0),
         Bound(figure="fleet_use_ratio", comparison=">=", value=0.9),
+        Bound(figure="runs_kept_ratio_min", comparison=">=", value=0.95),
+        Bound(figure="runs_fleet_use_ratio", comparison=">=", value=0.9),
+        Bound(figure="runs_overfilled", comparison="==", value=0),
     )
 
     def run(self, *, seed, quick):
@@ -83,8 +93,10 @@
         return self.measurement(
             seed=seed,
             sizes={**attrs.asdict(size), "scenarios": len(SCENARIOS)},
-            figures=_figures(seed, size, plain=False),
-            baseline=_figures(seed, size, plain=True),
+            figures=_figures(seed, size, plain=False)
+            | _run_figures(seed, size, plain=False),
+            baseline=_figures(seed, size, plain=True)
+            | _run_figures(seed, size, plain=True),
         )
 
 
@@ -106,6 +118,28 @@
     return figures
 
 
+def _run_figures(seed, size, *, plain):
+    def flood(scenario):
+        return run_flood(
+            seed,
+            workers=size.workers,
+            flood_s=size.runs_flood_s,
+            urgency=scenario.urgency,
+            teams=scenario.teams,
+            plain=plain,
+        )
+
+    calm = flood(_Scenario())
+    floods = [flood(s) for s in SCENARIOS]
+    before = calm.completed.items()
+    kept = min(o.completed[s] / max(n, 1) for o in floods for s, n in before)
+    return {
+        "runs_kept_ratio_min": round(kept, 4),
+        "runs_fleet_use_ratio": round(min(o.use for o in floods) / calm.use, 4),
+        "runs_overfilled": sum(o.overfilled for o in floods),
+    }
+
+
 def _other_services():
     """Return six services, two of each class, with a floor above their load."""
     part = OTHER_LOAD / 6
--- /dev/null
+++ b/wasabipaddle/measure/flood_runs.py
@@ -0,0 +1,128 @@
+"""Floods of runs on the placer, as part of the measure `flood`."""
+
+import collections
+import random
+
+import attrs
+
+from wasabipaddle.documents import Quota, Resources, ServiceKind, TeamQuota, Urgency
+from wasabipaddle.measure.driver import Driver
+from wasabipaddle.measure.records import Inputs, InputSpec, Job, TaskTruth, WorkerSpec
+from wasabipaddle.placement import Placer, Work, plain_placer
+
+__all__ = ["RunFlood", "run_flood"]
+
+CORES = 32
+TASK = Resources(cpu_milli=1000, memory_mb=1024)
+WORKER = Resources(cpu_milli=CORES * 1000, memory_mb=CORES * 2048)
+MEDIAN_S = 1.0
+MEAN_S = MEDIAN_S * 1.47
+LONGEST = 5.0
+OTHER_LOAD = 0.6
+FLOOD_LOAD = 10.0
+FLOOR_MARGIN = 1.4
+WARM_S = 5.0
+# Runs that arrive later than this before the end may still run at the end.
+SETTLE_S = 6.0
+
+
+@attrs.frozen(kw_only=True)
+class RunFlood:
+    """What one run of the input shows.
+
+    Parameters
+    ----------
+    completed : dict of str to int
+        Runs of the other services that arrived during the flood, early enough to end
+        in it, and completed.
+    use : float
+        Mean number of running tasks during the flood.
+    """
+
+    completed: dict
+    use: float
+    overfilled: int
+
+
+def run_flood(seed, *, workers, flood_s, urgency, teams, plain) -> RunFlood:
+    """Drive a placer through a flood of one class.
+
+    Parameters
+    ----------
+    workers : int
+        Size of the fleet.
+    flood_s : float
+        Length of the flood.
+    urgency : Urgency or None
+        Class of the flood; None for none.
+    teams : int
+        Teams that flood.
+    plain : bool
+        Use the baseline.
+    """
+    until = WARM_S + flood_s
+    rate = workers * CORES / MEAN_S
+    services = [f"{u.value}-{i}" for u in Urgency for i in range(2)]
+    part = OTHER_LOAD / len(services)
+    jobs = []
+    for service in services:
+        kind = Urgency(service.partition("-")[0])
+        jobs += _jobs(seed, service, kind, rate * part, 0.0, until)
+    if urgency is not None:
+        for i in range(teams):
+            each = rate * FLOOD_LOAD / teams
+            jobs += _jobs(seed, f"flood-{i}", urgency, each, WARM_S, until)
+    inputs = _inputs(seed, workers, sorted(jobs, key=lambda j: j.at))
+    driver = Driver(
+        inputs=inputs, make_placer=plain_placer if plain else Placer, sample_s=0.25
+    )
+    if not plain:
+        for service in services:
+            driver.placer.set_floor(service, part * FLOOR_MARGIN)
+    driver.run(until)
+    completed = collections.Counter(
+        r.job.work.service
+        for r in driver.runs.values()
+        if not r.remaining and WARM_S <= r.job.at <= until - SETTLE_S
+    )
+    during = [s.running for s in driver.outcomes.carried if s.at >= WARM_S]
+    return RunFlood(
+        completed={s: completed[s] for s in services},
+        use=sum(during) / len(during),
+        overfilled=driver.outcomes.overfilled,
+    )
+
+
+def _jobs(seed, service, urgency, rate, begin, end):
+    rng = random.Random(f"runs/{service}/{seed}")
+    jobs, now = [], begin
+    while (now := now + rng.expovariate(rate)) < end:
+        run_s = MEDIAN_S * min(rng.lognormvariate(0, 1.0), LONGEST)
+        work = Work(
+            run=f"{service}.{len(jobs)}",
+            service=service,
+            team=f"team-{service}",
+            kind=ServiceKind.BATCH,
+            urgency=urgency,
+            needs=TASK,
+            expected_s=MEDIAN_S,
+        )
+        jobs.append(Job(at=now, work=work, tasks=(TaskTruth(use=TASK, run_s=run_s),)))
+    return jobs
+
+
+def _inputs(seed, workers, jobs):
+    specs = tuple(
+        WorkerSpec(name=f"w{i}", rack=f"r{i // 8}", data_centre="dc", size=WORKER)
+        for i in range(workers)
+    )
+    capacity = sum((w.size for w in specs), Resources())
+    teams = sorted({j.work.team for j in jobs})
+    return Inputs(
+        spec=InputSpec(seed=seed, workers=workers),
+        workers=specs,
+        quotas=tuple(TeamQuota(team=t, quota=Quota(resources=capacity)) for t in teams),
+        profiles=(),
+        jobs=tuple(jobs),
+        capacity=capacity,
+    )
