Record the path of requests on the time line

Cause: requests left no events, so one request could not be followed. Change: sent, retried, answered, refused and forwarded requests are recorded; refusals at most 10 a second, so that a flood leaves other events in the ring. Conclusion: one request can be followed over its processes.

--- a/wasabipaddle/routing/dispatcher.py
+++ b/wasabipaddle/routing/dispatcher.py
@@ -13,6 +13,8 @@
 from wasabipaddle.routing.budget import RetryBudget
 from wasabipaddle.routing.connections import EndpointConnections
 from wasabipaddle.routing.slots import Job, SlotScheduler, refusal, resolve
+from wasabipaddle.routing.trace import RequestTrace
+from wasabipaddle.timeline import EventKind
 
 __all__ = ["Dispatcher"]
 
@@ -43,6 +45,8 @@
         Counters and histograms.
     on_demand : callable
         Called with the pool when requests wait for slots.
+    events : EventRing or None
+        Time line of the process.
     """
 
     def __init__(
@@ -57,6 +61,7 @@
         random,
         metrics,
         on_demand=None,
+        events=None,
     ):
         self.policy = policy
         self.holder = holder
@@ -72,6 +77,7 @@
             progress_s=settings.progress_s,
             metrics=metrics,
         )
+        self.trace = RequestTrace(events=events, clock=clock)
         self.budgets = {}
         self.slots = SlotScheduler(
             policy=policy, holder=holder, clock=clock, random=random, metrics=metrics
@@ -101,13 +107,13 @@
         job = job.unwrap()
         refused = self._offer(job)
         if refused is not None:
-            return self._refused(refused)
+            return self._refused(message, refused)
         self.jobs.add(job)
         streaming = False
         try:
             admitted = await self.slots.admitted(job)
             if admitted.is_err():
-                return self._refused(admitted.unwrap_err())
+                return self._refused(message, admitted.unwrap_err())
             self._budget(job).request()
             result = await self._serve(job)
             streaming = job.slot is not None and result.is_ok()
@@ -223,6 +229,10 @@
         )
         job.tried.add(slot.endpoint)
         self.metrics.count("routing.sent")
+        sent = (
+            EventKind.REQUEST_SENT if job.attempts == 1 else EventKind.REQUEST_RETRIED
+        )
+        self.trace.record(sent, job.message, vm=slot.endpoint)
         try:
             result = await self._exchange(job, client, request)
         except asyncio.CancelledError:
@@ -230,6 +240,10 @@
             self._linger(job, client)
             raise
         self._learn(slot, result)
+        detail = result.unwrap_err().kind.value if result.is_err() else "ok"
+        self.trace.record(
+            EventKind.REQUEST_ANSWERED, job.message, vm=slot.endpoint, detail=detail
+        )
         if result.is_err() and result.unwrap_err().outcome is Outcome.UNKNOWN:
             self._linger(job, client)
         return result
@@ -346,7 +360,8 @@
                 failure = Failure(kind=ErrorKind.DRAINING, detail="draining")
                 resolve(job.waiter, Err(failure))
 
-    def _refused(self, failure):
+    def _refused(self, message, failure):
+        self.trace.refused(message, failure)
         self.metrics.count(f"routing.refused.{failure.kind.value}")
         return Err(failure)
 
--- a/wasabipaddle/routing/spill.py
+++ b/wasabipaddle/routing/spill.py
@@ -6,6 +6,7 @@
 from wasabipaddle.exceptions import ErrorKind, Failure, Outcome
 from wasabipaddle.messages import ForwardReply, ForwardRequest, RoutedAnswer
 from wasabipaddle.routing.answers import digest_of, whole_body
+from wasabipaddle.timeline import EventKind
 
 __all__ = ["ByteAllowance", "SpillPolicy", "SpillTarget"]
 
@@ -95,15 +96,18 @@
         Source of the choice between processes.
     metrics : Metrics
         Counters; `link_bytes.{kind}` counts bytes on the link between regions.
+    trace : RequestTrace
+        Events of requests.
     """
 
-    def __init__(self, *, settings, peers, transport, clock, random, metrics):
+    def __init__(self, *, settings, peers, transport, clock, random, metrics, trace):
         self.settings = settings
         self.peers = peers
         self.transport = transport
         self.clock = clock
         self.random = random
         self.metrics = metrics
+        self.trace = trace
         self.allowance = ByteAllowance(
             bytes_per_s=settings.deployment.link.spill_bytes_per_s, now=clock.now()
         )
@@ -156,6 +160,9 @@
             body=message.body,
         )
         self._count(target, "request", size)
+        self.trace.record(
+            EventKind.REQUEST_FORWARDED, message, detail=target.data_centre
+        )
         reply = await self.transport.call(
             target.process, forward, ForwardReply, timeout_s=left
         )
--- a/wasabipaddle/routing/tests/test_limits.py
+++ b/wasabipaddle/routing/tests/test_limits.py
@@ -5,11 +5,14 @@
 
 import attrs
 
-from wasabipaddle.clock import run_virtual
+from wasabipaddle.clock import HybridClock, ManualClock, run_virtual
 from wasabipaddle.documents import RequestPolicy
-from wasabipaddle.exceptions import ErrorKind
+from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.messages import RouteRequest
 from wasabipaddle.routing import BreakerState, CircuitBreaker, RetryBudget
 from wasabipaddle.routing.tests.fakes import Bench, FakeEndpoint, make_document
+from wasabipaddle.routing.trace import RequestTrace
+from wasabipaddle.timeline import EventRing
 
 
 def test_budget_allows_a_tenth_of_requests():
@@ -82,3 +85,16 @@
         return (await bench.route()).is_ok()
 
     assert run_virtual(main())
+
+
+def test_flood_of_refusals_leaves_other_events_on_the_time_line():
+    """Guards against a ring that holds nothing but refusals."""
+    clock = ManualClock()
+    ring = EventRing(process="p", hybrid=HybridClock(clock=clock))
+    trace = RequestTrace(events=ring, clock=clock)
+    message = RouteRequest(request="r", service="s", caller="c", body=b"", deadline=1.0)
+    for _ in range(1000):
+        trace.refused(message, Failure(kind=ErrorKind.SHED))
+    clock.advance(1.0)
+    trace.refused(message, Failure(kind=ErrorKind.SHED))
+    assert len(ring.events) == 11
--- /dev/null
+++ b/wasabipaddle/routing/trace.py
@@ -0,0 +1,50 @@
+"""Events of requests on the time line."""
+
+from wasabipaddle.timeline import EventKind
+
+__all__ = ["RequestTrace"]
+
+MAX_REFUSALS_PER_S = 10
+
+
+class RequestTrace:
+    """Records events of requests.
+
+    Refusals are limited in number, since a flood would otherwise push all other
+    events out of the ring.
+
+    Parameters
+    ----------
+    events : EventRing or None
+        Time line of the process; None records nothing.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(self, *, events, clock):
+        self.events = events
+        self.clock = clock
+        self.second = 0
+        self.refusals = 0
+
+    def record(self, kind, message, *, vm=None, detail=""):
+        """Record an event of a request."""
+        if self.events is not None:
+            self.events.record(
+                kind,
+                request=message.request,
+                service=message.service,
+                vm=vm,
+                detail=detail,
+            )
+
+    def refused(self, message, failure):
+        """Record a refusal unless there were too many in this second."""
+        second = int(self.clock.now())
+        if second != self.second:
+            self.second = second
+            self.refusals = 0
+        self.refusals += 1
+        if self.refusals <= MAX_REFUSALS_PER_S:
+            detail = failure.kind.value
+            self.record(EventKind.REQUEST_REFUSED, message, detail=detail)
--- a/wasabipaddle/serve/routing.py
+++ b/wasabipaddle/serve/routing.py
@@ -85,6 +85,7 @@
             random=context.random,
             metrics=context.metrics,
             on_demand=self._demand_rose,
+            events=context.events,
         )
         self.spill = None
         self.mailbox = Mailbox(capacity=routing.queue_requests)
@@ -105,6 +106,7 @@
                 clock=self.context.clock,
                 random=self.context.random,
                 metrics=self.context.metrics,
+                trace=self.dispatcher.trace,
             )
         self._update_quotas()
         self._spawn(self._read_mailbox())
