--- a/wasabipaddle/messages/grants.py
+++ b/wasabipaddle/messages/grants.py
@@ -37,6 +37,10 @@
         Number of the latest request whose reply is in force, 0 for none.
     held : tuple of Grant
         Grants in force with their remaining life, sent after a partial reply.
+    epoch : int
+        Highest epoch that the sender knows; it refuses replies of a lower one.
+    draining : bool
+        The sender takes no new requests and needs slots only for those it has.
     """
 
     sender: str
@@ -47,6 +51,8 @@
     sequence: int = 0
     applied: int = 0
     held: tuple["Grant", ...] = ()
+    epoch: int = 0
+    draining: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -85,6 +91,8 @@
     partial : bool
         The leader is new and waits for grants of the earlier one to expire. Grants
         that the receiver holds stay in force beside these until they expire.
+    leaving : tuple of str
+        Endpoints that get no new work, whatever grant names them.
     """
 
     shard: str
@@ -94,3 +102,4 @@
     unchanged: bool = False
     partial: bool = False
     life_s: float = 0.0
+    leaving: tuple[str, ...] = ()
