--- a/wasabipaddle/measure/recovery.py
+++ b/wasabipaddle/measure/recovery.py
@@ -31,6 +31,9 @@
 RETRY_S = 0.1
 # Callers repeat a submission elsewhere, with the same key, after this time.
 CALLER_TIMEOUT_S = 2.0
+# The balancer takes a process out of rotation when its health check has failed for
+# this time.
+HEALTH_CHECK_S = 2.0
 SLOW_STORE_S = 0.5
 LOST_ANSWERS = 0.3
 
@@ -100,6 +103,7 @@
     def __init__(self, *, cell, rng):
         self.cell = cell
         self.rng = rng
+        self.silent = {}
         self.submitted = {}
         self.accepted = {}
         self.tasks = []
@@ -155,7 +159,10 @@
             await asyncio.sleep(RETRY_S)
 
     def _choose(self):
-        return self.rng.choice(sorted(self.cell.processes))
+        """Return a process that the platform's balancer considers healthy."""
+        now = asyncio.get_running_loop().time()
+        out = {n for n, since in self.silent.items() if now - since >= HEALTH_CHECK_S}
+        return self.rng.choice(sorted(self.cell.processes.keys() - out))
 
 
 async def _run_case(case, *, seed, shards):
@@ -168,10 +175,11 @@
     await asyncio.sleep(BEFORE_S)
     start = asyncio.get_running_loop().time()
     _set_store(cell, case.store)
-    resumes = [await _inject(cell, fault) for fault in case.faults]
+    resumes = [await _inject(cell, load, fault) for fault in case.faults]
     await asyncio.sleep(FAULT_S)
     _set_store(cell, "up")
     cell.heal()
+    load.silent.clear()
     for resume in resumes:
         await resume()
     await sending
@@ -190,7 +198,7 @@
     faults.lost_answer = LOST_ANSWERS if state == "lossy" else 0.0
 
 
-async def _inject(cell, fault):
+async def _inject(cell, load, fault):
     """Inject a fault and return the coroutine function that ends it."""
 
     async def nothing():
@@ -208,6 +216,7 @@
         return lambda: cell.start_process(leader.name)
     if fault == "pause":
         await leader.pause()
+        load.silent[leader.name] = asyncio.get_running_loop().time()
         return leader.resume
     others = [n for n in cell.centre_of if n != leader.name]
     cell.cut([leader.name], others)
--- a/wasabipaddle/placement/placer.py
+++ b/wasabipaddle/placement/placer.py
@@ -139,6 +139,27 @@
         index = int(task.rpartition("/")[2])
         return self.book.place(work, index, worker, needs, now) is not None
 
+    def knows(self, task) -> bool:
+        """Return whether a task counts as placed."""
+        return task in self.book.running
+
+    def resume(self, work, now, *, completed, waiting):
+        """Queue the rest of a run that an earlier leader has begun.
+
+        Parameters
+        ----------
+        completed, waiting : collection of int
+            Tasks that have completed, and tasks without an attempt in progress. A
+            gang of which other tasks run is ended and queued as a whole.
+        """
+        entry = self.book.open_run(work)
+        entry.remaining.difference_update(completed)
+        if work.is_gang and entry.running:
+            entry.restart.extend(waiting)
+            self.repeater.restart_gang(entry, now)
+        elif waiting:
+            self.submit(work, now, indices=waiting)
+
     def cancel(self, run) -> tuple[str, ...]:
         """Drop the waiting tasks of a run.
 
--- a/wasabipaddle/runs/leader.py
+++ b/wasabipaddle/runs/leader.py
@@ -138,6 +138,7 @@
             pool=self.pool,
             epoch=self.epoch,
             context=context,
+            quota_of=self._quota_of,
             on_ended=self.waiters.ended,
         )
         self.acceptance = Acceptance(
--- a/wasabipaddle/runs/lifecycle.py
+++ b/wasabipaddle/runs/lifecycle.py
@@ -13,6 +13,8 @@
 )
 from wasabipaddle.platform import TaskOrder, TaskOutcome, TaskPhase, TaskStart
 from wasabipaddle.runs.model import TaskState, parse_task_id, task_id
+from wasabipaddle.runs.records import work_of
+from wasabipaddle.runs.recovery import resume
 from wasabipaddle.timeline import EventKind
 
 __all__ = ["RunLifecycle"]
@@ -37,11 +39,15 @@
         Epoch of the leader.
     context : Context
         Shared services of the process.
+    quota_of : callable
+        Function from a service to its present quota, or None.
     on_ended : callable
         Receives every run that got its outcome.
     """
 
-    def __init__(self, *, table, placer, commits, pool, epoch, context, on_ended):
+    def __init__(
+        self, *, table, placer, commits, pool, epoch, context, quota_of, on_ended
+    ):
         self.table = table
         self.placer = placer
         self.commits = commits
@@ -50,6 +56,7 @@
         self.clock = context.clock
         self.events = context.events
         self.metrics = context.metrics
+        self.quota_of = quota_of
         self.on_ended = on_ended
         self.unsent = {}
         self.own_starts = set()
@@ -227,9 +234,18 @@
         final = entry.ended or entry.stopping
         if final and outcome is not TaskOutcome.COMPLETED:
             outcome = TaskOutcome.STOPPED
-        self.placer.ended(task, outcome, now)
+        if self.placer.knows(task):
+            self.placer.ended(task, outcome, now)
+        elif outcome not in (TaskOutcome.COMPLETED, TaskOutcome.STOPPED):
+            self._resume(entry, now)
         self.finish_if_done(entry)
 
+    def _resume(self, entry, now):
+        """Queue a task whose attempt an earlier leader had placed."""
+        if not (entry.ended or entry.in_doubt):
+            work = work_of(entry, quota=self.quota_of(entry.document.service))
+            resume(self.placer, entry, work, now)
+
     def _acknowledge(self, worker, report):
         order = TaskOrder(task=report.task, attempt=report.attempt)
         self.pool.command(worker, "acknowledgements", order)
--- a/wasabipaddle/runs/recovery.py
+++ b/wasabipaddle/runs/recovery.py
@@ -7,7 +7,7 @@
 from wasabipaddle.runs.model import TaskState, parse_task_id
 from wasabipaddle.runs.records import document_of, work_of
 
-__all__ = ["Adoption", "LeaseExpiry", "RecoveryPolicy", "rebuild"]
+__all__ = ["Adoption", "LeaseExpiry", "RecoveryPolicy", "rebuild", "resume"]
 
 
 def rebuild(table, live, epoch):
@@ -140,12 +140,19 @@
         return True
 
     def _queue(self, entry, now):
-        if entry.stopping:
-            return
-        waiting = [t.index for t in entry.tasks if t.state is TaskState.WAITING]
-        if waiting:
+        if not entry.stopping:
             work = work_of(entry, quota=self.quota_of(entry.document.service))
-            self.placer.submit(work, now, indices=waiting)
+            resume(self.placer, entry, work, now)
+
+
+def resume(placer, entry, work, now):
+    """Queue the tasks of a run that neither completed nor may be on a worker."""
+    placer.resume(
+        work,
+        now,
+        completed=[t.index for t in entry.tasks if t.state is TaskState.ENDED],
+        waiting=[t.index for t in entry.tasks if t.state is TaskState.WAITING],
+    )
 
 
 class LeaseExpiry(RecoveryPolicy):
--- a/wasabipaddle/settings/model.py
+++ b/wasabipaddle/settings/model.py
@@ -226,9 +226,9 @@
         Silence after which a member is no longer considered live.
     """
 
-    heartbeat_s: float = 1.0
+    heartbeat_s: float = 0.5
     summary_s: float = 2.0
-    suspect_s: float = 3.0
+    suspect_s: float = 2.0
 
 
 @attrs.frozen(kw_only=True)
@@ -245,7 +245,7 @@
         Largest relative error of a worker's clock.
     """
 
-    lease_s: float = 3.0
+    lease_s: float = 2.0
     task_lease_s: float = 10.0
     drift: float = 0.01
 
