Wait for runs in short steps

Cause: a waiting read that reached a paused leader hung for the whole waiting time plus 3 s, found by the test with a paused leader. Change: steps of 3 s, each sent to the leader that is known then. Before: the test failed after 60 s; after: it passes.

--- a/wasabipaddle/serve/runs.py
+++ b/wasabipaddle/serve/runs.py
@@ -13,6 +13,7 @@
     ListRuns,
     QueryRun,
     RunPage,
+    RunState,
     RunView,
     StopRun,
     SubmitRun,
@@ -27,6 +28,7 @@
 # A change of leadership takes up to a lease and a recovery.
 PATIENCE_S = 8.0
 RETRY_S = 0.25
+WAIT_STEP_S = 3.0
 
 _RETRIED = frozenset(
     {
@@ -123,8 +125,25 @@
         if shard not in self._shards():
             detail = "no such run"
             return Err(Failure(kind=ErrorKind.NOT_FOUND, detail=detail))
+        if isinstance(message, WaitRun):
+            return await self._wait(shard, message)
         return await self._call(shard, message)
 
+    async def _wait(self, shard, message):
+        """Wait for the end of a run in short steps.
+
+        One long call would not notice that the leader has been replaced.
+        """
+        clock = self.context.clock
+        until = clock.now() + message.wait_s
+        while True:
+            left_s = max(until - clock.now(), 0.0)
+            step = attrs.evolve(message, wait_s=min(left_s, WAIT_STEP_S))
+            result = await self._call(shard, step)
+            ended = result.is_ok() and result.unwrap().state is RunState.ENDED
+            if ended or result.is_err() or clock.now() >= until:
+                return result
+
     # Submission
 
     async def _submit(self, message):
