--- a/wasabipaddle/journal/journal.py
+++ b/wasabipaddle/journal/journal.py
@@ -64,6 +64,8 @@
         Batches, pace and compaction.
     random : random.Random
         Source of jitter.
+    on_deposed : callable or None
+        Called once with a `Failure` when an append meets a later leader.
 
     Attributes
     ----------
@@ -75,7 +77,18 @@
         Whether the last call to the store was carried out.
     """
 
-    def __init__(self, *, shard, process, incarnation, store, clock, settings, random):
+    def __init__(
+        self,
+        *,
+        shard,
+        process,
+        incarnation,
+        store,
+        clock,
+        settings,
+        random,
+        on_deposed=None,
+    ):
         self.process = process
         self.incarnation = incarnation
         self.store = store
@@ -94,8 +107,10 @@
         self.next_sequence = 0
         self.operations = 0
         self.appends = 0
+        self.on_deposed = on_deposed
         self.deposed = False
         self.available = True
+        self.attempt = None
         self.queue = collections.deque()
         self.filled = asyncio.Event()
         self.tasks = []
@@ -161,6 +176,7 @@
         self.tasks = [
             asyncio.create_task(self._write()),
             asyncio.create_task(self._compact()),
+            asyncio.create_task(self._probe()),
             asyncio.create_task(self.compactor.run()),
         ]
         return self.live
@@ -235,6 +251,7 @@
 
     async def _commit(self, items):
         attempt = self._attempt([i.data for i in items], items)
+        self.attempt = attempt
         while True:
             answer = await self._try_commit(self.next_sequence, attempt)
             if answer.is_ok():
@@ -249,6 +266,7 @@
             if not attempt.in_doubt:
                 # The key was surely not created: later records join the batch.
                 self.queue.extendleft(reversed(attempt.items))
+                self.attempt = None
                 self._refuse_acceptances(failure)
                 await self._pause_after(failure)
                 self.filled.set()
@@ -275,6 +293,7 @@
         self.next_sequence += 1
         self.appends += 1
         self.available = True
+        self.attempt = None
         self.backoff.reset()
         self.compactor.appended(sequence)
         for item in attempt.items:
@@ -309,10 +328,23 @@
         self.deposed = True
         self._fail(self.queue, failure)
         self.queue.clear()
+        self.attempt = None
         for task in self.tasks[1:]:
             task.cancel()
+        if self.on_deposed is not None:
+            self.on_deposed(failure)
         return Err(failure)
 
+    async def _probe(self):
+        """Find out when the store answers again while no record waits."""
+        while True:
+            await asyncio.sleep(self.backoff.LONGEST_S)
+            if self.available or self.queue or self.attempt is not None:
+                continue
+            answer = await self.store.get(self.keys.batch(self.next_sequence))
+            if answer.is_ok():
+                self.available = True
+
     async def _pause_after(self, failure):
         await asyncio.sleep(self.backoff.next_s(failure))
 
@@ -329,14 +361,21 @@
                 self.appends = self.settings.compact_after
                 await asyncio.sleep(COMPACTION_RETRY_S)
 
+    async def flush(self):
+        """Wait until nothing is queued or under way, or the journal is deposed."""
+        while (self.queue or self.attempt is not None) and not self.deposed:
+            await asyncio.sleep(self.pacer.min_interval_s)
+
     async def close(self):
-        """Stop writing; what waits is answered with `acceptance_unknown`."""
+        """Stop writing; an append under way is answered `acceptance_unknown`."""
         tasks, self.tasks = self.tasks, []
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        failure = Failure(kind=ErrorKind.ACCEPTANCE_UNKNOWN, detail="journal closed")
-        self._fail(self.queue, failure)
+        if self.attempt is not None:
+            unknown = Failure(kind=ErrorKind.ACCEPTANCE_UNKNOWN, detail="closed")
+            self._fail(self.attempt.items, unknown)
+        self._fail(self.queue, Failure(kind=ErrorKind.DRAINING, detail="closed"))
         self.queue.clear()
 
 
--- a/wasabipaddle/leadership/election.py
+++ b/wasabipaddle/leadership/election.py
@@ -184,18 +184,19 @@
 
     async def _renew(self):
         record = attrs.evolve(self.record, renewal=self.record.renewal + 1)
+        self.in_doubt = True  # also if this task is cancelled before the answer
         answer = await self._put(record, self.revision)
         if not self.leading:
             return
         if answer.is_ok():
             self.record = attrs.evolve(self.record, renewal=record.renewal)
             self.revision = answer.unwrap()
+            self.in_doubt = False
             return
         kind = answer.unwrap_err().kind
         if kind is ErrorKind.REVISION_MISMATCH:
             self._step_down("renewal refused")
-        elif kind is ErrorKind.TIMEOUT:
-            self.in_doubt = True
+        self.in_doubt = kind is ErrorKind.TIMEOUT
 
     async def _check(self):
         answer = await self.store.get(self.key)
@@ -276,7 +277,7 @@
             ready_at = self.seen_at + delay
         else:
             silence = self.candidacy.silence_s(self.seen.leader, self.seen.incarnation)
-            silent_at = now + max(self.lease_s - silence, 0.0)
+            silent_at = now + self.lease_s - silence
             ready_at = max(silent_at, self.seen_at + self.lease_s) + delay
         if now >= ready_at:
             return True
--- /dev/null
+++ b/wasabipaddle/leadership/tests/test_election.py
@@ -0,0 +1,97 @@
+"""Tests of one election against a store with faults."""
+
+import asyncio
+
+from wasabipaddle.clock import LoopClock, run_virtual
+from wasabipaddle.leadership import Candidacy, ShardElection
+from wasabipaddle.settings import LeadershipSettings
+from wasabipaddle.standins import MemoryStore
+
+
+class SilentMembers(Candidacy):
+    """Candidacy that ranks this process first and hears nobody."""
+
+    def rank(self, shard):
+        return 0
+
+    def silence_s(self, name, incarnation):
+        return 60.0
+
+    def has_stopped(self, name, incarnation, shard, epoch):
+        return False
+
+
+def make_election(store, process):
+    return ShardElection(
+        shard="dc0-0",
+        process=process,
+        incarnation=1,
+        store=store.client(process),
+        clock=LoopClock(),
+        settings=LeadershipSettings(),
+        candidacy=SilentMembers(),
+    )
+
+
+def test_two_candidates_with_the_same_view_elect_one():
+    """Guards against two leaders of one epoch after a simultaneous takeover."""
+
+    async def main():
+        store = MemoryStore()
+        elections = [make_election(store, name) for name in "ab"]
+        await asyncio.gather(*(e.step() for e in elections))
+        assert sum(e.leading for e in elections) == 1
+
+    run_virtual(main())
+
+
+def test_lost_answer_of_an_acquisition_is_settled_by_reading():
+    """Guards against a shard whose leader does not know that it leads."""
+
+    async def main():
+        store = MemoryStore()
+        election = make_election(store, "a")
+        await election.store.get("warm-up")
+        store.faults.lost_answer = 1.0
+        store.faults.hang = False
+        election.seen_revision = 0
+        await election._acquire()
+        assert not election.leading
+        store.faults.lost_answer = 0.0
+        await election.step()
+        assert (election.leading, election.epoch) == (True, 1)
+
+    run_virtual(main())
+
+
+def test_higher_epoch_ends_the_leadership_at_once():
+    """Guards against a deposed leader that commands until its next renewal."""
+
+    async def main():
+        election = make_election(MemoryStore(), "a")
+        await election.step()
+        assert election.may_command()
+        election.note_epoch(2)
+        assert not election.leading
+        assert not election.may_command()
+
+    run_virtual(main())
+
+
+def test_pause_without_an_answer_of_the_store_starts_nothing():
+    """Guards against commands after a pause while the record cannot be read."""
+
+    async def main():
+        store = MemoryStore()
+        election = make_election(store, "a")
+        await election.step()
+        await asyncio.sleep(10.0)
+        store.faults.down = True
+        await election.step()
+        assert election.leading
+        assert not election.may_command()
+        store.faults.down = False
+        await election.step()
+        assert election.may_command()
+
+    run_virtual(main())
