--- a/wasabipaddle/commands/cli.py
+++ b/wasabipaddle/commands/cli.py
@@ -1,33 +1,187 @@
 """Root of the command line."""
 
+import contextlib
+import io
+import re
 import sys
 
 import fire
+from fire.decorators import SetParseFns
 
 from wasabipaddle import __version__
+from wasabipaddle.commands.action import Action, UsageError, run_action
+from wasabipaddle.commands.cluster import ClusterCommands
+from wasabipaddle.commands.exit_codes import (
+    EXIT_BROKEN,
+    EXIT_HELP,
+    EXIT_USAGE,
+    exit_code,
+)
+from wasabipaddle.commands.run import RunCommands
+from wasabipaddle.commands.service import ServiceCommands
+from wasabipaddle.exceptions import WasabipaddleError
 
 __all__ = ["Cli", "main"]
 
-EXIT_OK = 0
-EXIT_BROKEN = 1  # a bound, outcome or check does not hold
-EXIT_USAGE = 2
+EXIT_INTERRUPTED = 130
+DECORATOR_GROUP = """
+GROUPS
+    GROUP is one of the following:
+
+     FIRE_METADATA
+"""
+ANSI_COLOUR = re.compile("\x1b\\[[0-9;]*m")
 
 
 class Cli:
     """Run and operate wasabipaddle."""
 
+    # Every command returns an `Action`, which runs after the command line was read.
+
+    def __init__(self):
+        self.service = ServiceCommands()
+        self.run = RunCommands()
+        self.cluster = ClusterCommands()
+
     def version(self):
         """Print the version."""
-        return __version__
+        return Action(run=lambda: print(__version__))
+
+    def serve(self, settings, process=None):
+        """Run an entry process with the roles of the settings file SETTINGS."""
+        from wasabipaddle.commands.serve import serve
+
+        return Action(run=lambda: serve(settings, process=process))
+
+    def demo(self, examples="examples", seed=1, keep=None):
+        """Run both example deployments with faults and print the verdicts."""
+        from wasabipaddle.demo import run_demo
+
+        def run():
+            clean = run_demo(examples, seed=seed, keep=keep)
+            return None if clean else EXIT_BROKEN
+
+        return Action(run=run)
+
+    def playground(self, example):
+        """Start a deployment with stand-ins and keep it running until Ctrl-C."""
+        from wasabipaddle.demo import run_playground
+
+        return Action(run=lambda: run_playground(example))
+
+    @SetParseFns(run=str, vm=str, service=str, server=str, token_file=str)
+    def timeline(
+        self,
+        run="",
+        vm="",
+        service="",
+        since="",
+        limit=1000,
+        json=False,
+        html="",
+        server="",
+        token_file="",
+        authority="",
+    ):
+        """Print the events of all processes in order, or write them as a page.
+
+        Select with --run, --vm, --service and --since (milliseconds since the
+        epoch); --html FILE writes a page with one lane for each process.
+        """
+        from wasabipaddle.commands.timeline import timeline_action
+
+        filters = {
+            "run": run,
+            "vm": vm,
+            "service": service,
+            "since": since,
+            "limit": limit,
+        }
+        place = {"server": server, "token_file": token_file, "authority": authority}
+        return timeline_action(filters=filters, place=place, json=json, html=html)
 
     def measure(self, name, seed=1, quick=False, json=False):
         """Run one measure, or `all`, against its baseline and bounds."""
         from wasabipaddle.commands.measure import measure
 
-        if not measure(name, seed=seed, quick=quick, json_output=json):
-            sys.exit(EXIT_BROKEN)
+        def run():
+            holds = measure(name, seed=seed, quick=quick, json_output=json)
+            return None if holds else EXIT_BROKEN
+
+        return Action(run=run)
+
+    def standin(self, file):
+        """Run the stand-ins of a YAML file until SIGINT or SIGTERM."""
+        from wasabipaddle.commands.standin import standin
+
+        return Action(run=lambda: standin(file))
+
+
+def main(arguments=None):
+    """Run the command line.
+
+    Parameters
+    ----------
+    arguments : list of str or None
+        Arguments after the program name; None takes those of the process.
+    """
+    try:
+        action = _read(arguments)
+        if action is not None:
+            sys.exit(run_action(action))
+    except UsageError as error:
+        _quit(str(error), EXIT_USAGE)
+    except WasabipaddleError as error:
+        code = getattr(error, "exit_code", exit_code(error.failure))
+        _quit(f"{error.failure.kind.value}: {error.failure.detail}", code)
+    except KeyboardInterrupt:
+        _quit("interrupted", EXIT_INTERRUPTED)
+
+
+def _read(arguments):
+    """Return the action of a command line; None if help was printed.
+
+    `fire` writes help and usage errors of many lines to standard error, help through
+    a pager. Help goes to standard output, and an error is shortened to its line.
+    """
+    fire.core.Display = _display
+    written = io.StringIO()
+    try:
+        with contextlib.redirect_stderr(written):
+            result = fire.Fire(
+                Cli(), command=arguments, name="wasabipaddle", serialize=_shown
+            )
+    except fire.core.FireExit as error:
+        if error.code == 0:
+            print(_clean(written.getvalue()) + EXIT_HELP)
+            return None
+        text = _clean(written.getvalue()).strip()
+        line = text.partition("\n")[0].removeprefix("ERROR: ")
+        raise UsageError(f"{line} (see --help)") from error
+    if isinstance(result, Action):
+        return result
+    if arguments or len(sys.argv) > 1:
+        print(EXIT_HELP)
+    return None
+
+
+def _clean(text):
+    """Remove colours, and the group that stands for decorators of `fire`."""
+    text = ANSI_COLOUR.sub("", text)
+    if DECORATOR_GROUP in text:
+        text = text.replace(DECORATOR_GROUP, "").replace("GROUP | ", "")
+    return text
+
+
+def _display(lines, out):
+    out.write("\n".join(lines) + "\n")
+
+
+def _shown(result):
+    """Return what `fire` prints of a result; an action prints by itself."""
+    return None if isinstance(result, Action) else result
 
 
-def main():
-    """Run the command line."""
-    fire.Fire(Cli, name="wasabipaddle")
+def _quit(message, code):
+    print(f"wasabipaddle: {' '.join(message.split())}", file=sys.stderr)
+    sys.exit(code)
--- a/wasabipaddle/messages/__init__.py
+++ b/wasabipaddle/messages/__init__.py
@@ -1,6 +1,8 @@
 """Messages between entry processes and the JSON codec for them."""
 
+from wasabipaddle.messages.cluster import ClusterView, QueryCluster
 from wasabipaddle.messages.codec import decode, encode
+from wasabipaddle.messages.events import EventPage, QueryEvents
 from wasabipaddle.messages.grants import Grant, GrantReply, GrantRequest, PoolDemand
 from wasabipaddle.messages.members import (
     DataCentreSummary,
@@ -40,9 +42,11 @@
 
 __all__ = [
     "CancelRun",
+    "ClusterView",
     "DataCentreSummary",
     "DocumentRevision",
     "DrainNotice",
+    "EventPage",
     "ForwardReply",
     "ForwardRequest",
     "Grant",
@@ -56,6 +60,8 @@
     "MemberAge",
     "MemberView",
     "PoolDemand",
+    "QueryCluster",
+    "QueryEvents",
     "QueryRun",
     "RevisionPage",
     "RevisionQuery",
--- /dev/null
+++ b/wasabipaddle/serve/api.py
@@ -0,0 +1,124 @@
+"""Role `api`: HTTP interface for callers and operators."""
+
+from wasabipaddle.api import (
+    ApiState,
+    CertificateReloader,
+    ClusterRoutes,
+    DocumentRoutes,
+    Listener,
+    Readiness,
+    RequestRoutes,
+    RunRoutes,
+    server_context,
+)
+from wasabipaddle.documents import Catalogue
+from wasabipaddle.kernel import Plugin, ReadinessChanged, Route
+from wasabipaddle.messages import DocumentRevision
+
+__all__ = ["ApiPlugin"]
+
+CERTIFICATE_CHECK_S = 5.0
+
+
+class ApiPlugin(Plugin):
+    """Owns the listener for callers and operators.
+
+    The documents in force come as `DocumentRevision` facts on the bus. Other roles
+    veto readiness by `ReadinessChanged` facts. Their public routes are served to
+    operators.
+
+    Attributes
+    ----------
+    catalogue : Catalogue
+        Documents in force.
+    readiness : Readiness
+        Vetoes of the roles.
+    state : ApiState
+        Shared objects of the routes.
+    listener : Listener or None
+        The listener, from `start` on.
+    """
+
+    name = "api"
+
+    def __init__(self, *, context):
+        super().__init__(context=context)
+        self.catalogue = Catalogue(quotas=context.settings.deployment.quotas)
+        self.readiness = Readiness()
+        self.state = None
+        self.listener = None
+        # Roles that start earlier may publish facts before this one starts.
+        bus = context.bus
+        self.subscriptions = [
+            bus.facts(DocumentRevision).subscribe(self._apply),
+            bus.facts(ReadinessChanged).subscribe(self.readiness.update),
+        ]
+
+    async def start(self):
+        """Open the listener."""
+        settings = self.context.settings
+        self.state = ApiState.create(
+            context=self.context,
+            catalogue=self.catalogue,
+            readiness=self.readiness,
+            store=self._find_store(),
+        )
+        ssl = server_context(settings.api.tls)
+        if ssl is not None:
+            self._watch_certificate(ssl)
+        routes = [*self._own_routes(), *self._routes_of_others()]
+        self.listener = Listener(state=self.state, routes=routes, ssl=ssl)
+        await self.listener.open(settings.peer.host, settings.peer.api_port)
+
+    async def drain(self):
+        """Fail readiness first, then finish the work in progress."""
+        await self.listener.drain()
+
+    async def stop(self):
+        """Close the listener."""
+        for subscription in self.subscriptions:
+            subscription.dispose()
+        if self.listener is not None:
+            await self.listener.close()
+
+    def _find_store(self):
+        """Return the store client with the pauses of the process, if it has one."""
+        plugins = self.context.plugins
+        if "store" in plugins:
+            return plugins["store"].gate.view("documents")
+        return getattr(plugins.get("platform"), "store", None)
+
+    def _own_routes(self):
+        parts = (RequestRoutes, RunRoutes, DocumentRoutes, ClusterRoutes)
+        return [route for part in parts for route in part(state=self.state).routes()]
+
+    def _routes_of_others(self):
+        return [
+            self._for_operators(route)
+            for plugin in self.context.plugins.values()
+            for route in plugin.routes()
+            if not route.internal
+        ]
+
+    def _for_operators(self, route):
+        async def handler(request):
+            self.state.auth.operator(request)
+            return await route.handler(request)
+
+        return Route(method=route.method, path=route.path, handler=handler)
+
+    def _watch_certificate(self, ssl):
+        """Reload the certificate of this listener and of the internal one."""
+        contexts = [ssl]
+        internal = getattr(self.context.plugins.get("transport"), "ssl", None)
+        if internal is not None:
+            contexts.append(internal)
+        tls = self.context.settings.api.tls
+        reloader = CertificateReloader(tls=tls, contexts=contexts)
+        ticks = self.context.timers.every(CERTIFICATE_CHECK_S)
+        self.subscriptions.append(ticks.subscribe(lambda _: reloader.check()))
+
+    def _apply(self, fact):
+        applied = self.catalogue.apply(fact.service, fact.revision, fact.text)
+        if applied.is_err():
+            self.context.metrics.count("api.documents_refused")
--- a/wasabipaddle/serve/relay.py
+++ b/wasabipaddle/serve/relay.py
@@ -26,7 +26,8 @@
 class RelayPlugin(Plugin):
     """Watches the store for its data centre or fetches documents from peers.
 
-    Publishes `DocumentApplied` for each revision that comes into force.
+    Publishes `DocumentApplied` and its source, a `DocumentRevision`, for each revision
+    that comes into force.
 
     Attributes
     ----------
@@ -66,6 +67,10 @@
         """Return the `ServiceDocument` in force, or None."""
         return self.table.get(service)
 
+    def revision_of(self, service) -> int:
+        """Return the revision of the document in force, 0 if there is none."""
+        return self.table.revision_of(service)
+
     def documents(self) -> list:
         """Return all documents in force."""
         return self.table.documents()
@@ -167,6 +172,7 @@
             service=source.service,
             detail=f"revision {source.revision}",
         )
+        self.context.bus.publish(source)
         self.context.bus.publish(
             DocumentApplied(
                 service=source.service,
