--- a/wasabipaddle/transport/memory.py
+++ b/wasabipaddle/transport/memory.py
@@ -90,7 +90,9 @@
             await asyncio.get_running_loop().create_future()
         target = self.network.transports[peer]
         serving = target.serve(type(message).__name__, body)
-        reply = await asyncio.create_task(serving, context=target.context)
+        task = asyncio.create_task(serving, context=target.context)
+        # The peer goes on even if the caller gives up.
+        reply = await asyncio.shield(task)
         await asyncio.sleep(latency)
         if not self.network.passes(self.name, peer):
             await asyncio.get_running_loop().create_future()
