Bound summaries and spread the samples of heartbeats

Cause: with summaries from every delegate to every other, a process alone in its data centre moved 4.2 KB/s; and a rotation in step with the order of calls gave a peer the same part each time, so that known remote leaders expired. Change: data centres form a ring with one summary per period of at most three members; samples start at a hashed place; the suspicion time of remote members follows the length of a round.

--- a/wasabipaddle/membership/table.py
+++ b/wasabipaddle/membership/table.py
@@ -7,6 +7,7 @@
 
 from wasabipaddle.membership.claims import ClaimBook, ShardClaim
 from wasabipaddle.membership.facts import MemberDown, MemberUp
+from wasabipaddle.membership.ring import Ring
 from wasabipaddle.messages import (
     DataCentreSummary,
     Heartbeat,
@@ -18,10 +19,10 @@
 
 FAN_OUT = 2
 SEEN_LIMIT = 10
-REMOTE_SEEN_LIMIT = 2
+REMOTE_SEEN_LIMIT = 3
 CLAIM_LIMIT = 2
-SUMMARY_LIMIT = 8
-SUMMARY_PERIODS = 3  # summaries that may be lost before a remote member is suspected
+SUMMARY_LIMIT = 3
+SUMMARY_ROUNDS = 3  # that may be lost before a remote member is suspected
 SIZE_OF_SUSPECT_TIME = 12  # members of a data centre above which it grows
 NEVER = -math.inf
 
@@ -110,7 +111,8 @@
             names[peer.data_centre].append(peer.name)
         self.names = names
         self.book = ClaimBook()
-        self.round = 0
+        self.ring = Ring(names=names[self.data_centre], own=process)
+        self.centre_ring = Ring(names=names, own=self.data_centre)
         self.cursor = 0
 
     # Input
@@ -263,32 +265,24 @@
         )
         if member.data_centre == self.data_centre:
             return local_s
-        return local_s + SUMMARY_PERIODS * self.settings.summary_s
+        round_s = self.settings.summary_s * self.centre_ring.pairs
+        return local_s + SUMMARY_ROUNDS * round_s
 
     # Output
 
     def targets(self) -> list[str]:
-        """Return the members that get a heartbeat in this period.
+        """Return the members that get a heartbeat in this period."""
+        count = min(FAN_OUT, self.ring.pairs)
+        return [self.ring.next() for _ in range(count)]
 
-        Each period uses the next offsets on the ring of members, so that all pairs
-        meet in turn and every member receives as many heartbeats as it sends.
-        """
-        ring = self.names[self.data_centre]
-        position = ring.index(self.process)
-        pairs = len(ring) // 2  # one exchange informs both sides
-        chosen = []
-        for k in range(min(FAN_OUT, pairs)):
-            offset = 1 + (self.round * FAN_OUT + k) % pairs
-            name = ring[(position + offset) % len(ring)]
-            if name not in chosen:
-                chosen.append(name)
-        self.round += 1
-        return chosen
+    def summary_target(self) -> str | None:
+        """Return the data centre that gets a summary in this period."""
+        return self.centre_ring.next()
 
     def probe(self, data_centre) -> str:
         """Return the next member of a data centre of which none is known to live."""
         names = self.names[data_centre]
-        return names[self.round % len(names)]
+        return names[self.centre_ring.turn % len(names)]
 
     def heartbeat(self, hlc, now, *, store_pause_s=0.0) -> Heartbeat:
         """Return the heartbeat of this process."""
@@ -314,7 +308,7 @@
         """
         views = [self._own_view()]
         others = [m for m in self.members.values() if m.data_centre == self.data_centre]
-        others.sort(key=lambda m: (not m.led, now - m.heard_at, m.name))
+        others.sort(key=lambda m: (not m.led, not self.is_live(m.name, now), m.name))
         views += [self._view(m, now) for m in others[: SUMMARY_LIMIT - 1]]
         return DataCentreSummary(
             sender=self.process,
@@ -383,5 +377,7 @@
     def _rotate(self, items, limit):
         if len(items) <= limit:
             return items
-        start = self.cursor * limit % len(items)
+        # A plain rotation could give each peer the same part every time.
+        key = f"{self.process}/{self.cursor}".encode()
+        start = xxhash.xxh64_intdigest(key) % len(items)
         return (items[start:] + items[:start])[:limit]
--- a/wasabipaddle/serve/membership.py
+++ b/wasabipaddle/serve/membership.py
@@ -112,9 +112,9 @@
         own = self.table.data_centre
         if self.delegate(own) != self.table.process:
             return
-        for data_centre in self.table.names:
-            if data_centre != own:
-                self.tasks.spawn(self._send_summary(data_centre))
+        data_centre = self.table.summary_target()
+        if data_centre is not None:
+            self.tasks.spawn(self._send_summary(data_centre))
 
     async def _send_summary(self, data_centre):
         peer = self.delegate(data_centre) or self.table.probe(data_centre)
