--- /dev/null
+++ b/wasabipaddle/journal/tests/test_journal.py
@@ -0,0 +1,93 @@
+"""Tests of one journal against outages, lost answers and crashes."""
+
+import asyncio
+
+import pytest
+
+from wasabipaddle.clock import run_virtual
+from wasabipaddle.exceptions import ErrorKind
+from wasabipaddle.journal import TaskEnded
+from wasabipaddle.journal.tests.shard import accepted, make_journal
+from wasabipaddle.platform import TaskOutcome
+from wasabipaddle.standins import MemoryStore
+
+
+def ended(run):
+    return TaskEnded(run=run, index=0, attempt=1, outcome=TaskOutcome.COMPLETED)
+
+
+def test_outage_refuses_runs_keeps_endings_and_flushes_without_a_burst():
+    """Guards against lost endings, false refusals and a surge after an outage."""
+
+    async def main():
+        store = MemoryStore()
+        journal = make_journal(store.client("a"), "a", compact_after=500)
+        await journal.recover(1)
+        for number in range(500):
+            journal.submit(accepted(f"r{number}"))
+        await journal.flush()
+        store.faults.down = True
+        endings = []
+        for number in range(500):
+            endings.append(journal.submit(ended(f"r{number}")))
+            await asyncio.sleep(0.2)
+        refused = await journal.append(accepted("late"))
+        assert refused.unwrap_err().kind is ErrorKind.STORE_UNAVAILABLE
+        store.faults.down = False
+        back = int(asyncio.get_running_loop().time())
+        await journal.flush()
+        assert all(e.result().is_ok() for e in endings)
+        assert (await journal.append(accepted("new"))).is_ok()
+        await asyncio.sleep(10)
+        writes = [s.writes for s in store.history() if s.second >= back]
+        assert max(writes) <= journal.settings.writes_per_s + 1
+        await journal.close()
+
+    run_virtual(main())
+
+
+def test_store_is_found_again_while_nothing_waits():
+    """Guards against refusing runs forever after an outage."""
+
+    async def main():
+        store = MemoryStore()
+        journal = make_journal(store.client("a"), "a")
+        await journal.recover(1)
+        store.faults.down = True
+        assert (await journal.append(accepted("r0"))).is_err()
+        store.faults.down = False
+        await asyncio.sleep(5.0)
+        assert (await journal.append(accepted("r1"))).is_ok()
+        await journal.close()
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("crash_s", [0.01, 0.06, 0.12, 0.2, 0.3, 0.5, 1.0, 2.0])
+def test_crash_during_compaction_loses_nothing(crash_s):
+    """Guards against a crash between a snapshot and the deletion of its batches."""
+
+    async def main():
+        store = MemoryStore()
+        journal = make_journal(
+            store.client("a"), "a", compact_after=1000, max_batch_bytes=2_000
+        )
+        await journal.recover(1)
+        for number in range(60):
+            journal.submit(accepted(f"r{number}"))
+        await journal.flush()
+        task = asyncio.create_task(journal.compactor.compact())
+        await asyncio.sleep(crash_s)
+        task.cancel()
+        await journal.close()
+        successor = make_journal(store.client("b"), "b", compact_after=1000)
+        live = (await successor.recover(2)).unwrap()
+        assert len(live.runs) == 60
+        assert (await successor.compactor.compact()).is_ok()
+        await asyncio.sleep(30)
+        await successor.close()
+        reader = make_journal(store.client("c"), "c")
+        assert len((await reader.recover(3)).unwrap().runs) == 60
+        await reader.close()
+
+    run_virtual(main())
