Shift the ports of a playground and switch faults from the command line

Cause: the example deployments use fixed ports, so that two demonstrations on one machine collide. Faults of the stand-ins could be switched only by a driver, and a command with a wrong field was answered by a process that does not hold the target ("no stand-in store" for "no fault dwon"). An unknown place of the link was accepted without effect. A playground that ended on SIGTERM left its processes behind.

`fault TARGET KEY=VALUE` changes faults, the list of VMs and the link. Stand-ins refuse unknown places and regions, and the client returns the answer of the process that holds the target. The playground ends its processes on SIGINT and SIGTERM.

--- a/wasabipaddle/commands/cli.py
+++ b/wasabipaddle/commands/cli.py
@@ -6,7 +6,7 @@
 import sys
 
 import fire
-from fire.decorators import SetParseFns
+from fire.decorators import SetParseFn, SetParseFns
 
 from wasabipaddle import __version__
 from wasabipaddle.commands.action import Action, UsageError, run_action
@@ -53,21 +53,47 @@
 
         return Action(run=lambda: serve(settings, process=process))
 
-    def demo(self, examples="examples", seed=1, keep=None):
-        """Run both example deployments with faults and print the verdicts."""
+    @SetParseFns(examples=str, keep=str)
+    def demo(self, examples="examples", seed=1, keep=None, port_offset=0):
+        """Run both example deployments with faults and print the verdicts.
+
+        --port_offset N shifts every port, so that several run on one machine.
+        """
         from wasabipaddle.demo import run_demo
 
+        offset = _whole("--port_offset", port_offset)
+
         def run():
-            clean = run_demo(examples, seed=seed, keep=keep)
+            clean = run_demo(examples, seed=seed, keep=keep, port_offset=offset)
             return None if clean else EXIT_BROKEN
 
         return Action(run=run)
 
-    def playground(self, example):
-        """Start a deployment with stand-ins and keep it running until Ctrl-C."""
+    @SetParseFns(example=str)
+    def playground(self, example, port_offset=0, apply=False):
+        """Start a deployment with stand-ins and keep it running until Ctrl-C.
+
+        --port_offset N shifts every port, so that several run on one machine;
+        --apply applies the documents of the example.
+        """
         from wasabipaddle.demo import run_playground
 
-        return Action(run=lambda: run_playground(example))
+        offset = _whole("--port_offset", port_offset)
+        return Action(
+            run=lambda: run_playground(example, port_offset=offset, apply=apply)
+        )
+
+    @SetParseFn(str)
+    def fault(self, target, *changes, control=""):
+        """Change the faults of the stand-ins of a playground, as KEY=VALUE.
+
+        TARGET is `store`, `vm_list`, `link` or the name of a VM. --control lists the
+        control addresses of the stand-ins, separated by commas, and defaults to
+        WASABIPADDLE_CONTROL.
+        """
+        from wasabipaddle.commands.fault import fault_action
+
+        return fault_action(target=target, changes=changes, control=control)
 
     @SetParseFns(run=str, vm=str, service=str, server=str, token_file=str)
     def timeline(
@@ -165,6 +191,12 @@
     return None
 
 
+def _whole(flag, value):
+    if isinstance(value, bool) or not isinstance(value, int) or value < 0:
+        raise UsageError(f"{flag} is a whole number from 0")
+    return value
+
+
 def _clean(text):
     """Remove colours, and the group that stands for decorators of `fire`."""
     text = ANSI_COLOUR.sub("", text)
--- /dev/null
+++ b/wasabipaddle/commands/fault.py
@@ -0,0 +1,98 @@
+"""Command `fault`: switch faults of the stand-ins of a playground."""
+
+import os
+
+from wasabipaddle.commands.action import Action, UsageError
+from wasabipaddle.exceptions import WasabipaddleError
+from wasabipaddle.platform import VmStatus
+from wasabipaddle.standins.control import StandinControl
+
+__all__ = ["fault_action"]
+
+CONTROL_VARIABLE = "WASABIPADDLE_CONTROL"
+LINK = "link"
+LINK_PLACES = ("cut", "cut_regions", "silence")
+HEAL = "heal"
+STATUS = "status"
+WORDS = {"true": True, "false": False}
+
+
+def fault_action(*, target, changes, control) -> Action:
+    """Return the action that changes the faults of one stand-in.
+
+    Parameters
+    ----------
+    target : str
+        `store`, `vm_list`, `link` or the name of a VM.
+    changes : sequence of str
+        `KEY=VALUE` with the fields of the faults class of the target. A VM also takes
+        `status`, its state in the list of VMs; the link takes `cut`, `cut_regions`
+        and `silence` with names separated by commas, and `heal`.
+    control : str
+        Control addresses separated by commas; empty takes those of the environment.
+    """
+    text = control or os.environ.get(CONTROL_VARIABLE, "")
+    urls = tuple(url for url in text.split(",") if url)
+    if not urls or not all(u.startswith("http://") for u in urls):
+        raise UsageError(f"give --control URL,... or set {CONTROL_VARIABLE}")
+    if not changes:
+        raise UsageError("give at least one change as KEY=VALUE")
+    values = dict(_parse(change) for change in changes)
+    status = _status_of(values) if target != LINK else None
+    link = _link_fields(values) if target == LINK else None
+
+    async def run():
+        client = StandinControl(urls=urls)
+        try:
+            if link is not None:
+                _check(await client.change_link(**link))
+            if status is not None:
+                _check(await client.set_vm_status(target, status))
+            if link is None and values:
+                _check(await client.set_faults(target, **values))
+        finally:
+            await client.close()
+        print(f"{target}: {', '.join(changes)}")
+
+    return Action(run=run)
+
+
+def _parse(change):
+    key, equals, text = change.partition("=")
+    if not key or not equals:
+        raise UsageError(f"not KEY=VALUE: {change}")
+    if text in WORDS:
+        return key, WORDS[text]
+    try:
+        return key, float(text)
+    except ValueError:
+        return key, text
+
+
+def _status_of(values):
+    """Remove and return the status in the list of VMs, None if it is not given."""
+    if STATUS not in values:
+        return None
+    try:
+        return VmStatus(values.pop(STATUS))
+    except ValueError as error:
+        allowed = ", ".join(s.value for s in VmStatus)
+        raise UsageError(f"{STATUS} is one of {allowed}") from error
+
+
+def _link_fields(values):
+    fields = {}
+    for key, value in values.items():
+        if key == HEAL and isinstance(value, bool):
+            fields[key] = value
+        elif key in LINK_PLACES and isinstance(value, str) and value:
+            fields[key] = tuple(value.split(","))
+        else:
+            names = ", ".join(f"{name}=NAME,..." for name in LINK_PLACES)
+            raise UsageError(f"the link takes {names} and {HEAL}=true")
+    return fields
+
+
+def _check(result):
+    if result.is_err():
+        raise WasabipaddleError(result.unwrap_err())
--- a/wasabipaddle/demo/demo.py
+++ b/wasabipaddle/demo/demo.py
@@ -3,6 +3,7 @@
 import asyncio
 import pathlib
 import random
+import signal
 import sys
 import tempfile
 import time
@@ -14,7 +15,6 @@
 from wasabipaddle.demo.processes import ProcessGroup
 from wasabipaddle.demo.scenario import Scenario
 from wasabipaddle.documents import parse_document
-from wasabipaddle.settings import load_deployment
 from wasabipaddle.standins.control import StandinControl
 
 __all__ = ["DemoResult", "run_demo", "run_playground"]
@@ -61,7 +61,7 @@
         )
 
 
-def run_demo(directory, *, seed=1, keep=None) -> bool:
+def run_demo(directory, *, seed=1, keep=None, port_offset=0) -> bool:
     """Run every deployment below a directory of examples.
 
     Parameters
@@ -72,6 +72,8 @@
         Seed of the load.
     keep : path or None
         Where files and logs of the processes are kept; None discards them.
+    port_offset : int
+        Number that is added to every port of the examples.
 
     Returns
     -------
@@ -84,7 +86,8 @@
         with tempfile.TemporaryDirectory(prefix="wasabipaddle-") as temporary:
             target = pathlib.Path(keep or temporary) / name
             target.mkdir(parents=True, exist_ok=True)
-            result = asyncio.run(_run_deployment(name, source, target, seed))
+            layout = write_layout(source, target, port_offset=port_offset)
+            result = asyncio.run(_run_deployment(name, source, target, layout, seed))
         results.append(result)
         print(result.line(), flush=True)
         for problem in result.problems:
@@ -95,35 +98,61 @@
     return all(r.clean for r in results)
 
 
-def run_playground(source):
-    """Start one deployment with stand-ins and keep it running until SIGINT.
+def run_playground(source, *, port_offset=0, apply=False):
+    """Start one deployment with stand-ins and keep it running until a signal.
 
     Parameters
     ----------
     source : path
         Directory of the example.
+    port_offset : int
+        Number that is added to every port of the example.
+    apply : bool
+        Apply the documents of the example.
     """
-    with tempfile.TemporaryDirectory(prefix="wasabipaddle-") as directory:
-        try:
-            asyncio.run(_stay(pathlib.Path(source), pathlib.Path(directory)))
-        except KeyboardInterrupt:
-            print("stopped", flush=True)
-
-
-async def _stay(source, directory):
-    deployment = load_deployment(source / "deployment.yaml").unwrap()
-    layout = write_layout(deployment, source, directory)
+    source = pathlib.Path(source)
+    with tempfile.TemporaryDirectory(prefix="wasabipaddle-") as temporary:
+        directory = pathlib.Path(temporary)
+        layout = write_layout(source, directory, port_offset=port_offset)
+        asyncio.run(_stay(source, layout, directory, apply))
+    print("stopped", flush=True)
+
+
+async def _stay(source, layout, directory, apply):
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    # The processes would outlive a driver that is ended by a signal.
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, stopped.set)
     processes = ProcessGroup(layout=layout, directory=directory)
     try:
         await processes.start_all()
-        for entry in deployment.entries:
-            print(f"{entry.name}  http://{entry.host}:{entry.api_port}", flush=True)
+        entries = layout.deployment.entries
+        for entry in entries:
+            print(f"{entry.name:24} http://{entry.host}:{entry.api_port}")
+        if apply:
+            await _apply_examples(source, layout)
+        first = entries[0]
+        print("to use it from another shell:")
+        print(f"export WASABIPADDLE_SERVER=http://{first.host}:{first.api_port}")
+        print(f"export WASABIPADDLE_CONTROL={','.join(layout.controls)}")
         print("running; stop with Ctrl-C", flush=True)
-        await asyncio.Event().wait()
+        await stopped.wait()
     finally:
         await processes.stop_all()
 
 
+async def _apply_examples(source, layout):
+    documents, texts = _read_documents(source)
+    callers = Callers(layout=layout, documents=documents, random=random.Random(1))
+    await callers.open()
+    try:
+        await _apply_documents(callers, texts)
+    finally:
+        await callers.close()
+    print(f"applied {', '.join(sorted(texts))}")
+
+
 def _read_documents(source):
     files = sorted(p for p in source.glob("*.yaml") if p.name not in NOT_DOCUMENTS)
     texts = [p.read_text(encoding="utf-8") for p in files]
@@ -134,16 +163,15 @@
     return documents, by_service
 
 
-async def _run_deployment(name, source, directory, seed):
+async def _run_deployment(name, source, directory, layout, seed):
     started = time.monotonic()
 
     def say(text):
         elapsed = time.monotonic() - started
         print(f"{name} {elapsed:5.1f} s  {text}", flush=True)
 
-    deployment = load_deployment(source / "deployment.yaml").unwrap()
+    deployment = layout.deployment
     documents, texts = _read_documents(source)
-    layout = write_layout(deployment, source, directory)
     processes = ProcessGroup(layout=layout, directory=directory)
     callers = Callers(layout=layout, documents=documents, random=random.Random(seed))
     control = StandinControl(urls=layout.controls)
--- a/wasabipaddle/demo/layout.py
+++ b/wasabipaddle/demo/layout.py
@@ -11,7 +11,10 @@
 import cattrs
 import yaml
 
+from wasabipaddle.demo.ports import LARGEST_PORT, shift_ports
+from wasabipaddle.exceptions import ErrorKind, Failure, WasabipaddleError
 from wasabipaddle.platform import VmEntry, VmRole, VmStatus
+from wasabipaddle.settings import load_deployment
 from wasabipaddle.standins.proxy import ProxyRoute
 from wasabipaddle.standins.settings import (
     EndpointStandin,
@@ -30,6 +33,7 @@
 VM_LIST_LAG_S = 1.0
 PROXY_PORT_OFFSET = 500
 CONTROL_PORT_OFFSET = 900
+CONTROL_PORTS = 50
 
 
 @attrs.frozen(kw_only=True)
@@ -38,6 +42,8 @@
 
     Parameters
     ----------
+    deployment : Deployment
+        The deployment of the example, with shifted ports.
     settings : dict of str to pathlib.Path
         Settings file by entry process.
     standins : tuple of pathlib.Path
@@ -74,33 +80,49 @@
         return self.routes[key].port
 
 
-def write_layout(deployment, source, directory) -> Layout:
+def write_layout(source, directory, *, port_offset=0) -> Layout:
     """Write the files of a demonstration.
 
     Parameters
     ----------
-    deployment : Deployment
-        The deployment of the example.
     source : pathlib.Path
         Directory of the example, with `deployment.yaml` and `settings.yaml`.
     directory : pathlib.Path
         Where the files go.
+    port_offset : int
+        Number that is added to every port of the example.
+
+    Raises
+    ------
+    WasabipaddleError
+        If the deployment is not valid or a shifted port does not exist.
     """
+    path = directory / "deployment.yaml"
+    data = shift_ports(yaml.safe_load(_read(source / "deployment.yaml")), port_offset)
+    path.write_text(yaml.safe_dump(data), encoding="utf-8")
+    loaded = load_deployment(path)
+    if loaded.is_err():
+        raise WasabipaddleError(loaded.unwrap_err())
+    deployment = loaded.unwrap()
     base = _port_of(deployment.store_url)
+    if base < 1 or base + CONTROL_PORT_OFFSET + CONTROL_PORTS > LARGEST_PORT:
+        detail = f"a port offset of {port_offset} leaves the range of ports"
+        failure = Failure(kind=ErrorKind.INVALID_SETTINGS, detail=detail)
+        raise WasabipaddleError(failure)
     links = _LinkPorts(base + PROXY_PORT_OFFSET)
     settings = {}
     for centre in deployment.data_centres:
-        view = _view(yaml.safe_load(_read(source / "deployment.yaml")), centre, links)
+        view = _view(yaml.safe_load(_read(path)), centre, links)
         name = f"deployment-{centre.name}.yaml"
         (directory / name).write_text(yaml.safe_dump(view), encoding="utf-8")
-        path = directory / f"settings-{centre.name}.yaml"
+        target = directory / f"settings-{centre.name}.yaml"
         process = yaml.safe_load(_read(source / "settings.yaml"))
         process["deployment"] = name
         process["process"] = _first_entry(deployment, centre)
-        path.write_text(yaml.safe_dump(process), encoding="utf-8")
+        target.write_text(yaml.safe_dump(process), encoding="utf-8")
         for entry in deployment.entries:
             if entry.data_centre == centre.name:
-                settings[entry.name] = path
+                settings[entry.name] = target
     parts = _standins(deployment, base, links)
     files = []
     for index, part in enumerate(parts):
@@ -143,7 +165,8 @@
 
 def _standins(deployment, base, links):
     """Return the settings of the stand-in processes."""
-    controls = iter(range(base + CONTROL_PORT_OFFSET, base + CONTROL_PORT_OFFSET + 50))
+    first = base + CONTROL_PORT_OFFSET
+    controls = iter(range(first, first + CONTROL_PORTS))
     platform = StandinSettings(
         control_port=next(controls),
         store=StoreStandin(port=base),
--- a/wasabipaddle/standins/control.py
+++ b/wasabipaddle/standins/control.py
@@ -1,6 +1,6 @@
 """Client for drivers that switch faults and read ledgers of stand-in processes."""
 
-from result import Result
+from result import Err, Result
 
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.platform.http import HttpCaller
@@ -41,8 +41,9 @@
     async def change_link(self, **fields) -> Result[None, Failure]:
         """Change the link; the arguments are the fields of `LinkCommand`."""
         command = LinkCommand(**fields)
-        results = [await self._post_to(url, "link", command) for url in self.urls]
-        return next((r for r in results if r.is_ok()), results[0])
+        return _answer_of(
+            [await self._post_to(url, "link", command) for url in self.urls]
+        )
 
     async def record(self) -> LedgerRecord:
         """Return the joined ledger of all processes."""
@@ -66,12 +67,12 @@
         await self.caller.close()
 
     async def _post(self, path, command):
-        result = None
+        results = []
         for url in self.urls:
-            result = await self._post_to(url, path, command)
-            if result.is_ok():
+            results.append(await self._post_to(url, path, command))
+            if results[-1].is_ok():
                 break
-        return result
+        return _answer_of(results)
 
     async def _post_to(self, url, path, command):
         return await self.caller.call(
@@ -86,3 +87,14 @@
             )
             found.append(result.unwrap())
         return found
+
+
+def _answer_of(results):
+    """Return a success, else the answer of the process that knows the target."""
+    failures = [r.unwrap_err() for r in results if r.is_err()]
+    if len(failures) < len(results):
+        return next(r for r in results if r.is_ok())
+    for failure in failures:
+        if failure.kind is not ErrorKind.NOT_FOUND:
+            return Err(failure)
+    return Err(Failure(kind=ErrorKind.INVALID_REQUEST, detail=failures[0].detail))
--- a/wasabipaddle/standins/host.py
+++ b/wasabipaddle/standins/host.py
@@ -145,13 +145,13 @@
 
         Raises
         ------
+        KeyError
+            If the target is not in this process.
         ValueError
-            If the target or a fault is not known.
+            If a fault is not known.
         """
         changes = dict(changes)
-        standin = self.targets.get(target)
-        if standin is None:
-            raise ValueError(f"no stand-in {target}")
+        standin = self.targets[target]
         actions = {
             "silence_connections": getattr(
                 self.endpoint_servers.get(target), "silence_connections", None
@@ -173,7 +173,18 @@
             await self.listeners[target].accept()
 
     def change_link(self, command):
-        """Carry out a `LinkCommand`."""
+        """Carry out a `LinkCommand`.
+
+        Raises
+        ------
+        ValueError
+            If a place or region is not known.
+        """
+        places, regions = set(self.link.regions), set(self.link.regions.values())
+        _check_names("place", (*command.cut, *command.silence), places)
+        _check_names("region", command.cut_regions, regions)
+        _check_pair("cut_regions", command.cut_regions)
+        _check_pair("silence", command.silence)
         if command.heal:
             self.link.heal()
         for place in command.cut:
@@ -241,6 +252,8 @@
         command, refusal = await read_message(request, FaultCommand)
         if refusal is not None:
             return refusal
+        if command.target not in self.targets:
+            return _not_here(f"no stand-in {command.target}")
         try:
             await self.set_faults(command.target, command.changes)
         except (ValueError, KeyError) as error:
@@ -252,8 +265,11 @@
         if refusal is not None:
             return refusal
         if self.link is None:
-            return _invalid("this process has no link")
-        self.change_link(command)
+            return _not_here("no process has a link")
+        try:
+            self.change_link(command)
+        except ValueError as error:
+            return _invalid(str(error))
         return json_response(None)
 
     async def _post_vm(self, request):
@@ -262,7 +278,7 @@
             return refusal
         vms = self.targets.get(VM_LIST)
         if vms is None or command.vm not in vms.entries:
-            return _invalid(f"no VM {command.vm} in a list of this process")
+            return _not_here(f"no VM {command.vm} in the list of VMs")
         vms.set_status(command.vm, command.status)
         return json_response(None)
 
@@ -284,3 +300,20 @@
 
 def _invalid(detail):
     return failure_response(Failure(kind=ErrorKind.INVALID_REQUEST, detail=detail))
+
+
+def _not_here(detail):
+    """Return the answer of a process that does not hold the target."""
+    return failure_response(Failure(kind=ErrorKind.NOT_FOUND, detail=detail))
+
+
+def _check_names(what, names, known):
+    unknown = [name for name in names if name not in known]
+    if unknown:
+        allowed = ", ".join(sorted(known))
+        raise ValueError(f"no {what} {unknown[0]}; there are {allowed}")
+
+
+def _check_pair(key, names):
+    if len(names) not in (0, 2):
+        raise ValueError(f"{key} takes two names")
