--- a/wasabipaddle/commands/cli.py
+++ b/wasabipaddle/commands/cli.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import io
+import os
 import re
 import sys
 
@@ -24,6 +25,7 @@
 __all__ = ["Cli", "main"]
 
 EXIT_INTERRUPTED = 130
+EXIT_OUTPUT_CLOSED = 141
 DECORATOR_GROUP = """
 GROUPS
     GROUP is one of the following:
@@ -69,19 +71,22 @@
 
         return Action(run=run)
 
-    @SetParseFns(example=str)
-    def playground(self, example, port_offset=0, apply=False):
+    @SetParseFns(example=str, keep=str)
+    def playground(self, example, port_offset=0, apply=False, keep=None):
         """Start a deployment with stand-ins and keep it running until Ctrl-C.
 
         --port_offset N shifts every port, so that several run on one machine;
-        --apply applies the documents of the example.
+        --apply applies the documents of the example; --keep DIRECTORY keeps the
+        settings and logs of the processes.
         """
         from wasabipaddle.demo import run_playground
 
         offset = _whole("--port_offset", port_offset)
-        return Action(
-            run=lambda: run_playground(example, port_offset=offset, apply=apply)
-        )
+
+        def run():
+            run_playground(example, port_offset=offset, apply=apply, keep=keep)
+
+        return Action(run=run)
 
     @SetParseFn(str)
     def fault(self, target, *changes, control=""):
@@ -154,7 +159,9 @@
     try:
         action = _read(arguments)
         if action is not None:
-            sys.exit(run_action(action))
+            code = run_action(action)
+            sys.stdout.flush()
+            sys.exit(code)
     except UsageError as error:
         _quit(str(error), EXIT_USAGE)
     except WasabipaddleError as error:
@@ -162,6 +169,10 @@
         _quit(f"{error.failure.kind.value}: {error.failure.detail}", code)
     except KeyboardInterrupt:
         _quit("interrupted", EXIT_INTERRUPTED)
+    except BrokenPipeError:
+        # The interpreter flushes standard output again at its exit.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        sys.exit(EXIT_OUTPUT_CLOSED)
 
 
 def _read(arguments):
--- a/wasabipaddle/commands/cluster.py
+++ b/wasabipaddle/commands/cluster.py
@@ -10,6 +10,11 @@
 __all__ = ["ClusterCommands"]
 
 ROW = "{:24} {:22} {:6} {:9} {:>5}  {}"
+# Gossip carries only signs of life and led shards between data centres.
+FAR_NOTE = (
+    "revision and load of other data centres are those of the last summary, which "
+    "only the delegate of a data centre receives"
+)
 
 
 class ClusterCommands:
@@ -51,4 +56,6 @@
         load = f"{member['load']:.2f}"
         name, centre = member["name"], member["data_centre"]
         lines.append(ROW.format(name, centre, state, member["revision"], load, led))
+    if any(m["data_centre"] != body["data_centre"] for m in body["members"]):
+        lines.append(FAR_NOTE)
     return "\n".join(lines)
--- a/wasabipaddle/commands/tests/test_commands.py
+++ b/wasabipaddle/commands/tests/test_commands.py
@@ -2,13 +2,20 @@
 
 import asyncio
 import json
+import os
+import subprocess
+import sys
 
 import pytest
 
 from wasabipaddle.api.tests.cell import EXAMPLES, open_cell
+from wasabipaddle.clock import HybridTime
 from wasabipaddle.commands import main
+from wasabipaddle.commands.client import ApiClient, ApiReply
 from wasabipaddle.commands.exit_codes import exit_code
 from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.messages import encode
+from wasabipaddle.timeline import Event, EventKind, Timeline
 
 TOKEN = "archive-token-0001"
 FILE = str(EXAMPLES / "anniversary-pages.yaml")
@@ -149,3 +156,45 @@
         assert out.startswith("brescia-a-e1 (brescia-a, nordovest): ready")
 
     in_cell(steps)
+
+
+def test_closed_output_is_no_stack_trace():
+    """Guards against a stack trace when the reader of a pipe, as `head`, ends."""
+    reading, writing = os.pipe()
+    os.close(reading)
+    try:
+        found = subprocess.run(
+            [sys.executable, "-m", "wasabipaddle", "version"],
+            stdout=writing,
+            stderr=subprocess.PIPE,
+            check=False,
+        )
+    finally:
+        os.close(writing)
+    assert (found.returncode, found.stderr) == (141, b"")
+
+
+def test_page_of_a_time_line_replaces_its_text(command, tmp_path, monkeypatch):
+    """Guards against a terminal full of events that were asked for as a page."""
+    event = Event(
+        time=HybridTime(wall_ms=1, counter=0),
+        process="e1",
+        kind=EventKind.RUN_ENDED,
+        run="s.1",
+    )
+    found = Timeline(processes=("e1",), missing=(), events=(event,))
+
+    async def call(self, method, path, **options):
+        body = json.loads(encode(found))
+        return ApiReply(status=200, headers={}, body=body)
+
+    monkeypatch.setattr(ApiClient, "call", call)
+    line = ["timeline", "--server=http://127.0.0.1:1"]
+    page = tmp_path / "run.html"
+    code, out, _ = command(*line, f"--html={page}")
+    assert (code, out) == (0, f"{page}: 1 events\n")
+    assert "run_ended" in page.read_text()
+    code, out, _ = command(*line)
+    assert (code, out.count("run_ended")) == (0, 1)
+    code, _, err = command(*line, f"--html={tmp_path}")
+    assert (code, "cannot be written" in err) == (2, True)
--- a/wasabipaddle/commands/timeline.py
+++ b/wasabipaddle/commands/timeline.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from wasabipaddle.commands.action import Action
+from wasabipaddle.commands.action import Action, UsageError
 from wasabipaddle.commands.client import ApiClient, connection
 from wasabipaddle.timeline import (
     Timeline,
@@ -28,7 +28,7 @@
     json : bool
         Print JSON lines.
     html : str
-        File for a page; empty prints text.
+        File for a page, which is written instead of text; empty prints text.
     """
     target = connection(**place)
     params = {k: str(v) for k, v in filters.items() if v not in ("", None)}
@@ -38,9 +38,21 @@
             body = (await client.call("GET", "/v1/timeline", params=params)).body
         found = msgspec.convert(body, Timeline)
         if html:
-            title = " ".join(f"{k} {v}" for k, v in params.items()) or "all events"
-            page = render_html(found, title=f"Time line: {title}")
-            pathlib.Path(html).write_text(page, encoding="utf-8")
-        print(render_json_lines(found) if json else render_text(found))
+            _write_page(found, params, html)
+        if json:
+            print(render_json_lines(found))
+        elif html:
+            print(f"{html}: {len(found.events)} events")
+        else:
+            print(render_text(found))
 
     return Action(run=run)
+
+
+def _write_page(found, params, file):
+    title = " ".join(f"{k} {v}" for k, v in params.items()) or "all events"
+    page = render_html(found, title=f"Time line: {title}")
+    try:
+        pathlib.Path(file).write_text(page, encoding="utf-8")
+    except OSError as error:
+        raise UsageError(f"the page cannot be written: {file}") from error
--- a/wasabipaddle/demo/demo.py
+++ b/wasabipaddle/demo/demo.py
@@ -98,7 +98,7 @@
     return all(r.clean for r in results)
 
 
-def run_playground(source, *, port_offset=0, apply=False):
+def run_playground(source, *, port_offset=0, apply=False, keep=None):
     """Start one deployment with stand-ins and keep it running until a signal.
 
     Parameters
@@ -109,10 +109,13 @@
         Number that is added to every port of the example.
     apply : bool
         Apply the documents of the example.
+    keep : path or None
+        Where settings and logs of the processes are kept; None discards them.
     """
     source = pathlib.Path(source)
     with tempfile.TemporaryDirectory(prefix="wasabipaddle-") as temporary:
-        directory = pathlib.Path(temporary)
+        directory = pathlib.Path(keep or temporary)
+        directory.mkdir(parents=True, exist_ok=True)
         layout = write_layout(source, directory, port_offset=port_offset)
         asyncio.run(_stay(source, layout, directory, apply))
     print("stopped", flush=True)
@@ -129,7 +132,8 @@
         await processes.start_all()
         entries = layout.deployment.entries
         for entry in entries:
-            print(f"{entry.name:24} http://{entry.host}:{entry.api_port}")
+            pid = processes.children[entry.name].pid
+            print(f"{entry.name:24} http://{entry.host}:{entry.api_port}  pid {pid}")
         if apply:
             await _apply_examples(source, layout)
         first = entries[0]
--- a/wasabipaddle/runs/model.py
+++ b/wasabipaddle/runs/model.py
@@ -121,7 +121,10 @@
         """Return the run as callers and operators see it."""
         tasks = [
             TaskView(
-                index=t.index, attempt=t.attempt, worker=t.worker, phase=t.state.value
+                index=t.index,
+                attempt=t.attempt,
+                worker=t.worker,
+                phase=self._phase_of(t),
             )
             for t in self.tasks
         ]
@@ -138,3 +141,8 @@
             accepted_ms=self.accepted_ms,
             ended_ms=self.ended_ms,
         )
+
+    def _phase_of(self, task):
+        """Return the state of a task; one that waits in an ended run never starts."""
+        is_over = self.ended and task.state is TaskState.WAITING
+        return (TaskState.ENDED if is_over else task.state).value
