--- a/wasabipaddle/commands/cli.py
+++ b/wasabipaddle/commands/cli.py
@@ -2,11 +2,12 @@
 
 import contextlib
 import io
+import os
 import re
 import sys
 
 import fire
-from fire.decorators import SetParseFns
+from fire.decorators import SetParseFn, SetParseFns
 
 from wasabipaddle import __version__
 from wasabipaddle.commands.action import Action, UsageError, run_action
@@ -24,6 +25,7 @@
 __all__ = ["Cli", "main"]
 
 EXIT_INTERRUPTED = 130
+EXIT_OUTPUT_CLOSED = 141
 DECORATOR_GROUP = """
 GROUPS
     GROUP is one of the following:
@@ -53,21 +55,50 @@
 
         return Action(run=lambda: serve(settings, process=process))
 
-    def demo(self, examples="examples", seed=1, keep=None):
-        """Run both example deployments with faults and print the verdicts."""
+    @SetParseFns(examples=str, keep=str)
+    def demo(self, examples="examples", seed=1, keep=None, port_offset=0):
+        """Run both example deployments with faults and print the verdicts.
+
+        --port_offset N shifts every port, so that several run on one machine.
+        """
         from wasabipaddle.demo import run_demo
 
+        offset = _whole("--port_offset", port_offset)
+
         def run():
-            clean = run_demo(examples, seed=seed, keep=keep)
+            clean = run_demo(examples, seed=seed, keep=keep, port_offset=offset)
             return None if clean else EXIT_BROKEN
 
         return Action(run=run)
 
-    def playground(self, example):
-        """Start a deployment with stand-ins and keep it running until Ctrl-C."""
+    @SetParseFns(example=str, keep=str)
+    def playground(self, example, port_offset=0, apply=False, keep=None):
+        """Start a deployment with stand-ins and keep it running until Ctrl-C.
+
+        --port_offset N shifts every port, so that several run on one machine;
+        --apply applies the documents of the example; --keep DIRECTORY keeps the
+        settings and logs of the processes.
+        """
         from wasabipaddle.demo import run_playground
 
-        return Action(run=lambda: run_playground(example))
+        offset = _whole("--port_offset", port_offset)
+
+        def run():
+            run_playground(example, port_offset=offset, apply=apply, keep=keep)
+
+        return Action(run=run)
+
+    @SetParseFn(str)
+    def fault(self, target, *changes, control=""):
+        """Change the faults of the stand-ins of a playground, as KEY=VALUE.
+
+        TARGET is `store`, `vm_list`, `link` or the name of a VM. --control lists the
+        control addresses of the stand-ins, separated by commas, and defaults to
+        WASABIPADDLE_CONTROL.
+        """
+        from wasabipaddle.commands.fault import fault_action
+
+        return fault_action(target=target, changes=changes, control=control)
 
     @SetParseFns(run=str, vm=str, service=str, server=str, token_file=str)
     def timeline(
@@ -128,7 +159,9 @@
     try:
         action = _read(arguments)
         if action is not None:
-            sys.exit(run_action(action))
+            code = run_action(action)
+            sys.stdout.flush()
+            sys.exit(code)
     except UsageError as error:
         _quit(str(error), EXIT_USAGE)
     except WasabipaddleError as error:
@@ -136,6 +169,10 @@
         _quit(f"{error.failure.kind.value}: {error.failure.detail}", code)
     except KeyboardInterrupt:
         _quit("interrupted", EXIT_INTERRUPTED)
+    except BrokenPipeError:
+        # The interpreter flushes standard output again at its exit.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        sys.exit(EXIT_OUTPUT_CLOSED)
 
 
 def _read(arguments):
@@ -165,6 +202,12 @@
     return None
 
 
+def _whole(flag, value):
+    if isinstance(value, bool) or not isinstance(value, int) or value < 0:
+        raise UsageError(f"{flag} is a whole number from 0")
+    return value
+
+
 def _clean(text):
     """Remove colours, and the group that stands for decorators of `fire`."""
     text = ANSI_COLOUR.sub("", text)
