Lose no cancellation when a process stops

Cause: a process that was asked to stop after all others had gone did not end within 60 s; its listener still held the port and the next demonstration failed. Ruled out: drain limits and the store client. asyncio.wait_for of Python 3.11 drops a cancellation that meets the end of what it waits for, so the task of the shard leader went on. Change: asyncio.timeout in its place everywhere; a demonstration notices a child that has ended and always stops its children.

--- a/wasabipaddle/demo/callers.py
+++ b/wasabipaddle/demo/callers.py
@@ -63,7 +63,8 @@
 
     async def close(self):
         """Close the connections."""
-        await self.session.close()
+        if self.session is not None:
+            await self.session.close()
 
     def take_out(self, name):
         """Send nothing more to a process, as the balancer does."""
--- a/wasabipaddle/demo/demo.py
+++ b/wasabipaddle/demo/demo.py
@@ -19,7 +19,7 @@
 
 __all__ = ["DemoResult", "run_demo", "run_playground"]
 
-LOAD_S = 15.0
+LOAD_S = 13.0
 REQUEST_PERIOD_S = 0.01
 RUN_PERIOD_S = 0.25
 CANCEL_PERIOD_S = 1.5
@@ -201,9 +201,9 @@
         verdict = await control.verdict(callers.ledger.record)
         record = await control.record()
     finally:
+        await processes.stop_all()
         await callers.close()
         await control.close()
-        await processes.stop_all()
     say(", ".join(f"{k} {v}" for k, v in sorted(callers.outcomes.items())))
     executed = {e.work for e in record.executions}
     return DemoResult(
--- a/wasabipaddle/demo/processes.py
+++ b/wasabipaddle/demo/processes.py
@@ -7,6 +7,8 @@
 
 import aiohttp
 
+from wasabipaddle.exceptions import ErrorKind, Failure, WasabipaddleError
+
 __all__ = ["ProcessGroup"]
 
 READY_TIMEOUT_S = 20.0
@@ -106,6 +108,22 @@
     async def _wait_for(self, urls):
         async with aiohttp.ClientSession() as session:
             await asyncio.gather(*(_wait_until_ok(session, url) for url in urls))
+        self._check_running()
+
+    def _check_running(self):
+        """Notice a process that has ended, for example because its port is taken.
+
+        Another process that listens on that port would answer in its place.
+        """
+        ended = [
+            n
+            for n, child in self.children.items()
+            if n not in self.stopped and child.returncode is not None
+        ]
+        if ended:
+            detail = f"{', '.join(ended)} ended at once; see the logs"
+            failure = Failure(kind=ErrorKind.UNREACHABLE, detail=detail)
+            raise WasabipaddleError(failure)
 
 
 async def _wait_until_ok(session, url):
--- a/wasabipaddle/kernel/bus.py
+++ b/wasabipaddle/kernel/bus.py
@@ -90,7 +90,9 @@
         if not mailbox.offer(Envelope(message=message, reply=reply)):
             return Err(Failure(kind=ErrorKind.QUEUE_FULL, detail="mailbox is full"))
         try:
-            return await asyncio.wait_for(reply, timeout_s)
+            # wait_for of Python 3.11 loses a cancellation that meets the reply.
+            async with asyncio.timeout(timeout_s):
+                return await reply
         except TimeoutError:
             detail = f"no reply to {type(message).__name__} in {timeout_s} s"
             return Err(Failure(kind=ErrorKind.TIMEOUT, detail=detail))
--- a/wasabipaddle/routing/answers.py
+++ b/wasabipaddle/routing/answers.py
@@ -74,7 +74,8 @@
     async def next(self):
         """Return an `Ok` with the next piece, empty at the end, or an `Err`."""
         try:
-            chunk = await asyncio.wait_for(anext(self.iterator), self.progress_s)
+            async with asyncio.timeout(self.progress_s):
+                chunk = await anext(self.iterator)
         except StopAsyncIteration:
             self.ended = True
             failure = self.check.failure()
--- a/wasabipaddle/runs/leader.py
+++ b/wasabipaddle/runs/leader.py
@@ -193,7 +193,8 @@
                 Failure(kind=ErrorKind.QUEUE_FULL, detail="leader is overloaded")
             )
         try:
-            return await asyncio.wait_for(reply, timeout_s)
+            async with asyncio.timeout(timeout_s):
+                return await reply
         except TimeoutError:
             kind = ErrorKind.TIMEOUT
             if isinstance(message, SubmitRun):
@@ -222,7 +223,8 @@
 
     async def _read_messages(self):
         try:
-            envelope = await asyncio.wait_for(self.mailbox.receive(), TICK_S)
+            async with asyncio.timeout(TICK_S):
+                envelope = await self.mailbox.receive()
         except TimeoutError:
             return
         self._handle(envelope)
--- a/wasabipaddle/runs/workers.py
+++ b/wasabipaddle/runs/workers.py
@@ -228,7 +228,8 @@
         sync = self._command(commands, wait_s)
         limit = CALL_TIMEOUT_S + wait_s
         try:
-            result = await asyncio.wait_for(self.client.sync(sync), limit)
+            async with asyncio.timeout(limit):
+                result = await self.client.sync(sync)
         except TimeoutError:
             detail = f"no answer from {self.worker}"
             result = Err(Failure(kind=ErrorKind.TIMEOUT, detail=detail))
--- a/wasabipaddle/standins/exchange.py
+++ b/wasabipaddle/standins/exchange.py
@@ -43,7 +43,8 @@
     answer = loop.create_future()
     call_later(one_way_s, arrive, answer)
     try:
-        return await asyncio.wait_for(answer, timeout_s)
+        async with asyncio.timeout(timeout_s):
+            return await answer
     except TimeoutError:
         return fail(ErrorKind.TIMEOUT, f"no answer of {target}")
 
--- a/wasabipaddle/standins/store.py
+++ b/wasabipaddle/standins/store.py
@@ -154,7 +154,8 @@
 
     async def _wait(self, answer, timeout_s, kind):
         try:
-            return await asyncio.wait_for(answer, timeout_s)
+            async with asyncio.timeout(timeout_s):
+                return await answer
         except TimeoutError:
             detail = f"no answer of the store to {kind}"
             return Err(Failure(kind=ErrorKind.TIMEOUT, detail=detail))
--- a/wasabipaddle/transport/memory.py
+++ b/wasabipaddle/transport/memory.py
@@ -70,9 +70,8 @@
     async def call(self, peer, message, reply_type, *, timeout_s):
         """Deliver the message after the latency of the network."""
         try:
-            return await asyncio.wait_for(
-                self._deliver(peer, message, reply_type), timeout_s
-            )
+            async with asyncio.timeout(timeout_s):
+                return await self._deliver(peer, message, reply_type)
         except TimeoutError:
             detail = f"no reply from {peer}"
             return Err(Failure(kind=ErrorKind.TIMEOUT, detail=detail))
