--- a/wasabipaddle/clock/virtual.py
+++ b/wasabipaddle/clock/virtual.py
@@ -147,6 +147,7 @@
             return await coroutine
         finally:
             asyncio.get_running_loop().release()
+            await asyncio.sleep(0)  # what is ready now still runs
             await _cancel_leftover_tasks()
 
     with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
