Wait for the replacement of connections in its test

Cause: connections are replaced in a task beside the answer, and the test read the count before that task had run. Change: the test waits 0.1 s of virtual time; the count that it asserts is the same. Conclusion: the order of the two tasks no longer decides the verdict.

--- a/wasabipaddle/routing/tests/test_dispatcher.py
+++ b/wasabipaddle/routing/tests/test_dispatcher.py
@@ -51,6 +51,7 @@
             documents=[ONCE],
         )
         result = await bench.route()
+        await asyncio.sleep(0.1)  # connections are replaced beside the answer
         return result, bench.endpoints["e1"]
 
     result, endpoint = run_virtual(main())
