Reduce control traffic of grants, VM list and worker leases

Every idle process asked for grants twice a second and read the whole VM list each second, and each worker was polled every 3.3 s with every field spelled out. Change: grant requests every 2 s without demand, conditional reads of the VM list (the idea of entity tags is that of ADR 0071), every 3 s where the process leads nothing, messages to the platform without defaults, task leases of 20 s. A member that repeats a higher claim now counts as stopped: since heartbeats are exchanged once for each pair, a new leader could wait for that proof for ever (test_paused_leader).

--- a/wasabipaddle/membership/claims.py
+++ b/wasabipaddle/membership/claims.py
@@ -54,11 +54,23 @@
         A receiver that does not lead a shard after it was told a higher epoch cannot
         lead it under a lower one again.
         """
-        led = {s.shard for s in reply.led}
         for shard in sent.led:
-            if shard.shard not in led:
-                key = (reply.sender, reply.incarnation, shard.shard)
-                self.answered[key] = max(self.answered.get(key, 0), shard.epoch)
+            self._note_knowledge(reply, shard.shard, shard.epoch)
+
+    def note_claims(self, heartbeat):
+        """Record what the claims that a member repeats prove about itself.
+
+        Two members exchange heartbeats that only one of them begins, so a leader may
+        never get a reply from the member that it replaced.
+        """
+        for shard, (epoch, _) in heartbeat.claims.items():
+            self._note_knowledge(heartbeat, shard, epoch)
+
+    def _note_knowledge(self, heartbeat, shard, epoch):
+        if any(s.shard == shard for s in heartbeat.led):
+            return
+        key = (heartbeat.sender, heartbeat.incarnation, shard)
+        self.answered[key] = max(self.answered.get(key, 0), epoch)
 
     def has_answered(self, name, incarnation, shard, epoch) -> bool:
         """Return whether a process answered that it does not lead below `epoch`."""
--- a/wasabipaddle/membership/table.py
+++ b/wasabipaddle/membership/table.py
@@ -131,6 +131,7 @@
             self._heard_through(name, incarnation, now - max(age_s, 0.0))
         for shard, (epoch, leader) in heartbeat.claims.items():
             self.book.add(ShardClaim(shard=shard, epoch=epoch, leader=leader))
+        self.book.note_claims(heartbeat)
 
     def heard_reply(self, reply, sent, now):
         """Take over the reply to the heartbeat `sent`."""
--- a/wasabipaddle/platform/http.py
+++ b/wasabipaddle/platform/http.py
@@ -1,15 +1,33 @@
 """Calls over HTTP with JSON that the plug-ins of this package share."""
 
 import aiohttp
+import attrs
 import msgspec
 from result import Err, Ok, Result
 
 from wasabipaddle.exceptions import ErrorKind, Failure
 
-__all__ = ["HttpCaller", "decode_failure", "is_connect_error"]
+__all__ = ["Conditional", "HttpCaller", "decode_failure", "is_connect_error"]
 
 CONNECT_TIMEOUT_S = 1.0
 DEFAULT_CONNECTIONS = 64
+UNUSED_HEADERS = ("Accept", "Accept-Encoding", "User-Agent")
+
+
+@attrs.frozen(kw_only=True)
+class Conditional:
+    """Answer to a conditional read.
+
+    Parameters
+    ----------
+    value : object or None
+        Decoded answer, None if it is the one of the given entity tag.
+    etag : str
+        Entity tag of the present answer, empty if the peer gives none.
+    """
+
+    value: object
+    etag: str
 
 
 class HttpCaller:
@@ -50,7 +68,7 @@
             The answer, or an `Err`: the failure that the peer answered, the kind
             `refused` if the call was not delivered, or `timeout`.
         """
-        data = None if body is None else msgspec.json.encode(body)
+        data = None if body is None else _encode_sparse(body)
         timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
         try:
             async with self._open().request(
@@ -65,6 +83,28 @@
             return Err(decode_failure(answered))
         return _decode(answered, answer_type)
 
+    async def read_if_changed(
+        self, url, answer_type, *, timeout_s, etag=""
+    ) -> Result[Conditional, Failure]:
+        """Read an address unless its answer still has the entity tag `etag`."""
+        headers = {"If-None-Match": etag} if etag else None
+        timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
+        try:
+            async with self._open().get(
+                url, headers=headers, timeout=timeout
+            ) as response:
+                answered = await response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            kind = self.refused if is_connect_error(error) else ErrorKind.TIMEOUT
+            return Err(Failure(kind=kind, detail=f"GET {url}: {type(error).__name__}"))
+        if response.status == 304:
+            return Ok(Conditional(value=None, etag=etag))
+        if response.status != 200:
+            return Err(decode_failure(answered))
+        found = response.headers.get("ETag", "")
+        decoded = _decode(answered, answer_type)
+        return decoded.map(lambda value: Conditional(value=value, etag=found))
+
     async def close(self):
         """Close connections."""
         if self.session is not None:
@@ -73,10 +113,25 @@
     def _open(self):
         if self.session is None:
             connector = aiohttp.TCPConnector(limit=self.connections)
-            self.session = aiohttp.ClientSession(connector=connector)
+            self.session = aiohttp.ClientSession(
+                connector=connector, skip_auto_headers=UNUSED_HEADERS
+            )
         return self.session
 
 
+def _encode_sparse(message):
+    """Encode a message without the fields that have their default.
+
+    A worker gets a message every few seconds, most of which is defaults.
+    """
+    changed = {
+        f.name: value
+        for f in attrs.fields(type(message))
+        if (value := getattr(message, f.name)) != f.default
+    }
+    return msgspec.json.encode(changed)
+
+
 def is_connect_error(error) -> bool:
     """Return whether a call failed before any byte of it was written."""
     return isinstance(
--- a/wasabipaddle/platform/http_vms.py
+++ b/wasabipaddle/platform/http_vms.py
@@ -2,8 +2,10 @@
 
 import urllib.parse
 
+from result import Ok
+
 from wasabipaddle.exceptions import ErrorKind
-from wasabipaddle.platform.http import HttpCaller
+from wasabipaddle.platform.http import Conditional, HttpCaller
 from wasabipaddle.platform.vms import VmEntry, VmList
 
 __all__ = ["HttpVmList"]
@@ -25,16 +27,27 @@
     def __init__(self, *, url, timeout_s=DEFAULT_TIMEOUT_S):
         self.url = f"{url.rstrip('/')}/vms/v1"
         self.timeout_s = timeout_s
+        self.kept = {}
         self.caller = HttpCaller(connections=2, refused=ErrorKind.UNREACHABLE)
 
     async def read(self, *, data_centre=None):
-        """Return the list, of one data centre or of all."""
+        """Return the list, of one data centre or of all.
+
+        An unchanged list is not sent again, since it is read every second or so and
+        grows with the fleet.
+        """
         url = self.url
         if data_centre is not None:
             url += "?" + urllib.parse.urlencode({"data_centre": data_centre})
-        return await self.caller.call(
-            "GET", url, tuple[VmEntry, ...], timeout_s=self.timeout_s
+        kept = self.kept.get(url, Conditional(value=(), etag=""))
+        result = await self.caller.read_if_changed(
+            url, tuple[VmEntry, ...], timeout_s=self.timeout_s, etag=kept.etag
         )
+        if result.is_err():
+            return result
+        if result.unwrap().value is not None:
+            kept = self.kept[url] = result.unwrap()
+        return Ok(kept.value)
 
     async def close(self):
         """Close connections."""
--- a/wasabipaddle/serve/fleet.py
+++ b/wasabipaddle/serve/fleet.py
@@ -11,6 +11,8 @@
 __all__ = ["FleetPlugin", "FleetRead"]
 
 READ_PERIOD_S = 1.0
+# Only a leader acts on the list at once; the others use it as proof of lost VMs.
+STANDBY_READ_PERIOD_S = 3.0
 
 
 @attrs.frozen(kw_only=True)
@@ -68,7 +70,12 @@
                 self._update(result.unwrap())
             else:
                 self.context.metrics.count("vm_list_errors")
-            await asyncio.sleep(READ_PERIOD_S)
+            await asyncio.sleep(self._period_s())
+
+    def _period_s(self):
+        membership = self.context.plugins.get("membership")
+        leading = membership is not None and membership.table.local.led
+        return READ_PERIOD_S if leading else STANDBY_READ_PERIOD_S
 
     def _update(self, listed):
         entries = {e.vm: e for e in listed}
--- a/wasabipaddle/serve/routing.py
+++ b/wasabipaddle/serve/routing.py
@@ -199,7 +199,6 @@
         return True
 
     async def _ask_for_grants(self, shard):
-        period_s = self.settings.routing.grant_period_s
         answered = True
         while True:
             previous = answered
@@ -208,12 +207,19 @@
                 word = "answers" if answered else "does not answer"
                 logging.info("leader of shard %s %s", shard, word)
             await asyncio.sleep(MIN_GRANT_INTERVAL_S)
-            pause_s = period_s * self.context.random.uniform(0.9, 1.1)
+            pause_s = self._grant_period_s() * self.context.random.uniform(0.9, 1.1)
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(pause_s - MIN_GRANT_INTERVAL_S):
                     await self.wakes[shard].wait()
             self.wakes[shard].clear()
 
+    def _grant_period_s(self):
+        routing = self.settings.routing
+        demand = self.dispatcher.demand()
+        if any(d.in_progress or d.queued for d in demand):
+            return routing.grant_period_s
+        return routing.grant_idle_period_s
+
     async def _read_mailbox(self):
         while True:
             envelope = await self.mailbox.receive()
--- a/wasabipaddle/settings/loader.py
+++ b/wasabipaddle/settings/loader.py
@@ -57,6 +57,7 @@
     ("RoutingSettings", "queue_bytes"): POSITIVE,
     ("RoutingSettings", "grant_s"): PERIOD,
     ("RoutingSettings", "grant_period_s"): PERIOD,
+    ("RoutingSettings", "grant_idle_period_s"): PERIOD,
     ("RoutingSettings", "progress_s"): PERIOD,
     ("RoutingSettings", "buffer_bytes"): Bounds(high=1_073_741_824),
 }
--- a/wasabipaddle/settings/model.py
+++ b/wasabipaddle/settings/model.py
@@ -246,7 +246,7 @@
     """
 
     lease_s: float = 2.0
-    task_lease_s: float = 10.0
+    task_lease_s: float = 20.0
     drift: float = 0.01
 
 
@@ -303,7 +303,9 @@
     grant_s : float
         Life of a slot grant.
     grant_period_s : float
-        Time between two grant requests.
+        Time between two grant requests while there is demand.
+    grant_idle_period_s : float
+        Time between two grant requests without demand.
     progress_s : float
         Longest silence of a connection with a request in progress.
     buffer_bytes : int
@@ -312,8 +314,9 @@
 
     queue_requests: int = 2_000
     queue_bytes: int = 33_554_432
-    grant_s: float = 3.0
+    grant_s: float = 6.0
     grant_period_s: float = 0.5
+    grant_idle_period_s: float = 2.0
     progress_s: float = 1.0
     buffer_bytes: int = 65_536
 
--- a/wasabipaddle/standins/servers.py
+++ b/wasabipaddle/standins/servers.py
@@ -1,6 +1,7 @@
 """HTTP servers around the in-memory store, workers and list of VMs."""
 
 import msgspec
+import xxhash
 from aiohttp import web
 
 from wasabipaddle.exceptions import ErrorKind, Failure
@@ -83,7 +84,14 @@
 
     async def serve(request):
         centre = request.query.get("data_centre")
-        return await result_response(request, await vms.read(data_centre=centre))
+        response = await result_response(request, await vms.read(data_centre=centre))
+        if response.status != 200:
+            return response
+        etag = f'"{xxhash.xxh3_64_hexdigest(response.body)}"'
+        if request.headers.get("If-None-Match") == etag:
+            return web.Response(status=304, headers={"ETag": etag})
+        response.headers["ETag"] = etag
+        return response
 
     return [web.get("/vms/v1", serve)]
 
