--- a/wasabipaddle/commands/cluster.py
+++ b/wasabipaddle/commands/cluster.py
@@ -50,7 +50,7 @@
         )
     for member in body["members"]:
         state = "live" if member["live"] else "down"
-        if member["draining"]:
+        if member["live"] and member["draining"]:
             state = "leaves"
         led = ", ".join(f"{s['shard']}@{s['epoch']}" for s in member["led"])
         load = f"{member['load']:.2f}"
--- a/wasabipaddle/commands/tests/test_commands.py
+++ b/wasabipaddle/commands/tests/test_commands.py
@@ -198,3 +198,23 @@
     assert (code, out.count("run_ended")) == (0, 1)
     code, _, err = command(*line, f"--html={tmp_path}")
     assert (code, "cannot be written" in err) == (2, True)
+
+
+def test_a_process_that_left_is_down(command, monkeypatch):
+    """Guards against a stopped process that is shown as leaving for ever."""
+    member = {"data_centre": "a", "revision": 1, "load": 0.0, "led": []}
+    states = {"p1": (True, False), "p2": (True, True), "p3": (False, True)}
+    body = {"process": "p1", "data_centre": "a", "region": "r", "revision": 1}
+    body |= {"ready": True, "reasons": [], "members_error": ""}
+    body["members"] = [
+        member | {"name": name, "live": live, "draining": draining}
+        for name, (live, draining) in states.items()
+    ]
+
+    async def call(self, method, path, **options):
+        return ApiReply(status=200, headers={}, body=body)
+
+    monkeypatch.setattr(ApiClient, "call", call)
+    _, out, _ = command("cluster", "status", "--server=http://127.0.0.1:1")
+    shown = [line.split()[2] for line in out.splitlines()[2:]]
+    assert shown == ["live", "leaves", "down"]
--- a/wasabipaddle/serve/timeline.py
+++ b/wasabipaddle/serve/timeline.py
@@ -46,7 +46,7 @@
         pages = await asyncio.gather(*(self._ask(name, query) for name in names))
         found = {n: p.events for n, p in zip(names, pages, strict=True) if p}
         missing = [n for n in names if n not in found]
-        return merge_events(found, missing=missing)
+        return merge_events(found, missing=missing, limit=query.limit)
 
     async def _ask(self, name, query):
         if name == self.context.settings.process:
--- a/wasabipaddle/timeline/merge.py
+++ b/wasabipaddle/timeline/merge.py
@@ -31,7 +31,7 @@
     missing: tuple[str, ...] = ()
 
 
-def merge_events(by_process, *, missing=()) -> Timeline:
+def merge_events(by_process, *, missing=(), limit=None) -> Timeline:
     """Merge the events of each process.
 
     Parameters
@@ -40,10 +40,13 @@
         Events of each process that answered.
     missing : sequence of str
         Processes that did not answer.
+    limit : int or None
+        Largest number of events; the latest are kept. None keeps all.
     """
     ordered = [sorted(events, key=_sort_key) for events in by_process.values()]
+    merged = tuple(heapq.merge(*ordered, key=_sort_key))
     return Timeline(
-        events=tuple(heapq.merge(*ordered, key=_sort_key)),
+        events=merged if limit is None else merged[-limit:],
         processes=tuple(sorted(by_process)),
         missing=tuple(sorted(missing)),
     )
--- a/wasabipaddle/timeline/tests/test_timeline.py
+++ b/wasabipaddle/timeline/tests/test_timeline.py
@@ -57,3 +57,10 @@
     for _ in range(100):
         ring.record(EventKind.MEMBER_UP)
     assert len(ring.events) == 10
+
+
+def test_limit_counts_the_events_of_all_processes(timeline):
+    """Guards against a limit that every process applies for itself."""
+    by_process = {e.process: [e] for e in timeline.events}
+    assert len(by_process) == 2
+    assert merge_events(by_process, limit=1).events == timeline.events[-1:]
