--- a/wasabipaddle/clock/__init__.py
+++ b/wasabipaddle/clock/__init__.py
@@ -3,7 +3,12 @@
 from wasabipaddle.clock.clocks import Clock, LoopClock, ManualClock
 from wasabipaddle.clock.hybrid import HybridClock, HybridTime
 from wasabipaddle.clock.timers import TimerService
-from wasabipaddle.clock.virtual import VirtualTimeLoop, process_context, run_virtual
+from wasabipaddle.clock.virtual import (
+    VirtualTimeLoop,
+    cancel_leftover_tasks,
+    process_context,
+    run_virtual,
+)
 
 __all__ = [
     "Clock",
@@ -13,6 +18,7 @@
     "ManualClock",
     "TimerService",
     "VirtualTimeLoop",
+    "cancel_leftover_tasks",
     "process_context",
     "run_virtual",
 ]
--- a/wasabipaddle/clock/virtual.py
+++ b/wasabipaddle/clock/virtual.py
@@ -9,7 +9,12 @@
 import contextvars
 import selectors
 
-__all__ = ["VirtualTimeLoop", "process_context", "run_virtual"]
+__all__ = [
+    "VirtualTimeLoop",
+    "cancel_leftover_tasks",
+    "process_context",
+    "run_virtual",
+]
 
 CANCEL_ROUNDS = 20
 CANCEL_ROUND_S = 0.1
@@ -147,13 +152,13 @@
             return await coroutine
         finally:
             asyncio.get_running_loop().release()
-            await _cancel_leftover_tasks()
+            await cancel_leftover_tasks()
 
     with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
         return runner.run(main())
 
 
-async def _cancel_leftover_tasks():
+async def cancel_leftover_tasks():
     """Cancel all other tasks, again while any is left.
 
     `asyncio.wait_for` loses a cancellation that meets the end of what it waits for,
--- /dev/null
+++ b/wasabipaddle/fuzz/__init__.py
@@ -0,0 +1,15 @@
+"""Stateful fuzzing of a whole cell against a simple oracle."""
+
+from wasabipaddle.fuzz.history import Edit, History, Reach, Request, SubmittedRun
+from wasabipaddle.fuzz.oracle import INVARIANTS, Broken, find_broken
+
+__all__ = [
+    "INVARIANTS",
+    "Broken",
+    "Edit",
+    "History",
+    "Reach",
+    "Request",
+    "SubmittedRun",
+    "find_broken",
+]
--- /dev/null
+++ b/wasabipaddle/fuzz/driver.py
@@ -0,0 +1,77 @@
+"""Runs the state machine for a number of examples or for a time."""
+
+import time
+
+import attrs
+import hypothesis
+from hypothesis import HealthCheck, Phase
+from hypothesis.stateful import run_state_machine_as_test
+
+from wasabipaddle.fuzz.machine import CellMachine
+
+__all__ = ["FuzzResult", "fuzz"]
+
+EXAMPLES_PER_SEED = 5
+STEPS = 30
+
+
+@attrs.frozen(kw_only=True)
+class FuzzResult:
+    """Result of a fuzz run.
+
+    Parameters
+    ----------
+    seeds : int
+        Seeds that were used.
+    seed : int or None
+        Seed that broke an invariant, None if all hold.
+    report : str
+        The broken invariant and the shortest failing run.
+    """
+
+    seeds: int
+    seed: int | None = None
+    report: str = ""
+
+
+def fuzz(*, seconds, seed, machine=CellMachine, clock=time.monotonic) -> FuzzResult:
+    """Run new seeds until the time is over or an invariant breaks.
+
+    The seed in progress is finished, and a failing run is shortened first.
+
+    Parameters
+    ----------
+    seconds : float
+        Time after which no new seed is started.
+    seed : int
+        First seed; the following ones count up from it.
+    """
+    until = clock() + seconds
+    used = 0
+    while used == 0 or clock() < until:
+        report = run_seed(seed + used, machine=machine)
+        used += 1
+        if report:
+            return FuzzResult(seeds=used, seed=seed + used - 1, report=report)
+    return FuzzResult(seeds=used)
+
+
+def run_seed(seed, *, machine=CellMachine, examples=EXAMPLES_PER_SEED) -> str:
+    """Run the examples of one seed and return a report if one fails."""
+    settings = hypothesis.settings(
+        max_examples=examples,
+        stateful_step_count=STEPS,
+        derandomize=False,
+        database=None,
+        deadline=None,
+        print_blob=False,
+        phases=(Phase.generate, Phase.shrink),
+        suppress_health_check=list(HealthCheck),
+    )
+    seeded = hypothesis.seed(seed)(type(machine.__name__, (machine,), {}))
+    try:
+        run_state_machine_as_test(seeded, settings=settings)
+    except Exception as error:  # every exception is a finding
+        lines = [f"{type(error).__name__}: {error}", *getattr(error, "__notes__", ())]
+        return "\n".join(lines)
+    return ""
--- /dev/null
+++ b/wasabipaddle/fuzz/faults.py
@@ -0,0 +1,244 @@
+"""Faults of a fuzzed cell, each of which can be ended."""
+
+import asyncio
+
+from wasabipaddle.fuzz.history import Leave
+from wasabipaddle.platform import VmStatus
+from wasabipaddle.standins import Broken
+
+__all__ = ["ENDPOINT_FAULTS", "STORE_FAULTS", "WORKER_FAULTS", "Faults"]
+
+STORE_FAULTS = {
+    "down": {"down": True},
+    "hang": {"hang": True},
+    "slow": {"extra_latency_s": 0.5},
+    "lost_call": {"lost_call": 0.2},
+    "lost_answer": {"lost_answer": 0.2},
+    "up": {},
+}
+STORE_UP = {
+    "down": False,
+    "hang": False,
+    "extra_latency_s": 0.0,
+    "lost_call": 0.0,
+    "lost_answer": 0.0,
+}
+WORKER_FAULTS = {
+    "fails_starts": {"fails_starts": True},
+    "silent": {"silent": True},
+    "paused": {"paused": True},
+    "unreachable": {"unreachable": True},
+    "lost_answer": {"lost_answer": 0.5},
+    "slow": {"extra_latency_s": 0.3},
+    "up": {},
+}
+WORKER_UP = {
+    "fails_starts": False,
+    "silent": False,
+    "paused": False,
+    "unreachable": False,
+    "lost_answer": 0.0,
+    "extra_latency_s": 0.0,
+}
+ENDPOINT_FAULTS = {
+    "failing": {"failing": True},
+    "late": {"late_s": 2.0},
+    "silent": {"silent": True},
+    "short": {"broken": Broken.SHORT},
+    "stall": {"broken": Broken.STALL},
+    "digest": {"broken": Broken.DIGEST},
+    "other": {"broken": Broken.OTHER},
+    "lost_answer": {"lost_answer": 0.5},
+    "unreachable": {"unreachable": True},
+    "up": {},
+}
+ENDPOINT_UP = {
+    "failing": False,
+    "late_s": 0.0,
+    "silent": False,
+    "broken": Broken.NO,
+    "lost_answer": 0.0,
+    "unreachable": False,
+}
+# A VM that leaves ends after this time; every request has a shorter deadline.
+LEAVE_GRACE_S = 20.0
+
+
+class Faults:
+    """Injects and ends faults.
+
+    Parameters
+    ----------
+    cell : FuzzCell
+        The cell.
+    """
+
+    def __init__(self, *, cell):
+        self.cell = cell
+        self.lost = {}
+        self.left = {}
+
+    # Entry processes
+
+    async def kill(self, name):
+        """End a process without warning."""
+        if name in self.cell.processes:
+            await self.cell.kill(name)
+            self.cell.update_reach()
+
+    async def pause(self, name):
+        """Suspend a process without warning."""
+        process = self.cell.processes.get(name)
+        if process is not None and not process.paused:
+            await process.pause()
+            self.cell.update_reach()
+
+    async def resume(self, name):
+        """Let a suspended process go on."""
+        process = self.cell.processes.get(name)
+        if process is not None and process.paused:
+            await process.resume()
+            self.cell.update_reach()
+
+    async def restart(self, name):
+        """Start a process that was killed or has stopped."""
+        if name not in self.cell.processes:
+            await self.cell.start_process(name)
+
+    def drain(self, name):
+        """Begin a planned stop of a process."""
+        process = self.cell.processes.get(name)
+        if process is None or process.paused or process.draining:
+            return
+        process.draining = True
+        self.cell.update_reach()
+        self.cell.spawn(self._drain(process))
+
+    async def _drain(self, process):
+        await process.drain()
+        if process.dead.done() or process.paused:
+            return
+        for request in self.cell.history.requests:
+            if request.process == process.identity and request.result is None:
+                request.stopped = True
+        await self.cell.kill(process.name)
+        self.cell.update_reach()
+
+    # Network
+
+    def isolate(self, data_centre):
+        """Cut a data centre off from the others and from the store."""
+        self.cell.isolate(data_centre)
+        self.cell.isolated.add(data_centre)
+        self.cell.update_reach()
+
+    def part(self, one, other):
+        """Cut two data centres off from each other."""
+        centres = self.cell.centre_of
+        ours = [n for n, c in centres.items() if c == one]
+        others = [n for n, c in centres.items() if c == other]
+        self.cell.cut(ours, others)
+
+    def cut_vms(self, process, vms):
+        """Cut a process off from workers or endpoints."""
+        self.cell.partition([process], vms)
+
+    def heal(self):
+        """Reconnect everything."""
+        self.cell.heal()
+        self.cell.isolated.clear()
+        self.cell.update_reach()
+
+    # Platform
+
+    def set_store(self, fault):
+        """Put the store in one state."""
+        self.cell.store.set_faults(**(STORE_UP | STORE_FAULTS[fault]))
+        self.cell.update_reach()
+
+    def set_vm_list(self, down):
+        """Let the VM list be down, or bring it back."""
+        self.cell.vms.set_faults(down=down)
+
+    def set_worker(self, vm, fault):
+        """Put a worker in one state."""
+        self.cell.workers[vm].set_faults(**(WORKER_UP | WORKER_FAULTS[fault]))
+
+    def lose_worker(self, vm):
+        """Let the VM of a worker fail."""
+        if vm not in self.lost:
+            self.cell.lose_worker(vm)
+            self.lost[vm] = asyncio.get_running_loop().time()
+
+    def return_worker(self, vm):
+        """Bring the VM of a worker back, empty.
+
+        The platform gives a name to a new VM only after the list has shown the loss
+        of the old one for long enough to be read; a list that is down delays it.
+        """
+        listed_s = self.lost.get(vm)
+        now = asyncio.get_running_loop().time()
+        faults = self.cell.vms.faults
+        if listed_s is None or faults.down or now < listed_s + 3 * self.cell.vms.lag_s:
+            return
+        del self.lost[vm]
+        self.cell.workers[vm].set_faults(gone=False)
+        self.cell.vms.set_status(vm, VmStatus.LIVE)
+
+    def set_endpoint(self, vm, fault):
+        """Put an endpoint in one state."""
+        self.cell.endpoints[vm].set_faults(**(ENDPOINT_UP | ENDPOINT_FAULTS[fault]))
+
+    def silence_connections(self, vm):
+        """Make the open connections of an endpoint stall."""
+        self.cell.endpoints[vm].silence_connections()
+
+    def leave_endpoint(self, vm):
+        """Begin a planned departure of an endpoint, which goes on to accept work."""
+        if vm in self.left or self.cell.vms.faults.down:
+            return
+        now = asyncio.get_running_loop().time()
+        leave = Leave(endpoint=vm, listed_s=now + self.cell.vms.lag_s)
+        self.left[vm] = leave
+        self.cell.history.leaves.append(leave)
+        self.cell.vms.set_status(vm, VmStatus.LEAVING)
+        self.cell.spawn(self._end_endpoint(vm))
+
+    async def _end_endpoint(self, vm):
+        await asyncio.sleep(LEAVE_GRACE_S)
+        self.cell.endpoints[vm].leave()
+        self.cell.vms.set_status(vm, VmStatus.GONE)
+
+    def return_endpoint(self, vm):
+        """Bring an endpoint back after its departure."""
+        leave = self.left.get(vm)
+        if leave is None or not self.cell.endpoints[vm].faults.gone:
+            return
+        del self.left[vm]
+        leave.until_s = asyncio.get_running_loop().time()
+        self.cell.endpoints[vm].set_faults(gone=False, draining=False)
+        self.cell.vms.set_status(vm, VmStatus.LIVE)
+
+    # End
+
+    async def end_all(self):
+        """End every fault, so that all accepted work has to end."""
+        cell = self.cell
+        self.set_store("up")
+        self.set_vm_list(False)
+        self.heal()
+        for vm in cell.workers:
+            self.set_worker(vm, "up")
+        for vm in cell.endpoints:
+            self.set_endpoint(vm, "up")
+        for name in sorted(cell.centre_of):
+            await self.resume(name)
+        await asyncio.sleep(LEAVE_GRACE_S + 2 * cell.vms.lag_s)
+        while any(p.draining for p in cell.processes.values()):
+            await asyncio.sleep(1.0)
+        for name in sorted(cell.centre_of):
+            await self.restart(name)
+        for vm in list(self.lost):
+            self.return_worker(vm)
+        for vm in list(self.left):
+            self.return_endpoint(vm)
--- /dev/null
+++ b/wasabipaddle/fuzz/machine.py
@@ -0,0 +1,235 @@
+"""State machine that drives a whole cell through work and faults."""
+
+import asyncio
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from wasabipaddle.clock import VirtualTimeLoop, cancel_leftover_tasks
+from wasabipaddle.fuzz.cell import REQUEST_SERVICES, SERVICES, FuzzCell
+from wasabipaddle.fuzz.faults import (
+    ENDPOINT_FAULTS,
+    STORE_FAULTS,
+    WORKER_FAULTS,
+    Faults,
+)
+from wasabipaddle.fuzz.oracle import find_broken
+
+__all__ = ["CellMachine", "InvariantBroken"]
+
+SETTLE_S = 6.0
+STEP_S = 0.05
+
+ENTRIES = st.sampled_from([f"e{i:02d}" for i in range(5)])
+CENTRES = st.sampled_from([f"dc{i}" for i in range(3)])
+WORKERS = st.builds("dc{}-w{:03d}".format, st.integers(0, 2), st.integers(0, 2))
+ENDPOINTS = st.builds("dc{}-p{:03d}".format, st.integers(0, 2), st.integers(0, 1))
+RUN_TIMES = st.sampled_from([0.5, 3.0, 12.0])
+SERVICE_TIMES = st.sampled_from([0.01, 0.5, 4.0])
+ANSWER_BYTES = st.sampled_from([0, 64, 200_000])
+
+
+class InvariantBroken(AssertionError):
+    """An invariant of the oracle does not hold."""
+
+
+class CellMachine(RuleBasedStateMachine):
+    """Drives one cell, with one loop on virtual time for each example.
+
+    Attributes
+    ----------
+    cell_type : type
+        Cell under test; a test replaces it to break the system on purpose.
+    """
+
+    cell_type = FuzzCell
+
+    def __init__(self):
+        super().__init__()
+        self.runner = asyncio.Runner(loop_factory=VirtualTimeLoop)
+        self.runner.run(self._start())
+
+    async def _start(self):
+        self.cell = self.cell_type()
+        self.faults = Faults(cell=self.cell)
+        await self.cell.start()
+        await asyncio.sleep(SETTLE_S)
+
+    def do(self, function, *args, **options):
+        """Call a function on the loop of the cell and let a moment pass."""
+
+        async def call():
+            result = function(*args, **options)
+            if asyncio.iscoroutine(result):
+                await result
+            await asyncio.sleep(STEP_S)
+
+        self.runner.run(call())
+
+    @invariant()
+    def holds(self):
+        """Compare the cell with the oracle."""
+        self.check()
+
+    def check(self):
+        """Raise `InvariantBroken` with the first break that the oracle finds."""
+        broken = find_broken(self.cell.history)
+        if broken:
+            first = broken[0]
+            raise InvariantBroken(f"{first.invariant}: {first.detail}")
+
+    def teardown(self):
+        """End all faults, check liveness and close the loop."""
+        try:
+            self.runner.run(self._finish())
+            self.check()
+        finally:
+            self.runner.run(self._close())
+            self.runner.close()
+
+    async def _finish(self):
+        await self.faults.end_all()
+        await self.cell.finish()
+        self.cell.close_reach()
+
+    async def _close(self):
+        asyncio.get_running_loop().release()
+        await cancel_leftover_tasks()
+
+    # Work
+
+    @rule(entry=ENTRIES, service=st.sampled_from(sorted(SERVICES)), run_s=RUN_TIMES)
+    def submit(self, entry, service, run_s):
+        """Submit a run; a long-running service ends only when it is stopped."""
+        if entry in self.cell.processes:
+            run_s = None if service == "watch" else run_s
+            self.do(self.cell.submit_run, entry, service, run_s=run_s)
+
+    @rule(entry=ENTRIES, number=st.integers(0, 5))
+    def submit_again(self, entry, number):
+        """Repeat an earlier submission at any process."""
+        runs = self.cell.history.runs
+        if entry in self.cell.processes and number < len(runs):
+            self.do(self.cell.submit_again, entry, runs[-1 - number])
+
+    @rule(entry=ENTRIES, number=st.integers(0, 5), cancel=st.booleans())
+    def release(self, entry, number, cancel):
+        """Cancel or stop an earlier run."""
+        runs = self.cell.history.runs
+        if entry in self.cell.processes and number < len(runs):
+            self.do(self.cell.release, entry, runs[-1 - number], cancel=cancel)
+
+    @rule(
+        entry=ENTRIES,
+        service=st.sampled_from(sorted(REQUEST_SERVICES)),
+        service_s=SERVICE_TIMES,
+        answer_bytes=ANSWER_BYTES,
+        count=st.integers(1, 8),
+    )
+    def request(self, entry, service, service_s, answer_bytes, count):
+        """Send requests to one process."""
+        if entry not in self.cell.processes:
+            return
+        for _ in range(count):
+            self.do(
+                self.cell.send_request,
+                entry,
+                service,
+                service_s=service_s,
+                answer_bytes=answer_bytes,
+            )
+
+    @rule(service=st.sampled_from([*SERVICES, *REQUEST_SERVICES]), both=st.booleans())
+    def edit(self, service, both):
+        """Edit a document from one operator or from two at the same time."""
+        for operator in range(1 + both):
+            self.cell_call(self.cell.edit, operator, service)
+        self.do(lambda: None)
+
+    def cell_call(self, function, *args):
+        """Call a function on the loop of the cell without letting time pass."""
+
+        async def call():
+            function(*args)
+
+        self.runner.run(call())
+
+    @rule(duration_s=st.sampled_from([0.2, 1.0, 3.0, 8.0, 15.0, 30.0]))
+    def wait(self, duration_s):
+        """Let time pass."""
+        self.do(asyncio.sleep, duration_s)
+
+    # Faults
+
+    @rule(
+        entry=ENTRIES,
+        fault=st.sampled_from(["kill", "pause", "resume", "restart", "drain"]),
+    )
+    def entry_fault(self, entry, fault):
+        """Kill, suspend, resume, restart or drain an entry process."""
+        self.do(getattr(self.faults, fault), entry)
+
+    @rule(shard=CENTRES, fault=st.sampled_from(["kill", "pause", "drain"]))
+    def leader_fault(self, shard, fault):
+        """Kill, suspend or drain the leader of a shard."""
+        leaders = self.cell.leaders(f"{shard}-0")
+        if leaders:
+            self.do(getattr(self.faults, fault), leaders[0].name)
+
+    @rule(centre=CENTRES)
+    def isolate(self, centre):
+        """Cut a data centre off from the others and from the store."""
+        self.do(self.faults.isolate, centre)
+
+    @rule(one=CENTRES, other=CENTRES)
+    def part(self, one, other):
+        """Cut two data centres off from each other."""
+        if one != other:
+            self.do(self.faults.part, one, other)
+
+    @rule(entry=ENTRIES, vm=st.one_of(WORKERS, ENDPOINTS))
+    def cut_vm(self, entry, vm):
+        """Cut a process off from a worker or an endpoint."""
+        self.do(self.faults.cut_vms, entry, [vm])
+
+    @rule()
+    def heal(self):
+        """Reconnect everything."""
+        self.do(self.faults.heal)
+
+    @rule(fault=st.sampled_from(sorted(STORE_FAULTS)))
+    def store(self, fault):
+        """Put the store in one state."""
+        self.do(self.faults.set_store, fault)
+
+    @rule(down=st.booleans())
+    def vm_list(self, down):
+        """Let the VM list be down, or bring it back."""
+        self.do(self.faults.set_vm_list, down)
+
+    @rule(vm=WORKERS, fault=st.sampled_from(sorted(WORKER_FAULTS)))
+    def worker(self, vm, fault):
+        """Put a worker in one state."""
+        self.do(self.faults.set_worker, vm, fault)
+
+    @rule(vm=WORKERS, back=st.booleans())
+    def worker_vm(self, vm, back):
+        """Lose the VM of a worker, or bring it back."""
+        change = self.faults.return_worker if back else self.faults.lose_worker
+        self.do(change, vm)
+
+    @rule(vm=ENDPOINTS, fault=st.sampled_from(sorted(ENDPOINT_FAULTS)))
+    def endpoint(self, vm, fault):
+        """Put an endpoint in one state."""
+        self.do(self.faults.set_endpoint, vm, fault)
+
+    @rule(vm=ENDPOINTS)
+    def stall(self, vm):
+        """Make the open connections of an endpoint stall."""
+        self.do(self.faults.silence_connections, vm)
+
+    @rule(vm=ENDPOINTS, back=st.booleans())
+    def endpoint_vm(self, vm, back):
+        """Begin the planned departure of an endpoint, or bring it back."""
+        change = self.faults.return_endpoint if back else self.faults.leave_endpoint
+        self.do(change, vm)
--- /dev/null
+++ b/wasabipaddle/fuzz/oracle.py
@@ -0,0 +1,203 @@
+"""Oracle of the invariants over the ledger and over what callers were told.
+
+Each function yields one line for each break of its invariant.
+"""
+
+import collections
+import itertools
+
+import attrs
+
+from wasabipaddle.documents import Resources
+from wasabipaddle.exceptions import Outcome
+from wasabipaddle.messages import RunOutcome
+from wasabipaddle.standins import CutOffCause, Discard, WorkKind
+
+__all__ = ["INVARIANTS", "Broken", "find_broken"]
+
+LEAVE_BOUND_S = 3.0
+IN_FORCE_BOUND_S = 19.0
+
+
+@attrs.frozen(kw_only=True)
+class Broken:
+    """An invariant that does not hold."""
+
+    invariant: str
+    detail: str
+
+
+def no_vm_overfilled(history):
+    """Yield VMs that held more than their size at some time (invariant 1)."""
+    ledger = history.ledger
+    for place, found in _group(ledger.executions, "place").items():
+        for at in found:
+            running = [e for e in found if e.started_s <= at.started_s < _end(e)]
+            held = sum((e.needs for e in running), Resources())
+            slots = sum(e.kind is WorkKind.REQUEST for e in running)
+            capacity = ledger.capacities.get(place, held)
+            if not held.fits(capacity) or slots > ledger.slots.get(place, slots):
+                yield f"{place} holds {held} and {slots} requests at {at.started_s:.3f}"
+
+
+def no_task_in_two_places(history):
+    """Yield tasks with two executions at one time (invariant 2)."""
+    for work, found in _group(_tasks(history), "work").items():
+        for one, other in itertools.combinations(found, 2):
+            later = max(one.started_s, other.started_s)
+            if later < min(_end(one), _end(other)):
+                yield f"{work} runs on {one.place} and {other.place} at {later:.3f}"
+
+
+def answers_are_whole(history):
+    """Yield requests whose answer is not their own and whole (invariant 3)."""
+    for request in history.requests:
+        if request.result is not None and request.result.is_ok():
+            pattern = f"{request.request}\n".encode()
+            repeats = request.answer_bytes // len(pattern) + 1
+            if request.result.unwrap() != (pattern * repeats)[: request.answer_bytes]:
+                yield f"{request.request} got {request.result.unwrap()[:60]!r}"
+
+
+def refusals_are_true(history):
+    """Yield work that ran in spite of an answer "not run" (invariant 4)."""
+    executed = {e.work for e in history.ledger.executions}
+    started = {e.work.partition("/")[0] for e in _tasks(history)}
+    for request in history.requests:
+        if request.result is not None and request.result.is_err():
+            failure = request.result.unwrap_err()
+            if failure.outcome is Outcome.NOT_RUN and request.request in executed:
+                yield f"{request.request} was refused with {failure}"
+    for run in history.runs:
+        doubtful = run.runs or run.waiting
+        refused = all(f.outcome is Outcome.NOT_RUN for f in run.refusals)
+        if run.key in started and refused and not doubtful:
+            yield f"{run.key} was refused with {run.refusals}"
+
+
+def non_idempotent_runs_once(history):
+    """Yield non-idempotent requests that ran more than once (invariant 5)."""
+    found = _group(history.ledger.executions, "work")
+    for request in history.requests:
+        places = [e.place for e in found.get(request.request, ())]
+        if len(places) > 1 and not request.idempotent:
+            yield f"{request.request} ran on {places}"
+
+
+def leaving_endpoint_gets_no_work(history):
+    """Yield requests that started too late on a leaving endpoint (invariant 6)."""
+    found = _group(history.ledger.executions, "place")
+    for leave in history.leaves:
+        for execution in found.get(leave.endpoint, ()):
+            late_s = execution.started_s - leave.listed_s
+            if late_s > LEAVE_BOUND_S and execution.started_s < leave.until_s:
+                yield f"{execution.work} starts {late_s:.2f} s late on {leave.endpoint}"
+
+
+def planned_stop_cuts_nothing_off(history):
+    """Yield requests that a planned stop cut off (invariant 7)."""
+    for cut in history.ledger.cut_offs:
+        if cut.cause is CutOffCause.PLANNED_STOP:
+            yield f"{cut.request} was cut off by the stop of {cut.place}"
+    for request in history.requests:
+        if request.stopped:
+            yield f"{request.request} was cut off by the stop of {request.process}"
+
+
+def documents_come_into_force(history):
+    """Yield edits that were late or reverted on a process (invariant 8)."""
+    applied = _group(history.applied, "process")
+    for process, found in applied.items():
+        for service, steps in _group(found, "service").items():
+            for before, after in itertools.pairwise(steps):
+                if after.revision <= before.revision:
+                    yield f"{service} reverts to {after.revision} on {process}"
+    for edit, reach in itertools.product(history.edits, history.reaches):
+        due_s = max(edit.time_s, reach.since_s) + IN_FORCE_BOUND_S
+        if due_s < reach.until_s and not any(
+            a.service == edit.service
+            and a.revision >= edit.revision
+            and a.time_s <= due_s
+            for a in applied.get(reach.process, ())
+        ):
+            yield f"{edit.service} {edit.revision} is late on {reach.process}"
+
+
+def documents_are_the_same(history):
+    """Yield processes that differ from the store at the end."""
+    if history.ended:
+        stored = history.revisions["store"]
+        for process, found in history.revisions.items():
+            if found != stored:
+                yield f"{process} has {found}, the store {stored}"
+
+
+def accepted_work_ends(history):
+    """Yield accepted runs that are lost, doubled or without a true outcome."""
+    tasks = _group(_tasks(history), "work")
+    for run in history.runs:
+        if len(run.runs) > 1:
+            yield f"{run.key} became the runs {sorted(run.runs)}"
+        works = [f"{run.key}/{i}" for i in range(run.tasks)]
+        done = [[e for e in tasks.get(w, ()) if e.completed] for w in works]
+        if any(sum(e.discarded is None for e in d) > 1 for d in done):
+            yield f"{run.key} completed twice"
+        if not history.ended or not run.runs:
+            continue
+        lost = any(
+            all(e.discarded is Discard.VM_GONE for e in executions)
+            for executions in done
+        )
+        if run.outcome is RunOutcome.COMPLETED and lost:
+            yield f"{run.key} is reported as completed and is not"
+        if run.outcome is None or (
+            run.outcome is not RunOutcome.COMPLETED and not run.released
+        ):
+            yield f"{run.key} of {run.service} ends as {run.outcome}"
+
+
+def accepted_requests_are_answered(history):
+    """Yield requests without any answer at the end."""
+    if history.ended:
+        for request in history.requests:
+            if request.result is None:
+                yield f"{request.request} has no answer"
+
+
+INVARIANTS = (
+    no_vm_overfilled,
+    no_task_in_two_places,
+    answers_are_whole,
+    refusals_are_true,
+    non_idempotent_runs_once,
+    leaving_endpoint_gets_no_work,
+    planned_stop_cuts_nothing_off,
+    documents_come_into_force,
+    documents_are_the_same,
+    accepted_work_ends,
+    accepted_requests_are_answered,
+)
+
+
+def find_broken(history) -> list[Broken]:
+    """Return every break of an invariant in a `History`."""
+    return [
+        Broken(invariant=check.__name__, detail=detail)
+        for check in INVARIANTS
+        for detail in check(history)
+    ]
+
+
+def _tasks(history):
+    return [e for e in history.ledger.executions if e.kind is WorkKind.TASK]
+
+
+def _group(items, name):
+    groups = collections.defaultdict(list)
+    for item in items:
+        groups[getattr(item, name)].append(item)
+    return groups
+
+
+def _end(execution):
+    return float("inf") if execution.ended_s is None else execution.ended_s
--- a/wasabipaddle/measure/whole_cell.py
+++ b/wasabipaddle/measure/whole_cell.py
@@ -12,7 +12,7 @@
     document_key,
     encode_stored,
 )
-from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.exceptions import ErrorKind, Failure, WasabipaddleError
 from wasabipaddle.measure.cell import ROLES, MemoryCell, MemoryProcess
 from wasabipaddle.messages import RouteRequest, SubmitRun
 from wasabipaddle.platform import VmEntry, VmRole, VmStatus
@@ -317,4 +317,7 @@
     result = await context.plugins["routing"].routing.route(message)
     if result.is_err():
         return result
-    return Ok(b"".join([c async for c in result.unwrap().chunks]))
+    try:
+        return Ok(b"".join([c async for c in result.unwrap().chunks]))
+    except WasabipaddleError as error:  # the connection to the caller is aborted
+        return Err(error.failure)
