--- a/wasabipaddle/runs/leader.py
+++ b/wasabipaddle/runs/leader.py
@@ -119,7 +119,7 @@
         self.mailbox = Mailbox(capacity=MAILBOX_CAPACITY)
         self.table = RunTable()
         self.fleet = FleetIndex()
-        self.placer = Placer(fleet=self.fleet, random=context.random, resizes=False)
+        self.placer = Placer(fleet=self.fleet, random=context.random)
         for quota in quotas:
             self.placer.set_quota(quota.team, quota.quota.resources)
         self.pool = WorkerPool(
@@ -193,7 +193,8 @@
                 Failure(kind=ErrorKind.QUEUE_FULL, detail="leader is overloaded")
             )
         try:
-            return await asyncio.wait_for(reply, timeout_s)
+            async with asyncio.timeout(timeout_s):
+                return await reply
         except TimeoutError:
             kind = ErrorKind.TIMEOUT
             if isinstance(message, SubmitRun):
@@ -222,7 +223,8 @@
 
     async def _read_messages(self):
         try:
-            envelope = await asyncio.wait_for(self.mailbox.receive(), TICK_S)
+            async with asyncio.timeout(TICK_S):
+                envelope = await self.mailbox.receive()
         except TimeoutError:
             return
         self._handle(envelope)
--- a/wasabipaddle/runs/workers.py
+++ b/wasabipaddle/runs/workers.py
@@ -90,6 +90,7 @@
 class _Commands:
     """Commands that wait for the next call."""
 
+    resizes: list = attrs.field(factory=list)
     starts: list = attrs.field(factory=list)
     stops: list = attrs.field(factory=list)
     checkpoints: list = attrs.field(factory=list)
@@ -228,7 +229,8 @@
         sync = self._command(commands, wait_s)
         limit = CALL_TIMEOUT_S + wait_s
         try:
-            result = await asyncio.wait_for(self.client.sync(sync), limit)
+            async with asyncio.timeout(limit):
+                result = await self.client.sync(sync)
         except TimeoutError:
             detail = f"no answer from {self.worker}"
             result = Err(Failure(kind=ErrorKind.TIMEOUT, detail=detail))
--- a/wasabipaddle/serve/membership.py
+++ b/wasabipaddle/serve/membership.py
@@ -91,7 +91,8 @@
 
     def _beat(self, _):
         self._publish_transitions()
-        self.context.metrics.gauge("wire_bytes", self.transport.wire_bytes)
+        for name, size in self.transport.wire_bytes.items():
+            self.context.metrics.gauge(f"wire_bytes.{name}", size)
         for peer in self.table.targets():
             self.tasks.spawn(self._send_heartbeat(peer))
 
@@ -112,9 +113,9 @@
         own = self.table.data_centre
         if self.delegate(own) != self.table.process:
             return
-        for data_centre in self.table.names:
-            if data_centre != own:
-                self.tasks.spawn(self._send_summary(data_centre))
+        data_centre = self.table.summary_target()
+        if data_centre is not None:
+            self.tasks.spawn(self._send_summary(data_centre))
 
     async def _send_summary(self, data_centre):
         peer = self.delegate(data_centre) or self.table.probe(data_centre)
