--- a/wasabipaddle/demo/callers.py
+++ b/wasabipaddle/demo/callers.py
@@ -52,6 +52,7 @@
         self.draining = set()
         self.session = None
         self.runs = {}
+        self.services = []
         self.cancelled = set()
         self.tasks = set()
         self.counter = 0
@@ -100,6 +101,37 @@
             if candidates:
                 self._spawn(self._cancel(self.random.choice(candidates)))
 
+    async def start_services(self):
+        """Start one run of each long-running service."""
+        for document in self.documents:
+            if document.kind is not ServiceKind.SERVICE:
+                continue
+            key = f"{document.service}-open"
+            payload = json.dumps({"work": key, "run_s": None})
+            view = await self._submit(document, key, payload)
+            if view is not None:
+                self._accept(document, key)
+                self.services.append((document, key, view["run"]))
+
+    async def stop_services(self) -> list[str]:
+        """Stop the long-running services gracefully.
+
+        Returns
+        -------
+        list of str
+            Services that did not run with all tasks, or did not stop.
+        """
+        problems = []
+        for document, key, run in self.services:
+            path = f"/v1/runs/{run}"
+            _, view = await self._call("GET", path)
+            running = [t for t in view.get("tasks", ()) if t["phase"] == "running"]
+            if len(running) != document.run.tasks:
+                problems.append(f"{key}: {len(running)} tasks run")
+            await self._call("POST", f"{path}/stop")
+            await self._wait_for_end(document, key, run)
+        return problems
+
     async def finish(self):
         """Wait for everything that was sent."""
         while self.tasks:
@@ -158,10 +190,14 @@
         view = await self._submit(document, key, payload)
         if view is None:
             return
+        self._accept(document, key)
+        self.runs[key] = view["run"]
+        await self._wait_for_end(document, key, view["run"])
+        del self.runs[key]
+
+    def _accept(self, document, key):
         for index in range(document.run.tasks):
             self.ledger.accept(f"{key}/{index}")
-        self.runs[key] = view["run"]
-        await self._follow(document, key)
 
     async def _submit(self, document, key, payload):
         """Submit a run, again with the same key while the answer is in doubt."""
@@ -186,17 +222,16 @@
         self.outcomes["run never settled"] += 1
         return None
 
-    async def _follow(self, document, key):
-        path = f"/v1/runs/{self.runs[key]}?wait={WAIT_S}s"
+    async def _wait_for_end(self, document, key, run):
+        path = f"/v1/runs/{run}?wait={WAIT_S}s"
         give_up_at = asyncio.get_running_loop().time() + END_TIMEOUT_S
         while asyncio.get_running_loop().time() < give_up_at:
             status, answer = await self._call("GET", path)
             if status == 200 and answer["state"] == "ended":
                 outcome = answer["outcome"]
                 self.outcomes[f"run {outcome}"] += 1
-                if outcome == "cancelled":
+                if outcome in ("cancelled", "stopped"):
                     self._note_cancelled(document, key)
-                del self.runs[key]
                 return
             await asyncio.sleep(RETRY_S)
         self.outcomes["run not ended"] += 1
--- a/wasabipaddle/demo/demo.py
+++ b/wasabipaddle/demo/demo.py
@@ -19,7 +19,7 @@
 
 __all__ = ["DemoResult", "run_demo", "run_playground"]
 
-LOAD_S = 13.0
+LOAD_S = 11.0
 REQUEST_PERIOD_S = 0.01
 RUN_PERIOD_S = 0.25
 CANCEL_PERIOD_S = 1.5
@@ -194,10 +194,14 @@
         await callers.open()
         say(f"apply {len(texts)} documents")
         await _apply_documents(callers, texts)
+        say("start the long-running services")
+        await callers.start_services()
         say("send requests, runs, gangs and cancellations")
         await _load(callers, scenario)
         say("wait for the last runs")
         await callers.finish()
+        say("stop the long-running services")
+        scenario.problems.extend(await callers.stop_services())
         verdict = await control.verdict(callers.ledger.record)
         record = await control.record()
     finally:
