Queue each task of a resumed run once

Cause: when a run of an earlier leader lost several tasks, each loss queued every task of the run that was waiting, also those that were queued before. The second start of such a task found its reservation taken, and the AttributeError ended the task of the shard leader, which kept its leadership and placed nothing more. Impossible runs that were resumed twice lost the first part.

Ruled out: a wrong index of free amounts; the reservation failed because the task already had one.

Change: the placer leaves out tasks that run or wait, queues a gang as a whole, and joins the parts of an impossible run.

--- a/wasabipaddle/placement/placer.py
+++ b/wasabipaddle/placement/placer.py
@@ -121,6 +121,9 @@
         entry = self.book.open_run(work)
         waiting = list(range(work.tasks)) if indices is None else list(indices)
         entry.remaining.update(waiting)
+        if work.run in self.impossible_runs:
+            earlier = self.impossible_runs.pop(work.run)[1]
+            waiting = sorted({*waiting, *earlier})
         reason = self._impossible_reason(work, now)
         if reason is not None:
             self.impossible_runs[work.run] = (work, waiting, now)
@@ -157,9 +160,31 @@
         if work.is_gang and entry.running:
             entry.restart.extend(waiting)
             self.repeater.restart_gang(entry, now)
-        elif waiting:
+            return
+        if work.is_gang:
+            self._take_back(work.run)
+        known = self._known_indices(entry)
+        waiting = [i for i in waiting if i not in known]
+        if waiting:
             self.submit(work, now, indices=waiting)
 
+    def _take_back(self, run):
+        """Remove a run from the queue, so that it is queued as a whole again."""
+        for plan in list(self.holds.by_run.get(run, {}).values()):
+            self.plans.drop(plan)
+        self.queue.cancel(run)
+        self.impossible_runs.pop(run, None)
+
+    def _known_indices(self, entry):
+        """Return the tasks of a run that are placed, or wait to be placed."""
+        run = entry.work.run
+        known = set(entry.running)
+        for pending in self.queue.by_run.get(run, ()):
+            known.update(pending.indices)
+        for plan in self.holds.by_run.get(run, {}).values():
+            known.update(plan.indices)
+        return known
+
     def cancel(self, run) -> tuple[str, ...]:
         """Drop the waiting tasks of a run.
 
--- a/wasabipaddle/placement/tests/test_placer.py
+++ b/wasabipaddle/placement/tests/test_placer.py
@@ -138,3 +138,15 @@
     assert len(workers) == 3
     assert not placer.book.runs
     assert not any(isinstance(d, GiveUp) for d in placer.decide(20.0, 10))
+
+
+@pytest.mark.parametrize("kind", [ServiceKind.BATCH, ServiceKind.GANG])
+def test_task_that_is_resumed_twice_starts_once(placer, kind):
+    """Guards against a second start of a task when several tasks of a run are lost."""
+    run = work("r", kind=kind, tasks=3)
+    placer.resume(run, 0.0, completed=[], waiting=[0])
+    placer.resume(run, 0.0, completed=[], waiting=[0, 1])
+    placer.resume(run, 0.0, completed=[], waiting=[0, 1, 2])
+    names = sorted(a.task for a in started(placer.decide(0.0, 10)))
+    assert names == ["r/0", "r/1", "r/2"]
+    assert started(placer.decide(0.1, 10)) == []
