Drop held callbacks that are cancelled while a process resumes

Cause: VirtualTimeLoop.resume scheduled held callbacks anew, so that a cancellation by one of them did not reach the others. A timeout then fired after its block had ended, with an AssertionError in asyncio.

Change: a held callback looks at its handle when it runs.

--- a/wasabipaddle/clock/tests/test_clock.py
+++ b/wasabipaddle/clock/tests/test_clock.py
@@ -8,6 +8,7 @@
     LoopClock,
     ManualClock,
     TimerService,
+    process_context,
     run_virtual,
 )
 
@@ -44,3 +45,28 @@
     stamp = hybrid.receive(HybridTime(wall_ms=5000, counter=3))
     assert stamp > HybridTime(wall_ms=5000, counter=3)
     assert hybrid.tick() > stamp
+
+
+def test_held_timeout_does_not_fire_after_the_end_of_its_wait():
+    """Guards against a cancelled timer that still runs after a pause."""
+    errors = []
+
+    async def wait(event):
+        async with asyncio.timeout(1.0):
+            await event.wait()
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: errors.append(context))
+        event = asyncio.Event()
+        task = asyncio.create_task(wait(event), context=process_context("p"))
+        await asyncio.sleep(0.5)
+        event.set()
+        loop.pause("p")
+        await asyncio.sleep(1.0)
+        loop.resume("p")
+        await task
+        await asyncio.sleep(1.0)
+
+    run_virtual(scenario())
+    assert errors == []
--- a/wasabipaddle/clock/virtual.py
+++ b/wasabipaddle/clock/virtual.py
@@ -67,8 +67,7 @@
         if process in self.killed:
             return
         for handle, callback, args, context in self.held.pop(process, ()):
-            if not handle.cancelled():
-                self.call_soon(callback, *args, context=context)
+            self.call_soon(self._run_held, handle, callback, args, context=context)
 
     def kill(self, process):
         """Hold every callback of a process until the end of the run."""
@@ -112,6 +111,11 @@
         own.append(handle)
         return handle
 
+    def _run_held(self, handle, callback, args):
+        """Run a held callback, unless one that ran before has cancelled it."""
+        if not handle.cancelled():
+            callback(*args)
+
     def _gate(self, process, own, callback, args, context):
         held = self.held.get(process)
         if held is not None:
