--- a/wasabipaddle/messages/__init__.py
+++ b/wasabipaddle/messages/__init__.py
@@ -1,7 +1,7 @@
 """Messages between entry processes and the JSON codec for them."""
 
 from wasabipaddle.messages.cluster import ClusterView, QueryCluster
-from wasabipaddle.messages.codec import decode, encode
+from wasabipaddle.messages.codec import decode, encode, encode_sparse
 from wasabipaddle.messages.events import EventPage, QueryEvents
 from wasabipaddle.messages.grants import Grant, GrantReply, GrantRequest, PoolDemand
 from wasabipaddle.messages.members import (
@@ -74,4 +74,5 @@
     "WaitRun",
     "decode",
     "encode",
+    "encode_sparse",
 ]
--- a/wasabipaddle/messages/codec.py
+++ b/wasabipaddle/messages/codec.py
@@ -1,14 +1,16 @@
 """JSON codec for `attrs` classes."""
 
+import attrs
 import msgspec
 from result import Err, Ok, Result
 
 from wasabipaddle.exceptions import ErrorKind, Failure
 
-__all__ = ["decode", "encode"]
+__all__ = ["decode", "encode", "encode_sparse"]
 
 _ENCODER = msgspec.json.Encoder()
 _DECODERS = {}
+_DEFAULTS = {}
 
 
 def encode(message) -> bytes:
@@ -16,6 +18,21 @@
     return _ENCODER.encode(message)
 
 
+def encode_sparse(message) -> bytes:
+    """Encode an `attrs` instance without the fields that have their default.
+
+    Messages that are sent every few seconds are mostly defaults.
+    """
+    defaults = _DEFAULTS.get(type(message))
+    if defaults is None:
+        fields = attrs.fields(type(message))
+        defaults = _DEFAULTS[type(message)] = [(f.name, f.default) for f in fields]
+    values = ((name, getattr(message, name), default) for name, default in defaults)
+    return _ENCODER.encode(
+        {n: value for n, value, default in values if value != default}
+    )
+
+
 def decode(data, message_type) -> Result[object, Failure]:
     """Decode and check JSON of one message type.
 
--- a/wasabipaddle/platform/http.py
+++ b/wasabipaddle/platform/http.py
@@ -6,6 +6,7 @@
 from result import Err, Ok, Result
 
 from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.messages import encode_sparse
 
 __all__ = ["Conditional", "HttpCaller", "decode_failure", "is_connect_error"]
 
@@ -68,7 +69,7 @@
             The answer, or an `Err`: the failure that the peer answered, the kind
             `refused` if the call was not delivered, or `timeout`.
         """
-        data = None if body is None else _encode_sparse(body)
+        data = None if body is None else encode_sparse(body)
         timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
         try:
             async with self._open().request(
@@ -119,19 +120,6 @@
         return self.session
 
 
-def _encode_sparse(message):
-    """Encode a message without the fields that have their default.
-
-    A worker gets a message every few seconds, most of which is defaults.
-    """
-    changed = {
-        f.name: value
-        for f in attrs.fields(type(message))
-        if (value := getattr(message, f.name)) != f.default
-    }
-    return msgspec.json.encode(changed)
-
-
 def is_connect_error(error) -> bool:
     """Return whether a call failed before any byte of it was written."""
     return isinstance(
--- a/wasabipaddle/routing/dispatcher.py
+++ b/wasabipaddle/routing/dispatcher.py
@@ -211,7 +211,7 @@
             if failure.outcome is not Outcome.NOT_RUN:
                 job.doubt = failure
             if not self._may_retry(job, failure):
-                return Err(job.doubt or failure)
+                return Err(job.doubt or _for_caller(failure))
             self.metrics.count("routing.retries")
             if not await self.slots.another(job):
                 return Err(job.doubt or failure)
@@ -372,3 +372,11 @@
             budget = self.budgets[job.document.service] = RetryBudget()
         budget.ratio = ratio
         return budget
+
+
+def _for_caller(failure):
+    """Return a failure in the terms of a caller, who knows nothing of epochs."""
+    if failure.kind is not ErrorKind.STALE_EPOCH:
+        return failure
+    detail = "the slots of the endpoint have changed hands"
+    return Failure(kind=ErrorKind.NO_CAPACITY, detail=detail)
--- a/wasabipaddle/transport/base.py
+++ b/wasabipaddle/transport/base.py
@@ -5,7 +5,7 @@
 from result import Err, Ok, Result
 
 from wasabipaddle.exceptions import ErrorKind, Failure
-from wasabipaddle.messages import decode, encode
+from wasabipaddle.messages import decode, encode_sparse
 
 __all__ = ["Transport"]
 
@@ -65,7 +65,7 @@
         reply = await handler(message.unwrap())
         if reply.is_err():
             return reply
-        return Ok(encode(reply.unwrap()))
+        return Ok(encode_sparse(reply.unwrap()))
 
     def count_bytes(self, message, size):
         """Add the size of one call to the traffic of its message type."""
--- a/wasabipaddle/transport/http.py
+++ b/wasabipaddle/transport/http.py
@@ -5,7 +5,7 @@
 from result import Err
 
 from wasabipaddle.exceptions import ErrorKind, Failure
-from wasabipaddle.messages import decode, encode
+from wasabipaddle.messages import decode, encode, encode_sparse
 from wasabipaddle.transport.base import Transport
 
 __all__ = ["HttpTransport"]
@@ -47,7 +47,7 @@
         scheme = "https" if self.ssl else "http"
         path = PATH.format(name=name)
         url = f"{scheme}://{address.host}:{address.internal_port}{path}"
-        body = encode(message)
+        body = encode_sparse(message)
         self.count_bytes(message, len(body))
         self.count_wire(name, REQUEST_HEADER_BYTES + len(body))
         timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
--- a/wasabipaddle/transport/memory.py
+++ b/wasabipaddle/transport/memory.py
@@ -5,7 +5,7 @@
 from result import Err
 
 from wasabipaddle.exceptions import ErrorKind, Failure
-from wasabipaddle.messages import decode, encode
+from wasabipaddle.messages import decode, encode_sparse
 from wasabipaddle.transport.base import Transport
 
 __all__ = ["MemoryNetwork", "MemoryTransport"]
@@ -77,7 +77,7 @@
             return Err(Failure(kind=ErrorKind.TIMEOUT, detail=detail))
 
     async def _deliver(self, peer, message, reply_type):
-        body = encode(message)
+        body = encode_sparse(message)
         self.count_bytes(message, len(body))
         self.network.count(self.name, peer, len(body))
         latency = self.network.latency_s(self.name, peer)
