Let the first of cancellation and end decide the outcome of a run

Cause: found in a read-through. A cancellation and the end of the last task can be journalled one after the other; the caller was told cancelled, but a recovery took the recorded end. Change: the live state keeps whichever came first.

--- a/wasabipaddle/journal/live.py
+++ b/wasabipaddle/journal/live.py
@@ -12,6 +12,7 @@
     TaskEnded,
     TaskPlaced,
 )
+from wasabipaddle.messages import RunOutcome
 
 __all__ = ["LiveRun", "LiveState"]
 
@@ -115,11 +116,16 @@
         case TaskEnded():
             _add_ending(run.endings.setdefault(record.index, []), record)
         case RunCancelled():
-            run.cancelled = run.cancelled or record
+            if run.ended is None:
+                run.cancelled = run.cancelled or record
         case RunStopped():
             run.stopped = run.stopped or record
         case RunEnded():
-            run.ended = run.ended or record
+            # A cancellation that was confirmed first decides the outcome: its caller
+            # may have been told already.
+            decided = run.cancelled is not None
+            if not decided or record.outcome is RunOutcome.CANCELLED:
+                run.ended = run.ended or record
 
 
 def _add_ending(endings, record):
--- a/wasabipaddle/runs/leader.py
+++ b/wasabipaddle/runs/leader.py
@@ -5,17 +5,16 @@
 
 import attrs
 from absl import logging
-from result import Err, Ok
+from result import Err
 
 from wasabipaddle.exceptions import ErrorKind, Failure
-from wasabipaddle.journal import HandoverFinished, RunCancelled, RunStopped
+from wasabipaddle.journal import HandoverFinished
 from wasabipaddle.kernel import Mailbox
 from wasabipaddle.kernel.bus import Envelope
 from wasabipaddle.messages import (
     CancelRun,
     ListRuns,
     QueryRun,
-    RunOutcome,
     StopRun,
     SubmitRun,
     WaitRun,
@@ -24,6 +23,7 @@
 from wasabipaddle.runs.acceptance import Acceptance
 from wasabipaddle.runs.commits import Committed, JournalCommits
 from wasabipaddle.runs.lifecycle import RunLifecycle
+from wasabipaddle.runs.operations import RunOperations
 from wasabipaddle.runs.pool import WorkerPool
 from wasabipaddle.runs.recovery import Adoption, rebuild
 from wasabipaddle.runs.table import RunTable
@@ -151,6 +151,13 @@
             context=context,
             make_id=make_id,
         )
+        self.operations = RunOperations(
+            table=self.table,
+            lifecycle=self.lifecycle,
+            commits=self.commits,
+            waiters=self.waiters,
+            clock=self.clock,
+        )
         self.handlers = self._handlers()
         self.recovery = recovery
         self.adoption = None
@@ -247,71 +254,13 @@
             FleetUpdate: lambda m, _: self._update_fleet(m.entries),
             DocumentsChanged: lambda m, _: self._update_floors(),
             SubmitRun: self.acceptance.submit,
-            QueryRun: lambda m, envelope: envelope.answer(self._view(m.run)),
-            WaitRun: self._wait,
-            ListRuns: self._list,
-            CancelRun: self._cancel,
-            StopRun: self._stop_run,
+            QueryRun: self.operations.query,
+            WaitRun: self.operations.wait,
+            ListRuns: self.operations.page,
+            CancelRun: self.operations.cancel,
+            StopRun: self.operations.stop,
         }
 
-    def _list(self, message, envelope):
-        page = self.table.page(
-            service=message.service, after=message.after, limit=message.limit
-        )
-        envelope.answer(Ok(page))
-
-    def _view(self, run):
-        entry = self.table.get(run)
-        if entry is None:
-            return Err(Failure(kind=ErrorKind.NOT_FOUND, detail=f"no run {run}"))
-        return Ok(entry.view())
-
-    def _wait(self, message, envelope):
-        entry = self.table.get(message.run)
-        if entry is None or entry.ended or message.wait_s <= 0:
-            envelope.answer(self._view(message.run))
-            return
-        self.waiters.add(entry, envelope, self.clock.now() + message.wait_s)
-
-    def _cancel(self, message, envelope):
-        entry = self.table.get(message.run)
-        if entry is None or entry.ended:
-            envelope.answer(self._view(message.run))
-            return
-        record = RunCancelled(run=entry.run, at_ms=self.clock.wall_ms())
-
-        def confirm(result):
-            if result.is_err():
-                envelope.answer(result)
-                return
-            self.lifecycle.apply_finish(
-                entry, RunOutcome.CANCELLED, record.at_ms, "cancelled on request"
-            )
-            self.lifecycle.record_outcome(entry)
-            envelope.answer(Ok(entry.view()))
-
-        self.commits.once(record, confirm)
-
-    def _stop_run(self, message, envelope):
-        entry = self.table.get(message.run)
-        if entry is None or entry.ended:
-            envelope.answer(self._view(message.run))
-            return
-        record = RunStopped(
-            run=entry.run, at_ms=self.clock.wall_ms(), grace_s=message.grace_s
-        )
-
-        def confirm(result):
-            if result.is_err():
-                envelope.answer(result)
-                return
-            entry.stopping = True
-            self.lifecycle.withdraw(entry, grace_s=message.grace_s)
-            self.lifecycle.finish_if_done(entry)
-            envelope.answer(Ok(entry.view()))
-
-        self.commits.once(record, confirm)
-
     # Workers
 
     def update_fleet(self, entries):
--- /dev/null
+++ b/wasabipaddle/runs/operations.py
@@ -0,0 +1,103 @@
+"""Operations of callers on the runs of a shard."""
+
+from result import Err, Ok
+
+from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.journal import RunCancelled, RunStopped
+from wasabipaddle.messages import RunOutcome
+
+__all__ = ["RunOperations"]
+
+
+class RunOperations:
+    """Answers questions about runs, and cancels and stops them.
+
+    Every operation takes a message and the envelope that it answers.
+
+    Parameters
+    ----------
+    table : RunTable
+        Runs of the shard.
+    lifecycle : RunLifecycle
+        Ends runs.
+    commits : JournalCommits
+        Appends to the journal.
+    waiters : Waiters
+        Callers that wait for the end of a run.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(self, *, table, lifecycle, commits, waiters, clock):
+        self.table = table
+        self.lifecycle = lifecycle
+        self.commits = commits
+        self.waiters = waiters
+        self.clock = clock
+
+    def query(self, message, envelope):
+        """Answer with the present state of a run."""
+        envelope.answer(self.view(message.run))
+
+    def page(self, message, envelope):
+        """Answer with a page of runs."""
+        page = self.table.page(
+            service=message.service, after=message.after, limit=message.limit
+        )
+        envelope.answer(Ok(page))
+
+    def view(self, run):
+        """Return the state of a run as a result, an `Err` if it is unknown."""
+        entry = self.table.get(run)
+        if entry is None:
+            return Err(Failure(kind=ErrorKind.NOT_FOUND, detail=f"no run {run}"))
+        return Ok(entry.view())
+
+    def wait(self, message, envelope):
+        """Answer when a run has ended or the waiting time has passed."""
+        entry = self.table.get(message.run)
+        if entry is None or entry.ended or message.wait_s <= 0:
+            envelope.answer(self.view(message.run))
+            return
+        self.waiters.add(entry, envelope, self.clock.now() + message.wait_s)
+
+    def cancel(self, message, envelope):
+        """Cancel a run; the answer comes once the journal holds the cancellation."""
+        entry = self.table.get(message.run)
+        if entry is None or entry.ended:
+            envelope.answer(self.view(message.run))
+            return
+        record = RunCancelled(run=entry.run, at_ms=self.clock.wall_ms())
+
+        def confirm(result):
+            if result.is_err():
+                envelope.answer(result)
+                return
+            self.lifecycle.apply_finish(
+                entry, RunOutcome.CANCELLED, record.at_ms, "cancelled on request"
+            )
+            self.lifecycle.record_outcome(entry)
+            envelope.answer(Ok(entry.view()))
+
+        self.commits.once(record, confirm)
+
+    def stop(self, message, envelope):
+        """Stop a run gracefully; the answer comes once the journal holds the stop."""
+        entry = self.table.get(message.run)
+        if entry is None or entry.ended:
+            envelope.answer(self.view(message.run))
+            return
+        record = RunStopped(
+            run=entry.run, at_ms=self.clock.wall_ms(), grace_s=message.grace_s
+        )
+
+        def confirm(result):
+            if result.is_err():
+                envelope.answer(result)
+                return
+            entry.stopping = True
+            self.lifecycle.withdraw(entry, grace_s=message.grace_s)
+            self.lifecycle.finish_if_done(entry)
+            envelope.answer(Ok(entry.view()))
+
+        self.commits.once(record, confirm)
