Preempt for pressure only where a task exceeds its reservation

Cause: seen in the README tour: a gang whose tasks use just what they reserve filled a worker and was checkpointed for memory pressure after one second. Change: a worker is under pressure only if a task uses more than it reserves, since reservations never exceed its size. The new test fails without it.

--- a/wasabipaddle/placement/preemption.py
+++ b/wasabipaddle/placement/preemption.py
@@ -148,7 +148,7 @@
         fleet.set_pressured(worker.name, max(cpu, memory) >= CLOSED_ABOVE)
         if max(cpu, memory) < LIFTED_BELOW:
             return self._lift(running, worker)
-        if max(cpu, memory) < RELIEF_ABOVE:
+        if max(cpu, memory) < RELIEF_ABOVE or not _any_exceeds(running, worker):
             return ()
         tasks = self._by_loss(worker, running, now)
         if memory >= RELIEF_ABOVE:
@@ -256,3 +256,20 @@
     elapsed = max(now - placed.started_at, 0.0)
     tasks = placed.work.tasks if placed.work.is_gang else 1
     return tasks * elapsed * max(placed.needs.cpu_milli, 1) + placed.needs.memory_mb
+
+
+def _any_exceeds(running, worker):
+    """Return whether a task uses more than it reserves.
+
+    Reservations never exceed the size of a worker, so a worker that is full of tasks
+    within their reservations is well packed and not under pressure.
+    """
+    placed = (running[t] for t in worker.tasks if t in running)
+    return any(
+        p.usage is not None
+        and (
+            p.usage.cpu_milli > p.needs.cpu_milli
+            or p.usage.memory_mb > p.needs.memory_mb
+        )
+        for p in placed
+    )
--- a/wasabipaddle/runs/tests/test_leader.py
+++ b/wasabipaddle/runs/tests/test_leader.py
@@ -8,6 +8,7 @@
 from wasabipaddle.clock import run_virtual
 from wasabipaddle.measure.whole_cell import CellSize, WholeCell
 from wasabipaddle.messages import CancelRun, RunOutcome, RunState, StopRun, WaitRun
+from wasabipaddle.platform import Usage
 from wasabipaddle.standins import compute_verdict
 
 SETTLE_S = 6.0
@@ -212,3 +213,24 @@
             assert view.unwrap().state is RunState.RUNNING
 
     run_cell(scenario)
+
+
+def test_full_worker_within_its_reservations_is_left_alone(run_cell):
+    """Guards against preemption of tasks that use just what they reserve."""
+
+    async def scenario(cell):
+        run = await submit(cell, "a", run_s=20.0, memory_mb=8000)
+        view = await cell.operate("e01", WaitRun(run=run, wait_s=0.0))
+        await asyncio.sleep(2)
+        view = await cell.operate("e01", WaitRun(run=run, wait_s=0.0))
+        worker = view.unwrap().tasks[0].worker
+        (leader,) = cell.leaders("dc0-0")
+        shard = leader.context.plugins["shards"].leaders["dc0-0"]
+        usage = Usage(cpu_milli=64_000, memory_mb=256_000)
+        uses = {f"{run}/0": Usage(cpu_milli=4000, memory_mb=8000)}
+        shard.placer.observe(worker, usage, uses, shard.clock.now())
+        assert await outcome(cell, run) is RunOutcome.COMPLETED
+        attempts = [e.attempt for e in cell.ledger.record.executions]
+        assert attempts == [1, 1]
+
+    run_cell(scenario)
