--- a/wasabipaddle/admission/queue.py
+++ b/wasabipaddle/admission/queue.py
@@ -3,6 +3,7 @@
 import collections
 import math
 
+import attrs
 from result import Err, Ok
 
 from wasabipaddle.admission.base import (
@@ -18,7 +19,8 @@
 __all__ = ["FairQueue"]
 
 # Part of the caller's time that a request may spend in a standing queue. Work with a
-# guarantee may wait longer, since the rate at which it is served is assured.
+# guarantee may be expected to wait longer, since its rate is assured, and is not
+# dropped later on: a short burst above the floor must not cost it requests.
 QUEUE_DELAY_FRACTION = 0.25
 GUARANTEED_DELAY_FRACTION = 0.5
 MIN_RETRY_AFTER_S = 0.1
@@ -66,7 +68,7 @@
         service = state.service(ticket.document)
         failure = self._refusal(state, service, ticket, now=now)
         if failure is not None:
-            return Err(failure)
+            return Err(self._with_cause(failure, ticket.document))
         room = self._make_room(service, ticket, now=now)
         if room is None:
             detail = "the queue of the process is full"
@@ -173,6 +175,13 @@
             return _refuse(ErrorKind.SHED, detail, wait)
         return None
 
+    def _with_cause(self, failure, document):
+        """Name the quota where it is what makes the service wait."""
+        if self.ledger.allows(document):
+            return failure
+        detail = f"the quota of slots is in use; {failure.detail}"
+        return attrs.evolve(failure, kind=ErrorKind.QUOTA_EXCEEDED, detail=detail)
+
     def _full(self, service, detail, state, now):
         floor = state.floor_slots(service)
         wait = service.estimate.wait_s(len(service.tickets), floor, now=now)
@@ -238,9 +247,11 @@
         if estimate.cannot_end_by(ticket.deadline, now=now):
             detail = "too little time left to run"
             return _refuse(ErrorKind.DEADLINE_UNMEETABLE, detail, 0.0)
+        if service.document.share.guaranteed > 0:
+            return None
         patience_s = ticket.deadline - ticket.queued_at
         waited_s = now - ticket.queued_at
-        limit_s = patience_s * _delay_fraction(service)
+        limit_s = patience_s * QUEUE_DELAY_FRACTION
         if waited_s > limit_s and estimate.overloaded(patience_s, now=now):
             detail = f"waited {waited_s:.2f} s under overload"
             return _refuse(ErrorKind.SHED, detail, 0.0)
--- a/wasabipaddle/measure/driver.py
+++ b/wasabipaddle/measure/driver.py
@@ -17,7 +17,8 @@
 import attrs
 
 from wasabipaddle.documents import Resources
-from wasabipaddle.measure.outcomes import Outcomes, Sample
+from wasabipaddle.measure.outcomes import Outcomes
+from wasabipaddle.measure.sampling import take_sample
 from wasabipaddle.measure.workers import LiveTask, WorkerModel
 from wasabipaddle.placement import (
     Checkpoint,
@@ -78,6 +79,8 @@
         Period of usage reports and their delay.
     sample_s : float
         Period of the samples of true use; 0 for none.
+    count_from_s : float
+        Waits are recorded for jobs that arrive from this time on.
     """
 
     def __init__(
@@ -90,6 +93,7 @@
         report_s=10.0,
         lag_s=2.0,
         sample_s=0.0,
+        count_from_s=0.0,
     ):
         self.inputs = inputs
         self.tick_s = tick_s
@@ -97,6 +101,7 @@
         self.report_s = report_s
         self.lag_s = lag_s
         self.sample_s = sample_s
+        self.count_from_s = count_from_s
         self.random = random.Random(f"driver {inputs.spec.seed}")
         self.fleet = FleetIndex()
         self.workers = {}
@@ -168,6 +173,24 @@
             self.outcomes.cancelled += 1
             self._close(run)
 
+    def reset_counts(self):
+        """Begin new counts, for example after the fleet has filled up."""
+        self.outcomes = Outcomes()
+
+    def unfinished_waits(self, urgency) -> list:
+        """Return how long tasks have waited that have not started, except gangs."""
+        waits = []
+        for run in self.runs.values():
+            work = run.job.work
+            if run.closed or work.is_gang or work.is_service:
+                continue
+            if run.job.at < self.count_from_s or not run.job.tasks:
+                continue
+            if work.urgency is urgency:
+                never = run.remaining - run.started
+                waits.extend([self.now - run.job.at] * len(never))
+        return waits
+
     def _schedule_first(self):
         self.jobs = iter(self.inputs.jobs)
         self._schedule_job()
@@ -213,8 +236,10 @@
             start = time.perf_counter()
             decisions = self.placer.decide(self.now, self.limit)
             elapsed = time.perf_counter() - start
-            self.outcomes.decide_s.append(elapsed)
+            if decisions:  # calls that find nothing to do are short
+                self.outcomes.decide_s.append(elapsed)
             self.outcomes.call_s += elapsed
+            self.outcomes.decisions += len(decisions)
             for decision in decisions:
                 self._apply(decision)
             if not decisions:
@@ -258,7 +283,7 @@
         first = True
         for assignment in decision.assignments:
             first &= self._start_task(run, assignment)
-        if first and work.is_gang:
+        if first and work.is_gang and run.job.at >= self.count_from_s:
             self.outcomes.gang_waits.append(self.now - run.job.at)
 
     def _start_task(self, run, assignment) -> bool:
@@ -291,7 +316,8 @@
         if index in run.started:
             return False
         run.started.add(index)
-        if not work.is_gang and not work.is_service:
+        counts = run.job.at >= self.count_from_s
+        if counts and not work.is_gang and not work.is_service:
             self.outcomes.waits[work.urgency].append(self.now - run.job.at)
         return True
 
@@ -335,10 +361,13 @@
         run = self.runs[decision.run]
         index = int(decision.task.rpartition("/")[2])
         self.outcomes.given_up += 1
-        if not run.job.tasks[index].fails:
-            self.outcomes.given_up_wrong += 1
+        wrong = not run.job.tasks[index].fails
+        self.outcomes.given_up_wrong += wrong
         if not run.closed:
+            waiting = tuple(self.waiting_use)
             self._close(run)
+            if wrong:  # the fleet could still carry this work
+                self.waiting_use[:] = waiting
 
     def _report(self, name):
         self.schedule(self.now + self.report_s, self._report, name)
@@ -350,31 +379,7 @@
 
     def _sample(self):
         self.schedule(self.now + self.sample_s, self._sample)
-        cpu = memory = overloaded = 0
-        for worker in self.workers.values():
-            used, size = worker.use(self.now), worker.spec.size
-            cpu += min(used.cpu_milli, size.cpu_milli)
-            memory += min(used.memory_mb, size.memory_mb)
-            overloaded += not Resources(
-                cpu_milli=used.cpu_milli, memory_mb=used.memory_mb
-            ).fits(size)
-            if self.fleet.workers[worker.spec.name].quarantined:
-                bad = worker.spec.bad
-                found = self.outcomes
-                chosen = found.quarantined_bad if bad else found.quarantined_good
-                chosen.add(worker.spec.name)
-        waiting = self.waiting_use
-        self.outcomes.carried.append(
-            Sample(
-                at=self.now,
-                carried=(cpu, memory),
-                demand=(cpu + waiting[0], memory + waiting[1]),
-                running=len(self.live),
-                overloaded=overloaded,
-            )
-        )
-        if any(self.runs[r].job.impossible for r in self.placer.queue.by_run):
-            self.outcomes.impossible_blocking_s += self.sample_s
+        take_sample(self)
 
     def _count_waiting(self, run, indices, sign):
         for index in indices:
--- a/wasabipaddle/membership/table.py
+++ b/wasabipaddle/membership/table.py
@@ -5,23 +5,25 @@
 import attrs
 import xxhash
 
-from wasabipaddle.membership.claims import ClaimBook
+from wasabipaddle.membership.claims import ClaimBook, ShardClaim
 from wasabipaddle.membership.facts import MemberDown, MemberUp
+from wasabipaddle.membership.ring import Ring
 from wasabipaddle.messages import (
     DataCentreSummary,
     Heartbeat,
     LedShard,
-    MemberAge,
     MemberView,
 )
 
 __all__ = ["LocalState", "Member", "MemberTable"]
 
-FAN_OUT = 2
-SEEN_LIMIT = 5
-CLAIM_LIMIT = 3
-SUMMARY_LIMIT = 8
-SUMMARY_PERIODS = 3  # summaries that may be lost before a remote member is suspected
+FAN_OUT = 1
+SEEN_LIMIT = 10
+REMOTE_SEEN_LIMIT = 3
+CLAIM_LIMIT = 2
+SUMMARY_LIMIT = 3
+SUMMARY_ROUNDS = 3  # that may be lost before a remote member is suspected
+SIZE_OF_SUSPECT_TIME = 4  # members of a data centre above which it grows
 NEVER = -math.inf
 
 
@@ -71,7 +73,7 @@
 class MemberTable:
     """Members by name, with what each last told about itself.
 
-    A process exchanges heartbeats with at most `FAN_OUT` members per period. Each
+    A process exchanges heartbeats with `FAN_OUT` members per period. Each
     heartbeat carries a bounded sample of ages and shard claims, so that news of any
     member reaches all members of its data centre in a logarithmic number of periods
     while the bytes per process do not depend on the number of members.
@@ -109,7 +111,8 @@
             names[peer.data_centre].append(peer.name)
         self.names = names
         self.book = ClaimBook()
-        self.round = 0
+        self.ring = Ring(names=names[self.data_centre], own=process)
+        self.centre_ring = Ring(names=names, own=self.data_centre)
         self.cursor = 0
 
     # Input
@@ -124,10 +127,11 @@
         member.draining = heartbeat.draining
         member.load = heartbeat.load
         self.book.replace(member, heartbeat.led)
-        for age in heartbeat.seen:
-            self._heard_through(age, now)
-        for claim in heartbeat.claims:
-            self.book.add(claim)
+        for name, (incarnation, age_s) in heartbeat.seen.items():
+            self._heard_through(name, incarnation, now - max(age_s, 0.0))
+        for shard, (epoch, leader) in heartbeat.claims.items():
+            self.book.add(ShardClaim(shard=shard, epoch=epoch, leader=leader))
+        self.book.note_claims(heartbeat)
 
     def heard_reply(self, reply, sent, now):
         """Take over the reply to the heartbeat `sent`."""
@@ -157,11 +161,10 @@
             member.draining = False
         member.heard_at = max(member.heard_at, heard_at)
 
-    def _heard_through(self, age, now):
-        member = self.members.get(age.name)
-        if member is None or age.incarnation < member.incarnation:
-            return
-        self._refresh(member, age.incarnation, now - max(age.age_s, 0.0))
+    def _heard_through(self, name, incarnation, heard_at):
+        member = self.members.get(name)
+        if member is not None and incarnation >= member.incarnation:
+            self._refresh(member, incarnation, heard_at)
 
     # Questions
 
@@ -258,34 +261,29 @@
         return facts
 
     def _patience(self, member):
+        local_s = self.settings.suspect_s * max(
+            1.0, len(self.names[self.data_centre]) / SIZE_OF_SUSPECT_TIME
+        )
         if member.data_centre == self.data_centre:
-            return self.settings.suspect_s
-        return self.settings.suspect_s + SUMMARY_PERIODS * self.settings.summary_s
+            return local_s
+        round_s = self.settings.summary_s * self.centre_ring.pairs
+        return local_s + SUMMARY_ROUNDS * round_s
 
     # Output
 
     def targets(self) -> list[str]:
-        """Return the members that get a heartbeat in this period.
+        """Return the members that get a heartbeat in this period."""
+        count = min(FAN_OUT, self.ring.pairs)
+        return [self.ring.next() for _ in range(count)]
 
-        Each period uses the next offsets on the ring of members, so that all pairs
-        meet in turn and every member receives as many heartbeats as it sends.
-        """
-        ring = self.names[self.data_centre]
-        position = ring.index(self.process)
-        pairs = len(ring) // 2  # one exchange informs both sides
-        chosen = []
-        for k in range(min(FAN_OUT, pairs)):
-            offset = 1 + (self.round * FAN_OUT + k) % pairs
-            name = ring[(position + offset) % len(ring)]
-            if name not in chosen:
-                chosen.append(name)
-        self.round += 1
-        return chosen
+    def summary_target(self) -> str | None:
+        """Return the data centre that gets a summary in this period."""
+        return self.centre_ring.next()
 
     def probe(self, data_centre) -> str:
         """Return the next member of a data centre of which none is known to live."""
         names = self.names[data_centre]
-        return names[self.round % len(names)]
+        return names[self.centre_ring.turn % len(names)]
 
     def heartbeat(self, hlc, now, *, store_pause_s=0.0) -> Heartbeat:
         """Return the heartbeat of this process."""
@@ -311,7 +309,7 @@
         """
         views = [self._own_view()]
         others = [m for m in self.members.values() if m.data_centre == self.data_centre]
-        others.sort(key=lambda m: (not m.led, now - m.heard_at, m.name))
+        others.sort(key=lambda m: (not m.led, not self.is_live(m.name, now), m.name))
         views += [self._view(m, now) for m in others[: SUMMARY_LIMIT - 1]]
         return DataCentreSummary(
             sender=self.process,
@@ -355,21 +353,32 @@
         )
 
     def _sample_ages(self, now):
-        known = [m for m in self.members.values() if self.is_live(m.name, now)]
-        return tuple(
-            MemberAge(
-                name=m.name,
-                incarnation=m.incarnation,
-                age_s=round(now - m.heard_at, 2),
-            )
-            for m in self._rotate(known, SEEN_LIMIT)
-        )
+        """Return ages of local members, and of remote leaders and delegates."""
+        live = [m for m in self.members.values() if self.is_live(m.name, now)]
+        local = [m for m in live if m.data_centre == self.data_centre]
+        notable = {c.leader for c in self.book.claims.values()}
+        notable |= {self.delegate(c, now) for c in self.names}
+        remote = [m for m in live if m not in local and m.name in notable]
+        leaders = [m for m in local if m.name in notable][:SEEN_LIMIT]
+        others = [m for m in local if m not in leaders]
+        sample = [
+            *leaders,  # in every heartbeat, for their silence decides on takeovers
+            *self._rotate(others, SEEN_LIMIT - len(leaders)),
+            *self._rotate(remote, REMOTE_SEEN_LIMIT),
+        ]
+        return {
+            m.name: (m.incarnation, round(max(now - m.heard_at, 0.0), 1))
+            for m in sample
+        }
 
     def _sample_claims(self):
-        return tuple(self._rotate(list(self.book.claims.values()), CLAIM_LIMIT))
+        claims = self._rotate(list(self.book.claims.values()), CLAIM_LIMIT)
+        return {c.shard: (c.epoch, c.leader) for c in claims}
 
     def _rotate(self, items, limit):
         if len(items) <= limit:
             return items
-        start = self.cursor * limit % len(items)
+        # A plain rotation could give each peer the same part every time.
+        key = f"{self.process}/{self.cursor}".encode()
+        start = xxhash.xxh64_intdigest(key) % len(items)
         return (items[start:] + items[:start])[:limit]
--- a/wasabipaddle/placement/gangs.py
+++ b/wasabipaddle/placement/gangs.py
@@ -6,7 +6,7 @@
 import attrs
 
 from wasabipaddle.documents import Resources
-from wasabipaddle.placement.amounts import fit_count
+from wasabipaddle.placement.amounts import ZERO, dominant_share, fit_count
 from wasabipaddle.placement.work import Work
 
 __all__ = ["GangPolicy", "HoldPlan", "ReservingGangs", "WaitingGangs"]
@@ -16,7 +16,7 @@
 EXAMINED_MINIMUM = 32
 EXAMINED_MAXIMUM = 256
 # Part of the fleet that holds for later starts may cover.
-LARGEST_HELD_FRACTION = 0.3
+LARGEST_HELD_FRACTION = 0.15
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -31,8 +31,10 @@
         Tasks per worker.
     start_at : float
         Time at which the amounts are expected to be free.
-    victims : list of str
-        Tasks whose end was ordered for this plan.
+    preempts : bool
+        Whether tasks were checkpointed for this plan.
+    lends : bool
+        Whether held amounts may be lent to other tasks.
     """
 
     key: str
@@ -43,7 +45,8 @@
     indices: list
     since: float
     planned_at: float
-    victims: list = attrs.field(factory=list)
+    preempts: bool = False
+    lends: bool = True
 
 
 class GangPolicy(abc.ABC):
@@ -154,8 +157,13 @@
         return workers
 
     def _held_fraction(self, fleet):
-        held = sum(len(names) for names in fleet.hold_workers.values())
-        return held / max(len(fleet.workers), 1)
+        wanted = ZERO
+        for key, names in fleet.hold_workers.items():
+            for name in names:
+                state = fleet.workers.get(name)
+                if state is not None and key in state.holds:
+                    wanted += state.holds[key].wanted
+        return dominant_share(wanted, fleet.total)
 
 
 def _ready_times(worker, running, need, count, now):
--- a/wasabipaddle/placement/holds.py
+++ b/wasabipaddle/placement/holds.py
@@ -1,10 +1,14 @@
 """Book of work that waits for amounts held on chosen workers."""
 
+from wasabipaddle.placement.amounts import ZERO, fit_count, scaled
+
 __all__ = ["HoldBook"]
 
 # Time past the planned start after which a plan is made again.
 REPLAN_MINIMUM_S = 30.0
 REPLAN_FRACTION = 0.5
+# Least time for which amounts are lent to a task that is checkpointed afterwards.
+LENT_S = 60.0
 # Held workers examined for one backfill.
 BACKFILL_EXAMINED = 12
 
@@ -30,7 +34,9 @@
         self.by_run.setdefault(plan.work.run, {})[plan.key] = plan
         self.changed[plan.key] = None
         for worker, count in plan.counts.items():
-            self.fleet.hold_tasks(plan.key, worker, plan.need, count)
+            self.fleet.hold_tasks(
+                plan.key, worker, plan.need, count, first=plan.preempts
+            )
 
     def remove(self, plan) -> list[str]:
         """Forget a plan and free what it holds; return its workers."""
@@ -63,6 +69,35 @@
             if any(not self._usable(worker) for worker in p.counts)
         ]
 
+    def gangs(self) -> list:
+        """Return plans of gangs that do not wait for preempted tasks."""
+        return [p for p in self.plans.values() if p.work.is_gang and not p.preempts]
+
+    def counts_now(self, plan) -> dict | None:
+        """Return tasks per worker for a start with what is held or free now."""
+        missing = len(plan.indices)
+        counts = {}
+        for worker in plan.counts:
+            state = self.fleet.workers.get(worker)
+            if state is None or plan.key not in state.holds or not state.open:
+                return None
+            available = state.free + state.holds[plan.key].amount
+            counts[worker] = fit_count(plan.need, available, missing)
+            missing -= counts[worker]
+            if not missing:
+                return counts
+        if not scaled(plan.need, missing).fits(self.fleet.total_free):
+            return None
+        allowed = plan.work.placement.data_centres
+        for state in self.fleet.candidates(plan.need, missing + len(counts)):
+            if state.name in counts or (allowed and state.data_centre not in allowed):
+                continue
+            counts[state.name] = fit_count(plan.need, state.free, missing)
+            missing -= counts[state.name]
+            if not missing:
+                return counts
+        return None
+
     def overdue(self, now) -> list:
         """Return plans whose planned start has passed."""
         return [p for p in self.plans.values() if now >= p.start_at]
@@ -72,16 +107,35 @@
         wait = max(REPLAN_FRACTION * (plan.start_at - plan.planned_at), 0.0)
         return now > plan.start_at + max(wait, REPLAN_MINIMUM_S)
 
-    def borrow(self, need, end_by, random):
+    def lendable(self, state):
+        """Return the held amounts of a worker that may be lent."""
+        amount = ZERO
+        for key, hold in state.holds.items():
+            if self.plans[key].lends:
+                amount += hold.amount
+        return amount
+
+    def borrow(self, need, now, run_s, random, *, preemptible):
         """Lend held amounts to a task that ends before the held work starts.
 
+        Parameters
+        ----------
+        run_s : float
+            Expected run time of the task.
+        preemptible : bool
+            Whether the task can be checkpointed as soon as the held work could start.
+            Such a task may also be expected to run longer.
+
         Returns
         -------
         tuple of str or None
             Worker and key of the plan.
         """
         for plan in self.plans.values():
-            if plan.start_at < end_by:
+            if not plan.lends:
+                continue
+            left_s = plan.start_at - now
+            if left_s < min(run_s, LENT_S if preemptible else run_s):
                 continue
             workers = list(plan.counts)
             if len(workers) > BACKFILL_EXAMINED:
--- a/wasabipaddle/placement/placer.py
+++ b/wasabipaddle/placement/placer.py
@@ -2,31 +2,28 @@
 
 import collections
 
-from wasabipaddle.placement.amounts import scaled
 from wasabipaddle.placement.book import TaskBook
 from wasabipaddle.placement.estimation import UsageEstimator
 from wasabipaddle.placement.gangs import ReservingGangs
 from wasabipaddle.placement.holds import HoldBook
 from wasabipaddle.placement.impossible import ImpossibleWork
+from wasabipaddle.placement.plans import PlanKeeper
 from wasabipaddle.placement.preemption import LeastLossPreemption
 from wasabipaddle.placement.quarantine import ComparingQuarantine
 from wasabipaddle.placement.queue import PendingQueue, PendingRun
 from wasabipaddle.placement.repeats import Repeater
+from wasabipaddle.placement.reservations import ReservationKeeper
 from wasabipaddle.placement.running import TaskState
 from wasabipaddle.placement.scoring import BestFitScoring
 from wasabipaddle.placement.shares import ShareLedger
 from wasabipaddle.placement.starting import Starter
-from wasabipaddle.placement.work import Checkpoint, GiveUp, Impossible, Resize
+from wasabipaddle.placement.work import Checkpoint, GiveUp, Impossible
 from wasabipaddle.platform import TaskOutcome
 
 __all__ = ["Placer"]
 
-# Reports of a task before its own use replaces the estimate of its service.
-RESIZE_REPORTS = 3
 # Period at which the services parked longest are tried again.
-SWEEP_S = 1.0
-# Period at which overdue plans are looked at.
-REVIEW_S = 0.25
+SWEEP_S = 10.0
 # Attempts in one call, which bound its duration when nothing fits.
 ATTEMPTS_PER_CALL = 64
 
@@ -47,6 +44,8 @@
         Policies; the default is the full implementation of each.
     resizes : bool
         Whether the platform can change the reservation of a running task.
+    attempts : int
+        Failed attempts to place work after which `decide` returns.
     """
 
     def __init__(
@@ -61,6 +60,7 @@
         estimator=None,
         queue=None,
         resizes=True,
+        attempts=ATTEMPTS_PER_CALL,
     ):
         self.fleet = fleet
         self.random = random
@@ -86,8 +86,14 @@
         )
         self.impossible = ImpossibleWork(fleet=fleet, ledger=self.ledger)
         self.impossible_runs = {}
-        self.resizes = resizes
+        self.attempts = attempts
         self.outbox = collections.deque()
+        self.usage = ReservationKeeper(
+            book=self.book, outbox=self.outbox, enabled=resizes
+        )
+        self.plans = PlanKeeper(
+            book=self.book, holds=self.holds, starter=self.starter, freed=self._freed
+        )
         self.repeater = Repeater(
             queue=self.queue,
             quarantine=self.quarantine,
@@ -96,9 +102,7 @@
         )
         self.freed = {}
         self.fleet_seen = -1
-        self.holds_seen = -1
         self.next_sweep = 0.0
-        self.next_review = 0.0
 
     # Input from the shard leader.
 
@@ -135,6 +139,27 @@
         index = int(task.rpartition("/")[2])
         return self.book.place(work, index, worker, needs, now) is not None
 
+    def knows(self, task) -> bool:
+        """Return whether a task counts as placed."""
+        return task in self.book.running
+
+    def resume(self, work, now, *, completed, waiting):
+        """Queue the rest of a run that an earlier leader has begun.
+
+        Parameters
+        ----------
+        completed, waiting : collection of int
+            Tasks that have completed, and tasks without an attempt in progress. A
+            gang of which other tasks run is ended and queued as a whole.
+        """
+        entry = self.book.open_run(work)
+        entry.remaining.difference_update(completed)
+        if work.is_gang and entry.running:
+            entry.restart.extend(waiting)
+            self.repeater.restart_gang(entry, now)
+        elif waiting:
+            self.submit(work, now, indices=waiting)
+
     def cancel(self, run) -> tuple[str, ...]:
         """Drop the waiting tasks of a run.
 
@@ -147,7 +172,7 @@
         self.impossible_runs.pop(run, None)
         self.queue.cancel(run)
         for plan in list(self.holds.by_run.get(run, {}).values()):
-            self._drop_plan(plan)
+            self.plans.drop(plan)
         entry = self.book.runs.get(run)
         if entry is None:
             return ()
@@ -218,8 +243,8 @@
             placed = self.book.running.get(task)
             if placed is None or placed.worker != worker:
                 continue
-            first = placed.reports == 0
-            self._observe_task(placed, used, now, first)
+            if self.usage.observe(placed, used, now):
+                self._freed(worker)
         was_closed = state.pressured
         running = self.book.running
         for decision in self.preemption.relieve(self.fleet, running, state, usage, now):
@@ -255,12 +280,11 @@
             decision = self.outbox.popleft()
             if self._is_current(decision):
                 decisions.append(decision)
-        for plan in self.holds.complete():
-            decisions.extend(self.starter.start_held(plan, now))
-        self._review_plans(now, decisions)
+        decisions.extend(self.plans.start_complete(now))
+        decisions.extend(self.plans.review(now))
         self._probe(now, decisions)
-        tried = set()
-        while len(decisions) < limit and len(tried) < ATTEMPTS_PER_CALL:
+        tried, failures = set(), 0
+        while len(decisions) < limit and failures < self.attempts:
             queue = self.queue.next_ready()
             if queue is None:
                 if not self._wake(tried):
@@ -269,6 +293,7 @@
             started = self.starter.attempt(queue, now)
             if not started:
                 tried.add(id(queue))
+                failures += 1
             decisions.extend(started)
         return decisions
 
@@ -300,6 +325,7 @@
         return placed
 
     def _freed(self, worker):
+        self.usage.settle(worker)
         self.freed[worker] = None
         self.holds.worker_changed(worker)
 
@@ -309,65 +335,13 @@
             worker = next(iter(self.freed))
             state = self.fleet.workers.get(worker)
             usable = state is not None and state.open
-            if usable and self.queue.wake_one(state.free, tried):
-                return True
+            if usable:
+                available = state.free + self.holds.lendable(state)
+                if self.queue.wake_one(available, tried):
+                    return True
             del self.freed[worker]
         return False
 
-    def _observe_task(self, placed, used, now, first):
-        placed.reports += 1
-        self.estimator.observe(placed.work, used, now, first=first)
-        previous = placed.usage
-        placed.usage = used
-        if not self.resizes or placed.reports < RESIZE_REPORTS:
-            return
-        needs = self.estimator.resized(placed, previous)
-        if needs is not None and self.book.resize(placed, needs):
-            self._freed(placed.worker)
-            self.outbox.append(
-                Resize(task=placed.task, worker=placed.worker, needs=needs)
-            )
-
-    def _drop_plan(self, plan):
-        self.ledger.give(plan.work, scaled(plan.need, len(plan.indices)))
-        for worker in self.holds.remove(plan):
-            self._freed(worker)
-        self.queue.share_changed(plan.work.service)
-        self.queue.wake_team(plan.work.team)
-
-    def _requeue_plan(self, plan):
-        self._drop_plan(plan)
-        self.starter.plan_times.pop(plan.work.service, None)
-        self._push(plan.work, plan.indices, plan.since, front=True)
-
-    def _review_plans(self, now, decisions):
-        if self.holds_seen != self.fleet.availability_version:
-            self.holds_seen = self.fleet.availability_version
-            for plan in self.holds.broken():
-                self._requeue_plan(plan)
-        if now < self.next_review:
-            return
-        self.next_review = now + REVIEW_S
-        for plan in self.holds.overdue(now):
-            if self.holds.must_replan(plan, now):
-                self._requeue_plan(plan)
-            else:
-                decisions.extend(self._end_backfill(plan))
-
-    def _end_backfill(self, plan):
-        """Checkpoint tasks that still use amounts lent by a plan that is due."""
-        decisions = []
-        for worker in plan.counts:
-            for task in list(self.fleet.workers[worker].tasks):
-                placed = self.book.running.get(task)
-                if placed is None or placed.backfill_for != plan.key:
-                    continue
-                if placed.state is not TaskState.ENDING:
-                    decisions.append(
-                        self.starter.order_checkpoint(placed, "end of backfill")
-                    )
-        return decisions
-
     def _apply_quarantine(self):
         for worker in self.quarantine.changes():
             excluded = self.quarantine.is_excluded(worker)
--- a/wasabipaddle/routing/dispatcher.py
+++ b/wasabipaddle/routing/dispatcher.py
@@ -13,6 +13,8 @@
 from wasabipaddle.routing.budget import RetryBudget
 from wasabipaddle.routing.connections import EndpointConnections
 from wasabipaddle.routing.slots import Job, SlotScheduler, refusal, resolve
+from wasabipaddle.routing.trace import RequestTrace
+from wasabipaddle.timeline import EventKind
 
 __all__ = ["Dispatcher"]
 
@@ -43,6 +45,8 @@
         Counters and histograms.
     on_demand : callable
         Called with the pool when requests wait for slots.
+    events : EventRing or None
+        Time line of the process.
     """
 
     def __init__(
@@ -57,6 +61,7 @@
         random,
         metrics,
         on_demand=None,
+        events=None,
     ):
         self.policy = policy
         self.holder = holder
@@ -72,6 +77,7 @@
             progress_s=settings.progress_s,
             metrics=metrics,
         )
+        self.trace = RequestTrace(events=events, clock=clock)
         self.budgets = {}
         self.slots = SlotScheduler(
             policy=policy, holder=holder, clock=clock, random=random, metrics=metrics
@@ -101,13 +107,13 @@
         job = job.unwrap()
         refused = self._offer(job)
         if refused is not None:
-            return self._refused(refused)
+            return self._refused(message, refused)
         self.jobs.add(job)
         streaming = False
         try:
             admitted = await self.slots.admitted(job)
             if admitted.is_err():
-                return self._refused(admitted.unwrap_err())
+                return self._refused(message, admitted.unwrap_err())
             self._budget(job).request()
             result = await self._serve(job)
             streaming = job.slot is not None and result.is_ok()
@@ -223,18 +229,35 @@
         )
         job.tried.add(slot.endpoint)
         self.metrics.count("routing.sent")
-        answer = await self.connections.send(client, request, deadline=job.deadline)
-        if answer.is_ok():
-            result = await self._receive(job, client, answer.unwrap())
-        else:
-            result = answer
-        if result.is_err():
-            result = Err(await self._settled(job, client, request, result.unwrap_err()))
+        sent = (
+            EventKind.REQUEST_SENT if job.attempts == 1 else EventKind.REQUEST_RETRIED
+        )
+        self.trace.record(sent, job.message, vm=slot.endpoint)
+        try:
+            result = await self._exchange(job, client, request)
+        except asyncio.CancelledError:
+            # The caller has gone, but the endpoint may still run the request.
+            self._linger(job, client)
+            raise
         self._learn(slot, result)
+        detail = result.unwrap_err().kind.value if result.is_err() else "ok"
+        self.trace.record(
+            EventKind.REQUEST_ANSWERED, job.message, vm=slot.endpoint, detail=detail
+        )
         if result.is_err() and result.unwrap_err().outcome is Outcome.UNKNOWN:
             self._linger(job, client)
         return result
 
+    async def _exchange(self, job, client, request):
+        """Send a request, check its answer, and settle a doubt about it."""
+        answer = await self.connections.send(client, request, deadline=job.deadline)
+        result = answer
+        if answer.is_ok():
+            result = await self._receive(job, client, answer.unwrap())
+        if result.is_ok():
+            return result
+        return Err(await self._settled(job, client, request, result.unwrap_err()))
+
     async def _receive(self, job, client, answer):
         """Check an answer; buffer it, or begin to stream it if it is long."""
         if answer.request != job.message.request:
@@ -270,6 +293,8 @@
 
     def _linger(self, job, client):
         """Keep the slot of a request that may still run until it has ended."""
+        if job.slot is None:
+            return
         pool = job.ticket.pool
         slot = self.slots.detach(job)
         task = asyncio.ensure_future(
@@ -335,7 +360,8 @@
                 failure = Failure(kind=ErrorKind.DRAINING, detail="draining")
                 resolve(job.waiter, Err(failure))
 
-    def _refused(self, failure):
+    def _refused(self, message, failure):
+        self.trace.refused(message, failure)
         self.metrics.count(f"routing.refused.{failure.kind.value}")
         return Err(failure)
 
--- a/wasabipaddle/routing/holder.py
+++ b/wasabipaddle/routing/holder.py
@@ -84,11 +84,15 @@
 
 @attrs.define(kw_only=True)
 class _ShardState:
-    """Numbering of the grant requests to the leader of one shard."""
+    """Numbering of the grant requests to the leader of one shard.
+
+    `applied_at` is the sending time of the request whose reply is in force.
+    """
 
     sequence: int = 0
     applied: int = 0
     sent_at: float = 0.0
+    applied_at: float = float("-inf")
     epoch: int = 0
     resync: bool = True
 
@@ -119,13 +123,15 @@
         self.members = {}
         self.capacities = {}
 
-    def request(self, shard, demand, *, now) -> GrantRequest:
+    def request(self, shard, demand, *, now, draining=False) -> GrantRequest:
         """Return the next grant request to the leader of a shard.
 
         Parameters
         ----------
         demand : sequence of PoolDemand
             Requests in progress and waiting, per pool.
+        draining : bool
+            Whether slots are needed only for requests that were accepted.
         """
         state = self.shards.setdefault(shard, _ShardState())
         state.sequence += 1
@@ -147,6 +153,8 @@
             sequence=state.sequence,
             applied=state.applied,
             held=held,
+            epoch=state.epoch,
+            draining=draining,
         )
 
     def apply(self, reply, *, now) -> bool:
@@ -163,7 +171,9 @@
             self._extend(reply, expires)
         else:
             self._replace(reply, expires, now)
+        self.drain(reply.leaving)
         state.applied = reply.sequence
+        state.applied_at = state.sent_at
         self._changed()
         return True
 
--- a/wasabipaddle/runs/leader.py
+++ b/wasabipaddle/runs/leader.py
@@ -92,6 +92,8 @@
         Shared services of the process.
     make_id : callable
         Returns the random part of a new run id.
+    recovery : type
+        `RecoveryPolicy` to use.
     """
 
     def __init__(
@@ -104,6 +106,7 @@
         quotas,
         context,
         make_id=_random_id,
+        recovery=Adoption,
     ):
         self.election = election
         self.shard = election.shard
@@ -116,7 +119,7 @@
         self.mailbox = Mailbox(capacity=MAILBOX_CAPACITY)
         self.table = RunTable()
         self.fleet = FleetIndex()
-        self.placer = Placer(fleet=self.fleet, random=context.random, resizes=False)
+        self.placer = Placer(fleet=self.fleet, random=context.random)
         for quota in quotas:
             self.placer.set_quota(quota.team, quota.quota.resources)
         self.pool = WorkerPool(
@@ -135,6 +138,7 @@
             pool=self.pool,
             epoch=self.epoch,
             context=context,
+            quota_of=self._quota_of,
             on_ended=self.waiters.ended,
         )
         self.acceptance = Acceptance(
@@ -148,6 +152,7 @@
             make_id=make_id,
         )
         self.handlers = self._handlers()
+        self.recovery = recovery
         self.adoption = None
         self.entries = None
         self.inspected = set()
@@ -188,7 +193,8 @@
                 Failure(kind=ErrorKind.QUEUE_FULL, detail="leader is overloaded")
             )
         try:
-            return await asyncio.wait_for(reply, timeout_s)
+            async with asyncio.timeout(timeout_s):
+                return await reply
         except TimeoutError:
             kind = ErrorKind.TIMEOUT
             if isinstance(message, SubmitRun):
@@ -201,7 +207,7 @@
             self.election.note_epoch(self.epoch + 1)
             return
         recorded = rebuild(self.table, answer.unwrap(), self.epoch)
-        self.adoption = Adoption(
+        self.adoption = self.recovery(
             table=self.table,
             placer=self.placer,
             pool=self.pool,
@@ -217,7 +223,8 @@
 
     async def _read_messages(self):
         try:
-            envelope = await asyncio.wait_for(self.mailbox.receive(), TICK_S)
+            async with asyncio.timeout(TICK_S):
+                envelope = await self.mailbox.receive()
         except TimeoutError:
             return
         self._handle(envelope)
--- a/wasabipaddle/runs/lifecycle.py
+++ b/wasabipaddle/runs/lifecycle.py
@@ -7,12 +7,21 @@
     Checkpoint,
     GiveUp,
     Impossible,
+    Resize,
     Start,
     Throttle,
     Unthrottle,
 )
-from wasabipaddle.platform import TaskOrder, TaskOutcome, TaskPhase, TaskStart
+from wasabipaddle.platform import (
+    TaskOrder,
+    TaskOutcome,
+    TaskPhase,
+    TaskResize,
+    TaskStart,
+)
 from wasabipaddle.runs.model import TaskState, parse_task_id, task_id
+from wasabipaddle.runs.records import work_of
+from wasabipaddle.runs.recovery import resume
 from wasabipaddle.timeline import EventKind
 
 __all__ = ["RunLifecycle"]
@@ -37,11 +46,15 @@
         Epoch of the leader.
     context : Context
         Shared services of the process.
+    quota_of : callable
+        Function from a service to its present quota, or None.
     on_ended : callable
         Receives every run that got its outcome.
     """
 
-    def __init__(self, *, table, placer, commits, pool, epoch, context, on_ended):
+    def __init__(
+        self, *, table, placer, commits, pool, epoch, context, quota_of, on_ended
+    ):
         self.table = table
         self.placer = placer
         self.commits = commits
@@ -50,6 +63,7 @@
         self.clock = context.clock
         self.events = context.events
         self.metrics = context.metrics
+        self.quota_of = quota_of
         self.on_ended = on_ended
         self.unsent = {}
         self.own_starts = set()
@@ -67,6 +81,8 @@
                 self._order("checkpoints", decision.task)
                 self._record(EventKind.TASK_PREEMPTED, decision.task, decision.reason)
                 self.metrics.count("tasks_preempted")
+            case Resize():
+                self._resize(decision)
             case Throttle():
                 self._order("throttles", decision.task)
             case Unthrottle():
@@ -141,6 +157,15 @@
         order = TaskOrder(task=task, attempt=state.attempt, grace_s=grace_s)
         self.pool.command(state.worker, name, order)
 
+    def _resize(self, decision):
+        run, index = parse_task_id(decision.task)
+        entry = self.table.get(run)
+        if entry is None or not entry.tasks[index].on_worker:
+            return
+        attempt = entry.tasks[index].attempt
+        resize = TaskResize(task=decision.task, attempt=attempt, needs=decision.needs)
+        self.pool.command(decision.worker, "resizes", resize)
+
     def _note_impossible(self, decision):
         entry = self.table.get(decision.run)
         if entry is not None and not entry.ended:
@@ -227,9 +252,18 @@
         final = entry.ended or entry.stopping
         if final and outcome is not TaskOutcome.COMPLETED:
             outcome = TaskOutcome.STOPPED
-        self.placer.ended(task, outcome, now)
+        if self.placer.knows(task):
+            self.placer.ended(task, outcome, now)
+        elif outcome not in (TaskOutcome.COMPLETED, TaskOutcome.STOPPED):
+            self._resume(entry, now)
         self.finish_if_done(entry)
 
+    def _resume(self, entry, now):
+        """Queue a task whose attempt an earlier leader had placed."""
+        if not (entry.ended or entry.in_doubt):
+            work = work_of(entry, quota=self.quota_of(entry.document.service))
+            resume(self.placer, entry, work, now)
+
     def _acknowledge(self, worker, report):
         order = TaskOrder(task=report.task, attempt=report.attempt)
         self.pool.command(worker, "acknowledgements", order)
--- a/wasabipaddle/serve/membership.py
+++ b/wasabipaddle/serve/membership.py
@@ -91,6 +91,8 @@
 
     def _beat(self, _):
         self._publish_transitions()
+        for name, size in self.transport.wire_bytes.items():
+            self.context.metrics.gauge(f"wire_bytes.{name}", size)
         for peer in self.table.targets():
             self.tasks.spawn(self._send_heartbeat(peer))
 
@@ -111,9 +113,9 @@
         own = self.table.data_centre
         if self.delegate(own) != self.table.process:
             return
-        for data_centre in self.table.names:
-            if data_centre != own:
-                self.tasks.spawn(self._send_summary(data_centre))
+        data_centre = self.table.summary_target()
+        if data_centre is not None:
+            self.tasks.spawn(self._send_summary(data_centre))
 
     async def _send_summary(self, data_centre):
         peer = self.delegate(data_centre) or self.table.probe(data_centre)
@@ -151,11 +153,11 @@
         self._publish_state(summary)
 
     def _publish_news(self, heartbeat):
-        for claim in (*heartbeat.led, *heartbeat.claims):
-            leader = getattr(claim, "leader", heartbeat.sender)
-            self.context.bus.publish(
-                EpochSeen(shard=claim.shard, epoch=claim.epoch, leader=leader)
-            )
+        claims = [(s.shard, s.epoch, heartbeat.sender) for s in heartbeat.led]
+        claims += [(s, e, leader) for s, (e, leader) in heartbeat.claims.items()]
+        for shard, epoch, leader in claims:
+            fact = EpochSeen(shard=shard, epoch=epoch, leader=leader)
+            self.context.bus.publish(fact)
         self._publish_state(heartbeat)
 
     def _publish_state(self, message):
--- a/wasabipaddle/serve/routing.py
+++ b/wasabipaddle/serve/routing.py
@@ -85,6 +85,7 @@
             random=context.random,
             metrics=context.metrics,
             on_demand=self._demand_rose,
+            events=context.events,
         )
         self.spill = None
         self.mailbox = Mailbox(capacity=routing.queue_requests)
@@ -105,6 +106,7 @@
                 clock=self.context.clock,
                 random=self.context.random,
                 metrics=self.context.metrics,
+                trace=self.dispatcher.trace,
             )
         self._update_quotas()
         self._spawn(self._read_mailbox())
@@ -173,7 +175,12 @@
             return False
         now = self.context.clock.now()
         self._update_quotas()
-        message = self.holder.request(shard, self.dispatcher.demand(), now=now)
+        message = self.holder.request(
+            shard,
+            self.dispatcher.demand(),
+            now=now,
+            draining=self.dispatcher.draining,
+        )
         timeout_s = self.settings.routing.grant_period_s
         reply = await self.transport.call(
             leader, message, GrantReply, timeout_s=timeout_s
@@ -192,7 +199,6 @@
         return True
 
     async def _ask_for_grants(self, shard):
-        period_s = self.settings.routing.grant_period_s
         answered = True
         while True:
             previous = answered
@@ -201,19 +207,33 @@
                 word = "answers" if answered else "does not answer"
                 logging.info("leader of shard %s %s", shard, word)
             await asyncio.sleep(MIN_GRANT_INTERVAL_S)
-            pause_s = period_s * self.context.random.uniform(0.9, 1.1)
+            pause_s = self._grant_period_s() * self.context.random.uniform(0.9, 1.1)
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(pause_s - MIN_GRANT_INTERVAL_S):
                     await self.wakes[shard].wait()
             self.wakes[shard].clear()
 
+    def _grant_period_s(self):
+        routing = self.settings.routing
+        demand = self.dispatcher.demand()
+        if any(d.in_progress or d.queued for d in demand):
+            return routing.grant_period_s
+        return routing.grant_idle_period_s
+
     async def _read_mailbox(self):
         while True:
             envelope = await self.mailbox.receive()
-            self._spawn(self._answer(envelope))
+            task = self._spawn(self._answer(envelope))
+            if envelope.reply is not None:
+                envelope.reply.add_done_callback(
+                    lambda reply, task=task: reply.cancelled() and task.cancel()
+                )
 
     async def _answer(self, envelope):
-        envelope.answer(await self.route(envelope.message))
+        result = await self.route(envelope.message)
+        if envelope.reply is not None and envelope.reply.done() and result.is_ok():
+            await result.unwrap().chunks.aclose()
+        envelope.answer(result)
 
     def _demand_rose(self, pool):
         for wake in self.wakes.values():
@@ -239,6 +259,7 @@
         task = asyncio.ensure_future(coroutine)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
+        return task
 
 
 class RoutingPlugin(Plugin):
--- a/wasabipaddle/serve/runs.py
+++ b/wasabipaddle/serve/runs.py
@@ -1,6 +1,7 @@
 """Role `runs`: takes operations on runs to the leader of their shard."""
 
 import asyncio
+import itertools
 
 import attrs
 import xxhash
@@ -13,6 +14,7 @@
     ListRuns,
     QueryRun,
     RunPage,
+    RunState,
     RunView,
     StopRun,
     SubmitRun,
@@ -23,10 +25,12 @@
 
 __all__ = ["RunsPlugin", "home_shard"]
 
-CALL_TIMEOUT_S = 3.0
+# A paused leader is noticed by this; a repeated submission joins the pending one.
+CALL_TIMEOUT_S = 1.5
 # A change of leadership takes up to a lease and a recovery.
 PATIENCE_S = 8.0
 RETRY_S = 0.25
+WAIT_STEP_S = 3.0
 
 _RETRIED = frozenset(
     {
@@ -123,8 +127,25 @@
         if shard not in self._shards():
             detail = "no such run"
             return Err(Failure(kind=ErrorKind.NOT_FOUND, detail=detail))
+        if isinstance(message, WaitRun):
+            return await self._wait(shard, message)
         return await self._call(shard, message)
 
+    async def _wait(self, shard, message):
+        """Wait for the end of a run in short steps.
+
+        One long call would not notice that the leader has been replaced.
+        """
+        clock = self.context.clock
+        until = clock.now() + message.wait_s
+        while True:
+            left_s = max(until - clock.now(), 0.0)
+            step = attrs.evolve(message, wait_s=min(left_s, WAIT_STEP_S))
+            result = await self._call(shard, step)
+            ended = result.is_ok() and result.unwrap().state is RunState.ENDED
+            if ended or result.is_err() or clock.now() >= until:
+                return result
+
     # Submission
 
     async def _submit(self, message):
@@ -145,7 +166,10 @@
         if result.is_ok():
             run = result.unwrap().run
             self.context.events.record(
-                EventKind.RUN_SUBMITTED, run=run, service=message.service
+                EventKind.RUN_SUBMITTED,
+                run=run,
+                service=message.service,
+                detail="acceptance received",
             )
         return result
 
@@ -193,13 +217,15 @@
         """Ask the leader of a shard, again while leadership moves.
 
         Every operation is idempotent: a submission by its key, the others by the
-        run id.
+        run id. After the leader that is known, the other candidates are asked in
+        turn: news of a change reaches another data centre only with a summary, and
+        a process that does not lead answers at once.
         """
         clock = self.context.clock
         give_up_at = clock.now() + PATIENCE_S
         doubtful = False
-        while True:
-            result = await self._call_once(shard, message)
+        for attempt in itertools.count():
+            result = await self._call_once(shard, message, attempt)
             if result.is_ok() or result.unwrap_err().kind not in _RETRIED:
                 return result
             doubtful = doubtful or result.unwrap_err().kind in _DOUBTFUL
@@ -207,21 +233,34 @@
                 return _give_up(message, result, doubtful)
             await asyncio.sleep(RETRY_S)
 
-    async def _call_once(self, shard, message):
+    async def _call_once(self, shard, message, attempt):
         if shard in self.leaders:
             return await self.serve_peer(message)
-        leader = self.membership.leader_of(shard)
-        if leader is None or leader == self.context.settings.process:
+        targets = self._targets(shard)
+        if not targets:
             detail = f"no leader of shard {shard} is known"
             return Err(
                 Failure(kind=ErrorKind.NO_LEADER, detail=detail, retry_after_s=1.0)
             )
+        target = targets[attempt % len(targets)]
         reply_type = RunPage if isinstance(message, ListRuns) else RunView
         timeout_s = _timeout_s(message) + RETRY_S
         return await self.transport.call(
-            leader, message, reply_type, timeout_s=timeout_s
+            target, message, reply_type, timeout_s=timeout_s
         )
 
+    def _targets(self, shard):
+        """Return the processes that may lead a shard, the likeliest first."""
+        settings = self.context.settings
+        data_centre = shard.rpartition("-")[0]
+        leader = self.membership.leader_of(shard)
+        names = [
+            e.name
+            for e in settings.deployment.entries
+            if e.data_centre == data_centre and e.name != settings.process
+        ]
+        return sorted(names, key=lambda n: n != leader)
+
 
 def _shard_of(message):
     if isinstance(message, SubmitRun | ListRuns):
--- a/wasabipaddle/standins/tasks.py
+++ b/wasabipaddle/standins/tasks.py
@@ -14,6 +14,7 @@
     TaskStart,
     Usage,
 )
+from wasabipaddle.standins.exchange import call_later
 from wasabipaddle.standins.ledger import Discard, Execution, WorkKind
 from wasabipaddle.standins.payloads import TaskPayload, parse_payload, work_of_task
 
@@ -32,6 +33,7 @@
     shard: str
     payload: TaskPayload
     execution: Execution
+    needs: Resources
     lease_until_s: float
     remaining_s: float | None
     ending: bool = False
@@ -115,6 +117,7 @@
             shard=shard,
             payload=payload,
             execution=execution,
+            needs=start.needs,
             lease_until_s=lease_until_s,
             remaining_s=_remaining(payload, start.checkpoint),
             progress_since_s=now,
@@ -124,12 +127,21 @@
         self.reserved = self.reserved + start.needs
         self._arm_lease(task)
         self._arm_end(task)
-        asyncio.get_running_loop().call_later(
-            self.usage_lag_s + TIMER_MARGIN_S, self._use_due, task
-        )
+        call_later(self.usage_lag_s + TIMER_MARGIN_S, self._use_due, task)
         self._touch(task)
         return task
 
+    def resize(self, task, needs):
+        """Change the reservation of a task if the new amounts fit."""
+        if task.phase is TaskPhase.ENDED:
+            return
+        reserved = self.reserved - task.needs + needs
+        if not reserved.fits(self.capacity):
+            return
+        self.reserved = reserved
+        task.needs = needs
+        self.ledger.resize(task.execution, needs=needs, time_s=_now())
+
     def renew(self, shard, until_s):
         """Extend the lease of every task of a shard."""
         for task in self.tasks.values():
@@ -185,7 +197,7 @@
             self._advance(task)
             task.checkpoint = _write_checkpoint(task)
         task.end_timer = _cancel(task.end_timer)
-        self.reserved = self.reserved - task.start.needs
+        self.reserved = self.reserved - task.needs
         task.phase = TaskPhase.ENDED
         task.outcome = outcome
         self.ledger.end(task.execution, outcome=outcome.value, time_s=now)
@@ -231,7 +243,7 @@
             task=task.start.task,
             attempt=task.start.attempt,
             phase=task.phase,
-            needs=task.start.needs,
+            needs=task.needs,
             outcome=task.outcome,
             usage=task.use if known else Usage(),
             answer=task.payload.answer if completed else "",
@@ -272,9 +284,7 @@
 
     def _arm_lease(self, task):
         delay_s = max(0.0, task.lease_until_s - _now())
-        task.lease_timer = asyncio.get_running_loop().call_later(
-            delay_s, self._lease_due, task
-        )
+        task.lease_timer = call_later(delay_s, self._lease_due, task)
 
     def _lease_due(self, task):
         if self.tasks.get(task.start.task) is not task:
@@ -321,7 +331,7 @@
 
     def _replace_timer(self, timer, delay_s, action, *args):
         _cancel(timer)
-        return asyncio.get_running_loop().call_later(delay_s, action, *args)
+        return call_later(delay_s, action, *args)
 
 
 def _now():
--- a/wasabipaddle/transport/base.py
+++ b/wasabipaddle/transport/base.py
@@ -11,11 +11,21 @@
 
 
 class Transport(abc.ABC):
-    """Sends typed messages to peers and serves the messages of peers."""
+    """Sends typed messages to peers and serves the messages of peers.
+
+    Attributes
+    ----------
+    sent_bytes : dict of str to int
+        Bytes of sent bodies by message type.
+    wire_bytes : dict of str to int
+        Bytes sent and received by message type, in calls of both directions, headers
+        included where the transport has any.
+    """
 
     def __init__(self):
         self.handlers = {}
         self.sent_bytes = {}
+        self.wire_bytes = {}
 
     def handle(self, message_type, handler):
         """Serve messages of one type.
@@ -61,3 +71,7 @@
         """Add the size of one call to the traffic of its message type."""
         name = type(message).__name__
         self.sent_bytes[name] = self.sent_bytes.get(name, 0) + size
+
+    def count_wire(self, name, size):
+        """Add bytes sent or received in a call of the message type `name`."""
+        self.wire_bytes[name] = self.wire_bytes.get(name, 0) + size
--- a/wasabipaddle/transport/memory.py
+++ b/wasabipaddle/transport/memory.py
@@ -56,20 +56,22 @@
         Name of the process.
     network : MemoryNetwork
         The network that it joins.
+    context : contextvars.Context or None
+        Context in which received messages are handled, see `process_context`.
     """
 
-    def __init__(self, *, name, network):
+    def __init__(self, *, name, network, context=None):
         super().__init__()
         self.name = name
         self.network = network
+        self.context = context
         network.transports[name] = self
 
     async def call(self, peer, message, reply_type, *, timeout_s):
         """Deliver the message after the latency of the network."""
         try:
-            return await asyncio.wait_for(
-                self._deliver(peer, message, reply_type), timeout_s
-            )
+            async with asyncio.timeout(timeout_s):
+                return await self._deliver(peer, message, reply_type)
         except TimeoutError:
             detail = f"no reply from {peer}"
             return Err(Failure(kind=ErrorKind.TIMEOUT, detail=detail))
@@ -86,7 +88,10 @@
         if not self.network.passes(self.name, peer):
             await asyncio.get_running_loop().create_future()
         target = self.network.transports[peer]
-        reply = await target.serve(type(message).__name__, body)
+        serving = target.serve(type(message).__name__, body)
+        task = asyncio.create_task(serving, context=target.context)
+        # The peer goes on even if the caller gives up.
+        reply = await asyncio.shield(task)
         await asyncio.sleep(latency)
         if not self.network.passes(self.name, peer):
             await asyncio.get_running_loop().create_future()
