Give released room to services below their floor first

Cause: a service that waits for space was woken by best fit and share within its class only.

Ruled out: the order of ready services (floors already go first there), and the share ledger (its shares and floors were right in the trace). A hold is not a substitute: it is planned at most once in 0.1 s per service.

Change: parked services with a floor are indexed, and `wake_one` tries the one that holds the smallest part of its floor before any other. A new floor also applies to a service that is already waiting.

--- a/wasabipaddle/placement/placer.py
+++ b/wasabipaddle/placement/placer.py
@@ -289,6 +289,7 @@
     def set_floor(self, service, guaranteed):
         """Guarantee a fraction of the fleet to a service."""
         self.ledger.set_floor(service, guaranteed)
+        self.queue.floor_changed(service)
 
     # Decisions.
 
--- a/wasabipaddle/placement/queue.py
+++ b/wasabipaddle/placement/queue.py
@@ -107,6 +107,7 @@
         self.parked_quota = {}
         self.parked_fleet = {}
         self.floor_ready = {}
+        self.floor_parked = {}
         self.sequence = itertools.count()
 
     def __len__(self):
@@ -198,6 +199,8 @@
         queue.need = need
         queue.parked_key = (need.cpu_milli, next(self.sequence))
         self.parked_space[queue.rank].add((*queue.parked_key, queue))
+        if queue.service in self.ledger.floors:
+            self.floor_parked[queue.service, queue.urgency] = queue
 
     def park_quota(self, queue):
         """Park a service until its team releases amounts."""
@@ -215,6 +218,12 @@
         for queue in list(self.parked_quota.get(team, {}).values()):
             self.make_ready(queue)
 
+    def floor_changed(self, service):
+        """Let a service that waits for space be tried under its new floor."""
+        for queue in self.by_service.get(service, ()):
+            if queue.state in (QueueState.READY, QueueState.SPACE):
+                self.make_ready(queue)
+
     def wake_fleet(self):
         """Let services that wait for a change of the fleet be tried again."""
         for queue in list(self.parked_fleet.values()):
@@ -247,9 +256,9 @@
     def wake_one(self, free, tried) -> bool:
         """Let one parked service that `free` can hold be tried again.
 
-        Of the half of the fitting services with the smallest shares, the one is taken
-        whose need is most like the free amounts, so that neither processor nor memory
-        is left over alone.
+        Services below their guaranteed floor come first. Otherwise, of the half of the
+        fitting services with the smallest shares, the one is taken whose need is most
+        like the free amounts, so that neither processor nor memory is left over alone.
 
         Parameters
         ----------
@@ -258,6 +267,10 @@
         tried : set of int
             Identities of queues that are left parked.
         """
+        below = self._furthest_below_floor(free, tried)
+        if below is not None:
+            self.make_ready(below)
+            return True
         for parked in self.parked_space:
             fitting = parked.irange(maximum=(free.cpu_milli, 1 << 62), reverse=True)
             options = [
@@ -273,6 +286,17 @@
                 return True
         return False
 
+    def _furthest_below_floor(self, free, tried):
+        """Return the parked service with the smallest part of its floor, or None."""
+        below = (
+            queue
+            for queue in self.floor_parked.values()
+            if id(queue) not in tried
+            and queue.need.fits(free)
+            and self.ledger.below_floor(queue.service)
+        )
+        return min(below, key=lambda q: self.ledger.floor_part(q.service), default=None)
+
     def _order(self, queue):
         return self.ledger.share(queue.service) / queue.weight
 
@@ -298,6 +322,7 @@
             self.floor_ready.pop((queue.service, queue.urgency), None)
         elif queue.state is QueueState.SPACE:
             self.parked_space[rank].remove((*queue.parked_key, queue))
+            self.floor_parked.pop((queue.service, queue.urgency), None)
         elif queue.state is QueueState.QUOTA:
             self.parked_quota[queue.team].pop(id(queue), None)
         elif queue.state is QueueState.FLEET:
--- a/wasabipaddle/placement/shares.py
+++ b/wasabipaddle/placement/shares.py
@@ -76,6 +76,10 @@
         floor = self.floors.get(service)
         return floor is not None and self.share(service) < floor[0]
 
+    def floor_part(self, service) -> float:
+        """Return the part of its guaranteed fraction that a service holds."""
+        return self.share(service) / self.floors[service][0]
+
     def respects_floors(self, work, amount, *, reclaimable) -> bool:
         """Return whether other services can still reach their floors.
 
--- a/wasabipaddle/placement/tests/test_policies.py
+++ b/wasabipaddle/placement/tests/test_policies.py
@@ -112,6 +112,21 @@
     assert queue.next_ready().service == "kept"
 
 
+def test_released_room_goes_to_services_below_their_floor(ledger):
+    """Guards against a flood that takes all room while a floor is not reached."""
+    queue = PendingQueue(ledger=ledger)
+    ledger.set_floor("kept", 0.1)
+    small = Resources(cpu_milli=1000, memory_mb=1000)
+    queue.push(waiting("kept", "kept", urgency=Urgency.DEFERRABLE))
+    for number in range(100):
+        run = f"flood-{number}"
+        queue.push(waiting(run, run, needs=TASK, urgency=Urgency.URGENT))
+    while (ready := queue.next_ready()) is not None:
+        queue.park_space(ready, small if ready.service == "kept" else TASK)
+    assert queue.wake_one(SIZE, set())
+    assert queue.next_ready().service == "kept"
+
+
 def test_floor_stays_free_under_a_flood_of_urgent_work(fleet, rng):
     """Guards against a flood that fills the guaranteed part of the fleet."""
     placer = Placer(fleet=fleet, random=rng)
