Claim idempotency keys of requests at a majority of a fixed group

Keys were remembered only by the process that took a request, so a repeat through the balancer could run a second time elsewhere. Claims now need two certain votes of three processes that rendezvous hashing selects from the configured ones.

--- a/wasabipaddle/api/idempotency.py
+++ b/wasabipaddle/api/idempotency.py
@@ -81,8 +81,8 @@
 
         Parameters
         ----------
-        key : tuple of str
-            Caller, service and idempotency key.
+        key : str
+            Digest of caller, service and idempotency key.
         fingerprint : bytes
             Digest of the request body.
 
@@ -92,10 +92,16 @@
             None if the request should run, the kept answer of an ended one, or an
             `Err` of kind `conflict`.
         """
+        found = self.find(key, fingerprint)
+        if found.is_ok() and found.unwrap() is None:
+            self.in_progress[key] = _Entry(fingerprint=fingerprint)
+        return found
+
+    def find(self, key, fingerprint) -> Result[KeptAnswer | None, Failure]:
+        """Return the kept answer of a key as `begin` does, without starting it."""
         self._expire()
         entry = self.in_progress.get(key) or self.ended.get(key)
         if entry is None:
-            self.in_progress[key] = _Entry(fingerprint=fingerprint)
             return Ok(None)
         if entry.fingerprint != fingerprint:
             return _conflict("the idempotency key belongs to a different request")
@@ -105,6 +111,10 @@
             return _conflict("the request has run; its answer was too large to keep")
         return Ok(entry.answer)
 
+    def abandon(self, key):
+        """Forget a request that was begun and not run."""
+        del self.in_progress[key]
+
     def end(self, key, answer):
         """Keep the end of a request, unless it surely has not run."""
         entry = self.in_progress.pop(key)
--- a/wasabipaddle/api/requests.py
+++ b/wasabipaddle/api/requests.py
@@ -13,9 +13,10 @@
 from wasabipaddle.api.state import ASK_MARGIN_S, read_body
 from wasabipaddle.documents import ServiceKind
 from wasabipaddle.documents.units import parse_quantity, rule_for
-from wasabipaddle.exceptions import ErrorKind, Failure, WasabipaddleError
+from wasabipaddle.exceptions import ErrorKind, Failure, Outcome, WasabipaddleError
 from wasabipaddle.kernel import Route
 from wasabipaddle.messages import RoutedAnswer, RouteRequest
+from wasabipaddle.routing.key_records import key_digest
 
 __all__ = ["RequestRoutes"]
 
@@ -100,8 +101,11 @@
     async def _run_once(self, request, message, deadline_s, key):
         """Run a request unless one with the same key is in progress or kept."""
         kept = self.state.kept
-        name = (message.caller, message.service, key)
-        earlier = unwrap(kept.begin(name, hashlib.sha256(message.body).digest()))
+        name = key_digest(message.caller, message.service, key)
+        fingerprint = hashlib.sha256(message.body).digest()
+        earlier = unwrap(kept.begin(name, fingerprint))
+        if earlier is None:
+            earlier = await self._claim(name, message, fingerprint)
         if earlier is not None:
             return _repeat(earlier)
         unknown = Failure(kind=ErrorKind.OUTCOME_UNKNOWN, detail="interrupted")
@@ -115,6 +119,24 @@
             return await self._run(request, message, deadline_s, remember)
         finally:
             kept.end(name, end)
+            failure, keys = end.failure, self.state.keys
+            not_run = failure is not None and failure.outcome is Outcome.NOT_RUN
+            if not_run and keys is not None:
+                keys.release(name, message.request)
+
+    async def _claim(self, name, message, fingerprint):
+        """Return how another process ended the request, None if it may run here."""
+        keys = self.state.keys
+        if keys is None:
+            return None
+        may_run = False
+        try:
+            claimed = await keys.claim(name, message.request, fingerprint.hex())
+            may_run = claimed.is_ok() and claimed.unwrap() is None
+            return unwrap(claimed)
+        finally:
+            if not may_run:
+                self.state.kept.abandon(name)
 
     async def _run(self, request, message, deadline_s, remember):
         try:
--- a/wasabipaddle/api/state.py
+++ b/wasabipaddle/api/state.py
@@ -36,6 +36,8 @@
         Documents in force.
     editor : DocumentEditor or None
         Editor of documents; None without a store.
+    keys : object or None
+        Has `claim` and `release` of `KeysPlugin`; None remembers keys only here.
     """
 
     context: Context
@@ -45,6 +47,7 @@
     limits: CallerLimits
     readiness: Readiness
     kept: KeptAnswers
+    keys: object = None
 
     @classmethod
     def create(cls, *, context, catalogue, readiness, store):
@@ -53,6 +56,10 @@
         editor = None
         if store is not None:
             editor = DocumentEditor(store=store, catalogue=catalogue)
+        kept = KeptAnswers(clock=context.clock)
+        keys = context.plugins.get("keys")
+        if keys is not None:
+            keys.kept = kept
         return cls(
             context=context,
             catalogue=catalogue,
@@ -64,7 +71,8 @@
                 clock=context.clock,
             ),
             readiness=readiness,
-            kept=KeptAnswers(clock=context.clock),
+            kept=kept,
+            keys=keys,
         )
 
     @property
--- a/wasabipaddle/measure/whole_cell.py
+++ b/wasabipaddle/measure/whole_cell.py
@@ -17,6 +17,7 @@
 from wasabipaddle.messages import RouteRequest, SubmitRun
 from wasabipaddle.platform import VmEntry, VmRole, VmStatus
 from wasabipaddle.serve.fleet import FleetPlugin
+from wasabipaddle.serve.keys import KeysPlugin
 from wasabipaddle.serve.routing import RoutingPlugin
 from wasabipaddle.serve.runs import RunsPlugin
 from wasabipaddle.serve.shards import ShardsPlugin
@@ -24,7 +25,7 @@
 
 __all__ = ["CellSize", "WholeCell"]
 
-ALL_ROLES = (FleetPlugin, *ROLES, ShardsPlugin, RoutingPlugin, RunsPlugin)
+ALL_ROLES = (FleetPlugin, *ROLES, ShardsPlugin, RoutingPlugin, KeysPlugin, RunsPlugin)
 WORKERS_PER_RACK = 8
 CALLER_TIMEOUT_S = 60.0
 
--- a/wasabipaddle/messages/__init__.py
+++ b/wasabipaddle/messages/__init__.py
@@ -4,6 +4,16 @@
 from wasabipaddle.messages.codec import decode, encode
 from wasabipaddle.messages.events import EventPage, QueryEvents
 from wasabipaddle.messages.grants import Grant, GrantReply, GrantRequest, PoolDemand
+from wasabipaddle.messages.keys import (
+    ClaimKey,
+    ClaimReply,
+    KeptReply,
+    KeyRecord,
+    KeyRecordsPage,
+    KeyRecordsQuery,
+    QueryKept,
+    ReleaseKey,
+)
 from wasabipaddle.messages.members import (
     DataCentreSummary,
     DrainNotice,
@@ -40,6 +50,8 @@
 
 __all__ = [
     "CancelRun",
+    "ClaimKey",
+    "ClaimReply",
     "ClusterView",
     "DataCentreSummary",
     "DocumentRevision",
@@ -52,6 +64,10 @@
     "GrantRequest",
     "Heartbeat",
     "HeartbeatReply",
+    "KeptReply",
+    "KeyRecord",
+    "KeyRecordsPage",
+    "KeyRecordsQuery",
     "LeaderHandover",
     "LedShard",
     "ListRuns",
@@ -59,7 +75,9 @@
     "PoolDemand",
     "QueryCluster",
     "QueryEvents",
+    "QueryKept",
     "QueryRun",
+    "ReleaseKey",
     "RevisionPage",
     "RevisionQuery",
     "RouteRequest",
--- /dev/null
+++ b/wasabipaddle/routing/key_records.py
@@ -0,0 +1,193 @@
+"""Records of idempotency keys at the members of their groups."""
+
+import collections
+import hashlib
+import heapq
+
+import attrs
+import xxhash
+
+from wasabipaddle.messages import ClaimReply, KeyRecord, KeyRecordsPage
+
+__all__ = ["KeyRecords", "key_digest", "majority_of"]
+
+GROUP_SIZE = 3
+RETENTION_S = 600.0
+MAX_RECORDS = 50_000  # about 430 bytes each
+PAGE_RECORDS = 1_000
+# Processes of a cell that starts finish their first copies at different times. Until
+# this time has passed they still count as new for each other.
+COLD_START_S = 30.0
+
+
+def key_digest(*parts) -> str:
+    """Return the digest under which a key is recorded, as 32 hexadecimal digits."""
+    text = "\0".join(parts).encode()
+    return hashlib.sha256(text).hexdigest()[:32]
+
+
+def majority_of(group) -> int:
+    """Return how many members of a group must agree."""
+    return len(group) // 2 + 1
+
+
+@attrs.frozen(kw_only=True)
+class _Held:
+    record: KeyRecord
+    group: tuple[str, ...]
+    expires: float
+
+
+class KeyRecords:
+    """First claims of keys at one process, bounded in count and time.
+
+    The group of a key is chosen by rendezvous hashing over the configured processes,
+    not over the live ones: two processes with different views of the live members
+    would otherwise ask different groups. A process that has lost its memory is not
+    certain until it has copied the records of all other members of a group.
+
+    Parameters
+    ----------
+    process : str
+        Name of this process.
+    names : iterable of str
+        Names of all configured entry processes of the cell.
+    now : float
+        Time of the start in seconds.
+    retention_s : float
+        Time that a record is kept after its claim.
+    max_records : int
+        Number of records above which no new claim is taken. A record is never
+        dropped before its time.
+
+    References
+    ----------
+    Thaler and Ravishankar, "Using Name-Based Mappings to Increase Hit Rates", 1998.
+    """
+
+    def __init__(
+        self,
+        *,
+        process,
+        names,
+        now,
+        retention_s=RETENTION_S,
+        max_records=MAX_RECORDS,
+    ):
+        self.process = process
+        self.names = tuple(sorted(names))
+        self.started_at = now
+        self.retention_s = retention_s
+        self.max_records = max_records
+        self.held = collections.OrderedDict()
+        self.copied = set()
+        self.new_peers = set()
+        self.cold_until = now
+
+    def group(self, key) -> tuple[str, ...]:
+        """Return the members that record a key."""
+
+        def weight(name):
+            return xxhash.xxh64_intdigest(f"{key}/{name}".encode())
+
+        return tuple(heapq.nsmallest(GROUP_SIZE, self.names, key=weight))
+
+    # Claims
+
+    def claim(self, message, now) -> ClaimReply:
+        """Record the first claim of a key and return who holds it."""
+        self._expire(now)
+        group = self.group(message.key)
+        certain = self.is_certain(group, now)
+        held = self.held.get(message.key)
+        if held is None:
+            if len(self.held) >= self.max_records:
+                return ClaimReply(certain=False)
+            record = KeyRecord(
+                key=message.key, owner=message.sender, request=message.request
+            )
+            held = self._hold(record, group, now)
+        record = held.record
+        return ClaimReply(certain=certain, owner=record.owner, request=record.request)
+
+    def release(self, message):
+        """Remove the claim of a request that was surely not run."""
+        held = self.held.get(message.key)
+        if held is None:
+            return
+        if (held.record.owner, held.record.request) == (
+            message.sender,
+            message.request,
+        ):
+            del self.held[message.key]
+
+    # Copies
+
+    def page(self, sender, after, now) -> KeyRecordsPage:
+        """Return the next records of the groups of `sender`."""
+        self._expire(now)
+        keys = (k for k, h in self.held.items() if k > after and sender in h.group)
+        found = heapq.nsmallest(PAGE_RECORDS + 1, keys)
+        return KeyRecordsPage(
+            records=tuple(self.held[k].record for k in found[:PAGE_RECORDS]),
+            settled=self.is_settled(now),
+            more=len(found) > PAGE_RECORDS,
+        )
+
+    def merge(self, records, now):
+        """Take over records of another member; the first known claim stays."""
+        for record in records:
+            if record.key not in self.held:
+                self._hold(record, self.group(record.key), now)
+
+    def finish_copy(self, peer, *, settled, now):
+        """Note that all records of a peer were merged.
+
+        Parameters
+        ----------
+        settled : bool
+            Whether the peer held every record that it should hold.
+        """
+        if settled:
+            self.copied.add(peer)
+            return
+        if peer not in self.new_peers:
+            self.cold_until = now + COLD_START_S
+        self.new_peers.add(peer)
+
+    def is_certain(self, group, now) -> bool:
+        """Return whether every earlier claim of a group would be known here.
+
+        The other members were copied while they held everything, or all of them were
+        as new as this process, as when a cell starts.
+        """
+        if now - self.started_at >= self.retention_s:
+            return True
+        others = {n for n in group if n != self.process}
+        return others <= self.copied or others <= self.new_peers
+
+    def is_settled(self, now) -> bool:
+        """Return whether this process may vouch for others that have no memory."""
+        if now - self.started_at >= self.retention_s:
+            return True
+        others = {n for n in self.names if n != self.process}
+        if others <= self.copied:
+            return True
+        return others <= self.new_peers and now >= self.cold_until
+
+    def missing(self, now) -> list[str]:
+        """Return the peers whose records must still be copied."""
+        if now - self.started_at >= self.retention_s:
+            return []
+        others = (n for n in self.names if n != self.process)
+        return [n for n in others if n not in self.copied]
+
+    def _hold(self, record, group, now):
+        expires = now + self.retention_s
+        held = _Held(record=record, group=group, expires=expires)
+        self.held[record.key] = held
+        return held
+
+    def _expire(self, now):
+        while self.held and next(iter(self.held.values())).expires <= now:
+            self.held.popitem(last=False)
--- a/wasabipaddle/serve/process.py
+++ b/wasabipaddle/serve/process.py
@@ -10,6 +10,7 @@
     api,
     cluster,
     fleet,
+    keys,
     leadership,
     membership,
     platform,
@@ -29,6 +30,7 @@
     api,
     cluster,
     fleet,
+    keys,
     leadership,
     membership,
     platform,
@@ -40,7 +42,7 @@
     timeline,
 )
 
-ROLES = ("routing", "runs", "cluster", "timeline", "api")
+ROLES = ("routing", "runs", "cluster", "timeline", "keys", "api")
 
 
 async def serve(settings):
