--- a/wasabipaddle/clock/virtual.py
+++ b/wasabipaddle/clock/virtual.py
@@ -9,7 +9,12 @@
 import contextvars
 import selectors
 
-__all__ = ["VirtualTimeLoop", "process_context", "run_virtual"]
+__all__ = [
+    "VirtualTimeLoop",
+    "cancel_leftover_tasks",
+    "process_context",
+    "run_virtual",
+]
 
 CANCEL_ROUNDS = 20
 CANCEL_ROUND_S = 0.1
@@ -148,13 +153,13 @@
         finally:
             asyncio.get_running_loop().release()
             await asyncio.sleep(0)  # what is ready now still runs
-            await _cancel_leftover_tasks()
+            await cancel_leftover_tasks()
 
     with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
         return runner.run(main())
 
 
-async def _cancel_leftover_tasks():
+async def cancel_leftover_tasks():
     """Cancel all other tasks, again while any is left.
 
     `asyncio.wait_for` loses a cancellation that meets the end of what it waits for,
