--- a/wasabipaddle/runs/leader.py
+++ b/wasabipaddle/runs/leader.py
@@ -333,7 +333,7 @@
     def _review(self, now):
         self.waiters.expire(now)
         if not self.commits.available:
-            self.lifecycle.send_uncommitted()
+            self.lifecycle.starts.send_uncommitted()
         for worker in self.pool.take_lapsed(now):
             self.pool.reset(worker)
             if self.table.tasks_on(worker):
--- a/wasabipaddle/runs/lifecycle.py
+++ b/wasabipaddle/runs/lifecycle.py
@@ -1,7 +1,7 @@
 """Life cycle of runs and their tasks under one shard leader."""
 
 from wasabipaddle.exceptions import ErrorKind
-from wasabipaddle.journal import RunEnded, TaskEnded, TaskPlaced
+from wasabipaddle.journal import RunEnded, TaskEnded
 from wasabipaddle.messages import RunOutcome
 from wasabipaddle.placement import (
     Checkpoint,
@@ -17,11 +17,11 @@
     TaskOutcome,
     TaskPhase,
     TaskResize,
-    TaskStart,
 )
 from wasabipaddle.runs.model import TaskState, parse_task_id, task_id
 from wasabipaddle.runs.records import work_of
 from wasabipaddle.runs.recovery import resume
+from wasabipaddle.runs.starts import TaskStarts
 from wasabipaddle.timeline import EventKind
 
 __all__ = ["RunLifecycle"]
@@ -65,8 +65,9 @@
         self.metrics = context.metrics
         self.quota_of = quota_of
         self.on_ended = on_ended
-        self.unsent = {}
-        self.own_starts = set()
+        self.starts = TaskStarts(
+            table=table, commits=commits, pool=pool, epoch=epoch, metrics=self.metrics
+        )
         self.ending = set()
 
     # Decisions
@@ -93,37 +94,12 @@
                 self.finish(decision.run, RunOutcome.FAILED, decision.reason)
 
     def _place(self, assignment):
-        run, index = parse_task_id(assignment.task)
+        run, _ = parse_task_id(assignment.task)
         entry = self.table.get(run)
         if entry is None or entry.ended or entry.stopping:
             self.placer.ended(assignment.task, TaskOutcome.STOPPED, self.clock.now())
             return
-        task = entry.tasks[index]
-        attempt = task.attempt + 1
-        self.table.place(
-            run=run, index=index, attempt=attempt, worker=assignment.worker
-        )
-        start = TaskStart(
-            task=assignment.task,
-            attempt=attempt,
-            service=entry.document.service,
-            team=entry.document.team,
-            urgency=entry.document.urgency,
-            needs=assignment.needs,
-            payload=entry.payload,
-            checkpoint=task.checkpoint,
-        )
-        self.unsent[assignment.task, attempt] = (assignment.worker, start)
-        record = TaskPlaced(
-            run=run,
-            index=index,
-            attempt=attempt,
-            worker=assignment.worker,
-            epoch=self.epoch,
-        )
-        key = (assignment.task, attempt)
-        self.own_starts.add(key)
-        self.commits.until_done(record, lambda _: self._send(key))
+        attempt = self.starts.start(entry, assignment)
         self._record(EventKind.TASK_PLACED, assignment.task, assignment.worker)
         self._observe_wait(entry, attempt)
 
@@ -134,18 +110,6 @@
         urgency = entry.document.urgency.value
         self.metrics.observe(f"placement_wait_{urgency}", max(waited_s, 0.0))
 
-    def _send(self, key):
-        waiting = self.unsent.pop(key, None)
-        if waiting is not None:
-            worker, start = waiting
-            self.pool.command(worker, "starts", start)
-
-    def send_uncommitted(self):
-        """Send starts whose placement cannot be journalled during an outage."""
-        for key in list(self.unsent):
-            self.metrics.count("starts_before_commit")
-            self._send(key)
-
     def _order(self, name, task, *, grace_s=0.0):
         run, index = parse_task_id(task)
         entry = self.table.get(run)
@@ -243,7 +207,7 @@
             answer=record.result,
             checkpoint=record.checkpoint or None,
         )
-        self.own_starts.discard((task, record.attempt))
+        self.starts.forget((task, record.attempt))
         if not applied:
             return
         self.metrics.count(f"attempts_{outcome.value}")
@@ -304,15 +268,10 @@
         shown = {(t.task, t.attempt) for t in report.tasks}
         for entry, task in self.table.tasks_on(worker):
             key = (task_id(entry.run, task.index), task.attempt)
-            if key in shown or key in self.ending or self._may_be_on_its_way(key):
+            if key in shown or key in self.ending or self.starts.may_be_on_its_way(key):
                 continue
             self.lose_attempt(entry.run, task.index, "not on the worker")
 
-    def _may_be_on_its_way(self, key):
-        run, index = parse_task_id(key[0])
-        state = self.table.get(run).tasks[index].state
-        return key in self.own_starts and state is TaskState.PLACED
-
     # Lost workers
 
     def worker_lost(self, worker, reason):
@@ -331,7 +290,7 @@
         if key in self.ending:
             return
         self.ending.add(key)
-        self.unsent.pop(key, None)
+        self.starts.withdraw(key)
         record = TaskEnded(
             run=run, index=index, attempt=task.attempt, outcome=None, reason=reason
         )
@@ -398,7 +357,7 @@
                 continue
             name = task_id(entry.run, task.index)
             key = (name, task.attempt)
-            if self.unsent.pop(key, None) is not None:
+            if self.starts.withdraw(key):
                 # The start was never sent, so the attempt has surely not run.
                 self.table.end_attempt(
                     run=entry.run,
--- /dev/null
+++ b/wasabipaddle/runs/starts.py
@@ -0,0 +1,88 @@
+"""Starts of tasks: journalled first, then sent to the worker."""
+
+from wasabipaddle.journal import TaskPlaced
+from wasabipaddle.platform import TaskStart
+from wasabipaddle.runs.model import TaskState, parse_task_id
+
+__all__ = ["TaskStarts"]
+
+
+class TaskStarts:
+    """Starts that this leader has decided.
+
+    An attempt is known by its key, the pair of task id and attempt number.
+
+    Parameters
+    ----------
+    table : RunTable
+        Runs of the shard.
+    commits : JournalCommits
+        Appends to the journal.
+    pool : WorkerPool
+        Sessions with workers.
+    epoch : int
+        Epoch of the leader.
+    metrics : Metrics
+        Counters.
+    """
+
+    def __init__(self, *, table, commits, pool, epoch, metrics):
+        self.table = table
+        self.commits = commits
+        self.pool = pool
+        self.epoch = epoch
+        self.metrics = metrics
+        self.unsent = {}
+        self.own = set()
+
+    def start(self, entry, assignment) -> int:
+        """Journal the next attempt of a task, then send it; return its number."""
+        run, index = parse_task_id(assignment.task)
+        task = entry.tasks[index]
+        attempt = task.attempt + 1
+        worker = assignment.worker
+        self.table.place(run=run, index=index, attempt=attempt, worker=worker)
+        key = (assignment.task, attempt)
+        start = TaskStart(
+            task=assignment.task,
+            attempt=attempt,
+            service=entry.document.service,
+            team=entry.document.team,
+            urgency=entry.document.urgency,
+            needs=assignment.needs,
+            payload=entry.payload,
+            checkpoint=task.checkpoint,
+        )
+        self.unsent[key] = (worker, start)
+        self.own.add(key)
+        record = TaskPlaced(
+            run=run, index=index, attempt=attempt, worker=worker, epoch=self.epoch
+        )
+        self.commits.until_done(record, lambda _: self._send(key))
+        return attempt
+
+    def send_uncommitted(self):
+        """Send starts whose placement cannot be journalled during an outage."""
+        for key in list(self.unsent):
+            self.metrics.count("starts_before_commit")
+            self._send(key)
+
+    def withdraw(self, key) -> bool:
+        """Drop a start; return whether it was surely never sent."""
+        return self.unsent.pop(key, None) is not None
+
+    def forget(self, key):
+        """Forget an attempt that has ended."""
+        self.own.discard(key)
+
+    def may_be_on_its_way(self, key) -> bool:
+        """Return whether an inventory without the attempt proves nothing yet."""
+        run, index = parse_task_id(key[0])
+        state = self.table.get(run).tasks[index].state
+        return key in self.own and state is TaskState.PLACED
+
+    def _send(self, key):
+        waiting = self.unsent.pop(key, None)
+        if waiting is not None:
+            worker, start = waiting
+            self.pool.command(worker, "starts", start)
--- a/wasabipaddle/serve/routing.py
+++ b/wasabipaddle/serve/routing.py
@@ -207,14 +207,18 @@
                 word = "answers" if answered else "does not answer"
                 logging.info("leader of shard %s %s", shard, word)
             await asyncio.sleep(MIN_GRANT_INTERVAL_S)
-            pause_s = self._grant_period_s() * self.context.random.uniform(0.9, 1.1)
+            pause_s = self._grant_period_s(answered) * self.context.random.uniform(
+                0.9, 1.1
+            )
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(pause_s - MIN_GRANT_INTERVAL_S):
                     await self.wakes[shard].wait()
             self.wakes[shard].clear()
 
-    def _grant_period_s(self):
+    def _grant_period_s(self, answered):
         routing = self.settings.routing
+        if not answered:
+            return routing.grant_period_s
         demand = self.dispatcher.demand()
         if any(d.in_progress or d.queued for d in demand):
             return routing.grant_period_s
