--- a/wasabipaddle/commands/cli.py
+++ b/wasabipaddle/commands/cli.py
@@ -141,6 +141,16 @@
 
         return Action(run=run)
 
+    def fuzz(self, seconds=60, seed=1):
+        """Fuzz a whole cell for a time and print the shortest run that fails."""
+        from wasabipaddle.commands.fuzz import fuzz
+
+        def run():
+            holds = fuzz(seconds=seconds, seed=seed)
+            return None if holds else EXIT_BROKEN
+
+        return Action(run=run)
+
     def standin(self, file):
         """Run the stand-ins of a YAML file until SIGINT or SIGTERM."""
         from wasabipaddle.commands.standin import standin
--- a/wasabipaddle/fuzz/cell.py
+++ b/wasabipaddle/fuzz/cell.py
@@ -83,6 +83,7 @@
         super().__init__(settings=settings, cell=cell)
         self.paused = False
         self.draining = False
+        self.stop_disturbed = False
         facts = self.context.bus.facts(DocumentApplied)
         facts.subscribe(self._applied)
 
--- a/wasabipaddle/fuzz/faults.py
+++ b/wasabipaddle/fuzz/faults.py
@@ -90,6 +90,7 @@
         """Suspend a process without warning."""
         process = self.cell.processes.get(name)
         if process is not None and not process.paused:
+            process.stop_disturbed = process.draining
             await process.pause()
             self.cell.update_reach()
 
@@ -118,9 +119,11 @@
         await process.drain()
         if process.dead.done() or process.paused:
             return
+        # A pause may outlast the time that a planned stop has.
+        disturbed = process.stop_disturbed
         for request in self.cell.history.requests:
             if request.process == process.identity and request.result is None:
-                request.stopped = True
+                request.stopped = not disturbed
         await self.cell.kill(process.name)
         self.cell.update_reach()
 
--- a/wasabipaddle/fuzz/history.py
+++ b/wasabipaddle/fuzz/history.py
@@ -113,6 +113,8 @@
     ----------
     ledger : LedgerRecord
         What the stand-ins executed.
+    errors : list of str
+        Exceptions that no task handled.
     ended : bool
         Whether every fault is over and the time for liveness has passed.
     """
@@ -125,4 +127,5 @@
     reaches: list[Reach] = attrs.Factory(list)
     leaves: list[Leave] = attrs.Factory(list)
     revisions: dict[str, dict[str, int]] = attrs.Factory(dict)
+    errors: list[str] = attrs.Factory(list)
     ended: bool = False
--- a/wasabipaddle/fuzz/machine.py
+++ b/wasabipaddle/fuzz/machine.py
@@ -1,6 +1,7 @@
 """State machine that drives a whole cell through work and faults."""
 
 import asyncio
+import gc
 
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
@@ -46,15 +47,22 @@
 
     def __init__(self):
         super().__init__()
+        self.errors = []
         self.runner = asyncio.Runner(loop_factory=VirtualTimeLoop)
         self.runner.run(self._start())
 
     async def _start(self):
+        asyncio.get_running_loop().set_exception_handler(self._unhandled)
         self.cell = self.cell_type()
         self.faults = Faults(cell=self.cell)
         await self.cell.start()
         await asyncio.sleep(SETTLE_S)
 
+    def _unhandled(self, loop, context):
+        error = context.get("exception")
+        if error is not None:
+            self.errors.append(f"{type(error).__name__}: {error}")
+
     def do(self, function, *args, **options):
         """Call a function on the loop of the cell and let a moment pass."""
 
@@ -82,6 +90,9 @@
         """End all faults, check liveness and close the loop."""
         try:
             self.runner.run(self._finish())
+            # Errors of tasks are reported when the tasks are collected.
+            gc.collect()
+            self.cell.history.errors = self.errors
             self.check()
         finally:
             self.runner.run(self._close())
@@ -128,9 +139,9 @@
     )
     def request(self, entry, service, service_s, answer_bytes, count):
         """Send requests to one process."""
-        if entry not in self.cell.processes:
-            return
         for _ in range(count):
+            if entry not in self.cell.processes:
+                return  # a planned stop ended meanwhile
             self.do(
                 self.cell.send_request,
                 entry,
--- a/wasabipaddle/fuzz/oracle.py
+++ b/wasabipaddle/fuzz/oracle.py
@@ -31,13 +31,15 @@
     """Yield VMs that held more than their size at some time (invariant 1)."""
     ledger = history.ledger
     for place, found in _group(ledger.executions, "place").items():
-        for at in found:
-            running = [e for e in found if e.started_s <= at.started_s < _end(e)]
-            held = sum((e.needs for e in running), Resources())
+        times = {e.started_s for e in found}
+        times.update(r.time_s for e in found for r in e.resized)
+        for time_s in sorted(times):
+            running = [e for e in found if e.started_s <= time_s < _end(e)]
+            held = sum((_needs_at(e, time_s) for e in running), Resources())
             slots = sum(e.kind is WorkKind.REQUEST for e in running)
             capacity = ledger.capacities.get(place, held)
             if not held.fits(capacity) or slots > ledger.slots.get(place, slots):
-                yield f"{place} holds {held} and {slots} requests at {at.started_s:.3f}"
+                yield f"{place} holds {held} and {slots} requests at {time_s:.3f}"
 
 
 def no_task_in_two_places(history):
@@ -164,6 +166,11 @@
                 yield f"{request.request} has no answer"
 
 
+def no_task_fails_unhandled(history):
+    """Yield exceptions that ended a task of a process."""
+    yield from history.errors
+
+
 INVARIANTS = (
     no_vm_overfilled,
     no_task_in_two_places,
@@ -176,6 +183,7 @@
     documents_are_the_same,
     accepted_work_ends,
     accepted_requests_are_answered,
+    no_task_fails_unhandled,
 )
 
 
@@ -201,3 +209,8 @@
 
 def _end(execution):
     return float("inf") if execution.ended_s is None else execution.ended_s
+
+
+def _needs_at(execution, time_s):
+    sizes = [r.needs for r in execution.resized if r.time_s <= time_s]
+    return sizes[-1] if sizes else execution.needs
--- /dev/null
+++ b/wasabipaddle/fuzz/tests/test_machine.py
@@ -0,0 +1,58 @@
+"""Fixed examples of the state machine, and its driver on a broken system."""
+
+import hypothesis
+import pytest
+from hypothesis import HealthCheck, Phase
+from hypothesis.stateful import rule, run_state_machine_as_test
+
+from wasabipaddle.commands import main
+from wasabipaddle.fuzz.driver import fuzz
+from wasabipaddle.fuzz.machine import CellMachine, InvariantBroken
+
+EXAMPLES = 8
+STEPS = 25
+
+
+def test_invariants_hold_under_faults():
+    """Guards against any break of an invariant in a fixed set of runs."""
+    settings = hypothesis.settings(
+        max_examples=EXAMPLES,
+        stateful_step_count=STEPS,
+        derandomize=True,
+        database=None,
+        deadline=None,
+        phases=(Phase.generate,),
+        suppress_health_check=list(HealthCheck),
+    )
+    run_state_machine_as_test(CellMachine, settings=settings)
+
+
+class BrokenMachine(hypothesis.stateful.RuleBasedStateMachine):
+    """Breaks an invariant with its second step."""
+
+    steps = 0
+
+    @rule()
+    def step(self):
+        """Count a step."""
+        self.steps += 1
+        if self.steps == 2:
+            raise InvariantBroken("no_vm_overfilled: w0")
+
+
+def test_driver_reports_seed_and_shortest_run():
+    """Guards against a failure that cannot be repeated from its report."""
+    result = fuzz(seconds=1, seed=7, machine=BrokenMachine)
+    assert result.seed == 7
+    assert "no_vm_overfilled: w0" in result.report
+    assert result.report.count("state.step()") == 2
+    assert fuzz(seconds=1, seed=7, machine=BrokenMachine) == result
+
+
+@pytest.mark.parametrize("value", ["0", "-1", "x"])
+def test_command_refuses_a_time_that_is_not_positive(value, capsys):
+    """Guards against a run without end, or one that checks nothing."""
+    with pytest.raises(SystemExit) as ended:
+        main(["fuzz", "--seconds", value])
+    assert ended.value.code == 2
+    assert "--seconds" in capsys.readouterr().err
--- /dev/null
+++ b/wasabipaddle/fuzz/tests/test_oracle.py
@@ -0,0 +1,222 @@
+"""Breaks the system on purpose and checks that the oracle notices.
+
+Each case replaces one function, runs a directed scenario with and without the
+replacement, and names the invariant that has to break.
+"""
+
+import asyncio
+
+import attrs
+import pytest
+from result import Ok
+
+from wasabipaddle.clock import run_virtual
+from wasabipaddle.documents import Resources
+from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.fuzz import Edit, History, find_broken
+from wasabipaddle.fuzz.cell import FuzzCell
+from wasabipaddle.fuzz.faults import Faults
+from wasabipaddle.fuzz.history import Applied
+from wasabipaddle.placement import FleetIndex
+from wasabipaddle.routing import Dispatcher
+from wasabipaddle.routing.answers import AnswerCheck
+from wasabipaddle.routing.connections import EndpointConnections
+from wasabipaddle.routing.grants import GrantTable
+from wasabipaddle.runs.acceptance import Acceptance
+from wasabipaddle.runs.pool import WorkerPool
+from wasabipaddle.serve.relay import RelayPlugin
+from wasabipaddle.standins import LedgerRecord
+from wasabipaddle.standins.tasks import TaskTable
+
+SETTLE_S = 6.0
+
+
+def play(scenario):
+    """Run a scenario and return the names of broken invariants."""
+
+    async def main():
+        cell = FuzzCell()
+        faults = Faults(cell=cell)
+        await cell.start()
+        await asyncio.sleep(SETTLE_S)
+        if await scenario(cell, faults):
+            await faults.end_all()
+            await cell.finish()
+        cell.close_reach()
+        return {b.invariant for b in find_broken(cell.history)}
+
+    return run_virtual(main())
+
+
+async def submit_many(cell, faults):
+    for _ in range(30):
+        cell.submit_run("e00", "pages", run_s=3.0)
+    await asyncio.sleep(20.0)
+
+
+def ignore_sizes(patch):
+    """Let the placer take each worker for ten times its size."""
+    add = FleetIndex.add_worker
+
+    def add_large(self, name, *, size, **options):
+        large = Resources(cpu_milli=10 * size.cpu_milli, memory_mb=10 * size.memory_mb)
+        add(self, name, size=large, **options)
+
+    patch.setattr(FleetIndex, "add_worker", add_large)
+
+
+async def cut_worker(cell, faults):
+    cell.submit_run("e00", "pages", run_s=12.0)
+    await asyncio.sleep(2.0)
+    busy = cell.ledger.record.executions[0].place
+    cell.partition(cell.processes, [busy])
+    await asyncio.sleep(30.0)
+
+
+def take_silence_for_proof(patch):
+    """Let the leader take an unreachable worker for a lost one."""
+    has_lapsed = WorkerPool._has_lapsed
+
+    def lapsed(self, member, now):
+        return member.session.contact.failures > 0 or has_lapsed(self, member, now)
+
+    patch.setattr(WorkerPool, "_has_lapsed", lapsed)
+
+
+def endpoint_fault(fault, *, service="checks", count=4):
+    async def scenario(cell, faults):
+        for endpoint in cell.endpoints:
+            faults.set_endpoint(endpoint, fault)
+        for _ in range(count):
+            cell.send_request("e00", service, service_s=0.1)
+        await asyncio.sleep(12.0)
+
+    return scenario
+
+
+def skip_answer_check(patch):
+    """Let the entry process pass answers on without a check."""
+    patch.setattr(AnswerCheck, "failure", lambda self: None)
+
+
+def settle_doubt_blindly(patch):
+    """Let the entry process report every doubt as not run."""
+
+    async def settle(self, client, request, *, deadline):
+        return Failure(kind=ErrorKind.UNREACHABLE)
+
+    patch.setattr(EndpointConnections, "settle", settle)
+
+
+def retry_blindly(patch):
+    """Let the entry process repeat requests that are not idempotent."""
+    patch.setattr(Dispatcher, "_may_retry", lambda self, job, failure: True)
+
+
+async def leave_under_load(cell, faults):
+    faults.leave_endpoint("dc0-p000")
+    for _ in range(80):
+        for _ in range(4):
+            cell.send_request("e00", "checks", service_s=0.3)
+        await asyncio.sleep(0.1)
+
+
+def ignore_leaving(patch):
+    """Let the leader grant slots of endpoints that leave."""
+    patch.setattr(GrantTable, "mark_leaving", lambda self, endpoint: None)
+    patch.setattr(Dispatcher, "drain_endpoints", lambda self, endpoints: None)
+
+
+async def drain_under_load(cell, faults):
+    cell.send_request("e00", "checks", service_s=4.0)
+    await asyncio.sleep(1.0)
+    faults.drain("e00")
+    await asyncio.sleep(10.0)
+
+
+def stop_at_once(patch):
+    """Let a planned stop wait for nothing."""
+
+    async def drain(self, *, timeout_s):
+        self.draining = True
+
+    patch.setattr(Dispatcher, "drain", drain)
+
+
+async def edit_once(cell, faults):
+    cell.edit(0, "pages")
+    await asyncio.sleep(25.0)
+
+
+def fetch_nothing(patch):
+    """Let processes ignore that a peer has a later document."""
+    patch.setattr(RelayPlugin, "_consider", lambda self, fact: None)
+
+
+async def submit_in_outage(cell, faults):
+    faults.set_store("hang")
+    for _ in range(3):
+        cell.submit_run("e00", "pages", run_s=1.0)
+    await asyncio.sleep(1.0)
+    for name in list(cell.processes):
+        await faults.kill(name)
+    return True  # a lost run shows only at the end
+
+
+def accept_before_commit(patch):
+    """Let the leader answer a submission before its record is confirmed."""
+    commit = Acceptance._commit
+
+    def answer_first(self, message, document, envelope):
+        commits, self.commits = self.commits, Unconfirmed()
+        commit(self, message, document, envelope)
+        self.commits = commits
+
+    patch.setattr(Acceptance, "_commit", answer_first)
+
+
+class Unconfirmed:
+    """Reports a record as confirmed without an append."""
+
+    def once(self, record, confirm):
+        """Confirm at once."""
+        confirm(Ok(None))
+
+
+CASES = {
+    "no_vm_overfilled": (submit_many, ignore_sizes),
+    "no_task_in_two_places": (cut_worker, take_silence_for_proof),
+    "answers_are_whole": (endpoint_fault("digest"), skip_answer_check),
+    "refusals_are_true": (endpoint_fault("lost_answer"), settle_doubt_blindly),
+    "non_idempotent_runs_once": (endpoint_fault("lost_answer"), retry_blindly),
+    "leaving_endpoint_gets_no_work": (leave_under_load, ignore_leaving),
+    "planned_stop_cuts_nothing_off": (drain_under_load, stop_at_once),
+    "documents_come_into_force": (edit_once, fetch_nothing),
+    "accepted_work_ends": (submit_in_outage, accept_before_commit),
+}
+
+
+@pytest.mark.parametrize("invariant", CASES)
+def test_oracle_catches_a_broken_system(invariant, monkeypatch):
+    """Guards against an oracle that holds whatever the system does."""
+    scenario, break_system = CASES[invariant]
+    if invariant == "no_vm_overfilled":
+        # The worker itself would refuse what does not fit.
+        monkeypatch.setattr(TaskTable, "fits", lambda self, needs: True)
+    assert play(scenario) == set()
+    break_system(monkeypatch)
+    assert invariant in play(scenario)
+
+
+def test_oracle_catches_a_document_that_reverts():
+    """Guards against an oracle that looks only at the latest revision."""
+    applied = [
+        Applied(process="e00#0", service="s", revision=r, time_s=float(i))
+        for i, r in enumerate((3, 5, 4))
+    ]
+    edit = Edit(service="s", revision=5, time_s=0.0)
+    history = History(ledger=LedgerRecord(), applied=applied, edits=[edit])
+    names = [b.invariant for b in find_broken(history)]
+    assert names == ["documents_come_into_force"]
+    history = attrs.evolve(history, applied=applied[:2])
+    assert find_broken(history) == []
