--- a/wasabipaddle/runs/leader.py
+++ b/wasabipaddle/runs/leader.py
@@ -209,6 +209,15 @@
             return Err(Failure(kind=kind, detail="the shard leader did not answer"))
 
     async def _run(self):
+        try:
+            await self._lead()
+        except Exception:
+            # A leader without its task would keep the shard and place nothing.
+            logging.exception("the leader of shard %s has failed", self.shard)
+            self.context.metrics.count("leader_failures")
+            self.election.note_epoch(self.epoch + 1)
+
+    async def _lead(self):
         answer = await self.journal.recover(self.epoch)
         if answer.is_err():
             self.election.note_epoch(self.epoch + 1)
--- a/wasabipaddle/runs/recovery.py
+++ b/wasabipaddle/runs/recovery.py
@@ -4,7 +4,7 @@
 
 from wasabipaddle.messages import RunOutcome
 from wasabipaddle.platform import TaskOutcome, TaskPhase
-from wasabipaddle.runs.model import TaskState, parse_task_id
+from wasabipaddle.runs.model import TaskState, parse_task_id, task_id
 from wasabipaddle.runs.records import document_of, work_of
 
 __all__ = ["Adoption", "LeaseExpiry", "RecoveryPolicy", "rebuild", "resume"]
@@ -146,7 +146,13 @@
 
 
 def resume(placer, entry, work, now):
-    """Queue the tasks of a run that neither completed nor may be on a worker."""
+    """Queue the tasks of a run that neither completed nor may be on a worker.
+
+    A gang waits until the end of every attempt of an earlier leader is confirmed,
+    since all its tasks start together.
+    """
+    if entry.is_gang and any(_is_unsettled(placer, entry, t) for t in entry.tasks):
+        return
     placer.resume(
         work,
         now,
@@ -155,6 +161,10 @@
     )
 
 
+def _is_unsettled(placer, entry, task):
+    return task.on_worker and not placer.knows(task_id(entry.run, task.index))
+
+
 class LeaseExpiry(RecoveryPolicy):
     """Plain policy: adopts nothing and waits until every lease has expired."""
 
