Ask each possible leader once before any is asked again

An operation on a run took the next process by index from a list whose order changes with the leader, so it could ask a suspended leader twice and give up after 8 s. test_new_leader_adopts_running_tasks[pause] failed that way with the role keys in the cell and passes now.

--- a/wasabipaddle/measure/key_claims.py
+++ b/wasabipaddle/measure/key_claims.py
@@ -9,7 +9,7 @@
 import attrs
 
 from wasabipaddle.api.idempotency import KeptAnswers
-from wasabipaddle.clock import VirtualClock, run_virtual
+from wasabipaddle.clock import ManualClock, run_virtual
 from wasabipaddle.measure.base import Bound, Measure
 from wasabipaddle.measure.outcomes import percentile
 from wasabipaddle.measure.whole_cell import CellSize, WholeCell
@@ -56,7 +56,7 @@
 
 def _repeat_plainly(size) -> int:
     """Return how many keys run twice if each process remembers only its own."""
-    clock = VirtualClock()
+    clock = ManualClock()
     kept = [KeptAnswers(clock=clock) for _ in range(size.entries)]
     twice = 0
     for i in range(size.keys // 2):
--- a/wasabipaddle/measure/whole_cell.py
+++ b/wasabipaddle/measure/whole_cell.py
@@ -25,7 +25,7 @@
 
 __all__ = ["CellSize", "WholeCell"]
 
-ALL_ROLES = (FleetPlugin, *ROLES, ShardsPlugin, RoutingPlugin, KeysPlugin, RunsPlugin)
+ALL_ROLES = (FleetPlugin, *ROLES, ShardsPlugin, RoutingPlugin, RunsPlugin, KeysPlugin)
 WORKERS_PER_RACK = 8
 CALLER_TIMEOUT_S = 60.0
 
--- a/wasabipaddle/membership/table.py
+++ b/wasabipaddle/membership/table.py
@@ -196,7 +196,9 @@
     def live(self, now, data_centre=None) -> list[str]:
         """Return the names of live members in rank order, this process included."""
         centres = self.names if data_centre is None else (data_centre,)
-        return [n for c in centres for n in self.names[c] if self.is_live(n, now)]
+        return [
+            n for c in centres for n in self.names.get(c, ()) if self.is_live(n, now)
+        ]
 
     def available(self, now, data_centre) -> list[str]:
         """Return the live members of a data centre that are not draining."""
--- a/wasabipaddle/serve/runs.py
+++ b/wasabipaddle/serve/runs.py
@@ -1,7 +1,6 @@
 """Role `runs`: takes operations on runs to the leader of their shard."""
 
 import asyncio
-import itertools
 
 import attrs
 import xxhash
@@ -224,8 +223,9 @@
         clock = self.context.clock
         give_up_at = clock.now() + PATIENCE_S
         doubtful = False
-        for attempt in itertools.count():
-            result = await self._call_once(shard, message, attempt)
+        tried = set()
+        while True:
+            result = await self._call_once(shard, message, tried)
             if result.is_ok() or result.unwrap_err().kind not in _RETRIED:
                 return result
             doubtful = doubtful or result.unwrap_err().kind in _DOUBTFUL
@@ -233,7 +233,7 @@
                 return _give_up(message, result, doubtful)
             await asyncio.sleep(RETRY_S)
 
-    async def _call_once(self, shard, message, attempt):
+    async def _call_once(self, shard, message, tried):
         if shard in self.leaders:
             return await self.serve_peer(message)
         targets = self._targets(shard)
@@ -242,7 +242,11 @@
             return Err(
                 Failure(kind=ErrorKind.NO_LEADER, detail=detail, retry_after_s=1.0)
             )
-        target = targets[attempt % len(targets)]
+        if tried.issuperset(targets):
+            tried.clear()
+        # The order changes with the leader, so an index could name a process twice.
+        target = next(t for t in targets if t not in tried)
+        tried.add(target)
         reply_type = RunPage if isinstance(message, ListRuns) else RunView
         timeout_s = _timeout_s(message) + RETRY_S
         return await self.transport.call(
