--- a/wasabipaddle/serve/runs.py
+++ b/wasabipaddle/serve/runs.py
@@ -244,6 +244,7 @@
             )
         if tried.issuperset(targets):
             tried.clear()
+        # The order changes with the leader, so an index could name a process twice.
         target = next(t for t in targets if t not in tried)
         tried.add(target)
         reply_type = RunPage if isinstance(message, ListRuns) else RunView
