Require certificates of the authority on the internal listener

Cause: the internal listener accepted any client, and the contexts of calls to peers were made once. Change: mutual TLS verified against the authority file, which is now required with a certificate; client contexts are reloaded as well.

--- a/wasabipaddle/serve/api.py
+++ b/wasabipaddle/serve/api.py
@@ -108,11 +108,10 @@
         return Route(method=route.method, path=route.path, handler=handler)
 
     def _watch_certificate(self, ssl):
-        """Reload the certificate of this listener and of the internal one."""
-        contexts = [ssl]
-        internal = getattr(self.context.plugins.get("transport"), "ssl", None)
-        if internal is not None:
-            contexts.append(internal)
+        """Reload the certificate of both listeners and of the calls to peers."""
+        transport = self.context.plugins.get("transport")
+        internal = (getattr(transport, n, None) for n in ("ssl", "client_ssl"))
+        contexts = [ssl, *(c for c in internal if c is not None)]
         tls = self.context.settings.api.tls
         reloader = CertificateReloader(tls=tls, contexts=contexts)
         ticks = self.context.timers.every(CERTIFICATE_CHECK_S)
--- a/wasabipaddle/serve/transport.py
+++ b/wasabipaddle/serve/transport.py
@@ -11,19 +11,32 @@
 
 
 def peer_server_context(tls) -> ssl.SSLContext | None:
-    """Return the TLS context of the internal listener, None without TLS."""
+    """Return the TLS context of the internal listener, None without TLS.
+
+    Only clients with a certificate of the authority are accepted.
+    """
     if not tls.certificate:
         return None
-    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    purpose = ssl.Purpose.CLIENT_AUTH
+    context = ssl.create_default_context(purpose, cafile=tls.authority)
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    context.verify_mode = ssl.CERT_REQUIRED
     context.load_cert_chain(tls.certificate, tls.key)
     return context
 
 
 def peer_client_context(tls) -> ssl.SSLContext | None:
-    """Return the TLS context of calls to peers, None without TLS."""
+    """Return the TLS context of calls to peers, None without TLS.
+
+    It presents the certificate of the process and verifies that of the peer, with its
+    address, against the authority.
+    """
     if not tls.certificate:
         return None
-    return ssl.create_default_context(cafile=tls.authority or None)
+    context = ssl.create_default_context(cafile=tls.authority)
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    context.load_cert_chain(tls.certificate, tls.key)
+    return context
 
 
 class TransportPlugin(Plugin):
@@ -39,9 +52,10 @@
     def __init__(self, *, context):
         super().__init__(context=context)
         settings = context.settings
+        self.client_ssl = peer_client_context(settings.api.tls)
         self.transport = HttpTransport(
             peers={p.name: p for p in settings.deployment.entries},
-            ssl=peer_client_context(settings.api.tls),
+            ssl=self.client_ssl,
         )
         self.ssl = peer_server_context(settings.api.tls)
         self.runner = None
--- a/wasabipaddle/settings/checks.py
+++ b/wasabipaddle/settings/checks.py
@@ -60,6 +60,9 @@
     if bool(api.tls.certificate) != bool(api.tls.key):
         detail = "certificate and key are only valid together"
         reader.report_at("api.tls", detail, "both files, or neither")
+    if api.tls.certificate and not api.tls.authority:
+        detail = "calls between entry processes are verified against the authority"
+        reader.report_at("api.tls", detail, "the file of the authority")
     if api.caller_burst < api.caller_rate_per_s / 100:
         detail = "the burst is below the calls of 10 ms at the rate"
         allowed = f"at least {api.caller_rate_per_s / 100:g}"
