Divide quotas over the shards, answer repeated keys truthfully

A repeated key of a request in progress was answered conflict, which says not run, although the first request may run. Change: a shard enforces its part, at least one run; the new kind in_progress says unknown, and an answer too large to keep says that the request ran.

--- a/wasabipaddle/api/idempotency.py
+++ b/wasabipaddle/api/idempotency.py
@@ -106,9 +106,12 @@
         if entry.fingerprint != fingerprint:
             return _conflict("the idempotency key belongs to a different request")
         if entry.answer is None:
-            return _conflict("a request with this idempotency key is in progress")
+            # The first request may run, so "not run" would mislead the caller.
+            detail = "a request with this idempotency key is in progress"
+            return Err(Failure(kind=ErrorKind.IN_PROGRESS, detail=detail))
         if entry.answer.body is None and entry.answer.failure is None:
-            return _conflict("the request has run; its answer was too large to keep")
+            detail = "the request has run; its answer was too large to keep"
+            return Err(Failure(kind=ErrorKind.ANSWER_BROKEN, detail=detail))
         return Ok(entry.answer)
 
     def abandon(self, key):
--- a/wasabipaddle/exceptions.py
+++ b/wasabipaddle/exceptions.py
@@ -33,6 +33,7 @@
     NOT_FOUND = "not_found"
     METHOD_NOT_ALLOWED = "method_not_allowed"
     CONFLICT = "conflict"
+    IN_PROGRESS = "in_progress"
     REVISION_MISMATCH = "revision_mismatch"
     PRECONDITION_REQUIRED = "precondition_required"
     BODY_TOO_LARGE = "body_too_large"
@@ -92,6 +93,7 @@
     ErrorKind.NOT_FOUND: _answer(404),
     ErrorKind.METHOD_NOT_ALLOWED: _answer(405),
     ErrorKind.CONFLICT: _answer(409),
+    ErrorKind.IN_PROGRESS: _answer(409, Outcome.UNKNOWN, retry=True),
     ErrorKind.REVISION_MISMATCH: _answer(412),
     ErrorKind.PRECONDITION_REQUIRED: _answer(428),
     ErrorKind.BODY_TOO_LARGE: _answer(413),
--- a/wasabipaddle/runs/__init__.py
+++ b/wasabipaddle/runs/__init__.py
@@ -2,6 +2,7 @@
 
 from wasabipaddle.runs.leader import ShardLeader
 from wasabipaddle.runs.model import Run, Task, TaskState
+from wasabipaddle.runs.quotas import ShardQuotas, allowed_shards
 from wasabipaddle.runs.recovery import Adoption, LeaseExpiry, RecoveryPolicy
 from wasabipaddle.runs.table import RunTable
 from wasabipaddle.runs.workers import WorkerSession
@@ -13,7 +14,9 @@
     "Run",
     "RunTable",
     "ShardLeader",
+    "ShardQuotas",
     "Task",
     "TaskState",
     "WorkerSession",
+    "allowed_shards",
 ]
--- a/wasabipaddle/runs/acceptance.py
+++ b/wasabipaddle/runs/acceptance.py
@@ -26,6 +26,8 @@
         Appends to the journal.
     documents : object
         Has `get(service)` and `revision_of(service)`.
+    quota_of : callable
+        Function from a service to the quota in this shard, or None.
     context : Context
         Shared services of the process.
     make_id : callable
@@ -33,7 +35,17 @@
     """
 
     def __init__(
-        self, *, shard, epoch, table, placer, commits, documents, context, make_id
+        self,
+        *,
+        shard,
+        epoch,
+        table,
+        placer,
+        commits,
+        documents,
+        quota_of,
+        context,
+        make_id,
     ):
         self.shard = shard
         self.epoch = epoch
@@ -41,6 +53,7 @@
         self.placer = placer
         self.commits = commits
         self.documents = documents
+        self.quota_of = quota_of
         self.clock = context.clock
         self.events = context.events
         self.metrics = context.metrics
@@ -98,7 +111,7 @@
             epoch=self.epoch,
             tasks=[Task(index=i) for i in range(document.run.tasks)],
         )
-        work = work_of(probe, quota=document.quota)
+        work = work_of(probe, quota=self.quota_of(document.service))
         return self.placer.impossible.reason(work, work.needs)
 
     def _commit(self, message, document, envelope):
@@ -138,7 +151,7 @@
         self.events.record(
             EventKind.RUN_ACCEPTED, run=entry.run, service=document.service
         )
-        work = work_of(entry, quota=document.quota)
+        work = work_of(entry, quota=self.quota_of(document.service))
         self.placer.submit(work, self.clock.now())
         return entry
 
--- a/wasabipaddle/runs/leader.py
+++ b/wasabipaddle/runs/leader.py
@@ -25,6 +25,7 @@
 from wasabipaddle.runs.lifecycle import RunLifecycle
 from wasabipaddle.runs.operations import RunOperations
 from wasabipaddle.runs.pool import WorkerPool
+from wasabipaddle.runs.quotas import ShardQuotas
 from wasabipaddle.runs.recovery import Adoption, rebuild
 from wasabipaddle.runs.table import RunTable
 from wasabipaddle.runs.waiters import Waiters
@@ -86,8 +87,6 @@
         Function from a `VmEntry` to a `WorkerClient`.
     documents : object
         Has `get(service)` and `revision_of(service)`.
-    quotas : sequence of TeamQuota
-        Quotas of the teams.
     context : Context
         Shared services of the process.
     make_id : callable
@@ -103,7 +102,6 @@
         journal,
         connect,
         documents,
-        quotas,
         context,
         make_id=_random_id,
         recovery=Adoption,
@@ -120,8 +118,7 @@
         self.table = RunTable()
         self.fleet = FleetIndex()
         self.placer = Placer(fleet=self.fleet, random=context.random)
-        for quota in quotas:
-            self.placer.set_quota(quota.team, quota.quota.resources)
+        self.quotas = ShardQuotas(settings=context.settings, documents=documents)
         self.pool = WorkerPool(
             fleet=self.fleet,
             make_session=self._make_session,
@@ -138,7 +135,7 @@
             pool=self.pool,
             epoch=self.epoch,
             context=context,
-            quota_of=self._quota_of,
+            quota_of=self.quotas.of_service,
             on_ended=self.waiters.ended,
         )
         self.acceptance = Acceptance(
@@ -148,6 +145,7 @@
             placer=self.placer,
             commits=self.commits,
             documents=documents,
+            quota_of=self.quotas.of_service,
             context=context,
             make_id=make_id,
         )
@@ -228,9 +226,9 @@
             placer=self.placer,
             pool=self.pool,
             recorded=recorded,
-            quota_of=self._quota_of,
+            quota_of=self.quotas.of_service,
         )
-        self._update_floors()
+        self._update_limits()
         if self.entries is not None:
             self._update_fleet(self.entries)
         while True:
@@ -261,7 +259,7 @@
             WorkerUnreachable: lambda m, _: self._worker_unreachable(m),
             WorkerDeposed: lambda m, _: self.election.note_epoch(self.epoch + 1),
             FleetUpdate: lambda m, _: self._update_fleet(m.entries),
-            DocumentsChanged: lambda m, _: self._update_floors(),
+            DocumentsChanged: lambda m, _: self._update_limits(),
             SubmitRun: self.acceptance.submit,
             QueryRun: self.operations.query,
             WaitRun: self.operations.wait,
@@ -284,7 +282,9 @@
         if self.adoption is not None:
             self.notify(DocumentsChanged())
 
-    def _update_floors(self):
+    def _update_limits(self):
+        for team, part in self.quotas.of_teams():
+            self.placer.set_quota(team, part)
         for document in self.documents.documents():
             self.placer.set_floor(document.service, document.share.guaranteed)
 
@@ -360,7 +360,3 @@
         self.commits.until_done(record, lambda _: self.election.settle_predecessors())
         self.context.events.record(EventKind.LEADER_RECOVERED, detail=self.shard)
         logging.info("shard %s recovered under epoch %d", self.shard, self.epoch)
-
-    def _quota_of(self, service):
-        document = self.documents.get(service)
-        return None if document is None else document.quota
--- /dev/null
+++ b/wasabipaddle/runs/quotas.py
@@ -0,0 +1,81 @@
+"""Division of quotas over the shards of a cell.
+
+Every shard enforces its part alone, so a quota holds for the cell without messages,
+also while data centres are cut off from each other.
+"""
+
+import math
+
+from wasabipaddle.documents import Quota, Resources, one_run_needs
+
+__all__ = ["ShardQuotas", "allowed_shards"]
+
+
+def allowed_shards(settings, document) -> list[str]:
+    """Return the shards that may accept runs of a document."""
+    placement = document.placement
+    allowed = []
+    for centre in settings.deployment.data_centres:
+        if placement.data_centres and centre.name not in placement.data_centres:
+            continue
+        if placement.regions and centre.region not in placement.regions:
+            continue
+        allowed.extend(settings.shards_of(centre.name))
+    return allowed
+
+
+class ShardQuotas:
+    """Part of each quota that one shard enforces.
+
+    A part is never below the need of one run, which a shard could otherwise never
+    start. A quota of a few runs can therefore be exceeded by the cell as a whole, by
+    at most one run for each shard.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of the process, with the quotas of the teams.
+    documents : object
+        Has `get(service)` and `documents()`.
+    """
+
+    def __init__(self, *, settings, documents):
+        self.settings = settings
+        self.documents = documents
+
+    def of_service(self, service) -> Quota | None:
+        """Return the part of the quota of a service, None without a document."""
+        document = self.documents.get(service)
+        if document is None:
+            return None
+        parts = len(allowed_shards(self.settings, document))
+        least = one_run_needs(document)
+        return Quota(resources=_part(document.quota.resources, parts, least))
+
+    def of_teams(self):
+        """Yield each team with a quota and the part of it."""
+        centres = self.settings.deployment.data_centres
+        parts = sum(c.shards for c in centres)
+        for entry in self.settings.deployment.quotas:
+            least = self._largest_run(entry.team)
+            yield entry.team, _part(entry.quota.resources, parts, least)
+
+    def _largest_run(self, team):
+        needs = [one_run_needs(d) for d in self.documents.documents() if d.team == team]
+        return Resources(
+            cpu_milli=max((n.cpu_milli for n in needs), default=0),
+            memory_mb=max((n.memory_mb for n in needs), default=0),
+            accelerators=max((n.accelerators for n in needs), default=0),
+        )
+
+
+def _part(quota, parts, least):
+    return Resources(
+        cpu_milli=_divide(quota.cpu_milli, parts, least.cpu_milli),
+        memory_mb=_divide(quota.memory_mb, parts, least.memory_mb),
+        accelerators=_divide(quota.accelerators, parts, least.accelerators),
+    )
+
+
+def _divide(amount, parts, least):
+    return min(amount, max(math.ceil(amount / max(parts, 1)), least))
--- a/wasabipaddle/serve/keys.py
+++ b/wasabipaddle/serve/keys.py
@@ -28,6 +28,9 @@
 COPY_PERIOD_S = 2.0
 
 
+_TOLD = frozenset({ErrorKind.CONFLICT, ErrorKind.IN_PROGRESS, ErrorKind.ANSWER_BROKEN})
+
+
 class KeysPlugin(Plugin):
     """Lets at most one process run the request of an idempotency key.
 
@@ -150,7 +153,7 @@
         reply = await self._send(owner, message, KeptReply)
         if reply.is_ok():
             return reply
-        if reply.unwrap_err().kind is ErrorKind.CONFLICT:
+        if reply.unwrap_err().kind in _TOLD:
             return reply
         return _unknown("the process of an earlier request does not tell its end")
 
--- a/wasabipaddle/serve/runs.py
+++ b/wasabipaddle/serve/runs.py
@@ -19,6 +19,7 @@
     SubmitRun,
     WaitRun,
 )
+from wasabipaddle.runs import allowed_shards
 from wasabipaddle.serve.tasks import TaskSet
 from wasabipaddle.timeline import EventKind
 
@@ -152,7 +153,7 @@
         if document is None:
             detail = f"no service {message.service}"
             return Err(Failure(kind=ErrorKind.NOT_FOUND, detail=detail))
-        shards = self._allowed_shards(document)
+        shards = allowed_shards(self.context.settings, document)
         if not shards:
             detail = "the document allows no data centre of this cell"
             return Err(Failure(kind=ErrorKind.IMPOSSIBLE, detail=detail))
@@ -172,18 +173,6 @@
             )
         return result
 
-    def _allowed_shards(self, document):
-        settings = self.context.settings
-        allowed = []
-        for centre in settings.deployment.data_centres:
-            placement = document.placement
-            if placement.data_centres and centre.name not in placement.data_centres:
-                continue
-            if placement.regions and centre.region not in placement.regions:
-                continue
-            allowed.extend(settings.shards_of(centre.name))
-        return allowed
-
     def _shards(self):
         settings = self.context.settings
         centres = settings.deployment.data_centres
--- a/wasabipaddle/serve/shards.py
+++ b/wasabipaddle/serve/shards.py
@@ -108,7 +108,6 @@
             journal=journal,
             connect=context.plugins["platform"].connect_worker,
             documents=self.relay,
-            quotas=settings.deployment.quotas,
             context=context,
             recovery=self.recovery,
         )
