--- a/wasabipaddle/routing/holder.py
+++ b/wasabipaddle/routing/holder.py
@@ -317,6 +317,12 @@
             held.draining = False
         held.renew(grant, reply.epoch, expires)
 
+    def load(self, now) -> float:
+        """Return requests in progress over usable slots, 0 without any slot."""
+        held = self.endpoints.values()
+        usable = sum(h.usable(now) for h in held)
+        return sum(h.in_use for h in held) / usable if usable else 0.0
+
 
 def _in_use(held, now):
     return attrs.evolve(held.grant, slots=held.in_use, life_s=held.expires - now)
--- a/wasabipaddle/runs/tests/test_quotas.py
+++ b/wasabipaddle/runs/tests/test_quotas.py
@@ -20,6 +20,8 @@
 
 
 class Documents:
+    """Documents in force."""
+
     def __init__(self, *found):
         self.found = {d.service: d for d in found}
 
--- a/wasabipaddle/serve/membership.py
+++ b/wasabipaddle/serve/membership.py
@@ -83,6 +83,10 @@
         """Return the live processes of a data centre, or of all."""
         return self.table.live(self.now(), data_centre)
 
+    def note_load(self, load):
+        """Tell the other members the load of this process from now on."""
+        self.table.local.load = load
+
     def now(self) -> float:
         """Return monotonic time in seconds."""
         return self.context.clock.now()
--- a/wasabipaddle/serve/routing.py
+++ b/wasabipaddle/serve/routing.py
@@ -89,6 +89,7 @@
         )
         self.spill = None
         self.mailbox = Mailbox(capacity=routing.queue_requests)
+        self.on_load = lambda load: None
         self.tasks = set()
         self.subscriptions = []
         self.wakes = {}
@@ -114,7 +115,7 @@
             self.wakes[shard] = asyncio.Event()
             self._spawn(self._ask_for_grants(shard))
         pump = self.context.timers.every(PUMP_PERIOD_S).subscribe(
-            lambda _: self.dispatcher.pump()
+            lambda _: self._pump()
         )
         self.subscriptions.append(pump)
 
@@ -239,6 +240,10 @@
             await result.unwrap().chunks.aclose()
         envelope.answer(result)
 
+    def _pump(self):
+        self.dispatcher.pump()
+        self.on_load(self.holder.load(self.context.clock.now()))
+
     def _demand_rose(self, pool):
         for wake in self.wakes.values():
             wake.set()
@@ -289,6 +294,7 @@
             peers=membership,
             incarnation=membership.table.incarnation,
         )
+        self.routing.on_load = membership.note_load
         await self.routing.start()
 
     async def drain(self):
