--- a/wasabipaddle/commands/cli.py
+++ b/wasabipaddle/commands/cli.py
@@ -131,6 +131,12 @@
         place = {"server": server, "token_file": token_file, "authority": authority}
         return timeline_action(filters=filters, place=place, json=json, html=html)
 
+    def replay(self, trace, settings, seed=1, json=False):
+        """Replay a trace file on the deployment of a settings file."""
+        from wasabipaddle.commands.replay import replay
+
+        return Action(run=lambda: replay(trace, settings, seed=seed, json=json))
+
     def measure(self, name, seed=1, quick=False, json=False):
         """Run one measure, or `all`, against its baseline and bounds."""
         from wasabipaddle.commands.measure import measure
--- a/wasabipaddle/measure/cell.py
+++ b/wasabipaddle/measure/cell.py
@@ -166,18 +166,30 @@
         Periods other than the default.
     roles : tuple of type
         Plug-ins of each process in starting order.
+    deployment : Deployment or None
+        Deployment to use in place of one of the given size.
     """
 
     process_type = MemoryProcess
 
     def __init__(
-        self, *, entries, data_centres, seed=1, membership=None, roles=ROLES, **store
+        self,
+        *,
+        entries,
+        data_centres,
+        seed=1,
+        membership=None,
+        roles=ROLES,
+        deployment=None,
+        **store,
     ):
         self.seed = seed
         self.roles = roles
         self.incarnations = 0
         self.gone = set()
-        self.deployment = make_deployment(entries=entries, data_centres=data_centres)
+        self.deployment = deployment or make_deployment(
+            entries=entries, data_centres=data_centres
+        )
         self.membership = membership or MembershipSettings()
         self.centre_of = {p.name: p.data_centre for p in self.deployment.entries}
         self.region_of_centre = {d.name: d.region for d in self.deployment.data_centres}
@@ -203,11 +215,15 @@
         for peer in self.deployment.entries:
             await self.start_process(peer.name)
 
-    async def start_process(self, name) -> MemoryProcess:
-        """Start a process, or replace it by one without state."""
-        settings = Settings(
+    def settings_of(self, name) -> Settings:
+        """Return the settings of one process."""
+        return Settings(
             process=name, deployment=self.deployment, membership=self.membership
         )
+
+    async def start_process(self, name) -> MemoryProcess:
+        """Start a process, or replace it by one without state."""
+        settings = self.settings_of(name)
         process = self.process_type(settings=settings, cell=self)
         self.processes[name] = process
         await process.start()
--- a/wasabipaddle/measure/whole_cell.py
+++ b/wasabipaddle/measure/whole_cell.py
@@ -149,7 +149,14 @@
     process_type = WholeProcess
 
     def __init__(
-        self, *, size, seed=1, vm_list_lag_s=5.0, shards=ShardsPlugin, **store
+        self,
+        *,
+        size,
+        seed=1,
+        vm_list_lag_s=5.0,
+        shards=ShardsPlugin,
+        deployment=None,
+        **store,
     ):
         roles = tuple(shards if r is ShardsPlugin else r for r in ALL_ROLES)
         super().__init__(
@@ -157,6 +164,7 @@
             data_centres=size.data_centres,
             seed=seed,
             roles=roles,
+            deployment=deployment,
             **store,
         )
         self.size = size
--- /dev/null
+++ b/wasabipaddle/replay/__init__.py
@@ -0,0 +1,7 @@
+"""Replay of traces against stated outcomes."""
+
+from wasabipaddle.replay.outcomes import Broken, check_outcomes
+from wasabipaddle.replay.player import Figures, play
+from wasabipaddle.replay.trace import Trace, load_trace
+
+__all__ = ["Broken", "Figures", "Trace", "check_outcomes", "load_trace", "play"]
--- /dev/null
+++ b/wasabipaddle/replay/cell.py
@@ -0,0 +1,67 @@
+"""In-memory cell of a deployment from its settings file."""
+
+import attrs
+
+from wasabipaddle.measure.whole_cell import CellSize, WholeCell
+from wasabipaddle.platform import VmRole
+from wasabipaddle.standins import MemoryEndpoint, MemoryWorker
+
+__all__ = ["DeploymentCell"]
+
+
+class DeploymentCell(WholeCell):
+    """Cell with the entry processes, workers and endpoints of a deployment.
+
+    VMs are named as in the demonstration: `{rack}-w{n}` for workers and
+    `{rack}-{pool}-{n}` for endpoints, counted from 1.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of any process of the deployment.
+    seed : int
+        Seed of all random numbers.
+    """
+
+    def __init__(self, *, settings, seed):
+        self.settings = settings
+        super().__init__(size=CellSize(), seed=seed, deployment=settings.deployment)
+
+    def settings_of(self, name):
+        """Return the settings of one process."""
+        return attrs.evolve(self.settings, process=name)
+
+    def _add_vms(self):
+        for peer in self.deployment.entries:
+            self._list_vm(peer.name, VmRole.ENTRY, peer.data_centre, "entries")
+        for rack in self.deployment.racks:
+            for i in range(rack.count):
+                self._add_worker(rack, f"{rack.rack}-w{i + 1}")
+        for group in self.deployment.endpoints:
+            for i in range(group.count):
+                self._add_endpoint(group, f"{group.rack}-{group.pool}-{i + 1}")
+
+    def _add_worker(self, rack, name):
+        self.workers[name] = MemoryWorker(
+            name=name, capacity=rack.resources, ledger=self.ledger
+        )
+        self._list_vm(
+            name, VmRole.WORKER, rack.data_centre, rack.rack, resources=rack.resources
+        )
+
+    def _add_endpoint(self, group, name):
+        self.endpoints[name] = MemoryEndpoint(
+            name=name,
+            ledger=self.ledger,
+            slots=group.slots,
+            connections=group.connections,
+        )
+        self._list_vm(
+            name,
+            VmRole.ENDPOINT,
+            group.data_centre,
+            group.rack,
+            pool=group.pool,
+            slots=group.slots,
+            connections=group.connections,
+        )
