--- a/wasabipaddle/placement/placer.py
+++ b/wasabipaddle/placement/placer.py
@@ -100,12 +100,12 @@
             starter=self.starter,
             outbox=self.outbox,
         )
+        # Called with a worker and whether it is excluded from now on.
+        self.on_quarantine = lambda worker, excluded: None
         self.freed = {}
         self.fleet_seen = -1
         self.next_sweep = 0.0
 
-    # Input from the shard leader.
-
     def submit(self, work, now, *, indices=None):
         """Queue a run.
 
@@ -291,8 +291,6 @@
         self.ledger.set_floor(service, guaranteed)
         self.queue.floor_changed(service)
 
-    # Decisions.
-
     def decide(self, now, limit) -> list:
         """Return up to about `limit` decisions.
 
@@ -372,6 +370,7 @@
         for worker in self.quarantine.changes():
             excluded = self.quarantine.is_excluded(worker)
             self.fleet.set_quarantined(worker, excluded)
+            self.on_quarantine(worker, excluded)
             if not excluded and worker in self.fleet.workers:
                 self._freed(worker)
 
--- a/wasabipaddle/routing/connections.py
+++ b/wasabipaddle/routing/connections.py
@@ -7,6 +7,7 @@
 
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.platform import RequestState
+from wasabipaddle.timeline import EventKind
 
 __all__ = ["EndpointConnections"]
 
@@ -30,13 +31,16 @@
         Longest silence of a connection with a request in progress.
     metrics : Metrics
         Counters and histograms.
+    events : EventRing or None
+        Time line of the process.
     """
 
-    def __init__(self, *, connect, clock, progress_s, metrics):
+    def __init__(self, *, connect, clock, progress_s, metrics, events=None):
         self.connect = connect
         self.clock = clock
         self.progress_s = progress_s
         self.metrics = metrics
+        self.events = events
         self.clients = {}
         self.checks = {}
 
@@ -89,6 +93,10 @@
     def stalled(self, client):
         """Replace the connections of a client after one of them stalled."""
         self.metrics.count("routing.stalled_connections")
+        if self.events is not None:
+            names = (n for n, c in self.clients.items() if c is client)
+            vm = next(names, None)
+            self.events.record(EventKind.CONNECTION_REPLACED, vm=vm)
         if client not in self.checks:
             check = asyncio.ensure_future(self._check_siblings(client))
             self.checks[client] = check
--- a/wasabipaddle/routing/dispatcher.py
+++ b/wasabipaddle/routing/dispatcher.py
@@ -76,6 +76,7 @@
             clock=clock,
             progress_s=settings.progress_s,
             metrics=metrics,
+            events=events,
         )
         self.trace = RequestTrace(events=events, clock=clock)
         self.budgets = {}
--- a/wasabipaddle/runs/leader.py
+++ b/wasabipaddle/runs/leader.py
@@ -118,6 +118,7 @@
         self.table = RunTable()
         self.fleet = FleetIndex()
         self.placer = Placer(fleet=self.fleet, random=context.random)
+        self.placer.on_quarantine = self._note_quarantine
         self.quotas = ShardQuotas(settings=context.settings, documents=documents)
         self.pool = WorkerPool(
             fleet=self.fleet,
@@ -158,6 +159,7 @@
         )
         self.handlers = self._handlers()
         self.recovery = recovery
+        self.store_up = True
         self.adoption = None
         self.entries = None
         self.inspected = set()
@@ -341,6 +343,7 @@
 
     def _review(self, now):
         self.waiters.expire(now)
+        self._note_store(self.commits.available)
         if not self.commits.available:
             self.lifecycle.starts.send_uncommitted()
         for worker in self.pool.take_lapsed(now):
@@ -353,6 +356,23 @@
             if entry.stopping:
                 self.lifecycle.finish_if_done(entry)
 
+    def _note_store(self, up):
+        if up == self.store_up:
+            return
+        self.store_up = up
+        kind = EventKind.STORE_UP if up else EventKind.STORE_DOWN
+        self.context.events.record(kind, detail=self.shard)
+        word = "takes" if up else "does not take"
+        logging.info("the store %s the journal of shard %s", word, self.shard)
+
+    def _note_quarantine(self, worker, excluded):
+        kind = EventKind.WORKER_RETURNED
+        if excluded:
+            kind = EventKind.WORKER_QUARANTINED
+        self.context.events.record(kind, vm=worker)
+        self.context.metrics.count(kind.value)
+        logging.info("%s: %s", kind.value, worker)
+
     def _recovered(self):
         for entry in self.table.unended():
             self.lifecycle.finish_if_done(entry)
--- a/wasabipaddle/runs/tests/test_leader.py
+++ b/wasabipaddle/runs/tests/test_leader.py
@@ -10,6 +10,7 @@
 from wasabipaddle.messages import CancelRun, RunOutcome, RunState, StopRun, WaitRun
 from wasabipaddle.platform import Usage
 from wasabipaddle.standins import compute_verdict
+from wasabipaddle.timeline import EventKind
 
 SETTLE_S = 6.0
 DOCUMENT = """\
@@ -234,3 +235,33 @@
         assert attempts == [1, 1]
 
     run_cell(scenario)
+
+
+def test_outage_and_quarantine_are_on_the_time_line(run_cell):
+    """Guards against an operator who cannot see why work waits."""
+
+    async def scenario(cell):
+        bad = "dc0-w000"
+        cell.workers[bad].set_faults(fails_starts=True)
+        # Evidence of one service alone does not condemn a worker.
+        services = [("pages", "model")[i % 2] for i in range(30)]
+        runs = [
+            await submit(cell, f"r{i}", service=service, run_s=2.0)
+            for i, service in enumerate(services)
+        ]
+        for run in runs:
+            assert await outcome(cell, run) is RunOutcome.COMPLETED
+        await submit(cell, "last", run_s=5.0)
+        cell.store.faults.down = True
+        await asyncio.sleep(10)
+        cell.store.faults.down = False
+        await asyncio.sleep(10)
+        (leader,) = cell.leaders("dc0-0")
+        events = leader.context.events.events
+        assert any(
+            e.kind is EventKind.WORKER_QUARANTINED and e.vm == bad for e in events
+        )
+        kinds = [e.kind for e in events]
+        assert kinds.index(EventKind.STORE_DOWN) < kinds.index(EventKind.STORE_UP)
+
+    run_cell(scenario)
