--- a/wasabipaddle/commands/cli.py
+++ b/wasabipaddle/commands/cli.py
@@ -137,12 +137,18 @@
 
         return Action(run=lambda: replay(trace, settings, seed=seed, json=json))
 
-    def measure(self, name, seed=1, quick=False, json=False):
-        """Run one measure, or `all`, against its baseline and bounds."""
+    @SetParseFns(report=str)
+    def measure(self, name, seed=1, quick=False, json=False, report=""):
+        """Run one measure, or `all`, against its baseline and bounds.
+
+        --report DIR writes an HTML page with plots, which need matplotlib.
+        """
         from wasabipaddle.commands.measure import measure
 
         def run():
-            holds = measure(name, seed=seed, quick=quick, json_output=json)
+            holds = measure(
+                name, seed=seed, quick=quick, json_output=json, report=report
+            )
             return None if holds else EXIT_BROKEN
 
         return Action(run=run)
--- a/wasabipaddle/commands/measure.py
+++ b/wasabipaddle/commands/measure.py
@@ -5,14 +5,16 @@
 import pkgutil
 
 import wasabipaddle.measure
+from wasabipaddle.commands.action import UsageError
 from wasabipaddle.measure import MEASURES
+from wasabipaddle.report import write_report
 
 __all__ = ["measure"]
 
 DEFAULT_SEED = 1
 
 
-def measure(name, *, seed=DEFAULT_SEED, quick=False, json_output=False):
+def measure(name, *, seed=DEFAULT_SEED, quick=False, json_output=False, report=""):
     """Run one measure, or `all`, and print its figures.
 
     Parameters
@@ -25,16 +27,27 @@
         Use a smaller size.
     json_output : bool
         Print JSON; spelled `--json` on the command line.
+    report : str
+        Directory for an HTML page with plots; empty for none.
 
     Returns
     -------
     bool
         Whether every bound holds.
+
+    Raises
+    ------
+    UsageError
+        If there is no measure of that name.
     """
     _import_measures(name)
+    if name != "all" and name not in MEASURES:
+        raise UsageError(f"no measure {name}; there are {', '.join(sorted(MEASURES))}")
     names = sorted(MEASURES) if name == "all" else [name]
     outcomes = [_run(n, seed=seed, quick=quick, as_json=json_output) for n in names]
-    return all(outcomes)
+    if report:
+        print(write_report(outcomes, report))
+    return all(o.holds for o in outcomes)
 
 
 def _run(name, *, seed, quick, as_json):
@@ -43,7 +56,7 @@
         print(json.dumps(outcome.as_json()))
     else:
         _print_text(outcome)
-    return outcome.holds
+    return outcome
 
 
 def _print_text(outcome):
--- /dev/null
+++ b/wasabipaddle/report/plots.py
@@ -0,0 +1,136 @@
+"""Plots of figures beside their baselines and bounds.
+
+Matplotlib is an optional dependency and is imported only when a plot is drawn.
+"""
+
+import io
+
+import attrs
+
+from wasabipaddle.exceptions import ErrorKind, Failure, WasabipaddleError
+
+__all__ = ["Panel", "panels_of", "plot_panel"]
+
+SYSTEM_COLOUR = "#1565c0"
+BASELINE_COLOUR = "#b0bec5"
+BOUND_COLOUR = "#c62828"
+BAR_WIDTH = 0.38
+INCHES = (7.0, 3.2)
+DPI = 110
+# Figures of one panel share an axis, so they must have the same unit.
+SUFFIXES = (
+    ("_s", "seconds"),
+    ("_ms", "milliseconds"),
+    ("ratio", "ratio"),
+    ("ratio_min", "ratio"),
+    ("_per_s", "per second"),
+    ("_mb", "MB"),
+    ("percent", "percent of a core"),
+)
+
+
+@attrs.frozen(kw_only=True)
+class Panel:
+    """Figures of one measure with the same unit.
+
+    Parameters
+    ----------
+    names : tuple of str
+        Keys of the figures.
+    system, baseline : tuple of float or None
+        Values in the order of `names`; None where a side has no such figure.
+    bounds : tuple of float or None
+        Limits in the same order.
+    """
+
+    measure: str
+    unit: str
+    names: tuple[str, ...]
+    system: tuple
+    baseline: tuple
+    bounds: tuple
+
+
+def panels_of(outcome) -> list[Panel]:
+    """Return the panels of a `Measurement`, one for each unit."""
+    groups = {}
+    for name, value in outcome.figures.items():
+        unit = _unit(name)
+        if unit is not None and isinstance(value, int | float):
+            groups.setdefault(unit, []).append(name)
+    bounds = {b.figure: b.value for b in outcome.bounds}
+    return [
+        Panel(
+            measure=outcome.name,
+            unit=unit,
+            names=tuple(names),
+            system=tuple(outcome.figures[n] for n in names),
+            baseline=tuple(outcome.baseline.get(n) for n in names),
+            bounds=tuple(bounds.get(n) for n in names),
+        )
+        for unit, names in groups.items()
+    ]
+
+
+def plot_panel(panel) -> bytes:
+    """Return a PNG picture of a panel.
+
+    Raises
+    ------
+    WasabipaddleError
+        If matplotlib is not installed.
+    """
+    pyplot = _pyplot()
+    figure, axes = pyplot.subplots(figsize=INCHES, dpi=DPI)
+    places = range(len(panel.names))
+    _bars(axes, places, panel.system, -BAR_WIDTH / 2, SYSTEM_COLOUR, "system")
+    _bars(axes, places, panel.baseline, BAR_WIDTH / 2, BASELINE_COLOUR, "baseline")
+    for place, bound in zip(places, panel.bounds, strict=True):
+        if bound is not None:
+            ends = (place - BAR_WIDTH, place + BAR_WIDTH)
+            axes.hlines(bound, *ends, colors=BOUND_COLOUR, linestyles="dashed")
+    axes.set_xticks(list(places), panel.names, rotation=20, ha="right", fontsize=8)
+    axes.set_ylabel(panel.unit)
+    axes.set_title(f"{panel.measure} (dashed: bound)", fontsize=10)
+    if _spread(panel) > 1000:
+        axes.set_yscale("symlog")
+    axes.legend(fontsize=8)
+    figure.tight_layout()
+    buffer = io.BytesIO()
+    figure.savefig(buffer, format="png")
+    pyplot.close(figure)
+    return buffer.getvalue()
+
+
+def _unit(name):
+    matches = [(len(s), unit) for s, unit in SUFFIXES if name.endswith(s)]
+    return max(matches)[1] if matches else None
+
+
+def _bars(axes, places, values, shift, colour, label):
+    drawn = [(p, v) for p, v in zip(places, values, strict=True) if v is not None]
+    axes.bar(
+        [p + shift for p, _ in drawn],
+        [v for _, v in drawn],
+        BAR_WIDTH,
+        color=colour,
+        label=label,
+    )
+
+
+def _spread(panel):
+    values = [abs(v) for v in (*panel.system, *panel.baseline) if v]
+    return max(values) / min(values) if values else 1
+
+
+def _pyplot():
+    try:
+        import matplotlib
+    except ImportError as error:
+        detail = "the report needs matplotlib: install wasabipaddle[plots]"
+        failure = Failure(kind=ErrorKind.INVALID_SETTINGS, detail=detail)
+        raise WasabipaddleError(failure) from error
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    return pyplot
