--- a/wasabipaddle/runs/leader.py
+++ b/wasabipaddle/runs/leader.py
@@ -129,27 +129,8 @@
         )
         self.commits = JournalCommits(journal=journal, notify=self.notify)
         self.waiters = Waiters()
-        self.lifecycle = RunLifecycle(
-            table=self.table,
-            placer=self.placer,
-            commits=self.commits,
-            pool=self.pool,
-            epoch=self.epoch,
-            context=context,
-            quota_of=self.quotas.of_service,
-            on_ended=self.waiters.ended,
-        )
-        self.acceptance = Acceptance(
-            shard=self.shard,
-            epoch=self.epoch,
-            table=self.table,
-            placer=self.placer,
-            commits=self.commits,
-            documents=documents,
-            quota_of=self.quotas.of_service,
-            context=context,
-            make_id=make_id,
-        )
+        self.lifecycle = self._make_lifecycle()
+        self.acceptance = self._make_acceptance(make_id)
         self.operations = RunOperations(
             table=self.table,
             lifecycle=self.lifecycle,
@@ -167,6 +148,31 @@
         self.next_expiry = 0.0
         self.task = None
 
+    def _make_lifecycle(self):
+        return RunLifecycle(
+            table=self.table,
+            placer=self.placer,
+            commits=self.commits,
+            pool=self.pool,
+            epoch=self.epoch,
+            context=self.context,
+            quota_of=self.quotas.of_service,
+            on_ended=self.waiters.ended,
+        )
+
+    def _make_acceptance(self, make_id):
+        return Acceptance(
+            shard=self.shard,
+            epoch=self.epoch,
+            table=self.table,
+            placer=self.placer,
+            commits=self.commits,
+            documents=self.documents,
+            quota_of=self.quotas.of_service,
+            context=self.context,
+            make_id=make_id,
+        )
+
     # Life cycle
 
     def start(self):
