Ask new peers for key records rarely

Every process of a new cell copied from every other one each 2 s during the cold start of 30 s. Ruled out: heartbeats, 2.1 KB/s as before. Change: one task for each peer, with 30 s between two questions to a peer that is new itself.

--- a/wasabipaddle/serve/keys.py
+++ b/wasabipaddle/serve/keys.py
@@ -26,7 +26,7 @@
 # records of the other votes of that claim.
 COPY_DELAY_S = 1.5
 COPY_PERIOD_S = 2.0
-
+UNSETTLED_PERIOD_S = 30.0
 
 _TOLD = frozenset({ErrorKind.CONFLICT, ErrorKind.IN_PROGRESS, ErrorKind.ANSWER_BROKEN})
 
@@ -80,7 +80,8 @@
 
     async def start(self):
         """Start to copy the records of the other members."""
-        self.tasks.spawn(self._copy_all())
+        for peer in self.records.missing(self.context.clock.now()):
+            self.tasks.spawn(self._copy_from(peer))
 
     async def stop(self):
         """Stop the tasks."""
@@ -198,24 +199,34 @@
 
     # Copies
 
-    async def _copy_all(self):
-        await asyncio.sleep(COPY_DELAY_S)
-        while missing := self.records.missing(self.context.clock.now()):
-            await asyncio.gather(*(self._copy(peer) for peer in missing))
-            await asyncio.sleep(COPY_PERIOD_S)
+    async def _copy_from(self, peer):
+        """Copy the records of a peer, again until it held all that it should hold.
 
-    async def _copy(self, peer):
+        A peer that is new itself settles only after its cold start, and asking every
+        peer of a new cell more often would exceed the byte limit of control.
+        """
+        await asyncio.sleep(COPY_DELAY_S)
+        pause_s = COPY_PERIOD_S
+        while peer in self.records.missing(self.context.clock.now()):
+            if await self._copy(peer):
+                pause_s = UNSETTLED_PERIOD_S
+            else:
+                pause_s = min(2 * pause_s, UNSETTLED_PERIOD_S)
+            await asyncio.sleep(pause_s * self.context.random.uniform(0.8, 1.2))
+
+    async def _copy(self, peer) -> bool:
+        """Copy all pages; return whether the peer answered."""
         after = ""
         while True:
             message = KeyRecordsQuery(sender=self.process, after=after)
             reply = await self._send_query(peer, message)
             if reply.is_err():
-                return
+                return False
             page, now = reply.unwrap(), self.context.clock.now()
             self.records.merge(page.records, now)
             if not page.more:
                 self.records.finish_copy(peer, settled=page.settled, now=now)
-                return
+                return True
             after = page.records[-1].key
 
     async def _send_query(self, peer, message):
