--- a/wasabipaddle/demo/processes.py
+++ b/wasabipaddle/demo/processes.py
@@ -106,8 +106,14 @@
         log.close()
 
     async def _wait_for(self, urls):
-        async with aiohttp.ClientSession() as session:
-            await asyncio.gather(*(_wait_until_ok(session, url) for url in urls))
+        try:
+            async with aiohttp.ClientSession() as session:
+                await asyncio.gather(*(_wait_until_ok(session, url) for url in urls))
+        except TimeoutError as error:
+            self._check_running()
+            detail = f"a process was not ready after {READY_TIMEOUT_S:g} s"
+            failure = Failure(kind=ErrorKind.UNREACHABLE, detail=detail)
+            raise WasabipaddleError(failure) from error
         self._check_running()
 
     def _check_running(self):
