--- a/wasabipaddle/routing/dispatcher.py
+++ b/wasabipaddle/routing/dispatcher.py
@@ -20,6 +20,7 @@
 
 MAX_ATTEMPTS = 4
 DRAIN_POLL_S = 0.05
+DRAIN_QUEUE_S = 3.0
 
 
 class Dispatcher:
@@ -147,11 +148,12 @@
     async def drain(self, *, timeout_s):
         """Take no new request and wait for those in progress.
 
-        Requests that still wait after half of the time are refused as not run.
+        A draining process gets no new slots, so requests that still wait after
+        `DRAIN_QUEUE_S` are refused as not run and can be sent elsewhere in time.
         """
         self.draining = True
         now = self.clock.now()
-        refuse_at = now + timeout_s / 2
+        refuse_at = now + min(timeout_s / 2, DRAIN_QUEUE_S)
         while self.jobs and self.clock.now() < now + timeout_s:
             if self.clock.now() >= refuse_at:
                 self._refuse_waiting()
--- a/wasabipaddle/routing/tests/test_dispatcher.py
+++ b/wasabipaddle/routing/tests/test_dispatcher.py
@@ -157,3 +157,23 @@
     assert results[0].is_ok()
     kinds = [r.unwrap_err().kind for r in [*results[1:], late]]
     assert kinds == [ErrorKind.DRAINING] * 3
+
+
+def test_drain_refuses_early_what_waits_without_slots():
+    """Guards against callers that time out in the queue of a draining process."""
+
+    async def main():
+        bench = Bench(FakeEndpoint(name="e1", slots=1, service_s=8.0))
+        running = asyncio.ensure_future(bench.route(wait_s=30.0))
+        waiting = asyncio.ensure_future(bench.route(wait_s=30.0))
+        await asyncio.sleep(0.1)
+        drain = asyncio.ensure_future(bench.dispatcher.drain(timeout_s=30.0))
+        refused = await waiting
+        at = asyncio.get_running_loop().time()
+        await drain
+        return refused, at, await running
+
+    refused, at, answered = run_virtual(main())
+    assert refused.unwrap_err().kind is ErrorKind.DRAINING
+    assert at < 4.0
+    assert answered.is_ok()
