Keep the leader whose own delayed renewal changed the record

A renewal that the link held up took effect after its timeout, so the next one met another revision; the leader took that for a deposition and stepped down, and since all members heard it, no candidate took over. Change: a refused renewal reads the record and steps down only for another term; a process whose own term is abandoned may lead again. Both new tests fail without it.

--- a/wasabipaddle/leadership/election.py
+++ b/wasabipaddle/leadership/election.py
@@ -195,7 +195,10 @@
             return
         kind = answer.unwrap_err().kind
         if kind is ErrorKind.REVISION_MISMATCH:
-            self._step_down("renewal refused")
+            # An earlier renewal that was delayed on its way changes the revision as
+            # well; only a record of another term deposes this process.
+            self.must_check = True
+            await self._check()
         self.in_doubt = kind is ErrorKind.TIMEOUT
 
     async def _check(self):
@@ -270,6 +273,8 @@
 
     def _may_take_over(self, rank):
         now = self.clock.now()
+        if self._is_own_abandoned_term():
+            return True
         if self.offered and (self.seen is None or self.seen.released):
             return True
         delay = rank * RANK_DELAY_PER_LEASE * self.lease_s
@@ -284,6 +289,18 @@
         self.next_read = min(max(ready_at, now), self.next_read)
         return False
 
+    def _is_own_abandoned_term(self):
+        """Return whether the record names this process, which stepped down.
+
+        The others hear this process and would wait for its silence for ever.
+        """
+        seen = self.seen
+        return (
+            seen is not None
+            and not seen.released
+            and (seen.leader, seen.incarnation) == (self.process, self.incarnation)
+        )
+
     async def _acquire(self):
         self.offered = False
         seen = self.seen
--- a/wasabipaddle/leadership/tests/test_election.py
+++ b/wasabipaddle/leadership/tests/test_election.py
@@ -95,3 +95,47 @@
         assert election.may_command()
 
     run_virtual(main())
+
+
+class HeardMembers(SilentMembers):
+    """Candidacy that hears every process, as membership hears itself."""
+
+    def silence_s(self, name, incarnation):
+        """Return no silence."""
+        return 0.0
+
+
+def test_delayed_renewal_does_not_depose_its_own_leader():
+    """Guards against a leader that gives up after a cut delayed its renewal."""
+
+    async def main():
+        store = MemoryStore()
+        election = make_election(store, "a")
+        await election.step()
+        # The renewal that was held up takes effect after its timeout.
+        entry = (await store.get(election.key)).unwrap()
+        await store.put(election.key, entry.value, expected_revision=entry.revision)
+        election.next_renewal = 0.0
+        await election.step()
+        assert (election.leading, election.epoch) == (True, 1)
+        assert election.may_command()
+
+    run_virtual(main())
+
+
+def test_shard_of_a_process_that_stepped_down_gets_a_leader_again():
+    """Guards against a shard without a leader while all members are heard."""
+
+    async def main():
+        store = MemoryStore()
+        election = make_election(store, "a")
+        await election.step()
+        election.candidacy = HeardMembers()
+        election.note_epoch(2)
+        assert not election.leading
+        await asyncio.sleep(2.0)
+        await election.step()
+        assert election.leading
+        assert election.epoch > 2
+
+    run_virtual(main())
