Shorten slot grants to 4 s again

Cause: a new leader waits for grants of a dead process to expire. Ruled out: the shutdown itself, which took under 2 s. Not traced to the end. Change: 4 s, renewed every 1.5 s without demand.

--- a/wasabipaddle/settings/model.py
+++ b/wasabipaddle/settings/model.py
@@ -314,9 +314,9 @@
 
     queue_requests: int = 2_000
     queue_bytes: int = 33_554_432
-    grant_s: float = 8.0
+    grant_s: float = 4.0
     grant_period_s: float = 0.5
-    grant_idle_period_s: float = 3.0
+    grant_idle_period_s: float = 1.5
     progress_s: float = 1.0
     buffer_bytes: int = 65_536
 
