--- a/wasabipaddle/measure/recovery.py
+++ b/wasabipaddle/measure/recovery.py
@@ -241,7 +241,8 @@
         return [
             Case(faults=("kill",), store="up"),
             Case(faults=("pause",), store="up"),
-            Case(faults=("kill", "worker"), store="lossy"),
+            Case(faults=("partition",), store="lossy"),
+            Case(faults=("kill", "worker"), store="down"),
         ]
     single = [Case(faults=(f,), store=s) for f, s in itertools.product(FAULTS, STORES)]
     double = [Case(faults=p, store=s) for p, s in itertools.product(PAIRS, STORES)]
