--- a/wasabipaddle/api/tests/fakes.py
+++ b/wasabipaddle/api/tests/fakes.py
@@ -3,7 +3,7 @@
 from result import Err, Ok
 
 from wasabipaddle.exceptions import ErrorKind, Failure
-from wasabipaddle.platform import Entry, Page, Store
+from wasabipaddle.interfaces import Entry, Page, Store
 
 __all__ = ["FakeStore", "lost"]
 
--- /dev/null
+++ b/wasabipaddle/cell/calls.py
@@ -0,0 +1,208 @@
+"""Calls to runners: orders and inventories."""
+
+import asyncio
+
+from wasabipaddle.dispatch import PaceTask, StartOutcome, StartTask, StopTask
+from wasabipaddle.exceptions import ErrorKind
+from wasabipaddle.interfaces import Refusal, StartOrder
+from wasabipaddle.platform import PlatformRunner
+
+__all__ = ["RunnerCalls"]
+
+ORDER_TIMEOUT_S = 0.6
+INVENTORY_TIMEOUT_S = 0.6
+# Waits of an inventory: with runs, whose lease it extends, and without.
+BUSY_WAIT_S = 1.0
+IDLE_WAIT_S = 1.9
+SHARED_WAIT_S = 0.4
+# Pause after an inventory with ends, so that the next one gathers several.
+GATHER_S = 0.03
+RETRY_S = 0.1
+LONGEST_RETRY_S = 0.8
+
+
+class RunnerCalls:
+    """Sends orders and keeps one standing inventory for each runner.
+
+    Parameters
+    ----------
+    session : DispatchSession
+        Scheduler, epoch and tasks.
+    """
+
+    def __init__(self, *, session):
+        self.session = session
+        self.scheduler = session.scheduler
+        self.clients = {}
+        self.watched = {}
+
+    def ensure(self, runner):
+        """Keep an inventory of a runner standing."""
+        if self.watched.get(runner.id) is runner:
+            return
+        self.watched[runner.id] = runner
+        self.clients[runner.id] = PlatformRunner(
+            runner=runner.id, address=runner.entry.address
+        )
+        self.session.spawn(self._watch(runner, self.clients[runner.id]))
+
+    def send(self, order):
+        """Send an order without waiting for its answer."""
+        if isinstance(order, StartTask):
+            self.session.spawn(self._start(order))
+        elif isinstance(order, StopTask):
+            self.session.spawn(self._stop(order))
+        elif isinstance(order, PaceTask):
+            self.session.spawn(self._pace(order))
+
+    async def _start(self, order):
+        run, session = order.run, self.session
+        runner, task = run.runner, run.task
+        run.start_before_ms = self.scheduler.start_deadline_ms(runner, session.now())
+        message = StartOrder(
+            task=task.id,
+            run=run.number,
+            payload=task.step.job.job.spec.payload,
+            start_before_ms=run.start_before_ms,
+            epoch=session.epoch,
+            checkpoint=task.checkpoint,
+            ticket=order.ticket,
+        )
+        sent_s = session.now()
+        result = await self.clients[runner.id].start(message, timeout_s=ORDER_TIMEOUT_S)
+        now = session.now()
+        outcome, reply = StartOutcome.STARTED, None
+        if result.is_ok():
+            reply = result.ok()
+            if reply.refusal is Refusal.STALE_EPOCH:
+                session.depose(f"{runner.id} has seen a later epoch")
+        elif result.err().kind is ErrorKind.UNREACHABLE:
+            outcome = StartOutcome.NOT_DELIVERED
+        else:
+            outcome = StartOutcome.UNKNOWN
+        session.journal(
+            "run_started",
+            job=task.id.job,
+            task=task.id[1:],
+            run=run.number,
+            runner=runner.id,
+            outcome=outcome.value if reply is None else reply.refusal.value,
+            waited_ms=int((sent_s - task.waiting_s) * 1000),
+            took_ms=int((now - sent_s) * 1000),
+        )
+        session.metrics.count(f"starts_{outcome.value}")
+        self.scheduler.reports.start_replied(run, outcome, reply, now)
+        if outcome is not StartOutcome.STARTED or reply.refusal is not Refusal.NONE:
+            session.wake()
+
+    async def _stop(self, order):
+        session, runner = self.session, order.runner
+        client = self.clients.get(runner.id)
+        if client is None:
+            return
+        result = await client.stop(
+            order.task, order.number, epoch=session.epoch, timeout_s=ORDER_TIMEOUT_S
+        )
+        session.journal(
+            "run_stopped",
+            job=order.task.job,
+            task=order.task[1:],
+            run=order.number,
+            runner=runner.id,
+            outcome=(
+                result.ok().refusal.value if result.is_ok() else result.err().kind.value
+            ),
+        )
+        if result.is_ok():
+            if result.ok().refusal is Refusal.STALE_EPOCH:
+                session.depose(f"{runner.id} has seen a later epoch")
+            self.scheduler.reports.stop_replied(
+                runner, order.task, order.number, result.ok(), session.now()
+            )
+
+    async def _pace(self, order):
+        session, run = self.session, order.run
+        result = await self.clients[run.runner.id].pace(
+            run.task.id,
+            run.number,
+            percent=order.percent,
+            epoch=session.epoch,
+            timeout_s=ORDER_TIMEOUT_S,
+        )
+        if result.is_ok() and result.ok().refusal is Refusal.NONE:
+            run.pace = order.percent
+        session.journal(
+            "run_paced",
+            job=run.task.id.job,
+            task=run.task.id[1:],
+            runner=run.runner.id,
+            percent=order.percent,
+            answered=result.is_ok(),
+        )
+
+    def _wait_s(self, runner, failures):
+        if failures or not runner.looked:
+            return 0.0
+        if not runner.runs:
+            return IDLE_WAIT_S
+        specs = [run.task.spec for run in runner.runs.values()]
+        if any(s.opportunistic for s in specs) and any(
+            s.target_latency_ms for s in specs
+        ):
+            return SHARED_WAIT_S
+        return BUSY_WAIT_S
+
+    async def _watch(self, runner, client):
+        """Keep an inventory of one runner standing until it is forgotten."""
+        session, scheduler = self.session, self.scheduler
+        failures = 0
+        while scheduler.state.runners.get(runner.id) is runner:
+            wait_s = self._wait_s(runner, failures)
+            result = await client.inventory(
+                epoch=session.epoch,
+                acknowledged=runner.acknowledged,
+                lease_until_ms=scheduler.lease_deadline_ms(runner, session.now()),
+                wait_s=wait_s,
+                timeout_s=wait_s + INVENTORY_TIMEOUT_S,
+            )
+            now = session.now()
+            if result.is_ok() and result.ok().refusal is Refusal.STALE_EPOCH:
+                session.depose(f"{runner.id} has seen a later epoch")
+                await asyncio.sleep(RETRY_S)
+                continue
+            if result.is_err() or result.ok().refusal is not Refusal.NONE:
+                failures += 1
+                self._failed(runner, result, failures, now)
+                await asyncio.sleep(min(RETRY_S * failures, LONGEST_RETRY_S))
+                continue
+            if failures:
+                session.journal("runner_regained", runner=runner.id, failures=failures)
+            failures = 0
+            ends = len(result.ok().ended)
+            scheduler.reports.inventory(runner, result.ok(), now)
+            scheduler.watchdog.set_paces(runner)
+            session.wake()
+            session.metrics.count("inventories")
+            await asyncio.sleep(GATHER_S if ends else 0)
+        if self.watched.get(runner.id) is runner:
+            del self.watched[runner.id]
+            del self.clients[runner.id]
+        await client.close()
+
+    def _failed(self, runner, result, failures, now):
+        runner.full_until_s = max(runner.full_until_s, now + INVENTORY_TIMEOUT_S)
+        if failures == 1:
+            reason = result.err().kind if result.is_err() else result.ok().refusal
+            detail = result.err().detail if result.is_err() else ""
+            self.session.journal(
+                "runner_lost",
+                runner=runner.id,
+                reason=reason.value,
+                detail=detail,
+                runs=len(runner.runs),
+            )
+
+    async def close(self):
+        """Close the connections."""
+        for client in self.clients.values():
+            await client.close()
--- /dev/null
+++ b/wasabipaddle/cell/dispatcher.py
@@ -0,0 +1,120 @@
+"""Role `cell_dispatcher`: dispatches while this process leads."""
+
+import asyncio
+
+from result import Err, Ok
+
+from wasabipaddle.cell.configuration import ConfigurationPlugin
+from wasabipaddle.cell.election import ElectionPlugin
+from wasabipaddle.cell.facts import ConfigurationChanged, ReignBegan, ReignEnded
+from wasabipaddle.cell.lines import AdvicePlugin
+from wasabipaddle.cell.members import MembersPlugin
+from wasabipaddle.cell.session import DispatchSession
+from wasabipaddle.cell.store import CellStorePlugin
+from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.kernel import Plugin
+from wasabipaddle.messages.jobs import (
+    JobAccepted,
+    JobCancelled,
+    Noted,
+    QueryPhase,
+)
+
+__all__ = ["DispatcherPlugin"]
+
+
+class DispatcherPlugin(Plugin):
+    """Owns the session of a reign.
+
+    Attributes
+    ----------
+    session : DispatchSession or None
+        Session while this process leads.
+    """
+
+    name = "cell_dispatcher"
+    requires = (
+        CellStorePlugin.name,
+        ConfigurationPlugin.name,
+        ElectionPlugin.name,
+        MembersPlugin.name,
+        AdvicePlugin.name,
+    )
+
+    def __init__(self, *, context):
+        super().__init__(context=context)
+        self.session = None
+        self.closing = set()
+
+    async def start(self):
+        """Wait for a reign and serve the messages of other processes."""
+        plugins = self.context.plugins
+        self.election = plugins[ElectionPlugin.name]
+        self.configuration = plugins[ConfigurationPlugin.name]
+        self.members = plugins[MembersPlugin.name]
+        self.members.count_waiting = self._count_waiting
+        transport = self.members.transport
+        transport.handle(JobAccepted, self._job_accepted)
+        transport.handle(JobCancelled, self._job_cancelled)
+        transport.handle(QueryPhase, self._query_phase)
+        bus = self.context.bus
+        bus.facts(ReignBegan).subscribe(self._begin)
+        bus.facts(ReignEnded).subscribe(self._end)
+        bus.facts(ConfigurationChanged).subscribe(self._configure)
+
+    async def stop(self):
+        """End the session."""
+        self._end(None)
+        await asyncio.gather(*self.closing)
+
+    def _begin(self, fact):
+        if fact.continued and self.session is not None:
+            self.session.epoch = fact.epoch
+            return
+        self._end(None)
+        self.session = DispatchSession(
+            context=self.context,
+            access=self.context.plugins[CellStorePlugin.name],
+            members=self.members,
+            configuration=self.configuration,
+            epoch=fact.epoch,
+            term=fact.term,
+            depose=self.election.depose,
+        )
+        self.session.start()
+
+    def _end(self, fact):
+        if self.session is not None:
+            task = asyncio.create_task(self.session.close())
+            self.closing.add(task)
+            task.add_done_callback(self.closing.discard)
+            self.session = None
+
+    def _configure(self, fact):
+        if self.session is not None:
+            self.session.scheduler.configure(fact.configuration)
+            self.session.wake()
+
+    def _count_waiting(self):
+        return self.session.count_waiting() if self.session else None
+
+    async def _job_accepted(self, message):
+        if self.session is None:
+            return _not_leader()
+        return self.session.note_job(message.job)
+
+    async def _job_cancelled(self, message):
+        if self.session is None:
+            return _not_leader()
+        self.session.cancel(message.job)
+        return Ok(Noted())
+
+    async def _query_phase(self, message):
+        if self.session is None:
+            return _not_leader()
+        return self.session.find_phase(message.job)
+
+
+def _not_leader():
+    detail = "this process does not dispatch"
+    return Err(Failure(kind=ErrorKind.NOT_LEADER, detail=detail))
--- /dev/null
+++ b/wasabipaddle/cell/election.py
@@ -0,0 +1,238 @@
+"""Role `cell_election`: which process dispatches."""
+
+import asyncio
+
+import attrs
+import msgspec
+from result import Err
+
+from wasabipaddle.cell.facts import LeaderChanged, ReignBegan, ReignEnded
+from wasabipaddle.cell.keys import LEADER_KEY, TERM_KEY
+from wasabipaddle.cell.store import CellStorePlugin
+from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.interfaces import Put
+from wasabipaddle.kernel import Plugin
+from wasabipaddle.serve.tasks import TaskSet
+
+__all__ = ["ElectionPlugin"]
+
+LEASE_S = 2.0
+RENEW_S = 0.6
+WATCH_S = 2.0
+RETRY_S = 0.2
+# Candidates spread their bids, and those far from the store let others go first.
+BID_JITTER_S = 0.05
+FAR_LATENCY_S = 0.025
+FAR_DELAY_S = 0.4
+
+
+@attrs.frozen(kw_only=True)
+class LeaderRecord:
+    """Value of the leader key.
+
+    Parameters
+    ----------
+    process, address : str
+        Leader and its internal listener.
+    life : int
+        Start of the process, which tells two lives of one name apart.
+    """
+
+    process: str
+    address: str
+    life: int
+
+
+@attrs.frozen(kw_only=True)
+class TermRecord:
+    """Value of the term key."""
+
+    number: int
+    process: str
+    life: int
+
+
+class ElectionPlugin(Plugin):
+    """Takes and keeps the leader key, and tells who holds it.
+
+    The epoch of a reign is the store revision at which its record was written. A
+    leader that gets no answer from the store goes on: runners refuse its orders as
+    soon as a later leader has spoken to them.
+
+    Attributes
+    ----------
+    epoch : int
+        Epoch of this process while it leads, else 0.
+    leader : LeaderRecord or None
+        Leader as last seen.
+    """
+
+    name = "cell_election"
+    requires = (CellStorePlugin.name,)
+
+    def __init__(self, *, context):
+        super().__init__(context=context)
+        settings = context.settings
+        self.record = LeaderRecord(
+            process=settings.process,
+            address=settings.internal,
+            life=context.clock.wall_ms(),
+        )
+        self.epoch = 0
+        self.lease = 0
+        self.leader = None
+        self.term_revision = 0
+        self.leaving = False
+        self.tasks = TaskSet()
+
+    async def start(self):
+        """Start to follow the leader key."""
+        self.access = self.context.plugins[CellStorePlugin.name]
+        self.store = self.access.store
+        self.tasks.spawn(self._follow())
+        self.tasks.spawn(self._renew())
+
+    async def drain(self):
+        """Give up the leadership, so that another process takes over at once."""
+        self.leaving = True
+        if self.epoch:
+            lease = self.lease
+            self._end("process is draining")
+            await self.access.call(self.store.end_lease(lease))
+
+    async def stop(self):
+        """Stop following."""
+        await self.tasks.close()
+
+    async def _follow(self):
+        revision = 0
+        while True:
+            found = await self.access.call(self.store.get(LEADER_KEY))
+            if found.is_err():
+                await asyncio.sleep(RETRY_S)
+                continue
+            entry = found.ok()
+            self._observe(entry)
+            if entry is None:
+                await self._bid()
+                continue
+            revision = max(revision, entry.revision)
+            batch = await self.store.follow(
+                LEADER_KEY, after_revision=revision, wait_s=WATCH_S
+            )
+            if batch.is_ok():
+                revision = batch.ok().revision
+            else:
+                await asyncio.sleep(RETRY_S)
+
+    def _observe(self, entry):
+        """Take the stored record; end a reign that it contradicts."""
+        record = None
+        if entry is not None:
+            record = msgspec.json.decode(entry.value, type=LeaderRecord)
+        if self.epoch and entry is not None and record != self.record:
+            self._end(f"{record.process} leads")
+        if record != self.leader:
+            self.leader = record
+            self.context.journal(
+                "leader_seen",
+                leader=record.process if record else "",
+                revision=entry.revision if entry else 0,
+            )
+            process, address = (record.process, record.address) if record else ("", "")
+            self.context.bus.publish(LeaderChanged(process=process, address=address))
+
+    async def _bid(self):
+        """Try to take the leader key, which nobody holds."""
+        if self.leaving:
+            await asyncio.sleep(RETRY_S)
+            return
+        delay_s = BID_JITTER_S * self.context.random.random()
+        if self.access.health.latency_s > FAR_LATENCY_S:
+            delay_s += FAR_DELAY_S
+        await asyncio.sleep(0.0 if self.epoch else delay_s)
+        lease = await self.access.call(self.store.grant_lease(LEASE_S))
+        term = await self.access.call(self.store.get(TERM_KEY))
+        if lease.is_err() or term.is_err():
+            await asyncio.sleep(RETRY_S)
+            return
+        lease, before = lease.ok(), term.ok()
+        term_record = TermRecord(number=0, process="", life=0)
+        if before is not None:
+            term_record = msgspec.json.decode(before.value, type=TermRecord)
+        term_revision = before.revision if before else 0
+        continued = bool(self.epoch) and term_revision == self.term_revision
+        next_term = TermRecord(
+            number=term_record.number + 1,
+            process=self.record.process,
+            life=self.record.life,
+        )
+        taken = await self.access.call(
+            self.store.commit(
+                conditions=((LEADER_KEY, 0), (TERM_KEY, term_revision)),
+                puts=(
+                    Put(
+                        key=LEADER_KEY,
+                        value=msgspec.json.encode(self.record),
+                        lease=lease,
+                    ),
+                    Put(key=TERM_KEY, value=msgspec.json.encode(next_term)),
+                ),
+            )
+        )
+        if taken.is_err() and taken.err().kind is ErrorKind.TIMEOUT:
+            taken = await self._settle(term_revision)
+        if taken.is_err():
+            await self.access.call(self.store.end_lease(lease))
+            if self.epoch and taken.err().kind is ErrorKind.REVISION_MISMATCH:
+                self._end("another process took the key")
+            await asyncio.sleep(RETRY_S)
+            return
+        self._begin(taken.ok(), lease, next_term.number, continued)
+
+    async def _settle(self, term_revision):
+        """Find out whether a bid without an answer took effect."""
+        found = await self.access.call(self.store.get(LEADER_KEY))
+        if found.is_err():
+            return found
+        entry = found.ok()
+        mine = entry is not None and (
+            msgspec.json.decode(entry.value, type=LeaderRecord) == self.record
+        )
+        if mine and entry.revision > term_revision:
+            return found.map(lambda e: e.revision)
+        detail = "the bid took no effect"
+        return Err(Failure(kind=ErrorKind.REVISION_MISMATCH, detail=detail))
+
+    def _begin(self, epoch, lease, term, continued):
+        self.epoch = self.term_revision = epoch
+        self.lease = lease
+        self.leader = self.record
+        self.context.journal("reign_began", epoch=epoch, term=term, continued=continued)
+        self.context.bus.publish(
+            LeaderChanged(process=self.record.process, address=self.record.address)
+        )
+        self.context.bus.publish(
+            ReignBegan(epoch=epoch, term=term, continued=continued)
+        )
+
+    def _end(self, reason):
+        self.context.journal("reign_ended", epoch=self.epoch, reason=reason)
+        self.epoch = self.lease = 0
+        self.context.bus.publish(ReignEnded(reason=reason))
+
+    def depose(self, reason):
+        """End the reign, since a runner or the store has seen a later one."""
+        if self.epoch:
+            self._end(reason)
+
+    async def _renew(self):
+        while True:
+            await asyncio.sleep(RENEW_S)
+            if not self.lease:
+                continue
+            lease = self.lease
+            renewed = await self.access.call(self.store.renew_lease(lease))
+            lost = renewed.is_err() and renewed.err().kind is ErrorKind.NOT_FOUND
+            if lost and lease == self.lease:
+                self.context.journal("leadership_lease_lost", epoch=self.epoch)
--- /dev/null
+++ b/wasabipaddle/cell/entry.py
@@ -0,0 +1,295 @@
+"""Role `cell_entry`: answers callers of this process."""
+
+import asyncio
+
+import msgspec
+from result import Err, Ok
+
+from wasabipaddle.cell.configuration import ConfigurationPlugin
+from wasabipaddle.cell.keys import CANCEL_PREFIX, JOB_PREFIX, PROGRESS_PREFIX
+from wasabipaddle.cell.members import MembersPlugin
+from wasabipaddle.cell.store import CellStorePlugin
+from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.interfaces import Put
+from wasabipaddle.jobs import Job, JobPhase, decode_progress, encode_job
+from wasabipaddle.kernel import Plugin
+from wasabipaddle.messages.jobs import (
+    CancelJob,
+    JobAccepted,
+    JobCancelled,
+    Noted,
+    PhaseReply,
+    QueryPhase,
+    StoreJob,
+)
+from wasabipaddle.platform import CallerListener
+from wasabipaddle.serve.tasks import TaskSet
+
+__all__ = ["EntryPlugin"]
+
+# Time of an answer that is kept for the way back to the caller.
+ANSWER_RESERVE_S = 0.3
+RETRY_S = 0.05
+LEADER_TIMEOUT_S = 0.5
+PEER_TIMEOUT_S = 1.5
+NOTICE_TIMEOUT_S = 0.5
+NOTICE_TRIES = 3
+WAITING_VALID_S = 2.0
+RETRY_AFTER_S = 1.0
+# After a request to end, the balancer needs two missed probes to send no more.
+LEAVE_S = 2.2
+DRAIN_CHECK_S = 0.02
+DRAIN_RESERVE_S = 1.5
+CERTAIN = frozenset({ErrorKind.STORE_UNAVAILABLE, ErrorKind.STORE_THROTTLED})
+
+
+class EntryPlugin(Plugin):
+    """Accepts, cancels and shows jobs.
+
+    A job exists once its key has been created; the same identifier at any other
+    process finds that key, so it stays one job.
+    """
+
+    name = "cell_entry"
+    requires = (CellStorePlugin.name, ConfigurationPlugin.name, MembersPlugin.name)
+
+    def __init__(self, *, context):
+        super().__init__(context=context)
+        self.listener = CallerListener(service=self)
+        self.tasks = TaskSet()
+        self.draining = False
+
+    async def start(self):
+        """Listen for callers."""
+        plugins = self.context.plugins
+        self.access = plugins[CellStorePlugin.name]
+        self.store = self.access.store
+        self.configuration = plugins[ConfigurationPlugin.name]
+        self.members = plugins[MembersPlugin.name]
+        self.members.transport.handle(StoreJob, self._store_for_peer)
+        self.members.transport.handle(CancelJob, self._cancel_for_peer)
+        settings = self.context.settings
+        await self.listener.open(front=settings.callers, ready=settings.readiness)
+
+    async def drain(self):
+        """Tell the balancer, then finish the calls in progress."""
+        self.draining = True
+        self.listener.closing = True
+        clock = self.context.clock
+        until_s = clock.now() + self.context.settings.bounds.grace_s - DRAIN_RESERVE_S
+        await asyncio.sleep(min(LEAVE_S, max(until_s - clock.now(), 0.0)))
+        while self.listener.in_progress and clock.now() < until_s:
+            await asyncio.sleep(DRAIN_CHECK_S)
+
+    async def stop(self):
+        """Close the listeners."""
+        await self.tasks.close()
+        await self.listener.close()
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer should send callers here."""
+        return self.configuration.current is not None and not self.draining
+
+    @property
+    def max_body_bytes(self) -> int:
+        """Largest body of a call."""
+        return self.configuration.current.limits.max_body_bytes
+
+    def select_queue(self, host, path):
+        """Return the queue of a call."""
+        current = self.configuration.current
+        if current is None:
+            return _failed(ErrorKind.DRAINING, "no configuration is in force yet")
+        queue = current.match(host, path)
+        if queue is None:
+            return _failed(ErrorKind.NOT_FOUND, "no queue has this host and path")
+        return Ok(queue)
+
+    async def submit(self, queue, job_id, spec, *, wait_s):
+        """Store a job and tell the dispatcher."""
+        job = Job(
+            id=job_id,
+            policy=queue,
+            accepted_ms=self.context.clock.wall_ms(),
+            spec=spec,
+        )
+        began = self.context.clock.now()
+        accepted = await self._store_job(job, until_s=began + wait_s - ANSWER_RESERVE_S)
+        self.context.journal(
+            "job_accepted" if accepted.is_ok() else "job_refused",
+            job=job_id,
+            queue=queue.name,
+            configuration=self.configuration.version,
+            took_ms=int((self.context.clock.now() - began) * 1000),
+            reason=accepted.err().kind.value if accepted.is_err() else None,
+            detail=accepted.err().detail if accepted.is_err() else None,
+        )
+        if accepted.is_ok():
+            self.tasks.spawn(self._notify(JobAccepted(job=job)))
+        return accepted
+
+    async def _store_job(self, job, *, until_s):
+        """Create the key of a job.
+
+        Returns
+        -------
+        result.Result
+            None, or an `Err`: of a kind that says "not run" only if no write that may
+            still take effect was sent.
+        """
+        if self.access.health.away:
+            return await self._store_through_peer(job, until_s=until_s)
+        key = JOB_PREFIX + job.id
+        put = Put(key=key, value=encode_job(job))
+        in_doubt = False
+        failure = None
+        while self.context.clock.now() < until_s:
+            stored = await self.access.call(
+                self.store.commit(conditions=((key, 0),), puts=(put,))
+            )
+            if stored.is_ok():
+                return Ok(None)
+            failure = stored.err()
+            if failure.kind is ErrorKind.REVISION_MISMATCH:
+                return Ok(None)
+            in_doubt |= failure.kind not in CERTAIN
+            if self.access.health.away:
+                break
+            await asyncio.sleep(RETRY_S)
+        if in_doubt:
+            return _failed(ErrorKind.ACCEPTANCE_UNKNOWN, failure.detail)
+        return await self._store_through_peer(job, until_s=until_s)
+
+    async def _store_through_peer(self, job, *, until_s):
+        """Have another process store a job; this one does not reach the store."""
+        for peer in self._peers():
+            timeout_s = min(PEER_TIMEOUT_S, until_s - self.context.clock.now())
+            if timeout_s <= 0:
+                break
+            stored = await self.members.ask(
+                peer, StoreJob(job=job), Noted, timeout_s=timeout_s
+            )
+            if stored.is_ok():
+                return Ok(None)
+            if stored.err().kind is ErrorKind.UNREACHABLE:
+                continue
+            if stored.err().outcome.value != "not_run":
+                detail = f"{peer}: {stored.err().detail}"
+                return _failed(ErrorKind.ACCEPTANCE_UNKNOWN, detail)
+            break
+        return Err(
+            Failure(
+                kind=ErrorKind.STORE_UNAVAILABLE,
+                detail="the store does not answer",
+                retry_after_s=RETRY_AFTER_S,
+            )
+        )
+
+    def _peers(self):
+        own = self.context.settings.process
+        peers = [p for p in self.members.addresses if p != own]
+        self.context.random.shuffle(peers)
+        peers.sort(key=lambda p: p != self.members.leader)
+        return peers[:2]
+
+    async def _store_for_peer(self, message):
+        """Store a job for a process that does not reach the store."""
+        if self.access.health.away:
+            return _failed(ErrorKind.STORE_UNAVAILABLE, "the store does not answer")
+        job = message.job
+        key = JOB_PREFIX + job.id
+        stored = await self.access.call(
+            self.store.commit(
+                conditions=((key, 0),), puts=(Put(key=key, value=encode_job(job)),)
+            )
+        )
+        if stored.is_err() and stored.err().kind is not ErrorKind.REVISION_MISMATCH:
+            return stored
+        self.tasks.spawn(self._notify(JobAccepted(job=job)))
+        return Ok(Noted())
+
+    async def _notify(self, message):
+        """Tell the dispatcher sooner than its watch does."""
+        for _ in range(NOTICE_TRIES):
+            noted = await self.members.ask_leader(
+                message, Noted, timeout_s=NOTICE_TIMEOUT_S
+            )
+            if noted.is_ok():
+                return
+            await asyncio.sleep(RETRY_S)
+
+    async def find_phase(self, queue, job_id, *, wait_s):
+        """Return the state of a job."""
+        reply = await self.members.ask_leader(
+            QueryPhase(job=job_id),
+            PhaseReply,
+            timeout_s=min(LEADER_TIMEOUT_S, wait_s / 2),
+        )
+        if reply.is_ok() and reply.ok().phase is not None:
+            return Ok(reply.ok().phase)
+        progress = await self.access.call(self.store.get(PROGRESS_PREFIX + job_id))
+        if progress.is_ok() and progress.ok() is not None:
+            decoded = decode_progress(progress.ok().value)
+            if decoded is not None:
+                return Ok(decoded.phase)
+        job = await self.access.call(self.store.get(JOB_PREFIX + job_id))
+        if job.is_err() or progress.is_err():
+            return Err((job if job.is_err() else progress).err())
+        if job.ok() is None:
+            return _failed(ErrorKind.GONE, "no such job")
+        return Ok(JobPhase.QUEUED)
+
+    async def cancel(self, queue, job_id, *, wait_s):
+        """Store the cancellation of a job and tell the dispatcher."""
+        until_s = self.context.clock.now() + wait_s - ANSWER_RESERVE_S
+        cancelled = await self._store_cancel(job_id)
+        while cancelled.is_err() and cancelled.err().kind is not ErrorKind.GONE:
+            if self.context.clock.now() >= until_s:
+                break
+            for peer in self._peers()[:1]:
+                cancelled = await self.members.ask(
+                    peer, CancelJob(job=job_id), Noted, timeout_s=PEER_TIMEOUT_S
+                )
+            if cancelled.is_err() and cancelled.err().kind is not ErrorKind.GONE:
+                await asyncio.sleep(RETRY_S)
+                cancelled = await self._store_cancel(job_id)
+        self.context.journal(
+            "job_cancelled" if cancelled.is_ok() else "cancel_refused",
+            job=job_id,
+            reason=cancelled.err().kind.value if cancelled.is_err() else None,
+        )
+        if cancelled.is_ok():
+            self.tasks.spawn(self._notify(JobCancelled(job=job_id)))
+        return cancelled
+
+    async def _store_cancel(self, job_id):
+        """Create the key of a cancellation; repeating it is harmless."""
+        found = await self.access.call(self.store.get(JOB_PREFIX + job_id))
+        if found.is_err():
+            return found
+        if found.ok() is None:
+            return _failed(ErrorKind.GONE, "no such job")
+        value = msgspec.json.encode(self.context.clock.wall_ms())
+        put = Put(key=CANCEL_PREFIX + job_id, value=value)
+        stored = await self.access.call(self.store.commit(puts=(put,)))
+        return stored.map(lambda _: None)
+
+    async def _cancel_for_peer(self, message):
+        stored = await self._store_cancel(message.job)
+        return stored.map(lambda _: Noted())
+
+    async def count_waiting(self, queue, *, wait_s):
+        """Return how many jobs of a queue wait."""
+        members = self.members
+        fresh = self.context.clock.now() - members.waiting_s < WAITING_VALID_S
+        waiting = members.count_waiting()
+        if waiting is None and fresh:
+            waiting = members.waiting
+        if waiting is None:
+            return _failed(ErrorKind.NO_LEADER, "the dispatcher does not answer")
+        return Ok(waiting.get(queue.name, 0))
+
+
+def _failed(kind, detail):
+    return Err(Failure(kind=kind, detail=detail, retry_after_s=RETRY_AFTER_S))
--- /dev/null
+++ b/wasabipaddle/cell/facts.py
@@ -0,0 +1,48 @@
+"""Facts that the roles of a process tell each other."""
+
+import attrs
+
+from wasabipaddle.jobs import CellConfiguration
+
+__all__ = ["ConfigurationChanged", "LeaderChanged", "ReignBegan", "ReignEnded"]
+
+
+@attrs.frozen(kw_only=True)
+class ConfigurationChanged:
+    """A newer configuration is in force."""
+
+    configuration: CellConfiguration
+
+
+@attrs.frozen(kw_only=True)
+class LeaderChanged:
+    """Another process leads; both values are empty while none does."""
+
+    process: str
+    address: str
+
+
+@attrs.frozen(kw_only=True)
+class ReignBegan:
+    """The process has become the leader.
+
+    Parameters
+    ----------
+    epoch : int
+        Fencing token of its orders.
+    term : int
+        Number of the term, one for each leader.
+    continued : bool
+        Whether nobody else led since this process last did.
+    """
+
+    epoch: int
+    term: int
+    continued: bool
+
+
+@attrs.frozen(kw_only=True)
+class ReignEnded:
+    """The process is the leader no more."""
+
+    reason: str
--- /dev/null
+++ b/wasabipaddle/cell/lines.py
@@ -0,0 +1,95 @@
+"""Requests to the eligibility service, spread over the lines of all processes."""
+
+import asyncio
+
+from result import Ok
+
+from wasabipaddle.cell.members import MembersPlugin
+from wasabipaddle.kernel import Plugin
+from wasabipaddle.messages.jobs import AdviceReply, AskAdvice
+from wasabipaddle.platform import PlatformAdvice
+
+__all__ = ["AdviceLines", "AdvicePlugin"]
+
+# Time beyond the expected one after which an answer is taken as lost.
+ANSWER_SLACK_S = 0.8
+RELAY_SLACK_S = 0.3
+# One process in this many is kept free of long requests.
+RESERVED_PART = 4
+
+
+class AdvicePlugin(Plugin):
+    """Role `cell_advice`: calls the eligibility service on the line of this process."""
+
+    name = "cell_advice"
+    requires = (MembersPlugin.name,)
+
+    async def start(self):
+        """Serve requests of the dispatcher."""
+        address = self.context.settings.platform.eligibility
+        self.client = PlatformAdvice(address=address)
+        members = self.context.plugins[MembersPlugin.name]
+        members.transport.handle(AskAdvice, self._ask)
+
+    async def _ask(self, message):
+        answer = await self.client.ask(
+            job=message.job,
+            occurrence=message.occurrence,
+            step=message.step,
+            runners=message.runners,
+            timeout_s=message.timeout_s,
+        )
+        if answer.is_err():
+            return answer
+        advice = answer.ok()
+        return Ok(AdviceReply(tickets=advice.tickets, valid_s=advice.valid_s))
+
+    async def stop(self):
+        """Close the connections."""
+        await self.client.close()
+
+
+class AdviceLines:
+    """Chooses the process that makes each request.
+
+    The service answers the calls of one machine one at a time, so short requests
+    must not wait behind long ones.
+
+    Parameters
+    ----------
+    members : MembersPlugin
+        Calls to processes.
+    """
+
+    def __init__(self, *, members):
+        self.members = members
+        self.outstanding_s = {}
+
+    async def ask(self, request):
+        """Make a request and return an `AdviceReply` or an `Err`."""
+        process = self._choose(request)
+        waiting_s = self.outstanding_s.get(process, 0.0)
+        timeout_s = waiting_s + request.expected_s + ANSWER_SLACK_S
+        step = request.step
+        message = AskAdvice(
+            job=step.job.id,
+            occurrence=step.occurrence,
+            step=step.position,
+            runners=[runner.id for runner in request.runners],
+            timeout_s=timeout_s,
+        )
+        self.outstanding_s[process] = waiting_s + request.expected_s
+        try:
+            async with asyncio.timeout(timeout_s + RELAY_SLACK_S):
+                return await self.members.ask(
+                    process, message, AdviceReply, timeout_s=timeout_s + RELAY_SLACK_S
+                )
+        finally:
+            self.outstanding_s[process] -= request.expected_s
+
+    def _choose(self, request):
+        live = self.members.live()
+        reserved = len(live) // RESERVED_PART
+        # The leader's own line, first in the list, is the nearest one.
+        allowed = live if request.urgent or not reserved else live[reserved:]
+        return min(allowed, key=lambda process: self.outstanding_s.get(process, 0.0))
--- /dev/null
+++ b/wasabipaddle/cell/members.py
@@ -0,0 +1,159 @@
+"""Role `cell_members`: calls between the processes of the cell."""
+
+import asyncio
+
+from aiohttp import web
+from result import Err, Ok
+
+from wasabipaddle.cell.configuration import ConfigurationPlugin
+from wasabipaddle.cell.election import ElectionPlugin
+from wasabipaddle.cell.facts import LeaderChanged
+from wasabipaddle.cell.store import CellStorePlugin
+from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.kernel import Plugin
+from wasabipaddle.messages.jobs import HelloReply, MemberHello
+from wasabipaddle.serve.tasks import TaskSet
+from wasabipaddle.settings import CellPeer
+from wasabipaddle.transport import HttpTransport
+
+__all__ = ["MembersPlugin"]
+
+HELLO_S = 0.5
+HELLO_TIMEOUT_S = 0.5
+# A process that was silent for this long is not asked for anything.
+SILENT_S = 2.0
+
+
+class MembersPlugin(Plugin):
+    """Knows the leader and, through it, the live processes.
+
+    Attributes
+    ----------
+    transport : HttpTransport
+        Calls to other processes; roles register their handlers with it.
+    heard : dict of str to float
+        Time of the last sign of life of each process, kept by the leader.
+    waiting : dict of str to int or None
+        Jobs that wait, by queue, as the leader last told.
+    waiting_s : float
+        Time at which it told.
+    """
+
+    name = "cell_members"
+    requires = (CellStorePlugin.name, ConfigurationPlugin.name, ElectionPlugin.name)
+
+    def __init__(self, *, context):
+        super().__init__(context=context)
+        self.transport = HttpTransport(peers={})
+        self.heard = {}
+        self.latencies = {}
+        self.addresses = {}
+        self.leader = ""
+        self.waiting = None
+        self.waiting_s = 0.0
+        self.count_waiting = lambda: None
+        self.tasks = TaskSet()
+        self.runner = None
+
+    async def start(self):
+        """Start to greet the leader."""
+        self.configuration = self.context.plugins[ConfigurationPlugin.name]
+        self.access = self.context.plugins[CellStorePlugin.name]
+        self.transport.handle(MemberHello, self._greeted)
+        self.context.bus.facts(LeaderChanged).subscribe(self._leader_changed)
+        self.tasks.spawn(self._greet())
+
+    async def open(self):
+        """Listen for other processes, when every role has started."""
+        app = web.Application()
+        app.add_routes(self.transport.routes())
+        self.runner = web.AppRunner(app, access_log=None)
+        await self.runner.setup()
+        peer = CellPeer.parse(self.context.settings.internal)
+        await web.TCPSite(self.runner, peer.host, peer.internal_port).start()
+
+    async def stop(self):
+        """Close the listener and the connections."""
+        await self.tasks.close()
+        if self.runner is not None:
+            await self.runner.cleanup()
+        await self.transport.close()
+
+    def _leader_changed(self, fact):
+        self.leader = fact.process
+        if fact.process:
+            self._know(fact.process, fact.address)
+
+    def _know(self, process, address):
+        self.addresses[process] = address
+        self.transport.peers[process] = CellPeer.parse(address)
+
+    @property
+    def leads(self) -> bool:
+        """Whether this process is the leader."""
+        return self.leader == self.context.settings.process
+
+    def live(self):
+        """Return the names of the processes heard of lately, this one included."""
+        now = self.context.clock.now()
+        own = self.context.settings.process
+        others = [p for p, at in self.heard.items() if now - at < SILENT_S]
+        return [own, *(p for p in others if p != own)]
+
+    async def ask_leader(self, message, reply_type, *, timeout_s):
+        """Send a message to the leader, without the network if it is this process."""
+        if not self.leader:
+            return Err(Failure(kind=ErrorKind.NO_LEADER, detail="no leader is known"))
+        return await self.ask(self.leader, message, reply_type, timeout_s=timeout_s)
+
+    async def ask(self, process, message, reply_type, *, timeout_s):
+        """Send a message to a process."""
+        if process == self.context.settings.process:
+            entry = self.transport.handlers.get(type(message).__name__)
+            if entry is None:
+                detail = f"no handler for {type(message).__name__}"
+                return Err(Failure(kind=ErrorKind.NOT_FOUND, detail=detail))
+            return await entry[1](message)
+        if process not in self.transport.peers:
+            detail = f"the address of {process} is not known"
+            return Err(Failure(kind=ErrorKind.UNREACHABLE, detail=detail))
+        return await self.transport.call(
+            process, message, reply_type, timeout_s=timeout_s
+        )
+
+    async def _greet(self):
+        settings = self.context.settings
+        while True:
+            await asyncio.sleep(HELLO_S * (0.9 + 0.2 * self.context.random.random()))
+            if not self.leader:
+                continue
+            hello = MemberHello(
+                process=settings.process,
+                address=settings.internal,
+                configuration=self.configuration.version,
+                store_latency_s=self.access.health.latency_s,
+            )
+            reply = await self.ask_leader(hello, HelloReply, timeout_s=HELLO_TIMEOUT_S)
+            if reply.is_err():
+                continue
+            reply = reply.ok()
+            self.configuration.observe(reply.configuration)
+            self.waiting = reply.waiting
+            self.waiting_s = self.context.clock.now()
+            for process, address in reply.members.items():
+                self._know(process, address)
+
+    async def _greeted(self, hello):
+        self.heard[hello.process] = self.context.clock.now()
+        self.latencies[hello.process] = hello.store_latency_s
+        self._know(hello.process, hello.address)
+        self.configuration.observe(hello.configuration)
+        return Ok(
+            HelloReply(
+                configuration=self.configuration.version,
+                waiting=self.count_waiting(),
+                members={
+                    p: self.addresses[p] for p in self.live() if p in self.addresses
+                },
+            )
+        )
--- /dev/null
+++ b/wasabipaddle/cell/process.py
@@ -0,0 +1,57 @@
+"""One process of a cell from start to graceful shutdown."""
+
+import asyncio
+import os
+import signal
+
+from wasabipaddle.cell import (
+    configuration,
+    dispatcher,
+    election,
+    entry,
+    lines,
+    members,
+    store,
+)
+from wasabipaddle.clock import LoopClock
+from wasabipaddle.kernel import Context, Kernel
+from wasabipaddle.logs import Journal
+
+__all__ = ["serve_cell"]
+
+# Importing a module registers its plug-in.
+PLUGIN_MODULES = (configuration, dispatcher, election, entry, lines, members, store)
+
+ROLES = ("cell_dispatcher", "cell_entry")
+
+
+async def serve_cell(settings):
+    """Run a process of a cell until SIGTERM or SIGINT, then drain it.
+
+    Parameters
+    ----------
+    settings : CellSettings
+        Settings of the process.
+    """
+    clock = LoopClock()
+    seed = int.from_bytes(os.urandom(8), "big")
+    context = Context.create(
+        settings=settings, clock=clock, process=settings.process, seed=seed
+    )
+    context.journal = Journal(
+        process=settings.process, clock=clock, timers=context.timers
+    )
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    kernel = Kernel(context=context, names=ROLES)
+    context.journal("process_started", address=settings.internal)
+    await kernel.start()
+    await context.plugins[members.MembersPlugin.name].open()
+    await stopping.wait()
+    context.journal("process_draining")
+    await kernel.drain()
+    await kernel.stop()
+    context.journal("process_stopped")
+    context.journal.flush()
--- /dev/null
+++ b/wasabipaddle/cell/session.py
@@ -0,0 +1,266 @@
+"""One reign of the dispatcher: takeover, planning and its tasks."""
+
+import asyncio
+
+from result import Err, Ok
+
+from wasabipaddle.cell.calls import RunnerCalls
+from wasabipaddle.cell.intake import Intake, Registry
+from wasabipaddle.cell.keys import PROGRESS_PREFIX
+from wasabipaddle.cell.lines import AdviceLines
+from wasabipaddle.cell.writer import FleetRecord, ProgressWriter
+from wasabipaddle.dispatch import Scheduler
+from wasabipaddle.dispatch.state import Timing
+from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.jobs import decode_progress
+from wasabipaddle.messages.jobs import Noted, PhaseReply
+from wasabipaddle.serve.tasks import TaskSet
+
+__all__ = ["DispatchSession"]
+
+# Run numbers of one term: a task starts less often within a term.
+RUNS_PER_TERM = 1000
+LONGEST_LEASE_S = 4.5
+LEASE_SHARE = 0.75
+START_S = 2.5
+# Time that a predecessor may need to see that it was replaced.
+DEPOSITION_S = 1.7
+CLOCK_DRIFT = 1.02
+TICK_S = 0.1
+GATHER_S = 0.004
+RETRY_S = 0.2
+
+
+class DispatchSession:
+    """Everything that lives as long as one reign.
+
+    Parameters
+    ----------
+    context : Context
+        Services of the process.
+    access : CellStorePlugin
+        The store.
+    members : MembersPlugin
+        Other processes.
+    configuration : ConfigurationPlugin
+        Configuration in force.
+    epoch, term : int
+        Epoch and number of the reign.
+    depose : callable
+        Ends the reign, with a reason.
+    """
+
+    def __init__(self, *, context, access, members, configuration, epoch, term, depose):
+        self.settings = context.settings
+        self.clock = context.clock
+        self.journal = context.journal
+        self.metrics = context.metrics
+        self.access = access
+        self.configuration = configuration
+        self.epoch = epoch
+        self.depose = depose
+        self.loaded = False
+        self.tasks = TaskSet()
+        self.woken = asyncio.Event()
+        bounds = self.settings.bounds
+        self.scheduler = Scheduler(
+            timing=Timing(
+                lease_s=min(bounds.lease_max_s * LEASE_SHARE, LONGEST_LEASE_S),
+                start_s=min(bounds.lease_max_s * LEASE_SHARE, START_S),
+                stop_s=bounds.stop_s,
+                restore_s=bounds.restore_s,
+                remote_slowdown=bounds.remote_slowdown,
+            ),
+            journal=context.journal,
+            first_run=(term - 1) * RUNS_PER_TERM,
+        )
+        self.lines = AdviceLines(members=members)
+        self.calls = RunnerCalls(session=self)
+        self.fleet = FleetRecord(access=access, scheduler=self.scheduler, session=self)
+        self.writer = ProgressWriter(
+            access=access, scheduler=self.scheduler, session=self
+        )
+        self.intake = Intake(access=access, add_job=self.add_job, cancel=self.cancel)
+        self.registry = Registry(
+            access=access, set_runner=self._set_runner, drop_runner=self._drop_runner
+        )
+        self.progress = {}
+
+    def now(self) -> float:
+        """Return monotonic time in seconds."""
+        return self.clock.now()
+
+    def spawn(self, coroutine):
+        """Run a task of the reign."""
+        return self.tasks.spawn(coroutine)
+
+    def wake(self):
+        """Plan soon."""
+        self.woken.set()
+
+    def start(self):
+        """Take over in the background."""
+        self.spawn(self._run())
+
+    async def close(self):
+        """End all tasks of the reign."""
+        await self.tasks.close()
+        await self.calls.close()
+
+    async def _run(self):
+        began = self.now()
+        state = self.scheduler.state
+        self._measure_wall()
+        if self.configuration.current is not None:
+            self.scheduler.configure(self.configuration.current)
+        await self._load_fleet()
+        await asyncio.gather(self._load_progress(), self.registry.load())
+        await self.intake.load()
+        self.progress.clear()
+        self.loaded = True
+        self.journal(
+            "dispatcher_recovered",
+            epoch=self.epoch,
+            jobs=sum(1 for e in state.jobs.values() if not e.phase.final),
+            runners=len(state.runners),
+            suspects=len(state.suspects),
+            took_ms=int((self.now() - began) * 1000),
+        )
+        for coroutine in (
+            self.intake.follow(),
+            self.registry.follow(),
+            self.writer.run(),
+            self.writer.sweep(),
+            self.fleet.run(),
+        ):
+            self.spawn(coroutine)
+        await self._plan()
+
+    async def _load_fleet(self):
+        """Ask the runners of the predecessor, whether or not they are registered."""
+        timing = self.scheduler.state.timing
+        wait_s = timing.lease_s * CLOCK_DRIFT + DEPOSITION_S
+        until_s = self.now() + wait_s
+        for entry in await self.fleet.load():
+            runner = self.scheduler.set_runner(entry, self.now())
+            runner.listed = False
+            runner.recorded = True
+            self.scheduler.state.suspects[entry.id] = until_s
+            self.calls.ensure(runner)
+
+    async def _load_progress(self):
+        while True:
+            page = await self.access.call(self.access.store.list_all(PROGRESS_PREFIX))
+            if page.is_ok():
+                break
+            await asyncio.sleep(RETRY_S)
+        for entry in page.ok().entries:
+            job_id = entry.key.removeprefix(PROGRESS_PREFIX)
+            self.writer.revisions[job_id] = entry.revision
+            progress = decode_progress(entry.value)
+            if progress is None:
+                self.journal("progress_unreadable", job=job_id)
+                continue
+            self.progress[job_id] = progress
+
+    def _measure_wall(self):
+        offset_s = self.clock.wall_ms() / 1000 - self.now()
+        self.scheduler.state.wall_offset_s = offset_s
+
+    def _set_runner(self, entry):
+        runner = self.scheduler.set_runner(entry, self.now())
+        self.calls.ensure(runner)
+        if not runner.recorded:
+            self.fleet.changed.set()
+        self.wake()
+
+    def _drop_runner(self, runner_id):
+        self.journal("runner_unlisted", runner=runner_id)
+        self.scheduler.drop_runner(runner_id)
+
+    def add_job(self, job):
+        """Take an accepted job."""
+        if job.id in self.scheduler.state.jobs:
+            return
+        self.scheduler.lifecycle.add_job(
+            job,
+            self.now(),
+            progress=self.progress.get(job.id),
+            recovered=not self.loaded,
+        )
+        self.wake()
+
+    def cancel(self, job_id):
+        """Take a stored cancellation."""
+        self.scheduler.lifecycle.cancel(job_id, self.now())
+        self.wake()
+
+    def find_phase(self, job_id):
+        """Return a `PhaseReply`, or an `Err` before the takeover has ended."""
+        if not self.loaded:
+            detail = "the dispatcher recovers"
+            return Err(Failure(kind=ErrorKind.NO_LEADER, detail=detail))
+        entry = self.scheduler.state.jobs.get(job_id)
+        return Ok(PhaseReply(phase=entry.shown_phase if entry else None))
+
+    def note_job(self, job):
+        """Take a job that another process has stored."""
+        if not self.loaded:
+            detail = "the dispatcher recovers"
+            return Err(Failure(kind=ErrorKind.NO_LEADER, detail=detail))
+        self.add_job(job)
+        return Ok(Noted())
+
+    def count_waiting(self):
+        """Return waiting jobs by queue, None before the takeover has ended."""
+        return self.scheduler.count_waiting() if self.loaded else None
+
+    async def _plan(self):
+        """Plan whenever something has changed, and at least every `TICK_S`."""
+        advanced_s = 0.0
+        while True:
+            try:
+                async with asyncio.timeout(TICK_S):
+                    await self.woken.wait()
+                await asyncio.sleep(GATHER_S)
+            except TimeoutError:
+                pass
+            self.woken.clear()
+            now = self.now()
+            if now - advanced_s >= TICK_S:
+                advanced_s = now
+                self._measure_wall()
+                self.scheduler.advance(now)
+                for runner in self.scheduler.forget_gone(now):
+                    self.journal("runner_forgotten", runner=runner.id)
+            for request in self.scheduler.plan(now):
+                self.spawn(self._advise(request))
+            for order in self.scheduler.take_orders():
+                self.calls.send(order)
+
+    async def _advise(self, request):
+        began = self.now()
+        try:
+            answer = await self.lines.ask(request)
+        except TimeoutError:
+            answer = Err(Failure(kind=ErrorKind.TIMEOUT, detail="no answer in time"))
+        now = self.now()
+        step = request.step
+        self.journal(
+            "advice",
+            job=step.job.id,
+            step=step.position,
+            named=len(request.runners),
+            good=len(answer.ok().tickets) if answer.is_ok() else None,
+            took_ms=int((now - began) * 1000),
+            expected_ms=int(request.expected_s * 1000),
+            reason=answer.err().detail if answer.is_err() else None,
+        )
+        if answer.is_err():
+            self.scheduler.advisor.failed(step, now)
+        else:
+            reply = answer.ok()
+            self.scheduler.advisor.answered(
+                step, request.runners, reply.tickets, reply.valid_s, now
+            )
+        self.wake()
--- /dev/null
+++ b/wasabipaddle/cell/writer.py
@@ -0,0 +1,203 @@
+"""Writes of the dispatcher: progress of jobs and the fleet."""
+
+import asyncio
+
+import msgspec
+
+from wasabipaddle.cell.keys import (
+    CANCEL_PREFIX,
+    FLEET_KEY,
+    JOB_PREFIX,
+    LEADER_KEY,
+    PROGRESS_PREFIX,
+)
+from wasabipaddle.exceptions import ErrorKind
+from wasabipaddle.interfaces import Put
+from wasabipaddle.jobs import RunnerEntry, encode_progress
+
+__all__ = ["FleetRecord", "ProgressWriter"]
+
+# A commit holds 32 entries; each job takes a condition and a value, the epoch one.
+JOBS_PER_COMMIT = 15
+DELETES_PER_COMMIT = 30
+GATHER_S = 0.015
+RETRY_S = 0.1
+SWEEP_S = 5.0
+
+
+class ProgressWriter:
+    """Makes progress durable, one write after the other.
+
+    A write carries the revision that each key had, since a write without an answer
+    may take effect later and must not undo a newer one.
+
+    Parameters
+    ----------
+    access : CellStorePlugin
+        The store.
+    scheduler : Scheduler
+        Knows what must be written.
+    session : DispatchSession
+        Tells the epoch.
+    """
+
+    def __init__(self, *, access, scheduler, session):
+        self.access = access
+        self.scheduler = scheduler
+        self.session = session
+        self.revisions = {}
+
+    async def run(self):
+        """Write for ever."""
+        state = self.scheduler.state
+        while True:
+            await asyncio.sleep(GATHER_S)
+            jobs, generation = state.take_dirty()
+            if not jobs:
+                self.scheduler.reports.written([], generation)
+                continue
+            jobs.sort(key=lambda entry: not entry.phase.final)
+            rows = [(e, e.phase, self.scheduler.lifecycle.progress(e)) for e in jobs]
+            groups = [
+                rows[i : i + JOBS_PER_COMMIT]
+                for i in range(0, len(rows), JOBS_PER_COMMIT)
+            ]
+            results = await asyncio.gather(*(self._write(group) for group in groups))
+            done = [g for g, ok in zip(groups, results, strict=True) if ok]
+            written = [(entry, phase) for group in done for entry, phase, _ in group]
+            if all(results):
+                self.scheduler.reports.written(written, generation)
+                self.session.wake()
+                continue
+            # Ends of this generation stay unacknowledged until the next whole write.
+            self.scheduler.reports.written(written, 0)
+            for entry in jobs:
+                state.mark_dirty(entry)
+            await asyncio.sleep(RETRY_S)
+
+    async def _write(self, rows):
+        puts, conditions = [], [(LEADER_KEY, self.session.epoch)]
+        for entry, _, progress in rows:
+            key = PROGRESS_PREFIX + entry.id
+            puts.append(Put(key=key, value=encode_progress(progress)))
+            conditions.append((key, self.revisions.get(entry.id, 0)))
+        written = await self.access.call(
+            self.access.store.commit(conditions=conditions, puts=puts)
+        )
+        if written.is_ok():
+            for entry, _, _ in rows:
+                self.revisions[entry.id] = written.ok()
+            return True
+        if written.err().kind is ErrorKind.REVISION_MISMATCH:
+            await self._refresh(rows)
+        return False
+
+    async def _refresh(self, rows):
+        """Read the revisions again after an earlier write took effect late."""
+        found = await asyncio.gather(
+            *(
+                self.access.call(self.access.store.get(PROGRESS_PREFIX + entry.id))
+                for entry, _, _ in rows
+            )
+        )
+        for (entry, _, _), result in zip(rows, found, strict=True):
+            if result.is_ok():
+                stored = result.ok()
+                self.revisions[entry.id] = stored.revision if stored else 0
+
+    async def sweep(self):
+        """Remove jobs whose final state has been kept long enough."""
+        state = self.scheduler.state
+        keep_s = 2 * self.session.settings.bounds.keep_final_s
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            limit_ms = (self.session.now() + state.wall_offset_s - keep_s) * 1000
+            old = [
+                e
+                for e in state.jobs.values()
+                if e.durable_phase.final and 0 < e.ended_ms < limit_ms
+            ][: DELETES_PER_COMMIT // 3]
+            if not old:
+                continue
+            keys = [
+                prefix + entry.id
+                for entry in old
+                for prefix in (JOB_PREFIX, CANCEL_PREFIX, PROGRESS_PREFIX)
+            ]
+            removed = await self.access.call(
+                self.access.store.commit(
+                    conditions=((LEADER_KEY, self.session.epoch),), deletes=keys
+                )
+            )
+            if removed.is_ok():
+                for entry in old:
+                    state.jobs.pop(entry.id, None)
+                    self.revisions.pop(entry.id, None)
+
+
+class FleetRecord:
+    """Stored list of the runners that may run tasks.
+
+    A successor asks each of them before it starts anything that may run there, so a
+    runner gets work only once the record names it.
+
+    Parameters
+    ----------
+    access : CellStorePlugin
+        The store.
+    scheduler : Scheduler
+        Knows the runners.
+    session : DispatchSession
+        Tells the epoch.
+    """
+
+    def __init__(self, *, access, scheduler, session):
+        self.access = access
+        self.scheduler = scheduler
+        self.session = session
+        self.revision = 0
+        self.changed = asyncio.Event()
+
+    async def load(self):
+        """Return the stored entries, reading until the store answers."""
+        while True:
+            found = await self.access.call(self.access.store.get(FLEET_KEY))
+            if found.is_ok():
+                break
+            await asyncio.sleep(RETRY_S)
+        entry = found.ok()
+        if entry is None:
+            return []
+        self.revision = entry.revision
+        return msgspec.json.decode(entry.value, type=list[RunnerEntry])
+
+    async def run(self):
+        """Write the record whenever a runner joins."""
+        runners = self.scheduler.state.runners
+        while True:
+            await self.changed.wait()
+            await asyncio.sleep(GATHER_S)
+            self.changed.clear()
+            members = list(runners.values())
+            if all(runner.recorded for runner in members):
+                continue
+            value = msgspec.json.encode([runner.entry for runner in members])
+            written = await self.access.call(
+                self.access.store.commit(
+                    conditions=(
+                        (LEADER_KEY, self.session.epoch),
+                        (FLEET_KEY, self.revision),
+                    ),
+                    puts=(Put(key=FLEET_KEY, value=value),),
+                )
+            )
+            if written.is_ok():
+                self.revision = written.ok()
+                for runner in members:
+                    runner.recorded = True
+                self.session.wake()
+                continue
+            self.changed.set()
+            if written.err().kind is ErrorKind.REVISION_MISMATCH:
+                await self.load()
+            await asyncio.sleep(RETRY_S)
--- a/wasabipaddle/commands/cli.py
+++ b/wasabipaddle/commands/cli.py
@@ -24,6 +24,7 @@
 
 __all__ = ["Cli", "main"]
 
+BOOT_VARIABLE = "WASABIPADDLE_BOOT"
 EXIT_INTERRUPTED = 130
 EXIT_OUTPUT_CLOSED = 141
 DECORATOR_GROUP = """
@@ -55,6 +56,18 @@
 
         return Action(run=lambda: serve(settings, process=process))
 
+    def cell(self, settings=""):
+        """Run a process of a cell on the users' platform.
+
+        SETTINGS is the settings file; without it, WASABIPADDLE_BOOT holds its path.
+        """
+        from wasabipaddle.commands.cell import cell
+
+        path = settings or os.environ.get(BOOT_VARIABLE, "")
+        if not path:
+            raise UsageError(f"give a settings file, or set {BOOT_VARIABLE}")
+        return Action(run=lambda: cell(path))
+
     @SetParseFns(examples=str, keep=str)
     def demo(self, examples="examples", seed=1, keep=None, port_offset=0):
         """Run both example deployments with faults and print the verdicts.
--- a/wasabipaddle/commands/fault.py
+++ b/wasabipaddle/commands/fault.py
@@ -4,7 +4,7 @@
 
 from wasabipaddle.commands.action import Action, UsageError
 from wasabipaddle.exceptions import WasabipaddleError
-from wasabipaddle.platform import VmStatus
+from wasabipaddle.interfaces import VmStatus
 from wasabipaddle.standins.control import StandinControl
 
 __all__ = ["fault_action"]
--- a/wasabipaddle/commands/tests/test_fault.py
+++ b/wasabipaddle/commands/tests/test_fault.py
@@ -5,7 +5,7 @@
 import pytest
 
 from wasabipaddle.commands import main
-from wasabipaddle.platform import VmEntry, VmRole, VmStatus
+from wasabipaddle.interfaces import VmEntry, VmRole, VmStatus
 from wasabipaddle.standins.host import StandinHost
 from wasabipaddle.standins.settings import (
     LinkStandin,
--- a/wasabipaddle/demo/layout.py
+++ b/wasabipaddle/demo/layout.py
@@ -13,7 +13,7 @@
 
 from wasabipaddle.demo.ports import LARGEST_PORT, shift_ports
 from wasabipaddle.exceptions import ErrorKind, Failure, WasabipaddleError
-from wasabipaddle.platform import VmEntry, VmRole, VmStatus
+from wasabipaddle.interfaces import VmEntry, VmRole, VmStatus
 from wasabipaddle.settings import load_deployment
 from wasabipaddle.standins.proxy import ProxyRoute
 from wasabipaddle.standins.settings import (
--- a/wasabipaddle/demo/scenario.py
+++ b/wasabipaddle/demo/scenario.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from wasabipaddle.platform import VmStatus
+from wasabipaddle.interfaces import VmStatus
 
 __all__ = ["Scenario"]
 
--- /dev/null
+++ b/wasabipaddle/dispatch/advisor.py
@@ -0,0 +1,128 @@
+"""Which steps to ask the eligibility service about, and when."""
+
+from wasabipaddle.dispatch.model import RunPhase
+from wasabipaddle.dispatch.orders import AdviceRequest
+from wasabipaddle.dispatch.placement import rank, room_in_step
+
+__all__ = ["Advisor"]
+
+# Runners named in one request.
+MAX_NAMED = 30
+RETRY_S = 0.2
+# A request without an answer is given up after this time beyond the expected one.
+ANSWER_SLACK_S = 1.5
+
+
+class Advisor:
+    """Plans requests to the eligibility service.
+
+    Parameters
+    ----------
+    state : CellState
+        Shared state.
+    placement : Placement
+        Knows the candidates of a step.
+    """
+
+    def __init__(self, *, state, placement):
+        self.state = state
+        self.placement = placement
+
+    def plan(self, now):
+        """Return the requests to make now, the most urgent first."""
+        wanted = []
+        for step in sorted(self.state.ready.values(), key=rank):
+            request = self._request(step, now)
+            if request is not None:
+                wanted.append(request)
+        for step in self._soon_ready(now):
+            request = self._request(step, now)
+            if request is not None:
+                wanted.append(request)
+        return wanted
+
+    def _request(self, step, now):
+        policy, eligibility = step.job.queue.advice, step.eligibility
+        if policy is None or eligibility.asked_s is not None:
+            return None
+        if now < eligibility.retry_s:
+            return None
+        runners = self._to_name(step, now)
+        if not runners:
+            return None
+        eligibility.asked_s = now
+        return AdviceRequest(
+            step=step,
+            runners=tuple(runners),
+            urgent=step.job.queue.priority == 0,
+            expected_s=policy.base_s + policy.per_runner_s * len(runners),
+        )
+
+    def _to_name(self, step, now):
+        """Return the runners to name: known good ones with room, else unknown ones."""
+        eligibility = step.eligibility
+        candidates = self.placement.candidates(step, now)
+        good, unknown = [], []
+        for runner in candidates:
+            if eligibility.known_good(runner):
+                good.append(runner)
+            elif not eligibility.known_refused(runner):
+                unknown.append(runner)
+        usable = [r for r in good if r.fits(step.spec) and room_in_step(step, r)]
+        if any(eligibility.ticket(r, now) is not None for r in usable):
+            return []
+        if usable:
+            return usable[:MAX_NAMED]
+        if good and len(good) >= len(unknown):
+            return []
+        fitting = [r for r in unknown if r.could_fit(step.spec)]
+        fitting.sort(key=lambda r: -r.free_share)
+        return fitting[:MAX_NAMED]
+
+    def _soon_ready(self, now):
+        """Yield steps whose predecessors end while a request would be answered."""
+        for entry in self.state.jobs.values():
+            if entry.phase.final or len(entry.steps) < 2:
+                continue
+            if entry.queue.advice is None:
+                continue
+            for step in entry.steps.values():
+                unknown = not step.opened and not step.eligibility.tickets
+                if unknown and self._opens_soon(entry, step, now):
+                    yield step
+
+    def _opens_soon(self, entry, step, now):
+        policy = entry.queue.advice
+        answer_s = policy.base_s + policy.per_runner_s * MAX_NAMED
+        limit_s = min(answer_s, policy.valid_s / 2)
+        for position in step.spec.after:
+            before = entry.steps[(step.occurrence, position)]
+            if not before.remaining:
+                continue
+            if not before.opened or before.pending:
+                return False
+            for task in before.tasks:
+                if not task.completed and _remaining_s(task, now) > limit_s:
+                    return False
+        return True
+
+    def answered(self, step, runners, advice, valid_s, now):
+        """Take an answer."""
+        policy = step.job.queue.advice
+        if policy is not None and not valid_s:
+            valid_s = policy.valid_s
+        step.eligibility.answer(runners, advice, valid_s, now)
+
+    def failed(self, step, now):
+        """Note a request without an answer."""
+        step.eligibility.failed(now, RETRY_S)
+
+
+def _remaining_s(task, now):
+    """Return the estimated time until a running task ends."""
+    estimate_s = task.spec.estimate_s
+    for run in task.runs:
+        if run.phase is RunPhase.RUNNING:
+            speed = run.runner.trust.speed or 1.0
+            return estimate_s / speed - (now - run.started_s)
+    return estimate_s
--- /dev/null
+++ b/wasabipaddle/dispatch/lifecycle.py
@@ -0,0 +1,256 @@
+"""Life cycle of jobs: opening of steps, ends of tasks, final states."""
+
+from wasabipaddle.dispatch.model import JobEntry, RunPhase, Step, Task
+from wasabipaddle.interfaces import EndCause
+from wasabipaddle.jobs import JobPhase, JobProgress, TaskId
+
+__all__ = ["Lifecycle"]
+
+MS_PER_S = 1000
+# Key of the failures of a gang in the stored progress, in place of an index.
+GANG = "gang"
+
+
+class Lifecycle:
+    """Changes jobs by what callers ask and what runners report.
+
+    Parameters
+    ----------
+    state : CellState
+        Shared state.
+    """
+
+    def __init__(self, *, state):
+        self.state = state
+
+    def add_job(self, job, now, *, progress=None, recovered=False):
+        """Take in an accepted job; a job that is known stays as it is."""
+        state = self.state
+        if job.id in state.jobs:
+            return state.jobs[job.id]
+        queue = state.configuration.queue(job.policy.name) or job.policy
+        accepted_s = min(job.accepted_ms / MS_PER_S - state.wall_offset_s, now)
+        entry = JobEntry(
+            job=job, queue=queue, recovered=recovered, accepted_s=accepted_s
+        )
+        entry.due_s = accepted_s + queue.target_s + queue.stretch * _chain_s(job.spec)
+        state.jobs[job.id] = entry
+        if progress is not None:
+            entry.phase = entry.durable_phase = progress.phase
+            entry.ended_ms = progress.ended_ms
+            entry.started = bool(progress.completed or progress.failures)
+        if entry.phase.final:
+            return entry
+        if job.spec.scheduled:
+            state.scheduled[job.id] = 0
+            self.open_due(now)
+        else:
+            self._add_occurrence(entry, 0, now)
+        if progress is not None:
+            self._restore(entry, progress, now)
+        return entry
+
+    def open_due(self, now):
+        """Add the occurrences of scheduled jobs that are due."""
+        wall_ms = (now + self.state.wall_offset_s) * MS_PER_S
+        for job_id, occurrence in list(self.state.scheduled.items()):
+            entry = self.state.jobs[job_id]
+            spec = entry.job.spec
+            while (
+                occurrence < spec.occurrences
+                and not entry.phase.final
+                and spec.first_due_ms + occurrence * spec.interval_ms <= wall_ms
+            ):
+                self._add_occurrence(entry, occurrence, now)
+                occurrence += 1
+            self.state.scheduled[job_id] = occurrence
+            if occurrence >= spec.occurrences or entry.phase.final:
+                del self.state.scheduled[job_id]
+
+    def _add_occurrence(self, entry, occurrence, now):
+        for position, spec in enumerate(entry.job.spec.steps):
+            step = Step(
+                job=entry,
+                occurrence=occurrence,
+                position=position,
+                spec=spec,
+                remaining=spec.count,
+            )
+            step.tasks = [
+                Task(
+                    id=TaskId(entry.id, occurrence, position, index),
+                    step=step,
+                    last_run=self.state.first_run,
+                )
+                for index in range(spec.count)
+            ]
+            entry.steps[(occurrence, position)] = step
+        self._open_steps(entry, occurrence, now)
+
+    def _open_steps(self, entry, occurrence, now):
+        for position, spec in enumerate(entry.job.spec.steps):
+            step = entry.steps[(occurrence, position)]
+            if step.opened:
+                continue
+            before = (entry.steps[(occurrence, n)] for n in spec.after)
+            if all(s.remaining == 0 for s in before):
+                step.opened = True
+                for task in step.tasks:
+                    if not task.completed and not task.runs:
+                        self.state.queue_task(task, now)
+
+    def _restore(self, entry, progress, now):
+        """Apply stored progress to a job that was just added."""
+        for key, indexes in progress.completed.items():
+            occurrence, position = map(int, key.split("."))
+            while (occurrence, position) not in entry.steps:
+                self._add_occurrence(entry, self.state.scheduled.get(entry.id, 0), now)
+                self.state.scheduled[entry.id] += 1
+            for index in indexes:
+                self._complete(entry.steps[(occurrence, position)].tasks[index], now)
+        for key, count in progress.failures.items():
+            occurrence, position, index = key.split(".")
+            step = entry.steps.get((int(occurrence), int(position)))
+            if step is None:
+                continue
+            if index == GANG:
+                step.gang_failures.update(range(-count, 0))
+            else:
+                step.tasks[int(index)].failures = count
+        if not entry.phase.final:
+            self.state.dirty.pop(entry.id, None)
+
+    def progress(self, entry) -> JobProgress:
+        """Return what the store must keep of a job."""
+        completed, failures = {}, {}
+        for (occurrence, position), step in entry.steps.items():
+            done = [t.id.index for t in step.tasks if t.completed]
+            if done and not entry.phase.final:
+                completed[f"{occurrence}.{position}"] = done
+            for task in step.tasks:
+                if task.failures and not step.spec.lasting:
+                    key = f"{occurrence}.{position}.{task.id.index}"
+                    failures[key] = task.failures
+            if step.gang_failures:
+                key = f"{occurrence}.{position}.{GANG}"
+                failures[key] = len(step.gang_failures)
+        return JobProgress(
+            phase=entry.phase,
+            completed=completed,
+            failures=failures,
+            ended_ms=entry.ended_ms,
+        )
+
+    def cancel(self, job_id, now):
+        """Cancel a job; the stored cancellation is the caller's business."""
+        entry = self.state.jobs.get(job_id)
+        if entry is not None and not entry.phase.final:
+            self._finish(entry, JobPhase.CANCELLED, now)
+
+    def task_ended(self, task, number, cause, runner, now, *, elapsed_s=None):
+        """Take an end that a runner lists; return whether it must be made durable."""
+        step, entry = task.step, task.step.job
+        task.last_run = max(task.last_run, number)
+        if cause is EndCause.COMPLETED:
+            if task.completed:
+                return False
+            ratio = None
+            if elapsed_s and not task.checkpoint and step.spec.estimate_s:
+                ratio = step.spec.estimate_s / max(elapsed_s, 0.01)
+            runner.trust.completed(ratio)
+            tasks = step.tasks if step.spec.gang else [task]
+            for member in tasks:
+                self._complete(member, now)
+            return True
+        if cause is EndCause.FAILED:
+            return self._failed(task, number, runner, now)
+        if step.spec.gang and cause is not EndCause.STOPPED and entry.started:
+            self.break_gang(step, number, now)
+        return False
+
+    def _failed(self, task, number, runner, now):
+        step, entry = task.step, task.step.job
+        task.avoided.add(runner.id)
+        if not (step.failed_on - {runner.id}) and runner.trust.failed(now):
+            self.state.journal("runner_quarantined", runner=runner.id)
+        step.failed_on.add(runner.id)
+        if step.spec.gang:
+            step.gang_failures.add(number)
+            self.break_gang(step, number, now)
+        task.failures += 1
+        if step.spec.lasting or task.completed:
+            return False
+        failures = len(step.gang_failures) if step.spec.gang else task.failures
+        if failures >= entry.queue.max_attempts and not entry.phase.final:
+            self._finish(entry, JobPhase.FAILED, now)
+        self.state.mark_dirty(entry)
+        return True
+
+    def break_gang(self, step, number, now):
+        """Stop the other members of a run of a gang, which cannot work on."""
+        for task in step.tasks:
+            for run in task.runs:
+                if run.number == number and run.phase is not RunPhase.STOPPING:
+                    self.state.stop_run(run, now)
+
+    def run_gone(self, run, now):
+        """Release a run that surely does not exist any more."""
+        run.runner.release(run)
+        task = run.task
+        if run in task.runs:
+            task.runs.remove(run)
+        active = not task.completed and not task.step.job.phase.final
+        if active and not task.runs and task.step.opened:
+            self.state.queue_task(task, now)
+
+    def _complete(self, task, now):
+        if task.completed:
+            return
+        step, entry = task.step, task.step.job
+        task.completed = True
+        step.remaining -= 1
+        self.state.unqueue_task(task)
+        self.state.mark_dirty(entry)
+        if not step.spec.gang:
+            for run in task.runs:
+                if run.phase is not RunPhase.STOPPING:
+                    self.state.stop_run(run, now)
+        if step.remaining or entry.phase.final:
+            return
+        self._open_steps(entry, step.occurrence, now)
+        complete = all(s.remaining == 0 for s in entry.steps.values())
+        if complete and len(entry.steps) == self._step_count(entry):
+            self._finish(entry, JobPhase.COMPLETED, now)
+
+    def _step_count(self, entry):
+        return len(entry.job.spec.steps) * entry.job.spec.occurrences
+
+    def _finish(self, entry, phase, now):
+        entry.phase = phase
+        entry.ended_ms = int((now + self.state.wall_offset_s) * MS_PER_S)
+        self.state.mark_dirty(entry)
+        self.state.journal(
+            "job_ended",
+            job=entry.id,
+            phase=phase.value,
+            age_ms=int((now - entry.accepted_s) * MS_PER_S),
+            objective_ms=int((entry.due_s - entry.accepted_s) * MS_PER_S),
+        )
+        for step in entry.steps.values():
+            self.state.ready.pop(step.key, None)
+            step.pending.clear()
+            if phase is JobPhase.COMPLETED:
+                continue
+            for task in step.tasks:
+                for run in task.runs:
+                    if run.phase is not RunPhase.STOPPING:
+                        self.state.stop_run(run, now)
+
+
+def _chain_s(spec):
+    """Return the estimated length of the longest chain of steps."""
+    lengths = []
+    for step in spec.steps:
+        before = max((lengths[n] for n in step.after), default=0.0)
+        lengths.append(before + step.estimate_s)
+    return max(lengths, default=0.0)
--- /dev/null
+++ b/wasabipaddle/dispatch/placement.py
@@ -0,0 +1,181 @@
+"""Choice of the runner for each waiting task."""
+
+from wasabipaddle.dispatch.model import Run, RunPhase
+from wasabipaddle.dispatch.orders import StartTask
+
+__all__ = ["Placement"]
+
+# Weights of the terms of a score.
+SPEED_WEIGHT = 0.6
+FREE_WEIGHT = 1.0
+NEAR_WEIGHT = 2.0
+AVOIDED_PENALTY = 4.0
+SHARING_PENALTY = 1.5
+
+
+class Placement:
+    """Starts waiting tasks, the most urgent first.
+
+    Parameters
+    ----------
+    state : CellState
+        Shared state.
+    preemption : Preemption
+        Makes room for urgent tasks.
+    """
+
+    def __init__(self, *, state, preemption):
+        self.state = state
+        self.preemption = preemption
+
+    def plan(self, now):
+        """Start what fits."""
+        self.preemption.begin()
+        for step in sorted(self.state.ready.values(), key=rank):
+            if step.job.recovered and self.state.suspects:
+                continue
+            if step.spec.gang:
+                self._plan_gang(step, now)
+            else:
+                self._plan_tasks(step, now)
+
+    def candidates(self, step, now):
+        """Return the runners that may start a task of the step, whatever is free."""
+        queue, spec = step.job.queue, step.spec
+        found = []
+        for runner in self.state.runners.values():
+            if runner.entry.pool != queue.pool or not runner.usable(now):
+                continue
+            if spec.required_label and spec.required_label not in runner.entry.labels:
+                continue
+            if not runner.trust.admits(now, len(runner.runs)):
+                continue
+            found.append(runner)
+        return found
+
+    def _permitted(self, step, now):
+        """Return candidates with a valid ticket, and that ticket, where one is due."""
+        runners = self.candidates(step, now)
+        if step.job.queue.advice is None:
+            return [(runner, "") for runner in runners]
+        tickets = ((r, step.eligibility.ticket(r, now)) for r in runners)
+        return [(runner, ticket) for runner, ticket in tickets if ticket is not None]
+
+    def _plan_tasks(self, step, now):
+        permitted = self._permitted(step, now)
+        if not permitted:
+            return
+        for task in list(step.pending.values()):
+            best = self._best(task, permitted)
+            if best is None:
+                if self.preemption.wanted(task, now):
+                    self.preemption.make_room(task, [r for r, _ in permitted], now)
+                if not task.avoided:
+                    return
+                continue
+            self._start(task, *best, task.last_run + 1, now)
+
+    def _best(self, task, permitted):
+        best, best_score = None, None
+        for runner, ticket in permitted:
+            if not runner.fits(task.spec) or not room_in_step(task.step, runner):
+                continue
+            score = self._score(task, runner)
+            if best is None or score > best_score:
+                best, best_score = (runner, ticket), score
+        return best
+
+    def _score(self, task, runner):
+        spec = task.spec
+        score = SPEED_WEIGHT * runner.trust.speed + FREE_WEIGHT * runner.free_share
+        if spec.preferred_rack and spec.preferred_rack == runner.entry.rack:
+            score += NEAR_WEIGHT
+        if runner.id in task.avoided:
+            score -= AVOIDED_PENALTY
+        if spec.opportunistic or spec.target_latency_ms:
+            score -= SHARING_PENALTY * _disturbs(spec, runner)
+        return score
+
+    def _plan_gang(self, step, now):
+        if len(step.pending) < step.remaining:
+            return
+        permitted = self._permitted(step, now)
+        if step.spec.same_rack:
+            racks = {}
+            for runner, ticket in permitted:
+                racks.setdefault(runner.entry.rack, []).append((runner, ticket))
+            groups = [*racks.values(), permitted]
+        else:
+            groups = [permitted]
+        for group in groups:
+            places = self._fit_gang(step, group)
+            if places is not None:
+                number = max(t.last_run for t in step.tasks) + 1
+                for task, (runner, ticket) in places:
+                    self._start(task, runner, ticket, number, now)
+                return
+
+    def _fit_gang(self, step, permitted):
+        """Return a place for every member, or None if not all fit at once."""
+        spec = step.spec
+        places = []
+        room = [(runner, ticket, _slots(step, runner)) for runner, ticket in permitted]
+        room.sort(key=lambda item: (-item[0].trust.speed, -item[2]))
+        tasks = list(step.pending.values())
+        for runner, ticket, slots in room:
+            for _ in range(slots):
+                if len(places) == len(tasks):
+                    break
+                places.append((tasks[len(places)], (runner, ticket)))
+        return places if len(places) == spec.count else None
+
+    def _start(self, task, runner, ticket, number, now):
+        run = Run(
+            task=task,
+            number=number,
+            runner=runner,
+            phase=RunPhase.STARTING,
+            started_s=now,
+        )
+        task.last_run = number
+        task.runs.append(run)
+        runner.reserve(run)
+        self.state.unqueue_task(task)
+        self.state.outbox.append(StartTask(run=run, ticket=ticket))
+
+
+def rank(step):
+    """Return the order of steps: urgency, then the objective of the job."""
+    return (step.job.queue.priority, step.job.due_s)
+
+
+def room_in_step(step, runner) -> bool:
+    """Return whether the limit of the step on one runner admits another task."""
+    limit = step.spec.max_per_runner
+    return not limit or _count(step, runner) < limit
+
+
+def _count(step, runner):
+    return sum(1 for run in runner.runs.values() if run.task.step is step)
+
+
+def _slots(step, runner):
+    """Return how many tasks of a step fit on a runner now."""
+    spec, capacity = step.spec, runner.entry.capacity
+    slots = step.spec.count
+    if spec.cpu and not spec.opportunistic:
+        slots = min(slots, (capacity.cpu - runner.cpu) // spec.cpu)
+    if spec.memory_mb:
+        slots = min(slots, (capacity.memory_mb - runner.memory_mb) // spec.memory_mb)
+    if spec.gpus:
+        slots = min(slots, (capacity.gpus - runner.gpus) // spec.gpus)
+    if spec.max_per_runner:
+        slots = min(slots, spec.max_per_runner - _count(step, runner))
+    return max(slots, 0)
+
+
+def _disturbs(spec, runner):
+    """Return whether tasks that fill would run beside tasks that serve."""
+    if spec.opportunistic:
+        return any(run.task.spec.target_latency_ms for run in runner.runs.values())
+    return any(run.task.spec.opportunistic for run in runner.runs.values())
--- /dev/null
+++ b/wasabipaddle/dispatch/reports.py
@@ -0,0 +1,290 @@
+"""What runners report: inventories, answers to orders, silence."""
+
+from wasabipaddle.dispatch.model import Run, RunPhase
+from wasabipaddle.dispatch.orders import StartOutcome, StopTask
+from wasabipaddle.interfaces import Refusal
+from wasabipaddle.jobs import JobPhase
+
+__all__ = ["Reports"]
+
+MS_PER_S = 1000
+# Time for which ends and runs of unknown jobs are kept, since the watch that tells
+# of the job may be behind.
+FOREIGN_S = 3.0
+# Pause of new work on a runner that refused some or did not answer.
+REFUSED_PAUSE_S = 0.3
+SILENT_PAUSE_S = 1.0
+# A task whose run number is not high enough continues this much higher.
+RUN_NUMBER_STEP = 50
+
+
+class Reports:
+    """Turns answers of runners into changes of the shared state.
+
+    Parameters
+    ----------
+    state : CellState
+        Shared state.
+    lifecycle : Lifecycle
+        Ends of tasks.
+    """
+
+    def __init__(self, *, state, lifecycle):
+        self.state = state
+        self.lifecycle = lifecycle
+
+    def inventory(self, runner, inventory, now):
+        """Take the lists of a runner."""
+        if inventory.incarnation < runner.incarnation:
+            return
+        if inventory.incarnation != runner.incarnation:
+            self._begin_life(runner, inventory.incarnation, now)
+        runner.set_clock(inventory.clock_ms, now)
+        runner.looked = True
+        runner.answered_s = now
+        self.state.suspects.pop(runner.id, None)
+        foreign = self._take_ended(runner, inventory, now)
+        listed = set()
+        for row in inventory.running:
+            listed.add((row.task, row.run))
+            foreign |= self._take_running(runner, row, inventory, now)
+        runner.foreign = foreign
+        if not foreign:
+            runner.foreign_since_s = 0.0
+        for run in list(runner.runs.values()):
+            if run.key not in listed and self._is_gone(run, inventory, now):
+                self.lifecycle.run_gone(run, now)
+
+    def _begin_life(self, runner, incarnation, now):
+        """Void all that is known of the earlier life of a runner."""
+        if runner.incarnation:
+            self.state.journal("runner_reborn", runner=runner.id, runs=len(runner.runs))
+        runner.incarnation = incarnation
+        for run in list(runner.runs.values()):
+            self.lifecycle.run_gone(run, now)
+        runner.processed = runner.acknowledged = 0
+        runner.pending.clear()
+        runner.lease_until_ms = 0
+        runner.clock_ms = 0
+
+    def _take_ended(self, runner, inventory, now):
+        """Process new ends in order; return whether one belongs to no known job."""
+        durable = True
+        before = runner.processed
+        for ended in sorted(inventory.ended, key=lambda e: e.number):
+            if ended.number <= runner.processed:
+                continue
+            task = self._find_task(ended.task)
+            if task is None:
+                if not self._foreign_expired(runner, now):
+                    break
+                runner.processed = ended.number
+                continue
+            runner.processed = ended.number
+            if ended.checkpoint:
+                self._save_checkpoint(task, ended.checkpoint)
+            run = runner.runs.get((ended.task, ended.run))
+            elapsed = now - run.started_s if run and not run.preempted else None
+            must_write = self.lifecycle.task_ended(
+                task, ended.run, ended.cause, runner, now, elapsed_s=elapsed
+            )
+            durable &= not must_write
+            self.state.journal(
+                "run_ended",
+                job=task.id.job,
+                task=task.id[1:],
+                run=ended.run,
+                runner=runner.id,
+                cause=ended.cause.value,
+                elapsed_ms=int(elapsed * MS_PER_S) if elapsed else None,
+            )
+            if run is not None:
+                self.lifecycle.run_gone(run, now)
+        if runner.processed > before:
+            if durable and not runner.pending:
+                runner.acknowledged = runner.processed
+            else:
+                generation = self.state.generation
+                runner.pending.append((generation, runner.processed))
+        return bool(inventory.ended) and inventory.ended[-1].number > runner.processed
+
+    def _foreign_expired(self, runner, now):
+        if not runner.foreign_since_s:
+            runner.foreign_since_s = now
+        return now - runner.foreign_since_s > FOREIGN_S
+
+    def _find_task(self, task_id):
+        entry = self.state.jobs.get(task_id.job)
+        if entry is None:
+            return None
+        step = entry.steps.get((task_id.occurrence, task_id.step))
+        if step is None or task_id.index >= len(step.tasks):
+            return None
+        return step.tasks[task_id.index]
+
+    def _save_checkpoint(self, task, checkpoint):
+        members = task.step.tasks if task.step.spec.gang else [task]
+        for member in members:
+            member.checkpoint = checkpoint
+
+    def _take_running(self, runner, row, inventory, now):
+        """Update or adopt a listed run; return whether its job is unknown."""
+        run = runner.runs.get((row.task, row.run))
+        if run is None:
+            return self._adopt(runner, row, inventory, now)
+        if run.phase in (RunPhase.DOUBTFUL, RunPhase.STARTING):
+            stopped = run.stop_sent_s > 0
+            run.phase = RunPhase.STOPPING if stopped else RunPhase.RUNNING
+        run.confirmed_ms = run.confirmed_ms or inventory.clock_ms
+        if row.percent != run.percent or not run.progress_s:
+            run.percent = row.percent
+            run.progress_s = now
+        run.load = row.load
+        if row.checkpoint:
+            self._save_checkpoint(run.task, row.checkpoint)
+        return False
+
+    def _adopt(self, runner, row, inventory, now):
+        task = self._find_task(row.task)
+        if task is None:
+            known = self.state.jobs.get(row.task.job)
+            if known is None and not self._foreign_expired(runner, now):
+                return True
+            order = StopTask(runner=runner, task=row.task, number=row.run)
+            self.state.outbox.append(order)
+            return True
+        run = Run(
+            task=task,
+            number=row.run,
+            runner=runner,
+            phase=RunPhase.RUNNING,
+            started_s=now,
+            confirmed_ms=inventory.clock_ms,
+            percent=row.percent,
+            progress_s=now,
+            load=row.load,
+            preempted=True,  # its start is unknown, so its duration teaches nothing
+        )
+        task.last_run = max(task.last_run, row.run)
+        runner.reserve(run)
+        task.runs.append(run)
+        self.state.unqueue_task(task)
+        entry = task.step.job
+        entry.started = True
+        if row.checkpoint:
+            self._save_checkpoint(task, row.checkpoint)
+        others = len(task.runs) > 1 and not task.spec.speculative
+        if task.completed or entry.phase.final or others or not task.step.opened:
+            self.state.stop_run(run, now)
+        return False
+
+    def _is_gone(self, run, inventory, now):
+        """Return whether a run that is not listed does not exist any more."""
+        if run.confirmed_ms:
+            return inventory.clock_ms > run.confirmed_ms
+        if run.phase is RunPhase.STARTING:
+            return False
+        return inventory.clock_ms > run.start_before_ms
+
+    def start_replied(self, run, outcome, reply, now):
+        """Take the answer to a start order.
+
+        Parameters
+        ----------
+        outcome : StartOutcome
+            Whether the order was answered or delivered.
+        reply : OrderReply or None
+            The answer.
+        """
+        runner, task = run.runner, run.task
+        if run.key not in runner.runs:
+            return
+        if outcome is StartOutcome.NOT_DELIVERED:
+            runner.full_until_s = now + SILENT_PAUSE_S
+            self._start_failed(run, now)
+        elif outcome is StartOutcome.UNKNOWN:
+            runner.full_until_s = now + SILENT_PAUSE_S
+            if run.phase is RunPhase.STARTING:
+                run.phase = RunPhase.DOUBTFUL
+                self.state.stop_run(run, now)
+        elif reply.refusal is Refusal.NONE:
+            runner.set_clock(reply.clock_ms, now)
+            run.confirmed_ms = reply.clock_ms
+            stopped = run.stop_sent_s > 0 or run.phase is RunPhase.STOPPING
+            run.phase = RunPhase.STOPPING if stopped else RunPhase.RUNNING
+            run.progress_s = run.progress_s or now
+            entry = task.step.job
+            if not entry.started:
+                entry.started = True
+                if entry.phase is JobPhase.QUEUED:
+                    entry.phase = JobPhase.RUNNING
+        else:
+            self._refused(run, reply.refusal, now)
+
+    def _refused(self, run, refusal, now):
+        task, runner = run.task, run.runner
+        self.state.journal(
+            "start_refused",
+            job=task.id.job,
+            task=task.id[1:],
+            run=run.number,
+            runner=runner.id,
+            refusal=refusal.value,
+        )
+        if refusal is Refusal.OLD_RUN:
+            for member in task.step.tasks if task.spec.gang else [task]:
+                member.last_run += RUN_NUMBER_STEP
+        elif refusal is Refusal.TICKET:
+            task.step.eligibility.forget(runner.id)
+        elif refusal is Refusal.UNHEALTHY:
+            runner.trust.failed(now)
+            runner.full_until_s = now + SILENT_PAUSE_S
+        else:
+            runner.full_until_s = now + REFUSED_PAUSE_S
+        self._start_failed(run, now)
+
+    def _start_failed(self, run, now):
+        if run.task.spec.gang:
+            self.lifecycle.break_gang(run.task.step, run.number, now)
+        self.lifecycle.run_gone(run, now)
+
+    def stop_replied(self, runner, task_id, number, reply, now):
+        """Take an answered stop; a run that had not begun can now never begin."""
+        runner.set_clock(reply.clock_ms, now)
+        run = runner.runs.get((task_id, number))
+        if run is None or reply.refusal not in (Refusal.NONE, Refusal.OLD_RUN):
+            return
+        run.phase = RunPhase.STOPPING
+        run.confirmed_ms = run.confirmed_ms or max(reply.clock_ms, 1)
+
+    def written(self, jobs, generation):
+        """Note that the progress of a generation is durable.
+
+        Parameters
+        ----------
+        jobs : list of tuple of (JobEntry, JobPhase)
+            Jobs and the states that were written.
+        """
+        for entry, phase in jobs:
+            entry.durable_phase = phase
+        for runner in self.state.runners.values():
+            while runner.pending and runner.pending[0][0] <= generation:
+                runner.acknowledged = max(runner.acknowledged, runner.pending.pop(0)[1])
+
+    def expire(self, now):
+        """Release runs under leases that have surely ended on silent runners."""
+        for runner_id, until_s in list(self.state.suspects.items()):
+            if now >= until_s:
+                del self.state.suspects[runner_id]
+                self.state.journal("suspect_cleared", runner=runner_id)
+        for runner in self.state.runners.values():
+            if not runner.runs or not runner.clock_ms:
+                continue
+            if not runner.passed(runner.lease_until_ms, now):
+                continue
+            self.state.journal(
+                "leases_expired", runner=runner.id, runs=len(runner.runs)
+            )
+            for run in list(runner.runs.values()):
+                if run.phase is not RunPhase.STARTING:
+                    self.lifecycle.run_gone(run, now)
--- a/wasabipaddle/exceptions.py
+++ b/wasabipaddle/exceptions.py
@@ -31,6 +31,7 @@
     UNAUTHENTICATED = "unauthenticated"
     FORBIDDEN = "forbidden"
     NOT_FOUND = "not_found"
+    GONE = "gone"
     METHOD_NOT_ALLOWED = "method_not_allowed"
     CONFLICT = "conflict"
     IN_PROGRESS = "in_progress"
@@ -91,6 +92,7 @@
     ErrorKind.UNAUTHENTICATED: _answer(401),
     ErrorKind.FORBIDDEN: _answer(403),
     ErrorKind.NOT_FOUND: _answer(404),
+    ErrorKind.GONE: _answer(410),
     ErrorKind.METHOD_NOT_ALLOWED: _answer(405),
     ErrorKind.CONFLICT: _answer(409),
     ErrorKind.IN_PROGRESS: _answer(409, Outcome.UNKNOWN, retry=True),
--- a/wasabipaddle/fuzz/faults.py
+++ b/wasabipaddle/fuzz/faults.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from wasabipaddle.fuzz.history import Leave
-from wasabipaddle.platform import VmStatus
+from wasabipaddle.interfaces import VmStatus
 from wasabipaddle.standins import Broken
 
 __all__ = ["ENDPOINT_FAULTS", "STORE_FAULTS", "WORKER_FAULTS", "Faults"]
--- a/wasabipaddle/platform/gate.py
+++ b/wasabipaddle/interfaces/gate.py
@@ -3,7 +3,7 @@
 from result import Err
 
 from wasabipaddle.exceptions import ErrorKind, Failure
-from wasabipaddle.platform.store import Store
+from wasabipaddle.interfaces.store import Store
 
 __all__ = ["StoreGate", "GatedStore"]
 
--- a/wasabipaddle/platform/http_endpoint.py
+++ b/wasabipaddle/interfaces/http_endpoint.py
@@ -13,13 +13,13 @@
 from result import Err, Ok
 
 from wasabipaddle.exceptions import ErrorKind, Failure
-from wasabipaddle.platform.endpoint import (
+from wasabipaddle.interfaces.endpoint import (
     AnswerChunks,
     EndpointAnswer,
     EndpointClient,
     RequestState,
 )
-from wasabipaddle.platform.http import (
+from wasabipaddle.interfaces.http import (
     CONNECT_TIMEOUT_S,
     DEFAULT_CONNECTIONS,
     HttpCaller,
--- a/wasabipaddle/platform/http_store.py
+++ b/wasabipaddle/interfaces/http_store.py
@@ -3,8 +3,8 @@
 import attrs
 
 from wasabipaddle.exceptions import ErrorKind
-from wasabipaddle.platform.http import HttpCaller
-from wasabipaddle.platform.store import Change, Entry, Page, Store
+from wasabipaddle.interfaces.http import HttpCaller
+from wasabipaddle.interfaces.store import Change, Entry, Page, Store
 
 __all__ = ["CLIENT_HEADER", "HttpStore", "StoreCall"]
 
--- a/wasabipaddle/platform/http_vms.py
+++ b/wasabipaddle/interfaces/http_vms.py
@@ -5,8 +5,8 @@
 from result import Ok
 
 from wasabipaddle.exceptions import ErrorKind
-from wasabipaddle.platform.http import Conditional, HttpCaller
-from wasabipaddle.platform.vms import VmEntry, VmList
+from wasabipaddle.interfaces.http import Conditional, HttpCaller
+from wasabipaddle.interfaces.vms import VmEntry, VmList
 
 __all__ = ["HttpVmList"]
 
--- a/wasabipaddle/platform/http_worker.py
+++ b/wasabipaddle/interfaces/http_worker.py
@@ -1,8 +1,8 @@
 """Plug-in for a worker behind HTTP."""
 
 from wasabipaddle.exceptions import ErrorKind
-from wasabipaddle.platform.http import HttpCaller
-from wasabipaddle.platform.worker import WorkerClient, WorkerReport
+from wasabipaddle.interfaces.http import HttpCaller
+from wasabipaddle.interfaces.worker import WorkerClient, WorkerReport
 
 __all__ = ["HttpWorker"]
 
--- /dev/null
+++ b/wasabipaddle/interfaces/transactions.py
@@ -0,0 +1,77 @@
+"""Interface to a store that changes several keys at once."""
+
+import abc
+
+import attrs
+from result import Result
+
+from wasabipaddle.exceptions import Failure
+from wasabipaddle.interfaces.store import Change, Page, Store
+
+__all__ = ["Put", "TransactionalStore", "WatchBatch"]
+
+
+@attrs.frozen(kw_only=True)
+class Put:
+    """One key to write.
+
+    Parameters
+    ----------
+    key : str
+        Key.
+    value : bytes
+        New value.
+    lease : int
+        Lease at whose end the key is removed, 0 for none.
+    """
+
+    key: str
+    value: bytes
+    lease: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class WatchBatch:
+    """Changes of a prefix and the revision from which to go on."""
+
+    changes: tuple[Change, ...]
+    revision: int
+
+
+class TransactionalStore(Store):
+    """Store whose calls may carry conditions on several keys.
+
+    Errors are those of `Store`: `store_unavailable` and `store_throttled` if the call
+    was surely not carried out, `timeout` if it may still take effect, and
+    `revision_mismatch` if a condition does not hold.
+    """
+
+    @abc.abstractmethod
+    async def commit(
+        self, *, conditions=(), puts=(), deletes=()
+    ) -> Result[int, Failure]:
+        """Apply all changes if all conditions hold, and return the new revision.
+
+        Parameters
+        ----------
+        conditions : sequence of tuple of (str, int)
+            Keys and the revisions that they must have, 0 for a missing key.
+        puts : sequence of Put
+            Keys to write.
+        deletes : sequence of str
+            Keys to remove.
+        """
+
+    @abc.abstractmethod
+    async def follow(
+        self, prefix, *, after_revision, wait_s
+    ) -> Result[WatchBatch, Failure]:
+        """Wait for changes; like `watch`, with the revision to go on from."""
+
+    @abc.abstractmethod
+    async def list_all(self, prefix) -> Result[Page, Failure]:
+        """Read all pages of a prefix; the revision is that of the first page."""
+
+    @abc.abstractmethod
+    async def end_lease(self, lease) -> Result[None, Failure]:
+        """End a lease and remove its keys."""
--- /dev/null
+++ b/wasabipaddle/jobs/__init__.py
@@ -0,0 +1,38 @@
+"""Jobs of many steps, the queues that accept them and the runners that run them."""
+
+from wasabipaddle.jobs.configuration import (
+    AdvicePolicy,
+    CellConfiguration,
+    Limits,
+    Pool,
+    Queue,
+)
+from wasabipaddle.jobs.fleet import Capacity, RunnerEntry
+from wasabipaddle.jobs.model import Job, JobPhase, JobSpec, StepSpec, TaskId
+from wasabipaddle.jobs.records import (
+    JobProgress,
+    decode_job,
+    decode_progress,
+    encode_job,
+    encode_progress,
+)
+
+__all__ = [
+    "AdvicePolicy",
+    "Capacity",
+    "CellConfiguration",
+    "Job",
+    "JobPhase",
+    "JobProgress",
+    "JobSpec",
+    "Limits",
+    "Pool",
+    "Queue",
+    "RunnerEntry",
+    "StepSpec",
+    "TaskId",
+    "decode_job",
+    "decode_progress",
+    "encode_job",
+    "encode_progress",
+]
--- a/wasabipaddle/journal/records.py
+++ b/wasabipaddle/journal/records.py
@@ -12,8 +12,8 @@
     Share,
     Urgency,
 )
+from wasabipaddle.interfaces import TaskOutcome
 from wasabipaddle.messages import RunOutcome
-from wasabipaddle.platform import TaskOutcome
 
 __all__ = [
     "RECORD_TYPES",
--- a/wasabipaddle/journal/tests/shard.py
+++ b/wasabipaddle/journal/tests/shard.py
@@ -6,9 +6,9 @@
 
 from wasabipaddle.clock import LoopClock
 from wasabipaddle.documents import ServiceKind
+from wasabipaddle.interfaces import Store
 from wasabipaddle.journal import Journal, RunAccepted, decode_batch
 from wasabipaddle.leadership import Candidacy, LeaderElected, ShardElection
-from wasabipaddle.platform import Store
 from wasabipaddle.settings import JournalSettings, LeadershipSettings
 
 SHARD = "dc0-0"
--- a/wasabipaddle/journal/tests/test_journal.py
+++ b/wasabipaddle/journal/tests/test_journal.py
@@ -6,9 +6,9 @@
 
 from wasabipaddle.clock import run_virtual
 from wasabipaddle.exceptions import ErrorKind
+from wasabipaddle.interfaces import TaskOutcome
 from wasabipaddle.journal import TaskEnded
 from wasabipaddle.journal.tests.shard import accepted, make_journal
-from wasabipaddle.platform import TaskOutcome
 from wasabipaddle.standins import MemoryStore
 
 
--- a/wasabipaddle/kernel/kernel.py
+++ b/wasabipaddle/kernel/kernel.py
@@ -15,6 +15,10 @@
 __all__ = ["Context", "Kernel"]
 
 
+def _discard(kind, **values):
+    """Ignore an event of a process that keeps no structured log."""
+
+
 @attrs.define(kw_only=True)
 class Context:
     """Shared services of one process.
@@ -39,6 +43,8 @@
         Source of jitter and sampling.
     plugins : dict of str to Plugin
         Started plug-ins by name.
+    journal : callable
+        Receives one event for each decision, as a kind and named values.
     """
 
     settings: object
@@ -50,6 +56,7 @@
     events: EventRing
     random: random.Random
     plugins: dict = attrs.field(factory=dict)
+    journal: object = _discard
 
     @classmethod
     def create(cls, *, settings, clock, process, seed):
--- a/wasabipaddle/measure/configuration.py
+++ b/wasabipaddle/measure/configuration.py
@@ -6,6 +6,7 @@
 from wasabipaddle.clock import run_virtual
 from wasabipaddle.documents import decode_stored, document_key, parse_document
 from wasabipaddle.documents.stored import DOCUMENT_PREFIX
+from wasabipaddle.interfaces import Store
 from wasabipaddle.measure.base import Bound, Measure
 from wasabipaddle.measure.cell import MemoryCell, MemoryProcess
 from wasabipaddle.measure.config_edits import (
@@ -15,7 +16,6 @@
     service_name,
 )
 from wasabipaddle.messages import RevisionQuery
-from wasabipaddle.platform import Store
 from wasabipaddle.relay import DocumentApplied
 
 __all__ = ["ConfigurationMeasure"]
--- a/wasabipaddle/measure/control_cell.py
+++ b/wasabipaddle/measure/control_cell.py
@@ -15,11 +15,11 @@
 from aiohttp import web
 
 from wasabipaddle.documents import Resources
+from wasabipaddle.interfaces import VmEntry, VmRole, VmStatus
+from wasabipaddle.interfaces.http_store import CLIENT_HEADER
 from wasabipaddle.leadership import LeaderRecord, leader_key
 from wasabipaddle.measure.cell import make_deployment
 from wasabipaddle.messages import decode
-from wasabipaddle.platform import VmEntry, VmRole, VmStatus
-from wasabipaddle.platform.http_store import CLIENT_HEADER
 from wasabipaddle.standins import MemoryStore
 from wasabipaddle.standins.ledger import Ledger
 from wasabipaddle.standins.servers import store_routes, vms_routes, worker_routes
--- a/wasabipaddle/measure/drain.py
+++ b/wasabipaddle/measure/drain.py
@@ -5,6 +5,7 @@
 import attrs
 
 from wasabipaddle.clock import run_virtual
+from wasabipaddle.interfaces import VmStatus
 from wasabipaddle.measure.base import Bound, Measure
 from wasabipaddle.measure.request_cell import (
     SLOTS,
@@ -14,7 +15,6 @@
     lognormal_s,
     make_service,
 )
-from wasabipaddle.platform import VmStatus
 
 __all__ = ["DrainMeasure"]
 
--- a/wasabipaddle/measure/driver.py
+++ b/wasabipaddle/measure/driver.py
@@ -17,6 +17,7 @@
 import attrs
 
 from wasabipaddle.documents import Resources
+from wasabipaddle.interfaces import TaskOutcome
 from wasabipaddle.measure.outcomes import Outcomes
 from wasabipaddle.measure.sampling import take_sample
 from wasabipaddle.measure.workers import LiveTask, WorkerModel
@@ -30,7 +31,6 @@
     Throttle,
     Unthrottle,
 )
-from wasabipaddle.platform import TaskOutcome
 
 __all__ = ["Driver", "RunState"]
 
--- a/wasabipaddle/measure/memory.py
+++ b/wasabipaddle/measure/memory.py
@@ -7,11 +7,11 @@
 
 from wasabipaddle.clock import HybridClock, ManualClock
 from wasabipaddle.documents import Resources, RunPolicy, ServiceDocument, ServiceKind
+from wasabipaddle.interfaces import TaskOutcome
 from wasabipaddle.journal import LiveState, RunEnded, TaskEnded, TaskPlaced
 from wasabipaddle.measure.base import Bound, Measure
 from wasabipaddle.messages import RunOutcome
 from wasabipaddle.placement import FleetIndex, Placer
-from wasabipaddle.platform import TaskOutcome
 from wasabipaddle.runs import RunTable
 from wasabipaddle.runs.records import accepted_record, work_of
 from wasabipaddle.timeline import EventKind, EventRing
--- a/wasabipaddle/measure/request_cell.py
+++ b/wasabipaddle/measure/request_cell.py
@@ -17,10 +17,10 @@
     Urgency,
 )
 from wasabipaddle.exceptions import ErrorKind, Failure, Outcome
+from wasabipaddle.interfaces import VmEntry, VmRole, VmStatus
 from wasabipaddle.kernel import Context
 from wasabipaddle.measure.request_endpoints import EndpointServer, RemoteClient
 from wasabipaddle.messages import RouteRequest
-from wasabipaddle.platform import VmEntry, VmRole, VmStatus
 from wasabipaddle.serve.grants import GrantService
 from wasabipaddle.serve.routing import RequestRouting
 from wasabipaddle.settings.model import DataCentre, Deployment, Peer, Settings
--- a/wasabipaddle/measure/request_endpoints.py
+++ b/wasabipaddle/measure/request_endpoints.py
@@ -7,7 +7,7 @@
 from result import Err, Ok
 
 from wasabipaddle.exceptions import ErrorKind, Failure
-from wasabipaddle.platform import EndpointAnswer, EndpointClient, RequestState
+from wasabipaddle.interfaces import EndpointAnswer, EndpointClient, RequestState
 from wasabipaddle.routing.answers import digest_of
 
 __all__ = ["EndpointServer", "RemoteClient"]
--- a/wasabipaddle/measure/store.py
+++ b/wasabipaddle/measure/store.py
@@ -8,13 +8,13 @@
 
 from wasabipaddle.clock import LoopClock, run_virtual
 from wasabipaddle.documents import ServiceKind
+from wasabipaddle.interfaces import TaskOutcome
 from wasabipaddle.journal import Journal, RunAccepted, RunEnded, TaskEnded, TaskPlaced
 from wasabipaddle.leadership import LeaderElected
 from wasabipaddle.measure.base import Bound, Measure
 from wasabipaddle.measure.cell import MemoryCell
 from wasabipaddle.measure.config_edits import document_value
 from wasabipaddle.messages import RunOutcome, encode
-from wasabipaddle.platform import TaskOutcome
 
 __all__ = ["StoreMeasure"]
 
--- a/wasabipaddle/measure/whole_cell.py
+++ b/wasabipaddle/measure/whole_cell.py
@@ -13,9 +13,9 @@
     encode_stored,
 )
 from wasabipaddle.exceptions import ErrorKind, Failure, WasabipaddleError
+from wasabipaddle.interfaces import VmEntry, VmRole, VmStatus
 from wasabipaddle.measure.cell import ROLES, MemoryCell, MemoryProcess
 from wasabipaddle.messages import RouteRequest, SubmitRun
-from wasabipaddle.platform import VmEntry, VmRole, VmStatus
 from wasabipaddle.serve.fleet import FleetPlugin
 from wasabipaddle.serve.keys import KeysPlugin
 from wasabipaddle.serve.routing import RoutingPlugin
--- a/wasabipaddle/measure/workers.py
+++ b/wasabipaddle/measure/workers.py
@@ -5,8 +5,8 @@
 import attrs
 
 from wasabipaddle.documents import Resources
+from wasabipaddle.interfaces import Usage
 from wasabipaddle.measure.records import TaskTruth
-from wasabipaddle.platform import Usage
 
 __all__ = ["LiveTask", "WorkerModel"]
 
--- /dev/null
+++ b/wasabipaddle/messages/jobs.py
@@ -0,0 +1,124 @@
+"""Messages about jobs between the processes of a cell."""
+
+import attrs
+
+from wasabipaddle.jobs import Job, JobPhase
+
+__all__ = [
+    "AdviceReply",
+    "AskAdvice",
+    "CancelJob",
+    "HelloReply",
+    "JobAccepted",
+    "JobCancelled",
+    "MemberHello",
+    "Noted",
+    "PhaseReply",
+    "QueryPhase",
+    "StoreJob",
+]
+
+
+@attrs.frozen(kw_only=True)
+class JobAccepted:
+    """A job has been stored."""
+
+    job: Job
+
+
+@attrs.frozen(kw_only=True)
+class JobCancelled:
+    """The cancellation of a job has been stored."""
+
+    job: str
+
+
+@attrs.frozen(kw_only=True)
+class StoreJob:
+    """Asks a peer to store a job, since the sender does not reach the store."""
+
+    job: Job
+
+
+@attrs.frozen(kw_only=True)
+class CancelJob:
+    """Asks a peer to store a cancellation."""
+
+    job: str
+
+
+@attrs.frozen(kw_only=True)
+class Noted:
+    """The message was taken note of."""
+
+
+@attrs.frozen(kw_only=True)
+class QueryPhase:
+    """Asks the dispatcher for the state of a job."""
+
+    job: str
+
+
+@attrs.frozen(kw_only=True)
+class PhaseReply:
+    """State of a job; None if the dispatcher does not know the job."""
+
+    phase: JobPhase | None = None
+
+
+@attrs.frozen(kw_only=True)
+class MemberHello:
+    """Sign of life of a process to the dispatcher.
+
+    Parameters
+    ----------
+    process, address : str
+        Name of the process, and host and port of its internal listener.
+    configuration : int
+        Version of the configuration in force there.
+    store_latency_s : float
+        Recent latency of the store.
+    """
+
+    process: str
+    address: str
+    configuration: int = 0
+    store_latency_s: float = 0.0
+
+
+@attrs.frozen(kw_only=True)
+class HelloReply:
+    """What the dispatcher tells a process.
+
+    Parameters
+    ----------
+    configuration : int
+        Version of the configuration in force at the dispatcher.
+    waiting : dict of str to int
+        Jobs that wait, by queue; None while the dispatcher recovers.
+    members : dict of str to str
+        Addresses of the live processes by name.
+    """
+
+    configuration: int = 0
+    waiting: dict[str, int] | None = None
+    members: dict[str, str] = attrs.field(factory=dict)
+
+
+@attrs.frozen(kw_only=True)
+class AskAdvice:
+    """Asks a process to call the eligibility service on its own line."""
+
+    job: str
+    occurrence: int
+    step: int
+    runners: list[str]
+    timeout_s: float
+
+
+@attrs.frozen(kw_only=True)
+class AdviceReply:
+    """Tickets by runner and how long they hold, counted from the answer."""
+
+    tickets: dict[str, str]
+    valid_s: float = 0.0
--- a/wasabipaddle/placement/placer.py
+++ b/wasabipaddle/placement/placer.py
@@ -2,6 +2,7 @@
 
 import collections
 
+from wasabipaddle.interfaces import TaskOutcome
 from wasabipaddle.placement.book import TaskBook
 from wasabipaddle.placement.estimation import UsageEstimator
 from wasabipaddle.placement.gangs import ReservingGangs
@@ -18,7 +19,6 @@
 from wasabipaddle.placement.shares import ShareLedger
 from wasabipaddle.placement.starting import Starter
 from wasabipaddle.placement.work import Checkpoint, GiveUp, Impossible
-from wasabipaddle.platform import TaskOutcome
 
 __all__ = ["Placer"]
 
--- a/wasabipaddle/placement/preemption.py
+++ b/wasabipaddle/placement/preemption.py
@@ -5,10 +5,10 @@
 import attrs
 
 from wasabipaddle.documents import ServiceKind, Urgency
+from wasabipaddle.interfaces import Usage
 from wasabipaddle.placement.amounts import fit_count, scaled
 from wasabipaddle.placement.running import TaskState
 from wasabipaddle.placement.work import Checkpoint, Throttle, Unthrottle
-from wasabipaddle.platform import Usage
 
 __all__ = [
     "LeastLossPreemption",
--- a/wasabipaddle/placement/repeats.py
+++ b/wasabipaddle/placement/repeats.py
@@ -2,10 +2,10 @@
 
 import collections
 
+from wasabipaddle.interfaces import TaskOutcome
 from wasabipaddle.placement.queue import PendingRun
 from wasabipaddle.placement.running import TaskState
 from wasabipaddle.placement.work import GiveUp
-from wasabipaddle.platform import TaskOutcome
 
 __all__ = ["Repeater"]
 
--- a/wasabipaddle/placement/running.py
+++ b/wasabipaddle/placement/running.py
@@ -7,9 +7,9 @@
 import attrs
 
 from wasabipaddle.documents import Resources
+from wasabipaddle.interfaces import Usage
 from wasabipaddle.placement.state import Reclaim
 from wasabipaddle.placement.work import Work
-from wasabipaddle.platform import Usage
 
 __all__ = ["RunEntry", "RunningTask", "TaskHistory", "TaskState"]
 
--- a/wasabipaddle/placement/tests/test_machine.py
+++ b/wasabipaddle/placement/tests/test_machine.py
@@ -7,6 +7,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from wasabipaddle.documents import Resources, ServiceKind, Urgency
+from wasabipaddle.interfaces import TaskOutcome, Usage
 from wasabipaddle.placement import (
     Checkpoint,
     FleetIndex,
@@ -17,7 +18,6 @@
     Start,
     Work,
 )
-from wasabipaddle.platform import TaskOutcome, Usage
 
 SIZE = Resources(cpu_milli=4000, memory_mb=8000, accelerators=1)
 QUOTA = Resources(cpu_milli=14_000, memory_mb=28_000, accelerators=4)
--- a/wasabipaddle/placement/tests/test_placer.py
+++ b/wasabipaddle/placement/tests/test_placer.py
@@ -3,6 +3,7 @@
 import pytest
 
 from wasabipaddle.documents import Resources, ServiceKind, Urgency
+from wasabipaddle.interfaces import TaskOutcome
 from wasabipaddle.placement import (
     Checkpoint,
     FleetIndex,
@@ -12,7 +13,6 @@
     Start,
     Work,
 )
-from wasabipaddle.platform import TaskOutcome
 
 SIZE = Resources(cpu_milli=8000, memory_mb=16_000)
 TASK = Resources(cpu_milli=2000, memory_mb=4000)
--- a/wasabipaddle/placement/tests/test_policies.py
+++ b/wasabipaddle/placement/tests/test_policies.py
@@ -5,6 +5,7 @@
 import pytest
 
 from wasabipaddle.documents import Placement, Resources, ServiceKind, Urgency
+from wasabipaddle.interfaces import TaskOutcome, Usage
 from wasabipaddle.placement import (
     Checkpoint,
     ComparingQuarantine,
@@ -20,7 +21,6 @@
     Work,
 )
 from wasabipaddle.placement.buckets import BucketIndex
-from wasabipaddle.platform import TaskOutcome, Usage
 
 SIZE = Resources(cpu_milli=8000, memory_mb=16_000)
 TASK = Resources(cpu_milli=2000, memory_mb=4000)
--- a/wasabipaddle/platform/__init__.py
+++ b/wasabipaddle/platform/__init__.py
@@ -1,54 +1,23 @@
-"""Abstract interfaces to the platform and to endpoints."""
+"""Translation between the product and the users' platform.
 
-from wasabipaddle.platform.endpoint import (
-    AnswerChunks,
-    EndpointAnswer,
-    EndpointClient,
-    EndpointRequest,
-    RequestState,
-)
-from wasabipaddle.platform.gate import GatedStore, StoreGate
-from wasabipaddle.platform.store import Change, Entry, Page, Store
-from wasabipaddle.platform.vms import VmEntry, VmList, VmRole, VmStatus
-from wasabipaddle.platform.worker import (
-    TaskOrder,
-    TaskOutcome,
-    TaskPhase,
-    TaskRefusal,
-    TaskReport,
-    TaskResize,
-    TaskStart,
-    Usage,
-    WorkerClient,
-    WorkerReport,
-    WorkerSync,
-)
+Every name of the platform's wire is decoded here, once, into the product's types.
+Nothing here decides, and nothing is kept beyond a call or a connection.
+"""
+
+from wasabipaddle.platform.advice import PlatformAdvice
+from wasabipaddle.platform.callers import CallerListener
+from wasabipaddle.platform.configuration import CONFIGURATION_KEY, decode_configuration
+from wasabipaddle.platform.registry import REGISTRY_PREFIX, decode_runner
+from wasabipaddle.platform.runner import PlatformRunner
+from wasabipaddle.platform.store import PlatformStore
 
 __all__ = [
-    "AnswerChunks",
-    "Change",
-    "EndpointAnswer",
-    "EndpointClient",
-    "EndpointRequest",
-    "Entry",
-    "Page",
-    "RequestState",
-    "Store",
-    "StoreGate",
-    "GatedStore",
-    "TaskOrder",
-    "TaskOutcome",
-    "TaskPhase",
-    "TaskRefusal",
-    "TaskReport",
-    "TaskResize",
-    "TaskStart",
-    "Usage",
-    "VmEntry",
-    "VmList",
-    "VmRole",
-    "VmStatus",
-    "WorkerClient",
-    "WorkerReport",
-    "WorkerSync",
+    "CONFIGURATION_KEY",
+    "REGISTRY_PREFIX",
+    "CallerListener",
+    "PlatformAdvice",
+    "PlatformRunner",
+    "PlatformStore",
+    "decode_configuration",
+    "decode_runner",
 ]
--- /dev/null
+++ b/wasabipaddle/platform/callers.py
@@ -0,0 +1,145 @@
+"""Listener for callers and for the platform's readiness probe."""
+
+import asyncio
+import contextlib
+
+import msgspec
+from aiohttp import web
+
+from wasabipaddle.exceptions import ErrorKind
+from wasabipaddle.platform.jobs import JOB_ID, PHASE_WORDS, decode_spec
+
+__all__ = ["CallerListener"]
+
+MS_PER_S = 1000
+MAX_WAIT_S = 30.0
+DEFAULT_WAIT_S = 3.0
+READY_PATH = "/readiness"
+KEEPALIVE_S = 75.0
+# Refusals that must not say "never runs", since the job may have been accepted.
+UNCERTAIN_STATUS = 504
+STATUS = {
+    ErrorKind.INVALID_REQUEST: 400,
+    ErrorKind.NOT_FOUND: 404,
+    ErrorKind.GONE: 410,
+    ErrorKind.BODY_TOO_LARGE: 413,
+    ErrorKind.METHOD_NOT_ALLOWED: 405,
+    ErrorKind.RATE_LIMITED: 429,
+    ErrorKind.QUEUE_FULL: 503,
+    ErrorKind.DRAINING: 503,
+    ErrorKind.STORE_UNAVAILABLE: 503,
+    ErrorKind.STORE_THROTTLED: 503,
+    ErrorKind.NO_LEADER: 503,
+    ErrorKind.ACCEPTANCE_UNKNOWN: UNCERTAIN_STATUS,
+    ErrorKind.TIMEOUT: UNCERTAIN_STATUS,
+}
+
+
+class CallerListener:
+    """HTTP server that turns calls of callers into calls of a job service.
+
+    Parameters
+    ----------
+    service : JobService
+        Decides on every call.
+    """
+
+    def __init__(self, *, service):
+        self.service = service
+        self.runners = []
+        self.in_progress = 0
+        self.closing = False
+
+    async def open(self, *, front, ready):
+        """Listen for callers on `front` and for probes on `ready` (host and port)."""
+        await self._listen(self._handle, front)
+        await self._listen(self._probe, ready)
+
+    async def _listen(self, handler, address):
+        host, _, port = address.rpartition(":")
+        server = web.Server(handler, keepalive_timeout=KEEPALIVE_S, access_log=None)
+        runner = web.ServerRunner(server)
+        await runner.setup()
+        await web.TCPSite(runner, host, int(port), backlog=512).start()
+        self.runners.append(runner)
+
+    async def close(self):
+        """Stop listening; calls in progress must have been answered."""
+        for runner in self.runners:
+            with contextlib.suppress(asyncio.CancelledError):
+                await runner.cleanup()
+
+    async def _probe(self, request):
+        ready = request.path == READY_PATH and self.service.ready
+        return web.Response(status=200 if ready else 503)
+
+    async def _handle(self, request):
+        self.in_progress += 1
+        try:
+            response = await self._route(request)
+        finally:
+            self.in_progress -= 1
+        if self.closing:
+            response.force_close()
+        return response
+
+    async def _route(self, request):
+        host = request.headers.get("Host", "").partition(":")[0]
+        selected = self.service.select_queue(host, request.path)
+        if selected.is_err():
+            return _failed(selected.err())
+        queue = selected.ok()
+        job = request.path[len(queue.prefix) :]
+        wait_s = _wait_s(request)
+        if not job and request.method == "GET":
+            waiting = await self.service.count_waiting(queue, wait_s=wait_s)
+            if waiting.is_err():
+                return _failed(waiting.err())
+            return _json({"waiting": waiting.ok()})
+        if JOB_ID.fullmatch(job) is None:
+            return web.Response(status=400)
+        if request.method == "POST":
+            return await self._submit(request, queue, job, wait_s)
+        if request.method == "GET":
+            state = await self.service.find_phase(queue, job, wait_s=wait_s)
+            if state.is_err():
+                return _failed(state.err())
+            return _json({"state": PHASE_WORDS[state.ok()]})
+        if request.method == "DELETE":
+            cancelled = await self.service.cancel(queue, job, wait_s=wait_s)
+            if cancelled.is_err():
+                return _failed(cancelled.err())
+            return web.Response(status=200)
+        return web.Response(status=405)
+
+    async def _submit(self, request, queue, job, wait_s):
+        data = await request.read()
+        if len(data) > self.service.max_body_bytes:
+            return web.Response(status=413)
+        spec = decode_spec(data)
+        if spec.is_err():
+            return _failed(spec.err())
+        accepted = await self.service.submit(queue, job, spec.ok(), wait_s=wait_s)
+        if accepted.is_err():
+            return _failed(accepted.err())
+        return web.Response(status=200)
+
+
+def _wait_s(request):
+    """Return how long the caller waits for an answer."""
+    text = request.headers.get("Deadline-Ms", "")
+    if not text.isdecimal():
+        return DEFAULT_WAIT_S
+    return min(int(text) / MS_PER_S, MAX_WAIT_S)
+
+
+def _failed(failure):
+    status = STATUS.get(failure.kind, failure.answer.status)
+    headers = {}
+    if status in (429, 503):
+        headers["Retry-After"] = str(max(1, round(failure.retry_after_s or 1)))
+    return web.Response(status=status, headers=headers)
+
+
+def _json(body):
+    return web.Response(body=msgspec.json.encode(body), content_type="application/json")
--- a/wasabipaddle/platform/http.py
+++ b/wasabipaddle/platform/http.py
@@ -1,4 +1,4 @@
-"""Calls over HTTP with JSON that the plug-ins of this package share."""
+"""HTTP calls with JSON bodies that the clients of the platform share."""
 
 import aiohttp
 import attrs
@@ -6,139 +6,104 @@
 from result import Err, Ok, Result
 
 from wasabipaddle.exceptions import ErrorKind, Failure
-from wasabipaddle.messages import encode_sparse
 
-__all__ = ["Conditional", "HttpCaller", "decode_failure", "is_connect_error"]
+__all__ = ["Answer", "PlatformCaller"]
 
-CONNECT_TIMEOUT_S = 1.0
-DEFAULT_CONNECTIONS = 64
+CONNECT_TIMEOUT_S = 0.6
+# Below the time after which a listener of the platform closes an idle connection.
+KEEPALIVE_S = 25.0
 UNUSED_HEADERS = ("Accept", "Accept-Encoding", "User-Agent")
 
 
 @attrs.frozen(kw_only=True)
-class Conditional:
-    """Answer to a conditional read.
+class Answer:
+    """Status and decoded body of an answer; the body is {} if there is none."""
 
-    Parameters
-    ----------
-    value : object or None
-        Decoded answer, None if it is the one of the given entity tag.
-    etag : str
-        Entity tag of the present answer, empty if the peer gives none.
-    """
+    status: int
+    body: dict
 
-    value: object
-    etag: str
 
-
-class HttpCaller:
-    """HTTP session with a bounded number of connections.
+class PlatformCaller:
+    """HTTP session to one address.
 
     Parameters
     ----------
+    address : str
+        Host and port.
     connections : int
         Largest number of open connections.
-    refused : ErrorKind
-        Kind for a call that was surely not delivered.
     """
 
-    def __init__(self, *, connections=DEFAULT_CONNECTIONS, refused):
+    def __init__(self, *, address, connections=64):
+        self.address = address
         self.connections = connections
-        self.refused = refused
         self.session = None
 
     async def call(
-        self, method, url, answer_type, *, timeout_s, body=None, headers=None
-    ) -> Result[object, Failure]:
-        """Make one call and decode its answer.
-
-        Parameters
-        ----------
-        method, url : str
-            HTTP method and address.
-        answer_type : type
-            Type of the decoded answer.
-        timeout_s : float
-            Longest time of the whole call.
-        body : object or None
-            Message that is encoded as JSON.
+        self, method, path, *, timeout_s, body=None, query=None, headers=None
+    ) -> Result[Answer, Failure]:
+        """Make one call.
 
         Returns
         -------
         result.Result
-            The answer, or an `Err`: the failure that the peer answered, the kind
-            `refused` if the call was not delivered, or `timeout`.
+            The answer, an `Err` of kind `unreachable` if the call was surely not
+            delivered, or of kind `timeout` if it may be carried out.
         """
-        data = None if body is None else encode_sparse(body)
+        data = None
+        if body is not None:
+            data = msgspec.json.encode(body)
+            headers = {"Content-Type": "application/json", **(headers or {})}
         timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
+        url = f"http://{self.address}{path}"
         try:
             async with self._open().request(
-                method, url, data=data, headers=headers, timeout=timeout
+                method, url, params=query, data=data, headers=headers, timeout=timeout
             ) as response:
-                answered = await response.read()
+                raw = await response.read()
+                status = response.status
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+        ) as error:
+            return _failed(ErrorKind.UNREACHABLE, method, path, error)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            kind = self.refused if is_connect_error(error) else ErrorKind.TIMEOUT
-            detail = f"{method} {url}: {type(error).__name__}"
-            return Err(Failure(kind=kind, detail=detail))
-        if response.status != 200:
-            return Err(decode_failure(answered))
-        return _decode(answered, answer_type)
-
-    async def read_if_changed(
-        self, url, answer_type, *, timeout_s, etag=""
-    ) -> Result[Conditional, Failure]:
-        """Read an address unless its answer still has the entity tag `etag`."""
-        headers = {"If-None-Match": etag} if etag else None
-        timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
-        try:
-            async with self._open().get(
-                url, headers=headers, timeout=timeout
-            ) as response:
-                answered = await response.read()
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            kind = self.refused if is_connect_error(error) else ErrorKind.TIMEOUT
-            return Err(Failure(kind=kind, detail=f"GET {url}: {type(error).__name__}"))
-        if response.status == 304:
-            return Ok(Conditional(value=None, etag=etag))
-        if response.status != 200:
-            return Err(decode_failure(answered))
-        found = response.headers.get("ETag", "")
-        decoded = _decode(answered, answer_type)
-        return decoded.map(lambda value: Conditional(value=value, etag=found))
-
-    async def close(self):
-        """Close connections."""
-        if self.session is not None:
-            await self.session.close()
+            return _failed(ErrorKind.TIMEOUT, method, path, error)
+        return _decode(status, raw, method, path)
 
     def _open(self):
         if self.session is None:
-            connector = aiohttp.TCPConnector(limit=self.connections)
+            connector = aiohttp.TCPConnector(
+                limit=self.connections,
+                keepalive_timeout=KEEPALIVE_S,
+                use_dns_cache=False,
+            )
             self.session = aiohttp.ClientSession(
-                connector=connector, skip_auto_headers=UNUSED_HEADERS
+                connector=connector,
+                skip_auto_headers=UNUSED_HEADERS,
+                cookie_jar=aiohttp.DummyCookieJar(),
             )
         return self.session
 
-
-def is_connect_error(error) -> bool:
-    """Return whether a call failed before any byte of it was written."""
-    return isinstance(
-        error, aiohttp.ClientConnectorError | aiohttp.ConnectionTimeoutError
-    )
+    async def close(self):
+        """Close the connections."""
+        if self.session is not None:
+            await self.session.close()
+            self.session = None
 
 
-def decode_failure(data) -> Failure:
-    """Return the failure in the body of an error answer."""
+def _decode(status, raw, method, path):
+    if not raw:
+        return Ok(Answer(status=status, body={}))
     try:
-        return msgspec.json.decode(data, type=Failure)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
-        detail = "the peer answered without a known error"
-        return Failure(kind=ErrorKind.INTERNAL, detail=detail)
+        body = msgspec.json.decode(raw)
+    except msgspec.MsgspecError as error:
+        if status == 200:
+            return _failed(ErrorKind.TIMEOUT, method, path, error)
+        body = {}
+    return Ok(Answer(status=status, body=body if isinstance(body, dict) else {}))
 
 
-def _decode(data, answer_type):
-    try:
-        return Ok(msgspec.json.decode(data, type=answer_type))
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        detail = f"answer is not a {answer_type}: {error}"
-        return Err(Failure(kind=ErrorKind.INTERNAL, detail=detail))
+def _failed(kind, method, path, error):
+    detail = f"{method} {path}: {type(error).__name__} {error}"
+    return Err(Failure(kind=kind, detail=detail))
--- /dev/null
+++ b/wasabipaddle/platform/runner.py
@@ -0,0 +1,176 @@
+"""Client of one runner."""
+
+from result import Err, Ok, Result
+
+from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.interfaces import (
+    EndCause,
+    EndedTask,
+    Inventory,
+    OrderReply,
+    Refusal,
+    RunnerClient,
+    RunningTask,
+)
+from wasabipaddle.platform.http import PlatformCaller
+from wasabipaddle.platform.tasks import decode_task, encode_task
+
+__all__ = ["PlatformRunner"]
+
+MS_PER_S = 1000
+REFUSALS = {
+    "fence": Refusal.STALE_EPOCH,
+    "old": Refusal.OLD_RUN,
+    "late": Refusal.TOO_LATE,
+    "room": Refusal.NO_ROOM,
+    "ticket": Refusal.TICKET,
+}
+STATUS_REFUSALS = {
+    400: Refusal.INVALID,
+    421: Refusal.OTHER_INCARNATION,
+    429: Refusal.UNHEALTHY,
+    503: Refusal.UNHEALTHY,
+}
+CAUSES = {
+    "done": EndCause.COMPLETED,
+    "failed": EndCause.FAILED,
+    "stopped": EndCause.STOPPED,
+    "lapsed": EndCause.LEASE_EXPIRED,
+    "broken": EndCause.GANG_BROKEN,
+    "alone": EndCause.GANG_INCOMPLETE,
+}
+
+
+class PlatformRunner(RunnerClient):
+    """Runner over HTTP.
+
+    Parameters
+    ----------
+    runner : str
+        Identity of the runner.
+    address : str
+        Host and port.
+    """
+
+    def __init__(self, *, runner, address):
+        self.caller = PlatformCaller(address=address, connections=32)
+        self.headers = {"Expect-Instance": runner}
+
+    async def start(self, order, *, timeout_s) -> Result[OrderReply, Failure]:
+        """Send a `StartOrder`."""
+        body = {
+            "task": encode_task(order.task),
+            "run": order.run,
+            "spec": order.payload,
+            "deadline_ms": order.start_before_ms,
+            "fencing_token": order.epoch,
+        }
+        if order.checkpoint:
+            body["checkpoint"] = order.checkpoint
+        if order.ticket:
+            body["ticket"] = order.ticket
+        return await self._order("/run-start", body, timeout_s)
+
+    async def stop(self, task, run, *, epoch, timeout_s) -> Result[OrderReply, Failure]:
+        """Stop a run, or prevent one that has not begun."""
+        body = {"task": encode_task(task), "run": run, "fencing_token": epoch}
+        return await self._order("/run-stop", body, timeout_s)
+
+    async def pace(
+        self, task, run, *, percent, epoch, timeout_s
+    ) -> Result[OrderReply, Failure]:
+        """Let a task work at a share of its speed."""
+        body = {
+            "task": encode_task(task),
+            "run": run,
+            "percent": percent,
+            "fencing_token": epoch,
+        }
+        return await self._order("/pace", body, timeout_s)
+
+    async def inventory(
+        self, *, epoch, acknowledged, lease_until_ms, wait_s, timeout_s
+    ) -> Result[Inventory, Failure]:
+        """Read what runs and extend the lease."""
+        body = {"fencing_token": epoch, "last_seen": acknowledged}
+        if lease_until_ms:
+            body["deadline_ms"] = lease_until_ms
+        if wait_s:
+            body["wait_ms"] = int(wait_s * MS_PER_S)
+        called = await self.caller.call(
+            "POST", "/hold", body=body, headers=self.headers, timeout_s=timeout_s
+        )
+        if called.is_err():
+            return called
+        answer = called.ok()
+        if answer.status in (502, 504):
+            return _unanswered("/hold", answer)
+        refusal = _refusal(answer)
+        try:
+            return Ok(
+                Inventory(
+                    clock_ms=answer.body.get("clock_ms", 0),
+                    incarnation=answer.body.get("born", 0),
+                    running=tuple(map(_running, answer.body.get("running", ()))),
+                    ended=tuple(map(_ended, answer.body.get("ended", ()))),
+                    refusal=refusal,
+                )
+            )
+        except (ValueError, TypeError, KeyError) as error:
+            detail = f"the lists of runs cannot be read: {error}"
+            return Err(Failure(kind=ErrorKind.ANSWER_BROKEN, detail=detail))
+
+    async def _order(self, path, body, timeout_s):
+        called = await self.caller.call(
+            "POST", path, body=body, headers=self.headers, timeout_s=timeout_s
+        )
+        if called.is_err():
+            return called
+        answer = called.ok()
+        if answer.status in (502, 504):
+            return _unanswered(path, answer)
+        return Ok(
+            OrderReply(
+                clock_ms=answer.body.get("clock_ms", 0),
+                refusal=_refusal(answer),
+                incarnation=answer.body.get("born", 0),
+            )
+        )
+
+    async def close(self):
+        """Close connections."""
+        await self.caller.close()
+
+
+def _unanswered(path, answer):
+    detail = f"{path}: status {answer.status}"
+    return Err(Failure(kind=ErrorKind.TIMEOUT, detail=detail))
+
+
+def _refusal(answer):
+    if answer.status == 200:
+        return Refusal.NONE
+    if answer.status == 409:
+        return REFUSALS.get(answer.body.get("reason"), Refusal.INVALID)
+    return STATUS_REFUSALS.get(answer.status, Refusal.INVALID)
+
+
+def _running(row):
+    load = row[4] if len(row) > 4 and row[4] is not None else 0.0
+    return RunningTask(
+        task=decode_task(row[0]),
+        run=row[1],
+        checkpoint=row[2] or "",
+        percent=row[3],
+        load=load,
+    )
+
+
+def _ended(row):
+    return EndedTask(
+        number=row[0],
+        task=decode_task(row[1]),
+        run=row[2],
+        cause=CAUSES[row[3]],
+        checkpoint=row[4] or "",
+    )
--- a/wasabipaddle/platform/store.py
+++ b/wasabipaddle/platform/store.py
@@ -1,126 +1,226 @@
-"""Interface to the platform's key-value store."""
+"""Client of the platform's store."""
 
-import abc
+import base64
+import binascii
 
-import attrs
-from result import Result
+from result import Err, Ok, Result
 
-from wasabipaddle.exceptions import Failure
+from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.interfaces import (
+    Change,
+    Entry,
+    Page,
+    Put,
+    TransactionalStore,
+    WatchBatch,
+)
+from wasabipaddle.platform.http import PlatformCaller
 
-__all__ = ["Change", "Entry", "Page", "Store"]
+__all__ = ["PlatformStore"]
 
-MAX_VALUE_BYTES = 1_000_000
+CALL_TIMEOUT_S = 0.9
+# Time beyond the wait of a watch after which its connection is taken as silent.
+WATCH_SLACK_S = 1.0
+THROTTLE_PAUSE_S = 0.2
+MS_PER_S = 1000
 
 
-@attrs.frozen(kw_only=True)
-class Entry:
-    """One key with its value.
+class PlatformStore(TransactionalStore):
+    """Store over HTTP.
 
     Parameters
     ----------
-    key : str
-        Key.
-    value : bytes
-        Value of at most one megabyte.
-    revision : int
-        Store-wide revision of the last change of the key.
+    address : str
+        Host and port of the store.
+    timeout_s : float
+        Longest time of a call that does not wait.
     """
 
-    key: str
-    value: bytes
-    revision: int
+    def __init__(self, *, address, timeout_s=CALL_TIMEOUT_S):
+        self.calls = PlatformCaller(address=address)
+        self.watches = PlatformCaller(address=address)
+        self.timeout_s = timeout_s
 
-
-@attrs.frozen(kw_only=True)
-class Change:
-    """One change seen by a watch; `value` is None for a deletion."""
-
-    key: str
-    value: bytes | None
-    revision: int
-
-
-@attrs.frozen(kw_only=True)
-class Page:
-    """Part of a listing.
-
-    Parameters
-    ----------
-    entries : tuple of Entry
-        Entries in key order.
-    revision : int
-        Store revision at which the page was read.
-    next_after : str or None
-        Key after which the next page starts, None on the last page.
-    """
-
-    entries: tuple[Entry, ...]
-    revision: int
-    next_after: str | None = None
-
-
-class Store(abc.ABC):
-    """Client of the platform's key-value store.
-
-    Every method returns an `Err` of kind `store_unavailable` if the call was surely
-    not carried out, `timeout` if no answer came (a change may have taken effect),
-    and `store_throttled` with `retry_after_s` if the call allowance is used up.
-    """
-
-    @abc.abstractmethod
     async def get(self, key) -> Result[Entry | None, Failure]:
         """Read one key; None if it does not exist."""
+        answer = await self._call("GET", "/kv-key", query={"key": key}, plain=(404,))
+        if answer.is_err():
+            return answer
+        answer = answer.ok()
+        return Ok(None if answer.status == 404 else _entry(answer.body))
+
+    async def list(self, prefix, *, after="", limit=0) -> Result[Page, Failure]:
+        """Read one page of a prefix; the store chooses its size."""
+        query = {"prefix": prefix}
+        if after:
+            query["after"] = after
+        answer = await self._call("GET", "/kv-range", query=query)
+        if answer.is_err():
+            return answer
+        body = answer.ok().body
+        entries = tuple(_entry(item) for item in body.get("items", ()))
+        more = entries and body.get("has_more")
+        return Ok(
+            Page(
+                entries=entries,
+                revision=body["as_of"],
+                next_after=entries[-1].key if more else None,
+            )
+        )
+
+    async def list_all(self, prefix) -> Result[Page, Failure]:
+        """Read all pages of a prefix; the revision is that of the first page."""
+        entries = []
+        revision = None
+        after = ""
+        while after is not None:
+            page = await self.list(prefix, after=after)
+            if page.is_err():
+                return page
+            page = page.ok()
+            entries.extend(page.entries)
+            revision = page.revision if revision is None else revision
+            after = page.next_after
+        return Ok(Page(entries=tuple(entries), revision=revision))
 
-    @abc.abstractmethod
-    async def list(self, prefix, *, after="", limit=100) -> Result[Page, Failure]:
-        """Read keys with `prefix` in order, after the key `after`."""
-
-    @abc.abstractmethod
     async def put(
         self, key, value, *, expected_revision=None, lease=None
     ) -> Result[int, Failure]:
-        """Write one key and return its new revision.
-
-        Parameters
-        ----------
-        key : str
-            Key to write.
-        value : bytes
-            New value.
-        expected_revision : int or None
-            Revision that the key must have, 0 if it must not exist, None for an
-            unconditional write.
-        lease : str or None
-            Store lease at whose expiry the key is deleted.
-
-        Returns
-        -------
-        result.Result
-            New revision, or an `Err` of kind `revision_mismatch`.
-        """
-
-    @abc.abstractmethod
+        """Write one key and return its new revision."""
+        conditions = () if expected_revision is None else ((key, expected_revision),)
+        put = Put(key=key, value=value, lease=lease or 0)
+        return await self.commit(conditions=conditions, puts=(put,))
+
     async def delete(self, key, *, expected_revision=None) -> Result[int, Failure]:
         """Delete one key and return the revision of the deletion."""
+        conditions = () if expected_revision is None else ((key, expected_revision),)
+        return await self.commit(conditions=conditions, deletes=(key,))
+
+    async def commit(
+        self, *, conditions=(), puts=(), deletes=()
+    ) -> Result[int, Failure]:
+        """Apply all changes if all conditions hold, and return the new revision."""
+        body = {
+            "expected_rev": [{"key": k, "revision": r} for k, r in conditions],
+            "puts": [_put_row(put) for put in puts],
+            "deletes": list(deletes),
+        }
+        answer = await self._call("POST", "/kv-txn", body=body, plain=(404, 412))
+        if answer.is_err():
+            return answer
+        answer = answer.ok()
+        if answer.status == 412:
+            keys = ", ".join(item.get("key", "") for item in answer.body["items"])
+            return _refused(ErrorKind.REVISION_MISMATCH, keys)
+        if answer.status == 404:
+            return _refused(ErrorKind.NOT_FOUND, "the lease has ended")
+        return Ok(answer.body["revision"])
 
-    @abc.abstractmethod
     async def watch(
         self, prefix, *, after_revision, wait_s
     ) -> Result[tuple[Change, ...], Failure]:
-        """Wait up to `wait_s` for changes with a revision above `after_revision`.
-
-        A waiting watch counts as one read. The result is empty after `wait_s`
-        without a change. An `Err` of kind `revision_mismatch` means that the
-        revision has been compacted and the prefix must be listed again.
-        """
+        """Wait for changes with a revision above `after_revision`."""
+        batch = await self.follow(prefix, after_revision=after_revision, wait_s=wait_s)
+        return batch.map(lambda b: b.changes)
 
-    @abc.abstractmethod
-    async def grant_lease(self, ttl_s) -> Result[str, Failure]:
-        """Create a store lease and return its id."""
+    async def follow(
+        self, prefix, *, after_revision, wait_s
+    ) -> Result[WatchBatch, Failure]:
+        """Wait for changes; like `watch`, with the revision to go on from."""
+        query = {
+            "prefix": prefix,
+            "after": after_revision,
+            "wait_ms": int(wait_s * MS_PER_S),
+        }
+        answer = await self._call(
+            "GET",
+            "/kv-watch",
+            query=query,
+            plain=(410,),
+            timeout_s=wait_s + WATCH_SLACK_S,
+            caller=self.watches,
+        )
+        if answer.is_err():
+            return answer
+        answer = answer.ok()
+        if answer.status == 410:
+            return _refused(ErrorKind.REVISION_MISMATCH, "the history is gone")
+        events = tuple(_change(event) for event in answer.body.get("events", ()))
+        return Ok(WatchBatch(changes=events, revision=answer.body["as_of"]))
+
+    async def grant_lease(self, ttl_s) -> Result[int, Failure]:
+        """Create a lease and return its number."""
+        body = {"ttl_ms": int(ttl_s * MS_PER_S)}
+        answer = await self._call("POST", "/kv-lease", body=body)
+        return answer.map(lambda a: a.body["lease"])
 
-    @abc.abstractmethod
     async def renew_lease(self, lease) -> Result[None, Failure]:
-        """Extend a store lease; an `Err` of kind `not_found` means it expired."""
+        """Extend a lease; an `Err` of kind `not_found` means it ended."""
+        answer = await self._call("POST", f"/kv-keep/{lease}", body={}, plain=(404,))
+        if answer.is_err():
+            return answer
+        if answer.ok().status == 404:
+            return _refused(ErrorKind.NOT_FOUND, "the lease has ended")
+        return Ok(None)
+
+    async def end_lease(self, lease) -> Result[None, Failure]:
+        """End a lease and remove its keys."""
+        path = f"/kv-lease-end/{lease}"
+        answer = await self._call("DELETE", path, plain=(404,))
+        return answer.map(lambda _: None)
+
+    async def _call(
+        self, method, path, *, plain=(), timeout_s=None, caller=None, **options
+    ):
+        """Make one call; statuses other than 200 and `plain` become failures."""
+        called = await (caller or self.calls).call(
+            method, path, timeout_s=timeout_s or self.timeout_s, **options
+        )
+        if called.is_err():
+            failure = called.err()
+            if failure.kind is ErrorKind.UNREACHABLE:
+                return _refused(ErrorKind.STORE_UNAVAILABLE, failure.detail)
+            return called
+        answer = called.ok()
+        if answer.status == 200 or answer.status in plain:
+            return called
+        if answer.status == 429:
+            return _refused(
+                ErrorKind.STORE_THROTTLED, path, retry_after_s=THROTTLE_PAUSE_S
+            )
+        # 503 says that nothing was done; any other status refuses the call.
+        detail = f"{method} {path}: status {answer.status}"
+        return _refused(ErrorKind.STORE_UNAVAILABLE, detail)
 
     async def close(self):
         """Close connections."""
+        await self.calls.close()
+        await self.watches.close()
+
+
+def _put_row(put):
+    row = {"key": put.key, "value": base64.b64encode(put.value).decode()}
+    if put.lease:
+        row["lease"] = put.lease
+    return row
+
+
+def _value(item):
+    """Return the bytes of an item; empty if another writer left no base64 text."""
+    try:
+        return base64.b64decode(item.get("value", ""), validate=True)
+    except (binascii.Error, TypeError, ValueError):
+        return b""
+
+
+def _entry(item):
+    return Entry(key=item["key"], value=_value(item), revision=item["revision"])
+
+
+def _change(event):
+    value = None if event.get("deleted") else _value(event)
+    return Change(key=event["key"], value=value, revision=event["revision"])
+
+
+def _refused(kind, detail, retry_after_s=None):
+    return Err(Failure(kind=kind, detail=detail, retry_after_s=retry_after_s))
--- a/wasabipaddle/replay/cell.py
+++ b/wasabipaddle/replay/cell.py
@@ -2,8 +2,8 @@
 
 import attrs
 
+from wasabipaddle.interfaces import VmRole
 from wasabipaddle.measure.whole_cell import CellSize, WholeCell
-from wasabipaddle.platform import VmRole
 from wasabipaddle.standins import MemoryEndpoint, MemoryWorker
 
 __all__ = ["DeploymentCell"]
--- a/wasabipaddle/replay/player.py
+++ b/wasabipaddle/replay/player.py
@@ -10,8 +10,8 @@
 from wasabipaddle.clock import run_virtual
 from wasabipaddle.documents import parse_document
 from wasabipaddle.exceptions import ErrorKind, Failure, Outcome, WasabipaddleError
+from wasabipaddle.interfaces import VmStatus
 from wasabipaddle.messages import CancelRun, RunOutcome, StopRun, WaitRun
-from wasabipaddle.platform import VmStatus
 from wasabipaddle.replay import trace as lines
 from wasabipaddle.replay.cell import DeploymentCell
 from wasabipaddle.standins import compute_verdict
--- a/wasabipaddle/routing/connections.py
+++ b/wasabipaddle/routing/connections.py
@@ -6,7 +6,7 @@
 from result import Err
 
 from wasabipaddle.exceptions import ErrorKind, Failure
-from wasabipaddle.platform import RequestState
+from wasabipaddle.interfaces import RequestState
 from wasabipaddle.timeline import EventKind
 
 __all__ = ["EndpointConnections"]
--- a/wasabipaddle/routing/dispatcher.py
+++ b/wasabipaddle/routing/dispatcher.py
@@ -7,8 +7,8 @@
 from wasabipaddle.admission import Ticket
 from wasabipaddle.documents import ServiceKind
 from wasabipaddle.exceptions import ErrorKind, Failure, Outcome
+from wasabipaddle.interfaces import EndpointRequest
 from wasabipaddle.messages import PoolDemand, RoutedAnswer
-from wasabipaddle.platform import EndpointRequest
 from wasabipaddle.routing.answers import AnswerReader, StreamedBody, whole_body
 from wasabipaddle.routing.budget import RetryBudget
 from wasabipaddle.routing.connections import EndpointConnections
--- a/wasabipaddle/routing/tests/fakes.py
+++ b/wasabipaddle/routing/tests/fakes.py
@@ -15,9 +15,9 @@
     ServiceKind,
 )
 from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.interfaces import EndpointAnswer, EndpointClient, RequestState
 from wasabipaddle.messages import Grant, GrantReply, RouteRequest
 from wasabipaddle.metrics import Metrics
-from wasabipaddle.platform import EndpointAnswer, EndpointClient, RequestState
 from wasabipaddle.routing import Dispatcher, GrantHolder
 from wasabipaddle.routing.answers import digest_of
 from wasabipaddle.settings.model import RoutingSettings
--- a/wasabipaddle/runs/lifecycle.py
+++ b/wasabipaddle/runs/lifecycle.py
@@ -1,6 +1,12 @@
 """Life cycle of runs and their tasks under one shard leader."""
 
 from wasabipaddle.exceptions import ErrorKind
+from wasabipaddle.interfaces import (
+    TaskOrder,
+    TaskOutcome,
+    TaskPhase,
+    TaskResize,
+)
 from wasabipaddle.journal import RunEnded, TaskEnded
 from wasabipaddle.messages import RunOutcome
 from wasabipaddle.placement import (
@@ -12,12 +18,6 @@
     Throttle,
     Unthrottle,
 )
-from wasabipaddle.platform import (
-    TaskOrder,
-    TaskOutcome,
-    TaskPhase,
-    TaskResize,
-)
 from wasabipaddle.runs.model import TaskState, parse_task_id, task_id
 from wasabipaddle.runs.records import work_of
 from wasabipaddle.runs.recovery import resume
--- a/wasabipaddle/runs/model.py
+++ b/wasabipaddle/runs/model.py
@@ -5,8 +5,8 @@
 import attrs
 
 from wasabipaddle.documents import ServiceDocument, ServiceKind
+from wasabipaddle.interfaces import TaskOutcome
 from wasabipaddle.messages import RunOutcome, RunState, RunView, TaskView
-from wasabipaddle.platform import TaskOutcome
 
 __all__ = ["Run", "Task", "TaskState", "parse_task_id", "task_id"]
 
--- a/wasabipaddle/runs/pool.py
+++ b/wasabipaddle/runs/pool.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from wasabipaddle.platform import VmRole, VmStatus
+from wasabipaddle.interfaces import VmRole, VmStatus
 from wasabipaddle.runs.workers import WorkerSession
 
 __all__ = ["WorkerPool"]
--- a/wasabipaddle/runs/recovery.py
+++ b/wasabipaddle/runs/recovery.py
@@ -2,8 +2,8 @@
 
 import abc
 
+from wasabipaddle.interfaces import TaskOutcome, TaskPhase
 from wasabipaddle.messages import RunOutcome
-from wasabipaddle.platform import TaskOutcome, TaskPhase
 from wasabipaddle.runs.model import TaskState, parse_task_id, task_id
 from wasabipaddle.runs.records import document_of, work_of
 
--- a/wasabipaddle/runs/starts.py
+++ b/wasabipaddle/runs/starts.py
@@ -1,7 +1,7 @@
 """Starts of tasks: journalled first, then sent to the worker."""
 
+from wasabipaddle.interfaces import TaskStart
 from wasabipaddle.journal import TaskPlaced
-from wasabipaddle.platform import TaskStart
 from wasabipaddle.runs.model import TaskState, parse_task_id
 
 __all__ = ["TaskStarts"]
--- a/wasabipaddle/runs/table.py
+++ b/wasabipaddle/runs/table.py
@@ -4,8 +4,8 @@
 
 from sortedcontainers import SortedDict
 
+from wasabipaddle.interfaces import TaskOutcome
 from wasabipaddle.messages import RunOutcome, RunPage
-from wasabipaddle.platform import TaskOutcome
 from wasabipaddle.runs.model import Run, Task, TaskState
 
 __all__ = ["RunTable"]
--- a/wasabipaddle/runs/tests/test_leader.py
+++ b/wasabipaddle/runs/tests/test_leader.py
@@ -6,9 +6,9 @@
 import pytest
 
 from wasabipaddle.clock import run_virtual
+from wasabipaddle.interfaces import Usage
 from wasabipaddle.measure.whole_cell import CellSize, WholeCell
 from wasabipaddle.messages import CancelRun, RunOutcome, RunState, StopRun, WaitRun
-from wasabipaddle.platform import Usage
 from wasabipaddle.standins import compute_verdict
 from wasabipaddle.timeline import EventKind
 
--- a/wasabipaddle/runs/workers.py
+++ b/wasabipaddle/runs/workers.py
@@ -6,7 +6,7 @@
 from result import Err
 
 from wasabipaddle.exceptions import ErrorKind, Failure
-from wasabipaddle.platform import WorkerReport, WorkerSync
+from wasabipaddle.interfaces import WorkerReport, WorkerSync
 
 __all__ = [
     "WorkerContact",
--- a/wasabipaddle/serve/fleet.py
+++ b/wasabipaddle/serve/fleet.py
@@ -4,8 +4,8 @@
 
 import attrs
 
+from wasabipaddle.interfaces import VmEntry, VmRole, VmStatus
 from wasabipaddle.kernel import Plugin
-from wasabipaddle.platform import VmEntry, VmRole, VmStatus
 from wasabipaddle.timeline import EventKind
 
 __all__ = ["FleetPlugin", "FleetRead"]
--- a/wasabipaddle/serve/grants.py
+++ b/wasabipaddle/serve/grants.py
@@ -6,8 +6,8 @@
 from result import Err
 
 from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.interfaces import VmRole, VmStatus
 from wasabipaddle.messages import DrainNotice, GrantRequest
-from wasabipaddle.platform import VmRole, VmStatus
 from wasabipaddle.routing import EndpointSlots, GrantTable
 from wasabipaddle.timeline import EventKind
 
--- a/wasabipaddle/serve/platform.py
+++ b/wasabipaddle/serve/platform.py
@@ -1,10 +1,10 @@
 """Role `platform`: clients of the platform and of endpoints."""
 
+from wasabipaddle.interfaces.http_endpoint import HttpEndpoint
+from wasabipaddle.interfaces.http_store import HttpStore
+from wasabipaddle.interfaces.http_vms import HttpVmList
+from wasabipaddle.interfaces.http_worker import HttpWorker
 from wasabipaddle.kernel import Plugin
-from wasabipaddle.platform.http_endpoint import HttpEndpoint
-from wasabipaddle.platform.http_store import HttpStore
-from wasabipaddle.platform.http_vms import HttpVmList
-from wasabipaddle.platform.http_worker import HttpWorker
 
 __all__ = ["PlatformPlugin"]
 
--- a/wasabipaddle/serve/store.py
+++ b/wasabipaddle/serve/store.py
@@ -1,8 +1,8 @@
 """Role `store`: access to the platform's store under a pause that all share."""
 
+from wasabipaddle.interfaces import StoreGate
 from wasabipaddle.kernel import Plugin
 from wasabipaddle.membership import StorePauseSeen
-from wasabipaddle.platform import StoreGate
 
 __all__ = ["StorePlugin"]
 
--- a/wasabipaddle/serve/tests/test_routing.py
+++ b/wasabipaddle/serve/tests/test_routing.py
@@ -8,9 +8,9 @@
 from wasabipaddle.clock import LoopClock, run_virtual
 from wasabipaddle.documents import Quota
 from wasabipaddle.exceptions import ErrorKind, Outcome
+from wasabipaddle.interfaces import VmEntry, VmRole, VmStatus
 from wasabipaddle.kernel import Context
 from wasabipaddle.messages import DrainNotice, RouteRequest
-from wasabipaddle.platform import VmEntry, VmRole, VmStatus
 from wasabipaddle.routing.tests.fakes import POOL, FakeEndpoint, make_document, read
 from wasabipaddle.serve.grants import GrantService
 from wasabipaddle.serve.routing import RequestRouting
--- a/wasabipaddle/settings/__init__.py
+++ b/wasabipaddle/settings/__init__.py
@@ -1,6 +1,16 @@
 """Settings of a process and of the deployment that it belongs to."""
 
-from wasabipaddle.settings.loader import load_deployment, load_settings
+from wasabipaddle.settings.cell import (
+    CellBounds,
+    CellPeer,
+    CellSettings,
+    PlatformAddresses,
+)
+from wasabipaddle.settings.loader import (
+    load_cell_settings,
+    load_deployment,
+    load_settings,
+)
 from wasabipaddle.settings.model import (
     ApiSettings,
     CallerToken,
@@ -23,6 +33,9 @@
 __all__ = [
     "ApiSettings",
     "CallerToken",
+    "CellBounds",
+    "CellPeer",
+    "CellSettings",
     "DataCentre",
     "Deployment",
     "EndpointGroup",
@@ -32,11 +45,13 @@
     "MembershipSettings",
     "OperatorToken",
     "Peer",
+    "PlatformAddresses",
     "RoutingSettings",
     "Settings",
     "StoreSettings",
     "TlsSettings",
     "WorkerRack",
+    "load_cell_settings",
     "load_deployment",
     "load_settings",
 ]
--- a/wasabipaddle/settings/checks.py
+++ b/wasabipaddle/settings/checks.py
@@ -3,9 +3,10 @@
 import collections
 import ipaddress
 
-__all__ = ["check_deployment", "check_settings"]
+__all__ = ["check_cell_settings", "check_deployment", "check_settings"]
 
 MIN_TOKEN_CHARACTERS = 16
+MAX_PORT = 65_535
 URL_SCHEMES = ("http://", "https://")
 
 
@@ -70,6 +71,29 @@
     _check_tokens(api, reader)
 
 
+def check_cell_settings(settings, reader):
+    """Report addresses of the settings of a cell that are none to `reader`."""
+    required = {
+        "callers": settings.callers,
+        "readiness": settings.readiness,
+        "internal": settings.internal,
+        "platform.store": settings.platform.store,
+    }
+    optional = {
+        "platform.eligibility": settings.platform.eligibility,
+        "platform.machines": settings.platform.machines,
+    }
+    for key, address in {**required, **optional}.items():
+        if address or key in required:
+            _check_address(reader, key, address)
+
+
+def _check_address(reader, key, address):
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
+        reader.report_at(key, f"{address!r} is no address", "HOST:PORT")
+
+
 def _check_tokens(api, reader):
     for key in ("tokens", "callers"):
         items = getattr(api, key)
--- a/wasabipaddle/settings/loader.py
+++ b/wasabipaddle/settings/loader.py
@@ -9,10 +9,15 @@
 from wasabipaddle.documents.loader import NAMES as DOCUMENT_NAMES
 from wasabipaddle.documents.reader import Bounds, Reader, join_problems
 from wasabipaddle.exceptions import ErrorKind, Failure
-from wasabipaddle.settings.checks import check_deployment, check_settings
+from wasabipaddle.settings.cell import CellSettings
+from wasabipaddle.settings.checks import (
+    check_cell_settings,
+    check_deployment,
+    check_settings,
+)
 from wasabipaddle.settings.model import Deployment, Settings
 
-__all__ = ["load_deployment", "load_settings"]
+__all__ = ["load_cell_settings", "load_deployment", "load_settings"]
 
 MAX_SETTINGS_BYTES = 1_048_576
 PORT = Bounds(low=1, high=65_535)
@@ -29,6 +34,14 @@
     ("EndpointGroup", "count"): Bounds(low=1, high=10_000),
     ("EndpointGroup", "slots"): Bounds(low=1, high=10_000),
     ("EndpointGroup", "connections"): Bounds(low=1, high=10_000),
+    ("CellBounds", "lease_max_s"): PERIOD,
+    ("CellBounds", "stop_s"): Bounds(high=60),
+    ("CellBounds", "grace_s"): PERIOD,
+    ("CellBounds", "restore_s"): Bounds(high=600),
+    ("CellBounds", "store_lease_min_s"): Bounds(high=600),
+    ("CellBounds", "keep_final_s"): Bounds(high=86_400),
+    ("CellBounds", "remote_slowdown"): Bounds(low=1, high=1_000),
+    ("CellSettings", "metrics_port"): Bounds(high=65_535),
     ("DataCentre", "shards"): Bounds(low=1, high=64),
     ("LinkSettings", "data_centre_latency_ms"): Bounds(high=10_000),
     ("LinkSettings", "region_latency_ms"): Bounds(high=10_000),
@@ -119,6 +132,18 @@
     return _finish(deployment, reader.problems)
 
 
+def load_cell_settings(path) -> Result[CellSettings, Failure]:
+    """Read the settings of a process of a cell; errors as in `load_settings`."""
+    reader = _reader(path)
+    node = _compose(path, reader)
+    settings = None
+    if node is not None:
+        settings = reader.read_class(CellSettings, node)
+    if settings is not None:
+        check_cell_settings(settings, reader)
+    return _finish(settings, reader.problems)
+
+
 def _reader(path):
     return Reader(source=str(path), bounds=BOUNDS, names=NAMES, keys=KEYS)
 
--- a/wasabipaddle/standins/control.py
+++ b/wasabipaddle/standins/control.py
@@ -3,7 +3,7 @@
 from result import Err, Result
 
 from wasabipaddle.exceptions import ErrorKind, Failure
-from wasabipaddle.platform.http import HttpCaller
+from wasabipaddle.interfaces.http import HttpCaller
 from wasabipaddle.standins.host import FaultCommand, LinkCommand, Traffic, VmCommand
 from wasabipaddle.standins.ledger import LedgerRecord, merge_records
 from wasabipaddle.standins.store import SecondCount
--- a/wasabipaddle/standins/endpoint.py
+++ b/wasabipaddle/standins/endpoint.py
@@ -7,7 +7,7 @@
 from result import Ok
 
 from wasabipaddle.exceptions import ErrorKind
-from wasabipaddle.platform import EndpointClient, RequestState
+from wasabipaddle.interfaces import EndpointClient, RequestState
 from wasabipaddle.standins.answers import Broken, break_answer, make_answer
 from wasabipaddle.standins.endpoint_view import DEFAULT_PROGRESS_S, EndpointView
 from wasabipaddle.standins.exchange import call_later, fail
--- a/wasabipaddle/standins/endpoint_server.py
+++ b/wasabipaddle/standins/endpoint_server.py
@@ -7,8 +7,8 @@
 from aiohttp import web
 
 from wasabipaddle.exceptions import ErrorKind, Failure
-from wasabipaddle.platform import EndpointRequest
-from wasabipaddle.platform.http_endpoint import AnswerHead
+from wasabipaddle.interfaces import EndpointRequest
+from wasabipaddle.interfaces.http_endpoint import AnswerHead
 from wasabipaddle.standins.listener import (
     Listener,
     failure_response,
--- a/wasabipaddle/standins/endpoint_view.py
+++ b/wasabipaddle/standins/endpoint_view.py
@@ -6,7 +6,7 @@
 from result import Ok
 
 from wasabipaddle.exceptions import ErrorKind
-from wasabipaddle.platform import AnswerChunks, EndpointAnswer, EndpointClient
+from wasabipaddle.interfaces import AnswerChunks, EndpointAnswer, EndpointClient
 from wasabipaddle.standins.exchange import fail
 
 __all__ = ["Connection", "EndpointView"]
--- a/wasabipaddle/standins/host.py
+++ b/wasabipaddle/standins/host.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 
 from wasabipaddle.exceptions import ErrorKind, Failure
-from wasabipaddle.platform import VmStatus
+from wasabipaddle.interfaces import VmStatus
 from wasabipaddle.standins.endpoint import MemoryEndpoint
 from wasabipaddle.standins.endpoint_server import EndpointServer
 from wasabipaddle.standins.ledger import Ledger
--- a/wasabipaddle/standins/keyspace.py
+++ b/wasabipaddle/standins/keyspace.py
@@ -11,8 +11,8 @@
 from sortedcontainers import SortedDict
 
 from wasabipaddle.exceptions import ErrorKind, Failure
-from wasabipaddle.platform import Change, Entry, Page
-from wasabipaddle.platform.store import MAX_VALUE_BYTES
+from wasabipaddle.interfaces import Change, Entry, Page
+from wasabipaddle.interfaces.store import MAX_VALUE_BYTES
 
 __all__ = ["KeySpace"]
 
--- a/wasabipaddle/standins/link.py
+++ b/wasabipaddle/standins/link.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from wasabipaddle.exceptions import ErrorKind
-from wasabipaddle.platform import Store, VmList, WorkerClient
+from wasabipaddle.interfaces import Store, VmList, WorkerClient
 from wasabipaddle.standins.exchange import fail
 
 __all__ = ["Link", "LinkConnection", "LinkedStore", "LinkedVmList", "LinkedWorker"]
--- a/wasabipaddle/standins/servers.py
+++ b/wasabipaddle/standins/servers.py
@@ -5,8 +5,8 @@
 from aiohttp import web
 
 from wasabipaddle.exceptions import ErrorKind, Failure
-from wasabipaddle.platform import WorkerSync
-from wasabipaddle.platform.http_store import CLIENT_HEADER, StoreCall
+from wasabipaddle.interfaces import WorkerSync
+from wasabipaddle.interfaces.http_store import CLIENT_HEADER, StoreCall
 from wasabipaddle.standins.listener import failure_response, hang, result_response
 
 __all__ = ["read_message", "store_routes", "vms_routes", "worker_routes"]
--- a/wasabipaddle/standins/settings.py
+++ b/wasabipaddle/standins/settings.py
@@ -7,7 +7,7 @@
 
 from wasabipaddle.documents import Resources
 from wasabipaddle.exceptions import ErrorKind, Failure
-from wasabipaddle.platform import VmEntry
+from wasabipaddle.interfaces import VmEntry
 from wasabipaddle.settings import LinkSettings
 from wasabipaddle.standins.proxy import ProxyRoute
 from wasabipaddle.standins.store import StoreAllowance
--- a/wasabipaddle/standins/store.py
+++ b/wasabipaddle/standins/store.py
@@ -9,7 +9,7 @@
 from result import Err, Ok
 
 from wasabipaddle.exceptions import ErrorKind, Failure
-from wasabipaddle.platform import Store
+from wasabipaddle.interfaces import Store
 from wasabipaddle.standins.exchange import call_later
 from wasabipaddle.standins.faults import change_faults
 from wasabipaddle.standins.keyspace import KeySpace
--- a/wasabipaddle/standins/tasks.py
+++ b/wasabipaddle/standins/tasks.py
@@ -7,7 +7,7 @@
 import attrs
 
 from wasabipaddle.documents import Resources
-from wasabipaddle.platform import (
+from wasabipaddle.interfaces import (
     TaskOutcome,
     TaskPhase,
     TaskReport,
--- a/wasabipaddle/standins/tests/conftest.py
+++ b/wasabipaddle/standins/tests/conftest.py
@@ -5,7 +5,7 @@
 import pytest
 
 from wasabipaddle.documents import Resources, Urgency
-from wasabipaddle.platform import EndpointRequest, TaskStart, WorkerSync
+from wasabipaddle.interfaces import EndpointRequest, TaskStart, WorkerSync
 from wasabipaddle.standins import Ledger, MemoryEndpoint, MemoryWorker
 
 NEEDS = Resources(cpu_milli=1000, memory_mb=1000)
--- a/wasabipaddle/standins/tests/test_endpoint.py
+++ b/wasabipaddle/standins/tests/test_endpoint.py
@@ -7,7 +7,7 @@
 
 from wasabipaddle.clock import run_virtual
 from wasabipaddle.exceptions import ErrorKind
-from wasabipaddle.platform import RequestState
+from wasabipaddle.interfaces import RequestState
 from wasabipaddle.standins import CutOffCause, compute_verdict
 from wasabipaddle.standins.tests.conftest import make_request, read_body
 
--- a/wasabipaddle/standins/tests/test_http.py
+++ b/wasabipaddle/standins/tests/test_http.py
@@ -7,11 +7,11 @@
 
 from wasabipaddle.documents import Resources
 from wasabipaddle.exceptions import ErrorKind
-from wasabipaddle.platform import RequestState, VmEntry, VmRole, VmStatus
-from wasabipaddle.platform.http_endpoint import HttpEndpoint
-from wasabipaddle.platform.http_store import HttpStore
-from wasabipaddle.platform.http_vms import HttpVmList
-from wasabipaddle.platform.http_worker import HttpWorker
+from wasabipaddle.interfaces import RequestState, VmEntry, VmRole, VmStatus
+from wasabipaddle.interfaces.http_endpoint import HttpEndpoint
+from wasabipaddle.interfaces.http_store import HttpStore
+from wasabipaddle.interfaces.http_vms import HttpVmList
+from wasabipaddle.interfaces.http_worker import HttpWorker
 from wasabipaddle.settings import LinkSettings
 from wasabipaddle.standins.control import StandinControl
 from wasabipaddle.standins.host import StandinHost
--- a/wasabipaddle/standins/tests/test_ledger.py
+++ b/wasabipaddle/standins/tests/test_ledger.py
@@ -4,7 +4,7 @@
 
 from wasabipaddle.clock import run_virtual
 from wasabipaddle.documents import Resources
-from wasabipaddle.platform import VmEntry, VmRole, VmStatus
+from wasabipaddle.interfaces import VmEntry, VmRole, VmStatus
 from wasabipaddle.settings import LinkSettings
 from wasabipaddle.standins import (
     Execution,
--- a/wasabipaddle/standins/tests/test_machines.py
+++ b/wasabipaddle/standins/tests/test_machines.py
@@ -9,7 +9,7 @@
 from wasabipaddle.clock import VirtualTimeLoop
 from wasabipaddle.documents import Resources
 from wasabipaddle.exceptions import ErrorKind
-from wasabipaddle.platform import TaskOrder, TaskPhase
+from wasabipaddle.interfaces import TaskOrder, TaskPhase
 from wasabipaddle.standins import Ledger, MemoryWorker, compute_verdict
 from wasabipaddle.standins.keyspace import KeySpace
 from wasabipaddle.standins.tests.conftest import make_start, make_sync
--- a/wasabipaddle/standins/tests/test_worker.py
+++ b/wasabipaddle/standins/tests/test_worker.py
@@ -7,7 +7,7 @@
 from wasabipaddle.clock import run_virtual
 from wasabipaddle.documents import Resources
 from wasabipaddle.exceptions import ErrorKind
-from wasabipaddle.platform import TaskOrder, TaskOutcome, TaskPhase
+from wasabipaddle.interfaces import TaskOrder, TaskOutcome, TaskPhase
 from wasabipaddle.standins import compute_verdict
 from wasabipaddle.standins.tests.conftest import make_start, make_sync
 
--- a/wasabipaddle/standins/vms.py
+++ b/wasabipaddle/standins/vms.py
@@ -7,7 +7,7 @@
 from result import Ok
 
 from wasabipaddle.exceptions import ErrorKind
-from wasabipaddle.platform import VmList
+from wasabipaddle.interfaces import VmList
 from wasabipaddle.standins.exchange import fail
 from wasabipaddle.standins.faults import change_faults
 
--- a/wasabipaddle/standins/worker.py
+++ b/wasabipaddle/standins/worker.py
@@ -7,7 +7,7 @@
 from result import Ok
 
 from wasabipaddle.exceptions import ErrorKind
-from wasabipaddle.platform import (
+from wasabipaddle.interfaces import (
     TaskPhase,
     TaskRefusal,
     WorkerClient,
