Set the clock of runners, understand inventories only with jobs loaded

Change: the first clock is taken; inventories start after the load; the leadership is given up at the start of a drain; plain reads and watches are rarer.

--- a/wasabipaddle/cell/configuration.py
+++ b/wasabipaddle/cell/configuration.py
@@ -12,7 +12,7 @@
 
 WATCH_S = 10.0
 # Plain reads find a version that a watch missed.
-READ_PERIOD_S = 1.0
+READ_PERIOD_S = 1.5
 RETRY_S = 0.25
 
 
--- a/wasabipaddle/cell/election.py
+++ b/wasabipaddle/cell/election.py
@@ -6,7 +6,7 @@
 import msgspec
 from result import Err
 
-from wasabipaddle.cell.facts import LeaderChanged, ReignBegan, ReignEnded
+from wasabipaddle.cell.facts import DrainBegan, LeaderChanged, ReignBegan, ReignEnded
 from wasabipaddle.cell.keys import LEADER_KEY, TERM_KEY
 from wasabipaddle.cell.store import CellStorePlugin
 from wasabipaddle.exceptions import ErrorKind, Failure
@@ -18,7 +18,7 @@
 
 LEASE_S = 2.0
 RENEW_S = 0.6
-WATCH_S = 2.0
+WATCH_S = 6.0
 RETRY_S = 0.2
 # Candidates spread their bids, and those far from the store let others go first.
 BID_JITTER_S = 0.05
@@ -89,16 +89,17 @@
         """Start to follow the leader key."""
         self.access = self.context.plugins[CellStorePlugin.name]
         self.store = self.access.store
+        self.context.bus.facts(DrainBegan).subscribe(self._leave)
         self.tasks.spawn(self._follow())
         self.tasks.spawn(self._renew())
 
-    async def drain(self):
+    def _leave(self, fact):
         """Give up the leadership, so that another process takes over at once."""
         self.leaving = True
         if self.epoch:
             lease = self.lease
             self._end("process is draining")
-            await self.access.call(self.store.end_lease(lease))
+            self.tasks.spawn(self.access.call(self.store.end_lease(lease)))
 
     async def stop(self):
         """Stop following."""
--- a/wasabipaddle/cell/facts.py
+++ b/wasabipaddle/cell/facts.py
@@ -4,7 +4,7 @@
 
 from wasabipaddle.jobs import CellConfiguration
 
-__all__ = ["ConfigurationChanged", "LeaderChanged", "ReignBegan", "ReignEnded"]
+__all__ = ["ConfigurationChanged", "DrainBegan", "LeaderChanged", "ReignBegan", "ReignEnded"]
 
 
 @attrs.frozen(kw_only=True)
@@ -14,6 +14,11 @@
     configuration: CellConfiguration
 
 
+@attrs.frozen(kw_only=True)
+class DrainBegan:
+    """The process has been told to end."""
+
+
 @attrs.frozen(kw_only=True)
 class LeaderChanged:
     """Another process leads; both values are empty while none does."""
--- a/wasabipaddle/cell/process.py
+++ b/wasabipaddle/cell/process.py
@@ -9,6 +9,7 @@
     dispatcher,
     election,
     entry,
+    facts,
     lines,
     members,
     store,
@@ -51,6 +52,7 @@
     await context.plugins[members.MembersPlugin.name].open()
     await stopping.wait()
     context.journal("process_draining")
+    context.bus.publish(facts.DrainBegan())
     await kernel.drain()
     await kernel.stop()
     context.journal("process_stopped")
--- a/wasabipaddle/cell/session.py
+++ b/wasabipaddle/cell/session.py
@@ -118,6 +118,9 @@
         await self.intake.load()
         self.progress.clear()
         self.loaded = True
+        # What an inventory lists can be understood only once the jobs are known.
+        for runner in state.runners.values():
+            self.calls.ensure(runner)
         self.journal(
             "dispatcher_recovered",
             epoch=self.epoch,
@@ -137,7 +140,7 @@
         await self._plan()
 
     async def _load_fleet(self):
-        """Ask the runners of the predecessor, whether or not they are registered."""
+        """Suspect the runners of the predecessor, whether or not they are registered."""
         timing = self.scheduler.state.timing
         wait_s = timing.lease_s * CLOCK_DRIFT + DEPOSITION_S
         until_s = self.now() + wait_s
@@ -146,7 +149,6 @@
             runner.listed = False
             runner.recorded = True
             self.scheduler.state.suspects[entry.id] = until_s
-            self.calls.ensure(runner)
 
     async def _load_progress(self):
         while True:
@@ -169,7 +171,8 @@
 
     def _set_runner(self, entry):
         runner = self.scheduler.set_runner(entry, self.now())
-        self.calls.ensure(runner)
+        if self.loaded:
+            self.calls.ensure(runner)
         if not runner.recorded:
             self.fleet.changed.set()
         self.wake()
--- a/wasabipaddle/cell/writer.py
+++ b/wasabipaddle/cell/writer.py
@@ -20,7 +20,7 @@
 # A commit holds 32 entries; each job takes a condition and a value, the epoch one.
 JOBS_PER_COMMIT = 15
 DELETES_PER_COMMIT = 30
-GATHER_S = 0.015
+GATHER_S = 0.03
 RETRY_S = 0.1
 SWEEP_S = 5.0
 
--- a/wasabipaddle/dispatch/reports.py
+++ b/wasabipaddle/dispatch/reports.py
@@ -85,6 +85,8 @@
                 self._save_checkpoint(task, ended.checkpoint)
             run = runner.runs.get((ended.task, ended.run))
             elapsed = now - run.started_s if run and not run.preempted else None
+            if run in task.runs:
+                task.runs.remove(run)
             must_write = self.lifecycle.task_ended(
                 task, ended.run, ended.cause, runner, now, elapsed_s=elapsed
             )
--- a/wasabipaddle/dispatch/runners.py
+++ b/wasabipaddle/dispatch/runners.py
@@ -82,7 +82,9 @@
 
     def set_clock(self, clock_ms, now):
         """Take the clock of an answer; answers may overtake each other."""
-        if clock_ms and clock_ms >= self.estimate_clock_ms(now) - MS_PER_S:
+        if not clock_ms:
+            return
+        if not self.clock_ms or clock_ms >= self.estimate_clock_ms(now) - MS_PER_S:
             self.clock_ms = clock_ms
             self.clock_s = now
 
--- a/wasabipaddle/dispatch/watchdog.py
+++ b/wasabipaddle/dispatch/watchdog.py
@@ -8,7 +8,7 @@
 STALL_S = 1.6
 STALL_SHARE = 0.25
 # Progress below this share of the estimated speed makes a runner slow.
-SLOW_RATE = 0.4
+SLOW_RATE = 0.3
 SLOW_LATE_PERCENT = 60
 STOP_RETRY_S = 0.5
 # Tail latency over its target at which filling tasks are slowed down, and below
