Hold leases of the predecessor at takeover, account for runs of final jobs

Ruled out: fencing of the predecessor, order of acknowledgements. Change: the lease of a new life starts at the longest that a predecessor may have sent; final jobs keep their steps; a runner with unknown runs stays suspect.

--- a/wasabipaddle/dispatch/lifecycle.py
+++ b/wasabipaddle/dispatch/lifecycle.py
@@ -40,6 +40,9 @@
             entry.ended_ms = progress.ended_ms
             entry.started = bool(progress.completed or progress.failures)
         if entry.phase.final:
+            # Runs of it may still be listed, and hold room until they are gone.
+            for occurrence in range(job.spec.occurrences):
+                self._add_occurrence(entry, occurrence, now)
             return entry
         if job.spec.scheduled:
             state.scheduled[job.id] = 0
@@ -85,7 +88,8 @@
                 for index in range(spec.count)
             ]
             entry.steps[(occurrence, position)] = step
-        self._open_steps(entry, occurrence, now)
+        if not entry.phase.final:
+            self._open_steps(entry, occurrence, now)
 
     def _open_steps(self, entry, occurrence, now):
         for position, spec in enumerate(entry.job.spec.steps):
@@ -151,6 +155,8 @@
         """Take an end that a runner lists; return whether it must be made durable."""
         step, entry = task.step, task.step.job
         task.last_run = max(task.last_run, number)
+        if entry.phase.final:
+            return False
         if cause is EndCause.COMPLETED:
             if task.completed:
                 return False
--- a/wasabipaddle/dispatch/reports.py
+++ b/wasabipaddle/dispatch/reports.py
@@ -38,11 +38,10 @@
         if inventory.incarnation < runner.incarnation:
             return
         if inventory.incarnation != runner.incarnation:
-            self._begin_life(runner, inventory.incarnation, now)
+            self._begin_life(runner, inventory, now)
         runner.set_clock(inventory.clock_ms, now)
         runner.looked = True
         runner.answered_s = now
-        self.state.suspects.pop(runner.id, None)
         foreign = self._take_ended(runner, inventory, now)
         listed = set()
         for row in inventory.running:
@@ -51,21 +50,24 @@
         runner.foreign = foreign
         if not foreign:
             runner.foreign_since_s = 0.0
+            self.state.suspects.pop(runner.id, None)
         for run in list(runner.runs.values()):
             if run.key not in listed and self._is_gone(run, inventory, now):
                 self.lifecycle.run_gone(run, now)
 
-    def _begin_life(self, runner, incarnation, now):
+    def _begin_life(self, runner, inventory, now):
         """Void all that is known of the earlier life of a runner."""
         if runner.incarnation:
             self.state.journal("runner_reborn", runner=runner.id, runs=len(runner.runs))
-        runner.incarnation = incarnation
+        runner.incarnation = inventory.incarnation
         for run in list(runner.runs.values()):
             self.lifecycle.run_gone(run, now)
         runner.processed = runner.acknowledged = 0
         runner.pending.clear()
-        runner.lease_until_ms = 0
         runner.clock_ms = 0
+        # A predecessor may have extended the lease until just now.
+        lease_ms = int(self.state.timing.lease_s * MS_PER_S)
+        runner.lease_until_ms = inventory.clock_ms + lease_ms
 
     def _take_ended(self, runner, inventory, now):
         """Process new ends in order; return whether one belongs to no known job."""
