End leases of silent runners, hand leadership to a peer with the store, bound advice lines

Change: retries do not extend leases; members are known from greetings; lines take requests that are not urgent only up to 0.7 s of work; a peer takes over on request; SIGHUP reloads bounds; watches and writes are gathered.

--- a/wasabipaddle/cell/calls.py
+++ b/wasabipaddle/cell/calls.py
@@ -12,11 +12,13 @@
 ORDER_TIMEOUT_S = 0.6
 INVENTORY_TIMEOUT_S = 0.6
 # Waits of an inventory: with runs, whose lease it extends, and without.
-BUSY_WAIT_S = 1.0
+URGENT_WAIT_S = 1.2
+BUSY_WAIT_S = 1.9
 IDLE_WAIT_S = 1.9
 SHARED_WAIT_S = 0.4
 # Pause after an inventory with ends, so that the next one gathers several.
-GATHER_S = 0.03
+GATHER_S = 0.05
+LONGEST_GATHER_S = 0.3
 RETRY_S = 0.1
 LONGEST_RETRY_S = 0.8
 
@@ -150,7 +152,7 @@
             s.target_latency_ms for s in specs
         ):
             return SHARED_WAIT_S
-        return BUSY_WAIT_S
+        return URGENT_WAIT_S if _has_urgent(runner) else BUSY_WAIT_S
 
     async def _watch(self, runner, client):
         """Keep an inventory of one runner standing until it is forgotten."""
@@ -158,10 +160,14 @@
         failures = 0
         while scheduler.state.runners.get(runner.id) is runner:
             wait_s = self._wait_s(runner, failures)
+            # A lease that each retry extends would never end on a silent runner.
+            before_ms, lease_until_ms = runner.lease_until_ms, 0
+            if not failures:
+                lease_until_ms = scheduler.lease_deadline_ms(runner, session.now())
             result = await client.inventory(
                 epoch=session.epoch,
                 acknowledged=runner.acknowledged,
-                lease_until_ms=scheduler.lease_deadline_ms(runner, session.now()),
+                lease_until_ms=lease_until_ms,
                 wait_s=wait_s,
                 timeout_s=wait_s + INVENTORY_TIMEOUT_S,
             )
@@ -173,22 +179,36 @@
             if result.is_err() or result.ok().refusal is not Refusal.NONE:
                 failures += 1
                 self._failed(runner, result, failures, now)
+                refused = result.is_err() and result.err().kind is ErrorKind.UNREACHABLE
+                if refused:
+                    runner.lease_until_ms = before_ms
+                    scheduler.runner_refused(runner, now)
                 await asyncio.sleep(min(RETRY_S * failures, LONGEST_RETRY_S))
                 continue
             if failures:
                 session.journal("runner_regained", runner=runner.id, failures=failures)
             failures = 0
-            ends = len(result.ok().ended)
+            ended = bool(result.ok().ended)
             scheduler.reports.inventory(runner, result.ok(), now)
             scheduler.watchdog.set_paces(runner)
             session.wake()
             session.metrics.count("inventories")
-            await asyncio.sleep(GATHER_S if ends else 0)
+            if ended:
+                await self._gather_ends(runner)
         if self.watched.get(runner.id) is runner:
             del self.watched[runner.id]
             del self.clients[runner.id]
         await client.close()
 
+    async def _gather_ends(self, runner):
+        """Pause after ends, but not while something waits for the next one."""
+        paused_s = 0.0
+        while paused_s < LONGEST_GATHER_S:
+            await asyncio.sleep(GATHER_S)
+            paused_s += GATHER_S
+            if self.scheduler.state.ready or _is_awaited(runner):
+                return
+
     def _failed(self, runner, result, failures, now):
         runner.full_until_s = max(runner.full_until_s, now + INVENTORY_TIMEOUT_S)
         if failures == 1:
@@ -206,3 +226,15 @@
         """Close the connections."""
         for client in self.clients.values():
             await client.close()
+
+
+def _has_urgent(runner):
+    return any(run.task.step.job.queue.priority == 0 for run in runner.runs.values())
+
+
+def _is_awaited(runner):
+    """Return whether the last task of an urgent step runs on the runner."""
+    return any(
+        run.task.step.remaining == 1 and run.task.step.job.queue.priority == 0
+        for run in runner.runs.values()
+    )
--- a/wasabipaddle/cell/election.py
+++ b/wasabipaddle/cell/election.py
@@ -16,8 +16,8 @@
 
 __all__ = ["ElectionPlugin"]
 
-LEASE_S = 2.0
-RENEW_S = 0.6
+LEASE_S = 1.6
+RENEW_S = 0.4
 WATCH_S = 6.0
 RETRY_S = 0.2
 # Candidates spread their bids, and those far from the store let others go first.
@@ -115,7 +115,7 @@
             entry = found.ok()
             self._observe(entry)
             if entry is None:
-                await self._bid()
+                await self._bid_later()
                 continue
             revision = max(revision, entry.revision)
             batch = await self.store.follow(
@@ -143,8 +143,8 @@
             process, address = (record.process, record.address) if record else ("", "")
             self.context.bus.publish(LeaderChanged(process=process, address=address))
 
-    async def _bid(self):
-        """Try to take the leader key, which nobody holds."""
+    async def _bid_later(self):
+        """Bid for the leader key, which nobody holds, and let nearer ones go first."""
         if self.leaving:
             await asyncio.sleep(RETRY_S)
             return
@@ -152,44 +152,52 @@
         if self.access.health.latency_s > FAR_LATENCY_S:
             delay_s += FAR_DELAY_S
         await asyncio.sleep(0.0 if self.epoch else delay_s)
+        if not await self.bid():
+            await asyncio.sleep(RETRY_S)
+
+    async def bid(self, *, replaces=0) -> bool:
+        """Try to take the leader key.
+
+        Parameters
+        ----------
+        replaces : int
+            Revision that the key must have, 0 if nobody may hold it.
+        """
         lease = await self.access.call(self.store.grant_lease(LEASE_S))
         term = await self.access.call(self.store.get(TERM_KEY))
         if lease.is_err() or term.is_err():
-            await asyncio.sleep(RETRY_S)
-            return
+            return False
         lease, before = lease.ok(), term.ok()
-        term_record = TermRecord(number=0, process="", life=0)
+        number, term_revision = 0, 0
         if before is not None:
-            term_record = msgspec.json.decode(before.value, type=TermRecord)
-        term_revision = before.revision if before else 0
+            number = msgspec.json.decode(before.value, type=TermRecord).number
+            term_revision = before.revision
         continued = bool(self.epoch) and term_revision == self.term_revision
-        next_term = TermRecord(
-            number=term_record.number + 1,
-            process=self.record.process,
-            life=self.record.life,
-        )
-        taken = await self.access.call(
-            self.store.commit(
-                conditions=((LEADER_KEY, 0), (TERM_KEY, term_revision)),
-                puts=(
-                    Put(
-                        key=LEADER_KEY,
-                        value=msgspec.json.encode(self.record),
-                        lease=lease,
-                    ),
-                    Put(key=TERM_KEY, value=msgspec.json.encode(next_term)),
-                ),
-            )
-        )
+        taken = await self._commit_bid(lease, replaces, term_revision, number + 1)
         if taken.is_err() and taken.err().kind is ErrorKind.TIMEOUT:
             taken = await self._settle(term_revision)
         if taken.is_err():
             await self.access.call(self.store.end_lease(lease))
             if self.epoch and taken.err().kind is ErrorKind.REVISION_MISMATCH:
                 self._end("another process took the key")
-            await asyncio.sleep(RETRY_S)
-            return
-        self._begin(taken.ok(), lease, next_term.number, continued)
+            return False
+        self._begin(taken.ok(), lease, number + 1, continued)
+        return True
+
+    async def _commit_bid(self, lease, replaces, term_revision, number):
+        term = TermRecord(
+            number=number, process=self.record.process, life=self.record.life
+        )
+        record = msgspec.json.encode(self.record)
+        return await self.access.call(
+            self.store.commit(
+                conditions=((LEADER_KEY, replaces), (TERM_KEY, term_revision)),
+                puts=(
+                    Put(key=LEADER_KEY, value=record, lease=lease),
+                    Put(key=TERM_KEY, value=msgspec.json.encode(term)),
+                ),
+            )
+        )
 
     async def _settle(self, term_revision):
         """Find out whether a bid without an answer took effect."""
--- a/wasabipaddle/cell/facts.py
+++ b/wasabipaddle/cell/facts.py
@@ -4,7 +4,13 @@
 
 from wasabipaddle.jobs import CellConfiguration
 
-__all__ = ["ConfigurationChanged", "DrainBegan", "LeaderChanged", "ReignBegan", "ReignEnded"]
+__all__ = [
+    "ConfigurationChanged",
+    "DrainBegan",
+    "LeaderChanged",
+    "ReignBegan",
+    "ReignEnded",
+]
 
 
 @attrs.frozen(kw_only=True)
--- a/wasabipaddle/cell/intake.py
+++ b/wasabipaddle/cell/intake.py
@@ -11,6 +11,10 @@
 
 WATCH_S = 8.0
 RETRY_S = 0.2
+# Changes are gathered, since each answer of a watch is a call; the processes that
+# store a job or a cancellation tell the dispatcher of it directly.
+INTAKE_PAUSE_S = 0.5
+REGISTRY_PAUSE_S = 0.1
 
 
 class Follower:
@@ -22,11 +26,14 @@
         The store.
     prefix : str
         Prefix to follow.
+    pause_s : float
+        Time for which changes are gathered.
     """
 
-    def __init__(self, *, access, prefix):
+    def __init__(self, *, access, prefix, pause_s):
         self.access = access
         self.prefix = prefix
+        self.pause_s = pause_s
         self.revision = None
 
     async def load(self):
@@ -54,6 +61,7 @@
             self.revision = batch.ok().revision
             for change in batch.ok().changes:
                 self.change(change)
+            await asyncio.sleep(self.pause_s)
 
     def replace(self, entries):
         """Take a whole listing."""
@@ -74,7 +82,7 @@
     """
 
     def __init__(self, *, access, add_job, cancel):
-        super().__init__(access=access, prefix=INTAKE_PREFIX)
+        super().__init__(access=access, prefix=INTAKE_PREFIX, pause_s=INTAKE_PAUSE_S)
         self.add_job = add_job
         self.cancel = cancel
 
@@ -112,7 +120,9 @@
     """
 
     def __init__(self, *, access, set_runner, drop_runner):
-        super().__init__(access=access, prefix=REGISTRY_PREFIX)
+        super().__init__(
+            access=access, prefix=REGISTRY_PREFIX, pause_s=REGISTRY_PAUSE_S
+        )
         self.set_runner = set_runner
         self.drop_runner = drop_runner
         self.listed = set()
--- a/wasabipaddle/cell/lines.py
+++ b/wasabipaddle/cell/lines.py
@@ -2,9 +2,10 @@
 
 import asyncio
 
-from result import Ok
+from result import Err, Ok
 
 from wasabipaddle.cell.members import MembersPlugin
+from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.kernel import Plugin
 from wasabipaddle.messages.jobs import AdviceReply, AskAdvice
 from wasabipaddle.platform import PlatformAdvice
@@ -14,8 +15,10 @@
 # Time beyond the expected one after which an answer is taken as lost.
 ANSWER_SLACK_S = 0.8
 RELAY_SLACK_S = 0.3
-# One process in this many is kept free of long requests.
+# One process in this many is kept free of requests that are not urgent.
 RESERVED_PART = 4
+# A line with more work than this takes only urgent requests.
+LONGEST_QUEUE_S = 0.7
 
 
 class AdvicePlugin(Plugin):
@@ -68,6 +71,9 @@
     async def ask(self, request):
         """Make a request and return an `AdviceReply` or an `Err`."""
         process = self._choose(request)
+        if process is None:
+            detail = "all lines are busy"
+            return Err(Failure(kind=ErrorKind.QUEUE_FULL, detail=detail))
         waiting_s = self.outstanding_s.get(process, 0.0)
         timeout_s = waiting_s + request.expected_s + ANSWER_SLACK_S
         step = request.step
@@ -92,4 +98,10 @@
         reserved = len(live) // RESERVED_PART
         # The leader's own line, first in the list, is the nearest one.
         allowed = live if request.urgent or not reserved else live[reserved:]
-        return min(allowed, key=lambda process: self.outstanding_s.get(process, 0.0))
+        process = min(allowed, key=lambda name: self.outstanding_s.get(name, 0.0))
+        if (
+            not request.urgent
+            and self.outstanding_s.get(process, 0.0) > LONGEST_QUEUE_S
+        ):
+            return None
+        return process
--- a/wasabipaddle/cell/members.py
+++ b/wasabipaddle/cell/members.py
@@ -142,6 +142,7 @@
             self.waiting_s = self.context.clock.now()
             for process, address in reply.members.items():
                 self._know(process, address)
+                self.heard[process] = self.waiting_s
 
     async def _greeted(self, hello):
         self.heard[hello.process] = self.context.clock.now()
--- a/wasabipaddle/cell/process.py
+++ b/wasabipaddle/cell/process.py
@@ -4,12 +4,15 @@
 import os
 import signal
 
+import attrs
+
 from wasabipaddle.cell import (
     configuration,
     dispatcher,
     election,
     entry,
     facts,
+    handover,
     lines,
     members,
     store,
@@ -21,18 +24,29 @@
 __all__ = ["serve_cell"]
 
 # Importing a module registers its plug-in.
-PLUGIN_MODULES = (configuration, dispatcher, election, entry, lines, members, store)
+PLUGIN_MODULES = (
+    configuration,
+    dispatcher,
+    election,
+    entry,
+    handover,
+    lines,
+    members,
+    store,
+)
 
-ROLES = ("cell_dispatcher", "cell_entry")
+ROLES = ("cell_dispatcher", "cell_handover", "cell_entry")
 
 
-async def serve_cell(settings):
+async def serve_cell(settings, *, reload=None):
     """Run a process of a cell until SIGTERM or SIGINT, then drain it.
 
     Parameters
     ----------
     settings : CellSettings
         Settings of the process.
+    reload : callable or None
+        Returns the result of reading the settings again, at SIGHUP.
     """
     clock = LoopClock()
     seed = int.from_bytes(os.urandom(8), "big")
@@ -46,6 +60,8 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
+    if reload is not None:
+        loop.add_signal_handler(signal.SIGHUP, _reload, context, reload)
     kernel = Kernel(context=context, names=ROLES)
     context.journal("process_started", address=settings.internal)
     await kernel.start()
@@ -57,3 +73,16 @@
     await kernel.stop()
     context.journal("process_stopped")
     context.journal.flush()
+
+
+def _reload(context, read):
+    """Put changed bounds in force; other settings need a restart."""
+    settings = read()
+    if settings.is_err():
+        detail = settings.err().detail
+        context.journal("settings_refused", reason=detail)
+        return
+    settings = settings.ok()
+    rest = attrs.evolve(settings, bounds=context.settings.bounds)
+    context.journal("settings_reloaded", restart_needed=rest != context.settings)
+    context.settings = attrs.evolve(context.settings, bounds=settings.bounds)
--- a/wasabipaddle/cell/session.py
+++ b/wasabipaddle/cell/session.py
@@ -22,7 +22,7 @@
 RUNS_PER_TERM = 1000
 LONGEST_LEASE_S = 4.5
 LEASE_SHARE = 0.75
-START_S = 2.5
+START_S = 4.0
 # Time that a predecessor may need to see that it was replaced.
 DEPOSITION_S = 1.7
 CLOCK_DRIFT = 1.02
@@ -140,7 +140,7 @@
         await self._plan()
 
     async def _load_fleet(self):
-        """Suspect the runners of the predecessor, whether or not they are registered."""
+        """Suspect the runners of the predecessor, registered or not."""
         timing = self.scheduler.state.timing
         wait_s = timing.lease_s * CLOCK_DRIFT + DEPOSITION_S
         until_s = self.now() + wait_s
--- a/wasabipaddle/cell/writer.py
+++ b/wasabipaddle/cell/writer.py
@@ -20,7 +20,9 @@
 # A commit holds 32 entries; each job takes a condition and a value, the epoch one.
 JOBS_PER_COMMIT = 15
 DELETES_PER_COMMIT = 30
-GATHER_S = 0.03
+GATHER_S = 0.015
+# Progress without a final state of a job, which no caller waits for.
+RELAXED_GATHER_S = 0.08
 RETRY_S = 0.1
 SWEEP_S = 5.0
 
@@ -50,8 +52,13 @@
     async def run(self):
         """Write for ever."""
         state = self.scheduler.state
+        waited_s = 0.0
         while True:
             await asyncio.sleep(GATHER_S)
+            waited_s += GATHER_S
+            if not state.final_dirty and waited_s < RELAXED_GATHER_S:
+                continue
+            waited_s, state.final_dirty = 0.0, False
             jobs, generation = state.take_dirty()
             if not jobs:
                 self.scheduler.reports.written([], generation)
--- a/wasabipaddle/commands/cell.py
+++ b/wasabipaddle/commands/cell.py
@@ -1,6 +1,7 @@
 """Command `cell`: run a process of a cell on the users' platform."""
 
 import asyncio
+import functools
 
 from absl import logging
 
@@ -28,4 +29,5 @@
     if settings.is_err():
         raise WasabipaddleError(settings.unwrap_err())
     logging.set_verbosity(logging.INFO)
-    asyncio.run(serve_cell(settings.unwrap()))
+    reload = functools.partial(load_cell_settings, path)
+    asyncio.run(serve_cell(settings.unwrap(), reload=reload))
--- a/wasabipaddle/dispatch/scheduler.py
+++ b/wasabipaddle/dispatch/scheduler.py
@@ -70,6 +70,14 @@
         if runner is not None:
             runner.listed = False
 
+    def runner_refused(self, runner, now):
+        """Take a refused connection; a runner that said it was leaving has left."""
+        if runner.listed or not runner.entry.draining or not runner.runs:
+            return
+        self.state.journal("runner_left", runner=runner.id, runs=len(runner.runs))
+        for run in list(runner.runs.values()):
+            self.lifecycle.run_gone(run, now)
+
     def forget_gone(self, now):
         """Return the runners without an entry on which nothing can run any more."""
         gone = [
--- a/wasabipaddle/dispatch/state.py
+++ b/wasabipaddle/dispatch/state.py
@@ -54,6 +54,8 @@
         Steps with tasks that need a run.
     dirty : dict of str to JobEntry
         Jobs whose progress must be written.
+    final_dirty : bool
+        Whether a job with a final state is among them.
     generation : int
         Generation of the next write.
     suspects : dict of str to float
@@ -71,6 +73,7 @@
     runners: dict = attrs.field(factory=dict)
     ready: dict = attrs.field(factory=dict)
     dirty: dict = attrs.field(factory=dict)
+    final_dirty: bool = False
     generation: int = 1
     suspects: dict = attrs.field(factory=dict)
     outbox: list = attrs.field(factory=list)
@@ -94,6 +97,7 @@
     def mark_dirty(self, job):
         """Have the progress of a job written."""
         self.dirty[job.id] = job
+        self.final_dirty |= job.phase.final
 
     def take_dirty(self):
         """Return the jobs to write and the generation of the write."""
--- a/wasabipaddle/messages/jobs.py
+++ b/wasabipaddle/messages/jobs.py
@@ -16,6 +16,7 @@
     "PhaseReply",
     "QueryPhase",
     "StoreJob",
+    "TakeOver",
 ]
 
 
@@ -47,6 +48,13 @@
     job: str
 
 
+@attrs.frozen(kw_only=True)
+class TakeOver:
+    """Asks a peer to lead, since the leader of `epoch` does not reach the store."""
+
+    epoch: int
+
+
 @attrs.frozen(kw_only=True)
 class Noted:
     """The message was taken note of."""
