--- a/wasabipaddle/cell/calls.py
+++ b/wasabipaddle/cell/calls.py
@@ -186,6 +186,7 @@
                 await asyncio.sleep(min(RETRY_S * failures, LONGEST_RETRY_S))
                 continue
             if failures:
+                runner.full_until_s = now
                 session.journal("runner_regained", runner=runner.id, failures=failures)
             failures = 0
             ended = bool(result.ok().ended)
@@ -206,11 +207,11 @@
         while paused_s < LONGEST_GATHER_S:
             await asyncio.sleep(GATHER_S)
             paused_s += GATHER_S
-            if self.scheduler.state.ready or _is_awaited(runner):
+            if self.scheduler.state.short_of_room or _is_awaited(runner):
                 return
 
     def _failed(self, runner, result, failures, now):
-        runner.full_until_s = max(runner.full_until_s, now + INVENTORY_TIMEOUT_S)
+        self.scheduler.runner_silent(runner, now)
         if failures == 1:
             reason = result.err().kind if result.is_err() else result.ok().refusal
             detail = result.err().detail if result.is_err() else ""
--- a/wasabipaddle/dispatch/lifecycle.py
+++ b/wasabipaddle/dispatch/lifecycle.py
@@ -112,15 +112,15 @@
                 self.state.scheduled[entry.id] += 1
             for index in indexes:
                 self._complete(entry.steps[(occurrence, position)].tasks[index], now)
-        for key, count in progress.failures.items():
+        for key, numbers in progress.failures.items():
             occurrence, position, index = key.split(".")
             step = entry.steps.get((int(occurrence), int(position)))
             if step is None:
                 continue
             if index == GANG:
-                step.gang_failures.update(range(-count, 0))
+                step.gang_failures.update(numbers)
             else:
-                step.tasks[int(index)].failures = count
+                step.tasks[int(index)].failed_runs.update(numbers)
         if not entry.phase.final:
             self.state.dirty.pop(entry.id, None)
 
@@ -132,12 +132,12 @@
             if done and not entry.phase.final:
                 completed[f"{occurrence}.{position}"] = done
             for task in step.tasks:
-                if task.failures and not step.spec.lasting:
+                if task.failed_runs and not step.spec.lasting:
                     key = f"{occurrence}.{position}.{task.id.index}"
-                    failures[key] = task.failures
+                    failures[key] = sorted(task.failed_runs)
             if step.gang_failures:
                 key = f"{occurrence}.{position}.{GANG}"
-                failures[key] = len(step.gang_failures)
+                failures[key] = sorted(step.gang_failures)
         return JobProgress(
             phase=entry.phase,
             completed=completed,
@@ -183,11 +183,11 @@
         if step.spec.gang:
             step.gang_failures.add(number)
             self.break_gang(step, number, now)
-        task.failures += 1
+        task.failed_runs.add(number)
         if step.spec.lasting or task.completed:
             return False
-        failures = len(step.gang_failures) if step.spec.gang else task.failures
-        if failures >= entry.queue.max_attempts and not entry.phase.final:
+        failed = step.gang_failures if step.spec.gang else task.failed_runs
+        if len(failed) >= entry.queue.max_attempts and not entry.phase.final:
             self._finish(entry, JobPhase.FAILED, now)
         self.state.mark_dirty(entry)
         return True
--- a/wasabipaddle/dispatch/model.py
+++ b/wasabipaddle/dispatch/model.py
@@ -91,8 +91,9 @@
         Runs that may exist.
     completed : bool
         Whether a run has completed.
-    failures : int
-        Runs that failed.
+    failed_runs : set of int
+        Runs that failed; an end may be listed again to a successor, so a count would
+        take it twice.
     last_run : int
         Highest run number used or seen.
     checkpoint : str
@@ -107,7 +108,7 @@
     step: "Step"
     runs: list = attrs.field(factory=list)
     completed: bool = False
-    failures: int = 0
+    failed_runs: set = attrs.field(factory=set)
     last_run: int = 0
     checkpoint: str = ""
     avoided: set = attrs.field(factory=set)
--- a/wasabipaddle/dispatch/placement.py
+++ b/wasabipaddle/dispatch/placement.py
@@ -31,6 +31,7 @@
     def plan(self, now):
         """Start what fits."""
         self.preemption.begin()
+        self.state.short_of_room = False
         for step in sorted(self.state.ready.values(), key=rank):
             if step.job.recovered and self.state.suspects:
                 continue
@@ -68,6 +69,7 @@
         for task in list(step.pending.values()):
             best = self._best(task, permitted)
             if best is None:
+                self.state.short_of_room = True
                 if self.preemption.wanted(task, now):
                     self.preemption.make_room(task, [r for r, _ in permitted], now)
                 if not task.avoided:
--- a/wasabipaddle/dispatch/scheduler.py
+++ b/wasabipaddle/dispatch/scheduler.py
@@ -13,6 +13,8 @@
 __all__ = ["Scheduler"]
 
 MS_PER_S = 1000
+# Longer than the pause between two inventories of a runner that does not answer.
+SILENT_PAUSE_S = 1.5
 
 
 class Scheduler:
@@ -70,6 +72,10 @@
         if runner is not None:
             runner.listed = False
 
+    def runner_silent(self, runner, now):
+        """Send no new work to a runner whose inventory has failed."""
+        runner.full_until_s = max(runner.full_until_s, now + SILENT_PAUSE_S)
+
     def runner_refused(self, runner, now):
         """Take a refused connection; a runner that said it was leaving has left."""
         if runner.listed or not runner.entry.draining or not runner.runs:
--- /dev/null
+++ b/wasabipaddle/dispatch/tests/conftest.py
@@ -0,0 +1,240 @@
+"""A scheduler with runners that tests drive by hand."""
+
+import attrs
+import pytest
+
+from wasabipaddle.dispatch import Scheduler, StartOutcome, StartTask, StopTask
+from wasabipaddle.dispatch.state import Timing
+from wasabipaddle.interfaces import (
+    EndCause,
+    EndedTask,
+    Inventory,
+    OrderReply,
+    Refusal,
+    RunningTask,
+)
+from wasabipaddle.jobs import (
+    AdvicePolicy,
+    Capacity,
+    CellConfiguration,
+    Job,
+    JobSpec,
+    Queue,
+    RunnerEntry,
+    StepSpec,
+)
+
+URGENT = Queue(name="urgent", host="h", prefix="/u/", pool="pool", max_attempts=2)
+BATCH = Queue(
+    name="batch", host="h", prefix="/b/", pool="pool", priority=2, max_attempts=4
+)
+ADVISED = attrs.evolve(
+    BATCH,
+    name="advised",
+    advice=AdvicePolicy(base_s=0.4, per_runner_s=0.01, valid_s=2.5),
+)
+QUEUES = {queue.name: queue for queue in (URGENT, BATCH, ADVISED)}
+
+
+class FakeRunner:
+    """Runner that keeps the platform's rules, in the memory of a test."""
+
+    def __init__(self, cell, name, *, cpu=4000):
+        self.cell = cell
+        self.id = name
+        self.incarnation = 1
+        self.cpu = cpu
+        self.running = {}
+        self.ended = []
+        self.number = 0
+        self.acknowledged = 0
+
+    @property
+    def clock_ms(self):
+        return int(self.cell.now * 1000) + 500
+
+    def end(self, task, run, cause=EndCause.COMPLETED):
+        """Let a run end."""
+        checkpoint = self.running.pop((task, run), "")
+        self.number += 1
+        self.ended.append(
+            EndedTask(
+                number=self.number,
+                task=task,
+                run=run,
+                cause=cause,
+                checkpoint=checkpoint,
+            )
+        )
+
+    def inventory(self, acknowledged):
+        """Return the lists, as after an order that acknowledges some ends."""
+        self.acknowledged = max(self.acknowledged, acknowledged)
+        rows = tuple(
+            RunningTask(task=task, run=run, checkpoint=saved, percent=50, load=1.0)
+            for (task, run), saved in self.running.items()
+        )
+        ended = tuple(e for e in self.ended if e.number > self.acknowledged)
+        return Inventory(
+            clock_ms=self.clock_ms,
+            incarnation=self.incarnation,
+            running=rows,
+            ended=ended,
+        )
+
+    def crash(self):
+        """Lose everything and start again under the same identity."""
+        self.incarnation += 1
+        self.running.clear()
+        self.ended.clear()
+        self.number = self.acknowledged = 0
+
+
+class Cell:
+    """A scheduler, its runners and what it has ordered."""
+
+    def __init__(self, *, runners=2, cpu=4000, term=0):
+        self.now = 100.0
+        self.events = []
+        self.runners = {}
+        self.started = []
+        self.silent = set()
+        self.scheduler = self._scheduler(term)
+        for i in range(runners):
+            self.add_runner(f"r{i}", cpu=cpu)
+
+    def _scheduler(self, term):
+        scheduler = Scheduler(
+            timing=Timing(),
+            journal=lambda kind, **values: self.events.append((kind, values)),
+            first_run=term * 1000,
+        )
+        configuration = CellConfiguration(version=1, queues=tuple(QUEUES.values()))
+        scheduler.configure(configuration)
+        return scheduler
+
+    @property
+    def state(self):
+        return self.scheduler.state
+
+    def entry(self, name, **changes):
+        """Return the registry entry of a runner."""
+        entry = RunnerEntry(
+            id=name,
+            address=f"{name}:1",
+            data_centre="a",
+            pool="pool",
+            capacity=Capacity(cpu=self.runners[name].cpu, memory_mb=100_000),
+            labels=("kind", f"rack-{name}"),
+        )
+        return attrs.evolve(entry, **changes)
+
+    def add_runner(self, name, *, cpu=4000):
+        """Register a runner and read its lists."""
+        self.runners[name] = FakeRunner(self, name, cpu=cpu)
+        self.scheduler.set_runner(self.entry(name), self.now).recorded = True
+        self.look()
+
+    def submit(self, job_id, *steps, queue="batch", progress=None, recovered=False):
+        """Add a job."""
+        job = Job(
+            id=job_id,
+            policy=QUEUES[queue],
+            accepted_ms=int(self.now * 1000),
+            spec=JobSpec(payload="p", steps=steps),
+        )
+        return self.scheduler.lifecycle.add_job(
+            job, self.now, progress=progress, recovered=recovered
+        )
+
+    def look(self, *names):
+        """Read the lists of all runners that answer, or of those named."""
+        for name in names or self.runners:
+            runner = self.state.runners[name]
+            if name in self.silent:
+                self.scheduler.runner_silent(runner, self.now)
+                continue
+            self.scheduler.lease_deadline_ms(runner, self.now)
+            inventory = self.runners[name].inventory(runner.acknowledged)
+            self.scheduler.reports.inventory(runner, inventory, self.now)
+
+    def write(self):
+        """Make all progress durable."""
+        jobs, generation = self.state.take_dirty()
+        records = {e.id: self.scheduler.lifecycle.progress(e) for e in jobs}
+        written = [(e, e.phase) for e in jobs]
+        self.scheduler.reports.written(written, generation)
+        return records
+
+    def plan(self, *, answer=True):
+        """Plan, and carry out the orders unless `answer` is false."""
+        requests = self.scheduler.plan(self.now)
+        orders = self.scheduler.take_orders()
+        for order in orders:
+            self.carry_out(order, answer=answer)
+        return requests, orders
+
+    def carry_out(self, order, *, answer=True):
+        """Carry out one order at its runner."""
+        if isinstance(order, StartTask):
+            run = order.run
+            self.started.append((run.task.id, run.number, run.runner.id))
+            run.start_before_ms = self.scheduler.start_deadline_ms(run.runner, self.now)
+            fake = self.runners[run.runner.id]
+            if not answer or run.runner.id in self.silent:
+                self.scheduler.reports.start_replied(
+                    run, StartOutcome.UNKNOWN, None, self.now
+                )
+                return
+            fake.running[run.key] = run.task.checkpoint
+            reply = OrderReply(clock_ms=fake.clock_ms)
+            self.scheduler.reports.start_replied(
+                run, StartOutcome.STARTED, reply, self.now
+            )
+        elif isinstance(order, StopTask) and order.runner.id not in self.silent:
+            fake = self.runners[order.runner.id]
+            refusal = Refusal.OLD_RUN
+            if (order.task, order.number) in fake.running:
+                fake.end(order.task, order.number, EndCause.STOPPED)
+                refusal = Refusal.NONE
+            reply = OrderReply(clock_ms=fake.clock_ms, refusal=refusal)
+            self.scheduler.reports.stop_replied(
+                order.runner, order.task, order.number, reply, self.now
+            )
+
+    def pass_time(self, seconds, *, step=0.5):
+        """Let time pass with inventories and plans."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now += step
+            self.scheduler.advance(self.now)
+            self.look()
+            self.plan()
+
+    def succeed(self, term, records, jobs):
+        """Replace the dispatcher by one that knows only what the store has."""
+        self.scheduler = self._scheduler(term)
+        self.started.clear()
+        for name in self.runners:
+            runner = self.scheduler.set_runner(self.entry(name), self.now)
+            runner.recorded = True
+            self.state.suspects[name] = self.now + 6.3
+        for job in jobs:
+            self.scheduler.lifecycle.add_job(
+                job, self.now, progress=records.get(job.id), recovered=True
+            )
+
+
+@pytest.fixture
+def cell():
+    return Cell()
+
+
+@pytest.fixture
+def make_cell():
+    return Cell
+
+
+def step(count=1, **changes):
+    """Return a step of small tasks."""
+    return StepSpec(**{"count": count, "cpu": 1000, "estimate_s": 1.0, **changes})
--- /dev/null
+++ b/wasabipaddle/dispatch/tests/test_takeover.py
@@ -0,0 +1,120 @@
+"""Takeovers: what a successor may conclude from the store and the runners."""
+
+from wasabipaddle.dispatch.tests.conftest import step
+from wasabipaddle.interfaces import EndCause
+from wasabipaddle.jobs import JobPhase
+
+
+def test_first_clock_of_a_runner_is_taken(cell):
+    """Guards against leases in the past, after which every long task expires."""
+    runner = cell.state.runners["r0"]
+    until_ms = cell.scheduler.lease_deadline_ms(runner, cell.now)
+    assert until_ms - cell.runners["r0"].clock_ms == 4000
+
+
+def test_runs_found_at_takeover_keep_their_lease(cell):
+    """Guards against a second run while the first one still runs."""
+    entry = cell.submit("j0", step(2))
+    cell.plan()
+    cell.succeed(1, {}, [entry.job])
+    inventories = {n: f.inventory(0) for n, f in cell.runners.items()}
+    for name, inventory in inventories.items():
+        runner = cell.state.runners[name]
+        cell.scheduler.reports.inventory(runner, inventory, cell.now)
+    cell.scheduler.advance(cell.now + 0.1)
+    cell.plan()
+    assert cell.started == []
+
+
+def test_successor_waits_for_all_runners_of_the_predecessor(cell):
+    """Guards against a second run of a task whose runner has not answered yet."""
+    entry = cell.submit("j0", step(2))
+    cell.plan()
+    cell.succeed(1, {}, [entry.job])
+    cell.silent.add("r1")
+    cell.look()
+    cell.plan()
+    assert cell.started == []
+    cell.silent.clear()
+    cell.look()
+    cell.plan()
+    assert cell.started == []
+    assert sum(len(r.runs) for r in cell.state.runners.values()) == 2
+
+
+def test_silent_runner_of_the_predecessor_is_waited_for_only_until_leases_end(cell):
+    """Guards against jobs that wait for ever for a runner that is gone."""
+    entry = cell.submit("j0", step(2))
+    cell.plan()
+    lost = {t.runs[0].runner.id for t in entry.steps[(0, 0)].tasks}
+    cell.succeed(1, {}, [entry.job])
+    cell.silent.update(lost)
+    if lost == set(cell.runners):
+        cell.add_runner("r9")
+    cell.pass_time(5.0)
+    assert cell.started == []
+    cell.pass_time(2.0)
+    assert len(cell.started) == 2
+
+
+def test_end_of_a_final_job_does_not_hold_up_later_ends(cell):
+    """Guards against a completed task that runs again after a takeover."""
+    first = cell.submit("j0", step(1))
+    second = cell.submit("j1", step(1))
+    cell.plan()
+    for entry in (first, second):
+        run = entry.steps[(0, 0)].tasks[0].runs[0]
+        cell.runners[run.runner.id].end(*run.key)
+        cell.runners[run.runner.id].acknowledged = 0
+    cell.look()
+    records = cell.write()
+    del records["j1"]
+    cell.succeed(1, records, [first.job, second.job])
+    cell.look()
+    cell.plan()
+    assert cell.started == []
+    assert cell.state.jobs["j1"].phase is JobPhase.COMPLETED
+
+
+def test_failure_that_is_listed_again_counts_once(cell):
+    """Guards against a job shown as failed after one failure and a takeover."""
+    entry = cell.submit("j0", step(1), queue="urgent")
+    cell.plan()
+    run = entry.steps[(0, 0)].tasks[0].runs[0]
+    cell.runners[run.runner.id].end(*run.key, EndCause.FAILED)
+    cell.look()
+    records = cell.write()
+    cell.succeed(1, records, [entry.job])
+    cell.look()
+    assert cell.state.jobs["j0"].phase is not JobPhase.FAILED
+    cell.plan()
+    assert len(cell.started) == 1
+
+
+def test_ends_of_unknown_jobs_are_kept_until_the_job_is_known(cell):
+    """Guards against a lost completion of a job that the watch has not shown yet."""
+    entry = cell.submit("j0", step(1))
+    cell.plan()
+    run = entry.steps[(0, 0)].tasks[0].runs[0]
+    name = run.runner.id
+    cell.runners[name].end(*run.key)
+    cell.succeed(1, {}, [])
+    cell.look()
+    assert name in cell.state.suspects
+    cell.now += 0.5
+    cell.scheduler.lifecycle.add_job(entry.job, cell.now, recovered=True)
+    cell.look()
+    assert cell.state.jobs["j0"].phase is JobPhase.COMPLETED
+
+
+def test_run_numbers_rise_over_a_takeover(cell):
+    """Guards against starts that a runner refuses since it knows a higher run."""
+    entry = cell.submit("j0", step(1))
+    cell.plan()
+    first = cell.started[0][1]
+    run = entry.steps[(0, 0)].tasks[0].runs[0]
+    cell.runners[run.runner.id].end(*run.key, EndCause.STOPPED)
+    cell.succeed(1, {}, [entry.job])
+    cell.look()
+    cell.plan()
+    assert cell.started[0][1] > first
--- a/wasabipaddle/jobs/records.py
+++ b/wasabipaddle/jobs/records.py
@@ -24,15 +24,15 @@
         State of the job; QUEUED and RUNNING are not distinguished after a recovery.
     completed : dict of str to list of int
         Indexes of the completed tasks by "occurrence.step".
-    failures : dict of str to int
-        Failed runs by "occurrence.step.index".
+    failures : dict of str to list of int
+        Numbers of the failed runs by "occurrence.step.index".
     ended_ms : int
         Time of the end in Unix milliseconds, 0 while the job runs.
     """
 
     phase: JobPhase = JobPhase.QUEUED
     completed: dict[str, list[int]] = attrs.field(factory=dict)
-    failures: dict[str, int] = attrs.field(factory=dict)
+    failures: dict[str, list[int]] = attrs.field(factory=dict)
     ended_ms: int = 0
 
 
