--- a/wasabipaddle/cell/election.py
+++ b/wasabipaddle/cell/election.py
@@ -178,7 +178,8 @@
             taken = await self._settle(term_revision)
         if taken.is_err():
             await self.access.call(self.store.end_lease(lease))
-            if self.epoch and taken.err().kind is ErrorKind.REVISION_MISMATCH:
+            mismatch = taken.err().kind is ErrorKind.REVISION_MISMATCH
+            if self.epoch and not replaces and mismatch:
                 self._end("another process took the key")
             return False
         self._begin(taken.ok(), lease, number + 1, continued)
--- /dev/null
+++ b/wasabipaddle/cell/tests/conftest.py
@@ -0,0 +1,133 @@
+"""Processes of a cell on one virtual loop, around a store in memory."""
+
+import asyncio
+
+import pytest
+from result import Err
+
+from wasabipaddle.cell.election import ElectionPlugin
+from wasabipaddle.cell.entry import EntryPlugin
+from wasabipaddle.cell.facts import ReignBegan, ReignEnded
+from wasabipaddle.cell.store import CellStorePlugin
+from wasabipaddle.clock import LoopClock
+from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.jobs import CellConfiguration, JobSpec, Queue, StepSpec
+from wasabipaddle.kernel import Context
+from wasabipaddle.settings import CellSettings, PlatformAddresses
+from wasabipaddle.standins.transactions import MemoryTransactions, TransactionsClient
+
+QUEUE = Queue(name="q", host="h", prefix="/q/", pool="p")
+SPEC = JobSpec(payload="p", steps=(StepSpec(count=1),))
+JOB = "00000000000000aa"
+
+
+class FakeMembers:
+    """Calls to the other processes of the test, made directly."""
+
+    def __init__(self, process, processes):
+        self.process = process
+        self.processes = processes
+        self.leader = ""
+        self.waiting = None
+        self.waiting_s = 0.0
+        self.count_waiting = lambda: None
+        self.asked = []
+        self.phase = None
+
+    @property
+    def addresses(self):
+        return {name: "x:1" for name in self.processes}
+
+    async def ask_leader(self, message, reply_type, *, timeout_s):
+        """Note the message; nobody leads unless the test says so."""
+        self.asked.append(message)
+        if self.phase is not None:
+            return self.phase
+        return Err(Failure(kind=ErrorKind.NO_LEADER, detail="none"))
+
+    async def ask(self, process, message, reply_type, *, timeout_s):
+        """Have a peer store a job or cancellation."""
+        handler = {
+            "StoreJob": "_store_for_peer",
+            "CancelJob": "_cancel_for_peer",
+        }[type(message).__name__]
+        return await getattr(self.processes[process].entry, handler)(message)
+
+
+class Process:
+    """Store access, election and entry of one process."""
+
+    def __init__(self, name, memory, processes):
+        self.name = name
+        settings = CellSettings(
+            process=name,
+            data_centre="a",
+            region="r",
+            callers="127.0.0.1:1",
+            readiness="127.0.0.1:2",
+            internal="127.0.0.1:3",
+            platform=PlatformAddresses(store="127.0.0.1:4"),
+        )
+        self.context = Context.create(
+            settings=settings, clock=LoopClock(), process=name, seed=hash(name)
+        )
+        self.access = CellStorePlugin(context=self.context)
+        self.access.store = TransactionsClient(memory=memory, client=name)
+        self.context.plugins["cell_store"] = self.access
+        self.election = ElectionPlugin(context=self.context)
+        self.entry = EntryPlugin(context=self.context)
+        self.entry.access = self.access
+        self.entry.store = self.access.store
+        self.members = self.entry.members = FakeMembers(name, processes)
+        self.reigns = []
+        self.ended = []
+        bus = self.context.bus
+        bus.facts(ReignBegan).subscribe(self.reigns.append)
+        bus.facts(ReignEnded).subscribe(self.ended.append)
+
+    def configure(self):
+        """Put a configuration with one queue in force."""
+        current = CellConfiguration(version=1, queues=(QUEUE,))
+        self.entry.configuration = type("C", (), {"current": current, "version": 1})()
+
+    async def close(self):
+        await self.election.stop()
+        await self.entry.tasks.close()
+
+
+class TestCell:
+    """Several processes and their store."""
+
+    __test__ = False
+
+    def __init__(self, count=2):
+        self.memory = MemoryTransactions()
+        self.processes = {}
+        for i in range(count):
+            name = f"p{i}"
+            self.processes[name] = Process(name, self.memory, self.processes)
+            self.processes[name].configure()
+
+    def __getitem__(self, name):
+        return self.processes[name]
+
+    async def elect(self):
+        """Start all elections and return the process that leads."""
+        for process in self.processes.values():
+            await process.election.start()
+        await asyncio.sleep(2.0)
+        return self.leader()
+
+    def leader(self):
+        """Return the only process that leads."""
+        (leader,) = [p for p in self.processes.values() if p.election.epoch]
+        return leader
+
+    async def close(self):
+        for process in self.processes.values():
+            await process.close()
+
+
+@pytest.fixture
+def make_test_cell():
+    return TestCell
--- /dev/null
+++ b/wasabipaddle/cell/tests/test_election.py
@@ -0,0 +1,102 @@
+"""Election: one leader, rising epochs, revoked keys, lost answers."""
+
+import asyncio
+
+from wasabipaddle.cell.keys import LEADER_KEY
+from wasabipaddle.clock import run_virtual
+
+
+def test_one_process_leads(make_test_cell):
+    """Guards against two leaders after a common start."""
+
+    async def main():
+        cell = make_test_cell(3)
+        leader = await cell.elect()
+        assert cell.memory.items[LEADER_KEY].revision == leader.election.epoch
+        await cell.close()
+
+    run_virtual(main())
+
+
+def test_leader_that_loses_its_key_continues_if_nobody_else_led(make_test_cell):
+    """Guards against a full takeover, or two leaders, after a revoked key."""
+
+    async def main():
+        cell = make_test_cell(1)
+        leader = await cell.elect()
+        before = leader.election.epoch
+        cell.memory.remove(LEADER_KEY)
+        await asyncio.sleep(1.0)
+        assert leader.election.epoch > before
+        assert [r.continued for r in leader.reigns] == [False, True]
+        assert leader.ended == []
+        await cell.close()
+
+    run_virtual(main())
+
+
+def test_successor_has_a_higher_epoch_and_term(make_test_cell):
+    """Guards against orders of a successor that runners refuse."""
+
+    async def main():
+        cell = make_test_cell(2)
+        first = await cell.elect()
+        first.election._leave(None)
+        await asyncio.sleep(1.5)
+        second = cell.leader()
+        assert second is not first
+        assert second.reigns[0].epoch > first.reigns[0].epoch
+        assert second.reigns[0].term > first.reigns[0].term
+        await cell.close()
+
+    run_virtual(main())
+
+
+def test_leader_ends_its_reign_when_it_sees_another(make_test_cell):
+    """Guards against a leader that goes on beside its successor."""
+
+    async def main():
+        cell = make_test_cell(2)
+        first = await cell.elect()
+        cell.memory.refused.add(first.name)
+        cell.memory.remove(LEADER_KEY)
+        await asyncio.sleep(2.0)
+        cell.memory.refused.clear()
+        await asyncio.sleep(2.0)
+        assert cell.leader() is not first
+        assert first.ended
+        await cell.close()
+
+    run_virtual(main())
+
+
+def test_peer_replaces_a_leader_at_its_request(make_test_cell):
+    """Guards against a leader without the store that keeps its seat."""
+
+    async def main():
+        cell = make_test_cell(2)
+        first = await cell.elect()
+        (second,) = [p for p in cell.processes.values() if p is not first]
+        assert await second.election.bid(replaces=first.election.epoch)
+        assert not await second.election.bid(replaces=12345)
+        await asyncio.sleep(7.0)
+        assert cell.leader() is second
+        await cell.close()
+
+    run_virtual(main())
+
+
+def test_bid_without_an_answer_is_settled_by_reading(make_test_cell):
+    """Guards against a key that is held by a process which does not know it."""
+
+    async def main():
+        cell = make_test_cell(1)
+        cell.memory.lose_answers = True
+        await cell["p0"].election.start()
+        await asyncio.sleep(3.0)
+        cell.memory.lose_answers = False
+        await asyncio.sleep(3.0)
+        assert cell["p0"].election.epoch == cell.memory.items[LEADER_KEY].revision
+        await cell.close()
+
+    run_virtual(main())
--- /dev/null
+++ b/wasabipaddle/cell/tests/test_entry.py
@@ -0,0 +1,168 @@
+"""Acceptance: what an answer to a caller may say."""
+
+import asyncio
+
+from result import Ok
+
+from wasabipaddle.cell.keys import CANCEL_PREFIX, JOB_PREFIX, PROGRESS_PREFIX
+from wasabipaddle.cell.tests.conftest import JOB, QUEUE, SPEC
+from wasabipaddle.clock import run_virtual
+from wasabipaddle.exceptions import ErrorKind
+from wasabipaddle.interfaces import Put
+from wasabipaddle.jobs import JobPhase, JobProgress, encode_progress
+from wasabipaddle.messages.jobs import PhaseReply
+
+
+def run(make_test_cell, scenario, count=2):
+    async def main():
+        cell = make_test_cell(count)
+        await scenario(cell)
+        await cell.close()
+
+    run_virtual(main())
+
+
+def submit(process):
+    return process.entry.submit(QUEUE, JOB, SPEC, wait_s=3.0)
+
+
+def test_job_is_stored_before_it_is_accepted(make_test_cell):
+    """Guards against an accepted job that a crash loses."""
+
+    async def scenario(cell):
+        assert (await submit(cell["p0"])).is_ok()
+        assert JOB_PREFIX + JOB in cell.memory.items
+
+    run(make_test_cell, scenario)
+
+
+def test_repeated_job_at_another_process_is_one_job(make_test_cell):
+    """Guards against two jobs for one identifier."""
+
+    async def scenario(cell):
+        await submit(cell["p0"])
+        first = cell.memory.items[JOB_PREFIX + JOB]
+        assert (await submit(cell["p1"])).is_ok()
+        assert cell.memory.items[JOB_PREFIX + JOB] == first
+
+    run(make_test_cell, scenario)
+
+
+def test_job_is_refused_only_if_nothing_was_stored(make_test_cell):
+    """Guards against a refusal of a job that runs."""
+
+    async def scenario(cell):
+        cell.memory.down = True
+        failure = (await submit(cell["p0"])).err()
+        assert failure.outcome.value == "not_run"
+        assert failure.retry_after_s is not None
+        cell.memory.down = False
+        await asyncio.sleep(10.0)
+        assert JOB_PREFIX + JOB not in cell.memory.items
+
+    run(make_test_cell, scenario)
+
+
+def test_lost_answer_is_not_a_refusal(make_test_cell):
+    """Guards against "never runs" for a write that takes effect later."""
+
+    async def scenario(cell):
+        cell.memory.lose_answers = True
+        cell.memory.delay_s = 5.0
+        failure = (await submit(cell["p0"])).err()
+        assert failure.kind is ErrorKind.ACCEPTANCE_UNKNOWN
+        assert failure.outcome.value == "unknown"
+
+    run(make_test_cell, scenario)
+
+
+def test_lost_answer_of_a_write_that_took_effect_is_an_acceptance(make_test_cell):
+    """Guards against a caller that must ask again for a job that exists."""
+
+    async def scenario(cell):
+        cell.memory.lose_answers = True
+        task = asyncio.create_task(submit(cell["p0"]))
+        await asyncio.sleep(0.5)
+        cell.memory.lose_answers = False
+        assert (await task).is_ok()
+
+    run(make_test_cell, scenario)
+
+
+def test_process_without_the_store_accepts_through_a_peer(make_test_cell):
+    """Guards against refusals while other processes reach the store."""
+
+    async def scenario(cell):
+        cell.memory.refused.add("p0")
+        assert (await submit(cell["p0"])).is_ok()
+        assert JOB_PREFIX + JOB in cell.memory.items
+
+    run(make_test_cell, scenario)
+
+
+def test_unknown_job_is_gone_only_after_a_read_of_the_store(make_test_cell):
+    """Guards against "no such job" for an accepted job."""
+
+    async def scenario(cell):
+        entry = cell["p1"].entry
+        cell.memory.down = True
+        failure = (await entry.find_phase(QUEUE, JOB, wait_s=3.0)).err()
+        assert failure.kind is not ErrorKind.GONE
+        cell.memory.down = False
+        failure = (await entry.find_phase(QUEUE, JOB, wait_s=3.0)).err()
+        assert failure.kind is ErrorKind.GONE
+        await submit(cell["p0"])
+        phase = await entry.find_phase(QUEUE, JOB, wait_s=3.0)
+        assert phase == Ok(JobPhase.QUEUED)
+
+    run(make_test_cell, scenario)
+
+
+def test_dispatcher_that_does_not_know_a_job_is_checked(make_test_cell):
+    """Guards against 410 from a dispatcher whose watch is behind."""
+
+    async def scenario(cell):
+        await submit(cell["p0"])
+        cell["p1"].members.phase = Ok(PhaseReply())
+        phase = await cell["p1"].entry.find_phase(QUEUE, JOB, wait_s=3.0)
+        assert phase == Ok(JobPhase.QUEUED)
+
+    run(make_test_cell, scenario)
+
+
+def test_final_state_is_read_from_the_store_without_a_dispatcher(make_test_cell):
+    """Guards against a completed job that looks unfinished after a crash."""
+
+    async def scenario(cell):
+        progress = encode_progress(JobProgress(phase=JobPhase.COMPLETED))
+        cell.memory.apply((), [Put(key=PROGRESS_PREFIX + JOB, value=progress)], ())
+        phase = await cell["p0"].entry.find_phase(QUEUE, JOB, wait_s=3.0)
+        assert phase == Ok(JobPhase.COMPLETED)
+
+    run(make_test_cell, scenario)
+
+
+def test_cancellation_is_stored_and_an_unknown_job_is_gone(make_test_cell):
+    """Guards against an acknowledged cancellation that a crash loses."""
+
+    async def scenario(cell):
+        entry = cell["p0"].entry
+        failure = (await entry.cancel(QUEUE, JOB, wait_s=3.0)).err()
+        assert failure.kind is ErrorKind.GONE
+        await submit(cell["p0"])
+        assert (await entry.cancel(QUEUE, JOB, wait_s=3.0)).is_ok()
+        assert CANCEL_PREFIX + JOB in cell.memory.items
+
+    run(make_test_cell, scenario)
+
+
+def test_process_without_the_store_cancels_through_a_peer(make_test_cell):
+    """Guards against cancellations that wait for the store to serve one process."""
+
+    async def scenario(cell):
+        await submit(cell["p0"])
+        cell.memory.refused.add("p0")
+        cancelled = await cell["p0"].entry.cancel(QUEUE, JOB, wait_s=3.0)
+        assert cancelled.is_ok()
+
+    run(make_test_cell, scenario)
--- /dev/null
+++ b/wasabipaddle/standins/transactions.py
@@ -0,0 +1,190 @@
+"""Stand-in for a store with transactions, in memory, with lost and late answers."""
+
+import asyncio
+
+from result import Err, Ok
+
+from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.interfaces import Change, Entry, Page, TransactionalStore, WatchBatch
+
+__all__ = ["MemoryTransactions", "TransactionsClient"]
+
+
+class MemoryTransactions:
+    """Contents of the store, shared by the clients of a test.
+
+    Attributes
+    ----------
+    down : bool
+        Whether every call is refused.
+    refused : set of str
+        Clients whose calls are refused.
+    lose_answers : bool
+        Whether commits take effect and get no answer.
+    delay_s : float
+        Time after which an unanswered commit takes effect; None loses it for good.
+    """
+
+    def __init__(self):
+        self.items = {}
+        self.leases = {}
+        self.revision = 1
+        self.history = []
+        self.changed = asyncio.Event()
+        self.down = False
+        self.refused = set()
+        self.lose_answers = False
+        self.delay_s = 0.0
+
+    def apply(self, conditions, puts, deletes):
+        """Carry out one commit and return its revision or failure."""
+        for key, revision in conditions:
+            entry = self.items.get(key)
+            if (entry.revision if entry else 0) != revision:
+                return _failed(ErrorKind.REVISION_MISMATCH, key)
+        for put in puts:
+            if put.lease and put.lease not in self.leases:
+                return _failed(ErrorKind.NOT_FOUND, "lease")
+        self.revision += 1
+        for put in puts:
+            self.items[put.key] = Entry(
+                key=put.key, value=put.value, revision=self.revision
+            )
+            self._record(put.key, put.value)
+            if put.lease:
+                self.leases[put.lease].add(put.key)
+        for key in deletes:
+            if self.items.pop(key, None) is not None:
+                self._record(key, None)
+        return Ok(self.revision)
+
+    def _record(self, key, value):
+        self.history.append(Change(key=key, value=value, revision=self.revision))
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def end_lease(self, lease):
+        """Remove the keys of a lease."""
+        keys = self.leases.pop(lease, set())
+        self.apply((), (), [k for k in keys if k in self.items])
+
+    def remove(self, key):
+        """Remove a key, as the platform does when it revokes it."""
+        self.apply((), (), [key])
+
+
+class TransactionsClient(TransactionalStore):
+    """Store as one process sees it.
+
+    Parameters
+    ----------
+    memory : MemoryTransactions
+        Contents.
+    client : str
+        Name of the process.
+    """
+
+    def __init__(self, *, memory, client):
+        self.memory = memory
+        self.client = client
+
+    async def _refusal(self):
+        await asyncio.sleep(0.004)
+        if self.memory.down or self.client in self.memory.refused:
+            return _failed(ErrorKind.STORE_UNAVAILABLE, "the store is down")
+        return None
+
+    async def get(self, key):
+        """Read one key; None if it does not exist."""
+        return await self._refusal() or Ok(self.memory.items.get(key))
+
+    async def list(self, prefix, *, after="", limit=0):
+        """Read all keys of a prefix as one page."""
+        return await self.list_all(prefix)
+
+    async def list_all(self, prefix):
+        """Read all keys of a prefix."""
+        refusal = await self._refusal()
+        if refusal:
+            return refusal
+        keys = sorted(k for k in self.memory.items if k.startswith(prefix))
+        entries = tuple(self.memory.items[k] for k in keys)
+        return Ok(Page(entries=entries, revision=self.memory.revision))
+
+    async def put(self, key, value, *, expected_revision=None, lease=None):
+        """Not used by a cell, which commits."""
+        raise NotImplementedError
+
+    async def delete(self, key, *, expected_revision=None):
+        """Not used by a cell, which commits."""
+        raise NotImplementedError
+
+    async def watch(self, prefix, *, after_revision, wait_s):
+        """Not used by a cell, which follows."""
+        raise NotImplementedError
+
+    async def commit(self, *, conditions=(), puts=(), deletes=()):
+        """Apply all changes if all conditions hold."""
+        refusal = await self._refusal()
+        if refusal:
+            return refusal
+        if not self.memory.lose_answers:
+            return self.memory.apply(conditions, puts, deletes)
+        if self.memory.delay_s is not None:
+            asyncio.get_running_loop().call_later(
+                self.memory.delay_s, self.memory.apply, conditions, puts, deletes
+            )
+        await asyncio.sleep(0.9)
+        return _failed(ErrorKind.TIMEOUT, "no answer")
+
+    async def follow(self, prefix, *, after_revision, wait_s):
+        """Wait for changes of a prefix."""
+        until_s = asyncio.get_running_loop().time() + wait_s
+        while True:
+            refusal = await self._refusal()
+            if refusal:
+                return refusal
+            found = tuple(
+                change
+                for change in self.memory.history
+                if change.revision > after_revision and change.key.startswith(prefix)
+            )
+            remaining_s = until_s - asyncio.get_running_loop().time()
+            if found or remaining_s <= 0:
+                revision = self.memory.revision
+                return Ok(WatchBatch(changes=found, revision=revision))
+            try:
+                async with asyncio.timeout(remaining_s):
+                    await self.memory.changed.wait()
+            except TimeoutError:
+                pass
+
+    async def grant_lease(self, ttl_s):
+        """Create a lease, which ends only by `end_lease`."""
+        refusal = await self._refusal()
+        if refusal:
+            return refusal
+        lease = len(self.memory.history) + 1000 + len(self.memory.leases)
+        self.memory.leases[lease] = set()
+        return Ok(lease)
+
+    async def renew_lease(self, lease):
+        """Extend a lease."""
+        refusal = await self._refusal()
+        if refusal:
+            return refusal
+        if lease not in self.memory.leases:
+            return _failed(ErrorKind.NOT_FOUND, "lease")
+        return Ok(None)
+
+    async def end_lease(self, lease):
+        """End a lease and remove its keys."""
+        refusal = await self._refusal()
+        if refusal:
+            return refusal
+        self.memory.end_lease(lease)
+        return Ok(None)
+
+
+def _failed(kind, detail):
+    return Err(Failure(kind=kind, detail=detail))
