--- a/wasabipaddle/cell/calls.py
+++ b/wasabipaddle/cell/calls.py
@@ -93,6 +93,8 @@
             took_ms=int((now - sent_s) * 1000),
         )
         session.metrics.count(f"starts_{outcome.value}")
+        session.metrics.observe("start_wait", sent_s - task.waiting_s)
+        session.metrics.observe("start_call", now - sent_s)
         self.scheduler.reports.start_replied(run, outcome, reply, now)
         if outcome is not StartOutcome.STARTED or reply.refusal is not Refusal.NONE:
             session.wake()
--- a/wasabipaddle/cell/entry.py
+++ b/wasabipaddle/cell/entry.py
@@ -125,8 +125,13 @@
             reason=accepted.err().kind.value if accepted.is_err() else None,
             detail=accepted.err().detail if accepted.is_err() else None,
         )
+        metrics = self.context.metrics
+        metrics.observe("acceptance", self.context.clock.now() - began)
         if accepted.is_ok():
+            metrics.count("jobs_accepted")
             self.tasks.spawn(self._notify(JobAccepted(job=job)))
+        else:
+            metrics.count(f"jobs_refused_{accepted.err().kind.value}")
         return accepted
 
     async def _store_job(self, job, *, until_s):
--- /dev/null
+++ b/wasabipaddle/cell/metrics.py
@@ -0,0 +1,55 @@
+"""Role `cell_metrics`: counters and latency histograms of a process as text."""
+
+from aiohttp import web
+
+from wasabipaddle.kernel import Plugin
+from wasabipaddle.settings import CellPeer
+
+__all__ = ["MetricsPlugin", "render"]
+
+PATH = "/metrics"
+PREFIX = "wasabipaddle_"
+
+
+def render(metrics) -> str:
+    """Return all counters, gauges and histograms, one value a line."""
+    snapshot = metrics.snapshot()
+    lines = [
+        f"{PREFIX}{name} {value}"
+        for group in ("counters", "gauges")
+        for name, value in snapshot[group].items()
+    ]
+    for name, summary in snapshot["histograms"].items():
+        for key, value in summary.items():
+            lines.append(f"{PREFIX}{name}_{key} {value}")
+    return "\n".join(lines) + "\n"
+
+
+class MetricsPlugin(Plugin):
+    """Serves the metrics of the process on the port of the settings."""
+
+    name = "cell_metrics"
+
+    def __init__(self, *, context):
+        super().__init__(context=context)
+        self.runner = None
+
+    async def start(self):
+        """Listen, if the settings name a port."""
+        settings = self.context.settings
+        if not settings.metrics_port:
+            return
+        app = web.Application()
+        app.router.add_get(PATH, self._show)
+        self.runner = web.AppRunner(app, access_log=None)
+        await self.runner.setup()
+        host = CellPeer.parse(settings.internal).host
+        await web.TCPSite(self.runner, host, settings.metrics_port).start()
+
+    async def stop(self):
+        """Close the listener."""
+        if self.runner is not None:
+            await self.runner.cleanup()
+
+    async def _show(self, request):
+        return web.Response(text=render(self.context.metrics))
--- a/wasabipaddle/cell/process.py
+++ b/wasabipaddle/cell/process.py
@@ -15,6 +15,7 @@
     handover,
     lines,
     members,
+    metrics,
     store,
 )
 from wasabipaddle.clock import LoopClock
@@ -32,10 +33,11 @@
     handover,
     lines,
     members,
+    metrics,
     store,
 )
 
-ROLES = ("cell_dispatcher", "cell_handover", "cell_entry")
+ROLES = ("cell_dispatcher", "cell_handover", "cell_metrics", "cell_entry")
 
 
 async def serve_cell(settings, *, reload=None):
--- a/wasabipaddle/cell/session.py
+++ b/wasabipaddle/cell/session.py
@@ -191,6 +191,7 @@
             progress=self.progress.get(job.id),
             recovered=not self.loaded,
         )
+        self.metrics.count("jobs_taken")
         self.wake()
 
     def cancel(self, job_id):
--- a/wasabipaddle/dispatch/placement.py
+++ b/wasabipaddle/dispatch/placement.py
@@ -11,6 +11,9 @@
 NEAR_WEIGHT = 2.0
 AVOIDED_PENALTY = 4.0
 SHARING_PENALTY = 1.5
+# A run gets a copy after this multiple of its estimate and some more time.
+COPY_SHARE = 1.3
+COPY_SLACK_S = 0.2
 
 
 class Placement:
@@ -40,6 +43,39 @@
             else:
                 self._plan_tasks(step, now)
 
+    def plan_copies(self, now):
+        """Start copies of speculative tasks whose runs are late."""
+        if self.state.short_of_room:
+            return
+        steps = {
+            run.task.step.key: run.task.step
+            for runner in self.state.runners.values()
+            for run in runner.runs.values()
+            if run.task.spec.speculative and _is_late(run, now)
+        }
+        for step in steps.values():
+            permitted = self._permitted(step, now)
+            for task in step.tasks:
+                if _needs_copy(task, now):
+                    self._start_copy(task, permitted, now)
+
+    def _start_copy(self, task, permitted, now):
+        run = task.runs[0]
+        others = [(r, ticket) for r, ticket in permitted if r is not run.runner]
+        best = self._best(task, others)
+        if best is None:
+            return
+        self.state.journal(
+            "run_copied",
+            job=task.id.job,
+            task=task.id[1:],
+            runner=run.runner.id,
+            held_ms=int((now - run.started_s) * 1000),
+            percent=run.percent,
+            copy=best[0].id,
+        )
+        self._start(task, *best, task.last_run + 1, now)
+
     def candidates(self, step, now):
         """Return the runners that may start a task of the step, whatever is free."""
         queue, spec = step.job.queue, step.spec
@@ -161,6 +197,25 @@
     return sum(1 for run in runner.runs.values() if run.task.step is step)
 
 
+def _is_late(run, now):
+    """Return whether a run is far over its estimate, or its runner is silent."""
+    if run.phase is not RunPhase.RUNNING:
+        return False
+    late_s = COPY_SHARE * run.task.spec.estimate_s + COPY_SLACK_S
+    return now - run.started_s > late_s or now < run.runner.full_until_s
+
+
+def _needs_copy(task, now):
+    entry = task.step.job
+    return (
+        not task.completed
+        and not entry.phase.final
+        and len(task.runs) == 1
+        and _is_late(task.runs[0], now)
+        and len(task.failed_runs) + 1 < entry.queue.max_attempts
+    )
+
+
 def _slots(step, runner):
     """Return how many tasks of a step fit on a runner now."""
     spec, capacity = step.spec, runner.entry.capacity
--- a/wasabipaddle/dispatch/scheduler.py
+++ b/wasabipaddle/dispatch/scheduler.py
@@ -103,6 +103,7 @@
         self.lifecycle.open_due(now)
         self.reports.expire(now)
         self.watchdog.check(now)
+        self.placement.plan_copies(now)
 
     def plan(self, now):
         """Start what can start; return the requests for eligibility."""
--- a/wasabipaddle/dispatch/watchdog.py
+++ b/wasabipaddle/dispatch/watchdog.py
@@ -51,7 +51,9 @@
             self._give_up(runner, run, "stalled", now)
             return
         held_s = now - run.started_s
-        if spec.gang or run.preempted or held_s < 1.0 + spec.estimate_s:
+        if spec.gang or spec.speculative or run.preempted:
+            return  # a copy, not a restart, helps a speculative task
+        if held_s < 1.0 + spec.estimate_s:
             return
         rate = run.percent / 100 * spec.estimate_s / held_s
         if rate < SLOW_RATE and run.percent < SLOW_LATE_PERCENT:
