Keep tickets of the first waiting steps fresh, drop gone runners from the fleet record

Change: six steps that wait get their tickets renewed before they expire; two fifths of the lines are for urgent steps; a silent line is left out for 1 s.

--- a/wasabipaddle/cell/lines.py
+++ b/wasabipaddle/cell/lines.py
@@ -1,6 +1,6 @@
 """Requests to the eligibility service, spread over the lines of all processes."""
 
-import asyncio
+import math
 
 from result import Err, Ok
 
@@ -13,10 +13,13 @@
 __all__ = ["AdviceLines", "AdvicePlugin"]
 
 # Time beyond the expected one after which an answer is taken as lost.
-ANSWER_SLACK_S = 0.8
+ANSWER_SLACK_S = 0.4
 RELAY_SLACK_S = 0.3
-# One process in this many is kept free of requests that are not urgent.
-RESERVED_PART = 4
+# Share of the lines that is kept free of requests that are not urgent.
+RESERVED_SHARE = 0.4
+# A process that did not answer is left out for this long.
+SILENT_S = 1.0
+SILENT_KINDS = frozenset({ErrorKind.TIMEOUT, ErrorKind.UNREACHABLE})
 # A line with more work than this takes only urgent requests.
 LONGEST_QUEUE_S = 0.7
 
@@ -67,6 +70,7 @@
     def __init__(self, *, members):
         self.members = members
         self.outstanding_s = {}
+        self.silent_until_s = {}
 
     async def ask(self, request):
         """Make a request and return an `AdviceReply` or an `Err`."""
@@ -86,18 +90,24 @@
         )
         self.outstanding_s[process] = waiting_s + request.expected_s
         try:
-            async with asyncio.timeout(timeout_s + RELAY_SLACK_S):
-                return await self.members.ask(
-                    process, message, AdviceReply, timeout_s=timeout_s + RELAY_SLACK_S
-                )
+            answer = await self.members.ask(
+                process, message, AdviceReply, timeout_s=timeout_s + RELAY_SLACK_S
+            )
         finally:
             self.outstanding_s[process] -= request.expected_s
+        if answer.is_err() and answer.err().kind in SILENT_KINDS:
+            now = self.members.context.clock.now()
+            self.silent_until_s[process] = now + SILENT_S
+        return answer
 
     def _choose(self, request):
+        now = self.members.context.clock.now()
         live = self.members.live()
-        reserved = len(live) // RESERVED_PART
+        answering = [p for p in live if self.silent_until_s.get(p, 0.0) <= now]
+        live = answering or live
+        reserved = math.ceil(len(live) * RESERVED_SHARE) if len(live) > 1 else 0
         # The leader's own line, first in the list, is the nearest one.
-        allowed = live if request.urgent or not reserved else live[reserved:]
+        allowed = live if request.urgent else live[reserved:]
         process = min(allowed, key=lambda name: self.outstanding_s.get(name, 0.0))
         if (
             not request.urgent
--- a/wasabipaddle/cell/session.py
+++ b/wasabipaddle/cell/session.py
@@ -237,6 +237,7 @@
                 self.scheduler.advance(now)
                 for runner in self.scheduler.forget_gone(now):
                     self.journal("runner_forgotten", runner=runner.id)
+                    self.fleet.changed.set()
             for request in self.scheduler.plan(now):
                 self.spawn(self._advise(request))
             for order in self.scheduler.take_orders():
@@ -244,10 +245,7 @@
 
     async def _advise(self, request):
         began = self.now()
-        try:
-            answer = await self.lines.ask(request)
-        except TimeoutError:
-            answer = Err(Failure(kind=ErrorKind.TIMEOUT, detail="no answer in time"))
+        answer = await self.lines.ask(request)
         now = self.now()
         step = request.step
         self.journal(
--- a/wasabipaddle/cell/writer.py
+++ b/wasabipaddle/cell/writer.py
@@ -163,6 +163,7 @@
         self.scheduler = scheduler
         self.session = session
         self.revision = 0
+        self.named = set()
         self.changed = asyncio.Event()
 
     async def load(self):
@@ -176,17 +177,22 @@
         if entry is None:
             return []
         self.revision = entry.revision
-        return msgspec.json.decode(entry.value, type=list[RunnerEntry])
+        members = msgspec.json.decode(entry.value, type=list[RunnerEntry])
+        self.named = {member.id for member in members}
+        return members
 
     async def run(self):
-        """Write the record whenever a runner joins."""
+        """Write the record whenever a runner joins, or is gone for good.
+
+        A runner that the record names without need holds up the next takeover.
+        """
         runners = self.scheduler.state.runners
         while True:
             await self.changed.wait()
             await asyncio.sleep(GATHER_S)
             self.changed.clear()
             members = list(runners.values())
-            if all(runner.recorded for runner in members):
+            if {runner.id for runner in members} == self.named:
                 continue
             value = msgspec.json.encode([runner.entry for runner in members])
             written = await self.access.call(
@@ -200,6 +206,7 @@
             )
             if written.is_ok():
                 self.revision = written.ok()
+                self.named = {runner.id for runner in members}
                 for runner in members:
                     runner.recorded = True
                 self.session.wake()
--- a/wasabipaddle/dispatch/advisor.py
+++ b/wasabipaddle/dispatch/advisor.py
@@ -9,6 +9,8 @@
 # Runners named in one request.
 MAX_NAMED = 30
 RETRY_S = 0.2
+# Steps that are not urgent whose tickets are renewed whether or not there is room.
+KEPT_STEPS = 6
 # A request without an answer is given up after this time beyond the expected one.
 ANSWER_SLACK_S = 1.5
 
@@ -31,23 +33,23 @@
     def plan(self, now):
         """Return the requests to make now, the most urgent first."""
         wanted = []
+        first = 0
         for step in sorted(self.state.ready.values(), key=rank):
-            request = self._request(step, now)
-            if request is not None:
-                wanted.append(request)
+            urgent = step.job.queue.priority == 0
+            keep = not urgent and first < KEPT_STEPS
+            first += not urgent
+            wanted.append(self._request(step, now, keep=keep))
         for step in self._soon_ready(now):
-            request = self._request(step, now)
-            if request is not None:
-                wanted.append(request)
-        return wanted
+            wanted.append(self._request(step, now))
+        return [request for request in wanted if request is not None]
 
-    def _request(self, step, now):
+    def _request(self, step, now, *, keep=False):
         policy, eligibility = step.job.queue.advice, step.eligibility
         if policy is None or eligibility.asked_s is not None:
             return None
         if now < eligibility.retry_s:
             return None
-        runners = self._to_name(step, now)
+        runners = self._to_name(step, now, keep=keep)
         if not runners:
             return None
         eligibility.asked_s = now
@@ -58,8 +60,12 @@
             expected_s=policy.base_s + policy.per_runner_s * len(runners),
         )
 
-    def _to_name(self, step, now):
-        """Return the runners to name: known good ones with room, else unknown ones."""
+    def _to_name(self, step, now, *, keep):
+        """Return the runners to name: known good ones with room, else unknown ones.
+
+        With `keep`, tickets are renewed before they expire, so that the step can use
+        room as soon as there is some; an answer takes longer than room lasts.
+        """
         eligibility = step.eligibility
         candidates = self.placement.candidates(step, now)
         good, unknown = [], []
@@ -69,6 +75,13 @@
             elif not eligibility.known_refused(runner):
                 unknown.append(runner)
         usable = [r for r in good if r.fits(step.spec) and room_in_step(step, r)]
+        if keep and good:
+            policy = step.job.queue.advice
+            horizon = now + policy.base_s + policy.per_runner_s * len(good)
+            if any(eligibility.ticket(r, horizon) is not None for r in good):
+                return []
+            good.sort(key=lambda r: (r not in usable, -r.free_share))
+            return good[:MAX_NAMED]
         if any(eligibility.ticket(r, now) is not None for r in usable):
             return []
         if usable:
