Replace a leader that is known to have ended before its lease ends

Cause: after the kill of the leader nobody dispatched for 1.6 s, although its next life or a refused connection tells at once. Change: a process takes the key of its own earlier life, or of a leader that refused two connections in a row, at most every 10 s.

--- a/wasabipaddle/cell/election.py
+++ b/wasabipaddle/cell/election.py
@@ -14,7 +14,7 @@
 from wasabipaddle.kernel import Plugin
 from wasabipaddle.serve.tasks import TaskSet
 
-__all__ = ["ElectionPlugin"]
+__all__ = ["FAR_LATENCY_S", "ElectionPlugin"]
 
 LEASE_S = 1.6
 RENEW_S = 0.4
@@ -24,6 +24,8 @@
 BID_JITTER_S = 0.05
 FAR_LATENCY_S = 0.025
 FAR_DELAY_S = 0.4
+# A process that is cut off must not take the key from a live leader again and again.
+REPLACE_PAUSE_S = 10.0
 
 
 @attrs.frozen(kw_only=True)
@@ -81,6 +83,8 @@
         self.epoch = 0
         self.lease = 0
         self.leader = None
+        self.leader_revision = 0
+        self.replaced_s = -REPLACE_PAUSE_S
         self.term_revision = 0
         self.leaving = False
         self.tasks = TaskSet()
@@ -117,6 +121,8 @@
             if entry is None:
                 await self._bid_later()
                 continue
+            if self._is_earlier_life(entry) and await self.replace_leader():
+                continue
             revision = max(revision, entry.revision)
             batch = await self.store.follow(
                 LEADER_KEY, after_revision=revision, wait_s=WATCH_S
@@ -126,6 +132,32 @@
             else:
                 await asyncio.sleep(RETRY_S)
 
+    def _is_earlier_life(self, entry):
+        """Return whether the key is held by an earlier life of this process."""
+        return (
+            self.leader is not None
+            and self.leader.process == self.record.process
+            and self.leader.life != self.record.life
+            and entry.revision == self.leader_revision
+        )
+
+    async def replace_leader(self) -> bool:
+        """Take the key from a leader that is known to have ended.
+
+        A wrong guess is harmless: runners and the store refuse the earlier epoch.
+        """
+        now = self.context.clock.now()
+        may_try = now - self.replaced_s >= REPLACE_PAUSE_S
+        if self.epoch or self.leaving or self.access.health.away or not may_try:
+            return False
+        self.replaced_s = now
+        self.context.journal(
+            "leader_replaced",
+            leader=self.leader.process if self.leader else "",
+            revision=self.leader_revision,
+        )
+        return await self.bid(replaces=self.leader_revision)
+
     def _observe(self, entry):
         """Take the stored record; end a reign that it contradicts."""
         record = None
@@ -133,6 +165,7 @@
             record = msgspec.json.decode(entry.value, type=LeaderRecord)
         if self.epoch and entry is not None and record != self.record:
             self._end(f"{record.process} leads")
+        self.leader_revision = entry.revision if entry else 0
         if record != self.leader:
             self.leader = record
             self.context.journal(
--- a/wasabipaddle/cell/members.py
+++ b/wasabipaddle/cell/members.py
@@ -6,7 +6,7 @@
 from result import Err, Ok
 
 from wasabipaddle.cell.configuration import ConfigurationPlugin
-from wasabipaddle.cell.election import ElectionPlugin
+from wasabipaddle.cell.election import FAR_LATENCY_S, ElectionPlugin
 from wasabipaddle.cell.facts import LeaderChanged
 from wasabipaddle.cell.store import CellStorePlugin
 from wasabipaddle.exceptions import ErrorKind, Failure
@@ -22,6 +22,11 @@
 HELLO_TIMEOUT_S = 0.5
 # A process that was silent for this long is not asked for anything.
 SILENT_S = 2.0
+# Refused connections in a row after which the leader counts as gone; processes far
+# from the store let others go first.
+REFUSALS = 2
+FAR_REFUSALS = 5
+REFUSAL_PAUSE_S = 0.08
 
 
 class MembersPlugin(Plugin):
@@ -53,6 +58,7 @@
         self.waiting_s = 0.0
         self.count_waiting = lambda: None
         self.greet_now = asyncio.Event()
+        self.refusals = 0
         self.tasks = TaskSet()
         self.runner = None
 
@@ -60,6 +66,7 @@
         """Start to greet the leader."""
         self.configuration = self.context.plugins[ConfigurationPlugin.name]
         self.access = self.context.plugins[CellStorePlugin.name]
+        self.election = self.context.plugins[ElectionPlugin.name]
         self.transport.handle(MemberHello, self._greeted)
         self.context.bus.facts(LeaderChanged).subscribe(self._leader_changed)
         self.tasks.spawn(self._greet())
@@ -143,6 +150,10 @@
                 store_latency_s=self.access.health.latency_s,
             )
             reply = await self.ask_leader(hello, HelloReply, timeout_s=HELLO_TIMEOUT_S)
+            refused = reply.is_err() and reply.err().kind is ErrorKind.UNREACHABLE
+            self.refusals = self.refusals + 1 if refused else 0
+            if refused:
+                await self._leader_refused()
             if reply.is_err():
                 continue
             reply = reply.ok()
@@ -153,6 +164,16 @@
                 self._know(process, address)
                 self.heard[process] = self.waiting_s
 
+    async def _leader_refused(self):
+        """Replace a leader whose listener is gone, which its lease shows much later."""
+        far = self.access.health.latency_s > FAR_LATENCY_S
+        needed = FAR_REFUSALS if far else REFUSALS
+        if self.refusals >= needed and await self.election.replace_leader():
+            self.refusals = 0
+            return
+        await asyncio.sleep(REFUSAL_PAUSE_S * (1 + self.context.random.random()))
+        self.greet_now.set()
+
     async def _greeted(self, hello):
         self.heard[hello.process] = self.context.clock.now()
         self.latencies[hello.process] = hello.store_latency_s
--- a/wasabipaddle/cell/tests/test_election.py
+++ b/wasabipaddle/cell/tests/test_election.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from wasabipaddle.cell.keys import LEADER_KEY
+from wasabipaddle.cell.tests.conftest import Process
 from wasabipaddle.clock import run_virtual
 
 
@@ -100,3 +101,37 @@
         await cell.close()
 
     run_virtual(main())
+
+
+def test_process_takes_the_key_of_its_earlier_life(make_test_cell):
+    """Guards against a cell without a dispatcher until the lease of a dead one ends."""
+
+    async def main():
+        cell = make_test_cell(2)
+        first = await cell.elect()
+        await first.close()
+        process = Process(first.name, cell.memory, cell.processes)
+        cell.processes[first.name] = process
+        await process.election.start()
+        await asyncio.sleep(0.5)
+        assert process.election.epoch > first.election.epoch
+        await cell.close()
+
+    run_virtual(main())
+
+
+def test_leader_is_replaced_at_most_once_in_a_while(make_test_cell):
+    """Guards against a process behind a cut that takes the key again and again."""
+
+    async def main():
+        cell = make_test_cell(2)
+        first = await cell.elect()
+        (second,) = [p for p in cell.processes.values() if p is not first]
+        assert await second.election.replace_leader()
+        await asyncio.sleep(1.0)
+        assert await first.election.replace_leader()
+        await asyncio.sleep(1.0)
+        assert not await second.election.replace_leader()
+        await cell.close()
+
+    run_virtual(main())
