Hand the leadership over while draining, and dispatch until the peer has it

Cause: a leader that was told to end resigned first; with a slow store nobody dispatched for 2 s, and the next leader was often the next process to be restarted. Change: the leader asks the near peer that started last to take over and goes on until that is done; a bid makes its reads at the same time.

--- a/wasabipaddle/cell/election.py
+++ b/wasabipaddle/cell/election.py
@@ -98,12 +98,19 @@
         self.tasks.spawn(self._renew())
 
     def _leave(self, fact):
-        """Give up the leadership, so that another process takes over at once."""
+        """Bid no more; the leadership is handed over or resigned while draining."""
         self.leaving = True
+
+    async def drain(self):
+        """Resign, if no peer has taken over in the meantime."""
+        await self.resign("process is draining")
+
+    async def resign(self, reason):
+        """Give up the leadership, so that another process takes over at once."""
         if self.epoch:
             lease = self.lease
-            self._end("process is draining")
-            self.tasks.spawn(self.access.call(self.store.end_lease(lease)))
+            self._end(reason)
+            await self.access.call(self.store.end_lease(lease))
 
     async def stop(self):
         """Stop following."""
@@ -196,8 +203,10 @@
         replaces : int
             Revision that the key must have, 0 if nobody may hold it.
         """
-        lease = await self.access.call(self.store.grant_lease(LEASE_S))
-        term = await self.access.call(self.store.get(TERM_KEY))
+        lease, term = await asyncio.gather(
+            self.access.call(self.store.grant_lease(LEASE_S)),
+            self.access.call(self.store.get(TERM_KEY)),
+        )
         if lease.is_err() or term.is_err():
             return False
         lease, before = lease.ok(), term.ok()
--- a/wasabipaddle/cell/handover.py
+++ b/wasabipaddle/cell/handover.py
@@ -3,6 +3,7 @@
 from result import Err, Ok
 
 from wasabipaddle.cell.election import ElectionPlugin
+from wasabipaddle.cell.facts import DrainBegan
 from wasabipaddle.cell.members import MembersPlugin
 from wasabipaddle.cell.store import CellStorePlugin
 from wasabipaddle.exceptions import ErrorKind, Failure
@@ -19,10 +20,11 @@
 
 
 class HandoverPlugin(Plugin):
-    """Gives the leadership to a peer while the store refuses this process only.
+    """Gives the leadership to a peer, and dispatches until the peer has it.
 
-    Without it the leader would go on until its lease ends, and could make nothing
-    durable in the meantime.
+    A leader that is told to end hands over, as does one that the store refuses while
+    it serves others: it would otherwise go on until its lease ends, and could make
+    nothing durable in the meantime.
     """
 
     name = "cell_handover"
@@ -40,6 +42,7 @@
         self.election = plugins[ElectionPlugin.name]
         self.members = plugins[MembersPlugin.name]
         self.members.transport.handle(TakeOver, self._take_over)
+        self.context.bus.facts(DrainBegan).subscribe(lambda _: self._leave())
         timer = self.context.timers.every(CHECK_S)
         self.subscription = timer.subscribe(lambda _: self._check())
 
@@ -53,10 +56,21 @@
             self.asking = True
             self.tasks.spawn(self._hand_over())
 
+    def _leave(self):
+        if self.election.epoch:
+            self.asking = True
+            self.tasks.spawn(self._hand_over_or_resign())
+
+    async def _hand_over_or_resign(self):
+        await self._hand_over()
+        await self.election.resign("process is draining")
+
     async def _hand_over(self):
         own = self.context.settings.process
         peers = [p for p in self.members.live() if p != own]
-        peers.sort(key=lambda p: self.members.latencies.get(p, 0.0))
+        # While all processes are restarted in turn, those started last stay longest.
+        members = self.members
+        peers.sort(key=lambda p: (members.is_far(p), -members.lives.get(p, 0)))
         try:
             for peer in peers[:MAX_ASKED]:
                 message = TakeOver(epoch=self.election.epoch)
--- a/wasabipaddle/cell/members.py
+++ b/wasabipaddle/cell/members.py
@@ -38,6 +38,8 @@
         Calls to other processes; roles register their handlers with it.
     heard : dict of str to float
         Time of the last sign of life of each process, kept by the leader.
+    latencies, lives : dict of str to float, dict of str to int
+        Latency of the store at each process, and the start of the process.
     waiting : dict of str to int or None
         Jobs that wait, by queue, as the leader last told.
     waiting_s : float
@@ -52,6 +54,7 @@
         self.transport = HttpTransport(peers={})
         self.heard = {}
         self.latencies = {}
+        self.lives = {}
         self.addresses = {}
         self.leader = ""
         self.waiting = None
@@ -110,6 +113,10 @@
         others = [p for p, at in self.heard.items() if now - at < SILENT_S]
         return [own, *(p for p in others if p != own)]
 
+    def is_far(self, process) -> bool:
+        """Return whether a process is far from the store."""
+        return self.latencies.get(process, 0.0) > FAR_LATENCY_S
+
     async def ask_leader(self, message, reply_type, *, timeout_s):
         """Send a message to the leader, without the network if it is this process."""
         if not self.leader:
@@ -148,6 +155,7 @@
                 address=settings.internal,
                 configuration=self.configuration.version,
                 store_latency_s=self.access.health.latency_s,
+                life=self.election.record.life,
             )
             reply = await self.ask_leader(hello, HelloReply, timeout_s=HELLO_TIMEOUT_S)
             refused = reply.is_err() and reply.err().kind is ErrorKind.UNREACHABLE
@@ -177,6 +185,7 @@
     async def _greeted(self, hello):
         self.heard[hello.process] = self.context.clock.now()
         self.latencies[hello.process] = hello.store_latency_s
+        self.lives[hello.process] = hello.life
         self._know(hello.process, hello.address)
         self.configuration.observe(hello.configuration)
         return Ok(
--- a/wasabipaddle/cell/tests/test_election.py
+++ b/wasabipaddle/cell/tests/test_election.py
@@ -42,7 +42,8 @@
     async def main():
         cell = make_test_cell(2)
         first = await cell.elect()
-        first.election._leave(None)
+        first.election.leaving = True
+        await first.election.resign("test")
         await asyncio.sleep(1.5)
         second = cell.leader()
         assert second is not first
--- a/wasabipaddle/messages/jobs.py
+++ b/wasabipaddle/messages/jobs.py
@@ -86,12 +86,15 @@
         Version of the configuration in force there.
     store_latency_s : float
         Recent latency of the store.
+    life : int
+        Start of the process, in Unix milliseconds.
     """
 
     process: str
     address: str
     configuration: int = 0
     store_latency_s: float = 0.0
+    life: int = 0
 
 
 @attrs.frozen(kw_only=True)
