--- a/wasabipaddle/cell/session.py
+++ b/wasabipaddle/cell/session.py
@@ -248,6 +248,10 @@
         answer = await self.lines.ask(request)
         now = self.now()
         step = request.step
+        if answer.is_err() and answer.err().kind is ErrorKind.QUEUE_FULL:
+            self.metrics.count("advice_deferred")
+            self.scheduler.advisor.failed(step, now)
+            return
         self.journal(
             "advice",
             job=step.job.id,
--- a/wasabipaddle/commands/cli.py
+++ b/wasabipaddle/commands/cli.py
@@ -68,6 +68,15 @@
             raise UsageError(f"give a settings file, or set {BOOT_VARIABLE}")
         return Action(run=lambda: cell(path))
 
+    @SetParseFn(str)
+    def explain(self, job, *files):
+        """Print what happened to the job JOB by the structured logs FILES."""
+        from wasabipaddle.commands.explain import explain
+
+        if not files:
+            raise UsageError("give the logs of the processes")
+        return Action(run=lambda: explain(job, files))
+
     @SetParseFns(examples=str, keep=str)
     def demo(self, examples="examples", seed=1, keep=None, port_offset=0):
         """Run both example deployments with faults and print the verdicts.
--- /dev/null
+++ b/wasabipaddle/logs/tests/test_logs.py
@@ -0,0 +1,135 @@
+"""Structured logs: bounded, never blocking, and enough to explain a job."""
+
+import os
+import random
+
+import msgspec
+import pytest
+
+from wasabipaddle.clock import ManualClock, TimerService
+from wasabipaddle.commands.explain import explain as explain_command
+from wasabipaddle.exceptions import WasabipaddleError
+from wasabipaddle.logs import Journal, explain, read_lines
+
+
+class Timers(TimerService):
+    """Timers that fire when the test says so."""
+
+    def __init__(self):
+        super().__init__(random=random.Random(1))
+        self.actions = []
+
+    def after(self, delay_s, action):
+        self.actions.append(action)
+
+    def fire(self):
+        actions, self.actions = self.actions, []
+        for action in actions:
+            action()
+
+
+@pytest.fixture
+def pipe():
+    reader, writer = os.pipe()
+    yield reader, writer
+    os.close(reader)
+    os.close(writer)
+
+
+def make(writer):
+    clock, timers = ManualClock(time_s=5.0), Timers()
+    journal = Journal(process="p0", clock=clock, timers=timers, descriptor=writer)
+    return journal, clock, timers
+
+
+def lines_of(data):
+    return [msgspec.json.decode(line) for line in data.splitlines()]
+
+
+def test_line_has_time_process_event_and_values(pipe):
+    """Guards against lines that cannot be found by the identifier of a job."""
+    journal, _, timers = make(pipe[1])
+    journal("job_accepted", job="j0", took_ms=4, reason=None)
+    timers.fire()
+    assert lines_of(os.read(pipe[0], 1000)) == [
+        {
+            "ms": 5000,
+            "process": "p0",
+            "event": "job_accepted",
+            "job": "j0",
+            "took_ms": 4,
+        }
+    ]
+
+
+def test_reader_that_does_not_read_blocks_nobody(pipe):
+    """Guards against a process that waits for its log, or grows by it."""
+    journal, clock, timers = make(pipe[1])
+    for i in range(20_000):
+        clock.advance(0.01)
+        journal("run_ended", number=i, detail="x" * 100)
+        timers.fire()
+    assert len(journal.queue) <= 4_000
+    assert journal.dropped > 0
+
+
+def test_flood_of_one_kind_is_bounded_and_counted(pipe):
+    """Guards against a log that takes the processor from the work."""
+    journal, clock, _ = make(pipe[1])
+    for _ in range(10_000):
+        journal("run_ended")
+    assert len(journal.queue) <= 400
+    clock.advance(1.0)
+    journal("run_ended")
+    assert msgspec.json.decode(journal.queue[-1])["suppressed"] > 9_000
+    journal("job_ended")
+    assert msgspec.json.decode(journal.queue[-1])["event"] == "job_ended"
+
+
+def row(ms, event, process="p0", **values):
+    line = {"ms": ms, "process": process, "event": event, **values}
+    return "  0.1 front " + msgspec.json.encode(line).decode()
+
+
+FIRST = "\n".join(
+    [
+        "not a line of the log",
+        row(10, "job_accepted", job="j0"),
+        row(15, "job_accepted", job="j1"),
+        row(40, "job_ended", job="j0", phase="failed"),
+        row(50, "store_lost"),
+    ]
+)
+SECOND = "\n".join(
+    [
+        row(20, "run_started", "p1", job="j0", runner="r0"),
+        row(25, "runner_lost", "p1", runner="r0"),
+        row(26, "runner_lost", "p1", runner="r1"),
+        row(30, "reign_began", "p1"),
+    ]
+)
+
+
+def test_job_is_explained_by_its_lines_and_what_it_depended_on():
+    """Guards against a history without the loss that explains it."""
+    found = explain("j0", read_lines([FIRST, SECOND]))
+    assert [(line.event, line.values.get("runner")) for line in found] == [
+        ("job_accepted", None),
+        ("run_started", "r0"),
+        ("runner_lost", "r0"),
+        ("reign_began", None),
+        ("job_ended", None),
+    ]
+    assert explain("j9", read_lines([FIRST, SECOND])) == []
+
+
+def test_command_prints_the_history(tmp_path, capsys):
+    """Guards against a command that hides a missing file or an unknown job."""
+    path = tmp_path / "p0.log"
+    path.write_text(FIRST)
+    explain_command("j0", [str(path)])
+    assert "phase=failed" in capsys.readouterr().out
+    with pytest.raises(WasabipaddleError):
+        explain_command("j9", [str(path)])
+    with pytest.raises(WasabipaddleError):
+        explain_command("j0", [str(tmp_path / "missing.log")])
