--- /dev/null
+++ b/wasabipaddle/cell/tests/test_session_parts.py
@@ -0,0 +1,311 @@
+"""Parts of a dispatch session: writes, fleet record, advice lines, watches."""
+
+import asyncio
+
+import pytest
+from result import Err, Ok
+
+from wasabipaddle.cell.intake import Intake, Registry
+from wasabipaddle.cell.keys import CANCEL_PREFIX, FLEET_KEY, JOB_PREFIX, LEADER_KEY
+from wasabipaddle.cell.lines import AdviceLines
+from wasabipaddle.cell.tests.conftest import JOB, QUEUE, SPEC
+from wasabipaddle.cell.writer import FleetRecord, ProgressWriter
+from wasabipaddle.clock import run_virtual
+from wasabipaddle.dispatch import Scheduler
+from wasabipaddle.dispatch.orders import AdviceRequest
+from wasabipaddle.dispatch.state import Timing
+from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.interfaces import Put
+from wasabipaddle.jobs import (
+    Capacity,
+    Job,
+    JobPhase,
+    RunnerEntry,
+    decode_progress,
+    encode_job,
+)
+from wasabipaddle.messages.jobs import AdviceReply
+
+
+class FakeSession:
+    """Epoch, time and settings of a session."""
+
+    def __init__(self, process):
+        self.settings = process.context.settings
+        self.clock = process.context.clock
+        self.epoch = 0
+
+    def now(self):
+        return self.clock.now()
+
+    def wake(self):
+        """Plan soon; nothing is planned here."""
+
+
+def make_session(cell):
+    process = cell["p0"]
+    scheduler = Scheduler(timing=Timing(), journal=lambda kind, **values: None)
+    session = FakeSession(process)
+    put = Put(key=LEADER_KEY, value=b"p0")
+    session.epoch = cell.memory.apply((), [put], ()).ok()
+    return process, scheduler, session
+
+
+def runner_entry(name):
+    return RunnerEntry(
+        id=name,
+        address="127.0.0.1:9",
+        data_centre="a",
+        pool="p",
+        capacity=Capacity(cpu=1000),
+    )
+
+
+def stored_phase(cell):
+    entry = cell.memory.items.get(f"wasabipaddle/progress/{JOB}")
+    return None if entry is None else decode_progress(entry.value).phase
+
+
+def with_cell(make_test_cell, scenario):
+    async def main():
+        cell = make_test_cell(1)
+        tasks = []
+        try:
+            await scenario(cell, tasks)
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            await cell.close()
+
+    run_virtual(main())
+
+
+def job():
+    return Job(id=JOB, policy=QUEUE, accepted_ms=0, spec=SPEC)
+
+
+def test_late_write_does_not_undo_a_newer_one(make_test_cell):
+    """Guards against a final state that an old write without an answer reverts."""
+
+    async def scenario(cell, tasks):
+        process, scheduler, session = make_session(cell)
+        entry = scheduler.lifecycle.add_job(job(), session.now())
+        writer = ProgressWriter(
+            access=process.access, scheduler=scheduler, session=session
+        )
+        tasks.append(asyncio.create_task(writer.run()))
+        cell.memory.lose_answers, cell.memory.delay_s = True, 3.0
+        scheduler.state.mark_dirty(entry)
+        await asyncio.sleep(0.5)
+        cell.memory.lose_answers = False
+        scheduler.lifecycle.cancel(JOB, session.now())
+        await asyncio.sleep(2.0)
+        assert stored_phase(cell) is JobPhase.CANCELLED
+        await asyncio.sleep(4.0)
+        assert stored_phase(cell) is JobPhase.CANCELLED
+        assert entry.durable_phase is JobPhase.CANCELLED
+
+    with_cell(make_test_cell, scenario)
+
+
+def test_write_goes_on_after_an_early_write_took_effect_late(make_test_cell):
+    """Guards against progress that is never written again after a lost answer."""
+
+    async def scenario(cell, tasks):
+        process, scheduler, session = make_session(cell)
+        entry = scheduler.lifecycle.add_job(job(), session.now())
+        writer = ProgressWriter(
+            access=process.access, scheduler=scheduler, session=session
+        )
+        tasks.append(asyncio.create_task(writer.run()))
+        cell.memory.lose_answers, cell.memory.delay_s = True, 0.01
+        scheduler.state.mark_dirty(entry)
+        await asyncio.sleep(0.5)
+        cell.memory.lose_answers = False
+        scheduler.lifecycle.cancel(JOB, session.now())
+        await asyncio.sleep(3.0)
+        assert entry.durable_phase is JobPhase.CANCELLED
+
+    with_cell(make_test_cell, scenario)
+
+
+def test_deposed_dispatcher_writes_nothing(make_test_cell):
+    """Guards against writes beside those of a successor."""
+
+    async def scenario(cell, tasks):
+        process, scheduler, session = make_session(cell)
+        entry = scheduler.lifecycle.add_job(job(), session.now())
+        cell.memory.apply((), [Put(key=LEADER_KEY, value=b"p1")], ())
+        writer = ProgressWriter(
+            access=process.access, scheduler=scheduler, session=session
+        )
+        tasks.append(asyncio.create_task(writer.run()))
+        scheduler.state.mark_dirty(entry)
+        await asyncio.sleep(2.0)
+        assert stored_phase(cell) is None
+
+    with_cell(make_test_cell, scenario)
+
+
+def test_final_jobs_are_removed_after_their_time(make_test_cell):
+    """Guards against a store that grows with every job that ever ran."""
+
+    async def scenario(cell, tasks):
+        process, scheduler, session = make_session(cell)
+        cell.memory.apply((), [Put(key=JOB_PREFIX + JOB, value=b"x")], ())
+        scheduler.lifecycle.add_job(job(), session.now())
+        await asyncio.sleep(1.0)
+        scheduler.lifecycle.cancel(JOB, session.now())
+        writer = ProgressWriter(
+            access=process.access, scheduler=scheduler, session=session
+        )
+        tasks.append(asyncio.create_task(writer.run()))
+        tasks.append(asyncio.create_task(writer.sweep()))
+        await asyncio.sleep(200.0)
+        assert JOB_PREFIX + JOB in cell.memory.items
+        await asyncio.sleep(60.0)
+        assert not [k for k in cell.memory.items if JOB in k]
+        assert JOB not in scheduler.state.jobs
+
+    with_cell(make_test_cell, scenario)
+
+
+def test_fleet_record_names_new_runners_and_drops_gone_ones(make_test_cell):
+    """Guards against runners a successor does not ask, or waits for in vain."""
+
+    async def scenario(cell, tasks):
+        process, scheduler, session = make_session(cell)
+        fleet = FleetRecord(access=process.access, scheduler=scheduler, session=session)
+        tasks.append(asyncio.create_task(fleet.run()))
+        for name in ("r0", "r1"):
+            scheduler.set_runner(runner_entry(name), session.now())
+        fleet.changed.set()
+        await asyncio.sleep(0.5)
+        assert {entry.id for entry in await fleet.load()} == {"r0", "r1"}
+        assert all(r.recorded for r in scheduler.state.runners.values())
+        del scheduler.state.runners["r0"]
+        fleet.changed.set()
+        await asyncio.sleep(0.5)
+        assert {entry.id for entry in await fleet.load()} == {"r1"}
+        assert FLEET_KEY in cell.memory.items
+
+    with_cell(make_test_cell, scenario)
+
+
+class FakeLines:
+    """Processes whose lines take a given time."""
+
+    def __init__(self, process, names):
+        self.context = process.context
+        self.names = names
+        self.asked = []
+        self.dead = set()
+
+    def live(self):
+        return self.names
+
+    async def ask(self, process, message, reply_type, *, timeout_s):
+        self.asked.append((process, message.step))
+        if process in self.dead:
+            await asyncio.sleep(timeout_s)
+            return Err(Failure(kind=ErrorKind.TIMEOUT, detail="none"))
+        await asyncio.sleep(0.5)
+        return Ok(AdviceReply(tickets={}))
+
+
+def advice_request(scheduler, *, urgent):
+    entry = scheduler.state.jobs[JOB]
+    return AdviceRequest(
+        step=entry.steps[(0, 0)], runners=(), urgent=urgent, expected_s=0.5
+    )
+
+
+@pytest.mark.parametrize("count", [1, 3, 8])
+def test_long_requests_leave_lines_for_urgent_ones(make_test_cell, count):
+    """Guards against urgent steps that wait behind long requests."""
+
+    async def scenario(cell, tasks):
+        process, scheduler, session = make_session(cell)
+        scheduler.lifecycle.add_job(job(), session.now())
+        members = FakeLines(process, [f"p{i}" for i in range(count)])
+        lines = AdviceLines(members=members)
+        long = advice_request(scheduler, urgent=False)
+        answers = [asyncio.create_task(lines.ask(long)) for _ in range(40)]
+        await asyncio.sleep(0.01)
+        busy = {process for process, _ in members.asked}
+        assert len(busy) < count or count == 1
+        assert max(lines.outstanding_s.values()) <= 1.0
+        urgent = asyncio.create_task(lines.ask(advice_request(scheduler, urgent=True)))
+        await asyncio.sleep(0.01)
+        assert members.asked[-1][0] not in busy or count == 1
+        results = await asyncio.gather(*answers, urgent)
+        refused = [r for r in results if r.is_err()]
+        assert refused and all(r.err().kind is ErrorKind.QUEUE_FULL for r in refused)
+
+    with_cell(make_test_cell, scenario)
+
+
+def test_line_that_does_not_answer_is_left_out(make_test_cell):
+    """Guards against requests that go to a dead process one after the other."""
+
+    async def scenario(cell, tasks):
+        process, scheduler, session = make_session(cell)
+        scheduler.lifecycle.add_job(job(), session.now())
+        members = FakeLines(process, ["p0", "p1"])
+        members.dead.add("p0")
+        lines = AdviceLines(members=members)
+        request = advice_request(scheduler, urgent=True)
+        assert (await lines.ask(request)).is_err()
+        assert (await lines.ask(request)).is_ok()
+
+    with_cell(make_test_cell, scenario)
+
+
+def test_watch_lists_again_after_a_gap(make_test_cell):
+    """Guards against jobs and cancellations that a broken watch hides."""
+
+    async def scenario(cell, tasks):
+        process, _, _ = make_session(cell)
+        jobs, cancelled = [], []
+        intake = Intake(
+            access=process.access,
+            add_job=lambda j: jobs.append(j.id),
+            cancel=cancelled.append,
+        )
+        await intake.load()
+        tasks.append(asyncio.create_task(intake.follow()))
+        await asyncio.sleep(0.5)
+        cell.memory.down = True
+        await asyncio.sleep(9.0)
+        cell.memory.apply(
+            (),
+            [
+                Put(key=JOB_PREFIX + JOB, value=encode_job(job())),
+                Put(key=CANCEL_PREFIX + JOB, value=b"1"),
+                Put(key=JOB_PREFIX + "bad", value=b"\xff"),
+            ],
+            (),
+        )
+        cell.memory.history.clear()
+        cell.memory.down = False
+        await asyncio.sleep(2.0)
+        assert JOB in jobs and JOB in cancelled
+
+    with_cell(make_test_cell, scenario)
+
+
+def test_runner_missing_from_a_new_listing_is_dropped(make_test_cell):
+    """Guards against work for a runner that left while the watch was broken."""
+
+    async def scenario(cell, tasks):
+        process, _, _ = make_session(cell)
+        seen, dropped = [], []
+        registry = Registry(
+            access=process.access, set_runner=seen.append, drop_runner=dropped.append
+        )
+        registry.listed = {"i-1"}
+        await registry.load()
+        assert dropped == ["i-1"]
+
+    with_cell(make_test_cell, scenario)
