--- a/wasabipaddle/cell/lines.py
+++ b/wasabipaddle/cell/lines.py
@@ -19,6 +19,8 @@
 RESERVED_SHARE = 0.4
 # A process that did not answer is left out for this long.
 SILENT_S = 1.0
+# Two greetings; a process that was silent for longer may be frozen or cut off.
+RECENT_S = 1.1
 SILENT_KINDS = frozenset({ErrorKind.TIMEOUT, ErrorKind.UNREACHABLE})
 # A line with more work than this takes only urgent requests.
 LONGEST_QUEUE_S = 0.7
@@ -103,8 +105,14 @@
     def _choose(self, request):
         now = self.members.context.clock.now()
         live = self.members.live()
-        answering = [p for p in live if self.silent_until_s.get(p, 0.0) <= now]
-        live = answering or live
+        answering = [
+            process
+            for process in live
+            if self.silent_until_s.get(process, 0.0) <= now
+            and self.members.heard_within(process, RECENT_S)
+        ]
+        if 2 * len(answering) >= len(live):
+            live = answering
         reserved = math.ceil(len(live) * RESERVED_SHARE) if len(live) > 1 else 0
         # The leader's own line, first in the list, is the nearest one.
         allowed = live if request.urgent else live[reserved:]
--- a/wasabipaddle/cell/members.py
+++ b/wasabipaddle/cell/members.py
@@ -113,6 +113,12 @@
         others = [p for p, at in self.heard.items() if now - at < SILENT_S]
         return [own, *(p for p in others if p != own)]
 
+    def heard_within(self, process, seconds) -> bool:
+        """Return whether a process gave a sign of life in the last seconds."""
+        if process == self.context.settings.process:
+            return True
+        return self.context.clock.now() - self.heard.get(process, 0.0) <= seconds
+
     def is_far(self, process) -> bool:
         """Return whether a process is far from the store."""
         return self.latencies.get(process, 0.0) > FAR_LATENCY_S
--- a/wasabipaddle/cell/tests/test_session_parts.py
+++ b/wasabipaddle/cell/tests/test_session_parts.py
@@ -205,6 +205,9 @@
     def live(self):
         return self.names
 
+    def heard_within(self, process, seconds):
+        return True
+
     async def ask(self, process, message, reply_type, *, timeout_s):
         self.asked.append((process, message.step))
         if process in self.dead:
--- a/wasabipaddle/dispatch/advisor.py
+++ b/wasabipaddle/dispatch/advisor.py
@@ -9,10 +9,9 @@
 # Runners named in one request.
 MAX_NAMED = 30
 RETRY_S = 0.2
+URGENT_RETRY_S = 0.03
 # Steps that are not urgent whose tickets are renewed whether or not there is room.
 KEPT_STEPS = 6
-# A request without an answer is given up after this time beyond the expected one.
-ANSWER_SLACK_S = 1.5
 
 
 class Advisor:
@@ -128,7 +127,8 @@
 
     def failed(self, step, now):
         """Note a request without an answer."""
-        step.eligibility.failed(now, RETRY_S)
+        urgent = step.job.queue.priority == 0
+        step.eligibility.failed(now, URGENT_RETRY_S if urgent else RETRY_S)
 
 
 def _remaining_s(task, now):
--- a/wasabipaddle/dispatch/model.py
+++ b/wasabipaddle/dispatch/model.py
@@ -100,6 +100,8 @@
         Latest saved progress.
     avoided : set of str
         Runners on which a run failed.
+    given_up : bool
+        Whether a run was stopped because it stood still or was slow.
     waiting_s : float
         Since when the task has no run.
     """
@@ -112,6 +114,7 @@
     last_run: int = 0
     checkpoint: str = ""
     avoided: set = attrs.field(factory=set)
+    given_up: bool = False
     waiting_s: float = 0.0
 
     @property
--- a/wasabipaddle/dispatch/watchdog.py
+++ b/wasabipaddle/dispatch/watchdog.py
@@ -53,14 +53,15 @@
         held_s = now - run.started_s
         if spec.gang or spec.speculative or run.preempted:
             return  # a copy, not a restart, helps a speculative task
-        if held_s < 1.0 + spec.estimate_s:
-            return
+        if held_s < 1.0 + spec.estimate_s or run.task.given_up:
+            return  # slow on a second runner means a long task
         rate = run.percent / 100 * spec.estimate_s / held_s
         if rate < SLOW_RATE and run.percent < SLOW_LATE_PERCENT:
             runner.trust.speed = min(runner.trust.speed, max(rate, 0.1))
             self._give_up(runner, run, "slow", now)
 
     def _give_up(self, runner, run, reason, now):
+        run.task.given_up = True
         run.task.avoided.add(runner.id)
         quarantined = runner.trust.failed(now) if reason == "stalled" else False
         run.preempted = True
