--- a/wasabipaddle/cell/calls.py
+++ b/wasabipaddle/cell/calls.py
@@ -209,7 +209,7 @@
         while paused_s < LONGEST_GATHER_S:
             await asyncio.sleep(GATHER_S)
             paused_s += GATHER_S
-            if self.scheduler.state.short_of_room or _is_awaited(runner):
+            if self.scheduler.state.urgent_waits or _is_awaited(runner):
                 return
 
     def _failed(self, runner, result, failures, now):
--- a/wasabipaddle/dispatch/placement.py
+++ b/wasabipaddle/dispatch/placement.py
@@ -34,7 +34,7 @@
     def plan(self, now):
         """Start what fits."""
         self.preemption.begin()
-        self.state.short_of_room = False
+        self.state.short_of_room = self.state.urgent_waits = False
         for step in sorted(self.state.ready.values(), key=rank):
             if step.job.recovered and self.state.suspects:
                 continue
@@ -106,6 +106,7 @@
             best = self._best(task, permitted)
             if best is None:
                 self.state.short_of_room = True
+                self.state.urgent_waits |= step.job.queue.priority == 0
                 if self.preemption.wanted(task, now):
                     self.preemption.make_room(task, [r for r, _ in permitted], now)
                 if not task.avoided:
--- a/wasabipaddle/dispatch/state.py
+++ b/wasabipaddle/dispatch/state.py
@@ -61,8 +61,8 @@
     suspects : dict of str to float
         Runners on which runs of the predecessor may exist, and the time at which
         their leases have surely ended.
-    short_of_room : bool
-        Whether a task that may start found no room in the last plan.
+    short_of_room, urgent_waits : bool
+        Whether any task, and whether an urgent one, found no room in the last plan.
     """
 
     timing: Timing
@@ -79,6 +79,7 @@
     generation: int = 1
     suspects: dict = attrs.field(factory=dict)
     short_of_room: bool = False
+    urgent_waits: bool = False
     outbox: list = attrs.field(factory=list)
     scheduled: dict = attrs.field(factory=dict)
     wall_offset_s: float = 0.0
