Ask about more runners while the eligible ones are full or too few for a gang

Change: a step asks about unknown runners until the eligible ones have room for a task, or for the whole gang; such a request renews tickets as well.

--- a/wasabipaddle/dispatch/advisor.py
+++ b/wasabipaddle/dispatch/advisor.py
@@ -2,7 +2,7 @@
 
 from wasabipaddle.dispatch.model import RunPhase
 from wasabipaddle.dispatch.orders import AdviceRequest
-from wasabipaddle.dispatch.placement import rank, room_in_step
+from wasabipaddle.dispatch.placement import rank, room_in_step, slots_on
 
 __all__ = ["Advisor"]
 
@@ -74,22 +74,28 @@
             elif not eligibility.known_refused(runner):
                 unknown.append(runner)
         usable = [r for r in good if r.fits(step.spec) and room_in_step(step, r)]
-        if keep and good:
-            policy = step.job.queue.advice
-            horizon = now + policy.base_s + policy.per_runner_s * len(good)
-            if any(eligibility.ticket(r, horizon) is not None for r in good):
-                return []
-            good.sort(key=lambda r: (r not in usable, -r.free_share))
-            return good[:MAX_NAMED]
-        if any(eligibility.ticket(r, now) is not None for r in usable):
+        needed = step.spec.count if step.spec.gang else 1
+        enough = sum(slots_on(step, runner) for runner in usable) >= needed
+        fresh = any(eligibility.ticket(r, now) is not None for r in usable)
+        fitting = [r for r in unknown if r.could_fit(step.spec)]
+        if fitting and not enough:
+            fitting.sort(key=lambda r: -r.free_share)
+            # Most of the cost is that of the call, so it renews tickets as well.
+            return [*fitting, *good][:MAX_NAMED]
+        if fresh and not keep:
             return []
-        if usable:
-            return usable[:MAX_NAMED]
-        if good and len(good) >= len(unknown):
+        if keep and good:
+            return self._to_renew(step, good, usable, now)
+        return usable[:MAX_NAMED]
+
+    def _to_renew(self, step, good, usable, now):
+        """Return the eligible runners, unless a ticket outlasts the next answer."""
+        policy = step.job.queue.advice
+        horizon = now + policy.base_s + policy.per_runner_s * len(good)
+        if any(step.eligibility.ticket(r, horizon) for r in usable or good):
             return []
-        fitting = [r for r in unknown if r.could_fit(step.spec)]
-        fitting.sort(key=lambda r: -r.free_share)
-        return fitting[:MAX_NAMED]
+        good.sort(key=lambda r: (r not in usable, -r.free_share))
+        return good[:MAX_NAMED]
 
     def _soon_ready(self, now):
         """Yield steps whose predecessors end while a request would be answered."""
--- a/wasabipaddle/dispatch/placement.py
+++ b/wasabipaddle/dispatch/placement.py
@@ -3,7 +3,7 @@
 from wasabipaddle.dispatch.model import Run, RunPhase
 from wasabipaddle.dispatch.orders import StartTask
 
-__all__ = ["Placement"]
+__all__ = ["Placement", "rank", "room_in_step", "slots_on"]
 
 # Weights of the terms of a score.
 SPEED_WEIGHT = 0.6
@@ -158,7 +158,9 @@
         """Return a place for every member, or None if not all fit at once."""
         spec = step.spec
         places = []
-        room = [(runner, ticket, _slots(step, runner)) for runner, ticket in permitted]
+        room = [
+            (runner, ticket, slots_on(step, runner)) for runner, ticket in permitted
+        ]
         room.sort(key=lambda item: (-item[0].trust.speed, -item[2]))
         tasks = list(step.pending.values())
         for runner, ticket, slots in room:
@@ -217,7 +219,7 @@
     )
 
 
-def _slots(step, runner):
+def slots_on(step, runner) -> int:
     """Return how many tasks of a step fit on a runner now."""
     spec, capacity = step.spec, runner.entry.capacity
     slots = step.spec.count
--- a/wasabipaddle/dispatch/tests/test_policies.py
+++ b/wasabipaddle/dispatch/tests/test_policies.py
@@ -153,6 +153,32 @@
     assert [runner.id for runner in requests[0].runners] == ["r1"]
 
 
+def test_more_runners_are_asked_about_while_the_eligible_ones_are_full(make_cell):
+    """Guards against tasks that wait on a large fleet for the runners named first."""
+    cell = make_cell(runners=40, cpu=1000)
+    cell.submit("j0", step(40, lasting=True), queue="advised")
+    for _ in range(4):
+        requests, _ = cell.plan()
+        for request in requests:
+            advise(cell, request, [runner.id for runner in request.runners])
+        cell.now += 0.1
+    assert len(cell.started) == 40
+
+
+def test_more_runners_are_asked_about_until_a_gang_fits(make_cell):
+    """Guards against a wide gang that waits with room for a part of it."""
+    cell = make_cell(runners=40, cpu=1000)
+    entry = cell.submit("j0", step(20, gang=True), queue="advised")
+    for _ in range(6):
+        requests, _ = cell.plan()
+        for request in requests:
+            names = [runner.id for runner in request.runners]
+            advise(cell, request, names[::2])
+        cell.now += 0.1
+    assert len(cell.started) == 20
+    assert all(task.runs for task in entry.steps[(0, 0)].tasks)
+
+
 def test_unanswered_request_is_made_again_after_a_pause(cell):
     """Guards against a step that waits for an answer that never comes."""
     cell.submit("j0", step(1), queue="advised")
