Add a fault soak with real processes around a stand-in platform

Change: `wasabipaddle soak` starts the processes of a cell, a store, runners with leases, epochs, gangs and late orders, an eligibility service and a link proxy that delays, cuts one way, silences and resets connections. The server side of the wire is in platform/serving.py and platform/calling.py, the runner stand-in in standins/runners.py. Leases of the stand-in store end by time now; links have one-way cuts, resets and added delay. Settings take `advertised`, the address that other processes are told.

Two tests of cell/tests set a removed switch of the stand-in store and lost answers no longer; they set the new one.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 export PYTHONPATH := $(CURDIR)
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: setup format lint test fuzz bench binary demo
+.PHONY: setup format lint test soak fuzz bench binary demo
 
 setup: $(VENV)/.installed
 
@@ -24,6 +24,9 @@
 test: setup
 	$(PYTHON) -m pytest
 
+soak: setup
+	$(PYTHON) -m wasabipaddle soak --seeds 50 --at_once 4
+
 fuzz: setup
 	$(PYTHON) -m wasabipaddle fuzz --seconds 60
 
--- a/wasabipaddle/cell/election.py
+++ b/wasabipaddle/cell/election.py
@@ -77,7 +77,7 @@
         settings = context.settings
         self.record = LeaderRecord(
             process=settings.process,
-            address=settings.internal,
+            address=settings.reachable_at,
             life=context.clock.wall_ms(),
         )
         self.epoch = 0
--- a/wasabipaddle/cell/members.py
+++ b/wasabipaddle/cell/members.py
@@ -158,7 +158,7 @@
                 continue
             hello = MemberHello(
                 process=settings.process,
-                address=settings.internal,
+                address=settings.reachable_at,
                 configuration=self.configuration.version,
                 store_latency_s=self.access.health.latency_s,
                 life=self.election.record.life,
--- a/wasabipaddle/cell/tests/test_election.py
+++ b/wasabipaddle/cell/tests/test_election.py
@@ -93,10 +93,10 @@
 
     async def main():
         cell = make_test_cell(1)
-        cell.memory.lose_answers = True
+        cell.memory.lost_share = 1.0
         await cell["p0"].election.start()
         await asyncio.sleep(3.0)
-        cell.memory.lose_answers = False
+        cell.memory.lost_share = 0.0
         await asyncio.sleep(3.0)
         assert cell["p0"].election.epoch == cell.memory.items[LEADER_KEY].revision
         await cell.close()
--- a/wasabipaddle/cell/tests/test_entry.py
+++ b/wasabipaddle/cell/tests/test_entry.py
@@ -67,7 +67,7 @@
     """Guards against "never runs" for a write that takes effect later."""
 
     async def scenario(cell):
-        cell.memory.lose_answers = True
+        cell.memory.lost_share = 1.0
         cell.memory.delay_s = 5.0
         failure = (await submit(cell["p0"])).err()
         assert failure.kind is ErrorKind.ACCEPTANCE_UNKNOWN
@@ -80,10 +80,10 @@
     """Guards against a caller that must ask again for a job that exists."""
 
     async def scenario(cell):
-        cell.memory.lose_answers = True
+        cell.memory.lost_share = 1.0
         task = asyncio.create_task(submit(cell["p0"]))
         await asyncio.sleep(0.5)
-        cell.memory.lose_answers = False
+        cell.memory.lost_share = 0.0
         assert (await task).is_ok()
 
     run(make_test_cell, scenario)
--- a/wasabipaddle/cell/tests/test_session_parts.py
+++ b/wasabipaddle/cell/tests/test_session_parts.py
@@ -95,10 +95,10 @@
             access=process.access, scheduler=scheduler, session=session
         )
         tasks.append(asyncio.create_task(writer.run()))
-        cell.memory.lose_answers, cell.memory.delay_s = True, 3.0
+        cell.memory.lost_share, cell.memory.delay_s = 1.0, 3.0
         scheduler.state.mark_dirty(entry)
         await asyncio.sleep(0.5)
-        cell.memory.lose_answers = False
+        cell.memory.lost_share = 0.0
         scheduler.lifecycle.cancel(JOB, session.now())
         await asyncio.sleep(2.0)
         assert stored_phase(cell) is JobPhase.CANCELLED
@@ -119,10 +119,10 @@
             access=process.access, scheduler=scheduler, session=session
         )
         tasks.append(asyncio.create_task(writer.run()))
-        cell.memory.lose_answers, cell.memory.delay_s = True, 0.01
+        cell.memory.lost_share, cell.memory.delay_s = 1.0, 0.01
         scheduler.state.mark_dirty(entry)
         await asyncio.sleep(0.5)
-        cell.memory.lose_answers = False
+        cell.memory.lost_share = 0.0
         scheduler.lifecycle.cancel(JOB, session.now())
         await asyncio.sleep(3.0)
         assert entry.durable_phase is JobPhase.CANCELLED
--- a/wasabipaddle/commands/cli.py
+++ b/wasabipaddle/commands/cli.py
@@ -185,6 +185,38 @@
 
         return Action(run=run)
 
+    @SetParseFns(keep=str)
+    def soak(
+        self,
+        seed=1,
+        seeds=1,
+        seconds=20,
+        processes=4,
+        runners=8,
+        at_once=1,
+        keep=None,
+    ):
+        """Run real processes under random faults and print the broken promises.
+
+        --seeds N runs the seeds from SEED on, --at_once of them side by side; --keep
+        DIRECTORY keeps the settings, logs and a report of each seed.
+        """
+        from wasabipaddle.commands.soak import soak
+
+        def run():
+            holds = soak(
+                seed=seed,
+                seeds=seeds,
+                seconds=seconds,
+                processes=processes,
+                runners=runners,
+                at_once=at_once,
+                keep=keep,
+            )
+            return None if holds else EXIT_BROKEN
+
+        return Action(run=run)
+
     def standin(self, file):
         """Run the stand-ins of a YAML file until SIGINT or SIGTERM."""
         from wasabipaddle.commands.standin import standin
--- a/wasabipaddle/demo/processes.py
+++ b/wasabipaddle/demo/processes.py
@@ -9,7 +9,7 @@
 
 from wasabipaddle.exceptions import ErrorKind, Failure, WasabipaddleError
 
-__all__ = ["ProcessGroup"]
+__all__ = ["ProcessGroup", "spawn_process"]
 
 READY_TIMEOUT_S = 20.0
 READY_POLL_S = 0.1
@@ -91,19 +91,8 @@
             await child.wait()
 
     async def _spawn(self, name, *arguments):
-        log = open(self.directory / f"{name}.log", "ab")  # noqa: SIM115
-        environment = {**os.environ, "PYTHONUNBUFFERED": "1"}
-        self.children[name] = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "wasabipaddle",
-            *(str(a) for a in arguments),
-            stdout=log,
-            stderr=log,
-            stdin=asyncio.subprocess.DEVNULL,
-            env=environment,
-        )
-        log.close()
+        path = self.directory / f"{name}.log"
+        self.children[name] = await spawn_process(path, *arguments)
 
     async def _wait_for(self, urls):
         try:
@@ -132,6 +121,35 @@
             raise WasabipaddleError(failure)
 
 
+async def spawn_process(log_path, *arguments):
+    """Start a process of this program whose output goes to a file.
+
+    Parameters
+    ----------
+    log_path : path
+        File to which the output is appended.
+    arguments : sequence
+        Command and its arguments.
+
+    Returns
+    -------
+    asyncio.subprocess.Process
+        The process.
+    """
+    environment = {**os.environ, "PYTHONUNBUFFERED": "1"}
+    with open(log_path, "ab") as log:
+        return await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "wasabipaddle",
+            *(str(a) for a in arguments),
+            stdout=log,
+            stderr=log,
+            stdin=asyncio.subprocess.DEVNULL,
+            env=environment,
+        )
+
+
 async def _wait_until_ok(session, url):
     async with asyncio.timeout(READY_TIMEOUT_S):
         while True:
--- a/wasabipaddle/settings/cell.py
+++ b/wasabipaddle/settings/cell.py
@@ -86,6 +86,8 @@
         Bounds that the platform sets.
     metrics_port : int
         Port of the metrics page, 0 for none.
+    advertised : str
+        Address at which other processes reach `internal`; empty if it is the same.
     """
 
     process: str
@@ -97,3 +99,9 @@
     platform: PlatformAddresses
     bounds: CellBounds = attrs.field(factory=CellBounds)
     metrics_port: int = 0
+    advertised: str = ""
+
+    @property
+    def reachable_at(self) -> str:
+        """Address that other processes are told."""
+        return self.advertised or self.internal
--- /dev/null
+++ b/wasabipaddle/soak/ledger.py
@@ -0,0 +1,254 @@
+"""What runners and callers saw, and the promises that it breaks."""
+
+import asyncio
+
+import attrs
+
+from wasabipaddle.interfaces import EndCause
+from wasabipaddle.jobs import JobPhase
+
+__all__ = ["JobRecord", "SoakLedger", "Violation"]
+
+# Time after an acknowledged cancellation after which no task of the job may start.
+CANCEL_S = 3.0
+
+
+@attrs.frozen(kw_only=True)
+class Violation:
+    """One broken promise."""
+
+    promise: str
+    job: str
+    detail: str
+    at_s: float
+
+    def line(self) -> str:
+        """Return the violation as one line."""
+        return f"{self.at_s:.3f} {self.promise}: {self.job} {self.detail}"
+
+
+@attrs.define(kw_only=True, eq=False)
+class JobRecord:
+    """One job as its caller knows it, and what its tasks did.
+
+    Parameters
+    ----------
+    id : str
+        Identifier.
+    queue : Queue
+        Queue that the caller named.
+    spec : JobSpec
+        What the caller sent.
+    behaviours : tuple of TaskBehaviour
+        How the tasks of each step behave.
+    accepted_s : float
+        Time of the first answer that says so, 0 before.
+    in_doubt : bool
+        Whether any attempt had no answer.
+    refused : bool
+        Whether every attempt was refused and the caller has given up.
+    cancel_sent : bool
+        Whether a cancellation was sent.
+    cancelled_s : float
+        Time at which a cancellation was acknowledged, 0 before.
+    shown : JobPhase or None
+        Last state that a process showed.
+    completed : dict
+        Ends of the runs that completed by task, and whether each was acknowledged.
+    restarted : dict
+        Ends that were there when a task was started again.
+    failed, failures : dict
+        Number of the runs of a task that failed, and ends of those that were
+        acknowledged.
+    """
+
+    id: str
+    queue: object
+    spec: object
+    behaviours: tuple
+    accepted_s: float = 0.0
+    in_doubt: bool = False
+    refused: bool = False
+    cancel_sent: bool = False
+    cancelled_s: float = 0.0
+    shown: JobPhase | None = None
+    completed: dict = attrs.field(factory=dict)
+    restarted: dict = attrs.field(factory=dict)
+    failed: dict = attrs.field(factory=dict)
+    failures: dict = attrs.field(factory=dict)
+
+    def expected(self):
+        """Yield the tasks that must complete, as (occurrence, step, index)."""
+        for occurrence in range(self.spec.occurrences):
+            for position, step in enumerate(self.spec.steps):
+                for index in range(step.count):
+                    yield occurrence, position, index
+
+    def missing(self) -> int:
+        """Return how many tasks have not completed."""
+        return sum(1 for task in self.expected() if task not in self.completed)
+
+
+class SoakLedger:
+    """Notes what runners begin and end, and what callers are told.
+
+    Attributes
+    ----------
+    violations : list of Violation
+        Broken promises, in the order of their time.
+    starts : int
+        Runs that began.
+    """
+
+    def __init__(self):
+        self.jobs = {}
+        self.violations = []
+        self.starts = 0
+        self.running = {}
+        self.begun = asyncio.get_running_loop().time()
+
+    def now(self) -> float:
+        """Return the time since the start of the soak."""
+        return asyncio.get_running_loop().time() - self.begun
+
+    def broken(self, promise, job, detail):
+        """Note a broken promise."""
+        self.violations.append(
+            Violation(promise=promise, job=job, detail=detail, at_s=self.now())
+        )
+
+    def behaviour(self, task):
+        """Return the step and the behaviour of a task."""
+        record = self.jobs[task.job]
+        return record.spec.steps[task.step], record.behaviours[task.step]
+
+    def knows(self, order) -> bool:
+        """Return whether a caller sent the task of an order."""
+        record = self.jobs.get(order.task.job)
+        known = record is not None and order.payload == record.spec.payload
+        if not known or tuple(order.task[1:]) not in set(record.expected()):
+            self.broken("unasked", order.task.job, f"task {order.task[1:]}")
+            return False
+        return True
+
+    def began(self, runner, run, order):
+        """Take the begin of a run."""
+        self.starts += 1
+        record, spec = self.jobs[run.task.job], run.spec
+        key = tuple(run.task[1:])
+        others = self.running.setdefault(run.task, [])
+        where = f"task {key} run {run.number} on {runner.entry.id}"
+        if others and not spec.speculative:
+            first_runner, first = others[0]
+            self.broken(
+                "twice", record.id, f"{where}, run {first.number} on {first_runner}"
+            )
+        if not spec.speculative:
+            self._check_ended(record, key, where)
+        others.append((runner.entry.id, run))
+        self._check_order(record, key, where)
+        if len(record.failures.get(key, ())) >= record.queue.max_attempts:
+            self.broken("attempts", record.id, where)
+        if record.refused:
+            self.broken("refused", record.id, f"{where} after it was refused")
+        if record.cancelled_s and self.now() - record.cancelled_s > CANCEL_S:
+            self.broken("cancelled", record.id, where)
+        self._check_room(runner, record, where)
+
+    def _check_ended(self, record, key, where):
+        """Check that a task has no acknowledged end, and gets none later.
+
+        An end that is lost with its runner before it is acknowledged may be repeated.
+        """
+        ends = record.completed.get(key, {})
+        if any(ends.values()):
+            self.broken("twice", record.id, f"{where} after its end was acknowledged")
+        elif ends:
+            record.restarted.setdefault(key, set()).update(ends)
+
+    def _check_order(self, record, key, where):
+        occurrence, position, _ = key
+        for before in record.spec.steps[position].after:
+            count = record.spec.steps[before].count
+            if any(
+                (occurrence, before, i) not in record.completed for i in range(count)
+            ):
+                self.broken("order", record.id, where)
+
+    def _check_room(self, runner, record, where):
+        specs = [run.spec for run in runner.runs.values()]
+        room = runner.entry.capacity
+        cpu = sum(s.cpu for s in specs if not s.opportunistic)
+        memory_mb = sum(s.memory_mb for s in specs)
+        if cpu > room.cpu or memory_mb > room.memory_mb:
+            self.broken("room", record.id, f"{where}: {cpu} of {room.cpu}")
+
+    def ended(self, runner, run, cause):
+        """Take the end of a run; None stands for the loss of its runner."""
+        others = self.running.get(run.task, [])
+        self.running[run.task] = [row for row in others if row[1] is not run]
+        record, key = self.jobs[run.task.job], tuple(run.task[1:])
+        if cause is EndCause.COMPLETED:
+            ends = record.completed.setdefault(key, {})
+            ends[runner.entry.id, run.number] = False
+        elif cause is EndCause.FAILED:
+            record.failed[key] = record.failed.get(key, 0) + 1
+
+    def noted(self, runner, end):
+        """Take the acknowledgement of an end by the dispatcher."""
+        record, key = self.jobs[end.task.job], tuple(end.task[1:])
+        name = (runner.entry.id, end.run)
+        if end.cause is EndCause.COMPLETED:
+            record.completed.setdefault(key, {})[name] = True
+            if name in record.restarted.get(key, ()):
+                where = f"task {key} ran again after {name}, acknowledged later"
+                self.broken("twice", record.id, where)
+        elif end.cause is EndCause.FAILED and not record.spec.lasting:
+            record.failures.setdefault(key, set()).add(name)
+
+    def members(self, run):
+        """Return the runs that belong to the same run of a gang."""
+        record = self.jobs[run.task.job]
+        count = record.spec.steps[run.task.step].count
+        tasks = (run.task._replace(index=index) for index in range(count))
+        rows = (row for task in tasks for row in self.running.get(task, ()))
+        return [other for _, other in rows if other.number == run.number]
+
+    def shown(self, record, phase):
+        """Take a state that a process showed to a caller."""
+        before, record.shown = record.shown, phase
+        if before is not None and before.final and phase is not before:
+            self.broken("state", record.id, f"{phase.value} after {before.value}")
+        if phase is JobPhase.COMPLETED and record.missing():
+            self.broken("state", record.id, f"completed, {record.missing()} missing")
+        if phase is JobPhase.CANCELLED and not record.cancel_sent:
+            self.broken("state", record.id, "cancelled, though nobody asked for it")
+        if phase is JobPhase.FAILED and not any(b.fails for b in record.behaviours):
+            most = max(record.failed.values(), default=0)
+            if most < record.queue.max_attempts:
+                self.broken("state", record.id, f"failed after {most} failed runs")
+
+    def check_end(self):
+        """Check that every accepted job came to its end."""
+        for record in self.jobs.values():
+            if not record.accepted_s:
+                continue
+            phase = record.shown
+            if record.spec.lasting and not record.cancel_sent:
+                self._check_lasting(record)
+            elif phase is None or not phase.final:
+                shown = phase.value if phase else "nothing"
+                self.broken("lost", record.id, f"{shown}, {record.missing()} missing")
+            if phase is JobPhase.CANCELLED and self._count_running(record):
+                self.broken("cancelled", record.id, "still runs at the end")
+
+    def _check_lasting(self, record):
+        expected = sum(1 for _ in record.expected())
+        running = self._count_running(record)
+        if running < expected:
+            self.broken("lost", record.id, f"{running} of {expected} tasks run")
+
+    def _count_running(self, record):
+        return sum(
+            1 for task, rows in self.running.items() if task.job == record.id and rows
+        )
--- /dev/null
+++ b/wasabipaddle/soak/platform.py
@@ -0,0 +1,287 @@
+"""The platform of a soak: store, registry, runners and eligibility service."""
+
+import asyncio
+import random
+import time
+
+import attrs
+import msgspec
+from result import Ok
+
+from wasabipaddle.cell.keys import LEADER_KEY
+from wasabipaddle.interfaces import Advice, AdviceClient, Put
+from wasabipaddle.jobs import (
+    AdvicePolicy,
+    Capacity,
+    CellConfiguration,
+    Pool,
+    Queue,
+    RunnerEntry,
+)
+from wasabipaddle.platform.calling import encode_configuration, encode_runner
+from wasabipaddle.platform.serving import advice_routes, runner_routes, store_routes
+from wasabipaddle.settings import LinkSettings
+from wasabipaddle.standins.link import Link
+from wasabipaddle.standins.listener import Listener
+from wasabipaddle.standins.proxy import LinkProxy, ProxyRoute
+from wasabipaddle.standins.runners import MemoryRunner
+from wasabipaddle.standins.transactions import MemoryTransactions, TransactionsClient
+
+__all__ = ["CALLERS", "CELL", "HOST", "STORE", "SoakPlatform"]
+
+HOST = "127.0.0.1"
+# Places of the link beside the processes and the runners.
+STORE = "store"
+CALLERS = "callers"
+CELL = "cell"
+POOL = "pool"
+DATA_CENTRE = "a"
+HEARTBEAT_S = 1.5
+SILENT_HEARTBEATS = 3
+RUNNER_CPU = 6_000
+RUNNER_MEMORY_MB = 16_000
+RUNNERS_PER_RACK = 3
+# Steady clocks of runners may be this much slower than that of a process.
+SLOWEST_CLOCK = 0.98
+LEASE_MAX_S = 6.0
+STOP_S = 0.3
+GOOD_SHARE = 0.7
+ADVICE = AdvicePolicy(base_s=0.05, per_runner_s=0.002, valid_s=2.5)
+QUEUES = (
+    Queue(
+        name="urgent", host="u.example", prefix="/urgent/", pool=POOL, max_attempts=2
+    ),
+    Queue(
+        name="lasting", host="u.example", prefix="/lasting/", pool=POOL, priority=1,
+        max_attempts=3,
+    ),
+    Queue(
+        name="batch", host="b.example", prefix="/batch/", pool=POOL, priority=2,
+        max_attempts=4, advice=ADVICE,
+    ),
+)  # fmt: skip
+
+
+class _Eligibility(AdviceClient):
+    """Lets a fixed share of the runners run each step."""
+
+    def __init__(self):
+        self.busy = asyncio.Lock()
+
+    async def ask(self, *, job, occurrence, step, runners, timeout_s):
+        """Return tickets for the runners that a hash of their name admits."""
+        async with self.busy:
+            await asyncio.sleep(ADVICE.base_s + ADVICE.per_runner_s * len(runners))
+        tickets = {}
+        for runner in runners:
+            draw = random.Random(f"{job}.{occurrence}.{step}.{runner}").random()
+            if draw < GOOD_SHARE:
+                tickets[runner] = f"{job}.{step}.{runner}"
+        return Ok(Advice(tickets=tickets, valid_s=ADVICE.valid_s))
+
+
+class SoakPlatform:
+    """Stand-ins behind a proxy that can delay, cut, silence and reset connections.
+
+    Parameters
+    ----------
+    ledger : SoakLedger
+        Notes what runners do.
+    processes : list of str
+        Names of the processes of the cell.
+    internal_ports, caller_ports, readiness_ports : dict of str to int
+        Ports on which each process listens for others, for callers and for probes.
+    runner_count : int
+        Runners at the start.
+    seed : int
+        Seed of all choices.
+    """
+
+    def __init__(
+        self,
+        *,
+        ledger,
+        processes,
+        internal_ports,
+        caller_ports,
+        readiness_ports,
+        runner_count,
+        seed,
+    ):
+        self.ledger = ledger
+        self.processes = processes
+        self.random = random.Random(seed)
+        self.memory = MemoryTransactions(seed=seed)
+        self.link = Link(
+            regions=dict.fromkeys([*processes, STORE, CALLERS, CELL], "region"),
+            settings=LinkSettings(data_centre_latency_ms=1.0),
+        )
+        self.internal_ports = internal_ports
+        self.caller_ports = caller_ports
+        self.readiness_ports = readiness_ports
+        self.runner_count = runner_count
+        self.runners = {}
+        self.listeners = []
+        self.proxies = []
+        self.tasks = set()
+        self.version = 0
+        self.sequence = 0
+        self.created = 0
+        self.addresses = {}
+
+    async def start(self):
+        """Start the stand-ins; the first configuration is in the store."""
+        self.configure(QUEUES)
+        for process in self.processes:
+            client = TransactionsClient(memory=self.memory, client=process)
+            port = await self._listen(store_routes(client))
+            self.addresses[process, STORE] = await self._proxy(port, process, STORE)
+            port = await self._listen(advice_routes(_Eligibility()))
+            self.addresses[process, "advice"] = f"{HOST}:{port}"
+            self.addresses[process, CELL] = await self._proxy(
+                self.internal_ports[process], CELL, process
+            )
+            self.addresses[process, CALLERS] = await self._proxy(
+                self.caller_ports[process], CALLERS, process
+            )
+        for _ in range(self.runner_count):
+            await self.add_runner()
+
+    def configure(self, queues):
+        """Put a configuration in force and return its version."""
+        self.version += self.random.randint(1, 5)
+        configuration = CellConfiguration(
+            version=self.version, queues=queues, pools={POOL: Pool(name=POOL)}
+        )
+        key, value = encode_configuration(configuration)
+        self.memory.apply((), (Put(key=key, value=value),), ())
+        return self.version
+
+    def wall_ms(self) -> int:
+        """Return the time of day in Unix milliseconds."""
+        return int(time.time() * 1000)
+
+    def leader(self) -> str:
+        """Return the process that holds the leader key, empty if none does."""
+        entry = self.memory.items.get(LEADER_KEY)
+        return msgspec.json.decode(entry.value)["process"] if entry else ""
+
+    def revoke_leader(self):
+        """Remove the leader key, as the platform may."""
+        if LEADER_KEY in self.memory.items:
+            self.memory.remove(LEADER_KEY)
+
+    async def _listen(self, routes):
+        listener = Listener(routes=routes, host=HOST)
+        await listener.start()
+        self.listeners.append(listener)
+        return listener.port
+
+    async def _proxy(self, port, source, target):
+        route = ProxyRoute(
+            port=0, target_host=HOST, target_port=port, source=source, target=target
+        )
+        proxy = LinkProxy(link=self.link, host=HOST, routes=(route,))
+        await proxy.start()
+        self.proxies.append(proxy)
+        return f"{HOST}:{proxy.ports[route]}"
+
+    async def add_runner(self):
+        """Start a runner with an identity that no earlier one had."""
+        self.created += 1
+        name = f"w{self.created:03d}"
+        self.link.regions[name] = "region"
+        rack = f"rack-{self.created // RUNNERS_PER_RACK}"
+        runner = MemoryRunner(
+            entry=RunnerEntry(
+                id=name,
+                address="",
+                data_centre=DATA_CENTRE,
+                pool=POOL,
+                capacity=Capacity(cpu=RUNNER_CPU, memory_mb=RUNNER_MEMORY_MB),
+                labels=("kind", rack),
+                incarnation=self._incarnation(),
+            ),
+            ledger=self.ledger,
+            lease_max_s=LEASE_MAX_S,
+            stop_s=STOP_S,
+            clock_rate=self.random.uniform(SLOWEST_CLOCK, 1.0),
+            clock_offset_s=self.random.uniform(10.0, 5_000.0),
+            seed=self.random.random(),
+        )
+        address = await self._proxy(
+            await self._listen(runner_routes(runner)), CELL, name
+        )
+        runner.entry = attrs.evolve(runner.entry, address=address)
+        self.runners[name] = runner
+        self._spawn(runner.live())
+        self._spawn(self._heartbeat(runner))
+
+    def _incarnation(self):
+        return 1_700_000_000_000 + int(self.ledger.now() * 1000) + self.created
+
+    def crash(self, name):
+        """Crash a runner and start it again under its identity."""
+        self.runners[name].crash(self._incarnation())
+        self.link.reset(CELL, name)
+
+    async def remove_runner(self, name, leaves_in_s):
+        """Drain a runner and take it away."""
+        runner = self.runners[name]
+        runner.entry = attrs.evolve(
+            runner.entry, draining=True, leaves_in_s=leaves_in_s
+        )
+        self._register(runner)
+        await asyncio.sleep(leaves_in_s)
+        runner.leave()
+        del self.runners[name]
+        self.link.cut(CELL, name)
+        self.link.reset(CELL, name)
+        key, _ = encode_runner(runner.entry, 0)
+        await asyncio.sleep(HEARTBEAT_S)
+        self.memory.remove(key)
+
+    async def _heartbeat(self, runner):
+        """Keep the entry of a runner; silence for three heartbeats removes it."""
+        silent_s = 0.0
+        while runner.up:
+            if self.memory.down or not self.link.passes(runner.entry.id, STORE):
+                silent_s += HEARTBEAT_S
+                key, _ = encode_runner(runner.entry, 0)
+                gone = silent_s >= SILENT_HEARTBEATS * HEARTBEAT_S
+                if gone and key in self.memory.items:
+                    self.memory.remove(key)
+            else:
+                silent_s = 0.0
+                self._register(runner)
+            await asyncio.sleep(HEARTBEAT_S)
+
+    def _register(self, runner):
+        self.sequence += 1
+        key, value = encode_runner(runner.entry, self.sequence)
+        self.memory.apply((), (Put(key=key, value=value),), ())
+
+    def _spawn(self, coroutine):
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def heal(self):
+        """End every fault of store, runners and link."""
+        self.link.heal()
+        self.link.extra_latency_s.clear()
+        self.memory.down = False
+        self.memory.refused.clear()
+        self.memory.lost_share = 0.0
+        self.memory.answer_s = 0.004
+        for runner in self.runners.values():
+            runner.faults = type(runner.faults)()
+
+    async def close(self):
+        """Stop everything."""
+        for task in list(self.tasks):
+            task.cancel()
+        for proxy in self.proxies:
+            await proxy.close()
+        for listener in self.listeners:
+            await listener.close()
--- a/wasabipaddle/standins/link.py
+++ b/wasabipaddle/standins/link.py
@@ -42,12 +42,31 @@
         self.pair_bytes = {}
         self.region_bytes = {}
         self.cuts = set()
+        self.extra_latency_s = {}
         self.busy_until_s = {}
         self.connections = set()
 
-    def cut(self, source, target):
-        """Drop everything between two places, in both directions."""
-        self.cuts.add(frozenset((source, target)))
+    def cut(self, source, target, *, one_way=False):
+        """Drop everything from one place to another, and back unless `one_way`."""
+        self.cuts.add((source, target))
+        if not one_way:
+            self.cuts.add((target, source))
+
+    def restore(self, source, target):
+        """Remove the cuts between two places."""
+        self.cuts -= {(source, target), (target, source)}
+
+    def reset(self, source, target):
+        """Close the open connections between two places."""
+        pair = {source, target}
+        for connection in list(self.connections):
+            if {connection.source, connection.target} == pair:
+                connection.reset()
+
+    def delay(self, source, target, seconds):
+        """Add latency between two places, in both directions; 0 removes it."""
+        self.extra_latency_s[source, target] = seconds
+        self.extra_latency_s[target, source] = seconds
 
     def cut_off(self, place):
         """Cut one place off from every other one."""
@@ -75,10 +94,14 @@
 
     def passes(self, source, target) -> bool:
         """Return whether anything passes between two places now."""
-        return frozenset((source, target)) not in self.cuts
+        return (source, target) not in self.cuts
 
     def latency_s(self, source, target) -> float:
         """Return the one-way latency between two places."""
+        extra_s = self.extra_latency_s.get((source, target), 0.0)
+        return extra_s + self._distance_s(source, target)
+
+    def _distance_s(self, source, target):
         first, second = self.regions.get(source), self.regions.get(target)
         if first is None or second is None:
             return self.settings.client_latency_ms / 1000
@@ -110,13 +133,20 @@
 
 
 class LinkConnection:
-    """One connection over a link; a silent one carries nothing."""
+    """One connection over a link; a silent one carries nothing.
+
+    Attributes
+    ----------
+    reset : callable
+        Closes both ends; set by what carries the connection.
+    """
 
     def __init__(self, *, link, source, target):
         self.link = link
         self.source = source
         self.target = target
         self.silent = False
+        self.reset = lambda: None
 
     async def carry(self, size, *, back=False):
         """Carry `size` bytes; never returns if they are lost."""
--- a/wasabipaddle/standins/listener.py
+++ b/wasabipaddle/standins/listener.py
@@ -8,7 +8,14 @@
 
 from wasabipaddle.exceptions import ErrorKind
 
-__all__ = ["Listener", "failure_response", "hang", "json_response", "result_response"]
+__all__ = [
+    "Listener",
+    "failure_response",
+    "hang",
+    "hold_port",
+    "json_response",
+    "result_response",
+]
 
 MAX_BODY_BYTES = 4_000_000
 SHUTDOWN_S = 0.2
@@ -46,7 +53,8 @@
         )
         await self.runner.setup()
         if self.port == 0:
-            self._hold_port()
+            self.holder = hold_port(self.host, socket.SO_REUSEPORT)
+            self.port = self.holder.getsockname()[1]
         await self.accept()
 
     async def accept(self):
@@ -83,16 +91,24 @@
         if self.holder is not None:
             self.holder.close()
 
-    def _hold_port(self):
-        """Take a free port and keep it while connections to it are refused.
 
-        A bound socket that does not listen refuses connections, and no other process
-        can be given its port.
-        """
-        self.holder = socket.socket()
-        self.holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-        self.holder.bind((self.host, 0))
-        self.port = self.holder.getsockname()[1]
+def hold_port(host, option=socket.SO_REUSEADDR):
+    """Take a free port and return the socket that keeps it.
+
+    A bound socket that does not listen refuses connections, and no other process
+    can be given its port.
+
+    Parameters
+    ----------
+    host : str
+        IP address.
+    option : int
+        Socket option that the later listener sets as well.
+    """
+    holder = socket.socket()
+    holder.setsockopt(socket.SOL_SOCKET, option, 1)
+    holder.bind((host, 0))
+    return holder
 
 
 def json_response(value) -> web.Response:
--- a/wasabipaddle/standins/proxy.py
+++ b/wasabipaddle/standins/proxy.py
@@ -103,6 +103,7 @@
             target_reader, upstream = await asyncio.open_connection(
                 route.target_host, route.target_port, limit=PIECE_BYTES
             )
+            connection.reset = _closer(writer, upstream)
             async with asyncio.TaskGroup() as group:
                 group.create_task(
                     self._pump(connection, route.source, route.target, reader, upstream)
@@ -157,3 +158,11 @@
         """Wait while the link is cut; a silent connection waits for ever."""
         while connection.silent or not self.link.passes(source, target):
             await asyncio.sleep(CUT_CHECK_S)
+
+
+def _closer(*writers):
+    def close():
+        for writer in writers:
+            writer.transport.abort()
+
+    return close
--- /dev/null
+++ b/wasabipaddle/standins/runners.py
@@ -0,0 +1,365 @@
+"""Stand-in for runners that hold tasks under leases, in memory."""
+
+import asyncio
+import math
+import random
+
+import attrs
+from result import Err, Ok
+
+from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.interfaces import (
+    EndCause,
+    EndedTask,
+    Inventory,
+    OrderReply,
+    Refusal,
+    RunnerClient,
+    RunningTask,
+)
+
+__all__ = ["MemoryRunner", "RunnerFaults", "RunnerRun", "TaskBehaviour"]
+
+MS_PER_S = 1000
+POLL_S = 0.02
+LATEST_LATE_S = 4.0
+EARLIEST_LATE_S = 0.5
+FULL_PERCENT = 100
+
+
+@attrs.frozen(kw_only=True)
+class TaskBehaviour:
+    """How a task behaves once it runs.
+
+    Parameters
+    ----------
+    work_s : float
+        Duration on a sound runner, infinite for a task that lasts.
+    fails : bool
+        Whether the task fails at the end of its work, wherever it runs.
+    """
+
+    work_s: float
+    fails: bool = False
+
+
+@attrs.define(kw_only=True)
+class RunnerFaults:
+    """Faults of one runner.
+
+    Parameters
+    ----------
+    late_share : float
+        Share of the orders that get no answer and are carried out later.
+    lost_share : float
+        Share of the orders that are carried out and get no answer.
+    failing : bool
+        Whether every task fails soon after its start.
+    stalled : bool
+        Whether no task makes progress.
+    slowness : float
+        Factor on the duration of tasks.
+    """
+
+    late_share: float = 0.0
+    lost_share: float = 0.0
+    failing: bool = False
+    stalled: bool = False
+    slowness: float = 1.0
+
+
+@attrs.define(kw_only=True, eq=False)
+class RunnerRun:
+    """One run that the runner has begun."""
+
+    task: object
+    number: int
+    spec: object
+    behaviour: TaskBehaviour
+    owner: object
+    began_s: float
+    done_s: float = 0.0
+    touched_s: float = 0.0
+    stop_at_s: float = math.inf
+    pace: int = FULL_PERCENT
+
+    @property
+    def percent(self) -> int:
+        """Progress, 0 to 100."""
+        if math.isinf(self.behaviour.work_s):
+            return FULL_PERCENT
+        share = self.done_s / max(self.behaviour.work_s, 0.001)
+        return min(int(FULL_PERCENT * share), FULL_PERCENT)
+
+
+class MemoryRunner(RunnerClient):
+    """Runner that starts whatever it is told to, unless an order is void.
+
+    Parameters
+    ----------
+    entry : RunnerEntry
+        Identity and capacity; the capacity is not enforced.
+    ledger : object
+        Notes what begins and ends: `knows(order)`, `began(runner, run, order)`,
+        `ended(runner, run, cause)`, `noted(runner, end)`, and tells of
+        `behaviour(task)` and of `members(run)`, the present members of a gang.
+    lease_max_s, stop_s, gang_wait_s : float
+        Longest lease, time that a stop takes, and time for which a member of a gang
+        waits for the others.
+    clock_rate, clock_offset_s : float
+        Rate and start of the runner's steady clock.
+    seed : int
+        Seed of the faults.
+    """
+
+    def __init__(
+        self,
+        *,
+        entry,
+        ledger,
+        lease_max_s=6.0,
+        stop_s=0.2,
+        gang_wait_s=3.0,
+        clock_rate=1.0,
+        clock_offset_s=1000.0,
+        seed=0,
+    ):
+        self.entry = entry
+        self.ledger = ledger
+        self.lease_max_s = lease_max_s
+        self.stop_s = stop_s
+        self.gang_wait_s = gang_wait_s
+        self.clock_rate = clock_rate
+        self.clock_offset_s = clock_offset_s
+        self.random = random.Random(seed)
+        self.faults = RunnerFaults()
+        self.up = True
+        self.changed = asyncio.Event()
+        self._begin_life()
+
+    def _begin_life(self):
+        self.epoch = 0
+        self.lease_until_ms = 0
+        self.runs = {}
+        self.highest = {}
+        self.ends = []
+        self.end_number = 0
+
+    def _now(self):
+        return asyncio.get_running_loop().time()
+
+    def clock_ms(self) -> int:
+        """Return the steady clock of the runner."""
+        return int((self.clock_offset_s + self._now() * self.clock_rate) * MS_PER_S)
+
+    def crash(self, incarnation):
+        """Lose everything, and live on as another incarnation."""
+        runs = list(self.runs.values())
+        self._begin_life()
+        for run in runs:
+            self.ledger.ended(self, run, None)
+            self._end_gang(run, None)
+        self.entry = attrs.evolve(self.entry, incarnation=incarnation)
+
+    def leave(self):
+        """End for good."""
+        self.up = False
+        self.crash(self.entry.incarnation)
+
+    async def live(self):
+        """Let runs make progress, end and expire, for ever."""
+        while True:
+            self.advance()
+            await asyncio.sleep(POLL_S)
+
+    def advance(self):
+        """Bring all runs up to the present."""
+        now = self._now()
+        expired = self.clock_ms() >= self.lease_until_ms
+        for run in list(self.runs.values()):
+            if (run.task, run.number) not in self.runs:
+                continue  # ended with another member of its gang
+            if expired:
+                self._end(run, EndCause.LEASE_EXPIRED)
+                continue
+            if now >= run.stop_at_s:
+                self._end(run, EndCause.STOPPED)
+                continue
+            elapsed_s, run.touched_s = now - run.touched_s, now
+            if self.faults.stalled or self._waits(run, now):
+                continue
+            if self.faults.failing:
+                self._end(run, EndCause.FAILED)
+                continue
+            run.done_s += elapsed_s * run.pace / FULL_PERCENT / self.faults.slowness
+            if run.done_s >= run.behaviour.work_s:
+                failed = run.behaviour.fails
+                self._end(run, EndCause.FAILED if failed else EndCause.COMPLETED)
+
+    def _waits(self, run, now):
+        """Return whether members of a gang are missing; end a run that is alone."""
+        if not run.spec.gang or len(self.ledger.members(run)) >= run.spec.count:
+            return False
+        if now - run.began_s > self.gang_wait_s:
+            self._end(run, EndCause.GANG_INCOMPLETE)
+        return True
+
+    def _end_gang(self, run, cause):
+        """End the other members of a gang."""
+        if not run.spec.gang or cause in (
+            EndCause.GANG_BROKEN,
+            EndCause.GANG_INCOMPLETE,
+        ):
+            return
+        shared = cause if cause is EndCause.COMPLETED else EndCause.GANG_BROKEN
+        for member in self.ledger.members(run):
+            if (member.task, member.number) in member.owner.runs:
+                member.owner._end(member, shared)
+
+    def _end(self, run, cause):
+        if self.runs.pop((run.task, run.number), None) is None:
+            return
+        self.end_number += 1
+        saved = f"{run.done_s:.3f}" if run.spec.checkpoints else ""
+        end = EndedTask(
+            number=self.end_number,
+            task=run.task,
+            run=run.number,
+            cause=cause,
+            checkpoint=saved,
+        )
+        self.ends.append(end)
+        self.ledger.ended(self, run, cause)
+        self.changed.set()
+        self._end_gang(run, cause)
+
+    async def _order(self, carry_out):
+        """Carry out an order now, or later and without an answer."""
+        drawn = self.random.random()
+        if drawn < self.faults.late_share:
+            delay_s = self.random.uniform(EARLIEST_LATE_S, LATEST_LATE_S)
+            asyncio.get_running_loop().call_later(delay_s, carry_out)
+            return _lost()
+        reply = carry_out()
+        if drawn < self.faults.late_share + self.faults.lost_share:
+            return _lost()
+        return Ok(reply)
+
+    async def start(self, order, *, timeout_s):
+        """Start a run, unless the order is void."""
+        return await self._order(lambda: self._start(order))
+
+    def _start(self, order):
+        if not self.up:
+            return self._reply(Refusal.UNHEALTHY)
+        if order.epoch < self.epoch:
+            return self._reply(Refusal.STALE_EPOCH)
+        self.epoch = order.epoch
+        if (order.task, order.run) in self.runs:
+            return self._reply(Refusal.NONE)
+        if self.clock_ms() > order.start_before_ms:
+            return self._reply(Refusal.TOO_LATE)
+        self._extend(order.start_before_ms)
+        if order.run <= self.highest.get(order.task, 0):
+            return self._reply(Refusal.OLD_RUN)
+        self.highest[order.task] = order.run
+        if not self.ledger.knows(order):
+            return self._reply(Refusal.INVALID)
+        spec, behaviour = self.ledger.behaviour(order.task)
+        run = RunnerRun(
+            task=order.task,
+            number=order.run,
+            spec=spec,
+            behaviour=behaviour,
+            owner=self,
+            began_s=self._now(),
+            done_s=float(order.checkpoint or 0.0),
+            touched_s=self._now(),
+        )
+        self.runs[order.task, order.run] = run
+        self.ledger.began(self, run, order)
+        return self._reply(Refusal.NONE)
+
+    def _extend(self, until_ms):
+        longest_ms = self.clock_ms() + int(self.lease_max_s * MS_PER_S)
+        self.lease_until_ms = max(self.lease_until_ms, min(until_ms, longest_ms))
+
+    async def stop(self, task, run, *, epoch, timeout_s):
+        """Stop a run, or prevent one that has not begun."""
+        return await self._order(lambda: self._stop(task, run, epoch))
+
+    def _stop(self, task, number, epoch):
+        if epoch < self.epoch:
+            return self._reply(Refusal.STALE_EPOCH)
+        self.epoch = epoch
+        self.highest[task] = max(self.highest.get(task, 0), number)
+        run = self.runs.get((task, number))
+        if run is not None:
+            run.stop_at_s = min(run.stop_at_s, self._now() + self.stop_s)
+        return self._reply(Refusal.NONE)
+
+    async def pace(self, task, run, *, percent, epoch, timeout_s):
+        """Let a task work at a share of its speed."""
+        if epoch < self.epoch:
+            return Ok(self._reply(Refusal.STALE_EPOCH))
+        self.epoch = epoch
+        found = self.runs.get((task, run))
+        if found is not None:
+            found.pace = percent
+        return Ok(self._reply(Refusal.NONE))
+
+    async def inventory(
+        self, *, epoch, acknowledged, lease_until_ms, wait_s, timeout_s
+    ):
+        """Extend the lease and return what runs and what has ended."""
+        if epoch < self.epoch:
+            return Ok(self._lists(Refusal.STALE_EPOCH))
+        self.epoch = epoch
+        self.advance()
+        self._extend(lease_until_ms)
+        for end in self.ends:
+            if end.number <= acknowledged:
+                self.ledger.noted(self, end)
+        self.ends = [end for end in self.ends if end.number > acknowledged]
+        until_s = self._now() + wait_s
+        while not self.ends and self._now() < until_s:
+            self.changed.clear()
+            try:
+                async with asyncio.timeout(until_s - self._now()):
+                    await self.changed.wait()
+            except TimeoutError:
+                break
+        if epoch < self.epoch:
+            return Ok(self._lists(Refusal.STALE_EPOCH))
+        return Ok(self._lists(Refusal.NONE))
+
+    def _lists(self, refusal):
+        shown = refusal is Refusal.NONE
+        rows = tuple(
+            RunningTask(
+                task=run.task,
+                run=run.number,
+                checkpoint=f"{run.done_s:.3f}" if run.spec.checkpoints else "",
+                percent=run.percent,
+                load=1.0,
+            )
+            for run in self.runs.values()
+        )
+        return Inventory(
+            clock_ms=self.clock_ms(),
+            incarnation=self.entry.incarnation,
+            running=rows if shown else (),
+            ended=tuple(self.ends) if shown else (),
+            refusal=refusal,
+        )
+
+    def _reply(self, refusal):
+        return OrderReply(
+            clock_ms=self.clock_ms(),
+            refusal=refusal,
+            incarnation=self.entry.incarnation,
+        )
+
+
+def _lost():
+    return Err(Failure(kind=ErrorKind.TIMEOUT, detail="the answer is lost"))
--- a/wasabipaddle/standins/transactions.py
+++ b/wasabipaddle/standins/transactions.py
@@ -1,6 +1,7 @@
 """Stand-in for a store with transactions, in memory, with lost and late answers."""
 
 import asyncio
+import random
 
 from result import Err, Ok
 
@@ -10,31 +11,46 @@
 __all__ = ["MemoryTransactions", "TransactionsClient"]
 
 
+ANSWER_S = 0.004
+
+
 class MemoryTransactions:
     """Contents of the store, shared by the clients of a test.
 
+    Parameters
+    ----------
+    seed : int
+        Seed of the choice of lost answers.
+
     Attributes
     ----------
     down : bool
         Whether every call is refused.
     refused : set of str
         Clients whose calls are refused.
-    lose_answers : bool
-        Whether commits take effect and get no answer.
+    lost_share : float
+        Share of the commits that get no answer.
     delay_s : float
         Time after which an unanswered commit takes effect; None loses it for good.
+    answer_s : float
+        Time of an answer.
     """
 
-    def __init__(self):
+    def __init__(self, *, seed=0):
         self.items = {}
         self.leases = {}
+        self.lease_ends = {}
+        self.last_lease = 1000
         self.revision = 1
         self.history = []
+        self.kept_from = 0
         self.changed = asyncio.Event()
+        self.random = random.Random(seed)
         self.down = False
         self.refused = set()
-        self.lose_answers = False
+        self.lost_share = 0.0
         self.delay_s = 0.0
+        self.answer_s = ANSWER_S
 
     def apply(self, conditions, puts, deletes):
         """Carry out one commit and return its revision or failure."""
@@ -68,6 +84,31 @@
         keys = self.leases.pop(lease, set())
         self.apply((), (), [k for k in keys if k in self.items])
 
+    def grant(self, ttl_s) -> int:
+        """Create a lease that ends when it is not extended in time."""
+        self.last_lease += 1
+        self.leases[self.last_lease] = set()
+        self.extend(self.last_lease, ttl_s)
+        return self.last_lease
+
+    def extend(self, lease, ttl_s=None):
+        """Let a lease run from now."""
+        loop = asyncio.get_running_loop()
+        if ttl_s is None:
+            ttl_s = self.lease_ends[lease][1]
+        self.lease_ends[lease] = (loop.time() + ttl_s, ttl_s)
+        loop.call_later(ttl_s, self._expire, lease)
+
+    def _expire(self, lease):
+        until_s, _ = self.lease_ends.get(lease, (0.0, 0.0))
+        if lease in self.leases and asyncio.get_running_loop().time() >= until_s:
+            self.end_lease(lease)
+
+    def forget_history(self):
+        """Drop the changes so far, so that watches have to list again."""
+        self.history.clear()
+        self.kept_from = self.revision
+
     def remove(self, key):
         """Remove a key, as the platform does when it revokes it."""
         self.apply((), (), [key])
@@ -89,7 +130,7 @@
         self.client = client
 
     async def _refusal(self):
-        await asyncio.sleep(0.004)
+        await asyncio.sleep(self.memory.answer_s)
         if self.memory.down or self.client in self.memory.refused:
             return _failed(ErrorKind.STORE_UNAVAILABLE, "the store is down")
         return None
@@ -128,7 +169,7 @@
         refusal = await self._refusal()
         if refusal:
             return refusal
-        if not self.memory.lose_answers:
+        if self.memory.random.random() >= self.memory.lost_share:
             return self.memory.apply(conditions, puts, deletes)
         if self.memory.delay_s is not None:
             asyncio.get_running_loop().call_later(
@@ -144,6 +185,8 @@
             refusal = await self._refusal()
             if refusal:
                 return refusal
+            if after_revision < self.memory.kept_from:
+                return _failed(ErrorKind.REVISION_MISMATCH, "the history is gone")
             found = tuple(
                 change
                 for change in self.memory.history
@@ -160,13 +203,11 @@
                 pass
 
     async def grant_lease(self, ttl_s):
-        """Create a lease, which ends only by `end_lease`."""
+        """Create a lease."""
         refusal = await self._refusal()
         if refusal:
             return refusal
-        lease = len(self.memory.history) + 1000 + len(self.memory.leases)
-        self.memory.leases[lease] = set()
-        return Ok(lease)
+        return Ok(self.memory.grant(ttl_s))
 
     async def renew_lease(self, lease):
         """Extend a lease."""
@@ -175,6 +216,7 @@
             return refusal
         if lease not in self.memory.leases:
             return _failed(ErrorKind.NOT_FOUND, "lease")
+        self.memory.extend(lease)
         return Ok(None)
 
     async def end_lease(self, lease):
