Acknowledge an end only when all progress of its job is durable

An end that changed nothing, because its job or task was already complete in memory, counted as durable at once, also while the write of that completion was still on its way. A gang ended on two runners, the store was away, the end on the second runner was acknowledged and forgotten, the first runner left and the dispatcher was replaced: the gang ran again.

Ruled out: the entry (the job was accepted once), the takeover (the successor saw no run and no end, and was right to start).

Change: a job knows the generation of the write that makes its progress durable, and an end is acknowledged only once that generation is written.

--- a/wasabipaddle/dispatch/lifecycle.py
+++ b/wasabipaddle/dispatch/lifecycle.py
@@ -152,14 +152,14 @@
             self._finish(entry, JobPhase.CANCELLED, now)
 
     def task_ended(self, task, number, cause, runner, now, *, elapsed_s=None):
-        """Take an end that a runner lists; return whether it must be made durable."""
+        """Take an end that a runner lists."""
         step, entry = task.step, task.step.job
         task.last_run = max(task.last_run, number)
         if entry.phase.final:
-            return False
+            return
         if cause is EndCause.COMPLETED:
             if task.completed:
-                return False
+                return
             ratio = None
             if elapsed_s and not task.checkpoint and step.spec.estimate_s:
                 ratio = step.spec.estimate_s / max(elapsed_s, 0.01)
@@ -167,12 +167,10 @@
             tasks = step.tasks if step.spec.gang else [task]
             for member in tasks:
                 self._complete(member, now)
-            return True
-        if cause is EndCause.FAILED:
-            return self._failed(task, number, runner, now)
-        if step.spec.gang and cause is not EndCause.STOPPED and entry.started:
+        elif cause is EndCause.FAILED:
+            self._failed(task, number, runner, now)
+        elif step.spec.gang and cause is not EndCause.STOPPED and entry.started:
             self.break_gang(step, number, now)
-        return False
 
     def _failed(self, task, number, runner, now):
         step, entry = task.step, task.step.job
@@ -185,12 +183,11 @@
             self.break_gang(step, number, now)
         task.failed_runs.add(number)
         if step.spec.lasting or task.completed:
-            return False
+            return
         failed = step.gang_failures if step.spec.gang else task.failed_runs
         if len(failed) >= entry.queue.max_attempts and not entry.phase.final:
             self._finish(entry, JobPhase.FAILED, now)
         self.state.mark_dirty(entry)
-        return True
 
     def break_gang(self, step, number, now):
         """Stop the other members of a run of a gang, which cannot work on."""
--- a/wasabipaddle/dispatch/model.py
+++ b/wasabipaddle/dispatch/model.py
@@ -191,6 +191,8 @@
         Whether the job was accepted before this dispatcher took over.
     started : bool
         Whether any task has started.
+    write_generation : int
+        Generation of the write that makes the latest progress durable.
     """
 
     job: Job
@@ -203,6 +205,7 @@
     recovered: bool = False
     started: bool = False
     ended_ms: int = 0
+    write_generation: int = 0
 
     @property
     def id(self) -> str:
--- a/wasabipaddle/dispatch/reports.py
+++ b/wasabipaddle/dispatch/reports.py
@@ -89,10 +89,10 @@
             elapsed = now - run.started_s if run and not run.preempted else None
             if run in task.runs:
                 task.runs.remove(run)
-            must_write = self.lifecycle.task_ended(
+            self.lifecycle.task_ended(
                 task, ended.run, ended.cause, runner, now, elapsed_s=elapsed
             )
-            durable &= not must_write
+            durable &= self.state.is_durable(task.step.job)
             self.state.journal(
                 "run_ended",
                 job=task.id.job,
@@ -269,6 +269,7 @@
         jobs : list of tuple of (JobEntry, JobPhase)
             Jobs and the states that were written.
         """
+        self.state.written_generation = max(self.state.written_generation, generation)
         for entry, phase in jobs:
             entry.durable_phase = phase
         for runner in self.state.runners.values():
--- a/wasabipaddle/dispatch/state.py
+++ b/wasabipaddle/dispatch/state.py
@@ -56,8 +56,8 @@
         Jobs whose progress must be written.
     final_dirty : bool
         Whether a job with a final state is among them.
-    generation : int
-        Generation of the next write.
+    generation, written_generation : int
+        Generation of the next write, and of the last one that is durable.
     suspects : dict of str to float
         Runners on which runs of the predecessor may exist, and the time at which
         their leases have surely ended.
@@ -77,6 +77,7 @@
     dirty: dict = attrs.field(factory=dict)
     final_dirty: bool = False
     generation: int = 1
+    written_generation: int = 0
     suspects: dict = attrs.field(factory=dict)
     short_of_room: bool = False
     urgent_waits: bool = False
@@ -101,8 +102,13 @@
     def mark_dirty(self, job):
         """Have the progress of a job written."""
         self.dirty[job.id] = job
+        job.write_generation = self.generation
         self.final_dirty |= job.phase.final
 
+    def is_durable(self, job) -> bool:
+        """Return whether the store has all progress of a job."""
+        return job.write_generation <= self.written_generation
+
     def take_dirty(self):
         """Return the jobs to write and the generation of the write."""
         jobs, self.dirty = list(self.dirty.values()), {}
--- a/wasabipaddle/dispatch/tests/test_takeover.py
+++ b/wasabipaddle/dispatch/tests/test_takeover.py
@@ -118,3 +118,41 @@
     cell.look()
     cell.plan()
     assert cell.started[0][1] > first
+
+
+def test_second_end_of_a_gang_waits_for_the_write_of_the_first(cell):
+    """Guards against a gang that runs again after one of its ends was forgotten.
+
+    Found by the soak, seed 2: the first end completed the job, the store was away,
+    and the ends that followed were acknowledged at once.
+    """
+    entry = cell.submit("j0", step(2, gang=True, max_per_runner=1))
+    cell.plan()
+    for task in entry.steps[(0, 0)].tasks:
+        (run,) = task.runs
+        cell.runners[run.runner.id].end(task.id, run.number)
+        cell.look(run.runner.id)
+    acknowledged = [r.acknowledged for r in cell.state.runners.values()]
+    cell.write()
+    written = [r.acknowledged for r in cell.state.runners.values()]
+    assert (acknowledged, written) == ([0, 0], [1, 1])
+
+
+def test_end_of_a_copy_waits_while_the_write_of_the_first_is_in_progress(cell):
+    """Guards against the same for copies, whose first end is being written."""
+    entry = cell.submit("j0", step(1, speculative=True), step(1))
+    cell.plan()
+    first, second = entry.steps[(0, 0)].tasks[0].runs[0], None
+    cell.now += 3.0
+    cell.scheduler.placement.plan_copies(cell.now)
+    cell.plan()
+    second = entry.steps[(0, 0)].tasks[0].runs[1]
+    cell.runners[first.runner.id].end(first.task.id, first.number)
+    cell.look(first.runner.id)
+    _, generation = cell.state.take_dirty()
+    cell.runners[second.runner.id].end(second.task.id, second.number)
+    cell.look(second.runner.id)
+    assert second.runner.acknowledged == 0
+    cell.scheduler.reports.written([], generation)
+    cell.write()
+    assert second.runner.acknowledged == 1
