Let processes on large VMs lead

Ruled out: the store (near it answered in 5 ms to the others), the takeover itself (0.5 s for 176 runners).

Change: settings hold the processing power of the VM; greetings carry it. A process with less than 0.6 of the strongest live one bids 0.8 s after the others, is offered the leadership last, and gives it away when it has it.

--- a/wasabipaddle/cell/election.py
+++ b/wasabipaddle/cell/election.py
@@ -24,6 +24,8 @@
 BID_JITTER_S = 0.05
 FAR_LATENCY_S = 0.025
 FAR_DELAY_S = 0.4
+# Candidates on VMs that may be too small to dispatch let all others go first.
+WEAK_DELAY_S = 0.8
 # A process that is cut off must not take the key from a live leader again and again.
 REPLACE_PAUSE_S = 10.0
 
@@ -67,6 +69,8 @@
         Epoch of this process while it leads, else 0.
     leader : LeaderRecord or None
         Leader as last seen.
+    weak : bool
+        Whether live processes have much more processing power than this one.
     """
 
     name = "cell_election"
@@ -87,6 +91,7 @@
         self.replaced_s = -REPLACE_PAUSE_S
         self.term_revision = 0
         self.leaving = False
+        self.weak = False
         self.tasks = TaskSet()
 
     async def start(self):
@@ -191,6 +196,8 @@
         delay_s = BID_JITTER_S * self.context.random.random()
         if self.access.health.latency_s > FAR_LATENCY_S:
             delay_s += FAR_DELAY_S
+        if self.weak:
+            delay_s += WEAK_DELAY_S
         await asyncio.sleep(0.0 if self.epoch else delay_s)
         if not await self.bid():
             await asyncio.sleep(RETRY_S)
--- a/wasabipaddle/cell/handover.py
+++ b/wasabipaddle/cell/handover.py
@@ -1,4 +1,4 @@
-"""Role `cell_handover`: moves the leadership to a process that reaches the store."""
+"""Role `cell_handover`: moves the leadership to a process that can lead better."""
 
 from result import Err, Ok
 
@@ -24,7 +24,8 @@
 
     A leader that is told to end hands over, as does one that the store refuses while
     it serves others: it would otherwise go on until its lease ends, and could make
-    nothing durable in the meantime.
+    nothing durable in the meantime. A leader on a small VM gives way to a larger one,
+    since it may not keep up with the load.
     """
 
     name = "cell_handover"
@@ -52,9 +53,16 @@
         await self.tasks.close()
 
     def _check(self):
-        if self.election.epoch and self.access.health.away and not self.asking:
+        if not self.election.epoch or self.asking:
+            return
+        if self.access.health.away:
             self.asking = True
-            self.tasks.spawn(self._hand_over())
+            self.tasks.spawn(self._hand_over(self._candidates()))
+            return
+        stronger = [p for p in self._candidates() if not self.members.is_weak(p)]
+        if stronger and self.members.is_weak(self.members.own):
+            self.asking = True
+            self.tasks.spawn(self._hand_over(stronger))
 
     def _leave(self):
         if self.election.epoch:
@@ -62,15 +70,25 @@
             self.tasks.spawn(self._hand_over_or_resign())
 
     async def _hand_over_or_resign(self):
-        await self._hand_over()
+        await self._hand_over(self._candidates())
         await self.election.resign("process is draining")
 
-    async def _hand_over(self):
-        own = self.context.settings.process
-        peers = [p for p in self.members.live() if p != own]
-        # While all processes are restarted in turn, those started last stay longest.
+    def _candidates(self):
+        """Return the live peers, the best one first."""
         members = self.members
-        peers.sort(key=lambda p: (members.is_far(p), -members.lives.get(p, 0)))
+        peers = [p for p in members.live() if p != members.own]
+        # While all processes are restarted in turn, those started last stay longest.
+        peers.sort(
+            key=lambda p: (
+                members.is_weak(p),
+                members.is_far(p),
+                -members.lives.get(p, 0),
+            )
+        )
+        return peers
+
+    async def _hand_over(self, peers):
+        """Offer the leadership to the first of some peers."""
         try:
             for peer in peers[:MAX_ASKED]:
                 message = TakeOver(epoch=self.election.epoch)
--- a/wasabipaddle/cell/members.py
+++ b/wasabipaddle/cell/members.py
@@ -27,6 +27,8 @@
 REFUSALS = 2
 FAR_REFUSALS = 5
 REFUSAL_PAUSE_S = 0.08
+# A process with less than this share of the processing power of another is weak.
+WEAK_SHARE = 0.6
 
 
 class MembersPlugin(Plugin):
@@ -38,8 +40,9 @@
         Calls to other processes; roles register their handlers with it.
     heard : dict of str to float
         Time of the last sign of life of each process, kept by the leader.
-    latencies, lives : dict of str to float, dict of str to int
-        Latency of the store at each process, and the start of the process.
+    latencies, lives, processors : dict
+        Latency of the store at each process, the start of the process, and its
+        processing power in cores, by name.
     waiting : dict of str to int or None
         Jobs that wait, by queue, as the leader last told.
     waiting_s : float
@@ -55,6 +58,7 @@
         self.heard = {}
         self.latencies = {}
         self.lives = {}
+        self.processors = {context.settings.process: context.settings.processor}
         self.addresses = {}
         self.leader = ""
         self.waiting = None
@@ -101,21 +105,25 @@
         self.addresses[process] = address
         self.transport.peers[process] = CellPeer.parse(address)
 
+    @property
+    def own(self) -> str:
+        """Name of this process."""
+        return self.context.settings.process
+
     @property
     def leads(self) -> bool:
         """Whether this process is the leader."""
-        return self.leader == self.context.settings.process
+        return self.leader == self.own
 
     def live(self):
         """Return the names of the processes heard of lately, this one included."""
         now = self.context.clock.now()
-        own = self.context.settings.process
         others = [p for p, at in self.heard.items() if now - at < SILENT_S]
-        return [own, *(p for p in others if p != own)]
+        return [self.own, *(p for p in others if p != self.own)]
 
     def heard_within(self, process, seconds) -> bool:
         """Return whether a process gave a sign of life in the last seconds."""
-        if process == self.context.settings.process:
+        if process == self.own:
             return True
         return self.context.clock.now() - self.heard.get(process, 0.0) <= seconds
 
@@ -123,6 +131,15 @@
         """Return whether a process is far from the store."""
         return self.latencies.get(process, 0.0) > FAR_LATENCY_S
 
+    @property
+    def strongest(self) -> float:
+        """Largest processing power among the live processes, in cores."""
+        return max(self.processors.get(process, 0.0) for process in self.live())
+
+    def is_weak(self, process) -> bool:
+        """Return whether another live process has much more processing power."""
+        return self.processors.get(process, 0.0) < WEAK_SHARE * self.strongest
+
     async def ask_leader(self, message, reply_type, *, timeout_s):
         """Send a message to the leader, without the network if it is this process."""
         if not self.leader:
@@ -131,7 +148,7 @@
 
     async def ask(self, process, message, reply_type, *, timeout_s):
         """Send a message to a process."""
-        if process == self.context.settings.process:
+        if process == self.own:
             entry = self.transport.handlers.get(type(message).__name__)
             if entry is None:
                 detail = f"no handler for {type(message).__name__}"
@@ -162,6 +179,7 @@
                 configuration=self.configuration.version,
                 store_latency_s=self.access.health.latency_s,
                 life=self.election.record.life,
+                processor=settings.processor,
             )
             reply = await self.ask_leader(hello, HelloReply, timeout_s=HELLO_TIMEOUT_S)
             refused = reply.is_err() and reply.err().kind is ErrorKind.UNREACHABLE
@@ -172,6 +190,7 @@
                 continue
             reply = reply.ok()
             self.configuration.observe(reply.configuration)
+            self.election.weak = settings.processor < WEAK_SHARE * reply.strongest
             self.waiting = reply.waiting
             self.waiting_s = self.context.clock.now()
             for process, address in reply.members.items():
@@ -192,6 +211,7 @@
         self.heard[hello.process] = self.context.clock.now()
         self.latencies[hello.process] = hello.store_latency_s
         self.lives[hello.process] = hello.life
+        self.processors[hello.process] = hello.processor
         self._know(hello.process, hello.address)
         self.configuration.observe(hello.configuration)
         return Ok(
@@ -201,5 +221,6 @@
                 members={
                     p: self.addresses[p] for p in self.live() if p in self.addresses
                 },
+                strongest=self.strongest,
             )
         )
--- a/wasabipaddle/messages/jobs.py
+++ b/wasabipaddle/messages/jobs.py
@@ -88,6 +88,8 @@
         Recent latency of the store.
     life : int
         Start of the process, in Unix milliseconds.
+    processor : float
+        Processing power of its VM, in cores.
     """
 
     process: str
@@ -95,6 +97,7 @@
     configuration: int = 0
     store_latency_s: float = 0.0
     life: int = 0
+    processor: float = 1.0
 
 
 @attrs.frozen(kw_only=True)
@@ -109,11 +112,14 @@
         Jobs that wait, by queue; None while the dispatcher recovers.
     members : dict of str to str
         Addresses of the live processes by name.
+    strongest : float
+        Largest processing power among them, in cores.
     """
 
     configuration: int = 0
     waiting: dict[str, int] | None = None
     members: dict[str, str] = attrs.field(factory=dict)
+    strongest: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
--- a/wasabipaddle/settings/cell.py
+++ b/wasabipaddle/settings/cell.py
@@ -88,6 +88,8 @@
         Port of the metrics page, 0 for none.
     advertised : str
         Address at which other processes reach `internal`; empty if it is the same.
+    processor_share, processor_speed : float
+        Part of a core that the process may use, and how fast that core is.
     """
 
     process: str
@@ -100,8 +102,15 @@
     bounds: CellBounds = attrs.field(factory=CellBounds)
     metrics_port: int = 0
     advertised: str = ""
+    processor_share: float = 1.0
+    processor_speed: float = 1.0
 
     @property
     def reachable_at(self) -> str:
         """Address that other processes are told."""
         return self.advertised or self.internal
+
+    @property
+    def processor(self) -> float:
+        """Processing power, in cores of the usual speed."""
+        return self.processor_share * self.processor_speed
--- a/wasabipaddle/settings/loader.py
+++ b/wasabipaddle/settings/loader.py
@@ -42,6 +42,8 @@
     ("CellBounds", "keep_final_s"): Bounds(high=86_400),
     ("CellBounds", "remote_slowdown"): Bounds(low=1, high=1_000),
     ("CellSettings", "metrics_port"): Bounds(high=65_535),
+    ("CellSettings", "processor_share"): Bounds(low=0.001, high=1_000),
+    ("CellSettings", "processor_speed"): Bounds(low=0.001, high=1_000),
     ("DataCentre", "shards"): Bounds(low=1, high=64),
     ("LinkSettings", "data_centre_latency_ms"): Bounds(high=10_000),
     ("LinkSettings", "region_latency_ms"): Bounds(high=10_000),
