Look only at eligible runners when placing and asking

Cause: each plan went over all runners for every step that waits, and over all jobs of the last four minutes for those that open soon.

Change: a step with an eligibility policy goes over the runners that have a ticket of it, and over all runners only when it has to ask about more. Jobs without a final state are kept in a table of their own.

--- a/wasabipaddle/cell/session.py
+++ b/wasabipaddle/cell/session.py
@@ -124,7 +124,7 @@
         self.journal(
             "dispatcher_recovered",
             epoch=self.epoch,
-            jobs=sum(1 for e in state.jobs.values() if not e.phase.final),
+            jobs=len(state.unfinished),
             runners=len(state.runners),
             suspects=len(state.suspects),
             took_ms=int((self.now() - began) * 1000),
--- a/wasabipaddle/dispatch/advisor.py
+++ b/wasabipaddle/dispatch/advisor.py
@@ -66,28 +66,33 @@
         room as soon as there is some; an answer takes longer than room lasts.
         """
         eligibility = step.eligibility
-        candidates = self.placement.candidates(step, now)
-        good, unknown = [], []
-        for runner in candidates:
-            if eligibility.known_good(runner):
-                good.append(runner)
-            elif not eligibility.known_refused(runner):
-                unknown.append(runner)
+        good = self.placement.eligible(step, now)
         usable = [r for r in good if r.fits(step.spec) and room_in_step(step, r)]
         needed = step.spec.count if step.spec.gang else 1
         enough = sum(slots_on(step, runner) for runner in usable) >= needed
         fresh = any(eligibility.ticket(r, now) is not None for r in usable)
-        fitting = [r for r in unknown if r.could_fit(step.spec)]
-        if fitting and not enough:
-            fitting.sort(key=lambda r: -r.free_share)
+        unknown = [] if enough else self._unknown(step, now)
+        if unknown:
+            unknown.sort(key=lambda r: -r.free_share)
             # Most of the cost is that of the call, so it renews tickets as well.
-            return [*fitting, *good][:MAX_NAMED]
+            return [*unknown, *good][:MAX_NAMED]
         if fresh and not keep:
             return []
         if keep and good:
             return self._to_renew(step, good, usable, now)
         return usable[:MAX_NAMED]
 
+    def _unknown(self, step, now):
+        """Return candidates that could hold a task and were not asked about."""
+        eligibility = step.eligibility
+        return [
+            runner
+            for runner in self.placement.candidates(step, now)
+            if runner.could_fit(step.spec)
+            and not eligibility.known_good(runner)
+            and not eligibility.known_refused(runner)
+        ]
+
     def _to_renew(self, step, good, usable, now):
         """Return the eligible runners, unless a ticket outlasts the next answer."""
         policy = step.job.queue.advice
@@ -99,8 +104,8 @@
 
     def _soon_ready(self, now):
         """Yield steps whose predecessors end while a request would be answered."""
-        for entry in self.state.jobs.values():
-            if entry.phase.final or len(entry.steps) < 2:
+        for entry in self.state.unfinished.values():
+            if len(entry.steps) < 2:
                 continue
             if entry.queue.advice is None:
                 continue
--- a/wasabipaddle/dispatch/eligibility.py
+++ b/wasabipaddle/dispatch/eligibility.py
@@ -33,12 +33,15 @@
         Time of the request in progress.
     retry_s : float
         Earliest time of the next request.
+    latest_s : float
+        Time at which the last ticket expires.
     """
 
     tickets: dict = attrs.field(factory=dict)
     refused: dict = attrs.field(factory=dict)
     asked_s: float | None = None
     retry_s: float = 0.0
+    latest_s: float = 0.0
 
     def ticket(self, runner, now) -> str | None:
         """Return a ticket that is still valid on `runner`."""
@@ -69,16 +72,16 @@
             How long the tickets hold.
         """
         self.asked_s = None
+        expires_s = now + max(valid_s - TICKET_MARGIN_S, 0.0)
         for runner in runners:
             text = advice.get(runner.id)
             if text is None:
                 self.refused[runner.id] = runner.incarnation
             else:
                 self.refused.pop(runner.id, None)
+                self.latest_s = max(self.latest_s, expires_s)
                 self.tickets[runner.id] = Ticket(
-                    text=text,
-                    expires_s=now + max(valid_s - TICKET_MARGIN_S, 0.0),
-                    incarnation=runner.incarnation,
+                    text=text, expires_s=expires_s, incarnation=runner.incarnation
                 )
 
     def failed(self, now, pause_s):
--- a/wasabipaddle/dispatch/lifecycle.py
+++ b/wasabipaddle/dispatch/lifecycle.py
@@ -44,6 +44,7 @@
             for occurrence in range(job.spec.occurrences):
                 self._add_occurrence(entry, occurrence, now)
             return entry
+        state.unfinished[job.id] = entry
         if job.spec.scheduled:
             state.scheduled[job.id] = 0
             self.open_due(now)
@@ -230,6 +231,7 @@
 
     def _finish(self, entry, phase, now):
         entry.phase = phase
+        self.state.unfinished.pop(entry.id, None)
         entry.ended_ms = int((now + self.state.wall_offset_s) * MS_PER_S)
         self.state.mark_dirty(entry)
         self.state.journal(
--- a/wasabipaddle/dispatch/placement.py
+++ b/wasabipaddle/dispatch/placement.py
@@ -78,24 +78,42 @@
 
     def candidates(self, step, now):
         """Return the runners that may start a task of the step, whatever is free."""
-        queue, spec = step.job.queue, step.spec
-        found = []
-        for runner in self.state.runners.values():
-            if runner.entry.pool != queue.pool or not runner.usable(now):
-                continue
-            if spec.required_label and spec.required_label not in runner.entry.labels:
-                continue
-            if not runner.trust.admits(now, len(runner.runs)):
-                continue
-            found.append(runner)
-        return found
+        return [r for r in self.state.runners.values() if self.admits(step, r, now)]
+
+    def admits(self, step, runner, now) -> bool:
+        """Return whether a runner may start a task of the step, whatever is free."""
+        label = step.spec.required_label
+        return (
+            runner.entry.pool == step.job.queue.pool
+            and runner.usable(now)
+            and (not label or label in runner.entry.labels)
+            and runner.trust.admits(now, len(runner.runs))
+        )
+
+    def eligible(self, step, now):
+        """Return the candidates among the runners that the step may run on.
+
+        Only those that the eligibility service has named are looked at, so the cost
+        does not grow with the fleet.
+        """
+        runners = map(self.state.runners.get, step.eligibility.tickets)
+        return [
+            r
+            for r in runners
+            if r is not None
+            and step.eligibility.known_good(r)
+            and self.admits(step, r, now)
+        ]
 
     def _permitted(self, step, now):
         """Return candidates with a valid ticket, and that ticket, where one is due."""
-        runners = self.candidates(step, now)
+        eligibility = step.eligibility
         if step.job.queue.advice is None:
-            return [(runner, "") for runner in runners]
-        tickets = ((r, step.eligibility.ticket(r, now)) for r in runners)
+            return [(runner, "") for runner in self.candidates(step, now)]
+        if now >= eligibility.latest_s:
+            return []
+        runners = self.eligible(step, now)
+        tickets = ((r, eligibility.ticket(r, now)) for r in runners)
         return [(runner, ticket) for runner, ticket in tickets if ticket is not None]
 
     def _plan_tasks(self, step, now):
--- a/wasabipaddle/dispatch/scheduler.py
+++ b/wasabipaddle/dispatch/scheduler.py
@@ -42,8 +42,9 @@
     def configure(self, configuration):
         """Put a configuration in force."""
         self.state.configuration = configuration
+        queues = {queue.name: queue for queue in configuration.queues}
         for entry in self.state.jobs.values():
-            queue = configuration.queue(entry.job.policy.name)
+            queue = queues.get(entry.job.policy.name)
             if queue is not None:
                 entry.queue = queue
 
@@ -134,7 +135,7 @@
     def count_waiting(self):
         """Return the jobs that have not started, by queue."""
         waiting = {}
-        for entry in self.state.jobs.values():
+        for entry in self.state.unfinished.values():
             if entry.phase is JobPhase.QUEUED and not entry.started:
                 name = entry.queue.name
                 waiting[name] = waiting.get(name, 0) + 1
--- a/wasabipaddle/dispatch/state.py
+++ b/wasabipaddle/dispatch/state.py
@@ -46,8 +46,8 @@
         Receives one event for each decision, as a kind and named values.
     first_run : int
         Run numbers of this dispatcher are above it.
-    jobs : dict of str to JobEntry
-        Jobs.
+    jobs, unfinished : dict of str to JobEntry
+        Jobs, and those among them without a final state.
     runners : dict of str to RunnerState
         Runners.
     ready : dict
@@ -72,6 +72,7 @@
         factory=lambda: CellConfiguration(version=0)
     )
     jobs: dict = attrs.field(factory=dict)
+    unfinished: dict = attrs.field(factory=dict)
     runners: dict = attrs.field(factory=dict)
     ready: dict = attrs.field(factory=dict)
     dirty: dict = attrs.field(factory=dict)
