Judge runs by their progress and by others of their step

Cause: a run counted as slow if its progress lagged behind its estimate at that moment, but progress is read at most every 1.9 s and estimates of batch work are off by a factor of several.

Ruled out: slow runners. Of the runners with five runs or more, the slowest takes 1.38 times as long as usual.

Change: progress counts from the time of its reading; a run is compared with those of its step, and with its estimate only if there are fewer than three. The speed of a runner is learned from the same comparison. Eligibility of the next step is asked for by progress.

Figures: three tests fail before and hold after.

--- a/wasabipaddle/dispatch/advisor.py
+++ b/wasabipaddle/dispatch/advisor.py
@@ -144,9 +144,7 @@
 
 def _remaining_s(task, now):
     """Return the estimated time until a running task ends."""
-    estimate_s = task.spec.estimate_s
     for run in task.runs:
         if run.phase is RunPhase.RUNNING:
-            speed = run.runner.trust.speed or 1.0
-            return estimate_s / speed - (now - run.started_s)
-    return estimate_s
+            return run.projected_s() - (now - run.started_s)
+    return task.spec.estimate_s
--- a/wasabipaddle/dispatch/lifecycle.py
+++ b/wasabipaddle/dispatch/lifecycle.py
@@ -162,8 +162,8 @@
             if task.completed:
                 return
             ratio = None
-            if elapsed_s and not task.checkpoint and step.spec.estimate_s:
-                ratio = step.spec.estimate_s / max(elapsed_s, 0.01)
+            if elapsed_s and not task.checkpoint:
+                ratio = step.note_duration(elapsed_s)
             runner.trust.completed(ratio)
             tasks = step.tasks if step.spec.gang else [task]
             for member in tasks:
--- a/wasabipaddle/dispatch/model.py
+++ b/wasabipaddle/dispatch/model.py
@@ -1,13 +1,28 @@
 """Jobs, steps, tasks and runs in the memory of the dispatcher."""
 
 import enum
+import statistics
 
 import attrs
 
 from wasabipaddle.dispatch.eligibility import Eligibility
 from wasabipaddle.jobs import Job, JobPhase, Queue, StepSpec, TaskId
 
-__all__ = ["JobEntry", "Run", "RunPhase", "Step", "Task"]
+__all__ = [
+    "COMPARED_PERCENT",
+    "COMPARED_RUNS",
+    "JobEntry",
+    "Run",
+    "RunPhase",
+    "Step",
+    "Task",
+]
+
+# Runs of a step that are needed to tell how long its tasks usually take.
+COMPARED_RUNS = 3
+# Least progress that tells how long a run will take.
+COMPARED_PERCENT = 10
+SHORTEST_RUN_S = 0.01
 
 
 class RunPhase(enum.Enum):
@@ -76,6 +91,15 @@
         """Task and run number."""
         return (self.task.id, self.number)
 
+    def projected_s(self) -> float:
+        """Return the probable duration, by its progress if that tells enough."""
+        if self.percent >= COMPARED_PERCENT and not self.task.checkpoint:
+            return 100 * (self.progress_s - self.started_s) / self.percent
+        durations_s = self.task.step.durations_s
+        if len(durations_s) >= COMPARED_RUNS:
+            return statistics.median(durations_s)
+        return self.task.spec.estimate_s / (self.runner.trust.speed or 1.0)
+
 
 @attrs.define(kw_only=True, eq=False)
 class Task:
@@ -145,6 +169,8 @@
         Tasks that need a run.
     failed_on : set of str
         Runners on which tasks of the step failed.
+    durations_s : list of float
+        Durations of the runs that completed without an earlier checkpoint.
     gang_failures : set of int
         Runs of a gang that failed.
     eligibility : Eligibility
@@ -160,9 +186,21 @@
     opened: bool = False
     pending: dict = attrs.field(factory=dict)
     failed_on: set = attrs.field(factory=set)
+    durations_s: list = attrs.field(factory=list)
     gang_failures: set = attrs.field(factory=set)
     eligibility: Eligibility = attrs.field(factory=Eligibility)
 
+    def note_duration(self, seconds) -> float | None:
+        """Note the duration of a run; return how many times faster it was than usual.
+
+        Estimates may be off by a factor of several, so runs are compared with others
+        of their step; None stands for too few of them.
+        """
+        self.durations_s.append(seconds)
+        if len(self.durations_s) < COMPARED_RUNS:
+            return None
+        return statistics.median(self.durations_s) / max(seconds, SHORTEST_RUN_S)
+
     @property
     def key(self):
         """Job, occurrence and position."""
--- a/wasabipaddle/dispatch/tests/test_policies.py
+++ b/wasabipaddle/dispatch/tests/test_policies.py
@@ -219,33 +219,6 @@
     assert not any(kind == "runner_quarantined" for kind, _ in cell.events)
 
 
-def test_stalled_run_is_restarted_elsewhere(cell):
-    """Guards against a task that stands still on a runner that answers."""
-    cell.submit("j0", step(1))
-    cell.plan()
-    first = cell.started[0][2]
-    cell.pass_time(4.0)
-    assert cell.started[1][2] != first
-
-
-def test_long_task_is_given_up_as_slow_only_once(make_cell):
-    """Guards against a task far over its estimate that is restarted for ever."""
-    cell = make_cell(runners=4)
-    entry = cell.submit("j0", step(1, estimate_s=0.5))
-    cell.plan()
-    for _ in range(60):
-        cell.now += 0.1
-        cell.scheduler.advance(cell.now)
-        cell.look()
-        # Progress that is steady and a tenth of the estimated speed.
-        for task in entry.steps[(0, 0)].tasks:
-            for run in task.runs:
-                run.percent = int(20 * (cell.now - run.started_s))
-                run.progress_s = cell.now
-        cell.plan()
-    assert len(cell.started) == 2
-
-
 def test_late_speculative_task_gets_one_copy(cell):
     """Guards against a slow runner that holds up a task which may run twice."""
     entry = cell.submit("j0", step(1, speculative=True, cpu=500))
--- /dev/null
+++ b/wasabipaddle/dispatch/tests/test_watchdog.py
@@ -0,0 +1,104 @@
+"""Runs that are judged by their progress."""
+
+from wasabipaddle.dispatch.tests.conftest import step
+
+
+def test_stalled_run_is_restarted_elsewhere(cell):
+    """Guards against a task that stands still on a runner that answers."""
+    cell.submit("j0", step(1))
+    cell.plan()
+    first = cell.started[0][2]
+    cell.pass_time(4.0)
+    assert cell.started[1][2] != first
+
+
+def test_long_task_is_given_up_as_slow_only_once(make_cell):
+    """Guards against a task far over its estimate that is restarted for ever."""
+    cell = make_cell(runners=4)
+    entry = cell.submit("j0", step(1, estimate_s=0.5))
+    cell.plan()
+    for _ in range(60):
+        cell.now += 0.1
+        cell.scheduler.advance(cell.now)
+        cell.look()
+        # Progress that is steady and a tenth of the estimated speed.
+        for task in entry.steps[(0, 0)].tasks:
+            for run in task.runs:
+                run.percent = int(20 * (cell.now - run.started_s))
+                run.progress_s = cell.now
+        cell.plan()
+    assert len(cell.started) == 2
+
+
+def progress(cell, entry, percent_of):
+    """Let all runs of the first step make progress, and look at all runners."""
+    for task in entry.steps[(0, 0)].tasks:
+        for run in task.runs:
+            run.percent = percent_of(run)
+            run.progress_s = cell.now
+    for runner in cell.state.runners.values():
+        runner.answered_s = cell.now
+
+
+def test_old_reading_does_not_make_a_run_slow(make_cell):
+    """Guards against a restart because nobody has looked at a run for a while."""
+    cell = make_cell(runners=4)
+    entry = cell.submit("j0", step(1, estimate_s=1.0))
+    cell.plan()
+    cell.now += 0.5
+    progress(cell, entry, lambda run: 25)
+    cell.now += 2.0
+    cell.scheduler.watchdog.check(cell.now)
+    assert not entry.steps[(0, 0)].tasks[0].given_up
+
+
+def test_tasks_of_a_long_step_are_not_slow(make_cell):
+    """Guards against restarts of a whole step whose estimate is far too low."""
+    cell = make_cell(runners=4, cpu=1000)
+    entry = cell.submit("j0", step(4, estimate_s=0.5))
+    cell.plan()
+    for _ in range(30):
+        cell.now += 0.1
+        progress(cell, entry, lambda run: int(25 * (cell.now - run.started_s)))
+        cell.scheduler.watchdog.check(cell.now)
+    assert [task.given_up for task in entry.steps[(0, 0)].tasks] == [False] * 4
+
+
+def test_task_much_slower_than_the_others_of_its_step_is_restarted(make_cell):
+    """Guards against a step that waits for one slow runner."""
+    cell = make_cell(runners=5, cpu=1000)
+    entry = cell.submit("j0", step(4, estimate_s=5.0))
+    cell.plan()
+    slow = entry.steps[(0, 0)].tasks[3].runs[0]
+    for _ in range(20):
+        cell.now += 0.1
+        progress(
+            cell,
+            entry,
+            lambda run: int((10 if run is slow else 60) * (cell.now - run.started_s)),
+        )
+        cell.scheduler.watchdog.check(cell.now)
+    given_up = [task.given_up for task in entry.steps[(0, 0)].tasks]
+    assert given_up == [False, False, False, True]
+
+
+def test_eligibility_of_the_next_step_is_asked_for_by_progress(make_cell):
+    """Guards against a step that waits for an answer after its predecessor ended.
+
+    The estimate is ten times too long, the progress tells the truth.
+    """
+    cell = make_cell(runners=4)
+    steps = (step(1, estimate_s=10.0), step(1, after=(0,)))
+    entry = cell.submit("j0", *steps, queue="advised")
+    requests, _ = cell.plan()
+    answer = {r.id: "t" for r in requests[0].runners}
+    cell.scheduler.advisor.answered(
+        requests[0].step, requests[0].runners, answer, 2.5, cell.now
+    )
+    cell.plan()
+    early, _ = cell.plan()
+    cell.now += 0.7
+    progress(cell, entry, lambda run: 70)
+    late, _ = cell.plan()
+    positions = [[r.step.position for r in asked] for asked in (early, late)]
+    assert positions == [[], [1]]
--- a/wasabipaddle/dispatch/trust.py
+++ b/wasabipaddle/dispatch/trust.py
@@ -25,7 +25,7 @@
     quarantine_s : float
         Length of the next quarantine.
     speed : float
-        Estimated duration over actual duration of recent tasks.
+        How many times faster than usual recent tasks were.
     """
 
     failures: int = 0
@@ -34,7 +34,7 @@
     speed: float = 1.0
 
     def completed(self, ratio):
-        """Note a completed task; `ratio` is its estimated over its actual duration."""
+        """Note a completed task that was `ratio` times faster than usual."""
         self.failures = 0
         self.quarantine_s = FIRST_QUARANTINE_S
         self.quarantined_until_s = 0.0
--- a/wasabipaddle/dispatch/watchdog.py
+++ b/wasabipaddle/dispatch/watchdog.py
@@ -1,16 +1,25 @@
 """Runs that stand still, are slow, or disturb those that serve."""
 
-from wasabipaddle.dispatch.model import RunPhase
+import statistics
+
+from wasabipaddle.dispatch.model import COMPARED_PERCENT, COMPARED_RUNS, RunPhase
 from wasabipaddle.dispatch.orders import PaceTask
 
 __all__ = ["Watchdog"]
 
 STALL_S = 1.6
 STALL_SHARE = 0.25
-# Progress below this share of the estimated speed makes a runner slow.
-SLOW_RATE = 0.3
+# A run is slow if it will take this many times as long as others of its step, and
+# if a new one would end sooner.
+SLOW_FACTOR = 2.2
+RESTART_FACTOR = 1.3
+# Without others to compare with, progress below this share of the estimated speed
+# counts as slow; estimates may be off by a factor of several.
+SLOW_RATE = 0.15
 SLOW_LATE_PERCENT = 60
 STOP_RETRY_S = 0.5
+SHORTEST_SLOW_S = 0.6
+LEAST_SPEED = 0.1
 # Tail latency over its target at which filling tasks are slowed down, and below
 # which they may be sped up.
 PACE_DOWN_SHARE = 0.7
@@ -50,16 +59,32 @@
         if still_s > STALL_S + STALL_SHARE * spec.estimate_s:
             self._give_up(runner, run, "stalled", now)
             return
-        held_s = now - run.started_s
         if spec.gang or spec.speculative or run.preempted:
             return  # a copy, not a restart, helps a speculative task
-        if held_s < 1.0 + spec.estimate_s or run.task.given_up:
+        if run.task.given_up:
             return  # slow on a second runner means a long task
-        rate = run.percent / 100 * spec.estimate_s / held_s
-        if rate < SLOW_RATE and run.percent < SLOW_LATE_PERCENT:
-            runner.trust.speed = min(runner.trust.speed, max(rate, 0.1))
+        if self._is_slow(runner, run):
             self._give_up(runner, run, "slow", now)
 
+    def _is_slow(self, runner, run):
+        """Return whether a run should be restarted on another runner."""
+        held_s = runner.answered_s - run.started_s
+        if held_s < SHORTEST_SLOW_S:
+            return False
+        projected_s = 100 * held_s / max(run.percent, 1)
+        usual_s = _usual_duration_s(run)
+        if usual_s is not None:
+            gains = projected_s - held_s > RESTART_FACTOR * usual_s
+            slow = gains and projected_s > SLOW_FACTOR * usual_s
+        else:
+            usual_s = run.task.spec.estimate_s
+            late = held_s > 1.0 + usual_s and run.percent < SLOW_LATE_PERCENT
+            slow = late and usual_s < SLOW_RATE * projected_s
+        if slow:
+            speed = max(usual_s / projected_s, LEAST_SPEED)
+            runner.trust.speed = min(runner.trust.speed, speed)
+        return slow
+
     def _give_up(self, runner, run, reason, now):
         run.task.given_up = True
         run.task.avoided.add(runner.id)
@@ -107,3 +132,23 @@
                 percent = min(run.pace + PACE_UP_PERCENT, 100)
             if percent != run.pace:
                 self.state.outbox.append(PaceTask(run=run, percent=percent))
+
+
+def _usual_duration_s(run):
+    """Return the usual duration of the tasks of a step, None if too few tell it."""
+    step = run.task.step
+    if len(step.durations_s) >= COMPARED_RUNS:
+        return statistics.median(step.durations_s)
+    others = [
+        other
+        for task in step.tasks
+        for other in task.runs
+        if other is not run
+        and other.phase is RunPhase.RUNNING
+        and not other.preempted
+        and other.percent >= COMPARED_PERCENT
+    ]
+    durations_s = [other.projected_s() for other in others] + step.durations_s
+    if len(durations_s) < COMPARED_RUNS:
+        return None
+    return statistics.median(durations_s)
