--- a/wasabipaddle/fuzz/tests/test_oracle.py
+++ b/wasabipaddle/fuzz/tests/test_oracle.py
@@ -16,7 +16,8 @@
 from wasabipaddle.fuzz import Edit, History, find_broken
 from wasabipaddle.fuzz.cell import FuzzCell
 from wasabipaddle.fuzz.faults import Faults
-from wasabipaddle.fuzz.history import Applied
+from wasabipaddle.fuzz.history import Applied, SubmittedRun
+from wasabipaddle.messages import RunOutcome
 from wasabipaddle.placement import FleetIndex
 from wasabipaddle.routing import Dispatcher
 from wasabipaddle.routing.answers import AnswerCheck
@@ -25,7 +26,7 @@
 from wasabipaddle.runs.acceptance import Acceptance
 from wasabipaddle.runs.pool import WorkerPool
 from wasabipaddle.serve.relay import RelayPlugin
-from wasabipaddle.standins import LedgerRecord
+from wasabipaddle.standins import Discard, Execution, LedgerRecord, WorkKind
 from wasabipaddle.standins.tasks import TaskTable
 
 SETTLE_S = 6.0
@@ -220,3 +221,31 @@
     assert names == ["documents_come_into_force"]
     history = attrs.evolve(history, applied=applied[:2])
     assert find_broken(history) == []
+
+
+@pytest.mark.parametrize(("reported", "broken"), [(False, True), (True, False)])
+def test_completed_run_whose_result_was_lost_needs_a_report(reported, broken):
+    """Guards against a run shown as completed whose end nobody was told of.
+
+    An end that was reported may be kept although the VM was lost before the
+    acknowledgement (seed 3108).
+    """
+    execution = Execution(
+        kind=WorkKind.TASK,
+        work="r0/0",
+        identifier="t",
+        place="w",
+        ended_s=1.0,
+        outcome="completed",
+        discarded=Discard.VM_GONE,
+        reported=reported,
+    )
+    run = SubmittedRun(
+        key="r0", service="s", tasks=1, runs={"run"}, outcome=RunOutcome.COMPLETED
+    )
+    history = History(
+        ledger=LedgerRecord(executions=[execution]), runs=[run], ended=True,
+        revisions={"store": {}},
+    )  # fmt: skip
+    names = [b.invariant for b in find_broken(history)]
+    assert names == (["accepted_work_ends"] if broken else [])
--- a/wasabipaddle/standins/exchange.py
+++ b/wasabipaddle/standins/exchange.py
@@ -49,12 +49,21 @@
         return fail(ErrorKind.TIMEOUT, f"no answer of {target}")
 
 
-def reply(answer, result, *, one_way_s):
-    """Set the future of an answer after the way back."""
+def reply(answer, result, *, one_way_s, delivered=None):
+    """Set the future of an answer after the way back.
+
+    Parameters
+    ----------
+    delivered : callable or None
+        Called once the answer has arrived.
+    """
 
     def deliver():
-        if not answer.done():
-            answer.set_result(result)
+        if answer.done():
+            return
+        answer.set_result(result)
+        if delivered is not None:
+            delivered()
 
     call_later(one_way_s, deliver)
 
--- a/wasabipaddle/standins/ledger.py
+++ b/wasabipaddle/standins/ledger.py
@@ -78,6 +78,10 @@
         Reservation on the VM at the start; a request reserves one slot.
     resized : list of Resized
         Later reservations in order of time.
+    discarded : Discard or None
+        Why the result may be missing.
+    reported : bool
+        Whether an answer that tells of the end has arrived.
     """
 
     kind: WorkKind
@@ -92,6 +96,7 @@
     needs: Resources = Resources()
     resized: list[Resized] = attrs.Factory(list)
     discarded: Discard | None = None
+    reported: bool = False
 
     @property
     def completed(self) -> bool:
--- a/wasabipaddle/standins/tests/test_worker.py
+++ b/wasabipaddle/standins/tests/test_worker.py
@@ -209,3 +209,20 @@
         assert report.whole and report.tasks == ()
 
     run_virtual(main())
+
+
+def test_end_counts_as_reported_only_when_an_answer_arrives(worker, ledger):
+    """Guards against an end that counts as told although its answer was lost."""
+
+    async def main():
+        await sync(worker, make_start(run_s=1))
+        await asyncio.sleep(2)
+        (execution,) = ledger.record.executions
+        worker.set_faults(lost_answer=1.0)
+        await worker.sync(make_sync())
+        assert not execution.reported
+        worker.set_faults(lost_answer=0.0)
+        await sync(worker)
+        assert execution.reported
+
+    run_virtual(main())
--- a/wasabipaddle/standins/worker.py
+++ b/wasabipaddle/standins/worker.py
@@ -282,11 +282,13 @@
 
     def _report(self, command, refusals, answer):
         whole = not 0 <= command.seen_version <= self.table.version
-        tasks = tuple(
-            self.table.report(t)
+        shown = [
+            t
             for t in self.table.tasks.values()
             if t.shard == command.shard and (whole or t.version > command.seen_version)
-        )
+        ]
+        ended = [t.execution for t in shown if t.phase is TaskPhase.ENDED]
+        tasks = tuple(self.table.report(t) for t in shown)
         report = WorkerReport(
             worker=self.name,
             version=self.table.version,
@@ -298,7 +300,12 @@
             clock_s=_now(),
         )
         if self.random.random() >= self.faults.lost_answer:
-            reply(answer, Ok(report), one_way_s=self.one_way_s)
+            reply(
+                answer,
+                Ok(report),
+                one_way_s=self.one_way_s,
+                delivered=lambda: _note_reported(ended),
+            )
 
     def _reply_stale(self, command, answer):
         epoch = self.epochs[command.shard]
@@ -343,6 +350,11 @@
     return asyncio.get_running_loop().time()
 
 
+def _note_reported(executions):
+    for execution in executions:
+        execution.reported = True
+
+
 def _lease_until(command):
     base_s = _now() if command.lease_base_s is None else command.lease_base_s
     return base_s + command.lease_s
