Tell all processes of a new leader, let any peer with the store accept a job

Cause: a process that the store turns away learns of a new leader only from the store.

Ruled out: the time of the hand-over (0.2 s), the peers' way to the store (5 ms).

Change: a leader announces its reign to all processes that it knows, and answers to greetings name the latest leader; the higher epoch counts. A job or cancellation goes to up to three peers, since one that is sure to have stored nothing settles nothing.

--- a/wasabipaddle/cell/election.py
+++ b/wasabipaddle/cell/election.py
@@ -186,7 +186,11 @@
                 revision=entry.revision if entry else 0,
             )
             process, address = (record.process, record.address) if record else ("", "")
-            self.context.bus.publish(LeaderChanged(process=process, address=address))
+            self.context.bus.publish(
+                LeaderChanged(
+                    process=process, address=address, epoch=self.leader_revision
+                )
+            )
 
     async def _bid_later(self):
         """Bid for the leader key, which nobody holds, and let nearer ones go first."""
@@ -269,7 +273,9 @@
         self.leader = self.record
         self.context.journal("reign_began", epoch=epoch, term=term, continued=continued)
         self.context.bus.publish(
-            LeaderChanged(process=self.record.process, address=self.record.address)
+            LeaderChanged(
+                process=self.record.process, address=self.record.address, epoch=epoch
+            )
         )
         self.context.bus.publish(
             ReignBegan(epoch=epoch, term=term, continued=continued)
--- a/wasabipaddle/cell/entry.py
+++ b/wasabipaddle/cell/entry.py
@@ -9,7 +9,7 @@
 from wasabipaddle.cell.keys import CANCEL_PREFIX, JOB_PREFIX, PROGRESS_PREFIX
 from wasabipaddle.cell.members import MembersPlugin
 from wasabipaddle.cell.store import CellStorePlugin
-from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.exceptions import ErrorKind, Failure, Outcome
 from wasabipaddle.interfaces import Put
 from wasabipaddle.jobs import Job, JobPhase, decode_progress, encode_job
 from wasabipaddle.kernel import Plugin
@@ -32,6 +32,8 @@
 RETRY_S = 0.05
 LEADER_TIMEOUT_S = 0.5
 PEER_TIMEOUT_S = 1.5
+# Peers that are asked to store a job or a cancellation, the leader first.
+MAX_PEERS = 3
 NOTICE_TIMEOUT_S = 0.5
 NOTICE_TRIES = 3
 WAITING_VALID_S = 2.0
@@ -167,7 +169,10 @@
         return await self._store_through_peer(job, until_s=until_s)
 
     async def _store_through_peer(self, job, *, until_s):
-        """Have another process store a job; this one does not reach the store."""
+        """Have another process store a job; this one does not reach the store.
+
+        A peer that is sure to have stored nothing leaves the job to the next one.
+        """
         for peer in self._peers():
             timeout_s = min(PEER_TIMEOUT_S, until_s - self.context.clock.now())
             if timeout_s <= 0:
@@ -177,12 +182,10 @@
             )
             if stored.is_ok():
                 return Ok(None)
-            if stored.err().kind is ErrorKind.UNREACHABLE:
-                continue
-            if stored.err().outcome.value != "not_run":
+            certain = stored.err().outcome is Outcome.NOT_RUN
+            if stored.err().kind is not ErrorKind.UNREACHABLE and not certain:
                 detail = f"{peer}: {stored.err().detail}"
                 return _failed(ErrorKind.ACCEPTANCE_UNKNOWN, detail)
-            break
         return Err(
             Failure(
                 kind=ErrorKind.STORE_UNAVAILABLE,
@@ -196,7 +199,7 @@
         peers = [p for p in self.members.addresses if p != own]
         self.context.random.shuffle(peers)
         peers.sort(key=lambda p: p != self.members.leader)
-        return peers[:2]
+        return peers[:MAX_PEERS]
 
     async def _store_for_peer(self, message):
         """Store a job for a process that does not reach the store."""
@@ -252,10 +255,13 @@
         while cancelled.is_err() and cancelled.err().kind is not ErrorKind.GONE:
             if self.context.clock.now() >= until_s:
                 break
-            for peer in self._peers()[:1]:
+            for peer in self._peers():
                 cancelled = await self.members.ask(
                     peer, CancelJob(job=job_id), Noted, timeout_s=PEER_TIMEOUT_S
                 )
+                settled = cancelled.is_ok() or cancelled.err().kind is ErrorKind.GONE
+                if settled or self.context.clock.now() >= until_s:
+                    break
             if cancelled.is_err() and cancelled.err().kind is not ErrorKind.GONE:
                 await asyncio.sleep(RETRY_S)
                 cancelled = await self._store_cancel(job_id)
--- a/wasabipaddle/cell/facts.py
+++ b/wasabipaddle/cell/facts.py
@@ -27,10 +27,19 @@
 
 @attrs.frozen(kw_only=True)
 class LeaderChanged:
-    """Another process leads; both values are empty while none does."""
+    """Another process leads; the names are empty while none does.
+
+    Parameters
+    ----------
+    process, address : str
+        Leader and its internal listener.
+    epoch : int
+        Epoch of its reign.
+    """
 
     process: str
     address: str
+    epoch: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/wasabipaddle/cell/members.py
+++ b/wasabipaddle/cell/members.py
@@ -7,11 +7,16 @@
 
 from wasabipaddle.cell.configuration import ConfigurationPlugin
 from wasabipaddle.cell.election import FAR_LATENCY_S, ElectionPlugin
-from wasabipaddle.cell.facts import LeaderChanged
+from wasabipaddle.cell.facts import LeaderChanged, ReignBegan
 from wasabipaddle.cell.store import CellStorePlugin
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.kernel import Plugin
-from wasabipaddle.messages.jobs import HelloReply, MemberHello
+from wasabipaddle.messages.jobs import (
+    HelloReply,
+    LeaderNotice,
+    MemberHello,
+    Noted,
+)
 from wasabipaddle.serve.tasks import TaskSet
 from wasabipaddle.settings import CellPeer
 from wasabipaddle.transport import HttpTransport
@@ -20,6 +25,7 @@
 
 HELLO_S = 0.5
 HELLO_TIMEOUT_S = 0.5
+NOTICE_TIMEOUT_S = 0.5
 # A process that was silent for this long is not asked for anything.
 SILENT_S = 2.0
 # Refused connections in a row after which the leader counts as gone; processes far
@@ -38,6 +44,8 @@
     ----------
     transport : HttpTransport
         Calls to other processes; roles register their handlers with it.
+    leader, leader_epoch : str, int
+        Leader, empty while none is known, and the latest epoch that was heard of.
     heard : dict of str to float
         Time of the last sign of life of each process, kept by the leader.
     latencies, lives, processors : dict
@@ -61,6 +69,7 @@
         self.processors = {context.settings.process: context.settings.processor}
         self.addresses = {}
         self.leader = ""
+        self.leader_epoch = 0
         self.waiting = None
         self.waiting_s = 0.0
         self.count_waiting = lambda: None
@@ -75,7 +84,9 @@
         self.access = self.context.plugins[CellStorePlugin.name]
         self.election = self.context.plugins[ElectionPlugin.name]
         self.transport.handle(MemberHello, self._greeted)
+        self.transport.handle(LeaderNotice, self._noticed)
         self.context.bus.facts(LeaderChanged).subscribe(self._leader_changed)
+        self.context.bus.facts(ReignBegan).subscribe(self._announce)
         self.tasks.spawn(self._greet())
 
     async def open(self):
@@ -95,11 +106,46 @@
         await self.transport.close()
 
     def _leader_changed(self, fact):
-        self.leader = fact.process
-        if fact.process:
-            self._know(fact.process, fact.address)
-            # A new leader asks for eligibility over the lines of all processes.
-            self.greet_now.set()
+        """Take the leader that the store names, unless a later one was heard of."""
+        if not fact.process:
+            self.leader = ""
+        elif fact.epoch >= self.leader_epoch:
+            self._follow(fact)
+
+    def _follow(self, leader):
+        """Take a leader with an epoch as the latest one."""
+        self.leader, self.leader_epoch = leader.process, leader.epoch
+        self._know(leader.process, leader.address)
+        # A new leader asks for eligibility over the lines of all processes.
+        self.greet_now.set()
+
+    def _announce(self, fact):
+        """Tell all processes of the own reign; some may not reach the store."""
+        settings = self.context.settings
+        notice = LeaderNotice(
+            process=self.own, address=settings.reachable_at, epoch=fact.epoch
+        )
+        for process in self.addresses:
+            if process != self.own:
+                self.tasks.spawn(
+                    self.ask(process, notice, Noted, timeout_s=NOTICE_TIMEOUT_S)
+                )
+
+    async def _noticed(self, notice):
+        self._hear_of(notice)
+        return Ok(Noted())
+
+    def _hear_of(self, notice):
+        """Take the word of another process on who leads."""
+        if notice is None or notice.epoch <= self.leader_epoch:
+            return
+        self.context.journal(
+            "leader_announced",
+            leader=notice.process,
+            epoch=notice.epoch,
+            before=self.leader_epoch,
+        )
+        self._follow(notice)
 
     def _know(self, process, address):
         self.addresses[process] = address
@@ -161,6 +207,15 @@
             process, message, reply_type, timeout_s=timeout_s
         )
 
+    def _latest_leader(self):
+        if not self.leader or self.leader not in self.addresses:
+            return None
+        return LeaderNotice(
+            process=self.leader,
+            address=self.addresses[self.leader],
+            epoch=self.leader_epoch,
+        )
+
     async def _greet(self):
         settings = self.context.settings
         while True:
@@ -190,6 +245,7 @@
                 continue
             reply = reply.ok()
             self.configuration.observe(reply.configuration)
+            self._hear_of(reply.leader)
             self.election.weak = settings.processor < WEAK_SHARE * reply.strongest
             self.waiting = reply.waiting
             self.waiting_s = self.context.clock.now()
@@ -222,5 +278,6 @@
                     p: self.addresses[p] for p in self.live() if p in self.addresses
                 },
                 strongest=self.strongest,
+                leader=self._latest_leader(),
             )
         )
--- a/wasabipaddle/cell/tests/test_entry.py
+++ b/wasabipaddle/cell/tests/test_entry.py
@@ -100,6 +100,21 @@
     run(make_test_cell, scenario)
 
 
+def test_job_is_stored_by_the_next_peer_if_the_leader_is_refused_too(make_test_cell):
+    """Guards against refusals because the store refuses the leader as well."""
+
+    async def scenario(cell):
+        cell.memory.refused.update(("p0", "p1"))
+        cell["p0"].members.leader = "p1"
+        cell["p1"].access.health.failures = 9
+        assert (await submit(cell["p0"])).is_ok()
+        assert JOB_PREFIX + JOB in cell.memory.items
+        cancelled = await cell["p0"].entry.cancel(QUEUE, JOB, wait_s=3.0)
+        assert cancelled.is_ok()
+
+    run(make_test_cell, scenario, count=3)
+
+
 def test_unknown_job_is_gone_only_after_a_read_of_the_store(make_test_cell):
     """Guards against "no such job" for an accepted job."""
 
--- a/wasabipaddle/cell/tests/test_handover.py
+++ b/wasabipaddle/cell/tests/test_handover.py
@@ -5,11 +5,12 @@
 import pytest
 from result import Ok
 
+from wasabipaddle.cell.facts import LeaderChanged
 from wasabipaddle.cell.handover import HandoverPlugin
 from wasabipaddle.cell.members import MembersPlugin
 from wasabipaddle.clock import LoopClock
 from wasabipaddle.kernel import Context
-from wasabipaddle.messages.jobs import HelloReply, MemberHello, Noted
+from wasabipaddle.messages.jobs import HelloReply, LeaderNotice, MemberHello, Noted
 from wasabipaddle.settings import CellSettings, PlatformAddresses
 
 NEAR_S, FAR_S = 0.005, 0.050
@@ -134,3 +135,49 @@
     reply = run(scenario())
     assert isinstance(reply, HelloReply)
     assert reply.strongest == 2.0
+
+
+def notice(process, epoch):
+    return LeaderNotice(process=process, address="127.0.0.1:9", epoch=epoch)
+
+
+def test_process_without_the_store_learns_of_a_new_leader(run):
+    """Guards against jobs that are sent to a former leader until the store answers."""
+
+    async def scenario():
+        leader = Leader(1.0)
+        members = leader.members
+        seen = []
+        for message in (notice("p1", 9), notice("p2", 8), notice("p3", 12)):
+            await members._noticed(message)
+            seen.append(members.leader)
+        members._leader_changed(LeaderChanged(process="p1", address="x:1", epoch=9))
+        seen.append(members.leader)
+        return seen
+
+    assert run(scenario()) == ["p1", "p1", "p3", "p3"]
+
+
+def test_greeting_is_answered_with_the_latest_leader(run):
+    """Guards against a process that goes on greeting a former leader."""
+
+    async def scenario():
+        leader = Leader(1.0)
+        await leader.members._noticed(notice("p1", 9))
+        return (await leader.hear("p2", 1.0)).leader
+
+    assert run(scenario()) == notice("p1", 9)
+
+
+def test_new_leader_is_announced_to_all_processes(run):
+    """Guards against processes that learn of a new leader from the store only."""
+
+    async def scenario():
+        leader = Leader(1.0)
+        await leader.hear("p1", 1.0)
+        await leader.hear("p2", 1.0)
+        leader.members._announce(type("Fact", (), {"epoch": 7})())
+        await asyncio.sleep(0.01)
+        return sorted(leader.offered)
+
+    assert run(scenario()) == ["p1", "p2"]
--- a/wasabipaddle/messages/jobs.py
+++ b/wasabipaddle/messages/jobs.py
@@ -11,6 +11,7 @@
     "HelloReply",
     "JobAccepted",
     "JobCancelled",
+    "LeaderNotice",
     "MemberHello",
     "Noted",
     "PhaseReply",
@@ -74,6 +75,23 @@
     phase: JobPhase | None = None
 
 
+@attrs.frozen(kw_only=True)
+class LeaderNotice:
+    """Tells who leads, also those that do not reach the store.
+
+    Parameters
+    ----------
+    process, address : str
+        Leader, and host and port of its internal listener.
+    epoch : int
+        Epoch of its reign; a higher one is later.
+    """
+
+    process: str
+    address: str
+    epoch: int
+
+
 @attrs.frozen(kw_only=True)
 class MemberHello:
     """Sign of life of a process to the dispatcher.
@@ -114,12 +132,15 @@
         Addresses of the live processes by name.
     strongest : float
         Largest processing power among them, in cores.
+    leader : LeaderNotice or None
+        Latest leader that the process knows of.
     """
 
     configuration: int = 0
     waiting: dict[str, int] | None = None
     members: dict[str, str] = attrs.field(factory=dict)
     strongest: float = 0.0
+    leader: LeaderNotice | None = None
 
 
 @attrs.frozen(kw_only=True)
