Hand a new configuration on from the leader, ask the store only for changes

Cause: every process read the whole configuration every 1.5 s and watched it besides.

Ruled out: the processor (0.5 of 2 cores at the leader); the store (its limits were not reached).

Change: the leader waits for changes and sends each process a compressed copy, also when a greeting shows an older version. The others ask the store once a second for what has changed since the revision that they know. An answer that goes on arriving has 8 s. Queues are found by host and by name instead of by a search over all.

--- a/wasabipaddle/cell/configuration.py
+++ b/wasabipaddle/cell/configuration.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from wasabipaddle.cell.facts import ConfigurationChanged
+from wasabipaddle.cell.facts import ConfigurationChanged, ReignBegan, ReignEnded
 from wasabipaddle.cell.store import CellStorePlugin
 from wasabipaddle.kernel import Plugin
 from wasabipaddle.platform import CONFIGURATION_KEY, decode_configuration
@@ -10,9 +10,13 @@
 
 __all__ = ["ConfigurationPlugin"]
 
-WATCH_S = 10.0
-# Plain reads find a version that a watch missed.
-READ_PERIOD_S = 1.5
+# The leader waits for changes and hands them on; the others ask the store only in
+# case that it did not, since a large configuration would fill their links.
+LEADER_WAIT_S = 1.2
+NO_WAIT_S = 0.001
+POLL_PERIOD_S = 1.0
+# Time for a copy of the leader to arrive before the store is asked.
+COPY_GRACE_S = 0.4
 RETRY_S = 0.15
 
 
@@ -23,6 +27,10 @@
     ----------
     current : CellConfiguration or None
         Configuration in force.
+    value : bytes
+        Stored form of the configuration in force.
+    revision : int or None
+        Store revision up to which changes are known, None before the first read.
     """
 
     name = "cell_configuration"
@@ -31,6 +39,9 @@
     def __init__(self, *, context):
         super().__init__(context=context)
         self.current = None
+        self.value = b""
+        self.revision = None
+        self.leads = False
         self.tasks = TaskSet()
         self.wanted = asyncio.Event()
         self.known_version = 0
@@ -38,8 +49,10 @@
     async def start(self):
         """Start to follow the configuration."""
         self.access = self.context.plugins[CellStorePlugin.name]
-        self.tasks.spawn(self._read_periodically())
-        self.tasks.spawn(self._watch())
+        bus = self.context.bus
+        bus.facts(ReignBegan).subscribe(lambda _: self._lead(True))
+        bus.facts(ReignEnded).subscribe(lambda _: self._lead(False))
+        self.tasks.spawn(self._follow())
 
     async def stop(self):
         """Stop following."""
@@ -50,67 +63,84 @@
         """Version in force, 0 for none."""
         return self.current.version if self.current else 0
 
+    def _lead(self, leads):
+        self.leads = leads
+        self.wanted.set()
+
     def observe(self, version):
-        """Note that some process knows a version; read it if it is newer."""
+        """Note that some process knows a version; look for it if it is newer."""
         if version > max(self.version, self.known_version):
             self.known_version = version
             self.wanted.set()
 
-    async def _read_periodically(self):
+    def take_copy(self, value, revision):
+        """Take the stored form of a configuration from another process."""
+        if self._take(value, source="process") and self.revision is not None:
+            self.revision = max(self.revision, revision)
+
+    async def _follow(self):
         while True:
-            await self._read()
-            # The read is also the probe that finds a store that is back.
-            away = self.current is None or self.access.health.away
-            delay_s = RETRY_S if away else READ_PERIOD_S
-            try:
-                async with asyncio.timeout(delay_s):
-                    await self.wanted.wait()
-            except TimeoutError:
-                pass
-            self.wanted.clear()
-
-    async def _read(self):
-        entry = await self.access.call(self.access.store.get(CONFIGURATION_KEY))
-        if entry.is_ok() and entry.ok() is not None:
-            self._take(entry.ok().value)
-
-    def _take(self, value):
+            answered = await (self._load() if self.revision is None else self._ask())
+            if not answered or self.current is None:
+                await asyncio.sleep(RETRY_S)
+            elif not self.leads:
+                await self._pause()
+
+    async def _pause(self):
+        """Wait for the next poll, or until a newer version is heard of."""
+        try:
+            async with asyncio.timeout(POLL_PERIOD_S):
+                await self.wanted.wait()
+        except TimeoutError:
+            return
+        self.wanted.clear()
+        if self.known_version > self.version and not self.leads:
+            await asyncio.sleep(COPY_GRACE_S)
+
+    async def _load(self) -> bool:
+        """Read the configuration; return whether the store answered."""
+        page = await self.access.call(self.access.store.list_all(CONFIGURATION_KEY))
+        if page.is_err():
+            return False
+        self.revision = page.ok().revision
+        for entry in page.ok().entries:
+            if entry.key == CONFIGURATION_KEY:
+                self._take(entry.value, source="store")
+        return True
+
+    async def _ask(self) -> bool:
+        """Read what has changed; return whether the store answered."""
+        wait_s = LEADER_WAIT_S if self.leads else NO_WAIT_S
+        call = self.access.store.follow(
+            CONFIGURATION_KEY, after_revision=self.revision, wait_s=wait_s
+        )
+        batch = await (call if self.leads else self.access.call(call))
+        if batch.is_err():
+            self.revision = None
+            return False
+        self.revision = max(self.revision, batch.ok().revision)
+        for change in batch.ok().changes:
+            if change.key == CONFIGURATION_KEY and change.value is not None:
+                self._take(change.value, source="store")
+        return True
+
+    def _take(self, value, *, source) -> bool:
+        """Put a stored configuration in force; return whether it was newer."""
         decoded = decode_configuration(value)
         if decoded.is_err():
             detail = decoded.err().detail
             self.context.journal("configuration_unreadable", reason=detail)
-            return
+            return False
         configuration = decoded.ok()
         if configuration.version <= self.version:
-            return
+            return False
         self.context.journal(
             "configuration_applied",
             version=configuration.version,
             before=self.version,
             queues=len(configuration.queues),
+            source=source,
         )
-        self.current = configuration
+        self.current, self.value = configuration, value
         self.context.bus.publish(ConfigurationChanged(configuration=configuration))
-
-    async def _watch(self):
-        revision = None
-        while True:
-            if revision is None:
-                page = await self.access.store.list_all(CONFIGURATION_KEY)
-                if page.is_err():
-                    await asyncio.sleep(RETRY_S)
-                    continue
-                for entry in page.ok().entries:
-                    self._take(entry.value)
-                revision = page.ok().revision
-            batch = await self.access.store.follow(
-                CONFIGURATION_KEY, after_revision=revision, wait_s=WATCH_S
-            )
-            if batch.is_err():
-                revision = None
-                await asyncio.sleep(RETRY_S)
-                continue
-            revision = batch.ok().revision
-            for change in batch.ok().changes:
-                if change.key == CONFIGURATION_KEY and change.value is not None:
-                    self._take(change.value)
+        return True
--- /dev/null
+++ b/wasabipaddle/cell/distribution.py
@@ -0,0 +1,88 @@
+"""Role `cell_distribution`: the leader hands the configuration to other processes."""
+
+import asyncio
+import zlib
+
+from result import Ok
+
+from wasabipaddle.cell.configuration import ConfigurationPlugin
+from wasabipaddle.cell.facts import ConfigurationChanged, MemberBehind
+from wasabipaddle.cell.members import MembersPlugin
+from wasabipaddle.kernel import Plugin
+from wasabipaddle.messages.jobs import ConfigurationCopy, Noted
+from wasabipaddle.serve.tasks import TaskSet
+
+__all__ = ["DistributionPlugin"]
+
+COPY_TIMEOUT_S = 2.0
+# Copies that are on their way at the same time; one may hold half a megabyte.
+COPIES_AT_ONCE = 12
+
+
+class DistributionPlugin(Plugin):
+    """Sends each new configuration, compressed, to all processes.
+
+    The store would send it to each process in full, and over the link between
+    regions once for each of them.
+    """
+
+    name = "cell_distribution"
+    requires = (ConfigurationPlugin.name, MembersPlugin.name)
+
+    def __init__(self, *, context):
+        super().__init__(context=context)
+        self.tasks = TaskSet()
+        self.slots = asyncio.Semaphore(COPIES_AT_ONCE)
+        self.copy = None
+        self.sending = set()
+
+    async def start(self):
+        """Serve copies, and send them while this process leads."""
+        plugins = self.context.plugins
+        self.configuration = plugins[ConfigurationPlugin.name]
+        self.members = plugins[MembersPlugin.name]
+        self.members.transport.handle(ConfigurationCopy, self._take)
+        bus = self.context.bus
+        bus.facts(ConfigurationChanged).subscribe(lambda _: self._send_all())
+        bus.facts(MemberBehind).subscribe(lambda fact: self._send(fact.process))
+
+    async def stop(self):
+        """End all copies on their way."""
+        await self.tasks.close()
+
+    def _send_all(self):
+        if self.members.leads:
+            for process in self.members.addresses:
+                self._send(process)
+
+    def _send(self, process):
+        """Send a copy to a process, unless one is on its way to it."""
+        version = self.configuration.version
+        if process == self.members.own or (process, version) in self.sending:
+            return
+        self.sending.add((process, version))
+        self.tasks.spawn(self._deliver(process, version))
+
+    async def _deliver(self, process, version):
+        try:
+            async with self.slots:
+                await self.members.ask(
+                    process, self._pack(), Noted, timeout_s=COPY_TIMEOUT_S
+                )
+        finally:
+            self.sending.discard((process, version))
+
+    def _pack(self):
+        """Return the copy of the configuration in force."""
+        if self.copy is None or self.copy.version != self.configuration.version:
+            self.copy = ConfigurationCopy(
+                version=self.configuration.version,
+                revision=self.configuration.revision or 0,
+                data=zlib.compress(self.configuration.value),
+            )
+        return self.copy
+
+    async def _take(self, copy):
+        if copy.version > self.configuration.version:
+            self.configuration.take_copy(zlib.decompress(copy.data), copy.revision)
+        return Ok(Noted())
--- a/wasabipaddle/cell/facts.py
+++ b/wasabipaddle/cell/facts.py
@@ -8,6 +8,7 @@
     "ConfigurationChanged",
     "DrainBegan",
     "LeaderChanged",
+    "MemberBehind",
     "ReignBegan",
     "ReignEnded",
 ]
@@ -42,6 +43,13 @@
     epoch: int = 0
 
 
+@attrs.frozen(kw_only=True)
+class MemberBehind:
+    """A process that greeted this one has an older configuration."""
+
+    process: str
+
+
 @attrs.frozen(kw_only=True)
 class ReignBegan:
     """The process has become the leader.
--- a/wasabipaddle/cell/members.py
+++ b/wasabipaddle/cell/members.py
@@ -7,7 +7,7 @@
 
 from wasabipaddle.cell.configuration import ConfigurationPlugin
 from wasabipaddle.cell.election import FAR_LATENCY_S, ElectionPlugin
-from wasabipaddle.cell.facts import LeaderChanged, ReignBegan
+from wasabipaddle.cell.facts import LeaderChanged, MemberBehind, ReignBegan
 from wasabipaddle.cell.store import CellStorePlugin
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.kernel import Plugin
@@ -270,6 +270,8 @@
         self.processors[hello.process] = hello.processor
         self._know(hello.process, hello.address)
         self.configuration.observe(hello.configuration)
+        if hello.configuration < self.configuration.version:
+            self.context.bus.publish(MemberBehind(process=hello.process))
         return Ok(
             HelloReply(
                 configuration=self.configuration.version,
--- a/wasabipaddle/cell/process.py
+++ b/wasabipaddle/cell/process.py
@@ -9,6 +9,7 @@
 from wasabipaddle.cell import (
     configuration,
     dispatcher,
+    distribution,
     election,
     entry,
     facts,
@@ -28,6 +29,7 @@
 PLUGIN_MODULES = (
     configuration,
     dispatcher,
+    distribution,
     election,
     entry,
     handover,
@@ -37,7 +39,13 @@
     store,
 )
 
-ROLES = ("cell_dispatcher", "cell_handover", "cell_metrics", "cell_entry")
+ROLES = (
+    "cell_dispatcher",
+    "cell_distribution",
+    "cell_handover",
+    "cell_metrics",
+    "cell_entry",
+)
 
 
 async def serve_cell(settings, *, reload=None):
--- /dev/null
+++ b/wasabipaddle/cell/tests/test_distribution.py
@@ -0,0 +1,184 @@
+"""How configurations reach the processes of a cell."""
+
+import asyncio
+
+import pytest
+from result import Ok
+
+from wasabipaddle.cell.configuration import ConfigurationPlugin
+from wasabipaddle.cell.distribution import DistributionPlugin
+from wasabipaddle.cell.facts import ReignBegan
+from wasabipaddle.clock import run_virtual
+from wasabipaddle.interfaces import Put
+from wasabipaddle.jobs import CellConfiguration, Queue
+from wasabipaddle.messages import decode, encode
+from wasabipaddle.messages.jobs import ConfigurationCopy
+from wasabipaddle.platform.calling import encode_configuration
+
+POLL_S = 1.0
+
+
+def put(memory, version, queues=1):
+    """Write a configuration with a number of queues."""
+    found = tuple(
+        Queue(name=f"q{i}", host="h", prefix=f"/q{i}/", pool="p") for i in range(queues)
+    )
+    key, value = encode_configuration(CellConfiguration(version=version, queues=found))
+    memory.apply((), (Put(key=key, value=value),), ())
+
+
+class FakeMembers:
+    """Hands messages directly to the other processes."""
+
+    def __init__(self, own, others):
+        self.own = own
+        self.others = others
+        self.leads = False
+        self.sent = []
+        self.transport = type("T", (), {"handle": lambda *a: None})()
+
+    @property
+    def addresses(self):
+        return dict.fromkeys(self.others, "x:1")
+
+    async def ask(self, process, message, reply_type, *, timeout_s):
+        self.sent.append((process, message))
+        data = encode(message)
+        return await self.others[process]._take(
+            decode(data, ConfigurationCopy).unwrap()
+        )
+
+
+class Follower:
+    """Configuration and distribution of one process, and its calls to the store."""
+
+    def __init__(self, process, others):
+        self.plugin = ConfigurationPlugin(context=process.context)
+        process.context.plugins["cell_configuration"] = self.plugin
+        self.members = FakeMembers(process.name, others)
+        process.context.plugins["cell_members"] = self.members
+        self.distribution = others[process.name] = DistributionPlugin(
+            context=process.context
+        )
+        self.bus = process.context.bus
+        self.context = process.context
+        self.large = 0
+        store = process.access.store
+        follow = store.follow
+
+        async def counted(*args, **options):
+            batch = await follow(*args, **options)
+            self.large += batch.is_ok() and bool(batch.ok().changes)
+            return batch
+
+        store.follow = counted
+
+    async def start(self):
+        await self.plugin.start()
+        await self.distribution.start()
+
+    def lead(self):
+        self.members.leads = True
+        self.bus.publish(ReignBegan(epoch=1, term=1, continued=False))
+
+
+async def start_followers(cell):
+    others = {}
+    found = [Follower(process, others) for process in cell.processes.values()]
+    for follower in found:
+        await follower.start()
+    return found
+
+
+@pytest.fixture
+def run(make_test_cell):
+    def play(scenario, count=3):
+        async def main():
+            cell = make_test_cell(count)
+            put(cell.memory, 1)
+            followers = await start_followers(cell)
+            await asyncio.sleep(0.1)
+            await scenario(cell, *followers)
+            for follower in followers:
+                await follower.plugin.stop()
+                await follower.distribution.stop()
+            await cell.close()
+
+        run_virtual(main())
+
+    return play
+
+
+def test_leader_hands_a_large_configuration_on(run):
+    """Guards against a configuration that every process loads from the store.
+
+    Found on the bench: 36 processes that each read 2,000 queues again and again
+    filled the link between the regions.
+    """
+
+    async def scenario(cell, first, *others):
+        first.lead()
+        await asyncio.sleep(0.1)
+        put(cell.memory, 2, queues=2_000)
+        await asyncio.sleep(0.2)
+        versions = [f.plugin.version for f in (first, *others)]
+        assert versions == [2, 2, 2]
+        await asyncio.sleep(3 * POLL_S)
+        assert [f.large for f in (first, *others)] == [1, 0, 0]
+
+    run(scenario)
+
+
+def test_processes_find_a_configuration_without_a_leader(run):
+    """Guards against an old configuration while no process leads."""
+
+    async def scenario(cell, *followers):
+        put(cell.memory, 5)
+        await asyncio.sleep(1.5 * POLL_S)
+        assert [f.plugin.version for f in followers] == [5, 5, 5]
+
+    run(scenario)
+
+
+def test_older_copy_changes_nothing(run):
+    """Guards against a configuration that reverts."""
+
+    async def scenario(cell, first, second, third):
+        put(cell.memory, 7)
+        await asyncio.sleep(1.5 * POLL_S)
+        _, old = encode_configuration(CellConfiguration(version=3))
+        second.plugin.take_copy(old, 99)
+        assert second.plugin.version == 7
+
+    run(scenario)
+
+
+def test_history_that_is_gone_is_read_again(run):
+    """Guards against a process that keeps an old configuration after a gap."""
+
+    async def scenario(cell, *followers):
+        cell.memory.down = True
+        await asyncio.sleep(0.5)
+        put(cell.memory, 9)
+        cell.memory.forget_history()
+        cell.memory.down = False
+        await asyncio.sleep(1.5 * POLL_S)
+        assert [f.plugin.version for f in followers] == [9, 9, 9]
+
+    run(scenario)
+
+
+def test_copy_is_much_smaller_than_the_configuration(run):
+    """Guards against copies that fill the link between regions."""
+
+    async def scenario(cell, first, *others):
+        first.lead()
+        put(cell.memory, 2, queues=2_000)
+        await asyncio.sleep(0.2)
+        size = len(encode(first.distribution._pack()))
+        assert size < len(first.plugin.value) / 5
+        assert isinstance(
+            await others[0].distribution._take(first.distribution.copy), Ok
+        )
+
+    run(scenario)
--- a/wasabipaddle/dispatch/scheduler.py
+++ b/wasabipaddle/dispatch/scheduler.py
@@ -42,9 +42,8 @@
     def configure(self, configuration):
         """Put a configuration in force."""
         self.state.configuration = configuration
-        queues = {queue.name: queue for queue in configuration.queues}
         for entry in self.state.jobs.values():
-            queue = queues.get(entry.job.policy.name)
+            queue = configuration.queue(entry.job.policy.name)
             if queue is not None:
                 entry.queue = queue
 
--- a/wasabipaddle/jobs/configuration.py
+++ b/wasabipaddle/jobs/configuration.py
@@ -1,5 +1,7 @@
 """Queues, pools and limits that the operator configures."""
 
+import functools
+
 import attrs
 
 __all__ = ["AdvicePolicy", "CellConfiguration", "Limits", "Pool", "Queue"]
@@ -105,16 +107,24 @@
     pools: dict = attrs.field(factory=dict)
     limits: Limits = attrs.field(factory=Limits)
 
+    @functools.cached_property
+    def by_host(self) -> dict[str, list[Queue]]:
+        """Queues by host, those with the longest prefix first."""
+        found = {}
+        for queue in sorted(self.queues, key=lambda q: -len(q.prefix)):
+            found.setdefault(queue.host, []).append(queue)
+        return found
+
+    @functools.cached_property
+    def by_name(self) -> dict[str, Queue]:
+        """Queues by name."""
+        return {queue.name: queue for queue in self.queues}
+
     def match(self, host, path) -> Queue | None:
         """Return the queue with the longest prefix of `path` on `host`."""
-        best = None
-        for queue in self.queues:
-            if queue.host != host or not path.startswith(queue.prefix):
-                continue
-            if best is None or len(queue.prefix) > len(best.prefix):
-                best = queue
-        return best
+        queues = self.by_host.get(host, ())
+        return next((q for q in queues if path.startswith(q.prefix)), None)
 
     def queue(self, name) -> Queue | None:
         """Return the queue of that name."""
-        return next((q for q in self.queues if q.name == name), None)
+        return self.by_name.get(name)
--- a/wasabipaddle/messages/jobs.py
+++ b/wasabipaddle/messages/jobs.py
@@ -8,6 +8,7 @@
     "AdviceReply",
     "AskAdvice",
     "CancelJob",
+    "ConfigurationCopy",
     "HelloReply",
     "JobAccepted",
     "JobCancelled",
@@ -75,6 +76,23 @@
     phase: JobPhase | None = None
 
 
+@attrs.frozen(kw_only=True)
+class ConfigurationCopy:
+    """A configuration as the store has it.
+
+    Parameters
+    ----------
+    version, revision : int
+        Version of the configuration, and store revision up to which it is the latest.
+    data : bytes
+        Stored form, compressed with zlib.
+    """
+
+    version: int
+    revision: int
+    data: bytes
+
+
 @attrs.frozen(kw_only=True)
 class LeaderNotice:
     """Tells who leads, also those that do not reach the store.
--- a/wasabipaddle/platform/http.py
+++ b/wasabipaddle/platform/http.py
@@ -40,10 +40,25 @@
         self.session = None
 
     async def call(
-        self, method, path, *, timeout_s, body=None, query=None, headers=None
+        self,
+        method,
+        path,
+        *,
+        timeout_s,
+        transfer_s=0.0,
+        body=None,
+        query=None,
+        headers=None,
     ) -> Result[Answer, Failure]:
         """Make one call.
 
+        Parameters
+        ----------
+        timeout_s : float
+            Longest time without a byte of the answer.
+        transfer_s : float
+            Time beyond that for an answer that goes on arriving.
+
         Returns
         -------
         result.Result
@@ -54,7 +69,11 @@
         if body is not None:
             data = msgspec.json.encode(body)
             headers = {"Content-Type": "application/json", **(headers or {})}
-        timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
+        timeout = aiohttp.ClientTimeout(
+            total=timeout_s + transfer_s,
+            sock_connect=CONNECT_TIMEOUT_S,
+            sock_read=timeout_s if transfer_s else None,
+        )
         url = f"http://{self.address}{path}"
         try:
             async with self._open().request(
--- a/wasabipaddle/platform/store.py
+++ b/wasabipaddle/platform/store.py
@@ -19,6 +19,8 @@
 __all__ = ["PlatformStore"]
 
 CALL_TIMEOUT_S = 0.9
+# An answer may hold a megabyte, which a slow link carries for seconds.
+TRANSFER_S = 8.0
 # Time beyond the wait of a watch after which its connection is taken as silent.
 WATCH_SLACK_S = 1.0
 THROTTLE_PAUSE_S = 0.2
@@ -174,7 +176,11 @@
     ):
         """Make one call; statuses other than 200 and `plain` become failures."""
         called = await (caller or self.calls).call(
-            method, path, timeout_s=timeout_s or self.timeout_s, **options
+            method,
+            path,
+            timeout_s=timeout_s or self.timeout_s,
+            transfer_s=TRANSFER_S,
+            **options,
         )
         if called.is_err():
             failure = called.err()
--- a/wasabipaddle/soak/platform.py
+++ b/wasabipaddle/soak/platform.py
@@ -45,7 +45,6 @@
 SLOWEST_CLOCK = 0.98
 LEASE_MAX_S = 6.0
 STOP_S = 0.3
-GOOD_SHARE = 0.7
 ADVICE = AdvicePolicy(base_s=0.05, per_runner_s=0.002, valid_s=2.5)
 QUEUES = (
     Queue(
@@ -63,20 +62,22 @@
 
 
 class _Eligibility(AdviceClient):
-    """Lets a fixed share of the runners run each step."""
+    """Lets two thirds of the runners run each step, whichever runners there are."""
 
     def __init__(self):
         self.busy = asyncio.Lock()
 
     async def ask(self, *, job, occurrence, step, runners, timeout_s):
-        """Return tickets for the runners that a hash of their name admits."""
+        """Return tickets for the runners that may run a step."""
         async with self.busy:
             await asyncio.sleep(ADVICE.base_s + ADVICE.per_runner_s * len(runners))
-        tickets = {}
-        for runner in runners:
-            draw = random.Random(f"{job}.{occurrence}.{step}.{runner}").random()
-            if draw < GOOD_SHARE:
-                tickets[runner] = f"{job}.{step}.{runner}"
+        # Runners have consecutive numbers, so there are always some that may.
+        refused = (int(job, 16) + step) % 3
+        tickets = {
+            runner: f"{job}.{step}.{runner}"
+            for runner in runners
+            if int(runner.removeprefix("w")) % 3 != refused
+        }
         return Ok(Advice(tickets=tickets, valid_s=ADVICE.valid_s))
 
 
