Restart runs as slow only if their runner is slow

Cause: a run far behind others of its step was restarted elsewhere, but most of them are long tasks.

Change: a runner counts as slow if all its runs are far behind, more so if there is only one to tell by; runs from before the last end at the usual speed do not tell. Only then are its runs restarted.

--- a/wasabipaddle/dispatch/lifecycle.py
+++ b/wasabipaddle/dispatch/lifecycle.py
@@ -164,7 +164,7 @@
             ratio = None
             if elapsed_s and not task.checkpoint:
                 ratio = step.note_duration(elapsed_s)
-            runner.trust.completed(ratio)
+            runner.trust.completed(ratio, now)
             tasks = step.tasks if step.spec.gang else [task]
             for member in tasks:
                 self._complete(member, now)
--- a/wasabipaddle/dispatch/trust.py
+++ b/wasabipaddle/dispatch/trust.py
@@ -9,6 +9,8 @@
 FIRST_QUARANTINE_S = 2.0
 LONGEST_QUARANTINE_S = 16.0
 SPEED_WEIGHT = 0.2
+# Least ratio of the usual to the actual duration on a sound runner.
+SOUND_RATIO = 0.6
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -26,18 +28,23 @@
         Length of the next quarantine.
     speed : float
         How many times faster than usual recent tasks were.
+    sound_s : float
+        Time at which a task last ended at about the usual speed.
     """
 
     failures: int = 0
     quarantined_until_s: float = 0.0
     quarantine_s: float = FIRST_QUARANTINE_S
     speed: float = 1.0
+    sound_s: float = 0.0
 
-    def completed(self, ratio):
+    def completed(self, ratio, now):
         """Note a completed task that was `ratio` times faster than usual."""
         self.failures = 0
         self.quarantine_s = FIRST_QUARANTINE_S
         self.quarantined_until_s = 0.0
+        if ratio is not None and ratio > SOUND_RATIO:
+            self.sound_s = now
         if ratio is not None:
             self.speed += SPEED_WEIGHT * (min(max(ratio, 0.1), 4.0) - self.speed)
 
--- a/wasabipaddle/dispatch/watchdog.py
+++ b/wasabipaddle/dispatch/watchdog.py
@@ -9,17 +9,19 @@
 
 STALL_S = 1.6
 STALL_SHARE = 0.25
-# A run is slow if it will take this many times as long as others of its step, and
-# if a new one would end sooner.
-SLOW_FACTOR = 2.2
-RESTART_FACTOR = 1.3
-# Without others to compare with, progress below this share of the estimated speed
-# counts as slow; estimates may be off by a factor of several.
-SLOW_RATE = 0.15
-SLOW_LATE_PERCENT = 60
 STOP_RETRY_S = 0.5
 SHORTEST_SLOW_S = 0.6
 LEAST_SPEED = 0.1
+# A runner is slow if all its runs will take this many times as long as others of
+# their steps; more if there is only one run to tell by, which may be a long task.
+SLOW_FACTOR = 2.2
+LONE_SLOW_FACTOR = 3.5
+# A run is restarted if the rest of it takes longer than this many usual durations.
+RESTART_FACTOR = 1.3
+# Estimates may be off by a factor of several.
+ESTIMATE_FACTOR = 3.0
+# Share of the usual duration after which progress tells enough.
+COMPARED_SHARE = 0.5
 # Tail latency over its target at which filling tasks are slowed down, and below
 # which they may be sped up.
 PACE_DOWN_SHARE = 0.7
@@ -44,46 +46,43 @@
         for runner in self.state.runners.values():
             for run in runner.runs.values():
                 self._check_run(runner, run, now)
+            self._check_speed(runner, now)
 
     def _check_run(self, runner, run, now):
         if run.phase in (RunPhase.STOPPING, RunPhase.DOUBTFUL):
             if now - run.stop_sent_s > STOP_RETRY_S:
                 self.state.stop_run(run, now)
             return
-        spec = run.task.spec
-        if run.phase is not RunPhase.RUNNING or spec.lasting or spec.opportunistic:
-            return
-        if run.percent >= 100 or runner.answered_s < run.progress_s:
+        if not _makes_progress(run) or runner.answered_s < run.progress_s:
             return
         still_s = runner.answered_s - run.progress_s
-        if still_s > STALL_S + STALL_SHARE * spec.estimate_s:
+        if still_s > STALL_S + STALL_SHARE * run.task.spec.estimate_s:
             self._give_up(runner, run, "stalled", now)
+
+    def _check_speed(self, runner, now):
+        """Restart runs elsewhere if the runner is slow, rather than one long task."""
+        slowness = {
+            run: _slowness(runner, run)
+            for run in runner.runs.values()
+            if _makes_progress(run) and not run.preempted
+        }
+        known = {run: value for run, value in slowness.items() if value is not None}
+        # A run that ended at the usual speed shows that those beside it are long.
+        sound_s = runner.trust.sound_s
+        told = [value for run, value in known.items() if run.started_s >= sound_s]
+        limit = SLOW_FACTOR if len(told) > 1 else LONE_SLOW_FACTOR
+        if not told or min(told) < limit:
             return
-        if spec.gang or spec.speculative or run.preempted:
-            return  # a copy, not a restart, helps a speculative task
-        if run.task.given_up:
-            return  # slow on a second runner means a long task
-        if self._is_slow(runner, run):
-            self._give_up(runner, run, "slow", now)
-
-    def _is_slow(self, runner, run):
-        """Return whether a run should be restarted on another runner."""
-        held_s = runner.answered_s - run.started_s
-        if held_s < SHORTEST_SLOW_S:
-            return False
-        projected_s = 100 * held_s / max(run.percent, 1)
-        usual_s = _usual_duration_s(run)
-        if usual_s is not None:
-            gains = projected_s - held_s > RESTART_FACTOR * usual_s
-            slow = gains and projected_s > SLOW_FACTOR * usual_s
-        else:
-            usual_s = run.task.spec.estimate_s
-            late = held_s > 1.0 + usual_s and run.percent < SLOW_LATE_PERCENT
-            slow = late and usual_s < SLOW_RATE * projected_s
-        if slow:
-            speed = max(usual_s / projected_s, LEAST_SPEED)
-            runner.trust.speed = min(runner.trust.speed, speed)
-        return slow
+        speed = max(1 / min(told), LEAST_SPEED)
+        runner.trust.speed = min(runner.trust.speed, speed)
+        for run, value in known.items():
+            spec = run.task.spec
+            # A copy, not a restart, helps a speculative task, and a task that is slow
+            # on a second runner is a long one.
+            if spec.gang or spec.speculative or run.task.given_up:
+                continue
+            if value * (1 - run.percent / 100) > RESTART_FACTOR:
+                self._give_up(runner, run, "slow", now)
 
     def _give_up(self, runner, run, reason, now):
         run.task.given_up = True
@@ -134,6 +133,28 @@
                 self.state.outbox.append(PaceTask(run=run, percent=percent))
 
 
+def _makes_progress(run):
+    """Return whether progress is expected of a run."""
+    spec = run.task.spec
+    return (
+        run.phase is RunPhase.RUNNING
+        and run.percent < 100
+        and not spec.lasting
+        and not spec.opportunistic
+    )
+
+
+def _slowness(runner, run):
+    """Return the probable over the usual duration of a run, None if unknown."""
+    held_s = runner.answered_s - run.started_s
+    usual_s = _usual_duration_s(run)
+    if usual_s is None:
+        usual_s = ESTIMATE_FACTOR * run.task.spec.estimate_s
+    if held_s < max(SHORTEST_SLOW_S, COMPARED_SHARE * usual_s):
+        return None
+    return 100 * held_s / max(run.percent, 1) / max(usual_s, SHORTEST_SLOW_S)
+
+
 def _usual_duration_s(run):
     """Return the usual duration of the tasks of a step, None if too few tell it."""
     step = run.task.step
