--- /dev/null
+++ b/wasabipaddle/standins/tests/test_links.py
@@ -0,0 +1,106 @@
+"""Faults of connections through the proxy."""
+
+import asyncio
+
+import pytest
+
+from wasabipaddle.settings import LinkSettings
+from wasabipaddle.standins.link import Link
+from wasabipaddle.standins.proxy import LinkProxy, ProxyRoute
+
+HOST = "127.0.0.1"
+WAIT_S = 0.3
+
+
+async def echo(reader, writer):
+    """Answer each line with itself."""
+    while line := await reader.readline():
+        writer.write(line)
+        await writer.drain()
+    writer.close()
+
+
+async def open_link():
+    """Return a link between a and b, and one open connection over it."""
+    server = await asyncio.start_server(echo, HOST, 0)
+    port = server.sockets[0].getsockname()[1]
+    link = Link(
+        regions={"a": "r", "b": "r"}, settings=LinkSettings(data_centre_latency_ms=1.0)
+    )
+    route = ProxyRoute(
+        port=0, target_host=HOST, target_port=port, source="a", target="b"
+    )
+    proxy = LinkProxy(link=link, host=HOST, routes=(route,))
+    await proxy.start()
+    reader, writer = await asyncio.open_connection(HOST, proxy.ports[route])
+    return link, proxy, server, reader, writer
+
+
+async def say(reader, writer):
+    """Send a line; return the answer, or None without one in time."""
+    writer.write(b"x\n")
+    try:
+        async with asyncio.timeout(WAIT_S):
+            return await reader.readline()
+    except TimeoutError:
+        return None
+
+
+@pytest.fixture
+def play():
+    def run(scenario):
+        async def main():
+            link, proxy, server, reader, writer = await open_link()
+            try:
+                return await scenario(link, reader, writer)
+            finally:
+                writer.close()
+                await proxy.close()
+                server.close()
+
+        return asyncio.run(main())
+
+    return run
+
+
+@pytest.mark.parametrize("ends", [("a", "b"), ("b", "a")])
+def test_one_way_cut_holds_answers_or_calls_and_heals(play, ends):
+    """Guards against a cut that works in both directions or for ever."""
+
+    async def scenario(link, reader, writer):
+        before = await say(reader, writer)
+        link.cut(*ends, one_way=True)
+        during = await say(reader, writer)
+        passes = link.passes(*ends), link.passes(*reversed(ends))
+        link.restore(*ends)
+        return before, during, passes, await reader.readline()
+
+    assert play(scenario) == (b"x\n", None, (False, True), b"x\n")
+
+
+def test_reset_closes_open_connections(play):
+    """Guards against a reset that callers do not notice."""
+
+    async def scenario(link, reader, writer):
+        await say(reader, writer)
+        link.reset("a", "b")
+        try:
+            return await reader.readline()
+        except ConnectionResetError:
+            return b""
+
+    assert play(scenario) == b""
+
+
+def test_delay_is_added_in_both_directions(play):
+    """Guards against a delay that one direction does not see."""
+
+    async def scenario(link, reader, writer):
+        link.delay("a", "b", 0.05)
+        added = [link.latency_s(*ends) for ends in (("a", "b"), ("b", "a"))]
+        link.delay("a", "b", 0.0)
+        return added, link.latency_s("a", "b")
+
+    added, after = play(scenario)
+    assert added == pytest.approx([0.051, 0.051])
+    assert after == pytest.approx(0.001)
