--- /dev/null
+++ b/wasabipaddle/cell/tests/test_process.py
@@ -0,0 +1,53 @@
+"""One process of a cell at its start."""
+
+import os
+import signal
+import subprocess
+import sys
+
+import pytest
+
+from wasabipaddle.hangup import hold_hangups, take_hangup
+
+# Runs the program, and hangs up as soon as it imports its commands.
+PROGRAM = """
+import os, signal, sys
+
+class HangUp:
+    def find_spec(self, name, path, target=None):
+        if name == "wasabipaddle.commands":
+            os.kill(os.getpid(), signal.SIGHUP)
+
+sys.meta_path.insert(0, HangUp())
+sys.argv = ["wasabipaddle", *sys.argv[1:]]
+from wasabipaddle.__main__ import main
+main()
+"""
+
+
+@pytest.mark.parametrize(("command", "survives"), [("cell", True), ("demo", False)])
+def test_process_survives_a_request_to_reload_while_it_is_loaded(
+    command, survives, tmp_path
+):
+    """Guards against a process that ends by itself at a SIGHUP during its imports.
+
+    Found by the soak, seed 41. Commands that reload nothing end as usual.
+    """
+    arguments = [command, str(tmp_path / "missing.yaml")]
+    child = subprocess.run(
+        [sys.executable, "-c", PROGRAM, *arguments], capture_output=True, text=True
+    )
+    ended_by_signal = child.returncode == -signal.SIGHUP
+    assert ended_by_signal is not survives, child.stderr
+    assert "missing.yaml" in child.stderr or not survives
+
+
+def test_request_to_reload_is_kept_until_it_is_taken():
+    """Guards against settings that changed while the process was being loaded."""
+    before = signal.getsignal(signal.SIGHUP)
+    try:
+        hold_hangups()
+        os.kill(os.getpid(), signal.SIGHUP)
+        assert [take_hangup(), take_hangup()] == [True, False]
+    finally:
+        signal.signal(signal.SIGHUP, before)
--- a/wasabipaddle/soak/callers.py
+++ b/wasabipaddle/soak/callers.py
@@ -212,8 +212,9 @@
         return True
 
     async def _cancel(self, record):
+        """Cancel a job, until some process has answered."""
         record.cancel_sent = True
-        for _ in range(MAX_TRIES):
+        while True:
             answer, process = await self._call(record, self.caller.cancel)
             if answer.status in ACCEPTED:
                 record.cancelled_s = self.ledger.now()
--- a/wasabipaddle/soak/regressions.py
+++ b/wasabipaddle/soak/regressions.py
@@ -25,4 +25,13 @@
             "completion was written, and forgotten while the store was away"
         ),
     ),
+    Regression(
+        seed=41,
+        seconds=20.0,
+        cause=(
+            "a request to reload settings ended a process that was still being "
+            "loaded; also a caller that gave its cancellation up in an outage, and "
+            "was told that its job is lost"
+        ),
+    ),
 )
