--- a/wasabipaddle/soak/callers.py
+++ b/wasabipaddle/soak/callers.py
@@ -24,6 +24,8 @@
 REFUSALS = frozenset({429, 503})
 GONE = 410
 NOT_FOUND = 404
+# A call that ends sooner may have met the closing of an idle connection.
+LOSS_SLACK_S = 0.2
 # A call in progress may be cut if the process was disturbed this long before.
 CALM_S = 4.0
 
@@ -246,10 +248,13 @@
         """Make one call at a process that the balancer would choose."""
         process = self._choose()
         address = callers_address(self.platform, process)
+        sent = self.ledger.now()
         answer = await method(address, record.queue, record.id, *arguments)
         ended = self.ledger.now()
-        if answer.status == 0 and answer.sent and self._was_planned(process, ended):
-            self.ledger.broken("cut", record.id, f"{process}: {answer.detail}")
+        cut = answer.status == 0 and answer.sent and ended - sent > LOSS_SLACK_S
+        if cut and self._was_planned(process, ended):
+            detail = f"{process} after {ended - sent:.3f} s: {answer.detail}"
+            self.ledger.broken("cut", record.id, detail)
         return answer, process
 
     def _choose(self):
--- a/wasabipaddle/soak/driver.py
+++ b/wasabipaddle/soak/driver.py
@@ -19,6 +19,7 @@
 JOBS_PER_S = 4.0
 # Time after the last fault within which every accepted job has to end.
 FINISH_S = 20.0
+LAG_PERIOD_S = 0.05
 
 
 @attrs.frozen(kw_only=True)
@@ -33,6 +34,9 @@
         Faults that were injected.
     violations : tuple of Violation
         Broken promises.
+    lag_s : float
+        Longest time by which the stand-ins were late; with more than a few tenths of
+        a second the platform itself did not answer in time.
     """
 
     seed: int
@@ -41,6 +45,7 @@
     starts: int
     faults: tuple[str, ...]
     violations: tuple
+    lag_s: float = 0.0
 
     @property
     def holds(self) -> bool:
@@ -52,7 +57,8 @@
         broken = ", ".join(sorted({v.promise for v in self.violations})) or "none"
         return (
             f"seed {self.seed}: {self.jobs} jobs, {self.accepted} accepted, "
-            f"{self.starts} starts, {len(self.faults)} faults, broken: {broken}"
+            f"{self.starts} starts, {len(self.faults)} faults, "
+            f"lag {self.lag_s:.2f} s, broken: {broken}"
         )
 
 
@@ -81,6 +87,21 @@
     return result
 
 
+class _Lag:
+    """Longest time by which the loop of the stand-ins woke up late."""
+
+    def __init__(self):
+        self.longest_s = 0.0
+
+    async def watch(self):
+        """Measure for ever."""
+        loop = asyncio.get_running_loop()
+        while True:
+            due_s = loop.time() + LAG_PERIOD_S
+            await asyncio.sleep(LAG_PERIOD_S)
+            self.longest_s = max(self.longest_s, loop.time() - due_s)
+
+
 async def _run(seed, seconds, *, processes, runners, keep):
     draw = random.Random(seed)
     ledger = SoakLedger()
@@ -112,11 +133,13 @@
     )
     faults.probe = callers.probe
     callers.queues = {queue.name: queue for queue in QUEUES}
+    lag = _Lag()
     await platform.start()
     try:
         await cell.start(callers.caller)
         until_s = ledger.now() + seconds
         async with asyncio.TaskGroup() as group:
+            watching = group.create_task(lag.watch())
             forcing = group.create_task(cell.force_ends())
             group.create_task(callers.run(JOBS_PER_S, until_s))
             injecting = group.create_task(faults.run(until_s))
@@ -124,6 +147,7 @@
             platform.heal()
             await callers.finish(FINISH_S)
             forcing.cancel()
+            watching.cancel()
         ledger.check_end()
     finally:
         await cell.close()
@@ -137,4 +161,5 @@
         starts=ledger.starts,
         faults=tuple(faults.log),
         violations=tuple(ledger.violations),
+        lag_s=lag.longest_s,
     )
--- a/wasabipaddle/soak/tests/test_ledger.py
+++ b/wasabipaddle/soak/tests/test_ledger.py
@@ -156,6 +156,25 @@
     assert run(scenario()) == []
 
 
+def test_end_whose_lease_lapsed_before_it_was_noted_may_be_repeated(run):
+    """Guards against a soak that forbids what the platform allows (seed 125).
+
+    The dispatcher heard nothing until the lease had ended, and repeated the task.
+    """
+
+    async def scenario():
+        world = World(step(), work_s=0.0)
+        await world.start(0)
+        await world.hold(0)
+        world.runners[0].lease_until_ms = 0
+        world.runners[0].advance()
+        await world.start(1, run=2)
+        await world.hold(0, acknowledged=1)
+        return world.promises
+
+    assert run(scenario()) == []
+
+
 def test_overfilled_runner_and_early_step_are_found(run):
     """Guards against a soak that misses room and the order of steps."""
 
