--- a/wasabipaddle/cell/tests/test_distribution.py
+++ b/wasabipaddle/cell/tests/test_distribution.py
@@ -1,9 +1,10 @@
 """How configurations reach the processes of a cell."""
 
 import asyncio
+import zlib
 
+import attrs
 import pytest
-from result import Ok
 
 from wasabipaddle.cell.configuration import ConfigurationPlugin
 from wasabipaddle.cell.distribution import DistributionPlugin
@@ -177,8 +178,10 @@
         await asyncio.sleep(0.2)
         size = len(encode(first.distribution._pack()))
         assert size < len(first.plugin.value) / 5
-        assert isinstance(
-            await others[0].distribution._take(first.distribution.copy), Ok
-        )
+        copy = attrs.evolve(first.distribution.copy, version=3)
+        _, value = encode_configuration(CellConfiguration(version=3))
+        copy = attrs.evolve(copy, data=zlib.compress(value))
+        await others[0].distribution._take(copy)
+        assert others[0].plugin.version == 3
 
     run(scenario)
--- a/wasabipaddle/soak/cell.py
+++ b/wasabipaddle/soak/cell.py
@@ -8,7 +8,7 @@
 from wasabipaddle.demo.processes import spawn_process
 from wasabipaddle.soak.platform import CALLERS, CELL, HOST, STORE
 
-__all__ = ["CellProcesses"]
+__all__ = ["CellProcesses", "callers_address"]
 
 READY_S = 20.0
 POLL_S = 0.05
