Drop deficits of a worker that has left the fleet

Cause: the end of a task on a removed worker released resources, and the resizer then granted deficits on that worker: KeyError in reservations._resize. Change: deficits of a worker outside the fleet are dropped, measured use on it changes no reservation. Proof: the new test of the placer fails with KeyError before the change.

--- a/wasabipaddle/placement/reservations.py
+++ b/wasabipaddle/placement/reservations.py
@@ -40,7 +40,7 @@
         self.estimator.observe(placed.work, used, now, first=first)
         previous = placed.usage
         placed.usage = used
-        if not self.enabled:
+        if not self.enabled or placed.worker not in self.fleet.workers:
             return False
         needs = self.estimator.resized_reservation(placed, previous)
         if needs is None:
@@ -70,7 +70,13 @@
             self.deficits[placed.worker].pop(placed.task, None)
 
     def grant_deficits(self, worker):
-        """Grant released resources to tasks that use more than their reservation."""
+        """Grant released resources to tasks that use more than their reservation.
+
+        The deficits on a worker that has left are dropped.
+        """
+        if worker not in self.fleet.workers:
+            self.deficits.pop(worker, None)
+            return
         for task, needs in list(self.deficits.get(worker, {}).items()):
             placed = self.registry.running.get(task)
             if placed is not None and placed.worker == worker:
--- a/wasabipaddle/placement/tests/test_placer.py
+++ b/wasabipaddle/placement/tests/test_placer.py
@@ -3,7 +3,7 @@
 import pytest
 
 from wasabipaddle.documents import Resources, ServiceKind, Urgency
-from wasabipaddle.interfaces import TaskOutcome
+from wasabipaddle.interfaces import TaskOutcome, Usage
 from wasabipaddle.placement import (
     Checkpoint,
     FleetIndex,
@@ -150,3 +150,32 @@
     names = sorted(a.task for a in started(placer.decide(0.0, 10)))
     assert names == ["r/0", "r/1", "r/2"]
     assert started(placer.decide(0.1, 10)) == []
+
+
+def test_deficits_on_a_worker_that_left_do_not_stop_the_placer(placer, fleet):
+    """Guards against a `KeyError` when tasks end with their worker.
+
+    Two tasks of the worker use more than their reservations. The end of the first
+    releases resources of a worker that the fleet no longer has.
+    """
+    placer.submit(work("r", tasks=4), 0.0)
+    assignments = started(placer.decide(0.0, 20))
+    worker = assignments[0].worker
+    tasks = [a.task for a in assignments if a.worker == worker]
+    assert len(tasks) > 1
+    used = {
+        task: Usage(cpu_milli=TASK.cpu_milli * 2, memory_mb=TASK.memory_mb * 2)
+        for task in tasks
+    }
+    total = Usage(cpu_milli=SIZE.cpu_milli, memory_mb=SIZE.memory_mb)
+    placer.observe(worker, total, used, 1.0)
+    assert placer.resizer.deficits[worker]
+    fleet.remove_worker(worker)
+    placer.observe(worker, total, used, 2.0)
+    for task in tasks:
+        placer.record_task_end(task, TaskOutcome.LEASE_EXPIRED, 2.0)
+    assert worker not in placer.resizer.deficits
+    for name in ("w8", "w9"):
+        fleet.add_worker(name, rack="r9", data_centre="a", size=SIZE)
+    restarted = started(placer.decide(3.0, 20))
+    assert sorted(a.task for a in restarted) == sorted(tasks)
