--- a/wasabipaddle/journal/journal.py
+++ b/wasabipaddle/journal/journal.py
@@ -3,10 +3,10 @@
 import asyncio
 import collections
 
-import attrs
 from result import Err, Ok
 
 from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.journal.attempts import AppendAttempt, QueuedRecord
 from wasabipaddle.journal.codec import encode_batch, encode_record
 from wasabipaddle.journal.compaction import Compactor
 from wasabipaddle.journal.live import LiveState
@@ -24,29 +24,6 @@
 COMPACTION_RETRY_S = 10.0
 
 
-@attrs.define(kw_only=True)
-class _QueuedRecord:
-    record: object
-    data: bytes
-    done: asyncio.Future
-
-
-@attrs.define(kw_only=True)
-class _AppendAttempt:
-    """Batch that is being written to the store.
-
-    Parameters
-    ----------
-    in_doubt : bool
-        Whether an earlier write of the batch may have created its key.
-    """
-
-    items: list
-    operation: str
-    value: bytes
-    in_doubt: bool = False
-
-
 class Journal:
     """Durable journal of a shard, with a single writer.
 
@@ -146,9 +123,16 @@
             recovered = result.unwrap()
             if recovered.epoch > epoch:
                 return self._depose(f"a leader of epoch {recovered.epoch} has written")
-            if await self._append_start(recovered):
-                self.backoff.reset()
-                return Ok(self._start_writing(recovered))
+            if not await self._append_start(recovered):
+                continue
+            later = await recovery.has_batches_after(recovered.next_sequence - 1)
+            if later.is_err() or later.unwrap():
+                # An earlier leader had written and compacted a batch under the sequence
+                # number of the start, which therefore does not fence that leader.
+                recovery = None
+                continue
+            self.backoff.reset()
+            return Ok(self._start_writing(recovered))
 
     async def _append_start(self, recovered):
         record = LeaderStarted(
@@ -210,7 +194,7 @@
             detail = f"journal record of {len(data)} bytes exceeds max_batch_bytes"
             done.set_result(Err(Failure(kind=ErrorKind.BODY_TOO_LARGE, detail=detail)))
             return done
-        self.queue.append(_QueuedRecord(record=record, data=data, done=done))
+        self.queue.append(QueuedRecord(record=record, data=data, done=done))
         self.queue_nonempty.set()
         return done
 
@@ -253,7 +237,7 @@
             f"{self.process}.{self.incarnation}.{self.epoch}.{self.operation_count}"
         )
         value = encode_batch(operation, self.epoch, encoded)
-        return _AppendAttempt(items=items, operation=operation, value=value)
+        return AppendAttempt(items=items, operation=operation, value=value)
 
     async def _commit(self, items):
         attempt = self._new_attempt([i.data for i in items], items)
--- a/wasabipaddle/journal/recovery.py
+++ b/wasabipaddle/journal/recovery.py
@@ -26,7 +26,7 @@
         Sequence number of the next append.
     stored_sequences : list of int
         Sequence numbers of the batches in the store, in ascending order.
-    start_times_ms : dict of int to int
+    leader_start_times_ms : dict of int to int
         Wall-clock times of the `LeaderStarted` records by sequence number of their
         batch, in milliseconds since the Unix epoch.
     snapshot : SnapshotTaken or None
@@ -102,6 +102,12 @@
             self.state.add_batch(sequence, batch)
         return self._apply(result.unwrap(), covered)
 
+    async def has_batches_after(self, sequence):
+        """Return whether a batch with a higher sequence number exists, or an `Err`."""
+        reader = LogReader(store=self.store, keys=self.keys)
+        reader.last_key = self.keys.batch(sequence)
+        return (await reader.read()).map(bool)
+
     async def _load_snapshot(self):
         snapshot = self.state.snapshot
         if snapshot is None:
--- a/wasabipaddle/journal/tests/test_journal.py
+++ b/wasabipaddle/journal/tests/test_journal.py
@@ -8,7 +8,8 @@
 from wasabipaddle.exceptions import ErrorKind
 from wasabipaddle.interfaces import TaskOutcome
 from wasabipaddle.journal import TaskEnded
-from wasabipaddle.journal.tests.shard import accepted, make_journal
+from wasabipaddle.journal.recovery import Recovery
+from wasabipaddle.journal.tests.shard import PausableStore, accepted, make_journal
 from wasabipaddle.standins import MemoryStore
 
 
@@ -102,3 +103,42 @@
         await reader.close()
 
     run_virtual(main())
+
+
+def test_start_that_takes_the_key_of_a_compacted_batch_does_not_hide_it():
+    """Guards against a new leader whose state lacks runs that were confirmed.
+
+    Its start is delayed. Meanwhile the previous leader writes a batch under the same
+    sequence number, takes a snapshot and deletes the batch, so the start succeeds.
+    """
+
+    async def main():
+        store = MemoryStore()
+        journal = make_journal(store.client("a"), "a", compact_after=1000)
+        await journal.recover(1)
+        held = PausableStore(store.client("b"))
+        successor = make_journal(held, "b", compact_after=1000)
+        read = Recovery.read
+
+        async def read_then_pause(recovery):
+            result = await read(recovery)
+            held.running.clear()
+            return result
+
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(Recovery, "read", read_then_pause)
+            takeover = asyncio.create_task(successor.recover(2))
+            await asyncio.sleep(1.0)
+        assert (await journal.append(accepted("confirmed"))).is_ok()
+        assert (await journal.compactor.compact()).is_ok()
+        await asyncio.sleep(30)
+        held.running.set()
+        live = (await takeover).unwrap()
+        assert "confirmed" in live.runs
+        assert (await journal.append(accepted("late"))).unwrap_err().kind is (
+            ErrorKind.STALE_EPOCH
+        )
+        await journal.close()
+        await successor.close()
+
+    run_virtual(main())
