Carry the wait for suspect runners over takeovers, and limit it to their pool

Change: a draining or unlisted runner without runs and unacknowledged ends leaves the record at once. The record names the wait that remains for a runner that has not answered, and a successor goes on from there; such a runner gets work only once it is recorded again. Recovered jobs wait only for suspect runners of the pools of their queue. A failed write of the record is repeated in any case. FleetRecord moves to cell/fleet.py; the seed of the test cell no longer depends on the hash seed of the interpreter.

--- /dev/null
+++ b/wasabipaddle/cell/fleet.py
@@ -0,0 +1,139 @@
+"""Stored record of the runners that may run tasks."""
+
+import asyncio
+import math
+
+import msgspec
+
+from wasabipaddle.cell.keys import FLEET_KEY, LEADER_KEY
+from wasabipaddle.exceptions import ErrorKind
+from wasabipaddle.interfaces import Put
+from wasabipaddle.jobs import RecordedRunner
+
+__all__ = ["FleetRecord"]
+
+# Pause before a write, so that one write covers several changes.
+WRITE_DELAY_S = 0.015
+# Longest time between two comparisons of the record with the fleet.
+CHECK_S = 0.5
+# Time after a takeover from which waits for suspect runners are recorded. Runners that
+# answer at once are not suspect any more by then.
+SETTLE_S = 0.4
+RETRY_S = 0.1
+
+
+class FleetRecord:
+    """Stored list of the runners that may run tasks.
+
+    After a takeover, tasks of recovered jobs may still run on these runners. Before the
+    new dispatcher starts such a task, it waits until each of the runners has sent its
+    inventory or the leases there have expired. A runner therefore gets work only once
+    it is in the record, without a wait.
+
+    Parameters
+    ----------
+    store_plugin : CellStorePlugin
+        The store.
+    scheduler : Scheduler
+        Holds the runners.
+    session : DispatchSession
+        Provides the epoch and the time.
+
+    Attributes
+    ----------
+    revision : int
+        Revision of the stored record, 0 if there is none.
+    recorded : set or None
+        Identifiers of the stored runners with their waits in full seconds, None if the
+        stored record is not known.
+    changed : asyncio.Event
+        Set to have the record compared with the fleet soon.
+    """
+
+    def __init__(self, *, store_plugin, scheduler, session):
+        self.store_plugin = store_plugin
+        self.scheduler = scheduler
+        self.session = session
+        self.revision = 0
+        self.recorded = set()
+        self.changed = asyncio.Event()
+
+    async def load(self):
+        """Return the stored `RecordedRunner` list, with retries until there is one."""
+        while True:
+            found = await self.store_plugin.call(self.store_plugin.store.get(FLEET_KEY))
+            if found.is_ok():
+                break
+            await asyncio.sleep(RETRY_S)
+        entry = found.ok()
+        if entry is None:
+            return []
+        self.revision = entry.revision
+        runners = msgspec.json.decode(entry.value, type=list[RecordedRunner])
+        self.recorded = _summarize(runners)
+        return runners
+
+    async def run(self):
+        """Keep the record in line with the fleet until cancelled."""
+        settled_s = self.session.now() + SETTLE_S
+        while True:
+            try:
+                async with asyncio.timeout(CHECK_S):
+                    await self.changed.wait()
+                await asyncio.sleep(WRITE_DELAY_S)
+            except TimeoutError:
+                pass
+            self.changed.clear()
+            now = self.session.now()
+            rows = self.scheduler.runners_to_record(now, with_waits=now >= settled_s)
+            self._exclude_unrecorded(rows)
+            if _summarize(rows) == self.recorded or await self._write(rows):
+                self._admit(rows)
+                continue
+            self.changed.set()
+            await asyncio.sleep(RETRY_S)
+
+    def _exclude_unrecorded(self, rows):
+        """Stop new work on runners that the next record omits or names with a wait."""
+        working = {row.id for row in rows if row.wait_s is None}
+        for runner in self.scheduler.state.runners.values():
+            if runner.id not in working:
+                runner.in_fleet_record = False
+
+    def _admit(self, rows):
+        """Permit new work on the runners of the stored record."""
+        runners = self.scheduler.state.runners
+        admitted = False
+        for row in rows:
+            runner = runners.get(row.id)
+            if row.wait_s is None and runner is not None:
+                admitted |= not runner.in_fleet_record
+                runner.in_fleet_record = True
+        if admitted:
+            self.session.wake()
+
+    async def _write(self, rows):
+        """Write the record and return whether it is known to be stored."""
+        self.recorded = None
+        written = await self.store_plugin.call(
+            self.store_plugin.store.commit(
+                conditions=(
+                    (LEADER_KEY, self.session.epoch),
+                    (FLEET_KEY, self.revision),
+                ),
+                puts=(Put(key=FLEET_KEY, value=msgspec.json.encode(rows)),),
+            )
+        )
+        if written.is_ok():
+            self.revision = written.ok()
+            self.recorded = _summarize(rows)
+            return True
+        if written.err().kind is ErrorKind.REVISION_MISMATCH:
+            await self.load()
+        return False
+
+
+def _summarize(rows):
+    return {
+        (row.id, None if row.wait_s is None else math.ceil(row.wait_s)) for row in rows
+    }
--- a/wasabipaddle/cell/session.py
+++ b/wasabipaddle/cell/session.py
@@ -6,9 +6,10 @@
 
 from wasabipaddle.cell.advice import AdviceBalancer
 from wasabipaddle.cell.calls import RunnerCalls
+from wasabipaddle.cell.fleet import FleetRecord
 from wasabipaddle.cell.intake import IntakeWatcher, RegistryWatcher
 from wasabipaddle.cell.keys import PROGRESS_PREFIX
-from wasabipaddle.cell.writer import FleetRecord, ProgressWriter
+from wasabipaddle.cell.writer import ProgressWriter
 from wasabipaddle.dispatch import Scheduler
 from wasabipaddle.dispatch.state import Timing
 from wasabipaddle.exceptions import ErrorKind, Failure
@@ -160,16 +161,19 @@
         """Add all runners of the stored fleet record, and mark them as suspect.
 
         The registry may no longer list some of them, but they may run tasks of the
-        previous dispatcher until the leases that it granted have expired.
+        previous dispatcher until the leases that it granted have expired. A runner that
+        did not answer the previous dispatcher either has only those of earlier ones.
         """
         timing = self.scheduler.state.timing
-        wait_s = timing.lease_s * CLOCK_DRIFT_FACTOR + STEP_DOWN_S
-        until_s = self.now() + wait_s
-        for entry in await self.fleet.load():
-            runner = self.scheduler.set_runner(entry, self.now())
+        lease_wait_s = timing.lease_s * CLOCK_DRIFT_FACTOR + STEP_DOWN_S
+        for row in await self.fleet.load():
+            runner = self.scheduler.set_runner(row.entry, self.now())
             runner.listed = False
-            runner.in_fleet_record = True
-            self.scheduler.state.suspects[entry.id] = until_s
+            runner.in_fleet_record = row.wait_s is None
+            wait_s = lease_wait_s
+            if row.wait_s is not None:
+                wait_s = min(row.wait_s, lease_wait_s)
+            self.scheduler.state.suspects[row.id] = self.now() + wait_s
 
     async def _load_progress(self):
         while True:
--- a/wasabipaddle/cell/tests/conftest.py
+++ b/wasabipaddle/cell/tests/conftest.py
@@ -1,6 +1,7 @@
 """Test cell: processes that share one event loop and an in-memory store."""
 
 import asyncio
+import zlib
 
 import pytest
 from result import Err
@@ -69,7 +70,10 @@
             platform=PlatformAddresses(store="127.0.0.1:4"),
         )
         self.context = Context.create(
-            settings=settings, clock=LoopClock(), process=name, seed=hash(name)
+            settings=settings,
+            clock=LoopClock(),
+            process=name,
+            seed=zlib.crc32(name.encode()),
         )
         self.store_plugin = CellStorePlugin(context=self.context)
         self.store_plugin.store = TransactionsClient(memory=memory, client=name)
--- a/wasabipaddle/cell/tests/test_session_parts.py
+++ b/wasabipaddle/cell/tests/test_session_parts.py
@@ -6,10 +6,11 @@
 from result import Err, Ok
 
 from wasabipaddle.cell.advice import AdviceBalancer
+from wasabipaddle.cell.fleet import FleetRecord
 from wasabipaddle.cell.intake import IntakeWatcher, RegistryWatcher
 from wasabipaddle.cell.keys import CANCEL_PREFIX, FLEET_KEY, JOB_PREFIX, LEADER_KEY
 from wasabipaddle.cell.tests.conftest import JOB, QUEUE, SPEC
-from wasabipaddle.cell.writer import FleetRecord, ProgressWriter
+from wasabipaddle.cell.writer import ProgressWriter
 from wasabipaddle.clock import run_virtual
 from wasabipaddle.dispatch import Scheduler
 from wasabipaddle.dispatch.orders import AdviceRequest
@@ -205,6 +206,63 @@
     with_cell(make_test_cell, scenario)
 
 
+def test_runner_with_a_recorded_wait_gets_work_only_after_it_is_recorded_again(
+    make_test_cell,
+):
+    """Guards against a successor that waits too briefly for a runner with work.
+
+    The runner does not answer at first, so that the record names the remaining wait.
+    """
+
+    async def scenario(cell, tasks):
+        process, scheduler, session = make_session(cell)
+        state = scheduler.state
+        runner = scheduler.set_runner(runner_entry("r0"), session.now())
+        runner.in_fleet_record = True
+        state.suspects["r0"] = session.now() + 6.3
+        fleet = FleetRecord(
+            store_plugin=process.store_plugin, scheduler=scheduler, session=session
+        )
+        tasks.append(asyncio.create_task(fleet.run()))
+        fleet.changed.set()
+        await asyncio.sleep(0.1)
+        assert [row.wait_s for row in await fleet.load()] == [None]
+        await asyncio.sleep(2.0)
+        (row,) = await fleet.load()
+        assert 4.0 < row.wait_s < 5.3
+        assert row.entry == runner.entry
+        assert not runner.in_fleet_record
+        del state.suspects["r0"]
+        await asyncio.sleep(0.6)
+        assert [row.wait_s for row in await fleet.load()] == [None]
+        assert runner.in_fleet_record
+
+    with_cell(make_test_cell, scenario)
+
+
+def test_failed_write_of_the_fleet_record_is_repeated_without_new_changes(
+    make_test_cell,
+):
+    """Guards against work on a runner that a lost write has left out of the record."""
+
+    async def scenario(cell, tasks):
+        process, scheduler, session = make_session(cell)
+        fleet = FleetRecord(
+            store_plugin=process.store_plugin, scheduler=scheduler, session=session
+        )
+        runner = scheduler.set_runner(runner_entry("r0"), session.now())
+        epoch, session.epoch = session.epoch, 1
+        tasks.append(asyncio.create_task(fleet.run()))
+        await asyncio.sleep(1.0)
+        assert not runner.in_fleet_record
+        session.epoch = epoch
+        await asyncio.sleep(1.0)
+        assert runner.in_fleet_record
+        assert [row.id for row in await fleet.load()] == ["r0"]
+
+    with_cell(make_test_cell, scenario)
+
+
 class FakeAdviceMembers:
     """Stand-in for `MembersPlugin` whose processes take 0.5 s for each request."""
 
--- a/wasabipaddle/cell/writer.py
+++ b/wasabipaddle/cell/writer.py
@@ -1,21 +1,18 @@
-"""Writes of the dispatcher: progress of jobs, and the fleet record."""
+"""Writes of the progress of jobs by the dispatcher."""
 
 import asyncio
 
-import msgspec
-
 from wasabipaddle.cell.keys import (
     CANCEL_PREFIX,
-    FLEET_KEY,
     JOB_PREFIX,
     LEADER_KEY,
     PROGRESS_PREFIX,
 )
 from wasabipaddle.exceptions import ErrorKind
 from wasabipaddle.interfaces import Put
-from wasabipaddle.jobs import RunnerEntry, encode_progress
+from wasabipaddle.jobs import encode_progress
 
-__all__ = ["FleetRecord", "ProgressWriter"]
+__all__ = ["ProgressWriter"]
 
 # A commit of the store holds up to 32 entries: one condition on the epoch, and one
 # condition and one value for each job.
@@ -147,80 +144,3 @@
                 for entry in old:
                     state.jobs.pop(entry.id, None)
                     self.revisions.pop(entry.id, None)
-
-
-class FleetRecord:
-    """Stored list of the runners that may run tasks.
-
-    After a takeover, tasks of recovered jobs may still run on these runners. Before the
-    new dispatcher starts such a task, it waits until each of the runners has sent its
-    inventory or the leases there have expired. A runner therefore gets work only once
-    it is in the record.
-
-    Parameters
-    ----------
-    store_plugin : CellStorePlugin
-        The store.
-    scheduler : Scheduler
-        Holds the runners.
-    session : DispatchSession
-        Provides the epoch.
-    """
-
-    def __init__(self, *, store_plugin, scheduler, session):
-        self.store_plugin = store_plugin
-        self.scheduler = scheduler
-        self.session = session
-        self.revision = 0
-        self.recorded_ids = set()
-        self.changed = asyncio.Event()
-
-    async def load(self):
-        """Return the stored entries, with retries until the store responds."""
-        while True:
-            found = await self.store_plugin.call(self.store_plugin.store.get(FLEET_KEY))
-            if found.is_ok():
-                break
-            await asyncio.sleep(RETRY_S)
-        entry = found.ok()
-        if entry is None:
-            return []
-        self.revision = entry.revision
-        runners = msgspec.json.decode(entry.value, type=list[RunnerEntry])
-        self.recorded_ids = {runner.id for runner in runners}
-        return runners
-
-    async def run(self):
-        """Write the record whenever a runner is added or removed.
-
-        A removed runner that stayed in the record would delay the next takeover.
-        """
-        known_runners = self.scheduler.state.runners
-        while True:
-            await self.changed.wait()
-            await asyncio.sleep(BATCH_DELAY_S)
-            self.changed.clear()
-            runners = list(known_runners.values())
-            if {runner.id for runner in runners} == self.recorded_ids:
-                continue
-            value = msgspec.json.encode([runner.entry for runner in runners])
-            written = await self.store_plugin.call(
-                self.store_plugin.store.commit(
-                    conditions=(
-                        (LEADER_KEY, self.session.epoch),
-                        (FLEET_KEY, self.revision),
-                    ),
-                    puts=(Put(key=FLEET_KEY, value=value),),
-                )
-            )
-            if written.is_ok():
-                self.revision = written.ok()
-                self.recorded_ids = {runner.id for runner in runners}
-                for runner in runners:
-                    runner.in_fleet_record = True
-                self.session.wake()
-                continue
-            self.changed.set()
-            if written.err().kind is ErrorKind.REVISION_MISMATCH:
-                await self.load()
-            await asyncio.sleep(RETRY_S)
--- /dev/null
+++ b/wasabipaddle/dispatch/fleet.py
@@ -0,0 +1,58 @@
+"""Content of the stored fleet record, and the jobs that wait for suspect runners."""
+
+from wasabipaddle.jobs import RecordedRunner
+
+__all__ = ["runners_to_record", "waits_for_suspects"]
+
+
+def runners_to_record(state, now, *, with_waits):
+    """Return the runners that may have work, for the stored fleet record.
+
+    A runner that leaves or has left, and has no runs, is left out: a successor need not
+    wait for it. The wait for a suspect runner goes on over several takeovers, since no
+    dispatcher can have given it work in the meantime.
+
+    Parameters
+    ----------
+    with_waits : bool
+        Whether to record the remaining wait for suspect runners. A runner with a
+        recorded wait must be recorded again before it gets work.
+
+    Returns
+    -------
+    list of RecordedRunner
+    """
+    recorded = []
+    for runner in state.runners.values():
+        wait_s = None
+        if runner.id in state.suspects:
+            if with_waits:
+                wait_s = max(state.suspects[runner.id] - now, 0.0)
+        elif not _may_have_work(runner):
+            continue
+        recorded.append(RecordedRunner.create(runner.entry, wait_s))
+    return recorded
+
+
+def _may_have_work(runner):
+    """Return whether a runner may get work, or has runs or unacknowledged ends."""
+    staying = runner.listed and not runner.entry.draining
+    return (
+        staying
+        or bool(runner.runs)
+        or bool(runner.pending_acknowledgements)
+        or runner.lists_unknown_tasks
+    )
+
+
+def waits_for_suspects(state, step) -> bool:
+    """Return whether tasks of a step may run on a runner that has not answered.
+
+    Only tasks of jobs from before the takeover may, and only on runners of the pool to
+    which the queue sends, or sent when the job was accepted.
+    """
+    if not step.job.recovered or not state.suspects:
+        return False
+    pools = (step.job.queue.pool, step.job.job.policy.pool)
+    suspects = map(state.runners.get, state.suspects)
+    return any(r is None or r.entry.pool in pools for r in suspects)
--- a/wasabipaddle/dispatch/placement.py
+++ b/wasabipaddle/dispatch/placement.py
@@ -1,5 +1,6 @@
 """Choice of the runner for each waiting task."""
 
+from wasabipaddle.dispatch.fleet import waits_for_suspects
 from wasabipaddle.dispatch.model import Run, RunPhase
 from wasabipaddle.dispatch.orders import StartTask
 
@@ -41,7 +42,7 @@
         self.preemption.begin_round()
         self.state.capacity_exhausted = self.state.urgent_task_waiting = False
         for step in sorted(self.state.ready.values(), key=priority_key):
-            if step.job.recovered and self.state.suspects:
+            if waits_for_suspects(self.state, step):
                 continue
             if step.spec.gang:
                 self._plan_gang(step, now)
--- a/wasabipaddle/dispatch/scheduler.py
+++ b/wasabipaddle/dispatch/scheduler.py
@@ -2,6 +2,7 @@
 
 from wasabipaddle.dispatch.advisor import Advisor
 from wasabipaddle.dispatch.evacuation import Evacuation
+from wasabipaddle.dispatch.fleet import runners_to_record
 from wasabipaddle.dispatch.lifecycle import Lifecycle
 from wasabipaddle.dispatch.placement import Placement
 from wasabipaddle.dispatch.preemption import Preemption
@@ -115,6 +116,10 @@
             del self.state.runners[runner.id]
         return departed
 
+    def runners_to_record(self, now, *, with_waits):
+        """Return the runners for the stored fleet record; see `dispatch.fleet`."""
+        return runners_to_record(self.state, now, with_waits=with_waits)
+
     def advance(self, now):
         """Do the periodic work.
 
--- a/wasabipaddle/dispatch/tests/test_takeover.py
+++ b/wasabipaddle/dispatch/tests/test_takeover.py
@@ -1,5 +1,7 @@
 """Takeovers: recovery of the scheduler from the store and the runners."""
 
+import attrs
+
 from wasabipaddle.dispatch.tests.conftest import step
 from wasabipaddle.interfaces import EndCause
 from wasabipaddle.jobs import JobPhase
@@ -174,3 +176,52 @@
     cell.scheduler.reports.record_write([], generation)
     cell.write()
     assert second.runner.acknowledged == 1
+
+
+def test_wait_for_a_suspect_runner_concerns_the_jobs_of_its_pool_only(cell):
+    """Guards against an outage of one pool that stops the recovered jobs of another."""
+    entry = cell.submit("j0", step(1))
+    cell.take_over(1, {}, [entry.job])
+    cell.unresponsive.add("r1")
+    runner = cell.state.runners["r1"]
+    cell.scheduler.set_runner(attrs.evolve(runner.entry, pool="other"), cell.now)
+    cell.read_inventories()
+    cell.plan()
+    assert len(cell.started) == 1
+
+
+def recorded(cell, *, with_waits=True):
+    rows = cell.scheduler.runners_to_record(cell.now, with_waits=with_waits)
+    return {row.id: row.wait_s for row in rows}
+
+
+def test_draining_runner_without_runs_is_left_out_of_the_fleet_record(cell):
+    """Guards against a wait of the next dispatcher for a runner that left idle."""
+    entry = cell.submit("j0", step(1))
+    cell.plan()
+    run = entry.steps[(0, 0)].tasks[0].runs[0]
+    name = run.runner.id
+    cell.scheduler.set_runner(cell.entry(name, draining=True), cell.now)
+    assert recorded(cell) == {"r0": None, "r1": None}
+    cell.runners[name].end(*run.key)
+    cell.read_inventories()
+    assert name in recorded(cell), "its end is not durable yet"
+    cell.write()
+    assert name not in recorded(cell)
+    cell.scheduler.set_runner(cell.entry(name), cell.now)
+    assert name in recorded(cell)
+
+
+def test_wait_for_a_suspect_runner_goes_on_over_takeovers(cell):
+    """Guards against a wait that each of several takeovers in a row starts anew."""
+    entry = cell.submit("j0", step(1))
+    cell.take_over(1, {}, [entry.job])
+    cell.unresponsive.add("r1")
+    cell.advance_time(2.0)
+    waits = recorded(cell)
+    assert waits["r0"] is None
+    assert 4.0 < waits["r1"] < 4.4
+    assert recorded(cell, with_waits=False) == {"r0": None, "r1": None}
+    cell.unresponsive.clear()
+    cell.read_inventories()
+    assert recorded(cell) == {"r0": None, "r1": None}
--- a/wasabipaddle/jobs/__init__.py
+++ b/wasabipaddle/jobs/__init__.py
@@ -7,7 +7,7 @@
     Pool,
     Queue,
 )
-from wasabipaddle.jobs.fleet import Capacity, RunnerEntry
+from wasabipaddle.jobs.fleet import Capacity, RecordedRunner, RunnerEntry
 from wasabipaddle.jobs.model import Job, JobPhase, JobSpec, StepSpec, TaskId
 from wasabipaddle.jobs.records import (
     JobProgress,
@@ -28,6 +28,7 @@
     "Limits",
     "Pool",
     "Queue",
+    "RecordedRunner",
     "RunnerEntry",
     "StepSpec",
     "TaskId",
--- a/wasabipaddle/jobs/fleet.py
+++ b/wasabipaddle/jobs/fleet.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-__all__ = ["Capacity", "RunnerEntry"]
+__all__ = ["Capacity", "RecordedRunner", "RunnerEntry"]
 
 
 @attrs.frozen(kw_only=True)
@@ -55,3 +55,32 @@
     def rack(self) -> str:
         """Rack of the runner, empty if it has no labels."""
         return self.labels[-1] if self.labels else ""
+
+
+@attrs.frozen(kw_only=True)
+class RecordedRunner(RunnerEntry):
+    """Runner in the stored fleet record.
+
+    Parameters
+    ----------
+    wait_s : float or None
+        For a runner that has not answered the dispatcher which wrote the record: time
+        in seconds until the leases of earlier dispatchers have certainly expired.
+        None if the runner may have work of that dispatcher.
+    """
+
+    wait_s: float | None = None
+
+    @classmethod
+    def create(cls, entry, wait_s):
+        """Return the record of a runner with this registry entry."""
+        return cls(**_entry_fields(entry), wait_s=wait_s)
+
+    @property
+    def entry(self) -> RunnerEntry:
+        """Registry entry of the runner."""
+        return RunnerEntry(**_entry_fields(self))
+
+
+def _entry_fields(entry):
+    return {f.name: getattr(entry, f.name) for f in attrs.fields(RunnerEntry)}
