Copy a late speculative run only if the copy would end first

Change: the usual duration of the step goes before the estimate, and a run that reports progress is copied only if the remaining time exceeds that of a new run. Proof: the new test fails before the change.

--- a/wasabipaddle/dispatch/placement.py
+++ b/wasabipaddle/dispatch/placement.py
@@ -1,7 +1,7 @@
 """Choice of the runner for each waiting task."""
 
 from wasabipaddle.dispatch.fleet import waits_for_suspects
-from wasabipaddle.dispatch.model import Run, RunPhase
+from wasabipaddle.dispatch.model import COMPARED_PERCENT, Run, RunPhase
 from wasabipaddle.dispatch.orders import StartTask
 
 __all__ = ["Placement", "free_slots", "priority_key", "within_runner_limit"]
@@ -12,8 +12,8 @@
 PREFERRED_RACK_WEIGHT = 2.0
 AVOIDED_PENALTY = 4.0
 INTERFERENCE_PENALTY = 1.5
-# A run of a speculative task is late after LATE_ESTIMATE_FACTOR times its estimated
-# duration plus LATE_MARGIN_S.
+# A run of a speculative task may be late after LATE_ESTIMATE_FACTOR times its usual or
+# estimated duration plus LATE_MARGIN_S.
 LATE_ESTIMATE_FACTOR = 1.3
 LATE_MARGIN_S = 0.2
 
@@ -239,11 +239,24 @@
 
 
 def _is_late(run, now):
-    """Return whether a run is far over its estimate, or its runner is paused."""
+    """Return whether a copy that starts now is expected to end before the run.
+
+    A run on a paused runner always counts as late, other runs only once they are far
+    over their usual or estimated duration.
+    """
     if run.phase is not RunPhase.RUNNING:
         return False
-    late_s = LATE_ESTIMATE_FACTOR * run.task.spec.estimate_s + LATE_MARGIN_S
-    return now - run.started_s > late_s or now < run.runner.paused_until_s
+    if now < run.runner.paused_until_s:
+        return True
+    usual_s = run.usual_duration_s()
+    expected_s = run.task.spec.estimate_s if usual_s is None else usual_s
+    if now - run.started_s <= LATE_ESTIMATE_FACTOR * expected_s + LATE_MARGIN_S:
+        return False
+    observed_s = run.runner.last_inventory_s - run.started_s
+    if observed_s <= 0 or run.percent < COMPARED_PERCENT:
+        return True
+    remaining_s = observed_s * (100 - run.percent) / run.percent
+    return remaining_s - (now - run.runner.last_inventory_s) > expected_s
 
 
 def _needs_copy(task, now):
--- a/wasabipaddle/dispatch/tests/test_policies.py
+++ b/wasabipaddle/dispatch/tests/test_policies.py
@@ -251,6 +251,25 @@
     assert not any(r.runs for r in cell.state.runners.values())
 
 
+def test_task_that_ends_before_a_copy_could_gets_no_copy(cell):
+    """Guards against copies of a whole step whose estimate is too small.
+
+    After 2 s the runs of the first job are at 50 percent, which leaves 2 s; a new run
+    takes the usual 1 s. The runs of the second job are at 80 percent, which leaves
+    0.5 s.
+    """
+    cell.submit("j0", step(1, speculative=True, cpu=500, estimate_s=1.0))
+    late = cell.submit("j1", step(1, speculative=True, cpu=500, estimate_s=1.0))
+    cell.plan()
+    run = run_of(late)
+    cell.now += 2.0
+    cell.read_inventories()
+    run.percent = 80
+    cell.scheduler.advance(cell.now)
+    cell.plan()
+    assert [task.job for task, _, _ in cell.started] == ["j0", "j1", "j0"]
+
+
 def test_task_that_is_not_speculative_gets_no_copy(cell):
     """Guards against two concurrent runs of a task that is not speculative."""
     cell.submit("j0", step(1, cpu=500, estimate_s=0.5))
--- a/wasabipaddle/dispatch/watchdog.py
+++ b/wasabipaddle/dispatch/watchdog.py
@@ -1,8 +1,6 @@
 """Detection of stalled and slow runs, and throttling of opportunistic tasks."""
 
-import statistics
-
-from wasabipaddle.dispatch.model import COMPARED_PERCENT, COMPARED_RUNS, RunPhase
+from wasabipaddle.dispatch.model import RunPhase
 from wasabipaddle.dispatch.orders import PaceTask
 
 __all__ = ["Watchdog"]
@@ -168,32 +166,9 @@
 def _slowness(runner, run):
     """Return the ratio of projected to usual duration of a run, None if unknown."""
     elapsed_s = runner.last_inventory_s - run.started_s
-    usual_s = _usual_duration_s(run)
+    usual_s = run.usual_duration_s()
     if usual_s is None:
         usual_s = ESTIMATE_FACTOR * run.task.spec.estimate_s
     if elapsed_s < max(MIN_OBSERVED_S, MIN_OBSERVED_FRACTION * usual_s):
         return None
     return 100 * elapsed_s / max(run.percent, 1) / max(usual_s, MIN_OBSERVED_S)
-
-
-def _usual_duration_s(run):
-    """Return the median duration of the other runs of a step.
-
-    Durations of running tasks are projected. Returns None for too few runs.
-    """
-    step = run.task.step
-    if len(step.durations_s) >= COMPARED_RUNS:
-        return statistics.median(step.durations_s)
-    others = [
-        other
-        for task in step.tasks
-        for other in task.runs
-        if other is not run
-        and other.phase is RunPhase.RUNNING
-        and not other.excluded_from_timing
-        and other.percent >= COMPARED_PERCENT
-    ]
-    durations_s = [other.projected_s() for other in others] + step.durations_s
-    if len(durations_s) < COMPARED_RUNS:
-        return None
-    return statistics.median(durations_s)
