Take a runner for gone once another runner answers at its address

Change: that answer, and a refused connection of a draining unlisted runner, clear the suspicion and remove the runs at once. Orders for a runner without a client are reported as not delivered instead of raising KeyError. Whether ends remain is computed from all ends of an inventory, not from the last one listed. Proof: two new tests of the takeover; suites of dispatch and cell pass.

--- a/wasabipaddle/cell/calls.py
+++ b/wasabipaddle/cell/calls.py
@@ -64,6 +64,11 @@
     async def _start(self, order):
         run, session = order.run, self.session
         runner, task = run.runner, run.task
+        client = self.clients.get(runner.id)
+        if client is None:
+            outcome = StartOutcome.NOT_DELIVERED
+            self.scheduler.reports.start_replied(run, outcome, None, session.now())
+            return
         run.start_before_ms = self.scheduler.extend_start_lease(runner, session.now())
         message = StartOrder(
             task=task.id,
@@ -75,7 +80,7 @@
             ticket=order.ticket,
         )
         sent_s = session.now()
-        result = await self.clients[runner.id].start(message, timeout_s=ORDER_TIMEOUT_S)
+        result = await client.start(message, timeout_s=ORDER_TIMEOUT_S)
         now = session.now()
         outcome, reply = StartOutcome.REPLIED, None
         if result.is_ok():
@@ -130,7 +135,10 @@
 
     async def _pace(self, order):
         session, run = self.session, order.run
-        result = await self.clients[run.runner.id].pace(
+        client = self.clients.get(run.runner.id)
+        if client is None:
+            return
+        result = await client.pace(
             run.task.id,
             run.number,
             percent=order.percent,
@@ -190,6 +198,11 @@
                 if refused:
                     scheduler.inventory_not_delivered(runner, previous_until_ms)
                     scheduler.connection_refused(runner, now)
+                elif (
+                    result.is_ok() and result.ok().refusal is Refusal.OTHER_INCARNATION
+                ):
+                    scheduler.runner_exited(runner, now)
+                    session.wake()
                 await asyncio.sleep(min(RETRY_S * failures, MAX_RETRY_S))
                 continue
             if failures:
--- a/wasabipaddle/dispatch/fleet.py
+++ b/wasabipaddle/dispatch/fleet.py
@@ -36,7 +36,7 @@
 
 def _may_have_work(runner):
     """Return whether a runner may get work, or has runs or unacknowledged ends."""
-    staying = runner.listed and not runner.entry.draining
+    staying = runner.listed and not runner.entry.draining and not runner.exited
     return (
         staying
         or bool(runner.runs)
--- a/wasabipaddle/dispatch/reports.py
+++ b/wasabipaddle/dispatch/reports.py
@@ -48,6 +48,7 @@
             self._begin_incarnation(runner, inventory, now)
         runner.set_clock(inventory.clock_ms, now)
         runner.inventoried = True
+        runner.exited = False
         runner.last_inventory_s = now
         lists_unknown_tasks = self._take_ended(runner, inventory, now)
         listed = set()
@@ -126,9 +127,7 @@
                 runner.pending_acknowledgements.append(
                     (generation, runner.processed_end)
                 )
-        return (
-            bool(inventory.ended) and inventory.ended[-1].number > runner.processed_end
-        )
+        return any(e.number > runner.processed_end for e in inventory.ended)
 
     def _unknown_task_wait_expired(self, runner, now):
         """Return whether the wait for unknown tasks is over; begin it if necessary."""
--- a/wasabipaddle/dispatch/runners.py
+++ b/wasabipaddle/dispatch/runners.py
@@ -3,7 +3,7 @@
 import attrs
 
 from wasabipaddle.dispatch.health import RunnerHealth
-from wasabipaddle.jobs import RunnerEntry
+from wasabipaddle.jobs import Capacity, RunnerEntry
 
 __all__ = ["RunnerState"]
 
@@ -33,6 +33,8 @@
         Whether this dispatcher has received an inventory of the runner.
     listed : bool
         Whether the registry lists the runner.
+    exited : bool
+        Whether the runner is known to have exited, and has not answered since.
     in_fleet_record : bool
         Whether the stored fleet record names the runner, so that the next dispatcher
         asks it for its runs.
@@ -73,6 +75,7 @@
     leaves_at_s: float = 0.0
     inventoried: bool = False
     listed: bool = True
+    exited: bool = False
     in_fleet_record: bool = False
     clock_ms: int = 0
     clock_s: float = 0.0
@@ -172,12 +175,19 @@
         return (
             self.inventoried
             and self.listed
+            and not self.exited
             and self.in_fleet_record
             and not self.lists_unknown_tasks
             and not self.entry.draining
             and now >= self.paused_until_s
         )
 
+    @property
+    def free(self) -> Capacity:
+        """Capacity that is not reserved."""
+        reserved = Capacity(cpu=self.cpu, memory_mb=self.memory_mb, gpus=self.gpus)
+        return self.entry.capacity - reserved
+
     @property
     def free_cpu_fraction(self) -> float:
         """Fraction of the processor capacity that is not reserved."""
--- a/wasabipaddle/dispatch/scheduler.py
+++ b/wasabipaddle/dispatch/scheduler.py
@@ -94,10 +94,20 @@
     def connection_refused(self, runner, now):
         """Process a refused connection.
 
-        A draining runner that is no longer listed has exited, so its runs are removed.
+        A draining runner that is no longer listed has exited.
         """
-        if runner.listed or not runner.entry.draining or not runner.runs:
+        if not runner.listed and runner.entry.draining:
+            self.runner_exited(runner, now)
+
+    def runner_exited(self, runner, now):
+        """Remove the runs of a runner that has exited; nothing can run there any more.
+
+        That is certain, for example, if another runner answers at its address.
+        """
+        if runner.exited:
             return
+        runner.exited = True
+        self.state.suspects.pop(runner.id, None)
         self.state.journal("runner_left", runner=runner.id, runs=len(runner.runs))
         for run in list(runner.runs.values()):
             self.lifecycle.remove_run(run, now)
--- a/wasabipaddle/dispatch/tests/test_takeover.py
+++ b/wasabipaddle/dispatch/tests/test_takeover.py
@@ -225,3 +225,31 @@
     cell.unresponsive.clear()
     cell.read_inventories()
     assert recorded(cell) == {"r0": None, "r1": None}
+
+
+def test_runner_whose_address_another_runner_has_is_not_waited_for(cell):
+    """Guards against recovered jobs that wait for a runner that has exited."""
+    entry = cell.submit("j0", step(2))
+    cell.plan()
+    cell.take_over(1, {}, [entry.job])
+    cell.unresponsive.add("r1")
+    cell.read_inventories()
+    cell.plan()
+    assert cell.started == []
+    runner = cell.state.runners["r1"]
+    cell.scheduler.runner_exited(runner, cell.now)
+    cell.plan()
+    assert [name for _, _, name in cell.started] == ["r0"]
+    assert not runner.usable(cell.now)
+    assert "r1" not in recorded(cell)
+
+
+def test_runs_on_a_runner_that_has_exited_start_elsewhere_at_once(cell):
+    """Guards against a task that waits for the lease on a runner that has exited."""
+    entry = cell.submit("j0", step(1))
+    cell.plan()
+    run = entry.steps[(0, 0)].tasks[0].runs[0]
+    cell.scheduler.runner_exited(run.runner, cell.now)
+    cell.plan()
+    assert len(cell.started) == 2
+    assert cell.started[1][2] != run.runner.id
