Free GPUs and respect max_per_runner in preemption

Cause: victims were chosen by processors and memory only, so an urgent GPU task could stop runs and still not fit, and runs were stopped on a runner that may take no further task of the step. Change: reservations and claims are compared as capacities with GPUs; a run is stopped only if it releases something that is missing. Proof: three new tests fail before the change.

--- a/wasabipaddle/dispatch/preemption.py
+++ b/wasabipaddle/dispatch/preemption.py
@@ -1,6 +1,8 @@
 """Preemption of less urgent runs by urgent tasks."""
 
 from wasabipaddle.dispatch.model import RunPhase
+from wasabipaddle.dispatch.placement import within_runner_limit
+from wasabipaddle.jobs import Capacity
 
 __all__ = ["Preemption"]
 
@@ -51,9 +53,8 @@
         if best is None:
             return
         _, runner, victims = best
-        spec = task.spec
-        cpu, memory = self.claimed.get(runner.id, (0, 0))
-        self.claimed[runner.id] = (cpu + spec.cpu, memory + spec.memory_mb)
+        claimed = self.claimed.get(runner.id, Capacity())
+        self.claimed[runner.id] = claimed + _reservation(task.spec)
         for run in victims:
             run.excluded_from_timing = True
             self.state.journal(
@@ -72,25 +73,44 @@
 
         The list is empty if runs that are already stopping release enough.
         """
-        spec, capacity = task.spec, runner.entry.capacity
-        claimed_cpu, claimed_memory = self.claimed.get(runner.id, (0, 0))
-        cpu = capacity.cpu - runner.cpu - claimed_cpu
-        memory = capacity.memory_mb - runner.memory_mb - claimed_memory
+        if not within_runner_limit(task.step, runner):
+            return None
+        needed = _reservation(task.spec) + self.claimed.get(runner.id, Capacity())
+        free = runner.free
         for run in runner.runs.values():
             if run.phase is RunPhase.STOPPING:
-                cpu += 0 if run.task.spec.opportunistic else run.task.spec.cpu
-                memory += run.task.spec.memory_mb
+                free += _reservation(run.task.spec)
         victims = []
         candidates = [r for r in runner.runs.values() if _preemptible(r, task)]
         candidates.sort(key=lambda run: (not run.task.spec.checkpoints, run.percent))
         for run in candidates:
-            if cpu >= spec.cpu and memory >= spec.memory_mb:
+            if _fits(needed, free):
                 break
-            victims.append(run)
-            cpu += 0 if run.task.spec.opportunistic else run.task.spec.cpu
-            memory += run.task.spec.memory_mb
-        enough = cpu >= spec.cpu and memory >= spec.memory_mb
-        return victims if enough else None
+            released = _reservation(run.task.spec)
+            if _relieves(needed, free, released):
+                victims.append(run)
+                free += released
+        return victims if _fits(needed, free) else None
+
+
+def _reservation(spec):
+    """Return what a task of a step reserves on its runner."""
+    cpu = 0 if spec.opportunistic else spec.cpu
+    return Capacity(cpu=cpu, memory_mb=spec.memory_mb, gpus=spec.gpus)
+
+
+def _fits(needed, free):
+    return free.holds(needed.cpu, needed.memory_mb, needed.gpus)
+
+
+def _relieves(needed, free, released):
+    """Return whether released resources are among those that are missing."""
+    missing = needed - free
+    return (
+        (missing.cpu > 0 and released.cpu > 0)
+        or (missing.memory_mb > 0 and released.memory_mb > 0)
+        or (missing.gpus > 0 and released.gpus > 0)
+    )
 
 
 def _preemptible(run, task):
--- /dev/null
+++ b/wasabipaddle/dispatch/tests/test_preemption.py
@@ -0,0 +1,53 @@
+"""Choice of the runs that urgent tasks with several requirements stop."""
+
+import attrs
+
+from wasabipaddle.dispatch.orders import StopTask
+from wasabipaddle.dispatch.tests.conftest import step
+
+
+def stops_for_urgent(cell, urgent):
+    """Submit an urgent step, and return the stop orders after the delay."""
+    cell.now += 1.0
+    cell.read_inventories()
+    cell.submit("urgent", urgent, queue="urgent")
+    cell.plan()
+    cell.now += 0.2
+    _, orders = cell.plan()
+    return [order for order in orders if isinstance(order, StopTask)]
+
+
+def with_gpus(cell, count):
+    """Give the runners of a cell GPUs."""
+    for name in cell.runners:
+        entry = cell.entry(name)
+        capacity = attrs.evolve(entry.capacity, gpus=count)
+        cell.scheduler.set_runner(attrs.evolve(entry, capacity=capacity), cell.now)
+    return cell
+
+
+def test_urgent_gpu_task_stops_a_run_that_holds_gpus(make_cell):
+    """Guards against stops that free processors while the GPUs stay taken."""
+    cell = with_gpus(make_cell(runners=1), 8)
+    cell.submit("cpu", step(2, estimate_s=30.0))
+    cell.submit("gpu", step(1, gpus=8, estimate_s=30.0))
+    cell.plan()
+    stops = stops_for_urgent(cell, step(1, gpus=4))
+    assert [order.task.job for order in stops] == ["gpu"]
+
+
+def test_urgent_gpu_task_stops_nothing_if_the_gpus_cannot_be_freed(make_cell):
+    """Guards against runs that are stopped although the task still does not fit."""
+    cell = with_gpus(make_cell(runners=1), 8)
+    cell.submit("gpu", step(1, gpus=8, lasting=True))
+    cell.submit("cpu", step(3, estimate_s=30.0))
+    cell.plan()
+    assert stops_for_urgent(cell, step(1, cpu=2000, gpus=4)) == []
+
+
+def test_nothing_is_stopped_on_a_runner_at_the_limit_of_the_step(make_cell):
+    """Guards against stops on a runner that may not take another task of the step."""
+    cell = make_cell(runners=1)
+    cell.submit("cpu", step(3, estimate_s=30.0))
+    cell.plan()
+    assert stops_for_urgent(cell, step(3, max_per_runner=1)) == []
