Tie recorded waits of suspect runners to the term of their dispatcher

Cause: found by reading. A dispatcher of an earlier build ignores recorded waits; as it compares identifiers only, it keeps the record and may give the runner work. Its successor would then wait too briefly, and could start a task beside a run. Change: a recorded wait names the term, and holds for the next term only.

--- a/wasabipaddle/cell/fleet.py
+++ b/wasabipaddle/cell/fleet.py
@@ -44,8 +44,8 @@
     revision : int
         Revision of the stored record, 0 if there is none.
     recorded : set or None
-        Identifiers of the stored runners with their waits in full seconds, None if the
-        stored record is not known.
+        Identifiers of the stored runners with term and wait in full seconds, None if
+        the stored record is not known.
     changed : asyncio.Event
         Set to have the record compared with the fleet soon.
     """
@@ -85,7 +85,9 @@
                 pass
             self.changed.clear()
             now = self.session.now()
-            rows = self.scheduler.runners_to_record(now, with_waits=now >= settled_s)
+            rows = self.scheduler.runners_to_record(
+                now, with_waits=now >= settled_s, term=self.session.term
+            )
             self._exclude_unrecorded(rows)
             if _summarize(rows) == self.recorded or await self._write(rows):
                 self._admit(rows)
@@ -135,5 +137,6 @@
 
 def _summarize(rows):
     return {
-        (row.id, None if row.wait_s is None else math.ceil(row.wait_s)) for row in rows
+        (row.id, row.term, None if row.wait_s is None else math.ceil(row.wait_s))
+        for row in rows
     }
--- a/wasabipaddle/cell/session.py
+++ b/wasabipaddle/cell/session.py
@@ -69,6 +69,7 @@
         self.store_plugin = store_plugin
         self.configuration = configuration
         self.epoch = epoch
+        self.term = term
         self.step_down = step_down
         self.loaded = False
         self.tasks = TaskSet()
@@ -171,7 +172,7 @@
             runner.listed = False
             runner.in_fleet_record = row.wait_s is None
             wait_s = lease_wait_s
-            if row.wait_s is not None:
+            if row.wait_s is not None and row.term == self.term - 1:
                 wait_s = min(row.wait_s, lease_wait_s)
             self.scheduler.state.suspects[row.id] = self.now() + wait_s
 
--- a/wasabipaddle/cell/tests/test_session_parts.py
+++ b/wasabipaddle/cell/tests/test_session_parts.py
@@ -35,6 +35,7 @@
         self.settings = process.context.settings
         self.clock = process.context.clock
         self.epoch = 0
+        self.term = 3
 
     def now(self):
         return self.clock.now()
@@ -230,7 +231,7 @@
         await asyncio.sleep(2.0)
         (row,) = await fleet.load()
         assert 4.0 < row.wait_s < 5.3
-        assert row.entry == runner.entry
+        assert row.entry == runner.entry and row.term == session.term
         assert not runner.in_fleet_record
         del state.suspects["r0"]
         await asyncio.sleep(0.6)
--- a/wasabipaddle/dispatch/fleet.py
+++ b/wasabipaddle/dispatch/fleet.py
@@ -5,7 +5,7 @@
 __all__ = ["runners_to_record", "waits_for_suspects"]
 
 
-def runners_to_record(state, now, *, with_waits):
+def runners_to_record(state, now, *, with_waits, term=0):
     """Return the runners that may have work, for the stored fleet record.
 
     A runner that leaves or has left, and has no runs, is left out: a successor need not
@@ -17,6 +17,8 @@
     with_waits : bool
         Whether to record the remaining wait for suspect runners. A runner with a
         recorded wait must be recorded again before it gets work.
+    term : int
+        Term of this dispatcher, recorded with the waits.
 
     Returns
     -------
@@ -24,13 +26,13 @@
     """
     recorded = []
     for runner in state.runners.values():
-        wait_s = None
-        if runner.id in state.suspects:
-            if with_waits:
-                wait_s = max(state.suspects[runner.id] - now, 0.0)
-        elif not _may_have_work(runner):
-            continue
-        recorded.append(RecordedRunner.create(runner.entry, wait_s))
+        suspect = runner.id in state.suspects
+        if suspect and with_waits:
+            wait_s = max(state.suspects[runner.id] - now, 0.0)
+            row = RecordedRunner.create(runner.entry, wait_s=wait_s, term=term)
+            recorded.append(row)
+        elif suspect or _may_have_work(runner):
+            recorded.append(RecordedRunner.create(runner.entry))
     return recorded
 
 
--- a/wasabipaddle/dispatch/scheduler.py
+++ b/wasabipaddle/dispatch/scheduler.py
@@ -126,9 +126,9 @@
             del self.state.runners[runner.id]
         return departed
 
-    def runners_to_record(self, now, *, with_waits):
+    def runners_to_record(self, now, *, with_waits, term=0):
         """Return the runners for the stored fleet record; see `dispatch.fleet`."""
-        return runners_to_record(self.state, now, with_waits=with_waits)
+        return runners_to_record(self.state, now, with_waits=with_waits, term=term)
 
     def advance(self, now):
         """Do the periodic work.
--- a/wasabipaddle/jobs/fleet.py
+++ b/wasabipaddle/jobs/fleet.py
@@ -81,14 +81,18 @@
         For a runner that has not answered the dispatcher which wrote the record: time
         in seconds until the leases of earlier dispatchers have certainly expired.
         None if the runner may have work of that dispatcher.
+    term : int
+        Term of the dispatcher that recorded the wait. The dispatcher of a later term
+        may have given the runner work without a new record, if it is of another build.
     """
 
     wait_s: float | None = None
+    term: int = 0
 
     @classmethod
-    def create(cls, entry, wait_s):
+    def create(cls, entry, *, wait_s=None, term=0):
         """Return the record of a runner with this registry entry."""
-        return cls(**_entry_fields(entry), wait_s=wait_s)
+        return cls(**_entry_fields(entry), wait_s=wait_s, term=term)
 
     @property
     def entry(self) -> RunnerEntry:
