Start the average latency of the store with the first call

Change: the average starts with the duration of the first call. Proof: the new test fails before the change.

--- a/wasabipaddle/cell/store.py
+++ b/wasabipaddle/cell/store.py
@@ -30,7 +30,7 @@
         Number of consecutive calls that failed because the store was unavailable,
         throttled the call or did not respond in time.
     latency_s : float
-        Moving average of the duration of all other calls.
+        Moving average of the duration of all other calls, 0 before the first.
     unavailable_since_s : float
         Monotonic time at which the store last became unavailable.
     """
@@ -58,6 +58,8 @@
             away_ms = int((now - self.unavailable_since_s) * 1000)
             self.journal("store_regained", away_ms=away_ms)
         self.failures = 0
+        if not self.latency_s:
+            self.latency_s = seconds
         self.latency_s += LATENCY_WEIGHT * (seconds - self.latency_s)
 
 
--- a/wasabipaddle/cell/tests/test_handover.py
+++ b/wasabipaddle/cell/tests/test_handover.py
@@ -5,9 +5,11 @@
 import pytest
 from result import Ok
 
+from wasabipaddle.cell.election import FAR_LATENCY_S
 from wasabipaddle.cell.events import LeaderChanged
 from wasabipaddle.cell.handover import HandoverPlugin
 from wasabipaddle.cell.members import MembersPlugin
+from wasabipaddle.cell.store import StoreHealth
 from wasabipaddle.clock import LoopClock
 from wasabipaddle.kernel import Context
 from wasabipaddle.messages.jobs import HelloReply, LeaderNotice, MemberHello, Noted
@@ -194,3 +196,16 @@
         return sorted(leader.offered)
 
     assert run(scenario()) == ["p1", "p2"]
+
+
+def test_process_far_from_the_store_counts_as_far_from_its_first_call():
+    """Guards against a hand-over to a distant process that has just been restarted.
+
+    An average that starts at zero needs several calls to show the latency.
+    """
+    health = StoreHealth(journal=lambda kind, **values: None)
+    health.record(Ok(None), 0.052, 1.0)
+    assert health.latency_s > FAR_LATENCY_S
+    for second in range(2, 40):
+        health.record(Ok(None), 0.008, second)
+    assert health.latency_s < FAR_LATENCY_S
