--- a/wasabipaddle/dispatch/model.py
+++ b/wasabipaddle/dispatch/model.py
@@ -107,28 +107,6 @@
             return statistics.median(durations_s)
         return self.task.spec.estimate_s / (self.runner.health.speed or 1.0)
 
-    def usual_duration_s(self) -> float | None:
-        """Return the median duration of the other runs of the step.
-
-        Durations of running tasks are projected. Returns None for too few runs.
-        """
-        step = self.task.step
-        if len(step.durations_s) >= COMPARED_RUNS:
-            return statistics.median(step.durations_s)
-        others = [
-            other
-            for task in step.tasks
-            for other in task.runs
-            if other is not self
-            and other.phase is RunPhase.RUNNING
-            and not other.excluded_from_timing
-            and other.percent >= COMPARED_PERCENT
-        ]
-        durations_s = [other.projected_s() for other in others] + step.durations_s
-        if len(durations_s) < COMPARED_RUNS:
-            return None
-        return statistics.median(durations_s)
-
 
 @attrs.define(kw_only=True, eq=False)
 class Task:
@@ -230,6 +208,32 @@
             return None
         return statistics.median(self.durations_s) / max(seconds, MIN_RUN_S)
 
+    def usual_duration_s(self, *, without=None) -> float | None:
+        """Return the median duration of the runs of the step.
+
+        Durations of running tasks are projected. Returns None for too few runs.
+
+        Parameters
+        ----------
+        without : Run or None
+            Running task to leave out.
+        """
+        if len(self.durations_s) >= COMPARED_RUNS:
+            return statistics.median(self.durations_s)
+        running = [
+            run
+            for task in self.tasks
+            for run in task.runs
+            if run is not without
+            and run.phase is RunPhase.RUNNING
+            and not run.excluded_from_timing
+            and run.percent >= COMPARED_PERCENT
+        ]
+        durations_s = [run.projected_s() for run in running] + self.durations_s
+        if len(durations_s) < COMPARED_RUNS:
+            return None
+        return statistics.median(durations_s)
+
     @property
     def key(self):
         """Identity of the step: job, occurrence and position."""
--- a/wasabipaddle/dispatch/placement.py
+++ b/wasabipaddle/dispatch/placement.py
@@ -12,8 +12,8 @@
 PREFERRED_RACK_WEIGHT = 2.0
 AVOIDED_PENALTY = 4.0
 INTERFERENCE_PENALTY = 1.5
-# A run of a speculative task may be late after LATE_ESTIMATE_FACTOR times its usual or
-# estimated duration plus LATE_MARGIN_S.
+# A run of a speculative task may be late after LATE_ESTIMATE_FACTOR times its expected
+# duration plus LATE_MARGIN_S.
 LATE_ESTIMATE_FACTOR = 1.3
 LATE_MARGIN_S = 0.2
 
@@ -60,13 +60,15 @@
             run.task.step.key: run.task.step
             for runner in self.state.runners.values()
             for run in runner.runs.values()
-            if run.task.spec.speculative and _is_late(run, now)
+            if run.task.spec.speculative
         }
         for step in steps.values():
-            permitted = self._permitted(step, now)
-            for task in step.tasks:
-                if _needs_copy(task, now):
-                    self._start_copy(task, permitted, now)
+            usual_s = step.usual_duration_s()
+            expected_s = step.spec.estimate_s if usual_s is None else usual_s
+            late = [t for t in step.tasks if _needs_copy(t, expected_s, now)]
+            permitted = self._permitted(step, now) if late else []
+            for task in late:
+                self._start_copy(task, permitted, now)
 
     def _start_copy(self, task, permitted, now):
         run = task.runs[0]
@@ -238,18 +240,16 @@
     return sum(1 for run in runner.runs.values() if run.task.step is step)
 
 
-def _is_late(run, now):
+def _is_late(run, expected_s, now):
     """Return whether a copy that starts now is expected to end before the run.
 
     A run on a paused runner always counts as late, other runs only once they are far
-    over their usual or estimated duration.
+    over the expected duration.
     """
     if run.phase is not RunPhase.RUNNING:
         return False
     if now < run.runner.paused_until_s:
         return True
-    usual_s = run.usual_duration_s()
-    expected_s = run.task.spec.estimate_s if usual_s is None else usual_s
     if now - run.started_s <= LATE_ESTIMATE_FACTOR * expected_s + LATE_MARGIN_S:
         return False
     observed_s = run.runner.last_inventory_s - run.started_s
@@ -259,13 +259,13 @@
     return remaining_s - (now - run.runner.last_inventory_s) > expected_s
 
 
-def _needs_copy(task, now):
+def _needs_copy(task, expected_s, now):
     entry = task.step.job
     return (
         not task.completed
         and not entry.phase.final
         and len(task.runs) == 1
-        and _is_late(task.runs[0], now)
+        and _is_late(task.runs[0], expected_s, now)
         and len(task.failed_runs) + 1 < entry.queue.max_attempts
     )
 
--- a/wasabipaddle/dispatch/watchdog.py
+++ b/wasabipaddle/dispatch/watchdog.py
@@ -166,7 +166,7 @@
 def _slowness(runner, run):
     """Return the ratio of projected to usual duration of a run, None if unknown."""
     elapsed_s = runner.last_inventory_s - run.started_s
-    usual_s = run.usual_duration_s()
+    usual_s = run.task.step.usual_duration_s(without=run)
     if usual_s is None:
         usual_s = ESTIMATE_FACTOR * run.task.spec.estimate_s
     if elapsed_s < max(MIN_OBSERVED_S, MIN_OBSERVED_FRACTION * usual_s):
