--- a/wasabipaddle/dispatch/preemption.py
+++ b/wasabipaddle/dispatch/preemption.py
@@ -2,7 +2,6 @@
 
 from wasabipaddle.dispatch.model import RunPhase
 from wasabipaddle.dispatch.placement import within_runner_limit
-from wasabipaddle.jobs import Capacity
 
 __all__ = ["Preemption"]
 
@@ -53,8 +52,13 @@
         if best is None:
             return
         _, runner, victims = best
-        claimed = self.claimed.get(runner.id, Capacity())
-        self.claimed[runner.id] = claimed + _reservation(task.spec)
+        spec = task.spec
+        cpu, memory, gpus = self.claimed.get(runner.id, (0, 0, 0))
+        self.claimed[runner.id] = (
+            cpu + _cpu(spec),
+            memory + spec.memory_mb,
+            gpus + spec.gpus,
+        )
         for run in victims:
             run.excluded_from_timing = True
             self.state.journal(
@@ -75,42 +79,41 @@
         """
         if not within_runner_limit(task.step, runner):
             return None
-        needed = _reservation(task.spec) + self.claimed.get(runner.id, Capacity())
-        free = runner.free
+        spec, capacity = task.spec, runner.entry.capacity
+        claimed_cpu, claimed_memory, claimed_gpus = self.claimed.get(
+            runner.id, (0, 0, 0)
+        )
+        # What is missing; the loops run for many pairs of task and runner.
+        cpu = runner.cpu + claimed_cpu + _cpu(spec) - capacity.cpu
+        memory = runner.memory_mb + claimed_memory + spec.memory_mb - capacity.memory_mb
+        gpus = runner.gpus + claimed_gpus + spec.gpus - capacity.gpus
         for run in runner.runs.values():
             if run.phase is RunPhase.STOPPING:
-                free += _reservation(run.task.spec)
+                cpu -= _cpu(run.task.spec)
+                memory -= run.task.spec.memory_mb
+                gpus -= run.task.spec.gpus
         victims = []
         candidates = [r for r in runner.runs.values() if _preemptible(r, task)]
         candidates.sort(key=lambda run: (not run.task.spec.checkpoints, run.percent))
         for run in candidates:
-            if _fits(needed, free):
+            if cpu <= 0 and memory <= 0 and gpus <= 0:
                 break
-            released = _reservation(run.task.spec)
-            if _relieves(needed, free, released):
+            held = run.task.spec
+            if (
+                (cpu > 0 and _cpu(held))
+                or (memory > 0 and held.memory_mb)
+                or (gpus > 0 and held.gpus)
+            ):
                 victims.append(run)
-                free += released
-        return victims if _fits(needed, free) else None
+                cpu -= _cpu(held)
+                memory -= held.memory_mb
+                gpus -= held.gpus
+        return victims if cpu <= 0 and memory <= 0 and gpus <= 0 else None
 
 
-def _reservation(spec):
-    """Return what a task of a step reserves on its runner."""
-    cpu = 0 if spec.opportunistic else spec.cpu
-    return Capacity(cpu=cpu, memory_mb=spec.memory_mb, gpus=spec.gpus)
-
-
-def _fits(needed, free):
-    return free.holds(needed.cpu, needed.memory_mb, needed.gpus)
-
-
-def _relieves(needed, free, released):
-    """Return whether released resources are among those that are missing."""
-    missing = needed - free
-    return (
-        (missing.cpu > 0 and released.cpu > 0)
-        or (missing.memory_mb > 0 and released.memory_mb > 0)
-        or (missing.gpus > 0 and released.gpus > 0)
-    )
+def _cpu(spec):
+    """Return the processors that a task reserves, in thousandths of a core."""
+    return 0 if spec.opportunistic else spec.cpu
 
 
 def _preemptible(run, task):
--- a/wasabipaddle/dispatch/runners.py
+++ b/wasabipaddle/dispatch/runners.py
@@ -3,7 +3,7 @@
 import attrs
 
 from wasabipaddle.dispatch.health import RunnerHealth
-from wasabipaddle.jobs import Capacity, RunnerEntry
+from wasabipaddle.jobs import RunnerEntry
 
 __all__ = ["RunnerState"]
 
@@ -182,12 +182,6 @@
             and now >= self.paused_until_s
         )
 
-    @property
-    def free(self) -> Capacity:
-        """Capacity that is not reserved."""
-        reserved = Capacity(cpu=self.cpu, memory_mb=self.memory_mb, gpus=self.gpus)
-        return self.entry.capacity - reserved
-
     @property
     def free_cpu_fraction(self) -> float:
         """Fraction of the processor capacity that is not reserved."""
--- a/wasabipaddle/jobs/fleet.py
+++ b/wasabipaddle/jobs/fleet.py
@@ -17,20 +17,6 @@
         """Return whether a reservation fits into the whole capacity."""
         return self.cpu >= cpu and self.memory_mb >= memory_mb and self.gpus >= gpus
 
-    def __add__(self, other):
-        return Capacity(
-            cpu=self.cpu + other.cpu,
-            memory_mb=self.memory_mb + other.memory_mb,
-            gpus=self.gpus + other.gpus,
-        )
-
-    def __sub__(self, other):
-        return Capacity(
-            cpu=self.cpu - other.cpu,
-            memory_mb=self.memory_mb - other.memory_mb,
-            gpus=self.gpus - other.gpus,
-        )
-
 
 @attrs.frozen(kw_only=True)
 class RunnerEntry:
