--- /dev/null
+++ b/wasabipaddle/cell/tests/session_parts.py
@@ -0,0 +1,60 @@
+"""Surroundings of the parts of a dispatch session, for tests."""
+
+import asyncio
+
+from wasabipaddle.cell.keys import LEADER_KEY
+from wasabipaddle.clock import run_virtual
+from wasabipaddle.dispatch import Scheduler
+from wasabipaddle.dispatch.state import Timing
+from wasabipaddle.interfaces import Put
+from wasabipaddle.jobs import Capacity, RunnerEntry
+
+
+class FakeSession:
+    """Stand-in for `DispatchSession` with an epoch, a clock and settings."""
+
+    def __init__(self, process):
+        self.settings = process.context.settings
+        self.clock = process.context.clock
+        self.epoch = 0
+        self.term = 3
+
+    def now(self):
+        return self.clock.now()
+
+    def wake(self):
+        """Do nothing; the stand-in does not plan."""
+
+
+def make_session(cell):
+    process = cell["p0"]
+    scheduler = Scheduler(timing=Timing(), journal=lambda kind, **values: None)
+    session = FakeSession(process)
+    put = Put(key=LEADER_KEY, value=b"p0")
+    session.epoch = cell.memory.apply((), [put], ()).ok()
+    return process, scheduler, session
+
+
+def runner_entry(name):
+    return RunnerEntry(
+        id=name,
+        address="127.0.0.1:9",
+        data_centre="a",
+        pool="p",
+        capacity=Capacity(cpu=1000),
+    )
+
+
+def with_cell(make_test_cell, scenario):
+    async def main():
+        cell = make_test_cell(1)
+        tasks = []
+        try:
+            await scenario(cell, tasks)
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            await cell.close()
+
+    run_virtual(main())
--- a/wasabipaddle/cell/tests/test_session_parts.py
+++ b/wasabipaddle/cell/tests/test_session_parts.py
@@ -6,83 +6,31 @@
 from result import Err, Ok
 
 from wasabipaddle.cell.advice import AdviceBalancer
-from wasabipaddle.cell.fleet import FleetRecord
 from wasabipaddle.cell.intake import IntakeWatcher, RegistryWatcher
-from wasabipaddle.cell.keys import CANCEL_PREFIX, FLEET_KEY, JOB_PREFIX, LEADER_KEY
+from wasabipaddle.cell.keys import CANCEL_PREFIX, JOB_PREFIX, LEADER_KEY
 from wasabipaddle.cell.tests.conftest import JOB, QUEUE, SPEC
+from wasabipaddle.cell.tests.session_parts import (
+    make_session,
+    with_cell,
+)
 from wasabipaddle.cell.writer import ProgressWriter
-from wasabipaddle.clock import run_virtual
-from wasabipaddle.dispatch import Scheduler
 from wasabipaddle.dispatch.orders import AdviceRequest
-from wasabipaddle.dispatch.state import Timing
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.interfaces import Put
 from wasabipaddle.jobs import (
-    Capacity,
     Job,
     JobPhase,
-    RunnerEntry,
     decode_progress,
     encode_job,
 )
 from wasabipaddle.messages.jobs import AdviceReply
 
 
-class FakeSession:
-    """Stand-in for `DispatchSession` with an epoch, a clock and settings."""
-
-    def __init__(self, process):
-        self.settings = process.context.settings
-        self.clock = process.context.clock
-        self.epoch = 0
-        self.term = 3
-
-    def now(self):
-        return self.clock.now()
-
-    def wake(self):
-        """Do nothing; the stand-in does not plan."""
-
-
-def make_session(cell):
-    process = cell["p0"]
-    scheduler = Scheduler(timing=Timing(), journal=lambda kind, **values: None)
-    session = FakeSession(process)
-    put = Put(key=LEADER_KEY, value=b"p0")
-    session.epoch = cell.memory.apply((), [put], ()).ok()
-    return process, scheduler, session
-
-
-def runner_entry(name):
-    return RunnerEntry(
-        id=name,
-        address="127.0.0.1:9",
-        data_centre="a",
-        pool="p",
-        capacity=Capacity(cpu=1000),
-    )
-
-
 def stored_phase(cell):
     entry = cell.memory.items.get(f"wasabipaddle/progress/{JOB}")
     return None if entry is None else decode_progress(entry.value).phase
 
 
-def with_cell(make_test_cell, scenario):
-    async def main():
-        cell = make_test_cell(1)
-        tasks = []
-        try:
-            await scenario(cell, tasks)
-        finally:
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
-            await cell.close()
-
-    run_virtual(main())
-
-
 def job():
     return Job(id=JOB, policy=QUEUE, accepted_ms=0, spec=SPEC)
 
@@ -179,91 +127,6 @@
     with_cell(make_test_cell, scenario)
 
 
-def test_fleet_record_follows_added_and_removed_runners(make_test_cell):
-    """Guards against a fleet record that lacks a runner, or keeps a removed runner.
-
-    The next dispatcher would not wait for the missing runner, or would wait in vain for
-    the removed runner.
-    """
-
-    async def scenario(cell, tasks):
-        process, scheduler, session = make_session(cell)
-        fleet = FleetRecord(
-            store_plugin=process.store_plugin, scheduler=scheduler, session=session
-        )
-        tasks.append(asyncio.create_task(fleet.run()))
-        for name in ("r0", "r1"):
-            scheduler.set_runner(runner_entry(name), session.now())
-        fleet.changed.set()
-        await asyncio.sleep(0.5)
-        assert {entry.id for entry in await fleet.load()} == {"r0", "r1"}
-        assert all(r.in_fleet_record for r in scheduler.state.runners.values())
-        del scheduler.state.runners["r0"]
-        fleet.changed.set()
-        await asyncio.sleep(0.5)
-        assert {entry.id for entry in await fleet.load()} == {"r1"}
-        assert FLEET_KEY in cell.memory.items
-
-    with_cell(make_test_cell, scenario)
-
-
-def test_runner_with_a_recorded_wait_gets_work_only_after_it_is_recorded_again(
-    make_test_cell,
-):
-    """Guards against a successor that waits too briefly for a runner with work.
-
-    The runner does not answer at first, so that the record names the remaining wait.
-    """
-
-    async def scenario(cell, tasks):
-        process, scheduler, session = make_session(cell)
-        state = scheduler.state
-        runner = scheduler.set_runner(runner_entry("r0"), session.now())
-        runner.in_fleet_record = True
-        state.suspects["r0"] = session.now() + 6.3
-        fleet = FleetRecord(
-            store_plugin=process.store_plugin, scheduler=scheduler, session=session
-        )
-        tasks.append(asyncio.create_task(fleet.run()))
-        fleet.changed.set()
-        await asyncio.sleep(0.1)
-        assert [row.wait_s for row in await fleet.load()] == [None]
-        await asyncio.sleep(2.0)
-        (row,) = await fleet.load()
-        assert 4.0 < row.wait_s < 5.3
-        assert row.entry == runner.entry and row.term == session.term
-        assert not runner.in_fleet_record
-        del state.suspects["r0"]
-        await asyncio.sleep(0.6)
-        assert [row.wait_s for row in await fleet.load()] == [None]
-        assert runner.in_fleet_record
-
-    with_cell(make_test_cell, scenario)
-
-
-def test_failed_write_of_the_fleet_record_is_repeated_without_new_changes(
-    make_test_cell,
-):
-    """Guards against work on a runner that a lost write has left out of the record."""
-
-    async def scenario(cell, tasks):
-        process, scheduler, session = make_session(cell)
-        fleet = FleetRecord(
-            store_plugin=process.store_plugin, scheduler=scheduler, session=session
-        )
-        runner = scheduler.set_runner(runner_entry("r0"), session.now())
-        epoch, session.epoch = session.epoch, 1
-        tasks.append(asyncio.create_task(fleet.run()))
-        await asyncio.sleep(1.0)
-        assert not runner.in_fleet_record
-        session.epoch = epoch
-        await asyncio.sleep(1.0)
-        assert runner.in_fleet_record
-        assert [row.id for row in await fleet.load()] == ["r0"]
-
-    with_cell(make_test_cell, scenario)
-
-
 class FakeAdviceMembers:
     """Stand-in for `MembersPlugin` whose processes take 0.5 s for each request."""
 
