Log and measure the watches of the store

All four views of the store (registry, jobs and cancellations, configuration, leader key) now use one StoreWatch, which logs watch_lost and watch_listed, counts calls, answers and losses, and measures the age of the view; a start logs the age of the registry, and runner_draining says when the dispatcher learns that a runner leaves. No decision changes.

--- a/wasabipaddle/cell/calls.py
+++ b/wasabipaddle/cell/calls.py
@@ -100,6 +100,7 @@
             outcome=outcome.value if reply is None else reply.refusal.value,
             waited_ms=int((sent_s - task.waiting_since_s) * 1000),
             took_ms=int((now - sent_s) * 1000),
+            registry_age_ms=int(session.registry.watch.age_s() * 1000),
         )
         session.metrics.count(f"starts_{outcome.value}")
         session.metrics.observe("start_wait", sent_s - task.waiting_since_s)
--- a/wasabipaddle/cell/configuration.py
+++ b/wasabipaddle/cell/configuration.py
@@ -8,6 +8,7 @@
     LeadershipLost,
 )
 from wasabipaddle.cell.store import CellStorePlugin
+from wasabipaddle.cell.watch import StoreWatch
 from wasabipaddle.kernel import Plugin
 from wasabipaddle.platform import CONFIGURATION_KEY, decode_configuration
 from wasabipaddle.serve.tasks import TaskSet
@@ -18,8 +19,6 @@
 # store only as a fallback: if each of them read a large configuration from the store,
 # the link between regions would be saturated.
 LEADER_WAIT_S = 1.2
-# Wait of a poll for changes; short, so that the poll returns at once.
-NO_WAIT_S = 0.001
 POLL_PERIOD_S = 1.0
 # Time for a copy from the leader to arrive before the store is polled.
 COPY_GRACE_S = 0.4
@@ -35,9 +34,9 @@
         Current configuration, None until the first one has been applied.
     value : bytes
         Stored form of the current configuration.
-    revision : int or None
-        Store revision up to which changes are known; None before the first read and
-        after a failed poll.
+    watch : StoreWatch
+        Watch of the configuration; its revision is None before the first read and after
+        a failed poll.
     """
 
     name = "cell_configuration"
@@ -47,7 +46,6 @@
         super().__init__(context=context)
         self.current = None
         self.value = b""
-        self.revision = None
         self.is_leader = False
         self.tasks = TaskSet()
         self.poll_due = asyncio.Event()
@@ -55,7 +53,11 @@
 
     async def start(self):
         """Start to follow the configuration in the store."""
-        self.store_plugin = self.context.plugins[CellStorePlugin.name]
+        self.watch = StoreWatch(
+            store_plugin=self.context.plugins[CellStorePlugin.name],
+            name="configuration",
+            prefix=CONFIGURATION_KEY,
+        )
         bus = self.context.bus
         bus.events(LeadershipGained).subscribe(lambda _: self._set_leader(True))
         bus.events(LeadershipLost).subscribe(lambda _: self._set_leader(False))
@@ -82,12 +84,14 @@
 
     def apply_copy(self, value, revision):
         """Apply the stored form of a configuration received from another process."""
-        if self._apply(value, source="process") and self.revision is not None:
-            self.revision = max(self.revision, revision)
+        watch = self.watch
+        if self._apply(value, source="process") and watch.revision is not None:
+            watch.revision = max(watch.revision, revision)
 
     async def _follow(self):
         while True:
-            succeeded = await (self._load() if self.revision is None else self._poll())
+            unknown = self.watch.revision is None
+            succeeded = await (self._load() if unknown else self._poll())
             if not succeeded or self.current is None:
                 await asyncio.sleep(RETRY_S)
             elif not self.is_leader:
@@ -106,12 +110,9 @@
 
     async def _load(self) -> bool:
         """Read the configuration; return whether the call succeeded."""
-        page = await self.store_plugin.call(
-            self.store_plugin.store.list_all(CONFIGURATION_KEY)
-        )
+        page = await self.watch.list()
         if page.is_err():
             return False
-        self.revision = page.ok().revision
         for entry in page.ok().entries:
             if entry.key == CONFIGURATION_KEY:
                 self._apply(entry.value, source="store")
@@ -119,15 +120,12 @@
 
     async def _poll(self) -> bool:
         """Read the changes since the last read; return whether the call succeeded."""
-        wait_s = LEADER_WAIT_S if self.is_leader else NO_WAIT_S
-        call = self.store_plugin.store.follow(
-            CONFIGURATION_KEY, after_revision=self.revision, wait_s=wait_s
-        )
-        batch = await (call if self.is_leader else self.store_plugin.call(call))
+        watch = self.watch
+        leads = self.is_leader
+        batch = await (watch.follow(LEADER_WAIT_S) if leads else watch.poll())
         if batch.is_err():
-            self.revision = None
+            watch.revision = None
             return False
-        self.revision = max(self.revision, batch.ok().revision)
         for change in batch.ok().changes:
             if change.key == CONFIGURATION_KEY and change.value is not None:
                 self._apply(change.value, source="store")
--- a/wasabipaddle/cell/distribution.py
+++ b/wasabipaddle/cell/distribution.py
@@ -77,7 +77,7 @@
         if self.copy is None or self.copy.version != self.configuration.version:
             self.copy = ConfigurationCopy(
                 version=self.configuration.version,
-                revision=self.configuration.revision or 0,
+                revision=self.configuration.watch.revision or 0,
                 data=zlib.compress(self.configuration.value),
             )
         return self.copy
--- a/wasabipaddle/cell/election.py
+++ b/wasabipaddle/cell/election.py
@@ -14,6 +14,7 @@
 )
 from wasabipaddle.cell.keys import LEADER_KEY, TERM_KEY
 from wasabipaddle.cell.store import CellStorePlugin
+from wasabipaddle.cell.watch import StoreWatch
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.interfaces import Put
 from wasabipaddle.kernel import Plugin
@@ -110,6 +111,9 @@
         """Start to watch the leader key and to renew the lease."""
         self.store_plugin = self.context.plugins[CellStorePlugin.name]
         self.store = self.store_plugin.store
+        self.watch = StoreWatch(
+            store_plugin=self.store_plugin, name="leader", prefix=LEADER_KEY
+        )
         self.context.bus.events(DrainStarted).subscribe(self._on_drain)
         self.tasks.spawn(self._follow())
         self.tasks.spawn(self._renew())
@@ -134,7 +138,7 @@
         await self.tasks.close()
 
     async def _follow(self):
-        revision = 0
+        self.watch.revision = 0
         while True:
             found = await self.store_plugin.call(self.store.get(LEADER_KEY))
             if found.is_err():
@@ -147,13 +151,9 @@
                 continue
             if self._held_by_earlier_incarnation(entry) and await self.replace_leader():
                 continue
-            revision = max(revision, entry.revision)
-            batch = await self.store.follow(
-                LEADER_KEY, after_revision=revision, wait_s=WATCH_S
-            )
-            if batch.is_ok():
-                revision = batch.ok().revision
-            else:
+            self.watch.revision = max(self.watch.revision, entry.revision)
+            batch = await self.watch.follow(WATCH_S)
+            if batch.is_err():
                 await asyncio.sleep(RETRY_S)
 
     def _held_by_earlier_incarnation(self, entry):
--- a/wasabipaddle/cell/intake.py
+++ b/wasabipaddle/cell/intake.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from wasabipaddle.cell.keys import CANCEL_PREFIX, INTAKE_PREFIX, JOB_PREFIX
+from wasabipaddle.cell.watch import StoreWatch
 from wasabipaddle.interfaces import Entry
 from wasabipaddle.jobs import decode_job
 from wasabipaddle.platform import REGISTRY_PREFIX, decode_runner
@@ -25,26 +26,21 @@
     ----------
     store_plugin : CellStorePlugin
         Plugin that owns the client of the store.
-    prefix : str
-        Prefix of the keys.
+    name, prefix : str
+        Name of the watch in logs and metrics, and prefix of the keys.
     pause_s : float
         Pause between two calls of the watch.
     """
 
-    def __init__(self, *, store_plugin, prefix, pause_s):
-        self.store_plugin = store_plugin
-        self.prefix = prefix
+    def __init__(self, *, store_plugin, name, prefix, pause_s):
+        self.watch = StoreWatch(store_plugin=store_plugin, name=name, prefix=prefix)
         self.pause_s = pause_s
-        self.revision = None
 
     async def load(self):
         """List the prefix, with retries until the store responds."""
         while True:
-            page = await self.store_plugin.call(
-                self.store_plugin.store.list_all(self.prefix)
-            )
+            page = await self.watch.list()
             if page.is_ok():
-                self.revision = page.ok().revision
                 self.apply_listing(page.ok().entries)
                 return
             await asyncio.sleep(RETRY_S)
@@ -52,16 +48,13 @@
     async def follow(self):
         """Follow changes until cancelled."""
         while True:
-            if self.revision is None:
+            if self.watch.revision is None:
                 await self.load()
-            batch = await self.store_plugin.store.follow(
-                self.prefix, after_revision=self.revision, wait_s=WATCH_WAIT_S
-            )
+            batch = await self.watch.follow(WATCH_WAIT_S)
             if batch.is_err():
-                self.revision = None
+                self.watch.revision = None
                 await asyncio.sleep(RETRY_S)
                 continue
-            self.revision = batch.ok().revision
             for change in batch.ok().changes:
                 self.apply_change(change)
             await asyncio.sleep(self.pause_s)
@@ -86,7 +79,10 @@
 
     def __init__(self, *, store_plugin, add_job, cancel):
         super().__init__(
-            store_plugin=store_plugin, prefix=INTAKE_PREFIX, pause_s=INTAKE_PAUSE_S
+            store_plugin=store_plugin,
+            name="intake",
+            prefix=INTAKE_PREFIX,
+            pause_s=INTAKE_PAUSE_S,
         )
         self.add_job = add_job
         self.cancel = cancel
@@ -127,7 +123,10 @@
 
     def __init__(self, *, store_plugin, set_runner, mark_unlisted):
         super().__init__(
-            store_plugin=store_plugin, prefix=REGISTRY_PREFIX, pause_s=REGISTRY_PAUSE_S
+            store_plugin=store_plugin,
+            name="registry",
+            prefix=REGISTRY_PREFIX,
+            pause_s=REGISTRY_PAUSE_S,
         )
         self.set_runner = set_runner
         self.mark_unlisted = mark_unlisted
--- a/wasabipaddle/cell/session.py
+++ b/wasabipaddle/cell/session.py
@@ -123,6 +123,8 @@
     async def close(self):
         """End all background tasks and close the connections to runners."""
         await self.tasks.close()
+        self.intake.watch.close()
+        self.registry.watch.close()
         await self.calls.close()
 
     async def _run(self):
@@ -198,6 +200,10 @@
         self.scheduler.state.wall_offset_s = offset_s
 
     def _set_runner(self, entry):
+        known = self.scheduler.state.runners.get(entry.id)
+        if entry.draining and not (known and known.entry.draining):
+            leaves_in_ms = int(entry.leaves_in_s * 1000)
+            self.journal("runner_draining", runner=entry.id, leaves_in_ms=leaves_in_ms)
         runner = self.scheduler.set_runner(entry, self.now())
         if self.loaded:
             self.calls.ensure_inventory(runner)
--- /dev/null
+++ b/wasabipaddle/cell/watch.py
@@ -0,0 +1,115 @@
+"""Watches of prefixes of the platform's store."""
+
+__all__ = ["StoreWatch"]
+
+MS_PER_S = 1000
+# Wait of a poll; the shortest that the store accepts, so that the poll returns at once.
+NO_WAIT_S = 0.001
+
+
+class StoreWatch:
+    """Listings and long-polled changes of one prefix, with logs and metrics.
+
+    Parameters
+    ----------
+    store_plugin : CellStorePlugin
+        Plugin that owns the client of the store.
+    name : str
+        Name of the watch in logs and metrics.
+    prefix : str
+        Prefix of the keys.
+
+    Attributes
+    ----------
+    revision : int or None
+        Store revision up to which changes are known, None if it is not known.
+    confirmed_s : float
+        Monotonic time of the last answer of the store.
+    """
+
+    def __init__(self, *, store_plugin, name, prefix):
+        self.store_plugin = store_plugin
+        self.name = name
+        self.prefix = prefix
+        self.revision = None
+        self.context = store_plugin.context
+        self.confirmed_s = self.context.clock.now()
+        self.context.metrics.gauge(f"watch_age_s_{name}", self.age_s)
+
+    def age_s(self) -> float:
+        """Return the time since the last answer in seconds."""
+        return self.context.clock.now() - self.confirmed_s
+
+    async def list(self):
+        """Return a listing of the prefix as a `Page` in a `Result`."""
+        began = self.context.clock.now()
+        page = await self.store_plugin.call(
+            self.store_plugin.store.list_all(self.prefix)
+        )
+        if page.is_err():
+            return page
+        self.revision = page.ok().revision
+        self.context.journal(
+            "watch_listed",
+            watch=self.name,
+            entries=len(page.ok().entries),
+            revision=self.revision,
+            took_ms=int((self.context.clock.now() - began) * MS_PER_S),
+            age_ms=int(self.age_s() * MS_PER_S),
+        )
+        self._confirm()
+        return page
+
+    async def follow(self, wait_s):
+        """Wait for changes after `revision`; return a `WatchBatch` in a `Result`.
+
+        Parameters
+        ----------
+        wait_s : float
+            Longest time for which the store waits for a change.
+        """
+        return await self._receive(self._call_store(wait_s))
+
+    async def poll(self):
+        """Return the changes after `revision` at once, as a `WatchBatch` in a `Result`.
+
+        In contrast to `follow`, a failure counts for the health of the store.
+        """
+        call = self._call_store(NO_WAIT_S)
+        return await self._receive(self.store_plugin.call(call))
+
+    def _call_store(self, wait_s):
+        return self.store_plugin.store.follow(
+            self.prefix, after_revision=self.revision, wait_s=wait_s
+        )
+
+    async def _receive(self, call):
+        """Await a call that returns changes, and record its result."""
+        began = self.context.clock.now()
+        self.context.metrics.count(f"watch_calls_{self.name}")
+        batch = await call
+        if batch.is_err():
+            self.context.metrics.count(f"watch_lost_{self.name}")
+            self.context.journal(
+                "watch_lost",
+                watch=self.name,
+                reason=batch.err().kind.value,
+                detail=batch.err().detail,
+                revision=self.revision,
+                waited_ms=int((self.context.clock.now() - began) * MS_PER_S),
+                age_ms=int(self.age_s() * MS_PER_S),
+            )
+            return batch
+        self.revision = max(self.revision, batch.ok().revision)
+        self._confirm()
+        return batch
+
+    def _confirm(self):
+        metrics = self.context.metrics
+        metrics.count(f"watch_answers_{self.name}")
+        metrics.observe(f"watch_gap_{self.name}", self.age_s())
+        self.confirmed_s = self.context.clock.now()
+
+    def close(self):
+        """Remove the gauge of the age."""
+        self.context.metrics.remove_gauge(f"watch_age_s_{self.name}")
--- a/wasabipaddle/logs/explain.py
+++ b/wasabipaddle/logs/explain.py
@@ -25,11 +25,15 @@
         "runner_regained",
         "runner_reborn",
         "runner_quarantined",
+        "runner_draining",
         "runner_unlisted",
         "runner_left",
         "leases_expired",
     }
 )
+# Events of watches, and the watches of the dispatcher.
+WATCH_EVENTS = frozenset({"watch_lost", "watch_listed"})
+DISPATCHER_WATCHES = frozenset({"intake", "registry"})
 HEADER_FIELDS = ("ms", "process", "event")
 
 
@@ -85,7 +89,8 @@
     """Return the lines about a job, and those that explain them.
 
     The latter are lines between the first and the last line of the job that have an
-    event in `CONTEXT_EVENTS`, or one in `RUNNER_EVENTS` about a runner of the job.
+    event in `CONTEXT_EVENTS`, one in `RUNNER_EVENTS` about a runner of the job, or one
+    in `WATCH_EVENTS` about a watch of the dispatcher.
 
     Parameters
     ----------
@@ -114,4 +119,6 @@
 def _is_relevant(line, job, runners):
     if line.values.get("job") == job or line.event in CONTEXT_EVENTS:
         return True
+    if line.event in WATCH_EVENTS:
+        return line.values.get("watch") in DISPATCHER_WATCHES
     return line.event in RUNNER_EVENTS and line.values.get("runner") in runners
--- a/wasabipaddle/logs/tests/test_logs.py
+++ b/wasabipaddle/logs/tests/test_logs.py
@@ -105,18 +105,21 @@
         log_row(20, "run_started", "p1", job="j0", runner="r0"),
         log_row(25, "runner_lost", "p1", runner="r0"),
         log_row(26, "runner_lost", "p1", runner="r1"),
+        log_row(27, "watch_lost", "p1", watch="registry"),
+        log_row(28, "watch_lost", "p1", watch="configuration"),
         log_row(30, "reign_began", "p1"),
     ]
 )
 
 
 def test_history_has_the_lines_of_a_job_and_of_its_runners():
-    """Guards against a history that omits the loss of the runner of the job."""
+    """Guards against a history that omits the loss of a runner or a watch."""
     found = explain("j0", read_lines([FIRST_LOG, SECOND_LOG]))
     assert [(line.event, line.values.get("runner")) for line in found] == [
         ("job_accepted", None),
         ("run_started", "r0"),
         ("runner_lost", "r0"),
+        ("watch_lost", None),
         ("reign_began", None),
         ("job_ended", None),
     ]
--- a/wasabipaddle/metrics/registry.py
+++ b/wasabipaddle/metrics/registry.py
@@ -36,9 +36,13 @@
         self.counters[name] = self.counters.get(name, 0) + amount
 
     def gauge(self, name, value):
-        """Set the gauge `name`."""
+        """Set the gauge `name` to a number, or to a callable that returns it."""
         self.gauges[name] = value
 
+    def remove_gauge(self, name):
+        """Remove the gauge `name`, if it exists."""
+        self.gauges.pop(name, None)
+
     def observe(self, name, seconds):
         """Record a duration in the histogram `name`."""
         histogram = self.histograms.get(name)
@@ -68,6 +72,9 @@
         }
         return {
             "counters": dict(sorted(self.counters.items())),
-            "gauges": dict(sorted(self.gauges.items())),
+            "gauges": {
+                name: value() if callable(value) else value
+                for name, value in sorted(self.gauges.items())
+            },
             "histograms": histograms,
         }
