--- a/wasabipaddle/cell/tests/session_parts.py
+++ b/wasabipaddle/cell/tests/session_parts.py
@@ -45,9 +45,9 @@
     )
 
 
-def with_cell(make_test_cell, scenario):
+def with_cell(make_test_cell, scenario, *, count=1):
     async def main():
-        cell = make_test_cell(1)
+        cell = make_test_cell(count)
         tasks = []
         try:
             await scenario(cell, tasks)
--- a/wasabipaddle/standins/transactions.py
+++ b/wasabipaddle/standins/transactions.py
@@ -12,6 +12,8 @@
 
 
 LATENCY_S = 0.004
+# Time beyond its wait after which the client gives up a watch without an answer.
+WATCH_MARGIN_S = 1.0
 
 
 class MemoryTransactions:
@@ -34,6 +36,9 @@
         Time after which a commit without an answer takes effect; None drops it.
     latency_s : float
         Latency of every call, in seconds.
+    watches_answered : bool
+        Whether watches are answered. A watch that should be answered while this is
+        False gets no answer, also later, until `cut_watches`. Other calls are answered.
     """
 
     def __init__(self, *, seed=0):
@@ -51,6 +56,8 @@
         self.lost_share = 0.0
         self.delay_s = 0.0
         self.latency_s = LATENCY_S
+        self.watches_answered = True
+        self.watches_cut = asyncio.Event()
 
     def apply(self, conditions, puts, deletes):
         """Apply one commit and return its revision, or a failure."""
@@ -109,6 +116,11 @@
         self.history.clear()
         self.compacted_revision = self.revision
 
+    def cut_watches(self):
+        """Close the connections of the watches that wait without an answer."""
+        self.watches_cut.set()
+        self.watches_cut = asyncio.Event()
+
     def remove(self, key):
         """Delete a key, as the platform does to revoke it."""
         self.apply((), (), [key])
@@ -186,6 +198,8 @@
             refusal = await self._refusal()
             if refusal:
                 return refusal
+            if not self.memory.watches_answered:
+                return await self._wait_for_cut(until_s + WATCH_MARGIN_S)
             if after_revision < self.memory.compacted_revision:
                 return _failure(ErrorKind.REVISION_MISMATCH, "the history is compacted")
             found = tuple(
@@ -203,6 +217,15 @@
             except TimeoutError:
                 pass
 
+    async def _wait_for_cut(self, until_s):
+        """Wait until the watches are cut, or until a time of the loop."""
+        try:
+            async with asyncio.timeout_at(until_s):
+                await self.memory.watches_cut.wait()
+        except TimeoutError:
+            return _failure(ErrorKind.TIMEOUT, "no answer from the store")
+        return _failure(ErrorKind.TIMEOUT, "the connection is closed")
+
     async def grant_lease(self, ttl_s):
         """Create a lease."""
         refusal = await self._refusal()
