Send a watch of the store only once

Cause: when the store drops its history, it closes the connections of the watches. aiohttp then sends the GET once more and tells nobody. The repeated watch of the registry reached the store just before the drop, was held for its whole wait of 8 s, and was refused only then. The leader's view of the registry stood still for 9 s.

Change: a client middleware turns the error that triggers the repetition into another one, so that the watcher hears of the cut and lists again. Reads are still repeated, as nothing is held for them.

--- a/wasabipaddle/platform/http.py
+++ b/wasabipaddle/platform/http.py
@@ -12,9 +12,25 @@
 CONNECT_TIMEOUT_S = 0.6
 # Shorter than the idle timeout after which servers of the platform close a connection.
 KEEPALIVE_S = 25.0
+# The errors after which aiohttp sends an idempotent request once more.
+REPEATED_ERRORS = (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError)
 SKIPPED_AUTO_HEADERS = ("Accept", "Accept-Encoding", "User-Agent")
 
 
+class _ConnectionLostError(aiohttp.ClientError):
+    """The connection was closed before the response."""
+
+
+async def _send_once(request, send):
+    """Client middleware that keeps aiohttp from sending a request again."""
+    try:
+        return await send(request)
+    except aiohttp.ClientConnectorError:
+        raise
+    except REPEATED_ERRORS as error:
+        raise _ConnectionLostError(str(error)) from error
+
+
 @attrs.frozen(kw_only=True)
 class HttpResponse:
     """Status and decoded body of a response.
@@ -52,6 +68,7 @@
         body=None,
         query=None,
         headers=None,
+        once=False,
     ) -> Result[HttpResponse, Failure]:
         """Send one request and wait for its response.
 
@@ -62,6 +79,9 @@
         transfer_s : float
             Time beyond `timeout_s` for a response that keeps arriving; 0 makes
             `timeout_s` the limit of the whole call.
+        once : bool
+            Whether a GET or DELETE whose connection is closed before the response
+            fails. Otherwise it is sent once more, which doubles its time limit.
 
         Returns
         -------
@@ -82,7 +102,13 @@
         url = f"http://{self.address}{path}"
         try:
             async with self._get_session().request(
-                method, url, params=query, data=data, headers=headers, timeout=timeout
+                method,
+                url,
+                params=query,
+                data=data,
+                headers=headers,
+                timeout=timeout,
+                middlewares=(_send_once,) if once else None,
             ) as response:
                 raw = await response.read()
                 status = response.status
--- a/wasabipaddle/platform/store.py
+++ b/wasabipaddle/platform/store.py
@@ -145,6 +145,7 @@
             accepted_statuses=(410,),
             timeout_s=wait_s + WATCH_MARGIN_S,
             client=self.watch_client,
+            once=True,
         )
         if response.is_err():
             return response
