Bound the time for which a view of the store may go without an answer

Cause: a watch waits 8 s for a change, and its call fails after 9 s at the earliest. A watch on a silent connection looks like one without changes, so the dispatcher could act on a view of the registry, of jobs and of cancellations that was 9 s old, while the bounds are 2.5 and 3 s.

Change: each watch knows the bound of the deployment on its changes (settings drain, configuration and cancel). A call without an answer for 0.6 of it counts as lost, and the prefix is listed again. The time limit follows the latency of the store up to 1 s, and an answer that arrived while the process was paused is used. A wait of 1 s in place of 8 s costs at most one call a second for each view, of one process.

--- a/wasabipaddle/cell/configuration.py
+++ b/wasabipaddle/cell/configuration.py
@@ -18,7 +18,6 @@
 # The leader watches the store and sends changes to the other processes. They poll the
 # store only as a fallback: if each of them read a large configuration from the store,
 # the link between regions would be saturated.
-LEADER_WAIT_S = 1.2
 POLL_PERIOD_S = 1.0
 # Time for a copy from the leader to arrive before the store is polled.
 COPY_GRACE_S = 0.4
@@ -57,6 +56,7 @@
             store_plugin=self.context.plugins[CellStorePlugin.name],
             name="configuration",
             prefix=CONFIGURATION_KEY,
+            bound_s=self.context.settings.bounds.configuration_s,
         )
         bus = self.context.bus
         bus.events(LeadershipGained).subscribe(lambda _: self._set_leader(True))
@@ -122,7 +122,7 @@
         """Read the changes since the last read; return whether the call succeeded."""
         watch = self.watch
         leads = self.is_leader
-        batch = await (watch.follow(LEADER_WAIT_S) if leads else watch.poll())
+        batch = await (watch.follow() if leads else watch.poll())
         if batch.is_err():
             watch.revision = None
             return False
--- a/wasabipaddle/cell/election.py
+++ b/wasabipaddle/cell/election.py
@@ -25,7 +25,9 @@
 # Duration of the lease of the leader key.
 LEASE_S = 1.6
 RENEW_S = 0.4
-WATCH_S = 6.0
+# Time within which a change of the leader key must be known; other processes report a
+# new leader sooner.
+WATCH_BOUND_S = 11.0
 RETRY_S = 0.2
 # Candidates campaign after a random delay. Those far from the store, by its latency,
 # wait longer, so that nearer ones win.
@@ -112,7 +114,10 @@
         self.store_plugin = self.context.plugins[CellStorePlugin.name]
         self.store = self.store_plugin.store
         self.watch = StoreWatch(
-            store_plugin=self.store_plugin, name="leader", prefix=LEADER_KEY
+            store_plugin=self.store_plugin,
+            name="leader",
+            prefix=LEADER_KEY,
+            bound_s=WATCH_BOUND_S,
         )
         self.context.bus.events(DrainStarted).subscribe(self._on_drain)
         self.tasks.spawn(self._follow())
@@ -152,7 +157,7 @@
             if self._held_by_earlier_incarnation(entry) and await self.replace_leader():
                 continue
             self.watch.revision = max(self.watch.revision, entry.revision)
-            batch = await self.watch.follow(WATCH_S)
+            batch = await self.watch.follow()
             if batch.is_err():
                 await asyncio.sleep(RETRY_S)
 
--- a/wasabipaddle/cell/intake.py
+++ b/wasabipaddle/cell/intake.py
@@ -10,7 +10,6 @@
 
 __all__ = ["IntakeWatcher", "RegistryWatcher"]
 
-WATCH_WAIT_S = 8.0
 RETRY_S = 0.2
 # Pauses between two calls of a watch, so that each call returns several changes. The
 # longer pause is acceptable for jobs and cancellations because the process that stores
@@ -28,12 +27,16 @@
         Plugin that owns the client of the store.
     name, prefix : str
         Name of the watch in logs and metrics, and prefix of the keys.
+    bound_s : float
+        Time within which a change must take effect.
     pause_s : float
         Pause between two calls of the watch.
     """
 
-    def __init__(self, *, store_plugin, name, prefix, pause_s):
-        self.watch = StoreWatch(store_plugin=store_plugin, name=name, prefix=prefix)
+    def __init__(self, *, store_plugin, name, prefix, bound_s, pause_s):
+        self.watch = StoreWatch(
+            store_plugin=store_plugin, name=name, prefix=prefix, bound_s=bound_s
+        )
         self.pause_s = pause_s
 
     async def load(self):
@@ -50,7 +53,7 @@
         while True:
             if self.watch.revision is None:
                 await self.load()
-            batch = await self.watch.follow(WATCH_WAIT_S)
+            batch = await self.watch.follow()
             if batch.is_err():
                 self.watch.revision = None
                 await asyncio.sleep(RETRY_S)
@@ -78,10 +81,12 @@
     """
 
     def __init__(self, *, store_plugin, add_job, cancel):
+        bounds = store_plugin.context.settings.bounds
         super().__init__(
             store_plugin=store_plugin,
             name="intake",
             prefix=INTAKE_PREFIX,
+            bound_s=bounds.cancel_s,
             pause_s=INTAKE_PAUSE_S,
         )
         self.add_job = add_job
@@ -122,10 +127,12 @@
     """
 
     def __init__(self, *, store_plugin, set_runner, mark_unlisted):
+        bounds = store_plugin.context.settings.bounds
         super().__init__(
             store_plugin=store_plugin,
             name="registry",
             prefix=REGISTRY_PREFIX,
+            bound_s=bounds.drain_s,
             pause_s=REGISTRY_PAUSE_S,
         )
         self.set_runner = set_runner
--- a/wasabipaddle/cell/tests/test_watch.py
+++ b/wasabipaddle/cell/tests/test_watch.py
@@ -7,6 +7,7 @@
 from wasabipaddle.cell.metrics import render
 from wasabipaddle.cell.tests.session_parts import with_cell
 from wasabipaddle.cell.watch import StoreWatch
+from wasabipaddle.clock import process_context
 from wasabipaddle.interfaces import Put
 
 PREFIX = "runners/"
@@ -24,7 +25,10 @@
                 (kind, values)
             )
             watch = StoreWatch(
-                store_plugin=process.store_plugin, name="registry", prefix=PREFIX
+                store_plugin=process.store_plugin,
+                name="registry",
+                prefix=PREFIX,
+                bound_s=2.5,
             )
             await scenario(cell, watch, events)
 
@@ -41,7 +45,7 @@
         await asyncio.sleep(2.0)
         cell.memory.apply((), [Put(key=PREFIX + "r0", value=b"x")], ())
         cell.memory.forget_history()
-        assert (await watch.follow(1.0)).is_err()
+        assert (await watch.follow()).is_err()
         await watch.list()
         assert [kind for kind, _ in events] == [
             "watch_listed",
@@ -64,7 +68,7 @@
         await asyncio.sleep(3.0)
         metrics = watch.context.metrics
         assert metrics.snapshot()["gauges"]["watch_age_s_registry"] == pytest.approx(3)
-        assert (await watch.follow(0.5)).is_ok()
+        assert (await watch.follow()).is_ok()
         assert watch.age_s() == 0
         assert "watch_calls_registry 1\n" in render(metrics)
         assert "watch_answers_registry 2\n" in render(metrics)
@@ -72,3 +76,50 @@
         assert "watch_age_s" not in render(metrics)
 
     watch_cell(scenario)
+
+
+def test_answer_that_arrived_during_a_pause_is_used(watch_cell):
+    """Guards against a paused process that lists all jobs again for no reason."""
+
+    async def scenario(cell, watch, events):
+        await watch.list()
+        loop = asyncio.get_running_loop()
+        call = asyncio.create_task(watch.follow(), context=process_context("p0"))
+        await asyncio.sleep(0.5)
+        loop.pause("p0")
+        cell.memory.apply((), [Put(key=PREFIX + "r0", value=b"x")], ())
+        await asyncio.sleep(5.0)
+        loop.resume("p0")
+        batch = await call
+        assert [change.key for change in batch.ok().changes] == [PREFIX + "r0"]
+
+    watch_cell(scenario)
+
+
+@pytest.mark.parametrize("latency_s", [0.3, 0.8])
+def test_slow_store_does_not_lose_a_watch(watch_cell, latency_s):
+    """Guards against endless listings while the store answers slowly."""
+
+    async def scenario(cell, watch, events):
+        cell.memory.latency_s = latency_s
+        await watch.list()
+        for _ in range(5):
+            assert (await watch.follow()).is_ok()
+
+    watch_cell(scenario)
+
+
+def test_call_in_progress_ends_with_its_caller(watch_cell):
+    """Guards against watches of a former leader that go on in the background."""
+
+    async def scenario(cell, watch, events):
+        await watch.list()
+        call = asyncio.create_task(watch.follow())
+        await asyncio.sleep(0.1)
+        before = len(asyncio.all_tasks())
+        call.cancel()
+        await asyncio.gather(call, return_exceptions=True)
+        await asyncio.sleep(0)
+        assert len(asyncio.all_tasks()) == before - 2
+
+    watch_cell(scenario)
--- a/wasabipaddle/cell/watch.py
+++ b/wasabipaddle/cell/watch.py
@@ -1,10 +1,25 @@
 """Watches of prefixes of the platform's store."""
 
+import asyncio
+
+from result import Err
+
+from wasabipaddle.exceptions import ErrorKind, Failure
+
 __all__ = ["StoreWatch"]
 
 MS_PER_S = 1000
 # Wait of a poll; the shortest that the store accepts, so that the poll returns at once.
 NO_WAIT_S = 0.001
+# Share of the time within which a change must take effect that a watch may be without
+# an answer. The rest is for a new listing and for orders on their way.
+UNANSWERED_SHARE = 0.6
+# Part of this time that is reserved for the answer, beyond the latency of the store.
+ANSWER_MARGIN_S = 0.5
+MAX_ANSWER_MARGIN_S = 1.0
+MIN_WAIT_S = 0.1
+# Time for an answer that has arrived while the process was paused or busy.
+RECEIVE_S = 0.1
 
 
 class StoreWatch:
@@ -18,6 +33,10 @@
         Name of the watch in logs and metrics.
     prefix : str
         Prefix of the keys.
+    bound_s : float
+        Time within which a change must take effect. A watch without an answer counts as
+        lost early enough for that, whether its connection is silent or the store holds
+        the call.
 
     Attributes
     ----------
@@ -27,10 +46,11 @@
         Monotonic time of the last answer of the store.
     """
 
-    def __init__(self, *, store_plugin, name, prefix):
+    def __init__(self, *, store_plugin, name, prefix, bound_s):
         self.store_plugin = store_plugin
         self.name = name
         self.prefix = prefix
+        self.wait_s = max(UNANSWERED_SHARE * bound_s - ANSWER_MARGIN_S, MIN_WAIT_S)
         self.revision = None
         self.context = store_plugin.context
         self.confirmed_s = self.context.clock.now()
@@ -60,15 +80,25 @@
         self._confirm()
         return page
 
-    async def follow(self, wait_s):
-        """Wait for changes after `revision`; return a `WatchBatch` in a `Result`.
-
-        Parameters
-        ----------
-        wait_s : float
-            Longest time for which the store waits for a change.
-        """
-        return await self._receive(self._call_store(wait_s))
+    async def follow(self):
+        """Wait for changes after `revision`; return a `WatchBatch` in a `Result`."""
+        return await self._receive(self._call_within_limit())
+
+    async def _call_within_limit(self):
+        """Wait for changes; fail if there is no answer soon after the wait."""
+        latency_s = self.store_plugin.health.latency_s
+        margin_s = min(ANSWER_MARGIN_S + latency_s, MAX_ANSWER_MARGIN_S)
+        call = asyncio.ensure_future(self._call_store(self.wait_s))
+        try:
+            await asyncio.wait({call}, timeout=self.wait_s + margin_s)
+            if not call.done():
+                await asyncio.wait({call}, timeout=RECEIVE_S)
+            if call.done():
+                return call.result()
+        finally:
+            call.cancel()
+        detail = f"no answer within {self.wait_s + margin_s:.2f} s"
+        return Err(Failure(kind=ErrorKind.TIMEOUT, detail=detail))
 
     async def poll(self):
         """Return the changes after `revision` at once, as a `WatchBatch` in a `Result`.
--- a/wasabipaddle/settings/cell.py
+++ b/wasabipaddle/settings/cell.py
@@ -58,6 +58,12 @@
         Time for which the final state of a job must be kept.
     remote_slowdown : float
         Factor on the duration of tasks that do not run close to their data.
+    drain_s : float
+        Time after which no task may start on a runner that has said that it leaves.
+    configuration_s : float
+        Time within which a stored configuration must be in force.
+    cancel_s : float
+        Time after which no task of a cancelled job may start.
     """
 
     lease_max_s: float = 6.0
@@ -67,6 +73,9 @@
     store_lease_min_s: float = 1.0
     keep_final_s: float = 120.0
     remote_slowdown: float = 1.5
+    drain_s: float = 2.5
+    configuration_s: float = 2.5
+    cancel_s: float = 3.0
 
 
 @attrs.frozen(kw_only=True)
