Let the watch of the leader key recover from a dropped history

Cause: a refused watch was followed by a read of the key. Its revision is that of the last change, long before the drop, so the next watch was refused too.

Change: the key is listed, which tells the revision of the store, and changes are taken from the watch. A failed call clears the revision in StoreWatch, for all views. The read after each quiet wait is gone, as the watch reports every change.

test_watch_of_the_leader_key_recovers_from_a_dropped_history: 25 refusals in 5 s before, one now.

--- a/wasabipaddle/cell/configuration.py
+++ b/wasabipaddle/cell/configuration.py
@@ -124,7 +124,6 @@
         leads = self.is_leader
         batch = await (watch.follow() if leads else watch.poll())
         if batch.is_err():
-            watch.revision = None
             return False
         for change in batch.ok().changes:
             if change.key == CONFIGURATION_KEY and change.value is not None:
--- a/wasabipaddle/cell/election.py
+++ b/wasabipaddle/cell/election.py
@@ -143,31 +143,42 @@
         await self.tasks.close()
 
     async def _follow(self):
-        self.watch.revision = 0
         while True:
-            found = await self.store_plugin.call(self.store.get(LEADER_KEY))
-            if found.is_err():
+            known = await self._update()
+            if not known:
                 await asyncio.sleep(RETRY_S)
-                continue
-            entry = found.ok()
-            self._observe(entry)
-            if entry is None:
+            elif not self.leader_revision:
                 await self._campaign_after_delay()
-                continue
-            if self._held_by_earlier_incarnation(entry) and await self.replace_leader():
-                continue
-            self.watch.revision = max(self.watch.revision, entry.revision)
-            batch = await self.watch.follow()
-            if batch.is_err():
-                await asyncio.sleep(RETRY_S)
+            elif self._held_by_earlier_incarnation():
+                await self.replace_leader()
+
+    async def _update(self) -> bool:
+        """Read the leader key or wait for its next change; return whether it is known.
+
+        A process that campaigns reads the key, as no change would be reported if the
+        campaign had no effect.
+        """
+        if self.watch.revision is None or not self.leader_revision:
+            page = await self.watch.list()
+            if page.is_err():
+                return False
+            entries = [e for e in page.ok().entries if e.key == LEADER_KEY]
+            self._observe(entries[0] if entries else None)
+            return True
+        batch = await self.watch.follow()
+        if batch.is_err():
+            return False
+        changes = [c for c in batch.ok().changes if c.key == LEADER_KEY]
+        if changes:
+            self._observe(None if changes[-1].value is None else changes[-1])
+        return True
 
-    def _held_by_earlier_incarnation(self, entry):
+    def _held_by_earlier_incarnation(self):
         """Return whether an earlier incarnation of this process holds the key."""
         return (
             self.leader is not None
             and self.leader.process == self.record.process
             and self.leader.life != self.record.life
-            and entry.revision == self.leader_revision
         )
 
     async def replace_leader(self) -> bool:
--- a/wasabipaddle/cell/intake.py
+++ b/wasabipaddle/cell/intake.py
@@ -55,7 +55,6 @@
                 await self.load()
             batch = await self.watch.follow()
             if batch.is_err():
-                self.watch.revision = None
                 await asyncio.sleep(RETRY_S)
                 continue
             for change in batch.ok().changes:
--- a/wasabipaddle/cell/watch.py
+++ b/wasabipaddle/cell/watch.py
@@ -41,7 +41,8 @@
     Attributes
     ----------
     revision : int or None
-        Store revision up to which changes are known, None if it is not known.
+        Store revision up to which changes are known; None before the first listing and
+        after a failed call, so that the prefix has to be listed.
     confirmed_s : float
         Monotonic time of the last answer of the store.
     """
@@ -50,12 +51,17 @@
         self.store_plugin = store_plugin
         self.name = name
         self.prefix = prefix
-        self.wait_s = max(UNANSWERED_SHARE * bound_s - ANSWER_MARGIN_S, MIN_WAIT_S)
+        self.bound_s = bound_s
         self.revision = None
         self.context = store_plugin.context
         self.confirmed_s = self.context.clock.now()
         self.context.metrics.gauge(f"watch_age_s_{name}", self.age_s)
 
+    @property
+    def wait_s(self) -> float:
+        """Longest time for which the store waits for a change."""
+        return max(UNANSWERED_SHARE * self.bound_s - ANSWER_MARGIN_S, MIN_WAIT_S)
+
     def age_s(self) -> float:
         """Return the time since the last answer in seconds."""
         return self.context.clock.now() - self.confirmed_s
@@ -88,16 +94,17 @@
         """Wait for changes; fail if there is no answer soon after the wait."""
         latency_s = self.store_plugin.health.latency_s
         margin_s = min(ANSWER_MARGIN_S + latency_s, MAX_ANSWER_MARGIN_S)
+        limit_s = self.wait_s + margin_s
         call = asyncio.ensure_future(self._call_store(self.wait_s))
         try:
-            await asyncio.wait({call}, timeout=self.wait_s + margin_s)
+            await asyncio.wait({call}, timeout=limit_s)
             if not call.done():
                 await asyncio.wait({call}, timeout=RECEIVE_S)
             if call.done():
                 return call.result()
         finally:
             call.cancel()
-        detail = f"no answer within {self.wait_s + margin_s:.2f} s"
+        detail = f"no answer within {limit_s:.2f} s"
         return Err(Failure(kind=ErrorKind.TIMEOUT, detail=detail))
 
     async def poll(self):
@@ -129,6 +136,7 @@
                 waited_ms=int((self.context.clock.now() - began) * MS_PER_S),
                 age_ms=int(self.age_s() * MS_PER_S),
             )
+            self.revision = None
             return batch
         self.revision = max(self.revision, batch.ok().revision)
         self._confirm()
