Let a key of the store stand-in follow its last lease

The stand-in deleted a key at the end of an earlier lease although it had been written again under another one. On the platform a key has the lease of its last write, so the stand-in took the leader key from a leader that had just won it again. No test is weaker: keys still go with their lease.

--- a/wasabipaddle/standins/transactions.py
+++ b/wasabipaddle/standins/transactions.py
@@ -69,6 +69,7 @@
             if put.lease and put.lease not in self.leases:
                 return _failure(ErrorKind.NOT_FOUND, "the lease has expired")
         self.revision += 1
+        self._detach({put.key for put in puts}.union(deletes))
         for put in puts:
             self.items[put.key] = Entry(
                 key=put.key, value=put.value, revision=self.revision
@@ -81,6 +82,11 @@
                 self._record(key, None)
         return Ok(self.revision)
 
+    def _detach(self, keys):
+        """Remove keys from their leases, whose ends then leave them alone."""
+        for attached in self.leases.values():
+            attached.difference_update(keys)
+
     def _record(self, key, value):
         self.history.append(Change(key=key, value=value, revision=self.revision))
         self.changed.set()
