Let a leader know soon that its key has been revoked

What callers would see: a leader whose key is gone stores no progress and shows no final state. Its watch of the key waited 6 s, so without an answer it noticed after 7 s.

Change: the watch of the leader key has a bound of 2.5 s while its process leads, also if the process took over while the watch was open.

--- a/wasabipaddle/cell/election.py
+++ b/wasabipaddle/cell/election.py
@@ -25,9 +25,10 @@
 # Duration of the lease of the leader key.
 LEASE_S = 1.6
 RENEW_S = 0.4
-# Time within which a change of the leader key must be known; other processes report a
-# new leader sooner.
-WATCH_BOUND_S = 11.0
+# Time within which a change of the leader key must be known: to the leader, which makes
+# no progress durable without the key, and to other processes.
+LEADER_BOUND_S = 2.5
+FOLLOWER_BOUND_S = 10.0
 RETRY_S = 0.2
 # Candidates campaign after a random delay. Those far from the store, by its latency,
 # wait longer, so that nearer ones win.
@@ -117,7 +118,7 @@
             store_plugin=self.store_plugin,
             name="leader",
             prefix=LEADER_KEY,
-            bound_s=WATCH_BOUND_S,
+            bound_s=FOLLOWER_BOUND_S,
         )
         self.context.bus.events(DrainStarted).subscribe(self._on_drain)
         self.tasks.spawn(self._follow())
@@ -311,6 +312,8 @@
         self.epoch = self.term_revision = epoch
         self.lease = lease
         self.leader = self.record
+        self.watch.bound_s = LEADER_BOUND_S
+        self.watch.expire()
         self.context.journal("reign_began", epoch=epoch, term=term, continued=continued)
         self.context.bus.publish(
             LeaderChanged(
@@ -324,6 +327,7 @@
     def _stop_leading(self, reason):
         self.context.journal("reign_ended", epoch=self.epoch, reason=reason)
         self.epoch = self.lease = 0
+        self.watch.bound_s = FOLLOWER_BOUND_S
         self.context.bus.publish(LeadershipLost(reason=reason))
 
     def step_down(self, reason):
--- a/wasabipaddle/cell/tests/test_unanswered_watches.py
+++ b/wasabipaddle/cell/tests/test_unanswered_watches.py
@@ -162,6 +162,25 @@
     with_cell(make_test_cell, scenario)
 
 
+def test_new_leader_wins_its_revoked_key_again_without_its_watch(make_test_cell):
+    """Guards against a process that leads with the watch of a follower.
+
+    It has replaced the leader while its watch of the key was open.
+    """
+
+    async def scenario(cell, tasks):
+        first = await cell.elect()
+        (leader,) = [p for p in cell.processes.values() if p is not first]
+        cell.memory.watches_answered = False
+        assert await leader.election.replace_leader()
+        await first.close()
+        cell.memory.remove(LEADER_KEY)
+        await asyncio.sleep(DRAIN_S)
+        assert leader.election.epoch == cell.memory.items[LEADER_KEY].revision
+
+    with_cell(make_test_cell, scenario, count=2)
+
+
 async def no_reply(process, message, reply_type, *, timeout_s):
     """Stand in for `MembersPlugin.ask` while the link carries nothing."""
     await asyncio.sleep(timeout_s)
@@ -169,12 +188,14 @@
 
 
 @pytest.mark.parametrize("delay_s", DELAYS_S)
+@pytest.mark.parametrize("phase_s", [0.0, 2.0, 4.0, 6.0])
 def test_silent_leader_is_followed_by_another_in_time_without_a_watch(
-    make_test_cell, delay_s
+    make_test_cell, phase_s, delay_s
 ):
     """Guards against a cell without a leader after a leader has lost its power.
 
-    The watch of the leader key does not report that the key is free.
+    The watch of the leader key does not report that the key is free. It is opened at
+    various times before the watches are lost.
     """
 
     async def scenario(cell, tasks):
@@ -187,6 +208,7 @@
         members.ask = no_reply
         await members.start()
         members.leader = leader.name
+        await asyncio.sleep(phase_s)
         cell.memory.watches_answered = False
         await asyncio.sleep(delay_s)
         cell.memory.refused_clients.add(leader.name)
--- a/wasabipaddle/cell/watch.py
+++ b/wasabipaddle/cell/watch.py
@@ -53,6 +53,7 @@
         self.prefix = prefix
         self.bound_s = bound_s
         self.revision = None
+        self.call = None
         self.context = store_plugin.context
         self.confirmed_s = self.context.clock.now()
         self.context.metrics.gauge(f"watch_age_s_{name}", self.age_s)
@@ -95,18 +96,24 @@
         latency_s = self.store_plugin.health.latency_s
         margin_s = min(ANSWER_MARGIN_S + latency_s, MAX_ANSWER_MARGIN_S)
         limit_s = self.wait_s + margin_s
-        call = asyncio.ensure_future(self._call_store(self.wait_s))
+        call = self.call = asyncio.ensure_future(self._call_store(self.wait_s))
         try:
             await asyncio.wait({call}, timeout=limit_s)
             if not call.done():
                 await asyncio.wait({call}, timeout=RECEIVE_S)
-            if call.done():
+            if call.done() and not call.cancelled():
                 return call.result()
         finally:
             call.cancel()
-        detail = f"no answer within {limit_s:.2f} s"
+            self.call = None
+        detail = f"no answer, time limit {limit_s:.2f} s"
         return Err(Failure(kind=ErrorKind.TIMEOUT, detail=detail))
 
+    def expire(self):
+        """End a call in progress as lost, so that the prefix is listed again."""
+        if self.call is not None:
+            self.call.cancel()
+
     async def poll(self):
         """Return the changes after `revision` at once, as a `WatchBatch` in a `Result`.
 
