Check the leader key when the leader does not respond

What callers would see: nothing starts for up to 7 s after a leader has lost its power, if the watches of the leader key have been cut silently, for example by a dropped history.

Change: a hello message without a reply has the key read again, at most once a second.

--- a/wasabipaddle/cell/election.py
+++ b/wasabipaddle/cell/election.py
@@ -26,9 +26,12 @@
 LEASE_S = 1.6
 RENEW_S = 0.4
 # Time within which a change of the leader key must be known: to the leader, which makes
-# no progress durable without the key, and to other processes.
+# no progress durable without the key, and to other processes, which check the key when
+# the leader does not respond.
 LEADER_BOUND_S = 2.5
 FOLLOWER_BOUND_S = 10.0
+# Shortest time between two such checks.
+CHECK_PAUSE_S = 1.0
 RETRY_S = 0.2
 # Candidates campaign after a random delay. Those far from the store, by its latency,
 # wait longer, so that nearer ones win.
@@ -105,6 +108,7 @@
         self.leader = None
         self.leader_revision = 0
         self.last_replacement_s = -REPLACE_PAUSE_S
+        self.last_check_s = -CHECK_PAUSE_S
         self.term_revision = 0
         self.draining = False
         self.weak = False
@@ -182,6 +186,16 @@
             and self.leader.life != self.record.life
         )
 
+    def check_leader(self):
+        """Read the leader key soon, because the leader does not respond.
+
+        The watch may not report that the key is free.
+        """
+        now = self.context.clock.now()
+        if now - self.last_check_s >= CHECK_PAUSE_S:
+            self.last_check_s = now
+            self.watch.expire()
+
     async def replace_leader(self) -> bool:
         """Take the key from a leader presumed dead; return whether this process leads.
 
--- a/wasabipaddle/cell/members.py
+++ b/wasabipaddle/cell/members.py
@@ -267,6 +267,7 @@
             if refused:
                 await self._handle_refused_leader()
             if reply.is_err():
+                self.election.check_leader()
                 continue
             reply = reply.ok()
             self.configuration.observe(reply.configuration)
