Make malformed messages of the platform and of callers errors of their own call

What callers would see: a POST with a step like {"count": 1, "cpu": "many"} was accepted. At the leader it raised TypeError in the planner, whose task ended: nothing started any more. Elsewhere it was stored in a form that no process can read, so the accepted job was lost.

Malformed advice ended the requests of a step, a short row the inventories of a runner.

Change: one list of decoding errors for all decoders. A malformed response of the store or to an order is an unknown outcome, malformed lists and advice are broken answers, and a job is checked field by field: types, no negative amounts, at most 1,000,000 tasks over all occurrences. Whole numbers may be written as 2.0.

--- a/wasabipaddle/platform/advice.py
+++ b/wasabipaddle/platform/advice.py
@@ -4,6 +4,7 @@
 
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.interfaces import Advice, AdviceClient
+from wasabipaddle.platform.decoding import DECODING_ERRORS, integer
 from wasabipaddle.platform.http import PlatformHttpClient
 
 __all__ = ["PlatformAdvice"]
@@ -40,14 +41,19 @@
                 kind = ErrorKind.RATE_LIMITED
             detail = f"the eligibility service returned status {response.status}"
             return Err(Failure(kind=kind, detail=detail))
-        rows = response.body.get("good", ())
-        return Ok(
-            Advice(
-                tickets={row[0]: row[1] for row in rows},
-                valid_s=response.body.get("valid_ms", 0) / MS_PER_S,
-            )
-        )
+        try:
+            return Ok(_decode_advice(response.body))
+        except DECODING_ERRORS as error:
+            detail = f"the answer of the eligibility service is malformed: {error!r}"
+            return Err(Failure(kind=ErrorKind.ANSWER_BROKEN, detail=detail))
 
     async def close(self):
         """Close the connections."""
         await self.client.close()
+
+
+def _decode_advice(body):
+    return Advice(
+        tickets={row[0]: row[1] for row in body.get("good", ())},
+        valid_s=integer(body.get("valid_ms", 0)) / MS_PER_S,
+    )
--- a/wasabipaddle/platform/configuration.py
+++ b/wasabipaddle/platform/configuration.py
@@ -5,6 +5,7 @@
 
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.jobs import AdvicePolicy, CellConfiguration, Limits, Pool, Queue
+from wasabipaddle.platform.decoding import DECODING_ERRORS
 
 __all__ = ["CONFIGURATION_KEY", "decode_configuration"]
 
@@ -36,7 +37,7 @@
                 ),
             )
         )
-    except (msgspec.MsgspecError, KeyError, TypeError, AttributeError) as error:
+    except DECODING_ERRORS as error:
         detail = f"the configuration cannot be decoded: {type(error).__name__} {error}"
         return Err(Failure(kind=ErrorKind.INVALID_DOCUMENT, detail=detail))
 
--- a/wasabipaddle/platform/http.py
+++ b/wasabipaddle/platform/http.py
@@ -6,6 +6,7 @@
 from result import Err, Ok, Result
 
 from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.platform.decoding import DECODING_ERRORS
 
 __all__ = ["HttpResponse", "PlatformHttpClient"]
 
@@ -147,7 +148,7 @@
         return Ok(HttpResponse(status=status, body={}))
     try:
         body = msgspec.json.decode(raw)
-    except msgspec.MsgspecError as error:
+    except DECODING_ERRORS as error:
         if status == 200:
             return _failure(ErrorKind.TIMEOUT, method, path, error)
         body = {}
--- a/wasabipaddle/platform/jobs.py
+++ b/wasabipaddle/platform/jobs.py
@@ -6,11 +6,23 @@
 from result import Err, Ok, Result
 
 from wasabipaddle.exceptions import ErrorKind, Failure
-from wasabipaddle.jobs import JobPhase, JobSpec, StepSpec
+from wasabipaddle.jobs import JobPhase, JobSpec
+from wasabipaddle.platform.decoding import DECODING_ERRORS, whole
 
 __all__ = ["JOB_ID", "PHASE_WORDS", "decode_spec"]
 
 MS_PER_S = 1000
+# Largest number of tasks of a job, over all its occurrences.
+MAX_TASKS = 1_000_000
+# Fields of a step that must not be negative.
+AMOUNTS = (
+    "cpu",
+    "memory_mb",
+    "gpus",
+    "estimate_s",
+    "max_per_runner",
+    "target_latency_ms",
+)
 JOB_ID = re.compile(r"[0-9a-f]{16}")
 PHASE_WORDS = {
     JobPhase.QUEUED: "queued",
@@ -24,47 +36,66 @@
 def decode_spec(data) -> Result[JobSpec, Failure]:
     """Return the job in a request body, or an `Err` of kind `invalid_request`."""
     try:
-        body = msgspec.json.decode(data)
-        steps = tuple(_decode_step(step) for step in body["steps"])
-        repeat_count = body.get("repeat_count", 0)
-        spec = JobSpec(
-            payload=body.get("spec", ""),
-            steps=steps,
-            occurrences=max(repeat_count, 1),
-            first_due_ms=body.get("start_at_ms", 0) if repeat_count else 0,
-            interval_ms=body.get("interval_ms", 0) if repeat_count else 0,
-        )
-    except (msgspec.MsgspecError, KeyError, TypeError, AttributeError) as error:
+        # The conversion checks the type of every field.
+        spec = msgspec.convert(_read_spec(msgspec.json.decode(data)), JobSpec)
+    except DECODING_ERRORS as error:
         detail = f"the job cannot be decoded: {type(error).__name__} {error}"
         return Err(Failure(kind=ErrorKind.INVALID_REQUEST, detail=detail))
-    for position, step in enumerate(steps):
-        if step.count < 1 or any(not 0 <= n < position for n in step.after):
-            detail = (
-                f"step {position} has no tasks, or depends on a step that does not "
-                "precede it"
-            )
-            return Err(Failure(kind=ErrorKind.INVALID_REQUEST, detail=detail))
+    problem = _find_problem(spec)
+    if problem:
+        return Err(Failure(kind=ErrorKind.INVALID_REQUEST, detail=problem))
     return Ok(spec)
 
 
-def _decode_step(step):
-    return StepSpec(
-        count=step.get("count", 0),
-        cpu=step.get("cpu", 0),
-        memory_mb=step.get("mem_mb", 0),
-        gpus=step.get("gpu", 0),
-        estimate_s=step.get("estimate_ms", 0) / MS_PER_S,
-        after=tuple(step.get("after", ())),
-        gang=step.get("gang", False),
-        same_rack=step.get("same_rack", False),
-        required_label=step.get("requires", ""),
-        preferred_rack=step.get("affinity", ""),
-        max_per_runner=step.get("max_per_server", 0),
-        speculative=step.get("speculative", False),
-        lasting=step.get("long_running", False),
-        checkpoints=step.get("checkpointing", False),
-        image=step.get("image", ""),
-        target_latency_ms=step.get("target_ms", 0),
-        opportunistic=step.get("fills", False),
-        disruption_allowance=step.get("may_miss", -1),
-    )
+def _find_problem(spec) -> str:
+    """Return why a job cannot be planned, an empty string if it can."""
+    tasks = sum(step.count for step in spec.steps) * spec.occurrences
+    if not 0 < tasks <= MAX_TASKS:
+        return f"the job has {tasks} tasks; allowed are 1 to {MAX_TASKS}"
+    if spec.interval_ms < 0:
+        return f"the interval is {spec.interval_ms} ms; allowed is 0 or more"
+    for position, step in enumerate(spec.steps):
+        if step.count < 1:
+            return f"step {position} has no tasks"
+        if any(not 0 <= n < position for n in step.after):
+            return f"step {position} depends on a step that does not precede it"
+        if any(getattr(step, field) < 0 for field in AMOUNTS):
+            return f"step {position} has a negative amount; allowed is 0 or more"
+    return ""
+
+
+def _read_spec(body):
+    """Return the fields of a `JobSpec`, in the types of the body."""
+    scheduled = whole(body.get("repeat_count") or 0)
+    return {
+        "payload": body.get("spec", ""),
+        "steps": [_read_step(step) for step in body["steps"]],
+        "occurrences": max(scheduled, 1),
+        "first_due_ms": whole(body.get("start_at_ms") or 0) if scheduled else 0,
+        "interval_ms": whole(body.get("interval_ms") or 0) if scheduled else 0,
+    }
+
+
+def _read_step(step):
+    """Return the fields of a `StepSpec`, in the types of the body."""
+    may_miss = step.get("may_miss")
+    return {
+        "count": whole(step.get("count") or 0),
+        "cpu": whole(step.get("cpu") or 0),
+        "memory_mb": whole(step.get("mem_mb") or 0),
+        "gpus": whole(step.get("gpu") or 0),
+        "estimate_s": (step.get("estimate_ms") or 0) / MS_PER_S,
+        "after": [whole(position) for position in step.get("after") or ()],
+        "gang": step.get("gang") or False,
+        "same_rack": step.get("same_rack") or False,
+        "required_label": step.get("requires") or "",
+        "preferred_rack": step.get("affinity") or "",
+        "max_per_runner": whole(step.get("max_per_server") or 0),
+        "speculative": step.get("speculative") or False,
+        "lasting": step.get("long_running") or False,
+        "checkpoints": step.get("checkpointing") or False,
+        "image": step.get("image") or "",
+        "target_latency_ms": whole(step.get("target_ms") or 0),
+        "opportunistic": step.get("fills") or False,
+        "disruption_allowance": -1 if may_miss is None else whole(may_miss),
+    }
--- a/wasabipaddle/platform/registry.py
+++ b/wasabipaddle/platform/registry.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from wasabipaddle.jobs import Capacity, RunnerEntry
+from wasabipaddle.platform.decoding import DECODING_ERRORS
 
 __all__ = ["REGISTRY_PREFIX", "decode_runner"]
 
@@ -22,7 +23,7 @@
     """
     try:
         body = msgspec.json.decode(entry.value)
-    except msgspec.MsgspecError:
+    except DECODING_ERRORS:
         return None
     if not _is_valid_runner(body):
         return None
--- a/wasabipaddle/platform/runner.py
+++ b/wasabipaddle/platform/runner.py
@@ -12,6 +12,7 @@
     RunnerClient,
     RunningTask,
 )
+from wasabipaddle.platform.decoding import DECODING_ERRORS, integer
 from wasabipaddle.platform.http import PlatformHttpClient
 from wasabipaddle.platform.tasks import decode_task, encode_task
 
@@ -105,21 +106,10 @@
         response = result.ok()
         if response.status in (502, 504):
             return _gateway_failure("/hold", response)
-        refusal = _decode_refusal(response)
         try:
-            return Ok(
-                Inventory(
-                    clock_ms=response.body.get("clock_ms", 0),
-                    incarnation=response.body.get("born", 0),
-                    running=tuple(
-                        map(_decode_running, response.body.get("running", ()))
-                    ),
-                    ended=tuple(map(_decode_ended, response.body.get("ended", ()))),
-                    refusal=refusal,
-                )
-            )
-        except (ValueError, TypeError, KeyError) as error:
-            detail = f"the lists of runs cannot be decoded: {error}"
+            return Ok(_decode_inventory(response))
+        except DECODING_ERRORS as error:
+            detail = f"the lists of runs are malformed: {error!r}"
             return Err(Failure(kind=ErrorKind.ANSWER_BROKEN, detail=detail))
 
     async def _send_order(self, path, body, timeout_s):
@@ -131,13 +121,11 @@
         response = result.ok()
         if response.status in (502, 504):
             return _gateway_failure(path, response)
-        return Ok(
-            OrderReply(
-                clock_ms=response.body.get("clock_ms", 0),
-                refusal=_decode_refusal(response),
-                incarnation=response.body.get("born", 0),
-            )
-        )
+        try:
+            return Ok(_decode_reply(response))
+        except DECODING_ERRORS as error:
+            detail = f"{path}: the reply is malformed: {error!r}"
+            return Err(Failure(kind=ErrorKind.TIMEOUT, detail=detail))
 
     async def close(self):
         """Close the connections."""
@@ -149,6 +137,25 @@
     return Err(Failure(kind=ErrorKind.TIMEOUT, detail=detail))
 
 
+def _decode_reply(response):
+    return OrderReply(
+        clock_ms=integer(response.body.get("clock_ms", 0)),
+        refusal=_decode_refusal(response),
+        incarnation=integer(response.body.get("born", 0)),
+    )
+
+
+def _decode_inventory(response):
+    body = response.body
+    return Inventory(
+        clock_ms=integer(body.get("clock_ms", 0)),
+        incarnation=integer(body.get("born", 0)),
+        running=tuple(map(_decode_running, body.get("running", ()))),
+        ended=tuple(map(_decode_ended, body.get("ended", ()))),
+        refusal=_decode_refusal(response),
+    )
+
+
 def _decode_refusal(response):
     if response.status == 200:
         return Refusal.NONE
@@ -161,18 +168,18 @@
     load = row[4] if len(row) > 4 and row[4] is not None else 0.0
     return RunningTask(
         task=decode_task(row[0]),
-        run=row[1],
+        run=integer(row[1]),
         checkpoint=row[2] or "",
-        percent=row[3],
-        load=load,
+        percent=integer(row[3]),
+        load=float(load),
     )
 
 
 def _decode_ended(row):
     return EndedTask(
-        number=row[0],
+        number=integer(row[0]),
         task=decode_task(row[1]),
-        run=row[2],
+        run=integer(row[2]),
         cause=END_CAUSES[row[3]],
         checkpoint=row[4] or "",
     )
--- a/wasabipaddle/platform/store.py
+++ b/wasabipaddle/platform/store.py
@@ -14,6 +14,7 @@
     TransactionalStore,
     WatchBatch,
 )
+from wasabipaddle.platform.decoding import DECODING_ERRORS, integer
 from wasabipaddle.platform.http import PlatformHttpClient
 
 __all__ = ["PlatformStore"]
@@ -48,10 +49,9 @@
         response = await self._call(
             "GET", "/kv-key", query={"key": key}, accepted_statuses=(404,)
         )
-        if response.is_err():
-            return response
-        response = response.ok()
-        return Ok(None if response.status == 404 else _decode_entry(response.body))
+        if response.is_ok() and response.ok().status == 404:
+            return Ok(None)
+        return _decode(response, _decode_entry)
 
     async def list(self, prefix, *, after="", limit=0) -> Result[Page, Failure]:
         """Read one page of a prefix; the store chooses its size and ignores `limit`."""
@@ -59,18 +59,7 @@
         if after:
             query["after"] = after
         response = await self._call("GET", "/kv-range", query=query)
-        if response.is_err():
-            return response
-        body = response.ok().body
-        entries = tuple(_decode_entry(item) for item in body.get("items", ()))
-        more = entries and body.get("has_more")
-        return Ok(
-            Page(
-                entries=entries,
-                revision=body["as_of"],
-                next_after=entries[-1].key if more else None,
-            )
-        )
+        return _decode(response, _decode_page)
 
     async def list_all(self, prefix) -> Result[Page, Failure]:
         """Read all pages of a prefix; the revision is that of the first page."""
@@ -112,15 +101,13 @@
         response = await self._call(
             "POST", "/kv-txn", body=body, accepted_statuses=(404, 412)
         )
-        if response.is_err():
-            return response
-        response = response.ok()
-        if response.status == 412:
-            keys = ", ".join(item.get("key", "") for item in response.body["items"])
-            return _failure(ErrorKind.REVISION_MISMATCH, keys)
-        if response.status == 404:
+        status = response.ok().status if response.is_ok() else 0
+        if status == 412:
+            keys = _read_keys(response.ok().body)
+            return _failure(ErrorKind.REVISION_MISMATCH, ", ".join(keys))
+        if status == 404:
             return _failure(ErrorKind.NOT_FOUND, "the lease has ended")
-        return Ok(response.body["revision"])
+        return _decode(response, lambda body: integer(body["revision"]))
 
     async def watch(
         self, prefix, *, after_revision, wait_s
@@ -147,23 +134,17 @@
             client=self.watch_client,
             once=True,
         )
-        if response.is_err():
-            return response
-        response = response.ok()
-        if response.status == 410:
+        if response.is_ok() and response.ok().status == 410:
             return _failure(
                 ErrorKind.REVISION_MISMATCH, "the revision has been compacted"
             )
-        events = tuple(
-            _decode_change(event) for event in response.body.get("events", ())
-        )
-        return Ok(WatchBatch(changes=events, revision=response.body["as_of"]))
+        return _decode(response, _decode_batch)
 
     async def grant_lease(self, ttl_s) -> Result[int, Failure]:
         """Create a lease and return its number."""
         body = {"ttl_ms": int(ttl_s * MS_PER_S)}
         response = await self._call("POST", "/kv-lease", body=body)
-        return response.map(lambda r: r.body["lease"])
+        return _decode(response, lambda body: integer(body["lease"]))
 
     async def renew_lease(self, lease) -> Result[None, Failure]:
         """Extend a lease; an `Err` of kind `not_found` means that it has ended."""
@@ -233,6 +214,38 @@
     return row
 
 
+def _decode(response, decode):
+    """Decode the body of a response; its outcome is unknown if it is malformed."""
+    if response.is_err():
+        return response
+    try:
+        return Ok(decode(response.ok().body))
+    except DECODING_ERRORS as error:
+        return _failure(ErrorKind.TIMEOUT, f"the response is malformed: {error!r}")
+
+
+def _read_keys(body):
+    """Return the keys of the readable items in the response to a conflict."""
+    items = body.get("items")
+    items = items if isinstance(items, list) else []
+    return [str(item.get("key", "")) for item in items if isinstance(item, dict)]
+
+
+def _decode_page(body):
+    entries = tuple(_decode_entry(item) for item in body.get("items", ()))
+    more = entries and body.get("has_more")
+    return Page(
+        entries=entries,
+        revision=integer(body["as_of"]),
+        next_after=entries[-1].key if more else None,
+    )
+
+
+def _decode_batch(body):
+    changes = tuple(_decode_change(event) for event in body.get("events", ()))
+    return WatchBatch(changes=changes, revision=integer(body["as_of"]))
+
+
 def _decode_value(item):
     """Return the bytes of an item; empty if they are not valid base64."""
     try:
@@ -242,12 +255,16 @@
 
 
 def _decode_entry(item):
-    return Entry(key=item["key"], value=_decode_value(item), revision=item["revision"])
+    return Entry(
+        key=item["key"],
+        value=_decode_value(item),
+        revision=integer(item["revision"]),
+    )
 
 
 def _decode_change(event):
     value = None if event.get("deleted") else _decode_value(event)
-    return Change(key=event["key"], value=value, revision=event["revision"])
+    return Change(key=event["key"], value=value, revision=integer(event["revision"]))
 
 
 def _failure(kind, detail, retry_after_s=None):
--- a/wasabipaddle/platform/tests/test_decoding.py
+++ b/wasabipaddle/platform/tests/test_decoding.py
@@ -55,13 +55,17 @@
     assert decode_runner(make_entry({**RUNNER, **changes})) is None
 
 
-@pytest.mark.parametrize("body", [b"\xff\x00", b"[]", b"", b"{}", b"null"])
+@pytest.mark.parametrize(
+    "body", [b"\xff\x00", b"[]", b"", b"{}", b"null", b"[" * 100_000]
+)
 def test_undecodable_entry_is_no_runner(body):
     """Guards against an exception that ends the watch of the registry."""
     assert decode_runner(make_entry(body)) is None
 
 
-@pytest.mark.parametrize("body", [b"", b"\xff", b"[]", b"{}", b'{"version": 1}x'])
+@pytest.mark.parametrize(
+    "body", [b"", b"\xff", b"[]", b"{}", b'{"version": 1}x', b"[" * 100_000]
+)
 def test_undecodable_configuration_is_an_error(body):
     """Guards against a malformed configuration that raises or that is accepted."""
     assert decode_configuration(body).is_err()
