Run the loops of a cell process again after an unexpected error

What callers would see: after one unexpected error in the leader, nothing is planned any more, or a view of the store stands still, while the process leads on.

Cause: a background task that raised was logged and never run again.

Change: TaskSet.keep_running runs a loop again; used for takeover, planning, views, progress, fleet record, inventories, configuration, election and hello messages. An entry that raises no longer hides the others of its listing, and has the prefix listed again, at most every 5 s.

--- a/wasabipaddle/cell/calls.py
+++ b/wasabipaddle/cell/calls.py
@@ -50,7 +50,7 @@
         self.clients[runner.id] = PlatformRunner(
             runner=runner.id, address=runner.entry.address
         )
-        self.session.spawn(self._watch(runner, self.clients[runner.id]))
+        self.session.keep_running(self._watch, runner, self.clients[runner.id])
 
     def send(self, order):
         """Send an order in the background, without waiting for the response."""
--- a/wasabipaddle/cell/configuration.py
+++ b/wasabipaddle/cell/configuration.py
@@ -61,7 +61,7 @@
         bus = self.context.bus
         bus.events(LeadershipGained).subscribe(lambda _: self._set_leader(True))
         bus.events(LeadershipLost).subscribe(lambda _: self._set_leader(False))
-        self.tasks.spawn(self._follow())
+        self.tasks.keep_running(self._follow)
 
     async def stop(self):
         """Stop following the store."""
--- a/wasabipaddle/cell/election.py
+++ b/wasabipaddle/cell/election.py
@@ -125,8 +125,8 @@
             bound_s=FOLLOWER_BOUND_S,
         )
         self.context.bus.events(DrainStarted).subscribe(self._on_drain)
-        self.tasks.spawn(self._follow())
-        self.tasks.spawn(self._renew())
+        self.tasks.keep_running(self._follow)
+        self.tasks.keep_running(self._renew)
 
     def _on_drain(self, event):
         """Stop campaigning; a leader hands over or resigns during the drain."""
--- a/wasabipaddle/cell/intake.py
+++ b/wasabipaddle/cell/intake.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from absl import logging
+
 from wasabipaddle.cell.keys import CANCEL_PREFIX, INTAKE_PREFIX, JOB_PREFIX
 from wasabipaddle.cell.watch import StoreWatch
 from wasabipaddle.interfaces import Entry
@@ -11,6 +13,8 @@
 __all__ = ["IntakeWatcher", "RegistryWatcher"]
 
 RETRY_S = 0.2
+# Shortest time between two listings because of changes that could not be applied.
+RELIST_PERIOD_S = 5.0
 # Pauses between two calls of a watch, so that each call returns several changes. The
 # longer pause is acceptable for jobs and cancellations because the process that stores
 # one also notifies the dispatcher.
@@ -38,6 +42,8 @@
             store_plugin=store_plugin, name=name, prefix=prefix, bound_s=bound_s
         )
         self.pause_s = pause_s
+        self.failed = False
+        self.relist_after_s = 0.0
 
     async def load(self):
         """List the prefix, with retries until the store responds."""
@@ -58,9 +64,28 @@
                 await asyncio.sleep(RETRY_S)
                 continue
             for change in batch.ok().changes:
-                self.apply_change(change)
+                self.attempt(self.apply_change, change)
+            self._relist_after_failure()
             await asyncio.sleep(self.pause_s)
 
+    def _relist_after_failure(self):
+        now = self.watch.context.clock.now()
+        if self.failed and now >= self.relist_after_s:
+            self.failed = False
+            self.relist_after_s = now + RELIST_PERIOD_S
+            self.watch.revision = None
+
+    def attempt(self, function, *args):
+        """Call a function; after an error in it, the prefix is listed again.
+
+        An entry that raises must not hide the others.
+        """
+        try:
+            function(*args)
+        except Exception:
+            logging.exception("change under %s not applied", self.watch.prefix)
+            self.failed = True
+
     def apply_listing(self, entries):
         """Apply a complete listing of the prefix."""
         raise NotImplementedError
@@ -95,10 +120,10 @@
         """Add all jobs, then apply all cancellations, which need the jobs."""
         for entry in entries:
             if entry.key.startswith(JOB_PREFIX):
-                self._add_job(entry.value)
+                self.attempt(self._add_job, entry.value)
         for entry in entries:
             if entry.key.startswith(CANCEL_PREFIX):
-                self.cancel(entry.key.removeprefix(CANCEL_PREFIX))
+                self.attempt(self.cancel, entry.key.removeprefix(CANCEL_PREFIX))
 
     def apply_change(self, change):
         """Apply a job or cancellation that was written; removals are ignored."""
@@ -142,7 +167,7 @@
         """Apply all entries; mark the runners that no longer have one as unlisted."""
         before, self.listed = self.listed, set()
         for entry in entries:
-            self._apply_entry(entry)
+            self.attempt(self._apply_entry, entry)
         for runner_id in before - self.listed:
             self.mark_unlisted(runner_id)
 
--- a/wasabipaddle/cell/members.py
+++ b/wasabipaddle/cell/members.py
@@ -98,7 +98,7 @@
         self.transport.handle(LeaderNotice, self._handle_leader_notice)
         self.context.bus.events(LeaderChanged).subscribe(self._on_leader_changed)
         self.context.bus.events(LeadershipGained).subscribe(self._announce_leadership)
-        self.tasks.spawn(self._send_hellos())
+        self.tasks.keep_running(self._send_hellos)
 
     async def open(self):
         """Listen for other processes; called once every role has started."""
--- a/wasabipaddle/cell/session.py
+++ b/wasabipaddle/cell/session.py
@@ -112,13 +112,17 @@
         """Run a coroutine as a background task of the session."""
         return self.tasks.spawn(coroutine)
 
+    def keep_running(self, function, *args):
+        """Run a background loop of the session, again after an exception in it."""
+        return self.tasks.keep_running(function, *args)
+
     def wake(self):
         """Have the next planning round run soon."""
         self.woken.set()
 
     def start(self):
         """Start the takeover, followed by planning, in the background."""
-        self.spawn(self._run())
+        self.keep_running(self._take_over)
 
     async def close(self):
         """End all background tasks and close the connections to runners."""
@@ -127,7 +131,7 @@
         self.registry.watch.close()
         await self.calls.close()
 
-    async def _run(self):
+    async def _take_over(self):
         began = self.now()
         state = self.scheduler.state
         self._measure_wall_offset()
@@ -150,15 +154,15 @@
             suspects=len(state.suspects),
             took_ms=int((self.now() - began) * 1000),
         )
-        for coroutine in (
-            self.intake.follow(),
-            self.registry.follow(),
-            self.writer.run(),
-            self.writer.sweep(),
-            self.fleet.run(),
+        for function in (
+            self.intake.follow,
+            self.registry.follow,
+            self.writer.run,
+            self.writer.sweep,
+            self.fleet.run,
+            self._plan,
         ):
-            self.spawn(coroutine)
-        await self._plan()
+            self.keep_running(function)
 
     async def _load_fleet(self):
         """Add all runners of the stored fleet record, and mark them as suspect.
--- a/wasabipaddle/cell/tests/session_parts.py
+++ b/wasabipaddle/cell/tests/session_parts.py
@@ -3,11 +3,20 @@
 import asyncio
 
 from wasabipaddle.cell.keys import LEADER_KEY
+from wasabipaddle.cell.session import DispatchSession
 from wasabipaddle.clock import run_virtual
 from wasabipaddle.dispatch import Scheduler
 from wasabipaddle.dispatch.state import Timing
 from wasabipaddle.interfaces import Put
 from wasabipaddle.jobs import Capacity, RunnerEntry
+from wasabipaddle.platform import REGISTRY_PREFIX
+
+RUNNER = (
+    b'{"service":"p","address":"127.0.0.1:9","zone":"a","state":"STATE",'
+    b'"capacity":{"cpu":1000}}'
+)
+# Time for a takeover without jobs.
+TAKEOVER_S = 1.0
 
 
 class FakeSession:
@@ -58,3 +67,40 @@
             await cell.close()
 
     run_virtual(main())
+
+
+def put(cell, key, value):
+    cell.memory.apply((), [Put(key=key, value=value)], ())
+
+
+def put_runner(cell, state):
+    """Register the runner r0 as `ready` or `draining`."""
+    put(cell, REGISTRY_PREFIX + "r0", RUNNER.replace(b"STATE", state))
+
+
+def with_leading_session(make_test_cell, scenario):
+    """Run a scenario with a cell and a session that leads and makes no calls.
+
+    The registry has the runner r0.
+    """
+
+    async def main(cell, tasks):
+        process, _, leader = make_session(cell)
+        put_runner(cell, b"ready")
+        session = DispatchSession(
+            context=process.context,
+            store_plugin=process.store_plugin,
+            members=process.members,
+            configuration=process.entry.configuration,
+            epoch=leader.epoch,
+            term=leader.term,
+            step_down=None,
+        )
+        session.calls.ensure_inventory = lambda runner: None
+        session.start()
+        await asyncio.sleep(TAKEOVER_S)
+        assert session.loaded
+        await scenario(cell, session)
+        await session.close()
+
+    with_cell(make_test_cell, main)
--- a/wasabipaddle/cell/tests/test_unanswered_watches.py
+++ b/wasabipaddle/cell/tests/test_unanswered_watches.py
@@ -10,11 +10,14 @@
 from wasabipaddle.cell.events import LeadershipGained
 from wasabipaddle.cell.keys import CANCEL_PREFIX, JOB_PREFIX, LEADER_KEY
 from wasabipaddle.cell.members import MembersPlugin
-from wasabipaddle.cell.session import DispatchSession
 from wasabipaddle.cell.tests.conftest import JOB, QUEUE, SPEC
-from wasabipaddle.cell.tests.session_parts import make_session, with_cell
+from wasabipaddle.cell.tests.session_parts import (
+    put,
+    put_runner,
+    with_cell,
+    with_leading_session,
+)
 from wasabipaddle.exceptions import ErrorKind, Failure
-from wasabipaddle.interfaces import Put
 from wasabipaddle.jobs import CellConfiguration, Job, JobPhase, encode_job
 from wasabipaddle.platform import REGISTRY_PREFIX
 from wasabipaddle.platform.client import encode_configuration
@@ -27,48 +30,20 @@
 CANCEL_S = 3.0
 VISIBLE_S = 3.0
 LEADER_LEASE_S = 1.6
-RUNNER = (
-    b'{"service":"p","address":"127.0.0.1:9","zone":"a","state":"STATE",'
-    b'"capacity":{"cpu":1000}}'
-)
 # Times from the loss of the watches to the change that they do not report.
 DELAYS_S = (0.0, 0.4, 0.8, 1.2, 1.6)
 
 
-def put(cell, key, value):
-    cell.memory.apply((), [Put(key=key, value=value)], ())
-
-
-def put_runner(cell, state):
-    put(cell, REGISTRY_PREFIX + "r0", RUNNER.replace(b"STATE", state))
-
-
 @pytest.fixture
 def with_session(make_test_cell):
-    """Run a scenario with a cell and a session that leads and sends no orders."""
+    """Run a scenario with a session that leads, from the loss of the watches on."""
 
     def run(scenario):
-        async def main(cell, tasks):
-            process, _, leader = make_session(cell)
-            put_runner(cell, b"ready")
-            session = DispatchSession(
-                context=process.context,
-                store_plugin=process.store_plugin,
-                members=process.members,
-                configuration=process.entry.configuration,
-                epoch=leader.epoch,
-                term=leader.term,
-                step_down=None,
-            )
-            session.calls.ensure_inventory = lambda runner: None
-            session.start()
-            await asyncio.sleep(1.0)
-            assert session.loaded
+        async def main(cell, session):
             cell.memory.watches_answered = False
             await scenario(cell, session)
-            await session.close()
 
-        with_cell(make_test_cell, main)
+        with_leading_session(make_test_cell, main)
 
     return run
 
--- a/wasabipaddle/cell/watch.py
+++ b/wasabipaddle/cell/watch.py
@@ -76,6 +76,7 @@
         if page.is_err():
             return page
         self.revision = page.ok().revision
+        self.context.metrics.count(f"watch_listings_{self.name}")
         self.context.journal(
             "watch_listed",
             watch=self.name,
--- a/wasabipaddle/serve/tasks.py
+++ b/wasabipaddle/serve/tasks.py
@@ -6,6 +6,9 @@
 
 __all__ = ["TaskSet"]
 
+# Pause before a task that failed is run again.
+RESTART_PAUSE_S = 0.2
+
 
 class TaskSet:
     """Background tasks of one role, cancelled together when the role stops."""
@@ -20,6 +23,22 @@
         task.add_done_callback(self._on_task_done)
         return task
 
+    def keep_running(self, function, *args) -> asyncio.Task:
+        """Run a coroutine function as a task, and again after each exception in it.
+
+        For loops on which a role depends as long as it runs: without them its state
+        would stand still.
+        """
+        return self.spawn(self._run_again(function, args))
+
+    async def _run_again(self, function, args):
+        while True:
+            try:
+                return await function(*args)
+            except Exception:
+                logging.exception("background task failed and is run again")
+                await asyncio.sleep(RESTART_PAUSE_S)
+
     async def close(self):
         """Cancel all tasks and wait until they have ended."""
         tasks = list(self.tasks)
