Treat statuses 500, 502 and 504 of the store as an unknown outcome

What callers would see: 503, which says that the job never runs, for a job whose write has taken effect.

Cause: every error status but 429 counted as 'nothing was done'. The platform says so of 503 only.

Change: other statuses from 500 on are timeouts, for which the caller gets 504 and the key is read again. Three of six cases of test_only_a_refused_write_... held before; 500, 502 and 504 did not.

--- a/wasabipaddle/platform/store.py
+++ b/wasabipaddle/platform/store.py
@@ -196,10 +196,10 @@
             return _failure(
                 ErrorKind.STORE_THROTTLED, path, retry_after_s=THROTTLE_PAUSE_S
             )
-        # Status 503 means that nothing was done; any other error status is assumed to
-        # mean the same.
-        detail = f"{method} {path}: status {response.status}"
-        return _failure(ErrorKind.STORE_UNAVAILABLE, detail)
+        # Status 503 means that nothing was done, and so does any refusal of the call.
+        unknown = response.status >= 500 and response.status != 503
+        kind = ErrorKind.TIMEOUT if unknown else ErrorKind.STORE_UNAVAILABLE
+        return _failure(kind, f"{method} {path}: status {response.status}")
 
     async def close(self):
         """Close the connections."""
--- a/wasabipaddle/platform/tests/test_malformed.py
+++ b/wasabipaddle/platform/tests/test_malformed.py
@@ -113,6 +113,30 @@
     assert result.err().kind is ErrorKind.REVISION_MISMATCH
 
 
+@pytest.mark.parametrize(
+    ("status", "kind"),
+    [
+        (500, ErrorKind.TIMEOUT),
+        (502, ErrorKind.TIMEOUT),
+        (504, ErrorKind.TIMEOUT),
+        (503, ErrorKind.STORE_UNAVAILABLE),
+        (403, ErrorKind.STORE_UNAVAILABLE),
+        (429, ErrorKind.STORE_THROTTLED),
+    ],
+)
+def test_only_a_refused_write_is_certain_not_to_take_effect(status, kind):
+    """Guards against a caller who is told that a stored job never runs."""
+
+    async def call(address):
+        store = PlatformStore(address=address)
+        try:
+            return await STORE_CALLS["commit"](store)
+        finally:
+            await store.close()
+
+    assert call_with_response({}, call, status=status).err().kind is kind
+
+
 def call_runner(name, body):
     async def call(address):
         entry = RunnerEntry(
