Confirm leader key and registry after a pause of the dispatcher

What callers would see: work starts on a runner that began to leave while the dispatcher was paused; and a paused leader whose successor cannot reach a runner sends it an order after the successor has stopped waiting for it.

Cause: after a pause the first planning round runs before the answers that arrived meanwhile are read, on views as old as the pause.

Change: when more than 1 s has passed since the last round, by a clock that counts suspensions, the dispatcher reads the leader key and the registry before its next order. Without an answer from the store it goes on after 1.5 s, as in any outage.

--- a/wasabipaddle/cell/dispatcher.py
+++ b/wasabipaddle/cell/dispatcher.py
@@ -83,7 +83,7 @@
             configuration=self.configuration,
             epoch=event.epoch,
             term=event.term,
-            step_down=self.election.step_down,
+            election=self.election,
         )
         self.session.start()
 
--- a/wasabipaddle/cell/election.py
+++ b/wasabipaddle/cell/election.py
@@ -196,6 +196,11 @@
             self.last_check_s = now
             self.watch.expire()
 
+    async def confirm(self):
+        """Read the leader key and stop leading if another process holds it."""
+        self.watch.expire()
+        await self.watch.fresh.wait()
+
     async def replace_leader(self) -> bool:
         """Take the key from a leader presumed dead; return whether this process leads.
 
--- a/wasabipaddle/cell/session.py
+++ b/wasabipaddle/cell/session.py
@@ -37,6 +37,10 @@
 # Pause before a planning round, so that one round covers several changes.
 PLAN_DELAY_S = 0.004
 RETRY_S = 0.2
+# Time between two planning rounds that counts as a pause of the process, and longest
+# wait after it for the store, which may be unavailable to all processes.
+PAUSE_S = 1.0
+CONFIRM_S = 1.5
 
 
 class DispatchSession:
@@ -55,12 +59,12 @@
     epoch, term : int
         Epoch and number of the term. The epoch rises if the process loses the leader
         key and wins it again.
-    step_down : callable
-        Called with a reason to end the leadership of this process.
+    election : ElectionPlugin
+        Confirms and ends the leadership of this process.
     """
 
     def __init__(
-        self, *, context, store_plugin, members, configuration, epoch, term, step_down
+        self, *, context, store_plugin, members, configuration, epoch, term, election
     ):
         self.settings = context.settings
         self.clock = context.clock
@@ -70,7 +74,8 @@
         self.configuration = configuration
         self.epoch = epoch
         self.term = term
-        self.step_down = step_down
+        self.election = election
+        self.step_down = election.step_down
         self.loaded = False
         self.tasks = TaskSet()
         self.woken = asyncio.Event()
@@ -103,6 +108,7 @@
             mark_unlisted=self._mark_unlisted,
         )
         self.progress = {}
+        self.last_round_s = self.clock.boot_s()
 
     def now(self) -> float:
         """Return monotonic time in seconds."""
@@ -142,6 +148,7 @@
         await self.intake.load()
         self.progress.clear()
         self.loaded = True
+        self.last_round_s = self.clock.boot_s()
         # An inventory lists runs of jobs, so it can be interpreted only once the jobs
         # are loaded.
         for runner in state.runners.values():
@@ -271,6 +278,9 @@
             except TimeoutError:
                 pass
             self.woken.clear()
+            if self.clock.boot_s() - self.last_round_s > PAUSE_S:
+                await self._confirm_views()
+            self.last_round_s = self.clock.boot_s()
             now = self.now()
             if now - last_advance_s >= TICK_S:
                 last_advance_s = now
@@ -284,6 +294,23 @@
             for order in self.scheduler.take_orders():
                 self.calls.send(order)
 
+    async def _confirm_views(self):
+        """Read the leader key and the registry after a pause of the process.
+
+        Another process may lead by now, and runners may have begun to leave.
+        """
+        began = self.now()
+        self.registry.watch.expire()
+        try:
+            async with asyncio.timeout(CONFIRM_S):
+                await self.election.confirm()
+                await self.registry.watch.fresh.wait()
+            confirmed = True
+        except TimeoutError:
+            confirmed = False
+        took_ms = int((self.now() - began) * 1000)
+        self.journal("views_confirmed", confirmed=confirmed, took_ms=took_ms)
+
     async def _request_advice(self, request):
         began = self.now()
         reply = await self.advice_balancer.ask(request)
--- a/wasabipaddle/cell/tests/session_parts.py
+++ b/wasabipaddle/cell/tests/session_parts.py
@@ -35,6 +35,20 @@
         """Do nothing; the stand-in does not plan."""
 
 
+class FakeElection:
+    """Stand-in for `ElectionPlugin` that confirms the leadership after 0.1 s."""
+
+    def __init__(self):
+        self.confirmations = 0
+
+    async def confirm(self):
+        await asyncio.sleep(0.1)
+        self.confirmations += 1
+
+    def step_down(self, reason):
+        """Do nothing; the stand-in goes on leading."""
+
+
 def make_session(cell):
     process = cell["p0"]
     scheduler = Scheduler(timing=Timing(), journal=lambda kind, **values: None)
@@ -69,6 +83,10 @@
     run_virtual(main())
 
 
+async def _start(session):
+    session.start()
+
+
 def put(cell, key, value):
     cell.memory.apply((), [Put(key=key, value=value)], ())
 
@@ -78,10 +96,10 @@
     put(cell, REGISTRY_PREFIX + "r0", RUNNER.replace(b"STATE", state))
 
 
-def with_leading_session(make_test_cell, scenario):
+def with_leading_session(make_test_cell, scenario, *, context=None):
     """Run a scenario with a cell and a session that leads and makes no calls.
 
-    The registry has the runner r0.
+    The registry has the runner r0. The session runs in `context`, if it is given.
     """
 
     async def main(cell, tasks):
@@ -94,10 +112,10 @@
             configuration=process.entry.configuration,
             epoch=leader.epoch,
             term=leader.term,
-            step_down=None,
+            election=FakeElection(),
         )
         session.calls.ensure_inventory = lambda runner: None
-        session.start()
+        await asyncio.create_task(_start(session), context=context)
         await asyncio.sleep(TAKEOVER_S)
         assert session.loaded
         await scenario(cell, session)
--- a/wasabipaddle/cell/tests/test_election.py
+++ b/wasabipaddle/cell/tests/test_election.py
@@ -149,3 +149,23 @@
         await cell.close()
 
     run_virtual(main())
+
+
+def test_process_that_confirms_its_leadership_learns_of_its_successor(make_test_cell):
+    """Guards against a paused leader that sends orders beside its successor."""
+
+    async def main():
+        cell = make_test_cell(2)
+        first = await cell.elect()
+        (second,) = [p for p in cell.processes.values() if p is not first]
+        cell.memory.watches_answered = False
+        assert await second.election.replace_leader()
+        assert first.election.epoch
+        await first.election.confirm()
+        assert not first.election.epoch
+        assert len(first.lost) == 1
+        await second.election.confirm()
+        assert second.election.epoch
+        await cell.close()
+
+    run_virtual(main())
--- a/wasabipaddle/cell/tests/test_session.py
+++ b/wasabipaddle/cell/tests/test_session.py
@@ -1,13 +1,24 @@
 """Takeover of a dispatch session: the wait for runners of earlier dispatchers."""
 
+import asyncio
+
 import msgspec
 import pytest
 
-from wasabipaddle.cell.keys import FLEET_KEY
-from wasabipaddle.cell.session import DispatchSession
-from wasabipaddle.clock import run_virtual
+from wasabipaddle.cell.keys import FLEET_KEY, JOB_PREFIX
+from wasabipaddle.cell.session import CONFIRM_S, DispatchSession
+from wasabipaddle.cell.tests.conftest import JOB, QUEUE, SPEC
+from wasabipaddle.cell.tests.session_parts import (
+    FakeElection,
+    put,
+    put_runner,
+    with_leading_session,
+)
+from wasabipaddle.clock import process_context, run_virtual
 from wasabipaddle.interfaces import Put
-from wasabipaddle.jobs import Capacity, RecordedRunner, RunnerEntry
+from wasabipaddle.jobs import Capacity, Job, RecordedRunner, RunnerEntry, encode_job
+
+PROCESS = "p0"
 
 ENTRY = RunnerEntry(
     id="r0",
@@ -20,6 +31,10 @@
 FULL_WAIT_S = 4.5 * 1.02 + 1.7
 
 
+def make_job():
+    return Job(id=JOB, policy=QUEUE, accepted_ms=0, spec=SPEC)
+
+
 @pytest.mark.parametrize(
     ("row", "wait_s", "may_get_work"),
     [
@@ -52,7 +67,7 @@
             configuration=process.entry.configuration,
             epoch=1,
             term=3,
-            step_down=None,
+            election=FakeElection(),
         )
         await session._load_fleet()
         state = session.scheduler.state
@@ -65,3 +80,58 @@
         await cell.close()
 
     run_virtual(main())
+
+
+def test_paused_dispatcher_reads_the_registry_before_its_next_order(make_test_cell):
+    """Guards against a start on a runner that began to leave during the pause."""
+
+    async def main(cell, session):
+        runner = session.scheduler.state.runners["r0"]
+        runner.inventoried = True
+        orders = []
+        session.calls.send = orders.append
+        loop = asyncio.get_running_loop()
+        loop.pause(PROCESS)
+        put_runner(cell, b"draining")
+        put(cell, JOB_PREFIX + JOB, encode_job(make_job()))
+        session.add_job(make_job())
+        await asyncio.sleep(5.0)
+        loop.resume(PROCESS)
+        await asyncio.sleep(3.0)
+        assert runner.entry.draining
+        assert session.election.confirmations == 1
+        assert orders == []
+
+    with_leading_session(make_test_cell, main, context=process_context(PROCESS))
+
+
+def test_paused_dispatcher_goes_on_if_the_store_does_not_answer(make_test_cell):
+    """Guards against a cell that stands still in an outage of the store."""
+
+    async def main(cell, session):
+        runner = session.scheduler.state.runners["r0"]
+        runner.inventoried = True
+        orders = []
+        session.calls.send = orders.append
+        loop = asyncio.get_running_loop()
+        cell.memory.down = True
+        loop.pause(PROCESS)
+        session.add_job(make_job())
+        await asyncio.sleep(5.0)
+        loop.resume(PROCESS)
+        await asyncio.sleep(CONFIRM_S + 0.5)
+        assert len(orders) == 1
+
+    with_leading_session(make_test_cell, main, context=process_context(PROCESS))
+
+
+def test_planning_without_a_pause_confirms_nothing(make_test_cell):
+    """Guards against a read of the store in every planning round."""
+
+    async def main(cell, session):
+        before = session.metrics.counters["watch_listings_registry"]
+        await asyncio.sleep(20.0)
+        assert session.election.confirmations == 0
+        assert session.metrics.counters["watch_listings_registry"] == before
+
+    with_leading_session(make_test_cell, main)
--- a/wasabipaddle/cell/watch.py
+++ b/wasabipaddle/cell/watch.py
@@ -45,6 +45,8 @@
         after a failed call, so that the prefix has to be listed.
     confirmed_s : float
         Monotonic time of the last answer of the store.
+    fresh : asyncio.Event
+        Set unless the watch has expired and the prefix has not been listed since.
     """
 
     def __init__(self, *, store_plugin, name, prefix, bound_s):
@@ -54,6 +56,8 @@
         self.bound_s = bound_s
         self.revision = None
         self.call = None
+        self.fresh = asyncio.Event()
+        self.expirations = 0
         self.context = store_plugin.context
         self.confirmed_s = self.context.clock.now()
         self.context.metrics.gauge(f"watch_age_s_{name}", self.age_s)
@@ -70,18 +74,21 @@
     async def list(self):
         """Return a listing of the prefix as a `Page` in a `Result`."""
         began = self.context.clock.now()
+        expirations = self.expirations
         page = await self.store_plugin.call(
             self.store_plugin.store.list_all(self.prefix)
         )
         if page.is_err():
             return page
-        self.revision = page.ok().revision
+        if expirations == self.expirations:
+            self.revision = page.ok().revision
+            self.fresh.set()
         self.context.metrics.count(f"watch_listings_{self.name}")
         self.context.journal(
             "watch_listed",
             watch=self.name,
             entries=len(page.ok().entries),
-            revision=self.revision,
+            revision=page.ok().revision,
             took_ms=int((self.context.clock.now() - began) * MS_PER_S),
             age_ms=int(self.age_s() * MS_PER_S),
         )
@@ -111,7 +118,10 @@
         return Err(Failure(kind=ErrorKind.TIMEOUT, detail=detail))
 
     def expire(self):
-        """End a call in progress as lost, so that the prefix is listed again."""
+        """Have the prefix listed again; a call in progress counts as lost."""
+        self.expirations += 1
+        self.fresh.clear()
+        self.revision = None
         if self.call is not None:
             self.call.cancel()
 
@@ -131,8 +141,12 @@
     async def _receive(self, call):
         """Await a call that returns changes, and record its result."""
         began = self.context.clock.now()
+        revision = self.revision
         self.context.metrics.count(f"watch_calls_{self.name}")
         batch = await call
+        if self.revision is None:
+            detail = "the watch has expired"
+            batch = Err(Failure(kind=ErrorKind.TIMEOUT, detail=detail))
         if batch.is_err():
             self.context.metrics.count(f"watch_lost_{self.name}")
             self.context.journal(
@@ -140,7 +154,7 @@
                 watch=self.name,
                 reason=batch.err().kind.value,
                 detail=batch.err().detail,
-                revision=self.revision,
+                revision=revision,
                 waited_ms=int((self.context.clock.now() - began) * MS_PER_S),
                 age_ms=int(self.age_s() * MS_PER_S),
             )
--- a/wasabipaddle/clock/clocks.py
+++ b/wasabipaddle/clock/clocks.py
@@ -20,6 +20,10 @@
     def wall_ms(self) -> int:
         """Return wall-clock time in milliseconds since the Unix epoch."""
 
+    def boot_s(self) -> float:
+        """Return monotonic time in seconds that counts suspensions of the machine."""
+        return self.now()
+
 
 class LoopClock(Clock):
     """Clock of the running asyncio loop, real or virtual."""
@@ -35,6 +39,12 @@
             return int(loop.time() * 1000)
         return time.time_ns() // 1_000_000
 
+    def boot_s(self) -> float:
+        """Return time since boot in seconds, or virtual time on a virtual loop."""
+        if getattr(asyncio.get_running_loop(), "is_virtual", False):
+            return self.now()
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
 
 @attrs.define(kw_only=True)
 class ManualClock(Clock):
