Let runners leave in the soak after the watches of the store are lost

A last phase without other faults drops the history of the store or silences the watches, and lets two runners begin to leave 4 s later, which leave after 6 s; a start later than 2.5 s after the notice breaks the promise 'drain'.

--- a/wasabipaddle/soak/driver.py
+++ b/wasabipaddle/soak/driver.py
@@ -9,6 +9,7 @@
 
 from wasabipaddle.soak.callers import SoakCallers
 from wasabipaddle.soak.cell import CellProcesses
+from wasabipaddle.soak.departures import DEPARTURES_S, Departures
 from wasabipaddle.soak.faults import SoakFaults
 from wasabipaddle.soak.ledger import SoakLedger
 from wasabipaddle.soak.platform import HOST, QUEUES, SoakPlatform
@@ -73,7 +74,8 @@
         Seed of jobs and faults. Timing depends on the machine, so a run is not fully
         reproducible.
     seconds : float
-        Time for which jobs are submitted and faults are injected.
+        Time for which faults are injected. Departures of runners follow, and jobs are
+        submitted until then.
     processes, runners : int
         Number of processes of the cell and of runners.
     keep : path or None
@@ -134,6 +136,12 @@
         faults=faults,
         random=random.Random(rng.random()),
     )
+    departures = Departures(
+        platform=platform,
+        ledger=ledger,
+        random=random.Random(rng.random()),
+        log=faults.log,
+    )
     faults.probe = callers.probe
     callers.queues = {queue.name: queue for queue in QUEUES}
     lag = _LoopLag()
@@ -144,10 +152,11 @@
         async with asyncio.TaskGroup() as group:
             watching = group.create_task(lag.watch())
             enforcing = group.create_task(cell.enforce_grace_period())
-            group.create_task(callers.run(JOBS_PER_S, until_s))
+            group.create_task(callers.run(JOBS_PER_S, until_s + DEPARTURES_S))
             injecting = group.create_task(faults.run(until_s))
             await injecting
             platform.heal()
+            await departures.run()
             await callers.finish(FINISH_TIMEOUT_S)
             enforcing.cancel()
             watching.cancel()
--- a/wasabipaddle/soak/ledger.py
+++ b/wasabipaddle/soak/ledger.py
@@ -1,6 +1,7 @@
 """Records what runners and callers observe and checks the guarantees of a cell."""
 
 import asyncio
+import math
 
 import attrs
 
@@ -11,6 +12,10 @@
 
 # No task of a job may start later than this after its cancellation was acknowledged.
 CANCELLATION_LIMIT_S = 3.0
+# No task may start on a runner later than this after it has said that it leaves, unless
+# there was a fault within SETTLE_S before the start.
+DRAIN_LIMIT_S = 2.5
+SETTLE_S = 4.0
 
 
 @attrs.frozen(kw_only=True)
@@ -105,6 +110,10 @@
         Number of runs that were started.
     running : dict
         Runs in progress by task, as pairs of the runner's id and the run.
+    draining_since_s : dict of str to float
+        Time at which the store had the notice of each runner that leaves.
+    last_fault_end_s : float
+        End of the last fault, infinite while faults are injected.
     """
 
     def __init__(self):
@@ -112,6 +121,8 @@
         self.violations = []
         self.starts = 0
         self.running = {}
+        self.draining_since_s = {}
+        self.last_fault_end_s = math.inf
         self.started_s = asyncio.get_running_loop().time()
 
     def now(self) -> float:
@@ -166,6 +177,15 @@
         ):
             self.add_violation("cancelled", record.id, run_label)
         self._check_capacity(runner, record, run_label)
+        self._check_draining(runner, record, run_label)
+
+    def _check_draining(self, runner, record, run_label):
+        now = self.now()
+        since_s = now - self.draining_since_s.get(runner.entry.id, now)
+        disturbed = now - self.last_fault_end_s < SETTLE_S
+        if since_s > DRAIN_LIMIT_S and not disturbed:
+            detail = f"{run_label}, {since_s:.1f} s after its notice"
+            self.add_violation("drain", record.id, detail)
 
     def _check_not_ended(self, record, key, run_label):
         """Check that a task that is started has no acknowledged completion.
--- a/wasabipaddle/soak/platform.py
+++ b/wasabipaddle/soak/platform.py
@@ -234,6 +234,7 @@
             runner.entry, draining=True, leaves_in_s=leaves_in_s
         )
         self._register(runner)
+        self.ledger.draining_since_s[name] = self.ledger.now()
         await asyncio.sleep(leaves_in_s)
         runner.shut_down()
         del self.runners[name]
--- a/wasabipaddle/soak/regressions.py
+++ b/wasabipaddle/soak/regressions.py
@@ -35,4 +35,12 @@
             "that its job was lost"
         ),
     ),
+    Regression(
+        seed=303,
+        seconds=8.0,
+        cause=(
+            "a watch of the registry whose connection had fallen silent hid departures "
+            "for 9 s, and runs were started on runners that were leaving"
+        ),
+    ),
 )
--- a/wasabipaddle/soak/tests/test_ledger.py
+++ b/wasabipaddle/soak/tests/test_ledger.py
@@ -246,3 +246,22 @@
         return finite.promises, lasting.promises
 
     assert run(scenario()) == (["lost"], ["lost"])
+
+
+@pytest.mark.parametrize(
+    ("since_s", "fault_end_s", "promises"),
+    [(-2.6, -math.inf, ["drain"]), (-2.6, -3.9, []), (-2.4, -math.inf, [])],
+    ids=["late start", "recent fault", "early start"],
+)
+def test_start_on_a_leaving_runner_is_detected(since_s, fault_end_s, promises):
+    """Guards against a soak that does not notice starts on runners that leave."""
+
+    async def main():
+        setup = LedgerSetup(StepSpec(count=1, cpu=1_000))
+        now = setup.ledger.now()
+        setup.ledger.draining_since_s["r0"] = now + since_s
+        setup.ledger.last_fault_end_s = now + fault_end_s
+        await setup.start(0)
+        assert setup.promises == promises
+
+    asyncio.run(main())
