Discard a listing that was requested before the watch expired

What callers would see: nobody leads for up to the lease of 1.6 s after a process has taken the leader key.

Cause: a read of the key that was in progress when the process won it showed the former holder, and the new leader stepped down.

test_listing_from_before_a_campaign_does_not_end_the_leadership failed before.

--- a/wasabipaddle/cell/tests/test_election.py
+++ b/wasabipaddle/cell/tests/test_election.py
@@ -169,3 +169,33 @@
         await cell.close()
 
     run_virtual(main())
+
+
+def test_listing_from_before_a_campaign_does_not_end_the_leadership(make_test_cell):
+    """Guards against a new leader that steps down, so that nobody leads for a while.
+
+    The answer to its last read of the leader key arrives after it has won the key.
+    """
+
+    async def main():
+        cell = make_test_cell(2)
+        first = await cell.elect()
+        (second,) = [p for p in cell.processes.values() if p is not first]
+        store = second.store_plugin.store
+        list_all = store.list_all
+
+        async def list_slowly(prefix):
+            page = await list_all(prefix)
+            await asyncio.sleep(0.5)
+            return page
+
+        store.list_all = list_slowly
+        second.election.watch.expire()
+        await asyncio.sleep(0.3)
+        assert await second.election.replace_leader()
+        await asyncio.sleep(3.0)
+        assert second.lost == []
+        assert cell.leader() is second
+        await cell.close()
+
+    run_virtual(main())
--- a/wasabipaddle/cell/watch.py
+++ b/wasabipaddle/cell/watch.py
@@ -80,15 +80,16 @@
         )
         if page.is_err():
             return page
-        if expirations == self.expirations:
-            self.revision = page.ok().revision
-            self.fresh.set()
+        if expirations != self.expirations:
+            return _expired()
+        self.revision = page.ok().revision
+        self.fresh.set()
         self.context.metrics.count(f"watch_listings_{self.name}")
         self.context.journal(
             "watch_listed",
             watch=self.name,
             entries=len(page.ok().entries),
-            revision=page.ok().revision,
+            revision=self.revision,
             took_ms=int((self.context.clock.now() - began) * MS_PER_S),
             age_ms=int(self.age_s() * MS_PER_S),
         )
@@ -99,6 +100,26 @@
         """Wait for changes after `revision`; return a `WatchBatch` in a `Result`."""
         return await self._receive(self._call_within_limit())
 
+    def expire(self):
+        """Have the prefix listed again; calls in progress count as lost."""
+        self.expirations += 1
+        self.fresh.clear()
+        self.revision = None
+        if self.call is not None:
+            self.call.cancel()
+
+    async def poll(self):
+        """Return the changes after `revision` at once, as a `WatchBatch` in a `Result`.
+
+        In contrast to `follow`, a failure counts for the health of the store.
+        """
+        call = self._call_store(NO_WAIT_S)
+        return await self._receive(self.store_plugin.call(call))
+
+    def close(self):
+        """Remove the gauge of the age."""
+        self.context.metrics.remove_gauge(f"watch_age_s_{self.name}")
+
     async def _call_within_limit(self):
         """Wait for changes; fail if there is no answer soon after the wait."""
         latency_s = self.store_plugin.health.latency_s
@@ -117,22 +138,6 @@
         detail = f"no answer, time limit {limit_s:.2f} s"
         return Err(Failure(kind=ErrorKind.TIMEOUT, detail=detail))
 
-    def expire(self):
-        """Have the prefix listed again; a call in progress counts as lost."""
-        self.expirations += 1
-        self.fresh.clear()
-        self.revision = None
-        if self.call is not None:
-            self.call.cancel()
-
-    async def poll(self):
-        """Return the changes after `revision` at once, as a `WatchBatch` in a `Result`.
-
-        In contrast to `follow`, a failure counts for the health of the store.
-        """
-        call = self._call_store(NO_WAIT_S)
-        return await self._receive(self.store_plugin.call(call))
-
     def _call_store(self, wait_s):
         return self.store_plugin.store.follow(
             self.prefix, after_revision=self.revision, wait_s=wait_s
@@ -145,8 +150,7 @@
         self.context.metrics.count(f"watch_calls_{self.name}")
         batch = await call
         if self.revision is None:
-            detail = "the watch has expired"
-            batch = Err(Failure(kind=ErrorKind.TIMEOUT, detail=detail))
+            batch = _expired()
         if batch.is_err():
             self.context.metrics.count(f"watch_lost_{self.name}")
             self.context.journal(
@@ -170,6 +174,7 @@
         metrics.observe(f"watch_gap_{self.name}", self.age_s())
         self.confirmed_s = self.context.clock.now()
 
-    def close(self):
-        """Remove the gauge of the age."""
-        self.context.metrics.remove_gauge(f"watch_age_s_{self.name}")
+
+def _expired():
+    detail = "the watch has expired"
+    return Err(Failure(kind=ErrorKind.TIMEOUT, detail=detail))
