Let a standby confirm an acquisition of a shard whose answer was lost

Cause: a standby had acquired the shard, and the answer was lost. It reads the record only while it does not hear from the leader that it knows, the former one, which was back. The former leader saw the live standby in the record. Nobody led, for ever.

Change: while the write may still take effect, that is while the record has the expected revision, the standby goes on reading.

The new test failed before in both cases.

--- a/wasabipaddle/leadership/election.py
+++ b/wasabipaddle/leadership/election.py
@@ -69,6 +69,7 @@
         self.leading = False
         self.must_verify = False
         self.renewal_in_doubt = False
+        self.unconfirmed_revision = None
         self.next_renewal = 0.0
         self.next_read = 0.0
         self.observed = None
@@ -243,6 +244,7 @@
         if (
             rank >= STANDBY_READERS
             and not self.handover_received
+            and self.unconfirmed_revision is None
             and self._heard_from_leader()
         ):
             return
@@ -251,6 +253,8 @@
         if result.is_err():
             return
         self._observe(result.unwrap())
+        if self.observed_revision != self.unconfirmed_revision:
+            self.unconfirmed_revision = None
         if self._is_unconfirmed_acquisition():
             self._become_leader(self.observed, self.observed_revision)
         elif self._may_take_over(rank):
@@ -330,8 +334,12 @@
             unproven=self._unproven(),
         )
         self.next_read = 0.0
+        # Without an answer, the write may take effect as long as the record has this
+        # revision, and only a read shows whether it has.
+        self.unconfirmed_revision = self.observed_revision
         result = await self._put(record, self.observed_revision)
         if result.is_ok():
+            self.unconfirmed_revision = None
             self._become_leader(record, result.unwrap())
 
     def _unproven(self):
--- a/wasabipaddle/leadership/tests/test_election.py
+++ b/wasabipaddle/leadership/tests/test_election.py
@@ -2,7 +2,11 @@
 
 import asyncio
 
+import pytest
+from result import Err
+
 from wasabipaddle.clock import LoopClock, run_virtual
+from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.leadership import MembershipView, ShardElection
 from wasabipaddle.settings import LeadershipSettings
 from wasabipaddle.standins import MemoryStore
@@ -149,3 +153,53 @@
         assert election.epoch > 2
 
     run_virtual(main())
+
+
+class StandbyMembers(LiveMembers):
+    """Membership view that ranks this process second; `silent` names a silent one."""
+
+    silent = ""
+
+    def rank(self, shard):
+        return 1
+
+    def silence_s(self, name, incarnation):
+        return 60.0 if name == self.silent else 0.0
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 3.0])
+def test_standby_confirms_its_acquisition_although_the_former_leader_is_back(delay_s):
+    """Guards against a shard without a leader while all members are live.
+
+    The store names the standby, which does not know it, as the answer was lost. It
+    hears from the former leader, which knows of the standby and does not campaign. The
+    write takes effect at once, or after a delay.
+    """
+
+    async def main():
+        store = MemoryStore()
+        first, second = (make_election(store, name) for name in "ab")
+        second.membership_view = StandbyMembers()
+        await first.step()
+        second.membership_view.silent = "a"
+        await second.step()
+        await asyncio.sleep(10.0)
+        second._observe((await store.get(second.key)).unwrap())
+        put = second.store.put
+
+        async def put_late(*args, **options):
+            asyncio.get_running_loop().call_later(
+                delay_s, lambda: asyncio.ensure_future(put(*args, **options))
+            )
+            return Err(Failure(kind=ErrorKind.TIMEOUT, detail="lost"))
+
+        second.store.put = put_late
+        await second._acquire()
+        second.store.put = put
+        second.membership_view.silent = ""
+        for _ in range(12):
+            await asyncio.sleep(0.5)
+            await second.step()
+        assert (second.leading, second.epoch) == (True, 2)
+
+    run_virtual(main())
