--- a/wasabipaddle/cell/tests/test_watch.py
+++ b/wasabipaddle/cell/tests/test_watch.py
@@ -123,3 +123,22 @@
         assert len(asyncio.all_tasks()) == before - 2
 
     watch_cell(scenario)
+
+
+def test_gauge_of_a_later_watch_outlives_an_earlier_one(watch_cell):
+    """Guards against a missing age after a process has led twice."""
+
+    async def scenario(cell, watch, events):
+        later = StoreWatch(
+            store_plugin=watch.store_plugin,
+            name="registry",
+            prefix=PREFIX,
+            bound_s=2.5,
+        )
+        watch.close()
+        gauges = later.context.metrics.snapshot()["gauges"]
+        assert gauges["watch_age_s_registry"] == 0
+        later.close()
+        assert later.context.metrics.snapshot()["gauges"] == {}
+
+    watch_cell(scenario)
--- a/wasabipaddle/cell/watch.py
+++ b/wasabipaddle/cell/watch.py
@@ -117,8 +117,8 @@
         return await self._receive(self.store_plugin.call(call))
 
     def close(self):
-        """Remove the gauge of the age."""
-        self.context.metrics.remove_gauge(f"watch_age_s_{self.name}")
+        """Remove the gauge of the age, unless a later watch has set it."""
+        self.context.metrics.remove_gauge(f"watch_age_s_{self.name}", self.age_s)
 
     async def _call_within_limit(self):
         """Wait for changes; fail if there is no answer soon after the wait."""
--- a/wasabipaddle/metrics/registry.py
+++ b/wasabipaddle/metrics/registry.py
@@ -39,9 +39,10 @@
         """Set the gauge `name` to a number, or to a callable that returns it."""
         self.gauges[name] = value
 
-    def remove_gauge(self, name):
-        """Remove the gauge `name`, if it exists."""
-        self.gauges.pop(name, None)
+    def remove_gauge(self, name, value):
+        """Remove the gauge `name`, unless it has been set to another value."""
+        if self.gauges.get(name) == value:
+            del self.gauges[name]
 
     def observe(self, name, seconds):
         """Record a duration in the histogram `name`."""
--- a/wasabipaddle/platform/decoding.py
+++ b/wasabipaddle/platform/decoding.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-__all__ = ["DECODING_ERRORS", "integer", "whole"]
+__all__ = ["DECODING_ERRORS", "integer", "rounded", "whole"]
 
 # What malformed data may raise in a decoder; deeply nested JSON raises RecursionError.
 DECODING_ERRORS = (
@@ -21,6 +21,11 @@
     return int(value) if is_whole else value
 
 
+def rounded(value):
+    """Return a float as the nearest integer, and any other value as it is."""
+    return round(value) if isinstance(value, float) else value
+
+
 def integer(value) -> int:
     """Return an integral number as an `int`; raise `TypeError` for anything else."""
     number = whole(value)
--- a/wasabipaddle/platform/jobs.py
+++ b/wasabipaddle/platform/jobs.py
@@ -7,7 +7,7 @@
 
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.jobs import JobPhase, JobSpec
-from wasabipaddle.platform.decoding import DECODING_ERRORS, whole
+from wasabipaddle.platform.decoding import DECODING_ERRORS, rounded, whole
 
 __all__ = ["JOB_ID", "PHASE_WORDS", "decode_spec"]
 
@@ -71,8 +71,8 @@
         "payload": body.get("spec", ""),
         "steps": [_read_step(step) for step in body["steps"]],
         "occurrences": max(scheduled, 1),
-        "first_due_ms": whole(body.get("start_at_ms") or 0) if scheduled else 0,
-        "interval_ms": whole(body.get("interval_ms") or 0) if scheduled else 0,
+        "first_due_ms": rounded(body.get("start_at_ms") or 0) if scheduled else 0,
+        "interval_ms": rounded(body.get("interval_ms") or 0) if scheduled else 0,
     }
 
 
@@ -95,7 +95,7 @@
         "lasting": step.get("long_running") or False,
         "checkpoints": step.get("checkpointing") or False,
         "image": step.get("image") or "",
-        "target_latency_ms": whole(step.get("target_ms") or 0),
+        "target_latency_ms": rounded(step.get("target_ms") or 0),
         "opportunistic": step.get("fills") or False,
         "disruption_allowance": -1 if may_miss is None else whole(may_miss),
     }
--- a/wasabipaddle/platform/tests/test_malformed.py
+++ b/wasabipaddle/platform/tests/test_malformed.py
@@ -217,6 +217,20 @@
     assert type(step.count) is int
 
 
+def test_times_may_have_a_fraction():
+    """Guards against the refusal of a schedule with fractions of milliseconds."""
+    body = {
+        "spec": "t",
+        "steps": [{"count": 1, "target_ms": 99.6}],
+        "repeat_count": 2,
+        "start_at_ms": 1788277007526.4,
+        "interval_ms": 500.5,
+    }
+    spec = decode_spec(json.dumps(body).encode()).ok()
+    assert (spec.first_due_ms, spec.interval_ms) == (1788277007526, 500)
+    assert spec.steps[0].target_latency_ms == 100
+
+
 @pytest.mark.parametrize("body", [b"[" * 100_000, b'{"steps":' * 50_000])
 def test_deeply_nested_job_is_refused(body):
     """Guards against a recursion error in place of a refusal."""
