--- a/review/lib/case.py
+++ b/review/lib/case.py
@@ -1,6 +1,7 @@
 """Frame of the cases: a small deployment, its end, and the exit code."""
 
 import asyncio
+import logging
 import os
 import random
 import signal
@@ -38,12 +39,13 @@
         self.runners = {}
         self.requester = cell.Requester(record=record, host=HOST_NAME)
 
-    def configure(self, version=7, **route):
+    def configure(self, version=7, service=SERVICE, **fields):
         """Write the operator's config."""
+        self.record.add("config", version=version, service=service)
         self.store.write(
             "op/config",
             cell.configuration(
-                version=version, host=HOST_NAME, prefix=PREFIX, service=SERVICE, **route
+                version=version, host=HOST_NAME, prefix=PREFIX, service=service, **fields
             ),
         )
 
@@ -57,11 +59,12 @@
         return process
 
     async def add_runner(
-        self, name, *, work_s, zone="brescia-a", labels=("a", "r1-1"), capacity=None
+        self, name, *, work_s, zone="brescia-a", labels=("a", "r1-1"), capacity=None,
+        service=SERVICE,
     ):
         """Start one runner."""
         runner = Runner(
-            record=self.record, store=self.store, name=name, service=SERVICE, zone=zone,
+            record=self.record, store=self.store, name=name, service=service, zone=zone,
             labels=list(labels), capacity=capacity or CAPACITY, work_s=work_s,
             hold_max_s=cell.BOUNDS["hold_max_ms"] / 1000,
         )
@@ -130,6 +133,8 @@
     """Play a case; `main` returns the lines of the verdict and whether the rule broke."""
     folder = Path(folder)
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    # Connections that the processes drop are part of the cases.
+    logging.getLogger("aiohttp.server").setLevel(logging.CRITICAL)
     random.seed()
     record, lines, code = Record(), [], COULD_NOT_RUN
 
--- a/review/lib/cell.py
+++ b/review/lib/cell.py
@@ -174,8 +174,8 @@
         await self.session.close()
 
 
-def configuration(*, version, host, prefix, service, **route):
-    """Return the stored form of a config with one route."""
+def configuration(*, version, host, prefix, service, services=(), **route):
+    """Return the stored form of a config with one route, and of its services."""
     row = {
         "name": "r-1", "host": host, "prefix": prefix, "kind": "unsafe",
         "timeout_ms": 3000, "target_duration_ms": 500, "priority": 0,
@@ -185,9 +185,10 @@
         "version": version,
         "routes": [row],
         "services": [
-            {"name": service, "health_path": "/health", "max_conns": 64,
+            {"name": name, "health_path": "/health", "max_conns": 64,
              "protocol": "h1", "tls": False, "enforces_capacity": False,
              "spare": False}
+            for name in services or (service,)
         ],
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144,
                    "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
--- a/review/lib/runner.py
+++ b/review/lib/runner.py
@@ -52,6 +52,9 @@
         self.allow = lambda fence: True
         # Address that it registers instead of its own.
         self.link = None
+        # Time that a message takes in one direction; two more for a new channel.
+        self.one_way_s = 0.0
+        self.channels = set()
 
     async def start(self, *, host="127.0.0.1"):
         """Begin a life: listen, register and send heartbeats."""
@@ -159,6 +162,15 @@
         event.set()
 
     async def _handle(self, request):
+        if self.one_way_s:
+            new = id(request.protocol) not in self.channels
+            self.channels.add(id(request.protocol))
+            await asyncio.sleep(self.one_way_s * (3 if new else 1))
+        answer = await self._route(request)
+        await asyncio.sleep(self.one_way_s)
+        return answer
+
+    async def _route(self, request):
         body = json.loads(await request.read() or b"{}")
         if not self.allow(body.get("fencing_token", 0)):
             await asyncio.sleep(3600)
