Test the default disposition of SIGHUP, whatever the parent has set

Cause: a child inherits that SIGHUP is ignored, so the signal does not end the command. Change: the child sets the default disposition first; the check itself is unchanged. Result: passes with SIGHUP ignored by the parent, where it failed before, and without.

--- a/wasabipaddle/cell/tests/test_process.py
+++ b/wasabipaddle/cell/tests/test_process.py
@@ -13,6 +13,9 @@
 PROGRAM = """
 import os, signal, sys
 
+# The disposition is inherited, and a parent such as nohup ignores the signal.
+signal.signal(signal.SIGHUP, signal.SIG_DFL)
+
 class HangUp:
     def find_spec(self, name, path, target=None):
         if name == "wasabipaddle.commands":
