Log why a run is taken for gone, and on which leadership that rests

Change, without a change of any decision: run_removed names the reason for each run whose end the runner has not listed; runner_lost, runner_regained, leases_expired, suspect_cleared and run_removed carry epoch, term and the age of the last answer of the store about the leader key; runner_lost and leases_expired tell the rest of the lease and the ages of inventory and clock reading; clock_reading_ignored tells a reading that is not used; the gauge leader_proof_age_s is new.

--- a/wasabipaddle/cell/calls.py
+++ b/wasabipaddle/cell/calls.py
@@ -25,6 +25,7 @@
 MAX_ENDED_RUNS_DELAY_S = 0.3
 RETRY_S = 0.1
 MAX_RETRY_S = 0.8
+MS_PER_S = 1000
 
 
 class RunnerCalls:
@@ -208,7 +209,14 @@
                 continue
             if failures:
                 runner.paused_until_s = now
-                session.journal("runner_regained", runner=runner.id, failures=failures)
+                session.journal(
+                    "runner_regained",
+                    runner=runner.id,
+                    failures=failures,
+                    lease_left_ms=runner.lease_left_ms(now),
+                    running=len(result.ok().running),
+                    ended=len(result.ok().ended),
+                )
             failures = 0
             ended = bool(result.ok().ended)
             scheduler.reports.process_inventory(runner, result.ok(), now)
@@ -242,6 +250,8 @@
                 reason=reason.value,
                 detail=detail,
                 runs=len(runner.runs),
+                lease_left_ms=runner.lease_left_ms(now),
+                inventory_age_ms=int((now - runner.last_inventory_s) * MS_PER_S),
             )
 
     async def close(self):
--- a/wasabipaddle/cell/election.py
+++ b/wasabipaddle/cell/election.py
@@ -118,6 +118,7 @@
         """Start to watch the leader key and to renew the lease."""
         self.store_plugin = self.context.plugins[CellStorePlugin.name]
         self.store = self.store_plugin.store
+        self.context.metrics.gauge("leader_proof_age_s", self.proof_age_s)
         self.watch = StoreWatch(
             store_plugin=self.store_plugin,
             name="leader",
@@ -201,6 +202,10 @@
         self.watch.expire()
         await self.watch.fresh.wait()
 
+    def proof_age_s(self) -> float:
+        """Return the age of the last answer of the store about the leader key."""
+        return self.watch.age_s()
+
     async def replace_leader(self) -> bool:
         """Take the key from a leader presumed dead; return whether this process leads.
 
--- a/wasabipaddle/cell/session.py
+++ b/wasabipaddle/cell/session.py
@@ -41,6 +41,17 @@
 # wait after it for the store, which may be unavailable to all processes.
 PAUSE_S = 1.0
 CONFIRM_S = 1.5
+# Events that tell why a run is taken for gone; they are logged with the leadership on
+# which the decision rests.
+LEADERSHIP_EVENTS = frozenset(
+    {
+        "leases_expired",
+        "run_removed",
+        "runner_lost",
+        "runner_regained",
+        "suspect_cleared",
+    }
+)
 
 
 class DispatchSession:
@@ -66,9 +77,9 @@
     def __init__(
         self, *, context, store_plugin, members, configuration, epoch, term, election
     ):
+        self.context = context
         self.settings = context.settings
         self.clock = context.clock
-        self.journal = context.journal
         self.metrics = context.metrics
         self.store_plugin = store_plugin
         self.configuration = configuration
@@ -88,7 +99,7 @@
                 restore_s=bounds.restore_s,
                 remote_slowdown=bounds.remote_slowdown,
             ),
-            journal=context.journal,
+            journal=self.journal,
             run_number_base=(term - 1) * RUNS_PER_TERM,
         )
         self.advice_balancer = AdviceBalancer(members=members)
@@ -110,6 +121,16 @@
         self.progress = {}
         self.last_round_s = self.clock.boot_s()
 
+    def journal(self, kind, **fields):
+        """Log an event, with epoch, term and age of the proof if they matter to it."""
+        if kind in LEADERSHIP_EVENTS:
+            fields |= {
+                "epoch": self.epoch,
+                "term": self.term,
+                "proof_age_ms": int(self.election.proof_age_s() * 1000),
+            }
+        self.context.journal(kind, **fields)
+
     def now(self) -> float:
         """Return monotonic time in seconds."""
         return self.clock.now()
--- a/wasabipaddle/cell/tests/session_parts.py
+++ b/wasabipaddle/cell/tests/session_parts.py
@@ -41,6 +41,9 @@
     def __init__(self):
         self.confirmations = 0
 
+    def proof_age_s(self):
+        return 0.0
+
     async def confirm(self):
         await asyncio.sleep(0.1)
         self.confirmations += 1
--- a/wasabipaddle/dispatch/lifecycle.py
+++ b/wasabipaddle/dispatch/lifecycle.py
@@ -220,10 +220,29 @@
                 if run.number == number and run.phase is not RunPhase.STOPPING:
                     self.state.stop_run(run, now)
 
-    def remove_run(self, run, now):
-        """Remove a run that no longer exists and requeue its task if necessary."""
+    def remove_run(self, run, now, *, reason=None):
+        """Remove a run that no longer exists and requeue its task if necessary.
+
+        Parameters
+        ----------
+        reason : RemovalReason or None
+            Why the run cannot exist any more although the runner has not listed its
+            end; None if it has.
+        """
         run.runner.release(run)
         task = run.task
+        if reason is not None:
+            self.state.journal(
+                "run_removed",
+                job=task.id.job,
+                task=task.id[1:],
+                run=run.number,
+                runner=run.runner.id,
+                phase=run.phase.value,
+                reason=reason.value,
+                inventory_age_ms=int((now - run.runner.last_inventory_s) * MS_PER_S),
+                lease_left_ms=run.runner.lease_left_ms(now),
+            )
         if run in task.runs:
             task.runs.remove(run)
         active = not task.completed and not task.step.job.phase.final
--- a/wasabipaddle/dispatch/model.py
+++ b/wasabipaddle/dispatch/model.py
@@ -12,6 +12,7 @@
     "COMPARED_PERCENT",
     "COMPARED_RUNS",
     "JobEntry",
+    "RemovalReason",
     "Run",
     "RunPhase",
     "Step",
@@ -39,6 +40,17 @@
     STOPPING = "stopping"
 
 
+class RemovalReason(enum.Enum):
+    """Why a run is taken for gone although its runner has not listed its end."""
+
+    LEASE_EXPIRED = "lease_expired"
+    MISSING = "missing"
+    NEW_INCARNATION = "new_incarnation"
+    NOT_STARTED = "not_started"
+    RUNNER_EXITED = "runner_exited"
+    RUNNER_MOVED = "runner_moved"
+
+
 @attrs.define(kw_only=True, eq=False)
 class Run:
     """One run of a task, which keeps its reservation on the runner until removed.
--- a/wasabipaddle/dispatch/reports.py
+++ b/wasabipaddle/dispatch/reports.py
@@ -1,6 +1,6 @@
 """Processing of runner reports: inventories, replies to orders, expired leases."""
 
-from wasabipaddle.dispatch.model import Run, RunPhase
+from wasabipaddle.dispatch.model import RemovalReason, Run, RunPhase
 from wasabipaddle.dispatch.orders import StartOutcome, StopTask
 from wasabipaddle.interfaces import Refusal
 from wasabipaddle.jobs import JobPhase
@@ -46,7 +46,7 @@
             return
         if inventory.incarnation != runner.incarnation:
             self._begin_incarnation(runner, inventory, now)
-        runner.set_clock(inventory.clock_ms, now)
+        self._set_clock(runner, inventory.clock_ms, now)
         runner.inventoried = True
         runner.exited = False
         runner.last_inventory_s = now
@@ -61,7 +61,18 @@
             self.state.suspects.pop(runner.id, None)
         for run in list(runner.runs.values()):
             if run.key not in listed and self._no_longer_exists(run, inventory, now):
-                self.lifecycle.remove_run(run, now)
+                self.lifecycle.remove_run(run, now, reason=RemovalReason.MISSING)
+
+    def _set_clock(self, runner, clock_ms, now):
+        """Record a clock reading of a runner, and log one that is not used."""
+        if runner.set_clock(clock_ms, now) or not clock_ms:
+            return
+        self.state.journal(
+            "clock_reading_ignored",
+            runner=runner.id,
+            lag_ms=runner.estimate_clock_ms(now) - clock_ms,
+            reading_age_ms=int((now - runner.clock_s) * MS_PER_S),
+        )
 
     def _begin_incarnation(self, runner, inventory, now):
         """Discard the runs and end numbers of the previous incarnation of a runner."""
@@ -69,7 +80,7 @@
             self.state.journal("runner_reborn", runner=runner.id, runs=len(runner.runs))
         runner.incarnation = inventory.incarnation
         for run in list(runner.runs.values()):
-            self.lifecycle.remove_run(run, now)
+            self.lifecycle.remove_run(run, now, reason=RemovalReason.NEW_INCARNATION)
         runner.processed_end = runner.acknowledged = 0
         runner.pending_acknowledgements.clear()
         runner.clock_ms = 0
@@ -238,7 +249,7 @@
                 run.phase = RunPhase.DOUBTFUL
                 self.state.stop_run(run, now)
         elif reply.refusal is Refusal.NONE:
-            runner.set_clock(reply.clock_ms, now)
+            self._set_clock(runner, reply.clock_ms, now)
             run.confirmed_ms = reply.clock_ms
             stopped = run.stop_sent_s > 0 or run.phase is RunPhase.STOPPING
             run.phase = RunPhase.STOPPING if stopped else RunPhase.RUNNING
@@ -276,7 +287,7 @@
     def _discard_failed_start(self, run, now):
         if run.task.spec.gang:
             self.lifecycle.break_gang(run.task.step, run.number, now)
-        self.lifecycle.remove_run(run, now)
+        self.lifecycle.remove_run(run, now, reason=RemovalReason.NOT_STARTED)
 
     def stop_replied(self, runner, task_id, number, reply, now):
         """Process the reply to a stop order.
@@ -284,7 +295,7 @@
         Unless the runner refused the order for another reason than the run number, a
         run that had not begun can no longer begin.
         """
-        runner.set_clock(reply.clock_ms, now)
+        self._set_clock(runner, reply.clock_ms, now)
         run = runner.runs.get((task_id, number))
         if run is None or reply.refusal not in (Refusal.NONE, Refusal.OLD_RUN):
             return
@@ -329,8 +340,14 @@
             if not runner.has_passed(runner.lease_until_ms, now):
                 continue
             self.state.journal(
-                "leases_expired", runner=runner.id, runs=len(runner.runs)
+                "leases_expired",
+                runner=runner.id,
+                runs=len(runner.runs),
+                lease_left_ms=runner.lease_left_ms(now),
+                inventory_age_ms=int((now - runner.last_inventory_s) * MS_PER_S),
+                reading_age_ms=int((now - runner.clock_s) * MS_PER_S),
             )
             for run in list(runner.runs.values()):
                 if run.phase is not RunPhase.STARTING:
-                    self.lifecycle.remove_run(run, now)
+                    reason = RemovalReason.LEASE_EXPIRED
+                    self.lifecycle.remove_run(run, now, reason=reason)
--- a/wasabipaddle/dispatch/runners.py
+++ b/wasabipaddle/dispatch/runners.py
@@ -104,6 +104,13 @@
         """Time on the runner's clock at which the last lease on it ends."""
         return max(self.inventory_lease_until_ms, self.start_lease_until_ms)
 
+    def lease_left_ms(self, now) -> int:
+        """Return the estimated time until the last known lease ends, in milliseconds.
+
+        Negative once the lease has ended.
+        """
+        return self.lease_until_ms - self.estimate_clock_ms(now)
+
     def estimate_clock_ms(self, now) -> int:
         """Return the estimated current clock reading of the runner."""
         return int(self.clock_ms + (now - self.clock_s) * MS_PER_S)
@@ -114,17 +121,19 @@
             1 - CLOCK_DRIFT_FRACTION
         )
 
-    def set_clock(self, clock_ms, now):
-        """Record a clock reading of the runner.
+    def set_clock(self, clock_ms, now) -> bool:
+        """Record a clock reading of the runner; return whether it has been used.
 
         A reading of 0 is ignored, and so is a reading that lags the estimate by more
         than one second, as from a delayed reply.
         """
         if not clock_ms:
-            return
-        if not self.clock_ms or clock_ms >= self.estimate_clock_ms(now) - MS_PER_S:
-            self.clock_ms = clock_ms
-            self.clock_s = now
+            return False
+        if self.clock_ms and clock_ms < self.estimate_clock_ms(now) - MS_PER_S:
+            return False
+        self.clock_ms = clock_ms
+        self.clock_s = now
+        return True
 
     def has_passed(self, until_ms, now) -> bool:
         """Return whether the runner's clock is certainly past a time and the margin.
--- a/wasabipaddle/dispatch/scheduler.py
+++ b/wasabipaddle/dispatch/scheduler.py
@@ -4,6 +4,7 @@
 from wasabipaddle.dispatch.evacuation import Evacuation
 from wasabipaddle.dispatch.fleet import runners_to_record
 from wasabipaddle.dispatch.lifecycle import Lifecycle
+from wasabipaddle.dispatch.model import RemovalReason
 from wasabipaddle.dispatch.placement import Placement
 from wasabipaddle.dispatch.preemption import Preemption
 from wasabipaddle.dispatch.reports import Reports
@@ -76,7 +77,7 @@
         The runner is no longer suspected to hold runs of the previous dispatcher.
         """
         for run in list(runner.runs.values()):
-            self.lifecycle.remove_run(run, now)
+            self.lifecycle.remove_run(run, now, reason=RemovalReason.RUNNER_MOVED)
         self.state.suspects.pop(runner.id, None)
 
     def mark_unlisted(self, runner_id):
@@ -110,7 +111,7 @@
         self.state.suspects.pop(runner.id, None)
         self.state.journal("runner_left", runner=runner.id, runs=len(runner.runs))
         for run in list(runner.runs.values()):
-            self.lifecycle.remove_run(run, now)
+            self.lifecycle.remove_run(run, now, reason=RemovalReason.RUNNER_EXITED)
 
     def remove_departed_runners(self, now):
         """Remove and return the unlisted runners on which nothing can run any more."""
--- a/wasabipaddle/dispatch/tests/test_runs.py
+++ b/wasabipaddle/dispatch/tests/test_runs.py
@@ -45,6 +45,20 @@
     assert len(order.run.runner.runs) == 1
 
 
+def test_run_without_a_listed_end_is_logged_with_the_reason(cell):
+    """Guards against a second run of a task whose cause the log does not show."""
+    cell.submit("j0", step(1, lasting=True))
+    cell.plan()
+    name = cell.started[0][2]
+    cell.unresponsive.add(name)
+    cell.advance_time(5.0)
+    events = dict(cell.events)
+    assert events["run_removed"]["reason"] == "lease_expired"
+    assert events["run_removed"]["runner"] == name
+    assert events["run_removed"]["lease_left_ms"] < 0
+    assert events["leases_expired"]["inventory_age_ms"] >= 4000
+
+
 def test_tasks_of_an_unresponsive_runner_restart_after_its_leases_expire(cell):
     """Guards against a restart while an unresponsive runner may still run the task.
 
