--- a/wasabipaddle/cell/tests/conftest.py
+++ b/wasabipaddle/cell/tests/conftest.py
@@ -16,6 +16,7 @@
 from wasabipaddle.kernel import Context
 from wasabipaddle.settings import CellSettings, PlatformAddresses
 from wasabipaddle.standins.transactions import MemoryTransactions, TransactionsClient
+from wasabipaddle.transport import HttpTransport
 
 QUEUE = Queue(name="q", host="h", prefix="/q/", pool="p")
 SPEC = JobSpec(payload="p", steps=(StepSpec(count=1),))
@@ -28,6 +29,7 @@
     def __init__(self, process, processes):
         self.process = process
         self.processes = processes
+        self.transport = HttpTransport(peers={})
         self.leader = ""
         self.waiting = None
         self.waiting_received_s = 0.0
--- a/wasabipaddle/dispatch/tests/conftest.py
+++ b/wasabipaddle/dispatch/tests/conftest.py
@@ -36,8 +36,18 @@
 QUEUES = {queue.name: queue for queue in (URGENT, BATCH, ADVISED)}
 
 
+# Ended runs that a runner lists at a time.
+ENDS_PER_LIST = 500
+
+
 class FakeRunner:
-    """In-memory runner that lists its ended runs until they are acknowledged."""
+    """In-memory runner that lists its ended runs until they are acknowledged.
+
+    Attributes
+    ----------
+    lag_s : float
+        Time for which the clock of the runner has stood still, in seconds.
+    """
 
     def __init__(self, cell, name, *, cpu=4000):
         self.cell = cell
@@ -48,10 +58,11 @@
         self.ended = []
         self.number = 0
         self.acknowledged = 0
+        self.lag_s = 0.0
 
     @property
     def clock_ms(self):
-        return int(self.cell.now * 1000) + 500
+        return int((self.cell.now - self.lag_s) * 1000) + 500
 
     def end(self, task, run, cause=EndCause.COMPLETED):
         """End a run and list its end."""
@@ -77,12 +88,12 @@
             RunningTask(task=task, run=run, checkpoint=saved, percent=50, load=1.0)
             for (task, run), saved in self.running.items()
         )
-        ended = tuple(e for e in self.ended if e.number > self.acknowledged)
+        ended = [e for e in self.ended if e.number > self.acknowledged]
         return Inventory(
             clock_ms=self.clock_ms,
             incarnation=self.incarnation,
             running=rows,
-            ended=ended,
+            ended=tuple(ended[:ENDS_PER_LIST]),
         )
 
     def crash(self):
--- a/wasabipaddle/standins/transactions.py
+++ b/wasabipaddle/standins/transactions.py
@@ -12,6 +12,8 @@
 
 
 LATENCY_S = 0.004
+# Time after which the client gives up a call without an answer.
+CALL_TIMEOUT_S = 0.9
 # Time beyond its wait after which the client gives up a watch without an answer.
 WATCH_MARGIN_S = 1.0
 
@@ -30,6 +32,8 @@
         Whether every call is refused.
     refused_clients : set of str
         Clients whose calls are refused.
+    cut_off_clients : set of str
+        Clients whose calls have no effect and get no answer.
     lost_share : float
         Share of the commits that get no answer.
     delay_s : float or None
@@ -53,6 +57,7 @@
         self.random = random.Random(seed)
         self.down = False
         self.refused_clients = set()
+        self.cut_off_clients = set()
         self.lost_share = 0.0
         self.delay_s = 0.0
         self.latency_s = LATENCY_S
@@ -150,6 +155,9 @@
     async def _refusal(self):
         """Wait for the latency of a call; return a failure if the call is refused."""
         await asyncio.sleep(self.memory.latency_s)
+        if self.client in self.memory.cut_off_clients:
+            await asyncio.sleep(CALL_TIMEOUT_S)
+            return _failure(ErrorKind.TIMEOUT, "no answer from the store")
         if self.memory.down or self.client in self.memory.refused_clients:
             return _failure(ErrorKind.STORE_UNAVAILABLE, "the store is down")
         return None
@@ -194,7 +202,7 @@
             asyncio.get_running_loop().call_later(
                 self.memory.delay_s, self.memory.apply, conditions, puts, deletes
             )
-        await asyncio.sleep(0.9)
+        await asyncio.sleep(CALL_TIMEOUT_S)
         return _failure(ErrorKind.TIMEOUT, "no answer from the store")
 
     async def follow(self, prefix, *, after_revision, wait_s):
