Start a job only if it was stored while this process led

What callers saw: a job that is stored after a takeover runs twice at once (TWICE). Cause: the process that stores a job may still take the replaced leader for the leader and announces the job to it; that leader starts its tasks on runners that only it reaches. The new leader takes jobs that appear after its election for new and does not wait for any runner. Neither asks who led when the job was stored. Change: a process creates the key of a job under the condition that the leader key has the epoch that it knows, and names this epoch in the announcement; if the leader has changed, the job is stored without the condition and announced without an epoch. The leader starts at once only jobs of its own epochs; others, as those that only its watch shows, wait for a read of the leader key that is begun after the job is known (AcceptedJobs). The listing of a takeover is confirmed by such a read, too. No call is added for a job while the leader does not change. The loading of the stored state moves to cell/takeover.py, the proof to cell/proof.py.

--- a/wasabipaddle/cell/calls.py
+++ b/wasabipaddle/cell/calls.py
@@ -165,7 +165,7 @@
     def _wait_s(self, runner, failures):
         if failures or not runner.inventoried:
             return 0.0
-        if self.session.election.proof_age_s() > OLD_PROOF_S:
+        if self.session.election.proof.age_s() > OLD_PROOF_S:
             return OLD_PROOF_WAIT_S
         if not runner.runs:
             return IDLE_WAIT_S
--- a/wasabipaddle/cell/dispatcher.py
+++ b/wasabipaddle/cell/dispatcher.py
@@ -73,7 +73,7 @@
 
     def _open_session(self, event):
         if event.continued and self.session is not None:
-            self.session.epoch = event.epoch
+            self.session.continue_with(event.epoch)
             return
         self._close_session(None)
         self.session = DispatchSession(
@@ -105,7 +105,7 @@
     async def _handle_job_accepted(self, message):
         if self.session is None:
             return _not_leader()
-        return self.session.add_announced_job(message.job)
+        return self.session.add_announced_job(message.job, message.epoch)
 
     async def _handle_job_cancelled(self, message):
         if self.session is None:
--- a/wasabipaddle/cell/election.py
+++ b/wasabipaddle/cell/election.py
@@ -1,7 +1,6 @@
 """Role `cell_election`: election of the leader, the process that dispatches."""
 
 import asyncio
-import math
 
 import attrs
 import msgspec
@@ -14,6 +13,7 @@
     LeadershipLost,
 )
 from wasabipaddle.cell.keys import LEADER_KEY, TERM_KEY
+from wasabipaddle.cell.proof import LeadershipProof
 from wasabipaddle.cell.store import CellStorePlugin
 from wasabipaddle.cell.watch import StoreWatch
 from wasabipaddle.exceptions import ErrorKind, Failure
@@ -26,8 +26,6 @@
 # Duration of the lease of the leader key.
 LEASE_S = 1.6
 RENEW_S = 0.4
-# Time between two reads of the leader key by the leader; see `ElectionPlugin.prove`.
-PROOF_PERIOD_S = 0.4
 # Time within which a change of the leader key must be known: to the leader, which makes
 # no progress durable without the key, and to other processes, which check the key when
 # the leader does not respond.
@@ -88,9 +86,8 @@
     ----------
     epoch : int
         Epoch of this process while it leads, else 0.
-    proved_s : float
-        Time on the boot clock at which the latest read or write that showed this
-        process as the leader was sent; the process certainly led at that time.
+    proof : LeadershipProof
+        Proof that this process leads.
     leader : LeaderRecord or None
         Holder of the leader key as last read or written, None if there was none.
     draining : bool
@@ -112,7 +109,6 @@
         )
         self.epoch = 0
         self.lease = 0
-        self.proved_s = -math.inf
         self.leader = None
         self.leader_revision = 0
         self.last_replacement_s = -REPLACE_PAUSE_S
@@ -121,12 +117,13 @@
         self.draining = False
         self.weak = False
         self.tasks = TaskSet()
+        self.proof = LeadershipProof(election=self)
 
     async def start(self):
         """Start to watch the leader key and to renew the lease."""
         self.store_plugin = self.context.plugins[CellStorePlugin.name]
         self.store = self.store_plugin.store
-        self.context.metrics.gauge("leader_proof_age_s", self.proof_age_s)
+        self.context.metrics.gauge("leader_proof_age_s", self.proof.age_s)
         self.watch = StoreWatch(
             store_plugin=self.store_plugin,
             name="leader",
@@ -136,7 +133,7 @@
         self.context.bus.events(DrainStarted).subscribe(self._on_drain)
         self.tasks.keep_running(self._follow)
         self.tasks.keep_running(self._renew)
-        self.tasks.keep_running(self._prove_periodically)
+        self.tasks.keep_running(self.proof.read_periodically)
 
     def _on_drain(self, event):
         """Stop campaigning; a leader hands over or resigns during the drain."""
@@ -211,38 +208,6 @@
         self.watch.expire()
         await self.watch.fresh.wait()
 
-    def proof_age_s(self) -> float:
-        """Return how long ago this process certainly led, in seconds.
-
-        Infinite while it does not lead. Time for which the machine was suspended
-        counts as well.
-        """
-        return self.context.clock.boot_s() - self.proved_s if self.epoch else math.inf
-
-    async def prove(self) -> bool:
-        """Read the leader key; return whether this process holds it.
-
-        A renewal of the lease proves nothing, since a successor that replaces the
-        record leaves the lease of its predecessor alone.
-        """
-        epoch, began_s = self.epoch, self.context.clock.boot_s()
-        found = await self.store.get(LEADER_KEY)
-        if found.is_err() or not epoch or epoch != self.epoch:
-            return False
-        entry = found.ok()
-        if entry is None or entry.revision != epoch:
-            self.watch.expire()
-            return False
-        self.proved_s = max(self.proved_s, began_s)
-        return True
-
-    async def _prove_periodically(self):
-        """Read the leader key again and again; one lost answer delays no later read."""
-        while True:
-            await asyncio.sleep(PROOF_PERIOD_S)
-            if self.epoch:
-                self.tasks.spawn(self.prove())
-
     async def replace_leader(self) -> bool:
         """Take the key from a leader presumed dead; return whether this process leads.
 
@@ -335,7 +300,7 @@
             if self.epoch and not replaces and mismatch:
                 self._stop_leading("another process took the leader key")
             return False
-        self.proved_s = began_s
+        self.proof.proved_s = began_s
         self._start_leading(taken.ok(), lease, number + 1, continued)
         return True
 
--- a/wasabipaddle/cell/entry.py
+++ b/wasabipaddle/cell/entry.py
@@ -6,7 +6,12 @@
 from result import Err, Ok
 
 from wasabipaddle.cell.configuration import ConfigurationPlugin
-from wasabipaddle.cell.keys import CANCEL_PREFIX, JOB_PREFIX, PROGRESS_PREFIX
+from wasabipaddle.cell.keys import (
+    CANCEL_PREFIX,
+    JOB_PREFIX,
+    LEADER_KEY,
+    PROGRESS_PREFIX,
+)
 from wasabipaddle.cell.members import MembersPlugin
 from wasabipaddle.cell.store import CellStorePlugin
 from wasabipaddle.exceptions import ErrorKind, Failure, Outcome
@@ -142,7 +147,7 @@
         metrics.observe("acceptance", self.context.clock.now() - began)
         if accepted.is_ok():
             metrics.count("jobs_accepted")
-            self.tasks.spawn(self._notify(JobAccepted(job=job)))
+            self._announce(job, accepted.ok())
         else:
             metrics.count(f"jobs_refused_{accepted.err().kind.value}")
         return accepted
@@ -153,24 +158,18 @@
         Returns
         -------
         result.Result
-            None, or an `Err` whose outcome is `NOT_RUN` only if no write that was sent
-            may still take effect.
+            Epoch as returned by `_create_key`, or an `Err` whose outcome is `NOT_RUN`
+            only if no write that was sent may still take effect.
         """
         if self.store_plugin.health.unavailable:
             return await self._store_through_peer(job, until_s=until_s)
-        key = JOB_PREFIX + job.id
-        put = Put(key=key, value=encode_job(job))
         in_doubt = False
         failure = None
         while self.context.clock.now() < until_s:
-            stored = await self.store_plugin.call(
-                self.store.commit(conditions=((key, 0),), puts=(put,))
-            )
+            stored = await self._create_key(job)
             if stored.is_ok():
-                return Ok(None)
+                return stored
             failure = stored.err()
-            if failure.kind is ErrorKind.REVISION_MISMATCH:
-                return Ok(None)
             in_doubt |= failure.kind not in NOT_STORED_KINDS
             if self.store_plugin.health.unavailable:
                 break
@@ -179,6 +178,38 @@
             return _failure(ErrorKind.ACCEPTANCE_UNKNOWN, failure.detail)
         return await self._store_through_peer(job, until_s=until_s)
 
+    async def _create_key(self, job):
+        """Create the key of a job unless it exists, if possible under a known leader.
+
+        Returns
+        -------
+        result.Result
+            Epoch of the leader at the time of the creation, 0 if it is not known; or an
+            `Err` if the key may not exist.
+        """
+        condition = (JOB_PREFIX + job.id, 0)
+        put = Put(key=JOB_PREFIX + job.id, value=encode_job(job))
+        epoch = self.members.leader_epoch if self.members.leader else 0
+        if epoch:
+            conditions = (condition, (LEADER_KEY, epoch))
+            stored = await self.store_plugin.call(
+                self.store.commit(conditions=conditions, puts=(put,))
+            )
+            if stored.is_ok():
+                return Ok(epoch)
+            if stored.err().kind is not ErrorKind.REVISION_MISMATCH:
+                return stored
+        stored = await self.store_plugin.call(
+            self.store.commit(conditions=(condition,), puts=(put,))
+        )
+        if stored.is_err() and stored.err().kind is not ErrorKind.REVISION_MISMATCH:
+            return stored
+        return Ok(0)
+
+    def _announce(self, job, epoch):
+        """Tell the dispatcher about a job that this process or a peer has stored."""
+        self.tasks.spawn(self._notify(JobAccepted(job=job, epoch=epoch)))
+
     async def _store_through_peer(self, job, *, until_s):
         """Have a peer store a job, since this process does not reach the store.
 
@@ -193,7 +224,7 @@
                 peer, StoreJob(job=job), Noted, timeout_s=timeout_s
             )
             if stored.is_ok():
-                return Ok(None)
+                return Ok(0)
             not_run = stored.err().outcome is Outcome.NOT_RUN
             if stored.err().kind is not ErrorKind.UNREACHABLE and not not_run:
                 detail = f"{peer}: {stored.err().detail}"
@@ -217,16 +248,10 @@
         """Store a job for a process that does not reach the store."""
         if self.store_plugin.health.unavailable:
             return _failure(ErrorKind.STORE_UNAVAILABLE, "the store does not answer")
-        job = message.job
-        key = JOB_PREFIX + job.id
-        stored = await self.store_plugin.call(
-            self.store.commit(
-                conditions=((key, 0),), puts=(Put(key=key, value=encode_job(job)),)
-            )
-        )
-        if stored.is_err() and stored.err().kind is not ErrorKind.REVISION_MISMATCH:
+        stored = await self._create_key(message.job)
+        if stored.is_err():
             return stored
-        self.tasks.spawn(self._notify(JobAccepted(job=job)))
+        self._announce(message.job, stored.ok())
         return Ok(Noted())
 
     async def _notify(self, message):
--- a/wasabipaddle/cell/session.py
+++ b/wasabipaddle/cell/session.py
@@ -4,16 +4,16 @@
 
 from result import Err, Ok
 
+from wasabipaddle.cell.accepted import AcceptedJobs
 from wasabipaddle.cell.advice import AdviceBalancer
 from wasabipaddle.cell.calls import RunnerCalls
 from wasabipaddle.cell.fleet import FleetRecord
 from wasabipaddle.cell.intake import IntakeWatcher, RegistryWatcher
-from wasabipaddle.cell.keys import PROGRESS_PREFIX
+from wasabipaddle.cell.takeover import PROOF_LIMIT_S, load_fleet, load_progress
 from wasabipaddle.cell.writer import ProgressWriter
 from wasabipaddle.dispatch import Scheduler
 from wasabipaddle.dispatch.state import Timing
 from wasabipaddle.exceptions import ErrorKind, Failure
-from wasabipaddle.jobs import decode_progress
 from wasabipaddle.messages.jobs import Noted, PhaseReply
 from wasabipaddle.serve.tasks import TaskSet
 
@@ -27,15 +27,6 @@
 MAX_LEASE_S = 4.5
 LEASE_SHARE = 0.75
 MAX_START_S = 4.0
-# Longest age of the proof of leadership with which a leader grants leases and starts
-# tasks. Leases then outlast the 4.5 s for which the store may be away for everybody; a
-# successor waits for this time and a lease before it starts recovered tasks that may
-# run on a runner that it does not reach.
-PROOF_LIMIT_S = 3.0
-# Margin of that wait, for the time that a runner needs to end runs.
-SUCCESSOR_MARGIN_S = 0.2
-# Factor on a lease that allows for drift between the clocks of runner and dispatcher.
-CLOCK_DRIFT_FACTOR = 1.02
 # Longest time between two planning rounds, and shortest between two rounds of the work
 # that depends on time.
 TICK_S = 0.1
@@ -126,6 +117,7 @@
             mark_unlisted=self._mark_unlisted,
         )
         self.progress = {}
+        self.accepted = AcceptedJobs(session=self, epoch=epoch)
         self.granting = True
         self.last_round_s = self.clock.boot_s()
 
@@ -135,7 +127,7 @@
             fields |= {
                 "epoch": self.epoch,
                 "term": self.term,
-                "proof_age_ms": int(self.election.proof_age_s() * 1000),
+                "proof_age_ms": int(self.election.proof.age_s() * 1000),
             }
         self.context.journal(kind, **fields)
 
@@ -148,7 +140,7 @@
 
         A successor may lead otherwise, and count on it that this process does neither.
         """
-        return self.election.proof_age_s() <= PROOF_LIMIT_S
+        return self.election.proof.age_s() <= PROOF_LIMIT_S
 
     def spawn(self, coroutine):
         """Run a coroutine as a background task of the session."""
@@ -162,6 +154,11 @@
         """Have the next planning round run soon."""
         self.woken.set()
 
+    def continue_with(self, epoch):
+        """Go on under another epoch, as no other process has led in between."""
+        self.epoch = epoch
+        self.accepted.epochs.add(epoch)
+
     def start(self):
         """Start the takeover, followed by planning, in the background."""
         self.keep_running(self._take_over)
@@ -179,9 +176,13 @@
         self._measure_wall_offset()
         if self.configuration.current is not None:
             self.scheduler.configure(self.configuration.current)
-        await self._load_fleet()
-        await asyncio.gather(self._load_progress(), self.registry.load())
+        await load_fleet(self)
+        await asyncio.gather(load_progress(self), self.registry.load())
         await self.intake.load()
+        # Jobs that were stored before the listing count as recovered, so the listing
+        # must lie within the leadership.
+        while not await self.election.proof.read():
+            await asyncio.sleep(RETRY_S)
         self.progress.clear()
         self.loaded = True
         self.last_round_s = self.clock.boot_s()
@@ -207,43 +208,6 @@
         ):
             self.keep_running(function)
 
-    async def _load_fleet(self):
-        """Add all runners of the stored fleet record, and mark them as suspect.
-
-        The registry may no longer list some of them, but they may run tasks of the
-        previous dispatcher until the leases that it granted have expired. A runner that
-        did not answer the previous dispatcher either has only those of earlier ones.
-        """
-        timing = self.scheduler.state.timing
-        lease_wait_s = (
-            PROOF_LIMIT_S + timing.lease_s * CLOCK_DRIFT_FACTOR + SUCCESSOR_MARGIN_S
-        )
-        for row in await self.fleet.load():
-            runner = self.scheduler.set_runner(row.entry, self.now())
-            runner.listed = False
-            runner.in_fleet_record = row.wait_s is None
-            wait_s = lease_wait_s
-            if row.wait_s is not None and row.term == self.term - 1:
-                wait_s = min(row.wait_s, lease_wait_s)
-            self.scheduler.state.suspects[row.id] = self.now() + wait_s
-
-    async def _load_progress(self):
-        while True:
-            page = await self.store_plugin.call(
-                self.store_plugin.store.list_all(PROGRESS_PREFIX)
-            )
-            if page.is_ok():
-                break
-            await asyncio.sleep(RETRY_S)
-        for entry in page.ok().entries:
-            job_id = entry.key.removeprefix(PROGRESS_PREFIX)
-            self.writer.revisions[job_id] = entry.revision
-            progress = decode_progress(entry.value)
-            if progress is None:
-                self.journal("progress_unreadable", job=job_id)
-                continue
-            self.progress[job_id] = progress
-
     def _measure_wall_offset(self):
         offset_s = self.clock.wall_ms() / 1000 - self.now()
         self.scheduler.state.wall_offset_s = offset_s
@@ -264,8 +228,23 @@
         self.journal("runner_unlisted", runner=runner_id)
         self.scheduler.mark_unlisted(runner_id)
 
-    def add_job(self, job):
-        """Add an accepted job, unless the scheduler already has it."""
+    def add_job(self, job, *, epoch=0):
+        """Add an accepted job, unless the scheduler already has it.
+
+        Parameters
+        ----------
+        epoch : int
+            Epoch of the leader when the job was stored, 0 if it is not known.
+        """
+        if job.id in self.scheduler.state.jobs:
+            return
+        if self.loaded:
+            self.accepted.add(job, epoch)
+        else:
+            self.take_job(job)
+
+    def take_job(self, job):
+        """Pass a job to the scheduler, unless it already has it."""
         if job.id in self.scheduler.state.jobs:
             return
         self.scheduler.lifecycle.add_job(
@@ -279,6 +258,8 @@
 
     def cancel(self, job_id):
         """Cancel a job whose cancellation has been stored."""
+        if self.accepted.cancel(job_id):
+            return
         self.scheduler.lifecycle.cancel(job_id, self.now())
         self.wake()
 
@@ -290,7 +271,7 @@
         entry = self.scheduler.state.jobs.get(job_id)
         return Ok(PhaseReply(phase=entry.visible_phase if entry else None))
 
-    def add_announced_job(self, job):
+    def add_announced_job(self, job, epoch):
         """Add a job announced by the process that stored it.
 
         Returns an `Err` until the takeover has loaded the jobs.
@@ -298,7 +279,7 @@
         if not self.loaded:
             detail = "dispatcher is still loading jobs"
             return Err(Failure(kind=ErrorKind.NO_LEADER, detail=detail))
-        self.add_job(job)
+        self.add_job(job, epoch=epoch)
         return Ok(Noted())
 
     def count_waiting(self):
@@ -324,7 +305,7 @@
                 last_advance_s = now
                 self._measure_wall_offset()
                 self._note_granting()
-                proved_s = now - self.election.proof_age_s()
+                proved_s = now - self.election.proof.age_s()
                 self.scheduler.advance(
                     now, proved_s=proved_s, may_start=self.may_grant()
                 )
--- a/wasabipaddle/cell/tests/conftest.py
+++ b/wasabipaddle/cell/tests/conftest.py
@@ -31,6 +31,7 @@
         self.processes = processes
         self.transport = HttpTransport(peers={})
         self.leader = ""
+        self.leader_epoch = 0
         self.waiting = None
         self.waiting_received_s = 0.0
         self.count_waiting = lambda: None
--- a/wasabipaddle/cell/tests/session_parts.py
+++ b/wasabipaddle/cell/tests/session_parts.py
@@ -35,21 +35,35 @@
         """Do nothing; the stand-in does not plan."""
 
 
-class FakeElection:
-    """Stand-in for `ElectionPlugin` that confirms the leadership after 0.1 s.
+class FakeProof:
+    """Stand-in for `LeadershipProof`.
 
     Attributes
     ----------
-    age_s : float
-        Age of the proof of leadership.
+    present_s : float
+        Age of the proof.
+    readable : bool
+        Whether reads of the leader key succeed.
     """
 
     def __init__(self):
-        self.confirmations = 0
-        self.age_s = 0.0
+        self.present_s = 0.0
+        self.readable = True
+
+    def age_s(self):
+        return self.present_s
+
+    async def read(self):
+        await asyncio.sleep(0.01)
+        return self.readable
+
 
-    def proof_age_s(self):
-        return self.age_s
+class FakeElection:
+    """Stand-in for `ElectionPlugin` that confirms the leadership after 0.1 s."""
+
+    def __init__(self):
+        self.confirmations = 0
+        self.proof = FakeProof()
 
     async def confirm(self):
         await asyncio.sleep(0.1)
--- a/wasabipaddle/cell/tests/test_entry.py
+++ b/wasabipaddle/cell/tests/test_entry.py
@@ -4,7 +4,12 @@
 
 from result import Ok
 
-from wasabipaddle.cell.keys import CANCEL_PREFIX, JOB_PREFIX, PROGRESS_PREFIX
+from wasabipaddle.cell.keys import (
+    CANCEL_PREFIX,
+    JOB_PREFIX,
+    LEADER_KEY,
+    PROGRESS_PREFIX,
+)
 from wasabipaddle.cell.tests.conftest import JOB, QUEUE, SPEC
 from wasabipaddle.clock import run_virtual
 from wasabipaddle.exceptions import ErrorKind
@@ -190,3 +195,25 @@
         assert cancelled.is_ok()
 
     run(make_test_cell, scenario)
+
+
+def test_job_names_the_leader_under_which_it_was_stored(make_test_cell):
+    """Guards against a start by a leader that was replaced before the job was stored.
+
+    The process that stores the job may not know the new leader yet.
+    """
+
+    async def scenario(cell):
+        entry, put = cell["p0"].entry, Put(key=LEADER_KEY, value=b"p1")
+        announced = []
+        entry._announce = lambda job, epoch: announced.append(epoch)
+        first = cell.memory.apply((), (put,), ()).ok()
+        entry.members.leader, entry.members.leader_epoch = "p1", first
+        assert (await submit(cell["p0"])).is_ok()
+        cell.memory.apply((), (put,), ())
+        again = entry.submit(QUEUE, "00000000000000ab", SPEC, wait_s=3.0)
+        assert (await again).is_ok()
+        assert JOB_PREFIX + "00000000000000ab" in cell.memory.items
+        assert announced == [first, 0]
+
+    run(make_test_cell, scenario)
--- a/wasabipaddle/cell/tests/test_session.py
+++ b/wasabipaddle/cell/tests/test_session.py
@@ -6,7 +6,8 @@
 import pytest
 
 from wasabipaddle.cell.keys import FLEET_KEY
-from wasabipaddle.cell.session import CONFIRM_S, PROOF_LIMIT_S, DispatchSession
+from wasabipaddle.cell.session import CONFIRM_S, DispatchSession
+from wasabipaddle.cell.takeover import PROOF_LIMIT_S, load_fleet
 from wasabipaddle.cell.tests.conftest import JOB, QUEUE, SPEC
 from wasabipaddle.cell.tests.session_parts import (
     FakeElection,
@@ -15,7 +16,7 @@
 )
 from wasabipaddle.clock import process_context, run_virtual
 from wasabipaddle.interfaces import Put
-from wasabipaddle.jobs import Capacity, Job, RecordedRunner, RunnerEntry
+from wasabipaddle.jobs import Capacity, Job, JobPhase, RecordedRunner, RunnerEntry
 
 PROCESS = "p0"
 
@@ -69,7 +70,7 @@
             term=3,
             election=FakeElection(),
         )
-        await session._load_fleet()
+        await load_fleet(session)
         state = session.scheduler.state
         left_s = state.suspects["r0"] - session.now()
         assert left_s == pytest.approx(wait_s, abs=0.01)
@@ -131,17 +132,48 @@
         session.scheduler.state.runners["r0"].inventoried = True
         orders = []
         session.calls.send = orders.append
-        session.election.age_s = PROOF_LIMIT_S + 0.1
+        session.election.proof.present_s = PROOF_LIMIT_S + 0.1
         session.add_job(make_job())
         await asyncio.sleep(5.0)
         assert orders == []
-        session.election.age_s = PROOF_LIMIT_S - 0.1
+        session.election.proof.present_s = PROOF_LIMIT_S - 0.1
         await asyncio.sleep(0.5)
         assert len(orders) == 1
 
     with_leading_session(make_test_cell, main)
 
 
+def test_job_of_unknown_epoch_waits_for_a_proof(make_test_cell):
+    """Guards against a start of a job that was stored after the leader was replaced.
+
+    A cancellation that arrives meanwhile must not be lost.
+    """
+
+    async def main(cell, session):
+        state = session.scheduler.state
+        session.election.proof.readable = False
+        session.add_job(make_job(), epoch=session.epoch + 1)
+        session.cancel(JOB)
+        await asyncio.sleep(2.0)
+        assert JOB not in state.jobs
+        session.election.proof.readable = True
+        await asyncio.sleep(0.5)
+        assert state.jobs[JOB].phase is JobPhase.CANCELLED
+
+    with_leading_session(make_test_cell, main)
+
+
+def test_job_of_a_known_epoch_waits_for_no_proof(make_test_cell):
+    """Guards against a read of the store for each job, which delays its first start."""
+
+    async def main(cell, session):
+        session.election.proof.readable = False
+        session.add_job(make_job(), epoch=session.epoch)
+        assert JOB in session.scheduler.state.jobs
+
+    with_leading_session(make_test_cell, main)
+
+
 def test_planning_without_a_pause_confirms_nothing(make_test_cell):
     """Guards against a read of the store in every planning round."""
 
--- a/wasabipaddle/messages/jobs.py
+++ b/wasabipaddle/messages/jobs.py
@@ -24,9 +24,16 @@
 
 @attrs.frozen(kw_only=True)
 class JobAccepted:
-    """Tells the dispatcher that a job has been stored."""
+    """Tells the dispatcher that a job has been stored.
+
+    Parameters
+    ----------
+    epoch : int
+        Epoch of the leader when the job was stored, 0 if it is not known.
+    """
 
     job: Job
+    epoch: int = 0
 
 
 @attrs.frozen(kw_only=True)
