Take a run for gone only if a whole, later list lacks it twice

Cause: the dispatcher removed a run that it knew to have begun as soon as an inventory with a later clock reading lacked it. That proves nothing if the inventory was requested before the start was confirmed (a runner that handles calls at the same time reads its list before the start and its clock after it), if the list of ends is cut at 500, or if the run ends between the moments at which the runner lists running and ended runs. Class: a list that is not known to be whole and later than the event is read as a proof of absence. Change: an inventory tells whether it lists all ends; a missing run counts as gone only if the list is whole and was requested after the run or its stop was confirmed, and a run that has begun only if it is missing twice in a row. An unanswered start counts as void only if the inventory was requested after it had become void. The watchdog judges no progress from a list that is cut. inventories_incomplete counts cut lists.

--- a/wasabipaddle/cell/calls.py
+++ b/wasabipaddle/cell/calls.py
@@ -187,6 +187,7 @@
             previous_until_ms, lease_until_ms = runner.inventory_lease_until_ms, 0
             if not failures and session.may_grant():
                 lease_until_ms = scheduler.extend_inventory_lease(runner, session.now())
+            requested_s = session.now()
             result = await client.inventory(
                 epoch=session.epoch,
                 acknowledged=runner.acknowledged,
@@ -225,7 +226,11 @@
                 )
             failures = 0
             ended = bool(result.ok().ended)
-            scheduler.reports.process_inventory(runner, result.ok(), now)
+            scheduler.reports.process_inventory(
+                runner, result.ok(), now, requested_s=requested_s
+            )
+            if not result.ok().complete:
+                session.metrics.count("inventories_incomplete")
             scheduler.watchdog.set_paces(runner)
             session.wake()
             session.metrics.count("inventories")
--- a/wasabipaddle/dispatch/model.py
+++ b/wasabipaddle/dispatch/model.py
@@ -71,6 +71,12 @@
         Time on the runner's clock from which the start order is void.
     confirmed_ms : int
         Clock of the runner when it confirmed the run or its stop, 0 before.
+    confirmed_s : float
+        Time at which the dispatcher learned of that.
+    begun : bool
+        Whether the runner has confirmed that the run has begun.
+    missing : bool
+        Whether the last inventory that could prove it did not list the run.
     percent : int
         Last reported progress, 0 to 100.
     progress_s : float
@@ -94,6 +100,9 @@
     started_s: float
     start_before_ms: int = 0
     confirmed_ms: int = 0
+    confirmed_s: float = 0.0
+    begun: bool = False
+    missing: bool = False
     percent: int = 0
     progress_s: float = 0.0
     load: float = 0.0
@@ -106,6 +115,12 @@
         """Identity of the run: task and run number."""
         return (self.task.id, self.number)
 
+    def confirm(self, clock_ms, now):
+        """Record that the runner has confirmed the run or its stop."""
+        if not self.confirmed_ms:
+            self.confirmed_ms = max(clock_ms, 1)
+            self.confirmed_s = now
+
     def projected_s(self) -> float:
         """Return the projected duration of the run.
 
--- a/wasabipaddle/dispatch/reports.py
+++ b/wasabipaddle/dispatch/reports.py
@@ -40,8 +40,15 @@
         self.state = state
         self.lifecycle = lifecycle
 
-    def process_inventory(self, runner, inventory, now):
-        """Process an inventory; those of earlier incarnations are ignored."""
+    def process_inventory(self, runner, inventory, now, *, requested_s=None):
+        """Process an inventory; those of earlier incarnations are ignored.
+
+        Parameters
+        ----------
+        requested_s : float or None
+            Time at which the inventory was requested, None for `now`.
+        """
+        requested_s = now if requested_s is None else requested_s
         if inventory.incarnation < runner.incarnation:
             return
         if inventory.incarnation != runner.incarnation:
@@ -50,6 +57,7 @@
         runner.inventoried = True
         runner.exited = False
         runner.last_inventory_s = now
+        runner.lists_all_ends = inventory.complete
         lists_unknown_tasks = self._take_ended(runner, inventory, now)
         listed = set()
         for row in inventory.running:
@@ -59,9 +67,24 @@
         if not lists_unknown_tasks:
             runner.unknown_tasks_since_s = 0.0
             self.state.suspects.pop(runner.id, None)
+        self._remove_missing(runner, listed, inventory, now, requested_s)
+
+    def _remove_missing(self, runner, listed, inventory, now, requested_s):
+        """Remove the runs that an inventory proves to be gone, or not to begin.
+
+        An inventory without a run proves something only if it lists all ended runs and
+        was requested after the run or its stop was confirmed: an earlier request may
+        have been answered from the time before. A run may also end between the moments
+        at which the runner lists running and ended runs, so a run that has begun must
+        be missing twice.
+        """
         for run in list(runner.runs.values()):
-            if run.key not in listed and self._no_longer_exists(run, inventory, now):
-                self.lifecycle.remove_run(run, now, reason=RemovalReason.MISSING)
+            if run.key in listed:
+                run.missing = False
+            elif inventory.complete and self._may_be_gone(run, inventory, requested_s):
+                if run.missing or not run.begun:
+                    self.lifecycle.remove_run(run, now, reason=RemovalReason.MISSING)
+                run.missing = True
 
     def _set_clock(self, runner, clock_ms, now):
         """Record a clock reading of a runner, and log one that is not used."""
@@ -168,7 +191,8 @@
         if run.phase in (RunPhase.DOUBTFUL, RunPhase.STARTING):
             stopped = run.stop_sent_s > 0
             run.phase = RunPhase.STOPPING if stopped else RunPhase.RUNNING
-        run.confirmed_ms = run.confirmed_ms or inventory.clock_ms
+        run.begun = True
+        run.confirm(inventory.clock_ms, now)
         if row.percent != run.percent or not run.progress_s:
             run.percent = row.percent
             run.progress_s = now
@@ -199,6 +223,8 @@
             phase=RunPhase.RUNNING,
             started_s=now,
             confirmed_ms=inventory.clock_ms,
+            confirmed_s=now,
+            begun=True,
             percent=row.percent,
             progress_s=now,
             load=row.load,
@@ -218,13 +244,14 @@
             self.state.stop_run(run, now)
         return False
 
-    def _no_longer_exists(self, run, inventory, now):
-        """Return whether a run missing from an inventory has ended or cannot begin."""
+    def _may_be_gone(self, run, inventory, requested_s):
+        """Return whether an inventory is later than the last sign of a missing run."""
         if run.confirmed_ms:
-            return inventory.clock_ms > run.confirmed_ms
+            later = inventory.clock_ms > run.confirmed_ms
+            return later and requested_s >= run.confirmed_s
         if run.phase is RunPhase.STARTING:
             return False
-        return inventory.clock_ms > run.start_before_ms
+        return run.runner.least_clock_ms(requested_s) > run.start_before_ms
 
     def start_replied(self, run, outcome, reply, now):
         """Process the outcome of a start order.
@@ -250,7 +277,8 @@
                 self.state.stop_run(run, now)
         elif reply.refusal is Refusal.NONE:
             self._set_clock(runner, reply.clock_ms, now)
-            run.confirmed_ms = reply.clock_ms
+            run.begun = True
+            run.confirm(reply.clock_ms, now)
             stopped = run.stop_sent_s > 0 or run.phase is RunPhase.STOPPING
             run.phase = RunPhase.STOPPING if stopped else RunPhase.RUNNING
             run.progress_s = run.progress_s or now
@@ -300,7 +328,7 @@
         if run is None or reply.refusal not in (Refusal.NONE, Refusal.OLD_RUN):
             return
         run.phase = RunPhase.STOPPING
-        run.confirmed_ms = run.confirmed_ms or max(reply.clock_ms, 1)
+        run.confirm(reply.clock_ms, now)
 
     def record_write(self, jobs, generation):
         """Record a write of progress and acknowledge the ends that it made durable.
--- a/wasabipaddle/dispatch/runners.py
+++ b/wasabipaddle/dispatch/runners.py
@@ -66,6 +66,8 @@
         it does not wait.
     last_inventory_s : float
         Time of the last inventory.
+    lists_all_ends : bool
+        Whether the last inventory listed all ended runs.
     paused_until_s : float
         Time until which the runner gets no new work.
     health : RunnerHealth
@@ -94,6 +96,7 @@
     lists_unknown_tasks: bool = False
     unknown_tasks_since_s: float = 0.0
     last_inventory_s: float = 0.0
+    lists_all_ends: bool = True
     paused_until_s: float = 0.0
     health: RunnerHealth = attrs.field(factory=RunnerHealth)
 
--- a/wasabipaddle/dispatch/tests/conftest.py
+++ b/wasabipaddle/dispatch/tests/conftest.py
@@ -94,6 +94,7 @@
             incarnation=self.incarnation,
             running=rows,
             ended=tuple(ended[:ENDS_PER_LIST]),
+            complete=len(ended) < ENDS_PER_LIST,
         )
 
     def crash(self):
--- a/wasabipaddle/dispatch/tests/test_inventories.py
+++ b/wasabipaddle/dispatch/tests/test_inventories.py
@@ -96,3 +96,27 @@
     cell.scheduler.reports.start_replied(run, StartOutcome.REPLIED, reply, cell.now)
     cell.advance_time(2.0)
     assert len(cell.started) == 1
+
+
+def test_run_that_ends_while_the_lists_are_read_is_kept(cell):
+    """Guards against a second run of a task that is in neither list for a moment."""
+    entry = cell.submit("j0", step(1))
+    cell.plan()
+    task, number, name = cell.started[0]
+    fake = cell.runners[name]
+    fake.running.clear()
+    cell.advance_time(0.5)
+    assert len(cell.started) == 1
+    fake.end(task, number)
+    cell.advance_time(0.5)
+    assert len(cell.started) == 1
+    assert entry.phase.final
+
+
+def test_run_that_a_runner_no_longer_knows_is_repeated(cell):
+    """Guards against a task that waits for ever for a run that has vanished."""
+    cell.submit("j0", step(1))
+    cell.plan()
+    cell.runners[cell.started[0][2]].running.clear()
+    cell.advance_time(2.0)
+    assert len(cell.started) == 2
--- a/wasabipaddle/dispatch/watchdog.py
+++ b/wasabipaddle/dispatch/watchdog.py
@@ -61,6 +61,8 @@
             return
         if not _makes_progress(run) or runner.last_inventory_s < run.progress_s:
             return
+        if run.missing or not runner.lists_all_ends:
+            return  # the run may have ended
         unchanged_s = runner.last_inventory_s - run.progress_s
         if unchanged_s > STALL_S + STALL_ESTIMATE_FRACTION * run.task.spec.estimate_s:
             self._give_up(runner, run, "stalled", now)
--- a/wasabipaddle/interfaces/runner.py
+++ b/wasabipaddle/interfaces/runner.py
@@ -133,13 +133,27 @@
 
 @attrs.frozen(kw_only=True)
 class Inventory:
-    """Runs in progress on a runner, and ended runs that were not acknowledged."""
+    """Runs in progress on a runner, and ended runs that were not acknowledged.
+
+    Parameters
+    ----------
+    clock_ms, incarnation : int
+        Reading of the runner's monotonic clock, and its incarnation.
+    running, ended : tuple
+        Runs in progress, and ended runs in the order of their numbers.
+    refusal : Refusal
+        Reason of a refusal.
+    complete : bool
+        Whether `ended` lists all ended runs; otherwise the runner lists the others once
+        those listed have been acknowledged.
+    """
 
     clock_ms: int
     incarnation: int
     running: tuple[RunningTask, ...]
     ended: tuple[EndedTask, ...]
     refusal: Refusal = Refusal.NONE
+    complete: bool = True
 
 
 class RunnerClient(abc.ABC):
--- a/wasabipaddle/platform/runner.py
+++ b/wasabipaddle/platform/runner.py
@@ -19,6 +19,8 @@
 __all__ = ["PlatformRunner"]
 
 MS_PER_S = 1000
+# A runner lists at most this many ended runs at a time.
+ENDS_PER_LIST = 500
 REFUSALS = {
     "fence": Refusal.STALE_EPOCH,
     "old": Refusal.OLD_RUN,
@@ -147,12 +149,14 @@
 
 def _decode_inventory(response):
     body = response.body
+    ended = tuple(map(_decode_ended, body.get("ended", ())))
     return Inventory(
         clock_ms=integer(body.get("clock_ms", 0)),
         incarnation=integer(body.get("born", 0)),
         running=tuple(map(_decode_running, body.get("running", ()))),
-        ended=tuple(map(_decode_ended, body.get("ended", ()))),
+        ended=ended,
         refusal=_decode_refusal(response),
+        complete=len(ended) < ENDS_PER_LIST,
     )
 
 
--- a/wasabipaddle/platform/tests/test_decoding.py
+++ b/wasabipaddle/platform/tests/test_decoding.py
@@ -6,7 +6,9 @@
 
 from wasabipaddle.interfaces import Entry
 from wasabipaddle.platform import decode_configuration, decode_runner
+from wasabipaddle.platform.http import HttpResponse
 from wasabipaddle.platform.jobs import decode_spec
+from wasabipaddle.platform.runner import _decode_inventory
 from wasabipaddle.platform.tasks import decode_task, encode_task
 
 RUNNER = {
@@ -118,3 +120,13 @@
         17,
     )
     assert encode_task(task) == "5c0e7a21d94b36f8.2.1.17"
+
+
+@pytest.mark.parametrize(("count", "complete"), [(499, True), (500, False)])
+def test_list_of_ends_at_the_limit_is_not_complete(count, complete):
+    """Guards against runs that count as gone because their ends did not fit."""
+    rows = [[n + 1, f"{'0' * 16}.0.0.{n}", 1, "done", ""] for n in range(count)]
+    body = {"clock_ms": 5, "born": 1, "running": [], "ended": rows}
+    inventory = _decode_inventory(HttpResponse(status=200, body=body))
+    assert inventory.complete is complete
+    assert len(inventory.ended) == count
