--- a/wasabipaddle/cell/calls.py
+++ b/wasabipaddle/cell/calls.py
@@ -74,7 +74,9 @@
             outcome = StartOutcome.NOT_DELIVERED
             self.scheduler.reports.start_replied(run, outcome, None, session.now())
             return
-        run.start_before_ms = self.scheduler.extend_start_lease(runner, session.now())
+        run.start_before_ms = self.scheduler.leases.extend_by_start(
+            runner, session.now()
+        )
         message = StartOrder(
             task=task.id,
             run=run.number,
@@ -186,7 +188,9 @@
             # respond would never expire.
             previous_until_ms, lease_until_ms = runner.inventory_lease_until_ms, 0
             if not failures and session.may_grant():
-                lease_until_ms = scheduler.extend_inventory_lease(runner, session.now())
+                lease_until_ms = scheduler.leases.extend_by_inventory(
+                    runner, session.now()
+                )
             requested_s = session.now()
             result = await client.inventory(
                 epoch=session.epoch,
@@ -205,7 +209,7 @@
                 self._inventory_failed(runner, result, failures, now)
                 refused = result.is_err() and result.err().kind is ErrorKind.UNREACHABLE
                 if refused:
-                    scheduler.inventory_not_delivered(runner, previous_until_ms)
+                    scheduler.leases.revert_inventory(runner, previous_until_ms)
                     scheduler.connection_refused(runner, now)
                 elif (
                     result.is_ok() and result.ok().refusal is Refusal.OTHER_INCARNATION
--- a/wasabipaddle/dispatch/scheduler.py
+++ b/wasabipaddle/dispatch/scheduler.py
@@ -5,6 +5,7 @@
 from wasabipaddle.dispatch.advisor import Advisor
 from wasabipaddle.dispatch.evacuation import Evacuation
 from wasabipaddle.dispatch.fleet import runners_to_record
+from wasabipaddle.dispatch.leases import Leases
 from wasabipaddle.dispatch.lifecycle import Lifecycle
 from wasabipaddle.dispatch.model import RemovalReason
 from wasabipaddle.dispatch.placement import Placement
@@ -17,7 +18,6 @@
 
 __all__ = ["Scheduler"]
 
-MS_PER_S = 1000
 # Pause of new work on a runner after a failed inventory; longer than the interval
 # between two attempts to reach an unresponsive runner.
 FAILED_INVENTORY_PAUSE_S = 1.5
@@ -42,6 +42,7 @@
         )
         self.lifecycle = Lifecycle(state=self.state)
         self.reports = Reports(state=self.state, lifecycle=self.lifecycle)
+        self.leases = Leases(state=self.state, lifecycle=self.lifecycle)
         self.preemption = Preemption(state=self.state)
         self.placement = Placement(state=self.state, preemption=self.preemption)
         self.advisor = Advisor(state=self.state, placement=self.placement)
@@ -148,7 +149,7 @@
             Whether copies may be started.
         """
         self.lifecycle.open_due(now)
-        self.reports.expire_leases(now, proved_s=proved_s)
+        self.leases.expire(now, proved_s=proved_s)
         self.watchdog.check(now)
         self.evacuation.check(now)
         if may_start:
@@ -164,42 +165,6 @@
         orders, self.state.outbox = self.state.outbox, []
         return orders
 
-    def extend_start_lease(self, runner, now) -> int:
-        """Record the lease of a new start order and return its end.
-
-        That is the time on the clock of the runner from which the order is void.
-        """
-        start_ms = int(self.state.timing.start_s * MS_PER_S)
-        until_ms = runner.estimate_clock_ms(now) + start_ms
-        runner.start_lease_until_ms = max(runner.start_lease_until_ms, until_ms)
-        return until_ms
-
-    def extend_inventory_lease(self, runner, now) -> int:
-        """Record the lease that the next inventory grants and return its end.
-
-        The end is on the clock of the runner. While that clock is unknown, returns 0,
-        which leaves the lease unchanged.
-        """
-        if not runner.clock_ms:
-            return 0
-        lease_ms = int(self.state.timing.lease_s * MS_PER_S)
-        until_ms = runner.estimate_clock_ms(now) + lease_ms
-        runner.inventory_lease_until_ms = max(runner.inventory_lease_until_ms, until_ms)
-        return until_ms
-
-    def inventory_not_delivered(self, runner, previous_until_ms):
-        """Revert the lease extension of an inventory that did not reach the runner.
-
-        Leases of start orders are kept, since orders sent in the meantime may have
-        arrived.
-
-        Parameters
-        ----------
-        previous_until_ms : int
-            End of the inventory lease before the extension.
-        """
-        runner.inventory_lease_until_ms = previous_until_ms
-
     def count_waiting(self):
         """Return the number of jobs that have not started, by name of the queue."""
         waiting = {}
--- a/wasabipaddle/dispatch/tests/conftest.py
+++ b/wasabipaddle/dispatch/tests/conftest.py
@@ -169,7 +169,7 @@
             if name in self.unresponsive:
                 self.scheduler.inventory_failed(runner, self.now)
                 continue
-            self.scheduler.extend_inventory_lease(runner, self.now)
+            self.scheduler.leases.extend_by_inventory(runner, self.now)
             inventory = self.runners[name].inventory(runner.acknowledged)
             self.scheduler.reports.process_inventory(runner, inventory, self.now)
 
@@ -194,7 +194,7 @@
         if isinstance(order, StartTask):
             run = order.run
             self.started.append((run.task.id, run.number, run.runner.id))
-            run.start_before_ms = self.scheduler.extend_start_lease(
+            run.start_before_ms = self.scheduler.leases.extend_by_start(
                 run.runner, self.now
             )
             fake = self.runners[run.runner.id]
--- a/wasabipaddle/dispatch/tests/test_runner_clocks.py
+++ b/wasabipaddle/dispatch/tests/test_runner_clocks.py
@@ -14,7 +14,7 @@
 def granted_ms(cell, name):
     """Return the duration of the next lease by the clock of the runner."""
     runner = cell.state.runners[name]
-    until_ms = cell.scheduler.extend_inventory_lease(runner, cell.now)
+    until_ms = cell.scheduler.leases.extend_by_inventory(runner, cell.now)
     return until_ms - cell.runners[name].clock_ms
 
 
--- a/wasabipaddle/dispatch/tests/test_runs.py
+++ b/wasabipaddle/dispatch/tests/test_runs.py
@@ -228,9 +228,9 @@
     runner = cell.state.runners["r0"]
     before_ms = runner.inventory_lease_until_ms
     cell.now += 2.0
-    extended_ms = cell.scheduler.extend_inventory_lease(runner, cell.now)
+    extended_ms = cell.scheduler.leases.extend_by_inventory(runner, cell.now)
     cell.now += 0.3
-    started_ms = cell.scheduler.extend_start_lease(runner, cell.now)
-    cell.scheduler.inventory_not_delivered(runner, before_ms)
+    started_ms = cell.scheduler.leases.extend_by_start(runner, cell.now)
+    cell.scheduler.leases.revert_inventory(runner, before_ms)
     assert runner.inventory_lease_until_ms == before_ms < extended_ms
     assert runner.lease_until_ms == started_ms
--- a/wasabipaddle/dispatch/tests/test_takeover.py
+++ b/wasabipaddle/dispatch/tests/test_takeover.py
@@ -13,7 +13,7 @@
     The clock of the fake runner is 500 ms ahead of the clock of the scheduler.
     """
     runner = cell.state.runners["r0"]
-    until_ms = cell.scheduler.extend_inventory_lease(runner, cell.now)
+    until_ms = cell.scheduler.leases.extend_by_inventory(runner, cell.now)
     assert until_ms - cell.runners["r0"].clock_ms == 4000
 
 
