Keep a runner suspect until its list of ends is whole

What callers saw: tasks that were done run again after a takeover (TWICE). Cause: the first inventory of a successor cleared the runner, even if it listed only 500 of its ends. Tasks whose ends did not fit counted as never started. Class: a list that is not known to be whole is read as a proof of absence. Change: a suspect runner that answers with a cut list stays suspect, for as long as it does so.

--- a/wasabipaddle/dispatch/reports.py
+++ b/wasabipaddle/dispatch/reports.py
@@ -67,9 +67,18 @@
         runner.lists_unknown_tasks = lists_unknown_tasks
         if not lists_unknown_tasks:
             runner.unknown_tasks_since_s = 0.0
-            self.state.suspects.pop(runner.id, None)
+        if runner.id in self.state.suspects and not lists_unknown_tasks:
+            self._check_suspect(runner, inventory, now)
         self._remove_missing(runner, listed, inventory, now, requested_s)
 
+    def _check_suspect(self, runner, inventory, now):
+        """Clear a suspect runner once it has listed all its runs and ends."""
+        if inventory.complete:
+            del self.state.suspects[runner.id]
+            return
+        until_s = now + self.state.timing.lease_max_s
+        self.state.suspects[runner.id] = max(self.state.suspects[runner.id], until_s)
+
     def _remove_missing(self, runner, listed, inventory, now, requested_s):
         """Remove the runs that an inventory proves to be gone, or not to begin.
 
--- a/wasabipaddle/dispatch/tests/test_inventories.py
+++ b/wasabipaddle/dispatch/tests/test_inventories.py
@@ -120,3 +120,25 @@
     cell.runners[cell.started[0][2]].running.clear()
     cell.advance_time(2.0)
     assert len(cell.started) == 2
+
+
+def test_successor_waits_for_the_ends_that_do_not_fit_in_the_first_list(make_cell):
+    """Guards against a second run of tasks whose ends the first inventory lacks.
+
+    The wait goes on for as long as the runner answers with a list that is cut.
+    """
+    cell = make_cell(runners=1, cpu=MANY * 10)
+    entry = cell.submit("j0", step(MANY, cpu=10))
+    cell.plan()
+    fake = cell.runners["r0"]
+    for task, run in list(fake.running):
+        fake.end(task, run)
+    cell.take_over(1, {}, [entry.job])
+    cell.advance_time(20.0)
+    assert cell.started == []
+    for _ in range(3):
+        cell.write()
+        cell.advance_time(1.0)
+    assert cell.started == []
+    assert "r0" not in cell.state.suspects
+    assert cell.state.jobs["j0"].phase.final
