Use new connections after a call that timed out

Cause: aiohttp closes only the connection of the call that timed out, and says nothing of the other idle ones, which went silent with it. Change: ConnectionPool counts generations. A timeout of a call ends the generation in use: later calls open new connections. Calls in progress on the old ones continue, and the old session is closed with the last of them. A timeout on connections that are replaced already changes nothing. The clients of the platform use it (runners, store, eligibility), the processes among each other (one pool for each peer) and JobCaller. Nothing is repeated here: a start is sent once.

--- a/wasabipaddle/platform/client.py
+++ b/wasabipaddle/platform/client.py
@@ -1,5 +1,7 @@
 """HTTP client of callers, and encoding of runner entries and the configuration."""
 
+import asyncio
+
 import aiohttp
 import attrs
 import msgspec
@@ -7,10 +9,12 @@
 from wasabipaddle.platform.configuration import CONFIGURATION_KEY
 from wasabipaddle.platform.jobs import PHASE_WORDS
 from wasabipaddle.platform.registry import REGISTRY_PREFIX
+from wasabipaddle.transport.connections import ConnectionPool
 
 __all__ = ["CallResult", "JobCaller", "encode_configuration", "encode_runner"]
 
 MS_PER_S = 1000
+KEEPALIVE_S = 60.0
 PHASE_BY_NAME = {name: phase for phase, name in PHASE_WORDS.items()}
 
 
@@ -47,9 +51,7 @@
 
     def __init__(self, *, wait_s):
         self.wait_s = wait_s
-        self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=60.0)
-        )
+        self.pools = {}
 
     async def submit(self, address, queue, job_id, spec) -> CallResult:
         """Submit a job to one process."""
@@ -69,7 +71,10 @@
         try:
             timeout = aiohttp.ClientTimeout(total=1.0)
             url = f"http://{address}/readiness"
-            async with self.session.get(url, timeout=timeout) as response:
+            async with (
+                self._find_pool(address).session() as session,
+                session.get(url, timeout=timeout) as response,
+            ):
                 return response.status == 200
         except (aiohttp.ClientError, TimeoutError, OSError):
             return False
@@ -82,9 +87,12 @@
         url = f"http://{address}{queue.prefix}{job_id}"
         timeout = aiohttp.ClientTimeout(total=self.wait_s)
         try:
-            async with self.session.request(
-                method, url, data=data, headers=headers, timeout=timeout
-            ) as response:
+            async with (
+                self._find_pool(address).session() as session,
+                session.request(
+                    method, url, data=data, headers=headers, timeout=timeout
+                ) as response,
+            ):
                 raw = await response.read()
                 phase = None
                 if method == "GET" and response.status == 200:
@@ -97,7 +105,18 @@
 
     async def close(self):
         """Close the connections."""
-        await self.session.close()
+        await asyncio.gather(*(pool.close() for pool in self.pools.values()))
+
+    def _find_pool(self, address):
+        if address not in self.pools:
+            self.pools[address] = ConnectionPool(open_session=_open_session)
+        return self.pools[address]
+
+
+def _open_session():
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_S)
+    )
 
 
 def _encode_spec(spec):
--- a/wasabipaddle/platform/http.py
+++ b/wasabipaddle/platform/http.py
@@ -7,6 +7,7 @@
 
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.platform.decoding import DECODING_ERRORS
+from wasabipaddle.transport.connections import ConnectionPool
 
 __all__ = ["HttpResponse", "PlatformHttpClient"]
 
@@ -51,13 +52,19 @@
     address : str
         Host and port.
     connections : int
-        Largest number of open connections.
+        Largest number of open connections. After a timeout, connections with calls in
+        progress do not count.
+
+    Attributes
+    ----------
+    pool : ConnectionPool
+        Connections, replaced after a call that timed out.
     """
 
     def __init__(self, *, address, connections=64):
         self.address = address
         self.connections = connections
-        self.session = None
+        self.pool = ConnectionPool(open_session=self._open_session)
 
     async def call(
         self,
@@ -102,15 +109,18 @@
         )
         url = f"http://{self.address}{path}"
         try:
-            async with self._get_session().request(
-                method,
-                url,
-                params=query,
-                data=data,
-                headers=headers,
-                timeout=timeout,
-                middlewares=(_send_once,) if once else None,
-            ) as response:
+            async with (
+                self.pool.session() as session,
+                session.request(
+                    method,
+                    url,
+                    params=query,
+                    data=data,
+                    headers=headers,
+                    timeout=timeout,
+                    middlewares=(_send_once,) if once else None,
+                ) as response,
+            ):
                 raw = await response.read()
                 status = response.status
         except (
@@ -122,25 +132,21 @@
             return _failure(ErrorKind.TIMEOUT, method, path, error)
         return _decode_response(status, raw, method, path)
 
-    def _get_session(self):
-        if self.session is None:
-            connector = aiohttp.TCPConnector(
-                limit=self.connections,
-                keepalive_timeout=KEEPALIVE_S,
-                use_dns_cache=False,
-            )
-            self.session = aiohttp.ClientSession(
-                connector=connector,
-                skip_auto_headers=SKIPPED_AUTO_HEADERS,
-                cookie_jar=aiohttp.DummyCookieJar(),
-            )
-        return self.session
+    def _open_session(self):
+        connector = aiohttp.TCPConnector(
+            limit=self.connections,
+            keepalive_timeout=KEEPALIVE_S,
+            use_dns_cache=False,
+        )
+        return aiohttp.ClientSession(
+            connector=connector,
+            skip_auto_headers=SKIPPED_AUTO_HEADERS,
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
 
     async def close(self):
         """Close the connections."""
-        if self.session is not None:
-            await self.session.close()
-            self.session = None
+        await self.pool.close()
 
 
 def _decode_response(status, raw, method, path):
--- /dev/null
+++ b/wasabipaddle/transport/connections.py
@@ -0,0 +1,103 @@
+"""Pools of HTTP connections that are replaced after a timeout."""
+
+import asyncio
+import contextlib
+
+import aiohttp
+import attrs
+
+__all__ = ["ConnectionPool"]
+
+# A connection whose peer does not respond may never close in an orderly way.
+CLOSE_TIMEOUT_S = 1.0
+
+
+@attrs.define(kw_only=True, eq=False)
+class _PooledSession:
+    """Session of a pool, and the number of calls in progress that use it."""
+
+    session: aiohttp.ClientSession
+    calls: int = 0
+
+
+class ConnectionPool:
+    """HTTP connections to one address.
+
+    Open connections can stop carrying data without being closed, all at once, and only
+    a timeout shows it. After a call that timed out, later calls therefore use new
+    connections. The calls in progress on the old ones continue, and the old connections
+    are closed when the last of these calls has ended.
+
+    Parameters
+    ----------
+    open_session : callable
+        Returns a new `aiohttp.ClientSession`.
+
+    Attributes
+    ----------
+    generation : int
+        Number of times that the connections have been replaced.
+    """
+
+    def __init__(self, *, open_session):
+        self.open_session = open_session
+        self.generation = 0
+        self.current = None
+        self.replaced = set()
+        self.close_tasks = set()
+
+    @contextlib.asynccontextmanager
+    async def session(self):
+        """Provide the session for one call; a timeout replaces the connections."""
+        if self.current is None:
+            self.current = _PooledSession(session=self.open_session())
+        pooled, generation = self.current, self.generation
+        pooled.calls += 1
+        try:
+            yield pooled.session
+        except aiohttp.ConnectionTimeoutError:
+            # No open connection was involved.
+            raise
+        except TimeoutError:
+            self.replace(generation)
+            raise
+        finally:
+            pooled.calls -= 1
+            self._close_unused(pooled)
+
+    def replace(self, generation):
+        """Use new connections for later calls, if those of `generation` are in use."""
+        if generation != self.generation:
+            return
+        self.generation += 1
+        pooled, self.current = self.current, None
+        if pooled is not None:
+            self.replaced.add(pooled)
+            self._close_unused(pooled)
+
+    async def close(self):
+        """Close all connections, also those of calls in progress."""
+        pools, self.current = [*self.replaced, self.current], None
+        self.replaced.clear()
+        for pooled in pools:
+            if pooled is not None:
+                self._close_session(pooled)
+        if self.close_tasks:
+            await asyncio.wait(self.close_tasks)
+
+    def _close_unused(self, pooled):
+        """Close replaced connections in the background once no call uses them."""
+        if pooled in self.replaced and not pooled.calls:
+            self.replaced.discard(pooled)
+            self._close_session(pooled)
+
+    def _close_session(self, pooled):
+        task = asyncio.ensure_future(_close_within_limit(pooled.session))
+        self.close_tasks.add(task)
+        task.add_done_callback(self.close_tasks.discard)
+
+
+async def _close_within_limit(session):
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(CLOSE_TIMEOUT_S):
+            await session.close()
--- a/wasabipaddle/transport/http.py
+++ b/wasabipaddle/transport/http.py
@@ -1,5 +1,7 @@
 """Calls between entry processes over HTTP with JSON."""
 
+import asyncio
+
 import aiohttp
 from aiohttp import web
 from result import Err
@@ -7,6 +9,7 @@
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.messages import decode, encode, encode_sparse
 from wasabipaddle.transport.base import Transport
+from wasabipaddle.transport.connections import ConnectionPool
 
 __all__ = ["HttpTransport"]
 
@@ -37,7 +40,7 @@
         super().__init__()
         self.peers = peers
         self.ssl = ssl
-        self.session = None
+        self.pools = {}
 
     def routes(self):
         """Return the `aiohttp` route that receives the messages of peers."""
@@ -55,9 +58,12 @@
         self.count_wire_bytes(name, REQUEST_HEADER_BYTES + len(body))
         timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
         try:
-            async with self._open_session().post(
-                url, data=body, timeout=timeout, ssl=self.ssl or True
-            ) as response:
+            async with (
+                self._find_pool(peer).session() as session,
+                session.post(
+                    url, data=body, timeout=timeout, ssl=self.ssl or True
+                ) as response,
+            ):
                 data = await response.read()
             self.count_wire_bytes(name, RESPONSE_HEADER_BYTES + len(data))
         except aiohttp.ClientConnectorError as error:
@@ -71,13 +77,12 @@
 
     async def close(self):
         """Close the connections to peers."""
-        if self.session is not None:
-            await self.session.close()
+        await asyncio.gather(*(pool.close() for pool in self.pools.values()))
 
-    def _open_session(self):
-        if self.session is None:
-            self.session = aiohttp.ClientSession(skip_auto_headers=OMITTED_HEADERS)
-        return self.session
+    def _find_pool(self, peer):
+        if peer not in self.pools:
+            self.pools[peer] = ConnectionPool(open_session=_open_session)
+        return self.pools[peer]
 
     async def _receive(self, request):
         data = await request.read()
@@ -94,6 +99,10 @@
         return web.Response(status=status, body=body, content_type="application/json")
 
 
+def _open_session():
+    return aiohttp.ClientSession(skip_auto_headers=OMITTED_HEADERS)
+
+
 def _decode_failure(data):
     failure = decode(data, Failure)
     if failure.is_err():
