Share connections between the calls and watches of the store

Cause: watches and other calls had separate clients, and a StoreWatch cancels its call at a limit of its own, which no client sees as a timeout. Change: one client for both. A watch that reaches its limit reports it with replace_connections; a watch that is only to be listed again doesn't. Evidence: test_listing_after_an_unanswered_watch_uses_a_new_connection and test_watch_after_a_timeout_of_a_call_uses_a_new_connection fail on the code before (listing and watch end with the kind timeout).

--- a/wasabipaddle/cell/watch.py
+++ b/wasabipaddle/cell/watch.py
@@ -125,6 +125,8 @@
         latency_s = self.store_plugin.health.latency_s
         margin_s = min(ANSWER_MARGIN_S + latency_s, MAX_ANSWER_MARGIN_S)
         limit_s = self.wait_s + margin_s
+        store = self.store_plugin.store
+        connections = store.connection_generation
         call = self.call = asyncio.ensure_future(self._call_store(self.wait_s))
         try:
             await asyncio.wait({call}, timeout=limit_s)
@@ -132,6 +134,8 @@
                 await asyncio.wait({call}, timeout=RECEIVE_S)
             if call.done() and not call.cancelled():
                 return call.result()
+            if not call.done():
+                store.replace_connections(connections)
         finally:
             call.cancel()
             self.call = None
--- a/wasabipaddle/interfaces/transactions.py
+++ b/wasabipaddle/interfaces/transactions.py
@@ -72,6 +72,17 @@
     async def list_all(self, prefix) -> Result[Page, Failure]:
         """Read all pages of a prefix; the revision is that of the first page."""
 
+    @property
+    def connection_generation(self) -> int:
+        """Number of times that the connections to the store have been replaced."""
+        return 0
+
+    def replace_connections(self, generation):
+        """Use new connections for later calls, if those of `generation` are in use.
+
+        Callers with time limits of their own report with it that a call has timed out.
+        """
+
     @abc.abstractmethod
     async def end_lease(self, lease) -> Result[None, Failure]:
         """End a lease and delete its keys."""
--- a/wasabipaddle/platform/store.py
+++ b/wasabipaddle/platform/store.py
@@ -25,6 +25,8 @@
 # Margin beyond the wait of a watch after which its connection counts as dead.
 WATCH_MARGIN_S = 1.0
 THROTTLE_PAUSE_S = 0.2
+# Calls and watches share their connections, so that a timeout of one replaces both.
+CONNECTIONS = 128
 MS_PER_S = 1000
 
 
@@ -40,8 +42,7 @@
     """
 
     def __init__(self, *, address, timeout_s=CALL_TIMEOUT_S):
-        self.call_client = PlatformHttpClient(address=address)
-        self.watch_client = PlatformHttpClient(address=address)
+        self.client = PlatformHttpClient(address=address, connections=CONNECTIONS)
         self.timeout_s = timeout_s
 
     async def get(self, key) -> Result[Entry | None, Failure]:
@@ -131,7 +132,6 @@
             query=query,
             accepted_statuses=(410,),
             timeout_s=wait_s + WATCH_MARGIN_S,
-            client=self.watch_client,
             once=True,
         )
         if response.is_ok() and response.ok().status == 410:
@@ -170,14 +170,13 @@
         *,
         accepted_statuses=(),
         timeout_s=None,
-        client=None,
         **options,
     ):
         """Make one call.
 
         A status other than 200 and `accepted_statuses` becomes a failure.
         """
-        result = await (client or self.call_client).call(
+        result = await self.client.call(
             method,
             path,
             timeout_s=timeout_s or self.timeout_s,
@@ -201,10 +200,18 @@
         kind = ErrorKind.TIMEOUT if unknown else ErrorKind.STORE_UNAVAILABLE
         return _failure(kind, f"{method} {path}: status {response.status}")
 
+    @property
+    def connection_generation(self) -> int:
+        """Number of times that the connections to the store have been replaced."""
+        return self.client.pool.generation
+
+    def replace_connections(self, generation):
+        """Use new connections for later calls, if those of `generation` are in use."""
+        self.client.pool.replace(generation)
+
     async def close(self):
         """Close the connections."""
-        await self.call_client.close()
-        await self.watch_client.close()
+        await self.client.close()
 
 
 def _encode_put(put):
