Hedge reads and lease renewals of the store

Seen: a renewal of the leader's lease (1.6 s) over a silent channel fails after 0.9 s, and the next one comes 0.4 s later: with the 0.4 s since the last one, the lease is over by then. Cause: the time limit of a call is more than half of the lease. Change: a read or a renewal, both idempotent, without the beginning of a response after 0.4 s is sent again over a new connection; the first response counts. The limit of the whole call stays 0.9 s, so that a store that answers late is still heard. Commits and grants are sent once. Evidence: test_lease_is_renewed_within_one_time_limit fails on the code before (timeout of /kv-keep).

--- a/wasabipaddle/cell/tests/test_silent_store.py
+++ b/wasabipaddle/cell/tests/test_silent_store.py
@@ -20,6 +20,7 @@
 IDLE_CONNECTIONS = 8
 # Bound of the watch; short, so that the tests are.
 BOUND_S = 0.6
+LONG_S = 5.0
 # Time within which a request is sent; shorter than the wait of a watch.
 SENDING_S = 0.05
 
@@ -63,9 +64,7 @@
         internal=f"{HOST}:3",
         platform=PlatformAddresses(store=address),
     )
-    context = Context.create(
-        settings=settings, clock=LoopClock(), process="p0", seed=1
-    )
+    context = Context.create(settings=settings, clock=LoopClock(), process="p0", seed=1)
     return CellStorePlugin(context=context)
 
 
@@ -126,3 +125,16 @@
         await store.close()
 
     with_store(scenario)
+
+
+def test_lease_is_renewed_within_one_time_limit(with_store):
+    """Guards against a leader that loses its key with its connections to the store."""
+
+    async def scenario(memory, relay, watch):
+        store = watch.store_plugin.store
+        lease = (await store.grant_lease(LONG_S)).ok()
+        await open_idle(store, relay)
+        relay.silence()
+        assert (await store.renew_lease(lease)).is_ok()
+
+    with_store(scenario)
--- a/wasabipaddle/platform/http.py
+++ b/wasabipaddle/platform/http.py
@@ -1,5 +1,7 @@
 """HTTP client with JSON bodies, shared by the clients of the platform."""
 
+import asyncio
+
 import aiohttp
 import attrs
 import msgspec
@@ -12,6 +14,8 @@
 __all__ = ["HttpResponse", "PlatformHttpClient"]
 
 CONNECT_TIMEOUT_S = 0.6
+# Time without a response after which a hedged request is sent again.
+HEDGE_DELAY_S = 0.4
 # Shorter than the idle timeout after which servers of the platform close a connection.
 KEEPALIVE_S = 25.0
 # The errors after which aiohttp sends an idempotent request once more.
@@ -77,6 +81,7 @@
         query=None,
         headers=None,
         once=False,
+        responded=None,
     ) -> Result[HttpResponse, Failure]:
         """Send one request and wait for its response.
 
@@ -90,6 +95,8 @@
         once : bool
             Whether a GET or DELETE whose connection is closed before the response
             fails. Otherwise it is sent once more, which doubles its time limit.
+        responded : asyncio.Event or None
+            Set when the response begins to arrive.
 
         Returns
         -------
@@ -121,6 +128,8 @@
                     middlewares=(_send_once,) if once else None,
                 ) as response,
             ):
+                if responded is not None:
+                    responded.set()
                 raw = await response.read()
                 status = response.status
         except (
@@ -132,6 +141,32 @@
             return _failure(ErrorKind.TIMEOUT, method, path, error)
         return _decode_response(status, raw, method, path)
 
+    async def call_hedged(
+        self, method, path, *, timeout_s, **options
+    ) -> Result[HttpResponse, Failure]:
+        """Make a call like `call`; repeat it early if there is no response.
+
+        After `HEDGE_DELAY_S`, the idempotent request is sent again over a new
+        connection. The first response counts, within the time limit of one call.
+        """
+        generation = self.pool.generation
+        responded = asyncio.Event()
+        first = asyncio.ensure_future(
+            self.call(method, path, timeout_s=timeout_s, responded=responded, **options)
+        )
+        calls = [first]
+        try:
+            await asyncio.wait(calls, timeout=HEDGE_DELAY_S)
+            if timeout_s > HEDGE_DELAY_S and not (first.done() or responded.is_set()):
+                self.pool.replace(generation)
+                remaining_s = timeout_s - HEDGE_DELAY_S
+                again = self.call(method, path, timeout_s=remaining_s, **options)
+                calls.append(asyncio.ensure_future(again))
+            return await _first_response(calls)
+        finally:
+            for call in calls:
+                call.cancel()
+
     def _open_session(self):
         connector = aiohttp.TCPConnector(
             limit=self.connections,
@@ -149,6 +184,15 @@
         await self.pool.close()
 
 
+async def _first_response(calls):
+    """Return the first result that is a response, or the failure of the last call."""
+    for completed in asyncio.as_completed(calls):
+        result = await completed
+        if result.is_ok():
+            break
+    return result
+
+
 def _decode_response(status, raw, method, path):
     if not raw:
         return Ok(HttpResponse(status=status, body={}))
--- a/wasabipaddle/platform/store.py
+++ b/wasabipaddle/platform/store.py
@@ -48,7 +48,11 @@
     async def get(self, key) -> Result[Entry | None, Failure]:
         """Read one key; None if it does not exist."""
         response = await self._call(
-            "GET", "/kv-key", query={"key": key}, accepted_statuses=(404,)
+            "GET",
+            "/kv-key",
+            query={"key": key},
+            accepted_statuses=(404,),
+            hedged=True,
         )
         if response.is_ok() and response.ok().status == 404:
             return Ok(None)
@@ -59,7 +63,7 @@
         query = {"prefix": prefix}
         if after:
             query["after"] = after
-        response = await self._call("GET", "/kv-range", query=query)
+        response = await self._call("GET", "/kv-range", query=query, hedged=True)
         return _decode(response, _decode_page)
 
     async def list_all(self, prefix) -> Result[Page, Failure]:
@@ -149,7 +153,11 @@
     async def renew_lease(self, lease) -> Result[None, Failure]:
         """Extend a lease; an `Err` of kind `not_found` means that it has ended."""
         response = await self._call(
-            "POST", f"/kv-keep/{lease}", body={}, accepted_statuses=(404,)
+            "POST",
+            f"/kv-keep/{lease}",
+            body={},
+            accepted_statuses=(404,),
+            hedged=True,
         )
         if response.is_err():
             return response
@@ -170,13 +178,15 @@
         *,
         accepted_statuses=(),
         timeout_s=None,
+        hedged=False,
         **options,
     ):
         """Make one call.
 
         A status other than 200 and `accepted_statuses` becomes a failure.
         """
-        result = await self.client.call(
+        send = self.client.call_hedged if hedged else self.client.call
+        result = await send(
             method,
             path,
             timeout_s=timeout_s or self.timeout_s,
--- a/wasabipaddle/platform/tests/test_silent_connections.py
+++ b/wasabipaddle/platform/tests/test_silent_connections.py
@@ -11,7 +11,7 @@
 from wasabipaddle.jobs import TaskId
 from wasabipaddle.platform import PlatformRunner
 from wasabipaddle.platform.client import JobCaller
-from wasabipaddle.platform.http import PlatformHttpClient
+from wasabipaddle.platform.http import HEDGE_DELAY_S, PlatformHttpClient
 from wasabipaddle.standins.listener import Listener, hang
 from wasabipaddle.transport.tests.relay import HOST, open_relay
 
@@ -49,8 +49,20 @@
             await self.released.wait()
         elif request.path in ("/never", "/run-start"):
             await hang(request)
+        elif request.path == "/trickle":
+            return await self._trickle(request)
+        elif request.path == "/slow":
+            await asyncio.sleep(HEDGE_DELAY_S + SHORT_S)
         return web.json_response({})
 
+    async def _trickle(self, request):
+        response = web.StreamResponse()
+        await response.prepare(request)
+        await response.write(b"{")
+        await asyncio.sleep(HEDGE_DELAY_S + SHORT_S)
+        await response.write(b"}")
+        return response
+
 
 @pytest.fixture
 def with_server():
@@ -176,3 +188,71 @@
         await runner.close()
 
     with_server(scenario)
+
+
+async def get_hedged(client, path="/now", timeout_s=LONG_S):
+    return await client.call_hedged("GET", path, timeout_s=timeout_s)
+
+
+def test_hedged_call_gets_its_response_over_a_new_connection(with_server):
+    """Guards against a renewal that waits for the timeout of a dead connection."""
+
+    async def scenario(server, relay):
+        client = PlatformHttpClient(address=relay.address)
+        await open_idle(lambda: get(client), relay)
+        relay.silence()
+        assert (await get_hedged(client)).is_ok()
+        assert (await get(client)).is_ok()
+        await client.close()
+
+    with_server(scenario)
+
+
+def test_hedged_call_returns_a_late_first_response(with_server):
+    """Guards against a slow server whose responses are all given up as too late."""
+
+    async def scenario(server, relay):
+        client = PlatformHttpClient(address=relay.address)
+        limit_s = 2 * HEDGE_DELAY_S
+        assert (await get_hedged(client, "/slow", limit_s)).is_ok()
+        await client.close()
+
+    with_server(scenario)
+
+
+def test_hedged_call_without_any_response_is_sent_twice(with_server):
+    """Guards against repeats without end, and against one that hides the failure."""
+
+    async def scenario(server, relay):
+        client = PlatformHttpClient(address=relay.address)
+        lost = await get_hedged(client, "/never", HEDGE_DELAY_S + SHORT_S)
+        assert lost.err().kind is ErrorKind.TIMEOUT
+        assert server.requests["/never"] == 2
+        await client.close()
+
+    with_server(scenario)
+
+
+def test_hedged_call_is_sent_once_if_the_response_comes_early(with_server):
+    """Guards against a hedge that doubles the calls of a calm day."""
+
+    async def scenario(server, relay):
+        client = PlatformHttpClient(address=relay.address)
+        assert (await get_hedged(client)).is_ok()
+        assert server.requests["/now"] == 1
+        assert client.pool.generation == 0
+        await client.close()
+
+    with_server(scenario)
+
+
+def test_long_response_that_has_begun_is_not_requested_again(with_server):
+    """Guards against a hedge that doubles the load of a slow link."""
+
+    async def scenario(server, relay):
+        client = PlatformHttpClient(address=relay.address)
+        assert (await get_hedged(client, "/trickle")).is_ok()
+        assert server.requests["/trickle"] == 1
+        await client.close()
+
+    with_server(scenario)
