Extend leases in time after an inventory without a response

Cause: an inventory is held for up to 1.9 s. If the response to one that follows it is lost, the retry, which doesn't extend the lease, and the pauses for ended runs take longer than the lease of 4.5 s. Change: runners with runs that are not urgent hold an inventory for 1.5 s, and no pause follows the inventory that ends a failure.

--- a/wasabipaddle/cell/calls.py
+++ b/wasabipaddle/cell/calls.py
@@ -12,9 +12,10 @@
 ORDER_TIMEOUT_S = 0.6
 INVENTORY_TIMEOUT_S = 0.6
 # Longest time that a runner holds back an inventory until a run ends: with urgent runs,
-# with other runs (the inventory extends the lease of both), and without runs.
+# with other runs (the inventory extends the lease of both), and without runs. A lease
+# has to outlast a wait, a second one without a response, and a retry.
 URGENT_WAIT_S = 1.2
-BUSY_WAIT_S = 1.9
+BUSY_WAIT_S = 1.5
 IDLE_WAIT_S = 1.9
 # Longest such time for a runner on which opportunistic tasks share the VM with tasks
 # that have a target latency; short, so that the pace follows the latency soon.
@@ -209,8 +210,9 @@
             if failures:
                 runner.paused_until_s = now
                 session.journal("runner_regained", runner=runner.id, failures=failures)
+            # After a failure the lease has to be extended without a pause.
+            ended = bool(result.ok().ended) and not failures
             failures = 0
-            ended = bool(result.ok().ended)
             scheduler.reports.process_inventory(runner, result.ok(), now)
             scheduler.watchdog.set_paces(runner)
             session.wake()
