--- a/wasabipaddle/platform/http.py
+++ b/wasabipaddle/platform/http.py
@@ -1,5 +1,7 @@
 """HTTP client with JSON bodies, shared by the clients of the platform."""
 
+import asyncio
+
 import aiohttp
 import attrs
 import msgspec
@@ -7,10 +9,13 @@
 
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.platform.decoding import DECODING_ERRORS
+from wasabipaddle.transport.connections import ConnectionPool
 
 __all__ = ["HttpResponse", "PlatformHttpClient"]
 
 CONNECT_TIMEOUT_S = 0.6
+# Time without a response after which a hedged request is sent again.
+HEDGE_DELAY_S = 0.4
 # Shorter than the idle timeout after which servers of the platform close a connection.
 KEEPALIVE_S = 25.0
 # The errors after which aiohttp sends an idempotent request once more.
@@ -51,13 +56,19 @@
     address : str
         Host and port.
     connections : int
-        Largest number of open connections.
+        Largest number of open connections. After a timeout, connections with calls in
+        progress do not count.
+
+    Attributes
+    ----------
+    pool : ConnectionPool
+        Connections, replaced after a call that timed out.
     """
 
     def __init__(self, *, address, connections=64):
         self.address = address
         self.connections = connections
-        self.session = None
+        self.pool = ConnectionPool(open_session=self._open_session)
 
     async def call(
         self,
@@ -70,6 +81,7 @@
         query=None,
         headers=None,
         once=False,
+        responded=None,
     ) -> Result[HttpResponse, Failure]:
         """Send one request and wait for its response.
 
@@ -83,6 +95,8 @@
         once : bool
             Whether a GET or DELETE whose connection is closed before the response
             fails. Otherwise it is sent once more, which doubles its time limit.
+        responded : asyncio.Event or None
+            Set when the response begins to arrive.
 
         Returns
         -------
@@ -102,15 +116,20 @@
         )
         url = f"http://{self.address}{path}"
         try:
-            async with self._get_session().request(
-                method,
-                url,
-                params=query,
-                data=data,
-                headers=headers,
-                timeout=timeout,
-                middlewares=(_send_once,) if once else None,
-            ) as response:
+            async with (
+                self.pool.session() as session,
+                session.request(
+                    method,
+                    url,
+                    params=query,
+                    data=data,
+                    headers=headers,
+                    timeout=timeout,
+                    middlewares=(_send_once,) if once else None,
+                ) as response,
+            ):
+                if responded is not None:
+                    responded.set()
                 raw = await response.read()
                 status = response.status
         except (
@@ -122,25 +141,56 @@
             return _failure(ErrorKind.TIMEOUT, method, path, error)
         return _decode_response(status, raw, method, path)
 
-    def _get_session(self):
-        if self.session is None:
-            connector = aiohttp.TCPConnector(
-                limit=self.connections,
-                keepalive_timeout=KEEPALIVE_S,
-                use_dns_cache=False,
-            )
-            self.session = aiohttp.ClientSession(
-                connector=connector,
-                skip_auto_headers=SKIPPED_AUTO_HEADERS,
-                cookie_jar=aiohttp.DummyCookieJar(),
-            )
-        return self.session
+    async def call_hedged(
+        self, method, path, *, timeout_s, **options
+    ) -> Result[HttpResponse, Failure]:
+        """Make a call like `call`; repeat it early if there is no response.
+
+        After `HEDGE_DELAY_S`, the idempotent request is sent again over a new
+        connection. The first response counts, within the time limit of one call.
+        """
+        generation = self.pool.generation
+        responded = asyncio.Event()
+        first = asyncio.ensure_future(
+            self.call(method, path, timeout_s=timeout_s, responded=responded, **options)
+        )
+        calls = [first]
+        try:
+            await asyncio.wait(calls, timeout=HEDGE_DELAY_S)
+            if timeout_s > HEDGE_DELAY_S and not (first.done() or responded.is_set()):
+                self.pool.replace(generation)
+                remaining_s = timeout_s - HEDGE_DELAY_S
+                again = self.call(method, path, timeout_s=remaining_s, **options)
+                calls.append(asyncio.ensure_future(again))
+            return await _first_response(calls)
+        finally:
+            for call in calls:
+                call.cancel()
+
+    def _open_session(self):
+        connector = aiohttp.TCPConnector(
+            limit=self.connections,
+            keepalive_timeout=KEEPALIVE_S,
+            use_dns_cache=False,
+        )
+        return aiohttp.ClientSession(
+            connector=connector,
+            skip_auto_headers=SKIPPED_AUTO_HEADERS,
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
 
     async def close(self):
         """Close the connections."""
-        if self.session is not None:
-            await self.session.close()
-            self.session = None
+        await self.pool.close()
+
+
+async def _first_response(calls):
+    """Return the first result that is a response, or the failure of the last call."""
+    for completed in asyncio.as_completed(calls):
+        result = await completed
+        if result.is_ok():
+            break
+    return result
 
 
 def _decode_response(status, raw, method, path):
--- a/wasabipaddle/platform/store.py
+++ b/wasabipaddle/platform/store.py
@@ -25,6 +25,8 @@
 # Margin beyond the wait of a watch after which its connection counts as dead.
 WATCH_MARGIN_S = 1.0
 THROTTLE_PAUSE_S = 0.2
+# Calls and watches share their connections, so that a timeout of one replaces both.
+CONNECTIONS = 128
 MS_PER_S = 1000
 
 
@@ -40,14 +42,17 @@
     """
 
     def __init__(self, *, address, timeout_s=CALL_TIMEOUT_S):
-        self.call_client = PlatformHttpClient(address=address)
-        self.watch_client = PlatformHttpClient(address=address)
+        self.client = PlatformHttpClient(address=address, connections=CONNECTIONS)
         self.timeout_s = timeout_s
 
     async def get(self, key) -> Result[Entry | None, Failure]:
         """Read one key; None if it does not exist."""
         response = await self._call(
-            "GET", "/kv-key", query={"key": key}, accepted_statuses=(404,)
+            "GET",
+            "/kv-key",
+            query={"key": key},
+            accepted_statuses=(404,),
+            hedged=True,
         )
         if response.is_ok() and response.ok().status == 404:
             return Ok(None)
@@ -58,7 +63,7 @@
         query = {"prefix": prefix}
         if after:
             query["after"] = after
-        response = await self._call("GET", "/kv-range", query=query)
+        response = await self._call("GET", "/kv-range", query=query, hedged=True)
         return _decode(response, _decode_page)
 
     async def list_all(self, prefix) -> Result[Page, Failure]:
@@ -131,7 +136,6 @@
             query=query,
             accepted_statuses=(410,),
             timeout_s=wait_s + WATCH_MARGIN_S,
-            client=self.watch_client,
             once=True,
         )
         if response.is_ok() and response.ok().status == 410:
@@ -149,7 +153,11 @@
     async def renew_lease(self, lease) -> Result[None, Failure]:
         """Extend a lease; an `Err` of kind `not_found` means that it has ended."""
         response = await self._call(
-            "POST", f"/kv-keep/{lease}", body={}, accepted_statuses=(404,)
+            "POST",
+            f"/kv-keep/{lease}",
+            body={},
+            accepted_statuses=(404,),
+            hedged=True,
         )
         if response.is_err():
             return response
@@ -170,14 +178,15 @@
         *,
         accepted_statuses=(),
         timeout_s=None,
-        client=None,
+        hedged=False,
         **options,
     ):
         """Make one call.
 
         A status other than 200 and `accepted_statuses` becomes a failure.
         """
-        result = await (client or self.call_client).call(
+        send = self.client.call_hedged if hedged else self.client.call
+        result = await send(
             method,
             path,
             timeout_s=timeout_s or self.timeout_s,
@@ -201,10 +210,18 @@
         kind = ErrorKind.TIMEOUT if unknown else ErrorKind.STORE_UNAVAILABLE
         return _failure(kind, f"{method} {path}: status {response.status}")
 
+    @property
+    def connection_generation(self) -> int:
+        """Number of times that the connections to the store have been replaced."""
+        return self.client.pool.generation
+
+    def replace_connections(self, generation):
+        """Use new connections for later calls, if those of `generation` are in use."""
+        self.client.pool.replace(generation)
+
     async def close(self):
         """Close the connections."""
-        await self.call_client.close()
-        await self.watch_client.close()
+        await self.client.close()
 
 
 def _encode_put(put):
