Stop a leader from renewing its members with its own list

Cause: the leader sends its hello messages to itself as well. Its reply lists all live members, and the sender records each listed member as heard from now. So no process that a leader ever heard of stopped being live, and the list passed to followers and on to the next leaders. The balancer prefers the process with the fewest outstanding requests, which is a removed one, excludes it for 1 s, and gives up exclusions once half of the processes are excluded or silent.

Change: a process records the members listed in a reply only if the reply is that of another process.

The tests failed before the change: the removed process p2 was live at the leader ("assert ['p1', 'p2'] == ['p1']"), also after a partition, and after a takeover p0 and p3 were live at the new leader ("assert ['p0', 'p2', 'p3'] == ['p2']").

--- a/wasabipaddle/cell/members.py
+++ b/wasabipaddle/cell/members.py
@@ -261,6 +261,7 @@
                 life=self.election.record.life,
                 processor=settings.processor,
             )
+            leader = self.leader
             reply = await self.ask_leader(hello, HelloReply, timeout_s=HELLO_TIMEOUT_S)
             refused = reply.is_err() and reply.err().kind is ErrorKind.UNREACHABLE
             self.refusals = self.refusals + 1 if refused else 0
@@ -275,9 +276,19 @@
             self.election.weak = settings.processor < WEAK_SHARE * reply.strongest
             self.waiting = reply.waiting
             self.waiting_received_s = self.context.clock.now()
-            for process, address in reply.members.items():
-                self._set_address(process, address)
-                self.last_heard_s[process] = self.waiting_received_s
+            if leader != self.own_name:
+                self._record_members(reply.members)
+
+    def _record_members(self, members):
+        """Record the members that the leader lists as live.
+
+        A leader must not take its own list as a sign of life of the members: a removed
+        one would stay in it for ever.
+        """
+        now = self.context.clock.now()
+        for process, address in members.items():
+            self._set_address(process, address)
+            self.last_heard_s[process] = now
 
     async def _handle_refused_leader(self):
         """Replace a leader that refuses connections repeatedly, or call it again soon.
--- a/wasabipaddle/cell/tests/conftest.py
+++ b/wasabipaddle/cell/tests/conftest.py
@@ -10,6 +10,7 @@
 from wasabipaddle.cell.entry import EntryPlugin
 from wasabipaddle.cell.events import LeadershipGained, LeadershipLost
 from wasabipaddle.cell.store import CellStorePlugin
+from wasabipaddle.cell.tests.members_parts import with_members
 from wasabipaddle.clock import LoopClock
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.jobs import CellConfiguration, JobSpec, Queue, StepSpec
@@ -135,3 +136,8 @@
 @pytest.fixture
 def make_test_cell():
     return TestCell
+
+
+@pytest.fixture
+def run_members():
+    return with_members
--- /dev/null
+++ b/wasabipaddle/cell/tests/members_parts.py
@@ -0,0 +1,144 @@
+"""Cell of real `MembersPlugin`s on an in-memory network, for tests."""
+
+from wasabipaddle.cell.events import DrainStarted, LeaderChanged, LeadershipGained
+from wasabipaddle.cell.members import MembersPlugin
+from wasabipaddle.clock import LoopClock, run_virtual
+from wasabipaddle.kernel import Context
+from wasabipaddle.settings import CellSettings, PlatformAddresses
+from wasabipaddle.transport import MemoryNetwork, MemoryTransport
+
+STORE_LATENCY_S = 0.005
+
+
+class FakeConfiguration:
+    """Stand-in for `ConfigurationPlugin` that always has version 1."""
+
+    version = 1
+
+    def observe(self, version):
+        """Do nothing; no process has a newer version."""
+
+
+class FakeElection:
+    """Stand-in for `ElectionPlugin` that wins no campaign."""
+
+    def __init__(self):
+        self.weak = False
+        self.record = type("Record", (), {"life": 1})()
+
+    async def replace_leader(self):
+        return False
+
+    def check_leader(self):
+        """Do nothing; the tests publish changes of the leader key."""
+
+
+class Member:
+    """Membership of one process."""
+
+    def __init__(self, name, network):
+        settings = CellSettings(
+            process=name,
+            data_centre="a",
+            region="r",
+            callers="127.0.0.1:1",
+            readiness="127.0.0.1:2",
+            internal="127.0.0.1:3",
+            platform=PlatformAddresses(store="127.0.0.1:4"),
+        )
+        self.name = name
+        self.context = Context.create(
+            settings=settings, clock=LoopClock(), process=name, seed=1
+        )
+        health = type("Health", (), {"latency_s": STORE_LATENCY_S})()
+        self.context.plugins.update(
+            cell_configuration=FakeConfiguration(),
+            cell_store=type("Store", (), {"health": health})(),
+            cell_election=FakeElection(),
+        )
+        self.plugin = MembersPlugin(context=self.context)
+        self.plugin.transport = MemoryTransport(name=name, network=network)
+        self.plugin.transport.peers = {}
+
+    def see_leader(self, process, epoch):
+        """Publish a change of the leader key."""
+        self.context.bus.publish(
+            LeaderChanged(process=process, address="127.0.0.1:3", epoch=epoch)
+        )
+
+    def drain(self):
+        """Announce that the process shuts down."""
+        self.context.bus.publish(DrainStarted())
+
+    def live_peers(self):
+        """Return the names of the other live processes in alphabetical order."""
+        return sorted(self.plugin.live()[1:])
+
+
+class MembersCell:
+    """Processes p0, p1 and so on, of which p0 leads at first."""
+
+    def __init__(self, count):
+        self.network = MemoryNetwork()
+        self.members = {}
+        self.epoch = 0
+        self.leader = ""
+        for i in range(count):
+            self.add(f"p{i}")
+
+    def __getitem__(self, name):
+        return self.members[name].plugin
+
+    def add(self, name):
+        """Add a process that has not been started."""
+        member = self.members[name] = Member(name, self.network)
+        return member
+
+    async def start(self, name):
+        """Start a process, which learns of the leader from the store."""
+        member = self.members[name]
+        await member.plugin.start()
+        if self.leader:
+            member.see_leader(self.leader, self.epoch)
+
+    async def elect(self, name):
+        """Make a process the leader and tell all others, as the store does."""
+        self.epoch += 1
+        self.leader = name
+        for member in self.members.values():
+            if member.name not in self.network.stopped:
+                member.see_leader(name, self.epoch)
+        self.members[name].context.bus.publish(
+            LeadershipGained(epoch=self.epoch, term=self.epoch, continued=False)
+        )
+
+    def isolate(self, name):
+        """Drop all messages of a process; its peers get no reply."""
+        for other in self.members:
+            if other != name:
+                self.network.cut(name, other)
+
+    async def stop(self, name):
+        """Remove a process; its peers get no reply."""
+        self.isolate(name)
+        await self.members[name].plugin.tasks.close()
+
+    async def close(self):
+        for member in self.members.values():
+            await member.plugin.tasks.close()
+
+
+def with_members(scenario, *, count=3):
+    """Run a scenario in virtual time with a cell whose process p0 leads."""
+
+    async def main():
+        cell = MembersCell(count)
+        for name in list(cell.members):
+            await cell.start(name)
+        await cell.elect("p0")
+        try:
+            return await scenario(cell)
+        finally:
+            await cell.close()
+
+    return run_virtual(main())
--- /dev/null
+++ b/wasabipaddle/cell/tests/test_members.py
@@ -0,0 +1,70 @@
+"""Membership: which processes count as live, and for how long."""
+
+import asyncio
+
+from wasabipaddle.cell.members import LIVENESS_TIMEOUT_S
+
+# Time for a few hello messages of each process.
+SETTLE_S = 1.5
+# Time after which no process may count a silent one as live. A process learns of the
+# others from the leader, whose list may be as old as its last hello message from each.
+VIEW_S = LIVENESS_TIMEOUT_S + 2.0
+
+
+def test_removed_process_stops_being_live(run_members):
+    """Guards against a removed process that counts as live for ever.
+
+    The leader also sends hello messages to itself, and its own reply lists all live
+    members: it must not take that list as a sign of life.
+    """
+
+    async def scenario(cell):
+        await asyncio.sleep(SETTLE_S)
+        before = cell.members["p0"].live_peers(), cell.members["p1"].live_peers()
+        await cell.stop("p2")
+        await asyncio.sleep(LIVENESS_TIMEOUT_S + 0.1)
+        at_leader = cell.members["p0"].live_peers()
+        await asyncio.sleep(VIEW_S - LIVENESS_TIMEOUT_S)
+        return before, at_leader, cell.members["p1"].live_peers()
+
+    before, at_leader, at_follower = run_members(scenario)
+    assert before == (["p1", "p2"], ["p0", "p2"])
+    assert at_leader == ["p1"]
+    assert at_follower == ["p0"]
+
+
+def test_process_that_was_cut_off_is_live_again(run_members):
+    """Guards against a process that stays out of the cell after a partition."""
+
+    async def scenario(cell):
+        await asyncio.sleep(SETTLE_S)
+        cell.isolate("p2")
+        await asyncio.sleep(VIEW_S)
+        during = cell.members["p0"].live_peers()
+        cell.network.heal()
+        await asyncio.sleep(SETTLE_S)
+        views = [cell.members[name].live_peers() for name in ("p0", "p1", "p2")]
+        return during, views
+
+    during, views = run_members(scenario)
+    assert during == ["p1"]
+    assert views == [["p1", "p2"], ["p0", "p2"], ["p0", "p1"]]
+
+
+def test_new_leader_does_not_revive_the_removed_members_of_its_predecessor(run_members):
+    """Guards against a takeover that makes removed processes live again.
+
+    The new leader starts with the list of its predecessor, which is gone as well.
+    """
+
+    async def scenario(cell):
+        await asyncio.sleep(SETTLE_S)
+        await cell.stop("p3")
+        await cell.stop("p0")
+        await cell.elect("p1")
+        await asyncio.sleep(VIEW_S)
+        return cell.members["p1"].live_peers(), cell.members["p2"].live_peers()
+
+    at_leader, at_follower = run_members(scenario, count=4)
+    assert at_leader == ["p2"]
+    assert at_follower == ["p1"]
