Leave processes that shut down or may be gone out of the members

What callers saw: requests for advice failed with a refused or broken connection each time a machine was removed as planned, and steps waited for another answer.

Cause: a process that drains stops about 2.2 s after SIGTERM and then counts as live for up to 2 s. Followers learn of it from the list of the leader, which named processes that had been silent for up to 2 s; the receiver takes them as heard from at that moment, and a new leader starts with that view.

Change: hello messages have the field `draining`, sent at once when the drain begins, and also to a successor that the leader hands over to. The leader counts such a process as live no longer, until a hello message without the field arrives or a leader lists it again. A reply to a hello message lists only processes heard from within 1.1 s, two intervals.

The tests failed before the change: the draining p2 was live ("assert ['p1', 'p2'] == ['p1']"), as was the former leader at its successor ("assert ['p0', 'p2'] == ['p2']"), and the reply listed the silent p2 ("assert ['p0', 'p1', 'p2'] == ['p0', 'p1']").

--- a/wasabipaddle/cell/advice.py
+++ b/wasabipaddle/cell/advice.py
@@ -4,7 +4,7 @@
 
 from result import Err, Ok
 
-from wasabipaddle.cell.members import MembersPlugin
+from wasabipaddle.cell.members import MAX_HELLO_AGE_S, MembersPlugin
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.kernel import Plugin
 from wasabipaddle.messages.jobs import AdviceReply, AskAdvice
@@ -20,9 +20,6 @@
 RESERVED_SHARE = 0.4
 # Time for which a process that did not reply is excluded.
 EXCLUSION_S = 1.0
-# Two of the longest intervals between hello messages; a process not heard from for
-# longer may be frozen or cut off.
-MAX_HELLO_AGE_S = 1.1
 EXCLUSION_KINDS = frozenset({ErrorKind.TIMEOUT, ErrorKind.UNREACHABLE})
 # A process whose outstanding requests are expected to take longer than this gets only
 # urgent requests.
--- a/wasabipaddle/cell/members.py
+++ b/wasabipaddle/cell/members.py
@@ -7,7 +7,12 @@
 
 from wasabipaddle.cell.configuration import ConfigurationPlugin
 from wasabipaddle.cell.election import FAR_LATENCY_S, ElectionPlugin
-from wasabipaddle.cell.events import LeaderChanged, LeadershipGained, MemberOutdated
+from wasabipaddle.cell.events import (
+    DrainStarted,
+    LeaderChanged,
+    LeadershipGained,
+    MemberOutdated,
+)
 from wasabipaddle.cell.store import CellStorePlugin
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.kernel import Plugin
@@ -21,13 +26,16 @@
 from wasabipaddle.settings import CellPeer
 from wasabipaddle.transport import HttpTransport
 
-__all__ = ["MembersPlugin"]
+__all__ = ["MAX_HELLO_AGE_S", "MembersPlugin"]
 
 HELLO_INTERVAL_S = 0.5
 HELLO_TIMEOUT_S = 0.5
 NOTICE_TIMEOUT_S = 0.5
 # A process that has not been heard from for this long does not count as live.
 LIVENESS_TIMEOUT_S = 2.0
+# Two of the longest intervals between hello messages; a process not heard from for
+# longer may be frozen, cut off or gone.
+MAX_HELLO_AGE_S = 1.1
 # Consecutive refused connections after which the leader is presumed dead. The limit is
 # higher for processes far from the store, so that nearer processes replace it first.
 MAX_REFUSALS = 2
@@ -54,6 +62,8 @@
         Monotonic time at which each process was last known to be live, by name. The
         leader records it at each hello message; other processes record it for all
         members that a reply of the leader lists.
+    leaving : set of str
+        Names of the processes that have said that they are shutting down.
     latencies, incarnations, processing_power : dict
         Latency of the store at each process in seconds, start of the process in Unix
         milliseconds, and its processing power in cores, by name. Only the leader
@@ -75,6 +85,8 @@
         super().__init__(context=context)
         self.transport = HttpTransport(peers={})
         self.last_heard_s = {}
+        self.leaving = set()
+        self.draining = False
         self.latencies = {}
         self.incarnations = {}
         self.processing_power = {context.settings.process: context.settings.processor}
@@ -96,8 +108,10 @@
         self.election = self.context.plugins[ElectionPlugin.name]
         self.transport.handle(MemberHello, self._handle_hello)
         self.transport.handle(LeaderNotice, self._handle_leader_notice)
-        self.context.bus.events(LeaderChanged).subscribe(self._on_leader_changed)
-        self.context.bus.events(LeadershipGained).subscribe(self._announce_leadership)
+        bus = self.context.bus
+        bus.events(DrainStarted).subscribe(self._on_drain)
+        bus.events(LeaderChanged).subscribe(self._on_leader_changed)
+        bus.events(LeadershipGained).subscribe(self._announce_leadership)
         self.tasks.keep_running(self._send_hellos)
 
     async def open(self):
@@ -116,6 +130,11 @@
             await self.app_runner.cleanup()
         await self.transport.close()
 
+    def _on_drain(self, event):
+        """Tell the leader at once that this process takes no more work."""
+        self.draining = True
+        self.hello_due.set()
+
     def _on_leader_changed(self, event):
         """Follow the leader recorded in the store, unless a later one is known."""
         if not event.process:
@@ -179,12 +198,19 @@
         return self.leader == self.own_name
 
     def live(self):
-        """Return the names of the live processes, this one first."""
+        """Return the names of the live processes, this one first.
+
+        Other processes that are shutting down are left out.
+        """
         now = self.context.clock.now()
         others = [
-            p for p, at in self.last_heard_s.items() if now - at < LIVENESS_TIMEOUT_S
+            process
+            for process, heard_s in self.last_heard_s.items()
+            if now - heard_s < LIVENESS_TIMEOUT_S
+            and process not in self.leaving
+            and process != self.own_name
         ]
-        return [self.own_name, *(p for p in others if p != self.own_name)]
+        return [self.own_name, *others]
 
     def heard_within(self, process, seconds) -> bool:
         """Return whether a process was known to be live within the last `seconds`."""
@@ -232,6 +258,20 @@
             process, message, reply_type, timeout_s=timeout_s
         )
 
+    def _build_member_list(self):
+        """Return the addresses, by name, of the members to list in a reply.
+
+        A process that may be gone is left out, since the receiver counts all listed
+        ones as heard from at that moment.
+        """
+        return {
+            process: self.addresses[process]
+            for process in self.live()
+            if process in self.addresses
+            and process not in self.leaving
+            and self.heard_within(process, MAX_HELLO_AGE_S)
+        }
+
     def _build_leader_notice(self):
         if not self.leader or self.leader not in self.addresses:
             return None
@@ -260,6 +300,7 @@
                 store_latency_s=self.store_plugin.health.latency_s,
                 life=self.election.record.life,
                 processor=settings.processor,
+                draining=self.draining,
             )
             leader = self.leader
             reply = await self.ask_leader(hello, HelloReply, timeout_s=HELLO_TIMEOUT_S)
@@ -289,6 +330,7 @@
         for process, address in members.items():
             self._set_address(process, address)
             self.last_heard_s[process] = now
+        self.leaving.difference_update(members)
 
     async def _handle_refused_leader(self):
         """Replace a leader that refuses connections repeatedly, or call it again soon.
@@ -309,6 +351,10 @@
         self.incarnations[hello.process] = hello.life
         self.processing_power[hello.process] = hello.processor
         self._set_address(hello.process, hello.address)
+        if hello.draining:
+            self.leaving.add(hello.process)
+        else:
+            self.leaving.discard(hello.process)
         self.configuration.observe(hello.configuration)
         if hello.configuration < self.configuration.version:
             self.context.bus.publish(MemberOutdated(process=hello.process))
@@ -316,9 +362,7 @@
             HelloReply(
                 configuration=self.configuration.version,
                 waiting=self.count_waiting(),
-                members={
-                    p: self.addresses[p] for p in self.live() if p in self.addresses
-                },
+                members=self._build_member_list(),
                 strongest=self.largest_processing_power,
                 leader=self._build_leader_notice(),
             )
--- a/wasabipaddle/cell/tests/test_members.py
+++ b/wasabipaddle/cell/tests/test_members.py
@@ -2,7 +2,8 @@
 
 import asyncio
 
-from wasabipaddle.cell.members import LIVENESS_TIMEOUT_S
+from wasabipaddle.cell.members import LIVENESS_TIMEOUT_S, MAX_HELLO_AGE_S
+from wasabipaddle.messages.jobs import MemberHello
 
 # Time for a few hello messages of each process.
 SETTLE_S = 1.5
@@ -68,3 +69,54 @@
     at_leader, at_follower = run_members(scenario, count=4)
     assert at_leader == ["p2"]
     assert at_follower == ["p1"]
+
+
+def test_draining_process_is_not_live_until_it_starts_again(run_members):
+    """Guards against work that is handed to a process about to stop."""
+
+    async def scenario(cell):
+        await asyncio.sleep(SETTLE_S)
+        cell.members["p2"].drain()
+        await asyncio.sleep(0.1)
+        during = cell.members["p0"].live_peers()
+        await asyncio.sleep(SETTLE_S)
+        later = cell.members["p0"].live_peers()
+        await cell.stop("p2")
+        cell.network.heal()
+        cell.add("p2")
+        await cell.start("p2")
+        await asyncio.sleep(SETTLE_S)
+        return during, later, cell.members["p0"].live_peers()
+
+    during, later, after = run_members(scenario)
+    assert during == later == ["p1"]
+    assert after == ["p1", "p2"]
+
+
+def test_former_leader_that_drains_is_not_live_at_its_successor(run_members):
+    """Guards against requests to a leader that hands over because it shuts down."""
+
+    async def scenario(cell):
+        await asyncio.sleep(SETTLE_S)
+        cell.members["p0"].drain()
+        await cell.elect("p1")
+        await asyncio.sleep(0.1)
+        return cell.members["p1"].live_peers()
+
+    assert run_members(scenario) == ["p2"]
+
+
+def test_leader_does_not_list_a_process_that_may_be_gone(run_members):
+    """Guards against a follower that learns of a silent process as if it were live.
+
+    It would count it as live for up to twice the time, and longer if it then leads.
+    """
+
+    async def scenario(cell):
+        await asyncio.sleep(SETTLE_S)
+        await cell.stop("p2")
+        await asyncio.sleep(MAX_HELLO_AGE_S)
+        hello = MemberHello(process="p1", address="127.0.0.1:3")
+        return (await cell["p0"]._handle_hello(hello)).ok().members
+
+    assert sorted(run_members(scenario)) == ["p0", "p1"]
--- a/wasabipaddle/messages/jobs.py
+++ b/wasabipaddle/messages/jobs.py
@@ -126,6 +126,8 @@
         Start time of the process, in Unix milliseconds.
     processor : float
         Processing power of the process, in cores of the usual speed.
+    draining : bool
+        Whether the process is shutting down and takes no more work from others.
     """
 
     process: str
@@ -134,6 +136,7 @@
     store_latency_s: float = 0.0
     life: int = 0
     processor: float = 1.0
+    draining: bool = False
 
 
 @attrs.frozen(kw_only=True)
