Forget processes that were removed, and announce leaders to live ones first

A new leader sent its announcement to every address that it had ever known, in the order of learning them; the HTTP client has at most 100 connections, so that with more removed processes than that the announcements to live ones waited for attempts of 0.5 s each, which is their own time limit.

A process that is cut off hears nobody and forgets nobody, and one that is reachable again is learned again by its hello message. `Roster.peers` gives the other processes in the order to ask them in: the live ones, the leader first, then those that shut down or are silent, the latest heard first. Announcements use it.

--- a/wasabipaddle/cell/advice.py
+++ b/wasabipaddle/cell/advice.py
@@ -4,7 +4,8 @@
 
 from result import Err, Ok
 
-from wasabipaddle.cell.members import MAX_HELLO_AGE_S, MembersPlugin
+from wasabipaddle.cell.members import MembersPlugin
+from wasabipaddle.cell.roster import MAX_HELLO_AGE_S
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.kernel import Plugin
 from wasabipaddle.messages.jobs import AdviceReply, AskAdvice
@@ -115,12 +116,12 @@
         Unresponsive processes are left out while at least half of all are responsive.
         """
         now = self.members.context.clock.now()
-        live = self.members.live()
+        live = self.members.roster.live()
         responsive = [
             process
             for process in live
             if self.excluded_until_s.get(process, 0.0) <= now
-            and self.members.heard_within(process, MAX_HELLO_AGE_S)
+            and self.members.roster.heard_within(process, MAX_HELLO_AGE_S)
         ]
         if 2 * len(responsive) >= len(live):
             live = responsive
--- a/wasabipaddle/cell/distribution.py
+++ b/wasabipaddle/cell/distribution.py
@@ -52,7 +52,7 @@
 
     def _send_all(self):
         if self.members.is_leader:
-            for process in self.members.addresses:
+            for process in self.members.roster.addresses:
                 self._send(process)
 
     def _send(self, process):
--- a/wasabipaddle/cell/entry.py
+++ b/wasabipaddle/cell/entry.py
@@ -208,7 +208,7 @@
 
     def _peers(self):
         own = self.context.settings.process
-        peers = [p for p in self.members.addresses if p != own]
+        peers = [p for p in self.members.roster.addresses if p != own]
         self.context.random.shuffle(peers)
         peers.sort(key=lambda p: p != self.members.leader)
         return peers[:MAX_PEERS]
--- a/wasabipaddle/cell/handover.py
+++ b/wasabipaddle/cell/handover.py
@@ -60,8 +60,8 @@
             self.handing_over = True
             self.tasks.spawn(self._hand_over(self._candidates()))
             return
-        stronger = [p for p in self._candidates() if not self.members.is_weak(p)]
-        if stronger and self.members.is_weak(self.members.own_name):
+        stronger = [p for p in self._candidates() if not self.members.roster.is_weak(p)]
+        if stronger and self.members.roster.is_weak(self.members.own_name):
             self.handing_over = True
             self.tasks.spawn(self._hand_over(stronger))
 
@@ -76,15 +76,15 @@
 
     def _candidates(self):
         """Return the live peers, the best one first."""
-        members = self.members
-        peers = [p for p in members.live() if p != members.own_name]
+        roster = self.members.roster
+        peers = [p for p in roster.live() if p != roster.own_name]
         # In a rolling restart, the process that started last will run longest, as the
         # processes that have not been restarted yet are stopped first.
         peers.sort(
             key=lambda p: (
-                members.is_weak(p),
-                members.is_far(p),
-                -members.incarnations.get(p, 0),
+                roster.is_weak(p),
+                roster.is_far(p),
+                -roster.incarnations.get(p, 0),
             )
         )
         return peers
--- a/wasabipaddle/cell/members.py
+++ b/wasabipaddle/cell/members.py
@@ -13,6 +13,7 @@
     LeadershipGained,
     MemberOutdated,
 )
+from wasabipaddle.cell.roster import WEAK_SHARE, Roster
 from wasabipaddle.cell.store import CellStorePlugin
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.kernel import Plugin
@@ -26,25 +27,17 @@
 from wasabipaddle.settings import CellPeer
 from wasabipaddle.transport import HttpTransport
 
-__all__ = ["MAX_HELLO_AGE_S", "MembersPlugin"]
+__all__ = ["MembersPlugin"]
 
 HELLO_INTERVAL_S = 0.5
 HELLO_TIMEOUT_S = 0.5
 NOTICE_TIMEOUT_S = 0.5
-# A process that has not been heard from for this long does not count as live.
-LIVENESS_TIMEOUT_S = 2.0
-# Two of the longest intervals between hello messages; a process not heard from for
-# longer may be frozen, cut off or gone.
-MAX_HELLO_AGE_S = 1.1
 # Consecutive refused connections after which the leader is presumed dead. The limit is
 # higher for processes far from the store, so that nearer processes replace it first.
 MAX_REFUSALS = 2
 MAX_REFUSALS_FAR = 5
 # Shortest pause before a leader that refused a connection is called again.
 REFUSAL_PAUSE_S = 0.08
-# A process is weak if its processing power is below this share of that of the strongest
-# live process.
-WEAK_SHARE = 0.6
 
 
 class MembersPlugin(Plugin):
@@ -54,20 +47,10 @@
     ----------
     transport : HttpTransport
         Calls to other processes; roles register their handlers with it.
-    addresses : dict of str to str
-        Internal listener of each known process, by name.
+    roster : Roster
+        Known processes, their addresses and signs of life.
     leader, leader_epoch : str, int
         Name of the leader, empty while none is known, and the highest known epoch.
-    last_heard_s : dict of str to float
-        Monotonic time at which each process was last known to be live, by name. The
-        leader records it at each hello message; other processes record it for all
-        members that a reply of the leader lists.
-    leaving : set of str
-        Names of the processes that have said that they are shutting down.
-    latencies, incarnations, processing_power : dict
-        Latency of the store at each process in seconds, start of the process in Unix
-        milliseconds, and its processing power in cores, by name. Only the leader
-        receives those of other processes.
     count_waiting : callable
         Returns the number of waiting jobs by queue for replies to hello messages, or
         None; the dispatcher role sets it.
@@ -84,13 +67,8 @@
     def __init__(self, *, context):
         super().__init__(context=context)
         self.transport = HttpTransport(peers={})
-        self.last_heard_s = {}
-        self.leaving = set()
+        self.roster = Roster(context=context)
         self.draining = False
-        self.latencies = {}
-        self.incarnations = {}
-        self.processing_power = {context.settings.process: context.settings.processor}
-        self.addresses = {}
         self.leader = ""
         self.leader_epoch = 0
         self.waiting = None
@@ -161,11 +139,11 @@
             address=settings.advertised_address,
             epoch=event.epoch,
         )
-        for process in self.addresses:
-            if process != self.own_name:
-                self.tasks.spawn(
-                    self.ask(process, notice, Noted, timeout_s=NOTICE_TIMEOUT_S)
-                )
+        # The number of connections is limited, so live processes come first.
+        for process in self.roster.peers(leader=self.own_name):
+            self.tasks.spawn(
+                self.ask(process, notice, Noted, timeout_s=NOTICE_TIMEOUT_S)
+            )
 
     async def _handle_leader_notice(self, notice):
         self._accept_leader_notice(notice)
@@ -184,7 +162,7 @@
         self._follow(notice)
 
     def _set_address(self, process, address):
-        self.addresses[process] = address
+        self.roster.set_address(process, address)
         self.transport.peers[process] = CellPeer.parse(address)
 
     @property
@@ -197,43 +175,6 @@
         """Whether this process is the leader."""
         return self.leader == self.own_name
 
-    def live(self):
-        """Return the names of the live processes, this one first.
-
-        Other processes that are shutting down are left out.
-        """
-        now = self.context.clock.now()
-        others = [
-            process
-            for process, heard_s in self.last_heard_s.items()
-            if now - heard_s < LIVENESS_TIMEOUT_S
-            and process not in self.leaving
-            and process != self.own_name
-        ]
-        return [self.own_name, *others]
-
-    def heard_within(self, process, seconds) -> bool:
-        """Return whether a process was known to be live within the last `seconds`."""
-        if process == self.own_name:
-            return True
-        return self.context.clock.now() - self.last_heard_s.get(process, 0.0) <= seconds
-
-    def is_far(self, process) -> bool:
-        """Return whether the latency of the store at a process is high."""
-        return self.latencies.get(process, 0.0) > FAR_LATENCY_S
-
-    @property
-    def largest_processing_power(self) -> float:
-        """Largest processing power among the live processes, in cores."""
-        return max(self.processing_power.get(process, 0.0) for process in self.live())
-
-    def is_weak(self, process) -> bool:
-        """Return whether a live process has much more processing power."""
-        return (
-            self.processing_power.get(process, 0.0)
-            < WEAK_SHARE * self.largest_processing_power
-        )
-
     async def ask_leader(self, message, reply_type, *, timeout_s):
         """Send a message to the leader and return the reply."""
         if not self.leader:
@@ -258,26 +199,13 @@
             process, message, reply_type, timeout_s=timeout_s
         )
 
-    def _build_member_list(self):
-        """Return the addresses, by name, of the members to list in a reply.
-
-        A process that may be gone is left out, since the receiver counts all listed
-        ones as heard from at that moment.
-        """
-        return {
-            process: self.addresses[process]
-            for process in self.live()
-            if process in self.addresses
-            and process not in self.leaving
-            and self.heard_within(process, MAX_HELLO_AGE_S)
-        }
-
     def _build_leader_notice(self):
-        if not self.leader or self.leader not in self.addresses:
+        address = self.roster.addresses.get(self.leader)
+        if address is None:
             return None
         return LeaderNotice(
             process=self.leader,
-            address=self.addresses[self.leader],
+            address=address,
             epoch=self.leader_epoch,
         )
 
@@ -291,6 +219,8 @@
             except TimeoutError:
                 pass
             self.hello_due.clear()
+            for process in self.roster.forget_departed(leader=self.leader):
+                self.transport.peers.pop(process, None)
             if not self.leader:
                 continue
             hello = MemberHello(
@@ -321,16 +251,9 @@
                 self._record_members(reply.members)
 
     def _record_members(self, members):
-        """Record the members that the leader lists as live.
-
-        A leader must not take its own list as a sign of life of the members: a removed
-        one would stay in it for ever.
-        """
-        now = self.context.clock.now()
         for process, address in members.items():
             self._set_address(process, address)
-            self.last_heard_s[process] = now
-        self.leaving.difference_update(members)
+        self.roster.record_members(members)
 
     async def _handle_refused_leader(self):
         """Replace a leader that refuses connections repeatedly, or call it again soon.
@@ -346,15 +269,8 @@
         self.hello_due.set()
 
     async def _handle_hello(self, hello):
-        self.last_heard_s[hello.process] = self.context.clock.now()
-        self.latencies[hello.process] = hello.store_latency_s
-        self.incarnations[hello.process] = hello.life
-        self.processing_power[hello.process] = hello.processor
         self._set_address(hello.process, hello.address)
-        if hello.draining:
-            self.leaving.add(hello.process)
-        else:
-            self.leaving.discard(hello.process)
+        self.roster.record_hello(hello)
         self.configuration.observe(hello.configuration)
         if hello.configuration < self.configuration.version:
             self.context.bus.publish(MemberOutdated(process=hello.process))
@@ -362,8 +278,8 @@
             HelloReply(
                 configuration=self.configuration.version,
                 waiting=self.count_waiting(),
-                members=self._build_member_list(),
-                strongest=self.largest_processing_power,
+                members=self.roster.listed_members(),
+                strongest=self.roster.largest_processing_power,
                 leader=self._build_leader_notice(),
             )
         )
--- a/wasabipaddle/cell/tests/conftest.py
+++ b/wasabipaddle/cell/tests/conftest.py
@@ -33,6 +33,7 @@
         self.waiting = None
         self.waiting_received_s = 0.0
         self.count_waiting = lambda: None
+        self.roster = self
         self.asked = []
         self.phase = None
 
--- a/wasabipaddle/cell/tests/members_parts.py
+++ b/wasabipaddle/cell/tests/members_parts.py
@@ -72,7 +72,7 @@
 
     def live_peers(self):
         """Return the names of the other live processes in alphabetical order."""
-        return sorted(self.plugin.live()[1:])
+        return sorted(self.plugin.roster.live()[1:])
 
 
 class MembersCell:
--- a/wasabipaddle/cell/tests/test_distribution.py
+++ b/wasabipaddle/cell/tests/test_distribution.py
@@ -36,6 +36,7 @@
         self.own_name = own_name
         self.distributions = distributions
         self.is_leader = False
+        self.roster = self
         self.sent = []
         self.transport = type("T", (), {"handle": lambda *a: None})()
 
--- a/wasabipaddle/cell/tests/test_members.py
+++ b/wasabipaddle/cell/tests/test_members.py
@@ -2,8 +2,14 @@
 
 import asyncio
 
-from wasabipaddle.cell.members import LIVENESS_TIMEOUT_S, MAX_HELLO_AGE_S
-from wasabipaddle.messages.jobs import MemberHello
+from result import Ok
+
+from wasabipaddle.cell.roster import (
+    LIVENESS_TIMEOUT_S,
+    MAX_HELLO_AGE_S,
+    RETENTION_S,
+)
+from wasabipaddle.messages.jobs import MemberHello, Noted
 
 # Time for a few hello messages of each process.
 SETTLE_S = 1.5
@@ -120,3 +126,97 @@
         return (await cell["p0"]._handle_hello(hello)).ok().members
 
     assert sorted(run_members(scenario)) == ["p0", "p1"]
+
+
+def test_what_is_known_of_replaced_processes_is_bounded(run_members):
+    """Guards against addresses of removed processes that are kept for ever."""
+
+    async def scenario(cell):
+        for i in range(3, 9):
+            await asyncio.sleep(SETTLE_S)
+            await cell.stop(f"p{i - 1}")
+            cell.add(f"p{i}")
+            await cell.start(f"p{i}")
+        await asyncio.sleep(RETENTION_S + VIEW_S)
+        return [
+            sorted(known)
+            for name in ("p0", "p1", "p8")
+            for known in (cell[name].roster.addresses, cell[name].roster.last_heard_s)
+        ], [
+            sorted(known)
+            for known in (
+                cell["p0"].transport.peers,
+                cell["p0"].roster.latencies,
+                cell["p0"].roster.incarnations,
+                cell["p0"].roster.processing_power,
+            )
+        ]
+
+    everywhere, at_leader = run_members(scenario)
+    assert everywhere == [["p0", "p1", "p8"]] * 6
+    assert at_leader == [["p0", "p1", "p8"]] * 4
+
+
+def test_long_partition_makes_no_process_forget_the_others(run_members):
+    """Guards against a process that has forgotten all others after a long partition.
+
+    A process that is cut off hears nobody and must keep all addresses. The others
+    forget it, and learn its address again from its hello message.
+    """
+
+    async def scenario(cell):
+        await asyncio.sleep(SETTLE_S)
+        cell.isolate("p2")
+        await asyncio.sleep(2 * RETENTION_S)
+        during = [sorted(cell[name].roster.addresses) for name in ("p0", "p2")]
+        cell.network.heal()
+        await asyncio.sleep(SETTLE_S)
+        return during, cell.members["p0"].live_peers()
+
+    during, after = run_members(scenario)
+    assert during == [["p0", "p1"], ["p0", "p1", "p2"]]
+    assert after == ["p1", "p2"]
+
+
+def test_peers_are_asked_in_order_of_their_latest_sign_of_life(run_members):
+    """Guards against time spent on removed processes while live ones can help."""
+
+    async def scenario(cell):
+        await asyncio.sleep(SETTLE_S)
+        await cell.stop("p3")
+        await asyncio.sleep(5.0)
+        cell.members["p2"].drain()
+        await asyncio.sleep(VIEW_S)
+        return [cell[name].roster.peers(leader="p0") for name in ("p0", "p1")]
+
+    at_leader, at_follower = run_members(scenario, count=5)
+    assert sorted(at_leader[:2]) == ["p1", "p4"] and at_leader[2:] == ["p2", "p3"]
+    assert at_follower == ["p0", "p4", "p2", "p3"]
+
+
+def test_new_leader_is_announced_to_live_processes_first(run_members):
+    """Guards against announcements that wait for connections to removed processes.
+
+    The transport limits the number of connections, and each attempt to reach a removed
+    process takes the time limit of the announcement.
+    """
+
+    async def scenario(cell):
+        await asyncio.sleep(SETTLE_S)
+        for name in ("p1", "p2"):
+            await cell.stop(name)
+        await asyncio.sleep(VIEW_S)
+        asked = []
+
+        async def ask(process, message, reply_type, *, timeout_s):
+            asked.append(process)
+            return Ok(Noted())
+
+        cell["p0"].ask = ask
+        cell["p0"]._announce_leadership(type("Event", (), {"epoch": 7})())
+        await asyncio.sleep(0.01)
+        return asked
+
+    asked = run_members(scenario, count=5)
+    assert sorted(asked[:2]) == ["p3", "p4"]
+    assert sorted(asked[2:]) == ["p1", "p2"]
--- a/wasabipaddle/cell/tests/test_session_parts.py
+++ b/wasabipaddle/cell/tests/test_session_parts.py
@@ -133,6 +133,7 @@
     def __init__(self, process, names):
         self.context = process.context
         self.names = names
+        self.roster = self
         self.asked = []
         self.unresponsive = set()
 
