Ask for advice through no process that is silent or never replies

Cause, in the balancer: silent and excluded processes were left out only while at least half of all were neither, so that a cell that loses half of its processes at once goes on to use them all until they stop being live. An exclusion lasted 1 s and the next choice is the process with the fewest outstanding requests, which is one that never replies. The reserved share was taken of all processes, silent ones included. The time limit of a request covers all outstanding ones before it; with 20 urgent requests outstanding that is more than 10 s through a process that is gone after 2 s. Counters were kept for each name ever used.

Change: processes not heard from within 1.1 s get no request, however many they are, and don't count for the reserved share. Excluded ones that are heard from are used if they are more than half: then the service itself is likely to be down. Exclusions double up to 8 s and end with a reply. A request is given up once its process has been silent for 2 s, and the step is asked for again through another one. What is known of a process is discarded when it is no longer live and has no outstanding request.

--- a/wasabipaddle/cell/advice.py
+++ b/wasabipaddle/cell/advice.py
@@ -1,11 +1,13 @@
 """Requests to the eligibility service, spread over all processes of the cell."""
 
+import asyncio
 import math
 
+import attrs
 from result import Err, Ok
 
 from wasabipaddle.cell.members import MembersPlugin
-from wasabipaddle.cell.roster import MAX_HELLO_AGE_S
+from wasabipaddle.cell.roster import LIVENESS_TIMEOUT_S, MAX_HELLO_AGE_S
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.kernel import Plugin
 from wasabipaddle.messages.jobs import AdviceReply, AskAdvice
@@ -19,8 +21,12 @@
 RELAY_MARGIN_S = 0.3
 # Share of the processes that is reserved for urgent requests.
 RESERVED_SHARE = 0.4
-# Time for which a process that did not reply is excluded.
+# Time for which a process that did not reply is excluded. It doubles with each further
+# request without a reply, up to the maximum.
 EXCLUSION_S = 1.0
+MAX_EXCLUSION_S = 8.0
+# Interval at which the process of an outstanding request is checked for silence.
+SILENCE_CHECK_S = 0.25
 EXCLUSION_KINDS = frozenset({ErrorKind.TIMEOUT, ErrorKind.UNREACHABLE})
 # A process whose outstanding requests are expected to take longer than this gets only
 # urgent requests.
@@ -58,6 +64,51 @@
         await self.client.close()
 
 
+@attrs.define(kw_only=True)
+class Relay:
+    """Requests through one process.
+
+    Parameters
+    ----------
+    outstanding : int
+        Number of outstanding requests.
+    outstanding_s : float
+        Sum of their expected durations.
+    failures : int
+        Number of consecutive exclusions.
+    excluded_until_s : float
+        Monotonic time until which the process is excluded, as it did not reply.
+    """
+
+    outstanding: int = 0
+    outstanding_s: float = 0.0
+    failures: int = 0
+    excluded_until_s: float = 0.0
+
+    def begin(self, expected_s):
+        """Count a request."""
+        self.outstanding += 1
+        self.outstanding_s += expected_s
+
+    def end(self, expected_s):
+        """Count a request as no longer outstanding."""
+        self.outstanding -= 1
+        self.outstanding_s -= expected_s
+
+    def record_reply(self):
+        """End the exclusion."""
+        self.failures = 0
+        self.excluded_until_s = 0.0
+
+    def record_failure(self, now):
+        """Exclude the process, unless it is excluded for an earlier request."""
+        if now < self.excluded_until_s:
+            return
+        exclusion_s = min(EXCLUSION_S * 2**self.failures, MAX_EXCLUSION_S)
+        self.failures += 1
+        self.excluded_until_s = now + exclusion_s
+
+
 class AdviceBalancer:
     """Chooses the process that makes each request.
 
@@ -71,16 +122,13 @@
 
     Attributes
     ----------
-    outstanding_s : dict of str to float
-        Sum of the expected durations of the outstanding requests, by process.
-    excluded_until_s : dict of str to float
-        Monotonic time until which a process that did not reply is excluded, by process.
+    relays : dict of str to Relay
+        Requests through each live process, by name.
     """
 
     def __init__(self, *, members):
         self.members = members
-        self.outstanding_s = {}
-        self.excluded_until_s = {}
+        self.relays = {}
 
     async def ask(self, request):
         """Make a request and return an `AdviceReply` or an `Err`."""
@@ -88,8 +136,8 @@
         if process is None:
             detail = "too many outstanding eligibility requests"
             return Err(Failure(kind=ErrorKind.QUEUE_FULL, detail=detail))
-        waiting_s = self.outstanding_s.get(process, 0.0)
-        timeout_s = waiting_s + request.expected_s + RESPONSE_MARGIN_S
+        relay = self.relays[process]
+        timeout_s = relay.outstanding_s + request.expected_s + RESPONSE_MARGIN_S
         step = request.step
         message = AskAdvice(
             job=step.job.id,
@@ -98,41 +146,73 @@
             runners=[runner.id for runner in request.runners],
             timeout_s=timeout_s,
         )
-        self.outstanding_s[process] = waiting_s + request.expected_s
+        relay.begin(request.expected_s)
         try:
-            reply = await self.members.ask(
-                process, message, AdviceReply, timeout_s=timeout_s + RELAY_MARGIN_S
-            )
+            reply = await self._ask_while_heard(process, message, timeout_s)
         finally:
-            self.outstanding_s[process] -= request.expected_s
-        if reply.is_err() and reply.err().kind in EXCLUSION_KINDS:
-            now = self.members.context.clock.now()
-            self.excluded_until_s[process] = now + EXCLUSION_S
+            relay.end(request.expected_s)
+        if reply.is_ok():
+            relay.record_reply()
+        elif reply.err().kind in EXCLUSION_KINDS:
+            relay.record_failure(self.members.context.clock.now())
         return reply
 
-    def _choose(self, request):
-        """Return the process for a request, or None if a non-urgent one has to wait.
+    async def _ask_while_heard(self, process, message, timeout_s):
+        """Send a request and return the reply, or an `Err` once the process is silent.
 
-        Unresponsive processes are left out while at least half of all are responsive.
+        The time limit includes the requests before this one and may be much longer than
+        it takes to notice that a process is gone.
         """
-        now = self.members.context.clock.now()
-        live = self.members.roster.live()
-        responsive = [
-            process
-            for process in live
-            if self.excluded_until_s.get(process, 0.0) <= now
-            and self.members.roster.heard_within(process, MAX_HELLO_AGE_S)
-        ]
-        if 2 * len(responsive) >= len(live):
-            live = responsive
-        reserved = math.ceil(len(live) * RESERVED_SHARE) if len(live) > 1 else 0
+        call = asyncio.ensure_future(
+            self.members.ask(
+                process, message, AdviceReply, timeout_s=timeout_s + RELAY_MARGIN_S
+            )
+        )
+        try:
+            while self.members.roster.heard_within(process, LIVENESS_TIMEOUT_S):
+                done, _ = await asyncio.wait({call}, timeout=SILENCE_CHECK_S)
+                if done:
+                    return call.result()
+        finally:
+            call.cancel()
+        detail = f"{process} is silent"
+        return Err(Failure(kind=ErrorKind.UNREACHABLE, detail=detail))
+
+    def _choose(self, request):
+        """Return the process for a request, or None if a non-urgent one has to wait."""
+        available = self._available()
+        reserved = math.ceil(len(available) * RESERVED_SHARE)
+        if len(available) == 1:
+            reserved = 0
         # The leader, unless excluded, is first in the list and thus reserved: its
         # requests need no relay.
-        allowed = live if request.urgent else live[reserved:]
-        process = min(allowed, key=lambda name: self.outstanding_s.get(name, 0.0))
-        if (
-            not request.urgent
-            and self.outstanding_s.get(process, 0.0) > MAX_OUTSTANDING_S
-        ):
+        allowed = available if request.urgent else available[reserved:]
+        process = min(allowed, key=lambda name: self.relays[name].outstanding_s)
+        waiting_s = self.relays[process].outstanding_s
+        if not request.urgent and waiting_s > MAX_OUTSTANDING_S:
             return None
         return process
+
+    def _available(self):
+        """Return the processes to choose from.
+
+        Processes that may be gone are left out. Excluded ones are left out while at
+        least half are not excluded: otherwise the service itself is likely to be down.
+        """
+        roster = self.members.roster
+        live = roster.live()
+        self._discard_idle(live)
+        heard = [p for p in live if roster.heard_within(p, MAX_HELLO_AGE_S)]
+        now = self.members.context.clock.now()
+        responsive = [p for p in heard if self.relays[p].excluded_until_s <= now]
+        return responsive if 2 * len(responsive) >= len(heard) else heard
+
+    def _discard_idle(self, live):
+        """Keep a `Relay` for each live process and each with outstanding requests."""
+        self.relays = {
+            process: relay
+            for process, relay in self.relays.items()
+            if relay.outstanding or process in live
+        }
+        for process in live:
+            self.relays.setdefault(process, Relay())
