Have live peers store jobs and cancellations, within the time limit

A peer that did not reply ended the attempt with status 503 or an unknown outcome.

Cause: peers were picked at random from all addresses ever known. After a time-out no other peer was asked to store a job, though storing it again changes nothing. Calls for a cancellation had no regard to the time that was left.

Change: peers come from the roster, live ones first. After a time-out the next peer is asked; the job is in doubt only if none of the others stored it. Each call may take half of the time that is left, the last one all of it.

The order of the peers was tested with the choice in place only: the stand-in has no `addresses` any more, so that the test fails with an AttributeError on the code before.

--- a/wasabipaddle/cell/entry.py
+++ b/wasabipaddle/cell/entry.py
@@ -182,22 +182,18 @@
     async def _store_through_peer(self, job, *, until_s):
         """Have a peer store a job, since this process does not reach the store.
 
-        The next peer is asked only if it is certain that the previous one stored
-        nothing.
+        Storing a job again changes nothing, so the next peer is asked even if the
+        previous one may have stored it.
         """
-        for peer in self._peers():
-            timeout_s = min(PEER_TIMEOUT_S, until_s - self.context.clock.now())
-            if timeout_s <= 0:
-                break
-            stored = await self.members.ask(
-                peer, StoreJob(job=job), Noted, timeout_s=timeout_s
-            )
+        in_doubt = None
+        async for peer, stored in self._ask_peers(StoreJob(job=job), until_s=until_s):
             if stored.is_ok():
                 return Ok(None)
             not_run = stored.err().outcome is Outcome.NOT_RUN
             if stored.err().kind is not ErrorKind.UNREACHABLE and not not_run:
-                detail = f"{peer}: {stored.err().detail}"
-                return _failure(ErrorKind.ACCEPTANCE_UNKNOWN, detail)
+                in_doubt = f"{peer}: {stored.err().detail}"
+        if in_doubt is not None:
+            return _failure(ErrorKind.ACCEPTANCE_UNKNOWN, in_doubt)
         return Err(
             Failure(
                 kind=ErrorKind.STORE_UNAVAILABLE,
@@ -206,12 +202,22 @@
             )
         )
 
-    def _peers(self):
-        own = self.context.settings.process
-        peers = [p for p in self.members.roster.addresses if p != own]
-        self.context.random.shuffle(peers)
-        peers.sort(key=lambda p: p != self.members.leader)
-        return peers[:MAX_PEERS]
+    async def _ask_peers(self, message, *, until_s):
+        """Ask up to `MAX_PEERS` peers in turn; yield each with its reply.
+
+        Each call may take half of the time that is left, the last one all of it, so
+        that a silent peer leaves time for the next.
+        """
+        peers = self.members.roster.peers(leader=self.members.leader)[:MAX_PEERS]
+        for peer in peers:
+            left_s = until_s - self.context.clock.now()
+            if left_s <= 0:
+                return
+            limit_s = left_s if peer == peers[-1] else left_s / 2
+            reply = await self.members.ask(
+                peer, message, Noted, timeout_s=min(PEER_TIMEOUT_S, limit_s)
+            )
+            yield peer, reply
 
     async def _store_for_peer(self, message):
         """Store a job for a process that does not reach the store."""
@@ -269,12 +275,9 @@
         while cancelled.is_err() and cancelled.err().kind is not ErrorKind.GONE:
             if self.context.clock.now() >= until_s:
                 break
-            for peer in self._peers():
-                cancelled = await self.members.ask(
-                    peer, CancelJob(job=job_id), Noted, timeout_s=PEER_TIMEOUT_S
-                )
-                conclusive = cancelled.is_ok() or cancelled.err().kind is ErrorKind.GONE
-                if conclusive or self.context.clock.now() >= until_s:
+            message = CancelJob(job=job_id)
+            async for _, cancelled in self._ask_peers(message, until_s=until_s):
+                if cancelled.is_ok() or cancelled.err().kind is ErrorKind.GONE:
                     break
             if cancelled.is_err() and cancelled.err().kind is not ErrorKind.GONE:
                 await asyncio.sleep(RETRY_S)
--- a/wasabipaddle/cell/tests/conftest.py
+++ b/wasabipaddle/cell/tests/conftest.py
@@ -36,10 +36,13 @@
         self.roster = self
         self.asked = []
         self.phase = None
+        self.unresponsive = {}
+        self.peers_asked = []
 
-    @property
-    def addresses(self):
-        return {name: "x:1" for name in self.processes}
+    def peers(self, *, leader):
+        """Return the other processes, the leader first and unresponsive ones last."""
+        names = [name for name in self.processes if name != self.process]
+        return sorted(names, key=lambda p: (p in self.unresponsive, p != leader))
 
     async def ask_leader(self, message, reply_type, *, timeout_s):
         """Record the message; return `phase`, or an error as long as it is not set."""
@@ -49,12 +52,26 @@
         return Err(Failure(kind=ErrorKind.NO_LEADER, detail="none"))
 
     async def ask(self, process, message, reply_type, *, timeout_s):
-        """Call the handler of a peer that stores a job or a cancellation."""
+        """Call the handler of a peer that stores a job or a cancellation.
+
+        An unresponsive peer handles the message after the delay in `unresponsive`, or
+        never if that is None, and no reply arrives.
+        """
+        self.peers_asked.append((process, timeout_s))
         handler = {
             "StoreJob": "_store_for_peer",
             "CancelJob": "_cancel_for_peer",
         }[type(message).__name__]
-        return await getattr(self.processes[process].entry, handler)(message)
+        call = getattr(self.processes[process].entry, handler)
+        if process not in self.unresponsive:
+            return await call(message)
+        delay_s = self.unresponsive[process]
+        if delay_s is not None:
+            asyncio.get_running_loop().call_later(
+                delay_s, lambda: asyncio.ensure_future(call(message))
+            )
+        await asyncio.sleep(timeout_s)
+        return Err(Failure(kind=ErrorKind.TIMEOUT, detail="no reply"))
 
 
 class Process:
--- a/wasabipaddle/cell/tests/test_entry.py
+++ b/wasabipaddle/cell/tests/test_entry.py
@@ -190,3 +190,78 @@
         assert cancelled.is_ok()
 
     run(make_test_cell, scenario)
+
+
+def test_next_peer_stores_the_job_after_a_peer_did_not_reply(make_test_cell):
+    """Guards against a job of unknown outcome while another peer could store it.
+
+    The first peer is silent. Storing a job twice creates it once, also if the write of
+    the first peer takes effect late.
+    """
+
+    async def scenario(cell):
+        cell.memory.refused_clients.add("p0")
+        members = cell["p0"].members
+        members.leader = "p1"
+        members.unresponsive = {"p1": 2.5}
+        members.peers = lambda *, leader: ["p1", "p2"]
+        began_s = cell["p0"].context.clock.now()
+        assert (await submit(cell["p0"])).is_ok()
+        assert cell["p0"].context.clock.now() - began_s <= 3.0
+        stored = cell.memory.items[JOB_PREFIX + JOB]
+        await asyncio.sleep(5.0)
+        assert cell.memory.items[JOB_PREFIX + JOB] == stored
+
+    run(make_test_cell, scenario, count=3)
+
+
+def test_job_is_in_doubt_if_one_silent_peer_may_have_stored_it(make_test_cell):
+    """Guards against the outcome "not run" for a job that a silent peer stores late.
+
+    The next peer refuses it, which says nothing about the first one.
+    """
+
+    async def scenario(cell):
+        cell.memory.refused_clients.update(("p0", "p2"))
+        cell["p2"].store_plugin.health.failures = 9
+        members = cell["p0"].members
+        members.unresponsive = {"p1": 2.5}
+        members.peers = lambda *, leader: ["p1", "p2"]
+        failure = (await submit(cell["p0"])).err()
+        assert failure.kind is ErrorKind.ACCEPTANCE_UNKNOWN
+        assert [peer for peer, _ in members.peers_asked] == ["p1", "p2"]
+
+    run(make_test_cell, scenario, count=3)
+
+
+def test_peers_are_asked_in_the_order_of_the_roster(make_test_cell):
+    """Guards against calls to removed processes while live ones could help."""
+
+    async def scenario(cell):
+        cell.memory.refused_clients.add("p0")
+        members = cell["p0"].members
+        members.unresponsive = dict.fromkeys(("p1", "p2", "p3", "p4", "p5"))
+        assert (await submit(cell["p0"])).is_ok()
+        assert (await cell["p0"].entry.cancel(QUEUE, JOB, wait_s=3.0)).is_ok()
+        assert {peer for peer, _ in members.peers_asked} == {"p6"}
+
+    run(make_test_cell, scenario, count=7)
+
+
+def test_cancellation_through_silent_peers_ends_in_time(make_test_cell):
+    """Guards against a cancellation that waits longer than its caller does.
+
+    Each call to a peer must be limited to the time that is left.
+    """
+
+    async def scenario(cell):
+        await submit(cell["p1"])
+        cell.memory.refused_clients.add("p0")
+        members = cell["p0"].members
+        members.unresponsive = dict.fromkeys(("p1", "p2", "p3"))
+        began_s = cell["p0"].context.clock.now()
+        assert (await cell["p0"].entry.cancel(QUEUE, JOB, wait_s=2.0)).is_err()
+        assert cell["p0"].context.clock.now() - began_s <= 2.0
+        assert len(members.peers_asked) >= 2
+
+    run(make_test_cell, scenario, count=4)
