Send configurations to live processes, offer the leadership to them first

Cause: the leader sent copies to all addresses ever known, twelve at a time, each with a limit of 2 s. The candidates for the leadership are those that count as live, the latest started first, silent for up to 2 s or not.

Change: copies go to live processes; any other gets its copy when its hello message shows an old version.

The tests failed before the change: versions "[2, 1, 1] == [2, 2, 2]" 0.2 s after a change with 40 removed processes, and the offer went to the silent "gone1" instead of p1.

--- a/wasabipaddle/cell/distribution.py
+++ b/wasabipaddle/cell/distribution.py
@@ -51,8 +51,13 @@
         await self.tasks.close()
 
     def _send_all(self):
+        """Send the current version to the live processes.
+
+        Others get it when their next hello message shows that they are outdated;
+        attempts to reach removed ones would only hold up the copies for live ones.
+        """
         if self.members.is_leader:
-            for process in self.members.roster.addresses:
+            for process in self.members.roster.live():
                 self._send(process)
 
     def _send(self, process):
--- a/wasabipaddle/cell/handover.py
+++ b/wasabipaddle/cell/handover.py
@@ -5,6 +5,7 @@
 from wasabipaddle.cell.election import ElectionPlugin
 from wasabipaddle.cell.events import DrainStarted
 from wasabipaddle.cell.members import MembersPlugin
+from wasabipaddle.cell.roster import MAX_HELLO_AGE_S
 from wasabipaddle.cell.store import CellStorePlugin
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.kernel import Plugin
@@ -75,13 +76,14 @@
         await self.election.resign("process is draining")
 
     def _candidates(self):
-        """Return the live peers, the best one first."""
+        """Return the live peers, the best one first and those that may be gone last."""
         roster = self.members.roster
         peers = [p for p in roster.live() if p != roster.own_name]
         # In a rolling restart, the process that started last will run longest, as the
         # processes that have not been restarted yet are stopped first.
         peers.sort(
             key=lambda p: (
+                not roster.heard_within(p, MAX_HELLO_AGE_S),
                 roster.is_weak(p),
                 roster.is_far(p),
                 -roster.incarnations.get(p, 0),
--- a/wasabipaddle/cell/tests/test_distribution.py
+++ b/wasabipaddle/cell/tests/test_distribution.py
@@ -5,11 +5,13 @@
 
 import attrs
 import pytest
+from result import Err
 
 from wasabipaddle.cell.configuration import ConfigurationPlugin
 from wasabipaddle.cell.distribution import DistributionPlugin
-from wasabipaddle.cell.events import LeadershipGained
+from wasabipaddle.cell.events import LeadershipGained, MemberOutdated
 from wasabipaddle.clock import run_virtual
+from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.interfaces import Put
 from wasabipaddle.jobs import CellConfiguration, Queue
 from wasabipaddle.messages import decode, encode
@@ -37,15 +39,22 @@
         self.distributions = distributions
         self.is_leader = False
         self.roster = self
+        self.removed = ()
         self.sent = []
         self.transport = type("T", (), {"handle": lambda *a: None})()
 
     @property
     def addresses(self):
-        return dict.fromkeys(self.distributions, "x:1")
+        return dict.fromkeys([*self.removed, *self.distributions], "x:1")
+
+    def live(self):
+        return list(self.distributions)
 
     async def ask(self, process, message, reply_type, *, timeout_s):
         self.sent.append((process, message))
+        if process in self.removed:
+            await asyncio.sleep(timeout_s)
+            return Err(Failure(kind=ErrorKind.TIMEOUT, detail="no reply"))
         data = encode(message)
         return await self.distributions[process]._handle_copy(
             decode(data, ConfigurationCopy).unwrap()
@@ -137,6 +146,29 @@
     run(scenario)
 
 
+def test_removed_processes_do_not_delay_a_configuration(run):
+    """Guards against copies that wait for attempts to reach removed processes.
+
+    Each attempt takes the whole time limit, and the number of concurrent ones is
+    limited. A process that was silent and has an old version gets its copy when it is
+    heard from.
+    """
+
+    async def scenario(cell, first, *others):
+        first.members.removed = tuple(f"gone{i}" for i in range(40))
+        first.lead()
+        await asyncio.sleep(0.1)
+        put(cell.memory, 2, queue_count=2_000)
+        await asyncio.sleep(0.2)
+        assert [p.plugin.version for p in (first, *others)] == [2, 2, 2]
+        assert not [name for name, _ in first.members.sent if "gone" in name]
+        first.bus.publish(MemberOutdated(process="gone7"))
+        await asyncio.sleep(0.1)
+        assert first.members.sent[-1][0] == "gone7"
+
+    run(scenario)
+
+
 def test_processes_find_a_configuration_without_a_leader(run):
     """Guards against an old configuration that stays in use while no process leads."""
 
--- a/wasabipaddle/cell/tests/test_handover.py
+++ b/wasabipaddle/cell/tests/test_handover.py
@@ -133,6 +133,24 @@
     assert run(scenario()) == ["far"]
 
 
+def test_leadership_is_offered_to_processes_heard_from_lately_first(run):
+    """Guards against offers to removed processes, of which only two are made.
+
+    A process that started last would be preferred otherwise.
+    """
+
+    async def scenario():
+        leader = Leader(2.0)
+        await leader.receive_hello("p1", 2.0, life=1)
+        for process in ("gone1", "gone2"):
+            await leader.receive_hello(process, 2.0, life=9)
+            leader.members.roster.last_heard_s[process] -= 1.5
+        leader.handover.store_plugin.health.unavailable = True
+        return await leader.check()
+
+    assert run(scenario()) == ["p1"]
+
+
 def test_reply_to_a_hello_has_the_largest_processing_power(run):
     """Guards against processes on small VMs that campaign as early as others.
 
