Ask another process who leads while the leader is silent

Cause: announcements are sent once, and only the leader that a process knows is ever asked.

Only the leader lists members in its replies, as the lists of others could keep removed ones live.

The tests failed before the change: 10 s after the partition p2 still followed the removed p0 ("assert 'p0' == 'p1'"), and a follower listed all members.

--- a/wasabipaddle/cell/members.py
+++ b/wasabipaddle/cell/members.py
@@ -13,7 +13,7 @@
     LeadershipGained,
     MemberOutdated,
 )
-from wasabipaddle.cell.roster import WEAK_SHARE, Roster
+from wasabipaddle.cell.roster import LIVENESS_TIMEOUT_S, WEAK_SHARE, Roster
 from wasabipaddle.cell.store import CellStorePlugin
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.kernel import Plugin
@@ -210,7 +210,6 @@
         )
 
     async def _send_hellos(self):
-        settings = self.context.settings
         while True:
             delay_s = HELLO_INTERVAL_S * (0.9 + 0.2 * self.context.random.random())
             try:
@@ -221,34 +220,58 @@
             self.hello_due.clear()
             for process in self.roster.forget_departed(leader=self.leader):
                 self.transport.peers.pop(process, None)
-            if not self.leader:
-                continue
-            hello = MemberHello(
-                process=settings.process,
-                address=settings.advertised_address,
-                configuration=self.configuration.version,
-                store_latency_s=self.store_plugin.health.latency_s,
-                life=self.election.record.life,
-                processor=settings.processor,
-                draining=self.draining,
-            )
-            leader = self.leader
-            reply = await self.ask_leader(hello, HelloReply, timeout_s=HELLO_TIMEOUT_S)
-            refused = reply.is_err() and reply.err().kind is ErrorKind.UNREACHABLE
-            self.refusals = self.refusals + 1 if refused else 0
-            if refused:
-                await self._handle_refused_leader()
-            if reply.is_err():
-                self.election.check_leader()
-                continue
-            reply = reply.ok()
-            self.configuration.observe(reply.configuration)
-            self._accept_leader_notice(reply.leader)
-            self.election.weak = settings.processor < WEAK_SHARE * reply.strongest
-            self.waiting = reply.waiting
-            self.waiting_received_s = self.context.clock.now()
-            if leader != self.own_name:
-                self._record_members(reply.members)
+            if self.leader:
+                await self._send_hello()
+            if not self.roster.heard_within(self.leader, LIVENESS_TIMEOUT_S):
+                await self._ask_peer_for_leader()
+
+    async def _send_hello(self):
+        """Send a hello message to the leader and process the reply."""
+        leader, hello = self.leader, self._build_hello()
+        reply = await self.ask(leader, hello, HelloReply, timeout_s=HELLO_TIMEOUT_S)
+        refused = reply.is_err() and reply.err().kind is ErrorKind.UNREACHABLE
+        self.refusals = self.refusals + 1 if refused else 0
+        if refused:
+            await self._handle_refused_leader()
+        if reply.is_err():
+            self.election.check_leader()
+            return
+        reply = reply.ok()
+        self.configuration.observe(reply.configuration)
+        self._accept_leader_notice(reply.leader)
+        self.election.weak = hello.processor < WEAK_SHARE * reply.strongest
+        self.waiting = reply.waiting
+        self.waiting_received_s = self.context.clock.now()
+        if leader != self.own_name:
+            self._record_members(reply.members)
+
+    async def _ask_peer_for_leader(self):
+        """Ask any other process who leads, as the leader does not reply.
+
+        A process that does not reach the store may have missed the announcement of the
+        successor of a leader that is gone.
+        """
+        peers = self.roster.peers(leader="")
+        if not peers:
+            return
+        process = self.context.random.choice(peers)
+        reply = await self.ask(
+            process, self._build_hello(), HelloReply, timeout_s=HELLO_TIMEOUT_S
+        )
+        if reply.is_ok():
+            self._accept_leader_notice(reply.ok().leader)
+
+    def _build_hello(self):
+        settings = self.context.settings
+        return MemberHello(
+            process=settings.process,
+            address=settings.advertised_address,
+            configuration=self.configuration.version,
+            store_latency_s=self.store_plugin.health.latency_s,
+            life=self.election.record.life,
+            processor=settings.processor,
+            draining=self.draining,
+        )
 
     def _record_members(self, members):
         for process, address in members.items():
@@ -278,7 +301,9 @@
             HelloReply(
                 configuration=self.configuration.version,
                 waiting=self.count_waiting(),
-                members=self.roster.listed_members(),
+                # Only the leader hears from all: two others that listed to each other
+                # whom they listed would keep removed processes live.
+                members=self.roster.listed_members() if self.is_leader else {},
                 strongest=self.roster.largest_processing_power,
                 leader=self._build_leader_notice(),
             )
--- a/wasabipaddle/cell/tests/members_parts.py
+++ b/wasabipaddle/cell/tests/members_parts.py
@@ -101,17 +101,21 @@
         if self.leader:
             member.see_leader(self.leader, self.epoch)
 
-    async def elect(self, name):
-        """Make a process the leader and tell all others, as the store does."""
+    async def elect(self, name, *, without_store=()):
+        """Make a process the leader and tell all others that reach the store."""
         self.epoch += 1
         self.leader = name
         for member in self.members.values():
-            if member.name not in self.network.stopped:
+            if member.name not in without_store:
                 member.see_leader(name, self.epoch)
         self.members[name].context.bus.publish(
             LeadershipGained(epoch=self.epoch, term=self.epoch, continued=False)
         )
 
+    def connect(self, name, other):
+        """End the partition between two processes."""
+        self.network.cut_pairs.discard(frozenset((name, other)))
+
     def isolate(self, name):
         """Drop all messages of a process; its peers get no reply."""
         for other in self.members:
--- a/wasabipaddle/cell/tests/test_members.py
+++ b/wasabipaddle/cell/tests/test_members.py
@@ -220,3 +220,46 @@
     asked = run_members(scenario, count=5)
     assert sorted(asked[:2]) == ["p3", "p4"]
     assert sorted(asked[2:]) == ["p1", "p2"]
+
+
+def test_process_without_the_store_finds_the_successor_of_a_removed_leader(run_members):
+    """Guards against a process that sends hello messages to a removed leader for ever.
+
+    It was cut off when the successor was announced, and does not reach the store.
+    """
+
+    async def scenario(cell):
+        await asyncio.sleep(SETTLE_S)
+        cell.isolate("p2")
+        await cell.stop("p0")
+        await cell.elect("p1", without_store=("p2",))
+        await asyncio.sleep(VIEW_S)
+        during = cell["p2"].leader
+        for other in ("p1", "p3"):
+            cell.connect("p2", other)
+        await asyncio.sleep(10.0)
+        return during, cell["p2"].leader, cell.members["p1"].live_peers()
+
+    during, after, at_leader = run_members(scenario, count=4)
+    assert during == "p0"
+    assert after == "p1"
+    assert at_leader == ["p2", "p3"]
+
+
+def test_only_the_leader_lists_members(run_members):
+    """Guards against processes that keep removed ones live in each other's view.
+
+    Processes ask each other who leads while the leader does not reply.
+    """
+
+    async def scenario(cell):
+        await asyncio.sleep(SETTLE_S)
+        hello = MemberHello(process="p2", address="127.0.0.1:3")
+        return [
+            (await cell[name]._handle_hello(hello)).ok().members
+            for name in ("p0", "p1")
+        ]
+
+    at_leader, at_follower = run_members(scenario)
+    assert sorted(at_leader) == ["p0", "p1", "p2"]
+    assert at_follower == {}
