--- a/wasabipaddle/cell/members.py
+++ b/wasabipaddle/cell/members.py
@@ -7,7 +7,13 @@
 
 from wasabipaddle.cell.configuration import ConfigurationPlugin
 from wasabipaddle.cell.election import FAR_LATENCY_S, ElectionPlugin
-from wasabipaddle.cell.events import LeaderChanged, LeadershipGained, MemberOutdated
+from wasabipaddle.cell.events import (
+    DrainStarted,
+    LeaderChanged,
+    LeadershipGained,
+    MemberOutdated,
+)
+from wasabipaddle.cell.roster import LIVENESS_TIMEOUT_S, WEAK_SHARE, Roster
 from wasabipaddle.cell.store import CellStorePlugin
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.kernel import Plugin
@@ -26,17 +32,12 @@
 HELLO_INTERVAL_S = 0.5
 HELLO_TIMEOUT_S = 0.5
 NOTICE_TIMEOUT_S = 0.5
-# A process that has not been heard from for this long does not count as live.
-LIVENESS_TIMEOUT_S = 2.0
 # Consecutive refused connections after which the leader is presumed dead. The limit is
 # higher for processes far from the store, so that nearer processes replace it first.
 MAX_REFUSALS = 2
 MAX_REFUSALS_FAR = 5
 # Shortest pause before a leader that refused a connection is called again.
 REFUSAL_PAUSE_S = 0.08
-# A process is weak if its processing power is below this share of that of the strongest
-# live process.
-WEAK_SHARE = 0.6
 
 
 class MembersPlugin(Plugin):
@@ -46,18 +47,10 @@
     ----------
     transport : HttpTransport
         Calls to other processes; roles register their handlers with it.
-    addresses : dict of str to str
-        Internal listener of each known process, by name.
+    roster : Roster
+        Known processes, their addresses and signs of life.
     leader, leader_epoch : str, int
         Name of the leader, empty while none is known, and the highest known epoch.
-    last_heard_s : dict of str to float
-        Monotonic time at which each process was last known to be live, by name. The
-        leader records it at each hello message; other processes record it for all
-        members that a reply of the leader lists.
-    latencies, incarnations, processing_power : dict
-        Latency of the store at each process in seconds, start of the process in Unix
-        milliseconds, and its processing power in cores, by name. Only the leader
-        receives those of other processes.
     count_waiting : callable
         Returns the number of waiting jobs by queue for replies to hello messages, or
         None; the dispatcher role sets it.
@@ -74,11 +67,8 @@
     def __init__(self, *, context):
         super().__init__(context=context)
         self.transport = HttpTransport(peers={})
-        self.last_heard_s = {}
-        self.latencies = {}
-        self.incarnations = {}
-        self.processing_power = {context.settings.process: context.settings.processor}
-        self.addresses = {}
+        self.roster = Roster(context=context)
+        self.draining = False
         self.leader = ""
         self.leader_epoch = 0
         self.waiting = None
@@ -96,8 +86,10 @@
         self.election = self.context.plugins[ElectionPlugin.name]
         self.transport.handle(MemberHello, self._handle_hello)
         self.transport.handle(LeaderNotice, self._handle_leader_notice)
-        self.context.bus.events(LeaderChanged).subscribe(self._on_leader_changed)
-        self.context.bus.events(LeadershipGained).subscribe(self._announce_leadership)
+        bus = self.context.bus
+        bus.events(DrainStarted).subscribe(self._on_drain)
+        bus.events(LeaderChanged).subscribe(self._on_leader_changed)
+        bus.events(LeadershipGained).subscribe(self._announce_leadership)
         self.tasks.keep_running(self._send_hellos)
 
     async def open(self):
@@ -116,6 +108,11 @@
             await self.app_runner.cleanup()
         await self.transport.close()
 
+    def _on_drain(self, event):
+        """Tell the leader at once that this process takes no more work."""
+        self.draining = True
+        self.hello_due.set()
+
     def _on_leader_changed(self, event):
         """Follow the leader recorded in the store, unless a later one is known."""
         if not event.process:
@@ -142,11 +139,11 @@
             address=settings.advertised_address,
             epoch=event.epoch,
         )
-        for process in self.addresses:
-            if process != self.own_name:
-                self.tasks.spawn(
-                    self.ask(process, notice, Noted, timeout_s=NOTICE_TIMEOUT_S)
-                )
+        # The number of connections is limited, so live processes come first.
+        for process in self.roster.peers(leader=self.own_name):
+            self.tasks.spawn(
+                self.ask(process, notice, Noted, timeout_s=NOTICE_TIMEOUT_S)
+            )
 
     async def _handle_leader_notice(self, notice):
         self._accept_leader_notice(notice)
@@ -165,7 +162,7 @@
         self._follow(notice)
 
     def _set_address(self, process, address):
-        self.addresses[process] = address
+        self.roster.set_address(process, address)
         self.transport.peers[process] = CellPeer.parse(address)
 
     @property
@@ -178,36 +175,6 @@
         """Whether this process is the leader."""
         return self.leader == self.own_name
 
-    def live(self):
-        """Return the names of the live processes, this one first."""
-        now = self.context.clock.now()
-        others = [
-            p for p, at in self.last_heard_s.items() if now - at < LIVENESS_TIMEOUT_S
-        ]
-        return [self.own_name, *(p for p in others if p != self.own_name)]
-
-    def heard_within(self, process, seconds) -> bool:
-        """Return whether a process was known to be live within the last `seconds`."""
-        if process == self.own_name:
-            return True
-        return self.context.clock.now() - self.last_heard_s.get(process, 0.0) <= seconds
-
-    def is_far(self, process) -> bool:
-        """Return whether the latency of the store at a process is high."""
-        return self.latencies.get(process, 0.0) > FAR_LATENCY_S
-
-    @property
-    def largest_processing_power(self) -> float:
-        """Largest processing power among the live processes, in cores."""
-        return max(self.processing_power.get(process, 0.0) for process in self.live())
-
-    def is_weak(self, process) -> bool:
-        """Return whether a live process has much more processing power."""
-        return (
-            self.processing_power.get(process, 0.0)
-            < WEAK_SHARE * self.largest_processing_power
-        )
-
     async def ask_leader(self, message, reply_type, *, timeout_s):
         """Send a message to the leader and return the reply."""
         if not self.leader:
@@ -233,16 +200,16 @@
         )
 
     def _build_leader_notice(self):
-        if not self.leader or self.leader not in self.addresses:
+        address = self.roster.addresses.get(self.leader)
+        if address is None:
             return None
         return LeaderNotice(
             process=self.leader,
-            address=self.addresses[self.leader],
+            address=address,
             epoch=self.leader_epoch,
         )
 
     async def _send_hellos(self):
-        settings = self.context.settings
         while True:
             delay_s = HELLO_INTERVAL_S * (0.9 + 0.2 * self.context.random.random())
             try:
@@ -251,33 +218,65 @@
             except TimeoutError:
                 pass
             self.hello_due.clear()
-            if not self.leader:
-                continue
-            hello = MemberHello(
-                process=settings.process,
-                address=settings.advertised_address,
-                configuration=self.configuration.version,
-                store_latency_s=self.store_plugin.health.latency_s,
-                life=self.election.record.life,
-                processor=settings.processor,
-            )
-            reply = await self.ask_leader(hello, HelloReply, timeout_s=HELLO_TIMEOUT_S)
-            refused = reply.is_err() and reply.err().kind is ErrorKind.UNREACHABLE
-            self.refusals = self.refusals + 1 if refused else 0
-            if refused:
-                await self._handle_refused_leader()
-            if reply.is_err():
-                self.election.check_leader()
-                continue
-            reply = reply.ok()
-            self.configuration.observe(reply.configuration)
-            self._accept_leader_notice(reply.leader)
-            self.election.weak = settings.processor < WEAK_SHARE * reply.strongest
-            self.waiting = reply.waiting
-            self.waiting_received_s = self.context.clock.now()
-            for process, address in reply.members.items():
-                self._set_address(process, address)
-                self.last_heard_s[process] = self.waiting_received_s
+            for process in self.roster.forget_departed(leader=self.leader):
+                self.transport.peers.pop(process, None)
+            if self.leader:
+                await self._send_hello()
+            if not self.roster.heard_within(self.leader, LIVENESS_TIMEOUT_S):
+                await self._ask_peer_for_leader()
+
+    async def _send_hello(self):
+        """Send a hello message to the leader and process the reply."""
+        leader, hello = self.leader, self._build_hello()
+        reply = await self.ask(leader, hello, HelloReply, timeout_s=HELLO_TIMEOUT_S)
+        refused = reply.is_err() and reply.err().kind is ErrorKind.UNREACHABLE
+        self.refusals = self.refusals + 1 if refused else 0
+        if refused:
+            await self._handle_refused_leader()
+        if reply.is_err():
+            self.election.check_leader()
+            return
+        reply = reply.ok()
+        self.configuration.observe(reply.configuration)
+        self._accept_leader_notice(reply.leader)
+        self.election.weak = hello.processor < WEAK_SHARE * reply.strongest
+        self.waiting = reply.waiting
+        self.waiting_received_s = self.context.clock.now()
+        if leader != self.own_name:
+            self._record_members(reply.members)
+
+    async def _ask_peer_for_leader(self):
+        """Ask any other process who leads, as the leader does not reply.
+
+        A process that does not reach the store may have missed the announcement of the
+        successor of a leader that is gone.
+        """
+        peers = self.roster.peers(leader="")
+        if not peers:
+            return
+        process = self.context.random.choice(peers)
+        reply = await self.ask(
+            process, self._build_hello(), HelloReply, timeout_s=HELLO_TIMEOUT_S
+        )
+        if reply.is_ok():
+            self._accept_leader_notice(reply.ok().leader)
+
+    def _build_hello(self):
+        settings = self.context.settings
+        return MemberHello(
+            process=settings.process,
+            address=settings.advertised_address,
+            configuration=self.configuration.version,
+            store_latency_s=self.store_plugin.health.latency_s,
+            life=self.election.record.life,
+            processor=settings.processor,
+            draining=self.draining,
+        )
+
+    def _record_members(self, members):
+        for process, address in members.items():
+            self._set_address(process, address)
+        self.roster.record_members(members)
 
     async def _handle_refused_leader(self):
         """Replace a leader that refuses connections repeatedly, or call it again soon.
@@ -293,11 +292,8 @@
         self.hello_due.set()
 
     async def _handle_hello(self, hello):
-        self.last_heard_s[hello.process] = self.context.clock.now()
-        self.latencies[hello.process] = hello.store_latency_s
-        self.incarnations[hello.process] = hello.life
-        self.processing_power[hello.process] = hello.processor
         self._set_address(hello.process, hello.address)
+        self.roster.record_hello(hello)
         self.configuration.observe(hello.configuration)
         if hello.configuration < self.configuration.version:
             self.context.bus.publish(MemberOutdated(process=hello.process))
@@ -305,10 +301,10 @@
             HelloReply(
                 configuration=self.configuration.version,
                 waiting=self.count_waiting(),
-                members={
-                    p: self.addresses[p] for p in self.live() if p in self.addresses
-                },
-                strongest=self.largest_processing_power,
+                # Only the leader hears from all: two others that listed to each other
+                # whom they listed would keep removed processes live.
+                members=self.roster.listed_members() if self.is_leader else {},
+                strongest=self.roster.largest_processing_power,
                 leader=self._build_leader_notice(),
             )
         )
