Ignore inventories from before the start of a missing attempt

Seen: a task whose start the worker had confirmed was ended as "not on the worker" and started again while it ran.

Cause: two calls to a worker are under way at a time. An inventory that was made before a start can arrive after the confirmation of the start, and `_end_missing_attempts` took every attempt in the state RUNNING that it lacks for ended. Complete inventories come with every answer after a restart of a worker that the VM list doesn't show.

Change: a report carries the times of its request and arrival. An attempt that was confirmed after the request isn't missing; a new inventory is requested.

--- a/wasabipaddle/runs/leader.py
+++ b/wasabipaddle/runs/leader.py
@@ -337,7 +337,7 @@
         if report.whole and worker not in self.inspected_workers:
             self.inspected_workers.add(worker)
             self.recovery_policy.inspect(worker, report, self.clock.now())
-        self.lifecycle.handle_report(worker, report)
+        self.lifecycle.handle_report(message)
 
     # Periodic work
 
--- a/wasabipaddle/runs/lifecycle.py
+++ b/wasabipaddle/runs/lifecycle.py
@@ -140,20 +140,21 @@
 
     # Reports of workers
 
-    def handle_report(self, worker, report):
-        """Process the report of a worker."""
+    def handle_report(self, message):
+        """Process a `WorkerReported`."""
+        worker, report = message.worker, message.report
         for task in report.tasks:
-            self._handle_task_report(worker, task)
+            self._handle_task_report(worker, task, message.received_at)
         for refusal in report.refusals:
             self._handle_refusal(refusal)
         if report.whole:
-            self._end_missing_attempts(worker, report)
+            self._end_missing_attempts(worker, report, message.sent_at)
         usage_by_task = {
             t.task: t.usage for t in report.tasks if t.phase is not TaskPhase.ENDED
         }
         self.placer.observe(worker, report.usage, usage_by_task, self.clock.now())
 
-    def _handle_task_report(self, worker, report):
+    def _handle_task_report(self, worker, report, now):
         run, index = parse_task_id(report.task)
         entry = self.table.get(run)
         known = (
@@ -174,6 +175,7 @@
         task = entry.tasks[index]
         if task.state is TaskState.PLACED:
             self.table.mark_running(run=run, index=index, attempt=report.attempt)
+            self.starts.confirm((report.task, report.attempt), now)
             self._record(EventKind.TASK_STARTED, report.task, worker)
             if entry.stopping:
                 self._stop_attempt(worker, report.task, report.attempt)
@@ -266,16 +268,20 @@
         else:
             self.placer.record_refused_start(refusal.task, self.clock.now())
 
-    def _end_missing_attempts(self, worker, report):
+    def _end_missing_attempts(self, worker, report, sent_at):
         """End attempts that are missing from a complete inventory.
 
-        An attempt whose start may still be unsent or on its way is not missing.
+        An attempt whose start may still be unsent or on its way is not missing. One
+        that was confirmed after the request of the inventory is looked for in another.
         """
         shown = {(t.task, t.attempt) for t in report.tasks}
         for entry, task in self.table.tasks_on(worker):
             key = (task_id(entry.run, task.index), task.attempt)
             if key in shown or key in self.ending or self.starts.may_be_in_flight(key):
                 continue
+            if self.starts.may_follow(key, sent_at):
+                self.pool.request_inventory(worker)
+                continue
             self.end_lost_attempt(entry.run, task.index, "not on the worker")
 
     # Lost workers
--- a/wasabipaddle/runs/pool.py
+++ b/wasabipaddle/runs/pool.py
@@ -133,6 +133,12 @@
         pooled.session.command(name, order)
         return True
 
+    def request_inventory(self, worker):
+        """Request the complete inventory of a worker with the next call to it."""
+        pooled = self.workers.get(worker)
+        if pooled is not None:
+            pooled.session.request_inventory()
+
     def take_expired(self, now) -> list[str]:
         """Return unreachable workers on which every lease has expired.
 
--- a/wasabipaddle/runs/starts.py
+++ b/wasabipaddle/runs/starts.py
@@ -3,6 +3,8 @@
 During a store outage starts are sent before they are journalled.
 """
 
+import math
+
 from wasabipaddle.interfaces import TaskStart
 from wasabipaddle.journal import TaskPlaced
 from wasabipaddle.runs.model import TaskState, parse_task_id
@@ -37,6 +39,7 @@
         self.metrics = metrics
         self.unsent = {}
         self.own_attempts = set()
+        self.confirmed_at = {}  # time in seconds, by key of a started attempt
 
     def start(self, entry, assignment) -> int:
         """Journal and then send the next attempt of a task; return its number."""
@@ -77,6 +80,12 @@
     def forget(self, key):
         """Remove an attempt that has ended."""
         self.own_attempts.discard(key)
+        self.confirmed_at.pop(key, None)
+
+    def confirm(self, key, now):
+        """Record that the worker has reported the attempt as started."""
+        if key in self.own_attempts:
+            self.confirmed_at[key] = now
 
     def may_be_in_flight(self, key) -> bool:
         """Return whether the start may still be unsent or on its way to the worker.
@@ -87,6 +96,19 @@
         state = self.table.get(run).tasks[index].state
         return key in self.own_attempts and state is TaskState.PLACED
 
+    def may_follow(self, key, sent_at) -> bool:
+        """Return whether the attempt may have started after an inventory was made.
+
+        Two calls to a worker may be under way at the same time, so that an inventory
+        from before the start can arrive after the confirmation of the start.
+
+        Parameters
+        ----------
+        sent_at : float
+            Time at which the inventory was requested, in seconds.
+        """
+        return sent_at <= self.confirmed_at.get(key, -math.inf)
+
     def _send(self, key):
         unsent = self.unsent.pop(key, None)
         if unsent is not None:
--- a/wasabipaddle/runs/workers.py
+++ b/wasabipaddle/runs/workers.py
@@ -24,10 +24,19 @@
 
 @attrs.frozen(kw_only=True)
 class WorkerReported:
-    """A worker answered a synchronisation."""
+    """A worker answered a synchronisation.
+
+    Parameters
+    ----------
+    sent_at, received_at : float
+        Monotonic times at which the call was sent and its answer arrived, in seconds.
+        The worker made the report between them.
+    """
 
     worker: str
     report: WorkerReport
+    sent_at: float
+    received_at: float
 
 
 @attrs.frozen(kw_only=True)
@@ -165,6 +174,7 @@
         self.commands = _Commands()
         self.wake = asyncio.Event()
         self.seen_version = -1
+        self.inventory_due = False
         self.tasks = []
 
     def start(self):
@@ -197,6 +207,10 @@
         await asyncio.gather(*self.tasks, return_exceptions=True)
         await self.client.close()
 
+    def request_inventory(self):
+        """Request the complete inventory with the next call."""
+        self.inventory_due = True
+
     def command(self, name, order):
         """Queue a command for the field `name` of `WorkerSync`."""
         getattr(self.commands, name).append(order)
@@ -235,7 +249,8 @@
                 self.wake.set()
 
     async def _call(self, commands, *, wait_s):
-        sync = self._make_sync(commands, wait_s)
+        sent_at = self.clock.now()
+        sync = self._make_sync(commands, wait_s, sent_at)
         timeout_s = CALL_TIMEOUT_S + wait_s
         try:
             async with asyncio.timeout(timeout_s):
@@ -243,11 +258,10 @@
         except TimeoutError:
             detail = f"no answer from {self.worker}"
             result = Err(Failure(kind=ErrorKind.TIMEOUT, detail=detail))
-        self._handle_result(result)
+        self._handle_result(result, sync, sent_at)
         return result
 
-    def _make_sync(self, commands, wait_s):
-        now = self.clock.now()
+    def _make_sync(self, commands, wait_s, now):
         base = self.contact.worker_clock(now)
         lease_s = (
             self.leadership_settings.task_lease_s if self.contact.is_reachable else 0.0
@@ -261,20 +275,14 @@
             leader=self.leader,
             lease_s=lease_s,
             lease_base_s=base,
-            seen_version=self.seen_version,
+            seen_version=-1 if self.inventory_due else self.seen_version,
             wait_s=wait_s,
             **{k: tuple(v) for k, v in attrs.asdict(commands, recurse=False).items()},
         )
 
-    def _handle_result(self, result):
+    def _handle_result(self, result, sync, sent_at):
         if result.is_ok():
-            report = result.unwrap()
-            self.contact.answered = True
-            self.contact.failures = 0
-            self.contact.clock_s = report.clock_s
-            self.contact.clock_read_at = self.clock.now()
-            self.seen_version = max(self.seen_version, report.version)
-            self.notify(WorkerReported(worker=self.worker, report=report))
+            self._handle_answer(result.unwrap(), sync, sent_at)
             return
         failure = result.unwrap_err()
         self.contact.failures += 1
@@ -282,3 +290,18 @@
             self.notify(LeaderDeposed(worker=self.worker))
             return
         self.notify(WorkerUnreachable(worker=self.worker, failure=failure))
+
+    def _handle_answer(self, report, sync, sent_at):
+        now = self.clock.now()
+        self.contact.answered = True
+        self.contact.failures = 0
+        self.contact.clock_s = report.clock_s
+        self.contact.clock_read_at = now
+        self.seen_version = max(self.seen_version, report.version)
+        if sync.seen_version < 0:
+            self.inventory_due = False
+        self.notify(
+            WorkerReported(
+                worker=self.worker, report=report, sent_at=sent_at, received_at=now
+            )
+        )
