Follow the versions of a worker that has restarted

Seen: a run had no outcome after its worker restarted without the VM list showing it, although its task had completed.

Cause: the session kept the highest version of the earlier process. Once the versions of the new process reached it, the change with exactly this version was neither part of a complete inventory nor newer than what had been seen.

Evidence: the new test failed before the change (no outcome after 50 s).

Change: a complete inventory sets the version that has been seen, also to a lower one.

Result: the test passes, all tests of runs/ pass. Still open: a restart between two calls in which the new process makes more changes than the earlier one had; the report names no process, so the leader can't tell.

--- a/wasabipaddle/runs/tests/test_worker_lives.py
+++ b/wasabipaddle/runs/tests/test_worker_lives.py
@@ -130,3 +130,22 @@
         assert verdict.clean, verdict
 
     run_cell(scenario)
+
+
+def test_task_that_ends_after_an_unnoticed_restart_is_reported(run_cell):
+    """Guards against a run without an outcome after a restart of its worker.
+
+    The restarted worker counts its versions from 0 again. A change that gets the
+    version up to which the leader had seen the earlier process must not be skipped.
+    """
+
+    async def scenario(cell):
+        for n in range(8):
+            await cell.outcome(await cell.submit_task(f"early{n}", 0.2))
+        cell.restart_workers(*WORKERS)
+        await asyncio.sleep(20.0)
+        for n in range(12):
+            run = await cell.submit_task(f"late{n}", 0.2)
+            assert await cell.outcome(run) is RunOutcome.COMPLETED
+
+    run_cell(scenario)
--- a/wasabipaddle/runs/workers.py
+++ b/wasabipaddle/runs/workers.py
@@ -297,7 +297,9 @@
         self.contact.failures = 0
         self.contact.clock_s = report.clock_s
         self.contact.clock_read_at = now
-        self.seen_version = max(self.seen_version, report.version)
+        # A worker that has restarted counts its versions from 0 again.
+        seen_version = -1 if report.whole else self.seen_version
+        self.seen_version = max(seen_version, report.version)
         if sync.seen_version < 0:
             self.inventory_due = False
         self.notify(
