Wait for leases that count from a reading in the future

Seen: a task ran on an unreachable worker and on another one at the same time.

Cause: a lease counts from the leader's estimate of the worker's clock. If that clock restarts with the machine, or stands still, after its last reading, the estimate lies in the worker's future, and the worker holds the lease for longer than the leader counts.

Change: an answer whose own reading is earlier than the base of the lease that its call granted moves the time at which the leases expire.

Still open: such a call whose answer is lost, directly before the worker becomes unreachable. A worker that counts a lease from receipt at the latest would exclude it and would also end the long wait after a restart, but the interface doesn't ask for that.

--- a/wasabipaddle/runs/tests/test_worker_lives.py
+++ b/wasabipaddle/runs/tests/test_worker_lives.py
@@ -149,3 +149,30 @@
             assert await cell.outcome(run) is RunOutcome.COMPLETED
 
     run_cell(scenario)
+
+
+@pytest.mark.parametrize("clock", ["restarted", "stood still"])
+def test_lease_that_a_clock_set_back_prolongs_is_waited_for(run_cell, clock):
+    """Guards against a second run while a lease counts from a reading in the future.
+
+    The clock of the worker restarts, or stands still, after its last reading. A lease
+    that counts from the leader's estimate then ends later than the leader assumes.
+    """
+
+    async def scenario(cell):
+        if clock == "restarted":
+            cell.restart_workers(*WORKERS)
+            cell.clock_ahead_s = 0.0
+        else:
+            cell.clock_ahead_s -= 5.0
+        run = await cell.submit_task("a", 60.0)
+        await asyncio.sleep(0.3)
+        (execution,) = cell.ledger.record.executions
+        cell.workers[execution.place].set_faults(silent=True)
+        await asyncio.sleep(70.0)
+        cell.workers[execution.place].set_faults(silent=False)
+        assert await cell.outcome(run) is RunOutcome.COMPLETED
+        verdict = compute_verdict(cell.ledger.record)
+        assert verdict.clean, verdict
+
+    run_cell(scenario, clock_ahead_s=1000.0)
--- a/wasabipaddle/runs/workers.py
+++ b/wasabipaddle/runs/workers.py
@@ -99,6 +99,15 @@
             return None
         return self.clock_s + now - self.clock_read_at
 
+    def read_clock(self, clock_s, now):
+        """Record a reading of the worker's clock that has just arrived."""
+        self.clock_s = clock_s
+        self.clock_read_at = now
+
+    def extend_leases(self, until):
+        """Record that a lease may expire on the worker as late as `until`."""
+        self.leases_expire_by = max(self.leases_expire_by, until)
+
 
 @attrs.define(kw_only=True)
 class _Commands:
@@ -268,7 +277,7 @@
         )
         if lease_s > 0:
             until = now + lease_s * (1 + self.leadership_settings.drift)
-            self.contact.leases_expire_by = until
+            self.contact.extend_leases(until)
         return WorkerSync(
             shard=self.shard,
             epoch=self.epoch,
@@ -295,8 +304,8 @@
         now = self.clock.now()
         self.contact.answered = True
         self.contact.failures = 0
-        self.contact.clock_s = report.clock_s
-        self.contact.clock_read_at = now
+        self._check_lease(sync, report, now)
+        self.contact.read_clock(report.clock_s, now)
         # A worker that has restarted counts its versions from 0 again.
         seen_version = -1 if report.whole else self.seen_version
         self.seen_version = max(seen_version, report.version)
@@ -307,3 +316,14 @@
                 worker=self.worker, report=report, sent_at=sent_at, received_at=now
             )
         )
+
+    def _check_lease(self, sync, report, now):
+        """Wait longer for a lease that counts from a later reading than the report's.
+
+        The clock of the worker has restarted or stood still since its last reading, so
+        that the lease ends later than `_make_sync` assumed.
+        """
+        if sync.lease_s > 0 and sync.lease_base_s > report.clock_s:
+            left_s = sync.lease_base_s + sync.lease_s - report.clock_s
+            drift = self.leadership_settings.drift
+            self.contact.extend_leases(now + left_s * (1 + drift))
