End the calls to workers together with the leadership

Seen: a leader that had released its shard, or acknowledged a later epoch, renewed leases on workers for as long as the client of another worker took to close.

Cause: the end of a leadership is announced at once, but `WorkerPool.close` ends the sessions one after the other. A successor that can't reach a worker counts its leases from the announcement and starts the tasks again while the earlier leader still renews them. A check of leases in the same step even opened the sessions of silent workers again.

Change: the end of the leadership cancels every session in the same step, and the pool opens none afterwards.

--- a/wasabipaddle/runs/pool.py
+++ b/wasabipaddle/runs/pool.py
@@ -45,6 +45,7 @@
         self.gone = set()
         self.closing = set()
         self.list_received = False
+        self.abandoned = False
         self.predecessors_stopped_at = None
         self.started_at = now
 
@@ -57,6 +58,8 @@
             Workers that the list newly marks as gone.
         """
         self.list_received = True
+        if self.abandoned:
+            return []
         lost = []
         for entry in entries:
             if entry.role is not VmRole.WORKER:
@@ -192,9 +195,19 @@
     def reset(self, worker):
         """Restart the session of a worker after its leases have expired."""
         pooled = self.workers.get(worker)
-        if pooled is not None:
+        if pooled is not None and not self.abandoned:
             pooled.session.reset()
 
+    def abandon(self):
+        """End the calls of all sessions at once, and open no further session.
+
+        Called when the leadership ends, since a successor counts the leases from the
+        time at which this leader has stopped, and closing the clients takes longer.
+        """
+        self.abandoned = True
+        for pooled in self.workers.values():
+            pooled.session.abandon()
+
     async def close(self):
         """Close all sessions."""
         for worker in list(self.workers):
--- a/wasabipaddle/serve/shards.py
+++ b/wasabipaddle/serve/shards.py
@@ -89,6 +89,7 @@
         leader = self.leaders.pop(shard, None)
         if leader is None:
             return
+        leader.pool.abandon()
         self.grants.step_down(shard)
         task = asyncio.ensure_future(leader.stop())
         self.stop_tasks.add(task)
