Start tasks only on workers known since the leadership was proved

Seen: a run was started by a replaced leader and by its successor.

Cause: a replaced leader that is cut off from the store is kept from starting tasks only by workers that know the later epoch. A worker that comes back without its state accepts its starts again, until the successor calls it.

Timeline: the leader accepts a run and loses its workers, then the store; the successor reads all inventories and starts the run; the other worker restarts where only the earlier leader reaches it; the earlier leader starts the run.

Change: the election keeps the latest time for which the store has confirmed the leadership. A start waits in the session until every call to its worker has been answered since a time before that. Such a worker has kept its state, and any later leader calls it before it starts a task again.

Still open: a worker that restarts between two calls without a failed one, because reports name no process of the worker.

--- a/wasabipaddle/leadership/election.py
+++ b/wasabipaddle/leadership/election.py
@@ -50,6 +50,9 @@
     ----------
     changes : reactivex.Subject
         Emits `LeaderElected` and `LeaderSteppedDown`.
+    proved_at : float
+        Latest monotonic time for which the store has confirmed that this process led,
+        in seconds. Any later leader was elected after it.
     """
 
     def __init__(
@@ -72,6 +75,7 @@
         self.unconfirmed_revision = None
         self.next_renewal = 0.0
         self.next_read = 0.0
+        self.proved_at = 0.0
         self.observed = None
         self.observed_revision = -1
         self.observed_at = 0.0
@@ -192,6 +196,7 @@
     async def _renew(self):
         record = attrs.evolve(self.record, renewal=self.record.renewal + 1)
         self.renewal_in_doubt = True  # holds if the task is cancelled during the call
+        sent_at = self.clock.now()
         result = await self._put(record, self.revision)
         if not self.leading:
             return
@@ -199,6 +204,7 @@
             self.record = attrs.evolve(self.record, renewal=record.renewal)
             self.revision = result.unwrap()
             self.renewal_in_doubt = False
+            self.proved_at = sent_at
             return
         kind = result.unwrap_err().kind
         if kind is ErrorKind.REVISION_MISMATCH:
@@ -209,6 +215,7 @@
         self.renewal_in_doubt = kind is ErrorKind.TIMEOUT
 
     async def _verify_record(self):
+        sent_at = self.clock.now()
         result = await self.store.get(self.key)
         if result.is_err() or not self.leading:
             return
@@ -223,6 +230,7 @@
         )
         self.renewal_in_doubt = False
         self.must_verify = False
+        self.proved_at = sent_at
 
     def _step_down(self, reason):
         epoch = self.record.epoch
@@ -256,7 +264,7 @@
         if self.observed_revision != self.unconfirmed_revision:
             self.unconfirmed_revision = None
         if self._is_unconfirmed_acquisition():
-            self._become_leader(self.observed, self.observed_revision)
+            self._become_leader(self.observed, self.observed_revision, now)
         elif self._may_take_over(rank):
             await self._acquire()
 
@@ -337,10 +345,11 @@
         # Without an answer, the write may take effect as long as the record has this
         # revision, and only a read shows whether it has.
         self.unconfirmed_revision = self.observed_revision
+        sent_at = self.clock.now()
         result = await self._put(record, self.observed_revision)
         if result.is_ok():
             self.unconfirmed_revision = None
-            self._become_leader(record, result.unwrap())
+            self._become_leader(record, result.unwrap(), sent_at)
 
     def _unproven(self):
         observed = self.observed
@@ -359,12 +368,13 @@
             )
         )
 
-    def _become_leader(self, record, revision):
+    def _become_leader(self, record, revision, proved_at):
         if record.epoch <= self.epoch_floor:
             return
         self._detect_pause()
         self.record = record
         self.revision = revision
+        self.proved_at = proved_at
         self.leading = True
         self.renewal_in_doubt = False
         self.next_renewal = self.clock.now() + self.lease_s / RENEWALS_PER_LEASE
--- a/wasabipaddle/runs/leader.py
+++ b/wasabipaddle/runs/leader.py
@@ -79,8 +79,8 @@
     Parameters
     ----------
     election : object
-        Has `shard`, `epoch`, `may_command`, `note_epoch`, `predecessors_stopped` and
-        `forget_predecessors`.
+        Has `shard`, `epoch`, `proved_at`, `may_command`, `note_epoch`,
+        `predecessors_stopped` and `forget_predecessors`.
     journal : Journal
         Journal of the shard, not yet recovered.
     connect : callable
@@ -322,6 +322,7 @@
             leadership_settings=self.context.settings.leadership,
             clock=self.clock,
             may_command=self.election.may_command,
+            proved_at=lambda: self.election.proved_at,
             notify=self.notify,
         )
 
--- a/wasabipaddle/runs/workers.py
+++ b/wasabipaddle/runs/workers.py
@@ -1,6 +1,7 @@
 """Synchronisation of a shard leader with one worker."""
 
 import asyncio
+import math
 
 import attrs
 from result import Err
@@ -19,6 +20,7 @@
 # Time-out of a call, in addition to the wait of a long poll.
 CALL_TIMEOUT_S = 2.0
 RETRY_S = 0.5
+START_CHECK_S = 0.1  # between checks of whether starts may be sent
 POLLS_PER_LEASE = 3  # long polls of a worker per task lease
 
 
@@ -67,6 +69,8 @@
         Whether the worker has answered a call of this leader.
     failures : int
         Failed calls since the last answer.
+    unbroken_since : float
+        Monotonic time since which no call has failed, in seconds.
     clock_s : float or None
         Latest reading of the worker's monotonic clock, in seconds.
     clock_read_at : float
@@ -76,6 +80,7 @@
     leases_expire_by: float = 0.0
     answered: bool = False
     failures: int = 0
+    unbroken_since: float = math.inf
     clock_s: float | None = None
     clock_read_at: float = 0.0
 
@@ -153,6 +158,8 @@
         Source of time.
     may_command : callable
         Returns False while no commands may be sent.
+    proved_at : callable
+        Returns the latest time for which the leadership is proved, in seconds.
     notify : callable
         Receives `WorkerReported`, `WorkerUnreachable` and `LeaderDeposed`.
     """
@@ -168,6 +175,7 @@
         leadership_settings,
         clock,
         may_command,
+        proved_at,
         notify,
     ):
         self.worker = worker
@@ -178,6 +186,7 @@
         self.leadership_settings = leadership_settings
         self.clock = clock
         self.may_command = may_command
+        self.proved_at = proved_at
         self.notify = notify
         self.contact = WorkerContact()
         self.commands = _Commands()
@@ -248,15 +257,30 @@
                 await asyncio.sleep(RETRY_S)
                 self.wake.set()
                 continue
-            commands, self.commands = self.commands, _Commands()
-            if not commands.any():
-                continue
-            result = await self._call(commands, wait_s=0.0)
-            if result.is_err():
-                self.commands.requeue(commands)
-                await asyncio.sleep(RETRY_S)
+            commands = self._take_commands()
+            if commands.any():
+                result = await self._call(commands, wait_s=0.0)
+                if result.is_err():
+                    self.commands.requeue(commands)
+                    await asyncio.sleep(RETRY_S)
+                    self.wake.set()
+            if self.commands.starts:
+                await asyncio.sleep(START_CHECK_S)
                 self.wake.set()
 
+    def _take_commands(self):
+        """Return the queued commands, without starts that must wait.
+
+        A later leader calls every worker before it starts a task again, and the worker
+        then refuses the starts of this leader. This holds only for a worker that has
+        kept its state since a time at which no later leader existed. One that was new
+        or has restarted since may not know of the later leader, nor it of the worker.
+        """
+        commands, self.commands = self.commands, _Commands()
+        if self.contact.unbroken_since >= self.proved_at():
+            self.commands.starts, commands.starts = commands.starts, []
+        return commands
+
     async def _call(self, commands, *, wait_s):
         sent_at = self.clock.now()
         sync = self._make_sync(commands, wait_s, sent_at)
@@ -295,6 +319,7 @@
             return
         failure = result.unwrap_err()
         self.contact.failures += 1
+        self.contact.unbroken_since = math.inf
         if failure.kind is ErrorKind.STALE_EPOCH:
             self.notify(LeaderDeposed(worker=self.worker))
             return
@@ -304,6 +329,7 @@
         now = self.clock.now()
         self.contact.answered = True
         self.contact.failures = 0
+        self.contact.unbroken_since = min(self.contact.unbroken_since, now)
         self._check_lease(sync, report, now)
         self.contact.read_clock(report.clock_s, now)
         # A worker that has restarted counts its versions from 0 again.
