Finish a recovery only with a VM list of the new leader's term

Seen: a run was started by a replaced leader and by its successor.

Cause: a recovery waits for the workers that the VM list shows, but the list of a new leader can be older than its term: processes that don't lead read it every 3 s, and reads fail.

Evidence: the new test, in which the successor couldn't read the list since before the worker was added, failed before the change (two_places 1).

Change: an update of the fleet carries the time at which the read of the list began. A leader waits for one from after its start, and its process reads the list as soon as it is elected. Sessions get the election itself, since they use two of its members.

Result: the test passes, tests of runs/, leadership/, serve/ and fuzz/ pass. While the VM list can't be read, runs in doubt wait for it after a change of leadership; running tasks and new runs don't.

--- a/wasabipaddle/runs/leader.py
+++ b/wasabipaddle/runs/leader.py
@@ -56,9 +56,12 @@
     ----------
     entries : tuple of VmEntry
         VMs of the shard.
+    read_at : float
+        Monotonic time at which the read of the list began, in seconds.
     """
 
     entries: tuple
+    read_at: float
 
 
 @attrs.frozen(kw_only=True)
@@ -142,7 +145,7 @@
         self.recovery_class = recovery
         self.store_up = True
         self.recovery_policy = None
-        self.pending_entries = None
+        self.pending_update = None
         self.inspected_workers = set()
         self.next_checks = 0.0
         self.next_expiry = 0.0
@@ -244,8 +247,8 @@
             quota_of=self.quotas.of_service,
         )
         self._update_limits()
-        if self.pending_entries is not None:
-            self._update_fleet(self.pending_entries)
+        if self.pending_update is not None:
+            self._update_fleet(self.pending_update)
         while True:
             await self._read_messages()
             self._step()
@@ -273,7 +276,7 @@
             WorkerReported: lambda m, _: self._handle_report(m),
             WorkerUnreachable: lambda m, _: self._handle_unreachable(m),
             LeaderDeposed: lambda m, _: self.election.note_epoch(self.epoch + 1),
-            FleetUpdate: lambda m, _: self._update_fleet(m.entries),
+            FleetUpdate: lambda m, _: self._update_fleet(m),
             DocumentsChanged: lambda m, _: self._update_limits(),
             SubmitRun: self.acceptance.submit,
             QueryRun: self.operations.query,
@@ -285,12 +288,12 @@
 
     # Workers
 
-    def update_fleet(self, entries):
-        """Apply the shard's entries of the VM list once the journal is recovered."""
+    def update_fleet(self, update):
+        """Apply a `FleetUpdate` once the journal is recovered."""
         if self.recovery_policy is None:
-            self.pending_entries = entries
+            self.pending_update = update
         else:
-            self.notify(FleetUpdate(entries=entries))
+            self.notify(update)
 
     def update_limits(self):
         """Apply the guaranteed shares and quotas of changed documents."""
@@ -303,8 +306,8 @@
         for document in self.documents.documents():
             self.placer.set_floor(document.service, document.share.guaranteed)
 
-    def _update_fleet(self, entries):
-        for worker in self.pool.update(entries):
+    def _update_fleet(self, update):
+        for worker in self.pool.update(update.entries, update.read_at):
             self._remove_worker(worker)
 
     def _remove_worker(self, worker):
@@ -321,8 +324,7 @@
             leader=self.context.settings.process,
             leadership_settings=self.context.settings.leadership,
             clock=self.clock,
-            may_command=self.election.may_command,
-            proved_at=lambda: self.election.proved_at,
+            election=self.election,
             notify=self.notify,
         )
 
--- a/wasabipaddle/runs/pool.py
+++ b/wasabipaddle/runs/pool.py
@@ -49,15 +49,23 @@
         self.predecessors_stopped_at = None
         self.started_at = now
 
-    def update(self, entries):
+    def update(self, entries, read_at):
         """Apply the entries of the shard in the VM list of the data centre.
 
+        A list that was read before the leader started may lack workers on which an
+        earlier leader has started tasks, so it does not complete the recovery.
+
+        Parameters
+        ----------
+        read_at : float
+            Monotonic time at which the read of the list began, in seconds.
+
         Returns
         -------
         list of str
             Workers that the list newly marks as gone.
         """
-        self.list_received = True
+        self.list_received = self.list_received or read_at >= self.started_at
         if self.abandoned:
             return []
         lost = []
--- a/wasabipaddle/runs/tests/test_uncommitted_starts.py
+++ b/wasabipaddle/runs/tests/test_uncommitted_starts.py
@@ -4,11 +4,13 @@
 import json
 
 import pytest
+from result import Err
 
 from wasabipaddle.clock import run_virtual
-from wasabipaddle.interfaces import VmStatus
+from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.interfaces import VmList, VmRole, VmStatus
 from wasabipaddle.measure.whole_cell import CellSize, WholeCell
-from wasabipaddle.standins import compute_verdict
+from wasabipaddle.standins import MemoryWorker, compute_verdict
 
 SETTLE_S = 6.0
 SHARD = "dc0-0"
@@ -117,3 +119,55 @@
         await assert_one_place(cell, old, listed=False)
 
     run_cell(scenario)
+
+
+def add_worker(cell, name):
+    """Add a worker that the VM list shows at once."""
+    capacity = cell.size.worker
+    worker = MemoryWorker(name=name, capacity=capacity, ledger=cell.ledger)
+    cell.workers[name] = worker
+    cell._add_vm_entry(name, VmRole.WORKER, "dc0", "dc0-r0", resources=capacity)
+
+
+async def replace_vm_list(process, vms):
+    """Let a process read another VM list from now on."""
+    plugins = process.context.plugins
+    await plugins["fleet"].stop()
+    plugins["platform"].vms = vms
+    await process.run(plugins["fleet"].start())
+
+
+class _FailingVmList(VmList):
+    """VM list that one process can't read."""
+
+    async def read(self, *, data_centre=None):
+        """Return an error."""
+        return Err(Failure(kind=ErrorKind.UNREACHABLE, detail="cut off"))
+
+
+def test_new_leader_waits_for_a_vm_list_of_its_term(run_cell):
+    """Guards against a second start of a run that began on a worker not yet listed.
+
+    The earlier leader starts a run without a journal record on a worker that the new
+    leader, which has an older VM list, doesn't know.
+    """
+
+    async def scenario(cell):
+        (process,) = cell.leaders(SHARD)
+        old = process.name
+        (new,) = (n for n, c in cell.data_centre_of.items() if c == "dc0" and n != old)
+        await replace_vm_list(cell.processes[new], _FailingVmList())
+        add_worker(cell, "dc0-w002")
+        cell.partition([old], ["dc0-w000", "dc0-w001"])
+        await asyncio.sleep(10.0)
+        await submit(cell, old, "a", 60.0)
+        cut_off_leader(cell, old)
+        await asyncio.sleep(15.0)
+        await replace_vm_list(cell.processes[new], cell.vms)
+        await asyncio.sleep(15.0)
+        cell.heal()
+        await asyncio.sleep(60.0)
+        verdict = compute_verdict(cell.ledger.record)
+        assert verdict.clean, verdict
+
+    run_cell(scenario)
--- a/wasabipaddle/runs/workers.py
+++ b/wasabipaddle/runs/workers.py
@@ -156,10 +156,8 @@
         Duration of a task lease and clock drift.
     clock : Clock
         Source of time.
-    may_command : callable
-        Returns False while no commands may be sent.
-    proved_at : callable
-        Returns the latest time for which the leadership is proved, in seconds.
+    election : object
+        Has `may_command` and `proved_at`, see `ShardElection`.
     notify : callable
         Receives `WorkerReported`, `WorkerUnreachable` and `LeaderDeposed`.
     """
@@ -174,8 +172,7 @@
         leader,
         leadership_settings,
         clock,
-        may_command,
-        proved_at,
+        election,
         notify,
     ):
         self.worker = worker
@@ -185,8 +182,7 @@
         self.leader = leader
         self.leadership_settings = leadership_settings
         self.clock = clock
-        self.may_command = may_command
-        self.proved_at = proved_at
+        self.election = election
         self.notify = notify
         self.contact = WorkerContact()
         self.commands = _Commands()
@@ -249,7 +245,7 @@
     async def _send(self):
         while True:
             await self.wake.wait()
-            if not self.may_command():
+            if not self.election.may_command():
                 await asyncio.sleep(RETRY_S)
                 continue
             self.wake.clear()
@@ -277,7 +273,7 @@
         or has restarted since may not know of the later leader, nor it of the worker.
         """
         commands, self.commands = self.commands, _Commands()
-        if self.contact.unbroken_since >= self.proved_at():
+        if self.contact.unbroken_since >= self.election.proved_at:
             self.commands.starts, commands.starts = commands.starts, []
         return commands
 
--- a/wasabipaddle/serve/fleet.py
+++ b/wasabipaddle/serve/fleet.py
@@ -1,6 +1,7 @@
 """Role `fleet`: reads the platform's VM list and publishes changes."""
 
 import asyncio
+import math
 
 import attrs
 
@@ -8,7 +9,7 @@
 from wasabipaddle.kernel import Plugin
 from wasabipaddle.timeline import EventKind
 
-__all__ = ["FleetChanged", "FleetPlugin"]
+__all__ = ["FleetChanged", "FleetPlugin", "FleetRead"]
 
 READ_PERIOD_S = 1.0
 # A process that leads no shard uses the list only to learn which VMs are gone.
@@ -28,11 +29,20 @@
     entries: tuple[VmEntry, ...]
 
 
+@attrs.frozen(kw_only=True)
+class FleetRead:
+    """The VM list of the data centre was read, whether or not it changed."""
+
+
 class FleetPlugin(Plugin):
     """Keeps the latest VM list of the data centre and publishes its changes.
 
+    Publishes `FleetChanged` and `FleetRead`.
+
     Attributes
     ----------
+    read_at : float
+        Monotonic time at which the latest successful read began, in seconds.
     entries : dict of str to VmEntry
         VMs by name. A VM that left the list stays with the status `gone`.
     """
@@ -43,6 +53,8 @@
     def __init__(self, *, context):
         super().__init__(context=context)
         self.entries = {}
+        self.read_at = -math.inf
+        self.read_due = asyncio.Event()
         self.task = None
 
     async def start(self):
@@ -53,6 +65,10 @@
         """Stop reading the list."""
         self.task.cancel()
 
+    def request_read(self):
+        """Read the list at once, again if a read is in progress."""
+        self.read_due.set()
+
     def is_gone(self, vm) -> bool:
         """Return whether the list says that a VM no longer exists."""
         entry = self.entries.get(vm)
@@ -65,12 +81,23 @@
     async def _read_periodically(self):
         vms = self.context.plugins["platform"].vms
         while True:
+            self.read_due.clear()
+            began_at = self.context.clock.now()
             result = await vms.read(data_centre=self.context.settings.data_centre)
             if result.is_ok():
+                self.read_at = began_at
                 self._update(result.unwrap())
+                self.context.bus.publish(FleetRead())
             else:
                 self.context.metrics.count("vm_list_errors")
-            await asyncio.sleep(self._period_s())
+            await self._wait()
+
+    async def _wait(self):
+        try:
+            async with asyncio.timeout(self._period_s()):
+                await self.read_due.wait()
+        except TimeoutError:
+            return
 
     def _period_s(self):
         membership = self.context.plugins.get("membership")
--- a/wasabipaddle/serve/shards.py
+++ b/wasabipaddle/serve/shards.py
@@ -9,8 +9,8 @@
 from wasabipaddle.kernel import Plugin
 from wasabipaddle.leadership import LeaderElected, LeaderSteppedDown
 from wasabipaddle.relay import DocumentApplied
-from wasabipaddle.runs import Adoption, ShardLeader
-from wasabipaddle.serve.fleet import FleetChanged
+from wasabipaddle.runs import Adoption, FleetUpdate, ShardLeader
+from wasabipaddle.serve.fleet import FleetChanged, FleetRead
 from wasabipaddle.serve.grants import GrantService
 
 __all__ = ["ShardsPlugin", "entries_of_shard"]
@@ -68,6 +68,7 @@
         bus.events(FleetChanged).subscribe(
             lambda event: self._on_fleet_changed(event.entries)
         )
+        bus.events(FleetRead).subscribe(lambda _: self._on_fleet_read())
         bus.events(DocumentApplied).subscribe(lambda _: self._on_documents_changed())
 
     async def stop(self):
@@ -82,6 +83,7 @@
         self.leaders[event.shard] = leader
         self.grants.lead(event.shard, event.epoch)
         self._update_vms(event.shard, self.fleet.entries.values())
+        self.fleet.request_read()
         leader.start()
         logging.info("leading shard %s under epoch %d", event.shard, event.epoch)
 
@@ -121,12 +123,19 @@
         for shard in self.leaders:
             self._update_vms(shard, entries)
 
+    def _on_fleet_read(self):
+        """Pass on an unchanged list if a leader waits for one of its own term."""
+        for shard, leader in self.leaders.items():
+            if not leader.pool.list_received:
+                self._update_vms(shard, self.fleet.entries.values())
+
     def _update_vms(self, shard, entries):
         settings = self.context.settings
         shards = settings.shards_of(settings.data_centre)
         selected = entries_of_shard(entries, shard, shards)
         if selected:
-            self.leaders[shard].update_fleet(selected)
+            update = FleetUpdate(entries=selected, read_at=self.fleet.read_at)
+            self.leaders[shard].update_fleet(update)
             self.grants.update_endpoints(shard, selected)
 
     def _on_documents_changed(self):
