Request the whole inventory after a failed call to a worker

Seen: a task that was lost in an unnoticed restart of its worker was never started again.

Cause: the leader recognises a restart by versions that are lower than what it has seen. If the first call that reaches the new process starts many tasks, its version is higher, the report holds only later changes, and the earlier task isn't missed.

Change: a session asks for the whole inventory after each failed call, since a restart ends the poll in progress.

--- a/wasabipaddle/runs/tests/test_worker_lives.py
+++ b/wasabipaddle/runs/tests/test_worker_lives.py
@@ -24,6 +24,15 @@
 quota: {resources: {cpu: 400, memory: 800GB}}
 run: {tasks: 1, max_attempts: 5}
 """
+MANY_TASKS = """\
+service: many
+team: t
+kind: batch
+needs: {cpu: 1, memory: 1GB}
+placement: {data_centres: [dc0]}
+quota: {resources: {cpu: 400, memory: 800GB}}
+run: {tasks: 12, max_attempts: 5}
+"""
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -176,3 +185,23 @@
         assert verdict.clean, verdict
 
     run_cell(scenario, clock_ahead_s=1000.0)
+
+
+def test_restart_of_a_worker_during_many_starts_is_noticed(run_cell):
+    """Guards against a lost task of a worker whose restart shows in no version.
+
+    The new process makes more changes than the earlier one before its first answer.
+    """
+
+    async def scenario(cell):
+        cell.partition(cell.processes, ["dc0-w001"])
+        await asyncio.sleep(30.0)
+        await cell.write_document(MANY_TASKS, "many")
+        run = await cell.submit_task("a", 40.0)
+        await asyncio.sleep(10.0)
+        cell.restart_workers("dc0-w000")
+        await cell.submit("e01", "many", "b", json.dumps({"work": "b", "run_s": 5.0}))
+        await asyncio.sleep(80.0)
+        assert await cell.outcome(run) is RunOutcome.COMPLETED
+
+    run_cell(scenario)
--- a/wasabipaddle/runs/workers.py
+++ b/wasabipaddle/runs/workers.py
@@ -316,6 +316,8 @@
         failure = result.unwrap_err()
         self.contact.failures += 1
         self.contact.unbroken_since = math.inf
+        # A restart ends the call in progress, and the versions need not show it.
+        self.request_inventory()
         if failure.kind is ErrorKind.STALE_EPOCH:
             self.notify(LeaderDeposed(worker=self.worker))
             return
