Take the refusal of a repeated start for final only behind a stop

Seen: a task ran on two workers for a moment, or was started again while its first start could still be accepted.

Cause: a start that got no answer is repeated. If the worker refuses the repeated one (no capacity, leaving), the leader placed the task elsewhere, although the first call could still be under way: a refusal for these reasons doesn't make the worker refuse later copies, only a stop of the attempt does.

Change: the session sends a refused repeated start once more behind a stop and reports only the refusal that follows. An attempt that was stopped while its run goes on is retried. `ended_record` moves to records.py.

--- a/wasabipaddle/runs/lifecycle.py
+++ b/wasabipaddle/runs/lifecycle.py
@@ -7,7 +7,7 @@
     TaskPhase,
     TaskResize,
 )
-from wasabipaddle.journal import RunEnded, TaskEnded
+from wasabipaddle.journal import TaskEnded
 from wasabipaddle.messages import RunOutcome
 from wasabipaddle.placement import (
     Checkpoint,
@@ -19,7 +19,7 @@
     Unthrottle,
 )
 from wasabipaddle.runs.model import TaskState, parse_task_id, task_id
-from wasabipaddle.runs.records import work_of
+from wasabipaddle.runs.records import ended_record, work_of
 from wasabipaddle.runs.recovery import resume
 from wasabipaddle.runs.starts import TaskStarts
 from wasabipaddle.timeline import EventKind
@@ -222,6 +222,9 @@
         final = entry.ended or entry.stopping
         if final and outcome is not TaskOutcome.COMPLETED:
             outcome = TaskOutcome.STOPPED
+        elif outcome is TaskOutcome.STOPPED:
+            # Only the attempt was stopped, see `WorkerSession`; the task is retried.
+            outcome = TaskOutcome.LEASE_EXPIRED
         if self.placer.is_placed(task):
             self.placer.record_task_end(task, outcome, now)
         elif outcome not in (TaskOutcome.COMPLETED, TaskOutcome.STOPPED):
@@ -334,7 +337,7 @@
         if entry is None or entry.ended or run in self.ending:
             return
         self.ending.add(run)
-        record = _ended_record(entry, outcome, self.clock.wall_ms(), reason)
+        record = ended_record(entry, outcome, self.clock.wall_ms(), reason)
 
         def confirm(_):
             self.ending.discard(run)
@@ -344,7 +347,7 @@
 
     def record_outcome(self, entry):
         """Journal the outcome of a run that a cancellation record has ended."""
-        record = _ended_record(entry, entry.outcome, entry.ended_ms, entry.reason)
+        record = ended_record(entry, entry.outcome, entry.ended_ms, entry.reason)
         self.commits.append_with_retry(record, lambda _: None)
 
     def apply_finish(self, entry, outcome, ended_ms, reason):
@@ -387,14 +390,3 @@
     def _record(self, kind, task, detail):
         run, _ = parse_task_id(task)
         self.events.record(kind, run=run, detail=f"{task} {detail}")
-
-
-def _ended_record(entry, outcome, ended_ms, reason):
-    retention_ms = int(entry.document.run.answer_retention_s * MS_PER_S)
-    return RunEnded(
-        run=entry.run,
-        outcome=outcome,
-        ended_ms=ended_ms,
-        keep_until_ms=ended_ms + retention_ms,
-        reason=reason,
-    )
--- a/wasabipaddle/runs/records.py
+++ b/wasabipaddle/runs/records.py
@@ -1,10 +1,12 @@
 """Conversions between journal records, documents and work for the placer."""
 
 from wasabipaddle.documents import Quota, Resources, ServiceDocument
-from wasabipaddle.journal import RunAccepted
+from wasabipaddle.journal import RunAccepted, RunEnded
 from wasabipaddle.placement import Work
 
-__all__ = ["accepted_record", "document_of", "work_of"]
+__all__ = ["accepted_record", "document_of", "ended_record", "work_of"]
+
+MS_PER_S = 1000
 
 
 def accepted_record(
@@ -73,3 +75,15 @@
         max_attempts=document.run.max_attempts,
         max_preemptions=document.run.max_preemptions,
     )
+
+
+def ended_record(entry, outcome, ended_ms, reason) -> RunEnded:
+    """Return the journal record of a run that has ended."""
+    retention_ms = int(entry.document.run.answer_retention_s * MS_PER_S)
+    return RunEnded(
+        run=entry.run,
+        outcome=outcome,
+        ended_ms=ended_ms,
+        keep_until_ms=ended_ms + retention_ms,
+        reason=reason,
+    )
--- a/wasabipaddle/runs/workers.py
+++ b/wasabipaddle/runs/workers.py
@@ -7,7 +7,7 @@
 from result import Err
 
 from wasabipaddle.exceptions import ErrorKind, Failure
-from wasabipaddle.interfaces import WorkerReport, WorkerSync
+from wasabipaddle.interfaces import TaskOrder, WorkerReport, WorkerSync
 
 __all__ = [
     "LeaderDeposed",
@@ -189,6 +189,7 @@
         self.wake = asyncio.Event()
         self.seen_version = -1
         self.inventory_due = False
+        self.repeated_starts = set()  # (task, attempt) of starts that may have arrived
         self.tasks = []
 
     def start(self):
@@ -214,6 +215,7 @@
         for task in self.tasks:
             task.cancel()
         self.commands = _Commands()
+        self.repeated_starts.clear()
 
     async def stop(self):
         """Stop the session and drop all unsent commands."""
@@ -258,6 +260,7 @@
                 result = await self._call(commands, wait_s=0.0)
                 if result.is_err():
                     self.commands.requeue(commands)
+                    self.repeated_starts |= {_key(s) for s in commands.starts}
                     await asyncio.sleep(RETRY_S)
                     self.wake.set()
             if self.commands.starts:
@@ -335,12 +338,31 @@
         self.seen_version = max(seen_version, report.version)
         if sync.seen_version < 0:
             self.inventory_due = False
+        report = attrs.evolve(report, refusals=self._final_refusals(sync, report))
         self.notify(
             WorkerReported(
                 worker=self.worker, report=report, sent_at=sent_at, received_at=now
             )
         )
 
+    def _final_refusals(self, sync, report):
+        """Return the refusals after which no copy of the start can be accepted.
+
+        A copy of a repeated start may still be under way. After a stop of the attempt
+        the worker refuses every copy, so the start is sent once more behind a stop.
+        """
+        refusals = {_key(r): r for r in report.refusals}
+        for start in sync.starts:
+            key = _key(start)
+            if key not in self.repeated_starts:
+                continue
+            self.repeated_starts.discard(key)
+            if refusals.pop(key, None) is not None:
+                order = TaskOrder(task=start.task, attempt=start.attempt)
+                self.command("stops", order)
+                self.command("starts", start)
+        return tuple(refusals.values())
+
     def _check_lease(self, sync, report, now):
         """Wait longer for a lease that counts from a later reading than the report's.
 
@@ -351,3 +373,7 @@
             left_s = sync.lease_base_s + sync.lease_s - report.clock_s
             drift = self.leadership_settings.drift
             self.contact.extend_leases(now + left_s * (1 + drift))
+
+
+def _key(start):
+    return start.task, start.attempt
