--- a/wasabipaddle/runs/lifecycle.py
+++ b/wasabipaddle/runs/lifecycle.py
@@ -7,7 +7,7 @@
     TaskPhase,
     TaskResize,
 )
-from wasabipaddle.journal import RunEnded, TaskEnded
+from wasabipaddle.journal import TaskEnded
 from wasabipaddle.messages import RunOutcome
 from wasabipaddle.placement import (
     Checkpoint,
@@ -19,7 +19,7 @@
     Unthrottle,
 )
 from wasabipaddle.runs.model import TaskState, parse_task_id, task_id
-from wasabipaddle.runs.records import work_of
+from wasabipaddle.runs.records import ended_record, work_of
 from wasabipaddle.runs.recovery import resume
 from wasabipaddle.runs.starts import TaskStarts
 from wasabipaddle.timeline import EventKind
@@ -140,20 +140,21 @@
 
     # Reports of workers
 
-    def handle_report(self, worker, report):
-        """Process the report of a worker."""
+    def handle_report(self, message):
+        """Process a `WorkerReported`."""
+        worker, report = message.worker, message.report
         for task in report.tasks:
-            self._handle_task_report(worker, task)
+            self._handle_task_report(worker, task, message.received_at)
         for refusal in report.refusals:
             self._handle_refusal(refusal)
         if report.whole:
-            self._end_missing_attempts(worker, report)
+            self._end_missing_attempts(worker, report, message.sent_at)
         usage_by_task = {
             t.task: t.usage for t in report.tasks if t.phase is not TaskPhase.ENDED
         }
         self.placer.observe(worker, report.usage, usage_by_task, self.clock.now())
 
-    def _handle_task_report(self, worker, report):
+    def _handle_task_report(self, worker, report, now):
         run, index = parse_task_id(report.task)
         entry = self.table.get(run)
         known = (
@@ -174,6 +175,7 @@
         task = entry.tasks[index]
         if task.state is TaskState.PLACED:
             self.table.mark_running(run=run, index=index, attempt=report.attempt)
+            self.starts.confirm((report.task, report.attempt), now)
             self._record(EventKind.TASK_STARTED, report.task, worker)
             if entry.stopping:
                 self._stop_attempt(worker, report.task, report.attempt)
@@ -220,6 +222,9 @@
         final = entry.ended or entry.stopping
         if final and outcome is not TaskOutcome.COMPLETED:
             outcome = TaskOutcome.STOPPED
+        elif outcome is TaskOutcome.STOPPED:
+            # Only the attempt was stopped, see `WorkerSession`; the task is retried.
+            outcome = TaskOutcome.LEASE_EXPIRED
         if self.placer.is_placed(task):
             self.placer.record_task_end(task, outcome, now)
         elif outcome not in (TaskOutcome.COMPLETED, TaskOutcome.STOPPED):
@@ -266,16 +271,20 @@
         else:
             self.placer.record_refused_start(refusal.task, self.clock.now())
 
-    def _end_missing_attempts(self, worker, report):
+    def _end_missing_attempts(self, worker, report, sent_at):
         """End attempts that are missing from a complete inventory.
 
-        An attempt whose start may still be unsent or on its way is not missing.
+        An attempt whose start may still be unsent or on its way is not missing. One
+        that was confirmed after the request of the inventory is looked for in another.
         """
         shown = {(t.task, t.attempt) for t in report.tasks}
         for entry, task in self.table.tasks_on(worker):
             key = (task_id(entry.run, task.index), task.attempt)
             if key in shown or key in self.ending or self.starts.may_be_in_flight(key):
                 continue
+            if self.starts.may_follow(key, sent_at):
+                self.pool.request_inventory(worker)
+                continue
             self.end_lost_attempt(entry.run, task.index, "not on the worker")
 
     # Lost workers
@@ -328,7 +337,7 @@
         if entry is None or entry.ended or run in self.ending:
             return
         self.ending.add(run)
-        record = _ended_record(entry, outcome, self.clock.wall_ms(), reason)
+        record = ended_record(entry, outcome, self.clock.wall_ms(), reason)
 
         def confirm(_):
             self.ending.discard(run)
@@ -338,7 +347,7 @@
 
     def record_outcome(self, entry):
         """Journal the outcome of a run that a cancellation record has ended."""
-        record = _ended_record(entry, entry.outcome, entry.ended_ms, entry.reason)
+        record = ended_record(entry, entry.outcome, entry.ended_ms, entry.reason)
         self.commits.append_with_retry(record, lambda _: None)
 
     def apply_finish(self, entry, outcome, ended_ms, reason):
@@ -381,14 +390,3 @@
     def _record(self, kind, task, detail):
         run, _ = parse_task_id(task)
         self.events.record(kind, run=run, detail=f"{task} {detail}")
-
-
-def _ended_record(entry, outcome, ended_ms, reason):
-    retention_ms = int(entry.document.run.answer_retention_s * MS_PER_S)
-    return RunEnded(
-        run=entry.run,
-        outcome=outcome,
-        ended_ms=ended_ms,
-        keep_until_ms=ended_ms + retention_ms,
-        reason=reason,
-    )
--- a/wasabipaddle/runs/pool.py
+++ b/wasabipaddle/runs/pool.py
@@ -45,18 +45,29 @@
         self.gone = set()
         self.closing = set()
         self.list_received = False
+        self.abandoned = False
         self.predecessors_stopped_at = None
         self.started_at = now
 
-    def update(self, entries):
+    def update(self, entries, read_at):
         """Apply the entries of the shard in the VM list of the data centre.
 
+        A list that was read before the leader started may lack workers on which an
+        earlier leader has started tasks, so it does not complete the recovery.
+
+        Parameters
+        ----------
+        read_at : float
+            Monotonic time at which the read of the list began, in seconds.
+
         Returns
         -------
         list of str
             Workers that the list newly marks as gone.
         """
-        self.list_received = True
+        self.list_received = self.list_received or read_at >= self.started_at
+        if self.abandoned:
+            return []
         lost = []
         for entry in entries:
             if entry.role is not VmRole.WORKER:
@@ -133,6 +144,12 @@
         pooled.session.command(name, order)
         return True
 
+    def request_inventory(self, worker):
+        """Request the complete inventory of a worker with the next call to it."""
+        pooled = self.workers.get(worker)
+        if pooled is not None:
+            pooled.session.request_inventory()
+
     def take_expired(self, now) -> list[str]:
         """Return unreachable workers on which every lease has expired.
 
@@ -186,9 +203,19 @@
     def reset(self, worker):
         """Restart the session of a worker after its leases have expired."""
         pooled = self.workers.get(worker)
-        if pooled is not None:
+        if pooled is not None and not self.abandoned:
             pooled.session.reset()
 
+    def abandon(self):
+        """End the calls of all sessions at once, and open no further session.
+
+        Called when the leadership ends, since a successor counts the leases from the
+        time at which this leader has stopped, and closing the clients takes longer.
+        """
+        self.abandoned = True
+        for pooled in self.workers.values():
+            pooled.session.abandon()
+
     async def close(self):
         """Close all sessions."""
         for worker in list(self.workers):
--- a/wasabipaddle/runs/workers.py
+++ b/wasabipaddle/runs/workers.py
@@ -1,12 +1,13 @@
 """Synchronisation of a shard leader with one worker."""
 
 import asyncio
+import math
 
 import attrs
 from result import Err
 
 from wasabipaddle.exceptions import ErrorKind, Failure
-from wasabipaddle.interfaces import WorkerReport, WorkerSync
+from wasabipaddle.interfaces import TaskOrder, WorkerReport, WorkerSync
 
 __all__ = [
     "LeaderDeposed",
@@ -19,15 +20,25 @@
 # Time-out of a call, in addition to the wait of a long poll.
 CALL_TIMEOUT_S = 2.0
 RETRY_S = 0.5
+START_CHECK_S = 0.1  # between checks of whether starts may be sent
 POLLS_PER_LEASE = 3  # long polls of a worker per task lease
 
 
 @attrs.frozen(kw_only=True)
 class WorkerReported:
-    """A worker answered a synchronisation."""
+    """A worker answered a synchronisation.
+
+    Parameters
+    ----------
+    sent_at, received_at : float
+        Monotonic times at which the call was sent and its answer arrived, in seconds.
+        The worker made the report between them.
+    """
 
     worker: str
     report: WorkerReport
+    sent_at: float
+    received_at: float
 
 
 @attrs.frozen(kw_only=True)
@@ -58,6 +69,8 @@
         Whether the worker has answered a call of this leader.
     failures : int
         Failed calls since the last answer.
+    unbroken_since : float
+        Monotonic time since which no call has failed, in seconds.
     clock_s : float or None
         Latest reading of the worker's monotonic clock, in seconds.
     clock_read_at : float
@@ -67,6 +80,7 @@
     leases_expire_by: float = 0.0
     answered: bool = False
     failures: int = 0
+    unbroken_since: float = math.inf
     clock_s: float | None = None
     clock_read_at: float = 0.0
 
@@ -90,6 +104,15 @@
             return None
         return self.clock_s + now - self.clock_read_at
 
+    def read_clock(self, clock_s, now):
+        """Record a reading of the worker's clock that has just arrived."""
+        self.clock_s = clock_s
+        self.clock_read_at = now
+
+    def extend_leases(self, until):
+        """Record that a lease may expire on the worker as late as `until`."""
+        self.leases_expire_by = max(self.leases_expire_by, until)
+
 
 @attrs.define(kw_only=True)
 class _Commands:
@@ -133,8 +156,8 @@
         Duration of a task lease and clock drift.
     clock : Clock
         Source of time.
-    may_command : callable
-        Returns False while no commands may be sent.
+    election : object
+        Has `may_command` and `proved_at`, see `ShardElection`.
     notify : callable
         Receives `WorkerReported`, `WorkerUnreachable` and `LeaderDeposed`.
     """
@@ -149,7 +172,7 @@
         leader,
         leadership_settings,
         clock,
-        may_command,
+        election,
         notify,
     ):
         self.worker = worker
@@ -159,12 +182,14 @@
         self.leader = leader
         self.leadership_settings = leadership_settings
         self.clock = clock
-        self.may_command = may_command
+        self.election = election
         self.notify = notify
         self.contact = WorkerContact()
         self.commands = _Commands()
         self.wake = asyncio.Event()
         self.seen_version = -1
+        self.inventory_due = False
+        self.repeated_starts = set()  # (task, attempt) of starts that may have arrived
         self.tasks = []
 
     def start(self):
@@ -190,6 +215,7 @@
         for task in self.tasks:
             task.cancel()
         self.commands = _Commands()
+        self.repeated_starts.clear()
 
     async def stop(self):
         """Stop the session and drop all unsent commands."""
@@ -197,6 +223,10 @@
         await asyncio.gather(*self.tasks, return_exceptions=True)
         await self.client.close()
 
+    def request_inventory(self):
+        """Request the complete inventory with the next call."""
+        self.inventory_due = True
+
     def command(self, name, order):
         """Queue a command for the field `name` of `WorkerSync`."""
         getattr(self.commands, name).append(order)
@@ -217,7 +247,7 @@
     async def _send(self):
         while True:
             await self.wake.wait()
-            if not self.may_command():
+            if not self.election.may_command():
                 await asyncio.sleep(RETRY_S)
                 continue
             self.wake.clear()
@@ -225,17 +255,34 @@
                 await asyncio.sleep(RETRY_S)
                 self.wake.set()
                 continue
-            commands, self.commands = self.commands, _Commands()
-            if not commands.any():
-                continue
-            result = await self._call(commands, wait_s=0.0)
-            if result.is_err():
-                self.commands.requeue(commands)
-                await asyncio.sleep(RETRY_S)
+            commands = self._take_commands()
+            if commands.any():
+                result = await self._call(commands, wait_s=0.0)
+                if result.is_err():
+                    self.commands.requeue(commands)
+                    self.repeated_starts |= {_key(s) for s in commands.starts}
+                    await asyncio.sleep(RETRY_S)
+                    self.wake.set()
+            if self.commands.starts:
+                await asyncio.sleep(START_CHECK_S)
                 self.wake.set()
 
+    def _take_commands(self):
+        """Return the queued commands, without starts that must wait.
+
+        A later leader calls every worker before it starts a task again, and the worker
+        then refuses the starts of this leader. This holds only for a worker that has
+        kept its state since a time at which no later leader existed. One that was new
+        or has restarted since may not know of the later leader, nor it of the worker.
+        """
+        commands, self.commands = self.commands, _Commands()
+        if self.contact.unbroken_since >= self.election.proved_at:
+            self.commands.starts, commands.starts = commands.starts, []
+        return commands
+
     async def _call(self, commands, *, wait_s):
-        sync = self._make_sync(commands, wait_s)
+        sent_at = self.clock.now()
+        sync = self._make_sync(commands, wait_s, sent_at)
         timeout_s = CALL_TIMEOUT_S + wait_s
         try:
             async with asyncio.timeout(timeout_s):
@@ -243,42 +290,90 @@
         except TimeoutError:
             detail = f"no answer from {self.worker}"
             result = Err(Failure(kind=ErrorKind.TIMEOUT, detail=detail))
-        self._handle_result(result)
+        self._handle_result(result, sync, sent_at)
         return result
 
-    def _make_sync(self, commands, wait_s):
-        now = self.clock.now()
+    def _make_sync(self, commands, wait_s, now):
         base = self.contact.worker_clock(now)
         lease_s = (
             self.leadership_settings.task_lease_s if self.contact.is_reachable else 0.0
         )
         if lease_s > 0:
             until = now + lease_s * (1 + self.leadership_settings.drift)
-            self.contact.leases_expire_by = until
+            self.contact.extend_leases(until)
         return WorkerSync(
             shard=self.shard,
             epoch=self.epoch,
             leader=self.leader,
             lease_s=lease_s,
             lease_base_s=base,
-            seen_version=self.seen_version,
+            seen_version=-1 if self.inventory_due else self.seen_version,
             wait_s=wait_s,
             **{k: tuple(v) for k, v in attrs.asdict(commands, recurse=False).items()},
         )
 
-    def _handle_result(self, result):
+    def _handle_result(self, result, sync, sent_at):
         if result.is_ok():
-            report = result.unwrap()
-            self.contact.answered = True
-            self.contact.failures = 0
-            self.contact.clock_s = report.clock_s
-            self.contact.clock_read_at = self.clock.now()
-            self.seen_version = max(self.seen_version, report.version)
-            self.notify(WorkerReported(worker=self.worker, report=report))
+            self._handle_answer(result.unwrap(), sync, sent_at)
             return
         failure = result.unwrap_err()
         self.contact.failures += 1
+        self.contact.unbroken_since = math.inf
+        # A restart ends the call in progress, and the versions need not show it.
+        self.request_inventory()
         if failure.kind is ErrorKind.STALE_EPOCH:
             self.notify(LeaderDeposed(worker=self.worker))
             return
         self.notify(WorkerUnreachable(worker=self.worker, failure=failure))
+
+    def _handle_answer(self, report, sync, sent_at):
+        now = self.clock.now()
+        self.contact.answered = True
+        self.contact.failures = 0
+        self.contact.unbroken_since = min(self.contact.unbroken_since, now)
+        self._check_lease(sync, report, now)
+        self.contact.read_clock(report.clock_s, now)
+        # A worker that has restarted counts its versions from 0 again.
+        seen_version = -1 if report.whole else self.seen_version
+        self.seen_version = max(seen_version, report.version)
+        if sync.seen_version < 0:
+            self.inventory_due = False
+        report = attrs.evolve(report, refusals=self._final_refusals(sync, report))
+        self.notify(
+            WorkerReported(
+                worker=self.worker, report=report, sent_at=sent_at, received_at=now
+            )
+        )
+
+    def _final_refusals(self, sync, report):
+        """Return the refusals after which no copy of the start can be accepted.
+
+        A copy of a repeated start may still be under way. After a stop of the attempt
+        the worker refuses every copy, so the start is sent once more behind a stop.
+        """
+        refusals = {_key(r): r for r in report.refusals}
+        for start in sync.starts:
+            key = _key(start)
+            if key not in self.repeated_starts:
+                continue
+            self.repeated_starts.discard(key)
+            if refusals.pop(key, None) is not None:
+                order = TaskOrder(task=start.task, attempt=start.attempt)
+                self.command("stops", order)
+                self.command("starts", start)
+        return tuple(refusals.values())
+
+    def _check_lease(self, sync, report, now):
+        """Wait longer for a lease that counts from a later reading than the report's.
+
+        The clock of the worker has restarted or stood still since its last reading, so
+        that the lease ends later than `_make_sync` assumed.
+        """
+        if sync.lease_s > 0 and sync.lease_base_s > report.clock_s:
+            left_s = sync.lease_base_s + sync.lease_s - report.clock_s
+            drift = self.leadership_settings.drift
+            self.contact.extend_leases(now + left_s * (1 + drift))
+
+
+def _key(start):
+    return start.task, start.attempt
