--- a/wasabipaddle/commands/cli.py
+++ b/wasabipaddle/commands/cli.py
@@ -261,7 +261,7 @@
 
         return Action(run=run)
 
-    @SetParseFns(keep=str)
+    @SetParseFns(keep=str, faults=str)
     def soak(
         self,
         seed=1,
@@ -271,6 +271,7 @@
         runners=8,
         at_once=1,
         keep=None,
+        faults="",
     ):
         """Run real processes under random faults and print the violations found.
 
@@ -290,6 +291,8 @@
             Number of seeds that run in parallel.
         keep : str
             Directory that keeps the settings, logs and a report of each seed.
+        faults : str
+            Names of the faults to inject, separated by commas; all by default.
         """
         from wasabipaddle.commands.soak import soak
 
@@ -302,6 +305,7 @@
                 runners=runners,
                 at_once=at_once,
                 keep=keep,
+                faults=faults,
             )
             return None if passed else EXIT_BROKEN
 
--- a/wasabipaddle/commands/soak.py
+++ b/wasabipaddle/commands/soak.py
@@ -11,7 +11,7 @@
 MAX_PARALLEL_SEEDS = 8
 
 
-def soak(*, seed, seeds, seconds, processes, runners, at_once, keep) -> bool:
+def soak(*, seed, seeds, seconds, processes, runners, at_once, keep, faults="") -> bool:
     """Run seeds, print a line for each and return whether none has a violation."""
     _check_number("--seed", seed, low=0)
     _check_number("--seeds", seeds, low=1)
@@ -19,6 +19,7 @@
     _check_number("--processes", processes, low=1, high=MAX_PROCESSES)
     _check_number("--runners", runners, low=1, high=1_000)
     _check_number("--at_once", at_once, low=1, high=MAX_PARALLEL_SEEDS)
+    names = _select_faults(faults)
     from wasabipaddle.soak import run_soak
 
     run = functools.partial(
@@ -28,6 +29,7 @@
         processes=processes,
         runners=runners,
         keep=keep,
+        faults=names,
     )
     passed = True
     with concurrent.futures.ProcessPoolExecutor(at_once) as pool:
@@ -43,6 +45,20 @@
     return run(seed=seed, **options)
 
 
+def _select_faults(text):
+    """Return the faults that a list separated by commas names; all if it is empty."""
+    from wasabipaddle.soak.names import ALL_FAULTS
+
+    if not text:
+        return ALL_FAULTS
+    names = tuple(name.strip() for name in text.split(","))
+    unknown = [name for name in names if name not in ALL_FAULTS]
+    if unknown:
+        known = ", ".join(ALL_FAULTS)
+        raise UsageError(f"--faults: no fault {unknown[0]!r}; there are {known}")
+    return names
+
+
 def _check_number(name, value, *, low, high=None):
     is_number = isinstance(value, int | float) and not isinstance(value, bool)
     if not is_number or value < low or (high is not None and value > high):
--- a/wasabipaddle/soak/callers.py
+++ b/wasabipaddle/soak/callers.py
@@ -3,6 +3,8 @@
 import asyncio
 import math
 
+import attrs
+
 from wasabipaddle.jobs import JobPhase, JobSpec, StepSpec
 from wasabipaddle.platform.client import JobCaller
 from wasabipaddle.soak.cell import callers_address
@@ -18,8 +20,10 @@
 MAX_SUBMISSIONS = 12
 POLL_INTERVAL_S = 0.8
 REPEAT_PROBABILITY = 0.1
-# Weights of urgent, batch, gang, lasting, scheduled and always failing jobs.
-JOB_WEIGHTS = (55, 20, 8, 7, 5, 5)
+CANCEL_PROBABILITY = 0.15
+# Weights of urgent, batch, gang, lasting, scheduled, always failing and long jobs.
+JOB_WEIGHTS = (49, 20, 8, 7, 5, 5, 6)
+BURST_STEP = StepSpec(count=50, cpu=4, memory_mb=16, image="small")
 ACCEPTED_STATUSES = range(200, 300)
 REFUSAL_STATUSES = frozenset({429, 503})
 STATUS_GONE = 410
@@ -87,7 +91,7 @@
         A process that does not know the queue responds with status 404.
         """
         record = JobRecord(id="0" * 16, queue=queue, spec=None, behaviours=())
-        for process in self.platform.processes:
+        for process in list(self.platform.processes):
             undisturbed_s = self.ledger.now() - self.cell.last_signal_s.get(
                 process, -SETTLE_S
             )
@@ -110,10 +114,21 @@
                 self._lasting,
                 self._scheduled,
                 self._failing,
+                self._long,
             ),
             weights=JOB_WEIGHTS,
         )
-        queue, spec, behaviours = make_spec(f"payload of {job_id}")
+        return self._record(job_id, *make_spec(f"payload of {job_id}"))
+
+    def submit_burst(self, label, work_s):
+        """Submit a job of many small tasks for the runners with a label."""
+        job_id = f"{self.random.getrandbits(64):016x}"
+        step = attrs.evolve(BURST_STEP, required_label=label, estimate_s=work_s)
+        steps = [(step, TaskBehaviour(work_s=work_s))]
+        record = self._record(job_id, *self._job("urgent", f"burst {job_id}", steps))
+        self._spawn(self._follow_job(record, cancel_probability=0.0))
+
+    def _record(self, job_id, queue, spec, behaviours):
         record = JobRecord(
             id=job_id, queue=self.queues[queue], spec=spec, behaviours=behaviours
         )
@@ -183,13 +198,20 @@
         first = TaskBehaviour(work_s=behaviours[0].work_s, fails=True)
         return queue, spec, (first, *behaviours[1:])
 
-    async def _follow_job(self, record):
+    def _long(self, payload):
+        rng = self.random
+        step = self._step(
+            rng.randint(1, 3), rng.uniform(5.0, 12.0), checkpoints=rng.random() < 0.5
+        )
+        return self._job("batch", payload, [step])
+
+    async def _follow_job(self, record, *, cancel_probability=CANCEL_PROBABILITY):
         """Submit a job, poll it until its final phase, and cancel it in some cases."""
         if not await self._submit(record):
             return
         lasting = record.spec.lasting
         cancel_after_s = None
-        if lasting or self.random.random() < 0.15:
+        if lasting or self.random.random() < cancel_probability:
             cancel_after_s = self.random.uniform(0.2, 12.0 if lasting else 2.0)
         started = self.ledger.now()
         while record.shown is None or not record.shown.final:
--- a/wasabipaddle/soak/cell.py
+++ b/wasabipaddle/soak/cell.py
@@ -7,6 +7,7 @@
 
 from wasabipaddle.demo.processes import spawn_process
 from wasabipaddle.soak.platform import CALLERS, CELL, HOST, STORE
+from wasabipaddle.standins.listener import reserve_port
 
 __all__ = ["CellProcesses", "callers_address"]
 
@@ -39,6 +40,8 @@
         Time of the stop signal of each process that is stopping.
     killed : set of str
         Processes that were killed and have not been restarted yet.
+    retired : set of str
+        Processes that are not restarted, since others replace them.
     """
 
     def __init__(self, *, platform, directory, ledger):
@@ -49,6 +52,9 @@
         self.last_signal_s = {}
         self.stopping = {}
         self.killed = set()
+        self.retired = set()
+        self.names_used = len(platform.processes)
+        self.port_holders = []
         self.closing = False
         self.tasks = set()
 
@@ -111,7 +117,7 @@
     async def _restart_after_exit(self, name, child):
         """Wait until a process exits and start it again."""
         code = await child.wait()
-        if self.closing:
+        if self.closing or name in self.retired:
             return
         if name not in self.killed and name not in self.stopping:
             self.ledger.add_violation(
@@ -119,7 +125,8 @@
             )
         self.killed.discard(name)
         await asyncio.sleep(RESTART_DELAY_S)
-        await self._start(name)
+        if not self.closing and name not in self.retired:
+            await self._start(name)
 
     def _signal(self, name, number):
         self.last_signal_s[name] = self.ledger.now()
@@ -151,6 +158,39 @@
         if child.returncode is None:
             child.send_signal(signal.SIGHUP)
 
+    async def replace(self, name):
+        """Stop a process for good and start one with a name that was not used before.
+
+        The new process starts once the old one has exited, as on the platform.
+        """
+        self.retired.add(name)
+        child = self.children[name]
+        self.terminate(name)
+        await child.wait()
+        self.platform.processes.remove(name)
+        del self.stopping[name]
+        self.killed.discard(name)
+        self.names_used += 1
+        new_name = f"p{self.names_used - 1}"
+        await self._add(new_name)
+        return new_name
+
+    async def _add(self, name):
+        platform = self.platform
+        ports = (
+            platform.internal_ports,
+            platform.caller_ports,
+            platform.readiness_ports,
+        )
+        for port in ports:
+            self.port_holders.append(reserve_port(HOST))
+            port[name] = self.port_holders[-1].getsockname()[1]
+        await platform.open_addresses(name)
+        self._write_settings(name)
+        await self._start(name)
+        self.last_signal_s[name] = self.ledger.now()
+        platform.processes.append(name)
+
     async def enforce_grace_period(self):
         """Kill processes that exceed their grace period, until cancelled."""
         while True:
@@ -172,6 +212,8 @@
                 child.kill()
         for child in self.children.values():
             await child.wait()
+        for holder in self.port_holders:
+            holder.close()
 
 
 def callers_address(platform, name):
--- a/wasabipaddle/soak/driver.py
+++ b/wasabipaddle/soak/driver.py
@@ -12,6 +12,7 @@
 from wasabipaddle.soak.departures import DEPARTURES_S, Departures
 from wasabipaddle.soak.faults import SoakFaults
 from wasabipaddle.soak.ledger import SoakLedger
+from wasabipaddle.soak.names import ALL_FAULTS
 from wasabipaddle.soak.platform import HOST, QUEUES, SoakPlatform
 from wasabipaddle.standins.listener import reserve_port
 
@@ -65,7 +66,9 @@
         )
 
 
-def run_soak(*, seed, seconds, processes=4, runners=8, keep=None) -> SoakResult:
+def run_soak(
+    *, seed, seconds, processes=4, runners=8, keep=None, faults=ALL_FAULTS
+) -> SoakResult:
     """Run the soak test with one seed.
 
     Parameters
@@ -80,12 +83,21 @@
         Number of processes of the cell and of runners.
     keep : path or None
         Directory for settings, logs and the report; None discards them.
+    faults : tuple of str
+        Names of the faults and planned operations to choose from.
     """
     with tempfile.TemporaryDirectory(prefix="wasabipaddle-soak-") as temporary:
         directory = pathlib.Path(keep or temporary) / f"seed-{seed}"
         directory.mkdir(parents=True, exist_ok=True)
         result = asyncio.run(
-            _run(seed, seconds, processes=processes, runners=runners, keep=directory)
+            _run(
+                seed,
+                seconds,
+                processes=processes,
+                runners=runners,
+                keep=directory,
+                names=faults,
+            )
         )
         report = [result.line(), *result.faults, *(v.line() for v in result.violations)]
         (directory / "report.txt").write_text("\n".join(report) + "\n")
@@ -107,18 +119,18 @@
             self.longest_s = max(self.longest_s, loop.time() - due_s)
 
 
-async def _run(seed, seconds, *, processes, runners, keep):
+async def _run(seed, seconds, *, processes, runners, keep, names):
     rng = random.Random(seed)
     ledger = SoakLedger()
-    names = [f"p{i}" for i in range(processes)]
+    process_names = [f"p{i}" for i in range(processes)]
     port_holders = [reserve_port(HOST) for _ in range(3 * processes)]
     ports = [holder.getsockname()[1] for holder in port_holders]
     platform = SoakPlatform(
         ledger=ledger,
-        processes=names,
-        internal_ports=dict(zip(names, ports, strict=False)),
-        caller_ports=dict(zip(names, ports[processes:], strict=False)),
-        readiness_ports=dict(zip(names, ports[2 * processes :], strict=False)),
+        processes=process_names,
+        internal_ports=dict(zip(process_names, ports, strict=False)),
+        caller_ports=dict(zip(process_names, ports[processes:], strict=False)),
+        readiness_ports=dict(zip(process_names, ports[2 * processes :], strict=False)),
         runner_count=runners,
         seed=rng.random(),
     )
@@ -128,6 +140,7 @@
         cell=cell,
         ledger=ledger,
         random=random.Random(rng.random()),
+        names=names,
     )
     callers = SoakCallers(
         platform=platform,
@@ -143,6 +156,7 @@
         log=faults.log,
     )
     faults.probe = callers.probe
+    faults.submit_burst = callers.submit_burst
     callers.queues = {queue.name: queue for queue in QUEUES}
     lag = _LoopLag()
     await platform.start()
--- a/wasabipaddle/soak/faults.py
+++ b/wasabipaddle/soak/faults.py
@@ -4,7 +4,18 @@
 
 import attrs
 
+from wasabipaddle.soak.bursts import EndBursts
+from wasabipaddle.soak.names import (
+    ALL_FAULTS,
+    BASIC_DISRUPTIONS,
+    BASIC_OPERATIONS,
+    SINGLE_FAULTS,
+)
+from wasabipaddle.soak.odd_entries import OddEntries
+from wasabipaddle.soak.partitions import Partitions
 from wasabipaddle.soak.platform import CALLERS, CELL, QUEUES, STORE
+from wasabipaddle.soak.replacements import Replacements
+from wasabipaddle.soak.runner_faults import RunnerDisruptions
 
 __all__ = ["SoakFaults"]
 
@@ -39,6 +50,8 @@
         Clock of the soak test.
     random : random.Random
         Random number generator for all choices.
+    names : tuple of str
+        Faults and planned operations to choose from.
 
     Attributes
     ----------
@@ -46,70 +59,75 @@
         Faults and planned operations in the order in which they ended.
     probe : callable
         Called with a queue to check that all processes know it.
+    submit_burst : callable
+        Called with a label and a duration in seconds to submit many small tasks.
     """
 
-    def __init__(self, *, platform, cell, ledger, random):
+    def __init__(self, *, platform, cell, ledger, random, names=ALL_FAULTS):
         self.platform = platform
         self.cell = cell
         self.ledger = ledger
         self.random = random
         self.log = []
         self.probe = None
-        self.active_faults = 0
+        self.submit_burst = None
+        self.names = names
+        self.active_names = []
         self.queues_added = 0
         self.last_end_s = -SETTLE_S
+        self.last_disturbance_s = -SETTLE_S
         self.tasks = set()
+        partitions = Partitions(platform=platform, random=random)
+        concurrency = RunnerDisruptions(platform=platform, random=random)
+        replacements = Replacements(platform=platform, cell=cell, random=random)
+        odd = OddEntries(platform=platform, ledger=ledger, random=random, faults=self)
+        bursts = EndBursts(
+            platform=platform,
+            ledger=ledger,
+            random=random,
+            submit=lambda label, work_s: self.submit_burst(label, work_s),
+        )
         self.disruptions = {
-            "store_down": self._store_down,
-            "store_slow": self._store_slow,
-            "store_loses_answers": self._store_loses_answers,
-            "store_writes_late": self._store_writes_late,
-            "store_refuses_one": self._store_refuses_one,
-            "store_forgets_history": self._store_forgets_history,
-            "leader_key_revoked": self._leader_key_revoked,
-            "store_cut": self._store_cut,
-            "store_cut_one_way": self._store_cut_one_way,
-            "process_cut": self._process_cut,
-            "process_silent": self._process_silent,
-            "process_reset": self._process_reset,
-            "process_delayed": self._process_delayed,
-            "process_killed": self._process_killed,
-            "process_paused": self._process_paused,
-            "process_reloaded": self._process_reloaded,
-            "all_killed": self._all_killed,
-            "runner_crashed": self._runner_crashed,
-            "runner_cut": self._runner_cut,
-            "runner_cut_one_way": self._runner_cut_one_way,
-            "runner_silent": self._runner_silent,
-            "runner_orders_late": self._runner_orders_late,
-            "runner_answers_lost": self._runner_answers_lost,
-            "runner_failing": self._runner_failing,
-            "runner_stalled": self._runner_stalled,
-            "runner_slow": self._runner_slow,
+            **{name: getattr(self, f"_{name}") for name in BASIC_DISRUPTIONS},
+            "partition": partitions.partition,
+            "channels_silent": partitions.channels_silent,
+            "ends_wait": bursts.ends_wait,
+            "replies_overtake": concurrency.replies_overtake,
+            "lists_read_in_parts": concurrency.lists_read_in_parts,
+            "runner_restarted": concurrency.runner_restarted,
+            "runner_frozen": concurrency.runner_frozen,
+            "odd_entries": odd.odd_entries,
         }
         # Planned operations, which must not interrupt calls in progress.
         self.planned = {
-            "process_stopped": self._process_stopped,
-            "processes_restarted_in_turn": self._rolling_restart,
-            "runner_replaced": self._runner_replaced,
-            "configured": self._configured,
+            **{name: getattr(self, f"_{name}") for name in BASIC_OPERATIONS},
+            "processes_replaced": replacements.processes_replaced,
+            "runners_replaced": replacements.runners_replaced,
         }
 
     @property
     def last_fault_end_s(self) -> float:
         """End of the last fault that was not planned, or now if one is active."""
-        return self.ledger.now() if self.active_faults else self.last_end_s
+        active = any(name in self.disruptions for name in self.active_names)
+        return self.ledger.now() if active else self.last_end_s
+
+    @property
+    def last_other_fault_end_s(self) -> float:
+        """As `last_fault_end_s`, without regard to odd entries that are there."""
+        harmless = {"odd_entries", *self.planned}
+        active = any(name not in harmless for name in self.active_names)
+        return self.ledger.now() if active else self.last_disturbance_s
 
     async def run(self, until_s):
         """Inject faults until `until_s` on the clock of the ledger."""
-        names = [*self.disruptions, *self.planned]
         while self.ledger.now() < until_s:
             await asyncio.sleep(self.random.uniform(MIN_GAP_S, MAX_GAP_S))
-            name = self.random.choice(names)
+            name = self.random.choice(self.names)
             count = 1
-            if self.random.random() < SERIES_PROBABILITY:
+            if self.random.random() < SERIES_PROBABILITY and name not in SINGLE_FAULTS:
                 count = self.random.randint(2, MAX_SERIES)
-            if len(self.tasks) < MAX_CONCURRENT:
+            alone = name not in SINGLE_FAULTS or name not in self.active_names
+            if len(self.tasks) < MAX_CONCURRENT and alone:
                 task = asyncio.get_running_loop().create_task(self._inject(name, count))
                 self.tasks.add(task)
                 task.add_done_callback(self.tasks.discard)
@@ -121,13 +139,15 @@
         inject = self.disruptions.get(name) or self.planned[name]
         for _ in range(count):
             seconds = self.random.uniform(MIN_DURATION_S, MAX_DURATION_S)
-            self.active_faults += disrupts
+            self.active_names.append(name)
             try:
                 target = await inject(seconds)
             finally:
-                self.active_faults -= disrupts
+                self.active_names.remove(name)
                 if disrupts:
                     self.last_end_s = self.ledger.now()
+                if disrupts and name != "odd_entries":
+                    self.last_disturbance_s = self.ledger.now()
             self.log.append(f"{self.ledger.now():.1f} {name} {target} {seconds:.1f} s")
 
     def _choose_process(self):
@@ -138,7 +158,7 @@
         return self.random.choice(self.platform.processes)
 
     def _choose_runner(self):
-        return self.random.choice(sorted(self.platform.runners))
+        return self.platform.choose_runner(self.random)
 
     async def _store_down(self, seconds):
         self.platform.memory.down = True
@@ -299,8 +319,8 @@
             self.cell.terminate(name)
         return name
 
-    async def _rolling_restart(self, seconds):
-        for name in self.platform.processes:
+    async def _processes_restarted_in_turn(self, seconds):
+        for name in list(self.platform.processes):
             if name not in self.cell.stopping:
                 self.cell.terminate(name)
             await asyncio.sleep(seconds)
@@ -309,7 +329,7 @@
     async def _runner_replaced(self, seconds):
         name = self._choose_runner()
         runner = self.platform.runners[name]
-        if not runner.entry.draining:
+        if not runner.entry.draining and name not in self.platform.reserved_runners:
             await self.platform.add_runner()
             await self.platform.remove_runner(name, LEAVES_IN_S)
         return name
--- a/wasabipaddle/soak/platform.py
+++ b/wasabipaddle/soak/platform.py
@@ -21,11 +21,13 @@
 from wasabipaddle.platform.client import encode_configuration, encode_runner
 from wasabipaddle.platform.server import advice_routes, runner_routes, store_routes
 from wasabipaddle.settings import LinkSettings
+from wasabipaddle.soak.concurrency import ConcurrentRunner
+from wasabipaddle.soak.views import ProcessView, RunnerAddresses
 from wasabipaddle.standins.link import Link
 from wasabipaddle.standins.listener import Listener
 from wasabipaddle.standins.proxy import LinkProxy, ProxyRoute
 from wasabipaddle.standins.runners import MemoryRunner
-from wasabipaddle.standins.transactions import MemoryTransactions, TransactionsClient
+from wasabipaddle.standins.transactions import MemoryTransactions
 
 __all__ = ["CALLERS", "CELL", "HOST", "STORE", "SoakPlatform"]
 
@@ -97,6 +99,13 @@
         Number of runners at the start.
     seed : float
         Seed of all random choices.
+
+    Attributes
+    ----------
+    runners, clients : dict
+        Runners, and the clients through which the processes call them, by name.
+    reserved_runners : set of str
+        Runners that only the fault which reserved them may disturb.
     """
 
     def __init__(
@@ -118,11 +127,17 @@
             regions=dict.fromkeys([*processes, STORE, CALLERS, CELL], "region"),
             settings=LinkSettings(data_centre_latency_ms=1.0),
         )
+        # Traffic to the processes as peers has the source CELL.
+        self.link.groups[CELL] = processes
         self.internal_ports = internal_ports
         self.caller_ports = caller_ports
         self.readiness_ports = readiness_ports
         self.runner_count = runner_count
         self.runners = {}
+        self.reserved_runners = set()
+        self.runner_ports = {}
+        self.clients = {}
+        self.runner_addresses = RunnerAddresses()
         self.listeners = []
         self.proxies = []
         self.tasks = set()
@@ -135,20 +150,33 @@
         """Store the first configuration and start the stand-ins."""
         self.configure(QUEUES)
         for process in self.processes:
-            client = TransactionsClient(memory=self.memory, client=process)
-            port = await self._listen(store_routes(client))
-            self.addresses[process, STORE] = await self._proxy(port, process, STORE)
-            port = await self._listen(advice_routes(_EligibilityService()))
-            self.addresses[process, "advice"] = f"{HOST}:{port}"
-            self.addresses[process, CELL] = await self._proxy(
-                self.internal_ports[process], CELL, process
-            )
-            self.addresses[process, CALLERS] = await self._proxy(
-                self.caller_ports[process], CALLERS, process
-            )
+            await self.open_addresses(process)
         for _ in range(self.runner_count):
             await self.add_runner()
 
+    async def open_addresses(self, process):
+        """Open the proxies and stand-ins that a process uses."""
+        client = ProcessView(
+            memory=self.memory, client=process, addresses=self.runner_addresses
+        )
+        port = await self._listen(store_routes(client))
+        self.addresses[process, STORE] = await self._proxy(port, process, STORE)
+        port = await self._listen(advice_routes(_EligibilityService()))
+        self.addresses[process, "advice"] = f"{HOST}:{port}"
+        self.addresses[process, CELL] = await self._proxy(
+            self.internal_ports[process], CELL, process
+        )
+        self.addresses[process, CALLERS] = await self._proxy(
+            self.caller_ports[process], CALLERS, process
+        )
+        for runner in self.runners:
+            await self._open_runner_address(process, runner)
+
+    async def _open_runner_address(self, process, runner):
+        """Open a proxy of a process for a runner."""
+        address = await self._proxy(self.runner_ports[runner], process, runner)
+        self.runner_addresses.add(process, runner, address)
+
     def configure(self, queues):
         """Store a configuration with the given queues and return its version."""
         self.version += self.random.randint(1, 5)
@@ -188,12 +216,17 @@
         self.proxies.append(proxy)
         return f"{HOST}:{proxy.ports[route]}"
 
-    async def add_runner(self):
-        """Start a runner with an id that was not used before."""
+    def choose_runner(self, rng) -> str:
+        """Return a runner that no fault reserves, or any if all are reserved."""
+        free = sorted(set(self.runners) - self.reserved_runners)
+        return rng.choice(free or sorted(self.runners))
+
+    async def add_runner(self, *, rack="") -> str:
+        """Start a runner with an id that was not used before, and return the id."""
         self.runners_created += 1
         name = f"w{self.runners_created:03d}"
         self.link.regions[name] = "region"
-        rack = f"rack-{self.runners_created // RUNNERS_PER_RACK}"
+        rack = rack or f"rack-{self.runners_created // RUNNERS_PER_RACK}"
         runner = MemoryRunner(
             entry=RunnerEntry(
                 id=name,
@@ -202,7 +235,7 @@
                 pool=POOL,
                 capacity=Capacity(cpu=RUNNER_CPU, memory_mb=RUNNER_MEMORY_MB),
                 labels=("kind", rack),
-                incarnation=self._incarnation(),
+                incarnation=self.next_incarnation(),
             ),
             ledger=self.ledger,
             lease_max_s=LEASE_MAX_S,
@@ -211,20 +244,27 @@
             clock_offset_s=self.random.uniform(10.0, 5_000.0),
             seed=self.random.random(),
         )
-        address = await self._proxy(
-            await self._listen(runner_routes(runner)), CELL, name
-        )
+        client = ConcurrentRunner(runner=runner, seed=self.random.random())
+        port = await self._listen(runner_routes(client))
+        self.runner_ports[name] = port
+        address = f"{HOST}:{port}"
+        self.runner_addresses.runners[address.encode()] = name
+        for process in self.processes:
+            await self._open_runner_address(process, name)
         runner.entry = attrs.evolve(runner.entry, address=address)
         self.runners[name] = runner
+        self.clients[name] = client
         self._spawn(runner.advance_periodically())
         self._spawn(self._heartbeat(runner))
+        return name
 
-    def _incarnation(self):
+    def next_incarnation(self) -> int:
+        """Return the incarnation of a runner that starts now."""
         return 1_700_000_000_000 + int(self.ledger.now() * 1000) + self.runners_created
 
     def crash(self, name):
         """Crash a runner and restart it with its id and a new incarnation."""
-        self.runners[name].crash(self._incarnation())
+        self.runners[name].crash(self.next_incarnation())
         self.link.reset(CELL, name)
 
     async def remove_runner(self, name, leaves_in_s):
@@ -238,6 +278,7 @@
         await asyncio.sleep(leaves_in_s)
         runner.shut_down()
         del self.runners[name]
+        del self.clients[name]
         self.link.cut(CELL, name)
         self.link.reset(CELL, name)
         key, _ = encode_runner(runner.entry, 0)
--- a/wasabipaddle/standins/link.py
+++ b/wasabipaddle/standins/link.py
@@ -34,6 +34,9 @@
         Bytes sent by (source, target).
     region_bytes : dict of tuple to int
         Bytes sent by (source region, target region), for different regions only.
+    groups : dict of str to list of str
+        Places that a name stands for, in addition to itself, in cuts, resets, silences
+        and extra latencies.
     """
 
     def __init__(self, *, regions, settings):
@@ -45,28 +48,39 @@
         self.extra_latency_s = {}
         self.busy_until_s = {}
         self.connections = set()
+        self.groups = {}
+
+    def _pairs(self, source, target):
+        """Return the pairs of places that two places or groups stand for."""
+        sources = (source, *self.groups.get(source, ()))
+        targets = (target, *self.groups.get(target, ()))
+        return {(first, second) for first in sources for second in targets}
+
+    def _open_connections(self, source, target):
+        """Return the open connections between two places or groups."""
+        pairs = self._pairs(source, target) | self._pairs(target, source)
+        return [c for c in self.connections if (c.source, c.target) in pairs]
 
     def cut(self, source, target, *, one_way=False):
         """Block traffic between two places, or from source to target if `one_way`."""
-        self.cuts.add((source, target))
+        self.cuts |= self._pairs(source, target)
         if not one_way:
-            self.cuts.add((target, source))
+            self.cuts |= self._pairs(target, source)
 
     def restore(self, source, target):
         """Remove the cuts between two places."""
-        self.cuts -= {(source, target), (target, source)}
+        self.cuts -= self._pairs(source, target) | self._pairs(target, source)
 
     def reset(self, source, target):
         """Close the open connections between two places."""
-        pair = {source, target}
-        for connection in list(self.connections):
-            if {connection.source, connection.target} == pair:
-                connection.reset()
+        for connection in self._open_connections(source, target):
+            connection.reset()
 
     def set_extra_latency(self, source, target, seconds):
         """Set the additional latency between two places, in both directions."""
-        self.extra_latency_s[source, target] = seconds
-        self.extra_latency_s[target, source] = seconds
+        for first, second in self._pairs(source, target):
+            self.extra_latency_s[first, second] = seconds
+            self.extra_latency_s[second, first] = seconds
 
     def cut_off(self, place):
         """Cut one place off from every other place that has a region."""
@@ -87,10 +101,8 @@
 
     def silence(self, source, target):
         """Make the open connections between two places silent, but not later ones."""
-        pair = {source, target}
-        for connection in self.connections:
-            if {connection.source, connection.target} == pair:
-                connection.silent = True
+        for connection in self._open_connections(source, target):
+            connection.silent = True
 
     def passes(self, source, target) -> bool:
         """Return whether traffic from source to target is not cut at present."""
--- a/wasabipaddle/standins/runners.py
+++ b/wasabipaddle/standins/runners.py
@@ -1,7 +1,6 @@
 """In-memory stand-in of a runner, which runs tasks under a lease."""
 
 import asyncio
-import math
 import random
 
 import attrs
@@ -17,6 +16,12 @@
     RunnerClient,
     RunningTask,
 )
+from wasabipaddle.standins.runs import (
+    FULL_PERCENT,
+    RunnerFaults,
+    RunnerRun,
+    TaskBehaviour,
+)
 
 __all__ = ["MemoryRunner", "RunnerFaults", "RunnerRun", "TaskBehaviour"]
 
@@ -24,73 +29,6 @@
 POLL_INTERVAL_S = 0.02
 MAX_ORDER_DELAY_S = 4.0
 MIN_ORDER_DELAY_S = 0.5
-FULL_PERCENT = 100
-
-
-@attrs.frozen(kw_only=True)
-class TaskBehaviour:
-    """Simulated behaviour of a running task.
-
-    Parameters
-    ----------
-    work_s : float
-        Duration on a runner without faults; infinite for a lasting task.
-    fails : bool
-        Whether the task fails at the end of its work, on any runner.
-    """
-
-    work_s: float
-    fails: bool = False
-
-
-@attrs.define(kw_only=True)
-class RunnerFaults:
-    """Faults of one runner.
-
-    Parameters
-    ----------
-    late_share : float
-        Share of the start and stop orders that get no answer and are carried out
-        later.
-    lost_share : float
-        Share of the start and stop orders that are carried out but get no answer.
-    failing : bool
-        Whether every task fails soon after its start.
-    stalled : bool
-        Whether no task makes progress.
-    slowness : float
-        Factor on the duration of tasks.
-    """
-
-    late_share: float = 0.0
-    lost_share: float = 0.0
-    failing: bool = False
-    stalled: bool = False
-    slowness: float = 1.0
-
-
-@attrs.define(kw_only=True, eq=False)
-class RunnerRun:
-    """One run in progress."""
-
-    task: object
-    number: int
-    spec: object
-    behaviour: TaskBehaviour
-    owner: object
-    began_s: float
-    done_s: float = 0.0
-    touched_s: float = 0.0
-    stop_at_s: float = math.inf
-    pace: int = FULL_PERCENT
-
-    @property
-    def percent(self) -> int:
-        """Progress in percent."""
-        if math.isinf(self.behaviour.work_s):
-            return FULL_PERCENT
-        share = self.done_s / max(self.behaviour.work_s, 0.001)
-        return min(int(FULL_PERCENT * share), FULL_PERCENT)
 
 
 class MemoryRunner(RunnerClient):
@@ -139,6 +77,8 @@
         self.faults = RunnerFaults()
         self.alive = True
         self.changed = asyncio.Event()
+        self.frozen_since_s = None
+        self.frozen_s = 0.0
         self._reset_state()
 
     def _reset_state(self):
@@ -151,14 +91,32 @@
         self.last_lapsed_end = 0
 
     def _now(self):
-        return asyncio.get_running_loop().time()
+        """Return the time for which the runner has not stood still."""
+        now = asyncio.get_running_loop().time()
+        return (now if self.frozen_since_s is None else self.frozen_since_s) - (
+            self.frozen_s
+        )
+
+    def freeze(self):
+        """Make the clock, the lease and the work stand still."""
+        self.frozen_since_s = asyncio.get_running_loop().time()
+
+    def unfreeze(self):
+        """Continue after `freeze`."""
+        self.frozen_s += asyncio.get_running_loop().time() - self.frozen_since_s
+        self.frozen_since_s = None
 
     def clock_ms(self) -> int:
         """Return the time of the runner's monotonic clock in milliseconds."""
         return int((self.clock_offset_s + self._now() * self.clock_rate) * MS_PER_S)
 
-    def crash(self, incarnation):
-        """Lose all state and continue as another incarnation."""
+    def crash(self, incarnation, *, clock_s=None):
+        """Lose all state and continue as another incarnation.
+
+        The clock goes on, or starts anew at `clock_s`.
+        """
+        if clock_s is not None:
+            self.clock_offset_s = clock_s - self._now() * self.clock_rate
         runs = list(self.runs.values())
         self._reset_state()
         for run in runs:
@@ -329,7 +287,7 @@
         Without ended runs, the answer is delayed by at most `wait_s`.
         """
         if epoch < self.epoch:
-            return Ok(self._make_inventory(Refusal.STALE_EPOCH))
+            return Ok(self.make_inventory(Refusal.STALE_EPOCH))
         self.epoch = epoch
         self.advance()
         self._extend(lease_until_ms)
@@ -346,10 +304,11 @@
             except TimeoutError:
                 break
         if epoch < self.epoch:
-            return Ok(self._make_inventory(Refusal.STALE_EPOCH))
-        return Ok(self._make_inventory(Refusal.NONE))
+            return Ok(self.make_inventory(Refusal.STALE_EPOCH))
+        return Ok(self.make_inventory(Refusal.NONE))
 
-    def _make_inventory(self, refusal):
+    def make_inventory(self, refusal):
+        """Return the present inventory."""
         shown = refusal is Refusal.NONE
         rows = tuple(
             RunningTask(
