--- a/wasabipaddle/commands/tests/test_soak.py
+++ b/wasabipaddle/commands/tests/test_soak.py
@@ -24,6 +24,7 @@
         {"processes": 1_000},
         {"runners": True},
         {"at_once": 99},
+        {"faults": "partition,partitoin"},
     ],
 )
 def test_wrong_arguments_are_refused_before_anything_starts(changes):
--- a/wasabipaddle/soak/regressions.py
+++ b/wasabipaddle/soak/regressions.py
@@ -2,18 +2,21 @@
 
 import attrs
 
+from wasabipaddle.soak.names import BASIC_FAULTS
+
 __all__ = ["REGRESSIONS", "Regression"]
 
 
 @attrs.frozen(kw_only=True)
 class Regression:
-    """One seed, the size of the cell with which it failed, and the cause."""
+    """One seed, the size of the cell and the faults with which it failed, the cause."""
 
     seed: int
     seconds: float
     cause: str
     processes: int = 4
     runners: int = 8
+    faults: tuple[str, ...] = BASIC_FAULTS
 
 
 REGRESSIONS = (
--- a/wasabipaddle/soak/tests/test_soak.py
+++ b/wasabipaddle/soak/tests/test_soak.py
@@ -15,6 +15,7 @@
         seconds=case.seconds,
         processes=case.processes,
         runners=case.runners,
+        faults=case.faults,
         keep=tmp_path,
     )
     report = (tmp_path / f"seed-{case.seed}" / "report.txt").read_text()
