--- a/wasabipaddle/soak/tests/test_partitions.py
+++ b/wasabipaddle/soak/tests/test_partitions.py
@@ -8,6 +8,7 @@
 
 from wasabipaddle.cell.keys import FLEET_KEY
 from wasabipaddle.interfaces import Put
+from wasabipaddle.platform.registry import REGISTRY_PREFIX
 from wasabipaddle.settings import LinkSettings
 from wasabipaddle.soak.partitions import Partitions
 from wasabipaddle.soak.platform import CALLERS, CELL, STORE
@@ -118,15 +119,17 @@
 
     async def scenario():
         values = {
-            "servers/w1": b'{"address":"127.0.0.1:1000"}',
+            f"{REGISTRY_PREFIX}w1": b'{"address":"127.0.0.1:1000"}',
             # Written by p0, with the address that p0 uses.
             FLEET_KEY: b'[{"address":"127.0.0.1:1001"}]',
-            "servers/odd": b'{"address":"127.0.0.1:10000"}',
+            f"{REGISTRY_PREFIX}odd": b'{"address":"127.0.0.1:10000"}',
         }
         memory.apply((), [Put(key=k, value=v) for k, v in values.items()], ())
         view = ProcessView(memory=memory, client="p1", addresses=addresses)
-        listed = (await view.list_all("servers/")).ok().entries
-        followed = await view.follow("servers/w1", after_revision=0, wait_s=0.1)
+        listed = (await view.list_all(REGISTRY_PREFIX)).ok().entries
+        followed = await view.follow(
+            f"{REGISTRY_PREFIX}w1", after_revision=0, wait_s=0.1
+        )
         return (
             [entry.value for entry in listed],
             (await view.get(FLEET_KEY)).ok().value,
