--- a/wasabipaddle/soak/callers.py
+++ b/wasabipaddle/soak/callers.py
@@ -22,8 +22,9 @@
 REPEAT_PROBABILITY = 0.1
 CANCEL_PROBABILITY = 0.15
 # Weights of urgent, batch, gang, lasting, scheduled, always failing and long jobs.
-JOB_WEIGHTS = (49, 20, 8, 7, 5, 5, 6)
+JOB_WEIGHTS = (51, 20, 8, 7, 5, 5, 4)
 BURST_STEP = StepSpec(count=50, cpu=4, memory_mb=16, image="small")
+LONG_WORK_S = (5.0, 9.0)
 ACCEPTED_STATUSES = range(200, 300)
 REFUSAL_STATUSES = frozenset({429, 503})
 STATUS_GONE = 410
@@ -61,11 +62,15 @@
         self.random = random
         self.caller = JobCaller(wait_s=CALL_TIMEOUT_S)
         self.tasks = set()
-        self.submitting = True
+        self.long_until_s = math.inf
         self.queues = {}
 
-    async def run(self, jobs_per_s, until_s):
-        """Submit jobs, some in bursts, until `until_s` on the clock of the ledger."""
+    async def run(self, jobs_per_s, until_s, *, long_until_s=math.inf):
+        """Submit jobs, some in bursts, until `until_s` on the clock of the ledger.
+
+        Long ones, which could not end in time after it, are sent until `long_until_s`.
+        """
+        self.long_until_s = long_until_s
         while self.ledger.now() < until_s:
             count = BURST_JOBS if self.random.random() < BURST_PROBABILITY else 1
             for _ in range(count):
@@ -200,8 +205,14 @@
 
     def _long(self, payload):
         rng = self.random
+        if self.ledger.now() > self.long_until_s:
+            return self._batch(payload)
         step = self._step(
-            rng.randint(1, 3), rng.uniform(5.0, 12.0), checkpoints=rng.random() < 0.5
+            rng.randint(1, 2),
+            rng.uniform(*LONG_WORK_S),
+            cpu=500,
+            image="long",
+            checkpoints=rng.random() < 0.5,
         )
         return self._job("batch", payload, [step])
 
--- a/wasabipaddle/soak/driver.py
+++ b/wasabipaddle/soak/driver.py
@@ -166,7 +166,9 @@
         async with asyncio.TaskGroup() as group:
             watching = group.create_task(lag.watch())
             enforcing = group.create_task(cell.enforce_grace_period())
-            group.create_task(callers.run(JOBS_PER_S, until_s + DEPARTURES_S))
+            group.create_task(
+                callers.run(JOBS_PER_S, until_s + DEPARTURES_S, long_until_s=until_s)
+            )
             injecting = group.create_task(faults.run(until_s))
             await injecting
             platform.heal()
--- a/wasabipaddle/soak/platform.py
+++ b/wasabipaddle/soak/platform.py
@@ -78,11 +78,16 @@
         tickets = {
             runner: f"{job}.{step}.{runner}"
             for runner in runners
-            if int(runner.removeprefix("w")) % 3 != excluded
+            if _is_own(runner) and int(runner.removeprefix("w")) % 3 != excluded
         }
         return Ok(Advice(tickets=tickets, valid_s=ADVICE.valid_s))
 
 
+def _is_own(runner):
+    """Return whether an id is that of a runner, and not one of an odd entry."""
+    return runner.startswith("w") and runner[1:].isdecimal()
+
+
 class SoakPlatform:
     """Stand-ins behind proxies that can delay, cut, silence and reset connections.
 
--- a/wasabipaddle/soak/runner_faults.py
+++ b/wasabipaddle/soak/runner_faults.py
@@ -18,7 +18,7 @@
 MAX_FROZEN_S = 2.0
 # Time in which the runner answers again, and length of the cut that follows, during
 # which its lease runs out.
-REACHABLE_S = 1.0
+REACHABLE_S = 2.0
 UNREACHABLE_S = 8.0
 
 
