--- a/wasabipaddle/soak/cell.py
+++ b/wasabipaddle/soak/cell.py
@@ -161,15 +161,14 @@
     async def replace(self, name):
         """Stop a process for good and start one with a name that was not used before.
 
-        The new process starts once the old one has exited, as on the platform.
+        The new process starts once the old one has exited, as on the platform. The old
+        name stays in `stopping`, so that calls which its exit cut are still judged.
         """
         self.retired.add(name)
         child = self.children[name]
         self.terminate(name)
         await child.wait()
         self.platform.processes.remove(name)
-        del self.stopping[name]
-        self.killed.discard(name)
         self.names_used += 1
         new_name = f"p{self.names_used - 1}"
         await self._add(new_name)
