--- a/wasabipaddle/soak/odd_entries.py
+++ b/wasabipaddle/soak/odd_entries.py
@@ -13,6 +13,9 @@
 __all__ = ["ODD_VALUES", "OddEntries"]
 
 DEEP_NESTING = 100_000
+# Odd entries name no runner, also if the dispatcher takes them for sound: a runner
+# with two entries would get the work of two.
+CLOSED_ADDRESS = "127.0.0.1:1"
 MIN_ENTRIES = 3
 MAX_ENTRIES = 10
 WRITE_INTERVAL_S = 0.4
@@ -136,7 +139,9 @@
     def _write(self, name):
         runner = self.platform.runners[sorted(self.platform.runners)[0]]
         self.written += 1
-        entry = attrs.evolve(runner.entry, id=f"odd-{self.written}")
+        entry = attrs.evolve(
+            runner.entry, id=f"odd-{self.written}", address=CLOSED_ADDRESS
+        )
         sound = msgspec.json.decode(encode_runner(entry, self.written)[1])
         prefix = self.random.choice((REGISTRY_PREFIX,) * 4 + (CONFIGURATION_KEY,))
         key = f"{prefix}odd-{self.written}-{name}"
--- a/wasabipaddle/soak/tests/test_faults.py
+++ b/wasabipaddle/soak/tests/test_faults.py
@@ -124,6 +124,9 @@
     prefixes = (REGISTRY_PREFIX, CONFIGURATION_KEY)
     assert all(key.startswith(prefixes) for key in platform.memory.items)
     assert CONFIGURATION_KEY not in platform.memory.items
+    # The runners would get the work of two if entries named them.
+    values = [entry.value for entry in platform.memory.items.values()]
+    assert not any(ENTRY.address.encode() in value for value in values)
 
 
 @pytest.mark.parametrize(
