soak: Check that lasting tasks are restarted in time

The fault now lasts for 15 s, in which the cell counts as undisturbed after its first moment, and the new check follows the rule for such tasks.

--- a/wasabipaddle/soak/driver.py
+++ b/wasabipaddle/soak/driver.py
@@ -11,6 +11,7 @@
 from wasabipaddle.soak.cell import CellProcesses
 from wasabipaddle.soak.departures import DEPARTURES_S, Departures
 from wasabipaddle.soak.faults import SoakFaults
+from wasabipaddle.soak.lasting import LastingWatch
 from wasabipaddle.soak.ledger import SoakLedger
 from wasabipaddle.soak.names import ALL_FAULTS
 from wasabipaddle.soak.platform import HOST, QUEUES, SoakPlatform
@@ -165,6 +166,9 @@
         until_s = ledger.now() + seconds
         async with asyncio.TaskGroup() as group:
             watching = group.create_task(lag.watch())
+            idle_check = group.create_task(
+                LastingWatch(ledger=ledger, faults=faults).run()
+            )
             enforcing = group.create_task(cell.enforce_grace_period())
             group.create_task(
                 callers.run(JOBS_PER_S, until_s + DEPARTURES_S, long_until_s=until_s)
@@ -172,9 +176,11 @@
             injecting = group.create_task(faults.run(until_s))
             await injecting
             platform.heal()
+            faults.record_disturbance()
             await departures.run()
             await callers.finish(FINISH_TIMEOUT_S)
             enforcing.cancel()
+            idle_check.cancel()
             watching.cancel()
         ledger.check_end()
     finally:
--- a/wasabipaddle/soak/faults.py
+++ b/wasabipaddle/soak/faults.py
@@ -1,6 +1,7 @@
 """Random, overlapping faults of a soak test."""
 
 import asyncio
+import math
 
 import attrs
 
@@ -10,6 +11,7 @@
     BASIC_DISRUPTIONS,
     BASIC_OPERATIONS,
     SINGLE_FAULTS,
+    WATCHED_FAULTS,
 )
 from wasabipaddle.soak.odd_entries import OddEntries
 from wasabipaddle.soak.partitions import Partitions
@@ -77,7 +79,7 @@
         self.last_end_s = -SETTLE_S
         self.last_disturbance_s = -SETTLE_S
         self.tasks = set()
-        partitions = Partitions(platform=platform, random=random)
+        partitions = Partitions(platform=platform, random=random, faults=self)
         concurrency = RunnerDisruptions(platform=platform, random=random)
         replacements = Replacements(platform=platform, cell=cell, random=random)
         odd = OddEntries(platform=platform, ledger=ledger, random=random, faults=self)
@@ -112,11 +114,18 @@
         return self.ledger.now() if active else self.last_end_s
 
     @property
-    def last_other_fault_end_s(self) -> float:
-        """As `last_fault_end_s`, without regard to odd entries that are there."""
-        harmless = {"odd_entries", *self.planned}
-        active = any(name not in harmless for name in self.active_names)
-        return self.ledger.now() if active else self.last_disturbance_s
+    def last_disturbance_end_s(self) -> float:
+        """As `last_fault_end_s`, without the waits for the effect of a fault."""
+        calm = WATCHED_FAULTS.union(self.planned)
+        active = any(name not in calm for name in self.active_names)
+        if active:
+            return self.ledger.now()
+        last_s = self.ledger.last_fault_end_s
+        return max(self.last_disturbance_s, last_s if math.isfinite(last_s) else 0.0)
+
+    def record_disturbance(self):
+        """Note that there is a disturbance at this moment."""
+        self.last_disturbance_s = self.ledger.now()
 
     async def run(self, until_s):
         """Inject faults until `until_s` on the clock of the ledger."""
@@ -146,8 +155,8 @@
                 self.active_names.remove(name)
                 if disrupts:
                     self.last_end_s = self.ledger.now()
-                if disrupts and name != "odd_entries":
-                    self.last_disturbance_s = self.ledger.now()
+                if disrupts and name not in WATCHED_FAULTS:
+                    self.record_disturbance()
             self.log.append(f"{self.ledger.now():.1f} {name} {target} {seconds:.1f} s")
 
     def _choose_process(self):
--- a/wasabipaddle/soak/ledger.py
+++ b/wasabipaddle/soak/ledger.py
@@ -110,6 +110,8 @@
         Number of runs that were started.
     running : dict
         Runs in progress by task, as pairs of the runner's id and the run.
+    idle_since_s : dict of TaskId to float
+        End of the last run of each lasting task that does not run.
     draining_since_s : dict of str to float
         Time at which the store had the notice of each runner that leaves.
     last_fault_end_s : float
@@ -121,6 +123,7 @@
         self.violations = []
         self.starts = 0
         self.running = {}
+        self.idle_since_s = {}
         self.draining_since_s = {}
         self.last_fault_end_s = math.inf
         self.started_s = asyncio.get_running_loop().time()
@@ -164,6 +167,7 @@
         if not spec.speculative:
             self._check_not_ended(record, key, run_label)
         others.append((runner.entry.id, run))
+        self.idle_since_s.pop(run.task, None)
         self._check_order(record, key, run_label)
         if len(record.failures.get(key, ())) >= record.queue.max_attempts:
             self.add_violation("attempts", record.id, run_label)
@@ -225,6 +229,8 @@
         """Record the end of a run; the cause is None if its runner was lost."""
         others = self.running.get(run.task, [])
         self.running[run.task] = [row for row in others if row[1] is not run]
+        if run.spec.lasting and not self.running[run.task]:
+            self.idle_since_s[run.task] = self.now()
         record, key = self.jobs[run.task.job], tuple(run.task[1:])
         if cause is EndCause.COMPLETED:
             ends = record.completed.setdefault(key, {})
--- a/wasabipaddle/soak/names.py
+++ b/wasabipaddle/soak/names.py
@@ -7,6 +7,7 @@
     "BASIC_FAULTS",
     "BASIC_OPERATIONS",
     "SINGLE_FAULTS",
+    "WATCHED_FAULTS",
 ]
 
 BASIC_DISRUPTIONS = (
@@ -62,6 +63,7 @@
 # seconds.
 SINGLE_FAULTS = frozenset(
     {
+        "channels_silent",
         "partition",
         "ends_wait",
         "odd_entries",
@@ -69,3 +71,5 @@
         "runners_replaced",
     }
 )
+# Faults that disturb the cell for a moment only and wait for the effect then.
+WATCHED_FAULTS = frozenset({"channels_silent", "odd_entries"})
--- a/wasabipaddle/soak/odd_entries.py
+++ b/wasabipaddle/soak/odd_entries.py
@@ -107,7 +107,7 @@
     random : random.Random
         Random number generator for all choices.
     faults : SoakFaults
-        Gives the end of the last fault.
+        Gives the end of the last disturbance.
     """
 
     def __init__(self, *, platform, ledger, random, faults):
@@ -131,6 +131,7 @@
             await asyncio.sleep(WRITE_INTERVAL_S)
         if self.random.random() < REVOKE_PROBABILITY:
             self.platform.revoke_leader()
+            self.faults.record_disturbance()
         await self._watch_starts(self.random.uniform(MIN_DURATION_S, MAX_DURATION_S))
         for key in self.random.sample(keys, len(keys) // 2):
             self.platform.memory.remove(key)
@@ -154,7 +155,7 @@
         await asyncio.sleep(seconds - STALL_LIMIT_S)
         since_s, starts = self.ledger.now(), self.ledger.starts
         await asyncio.sleep(STALL_LIMIT_S)
-        disturbed = self.faults.last_other_fault_end_s >= since_s - SETTLE_S
+        disturbed = self.faults.last_disturbance_end_s >= since_s - SETTLE_S
         if not disturbed and self.ledger.starts == starts and self._accepted(since_s):
             self.ledger.add_violation(
                 "stalled",
--- a/wasabipaddle/soak/partitions.py
+++ b/wasabipaddle/soak/partitions.py
@@ -15,6 +15,7 @@
 OFF_CALLERS_PROBABILITY = 0.5
 # Share of the runners whose connections to a process fall silent.
 MIN_SILENT_SHARE = 0.5
+SILENCE_EFFECT_S = 15.0
 
 
 class Partitions:
@@ -26,11 +27,14 @@
         Stand-ins and link.
     random : random.Random
         Random number generator for all choices.
+    faults : SoakFaults
+        Learns of the moment at which connections fall silent.
     """
 
-    def __init__(self, *, platform, random):
+    def __init__(self, *, platform, random, faults):
         self.platform = platform
         self.random = random
+        self.faults = faults
 
     async def partition(self, seconds):
         """Cut off the leader with some runners, which only it reaches then.
@@ -72,7 +76,10 @@
                 self.platform.link.restore(source, target)
 
     async def channels_silent(self, seconds):
-        """Silence the open connections of several processes to one kind of target."""
+        """Silence the open connections of several processes to one kind of target.
+
+        The fault lasts until lasting tasks have to be at work again.
+        """
         processes = self.platform.processes
         count = self.random.randint(min(2, len(processes)), len(processes))
         chosen = self.random.sample(processes, count)
@@ -80,6 +87,8 @@
         for process in chosen:
             for place in self._targets(kind):
                 self.platform.link.silence(process, place)
+        self.faults.record_disturbance()
+        await asyncio.sleep(SILENCE_EFFECT_S)
         return f"{','.join(sorted(chosen))}>{kind}"
 
     def _targets(self, kind):
--- a/wasabipaddle/soak/tests/test_faults.py
+++ b/wasabipaddle/soak/tests/test_faults.py
@@ -103,7 +103,9 @@
                 )
 
         using = asyncio.ensure_future(use_cell())
-        faults = types.SimpleNamespace(last_other_fault_end_s=last_fault_s)
+        faults = types.SimpleNamespace(
+            last_disturbance_end_s=last_fault_s, record_disturbance=lambda: None
+        )
         odd = OddEntries(
             platform=platform, ledger=ledger, random=random.Random(5), faults=faults
         )
--- a/wasabipaddle/soak/tests/test_ledger.py
+++ b/wasabipaddle/soak/tests/test_ledger.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+import types
 
 import pytest
 
@@ -15,6 +16,7 @@
     StepSpec,
     TaskId,
 )
+from wasabipaddle.soak.lasting import LastingWatch
 from wasabipaddle.soak.ledger import JobRecord, SoakLedger
 from wasabipaddle.standins.runners import MemoryRunner, TaskBehaviour
 
@@ -265,3 +267,39 @@
         assert setup.promises == promises
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ("idle_s", "fault_end_s", "cancel_sent", "promises"),
+    [
+        (9.1, -math.inf, False, ["idle"]),
+        (8.9, -math.inf, False, []),
+        (9.1, -6.9, False, []),
+        (9.1, -7.1, False, ["idle"]),
+        (9.1, -math.inf, True, []),
+    ],
+    ids=["late", "early", "recent fault", "earlier fault", "cancelled"],
+)
+def test_lasting_task_without_a_run_is_found(
+    run, idle_s, fault_end_s, cancel_sent, promises
+):
+    """Guards against lasting tasks that are away until the end is in sight."""
+
+    async def scenario():
+        setup = LedgerSetup(step(lasting=True), work_s=math.inf)
+        setup.record.cancel_sent = cancel_sent
+        await setup.start(0)
+        assert not setup.ledger.idle_since_s
+        setup.runners[0].crash(2)
+        now = setup.ledger.now()
+        (task,) = setup.ledger.idle_since_s
+        setup.ledger.idle_since_s[task] = now - idle_s
+        faults = types.SimpleNamespace(last_disturbance_end_s=now + fault_end_s)
+        watch = LastingWatch(ledger=setup.ledger, faults=faults)
+        watch.check()
+        watch.check()
+        await setup.start(1, run=2)
+        assert not setup.ledger.idle_since_s
+        return setup.promises
+
+    assert run(scenario()) == promises
--- a/wasabipaddle/soak/tests/test_partitions.py
+++ b/wasabipaddle/soak/tests/test_partitions.py
@@ -19,6 +19,7 @@
 PROCESSES = ["p0", "p1", "p2"]
 RUNNERS = [f"w{i}" for i in range(6)]
 LEADER = "p1"
+FAULTS = types.SimpleNamespace(record_disturbance=lambda: None)
 
 
 @pytest.fixture
@@ -47,7 +48,9 @@
     """Guards against a partition in which both sides reach a runner, or none does."""
 
     async def scenario():
-        faults = Partitions(platform=platform, random=random.Random(seed))
+        faults = Partitions(
+            platform=platform, random=random.Random(seed), faults=FAULTS
+        )
         cut = asyncio.ensure_future(faults.partition(1.0))
         await asyncio.sleep(3.0)
         near = reached(platform, LEADER)
@@ -68,7 +71,7 @@
     """Guards against a runner that answers again after it has left."""
 
     async def scenario():
-        faults = Partitions(platform=platform, random=random.Random(1))
+        faults = Partitions(platform=platform, random=random.Random(1), faults=FAULTS)
         cut = asyncio.ensure_future(faults.partition(1.0))
         await asyncio.sleep(3.0)
         del platform.runners["w0"]
@@ -92,7 +95,9 @@
             link.connect(CELL, process)
             for place in (STORE, *RUNNERS):
                 link.connect(process, place)
-        faults = Partitions(platform=platform, random=random.Random(seed))
+        faults = Partitions(
+            platform=platform, random=random.Random(seed), faults=FAULTS
+        )
         target = await faults.channels_silent(1.0)
         silent = [c for c in link.connections if c.silent]
         processes = {c.source for c in silent} | {c.target for c in silent}
