soak: Submit jobs until the last phase has ended

A partition lasts for up to 24 s after the time for faults, and no job was submitted any more when runners began to leave, so that phase checked nothing. Silent channels follow a burst of small tasks now, which opens many connections to the runners, and concern the leader each time.

--- a/wasabipaddle/soak/callers.py
+++ b/wasabipaddle/soak/callers.py
@@ -52,6 +52,11 @@
         Gives the end of the last fault.
     random : random.Random
         Random number generator for all choices.
+
+    Attributes
+    ----------
+    sends_long_jobs : bool
+        Whether jobs that take long are among those that are submitted.
     """
 
     def __init__(self, *, platform, cell, ledger, faults, random):
@@ -62,16 +67,12 @@
         self.random = random
         self.caller = JobCaller(wait_s=CALL_TIMEOUT_S)
         self.tasks = set()
-        self.long_until_s = math.inf
+        self.sends_long_jobs = True
         self.queues = {}
 
-    async def run(self, jobs_per_s, until_s, *, long_until_s=math.inf):
-        """Submit jobs, some in bursts, until `until_s` on the clock of the ledger.
-
-        Long ones, which could not end in time after it, are sent until `long_until_s`.
-        """
-        self.long_until_s = long_until_s
-        while self.ledger.now() < until_s:
+    async def run(self, jobs_per_s):
+        """Submit jobs, some in bursts, until cancelled."""
+        while True:
             count = BURST_JOBS if self.random.random() < BURST_PROBABILITY else 1
             for _ in range(count):
                 self._spawn(self._follow_job(self._make_job()))
@@ -205,7 +206,7 @@
 
     def _long(self, payload):
         rng = self.random
-        if self.ledger.now() > self.long_until_s:
+        if not self.sends_long_jobs:
             return self._batch(payload)
         step = self._step(
             rng.randint(1, 2),
--- a/wasabipaddle/soak/cell.py
+++ b/wasabipaddle/soak/cell.py
@@ -55,6 +55,8 @@
         self.retired = set()
         self.names_used = len(platform.processes)
         self.port_holders = []
+        for name in platform.processes:
+            self._reserve_ports(name)
         self.closing = False
         self.tasks = set()
 
@@ -174,16 +176,20 @@
         await self._add(new_name)
         return new_name
 
-    async def _add(self, name):
+    def _reserve_ports(self, name):
+        """Reserve the ports on which a process will listen."""
         platform = self.platform
-        ports = (
+        for ports in (
             platform.internal_ports,
             platform.caller_ports,
             platform.readiness_ports,
-        )
-        for port in ports:
+        ):
             self.port_holders.append(reserve_port(HOST))
-            port[name] = self.port_holders[-1].getsockname()[1]
+            ports[name] = self.port_holders[-1].getsockname()[1]
+
+    async def _add(self, name):
+        platform = self.platform
+        self._reserve_ports(name)
         await platform.open_addresses(name)
         self._write_settings(name)
         await self._start(name)
--- a/wasabipaddle/soak/departures.py
+++ b/wasabipaddle/soak/departures.py
@@ -4,7 +4,7 @@
 
 from wasabipaddle.soak.ledger import SETTLE_S
 
-__all__ = ["DEPARTURES_S", "Departures"]
+__all__ = ["Departures"]
 
 # Time for which watches hear nothing before the store drops its history, and time in
 # which every open watch falls silent.
@@ -12,8 +12,6 @@
 SILENCE_S = 0.1
 RUNNER_COUNT = 2
 LEAVES_IN_S = 6.0
-# Length of the phase.
-DEPARTURES_S = UNANSWERED_S + SETTLE_S + LEAVES_IN_S
 
 
 class Departures:
--- a/wasabipaddle/soak/driver.py
+++ b/wasabipaddle/soak/driver.py
@@ -9,13 +9,12 @@
 
 from wasabipaddle.soak.callers import SoakCallers
 from wasabipaddle.soak.cell import CellProcesses
-from wasabipaddle.soak.departures import DEPARTURES_S, Departures
+from wasabipaddle.soak.departures import Departures
 from wasabipaddle.soak.faults import SoakFaults
 from wasabipaddle.soak.lasting import LastingWatch
 from wasabipaddle.soak.ledger import SoakLedger
 from wasabipaddle.soak.names import ALL_FAULTS
-from wasabipaddle.soak.platform import HOST, QUEUES, SoakPlatform
-from wasabipaddle.standins.listener import reserve_port
+from wasabipaddle.soak.platform import QUEUES, SoakPlatform
 
 __all__ = ["SoakResult", "run_soak"]
 
@@ -120,18 +119,25 @@
             self.longest_s = max(self.longest_s, loop.time() - due_s)
 
 
-async def _run(seed, seconds, *, processes, runners, keep, names):
+@attrs.frozen(kw_only=True)
+class _SoakParts:
+    """Parts of one run of the soak test."""
+
+    ledger: SoakLedger
+    platform: SoakPlatform
+    cell: CellProcesses
+    faults: SoakFaults
+    callers: SoakCallers
+    departures: Departures
+
+
+def _assemble(seed, *, processes, runners, keep, names) -> _SoakParts:
+    """Create the parts of a run; all random choices follow from the seed."""
     rng = random.Random(seed)
     ledger = SoakLedger()
-    process_names = [f"p{i}" for i in range(processes)]
-    port_holders = [reserve_port(HOST) for _ in range(3 * processes)]
-    ports = [holder.getsockname()[1] for holder in port_holders]
     platform = SoakPlatform(
         ledger=ledger,
-        processes=process_names,
-        internal_ports=dict(zip(process_names, ports, strict=False)),
-        caller_ports=dict(zip(process_names, ports[processes:], strict=False)),
-        readiness_ports=dict(zip(process_names, ports[2 * processes :], strict=False)),
+        processes=[f"p{i}" for i in range(processes)],
         runner_count=runners,
         seed=rng.random(),
     )
@@ -159,41 +165,56 @@
     faults.probe = callers.probe
     faults.submit_burst = callers.submit_burst
     callers.queues = {queue.name: queue for queue in QUEUES}
-    lag = _LoopLag()
-    await platform.start()
+    return _SoakParts(
+        ledger=ledger,
+        platform=platform,
+        cell=cell,
+        faults=faults,
+        callers=callers,
+        departures=departures,
+    )
+
+
+async def _play(parts, seconds):
+    """Inject the faults, let runners leave and wait for the end of all jobs."""
+    callers, faults = parts.callers, parts.faults
+    until_s = parts.ledger.now() + seconds
+    lasting = LastingWatch(ledger=parts.ledger, faults=faults)
+    async with asyncio.TaskGroup() as group:
+        enforcing = group.create_task(parts.cell.enforce_grace_period())
+        checking = group.create_task(lasting.run())
+        submitting = group.create_task(callers.run(JOBS_PER_S))
+        await faults.run(until_s)
+        parts.platform.heal()
+        faults.record_disturbance()
+        # Long jobs that are sent later could not end in time.
+        callers.sends_long_jobs = False
+        await parts.departures.run()
+        submitting.cancel()
+        await callers.finish(FINISH_TIMEOUT_S)
+        enforcing.cancel()
+        checking.cancel()
+
+
+async def _run(seed, seconds, **options):
+    parts = _assemble(seed, **options)
+    ledger, lag = parts.ledger, _LoopLag()
+    watching = asyncio.get_running_loop().create_task(lag.watch())
+    await parts.platform.start()
     try:
-        await cell.start(callers.caller)
-        until_s = ledger.now() + seconds
-        async with asyncio.TaskGroup() as group:
-            watching = group.create_task(lag.watch())
-            idle_check = group.create_task(
-                LastingWatch(ledger=ledger, faults=faults).run()
-            )
-            enforcing = group.create_task(cell.enforce_grace_period())
-            group.create_task(
-                callers.run(JOBS_PER_S, until_s + DEPARTURES_S, long_until_s=until_s)
-            )
-            injecting = group.create_task(faults.run(until_s))
-            await injecting
-            platform.heal()
-            faults.record_disturbance()
-            await departures.run()
-            await callers.finish(FINISH_TIMEOUT_S)
-            enforcing.cancel()
-            idle_check.cancel()
-            watching.cancel()
+        await parts.cell.start(parts.callers.caller)
+        await _play(parts, seconds)
         ledger.check_end()
     finally:
-        await cell.close()
-        await platform.close()
-        for holder in port_holders:
-            holder.close()
+        watching.cancel()
+        await parts.cell.close()
+        await parts.platform.close()
     return SoakResult(
         seed=seed,
         jobs=len(ledger.jobs),
         accepted=sum(1 for record in ledger.jobs.values() if record.accepted_s),
         starts=ledger.starts,
-        faults=tuple(faults.log),
+        faults=tuple(parts.faults.log),
         violations=tuple(ledger.violations),
         lag_s=lag.longest_s,
     )
--- a/wasabipaddle/soak/faults.py
+++ b/wasabipaddle/soak/faults.py
@@ -79,7 +79,13 @@
         self.last_end_s = -SETTLE_S
         self.last_disturbance_s = -SETTLE_S
         self.tasks = set()
-        partitions = Partitions(platform=platform, random=random, faults=self)
+
+        def submit(label, work_s):
+            self.submit_burst(label, work_s)
+
+        partitions = Partitions(
+            platform=platform, random=random, faults=self, submit=submit
+        )
         concurrency = RunnerDisruptions(platform=platform, random=random)
         replacements = Replacements(platform=platform, cell=cell, random=random)
         odd = OddEntries(platform=platform, ledger=ledger, random=random, faults=self)
@@ -87,7 +93,7 @@
             platform=platform,
             ledger=ledger,
             random=random,
-            submit=lambda label, work_s: self.submit_burst(label, work_s),
+            submit=submit,
         )
         self.disruptions = {
             **{name: getattr(self, f"_{name}") for name in BASIC_DISRUPTIONS},
--- a/wasabipaddle/soak/partitions.py
+++ b/wasabipaddle/soak/partitions.py
@@ -16,6 +16,11 @@
 # Share of the runners whose connections to a process fall silent.
 MIN_SILENT_SHARE = 0.5
 SILENCE_EFFECT_S = 15.0
+# Bursts of small tasks make the processes open many connections to the runners.
+BURSTS = 2
+BURST_JOBS = 6
+BURST_WORK_S = 0.5
+BURST_INTERVAL_S = 2.0
 
 
 class Partitions:
@@ -29,12 +34,16 @@
         Random number generator for all choices.
     faults : SoakFaults
         Learns of the moment at which connections fall silent.
+    submit : callable
+        Submits a job of 50 small tasks for the runners with a label (any if empty) and
+        with a duration.
     """
 
-    def __init__(self, *, platform, random, faults):
+    def __init__(self, *, platform, random, faults, submit):
         self.platform = platform
         self.random = random
         self.faults = faults
+        self.submit = submit
 
     async def partition(self, seconds):
         """Cut off the leader with some runners, which only it reaches then.
@@ -78,11 +87,19 @@
     async def channels_silent(self, seconds):
         """Silence the open connections of several processes to one kind of target.
 
-        The fault lasts until lasting tasks have to be at work again.
+        The leader is one of the processes. The fault lasts until lasting tasks have to
+        be at work again.
         """
+        for _ in range(BURSTS):
+            for _ in range(BURST_JOBS):
+                self.submit("", BURST_WORK_S)
+            await asyncio.sleep(BURST_INTERVAL_S)
         processes = self.platform.processes
         count = self.random.randint(min(2, len(processes)), len(processes))
         chosen = self.random.sample(processes, count)
+        leader = self.platform.leader()
+        if leader in processes and leader not in chosen:
+            chosen[0] = leader
         kind = self.random.choice(("runners", "store", "peers"))
         for process in chosen:
             for place in self._targets(kind):
--- a/wasabipaddle/soak/platform.py
+++ b/wasabipaddle/soak/platform.py
@@ -97,9 +97,6 @@
         Record of the runs on all runners.
     processes : list of str
         Names of the processes of the cell.
-    internal_ports, caller_ports, readiness_ports : dict of str to int
-        Ports on which each process listens for other processes, for callers and for
-        readiness probes.
     runner_count : int
         Number of runners at the start.
     seed : float
@@ -107,6 +104,9 @@
 
     Attributes
     ----------
+    internal_ports, caller_ports, readiness_ports : dict of str to int
+        Ports on which each process listens for other processes, for callers and for
+        readiness probes.
     runners, clients : dict
         Runners, and the clients through which the processes call them, by name.
     reserved_runners : set of str
@@ -118,9 +118,6 @@
         *,
         ledger,
         processes,
-        internal_ports,
-        caller_ports,
-        readiness_ports,
         runner_count,
         seed,
     ):
@@ -134,9 +131,9 @@
         )
         # Traffic to the processes as peers has the source CELL.
         self.link.groups[CELL] = processes
-        self.internal_ports = internal_ports
-        self.caller_ports = caller_ports
-        self.readiness_ports = readiness_ports
+        self.internal_ports = {}
+        self.caller_ports = {}
+        self.readiness_ports = {}
         self.runner_count = runner_count
         self.runners = {}
         self.reserved_runners = set()
--- a/wasabipaddle/soak/tests/test_partitions.py
+++ b/wasabipaddle/soak/tests/test_partitions.py
@@ -22,6 +22,10 @@
 FAULTS = types.SimpleNamespace(record_disturbance=lambda: None)
 
 
+def ignore(label, work_s):
+    """Submit nothing."""
+
+
 @pytest.fixture
 def platform():
     """Platform with a link and a leader, without any traffic."""
@@ -49,7 +53,7 @@
 
     async def scenario():
         faults = Partitions(
-            platform=platform, random=random.Random(seed), faults=FAULTS
+            platform=platform, random=random.Random(seed), faults=FAULTS, submit=ignore
         )
         cut = asyncio.ensure_future(faults.partition(1.0))
         await asyncio.sleep(3.0)
@@ -71,7 +75,9 @@
     """Guards against a runner that answers again after it has left."""
 
     async def scenario():
-        faults = Partitions(platform=platform, random=random.Random(1), faults=FAULTS)
+        faults = Partitions(
+            platform=platform, random=random.Random(1), faults=FAULTS, submit=ignore
+        )
         cut = asyncio.ensure_future(faults.partition(1.0))
         await asyncio.sleep(3.0)
         del platform.runners["w0"]
@@ -96,12 +102,13 @@
             for place in (STORE, *RUNNERS):
                 link.connect(process, place)
         faults = Partitions(
-            platform=platform, random=random.Random(seed), faults=FAULTS
+            platform=platform, random=random.Random(seed), faults=FAULTS, submit=ignore
         )
         target = await faults.channels_silent(1.0)
         silent = [c for c in link.connections if c.silent]
         processes = {c.source for c in silent} | {c.target for c in silent}
         assert len(processes & set(PROCESSES)) >= 2
+        assert LEADER in processes
         assert not link.connect("p0", "w0").silent
         kinds.add(target.partition(">")[2])
         link.connections.clear()
