--- a/wasabipaddle/soak/odd_entries.py
+++ b/wasabipaddle/soak/odd_entries.py
@@ -19,8 +19,8 @@
 MIN_ENTRIES = 3
 MAX_ENTRIES = 10
 WRITE_INTERVAL_S = 0.4
-MIN_DURATION_S = 6.0
-MAX_DURATION_S = 10.0
+MIN_DURATION_S = 10.5
+MAX_DURATION_S = 14.0
 # Every process reads the registry again when the leader changes.
 REVOKE_PROBABILITY = 0.5
 # Time without a start, while jobs are accepted, after which entries of the runners
