--- a/wasabipaddle/soak/callers.py
+++ b/wasabipaddle/soak/callers.py
@@ -23,6 +23,9 @@
 CANCEL_PROBABILITY = 0.15
 # Weights of urgent, batch, gang, lasting, scheduled, always failing and long jobs.
 JOB_WEIGHTS = (51, 20, 8, 7, 5, 5, 4)
+SPREAD_STEP = StepSpec(
+    count=1, cpu=100, memory_mb=16, image="small", lasting=True, max_per_runner=1
+)
 BURST_STEP = StepSpec(count=50, cpu=4, memory_mb=16, image="small")
 LONG_WORK_S = (5.0, 9.0)
 ACCEPTED_STATUSES = range(200, 300)
@@ -134,6 +137,14 @@
         record = self._record(job_id, *self._job("urgent", f"burst {job_id}", steps))
         self._spawn(self._follow_job(record, cancel_probability=0.0))
 
+    def submit_spread(self, count):
+        """Submit a lasting job, never cancelled, with each task on its own runner."""
+        job_id = f"{self.random.getrandbits(64):016x}"
+        step = attrs.evolve(SPREAD_STEP, count=count)
+        steps = [(step, TaskBehaviour(work_s=math.inf))]
+        record = self._record(job_id, *self._job("lasting", f"spread {job_id}", steps))
+        self._spawn(self._submit(record))
+
     def _record(self, job_id, queue, spec, behaviours):
         record = JobRecord(
             id=job_id, queue=self.queues[queue], spec=spec, behaviours=behaviours
--- a/wasabipaddle/soak/driver.py
+++ b/wasabipaddle/soak/driver.py
@@ -164,6 +164,7 @@
     )
     faults.probe = callers.probe
     faults.submit_burst = callers.submit_burst
+    faults.submit_spread = callers.submit_spread
     callers.queues = {queue.name: queue for queue in QUEUES}
     return _SoakParts(
         ledger=ledger,
--- a/wasabipaddle/soak/faults.py
+++ b/wasabipaddle/soak/faults.py
@@ -63,6 +63,8 @@
         Called with a queue to check that all processes know it.
     submit_burst : callable
         Called with a label and a duration in seconds to submit many small tasks.
+    submit_spread : callable
+        Called with a number of tasks to submit a lasting job, one task on a runner.
     """
 
     def __init__(self, *, platform, cell, ledger, random, names=ALL_FAULTS):
@@ -73,6 +75,7 @@
         self.log = []
         self.probe = None
         self.submit_burst = None
+        self.submit_spread = None
         self.names = names
         self.active_names = []
         self.queues_added = 0
@@ -84,7 +87,11 @@
             self.submit_burst(label, work_s)
 
         partitions = Partitions(
-            platform=platform, random=random, faults=self, submit=submit
+            platform=platform,
+            random=random,
+            faults=self,
+            submit=submit,
+            submit_spread=lambda count: self.submit_spread(count),
         )
         concurrency = RunnerDisruptions(platform=platform, random=random)
         replacements = Replacements(platform=platform, cell=cell, random=random)
--- a/wasabipaddle/soak/partitions.py
+++ b/wasabipaddle/soak/partitions.py
@@ -21,6 +21,8 @@
 BURST_JOBS = 6
 BURST_WORK_S = 0.5
 BURST_INTERVAL_S = 2.0
+# Runners beyond those that the tasks of a lasting job need.
+SPARE_RUNNERS = 2
 
 
 class Partitions:
@@ -37,13 +39,16 @@
     submit : callable
         Submits a job of 50 small tasks for the runners with a label (any if empty) and
         with a duration.
+    submit_spread : callable
+        Submits a lasting job with a number of tasks, each on a runner of its own.
     """
 
-    def __init__(self, *, platform, random, faults, submit):
+    def __init__(self, *, platform, random, faults, submit, submit_spread):
         self.platform = platform
         self.random = random
         self.faults = faults
         self.submit = submit
+        self.submit_spread = submit_spread
 
     async def partition(self, seconds):
         """Cut off the leader with some runners, which only it reaches then.
@@ -90,6 +95,7 @@
         The leader is one of the processes. The fault lasts until lasting tasks have to
         be at work again.
         """
+        self.submit_spread(max(1, len(self.platform.runners) - SPARE_RUNNERS))
         for _ in range(BURSTS):
             for _ in range(BURST_JOBS):
                 self.submit("", BURST_WORK_S)
@@ -100,7 +106,7 @@
         leader = self.platform.leader()
         if leader in processes and leader not in chosen:
             chosen[0] = leader
-        kind = self.random.choice(("runners", "store", "peers"))
+        kind = self.random.choice(("runners", "runners", "store", "peers"))
         for process in chosen:
             for place in self._targets(kind):
                 self.platform.link.silence(process, place)
--- a/wasabipaddle/soak/tests/test_partitions.py
+++ b/wasabipaddle/soak/tests/test_partitions.py
@@ -22,7 +22,7 @@
 FAULTS = types.SimpleNamespace(record_disturbance=lambda: None)
 
 
-def ignore(label, work_s):
+def ignore(*arguments):
     """Submit nothing."""
 
 
@@ -53,7 +53,11 @@
 
     async def scenario():
         faults = Partitions(
-            platform=platform, random=random.Random(seed), faults=FAULTS, submit=ignore
+            platform=platform,
+            random=random.Random(seed),
+            faults=FAULTS,
+            submit=ignore,
+            submit_spread=ignore,
         )
         cut = asyncio.ensure_future(faults.partition(1.0))
         await asyncio.sleep(3.0)
@@ -76,7 +80,11 @@
 
     async def scenario():
         faults = Partitions(
-            platform=platform, random=random.Random(1), faults=FAULTS, submit=ignore
+            platform=platform,
+            random=random.Random(1),
+            faults=FAULTS,
+            submit=ignore,
+            submit_spread=ignore,
         )
         cut = asyncio.ensure_future(faults.partition(1.0))
         await asyncio.sleep(3.0)
@@ -102,7 +110,11 @@
             for place in (STORE, *RUNNERS):
                 link.connect(process, place)
         faults = Partitions(
-            platform=platform, random=random.Random(seed), faults=FAULTS, submit=ignore
+            platform=platform,
+            random=random.Random(seed),
+            faults=FAULTS,
+            submit=ignore,
+            submit_spread=ignore,
         )
         target = await faults.channels_silent(1.0)
         silent = [c for c in link.connections if c.silent]
