--- a/wasabipaddle/soak/driver.py
+++ b/wasabipaddle/soak/driver.py
@@ -9,11 +9,12 @@
 
 from wasabipaddle.soak.callers import SoakCallers
 from wasabipaddle.soak.cell import CellProcesses
-from wasabipaddle.soak.departures import DEPARTURES_S, Departures
+from wasabipaddle.soak.departures import Departures
 from wasabipaddle.soak.faults import SoakFaults
+from wasabipaddle.soak.lasting import LastingWatch
 from wasabipaddle.soak.ledger import SoakLedger
-from wasabipaddle.soak.platform import HOST, QUEUES, SoakPlatform
-from wasabipaddle.standins.listener import reserve_port
+from wasabipaddle.soak.names import ALL_FAULTS
+from wasabipaddle.soak.platform import QUEUES, SoakPlatform
 
 __all__ = ["SoakResult", "run_soak"]
 
@@ -65,7 +66,9 @@
         )
 
 
-def run_soak(*, seed, seconds, processes=4, runners=8, keep=None) -> SoakResult:
+def run_soak(
+    *, seed, seconds, processes=4, runners=8, keep=None, faults=ALL_FAULTS
+) -> SoakResult:
     """Run the soak test with one seed.
 
     Parameters
@@ -80,12 +83,21 @@
         Number of processes of the cell and of runners.
     keep : path or None
         Directory for settings, logs and the report; None discards them.
+    faults : tuple of str
+        Names of the faults and planned operations to choose from.
     """
     with tempfile.TemporaryDirectory(prefix="wasabipaddle-soak-") as temporary:
         directory = pathlib.Path(keep or temporary) / f"seed-{seed}"
         directory.mkdir(parents=True, exist_ok=True)
         result = asyncio.run(
-            _run(seed, seconds, processes=processes, runners=runners, keep=directory)
+            _run(
+                seed,
+                seconds,
+                processes=processes,
+                runners=runners,
+                keep=directory,
+                names=faults,
+            )
         )
         report = [result.line(), *result.faults, *(v.line() for v in result.violations)]
         (directory / "report.txt").write_text("\n".join(report) + "\n")
@@ -107,18 +119,25 @@
             self.longest_s = max(self.longest_s, loop.time() - due_s)
 
 
-async def _run(seed, seconds, *, processes, runners, keep):
+@attrs.frozen(kw_only=True)
+class _SoakParts:
+    """Parts of one run of the soak test."""
+
+    ledger: SoakLedger
+    platform: SoakPlatform
+    cell: CellProcesses
+    faults: SoakFaults
+    callers: SoakCallers
+    departures: Departures
+
+
+def _assemble(seed, *, processes, runners, keep, names) -> _SoakParts:
+    """Create the parts of a run; all random choices follow from the seed."""
     rng = random.Random(seed)
     ledger = SoakLedger()
-    names = [f"p{i}" for i in range(processes)]
-    port_holders = [reserve_port(HOST) for _ in range(3 * processes)]
-    ports = [holder.getsockname()[1] for holder in port_holders]
     platform = SoakPlatform(
         ledger=ledger,
-        processes=names,
-        internal_ports=dict(zip(names, ports, strict=False)),
-        caller_ports=dict(zip(names, ports[processes:], strict=False)),
-        readiness_ports=dict(zip(names, ports[2 * processes :], strict=False)),
+        processes=[f"p{i}" for i in range(processes)],
         runner_count=runners,
         seed=rng.random(),
     )
@@ -128,6 +147,7 @@
         cell=cell,
         ledger=ledger,
         random=random.Random(rng.random()),
+        names=names,
     )
     callers = SoakCallers(
         platform=platform,
@@ -143,35 +163,59 @@
         log=faults.log,
     )
     faults.probe = callers.probe
+    faults.submit_burst = callers.submit_burst
+    faults.submit_spread = callers.submit_spread
     callers.queues = {queue.name: queue for queue in QUEUES}
-    lag = _LoopLag()
-    await platform.start()
+    return _SoakParts(
+        ledger=ledger,
+        platform=platform,
+        cell=cell,
+        faults=faults,
+        callers=callers,
+        departures=departures,
+    )
+
+
+async def _play(parts, seconds):
+    """Inject the faults, let runners leave and wait for the end of all jobs."""
+    callers, faults = parts.callers, parts.faults
+    until_s = parts.ledger.now() + seconds
+    lasting = LastingWatch(ledger=parts.ledger, faults=faults)
+    async with asyncio.TaskGroup() as group:
+        enforcing = group.create_task(parts.cell.enforce_grace_period())
+        checking = group.create_task(lasting.run())
+        submitting = group.create_task(callers.run(JOBS_PER_S))
+        await faults.run(until_s)
+        parts.platform.heal()
+        faults.record_disturbance()
+        # Long jobs that are sent later could not end in time.
+        callers.sends_long_jobs = False
+        await parts.departures.run()
+        submitting.cancel()
+        await callers.finish(FINISH_TIMEOUT_S)
+        enforcing.cancel()
+        checking.cancel()
+
+
+async def _run(seed, seconds, **options):
+    parts = _assemble(seed, **options)
+    ledger, lag = parts.ledger, _LoopLag()
+    watching = asyncio.get_running_loop().create_task(lag.watch())
+    await parts.platform.start()
     try:
-        await cell.start(callers.caller)
-        until_s = ledger.now() + seconds
-        async with asyncio.TaskGroup() as group:
-            watching = group.create_task(lag.watch())
-            enforcing = group.create_task(cell.enforce_grace_period())
-            group.create_task(callers.run(JOBS_PER_S, until_s + DEPARTURES_S))
-            injecting = group.create_task(faults.run(until_s))
-            await injecting
-            platform.heal()
-            await departures.run()
-            await callers.finish(FINISH_TIMEOUT_S)
-            enforcing.cancel()
-            watching.cancel()
+        await parts.cell.start(parts.callers.caller)
+        await _play(parts, seconds)
         ledger.check_end()
     finally:
-        await cell.close()
-        await platform.close()
-        for holder in port_holders:
-            holder.close()
+        watching.cancel()
+        await parts.cell.close()
+        await parts.platform.close()
     return SoakResult(
         seed=seed,
         jobs=len(ledger.jobs),
         accepted=sum(1 for record in ledger.jobs.values() if record.accepted_s),
         starts=ledger.starts,
-        faults=tuple(faults.log),
+        faults=tuple(parts.faults.log),
         violations=tuple(ledger.violations),
         lag_s=lag.longest_s,
     )
