Keep a takeover going on a fleet record that cannot be decoded

A registry entry of another writer has a fraction in `born`. After the next hand-over no process dispatches any more.

Cause: `decode_runner` accepted any number, also where a whole number is meant. The value went into the stored fleet record, which the next leader decoded with strict types; the error ended each attempt of the takeover. The writer never read back what it stored.

Change: - An entry of the registry with a fraction, a negative amount or a number beyond 2^53 in place of a whole number names no runner (`born` is always whole by the protocol). A fraction in `incarnation`, which an earlier build may have stored, is truncated. Of an unreadable row, identifier, address and pool are kept if they are readable, so that the runner is asked for its runs; else the identifier alone. Either row has the full wait, whatever wait it names. - If not even the identifier is readable, or the record as a whole is not, one suspect without a name stands for all unknown runners: tasks of recovered jobs in all pools wait until every lease of the previous dispatcher has expired. That includes the runners of the registry, and those that it does not list any more; marking only the former as suspects would miss the latter. Suspects without a runner are written to the next record, so that a second takeover keeps the wait. - A row is decoded again before it is written. One that differs is stored in the form that can be read, and its runner gets no work.

--- a/wasabipaddle/cell/fleet.py
+++ b/wasabipaddle/cell/fleet.py
@@ -3,12 +3,11 @@
 import asyncio
 import math
 
-import msgspec
-
 from wasabipaddle.cell.keys import FLEET_KEY, LEADER_KEY
 from wasabipaddle.exceptions import ErrorKind
 from wasabipaddle.interfaces import Put
-from wasabipaddle.jobs import RecordedRunner
+from wasabipaddle.jobs import RecordedRunner, decode_fleet, encode_fleet
+from wasabipaddle.jobs.decoding import DECODING_ERRORS
 
 __all__ = ["FleetRecord"]
 
@@ -46,6 +45,9 @@
     recorded : set or None
         Identifiers of the stored runners with term and wait in full seconds, None if
         the stored record is not known.
+    unstorable : set of str
+        Identifiers of the runners that the stored record names only in part, because
+        their rows could not be read back; they get no work.
     changed : asyncio.Event
         Set to have the record compared with the fleet soon.
     """
@@ -56,10 +58,14 @@
         self.session = session
         self.revision = 0
         self.recorded = set()
+        self.unstorable = set()
         self.changed = asyncio.Event()
 
     async def load(self):
-        """Return the stored `RecordedRunner` list, with retries until there is one."""
+        """Return the stored `RecordedRunner` list, with retries until there is one.
+
+        A row without an address stands for runners that cannot be called.
+        """
         while True:
             found = await self.store_plugin.call(self.store_plugin.store.get(FLEET_KEY))
             if found.is_ok():
@@ -69,10 +75,13 @@
         if entry is None:
             return []
         self.revision = entry.revision
-        runners = msgspec.json.decode(entry.value, type=list[RecordedRunner])
+        runners = decode_fleet(entry.value, report=self._report_unreadable)
         self.recorded = _summarize(runners)
         return runners
 
+    def _report_unreadable(self, reason):
+        self.store_plugin.unreadable.record("fleet", FLEET_KEY, reason)
+
     async def run(self):
         """Keep the record in line with the fleet until cancelled."""
         settled_s = self.session.now() + SETTLE_S
@@ -85,9 +94,7 @@
                 pass
             self.changed.clear()
             now = self.session.now()
-            rows = self.scheduler.runners_to_record(
-                now, with_waits=now >= settled_s, term=self.session.term
-            )
+            rows = self._rows_to_record(now, with_waits=now >= settled_s)
             self._exclude_unrecorded(rows)
             if _summarize(rows) == self.recorded or await self._write(rows):
                 self._admit(rows)
@@ -95,6 +102,23 @@
             self.changed.set()
             await asyncio.sleep(RETRY_S)
 
+    def _rows_to_record(self, now, *, with_waits):
+        """Return the rows of the runners, and those of suspects without a runner.
+
+        The next dispatcher has to wait for the latter too.
+        """
+        term = self.session.term
+        rows = self.scheduler.runners_to_record(now, with_waits=with_waits, term=term)
+        state = self.scheduler.state
+        for runner_id, until_s in state.suspects.items():
+            if runner_id not in state.runners:
+                wait_s = max(until_s - now, 0.0) if with_waits else None
+                row = RecordedRunner.create_identified(
+                    runner_id, wait_s=wait_s, term=term if with_waits else 0
+                )
+                rows.append(row)
+        return rows
+
     def _exclude_unrecorded(self, rows):
         """Stop new work on runners that the next record omits or names with a wait."""
         working = {row.id for row in rows if row.wait_s is None}
@@ -108,7 +132,8 @@
         admitted = False
         for row in rows:
             runner = runners.get(row.id)
-            if row.wait_s is None and runner is not None:
+            usable = row.wait_s is None and row.id not in self.unstorable
+            if usable and runner is not None:
                 admitted |= not runner.in_fleet_record
                 runner.in_fleet_record = True
         if admitted:
@@ -117,13 +142,14 @@
     async def _write(self, rows):
         """Write the record and return whether it is known to be stored."""
         self.recorded = None
+        stored = self._check_rows(rows)
         written = await self.store_plugin.call(
             self.store_plugin.store.commit(
                 conditions=(
                     (LEADER_KEY, self.session.epoch),
                     (FLEET_KEY, self.revision),
                 ),
-                puts=(Put(key=FLEET_KEY, value=msgspec.json.encode(rows)),),
+                puts=(Put(key=FLEET_KEY, value=encode_fleet(stored)),),
             )
         )
         if written.is_ok():
@@ -134,6 +160,21 @@
             await self.load()
         return False
 
+    def _check_rows(self, rows):
+        """Return the rows in a form that the next dispatcher can read."""
+        self.unstorable = set()
+        stored = []
+        for row in rows:
+            try:
+                (found,) = decode_fleet(encode_fleet([row]))
+            except DECODING_ERRORS:
+                found = RecordedRunner.create_identified()
+            stored.append(found)
+            if found != row:
+                self.unstorable.add(row.id)
+                self._report_unreadable(f"the row of {row.id!r} is not storable")
+        return stored
+
 
 def _summarize(rows):
     return {
--- a/wasabipaddle/cell/intake.py
+++ b/wasabipaddle/cell/intake.py
@@ -41,6 +41,7 @@
         self.watch = StoreWatch(
             store_plugin=store_plugin, name=name, prefix=prefix, bound_s=bound_s
         )
+        self.unreadable = store_plugin.unreadable
         self.pause_s = pause_s
         self.failed = False
         self.relist_after_s = 0.0
@@ -185,12 +186,15 @@
     def _apply_entry(self, entry):
         """Pass the runner of a store entry to `set_runner`.
 
-        If the entry is unreadable, the runner is marked as unlisted.
+        If the entry is unreadable, a runner that was listed is marked as unlisted.
         """
         runner = decode_runner(entry)
         if runner is None:
-            self.listed.discard(entry.key.removeprefix(REGISTRY_PREFIX))
-            self.mark_unlisted(entry.key.removeprefix(REGISTRY_PREFIX))
+            self.unreadable.record("registry", entry.key)
+            runner_id = entry.key.removeprefix(REGISTRY_PREFIX)
+            if runner_id in self.listed:
+                self.listed.discard(runner_id)
+                self.mark_unlisted(runner_id)
             return
         self.listed.add(runner.id)
         self.set_runner(runner)
--- a/wasabipaddle/cell/session.py
+++ b/wasabipaddle/cell/session.py
@@ -177,17 +177,20 @@
         The registry may no longer list some of them, but they may run tasks of the
         previous dispatcher until the leases that it granted have expired. A runner that
         did not answer the previous dispatcher either has only those of earlier ones.
+        A row without an address is of a runner that can only be waited for.
         """
-        timing = self.scheduler.state.timing
+        timing, suspects = self.scheduler.state.timing, self.scheduler.state.suspects
         lease_wait_s = timing.lease_s * CLOCK_DRIFT_FACTOR + STEP_DOWN_S
         for row in await self.fleet.load():
-            runner = self.scheduler.set_runner(row.entry, self.now())
-            runner.listed = False
-            runner.in_fleet_record = row.wait_s is None
+            if row.address:
+                runner = self.scheduler.set_runner(row.entry, self.now())
+                runner.listed = False
+                runner.in_fleet_record = row.wait_s is None
             wait_s = lease_wait_s
             if row.wait_s is not None and row.term == self.term - 1:
                 wait_s = min(row.wait_s, lease_wait_s)
-            self.scheduler.state.suspects[row.id] = self.now() + wait_s
+            until_s = self.now() + wait_s
+            suspects[row.id] = max(suspects.get(row.id, 0.0), until_s)
 
     async def _load_progress(self):
         while True:
--- a/wasabipaddle/cell/store.py
+++ b/wasabipaddle/cell/store.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from wasabipaddle.cell.unreadable import UnreadableRecords
 from wasabipaddle.exceptions import ErrorKind
 from wasabipaddle.kernel import Plugin
 from wasabipaddle.platform import PlatformStore
@@ -72,6 +73,8 @@
         Client of the store.
     health : StoreHealth
         Health of the store as seen from this process.
+    unreadable : UnreadableRecords
+        Records of the store that this process could not decode.
     """
 
     name = "cell_store"
@@ -80,6 +83,7 @@
         super().__init__(context=context)
         self.store = PlatformStore(address=context.settings.platform.store)
         self.health = StoreHealth(journal=context.journal)
+        self.unreadable = UnreadableRecords(context=context)
 
     async def call(self, coroutine):
         """Await a call of the store; record its result and duration."""
--- a/wasabipaddle/jobs/__init__.py
+++ b/wasabipaddle/jobs/__init__.py
@@ -7,7 +7,13 @@
     Pool,
     Queue,
 )
-from wasabipaddle.jobs.fleet import Capacity, RecordedRunner, RunnerEntry
+from wasabipaddle.jobs.fleet import (
+    Capacity,
+    RecordedRunner,
+    RunnerEntry,
+    decode_fleet,
+    encode_fleet,
+)
 from wasabipaddle.jobs.model import Job, JobPhase, JobSpec, StepSpec, TaskId
 from wasabipaddle.jobs.records import (
     JobProgress,
@@ -32,8 +38,10 @@
     "RunnerEntry",
     "StepSpec",
     "TaskId",
+    "decode_fleet",
     "decode_job",
     "decode_progress",
+    "encode_fleet",
     "encode_job",
     "encode_progress",
 ]
--- /dev/null
+++ b/wasabipaddle/jobs/decoding.py
@@ -0,0 +1,93 @@
+"""Errors of decoders, and conversions that they share."""
+
+import math
+
+import msgspec
+
+__all__ = [
+    "DECODING_ERRORS",
+    "MAX_INTEGER",
+    "integer",
+    "number",
+    "rounded",
+    "text",
+    "whole",
+]
+
+# What malformed data may raise in a decoder; deeply nested JSON raises RecursionError,
+# and the conversion of a number that is too large OverflowError.
+DECODING_ERRORS = (
+    msgspec.MsgspecError,
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
+# Largest magnitude of a number; JSON readers that use doubles keep it exactly.
+MAX_INTEGER = 2**53 - 1
+# Longest name of a runner, pool, label and the like; keys of the store are shorter.
+MAX_TEXT_BYTES = 256
+
+
+def whole(value):
+    """Return a float without a fraction as an integer, and any other value as it is."""
+    is_whole = isinstance(value, float) and value.is_integer()
+    return int(value) if is_whole else value
+
+
+def rounded(value):
+    """Return a float as the nearest integer, and any other value as it is."""
+    return round(value) if isinstance(value, float) else value
+
+
+def integer(value, *, least=-MAX_INTEGER, most=MAX_INTEGER) -> int:
+    """Return an integral number as an `int`.
+
+    Raises
+    ------
+    TypeError
+        If the value is not an integral number.
+    ValueError
+        If it is below `least` or above `most`.
+    """
+    found = whole(value)
+    if type(found) is not int:
+        raise TypeError(f"{_shorten(value)} is not an integer")
+    if not least <= found <= most:
+        raise ValueError(f"{_shorten(value)} is out of range")
+    return found
+
+
+def number(value, *, least=-MAX_INTEGER) -> float:
+    """Return a finite number; raise `TypeError` or `ValueError` for anything else."""
+    if type(value) not in (int, float):
+        raise TypeError(f"{_shorten(value)} is not a number")
+    if not math.isfinite(value) or not least <= value <= MAX_INTEGER:
+        raise ValueError(f"{_shorten(value)} is out of range")
+    return value
+
+
+def text(value, *, empty=False) -> str:
+    """Return a string of at most `MAX_TEXT_BYTES` bytes.
+
+    Raises
+    ------
+    TypeError
+        If the value is not a string.
+    ValueError
+        If it is too long, cannot be encoded, or is empty unless `empty` is given.
+    """
+    if type(value) is not str:
+        raise TypeError(f"{_shorten(value)} is not a string")
+    if not value and not empty:
+        raise ValueError("a string is empty")
+    if len(value.encode()) > MAX_TEXT_BYTES:
+        raise ValueError(f"{_shorten(value)} is too long")
+    return value
+
+
+def _shorten(value):
+    shown = repr(value[:40]) if isinstance(value, str) else type(value).__name__
+    return shown if not isinstance(value, (int, float)) else f"{value!r:.40}"
--- a/wasabipaddle/jobs/fleet.py
+++ b/wasabipaddle/jobs/fleet.py
@@ -1,8 +1,17 @@
 """Entries of runners in the registry of the platform."""
 
 import attrs
+import msgspec
 
-__all__ = ["Capacity", "RecordedRunner", "RunnerEntry"]
+from wasabipaddle.jobs.decoding import DECODING_ERRORS, integer, number, text
+
+__all__ = [
+    "Capacity",
+    "RecordedRunner",
+    "RunnerEntry",
+    "decode_fleet",
+    "encode_fleet",
+]
 
 
 @attrs.frozen(kw_only=True)
@@ -61,6 +70,9 @@
 class RecordedRunner(RunnerEntry):
     """Runner in the stored fleet record.
 
+    A runner of which only the identifier is known has no address. If `id` is empty as
+    well, the row stands for any number of unknown runners.
+
     Parameters
     ----------
     wait_s : float or None
@@ -85,6 +97,109 @@
         """Registry entry of the runner."""
         return RunnerEntry(**_entry_fields(self))
 
+    @classmethod
+    def create_identified(cls, runner_id="", *, wait_s=None, term=0):
+        """Return the record of a runner of which only the identifier is known."""
+        return cls(
+            id=runner_id,
+            address="",
+            data_centre="",
+            pool="",
+            capacity=Capacity(),
+            wait_s=wait_s,
+            term=term,
+        )
+
+
+def encode_fleet(rows) -> bytes:
+    """Encode a list of `RecordedRunner` for the store."""
+    return msgspec.json.encode(rows)
+
+
+def _ignore(detail):
+    """Discard the report of an unreadable row."""
+
+
+def decode_fleet(data, *, report=_ignore) -> list[RecordedRunner]:
+    """Decode the stored fleet record.
+
+    Of a row that is not readable, the fields that identify the runner are kept: with
+    identifier, address and pool, the runner can be asked for its runs; with the
+    identifier alone, a dispatcher can only wait for it. A row or a record without any
+    of them stands for unknown runners. Such rows have no wait, so that a dispatcher
+    waits for them as long as for a runner that may have work.
+
+    Parameters
+    ----------
+    report : callable
+        Called with the error of each row that is not readable.
+    """
+    try:
+        rows = msgspec.json.decode(data)
+        if not isinstance(rows, list):
+            raise TypeError("the fleet record is not a list")
+    except DECODING_ERRORS as error:
+        report(repr(error))
+        return [RecordedRunner.create_identified()]
+    return [_decode_row(row, report) for row in rows]
+
+
+def _decode_row(row, report):
+    try:
+        return _decode_fields(row)
+    except DECODING_ERRORS as error:
+        report(repr(error))
+    for decode in (_decode_contact, _decode_identifier):
+        try:
+            return decode(row)
+        except DECODING_ERRORS:
+            continue
+    return RecordedRunner.create_identified()
+
+
+def _decode_fields(row):
+    """Return a complete row."""
+    wait_s = row.get("wait_s")
+    capacity = row["capacity"]
+    if type(row["draining"]) is not bool:
+        raise TypeError("`draining` is not a boolean")
+    named = bool(row["address"])
+    return RecordedRunner(
+        id=text(row["id"], empty=not named),
+        address=text(row["address"], empty=True),
+        data_centre=text(row["data_centre"], empty=not named),
+        pool=text(row["pool"], empty=not named),
+        capacity=Capacity(
+            cpu=integer(capacity["cpu"], least=0),
+            memory_mb=integer(capacity["memory_mb"], least=0),
+            gpus=integer(capacity["gpus"], least=0),
+        ),
+        labels=tuple(text(label, empty=True) for label in row["labels"]),
+        draining=row["draining"],
+        leaves_in_s=number(row["leaves_in_s"]),
+        cold_s=number(row["cold_s"]),
+        # Earlier versions stored a fraction if the registry entry had one.
+        incarnation=int(number(row["incarnation"])),
+        wait_s=None if wait_s is None else number(wait_s, least=0),
+        term=integer(row.get("term", 0), least=0),
+    )
+
+
+def _decode_contact(row):
+    """Return a row with identifier, address and pool."""
+    return RecordedRunner(
+        id=text(row["id"]),
+        address=text(row["address"]),
+        data_centre="",
+        pool=text(row["pool"]),
+        capacity=Capacity(),
+    )
+
+
+def _decode_identifier(row):
+    """Return a row with the identifier alone."""
+    return RecordedRunner.create_identified(text(row["id"]))
+
 
 def _entry_fields(entry):
     return {f.name: getattr(entry, f.name) for f in attrs.fields(RunnerEntry)}
--- a/wasabipaddle/platform/registry.py
+++ b/wasabipaddle/platform/registry.py
@@ -3,15 +3,16 @@
 import msgspec
 
 from wasabipaddle.jobs import Capacity, RunnerEntry
-from wasabipaddle.platform.decoding import DECODING_ERRORS
+from wasabipaddle.platform.decoding import DECODING_ERRORS, integer, number, text
 
 __all__ = ["REGISTRY_PREFIX", "decode_runner"]
 
 REGISTRY_PREFIX = "servers/"
 MS_PER_S = 1000
 STATES = ("ready", "draining")
-REQUIRED_TEXT_FIELDS = ("service", "address", "zone", "state")
-CAPACITY_FIELDS = ("cpu", "mem_mb", "gpu")
+# Largest number of labels; runners have two. The fleet record has to fit into a value
+# of the store.
+MAX_LABELS = 16
 
 
 def decode_runner(entry) -> RunnerEntry | None:
@@ -19,57 +20,43 @@
 
     Returns None for an entry that does not describe a runner, as other programs may
     write under the same prefix: a value that is not JSON, fields that are missing or
-    of the wrong type, or an unknown state.
+    of the wrong type, a fraction in place of a whole number, or an unknown state.
     """
     try:
         body = msgspec.json.decode(entry.value)
+        return _read_runner(entry.key.removeprefix(REGISTRY_PREFIX), body)
     except DECODING_ERRORS:
         return None
-    if not _is_valid_runner(body):
-        return None
-    capacity = body["capacity"]
+
+
+def _read_runner(runner_id, body):
+    """Return the runner of an entry; raise one of `DECODING_ERRORS` if it has none."""
+    if body["state"] not in STATES:
+        raise ValueError("the state is unknown")
+    host, _, port = text(body["address"]).rpartition(":")
+    if not host or not port.isdecimal():
+        raise ValueError("the address has no host or no port")
+    labels = body.get("labels", [])
+    if not isinstance(labels, list) or len(labels) > MAX_LABELS:
+        raise TypeError("the labels are not a list, or too many")
+    number(body.get("seq", 0))
     return RunnerEntry(
-        id=entry.key.removeprefix(REGISTRY_PREFIX),
+        id=text(runner_id),
         address=body["address"],
-        data_centre=body["zone"],
-        pool=body["service"],
-        capacity=Capacity(
-            cpu=capacity.get("cpu", 0),
-            memory_mb=capacity.get("mem_mb", 0),
-            gpus=capacity.get("gpu", 0),
-        ),
-        labels=tuple(body.get("labels", ())),
+        data_centre=text(body["zone"]),
+        pool=text(body["service"]),
+        capacity=_read_capacity(body["capacity"]),
+        labels=tuple(text(label, empty=True) for label in labels),
         draining=body["state"] == "draining",
-        leaves_in_s=body.get("drain_remaining_ms", 0) / MS_PER_S,
-        cold_s=body.get("cold_remaining_ms", 0) / MS_PER_S,
-        incarnation=body.get("born", 0),
+        leaves_in_s=number(body.get("drain_remaining_ms", 0)) / MS_PER_S,
+        cold_s=number(body.get("cold_remaining_ms", 0)) / MS_PER_S,
+        incarnation=integer(body.get("born", 0)),
     )
 
 
-def _is_number(value):
-    return isinstance(value, (int, float)) and not isinstance(value, bool)
-
-
-def _is_valid_runner(body):
-    if not isinstance(body, dict) or body.get("state") not in STATES:
-        return False
-    if not all(
-        isinstance(body.get(key), str) and body[key] for key in REQUIRED_TEXT_FIELDS
-    ):
-        return False
-    capacity = body.get("capacity")
-    if not isinstance(capacity, dict):
-        return False
-    if not all(_is_number(capacity.get(key, 0)) for key in CAPACITY_FIELDS):
-        return False
-    optional_numbers = ("drain_remaining_ms", "cold_remaining_ms", "born", "seq")
-    if not all(_is_number(body.get(key, 0)) for key in optional_numbers):
-        return False
-    host, _, port = body["address"].rpartition(":")
-    labels = body.get("labels", [])
-    return (
-        bool(host)
-        and port.isdecimal()
-        and isinstance(labels, list)
-        and all(isinstance(label, str) for label in labels)
+def _read_capacity(capacity):
+    return Capacity(
+        cpu=integer(capacity.get("cpu", 0), least=0),
+        memory_mb=integer(capacity.get("mem_mb", 0), least=0),
+        gpus=integer(capacity.get("gpu", 0), least=0),
     )
