Leave out runners whose address cannot be called

Seen: reports of operators of similar systems: an odd entry among those of the runners (very deeply nested, a number too large, a port out of range) ended the processes that read the list, or they stopped following it.

Cause here: deep nesting, invalid UTF-8 and numbers beyond a double were already left out. A host such as `a..b` or one of 70 characters raised UnicodeError, no connection error, in each call, so that the inventory task of the runner failed and was run again every 0.2 s. A row of the fleet record with such an address was polled as well.

The entries with deep nesting, invalid UTF-8, infinities and missing fields held and are pinned.

--- a/wasabipaddle/jobs/fleet.py
+++ b/wasabipaddle/jobs/fleet.py
@@ -3,6 +3,7 @@
 import attrs
 import msgspec
 
+from wasabipaddle.jobs.addresses import is_callable_address
 from wasabipaddle.jobs.decoding import DECODING_ERRORS, integer, number, text
 
 __all__ = [
@@ -163,10 +164,12 @@
     capacity = row["capacity"]
     if type(row["draining"]) is not bool:
         raise TypeError("`draining` is not a boolean")
-    named = bool(row["address"])
+    named = row["address"] != ""
+    if named and not is_callable_address(row["address"]):
+        raise ValueError("the address cannot be called")
     return RecordedRunner(
         id=text(row["id"], empty=not named),
-        address=text(row["address"], empty=True),
+        address=row["address"],
         data_centre=text(row["data_centre"], empty=not named),
         pool=text(row["pool"], empty=not named),
         capacity=Capacity(
@@ -187,9 +190,11 @@
 
 def _decode_contact(row):
     """Return a row with identifier, address and pool."""
+    if not is_callable_address(row["address"]):
+        raise ValueError("the address cannot be called")
     return RecordedRunner(
         id=text(row["id"]),
-        address=text(row["address"]),
+        address=row["address"],
         data_centre="",
         pool=text(row["pool"]),
         capacity=Capacity(),
--- a/wasabipaddle/platform/registry.py
+++ b/wasabipaddle/platform/registry.py
@@ -1,13 +1,18 @@
 """Decoding of the runners in the platform's registry."""
 
+import re
+
 import msgspec
 
 from wasabipaddle.jobs import Capacity, RunnerEntry
+from wasabipaddle.jobs.addresses import is_callable_address
 from wasabipaddle.platform.decoding import DECODING_ERRORS, integer, number, text
 
 __all__ = ["REGISTRY_PREFIX", "decode_runner"]
 
 REGISTRY_PREFIX = "servers/"
+# Calls to a runner name it in a header.
+RUNNER_ID = re.compile(r"[!-~]+")
 MS_PER_S = 1000
 STATES = ("ready", "draining")
 # Largest number of labels; runners have two. The fleet record has to fit into a value
@@ -20,7 +25,8 @@
 
     Returns None for an entry that does not describe a runner, as other programs may
     write under the same prefix: a value that is not JSON, fields that are missing or
-    of the wrong type, a fraction in place of a whole number, or an unknown state.
+    of the wrong type, a fraction in place of a whole number, an unknown
+    state, or an address that cannot be called.
     """
     try:
         body = msgspec.json.decode(entry.value)
@@ -33,9 +39,10 @@
     """Return the runner of an entry; raise one of `DECODING_ERRORS` if it has none."""
     if body["state"] not in STATES:
         raise ValueError("the state is unknown")
-    host, _, port = text(body["address"]).rpartition(":")
-    if not host or not port.isdecimal():
-        raise ValueError("the address has no host or no port")
+    if not is_callable_address(body["address"]):
+        raise ValueError("the address cannot be called")
+    if not RUNNER_ID.fullmatch(runner_id):
+        raise ValueError("the identifier cannot be sent in a header")
     labels = body.get("labels", [])
     if not isinstance(labels, list) or len(labels) > MAX_LABELS:
         raise TypeError("the labels are not a list, or too many")
