Survive leader and term keys and peer messages that are unreadable

A leader key that can't be decoded raised in the loop that follows it; a term key that can't be decoded raised in each campaign, so that nobody could lead. A member with a bad address in a reply of the leader raised in the loop that sends hello messages, and hid the members after it. A copy of the configuration was decompressed without a limit.

Change: - An unreadable leader key counts as held by a process that cannot be called. The leader steps down, and after the duration of a lease the key is replaced on the condition of its revision, like that of a leader presumed dead; it is never taken for a free key. - For an unreadable or impossible term, the next number follows from the revision of the key. Each term raises the number by one and the revision by at least one, so this is above every earlier number, and runs get numbers that were not used.

--- a/wasabipaddle/cell/distribution.py
+++ b/wasabipaddle/cell/distribution.py
@@ -3,11 +3,12 @@
 import asyncio
 import zlib
 
-from result import Ok
+from result import Err, Ok
 
 from wasabipaddle.cell.configuration import ConfigurationPlugin
 from wasabipaddle.cell.events import ConfigurationChanged, MemberOutdated
 from wasabipaddle.cell.members import MembersPlugin
+from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.kernel import Plugin
 from wasabipaddle.messages.jobs import ConfigurationCopy, Noted
 from wasabipaddle.serve.tasks import TaskSet
@@ -17,6 +18,8 @@
 COPY_TIMEOUT_S = 2.0
 # Limit of concurrent transfers; the data of a copy may reach half a megabyte.
 MAX_CONCURRENT_COPIES = 12
+# Largest size of a configuration; values of the store are smaller.
+MAX_VALUE_BYTES = 16 * 1024 * 1024
 
 
 class DistributionPlugin(Plugin):
@@ -84,5 +87,19 @@
 
     async def _handle_copy(self, copy):
         if copy.version > self.configuration.version:
-            self.configuration.apply_copy(zlib.decompress(copy.data), copy.revision)
+            value = _decompress(copy.data)
+            if value is None:
+                detail = "the copy of the configuration cannot be decompressed"
+                return Err(Failure(kind=ErrorKind.INVALID_REQUEST, detail=detail))
+            self.configuration.apply_copy(value, copy.revision)
         return Ok(Noted())
+
+
+def _decompress(data):
+    """Return decompressed data, None if it is malformed or too large."""
+    decompressor = zlib.decompressobj()
+    try:
+        value = decompressor.decompress(data, MAX_VALUE_BYTES)
+    except zlib.error:
+        return None
+    return value if decompressor.eof else None
--- a/wasabipaddle/cell/election.py
+++ b/wasabipaddle/cell/election.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-import attrs
 import msgspec
 from result import Err
 
@@ -13,6 +12,13 @@
     LeadershipLost,
 )
 from wasabipaddle.cell.keys import LEADER_KEY, TERM_KEY
+from wasabipaddle.cell.leader_records import (
+    UNREADABLE_LEADER,
+    LeaderRecord,
+    TermRecord,
+    decode_leader,
+    decode_term_number,
+)
 from wasabipaddle.cell.store import CellStorePlugin
 from wasabipaddle.cell.watch import StoreWatch
 from wasabipaddle.exceptions import ErrorKind, Failure
@@ -46,33 +52,6 @@
 REPLACE_PAUSE_S = 10.0
 
 
-@attrs.frozen(kw_only=True)
-class LeaderRecord:
-    """Value of the leader key.
-
-    Parameters
-    ----------
-    process, address : str
-        Name of the leader, and host and port of its internal listener.
-    life : int
-        Start of the process in Unix milliseconds; distinguishes incarnations of a
-        process with the same name.
-    """
-
-    process: str
-    address: str
-    life: int
-
-
-@attrs.frozen(kw_only=True)
-class TermRecord:
-    """Value of the term key: number of the term and the process that leads in it."""
-
-    number: int
-    process: str
-    life: int
-
-
 class ElectionPlugin(Plugin):
     """Campaigns for the leader key, keeps it, and publishes who holds it.
 
@@ -156,6 +135,10 @@
                 await self._campaign_after_delay()
             elif self._held_by_earlier_incarnation():
                 await self.replace_leader()
+            elif self.leader == UNREADABLE_LEADER:
+                jitter_s = CAMPAIGN_JITTER_S * self.context.random.random()
+                await asyncio.sleep(LEASE_S + jitter_s)
+                await self.replace_leader()
 
     async def _update(self) -> bool:
         """Read the leader key or wait for its next change; return whether it is known.
@@ -228,7 +211,7 @@
         """Record who holds the leader key; stop leading if another process does."""
         record = None
         if entry is not None:
-            record = msgspec.json.decode(entry.value, type=LeaderRecord)
+            record = decode_leader(entry, self.store_plugin.unreadable)
         if self.epoch and entry is not None and record != self.record:
             self._stop_leading(f"leader key is held by {record.process}")
         self.leader_revision = entry.revision if entry else 0
@@ -280,7 +263,7 @@
         lease, term_entry = lease.ok(), term.ok()
         number, term_revision = 0, 0
         if term_entry is not None:
-            number = msgspec.json.decode(term_entry.value, type=TermRecord).number
+            number = decode_term_number(term_entry, self.store_plugin.unreadable)
             term_revision = term_entry.revision
         continued = bool(self.epoch) and term_revision == self.term_revision
         taken = await self._commit_campaign(lease, replaces, term_revision, number + 1)
@@ -319,8 +302,9 @@
         if found.is_err():
             return found
         entry = found.ok()
-        is_own = entry is not None and (
-            msgspec.json.decode(entry.value, type=LeaderRecord) == self.record
+        is_own = (
+            entry is not None
+            and decode_leader(entry, self.store_plugin.unreadable) == self.record
         )
         if is_own and entry.revision > term_revision:
             return found.map(lambda e: e.revision)
--- a/wasabipaddle/cell/members.py
+++ b/wasabipaddle/cell/members.py
@@ -10,6 +10,7 @@
 from wasabipaddle.cell.events import LeaderChanged, LeadershipGained, MemberOutdated
 from wasabipaddle.cell.store import CellStorePlugin
 from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.jobs.addresses import is_callable_address
 from wasabipaddle.kernel import Plugin
 from wasabipaddle.messages.jobs import (
     HelloReply,
@@ -165,6 +166,9 @@
         self._follow(notice)
 
     def _set_address(self, process, address):
+        if not is_callable_address(address):
+            self.store_plugin.unreadable.record("member", process, repr(address))
+            return
         self.addresses[process] = address
         self.transport.peers[process] = CellPeer.parse(address)
 
--- a/wasabipaddle/messages/codec.py
+++ b/wasabipaddle/messages/codec.py
@@ -5,6 +5,7 @@
 from result import Err, Ok, Result
 
 from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.jobs.decoding import DECODING_ERRORS
 
 __all__ = ["decode", "encode", "encode_sparse"]
 
@@ -48,5 +49,5 @@
         decoder = _DECODERS[message_type] = msgspec.json.Decoder(message_type)
     try:
         return Ok(decoder.decode(data))
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+    except DECODING_ERRORS as error:
         return Err(Failure(kind=ErrorKind.INVALID_REQUEST, detail=str(error)))
