Check the ranges of stored jobs, progress and answers of peers

One value of the right type, but out of range, stopped more than its own record: - progress with a step or occurrence that the job does not have raised after the job had been added in part, or, for a job with a schedule, kept the dispatcher in an endless loop; progress with one unreadable row lost all rows, so that completed tasks ran again; - a stored job with 10^9 tasks, a step before itself or numbers beyond 64 bits; - a route whose priority or prefix has another type failed each planning round, or each call of every caller; - a runner whose clock reads 1e300 got orders that cannot be encoded; a task name with a negative index was taken for the last task of its step; - a deadline of thousands of digits raised in the call of its caller.

Change: decoders check types and ranges (magnitude up to 2^53, lengths of names). Jobs are checked when they are submitted, read from the store and received from a peer (`jobs/checks.py`); a job under the key of another one is left out. Of progress and of a configuration, the readable rows are kept, since tasks that have completed must not run again, and one bad route must not keep the others out of force. A configuration without a version is refused as before. What is left out is counted and logged once.

--- a/wasabipaddle/cell/configuration.py
+++ b/wasabipaddle/cell/configuration.py
@@ -49,6 +49,7 @@
         self.tasks = TaskSet()
         self.poll_due = asyncio.Event()
         self.known_version = 0
+        self.unreadable_value = None
 
     async def start(self):
         """Start to follow the configuration in the store."""
@@ -130,16 +131,25 @@
                 self._apply(change.value, source="store")
         return True
 
+    def _report_unreadable(self, value, reason):
+        """Count an unreadable part, and log it once for each stored value."""
+        self.context.metrics.count("records_unreadable_configuration")
+        if value != self.unreadable_value:
+            self.unreadable_value = value
+            self.context.journal("configuration_unreadable", reason=reason)
+
     def _apply(self, value, *, source) -> bool:
         """Apply a stored configuration if it is newer; return whether it was newer."""
-        decoded = decode_configuration(value)
+        reasons = []
+        decoded = decode_configuration(value, report=reasons.append)
         if decoded.is_err():
-            detail = decoded.err().detail
-            self.context.journal("configuration_unreadable", reason=detail)
+            self._report_unreadable(value, decoded.err().detail)
             return False
         configuration = decoded.ok()
         if configuration.version <= self.version:
             return False
+        for reason in reasons:
+            self._report_unreadable(value, reason)
         self.context.journal(
             "configuration_applied",
             version=configuration.version,
--- a/wasabipaddle/cell/fleet.py
+++ b/wasabipaddle/cell/fleet.py
@@ -59,6 +59,7 @@
         self.revision = 0
         self.recorded = set()
         self.unstorable = set()
+        self.report_unreadable = store_plugin.unreadable.reporter("fleet", FLEET_KEY)
         self.changed = asyncio.Event()
 
     async def load(self):
@@ -75,13 +76,10 @@
         if entry is None:
             return []
         self.revision = entry.revision
-        runners = decode_fleet(entry.value, report=self._report_unreadable)
+        runners = decode_fleet(entry.value, report=self.report_unreadable)
         self.recorded = _summarize(runners)
         return runners
 
-    def _report_unreadable(self, reason):
-        self.store_plugin.unreadable.record("fleet", FLEET_KEY, reason)
-
     async def run(self):
         """Keep the record in line with the fleet until cancelled."""
         settled_s = self.session.now() + SETTLE_S
@@ -172,7 +170,7 @@
             stored.append(found)
             if found != row:
                 self.unstorable.add(row.id)
-                self._report_unreadable(f"the row of {row.id!r} is not storable")
+                self.report_unreadable(f"the row of {row.id!r} is not storable")
         return stored
 
 
--- a/wasabipaddle/cell/intake.py
+++ b/wasabipaddle/cell/intake.py
@@ -121,7 +121,7 @@
         """Add all jobs, then apply all cancellations, which need the jobs."""
         for entry in entries:
             if entry.key.startswith(JOB_PREFIX):
-                self.attempt(self._add_job, entry.value)
+                self.attempt(self._add_job, entry)
         for entry in entries:
             if entry.key.startswith(CANCEL_PREFIX):
                 self.attempt(self.cancel, entry.key.removeprefix(CANCEL_PREFIX))
@@ -131,14 +131,16 @@
         if change.value is None:
             return
         if change.key.startswith(JOB_PREFIX):
-            self._add_job(change.value)
+            self._add_job(change)
         elif change.key.startswith(CANCEL_PREFIX):
             self.cancel(change.key.removeprefix(CANCEL_PREFIX))
 
-    def _add_job(self, value):
-        job = decode_job(value)
-        if job is not None:
-            self.add_job(job)
+    def _add_job(self, entry):
+        job = decode_job(entry.value)
+        if job is None or JOB_PREFIX + job.id != entry.key:
+            self.unreadable.record("job", entry.key)
+            return
+        self.add_job(job)
 
 
 class RegistryWatcher(PrefixWatcher):
--- a/wasabipaddle/cell/session.py
+++ b/wasabipaddle/cell/session.py
@@ -203,11 +203,10 @@
         for entry in page.ok().entries:
             job_id = entry.key.removeprefix(PROGRESS_PREFIX)
             self.writer.revisions[job_id] = entry.revision
-            progress = decode_progress(entry.value)
-            if progress is None:
-                self.journal("progress_unreadable", job=job_id)
-                continue
-            self.progress[job_id] = progress
+            report = self.store_plugin.unreadable.reporter("progress", entry.key)
+            progress = decode_progress(entry.value, report=report)
+            if progress is not None:
+                self.progress[job_id] = progress
 
     def _measure_wall_offset(self):
         offset_s = self.clock.wall_ms() / 1000 - self.now()
--- a/wasabipaddle/cell/unreadable.py
+++ b/wasabipaddle/cell/unreadable.py
@@ -1,5 +1,7 @@
 """Records of the store that cannot be decoded."""
 
+import functools
+
 __all__ = ["UnreadableRecords"]
 
 # Number of keys after which further ones are only counted.
@@ -48,3 +50,7 @@
             key=key,
             reason=reason[:MAX_LOGGED_TEXT] or None,
         )
+
+    def reporter(self, kind, key):
+        """Return `record` for one key, to be called with the reason."""
+        return functools.partial(self.record, kind, key)
--- a/wasabipaddle/dispatch/lifecycle.py
+++ b/wasabipaddle/dispatch/lifecycle.py
@@ -3,12 +3,11 @@
 from wasabipaddle.dispatch.model import JobEntry, RunPhase, Step, Task
 from wasabipaddle.interfaces import EndCause
 from wasabipaddle.jobs import JobPhase, JobProgress, TaskId
+from wasabipaddle.jobs.records import GANG_INDEX
 
 __all__ = ["Lifecycle"]
 
 MS_PER_S = 1000
-# Stands for the task index in the keys of stored failures of a gang.
-GANG_INDEX = "gang"
 
 
 class Lifecycle:
@@ -36,6 +35,8 @@
         state = self.state
         if job.id in state.jobs:
             return state.jobs[job.id]
+        if progress is not None:
+            progress = progress.restrict(job.spec)
         queue = state.configuration.queue(job.policy.name) or job.policy
         accepted_s = min(job.accepted_ms / MS_PER_S - state.wall_offset_s, now)
         entry = JobEntry(
--- a/wasabipaddle/jobs/decoding.py
+++ b/wasabipaddle/jobs/decoding.py
@@ -7,6 +7,7 @@
 __all__ = [
     "DECODING_ERRORS",
     "MAX_INTEGER",
+    "ignore_report",
     "integer",
     "number",
     "rounded",
@@ -31,6 +32,10 @@
 MAX_TEXT_BYTES = 256
 
 
+def ignore_report(reason):
+    """Discard the report of a part of a record that was left out."""
+
+
 def whole(value):
     """Return a float without a fraction as an integer, and any other value as it is."""
     is_whole = isinstance(value, float) and value.is_integer()
--- a/wasabipaddle/jobs/fleet.py
+++ b/wasabipaddle/jobs/fleet.py
@@ -4,7 +4,13 @@
 import msgspec
 
 from wasabipaddle.jobs.addresses import is_callable_address
-from wasabipaddle.jobs.decoding import DECODING_ERRORS, integer, number, text
+from wasabipaddle.jobs.decoding import (
+    DECODING_ERRORS,
+    ignore_report,
+    integer,
+    number,
+    text,
+)
 
 __all__ = [
     "Capacity",
@@ -117,11 +123,7 @@
     return msgspec.json.encode(rows)
 
 
-def _ignore(detail):
-    """Discard the report of an unreadable row."""
-
-
-def decode_fleet(data, *, report=_ignore) -> list[RecordedRunner]:
+def decode_fleet(data, *, report=ignore_report) -> list[RecordedRunner]:
     """Decode the stored fleet record.
 
     Of a row that is not readable, the fields that identify the runner are kept: with
--- a/wasabipaddle/messages/jobs.py
+++ b/wasabipaddle/messages/jobs.py
@@ -3,6 +3,7 @@
 import attrs
 
 from wasabipaddle.jobs import Job, JobPhase
+from wasabipaddle.jobs.checks import find_job_problem
 
 __all__ = [
     "AdviceReply",
@@ -22,11 +23,18 @@
 ]
 
 
+def _check_job(instance, attribute, job):
+    """Raise `ValueError` for a job that cannot be planned, as of another version."""
+    problem = find_job_problem(job)
+    if problem:
+        raise ValueError(problem)
+
+
 @attrs.frozen(kw_only=True)
 class JobAccepted:
     """Tells the dispatcher that a job has been stored."""
 
-    job: Job
+    job: Job = attrs.field(validator=_check_job)
 
 
 @attrs.frozen(kw_only=True)
@@ -40,7 +48,7 @@
 class StoreJob:
     """Asks a peer to store a job, since the sender cannot reach the store."""
 
-    job: Job
+    job: Job = attrs.field(validator=_check_job)
 
 
 @attrs.frozen(kw_only=True)
--- a/wasabipaddle/platform/advice.py
+++ b/wasabipaddle/platform/advice.py
@@ -4,7 +4,7 @@
 
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.interfaces import Advice, AdviceClient
-from wasabipaddle.platform.decoding import DECODING_ERRORS, integer
+from wasabipaddle.platform.decoding import DECODING_ERRORS, integer, text
 from wasabipaddle.platform.http import PlatformHttpClient
 
 __all__ = ["PlatformAdvice"]
@@ -54,6 +54,13 @@
 
 def _decode_advice(body):
     return Advice(
-        tickets={row[0]: row[1] for row in body.get("good", ())},
-        valid_s=integer(body.get("valid_ms", 0)) / MS_PER_S,
+        tickets=dict(map(_decode_ticket, body.get("good", ()))),
+        valid_s=integer(body.get("valid_ms", 0), least=0) / MS_PER_S,
     )
+
+
+def _decode_ticket(row):
+    runner, ticket = row[0], row[1]
+    if not isinstance(row, list) or not isinstance(ticket, str):
+        raise TypeError("a row is not a list of a runner and a ticket")
+    return text(runner), ticket
--- a/wasabipaddle/platform/callers.py
+++ b/wasabipaddle/platform/callers.py
@@ -9,10 +9,12 @@
 from wasabipaddle.exceptions import ErrorKind
 from wasabipaddle.platform.jobs import JOB_ID, PHASE_WORDS, decode_spec
 
-__all__ = ["CallerListener"]
+__all__ = ["CallerListener", "read_wait_s"]
 
 MS_PER_S = 1000
 MAX_WAIT_S = 30.0
+# Number of digits beyond which a wait is longer than `MAX_WAIT_S`.
+MAX_WAIT_DIGITS = 12
 DEFAULT_WAIT_S = 3.0
 READY_PATH = "/readiness"
 KEEPALIVE_S = 75.0
@@ -90,7 +92,7 @@
             return _error_response(selected.err())
         queue = selected.ok()
         job = request.path[len(queue.prefix) :]
-        wait_s = _read_wait_s(request)
+        wait_s = read_wait_s(request.headers.get("Deadline-Ms", ""))
         if not job and request.method == "GET":
             waiting = await self.service.count_waiting(queue, wait_s=wait_s)
             if waiting.is_err():
@@ -125,11 +127,18 @@
         return web.Response(status=200)
 
 
-def _read_wait_s(request):
-    """Return how long the caller waits for a response, at most `MAX_WAIT_S`."""
-    text = request.headers.get("Deadline-Ms", "")
-    if not text.isdecimal():
+def read_wait_s(text) -> float:
+    """Return how long a caller waits for a response, at most `MAX_WAIT_S`.
+
+    Parameters
+    ----------
+    text : str
+        Value of the header `Deadline-Ms`, an empty string if there is none.
+    """
+    if not text.isascii() or not text.isdecimal():
         return DEFAULT_WAIT_S
+    if len(text) > MAX_WAIT_DIGITS:
+        return MAX_WAIT_S
     return min(int(text) / MS_PER_S, MAX_WAIT_S)
 
 
--- a/wasabipaddle/platform/decoding.py
+++ b/wasabipaddle/platform/decoding.py
@@ -2,6 +2,7 @@
 
 from wasabipaddle.jobs.decoding import (
     DECODING_ERRORS,
+    ignore_report,
     integer,
     number,
     rounded,
@@ -9,4 +10,12 @@
     whole,
 )
 
-__all__ = ["DECODING_ERRORS", "integer", "number", "rounded", "text", "whole"]
+__all__ = [
+    "DECODING_ERRORS",
+    "ignore_report",
+    "integer",
+    "number",
+    "rounded",
+    "text",
+    "whole",
+]
--- a/wasabipaddle/platform/jobs.py
+++ b/wasabipaddle/platform/jobs.py
@@ -7,22 +7,12 @@
 
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.jobs import JobPhase, JobSpec
+from wasabipaddle.jobs.checks import find_spec_problem
 from wasabipaddle.platform.decoding import DECODING_ERRORS, rounded, whole
 
 __all__ = ["JOB_ID", "PHASE_WORDS", "decode_spec"]
 
 MS_PER_S = 1000
-# Largest number of tasks of a job, over all its occurrences.
-MAX_TASKS = 1_000_000
-# Fields of a step that must not be negative.
-AMOUNTS = (
-    "cpu",
-    "memory_mb",
-    "gpus",
-    "estimate_s",
-    "max_per_runner",
-    "target_latency_ms",
-)
 JOB_ID = re.compile(r"[0-9a-f]{16}")
 PHASE_WORDS = {
     JobPhase.QUEUED: "queued",
@@ -41,29 +31,12 @@
     except DECODING_ERRORS as error:
         detail = f"the job cannot be decoded: {type(error).__name__} {error}"
         return Err(Failure(kind=ErrorKind.INVALID_REQUEST, detail=detail))
-    problem = _find_problem(spec)
+    problem = find_spec_problem(spec)
     if problem:
         return Err(Failure(kind=ErrorKind.INVALID_REQUEST, detail=problem))
     return Ok(spec)
 
 
-def _find_problem(spec) -> str:
-    """Return why a job cannot be planned, an empty string if it can."""
-    tasks = sum(step.count for step in spec.steps) * spec.occurrences
-    if not 0 < tasks <= MAX_TASKS:
-        return f"the job has {tasks} tasks; allowed are 1 to {MAX_TASKS}"
-    if spec.interval_ms < 0:
-        return f"the interval is {spec.interval_ms} ms; allowed is 0 or more"
-    for position, step in enumerate(spec.steps):
-        if step.count < 1:
-            return f"step {position} has no tasks"
-        if any(not 0 <= n < position for n in step.after):
-            return f"step {position} depends on a step that does not precede it"
-        if any(getattr(step, field) < 0 for field in AMOUNTS):
-            return f"step {position} has a negative amount; allowed is 0 or more"
-    return ""
-
-
 def _read_spec(body):
     """Return the fields of a `JobSpec`, in the types of the body."""
     scheduled = whole(body.get("repeat_count") or 0)
--- a/wasabipaddle/platform/runner.py
+++ b/wasabipaddle/platform/runner.py
@@ -12,7 +12,7 @@
     RunnerClient,
     RunningTask,
 )
-from wasabipaddle.platform.decoding import DECODING_ERRORS, integer
+from wasabipaddle.platform.decoding import DECODING_ERRORS, integer, number
 from wasabipaddle.platform.http import PlatformHttpClient
 from wasabipaddle.platform.tasks import decode_task, encode_task
 
@@ -139,17 +139,17 @@
 
 def _decode_reply(response):
     return OrderReply(
-        clock_ms=integer(response.body.get("clock_ms", 0)),
+        clock_ms=integer(response.body.get("clock_ms", 0), least=0),
         refusal=_decode_refusal(response),
-        incarnation=integer(response.body.get("born", 0)),
+        incarnation=integer(response.body.get("born", 0), least=0),
     )
 
 
 def _decode_inventory(response):
     body = response.body
     return Inventory(
-        clock_ms=integer(body.get("clock_ms", 0)),
-        incarnation=integer(body.get("born", 0)),
+        clock_ms=integer(body.get("clock_ms", 0), least=0),
+        incarnation=integer(body.get("born", 0), least=0),
         running=tuple(map(_decode_running, body.get("running", ()))),
         ended=tuple(map(_decode_ended, body.get("ended", ()))),
         refusal=_decode_refusal(response),
@@ -168,18 +168,24 @@
     load = row[4] if len(row) > 4 and row[4] is not None else 0.0
     return RunningTask(
         task=decode_task(row[0]),
-        run=integer(row[1]),
-        checkpoint=row[2] or "",
+        run=integer(row[1], least=0),
+        checkpoint=_decode_checkpoint(row[2]),
         percent=integer(row[3]),
-        load=float(load),
+        load=float(number(load)),
     )
 
 
 def _decode_ended(row):
     return EndedTask(
-        number=integer(row[0]),
+        number=integer(row[0], least=0),
         task=decode_task(row[1]),
-        run=integer(row[2]),
+        run=integer(row[2], least=0),
         cause=END_CAUSES[row[3]],
-        checkpoint=row[4] or "",
+        checkpoint=_decode_checkpoint(row[4]),
     )
+
+
+def _decode_checkpoint(checkpoint):
+    if checkpoint is not None and not isinstance(checkpoint, str):
+        raise TypeError("the checkpoint is not a string")
+    return checkpoint or ""
--- a/wasabipaddle/platform/store.py
+++ b/wasabipaddle/platform/store.py
@@ -256,7 +256,7 @@
 
 def _decode_entry(item):
     return Entry(
-        key=item["key"],
+        key=_decode_key(item),
         value=_decode_value(item),
         revision=integer(item["revision"]),
     )
@@ -264,7 +264,16 @@
 
 def _decode_change(event):
     value = None if event.get("deleted") else _decode_value(event)
-    return Change(key=event["key"], value=value, revision=integer(event["revision"]))
+    return Change(
+        key=_decode_key(event), value=value, revision=integer(event["revision"])
+    )
+
+
+def _decode_key(item):
+    key = item["key"]
+    if not isinstance(key, str):
+        raise TypeError("the key is not a string")
+    return key
 
 
 def _failure(kind, detail, retry_after_s=None):
