Survive unreadable leader records in the mode with service documents

A leader record of a shard that can't be decoded raised UnwrapError in the election, whose task was not run again: the shard never had a leader any more. Deep nesting in a stored document, a failure of a server or the head of an answer raised RecursionError, which the decoders did not expect.

Change: an unreadable record counts as that of a leader without a name, which may renew leases. Its epoch is the revision of the entry, as no earlier epoch can be above it, so that the next epoch is higher than every earlier one. The leader whose record was overwritten steps down. The loop of an election is run again after an exception. The decoders expect RecursionError.

--- a/wasabipaddle/documents/stored.py
+++ b/wasabipaddle/documents/stored.py
@@ -5,6 +5,7 @@
 from result import Err, Ok, Result
 
 from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.jobs.decoding import DECODING_ERRORS
 
 __all__ = [
     "DOCUMENT_PREFIX",
@@ -60,7 +61,7 @@
     """Decode the value of a document key."""
     try:
         return Ok(_DECODER.decode(value))
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODING_ERRORS as error:
         detail = f"the stored document cannot be decoded: {error}"
         return Err(Failure(kind=ErrorKind.INVALID_DOCUMENT, detail=detail))
 
--- a/wasabipaddle/interfaces/http.py
+++ b/wasabipaddle/interfaces/http.py
@@ -6,6 +6,7 @@
 from result import Err, Ok, Result
 
 from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.jobs.decoding import DECODING_ERRORS
 from wasabipaddle.messages import encode_sparse
 
 __all__ = ["ConditionalResponse", "HttpClient", "decode_failure", "is_connect_error"]
@@ -139,7 +140,7 @@
     """Return the failure in the body of an error response."""
     try:
         return msgspec.json.decode(data, type=Failure)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except DECODING_ERRORS:
         detail = "the server returned an error status without a decodable failure"
         return Failure(kind=ErrorKind.INTERNAL, detail=detail)
 
@@ -147,6 +148,6 @@
 def _decode_response(data, response_type):
     try:
         return Ok(msgspec.json.decode(data, type=response_type))
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODING_ERRORS as error:
         detail = f"the response cannot be decoded as {response_type}: {error}"
         return Err(Failure(kind=ErrorKind.INTERNAL, detail=detail))
--- a/wasabipaddle/interfaces/http_endpoint.py
+++ b/wasabipaddle/interfaces/http_endpoint.py
@@ -34,7 +34,13 @@
 # Lowest assumed rate at which a request body is written; the time that it takes at
 # this rate is added to the progress timeout.
 MIN_UPLOAD_BYTES_PER_S = 100_000
-TRANSPORT_ERRORS = (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError)
+TRANSPORT_ERRORS = (
+    aiohttp.ClientError,
+    TimeoutError,
+    OSError,
+    msgspec.MsgspecError,
+    RecursionError,
+)
 
 
 @attrs.frozen(kw_only=True)
--- a/wasabipaddle/leadership/election.py
+++ b/wasabipaddle/leadership/election.py
@@ -8,8 +8,13 @@
 
 from wasabipaddle.exceptions import ErrorKind
 from wasabipaddle.leadership.events import LeaderElected, LeaderSteppedDown
-from wasabipaddle.leadership.record import EarlierLeader, LeaderRecord, leader_key
-from wasabipaddle.messages import decode, encode
+from wasabipaddle.leadership.record import (
+    EarlierLeader,
+    LeaderRecord,
+    decode_leader_record,
+    leader_key,
+)
+from wasabipaddle.messages import encode
 
 __all__ = ["ShardElection"]
 
@@ -213,7 +218,7 @@
         if result.is_err() or not self.leading:
             return
         entry = result.unwrap()
-        stored = None if entry is None else decode(entry.value, LeaderRecord).unwrap()
+        stored = None if entry is None else decode_leader_record(entry)
         if stored is None or not stored.is_same_term(self.record) or stored.released:
             self._step_down("the leader record was replaced, released or deleted")
             return
@@ -276,7 +281,7 @@
         self.observed_at = self.clock.now()
         self.observed = None
         if entry is not None:
-            self.observed = decode(entry.value, LeaderRecord).unwrap()
+            self.observed = decode_leader_record(entry)
 
     def _is_unconfirmed_acquisition(self):
         observed = self.observed
--- a/wasabipaddle/leadership/record.py
+++ b/wasabipaddle/leadership/record.py
@@ -2,7 +2,9 @@
 
 import attrs
 
-__all__ = ["EarlierLeader", "LeaderRecord", "leader_key"]
+from wasabipaddle.messages import decode
+
+__all__ = ["EarlierLeader", "LeaderRecord", "decode_leader_record", "leader_key"]
 
 
 @attrs.frozen(kw_only=True)
@@ -47,6 +49,18 @@
         )
 
 
+def decode_leader_record(entry) -> LeaderRecord:
+    """Return the leader record in an entry of the store.
+
+    A value that cannot be decoded gives the record of a leader without a name, which
+    was not heard from and may renew leases. Its epoch is the revision of the entry: an
+    acquisition raises the epoch by one and the revision by at least one, so that no
+    earlier epoch is above the revision.
+    """
+    unknown = LeaderRecord(leader="", incarnation=0, epoch=entry.revision)
+    return decode(entry.value, LeaderRecord).unwrap_or(unknown)
+
+
 def leader_key(shard) -> str:
     """Return the store key of the leader record of a shard."""
     return f"shards/{shard}/leader"
--- a/wasabipaddle/serve/leadership.py
+++ b/wasabipaddle/serve/leadership.py
@@ -93,7 +93,7 @@
     async def start(self):
         """Start the elections."""
         for election in self.elections.values():
-            self.tasks.spawn(election.run())
+            self.tasks.keep_running(election.run)
 
     async def drain(self):
         """Release the led shards and notify the next candidate for each of them."""
