--- a/wasabipaddle/cell/intake.py
+++ b/wasabipaddle/cell/intake.py
@@ -41,6 +41,7 @@
         self.watch = StoreWatch(
             store_plugin=store_plugin, name=name, prefix=prefix, bound_s=bound_s
         )
+        self.unreadable = store_plugin.unreadable
         self.pause_s = pause_s
         self.failed = False
         self.relist_after_s = 0.0
@@ -121,7 +122,7 @@
         """Add all jobs, then apply all cancellations, which need the jobs."""
         for entry in entries:
             if entry.key.startswith(JOB_PREFIX):
-                self.attempt(self._add_job, entry.value)
+                self.attempt(self._add_job, entry)
         for entry in entries:
             if entry.key.startswith(CANCEL_PREFIX):
                 self.attempt(self.cancel, entry.key.removeprefix(CANCEL_PREFIX))
@@ -131,14 +132,16 @@
         if change.value is None:
             return
         if change.key.startswith(JOB_PREFIX):
-            self._add_job(change.value)
+            self._add_job(change)
         elif change.key.startswith(CANCEL_PREFIX):
             self.cancel(change.key.removeprefix(CANCEL_PREFIX))
 
-    def _add_job(self, value):
-        job = decode_job(value)
-        if job is not None:
-            self.add_job(job)
+    def _add_job(self, entry):
+        job = decode_job(entry.value)
+        if job is None or JOB_PREFIX + job.id != entry.key:
+            self.unreadable.record("job", entry.key)
+            return
+        self.add_job(job)
 
 
 class RegistryWatcher(PrefixWatcher):
@@ -186,12 +189,15 @@
     def _apply_entry(self, entry):
         """Pass the runner of a store entry to `set_runner`.
 
-        If the entry is unreadable, the runner is marked as unlisted.
+        If the entry is unreadable, a runner that was listed is marked as unlisted.
         """
         runner = decode_runner(entry)
         if runner is None:
-            self.listed.discard(entry.key.removeprefix(REGISTRY_PREFIX))
-            self.mark_unlisted(entry.key.removeprefix(REGISTRY_PREFIX))
+            self.unreadable.record("registry", entry.key)
+            runner_id = entry.key.removeprefix(REGISTRY_PREFIX)
+            if runner_id in self.listed:
+                self.listed.discard(runner_id)
+                self.mark_unlisted(runner_id)
             return
         self.listed.add(runner.id)
         self.set_runner(runner)
--- a/wasabipaddle/cell/members.py
+++ b/wasabipaddle/cell/members.py
@@ -16,6 +16,7 @@
 from wasabipaddle.cell.roster import LIVENESS_TIMEOUT_S, WEAK_SHARE, Roster
 from wasabipaddle.cell.store import CellStorePlugin
 from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.jobs.addresses import is_callable_address
 from wasabipaddle.kernel import Plugin
 from wasabipaddle.messages.jobs import (
     HelloReply,
@@ -162,6 +163,9 @@
         self._follow(notice)
 
     def _set_address(self, process, address):
+        if not is_callable_address(address):
+            self.store_plugin.unreadable.record("member", process, repr(address))
+            return
         self.roster.set_address(process, address)
         self.transport.peers[process] = CellPeer.parse(address)
 
--- a/wasabipaddle/cell/takeover.py
+++ b/wasabipaddle/cell/takeover.py
@@ -24,19 +24,22 @@
 
     The registry may no longer list some of them, but they may run tasks of the previous
     dispatcher until the leases that it granted have expired. A runner that did not
-    answer the previous dispatcher either has only those of earlier ones.
+    answer the previous dispatcher either has only those of earlier ones. A row without
+    an address is of a runner that can only be waited for.
     """
     state = session.scheduler.state
     lease_s = state.timing.lease_s * CLOCK_DRIFT_FACTOR
     lease_wait_s = PROOF_LIMIT_S + lease_s + SUCCESSOR_MARGIN_S
     for row in await session.fleet.load():
-        runner = session.scheduler.set_runner(row.entry, session.now())
-        runner.listed = False
-        runner.in_fleet_record = row.wait_s is None
+        if row.address:
+            runner = session.scheduler.set_runner(row.entry, session.now())
+            runner.listed = False
+            runner.in_fleet_record = row.wait_s is None
         wait_s = lease_wait_s
         if row.wait_s is not None and row.term == session.term - 1:
             wait_s = min(row.wait_s, lease_wait_s)
-        state.suspects[row.id] = session.now() + wait_s
+        until_s = session.now() + wait_s
+        state.suspects[row.id] = max(state.suspects.get(row.id, 0.0), until_s)
 
 
 async def load_progress(session):
@@ -50,8 +53,7 @@
     for entry in page.ok().entries:
         job_id = entry.key.removeprefix(PROGRESS_PREFIX)
         writer.revisions[job_id] = entry.revision
-        progress = decode_progress(entry.value)
-        if progress is None:
-            session.journal("progress_unreadable", job=job_id)
-            continue
-        session.progress[job_id] = progress
+        report = store_plugin.unreadable.reporter("progress", entry.key)
+        progress = decode_progress(entry.value, report=report)
+        if progress is not None:
+            session.progress[job_id] = progress
