--- a/wasabipaddle/soak/bursts.py
+++ b/wasabipaddle/soak/bursts.py
@@ -36,7 +36,8 @@
     async def ends_wait(self, seconds):
         """Let the tasks of a runner end while the store is down.
 
-        Their ends can't be acknowledged before the store is back.
+        Their ends can't be acknowledged before the store is back. The runner stays
+        reserved, as no other has the label that the tasks require.
         """
         memory = self.platform.memory
         label = f"burst-{self.platform.runners_created}"
@@ -51,5 +52,4 @@
         waiting = len(runner.ends)
         memory.down = False
         await asyncio.sleep(AFTER_S)
-        self.platform.reserved_runners.discard(name)
         return f"{name}, {waiting} ends waited,"
