--- a/wasabipaddle/soak/tests/test_faults.py
+++ b/wasabipaddle/soak/tests/test_faults.py
@@ -162,7 +162,10 @@
 
 
 def test_more_ends_wait_than_one_inventory_lists(run_virtual, platform):
-    """Guards against a burst that fits into one inventory, or an outage without it."""
+    """Guards against a burst that fits into one inventory, or an outage without it.
+
+    The runner must not leave later: no other has the label that the tasks require.
+    """
     assert bursts.JOBS * BURST_STEP.count > server.MAX_ENDED_TASKS
     seen = []
 
@@ -183,7 +186,8 @@
     assert len(seen) == bursts.JOBS
     assert len({label for label, _ in seen}) == 1
     assert all(work_s >= bursts.LEAD_S for _, work_s in seen)
-    assert not platform.reserved_runners
+    (reserved,) = platform.reserved_runners
+    assert platform.runners[reserved].entry.rack == seen[0][0]
 
 
 def test_processes_and_runners_are_replaced_one_after_the_other(run_virtual, platform):
