--- a/wasabipaddle/cell/members.py
+++ b/wasabipaddle/cell/members.py
@@ -162,12 +162,14 @@
         )
         self._follow(notice)
 
-    def _set_address(self, process, address):
+    def _set_address(self, process, address) -> bool:
+        """Record the address of a process; return whether it can be called."""
         if not is_callable_address(address):
             self.store_plugin.unreadable.record("member", process, repr(address))
-            return
+            return False
         self.roster.set_address(process, address)
         self.transport.peers[process] = CellPeer.parse(address)
+        return True
 
     @property
     def own_name(self) -> str:
@@ -278,9 +280,12 @@
         )
 
     def _record_members(self, members):
-        for process, address in members.items():
-            self._set_address(process, address)
-        self.roster.record_members(members)
+        callable_members = {
+            process: address
+            for process, address in members.items()
+            if self._set_address(process, address)
+        }
+        self.roster.record_members(callable_members)
 
     async def _handle_refused_leader(self):
         """Replace a leader that refuses connections repeatedly, or call it again soon.
@@ -296,8 +301,8 @@
         self.hello_due.set()
 
     async def _handle_hello(self, hello):
-        self._set_address(hello.process, hello.address)
-        self.roster.record_hello(hello)
+        if self._set_address(hello.process, hello.address):
+            self.roster.record_hello(hello)
         self.configuration.observe(hello.configuration)
         if hello.configuration < self.configuration.version:
             self.context.bus.publish(MemberOutdated(process=hello.process))
--- a/wasabipaddle/cell/tests/test_silent_runner.py
+++ b/wasabipaddle/cell/tests/test_silent_runner.py
@@ -64,6 +64,8 @@
         runs={0: SimpleNamespace(task=SimpleNamespace(spec=spec, step=step))},
         acknowledged=0,
         inventory_lease_until_ms=0,
+        last_inventory_s=0.0,
+        lease_left_ms=lambda now: 0,
     )
 
 
@@ -78,11 +80,13 @@
         session.now = asyncio.get_running_loop().time
         session.scheduler.state.runners = {"r0": runner}
         session.scheduler.state.urgent_task_waiting = False
-        session.scheduler.extend_inventory_lease.return_value = 1
+        session.scheduler.leases.extend_by_inventory.return_value = 1
+        session.election.proof.age_s.return_value = 0.0
         runner_calls = calls.RunnerCalls(session=session)
         watch = asyncio.create_task(runner_calls._watch(runner, client))
-        while len(client.extensions) < 2:
-            await asyncio.sleep(LATENCY_S)
+        async with asyncio.timeout(2 * MAX_LEASE_S):
+            while len(client.extensions) < 2:
+                await asyncio.sleep(LATENCY_S)
         watch.cancel()
 
     run_virtual(main())
--- a/wasabipaddle/cell/tests/test_unreadable_leader.py
+++ b/wasabipaddle/cell/tests/test_unreadable_leader.py
@@ -124,17 +124,17 @@
         await members.start()
         sent = []
 
-        async def ask_leader(message, reply_type, *, timeout_s):
+        async def ask(process, message, reply_type, *, timeout_s):
             sent.append(message)
             known = {"bad": address, "good": "127.0.0.1:5"}
             return Ok(HelloReply(members=known))
 
-        members.ask_leader = ask_leader
+        members.ask = ask
         context.bus.publish(LeaderChanged(process="p9", address=address, epoch=5))
         await asyncio.sleep(3.0)
         assert len(sent) >= 4
-        assert members.addresses == {"good": "127.0.0.1:5"}
-        assert "good" in members.live()
+        assert members.roster.addresses == {"good": "127.0.0.1:5"}
+        assert "good" in members.roster.live()
         reply = await members._handle_hello(
             MemberHello(process="late", address=address)
         )
--- a/wasabipaddle/platform/http.py
+++ b/wasabipaddle/platform/http.py
@@ -1,7 +1,5 @@
 """HTTP client with JSON bodies, shared by the clients of the platform."""
 
-import asyncio
-
 import aiohttp
 import attrs
 import msgspec
@@ -9,7 +7,7 @@
 
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.platform.decoding import DECODING_ERRORS
-from wasabipaddle.transport.connections import ConnectionPool
+from wasabipaddle.transport.connections import ConnectionPool, call_hedged
 
 __all__ = ["HttpResponse", "PlatformHttpClient"]
 
@@ -149,23 +147,15 @@
         After `HEDGE_DELAY_S`, the idempotent request is sent again over a new
         connection. The first response counts, within the time limit of one call.
         """
-        generation = self.pool.generation
-        responded = asyncio.Event()
-        first = asyncio.ensure_future(
-            self.call(method, path, timeout_s=timeout_s, responded=responded, **options)
+
+        def send(limit_s, responded):
+            return self.call(
+                method, path, timeout_s=limit_s, responded=responded, **options
+            )
+
+        return await call_hedged(
+            send, pool=self.pool, timeout_s=timeout_s, delay_s=HEDGE_DELAY_S
         )
-        calls = [first]
-        try:
-            await asyncio.wait(calls, timeout=HEDGE_DELAY_S)
-            if timeout_s > HEDGE_DELAY_S and not (first.done() or responded.is_set()):
-                self.pool.replace(generation)
-                remaining_s = timeout_s - HEDGE_DELAY_S
-                again = self.call(method, path, timeout_s=remaining_s, **options)
-                calls.append(asyncio.ensure_future(again))
-            return await _first_response(calls)
-        finally:
-            for call in calls:
-                call.cancel()
 
     def _open_session(self):
         connector = aiohttp.TCPConnector(
@@ -184,15 +174,6 @@
         await self.pool.close()
 
 
-async def _first_response(calls):
-    """Return the first result that is a response, or the failure of the last call."""
-    for completed in asyncio.as_completed(calls):
-        result = await completed
-        if result.is_ok():
-            break
-    return result
-
-
 def _decode_response(status, raw, method, path):
     if not raw:
         return Ok(HttpResponse(status=status, body={}))
--- a/wasabipaddle/transport/connections.py
+++ b/wasabipaddle/transport/connections.py
@@ -6,7 +6,7 @@
 import aiohttp
 import attrs
 
-__all__ = ["ConnectionPool"]
+__all__ = ["ConnectionPool", "call_hedged"]
 
 # A connection whose peer does not respond may never close in an orderly way.
 CLOSE_TIMEOUT_S = 1.0
@@ -101,3 +101,39 @@
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(CLOSE_TIMEOUT_S):
             await session.close()
+
+
+async def call_hedged(send, *, pool, timeout_s, delay_s):
+    """Make an idempotent call; repeat it over a new connection if it is not answered.
+
+    Parameters
+    ----------
+    send : callable
+        Coroutine function that makes the call once. Called with a time limit in seconds
+        and an event to set when the response begins to arrive.
+    pool : ConnectionPool
+        Connections of the call, replaced before the repetition.
+    timeout_s, delay_s : float
+        Time limit of both calls together, and time until the repetition.
+
+    Returns
+    -------
+    result.Result
+        The first response, or the failure of the last call.
+    """
+    generation, responded = pool.generation, asyncio.Event()
+    calls = [asyncio.ensure_future(send(timeout_s, responded))]
+    try:
+        await asyncio.wait(calls, timeout=delay_s)
+        if timeout_s > delay_s and not (calls[0].done() or responded.is_set()):
+            pool.replace(generation)
+            again = send(timeout_s - delay_s, asyncio.Event())
+            calls.append(asyncio.ensure_future(again))
+        for completed in asyncio.as_completed(calls):
+            result = await completed
+            if result.is_ok():
+                break
+        return result
+    finally:
+        for call in calls:
+            call.cancel()
