Go on with other held jobs after an error in one

An error in one held job ended the task that passes held jobs on, and no later job started it again: jobs that only the watch shows would have waited for good.

--- a/wasabipaddle/cell/accepted.py
+++ b/wasabipaddle/cell/accepted.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from absl import logging
+
 __all__ = ["AcceptedJobs"]
 
 RETRY_S = 0.2
@@ -59,8 +61,16 @@
                 await asyncio.sleep(RETRY_S)
                 continue
             for job in jobs:
-                del self.held[job.id]
-                self.session.take_job(job)
-                if job.id in self.cancelled:
-                    self.cancelled.discard(job.id)
-                    self.session.cancel(job.id)
+                self._take(job)
+
+    def _take(self, job):
+        """Pass a held job on; an error in it must not hold back the others."""
+        del self.held[job.id]
+        cancelled = job.id in self.cancelled
+        self.cancelled.discard(job.id)
+        try:
+            self.session.take_job(job)
+            if cancelled:
+                self.session.cancel(job.id)
+        except Exception:
+            logging.exception("job %s could not be added", job.id)
