--- a/wasabipaddle/cell/calls.py
+++ b/wasabipaddle/cell/calls.py
@@ -174,6 +174,8 @@
     def _wait_s(self, runner, failures):
         if failures or not runner.inventoried:
             return 0.0
+        if any(run.missing for run in runner.runs.values()):
+            return 0.0
         if self.session.election.proof.age_s() > OLD_PROOF_S:
             return OLD_PROOF_WAIT_S
         if not runner.runs:
@@ -185,6 +187,14 @@
             return SHARED_WAIT_S
         return URGENT_WAIT_S if _has_urgent(runner) else BUSY_WAIT_S
 
+    def _may_extend(self, runner):
+        """Return whether the lease of a runner may be extended.
+
+        A successor waits for no longer than the stored wait for a suspect runner, so
+        the record must name the runner without a wait before its lease is extended.
+        """
+        return self.session.may_grant() and runner.in_fleet_record
+
     async def _watch(self, runner, client):
         """Poll the inventory of a runner until the scheduler removes the runner."""
         session, scheduler = self.session, self.scheduler
@@ -194,7 +204,7 @@
             # Retries do not extend the lease, or the lease of a runner that does not
             # respond would never expire.
             previous_until_ms, lease_until_ms = runner.inventory_lease_until_ms, 0
-            if not failures and session.may_grant():
+            if not failures and self._may_extend(runner):
                 lease_until_ms = scheduler.leases.extend_by_inventory(
                     runner, session.now()
                 )
@@ -217,7 +227,6 @@
                 refused = result.is_err() and result.err().kind is ErrorKind.UNREACHABLE
                 if refused:
                     scheduler.leases.revert_inventory(runner, previous_until_ms)
-                    scheduler.connection_refused(runner, now)
                 elif (
                     result.is_ok() and result.ok().refusal is Refusal.OTHER_INCARNATION
                 ):
--- a/wasabipaddle/dispatch/fleet.py
+++ b/wasabipaddle/dispatch/fleet.py
@@ -50,11 +50,12 @@
 def waits_for_suspects(state, step) -> bool:
     """Return whether tasks of a step may run on a runner that has not answered.
 
-    Only tasks of jobs from before the takeover may, and only on runners of the pool to
-    which the queue sends, or sent when the job was accepted.
+    Only tasks of jobs from before the takeover may, and only on runners of the pools to
+    which the queue has sent the job.
     """
     if not step.job.recovered or not state.suspects:
         return False
-    pools = (step.job.queue.pool, step.job.job.policy.pool)
+    job = step.job
+    pools = {job.queue.pool, job.job.policy.pool, *job.pools}
     suspects = map(state.runners.get, state.suspects)
     return any(r is None or r.entry.pool in pools for r in suspects)
--- a/wasabipaddle/dispatch/lifecycle.py
+++ b/wasabipaddle/dispatch/lifecycle.py
@@ -64,8 +64,18 @@
             self._add_occurrence(entry, 0, now)
         if progress is not None:
             self._restore(entry, progress, now)
+            entry.pools.update(progress.pools)
+            entry.durable_pools.update(progress.pools)
+        self.note_pool(entry)
         return entry
 
+    def note_pool(self, entry):
+        """Have the pool to which a job is sent stored before tasks start in it."""
+        pool = entry.queue.pool
+        if pool != entry.job.policy.pool and pool not in entry.pools:
+            entry.pools.add(pool)
+            self.state.mark_dirty(entry)
+
     def open_due(self, now):
         """Add the due occurrences of scheduled jobs."""
         wall_ms = (now + self.state.wall_offset_s) * MS_PER_S
@@ -156,6 +166,7 @@
             completed=completed,
             failures=failures,
             ended_ms=entry.ended_ms,
+            pools=sorted(entry.pools),
         )
 
     def cancel(self, job_id, now):
--- a/wasabipaddle/dispatch/placement.py
+++ b/wasabipaddle/dispatch/placement.py
@@ -96,6 +96,7 @@
         label = step.spec.required_label
         return (
             runner.entry.pool == step.job.queue.pool
+            and step.job.may_run_in(runner.entry.pool)
             and runner.usable(now)
             and (not label or label in runner.entry.labels)
             and runner.health.admits_task(now, len(runner.runs))
--- a/wasabipaddle/dispatch/replies.py
+++ b/wasabipaddle/dispatch/replies.py
@@ -96,7 +96,6 @@
             self.lifecycle.remove_run(run, now, reason=reason)
             return
         self.reports.set_clock(runner, reply.clock_ms, now, sent_s)
-        run.begun = True
         run.confirm(reply.clock_ms, now)
         stopped = run.stop_sent_s > 0 or run.phase is RunPhase.STOPPING
         run.phase = RunPhase.STOPPING if stopped else RunPhase.RUNNING
--- a/wasabipaddle/dispatch/reports.py
+++ b/wasabipaddle/dispatch/reports.py
@@ -67,13 +67,14 @@
         runner.lists_unknown_tasks = lists_unknown_tasks
         if not lists_unknown_tasks:
             runner.unknown_tasks_since_s = 0.0
-        if runner.id in self.state.suspects and not lists_unknown_tasks:
-            self._check_suspect(runner, inventory, now)
+        if runner.id in self.state.suspects:
+            whole = inventory.complete and not lists_unknown_tasks
+            self._check_suspect(runner, whole, now)
         self._remove_missing(runner, listed, inventory, now, requested_s)
 
-    def _check_suspect(self, runner, inventory, now):
-        """Clear a suspect runner once it has listed all its runs and ends."""
-        if inventory.complete:
+    def _check_suspect(self, runner, whole, now):
+        """Clear a suspect runner once all its runs and ends are known."""
+        if whole:
             del self.state.suspects[runner.id]
             return
         until_s = now + self.state.timing.lease_max_s
@@ -85,14 +86,14 @@
         An inventory without a run proves something only if it lists all ended runs and
         was requested after the run or its stop was confirmed: an earlier request may
         have been answered from the time before. A run may also end between the moments
-        at which the runner lists running and ended runs, so a run that has begun must
-        be missing twice.
+        at which the runner lists running and ended runs, so it must be missing
+        twice.
         """
         for run in list(runner.runs.values()):
             if run.key in listed:
                 run.missing = False
             elif inventory.complete and self._may_be_gone(run, inventory, requested_s):
-                if run.missing or not run.begun:
+                if run.missing:
                     self.lifecycle.remove_run(run, now, reason=RemovalReason.MISSING)
                 run.missing = True
 
@@ -220,7 +221,6 @@
         if run.phase in (RunPhase.DOUBTFUL, RunPhase.STARTING):
             stopped = run.stop_sent_s > 0
             run.phase = RunPhase.STOPPING if stopped else RunPhase.RUNNING
-        run.begun = True
         run.confirm(inventory.clock_ms, now)
         if row.percent != run.percent or not run.progress_s:
             run.percent = row.percent
@@ -253,7 +253,6 @@
             started_s=now,
             confirmed_ms=inventory.clock_ms,
             confirmed_s=now,
-            begun=True,
             percent=row.percent,
             progress_s=now,
             load=row.load,
@@ -295,6 +294,8 @@
         self.state.written_generation = max(self.state.written_generation, generation)
         for entry, phase in jobs:
             entry.durable_phase = phase
+            if self.state.is_durable(entry):
+                entry.durable_pools = set(entry.pools)
         for runner in self.state.runners.values():
             while (
                 runner.pending_acknowledgements
--- a/wasabipaddle/dispatch/scheduler.py
+++ b/wasabipaddle/dispatch/scheduler.py
@@ -63,6 +63,8 @@
             queue = configuration.queue(entry.job.policy.name)
             if queue is not None:
                 entry.queue = queue
+                if not entry.phase.final:
+                    self.lifecycle.note_pool(entry)
 
     def set_runner(self, entry, now):
         """Add or update a runner by its registry entry and return its state."""
@@ -99,14 +101,6 @@
             runner.paused_until_s, now + FAILED_INVENTORY_PAUSE_S
         )
 
-    def connection_refused(self, runner, now):
-        """Process a refused connection.
-
-        A draining runner that is no longer listed has exited.
-        """
-        if not runner.listed and runner.entry.draining:
-            self.runner_exited(runner, now)
-
     def runner_exited(self, runner, now):
         """Remove the runs of a runner that has exited; nothing can run there any more.
 
--- a/wasabipaddle/fuzz/decoders.py
+++ b/wasabipaddle/fuzz/decoders.py
@@ -194,8 +194,8 @@
     scheduler.plan(2.0)
     scheduler.count_waiting()
     for runner in scheduler.state.runners.values():
-        scheduler.extend_start_lease(runner, 2.0)
-        until_ms = scheduler.extend_inventory_lease(runner, 2.0)
+        scheduler.leases.extend_by_start(runner, 2.0)
+        until_ms = scheduler.leases.extend_by_inventory(runner, 2.0)
         _require(abs(until_ms) <= MAX_INT64, "a lease is beyond 64 bits")
         msgspec.json.encode([until_ms, runner.entry.leaves_in_s])
     for entry in scheduler.state.jobs.values():
--- a/wasabipaddle/jobs/records.py
+++ b/wasabipaddle/jobs/records.py
@@ -44,12 +44,16 @@
         of a gang by "occurrence.step.gang".
     ended_ms : int
         Time of the end in Unix milliseconds, 0 before.
+    pools : list of str
+        Pools in which tasks may have been started, besides that of the queue when the
+        job was accepted.
     """
 
     phase: JobPhase = JobPhase.QUEUED
     completed: dict[str, list[int]] = attrs.field(factory=dict)
     failures: dict[str, list[int]] = attrs.field(factory=dict)
     ended_ms: int = 0
+    pools: list[str] = attrs.field(factory=list)
 
     def restrict(self, spec):
         """Return the progress without occurrences, steps and tasks that a job lacks."""
@@ -113,6 +117,7 @@
     progress = JobProgress(
         completed=_decode_rows(body.get("completed", {}), _is_step_key, report),
         failures=_decode_rows(body.get("failures", {}), _is_task_key, report),
+        pools=_decode_pools(body.get("pools", []), report),
     )
     try:
         phase = JobPhase(body.get("phase", JobPhase.QUEUED))
@@ -137,6 +142,13 @@
     return decoded
 
 
+def _decode_pools(names, report):
+    if isinstance(names, list) and all(isinstance(name, str) for name in names):
+        return names
+    report("the pools are unreadable")
+    return []
+
+
 def _is_index(value):
     return type(value) is int and 0 <= value <= MAX_INTEGER
 
