Repeat at most one call to an address in two seconds

Not proved: each read that took longer than 0.4 s was sent again and had all connections replaced, which doubles the load of a store that is only slow. Change: a pool lets one call be repeated within two seconds; a silent connection still costs one repetition, after which the connections are new. Result: test_calls_to_a_slow_server_are_not_all_repeated counts 6 instead of 10 requests for 5 calls.

--- a/wasabipaddle/platform/tests/test_silent_connections.py
+++ b/wasabipaddle/platform/tests/test_silent_connections.py
@@ -233,6 +233,21 @@
     with_server(scenario)
 
 
+def test_calls_to_a_slow_server_are_not_all_repeated(with_server):
+    """Guards against a slow server that gets twice the calls over new connections."""
+
+    async def scenario(server, relay):
+        client = PlatformHttpClient(address=relay.address)
+        limit_s = HEDGE_DELAY_S + SHORT_S
+        calls = [get_hedged(client, "/never", limit_s) for _ in range(5)]
+        results = await asyncio.gather(*calls)
+        assert all(result.is_err() for result in results)
+        assert server.requests["/never"] == 6
+        await client.close()
+
+    with_server(scenario)
+
+
 def test_hedged_call_is_sent_once_if_the_response_comes_early(with_server):
     """Guards against a hedge that doubles the calls of a calm day."""
 
--- a/wasabipaddle/transport/connections.py
+++ b/wasabipaddle/transport/connections.py
@@ -8,6 +8,9 @@
 
 __all__ = ["ConnectionPool", "call_hedged"]
 
+# Shortest time between two repetitions of calls to one address. Without a limit, a peer
+# that is only slow would get twice the calls, all over new connections.
+HEDGE_INTERVAL_S = 2.0
 # A connection whose peer does not respond may never close in an orderly way.
 CLOSE_TIMEOUT_S = 1.0
 
@@ -42,6 +45,7 @@
     def __init__(self, *, open_session):
         self.open_session = open_session
         self.generation = 0
+        self.next_hedge_s = 0.0
         self.current = None
         self.replaced = set()
         self.close_tasks = set()
@@ -65,6 +69,14 @@
             pooled.calls -= 1
             self._close_unused(pooled)
 
+    def may_hedge(self) -> bool:
+        """Return whether a call may be repeated now, and count it if it may."""
+        now = asyncio.get_running_loop().time()
+        if now < self.next_hedge_s:
+            return False
+        self.next_hedge_s = now + HEDGE_INTERVAL_S
+        return True
+
     def replace(self, generation):
         """Use new connections for later calls, if those of `generation` are in use."""
         if generation != self.generation:
@@ -106,6 +118,8 @@
 async def call_hedged(send, *, pool, timeout_s, delay_s):
     """Make an idempotent call; repeat it over a new connection if it is not answered.
 
+    At most one call of a pool is repeated within `HEDGE_INTERVAL_S`.
+
     Parameters
     ----------
     send : callable
@@ -125,7 +139,8 @@
     calls = [asyncio.ensure_future(send(timeout_s, responded))]
     try:
         await asyncio.wait(calls, timeout=delay_s)
-        if timeout_s > delay_s and not (calls[0].done() or responded.is_set()):
+        silent = not (calls[0].done() or responded.is_set())
+        if silent and timeout_s > delay_s and pool.may_hedge():
             pool.replace(generation)
             again = send(timeout_s - delay_s, asyncio.Event())
             calls.append(asyncio.ensure_future(again))
