--- a/wasabipaddle/cell/calls.py
+++ b/wasabipaddle/cell/calls.py
@@ -93,8 +93,7 @@
         outcome, reply = StartOutcome.REPLIED, None
         if result.is_ok():
             reply = result.ok()
-            if reply.refusal is Refusal.STALE_EPOCH:
-                session.step_down(f"{runner.id} has seen a later epoch")
+            self._check_epoch(runner, reply, message.epoch)
         elif result.err().kind is ErrorKind.UNREACHABLE:
             outcome = StartOutcome.NOT_DELIVERED
         else:
@@ -117,14 +116,22 @@
         if outcome is not StartOutcome.REPLIED or reply.refusal is not Refusal.NONE:
             session.wake()
 
+    def _check_epoch(self, runner, reply, epoch):
+        """Step down if a runner refuses the epoch under which this process leads.
+
+        An order that was sent under an earlier epoch of this leadership says nothing.
+        """
+        if reply.refusal is Refusal.STALE_EPOCH and epoch == self.session.epoch:
+            self.session.step_down(f"{runner.id} has seen a later epoch")
+
     async def _stop(self, order):
         session, runner = self.session, order.runner
-        client = self.clients.get(runner.id)
+        client, epoch = self.clients.get(runner.id), session.epoch
         if client is None:
             return
         sent_s = session.now()
         result = await client.stop(
-            order.task, order.number, epoch=session.epoch, timeout_s=ORDER_TIMEOUT_S
+            order.task, order.number, epoch=epoch, timeout_s=ORDER_TIMEOUT_S
         )
         session.journal(
             "run_stopped",
@@ -137,8 +144,7 @@
             ),
         )
         if result.is_ok():
-            if result.ok().refusal is Refusal.STALE_EPOCH:
-                session.step_down(f"{runner.id} has seen a later epoch")
+            self._check_epoch(runner, result.ok(), epoch)
             self.scheduler.replies.stop_replied(
                 runner,
                 order.task,
@@ -208,9 +214,9 @@
                 lease_until_ms = scheduler.leases.extend_by_inventory(
                     runner, session.now()
                 )
-            requested_s = session.now()
+            requested_s, epoch = session.now(), session.epoch
             result = await client.inventory(
-                epoch=session.epoch,
+                epoch=epoch,
                 acknowledged=runner.acknowledged,
                 lease_until_ms=lease_until_ms,
                 wait_s=wait_s,
@@ -218,7 +224,7 @@
             )
             now = session.now()
             if result.is_ok() and result.ok().refusal is Refusal.STALE_EPOCH:
-                session.step_down(f"{runner.id} has seen a later epoch")
+                self._check_epoch(runner, result.ok(), epoch)
                 await asyncio.sleep(RETRY_S)
                 continue
             if result.is_err() or result.ok().refusal is not Refusal.NONE:
--- a/wasabipaddle/cell/tests/test_partitions.py
+++ b/wasabipaddle/cell/tests/test_partitions.py
@@ -12,6 +12,7 @@
     play_cell,
     submit,
 )
+from wasabipaddle.interfaces import OrderReply, Refusal
 from wasabipaddle.jobs import StepSpec
 
 LASTING = StepSpec(count=6, cpu=1000, lasting=True, max_per_runner=1)
@@ -161,3 +162,21 @@
         assert partition.record.doubled == []
 
     play(scenario)
+
+
+def test_order_under_an_earlier_own_epoch_does_not_end_the_leadership(play):
+    """Guards against a leader that steps down for the epoch that it has just won."""
+
+    async def scenario(cell, partition, leader):
+        await asyncio.sleep(3.0)
+        session = leader.dispatcher.session
+        runner = session.scheduler.state.runners["r0"]
+        before = session.epoch
+        session.continue_with(before + 1)
+        reply = OrderReply(refusal=Refusal.STALE_EPOCH)
+        session.calls._check_epoch(runner, reply, before)
+        assert leader.election.epoch == before
+        session.calls._check_epoch(runner, reply, before + 1)
+        assert leader.election.epoch == 0
+
+    play(scenario)
--- a/wasabipaddle/fuzz/decoders.py
+++ b/wasabipaddle/fuzz/decoders.py
@@ -253,7 +253,7 @@
 
 def _check_store(data):
     store = PlatformStore(address=RUNNER.address)
-    store.call_client = store.watch_client = StubClient(raw=data)
+    store.client = StubClient(raw=data)
     puts = (Put(key="k", value=b""),)
     for call in (
         store.get("k"),
@@ -267,7 +267,7 @@
         entries = getattr(found, "entries", None) or getattr(found, "changes", ())
         for entry in entries:
             entry.key.startswith(REGISTRY_PREFIX)
-    store.call_client = StubClient(raw=data, status=412)
+    store.client = StubClient(raw=data, status=412)
     run_now(store.commit(puts=puts))
 
 
--- a/wasabipaddle/fuzz/stubs.py
+++ b/wasabipaddle/fuzz/stubs.py
@@ -57,6 +57,10 @@
         self.raw = raw
         self.status = status
 
+    async def call_hedged(self, method, path, **options):
+        """Return the answer, as `call` does."""
+        return await self.call(method, path, **options)
+
     async def call(self, method, path, **options):
         """Return the answer, decoded as `PlatformHttpClient` does."""
         try:
