Refuse repeated jobs without a start time or an interval

Callers saw a job with `repeat_count` 3 and no times accepted; it ran occurrence 0 only and stayed `running`. `JobSpec.scheduled` was false, so only occurrence 0 was added, while the end of the job needs all of them.

Such a job is refused with 400 and the reason in the body. A single occurrence without times is due in 1970 and runs at once. Jobs that earlier versions have stored still load, and their occurrences are all due at once.

--- a/wasabipaddle/jobs/model.py
+++ b/wasabipaddle/jobs/model.py
@@ -133,8 +133,12 @@
 
     @property
     def scheduled(self) -> bool:
-        """Whether the job has a schedule."""
-        return self.interval_ms > 0 or self.first_due_ms > 0
+        """Whether the job has a schedule.
+
+        Earlier versions stored jobs with several occurrences and no times; all of these
+        occurrences are due at once.
+        """
+        return self.occurrences > 1 or self.interval_ms > 0 or self.first_due_ms > 0
 
     @property
     def lasting(self) -> bool:
--- /dev/null
+++ b/wasabipaddle/jobs/submission.py
@@ -0,0 +1,17 @@
+"""Checks of submitted jobs that do not apply to stored ones."""
+
+__all__ = ["find_schedule_problem"]
+
+
+def find_schedule_problem(spec) -> str:
+    """Return why the times of a `JobSpec` are no schedule, an empty string if they are.
+
+    A single occurrence needs no times, as it is then due at once. Earlier versions
+    stored jobs with several occurrences and no times.
+    """
+    if spec.occurrences > 1 and spec.first_due_ms <= 0 and spec.interval_ms <= 0:
+        return (
+            f"the job has {spec.occurrences} occurrences, but neither a start time nor "
+            "an interval"
+        )
+    return ""
--- a/wasabipaddle/platform/callers.py
+++ b/wasabipaddle/platform/callers.py
@@ -35,6 +35,8 @@
     ErrorKind.ACCEPTANCE_UNKNOWN: OUTCOME_UNKNOWN_STATUS,
     ErrorKind.TIMEOUT: OUTCOME_UNKNOWN_STATUS,
 }
+# Kinds whose detail describes the call itself and is sent to the caller.
+EXPLAINED_KINDS = frozenset({ErrorKind.INVALID_REQUEST, ErrorKind.BODY_TOO_LARGE})
 
 
 class CallerListener:
@@ -147,7 +149,11 @@
     headers = {}
     if status in (429, 503):
         headers["Retry-After"] = str(max(1, round(failure.retry_after_s or 1)))
-    return web.Response(status=status, headers=headers)
+    body = None
+    if failure.kind in EXPLAINED_KINDS:
+        headers["Content-Type"] = "text/plain; charset=utf-8"
+        body = failure.detail.encode(errors="replace")
+    return web.Response(status=status, headers=headers, body=body)
 
 
 def _json_response(body):
--- a/wasabipaddle/platform/jobs.py
+++ b/wasabipaddle/platform/jobs.py
@@ -8,6 +8,7 @@
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.jobs import JobPhase, JobSpec
 from wasabipaddle.jobs.checks import find_spec_problem
+from wasabipaddle.jobs.submission import find_schedule_problem
 from wasabipaddle.platform.decoding import DECODING_ERRORS, rounded, whole
 
 __all__ = ["JOB_ID", "PHASE_WORDS", "decode_spec"]
@@ -31,7 +32,7 @@
     except DECODING_ERRORS as error:
         detail = f"the job cannot be decoded: {type(error).__name__} {error}"
         return Err(Failure(kind=ErrorKind.INVALID_REQUEST, detail=detail))
-    problem = find_spec_problem(spec)
+    problem = find_spec_problem(spec) or find_schedule_problem(spec)
     if problem:
         return Err(Failure(kind=ErrorKind.INVALID_REQUEST, detail=problem))
     return Ok(spec)
