Refuse jobs with more tasks than a limit of the settings

A job of 1,000,000 tasks was accepted, and no call about it was answered for 100 s, as the dispatcher builds all its tasks at once. The new setting `max_job_tasks` (default 20,000) bounds the tasks over all steps and occurrences; the listener for callers refuses a larger job with 413 after decoding it, before anything is stored. All occurrences count, since the dispatcher keeps their tasks until the job is forgotten. Stored jobs are read as before.

--- a/wasabipaddle/jobs/submission.py
+++ b/wasabipaddle/jobs/submission.py
@@ -1,6 +1,6 @@
 """Checks of submitted jobs that do not apply to stored ones."""
 
-__all__ = ["find_schedule_problem"]
+__all__ = ["find_schedule_problem", "find_size_problem"]
 
 
 def find_schedule_problem(spec) -> str:
@@ -15,3 +15,20 @@
             "an interval"
         )
     return ""
+
+
+def find_size_problem(spec, max_tasks) -> str:
+    """Return why a `JobSpec` is too large, an empty string if it is not.
+
+    The dispatcher keeps all tasks of a job in memory until the job is forgotten, so
+    the tasks of all occurrences count.
+
+    Parameters
+    ----------
+    max_tasks : int
+        Largest number of tasks.
+    """
+    tasks = sum(step.count for step in spec.steps) * spec.occurrences
+    if tasks > max_tasks:
+        return f"the job has {tasks} tasks; allowed are at most {max_tasks}"
+    return ""
--- a/wasabipaddle/platform/callers.py
+++ b/wasabipaddle/platform/callers.py
@@ -120,7 +120,8 @@
         data = await request.read()
         if len(data) > self.service.max_body_bytes:
             return web.Response(status=413)
-        spec = decode_spec(data)
+        max_tasks = self.service.context.settings.max_job_tasks
+        spec = decode_spec(data, max_tasks=max_tasks)
         if spec.is_err():
             return _error_response(spec.err())
         accepted = await self.service.submit(queue, job, spec.ok(), wait_s=wait_s)
--- a/wasabipaddle/platform/jobs.py
+++ b/wasabipaddle/platform/jobs.py
@@ -1,5 +1,6 @@
 """Decoding of the jobs that callers submit."""
 
+import math
 import re
 
 import msgspec
@@ -8,7 +9,7 @@
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.jobs import JobPhase, JobSpec
 from wasabipaddle.jobs.checks import find_spec_problem
-from wasabipaddle.jobs.submission import find_schedule_problem
+from wasabipaddle.jobs.submission import find_schedule_problem, find_size_problem
 from wasabipaddle.platform.decoding import DECODING_ERRORS, rounded, whole
 
 __all__ = ["JOB_ID", "PHASE_WORDS", "decode_spec"]
@@ -24,14 +25,21 @@
 }
 
 
-def decode_spec(data) -> Result[JobSpec, Failure]:
-    """Return the job in a request body, or an `Err` of kind `invalid_request`."""
+def decode_spec(data, *, max_tasks=math.inf) -> Result[JobSpec, Failure]:
+    """Return the job in a request body.
+
+    Errors are of kind `body_too_large` for a job with more than `max_tasks` tasks, else
+    `invalid_request`.
+    """
     try:
         # The conversion checks the type of every field.
         spec = msgspec.convert(_read_spec(msgspec.json.decode(data)), JobSpec)
     except DECODING_ERRORS as error:
         detail = f"the job cannot be decoded: {type(error).__name__} {error}"
         return Err(Failure(kind=ErrorKind.INVALID_REQUEST, detail=detail))
+    problem = find_size_problem(spec, max_tasks)
+    if problem:
+        return Err(Failure(kind=ErrorKind.BODY_TOO_LARGE, detail=problem))
     problem = find_spec_problem(spec) or find_schedule_problem(spec)
     if problem:
         return Err(Failure(kind=ErrorKind.INVALID_REQUEST, detail=problem))
--- a/wasabipaddle/settings/cell.py
+++ b/wasabipaddle/settings/cell.py
@@ -100,6 +100,8 @@
     processor_share, processor_speed : float
         Share of a core that the process may use, and speed of that core relative to
         the usual speed of a core.
+    max_job_tasks : int
+        Largest number of tasks of a submitted job, over all steps and occurrences.
     """
 
     process: str
@@ -114,6 +116,7 @@
     advertised: str = ""
     processor_share: float = 1.0
     processor_speed: float = 1.0
+    max_job_tasks: int = 20_000
 
     @property
     def advertised_address(self) -> str:
--- a/wasabipaddle/settings/loader.py
+++ b/wasabipaddle/settings/loader.py
@@ -47,6 +47,7 @@
     ("CellSettings", "metrics_port"): Bounds(high=65_535),
     ("CellSettings", "processor_share"): Bounds(low=0.001, high=1_000),
     ("CellSettings", "processor_speed"): Bounds(low=0.001, high=1_000),
+    ("CellSettings", "max_job_tasks"): Bounds(low=1, high=1_000_000),
     ("DataCentre", "shards"): Bounds(low=1, high=64),
     ("LinkSettings", "data_centre_latency_ms"): Bounds(high=10_000),
     ("LinkSettings", "region_latency_ms"): Bounds(high=10_000),
