Give work only to the life of a runner that its entry describes

A runner that started again under its id as another kind got tasks whose `requires` it did not meet: placement used the labels and the capacity of the registry entry, without a look at its `born`, while inventories already came from the other life.

`RunnerState.usable` now needs an entry of the incarnation of the last inventory; an entry without one (0) is accepted. While either lags behind, the runner gets no new work, and its runs go on.

Failing before: two cases of test_incarnations.py, a start on a runner whose entry was of an earlier, or of a later life.

--- a/wasabipaddle/dispatch/runners.py
+++ b/wasabipaddle/dispatch/runners.py
@@ -202,9 +202,15 @@
         return self.entry.capacity.holds(cpu, spec.memory_mb, spec.gpus)
 
     def usable(self, now) -> bool:
-        """Return whether new work may go to the runner."""
+        """Return whether new work may go to the runner.
+
+        The registry entry has to be of the incarnation that answered last, since
+        another one may have other labels and capacity; 0 stands for an entry of an
+        unknown incarnation.
+        """
         return (
             self.inventoried
+            and self.entry.incarnation in (0, self.incarnation)
             and self.listed
             and not self.exited
             and self.in_fleet_record
--- /dev/null
+++ b/wasabipaddle/dispatch/tests/test_incarnations.py
@@ -0,0 +1,62 @@
+"""Runners that start again under their identifier as another kind."""
+
+import pytest
+
+from wasabipaddle.dispatch.tests.conftest import step
+
+
+def set_entry(cell, name, incarnation, labels):
+    entry = cell.entry(name, incarnation=incarnation, labels=(*labels, "rack"))
+    cell.scheduler.set_runner(entry, cell.now)
+
+
+def submit_labelled(cell):
+    cell.submit("j0", step(1, required_label="gpu"))
+    cell.plan()
+
+
+def test_runner_of_a_later_life_gets_no_work_by_its_earlier_entry(make_cell):
+    """Guards against a task on a runner without the label that it requires."""
+    cell = make_cell(runners=1)
+    set_entry(cell, "r0", 1, ["gpu"])
+    cell.runners["r0"].crash()
+    cell.read_inventories()
+    submit_labelled(cell)
+    assert cell.started == []
+    set_entry(cell, "r0", 2, ["plain"])
+    cell.plan()
+    assert cell.started == []
+    set_entry(cell, "r0", 2, ["gpu"])
+    cell.plan()
+    assert len(cell.started) == 1
+
+
+def test_runner_gets_no_work_before_the_life_of_its_entry_has_answered(make_cell):
+    """Guards against a start that reaches an earlier life than the entry describes."""
+    cell = make_cell(runners=1)
+    set_entry(cell, "r0", 2, ["gpu"])
+    submit_labelled(cell)
+    assert cell.started == []
+    cell.runners["r0"].crash()
+    cell.read_inventories()
+    cell.plan()
+    assert len(cell.started) == 1
+
+
+@pytest.mark.parametrize("incarnation", [0, 1])
+def test_entry_of_the_same_or_an_unknown_life_is_used(make_cell, incarnation):
+    """Guards against a runner without work whose entry names no life."""
+    cell = make_cell(runners=1)
+    set_entry(cell, "r0", incarnation, ["gpu"])
+    submit_labelled(cell)
+    assert len(cell.started) == 1
+
+
+def test_runs_of_a_runner_go_on_while_its_entry_is_of_another_life(make_cell):
+    """Guards against runs that are stopped because the registry lags behind."""
+    cell = make_cell(runners=1)
+    set_entry(cell, "r0", 1, ["gpu"])
+    submit_labelled(cell)
+    set_entry(cell, "r0", 2, ["gpu"])
+    cell.advance_time(1.0)
+    assert len(cell.runners["r0"].running) == 1
