Bound the start orders without a reply, and the work of a round

One job of 5,000 tasks of 0.05 core on 6 runners took the leader down: all start calls went out at once and were given up after 0.6 s, each followed by stops, and leases of runners that worked lapsed. Besides, the watchdog visited all tasks of a step for each run of it.

A runner now has at most 32 starts without a reply; runs in doubt count. The steps that wait share them. Other tasks stay waiting, which counts neither as lack of capacity nor as a reason to preempt, and the next reply wakes the plan. Gangs are exempt, as their tasks have to start together. The usual duration is computed once for each step and round, over sorted durations, so that the median without one run takes constant time.

The test cell plans again after replies, as a session does.

--- a/wasabipaddle/cell/calls.py
+++ b/wasabipaddle/cell/calls.py
@@ -114,7 +114,10 @@
         session.metrics.observe("start_wait", sent_s - task.waiting_since_s)
         session.metrics.observe("start_call", now - sent_s)
         self.scheduler.replies.start_replied(run, outcome, reply, now, sent_s=sent_s)
-        if outcome is not StartOutcome.REPLIED or reply.refusal is not Refusal.NONE:
+        failed = (
+            outcome is not StartOutcome.REPLIED or reply.refusal is not Refusal.NONE
+        )
+        if failed or self.scheduler.placement.deferred:
             session.wake()
 
     async def _stop(self, order):
--- a/wasabipaddle/dispatch/model.py
+++ b/wasabipaddle/dispatch/model.py
@@ -1,7 +1,7 @@
 """In-memory state of jobs, steps, tasks and runs in the dispatcher."""
 
+import bisect
 import enum
-import statistics
 
 import attrs
 
@@ -17,6 +17,8 @@
     "RunPhase",
     "Step",
     "Task",
+    "UsualDuration",
+    "median",
 ]
 
 # Least number of runs of a step from which the usual duration is computed.
@@ -131,7 +133,7 @@
             return 100 * (self.progress_s - self.started_s) / self.percent
         durations_s = self.task.step.durations_s
         if len(durations_s) >= COMPARED_RUNS:
-            return statistics.median(durations_s)
+            return median(durations_s)
         return self.task.spec.estimate_s / (self.runner.health.speed or 1.0)
 
 
@@ -181,6 +183,57 @@
         return self.step.spec
 
 
+def median(ordered) -> float:
+    """Return the median of values in rising order, in constant time."""
+    middle = len(ordered) // 2
+    if len(ordered) % 2:
+        return ordered[middle]
+    return (ordered[middle - 1] + ordered[middle]) / 2
+
+
+@attrs.define(kw_only=True, eq=False)
+class UsualDuration:
+    """Median duration of the runs of a step, computed once for many comparisons.
+
+    Parameters
+    ----------
+    durations_s : list of float
+        Durations in rising order, with projected ones of running tasks if few runs
+        have completed.
+    projected_s : dict of Run to float
+        Projected durations among them.
+    """
+
+    durations_s: list
+    projected_s: dict = attrs.field(factory=dict)
+
+    def seconds(self, *, without=None) -> float | None:
+        """Return the median, None for too few runs.
+
+        Parameters
+        ----------
+        without : Run or None
+            Running task to leave out.
+        """
+        left_out_s = self.projected_s.get(without)
+        count = len(self.durations_s) - (left_out_s is not None)
+        if count < COMPARED_RUNS:
+            return None
+        if left_out_s is None:
+            return median(self.durations_s)
+        position = bisect.bisect_left(self.durations_s, left_out_s)
+        low, high = (count - 1) // 2, count // 2
+        low += low >= position
+        high += high >= position
+        return (self.durations_s[low] + self.durations_s[high]) / 2
+
+    def exclude(self, run):
+        """Leave out a running task from now on."""
+        left_out_s = self.projected_s.pop(run, None)
+        if left_out_s is not None:
+            del self.durations_s[bisect.bisect_left(self.durations_s, left_out_s)]
+
+
 @attrs.define(kw_only=True, eq=False)
 class Step:
     """One step in one occurrence of a job.
@@ -204,7 +257,7 @@
     failed_on : set of str
         Runners on which tasks of the step failed.
     durations_s : list of float
-        Durations of the runs that completed without a checkpoint.
+        Durations of the runs that completed without a checkpoint, in rising order.
     gang_failures : set of int
         Numbers of the runs of a gang that failed.
     eligibility : Eligibility
@@ -230,36 +283,25 @@
         Estimates may be off by a factor of several, so a run is compared with the
         median of its step. Returns None if too few runs have completed.
         """
-        self.durations_s.append(seconds)
+        bisect.insort(self.durations_s, seconds)
         if len(self.durations_s) < COMPARED_RUNS:
             return None
-        return statistics.median(self.durations_s) / max(seconds, MIN_RUN_S)
-
-    def usual_duration_s(self, *, without=None) -> float | None:
-        """Return the median duration of the runs of the step.
+        return median(self.durations_s) / max(seconds, MIN_RUN_S)
 
-        Durations of running tasks are projected. Returns None for too few runs.
-
-        Parameters
-        ----------
-        without : Run or None
-            Running task to leave out.
-        """
+    def measure_usual_duration(self) -> "UsualDuration":
+        """Return the usual duration of the runs, with a visit of all tasks."""
         if len(self.durations_s) >= COMPARED_RUNS:
-            return statistics.median(self.durations_s)
-        running = [
-            run
+            return UsualDuration(durations_s=self.durations_s)
+        projected_s = {
+            run: run.projected_s()
             for task in self.tasks
             for run in task.runs
-            if run is not without
-            and run.phase is RunPhase.RUNNING
+            if run.phase is RunPhase.RUNNING
             and not run.excluded_from_timing
             and run.percent >= COMPARED_PERCENT
-        ]
-        durations_s = [run.projected_s() for run in running] + self.durations_s
-        if len(durations_s) < COMPARED_RUNS:
-            return None
-        return statistics.median(durations_s)
+        }
+        durations_s = sorted([*projected_s.values(), *self.durations_s])
+        return UsualDuration(durations_s=durations_s, projected_s=projected_s)
 
     @property
     def key(self):
--- a/wasabipaddle/dispatch/placement.py
+++ b/wasabipaddle/dispatch/placement.py
@@ -16,6 +16,12 @@
 # duration plus LATE_MARGIN_S.
 LATE_ESTIMATE_FACTOR = 1.3
 LATE_MARGIN_S = 0.2
+# Start orders without a reply that a runner may have. Thousands at once delay each
+# other until all run into the time-out of the call.
+MAX_UNANSWERED_STARTS = 32
+# Least number of these that a step may have, however many steps wait.
+MIN_STEP_SHARE = 4
+UNANSWERED_PHASES = (RunPhase.STARTING, RunPhase.DOUBTFUL)
 
 
 class Placement:
@@ -27,11 +33,21 @@
         Shared state.
     preemption : Preemption
         Frees capacity for urgent tasks.
+
+    Attributes
+    ----------
+    unanswered : dict of str to list of Run
+        Runs whose start has no reply yet, by runner.
+    deferred : bool
+        Whether the last plan left tasks waiting for such replies. Gangs do not wait for
+        them, since all their tasks have to start together.
     """
 
     def __init__(self, *, state, preemption):
         self.state = state
         self.preemption = preemption
+        self.unanswered = {}
+        self.deferred = False
 
     def plan(self, now):
         """Start the waiting tasks that fit.
@@ -40,6 +56,8 @@
         dispatcher.
         """
         self.preemption.begin_round()
+        self._forget_answered()
+        self.deferred = False
         self.state.capacity_exhausted = self.state.urgent_task_waiting = False
         for step in sorted(self.state.ready.values(), key=priority_key):
             if waits_for_suspects(self.state, step):
@@ -49,6 +67,31 @@
             else:
                 self._plan_tasks(step, now)
 
+    def _forget_answered(self):
+        unanswered = {}
+        for runner_id, runs in self.unanswered.items():
+            left = [
+                run
+                for run in runs
+                if run.phase in UNANSWERED_PHASES and run.key in run.runner.runs
+            ]
+            if left:
+                unanswered[runner_id] = left
+        self.unanswered = unanswered
+
+    def _may_order_start(self, step, runner) -> bool:
+        """Return whether a runner may get another start order of a step now.
+
+        Waiting steps share the orders, so that a small one does not wait until all
+        tasks of a large one have started.
+        """
+        runs = self.unanswered.get(runner.id, ())
+        if len(runs) >= MAX_UNANSWERED_STARTS:
+            return False
+        share = MAX_UNANSWERED_STARTS // max(len(self.state.ready), 1)
+        own = sum(run.task.step is step for run in runs)
+        return own < max(share, MIN_STEP_SHARE)
+
     def plan_copies(self, now):
         """Start copies of speculative tasks whose only run is late.
 
@@ -63,7 +106,7 @@
             if run.task.spec.speculative
         }
         for step in steps.values():
-            usual_s = step.usual_duration_s()
+            usual_s = step.measure_usual_duration().seconds()
             expected_s = step.spec.estimate_s if usual_s is None else usual_s
             late = [t for t in step.tasks if _needs_copy(t, expected_s, now)]
             permitted = self._permitted(step, now) if late else []
@@ -136,6 +179,9 @@
             return
         for task in list(step.pending.values()):
             best = self._best(task, permitted)
+            if best is None and self._waits_for_replies(step, permitted):
+                self.deferred = True
+                return
             if best is None:
                 self.state.capacity_exhausted = True
                 self.state.urgent_task_waiting |= step.job.queue.priority == 0
@@ -146,11 +192,23 @@
                 continue
             self._start(task, *best, task.last_run + 1, now)
 
+    def _waits_for_replies(self, step, permitted):
+        """Return whether a task of the step fits, once replies to starts arrive."""
+        return any(
+            not self._may_order_start(step, runner) and _fits(step, runner)
+            for runner, _ in permitted
+        )
+
     def _best(self, task, permitted):
-        """Return the runner of highest score and its ticket, None if no runner fits."""
+        """Return the runner of highest score and its ticket.
+
+        Returns None if no runner fits or may get a start order now.
+        """
         best, best_score = None, None
         for runner, ticket in permitted:
-            if not runner.fits(task.spec) or not within_runner_limit(task.step, runner):
+            if not self._may_order_start(task.step, runner):
+                continue
+            if not _fits(task.step, runner):
                 continue
             score = self._score(task, runner)
             if best is None or score > best_score:
@@ -222,6 +280,7 @@
         task.runs.append(run)
         runner.reserve(run)
         self.state.unqueue_task(task)
+        self.unanswered.setdefault(runner.id, []).append(run)
         self.state.outbox.append(StartTask(run=run, ticket=ticket))
 
 
@@ -230,6 +289,10 @@
     return (step.job.queue.priority, step.job.due_s)
 
 
+def _fits(step, runner):
+    return runner.fits(step.spec) and within_runner_limit(step, runner)
+
+
 def within_runner_limit(step, runner) -> bool:
     """Return whether `max_per_runner` of the step admits another task on a runner."""
     limit = step.spec.max_per_runner
--- a/wasabipaddle/dispatch/tests/conftest.py
+++ b/wasabipaddle/dispatch/tests/conftest.py
@@ -182,12 +182,19 @@
         return records
 
     def plan(self, *, answer=True):
-        """Plan and execute the orders; without `answer`, starts get lost."""
-        requests = self.scheduler.plan(self.now)
-        orders = self.scheduler.take_orders()
-        for order in orders:
-            self.execute(order, answer=answer)
-        return requests, orders
+        """Plan and execute the orders; without `answer`, starts get lost.
+
+        As a session does, this plans again as long as tasks wait for replies to starts.
+        """
+        requests, orders = [], []
+        while True:
+            requests += self.scheduler.plan(self.now)
+            taken = self.scheduler.take_orders()
+            for order in taken:
+                self.execute(order, answer=answer)
+            orders += taken
+            if not (taken and answer and self.scheduler.placement.deferred):
+                return requests, orders
 
     def execute(self, order, *, answer=True):
         """Execute an order on its runner; without `answer`, a start gets lost."""
--- a/wasabipaddle/dispatch/watchdog.py
+++ b/wasabipaddle/dispatch/watchdog.py
@@ -42,13 +42,20 @@
     ----------
     state : CellState
         Shared state.
+
+    Attributes
+    ----------
+    usual : dict of tuple to UsualDuration
+        Usual durations of this round, by the key of the step.
     """
 
     def __init__(self, *, state):
         self.state = state
+        self.usual = {}
 
     def check(self, now):
         """Check all runs and the speed of all runners once."""
+        self.usual.clear()
         for runner in self.state.runners.values():
             for run in runner.runs.values():
                 self._check_run(runner, run, now)
@@ -73,7 +80,7 @@
         A runner is slow only if all comparable runs on it are slow.
         """
         slowness = {
-            run: _slowness(runner, run)
+            run: self._slowness(runner, run)
             for run in runner.runs.values()
             if _makes_progress(run) and not run.excluded_from_timing
         }
@@ -98,6 +105,19 @@
             if value * (1 - run.percent / 100) > RESTART_FACTOR:
                 self._give_up(runner, run, "slow", now)
 
+    def _slowness(self, runner, run):
+        """Return the ratio of projected to usual duration of a run, None if unknown."""
+        elapsed_s = runner.last_inventory_s - run.started_s
+        step = run.task.step
+        if step.key not in self.usual:
+            self.usual[step.key] = step.measure_usual_duration()
+        usual_s = self.usual[step.key].seconds(without=run)
+        if usual_s is None:
+            usual_s = ESTIMATE_FACTOR * run.task.spec.estimate_s
+        if elapsed_s < max(MIN_OBSERVED_S, MIN_OBSERVED_FRACTION * usual_s):
+            return None
+        return 100 * elapsed_s / max(run.percent, 1) / max(usual_s, MIN_OBSERVED_S)
+
     def _give_up(self, runner, run, reason, now):
         run.task.given_up = True
         run.task.avoided.add(runner.id)
@@ -105,6 +125,8 @@
             runner.health.record_failure(now) if reason == "stalled" else False
         )
         run.excluded_from_timing = True
+        if run.task.step.key in self.usual:
+            self.usual[run.task.step.key].exclude(run)
         self.state.journal(
             "run_given_up",
             job=run.task.id.job,
@@ -163,14 +185,3 @@
         and not spec.lasting
         and not spec.opportunistic
     )
-
-
-def _slowness(runner, run):
-    """Return the ratio of projected to usual duration of a run, None if unknown."""
-    elapsed_s = runner.last_inventory_s - run.started_s
-    usual_s = run.task.step.usual_duration_s(without=run)
-    if usual_s is None:
-        usual_s = ESTIMATE_FACTOR * run.task.spec.estimate_s
-    if elapsed_s < max(MIN_OBSERVED_S, MIN_OBSERVED_FRACTION * usual_s):
-        return None
-    return 100 * elapsed_s / max(run.percent, 1) / max(usual_s, MIN_OBSERVED_S)
