--- a/wasabipaddle/platform/http.py
+++ b/wasabipaddle/platform/http.py
@@ -7,7 +7,7 @@
 
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.platform.decoding import DECODING_ERRORS
-from wasabipaddle.transport.connections import ConnectionPool, call_hedged
+from wasabipaddle.transport.connections import ConnectionPool, call_hedged, send_once
 
 __all__ = ["HttpResponse", "PlatformHttpClient"]
 
@@ -16,25 +16,9 @@
 HEDGE_DELAY_S = 0.4
 # Shorter than the idle timeout after which servers of the platform close a connection.
 KEEPALIVE_S = 25.0
-# The errors after which aiohttp sends an idempotent request once more.
-REPEATED_ERRORS = (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError)
 SKIPPED_AUTO_HEADERS = ("Accept", "Accept-Encoding", "User-Agent")
 
 
-class _ConnectionLostError(aiohttp.ClientError):
-    """The connection was closed before the response."""
-
-
-async def _send_once(request, send):
-    """Client middleware that keeps aiohttp from sending a request again."""
-    try:
-        return await send(request)
-    except aiohttp.ClientConnectorError:
-        raise
-    except REPEATED_ERRORS as error:
-        raise _ConnectionLostError(str(error)) from error
-
-
 @attrs.frozen(kw_only=True)
 class HttpResponse:
     """Status and decoded body of a response.
@@ -123,7 +107,7 @@
                     data=data,
                     headers=headers,
                     timeout=timeout,
-                    middlewares=(_send_once,) if once else None,
+                    middlewares=(send_once,) if once else None,
                 ) as response,
             ):
                 if responded is not None:
--- a/wasabipaddle/transport/connections.py
+++ b/wasabipaddle/transport/connections.py
@@ -6,11 +6,13 @@
 import aiohttp
 import attrs
 
-__all__ = ["ConnectionPool", "call_hedged"]
+__all__ = ["ConnectionPool", "call_hedged", "send_once"]
 
 # Shortest time between two repetitions of calls to one address. Without a limit, a peer
 # that is only slow would get twice the calls, all over new connections.
 HEDGE_INTERVAL_S = 2.0
+# The errors after which aiohttp sends an idempotent request once more.
+REPEATED_ERRORS = (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError)
 # A connection whose peer does not respond may never close in an orderly way.
 CLOSE_TIMEOUT_S = 1.0
 
@@ -152,3 +154,17 @@
     finally:
         for call in calls:
             call.cancel()
+
+
+class _ConnectionLostError(aiohttp.ClientError):
+    """The connection was closed before the response."""
+
+
+async def send_once(request, send):
+    """Client middleware that keeps aiohttp from sending a request again."""
+    try:
+        return await send(request)
+    except aiohttp.ClientConnectorError:
+        raise
+    except REPEATED_ERRORS as error:
+        raise _ConnectionLostError(str(error)) from error
