--- a/wasabipaddle/cell/calls.py
+++ b/wasabipaddle/cell/calls.py
@@ -232,27 +232,11 @@
                 continue
             if result.is_err() or result.ok().refusal is not Refusal.NONE:
                 failures += 1
-                self._inventory_failed(runner, result, failures, now)
-                refused = result.is_err() and result.err().kind is ErrorKind.UNREACHABLE
-                if refused:
-                    scheduler.leases.revert_inventory(runner, previous_until_ms)
-                elif (
-                    result.is_ok() and result.ok().refusal is Refusal.OTHER_INCARNATION
-                ):
-                    scheduler.runner_exited(runner, now)
-                    session.wake()
+                self._inventory_failed(runner, result, failures, now, previous_until_ms)
                 await asyncio.sleep(min(RETRY_S * failures, MAX_RETRY_S))
                 continue
             if failures:
-                runner.paused_until_s = now
-                session.journal(
-                    "runner_regained",
-                    runner=runner.id,
-                    failures=failures,
-                    lease_left_ms=runner.lease_left_ms(now),
-                    running=len(result.ok().running),
-                    ended=len(result.ok().ended),
-                )
+                self._runner_regained(runner, result.ok(), failures, now)
             # After a failure the lease has to be extended without a pause.
             ended = bool(result.ok().ended) and not failures
             failures = 0
@@ -280,8 +264,31 @@
             if self.scheduler.state.urgent_task_waiting or _ends_urgent_step(runner):
                 return
 
-    def _inventory_failed(self, runner, result, failures, now):
+    def _runner_regained(self, runner, inventory, failures, now):
+        runner.paused_until_s = now
+        self.session.journal(
+            "runner_regained",
+            runner=runner.id,
+            failures=failures,
+            lease_left_ms=runner.lease_left_ms(now),
+            running=len(inventory.running),
+            ended=len(inventory.ended),
+        )
+
+    def _inventory_failed(self, runner, result, failures, now, previous_until_ms):
+        """Process an inventory without a usable answer.
+
+        Parameters
+        ----------
+        previous_until_ms : int
+            End of the inventory lease before this inventory.
+        """
         self.scheduler.inventory_failed(runner, now)
+        if result.is_err() and result.err().kind is ErrorKind.UNREACHABLE:
+            self.scheduler.leases.revert_inventory(runner, previous_until_ms)
+        elif result.is_ok() and result.ok().refusal is Refusal.OTHER_INCARNATION:
+            self.scheduler.runner_exited(runner, now)
+            self.session.wake()
         if failures == 1:
             reason = result.err().kind if result.is_err() else result.ok().refusal
             detail = result.err().detail if result.is_err() else ""
--- a/wasabipaddle/platform/http.py
+++ b/wasabipaddle/platform/http.py
@@ -16,6 +16,7 @@
 HEDGE_DELAY_S = 0.4
 # Shorter than the idle timeout after which servers of the platform close a connection.
 KEEPALIVE_S = 25.0
+NOT_DELIVERED_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 SKIPPED_AUTO_HEADERS = ("Accept", "Accept-Encoding", "User-Agent")
 
 
@@ -96,33 +97,29 @@
             sock_connect=CONNECT_TIMEOUT_S,
             sock_read=timeout_s if transfer_s else None,
         )
-        url = f"http://{self.address}{path}"
+        options = {"params": query, "data": data, "headers": headers}
+        if once:
+            options["middlewares"] = (send_once,)
         try:
-            async with (
-                self.pool.session() as session,
-                session.request(
-                    method,
-                    url,
-                    params=query,
-                    data=data,
-                    headers=headers,
-                    timeout=timeout,
-                    middlewares=(send_once,) if once else None,
-                ) as response,
-            ):
-                if responded is not None:
-                    responded.set()
-                raw = await response.read()
-                status = response.status
-        except (
-            aiohttp.ClientConnectorError,
-            aiohttp.ConnectionTimeoutError,
-        ) as error:
+            status, raw = await self._send(
+                method, path, responded, timeout=timeout, **options
+            )
+        except NOT_DELIVERED_ERRORS as error:
             return _failure(ErrorKind.UNREACHABLE, method, path, error)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return _failure(ErrorKind.TIMEOUT, method, path, error)
         return _decode_response(status, raw, method, path)
 
+    async def _send(self, method, path, responded, **options):
+        url = f"http://{self.address}{path}"
+        async with (
+            self.pool.session() as session,
+            session.request(method, url, **options) as response,
+        ):
+            if responded is not None:
+                responded.set()
+            return response.status, await response.read()
+
     async def call_hedged(
         self, method, path, *, timeout_s, **options
     ) -> Result[HttpResponse, Failure]:
