Decide soon whether a stopped start without a reply exists

Cause: while orders are carried out late, starts get no reply and are stopped. With two whole lists that were requested after the stop was confirmed, such a run was gone 2.6 s after the confirmation (44.52 to 47.15 s in the log), up to two long polls later, and a task with several such starts waited too long. Change: an inventory waits for 0.1 s at most while a run is missing or was stopped without a sign that it began. For these runs a list that was requested before the confirmation, but read after it by the runner's clock, counts as the first of the two. test_stopped_start_without_a_reply_is_gone_after_the_next_inventory.

--- a/wasabipaddle/cell/calls.py
+++ b/wasabipaddle/cell/calls.py
@@ -24,6 +24,9 @@
 # are granted last, before the proof is too old, then begin late.
 OLD_PROOF_WAIT_S = 0.4
 OLD_PROOF_S = 1.5
+# Such time while the next inventories decide whether a run exists, so that its task can
+# start again soon if it does not.
+UNCERTAIN_WAIT_S = 0.1
 # Interval and limit of the pause after an inventory with ended runs, so that the next
 # inventory lists several of them.
 ENDED_RUNS_DELAY_S = 0.05
@@ -183,8 +186,8 @@
     def _wait_s(self, runner, failures):
         if failures or not runner.inventoried:
             return 0.0
-        if any(run.missing for run in runner.runs.values()):
-            return 0.0
+        if any(run.uncertain for run in runner.runs.values()):
+            return UNCERTAIN_WAIT_S
         if self.session.election.proof.age_s() > OLD_PROOF_S:
             return OLD_PROOF_WAIT_S
         if not runner.runs:
--- a/wasabipaddle/cell/tests/test_silent_runner.py
+++ b/wasabipaddle/cell/tests/test_silent_runner.py
@@ -62,7 +62,7 @@
     return SimpleNamespace(
         id="r0",
         inventoried=True,
-        runs={0: SimpleNamespace(task=task, missing=False)},
+        runs={0: SimpleNamespace(task=task, uncertain=False)},
         acknowledged=0,
         inventory_lease_until_ms=0,
         last_inventory_s=0.0,
--- a/wasabipaddle/dispatch/model.py
+++ b/wasabipaddle/dispatch/model.py
@@ -114,6 +114,17 @@
         """Identity of the run: task and run number."""
         return (self.task.id, self.number)
 
+    @property
+    def seen(self) -> bool:
+        """Whether the runner has shown that the run has begun."""
+        return self.progress_s > 0
+
+    @property
+    def uncertain(self) -> bool:
+        """Whether the run is missing, or was stopped without a sign that it began."""
+        stopped = self.phase in (RunPhase.DOUBTFUL, RunPhase.STOPPING)
+        return self.missing or (stopped and not self.seen)
+
     def confirm(self, clock_ms, now):
         """Record that the runner has confirmed the run or its stop."""
         if not self.confirmed_ms:
--- a/wasabipaddle/dispatch/reports.py
+++ b/wasabipaddle/dispatch/reports.py
@@ -96,6 +96,9 @@
                 if run.missing:
                     self.lifecycle.remove_run(run, now, reason=RemovalReason.MISSING)
                 run.missing = True
+            elif inventory.complete and not run.seen and run.confirmed_ms:
+                # For a run without a sign, an earlier request counts as the first list.
+                run.missing |= inventory.clock_ms > run.confirmed_ms
 
     def _latest_lease_ms(self, clock_ms):
         """Return the latest time at which a lease granted until now may end."""
--- a/wasabipaddle/dispatch/tests/test_inventories.py
+++ b/wasabipaddle/dispatch/tests/test_inventories.py
@@ -142,3 +142,27 @@
     assert cell.started == []
     assert "r0" not in cell.state.suspects
     assert cell.state.jobs["j0"].phase.final
+
+
+def test_stopped_start_without_a_reply_is_gone_after_the_next_inventory(cell):
+    """Guards against a task that waits for two long polls after a lost start.
+
+    An inventory that was requested before the stop was confirmed, but is answered after
+    it, counts as the first of the two that a missing run takes.
+    """
+    cell.submit("j0", step(1))
+    cell.plan(answer=False)
+    name = cell.started[0][2]
+    runner, requested_s = cell.state.runners[name], cell.now
+    cell.now += 0.5
+    cell.plan()
+    (run,) = runner.runs.values()
+    assert run.uncertain
+    cell.now += 0.5
+    process = cell.scheduler.reports.process_inventory
+    inventory = cell.runners[name].inventory(0)
+    process(runner, inventory, cell.now, requested_s=requested_s)
+    assert list(runner.runs.values()) == [run]
+    cell.now += 0.1
+    cell.read_inventories()
+    assert not runner.runs
