Decode workspaces, public queues and the limits of a process

Cause: the configuration of the new deployments names customers with keys, weights and caps, and queues that need no key; no line of the code reads them.

Change: `Workspace` in `jobs`, by name and by the digest of each key; a queue says whether it is public, a job which workspace submitted it. A row that is not valid, or that has the name or a key of an earlier one, is left out and reported without its keys. A configuration with rows of which none is valid still requires keys. The settings get the time limit for removed keys, the memory and the descriptors of the machine.

--- a/wasabipaddle/fuzz/stubs.py
+++ b/wasabipaddle/fuzz/stubs.py
@@ -14,7 +14,7 @@
     StepSpec,
 )
 from wasabipaddle.jobs.decoding import DECODING_ERRORS
-from wasabipaddle.platform.http import HttpResponse
+from wasabipaddle.transport.json_client import HttpResponse
 
 __all__ = [
     "JOB",
@@ -62,7 +62,7 @@
         return await self.call(method, path, **options)
 
     async def call(self, method, path, **options):
-        """Return the answer, decoded as `PlatformHttpClient` does."""
+        """Return the answer, decoded as `JsonHttpClient` does."""
         try:
             body = msgspec.json.decode(self.raw)
         except DECODING_ERRORS:
--- a/wasabipaddle/jobs/__init__.py
+++ b/wasabipaddle/jobs/__init__.py
@@ -6,6 +6,8 @@
     Limits,
     Pool,
     Queue,
+    Workspace,
+    digest_key,
 )
 from wasabipaddle.jobs.fleet import (
     Capacity,
@@ -38,9 +40,11 @@
     "RunnerEntry",
     "StepSpec",
     "TaskId",
+    "Workspace",
     "decode_fleet",
     "decode_job",
     "decode_progress",
+    "digest_key",
     "encode_fleet",
     "encode_job",
     "encode_progress",
--- a/wasabipaddle/jobs/model.py
+++ b/wasabipaddle/jobs/model.py
@@ -160,9 +160,13 @@
         Time of acceptance in Unix milliseconds.
     spec : JobSpec
         Content of the job.
+    workspace : str
+        Name of the workspace that submitted the job, empty if the cell has none or the
+        queue is public.
     """
 
     id: str
     policy: Queue
     accepted_ms: int
     spec: JobSpec
+    workspace: str = ""
--- a/wasabipaddle/platform/advice.py
+++ b/wasabipaddle/platform/advice.py
@@ -5,7 +5,7 @@
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.interfaces import Advice, AdviceClient
 from wasabipaddle.platform.decoding import DECODING_ERRORS, integer, text
-from wasabipaddle.platform.http import PlatformHttpClient
+from wasabipaddle.transport.json_client import JsonHttpClient
 
 __all__ = ["PlatformAdvice"]
 
@@ -22,7 +22,7 @@
     """
 
     def __init__(self, *, address):
-        self.client = PlatformHttpClient(address=address)
+        self.client = JsonHttpClient(address=address)
 
     async def ask(
         self, *, job, occurrence, step, runners, timeout_s
--- a/wasabipaddle/platform/client.py
+++ b/wasabipaddle/platform/client.py
@@ -1,6 +1,7 @@
 """HTTP client of callers, and encoding of runner entries and the configuration."""
 
 import asyncio
+import types
 
 import aiohttp
 import attrs
@@ -173,8 +174,14 @@
     return REGISTRY_PREFIX + entry.id, msgspec.json.encode(value)
 
 
-def encode_configuration(configuration):
-    """Return the key and value of the operator's configuration."""
+def encode_configuration(configuration, *, keys=types.MappingProxyType({})):
+    """Return the key and value of the operator's configuration.
+
+    Parameters
+    ----------
+    keys : dict of str to list of str
+        Keys of the callers by the name of their workspace.
+    """
     value = {
         "version": configuration.version,
         "routes": [_encode_route(queue) for queue in configuration.queues],
@@ -182,11 +189,30 @@
             {"name": pool.name, "enforces_capacity": pool.enforces_capacity}
             for pool in configuration.pools.values()
         ],
-        "limits": {"max_body_bytes": configuration.limits.max_body_bytes},
+        "limits": {
+            "max_body_bytes": configuration.limits.max_body_bytes,
+            "max_header_bytes": configuration.limits.max_header_bytes,
+            "header_timeout_ms": configuration.limits.header_s * MS_PER_S,
+            "idle_timeout_ms": configuration.limits.idle_s * MS_PER_S,
+        },
+        "tenants": [
+            _encode_workspace(workspace, keys.get(workspace.name, ()))
+            for workspace in configuration.workspaces.values()
+        ],
     }
     return CONFIGURATION_KEY, msgspec.json.encode(value)
 
 
+def _encode_workspace(workspace, keys):
+    quota = workspace.quota
+    return {
+        "name": workspace.name,
+        "api_keys": list(keys),
+        "weight": workspace.weight,
+        "cap": {"cpu": quota.cpu, "mem_mb": quota.memory_mb, "gpu": quota.gpus},
+    }
+
+
 def _encode_route(queue):
     route = {
         "name": queue.name,
@@ -197,6 +223,7 @@
         "max_attempts": queue.max_attempts,
         "stretch": queue.stretch,
         "target_duration_ms": queue.target_s * MS_PER_S,
+        "public": queue.public,
     }
     if queue.advice is not None:
         route["advice"] = {
--- a/wasabipaddle/platform/runner.py
+++ b/wasabipaddle/platform/runner.py
@@ -13,8 +13,8 @@
     RunningTask,
 )
 from wasabipaddle.platform.decoding import DECODING_ERRORS, integer, number
-from wasabipaddle.platform.http import PlatformHttpClient
 from wasabipaddle.platform.tasks import decode_task, encode_task
+from wasabipaddle.transport.json_client import JsonHttpClient
 
 __all__ = ["PlatformRunner"]
 
@@ -58,7 +58,7 @@
     """
 
     def __init__(self, *, runner, address):
-        self.client = PlatformHttpClient(address=address, connections=CONNECTIONS)
+        self.client = JsonHttpClient(address=address, connections=CONNECTIONS)
         self.headers = {"Expect-Instance": runner}
 
     async def start(self, order, *, timeout_s) -> Result[OrderReply, Failure]:
--- a/wasabipaddle/platform/store.py
+++ b/wasabipaddle/platform/store.py
@@ -15,7 +15,7 @@
     WatchBatch,
 )
 from wasabipaddle.platform.decoding import DECODING_ERRORS, integer
-from wasabipaddle.platform.http import PlatformHttpClient
+from wasabipaddle.transport.json_client import JsonHttpClient
 
 __all__ = ["PlatformStore"]
 
@@ -42,7 +42,7 @@
     """
 
     def __init__(self, *, address, timeout_s=CALL_TIMEOUT_S):
-        self.client = PlatformHttpClient(address=address, connections=CONNECTIONS)
+        self.client = JsonHttpClient(address=address, connections=CONNECTIONS)
         self.timeout_s = timeout_s
 
     async def get(self, key) -> Result[Entry | None, Failure]:
--- a/wasabipaddle/platform/tests/test_decoding.py
+++ b/wasabipaddle/platform/tests/test_decoding.py
@@ -5,12 +5,19 @@
 import pytest
 
 from wasabipaddle.interfaces import Entry
+from wasabipaddle.jobs import Capacity, digest_key
 from wasabipaddle.platform import decode_configuration, decode_runner
-from wasabipaddle.platform.http import HttpResponse
 from wasabipaddle.platform.jobs import decode_spec
 from wasabipaddle.platform.runner import _decode_inventory
 from wasabipaddle.platform.tasks import decode_task, encode_task
+from wasabipaddle.transport.json_client import HttpResponse
 
+WORKSPACE = {
+    "name": "w",
+    "api_keys": ["k1", "k2"],
+    "weight": 14,
+    "cap": {"cpu": 4000, "mem_mb": 100, "gpu": 1},
+}
 RUNNER = {
     "service": "s",
     "address": "10.0.0.1:80",
@@ -130,3 +137,65 @@
     inventory = _decode_inventory(HttpResponse(status=200, body=body))
     assert inventory.complete is complete
     assert len(inventory.ended) == count
+
+
+def decode_workspaces(*rows):
+    """Return the configuration with these tenants, and the reports of its decoding."""
+    reports = []
+    body = {"version": 1, "routes": [], "services": [], "tenants": list(rows)}
+    decoded = decode_configuration(json.dumps(body).encode(), report=reports.append)
+    return decoded.ok(), reports
+
+
+def test_workspace_is_found_by_each_of_its_keys():
+    """Guards against a key or quota that is read from the wrong field."""
+    current, reports = decode_workspaces(WORKSPACE)
+    found = [current.by_key_digest[digest_key(key)] for key in ("k1", "k2")]
+    assert [w.name for w in found] == ["w", "w"]
+    assert found[0].weight == 14
+    assert found[0].quota == Capacity(cpu=4000, memory_mb=100, gpus=1)
+    assert current.requires_keys
+    assert not reports
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"name": ""},
+        {"name": None},
+        {"name": "v", "api_keys": ["secret-key", 5]},
+        {"name": "v", "api_keys": ["secret-key", "x" * 1_000_000]},
+        {"name": "v", "api_keys": "secret-key"},
+        {"name": "v", "api_keys": ["secret-key", "k1"]},
+        {"name": "v", "api_keys": ["secret-key"], "weight": -1},
+        {"name": "v", "api_keys": ["secret-key"], "weight": "much"},
+        {"name": "v", "api_keys": ["secret-key"], "cap": {"cpu": -1}},
+        {"name": "v", "api_keys": ["secret-key"], "cap": {"cpu": 1e300}},
+        {"name": "v", "api_keys": ["secret-key"], "cap": [1]},
+        {"api_keys": ["secret-key"]},
+    ],
+)
+def test_invalid_workspace_is_left_out_and_its_keys_are_not_reported(changes):
+    """Guards against a bad row that hides the others, and against keys in logs."""
+    row = {**WORKSPACE, "api_keys": ["secret-key"], **changes}
+    row = {name: value for name, value in row.items() if value is not None}
+    current, reports = decode_workspaces(WORKSPACE, row)
+    assert list(current.workspaces) == ["w"]
+    assert digest_key("secret-key") not in current.by_key_digest
+    assert len(reports) == 1
+    assert "secret-key" not in reports[0]
+
+
+def test_configuration_without_a_valid_workspace_still_requires_keys():
+    """Guards against a cell that is open to everybody because of a bad row."""
+    current, _ = decode_workspaces({"name": 5})
+    assert current.requires_keys
+    assert not current.workspaces
+
+
+def test_configuration_of_ten_thousand_workspaces_is_decoded():
+    """Guards against a cost of decoding that grows with the square of the rows."""
+    rows = [{"name": f"w{n}", "api_keys": [f"k{n}"]} for n in range(10_000)]
+    current, reports = decode_workspaces(*rows)
+    assert len(current.by_key_digest) == 10_000
+    assert not reports
--- a/wasabipaddle/platform/tests/test_silent_connections.py
+++ b/wasabipaddle/platform/tests/test_silent_connections.py
@@ -11,8 +11,8 @@
 from wasabipaddle.jobs import TaskId
 from wasabipaddle.platform import PlatformRunner
 from wasabipaddle.platform.client import JobCaller
-from wasabipaddle.platform.http import HEDGE_DELAY_S, PlatformHttpClient
 from wasabipaddle.standins.listener import Listener, hang
+from wasabipaddle.transport.json_client import HEDGE_DELAY_S, JsonHttpClient
 from wasabipaddle.transport.tests.relay import HOST, open_relay
 
 IDLE_CONNECTIONS = 8
@@ -97,7 +97,7 @@
     """Guards against retries that try one dead idle connection after the other."""
 
     async def scenario(server, relay):
-        client = PlatformHttpClient(address=relay.address)
+        client = JsonHttpClient(address=relay.address)
         await open_idle(lambda: get(client), relay)
         relay.silence()
         assert (await get(client, timeout_s=SHORT_S)).err().kind is ErrorKind.TIMEOUT
@@ -125,7 +125,7 @@
     """Guards against a timeout that breaks off the other calls of the same client."""
 
     async def scenario(server, relay):
-        client = PlatformHttpClient(address=relay.address)
+        client = JsonHttpClient(address=relay.address)
         later = asyncio.create_task(get(client, "/later"))
         assert (await get(client, "/never", SHORT_S)).is_err()
         assert (await get(client)).is_ok()
@@ -140,7 +140,7 @@
     """Guards against connections that stay open although no call will use them."""
 
     async def scenario(server, relay):
-        client = PlatformHttpClient(address=relay.address)
+        client = JsonHttpClient(address=relay.address)
         await open_idle(lambda: get(client), relay)
         later = asyncio.create_task(get(client, "/later"))
         assert (await get(client, "/never", SHORT_S)).is_err()
@@ -158,7 +158,7 @@
     """Guards against calls in progress that each have all connections replaced."""
 
     async def scenario(server, relay):
-        client = PlatformHttpClient(address=f"{HOST}:{server.listener.port}")
+        client = JsonHttpClient(address=f"{HOST}:{server.listener.port}")
         second = asyncio.create_task(get(client, "/never", 3 * SHORT_S))
         assert (await get(client, "/never", SHORT_S)).is_err()
         assert (await get(client)).is_ok()
@@ -198,7 +198,7 @@
     """Guards against a renewal that waits for the timeout of a dead connection."""
 
     async def scenario(server, relay):
-        client = PlatformHttpClient(address=relay.address)
+        client = JsonHttpClient(address=relay.address)
         await open_idle(lambda: get(client), relay)
         relay.silence()
         assert (await get_hedged(client)).is_ok()
@@ -212,7 +212,7 @@
     """Guards against a slow server whose responses are all given up as too late."""
 
     async def scenario(server, relay):
-        client = PlatformHttpClient(address=relay.address)
+        client = JsonHttpClient(address=relay.address)
         limit_s = 2 * HEDGE_DELAY_S
         assert (await get_hedged(client, "/slow", limit_s)).is_ok()
         await client.close()
@@ -224,7 +224,7 @@
     """Guards against repeats without end, and against one that hides the failure."""
 
     async def scenario(server, relay):
-        client = PlatformHttpClient(address=relay.address)
+        client = JsonHttpClient(address=relay.address)
         lost = await get_hedged(client, "/never", HEDGE_DELAY_S + SHORT_S)
         assert lost.err().kind is ErrorKind.TIMEOUT
         assert server.requests["/never"] == 2
@@ -237,7 +237,7 @@
     """Guards against a slow server that gets twice the calls over new connections."""
 
     async def scenario(server, relay):
-        client = PlatformHttpClient(address=relay.address)
+        client = JsonHttpClient(address=relay.address)
         limit_s = HEDGE_DELAY_S + SHORT_S
         calls = [get_hedged(client, "/never", limit_s) for _ in range(5)]
         results = await asyncio.gather(*calls)
@@ -252,7 +252,7 @@
     """Guards against a hedge that doubles the calls of a calm day."""
 
     async def scenario(server, relay):
-        client = PlatformHttpClient(address=relay.address)
+        client = JsonHttpClient(address=relay.address)
         assert (await get_hedged(client)).is_ok()
         assert server.requests["/now"] == 1
         assert client.pool.generation == 0
@@ -265,7 +265,7 @@
     """Guards against a hedge that doubles the load of a slow link."""
 
     async def scenario(server, relay):
-        client = PlatformHttpClient(address=relay.address)
+        client = JsonHttpClient(address=relay.address)
         assert (await get_hedged(client, "/trickle")).is_ok()
         assert server.requests["/trickle"] == 1
         await client.close()
--- a/wasabipaddle/settings/cell.py
+++ b/wasabipaddle/settings/cell.py
@@ -64,6 +64,9 @@
         Time within which a stored configuration must be in force.
     cancel_s : float
         Time after which no task of a cancelled job may start.
+    revocation_s : float
+        Time after which no call with a removed key may be served by any process, in
+        contact or not; 0 if removed keys have no such limit.
     """
 
     lease_max_s: float = 6.0
@@ -76,6 +79,7 @@
     drain_s: float = 2.5
     configuration_s: float = 2.5
     cancel_s: float = 3.0
+    revocation_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
@@ -102,6 +106,11 @@
         the usual speed of a core.
     max_job_tasks : int
         Largest number of tasks of a submitted job, over all steps and occurrences.
+    memory_mb : int
+        Memory of the machine that the process may use, in megabytes; 0 if it is not
+        known.
+    descriptors : int
+        Number of file descriptors that the process may open; 0 if it is not known.
     """
 
     process: str
@@ -117,6 +126,8 @@
     processor_share: float = 1.0
     processor_speed: float = 1.0
     max_job_tasks: int = 20_000
+    memory_mb: int = 0
+    descriptors: int = 0
 
     @property
     def advertised_address(self) -> str:
--- a/wasabipaddle/platform/http.py
+++ b/wasabipaddle/transport/json_client.py
@@ -1,4 +1,4 @@
-"""HTTP client with JSON bodies, shared by the clients of the platform."""
+"""HTTP client with JSON bodies for one address."""
 
 import aiohttp
 import attrs
@@ -6,15 +6,15 @@
 from result import Err, Ok, Result
 
 from wasabipaddle.exceptions import ErrorKind, Failure
-from wasabipaddle.platform.decoding import DECODING_ERRORS
+from wasabipaddle.jobs.decoding import DECODING_ERRORS
 from wasabipaddle.transport.connections import ConnectionPool, call_hedged, send_once
 
-__all__ = ["HttpResponse", "PlatformHttpClient"]
+__all__ = ["HttpResponse", "JsonHttpClient"]
 
 CONNECT_TIMEOUT_S = 0.6
 # Time without a response after which a hedged request is sent again.
 HEDGE_DELAY_S = 0.4
-# Shorter than the idle timeout after which servers of the platform close a connection.
+# Shorter than the idle timeout after which servers close a connection.
 KEEPALIVE_S = 25.0
 NOT_DELIVERED_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 SKIPPED_AUTO_HEADERS = ("Accept", "Accept-Encoding", "User-Agent")
@@ -31,7 +31,7 @@
     body: dict
 
 
-class PlatformHttpClient:
+class JsonHttpClient:
     """HTTP client of one address with a pool of connections.
 
     Parameters
--- a/wasabipaddle/transport/tests/test_cancelled_calls.py
+++ b/wasabipaddle/transport/tests/test_cancelled_calls.py
@@ -9,10 +9,10 @@
 from wasabipaddle.exceptions import ErrorKind
 from wasabipaddle.interfaces.http import HttpClient
 from wasabipaddle.messages.jobs import LeaderNotice, Noted
-from wasabipaddle.platform.http import PlatformHttpClient
 from wasabipaddle.settings import CellPeer
 from wasabipaddle.standins.listener import Listener, hang
 from wasabipaddle.transport import HttpTransport
+from wasabipaddle.transport.json_client import JsonHttpClient
 
 HOST = "127.0.0.1"
 TIMEOUT_S = 0.2
@@ -23,7 +23,7 @@
 
 
 async def call_platform(address):
-    client = PlatformHttpClient(address=address)
+    client = JsonHttpClient(address=address)
     try:
         return await client.call("POST", "/hold", timeout_s=TIMEOUT_S)
     finally:
