Admit callers by the keys of their workspaces

Cause: the configuration names workspaces and their keys, but no call needed one, and every caller reached every job whose identifier it knew. Change: a call to a queue that is not public needs a key of a workspace where the configuration has any; the head alone decides, before the body is read, and again after it. Jobs record their workspace. GET and DELETE of a job of another workspace are answered as for no such job, POST with its identifier with a conflict; the leader names the owner in its reply, and a peer that stores a job or a cancellation checks it. The stored job is read only if its key exists already. Jobs from before the keys stay reachable. The fake service of the test of job sizes gets the new method and argument.

--- a/wasabipaddle/cell/entry.py
+++ b/wasabipaddle/cell/entry.py
@@ -2,21 +2,20 @@
 
 import asyncio
 
-import msgspec
 from result import Err, Ok
 
 from wasabipaddle.cell.configuration import ConfigurationPlugin
-from wasabipaddle.cell.keys import (
-    CANCEL_PREFIX,
-    JOB_PREFIX,
-    LEADER_KEY,
-    PROGRESS_PREFIX,
-)
+from wasabipaddle.cell.keys import JOB_PREFIX, LEADER_KEY
 from wasabipaddle.cell.members import MembersPlugin
 from wasabipaddle.cell.store import CellStorePlugin
+from wasabipaddle.cell.stored_jobs import (
+    check_existing_job,
+    find_stored_phase,
+    store_cancellation,
+)
 from wasabipaddle.exceptions import ErrorKind, Failure, Outcome
 from wasabipaddle.interfaces import Put
-from wasabipaddle.jobs import Job, JobPhase, decode_progress, encode_job
+from wasabipaddle.jobs import Job, encode_job, identify_workspace, may_reach
 from wasabipaddle.kernel import Plugin
 from wasabipaddle.messages.jobs import (
     CancelJob,
@@ -116,19 +115,30 @@
         """Return the queue for the host and path of a call."""
         current = self.configuration.current
         if current is None:
-            return _failure(ErrorKind.DRAINING, "no configuration has been applied yet")
+            return _unconfigured()
         queue = current.match(host, path)
         if queue is None:
             return _failure(ErrorKind.NOT_FOUND, "no queue for this host and path")
         return Ok(queue)
 
-    async def submit(self, queue, job_id, spec, *, wait_s):
+    def identify(self, queue, key):
+        """Return the workspace for which a call acts, in a `Result`.
+
+        The name is empty if the queue needs no key.
+        """
+        identified = identify_workspace(self.configuration.current, queue, key)
+        if identified.is_err():
+            self.context.metrics.count(f"calls_refused_{identified.err().kind.value}")
+        return identified
+
+    async def submit(self, queue, job_id, spec, *, wait_s, workspace=""):
         """Store a job and notify the dispatcher."""
         job = Job(
             id=job_id,
             policy=queue,
             accepted_ms=self.context.clock.wall_ms(),
             spec=spec,
+            workspace=workspace,
         )
         began = self.context.clock.now()
         accepted = await self._store_job(
@@ -138,6 +148,7 @@
             "job_accepted" if accepted.is_ok() else "job_refused",
             job=job_id,
             queue=queue.name,
+            workspace=workspace,
             configuration=self.configuration.version,
             took_ms=int((self.context.clock.now() - began) * 1000),
             reason=accepted.err().kind.value if accepted.is_err() else None,
@@ -167,7 +178,7 @@
         failure = None
         while self.context.clock.now() < until_s:
             stored = await self._create_key(job)
-            if stored.is_ok():
+            if stored.is_ok() or stored.err().kind is ErrorKind.CONFLICT:
                 return stored
             failure = stored.err()
             in_doubt |= failure.kind not in NOT_STORED_KINDS
@@ -202,9 +213,13 @@
         stored = await self.store_plugin.call(
             self.store.commit(conditions=(condition,), puts=(put,))
         )
-        if stored.is_err() and stored.err().kind is not ErrorKind.REVISION_MISMATCH:
+        if stored.is_ok():
+            return Ok(0)
+        if stored.err().kind is not ErrorKind.REVISION_MISMATCH:
             return stored
-        return Ok(0)
+        current = self.configuration.current
+        existing = await check_existing_job(self.store_plugin, current, job)
+        return existing.map(lambda _: 0)
 
     def _announce(self, job, epoch):
         """Tell the dispatcher about a job that this process or a peer has stored."""
@@ -220,6 +235,8 @@
         async for peer, stored in self._ask_peers(StoreJob(job=job), until_s=until_s):
             if stored.is_ok():
                 return Ok(0)
+            if stored.err().kind is ErrorKind.CONFLICT:
+                return stored
             not_run = stored.err().outcome is Outcome.NOT_RUN
             if stored.err().kind is not ErrorKind.UNREACHABLE and not not_run:
                 in_doubt = f"{peer}: {stored.err().detail}"
@@ -254,6 +271,8 @@
         """Store a job for a process that does not reach the store."""
         if self.store_plugin.health.unavailable:
             return _failure(ErrorKind.STORE_UNAVAILABLE, "the store does not answer")
+        if self.configuration.current is None:
+            return _unconfigured()
         stored = await self._create_key(message.job)
         if stored.is_err():
             return stored
@@ -270,43 +289,43 @@
                 return
             await asyncio.sleep(RETRY_S)
 
-    async def find_phase(self, queue, job_id, *, wait_s):
+    async def find_phase(self, queue, job_id, *, wait_s, workspace=""):
         """Return the phase of a job, from the dispatcher or else from the store."""
         reply = await self.members.ask_leader(
             QueryPhase(job=job_id),
             PhaseReply,
             timeout_s=min(LEADER_TIMEOUT_S, wait_s / 2),
         )
-        if reply.is_ok() and reply.ok().phase is not None:
-            return Ok(reply.ok().phase)
-        progress = await self.store_plugin.call(
-            self.store.get(PROGRESS_PREFIX + job_id)
-        )
-        if progress.is_ok() and progress.ok() is not None:
-            decoded = decode_progress(progress.ok().value)
-            if decoded is not None:
-                return Ok(decoded.phase)
-        job = await self.store_plugin.call(self.store.get(JOB_PREFIX + job_id))
-        if job.is_err() or progress.is_err():
-            return Err((job if job.is_err() else progress).err())
-        if job.ok() is None:
+        current = self.configuration.current
+        known = reply.ok() if reply.is_ok() else PhaseReply()
+        if known.phase is not None and may_reach(
+            current,
+            queue.name,
+            workspace,
+            owner=known.workspace,
+            owner_queue=known.queue,
+        ):
+            return Ok(known.phase)
+        if known.phase is not None and known.workspace is not None:
             return _failure(ErrorKind.GONE, "no such job")
-        return Ok(JobPhase.QUEUED)
+        return await find_stored_phase(
+            self.store_plugin, current, queue.name, job_id, workspace=workspace
+        )
 
-    async def cancel(self, queue, job_id, *, wait_s):
+    async def cancel(self, queue, job_id, *, wait_s, workspace=""):
         """Store the cancellation of a job and notify the dispatcher."""
         until_s = self.context.clock.now() + wait_s - RESPONSE_RESERVE_S
-        cancelled = await self._store_cancel(job_id)
+        message = CancelJob(job=job_id, queue=queue.name, workspace=workspace)
+        cancelled = await self._store_cancel(message)
         while cancelled.is_err() and cancelled.err().kind is not ErrorKind.GONE:
             if self.context.clock.now() >= until_s:
                 break
-            message = CancelJob(job=job_id)
             async for _, cancelled in self._ask_peers(message, until_s=until_s):
                 if cancelled.is_ok() or cancelled.err().kind is ErrorKind.GONE:
                     break
             if cancelled.is_err() and cancelled.err().kind is not ErrorKind.GONE:
                 await asyncio.sleep(RETRY_S)
-                cancelled = await self._store_cancel(job_id)
+                cancelled = await self._store_cancel(message)
         self.context.journal(
             "job_cancelled" if cancelled.is_ok() else "cancel_refused",
             job=job_id,
@@ -316,20 +335,21 @@
             self.tasks.spawn(self._notify(JobCancelled(job=job_id)))
         return cancelled
 
-    async def _store_cancel(self, job_id):
-        """Write the key of a cancellation; repeating the write is harmless."""
-        found = await self.store_plugin.call(self.store.get(JOB_PREFIX + job_id))
-        if found.is_err():
-            return found
-        if found.ok() is None:
-            return _failure(ErrorKind.GONE, "no such job")
-        value = msgspec.json.encode(self.context.clock.wall_ms())
-        put = Put(key=CANCEL_PREFIX + job_id, value=value)
-        stored = await self.store_plugin.call(self.store.commit(puts=(put,)))
-        return stored.map(lambda _: None)
+    async def _store_cancel(self, message):
+        """Store the cancellation that a `CancelJob` of any process asks for."""
+        return await store_cancellation(
+            self.store_plugin,
+            self.configuration.current,
+            message.queue,
+            message.job,
+            workspace=message.workspace,
+            wall_ms=self.context.clock.wall_ms(),
+        )
 
     async def _cancel_for_peer(self, message):
-        stored = await self._store_cancel(message.job)
+        if self.configuration.current is None:
+            return _unconfigured()
+        stored = await self._store_cancel(message)
         return stored.map(lambda _: Noted())
 
     async def count_waiting(self, queue, *, wait_s):
@@ -344,5 +364,9 @@
         return Ok(waiting.get(queue.name, 0))
 
 
+def _unconfigured():
+    return _failure(ErrorKind.DRAINING, "no configuration has been applied yet")
+
+
 def _failure(kind, detail):
     return Err(Failure(kind=kind, detail=detail, retry_after_s=RETRY_AFTER_S))
--- a/wasabipaddle/cell/session.py
+++ b/wasabipaddle/cell/session.py
@@ -10,12 +10,13 @@
 from wasabipaddle.cell.calls import RunnerCalls
 from wasabipaddle.cell.fleet import FleetRecord
 from wasabipaddle.cell.intake import IntakeWatcher, RegistryWatcher
+from wasabipaddle.cell.stored_jobs import build_phase_reply
 from wasabipaddle.cell.takeover import PROOF_LIMIT_S, load_fleet, load_progress
 from wasabipaddle.cell.writer import ProgressWriter
 from wasabipaddle.dispatch import Scheduler
 from wasabipaddle.dispatch.state import Timing
 from wasabipaddle.exceptions import ErrorKind, Failure
-from wasabipaddle.messages.jobs import Noted, PhaseReply
+from wasabipaddle.messages.jobs import Noted
 from wasabipaddle.serve.tasks import TaskSet
 
 __all__ = ["DispatchSession"]
@@ -287,7 +288,7 @@
             detail = "dispatcher is still loading jobs"
             return Err(Failure(kind=ErrorKind.NO_LEADER, detail=detail))
         entry = self.scheduler.state.jobs.get(job_id)
-        return Ok(PhaseReply(phase=entry.visible_phase if entry else None))
+        return Ok(build_phase_reply(entry))
 
     def add_announced_job(self, job, epoch):
         """Add a job announced by the process that stored it.
--- /dev/null
+++ b/wasabipaddle/cell/stored_jobs.py
@@ -0,0 +1,121 @@
+"""Reads of stored jobs on behalf of calls, which reach jobs of their workspace only."""
+
+import msgspec
+from result import Err, Ok
+
+from wasabipaddle.cell.keys import CANCEL_PREFIX, JOB_PREFIX, PROGRESS_PREFIX
+from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.interfaces import Put
+from wasabipaddle.jobs import JobPhase, decode_job, decode_progress, may_reach
+from wasabipaddle.messages.jobs import PhaseReply
+
+__all__ = [
+    "build_phase_reply",
+    "check_existing_job",
+    "find_stored_phase",
+    "store_cancellation",
+]
+
+
+def build_phase_reply(entry) -> PhaseReply:
+    """Return the reply about a `JobEntry` of the dispatcher, or about None."""
+    if entry is None:
+        return PhaseReply()
+    return PhaseReply(
+        phase=entry.visible_phase,
+        queue=entry.job.policy.name,
+        workspace=entry.job.workspace,
+    )
+
+
+async def check_existing_job(store_plugin, configuration, job):
+    """Check that a job that could not be created exists for the same workspace.
+
+    The job is read only where calls need keys.
+
+    Returns
+    -------
+    result.Result
+        An `Err` of kind `conflict` if the identifier is in use by a job that the caller
+        does not reach, or of kind `timeout` if that is not known, since the existing
+        job may be the same one.
+    """
+    if not (configuration.requires_keys or job.workspace):
+        return Ok(None)
+    found = await store_plugin.call(store_plugin.store.get(JOB_PREFIX + job.id))
+    if found.is_err() or found.ok() is None:
+        return _failure(ErrorKind.TIMEOUT, "the existing job could not be read")
+    queue, workspace = job.policy.name, job.workspace
+    if not _may_reach_stored(configuration, queue, workspace, found.ok()):
+        return _failure(ErrorKind.CONFLICT, "the identifier is in use")
+    return Ok(None)
+
+
+async def find_stored_phase(store_plugin, configuration, queue, job_id, *, workspace):
+    """Return the phase of a job that the store shows.
+
+    Returns
+    -------
+    result.Result
+        The `JobPhase`, or an `Err`; of kind `gone` if there is no such job or the call
+        does not reach it.
+    """
+    store = store_plugin.store
+    progress = await store_plugin.call(store.get(PROGRESS_PREFIX + job_id))
+    phase = None
+    if progress.is_ok() and progress.ok() is not None:
+        decoded = decode_progress(progress.ok().value)
+        phase = decoded.phase if decoded is not None else None
+    if phase is not None and not (configuration.requires_keys or workspace):
+        return Ok(phase)
+    job = await store_plugin.call(store.get(JOB_PREFIX + job_id))
+    if job.is_err() or progress.is_err():
+        return Err((job if job.is_err() else progress).err())
+    if not _may_reach_stored(configuration, queue, workspace, job.ok()):
+        return _failure(ErrorKind.GONE, "no such job")
+    return Ok(phase or JobPhase.QUEUED)
+
+
+async def store_cancellation(
+    store_plugin, configuration, queue, job_id, *, workspace, wall_ms
+):
+    """Write the key of a cancellation; repeating the write is harmless.
+
+    Returns
+    -------
+    result.Result
+        None, or an `Err`; of kind `gone` if there is no such job or the call does not
+        reach it.
+    """
+    store = store_plugin.store
+    found = await store_plugin.call(store.get(JOB_PREFIX + job_id))
+    if found.is_err():
+        return found
+    if not _may_reach_stored(configuration, queue, workspace, found.ok()):
+        return _failure(ErrorKind.GONE, "no such job")
+    put = Put(key=CANCEL_PREFIX + job_id, value=msgspec.json.encode(wall_ms))
+    stored = await store_plugin.call(store.commit(puts=(put,)))
+    return stored.map(lambda _: None)
+
+
+def _may_reach_stored(configuration, queue, workspace, entry) -> bool:
+    """Return whether a call reaches the job in an `Entry` of the store, or None.
+
+    A job that cannot be decoded has an unknown workspace.
+    """
+    if entry is None:
+        return False
+    if not (configuration.requires_keys or workspace):
+        return True
+    job = decode_job(entry.value)
+    return job is not None and may_reach(
+        configuration,
+        queue,
+        workspace,
+        owner=job.workspace,
+        owner_queue=job.policy.name,
+    )
+
+
+def _failure(kind, detail):
+    return Err(Failure(kind=kind, detail=detail))
--- a/wasabipaddle/jobs/__init__.py
+++ b/wasabipaddle/jobs/__init__.py
@@ -1,5 +1,6 @@
 """Data model of multi-step jobs, queues and runners, with the stored form of jobs."""
 
+from wasabipaddle.jobs.access import identify_workspace, may_reach, requires_key
 from wasabipaddle.jobs.configuration import (
     AdvicePolicy,
     CellConfiguration,
@@ -48,4 +49,7 @@
     "encode_fleet",
     "encode_job",
     "encode_progress",
+    "identify_workspace",
+    "may_reach",
+    "requires_key",
 ]
--- a/wasabipaddle/messages/jobs.py
+++ b/wasabipaddle/messages/jobs.py
@@ -60,9 +60,18 @@
 
 @attrs.frozen(kw_only=True)
 class CancelJob:
-    """Asks a peer to store a cancellation, since the sender cannot reach the store."""
+    """Asks a peer to store a cancellation, since the sender cannot reach the store.
+
+    Parameters
+    ----------
+    queue, workspace : str
+        Names of the queue that the call selects and of the workspace for which it acts.
+        Processes of earlier versions send neither, and so reach no job of a workspace.
+    """
 
     job: str
+    queue: str = ""
+    workspace: str = ""
 
 
 @attrs.frozen(kw_only=True)
@@ -86,9 +95,19 @@
 
 @attrs.frozen(kw_only=True)
 class PhaseReply:
-    """Phase of a job; None if the dispatcher does not know the job."""
+    """Phase of a job; None if the dispatcher does not know the job.
+
+    Parameters
+    ----------
+    queue : str
+        Name of the queue that accepted the job.
+    workspace : str or None
+        Workspace of the job; None in replies of earlier versions.
+    """
 
     phase: JobPhase | None = None
+    queue: str = ""
+    workspace: str | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/wasabipaddle/platform/callers.py
+++ b/wasabipaddle/platform/callers.py
@@ -16,6 +16,7 @@
 # Number of digits beyond which a wait is longer than `MAX_WAIT_S`.
 MAX_WAIT_DIGITS = 12
 DEFAULT_WAIT_S = 3.0
+KEY_HEADER = "Key"
 READY_PATH = "/readiness"
 KEEPALIVE_S = 75.0
 # The job may have been accepted, so the status must not mean that it never runs.
@@ -93,6 +94,10 @@
         if selected.is_err():
             return _error_response(selected.err())
         queue = selected.ok()
+        identified = self.service.identify(queue, request.headers.get(KEY_HEADER))
+        if identified.is_err():
+            return _error_response(identified.err())
+        workspace = identified.ok()
         job = request.path[len(queue.prefix) :]
         wait_s = read_wait_s(request.headers.get("Deadline-Ms", ""))
         if not job and request.method == "GET":
@@ -105,12 +110,16 @@
         if request.method == "POST":
             return await self._submit(request, queue, job, wait_s)
         if request.method == "GET":
-            phase = await self.service.find_phase(queue, job, wait_s=wait_s)
+            phase = await self.service.find_phase(
+                queue, job, wait_s=wait_s, workspace=workspace
+            )
             if phase.is_err():
                 return _error_response(phase.err())
             return _json_response({"state": PHASE_WORDS[phase.ok()]})
         if request.method == "DELETE":
-            cancelled = await self.service.cancel(queue, job, wait_s=wait_s)
+            cancelled = await self.service.cancel(
+                queue, job, wait_s=wait_s, workspace=workspace
+            )
             if cancelled.is_err():
                 return _error_response(cancelled.err())
             return web.Response(status=200)
@@ -124,7 +133,13 @@
         spec = decode_spec(data, max_tasks=max_tasks)
         if spec.is_err():
             return _error_response(spec.err())
-        accepted = await self.service.submit(queue, job, spec.ok(), wait_s=wait_s)
+        # The key may have been revoked while the body was on its way.
+        identified = self.service.identify(queue, request.headers.get(KEY_HEADER))
+        if identified.is_err():
+            return _error_response(identified.err())
+        accepted = await self.service.submit(
+            queue, job, spec.ok(), wait_s=wait_s, workspace=identified.ok()
+        )
         if accepted.is_err():
             return _error_response(accepted.err())
         return web.Response(status=200)
--- a/wasabipaddle/platform/tests/test_job_size.py
+++ b/wasabipaddle/platform/tests/test_job_size.py
@@ -34,7 +34,10 @@
         self.context = types.SimpleNamespace(settings=settings)
         self.submitted = []
 
-    async def submit(self, queue, job_id, spec, *, wait_s):
+    def identify(self, queue, key):
+        return Ok("")
+
+    async def submit(self, queue, job_id, spec, *, wait_s, workspace):
         self.submitted.append(spec)
         return Ok(0)
 
@@ -42,6 +45,8 @@
 class Request:
     """Call of a caller with a job in its body."""
 
+    headers = types.MappingProxyType({})
+
     def __init__(self, body):
         self.body = json.dumps(body).encode()
 
