Hold the quotas of workspaces when tasks start

Cause: nothing in the dispatcher knows workspaces, so a start may bring a workspace over its quota.

Change: `dispatch/quotas.py` counts what the runs of each workspace hold, from the start order until it is certain that a run does not exist. Runs are added and discarded in one place, `CellState.add_run` and `discard_run`. Tasks, gangs and copies start only within the quota; a step that waits for it asks for no advice, preempts nothing and does not count as a lack of capacity. After a takeover the tasks that may run on suspect runners count as well, as far as these runners can hold them, so that other workspaces go on.

--- a/wasabipaddle/dispatch/advisor.py
+++ b/wasabipaddle/dispatch/advisor.py
@@ -38,12 +38,15 @@
     def plan(self, now):
         """Return the requests to send now.
 
-        Ready steps come first, in order of priority, then steps about to open.
+        Ready steps come first, in order of priority, then steps about to open. Ready
+        steps that wait for the quota of their workspace need no answer yet.
         """
         wanted = []
         non_urgent = 0
         for step in sorted(self.state.ready.values(), key=priority_key):
             urgent = step.job.queue.priority == 0
+            if not self.state.quotas.admits(step, count=_least_start(step)):
+                continue
             renew = not urgent and non_urgent < RENEWED_STEPS
             non_urgent += not urgent
             wanted.append(self._request(step, now, renew=renew))
@@ -174,6 +177,11 @@
         step.eligibility.record_failure(now, URGENT_RETRY_S if urgent else RETRY_S)
 
 
+def _least_start(step):
+    """Return how many tasks of a step have to start at the same time."""
+    return len(step.pending) if step.spec.gang else 1
+
+
 def _remaining_s(task, now):
     """Return the estimated time until a task ends."""
     for run in task.runs:
--- a/wasabipaddle/dispatch/fleet.py
+++ b/wasabipaddle/dispatch/fleet.py
@@ -2,7 +2,12 @@
 
 from wasabipaddle.jobs import RecordedRunner
 
-__all__ = ["runners_to_record", "waits_for_suspects"]
+__all__ = [
+    "may_run_on_suspects",
+    "runners_to_record",
+    "suspected_pools",
+    "waits_for_suspects",
+]
 
 
 def runners_to_record(state, now, *, with_waits, term=0):
@@ -48,14 +53,30 @@
 
 
 def waits_for_suspects(state, step) -> bool:
-    """Return whether tasks of a step may run on a runner that has not answered.
+    """Return whether tasks of a step may run on a runner that has not answered."""
+    if not step.job.recovered or not state.suspects:
+        return False
+    return may_run_on_suspects(step.job, suspected_pools(state))
+
+
+def may_run_on_suspects(entry, pools) -> bool:
+    """Return whether tasks of a job may run on suspect runners of these pools.
 
     Only tasks of jobs from before the takeover may, and only on runners of the pools to
     which the queue has sent the job.
+
+    Parameters
+    ----------
+    pools : set
+        Result of `suspected_pools`.
     """
-    if not step.job.recovered or not state.suspects:
+    if not entry.recovered:
         return False
-    job = step.job
-    pools = {job.queue.pool, job.job.policy.pool, *job.pools}
+    used = {entry.queue.pool, entry.job.policy.pool, *entry.pools}
+    return None in pools or not used.isdisjoint(pools)
+
+
+def suspected_pools(state):
+    """Return the pools of the suspect runners, with None for an unknown pool."""
     suspects = map(state.runners.get, state.suspects)
-    return any(r is None or r.entry.pool in pools for r in suspects)
+    return {None if r is None else r.entry.pool for r in suspects}
--- a/wasabipaddle/dispatch/lifecycle.py
+++ b/wasabipaddle/dispatch/lifecycle.py
@@ -241,7 +241,7 @@
             Why the run cannot exist any more although the runner has not listed its
             end; None if it has.
         """
-        run.runner.release(run)
+        self.state.discard_run(run)
         task = run.task
         if reason is not None:
             self.state.journal(
@@ -255,8 +255,6 @@
                 inventory_age_ms=int((now - run.runner.last_inventory_s) * MS_PER_S),
                 lease_left_ms=run.runner.lease_left_ms(now),
             )
-        if run in task.runs:
-            task.runs.remove(run)
         active = not task.completed and not task.step.job.phase.final
         if active and not task.runs and task.step.opened:
             self.state.queue_task(task, now)
--- a/wasabipaddle/dispatch/model.py
+++ b/wasabipaddle/dispatch/model.py
@@ -270,6 +270,8 @@
         Numbers of the runs of a gang that failed.
     eligibility : Eligibility
         Answers of the eligibility service, for queues that use it.
+    has_waited_for_quota : bool
+        Whether the step has ever waited for the quota of its workspace.
     """
 
     job: "JobEntry"
@@ -284,6 +286,7 @@
     durations_s: list = attrs.field(factory=list)
     gang_failures: set = attrs.field(factory=set)
     eligibility: Eligibility = attrs.field(factory=Eligibility)
+    has_waited_for_quota: bool = False
 
     def record_duration(self, seconds) -> float | None:
         """Record the duration of a run and return the usual duration divided by it.
--- a/wasabipaddle/dispatch/placement.py
+++ b/wasabipaddle/dispatch/placement.py
@@ -114,6 +114,8 @@
                 self._start_copy(task, permitted, now)
 
     def _start_copy(self, task, permitted, now):
+        if not self.state.quotas.admits(task.step):
+            return
         run = task.runs[0]
         others = [(r, ticket) for r, ticket in permitted if r is not run.runner]
         best = self._best(task, others)
@@ -177,10 +179,14 @@
         return [(runner, ticket) for runner, ticket in tickets if ticket is not None]
 
     def _plan_tasks(self, step, now):
+        if self._waits_for_quota(step, now):
+            return
         permitted = self._permitted(step, now)
         if not permitted:
             return
         for task in list(step.pending.values()):
+            if self._waits_for_quota(step, now):
+                return
             best = self._best(task, permitted)
             if best is None and self._waits_for_replies(step, permitted):
                 self.deferred = True
@@ -195,6 +201,13 @@
                 continue
             self._start(task, *best, task.last_run + 1, now)
 
+    def _waits_for_quota(self, step, now, *, count=1):
+        """Return whether the quota leaves no room for `count` tasks; record it."""
+        if self.state.quotas.admits(step, count=count):
+            return False
+        self.state.quotas.note_wait(step, now)
+        return True
+
     def _waits_for_replies(self, step, permitted):
         """Return whether a task of the step fits, once replies to starts arrive."""
         return any(
@@ -239,6 +252,8 @@
         """
         if len(step.pending) < step.remaining:
             return
+        if self._waits_for_quota(step, now, count=len(step.pending)):
+            return
         permitted = self._permitted(step, now)
         if step.spec.same_rack:
             racks = {}
@@ -280,9 +295,7 @@
             started_s=now,
         )
         task.last_run = number
-        task.runs.append(run)
-        runner.reserve(run)
-        self.state.unqueue_task(task)
+        self.state.add_run(run)
         self.unanswered.setdefault(runner.id, []).append(run)
         self.state.outbox.append(StartTask(run=run, ticket=ticket))
 
--- a/wasabipaddle/dispatch/reports.py
+++ b/wasabipaddle/dispatch/reports.py
@@ -271,9 +271,7 @@
             excluded_from_timing=True,
         )
         task.last_run = max(task.last_run, row.run)
-        runner.reserve(run)
-        task.runs.append(run)
-        self.state.unqueue_task(task)
+        self.state.add_run(run)
         entry = task.step.job
         entry.started = True
         if row.checkpoint:
--- a/wasabipaddle/dispatch/runners.py
+++ b/wasabipaddle/dispatch/runners.py
@@ -181,14 +181,15 @@
         self.memory_mb += spec.memory_mb
         self.gpus += spec.gpus
 
-    def release(self, run):
-        """Remove a run and its reservation."""
+    def release(self, run) -> bool:
+        """Remove a run and its reservation; return whether the runner had it."""
         if self.runs.pop(run.key, None) is None:
-            return
+            return False
         spec = run.task.spec
         self.cpu -= 0 if spec.opportunistic else spec.cpu
         self.memory_mb -= spec.memory_mb
         self.gpus -= spec.gpus
+        return True
 
     def fits(self, spec) -> bool:
         """Return whether a task fits next to the current reservations."""
--- a/wasabipaddle/dispatch/scheduler.py
+++ b/wasabipaddle/dispatch/scheduler.py
@@ -59,6 +59,7 @@
         Jobs whose queue is no longer configured keep its last known version.
         """
         self.state.configuration = configuration
+        self.state.quotas.configure(configuration.workspaces)
         for entry in self.state.jobs.values():
             queue = configuration.queue(entry.job.policy.name)
             if queue is not None:
@@ -150,6 +151,7 @@
         self.leases.expire(now, proved_s=proved_s)
         self.watchdog.check(now)
         self.evacuation.check(now)
+        self.state.quotas.end_waits(now)
         if may_start:
             self.placement.plan_copies(now)
 
--- a/wasabipaddle/dispatch/state.py
+++ b/wasabipaddle/dispatch/state.py
@@ -4,6 +4,7 @@
 
 from wasabipaddle.dispatch.model import RunPhase
 from wasabipaddle.dispatch.orders import StopTask
+from wasabipaddle.dispatch.quotas import Quotas
 from wasabipaddle.jobs import CellConfiguration
 
 __all__ = ["CellState", "Timing"]
@@ -80,6 +81,8 @@
         identifier.
     wall_offset_s : float
         Unix time minus the monotonic time used in decisions.
+    quotas : Quotas
+        What the runs of each workspace hold.
     """
 
     timing: Timing
@@ -102,6 +105,24 @@
     outbox: list = attrs.field(factory=list)
     scheduled: dict = attrs.field(factory=dict)
     wall_offset_s: float = 0.0
+    quotas: Quotas = attrs.field(init=False)
+
+    def __attrs_post_init__(self):
+        self.quotas = Quotas(state=self)
+
+    def add_run(self, run):
+        """Add a run that may exist from now on, with its reservation."""
+        run.runner.reserve(run)
+        run.task.runs.append(run)
+        self.quotas.take(run)
+        self.unqueue_task(run.task)
+
+    def discard_run(self, run):
+        """Remove a run that does not exist any more, and its reservation."""
+        if run.runner.release(run):
+            self.quotas.release(run)
+        if run in run.task.runs:
+            run.task.runs.remove(run)
 
     def queue_task(self, task, now):
         """Add a task to those that wait for a run."""
--- a/wasabipaddle/dispatch/tests/conftest.py
+++ b/wasabipaddle/dispatch/tests/conftest.py
@@ -114,6 +114,7 @@
         self.runners = {}
         self.started = []
         self.unresponsive = set()
+        self.configuration = CellConfiguration(version=1, queues=tuple(QUEUES.values()))
         self.scheduler = self._make_scheduler(term)
         for i in range(runners):
             self.add_runner(f"r{i}", cpu=cpu)
@@ -124,10 +125,18 @@
             journal=lambda kind, **values: self.events.append((kind, values)),
             run_number_base=term * 1000,
         )
-        configuration = CellConfiguration(version=1, queues=tuple(QUEUES.values()))
-        scheduler.configure(configuration)
+        scheduler.configure(self.configuration)
         return scheduler
 
+    def set_workspaces(self, *workspaces):
+        """Configure the workspaces of the cell."""
+        self.configuration = attrs.evolve(
+            self.configuration,
+            version=self.configuration.version + 1,
+            workspaces={workspace.name: workspace for workspace in workspaces},
+        )
+        self.scheduler.configure(self.configuration)
+
     @property
     def state(self):
         return self.scheduler.state
@@ -150,13 +159,22 @@
         self.scheduler.set_runner(self.entry(name), self.now).in_fleet_record = True
         self.read_inventories()
 
-    def submit(self, job_id, *steps, queue="batch", progress=None, recovered=False):
+    def submit(
+        self,
+        job_id,
+        *steps,
+        queue="batch",
+        progress=None,
+        recovered=False,
+        workspace="",
+    ):
         """Add a job and return its entry."""
         job = Job(
             id=job_id,
             policy=QUEUES[queue],
             accepted_ms=int(self.now * 1000),
             spec=JobSpec(payload="p", steps=steps),
+            workspace=workspace,
         )
         return self.scheduler.lifecycle.add_job(
             job, self.now, progress=progress, recovered=recovered
