Admit keys only on a proof that the configuration is young enough

Cause: a process that is cut off, suspended or served by a stale peer went on to admit keys that had been removed long ago. Change: a process keeps the time on the boot clock at which a call was sent whose answer showed no newer configuration. Its polls and watches prove that, and so does the reply to a hello message of a process in contact, whose age is added. Fakes of the configuration in the tests of the cell become one.

--- a/wasabipaddle/cell/configuration.py
+++ b/wasabipaddle/cell/configuration.py
@@ -1,12 +1,14 @@
 """Role `cell_configuration`: the current configuration of this process."""
 
 import asyncio
+import math
 
 from wasabipaddle.cell.events import (
     ConfigurationChanged,
     LeadershipGained,
     LeadershipLost,
 )
+from wasabipaddle.cell.freshness import ConfigurationFreshness
 from wasabipaddle.cell.store import CellStorePlugin
 from wasabipaddle.cell.watch import StoreWatch
 from wasabipaddle.kernel import Plugin
@@ -22,6 +24,12 @@
 # Time for a copy from the leader to arrive before the store is polled.
 COPY_GRACE_S = 0.4
 RETRY_S = 0.15
+MS_PER_S = 1000
+# Parts of the bound on removed keys: longest time between two polls, and time within
+# which a watch must have been answered. Both keep the proof from becoming overdue as
+# long as the store answers.
+POLL_SHARE = 0.2
+WATCH_SHARE = 0.4
 
 
 class ConfigurationPlugin(Plugin):
@@ -36,6 +44,8 @@
     watch : StoreWatch
         Watch of the configuration; its revision is None before the first read and after
         a failed poll.
+    freshness : ConfigurationFreshness
+        Proof that the current configuration is young enough to admit calls with keys.
     """
 
     name = "cell_configuration"
@@ -50,14 +60,19 @@
         self.poll_due = asyncio.Event()
         self.known_version = 0
         self.unreadable_value = None
+        self.freshness = ConfigurationFreshness()
 
     async def start(self):
         """Start to follow the configuration in the store."""
+        bound_s = self.context.settings.bounds.configuration_s
+        if self.revocation_s:
+            bound_s = min(bound_s, WATCH_SHARE * self.revocation_s)
+            self.context.metrics.gauge("configuration_proof_age_s", self.proof_age_s)
         self.watch = StoreWatch(
             store_plugin=self.context.plugins[CellStorePlugin.name],
             name="configuration",
             prefix=CONFIGURATION_KEY,
-            bound_s=self.context.settings.bounds.configuration_s,
+            bound_s=bound_s,
         )
         bus = self.context.bus
         bus.events(LeadershipGained).subscribe(lambda _: self._set_leader(True))
@@ -73,6 +88,55 @@
         """Version of the current configuration, 0 if there is none."""
         return self.current.version if self.current else 0
 
+    @property
+    def revocation_s(self) -> float:
+        """Time after which no removed key may be in use, 0 if there is no limit."""
+        return self.context.settings.bounds.revocation_s
+
+    def proof_age_s(self) -> float:
+        """Return how long ago the current configuration certainly was the latest."""
+        return self.freshness.age_s(self.context.clock.boot_s())
+
+    def state_proof_age(self) -> float | None:
+        """Return the age of the proof for a message, None if there is no proof."""
+        age_s = self.proof_age_s()
+        return age_s if age_s < math.inf else None
+
+    @property
+    def proof_overdue(self) -> bool:
+        """Whether calls with keys may soon have to be refused."""
+        return self.freshness.overdue(self.context.clock.boot_s(), self.revocation_s)
+
+    def confirm_by_peer(self, sent_s, reply):
+        """Use the proof in a `HelloReply` to a message sent at boot time `sent_s`."""
+        self.freshness.confirm_by_peer(
+            sent_s,
+            reply.configuration_age_s,
+            peer_version=reply.configuration,
+            version=self.version,
+        )
+        self.check_proof()
+
+    def check_proof(self) -> bool:
+        """Return whether calls with keys may be admitted; log changes of that.
+
+        Without a proof the store is polled at once, as after a suspension.
+        """
+        now_s, bound_s = self.context.clock.boot_s(), self.revocation_s
+        holds = self.freshness.holds(now_s, bound_s)
+        since_s = self.freshness.lost_since_s
+        if self.freshness.observe(now_s, bound_s):
+            fields = {"version": self.version}
+            if holds:
+                fields["lost_ms"] = int((now_s - since_s) * MS_PER_S)
+            elif (age_s := self.state_proof_age()) is not None:
+                fields["age_ms"] = int(age_s * MS_PER_S)
+            kind = "regained" if holds else "lost"
+            self.context.journal(f"configuration_proof_{kind}", **fields)
+        if not holds:
+            self.poll_due.set()
+        return holds
+
     def _set_leader(self, is_leader):
         self.is_leader = is_leader
         self.poll_due.set()
@@ -92,7 +156,11 @@
     async def _follow(self):
         while True:
             unknown = self.watch.revision is None
+            sent_s = self.context.clock.boot_s()
             succeeded = await (self._load() if unknown else self._poll())
+            if succeeded and self.current is not None:
+                self.freshness.confirm(sent_s)
+            self.check_proof()
             if not succeeded or self.current is None:
                 await asyncio.sleep(RETRY_S)
             elif not self.is_leader:
@@ -100,8 +168,11 @@
 
     async def _pause(self):
         """Wait for the poll period, or until another process has a newer version."""
+        period_s = POLL_PERIOD_S
+        if self.revocation_s:
+            period_s = min(period_s, POLL_SHARE * self.revocation_s)
         try:
-            async with asyncio.timeout(POLL_PERIOD_S):
+            async with asyncio.timeout(period_s):
                 await self.poll_due.wait()
         except TimeoutError:
             return
@@ -122,8 +193,8 @@
     async def _poll(self) -> bool:
         """Read the changes since the last read; return whether the call succeeded."""
         watch = self.watch
-        leads = self.is_leader
-        batch = await (watch.follow() if leads else watch.poll())
+        waits = self.is_leader and not self.proof_overdue
+        batch = await (watch.follow() if waits else watch.poll())
         if batch.is_err():
             return False
         for change in batch.ok().changes:
--- a/wasabipaddle/cell/entry.py
+++ b/wasabipaddle/cell/entry.py
@@ -15,7 +15,13 @@
 )
 from wasabipaddle.exceptions import ErrorKind, Failure, Outcome
 from wasabipaddle.interfaces import Put
-from wasabipaddle.jobs import Job, encode_job, identify_workspace, may_reach
+from wasabipaddle.jobs import (
+    Job,
+    encode_job,
+    identify_workspace,
+    may_reach,
+    requires_key,
+)
 from wasabipaddle.kernel import Plugin
 from wasabipaddle.messages.jobs import (
     CancelJob,
@@ -104,7 +110,10 @@
     @property
     def ready(self) -> bool:
         """Whether the load balancer should send calls to this process."""
-        return self.configuration.current is not None and not self.draining
+        current = self.configuration.current
+        if current is None or self.draining:
+            return False
+        return not (current.requires_keys and self.configuration.proof_overdue)
 
     @property
     def max_body_bytes(self) -> int:
@@ -124,9 +133,15 @@
     def identify(self, queue, key):
         """Return the workspace for which a call acts, in a `Result`.
 
-        The name is empty if the queue needs no key.
+        The name is empty if the queue needs no key. Without a proof that the current
+        configuration is young enough, no key is accepted or refused as unknown.
         """
-        identified = identify_workspace(self.configuration.current, queue, key)
+        current = self.configuration.current
+        if requires_key(current, queue) and not self.configuration.check_proof():
+            detail = "the configuration may be out of date"
+            identified = _failure(ErrorKind.STALE_CONFIGURATION, detail)
+        else:
+            identified = identify_workspace(current, queue, key)
         if identified.is_err():
             self.context.metrics.count(f"calls_refused_{identified.err().kind.value}")
         return identified
--- a/wasabipaddle/cell/members.py
+++ b/wasabipaddle/cell/members.py
@@ -228,12 +228,14 @@
                 self.transport.peers.pop(process, None)
             if self.leader:
                 await self._send_hello()
-            if not self.roster.heard_within(self.leader, LIVENESS_TIMEOUT_S):
-                await self._ask_peer_for_leader()
+            silent = not self.roster.heard_within(self.leader, LIVENESS_TIMEOUT_S)
+            if silent or self.configuration.proof_overdue:
+                await self._ask_peer()
 
     async def _send_hello(self):
         """Send a hello message to the leader and process the reply."""
         leader, hello = self.leader, self._build_hello()
+        sent_s = self.context.clock.boot_s()
         reply = await self.ask(leader, hello, HelloReply, timeout_s=HELLO_TIMEOUT_S)
         refused = reply.is_err() and reply.err().kind is ErrorKind.UNREACHABLE
         self.refusals = self.refusals + 1 if refused else 0
@@ -244,6 +246,8 @@
             return
         reply = reply.ok()
         self.configuration.observe(reply.configuration)
+        if leader != self.own_name:
+            self.configuration.confirm_by_peer(sent_s, reply)
         self._accept_leader_notice(reply.leader)
         self.election.weak = hello.processor < WEAK_SHARE * reply.strongest
         self.waiting = reply.waiting
@@ -251,20 +255,23 @@
         if leader != self.own_name:
             self._record_members(reply.members)
 
-    async def _ask_peer_for_leader(self):
-        """Ask any other process who leads, as the leader does not reply.
+    async def _ask_peer(self):
+        """Ask any other process who leads and how recent its configuration is.
 
         A process that does not reach the store may have missed the announcement of the
-        successor of a leader that is gone.
+        successor of a leader that is gone, and the leader may not reach it either.
         """
         peers = self.roster.peers(leader="")
         if not peers:
             return
         process = self.context.random.choice(peers)
+        sent_s = self.context.clock.boot_s()
         reply = await self.ask(
             process, self._build_hello(), HelloReply, timeout_s=HELLO_TIMEOUT_S
         )
         if reply.is_ok():
+            self.configuration.observe(reply.ok().configuration)
+            self.configuration.confirm_by_peer(sent_s, reply.ok())
             self._accept_leader_notice(reply.ok().leader)
 
     def _build_hello(self):
@@ -315,5 +322,6 @@
                 members=self.roster.listed_members() if self.is_leader else {},
                 strongest=self.roster.largest_processing_power,
                 leader=self._build_leader_notice(),
+                configuration_age_s=self.configuration.state_proof_age(),
             )
         )
--- a/wasabipaddle/cell/tests/conftest.py
+++ b/wasabipaddle/cell/tests/conftest.py
@@ -10,7 +10,7 @@
 from wasabipaddle.cell.entry import EntryPlugin
 from wasabipaddle.cell.events import LeadershipGained, LeadershipLost
 from wasabipaddle.cell.store import CellStorePlugin
-from wasabipaddle.cell.tests.members_parts import with_members
+from wasabipaddle.cell.tests.members_parts import FakeConfiguration, with_members
 from wasabipaddle.clock import LoopClock
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.jobs import CellConfiguration, JobSpec, Queue, StepSpec
@@ -114,7 +114,7 @@
     def configure(self):
         """Apply a configuration with one queue."""
         current = CellConfiguration(version=1, queues=(QUEUE,))
-        self.entry.configuration = type("C", (), {"current": current, "version": 1})()
+        self.entry.configuration = FakeConfiguration(current=current)
 
     async def close(self):
         await self.election.stop()
--- a/wasabipaddle/cell/tests/members_parts.py
+++ b/wasabipaddle/cell/tests/members_parts.py
@@ -11,13 +11,36 @@
 
 
 class FakeConfiguration:
-    """Stand-in for `ConfigurationPlugin` that always has version 1."""
+    """Stand-in for `ConfigurationPlugin` with version 1, which is always young enough.
+
+    Attributes
+    ----------
+    proofs : list of tuple
+        Times of questions to other processes and ages in their replies.
+    """
 
     version = 1
+    proof_overdue = False
+
+    def __init__(self, current=None):
+        self.current = current
+        self.proofs = []
 
     def observe(self, version):
         """Do nothing; no process has a newer version."""
 
+    def check_proof(self):
+        """Return that calls with keys may be admitted."""
+        return True
+
+    def state_proof_age(self):
+        """Return the age of a proof that has just been made."""
+        return 0.0
+
+    def confirm_by_peer(self, sent_s, reply):
+        """Record the proof of another process."""
+        self.proofs.append((sent_s, reply.configuration_age_s))
+
 
 class FakeElection:
     """Stand-in for `ElectionPlugin` that wins no campaign."""
--- a/wasabipaddle/cell/tests/test_handover.py
+++ b/wasabipaddle/cell/tests/test_handover.py
@@ -10,6 +10,7 @@
 from wasabipaddle.cell.handover import HandoverPlugin
 from wasabipaddle.cell.members import MembersPlugin
 from wasabipaddle.cell.store import StoreHealth
+from wasabipaddle.cell.tests.members_parts import FakeConfiguration
 from wasabipaddle.clock import LoopClock
 from wasabipaddle.kernel import Context
 from wasabipaddle.messages.jobs import HelloReply, LeaderNotice, MemberHello, Noted
@@ -52,9 +53,7 @@
         )
         self.members = MembersPlugin(context=context)
         self.election = self.members.election = FakeElection()
-        self.members.configuration = type(
-            "C", (), {"version": 1, "observe": lambda self, version: None}
-        )()
+        self.members.configuration = FakeConfiguration()
         self.handover = HandoverPlugin(context=context)
         self.handover.members = self.members
         self.handover.election = self.election
--- a/wasabipaddle/cell/tests/test_unreadable_leader.py
+++ b/wasabipaddle/cell/tests/test_unreadable_leader.py
@@ -118,7 +118,6 @@
         context = process.context
         context.plugins["cell_election"] = process.election
         context.plugins["cell_configuration"] = process.entry.configuration
-        process.entry.configuration.observe = lambda version: None
         process.election.check_leader = lambda: None
         members = MembersPlugin(context=context)
         await members.start()
--- a/wasabipaddle/exceptions.py
+++ b/wasabipaddle/exceptions.py
@@ -53,6 +53,7 @@
     DRAINING = "draining"
     STORE_UNAVAILABLE = "store_unavailable"
     STORE_THROTTLED = "store_throttled"
+    STALE_CONFIGURATION = "stale_configuration"
     ACCEPTANCE_UNKNOWN = "acceptance_unknown"
     UNREACHABLE = "unreachable"
     TIMEOUT = "timeout"
@@ -114,6 +115,7 @@
     ErrorKind.DRAINING: _response(503, retry=True),
     ErrorKind.STORE_UNAVAILABLE: _response(503, retry=True),
     ErrorKind.STORE_THROTTLED: _response(503, retry=True),
+    ErrorKind.STALE_CONFIGURATION: _response(503, retry=True),
     ErrorKind.ACCEPTANCE_UNKNOWN: _response(503, Outcome.UNKNOWN, retry=True),
     ErrorKind.UNREACHABLE: _response(503, retry=True),
     ErrorKind.TIMEOUT: _response(504, Outcome.UNKNOWN, retry=True),
--- a/wasabipaddle/messages/jobs.py
+++ b/wasabipaddle/messages/jobs.py
@@ -190,6 +190,9 @@
         speed.
     leader : LeaderNotice or None
         Latest leader that the replying process knows of.
+    configuration_age_s : float or None
+        How long ago `configuration` certainly was the latest version, in seconds; None
+        if that is not known.
     """
 
     configuration: int = 0
@@ -197,6 +200,7 @@
     members: dict[str, str] = attrs.field(factory=dict)
     strongest: float = 0.0
     leader: LeaderNotice | None = None
+    configuration_age_s: float | None = None
 
 
 @attrs.frozen(kw_only=True)
