Order waiting steps by what a delay costs callers

Cause: waiting steps are served by (priority, objective) alone. A job that can no longer be in time goes before all later ones and makes them late as well, a job that is of no use any more still takes room and stops the work of others, wide steps go before small ones, and a flood of one priority starves the next.

Change: dispatch/order.py has the one order of steps for room, advice and preemption: of use at all, priority (one lower for a job that is late in any case), rank of the workspace (a hook until shares exist), latest start, postponed by the time for which the work left occupies the pool and advanced by the work done. Ranks are computed once for each waiting step every 0.25 s, not in each plan. A floor of 5% of a pool is kept for each kind of work that waits, also from preemption. The objective of an occurrence counts from its own time.

--- a/wasabipaddle/dispatch/advisor.py
+++ b/wasabipaddle/dispatch/advisor.py
@@ -2,11 +2,7 @@
 
 from wasabipaddle.dispatch.model import RunPhase
 from wasabipaddle.dispatch.orders import AdviceRequest
-from wasabipaddle.dispatch.placement import (
-    free_slots,
-    priority_key,
-    within_runner_limit,
-)
+from wasabipaddle.dispatch.placement import free_slots, within_runner_limit
 
 __all__ = ["Advisor"]
 
@@ -38,12 +34,12 @@
     def plan(self, now):
         """Return the requests to send now.
 
-        Ready steps come first, in order of priority, then steps about to open. Ready
+        Ready steps come first, in their order, then steps about to open. Ready
         steps that wait for the quota of their workspace need no answer yet.
         """
         wanted = []
         non_urgent = 0
-        for step in sorted(self.state.ready.values(), key=priority_key):
+        for step in self.state.order.waiting(now):
             urgent = step.job.queue.priority == 0
             if not self.state.quotas.admits(step, count=_least_start(step)):
                 continue
--- a/wasabipaddle/dispatch/lifecycle.py
+++ b/wasabipaddle/dispatch/lifecycle.py
@@ -42,9 +42,8 @@
         entry = JobEntry(
             job=job, queue=queue, recovered=recovered, accepted_s=accepted_s
         )
-        entry.due_s = (
-            accepted_s + queue.target_s + queue.stretch * _critical_path_s(job.spec)
-        )
+        entry.objective_s = queue.target_s + queue.stretch * job.spec.chain_s
+        entry.due_s = accepted_s + entry.objective_s
         state.jobs[job.id] = entry
         if progress is not None:
             entry.phase = entry.durable_phase = progress.phase
@@ -195,6 +194,8 @@
             ratio = None
             if elapsed_s and not task.checkpoint:
                 ratio = step.record_duration(elapsed_s)
+                self.state.durations.record(step, elapsed_s)
+                entry.work_done += task.spec.cpu * elapsed_s
             runner.health.record_completion(ratio, now)
             tasks = step.tasks if step.spec.gang else [task]
             for member in tasks:
@@ -302,12 +303,3 @@
                 for run in task.runs:
                     if run.phase is not RunPhase.STOPPING:
                         self.state.stop_run(run, now)
-
-
-def _critical_path_s(spec):
-    """Return the estimated duration of the longest chain of steps."""
-    lengths = []
-    for step in spec.steps:
-        start_s = max((lengths[n] for n in step.after), default=0.0)
-        lengths.append(start_s + step.estimate_s)
-    return max(lengths, default=0.0)
--- a/wasabipaddle/dispatch/model.py
+++ b/wasabipaddle/dispatch/model.py
@@ -338,6 +338,10 @@
         Steps by (occurrence, position).
     due_s, accepted_s : float
         Time objective for the end of the job, and time of its acceptance.
+    objective_s : float
+        Time from the acceptance to the objective.
+    work_done : float
+        Processor time of completed tasks, in core milliseconds.
     pools, durable_pools : set of str
         Pools, besides that of the queue at the acceptance, to which the queue has sent
         the job, and those of them that the store has. A successor waits for suspect
@@ -359,6 +363,8 @@
     steps: dict = attrs.field(factory=dict)
     due_s: float = 0.0
     accepted_s: float = 0.0
+    objective_s: float = 0.0
+    work_done: float = 0.0
     pools: set = attrs.field(factory=set)
     durable_pools: set = attrs.field(factory=set)
     recovered: bool = False
--- /dev/null
+++ b/wasabipaddle/dispatch/order.py
@@ -0,0 +1,239 @@
+"""Order in which waiting steps get room and advice, by what a delay costs callers."""
+
+import enum
+import typing
+
+__all__ = ["Outlook", "Rank", "WorkOrder"]
+
+MS_PER_S = 1000
+# A job that ends later than this multiple of its objective is of no use any more.
+USEFUL_OBJECTIVES = 3.0
+# Part of the expected work that is certainly left, as estimates are too high at times.
+CERTAIN_SHARE = 0.5
+# Part of the room of a pool that is kept for each kind of work that waits, so that none
+# stands still, and time that a step waits before it gets a part of that room.
+FLOOR_SHARE = 0.05
+FLOOR_WAIT_S = 1.0
+# Interval at which the ranks of all waiting steps are computed anew. A step that
+# begins to wait gets its rank at once.
+REFRESH_S = 0.25
+# Kind of the jobs of all priorities that are of no use any more.
+LOST_KIND = -1
+
+
+class Outlook(enum.IntEnum):
+    """What the caller can still get from a job."""
+
+    IN_TIME = 0
+    LATE = 1
+    LOST = 2
+
+
+class Rank(typing.NamedTuple):
+    """Position of a step among others; lower ranks go first.
+
+    Parameters
+    ----------
+    lost : bool
+        Whether the job is of no use any more, so that a delay costs its caller nothing.
+    level : int
+        Priority of the queue, or one more if the job will be late in any case, since a
+        further delay costs its caller less.
+    share : float
+        Rank of the workspace by its share of the room.
+    outlook : Outlook
+        What the caller can still get.
+    latest_s : float
+        Latest start for an end in time, postponed by the time for which the work left
+        in the step occupies the pool, and advanced by that of the work already done in
+        the job. Small steps go before wide ones of about the same deadline, but no step
+        is overtaken by steps of much later deadlines.
+    """
+
+    lost: bool
+    level: int
+    share: float
+    outlook: Outlook
+    latest_s: float
+
+
+class WorkOrder:
+    """The one order of steps, used for room, advice and preemption.
+
+    It answers a load that is larger than the room; where there is room for all, the
+    order changes little.
+
+    Parameters
+    ----------
+    state : CellState
+        Shared state.
+
+    Attributes
+    ----------
+    rank_workspace : callable
+        Returns the rank of the workspace of a step at a time.
+    ranks : dict of tuple to Rank
+        Ranks of the waiting steps by their keys.
+    sequence : list of Step
+        Waiting steps in their order.
+    refreshed_s : float or None
+        Time at which the ranks were last computed.
+    room : dict of str to int
+        Processors of the runners of each pool, in thousandths of a core.
+    in_use : dict of (str, int) to int
+        Processors reserved by pool and kind of work, in thousandths of a core. The kind
+        is the priority of the queue, or `LOST_KIND`.
+    counted : dict of Run to (str, int)
+        Pool and kind under which each run counts.
+    """
+
+    def __init__(self, *, state):
+        self.state = state
+        self.rank_workspace = lambda step, now: 0.0
+        self.ranks = {}
+        self.sequence = []
+        self.refreshed_s = None
+        self.room = {}
+        self.in_use = {}
+        self.counted = {}
+
+    def take(self, run):
+        """Count the processors of a run that may exist from now on."""
+        kind = self._kind(run.task.step)
+        key = (run.runner.entry.pool, kind)
+        self.counted[run] = key
+        self.in_use[key] = self.in_use.get(key, 0) + _reserved_cpu(run.task.spec)
+
+    def release(self, run):
+        """Count the processors of a run no longer."""
+        key = self.counted.pop(run, None)
+        if key is not None:
+            self.in_use[key] -= _reserved_cpu(run.task.spec)
+
+    def _kind(self, step):
+        rank = self.ranks.get(step.key)
+        lost = rank is not None and rank.lost
+        return LOST_KIND if lost else step.job.queue.priority
+
+    def due_s(self, step) -> float:
+        """Return the time objective of the occurrence that a step belongs to."""
+        job, spec = step.job, step.job.job.spec
+        if not spec.first_due_ms:
+            return job.due_s
+        due_ms = spec.first_due_ms + step.occurrence * spec.interval_ms
+        return due_ms / MS_PER_S - self.state.wall_offset_s + job.objective_s
+
+    def outlook(self, step, now, *, share=CERTAIN_SHARE) -> Outlook:
+        """Return what the caller of a step can still get from its job.
+
+        Work that lasts is useful whenever it starts.
+
+        Parameters
+        ----------
+        share : float
+            Part of the expected work that is taken as certainly left.
+        """
+        if step.spec.lasting:
+            return Outlook.IN_TIME
+        end_s = now + share * self.state.durations.remaining_s(step)
+        return self.outlook_at(step, end_s)
+
+    def outlook_at(self, step, end_s) -> Outlook:
+        """Return what the caller gets from a job that ends at a time."""
+        due_s = self.due_s(step)
+        if end_s <= due_s:
+            return Outlook.IN_TIME
+        grace_s = (USEFUL_OBJECTIVES - 1) * step.job.objective_s
+        return Outlook.LATE if end_s <= due_s + grace_s else Outlook.LOST
+
+    def rank(self, step, now) -> Rank:
+        """Return the rank of a step."""
+        outlook = self.outlook(step, now)
+        durations = self.state.durations
+        work = len(step.pending) * step.spec.cpu * durations.task_s(step)
+        room = self.room.get(step.job.queue.pool) or 1
+        latest_s = self.due_s(step) - durations.remaining_s(step)
+        return Rank(
+            lost=outlook is Outlook.LOST,
+            level=step.job.queue.priority + (outlook is Outlook.LATE),
+            share=self.rank_workspace(step, now),
+            outlook=outlook,
+            latest_s=latest_s + (work - step.job.work_done) / room,
+        )
+
+    def waiting(self, now):
+        """Return the waiting steps in their order."""
+        ready = self.state.ready
+        if self.refreshed_s is None or now - self.refreshed_s >= REFRESH_S:
+            self._refresh(now)
+        else:
+            for step in self.sequence:
+                if not step.pending:
+                    self.ranks.pop(step.key, None)
+            self.sequence = [step for step in self.sequence if step.pending]
+        if len(self.sequence) < len(ready):
+            new = [step for key, step in ready.items() if key not in self.ranks]
+            self.ranks |= {step.key: self.rank(step, now) for step in new}
+            self.sequence = sorted(
+                [*self.sequence, *new], key=lambda step: self.ranks[step.key]
+            )
+        return self.sequence
+
+    def _refresh(self, now):
+        self.refreshed_s = now
+        self.room = {}
+        for runner in self.state.runners.values():
+            pool = runner.entry.pool
+            self.room[pool] = self.room.get(pool, 0) + runner.entry.capacity.cpu
+        ready = self.state.ready
+        self.ranks = {key: self.rank(step, now) for key, step in ready.items()}
+        self.sequence = sorted(ready.values(), key=lambda step: self.ranks[step.key])
+
+    def floor_turns(self, now):
+        """Return the steps that go before all others, each with a number of tasks.
+
+        These are the first ones of each kind of work that uses less than its floor,
+        unless it is the first kind that waits for its pool.
+        """
+        turns, first, left = [], {}, {}
+        for step in self.waiting(now):
+            pool, kind = step.job.queue.pool, self._kind(step)
+            if first.setdefault(pool, kind) == kind:
+                continue
+            key = (pool, kind)
+            if key not in left:
+                left[key] = self._floor(pool) - self.in_use.get(key, 0)
+            task = next(iter(step.pending.values()))
+            if left[key] <= 0 or now - task.waiting_since_s < FLOOR_WAIT_S:
+                continue
+            cpu = _reserved_cpu(step.spec)
+            count = len(step.pending)
+            if cpu and not step.spec.gang:
+                count = min(max(int(left[key] // cpu), 1), count)
+            left[key] -= count * cpu
+            turns.append((step, count))
+        return turns
+
+    def _floor(self, pool):
+        return FLOOR_SHARE * self.room.get(pool, 0)
+
+    def may_preempt(self, step, now) -> bool:
+        """Return whether a step is worth the loss of work of others."""
+        return self.outlook(step, now) is not Outlook.LOST
+
+    def loses_less(self, run, step, now) -> bool:
+        """Return whether a run may be stopped so that a task of a step starts.
+
+        Its step has to come later in the order by its priority, and its kind of work
+        keeps its floor.
+        """
+        level = step.job.queue.priority + (self.outlook(step, now) is Outlook.LATE)
+        if run.task.step.job.queue.priority <= level:
+            return False
+        pool, kind = self.counted.get(run, ("", LOST_KIND))
+        return self.in_use.get((pool, kind), 0) > self._floor(pool)
+
+
+def _reserved_cpu(spec):
+    """Return the processors that a task reserves, in thousandths of a core."""
+    return 0 if spec.opportunistic else spec.cpu
--- a/wasabipaddle/dispatch/placement.py
+++ b/wasabipaddle/dispatch/placement.py
@@ -4,7 +4,7 @@
 from wasabipaddle.dispatch.model import COMPARED_PERCENT, Run, RunPhase
 from wasabipaddle.dispatch.orders import StartTask
 
-__all__ = ["Placement", "free_slots", "priority_key", "within_runner_limit"]
+__all__ = ["Placement", "free_slots", "within_runner_limit"]
 
 # Weights of the terms in the score of a runner.
 SPEED_WEIGHT = 0.6
@@ -25,7 +25,7 @@
 
 
 class Placement:
-    """Starts waiting tasks in order of priority, then of time objective.
+    """Starts waiting tasks in the order of `dispatch.order`.
 
     Parameters
     ----------
@@ -59,13 +59,19 @@
         self._forget_answered()
         self.deferred = False
         self.state.capacity_exhausted = self.state.urgent_task_waiting = False
-        for step in sorted(self.state.ready.values(), key=priority_key):
-            if waits_for_suspects(self.state, step):
-                continue
-            if step.spec.gang:
-                self._plan_gang(step, now)
-            else:
-                self._plan_tasks(step, now)
+        for step, limit in self.state.order.floor_turns(now):
+            self._plan_step(step, now, limit=limit)
+        for step in self.state.order.waiting(now):
+            self._plan_step(step, now)
+
+    def _plan_step(self, step, now, *, limit=None):
+        """Start the waiting tasks of a step that fit, at most `limit`."""
+        if waits_for_suspects(self.state, step):
+            return
+        if step.spec.gang:
+            self._plan_gang(step, now)
+        else:
+            self._plan_tasks(step, now, limit=limit)
 
     def _forget_answered(self):
         unanswered = {}
@@ -178,13 +184,13 @@
         tickets = ((r, eligibility.ticket(r, now)) for r in runners)
         return [(runner, ticket) for runner, ticket in tickets if ticket is not None]
 
-    def _plan_tasks(self, step, now):
+    def _plan_tasks(self, step, now, *, limit=None):
         if self._waits_for_quota(step, now):
             return
         permitted = self._permitted(step, now)
         if not permitted:
             return
-        for task in list(step.pending.values()):
+        for task in list(step.pending.values())[:limit]:
             if self._waits_for_quota(step, now):
                 return
             best = self._best(task, permitted)
@@ -300,11 +306,6 @@
         self.state.outbox.append(StartTask(run=run, ticket=ticket))
 
 
-def priority_key(step):
-    """Return the sort key of a step: queue priority, then time of the objective."""
-    return (step.job.queue.priority, step.job.due_s)
-
-
 def _fits(step, runner):
     return runner.fits(step.spec) and within_runner_limit(step, runner)
 
--- a/wasabipaddle/dispatch/preemption.py
+++ b/wasabipaddle/dispatch/preemption.py
@@ -32,7 +32,10 @@
     def is_allowed(self, task, now) -> bool:
         """Return whether a task is urgent and has waited long enough to preempt."""
         urgent = task.step.job.queue.priority == URGENT_PRIORITY
-        return urgent and now - task.waiting_since_s >= PREEMPTION_DELAY_S
+        waited_s = now - task.waiting_since_s
+        if not urgent or waited_s < PREEMPTION_DELAY_S:
+            return False
+        return self.state.order.may_preempt(task.step, now)
 
     def free_capacity(self, task, runners, now):
         """Claim capacity on a runner, and stop runs there as far as necessary.
@@ -43,7 +46,7 @@
         for runner in runners:
             if not runner.fits_when_empty(task.spec):
                 continue
-            victims = self._victims(task, runner)
+            victims = self._victims(task, runner, now)
             if victims is None:
                 continue
             cost = sum(_cost(run, now) for run in victims)
@@ -71,8 +74,9 @@
                 reason=task.id.job,
             )
             self.state.stop_run(run, now)
+            self.state.order.release(run)
 
-    def _victims(self, task, runner):
+    def _victims(self, task, runner, now):
         """Return the runs to stop so that the task fits, None if that is impossible.
 
         The list is empty if runs that are already stopping release enough.
@@ -93,8 +97,19 @@
                 memory -= run.task.spec.memory_mb
                 gpus -= run.task.spec.gpus
         victims = []
-        candidates = [r for r in runner.runs.values() if _preemptible(r, task)]
-        candidates.sort(key=lambda run: (not run.task.spec.checkpoints, run.percent))
+        order = self.state.order
+        candidates = [
+            run
+            for run in runner.runs.values()
+            if _preemptible(run, task) and order.loses_less(run, task.step, now)
+        ]
+        candidates.sort(
+            key=lambda run: (
+                -order.outlook(run.task.step, now),
+                not run.task.spec.checkpoints,
+                run.percent,
+            )
+        )
         for run in candidates:
             if cpu <= 0 and memory <= 0 and gpus <= 0:
                 break
--- a/wasabipaddle/dispatch/state.py
+++ b/wasabipaddle/dispatch/state.py
@@ -2,7 +2,9 @@
 
 import attrs
 
+from wasabipaddle.dispatch.durations import Durations
 from wasabipaddle.dispatch.model import RunPhase
+from wasabipaddle.dispatch.order import WorkOrder
 from wasabipaddle.dispatch.orders import StopTask
 from wasabipaddle.dispatch.quotas import Quotas
 from wasabipaddle.jobs import CellConfiguration
@@ -83,6 +85,10 @@
         Unix time minus the monotonic time used in decisions.
     quotas : Quotas
         What the runs of each workspace hold.
+    durations : Durations
+        Learned durations of tasks.
+    order : WorkOrder
+        Order of the waiting steps.
     """
 
     timing: Timing
@@ -106,21 +112,26 @@
     scheduled: dict = attrs.field(factory=dict)
     wall_offset_s: float = 0.0
     quotas: Quotas = attrs.field(init=False)
+    durations: Durations = attrs.field(factory=Durations)
+    order: WorkOrder = attrs.field(init=False)
 
     def __attrs_post_init__(self):
         self.quotas = Quotas(state=self)
+        self.order = WorkOrder(state=self)
 
     def add_run(self, run):
         """Add a run that may exist from now on, with its reservation."""
         run.runner.reserve(run)
         run.task.runs.append(run)
         self.quotas.take(run)
+        self.order.take(run)
         self.unqueue_task(run.task)
 
     def discard_run(self, run):
         """Remove a run that does not exist any more, and its reservation."""
         if run.runner.release(run):
             self.quotas.release(run)
+            self.order.release(run)
         if run in run.task.runs:
             run.task.runs.remove(run)
 
--- a/wasabipaddle/jobs/model.py
+++ b/wasabipaddle/jobs/model.py
@@ -1,6 +1,7 @@
 """Jobs and their steps as callers submit them."""
 
 import enum
+import functools
 import typing
 
 import attrs
@@ -140,6 +141,22 @@
         """
         return self.occurrences > 1 or self.interval_ms > 0 or self.first_due_ms > 0
 
+    @functools.cached_property
+    def tails_s(self) -> tuple[float, ...]:
+        """Estimated duration, by step, of the longest chain of steps after it."""
+        tails = [0.0] * len(self.steps)
+        for position in range(len(self.steps) - 1, -1, -1):
+            step = self.steps[position]
+            for n in step.after:
+                tails[n] = max(tails[n], step.estimate_s + tails[position])
+        return tuple(tails)
+
+    @functools.cached_property
+    def chain_s(self) -> float:
+        """Estimated duration of the longest chain of steps."""
+        ends = (s.estimate_s + t for s, t in zip(self.steps, self.tails_s, strict=True))
+        return max(ends, default=0.0)
+
     @property
     def lasting(self) -> bool:
         """Whether any step runs until the job is cancelled."""
