Reserve runners for gangs and large tasks that others overtake

Change: a step that has not fitted for 2 s and is then overtaken, on runners that may run it, by work that is not more urgent, gets runners reserved: those that need to end least work until it fits. At most one step of a pool has a reservation, for 10 s at most, and more urgent work uses the runners nevertheless.

--- a/wasabipaddle/dispatch/placement.py
+++ b/wasabipaddle/dispatch/placement.py
@@ -33,6 +33,8 @@
         Shared state.
     preemption : Preemption
         Frees capacity for urgent tasks.
+    reservations : Reservations
+        Keeps capacity free for work that smaller work would starve.
 
     Attributes
     ----------
@@ -43,9 +45,10 @@
         them, since all their tasks have to start together.
     """
 
-    def __init__(self, *, state, preemption):
+    def __init__(self, *, state, preemption, reservations):
         self.state = state
         self.preemption = preemption
+        self.reservations = reservations
         self.unanswered = {}
         self.deferred = False
 
@@ -56,6 +59,7 @@
         dispatcher.
         """
         self.preemption.begin_round()
+        self.reservations.begin_round(now)
         self._forget_answered()
         self.deferred = False
         self.state.capacity_exhausted = self.state.urgent_task_waiting = False
@@ -182,6 +186,7 @@
         if self._waits_for_quota(step, now):
             return
         permitted = self._permitted(step, now)
+        permitted = self.reservations.exclude_reserved(step, permitted)
         if not permitted:
             return
         for task in list(step.pending.values()):
@@ -196,6 +201,7 @@
                 self.state.urgent_task_waiting |= step.job.queue.priority == 0
                 if self.preemption.is_allowed(task, now):
                     self.preemption.free_capacity(task, [r for r, _ in permitted], now)
+                self._note_waiting(step, now)
                 if not task.avoided:
                     return
                 continue
@@ -255,6 +261,7 @@
         if self._waits_for_quota(step, now, count=len(step.pending)):
             return
         permitted = self._permitted(step, now)
+        permitted = self.reservations.exclude_reserved(step, permitted)
         if step.spec.same_rack:
             racks = {}
             for runner, ticket in permitted:
@@ -269,6 +276,15 @@
                 for task, (runner, ticket) in assignments:
                     self._start(task, runner, ticket, number, now)
                 return
+        self._note_waiting(step, now)
+
+    def _note_waiting(self, step, now):
+        """Record a step that does not fit, so that other work cannot starve it."""
+        if not self.reservations.may_reserve(step, now):
+            return
+        advised = step.job.queue.advice is not None
+        runners = self.eligible(step, now) if advised else self.candidates(step, now)
+        self.reservations.note_waiting(step, runners)
 
     def _fit_gang(self, step, permitted):
         """Return each waiting task with its runner and ticket, None if not all fit."""
@@ -297,6 +313,7 @@
         task.last_run = number
         self.state.add_run(run)
         self.unanswered.setdefault(runner.id, []).append(run)
+        self.reservations.note_start(task.step, runner, now)
         self.state.outbox.append(StartTask(run=run, ticket=ticket))
 
 
--- a/wasabipaddle/dispatch/scheduler.py
+++ b/wasabipaddle/dispatch/scheduler.py
@@ -12,6 +12,7 @@
 from wasabipaddle.dispatch.preemption import Preemption
 from wasabipaddle.dispatch.replies import Replies
 from wasabipaddle.dispatch.reports import Reports
+from wasabipaddle.dispatch.reservations import Reservations
 from wasabipaddle.dispatch.runners import RunnerState
 from wasabipaddle.dispatch.state import CellState
 from wasabipaddle.dispatch.watchdog import Watchdog
@@ -48,7 +49,12 @@
         )
         self.leases = Leases(state=self.state, lifecycle=self.lifecycle)
         self.preemption = Preemption(state=self.state)
-        self.placement = Placement(state=self.state, preemption=self.preemption)
+        self.reservations = Reservations(state=self.state)
+        self.placement = Placement(
+            state=self.state,
+            preemption=self.preemption,
+            reservations=self.reservations,
+        )
         self.advisor = Advisor(state=self.state, placement=self.placement)
         self.watchdog = Watchdog(state=self.state)
         self.evacuation = Evacuation(state=self.state)
