--- a/wasabipaddle/commands/cli.py
+++ b/wasabipaddle/commands/cli.py
@@ -248,7 +248,7 @@
 
         return Action(run=run)
 
-    def fuzz(self, seconds=60, seed=1, decoders=None, keep=None):
+    def fuzz(self, seconds=60, seed=1, decoders=None, keep=None, keys=None):
         """Fuzz an in-memory cell and print the shortest failing run.
 
         Parameters
@@ -261,11 +261,15 @@
             Number of inputs for the decoders, which are fuzzed instead.
         keep : str
             Directory for the inputs that a decoder fails on.
+        keys : int
+            Number of steps of the machine of removed keys, which is run instead.
         """
         from wasabipaddle.commands.fuzz import fuzz
 
         def run():
-            passed = fuzz(seconds=seconds, seed=seed, decoders=decoders, keep=keep)
+            passed = fuzz(
+                seconds=seconds, seed=seed, decoders=decoders, keep=keep, keys=keys
+            )
             return None if passed else EXIT_BROKEN
 
         return Action(run=run)
--- a/wasabipaddle/commands/fuzz.py
+++ b/wasabipaddle/commands/fuzz.py
@@ -7,15 +7,18 @@
 MISSING_DEPENDENCIES = "fuzz needs the development dependencies of wasabipaddle"
 
 
-def fuzz(*, seconds, seed, decoders=None, keep=None) -> bool:
+def fuzz(*, seconds, seed, decoders=None, keep=None, keys=None) -> bool:
     """Run one kind of fuzzing and return whether no fault was found.
 
-    Without `decoders`, seeds of a cell are run until the time is over. Otherwise it is
-    the number of inputs for the decoders; the inputs of faults are written to the
-    directory `keep`, unless it is None.
+    Without `decoders` and `keys`, seeds of a cell are run until the time is over.
+    `decoders` is the number of inputs for the decoders; the inputs of faults are
+    written to the directory `keep`, unless it is None. `keys` is the number of steps of
+    the machine of removed keys.
     """
     if decoders is not None:
         return _fuzz_decoders(inputs=decoders, seed=seed, directory=keep)
+    if keys is not None:
+        return _fuzz_revocation(steps=keys, seed=seed)
     if not isinstance(seconds, int | float) or seconds <= 0:
         raise UsageError("--seconds must be a positive number")
     _check_seed(seed)
@@ -23,7 +26,21 @@
         from wasabipaddle.fuzz.driver import fuzz as run
     except ImportError as error:
         raise UsageError(MISSING_DEPENDENCIES) from error
-    result = run(seconds=seconds, seed=seed)
+    return _show(run(seconds=seconds, seed=seed), seed)
+
+
+def _fuzz_revocation(*, steps, seed):
+    if not isinstance(steps, int) or isinstance(steps, bool) or steps <= 0:
+        raise UsageError("--keys must be a positive whole number")
+    _check_seed(seed)
+    try:
+        from wasabipaddle.fuzz.driver import fuzz_revocation
+    except ImportError as error:
+        raise UsageError(MISSING_DEPENDENCIES) from error
+    return _show(fuzz_revocation(steps=steps, seed=seed), seed)
+
+
+def _show(result, seed):
     if result.seed is None:
         print(f"{result.seeds} seeds from {seed} hold")
         return True
--- a/wasabipaddle/fuzz/driver.py
+++ b/wasabipaddle/fuzz/driver.py
@@ -8,11 +8,14 @@
 from hypothesis.stateful import run_state_machine_as_test
 
 from wasabipaddle.fuzz.machine import CellMachine
+from wasabipaddle.fuzz.revocation_machine import RevocationMachine
 
-__all__ = ["FuzzResult", "fuzz"]
+__all__ = ["FuzzResult", "fuzz", "fuzz_revocation", "run_seed"]
 
 EXAMPLES_PER_SEED = 5
 STEPS = 30
+REVOCATION_EXAMPLES = 20
+REVOCATION_STEPS = 50
 
 
 @attrs.frozen(kw_only=True)
@@ -61,11 +64,28 @@
     return FuzzResult(seeds=seeds_run)
 
 
-def run_seed(seed, *, machine=CellMachine, examples=EXAMPLES_PER_SEED) -> str:
+def fuzz_revocation(*, steps, seed, machine=RevocationMachine) -> FuzzResult:
+    """Run consecutive seeds of the machine of removed keys for a number of steps."""
+    seeds = -(-steps // (REVOCATION_EXAMPLES * REVOCATION_STEPS))
+    for number in range(seeds):
+        report = run_seed(
+            seed + number,
+            machine=machine,
+            examples=REVOCATION_EXAMPLES,
+            steps=REVOCATION_STEPS,
+        )
+        if report:
+            return FuzzResult(seeds=number + 1, seed=seed + number, report=report)
+    return FuzzResult(seeds=seeds)
+
+
+def run_seed(
+    seed, *, machine=CellMachine, examples=EXAMPLES_PER_SEED, steps=STEPS
+) -> str:
     """Run the examples of one seed; return a report, empty if no example fails."""
     settings = hypothesis.settings(
         max_examples=examples,
-        stateful_step_count=STEPS,
+        stateful_step_count=steps,
         derandomize=False,
         database=None,
         deadline=None,
