Ask the eligibility service about as many runners as a step needs

Cause: each request named the 30 freest runners, whatever the step needed. Steps that ask at the same time named the same ones, so that most answers found their runners taken and the step asked again at once; a step that restarts one task renewed up to 30 tickets; steps far back in the queue asked while nothing had room.

Change: dispatch/naming.py names runners in the order of the room that is neither reserved nor claimed by requests in progress, until the tasks that wait fit with a margin by the part that is eligible, learned for each queue. Renewals name what the waiting tasks need. Steps behind the first ones ask only about runners with room.

--- a/wasabipaddle/dispatch/advisor.py
+++ b/wasabipaddle/dispatch/advisor.py
@@ -1,13 +1,12 @@
 """Planning of requests to the eligibility service."""
 
 from wasabipaddle.dispatch.model import RunPhase
+from wasabipaddle.dispatch.naming import MAX_RUNNERS_PER_REQUEST, Naming
 from wasabipaddle.dispatch.orders import AdviceRequest
 from wasabipaddle.dispatch.placement import free_slots, within_runner_limit
 
 __all__ = ["Advisor"]
 
-# Largest number of runners named in one request.
-MAX_RUNNERS_PER_REQUEST = 30
 # Pause after a failed request; URGENT_RETRY_S applies to steps of priority 0.
 RETRY_S = 0.2
 URGENT_RETRY_S = 0.03
@@ -25,11 +24,17 @@
         Shared state.
     placement : Placement
         Selects the candidate runners of a step.
+
+    Attributes
+    ----------
+    naming : Naming
+        Chooses which runners a request names.
     """
 
     def __init__(self, *, state, placement):
         self.state = state
         self.placement = placement
+        self.naming = Naming()
 
     def plan(self, now):
         """Return the requests to send now.
@@ -60,9 +65,11 @@
         if not runners:
             return None
         eligibility.requested_s = now
+        runners = tuple(runners)
+        self.naming.begin(step, runners)
         return AdviceRequest(
             step=step,
-            runners=tuple(runners),
+            runners=runners,
             urgent=step.job.queue.priority == 0,
             expected_s=policy.base_s + policy.per_runner_s * len(runners),
         )
@@ -85,15 +92,16 @@
         enough = sum(free_slots(step, runner) for runner in usable) >= needed
         has_valid_ticket = any(eligibility.ticket(r, now) is not None for r in usable)
         not_asked = [] if enough else self._runners_not_asked(step, now)
+        if step.opened and not (renew or step.job.queue.priority == 0):
+            # Others go first when room becomes free: an answer would expire unused.
+            not_asked = [r for r in not_asked if r.fits(step.spec)]
         if not_asked:
-            not_asked.sort(key=lambda r: -r.free_cpu_fraction)
-            # Most of the cost of a request is fixed, so it also renews known tickets.
-            return [*not_asked, *eligible][:MAX_RUNNERS_PER_REQUEST]
+            return self.naming.choose(step, not_asked)
         if has_valid_ticket and not renew:
             return []
         if renew and eligible:
             return self._runners_to_renew(step, eligible, usable, now)
-        return usable[:MAX_RUNNERS_PER_REQUEST]
+        return self.naming.choose_known(step, usable)
 
     def _runners_not_asked(self, step, now):
         """Return candidates of sufficient size for which no answer is known."""
@@ -115,8 +123,7 @@
         horizon = now + policy.base_s + policy.per_runner_s * len(eligible)
         if any(step.eligibility.ticket(r, horizon) for r in usable or eligible):
             return []
-        eligible.sort(key=lambda r: (r not in usable, -r.free_cpu_fraction))
-        return eligible[:MAX_RUNNERS_PER_REQUEST]
+        return self.naming.choose_known(step, eligible)
 
     def _steps_opening_soon(self, now):
         """Yield unopened steps without tickets that are expected to open soon.
@@ -162,13 +169,18 @@
         valid_s : float
             Validity of the tickets in seconds; 0 stands for the validity in the policy.
         """
-        policy = step.job.queue.advice
+        policy, eligibility = step.job.queue.advice, step.eligibility
         if policy is not None and not valid_s:
             valid_s = policy.valid_s
+        self.naming.end(step)
+        new = [r for r in runners if not eligibility.is_eligible(r)]
+        good = sum(runner.id in advice for runner in new)
+        self.naming.learn(step, named=len(new), eligible=good)
         step.eligibility.record_answer(runners, advice, valid_s, now)
 
     def record_failure(self, step, now):
         """Schedule the retry of a request that got no answer."""
+        self.naming.end(step)
         urgent = step.job.queue.priority == 0
         step.eligibility.record_failure(now, URGENT_RETRY_S if urgent else RETRY_S)
 
