Give late jobs a floor and ask for a next step only once it is near

A late job stood behind all work in time of its priority, and the postponement of wide steps went on for jobs that cannot be in time any more. Steps asked for advice once their predecessor exceeded its estimate, often many seconds before they opened.

Change: work in time, late work and work of no use have a floor each, and the work of a step counts only while its job can be in time. A batch run that exceeds its expected duration without a report of progress is expected to take as long again.

--- a/wasabipaddle/dispatch/advisor.py
+++ b/wasabipaddle/dispatch/advisor.py
@@ -1,6 +1,6 @@
 """Planning of requests to the eligibility service."""
 
-from wasabipaddle.dispatch.model import RunPhase
+from wasabipaddle.dispatch.model import COMPARED_PERCENT, RunPhase
 from wasabipaddle.dispatch.naming import MAX_RUNNERS_PER_REQUEST, Naming
 from wasabipaddle.dispatch.orders import AdviceRequest
 from wasabipaddle.dispatch.placement import free_slots, within_runner_limit
@@ -147,6 +147,7 @@
         policy = entry.queue.advice
         answer_s = policy.base_s + policy.per_runner_s * MAX_RUNNERS_PER_REQUEST
         limit_s = min(answer_s, policy.valid_s / 2)
+        urgent = entry.queue.priority == 0
         for position in step.spec.after:
             predecessor = entry.steps[(step.occurrence, position)]
             if not predecessor.remaining:
@@ -154,7 +155,9 @@
             if not predecessor.opened or predecessor.pending:
                 return False
             for task in predecessor.tasks:
-                if not task.completed and _remaining_s(task, now) > limit_s:
+                if task.completed:
+                    continue
+                if _remaining_s(task, now, urgent=urgent) > limit_s:
                     return False
         return True
 
@@ -190,9 +193,18 @@
     return len(step.pending) if step.spec.gang else 1
 
 
-def _remaining_s(task, now):
-    """Return the estimated time until a task ends."""
+def _remaining_s(task, now, *, urgent) -> float:
+    """Return the expected time until a task ends.
+
+    A run that exceeds its expected duration without a report of its progress is
+    expected to take as long again, except in urgent jobs: for these an answer that
+    comes too early costs less than one that comes too late.
+    """
     for run in task.runs:
         if run.phase is RunPhase.RUNNING:
-            return run.projected_s() - (now - run.started_s)
+            elapsed_s = now - run.started_s
+            left_s = run.projected_s() - elapsed_s
+            if left_s < 0 and run.percent < COMPARED_PERCENT and not urgent:
+                return elapsed_s
+            return left_s
     return task.spec.estimate_s
--- a/wasabipaddle/dispatch/naming.py
+++ b/wasabipaddle/dispatch/naming.py
@@ -10,14 +10,14 @@
 MIN_RUNNERS_PER_REQUEST = 4
 # Time by which further runners may prolong a request, since a second request takes
 # much longer.
-FURTHER_RUNNERS_S = 0.03
+FURTHER_RUNNERS_S = 0.01
 # Part of the named runners that is taken as eligible until answers show another one,
 # and weight of the latest answer in its moving average.
 INITIAL_SHARE = 0.5
 LEARNING_WEIGHT = 0.1
 # Number of standard deviations by which the expected number of places has to exceed
 # the number of tasks.
-CONFIDENCE = 1.3
+CONFIDENCE = 1.0
 
 
 class Naming:
--- a/wasabipaddle/dispatch/order.py
+++ b/wasabipaddle/dispatch/order.py
@@ -17,8 +17,6 @@
 # Interval at which the ranks of all waiting steps are computed anew. A step that
 # begins to wait gets its rank at once.
 REFRESH_S = 0.25
-# Kind of the jobs of all priorities that are of no use any more.
-LOST_KIND = -1
 
 
 class Outlook(enum.IntEnum):
@@ -44,10 +42,10 @@
     outlook : Outlook
         What the caller can still get.
     latest_s : float
-        Latest start for an end in time, postponed by the time for which the work left
-        in the step occupies the pool, and advanced by that of the work already done in
-        the job. Small steps go before wide ones of about the same deadline, but no step
-        is overtaken by steps of much later deadlines.
+        Latest start for an end in time. If that is possible, it is postponed by the
+        time for which the work left in the step occupies the pool, and advanced by that
+        of the work already done in the job. Small steps thus go before wide ones of
+        about the same deadline, but not before those of much earlier deadlines.
     """
 
     lost: bool
@@ -57,6 +55,21 @@
     latest_s: float
 
 
+class Kind(typing.NamedTuple):
+    """Work that has a floor of its own.
+
+    Parameters
+    ----------
+    priority : int
+        Priority of the queue, 0 for all jobs that are of no use any more.
+    outlook : Outlook
+        What the callers can still get, as of the start of a run.
+    """
+
+    priority: int
+    outlook: Outlook
+
+
 class WorkOrder:
     """The one order of steps, used for room, advice and preemption.
 
@@ -80,10 +93,9 @@
         Time at which the ranks were last computed.
     room : dict of str to int
         Processors of the runners of each pool, in thousandths of a core.
-    in_use : dict of (str, int) to int
-        Processors reserved by pool and kind of work, in thousandths of a core. The kind
-        is the priority of the queue, or `LOST_KIND`.
-    counted : dict of Run to (str, int)
+    in_use : dict of (str, Kind) to int
+        Processors reserved by pool and kind of work, in thousandths of a core.
+    counted : dict of Run to (str, Kind)
         Pool and kind under which each run counts.
     """
 
@@ -112,8 +124,9 @@
 
     def _kind(self, step):
         rank = self.ranks.get(step.key)
-        lost = rank is not None and rank.lost
-        return LOST_KIND if lost else step.job.queue.priority
+        outlook = Outlook.IN_TIME if rank is None else rank.outlook
+        lost = outlook is Outlook.LOST
+        return Kind(0 if lost else step.job.queue.priority, outlook)
 
     def due_s(self, step) -> float:
         """Return the time objective of the occurrence that a step belongs to."""
@@ -150,15 +163,17 @@
         """Return the rank of a step."""
         outlook = self.outlook(step, now)
         durations = self.state.durations
-        work = len(step.pending) * step.spec.cpu * durations.task_s(step)
-        room = self.room.get(step.job.queue.pool) or 1
         latest_s = self.due_s(step) - durations.remaining_s(step)
+        if outlook is Outlook.IN_TIME:
+            work = len(step.pending) * step.spec.cpu * durations.task_s(step)
+            room = self.room.get(step.job.queue.pool) or 1
+            latest_s += (work - step.job.work_done) / room
         return Rank(
             lost=outlook is Outlook.LOST,
             level=step.job.queue.priority + (outlook is Outlook.LATE),
             share=self.rank_workspace(step, now),
             outlook=outlook,
-            latest_s=latest_s + (work - step.job.work_done) / room,
+            latest_s=latest_s,
         )
 
     def waiting(self, now):
@@ -230,8 +245,8 @@
         level = step.job.queue.priority + (self.outlook(step, now) is Outlook.LATE)
         if run.task.step.job.queue.priority <= level:
             return False
-        pool, kind = self.counted.get(run, ("", LOST_KIND))
-        return self.in_use.get((pool, kind), 0) > self._floor(pool)
+        key = self.counted.get(run)
+        return key is not None and self.in_use[key] > self._floor(key[0])
 
 
 def _reserved_cpu(spec):
--- a/wasabipaddle/dispatch/tests/test_naming.py
+++ b/wasabipaddle/dispatch/tests/test_naming.py
@@ -86,6 +86,22 @@
     assert {r.step.job.id for r in requests} < first
 
 
+def test_next_step_does_not_ask_while_its_predecessor_exceeds_its_estimate(make_cell):
+    """Guards against answers that expire before the step opens."""
+    cell = make_cell(runners=4)
+    steps = (step(1, estimate_s=0.9), step(1, after=(0,)))
+    entry = cell.submit("j", *steps, queue="advised")
+    (first,), _ = cell.plan()
+    answer(cell, first, share=1.0)
+    cell.plan()
+    cell.now += 3.0
+    assert cell.plan()[0] == []
+    (run,) = entry.steps[(0, 0)].tasks[0].runs
+    run.percent, run.progress_s = 95, cell.now
+    (second,), _ = cell.plan()
+    assert second.step.position == 1
+
+
 def play_load(cell):
     """Play steps with failing tasks and too little room.
 
--- a/wasabipaddle/dispatch/tests/test_order.py
+++ b/wasabipaddle/dispatch/tests/test_order.py
@@ -97,7 +97,7 @@
     cell = make_cell(runners=2, cpu=20_000)
     cell.submit("batch", step(20, estimate_s=30.0))
     for i in range(20):
-        cell.submit(f"old{i}", step(10), queue="urgent")
+        cell.submit(f"old{i}", step(10, estimate_s=9.0), queue="urgent")
         cell.now += 0.1
     cell.plan()
     started = [task.job for task, _, _ in cell.started]
@@ -105,6 +105,17 @@
     assert len(started) == 40
 
 
+def test_work_in_time_leaves_the_floor_to_late_work(make_cell):
+    """Guards against accepted jobs that stand still once they are late."""
+    cell = make_cell(runners=2, cpu=20_000)
+    cell.submit("late", step(20), queue="urgent")
+    cell.now += 1.5
+    cell.submit("new", step(60, estimate_s=9.0), queue="urgent")
+    cell.plan()
+    started = [task.job for task, _, _ in cell.started]
+    assert started[:3] == ["late", "late", "new"]
+
+
 def test_preemption_leaves_the_floor(make_cell):
     """Guards against a flood of urgent work that stops all other work."""
     cell = make_cell(runners=1, cpu=40_000)
