Order waiting steps by the shares of their workspaces

Cause: when there is too little room, whoever has the earliest objective comes first, so a workspace that submits many times its usual delays all others.

Change: `dispatch/shares.py` ranks steps. Jobs beyond `weight` jobs a second in a sliding window wait first. Inside a priority a workspace within its weighted share of the fleet (dominant share) comes before those above theirs, which follow in levels of 25%. Placement takes steps from a heap, so that a step gives way as soon as its workspace reaches the next level; requests for advice and preemption use the same order. Without workspaces the order is as before.

--- a/wasabipaddle/dispatch/advisor.py
+++ b/wasabipaddle/dispatch/advisor.py
@@ -2,11 +2,7 @@
 
 from wasabipaddle.dispatch.model import RunPhase
 from wasabipaddle.dispatch.orders import AdviceRequest
-from wasabipaddle.dispatch.placement import (
-    free_slots,
-    priority_key,
-    within_runner_limit,
-)
+from wasabipaddle.dispatch.placement import free_slots, within_runner_limit
 
 __all__ = ["Advisor"]
 
@@ -43,7 +39,10 @@
         """
         wanted = []
         non_urgent = 0
-        for step in sorted(self.state.ready.values(), key=priority_key):
+        shares = self.state.shares
+        for step in sorted(
+            self.state.ready.values(), key=lambda s: shares.sort_key(s, now)
+        ):
             urgent = step.job.queue.priority == 0
             if not self.state.quotas.admits(step, count=_least_start(step)):
                 continue
--- a/wasabipaddle/dispatch/lifecycle.py
+++ b/wasabipaddle/dispatch/lifecycle.py
@@ -46,6 +46,7 @@
             accepted_s + queue.target_s + queue.stretch * _critical_path_s(job.spec)
         )
         state.jobs[job.id] = entry
+        state.shares.add_job(entry)
         if progress is not None:
             entry.phase = entry.durable_phase = progress.phase
             entry.ended_ms = progress.ended_ms
--- a/wasabipaddle/dispatch/model.py
+++ b/wasabipaddle/dispatch/model.py
@@ -346,6 +346,8 @@
         Whether the job was accepted before this dispatcher took over.
     started : bool
         Whether any task is known to have started.
+    in_excess : bool
+        Whether the job exceeds the rate of its workspace.
     ended_ms : int
         Time of the end in Unix milliseconds, 0 before.
     write_generation : int
@@ -363,6 +365,7 @@
     durable_pools: set = attrs.field(factory=set)
     recovered: bool = False
     started: bool = False
+    in_excess: bool = False
     ended_ms: int = 0
     write_generation: int = 0
 
--- a/wasabipaddle/dispatch/placement.py
+++ b/wasabipaddle/dispatch/placement.py
@@ -1,10 +1,12 @@
 """Choice of the runner for each waiting task."""
 
+import heapq
+
 from wasabipaddle.dispatch.fleet import waits_for_suspects
 from wasabipaddle.dispatch.model import COMPARED_PERCENT, Run, RunPhase
 from wasabipaddle.dispatch.orders import StartTask
 
-__all__ = ["Placement", "free_slots", "priority_key", "within_runner_limit"]
+__all__ = ["Placement", "free_slots", "within_runner_limit"]
 
 # Weights of the terms in the score of a runner.
 SPEED_WEIGHT = 0.6
@@ -41,6 +43,8 @@
     deferred : bool
         Whether the last plan left tasks waiting for such replies. Gangs do not wait for
         them, since all their tasks have to start together.
+    line : list of tuple
+        Heap of the steps that are still to be planned in this round, by sort key.
     """
 
     def __init__(self, *, state, preemption):
@@ -48,6 +52,7 @@
         self.preemption = preemption
         self.unanswered = {}
         self.deferred = False
+        self.line = []
 
     def plan(self, now):
         """Start the waiting tasks that fit.
@@ -59,13 +64,20 @@
         self._forget_answered()
         self.deferred = False
         self.state.capacity_exhausted = self.state.urgent_task_waiting = False
-        for step in sorted(self.state.ready.values(), key=priority_key):
-            if waits_for_suspects(self.state, step):
-                continue
+        self.state.shares.begin_round()
+        self.line = [
+            (self.state.shares.sort_key(step, now), number, step)
+            for number, step in enumerate(self.state.ready.values())
+            if not waits_for_suspects(self.state, step)
+        ]
+        heapq.heapify(self.line)
+        while self.line:
+            _, number, step = heapq.heappop(self.line)
             if step.spec.gang:
                 self._plan_gang(step, now)
-            else:
-                self._plan_tasks(step, now)
+            elif self._plan_tasks(step, now):
+                key = self.state.shares.sort_key(step, now)
+                heapq.heappush(self.line, (key, number, step))
 
     def _forget_answered(self):
         unanswered = {}
@@ -178,28 +190,38 @@
         tickets = ((r, eligibility.ticket(r, now)) for r in runners)
         return [(runner, ticket) for runner, ticket in tickets if ticket is not None]
 
-    def _plan_tasks(self, step, now):
+    def _plan_tasks(self, step, now) -> bool:
+        """Start tasks of a step; return whether it gives way to others that wait."""
         if self._waits_for_quota(step, now):
-            return
+            return False
         permitted = self._permitted(step, now)
         if not permitted:
-            return
+            return False
         for task in list(step.pending.values()):
             if self._waits_for_quota(step, now):
-                return
+                return False
             best = self._best(task, permitted)
             if best is None and self._waits_for_replies(step, permitted):
                 self.deferred = True
-                return
+                return False
             if best is None:
                 self.state.capacity_exhausted = True
                 self.state.urgent_task_waiting |= step.job.queue.priority == 0
                 if self.preemption.is_allowed(task, now):
                     self.preemption.free_capacity(task, [r for r, _ in permitted], now)
                 if not task.avoided:
-                    return
+                    return False
                 continue
             self._start(task, *best, task.last_run + 1, now)
+            if step.pending and self._gives_way(step, now):
+                return True
+        return False
+
+    def _gives_way(self, step, now) -> bool:
+        """Return whether another step comes first, now that this one has started."""
+        return bool(self.line) and (
+            self.state.shares.sort_key(step, now) > self.line[0][0]
+        )
 
     def _waits_for_quota(self, step, now, *, count=1):
         """Return whether the quota leaves no room for `count` tasks; record it."""
@@ -300,11 +322,6 @@
         self.state.outbox.append(StartTask(run=run, ticket=ticket))
 
 
-def priority_key(step):
-    """Return the sort key of a step: queue priority, then time of the objective."""
-    return (step.job.queue.priority, step.job.due_s)
-
-
 def _fits(step, runner):
     return runner.fits(step.spec) and within_runner_limit(step, runner)
 
--- a/wasabipaddle/dispatch/preemption.py
+++ b/wasabipaddle/dispatch/preemption.py
@@ -30,8 +30,12 @@
         self.claimed = {}
 
     def is_allowed(self, task, now) -> bool:
-        """Return whether a task is urgent and has waited long enough to preempt."""
-        urgent = task.step.job.queue.priority == URGENT_PRIORITY
+        """Return whether a task is urgent and has waited long enough to preempt.
+
+        A task of a job in excess preempts nothing.
+        """
+        entry = task.step.job
+        urgent = entry.queue.priority == URGENT_PRIORITY and not entry.in_excess
         return urgent and now - task.waiting_since_s >= PREEMPTION_DELAY_S
 
     def free_capacity(self, task, runners, now):
--- a/wasabipaddle/dispatch/state.py
+++ b/wasabipaddle/dispatch/state.py
@@ -5,6 +5,7 @@
 from wasabipaddle.dispatch.model import RunPhase
 from wasabipaddle.dispatch.orders import StopTask
 from wasabipaddle.dispatch.quotas import Quotas
+from wasabipaddle.dispatch.shares import Shares
 from wasabipaddle.jobs import CellConfiguration
 
 __all__ = ["CellState", "Timing"]
@@ -83,6 +84,8 @@
         Unix time minus the monotonic time used in decisions.
     quotas : Quotas
         What the runs of each workspace hold.
+    shares : Shares
+        Order of the workspaces when there is too little room.
     """
 
     timing: Timing
@@ -106,9 +109,11 @@
     scheduled: dict = attrs.field(factory=dict)
     wall_offset_s: float = 0.0
     quotas: Quotas = attrs.field(init=False)
+    shares: Shares = attrs.field(init=False)
 
     def __attrs_post_init__(self):
         self.quotas = Quotas(state=self)
+        self.shares = Shares(state=self)
 
     def add_run(self, run):
         """Add a run that may exist from now on, with its reservation."""
