Merge the shares of workspaces into the order of waiting steps

The rank of a step takes whether its job is in excess of the rate of its workspace before the priority, and the level of the workspace by its share behind it. A step gives way to others as soon as its starts raise the level of its workspace.

--- a/wasabipaddle/dispatch/lifecycle.py
+++ b/wasabipaddle/dispatch/lifecycle.py
@@ -45,6 +45,7 @@
         entry.objective_s = queue.target_s + queue.stretch * job.spec.chain_s
         entry.due_s = accepted_s + entry.objective_s
         state.jobs[job.id] = entry
+        state.shares.add_job(entry)
         if progress is not None:
             entry.phase = entry.durable_phase = progress.phase
             entry.ended_ms = progress.ended_ms
--- a/wasabipaddle/dispatch/order.py
+++ b/wasabipaddle/dispatch/order.py
@@ -1,6 +1,7 @@
 """Order in which waiting steps get room and advice, by what a delay costs callers."""
 
 import enum
+import heapq
 import typing
 
 __all__ = ["Outlook", "Rank", "WorkOrder"]
@@ -34,11 +35,13 @@
     ----------
     lost : bool
         Whether the job is of no use any more, so that a delay costs its caller nothing.
+    in_excess : bool
+        Whether the workspace submitted the job beyond its rate.
     level : int
         Priority of the queue, or one more if the job will be late in any case, since a
         further delay costs its caller less.
-    share : float
-        Rank of the workspace by its share of the room.
+    share : int
+        Level of the workspace by its share of the room.
     outlook : Outlook
         What the caller can still get.
     latest_s : float
@@ -49,8 +52,9 @@
     """
 
     lost: bool
+    in_excess: bool
     level: int
-    share: float
+    share: int
     outlook: Outlook
     latest_s: float
 
@@ -83,12 +87,14 @@
 
     Attributes
     ----------
-    rank_workspace : callable
-        Returns the rank of the workspace of a step at a time.
     ranks : dict of tuple to Rank
         Ranks of the waiting steps by their keys.
     sequence : list of Step
         Waiting steps in their order.
+    line : list of tuple
+        Heap of the steps that have not had their turn in this round, by rank.
+    gave_way : bool
+        Whether the step that has its turn has given way to another one.
     refreshed_s : float or None
         Time at which the ranks were last computed.
     room : dict of str to int
@@ -101,7 +107,8 @@
 
     def __init__(self, *, state):
         self.state = state
-        self.rank_workspace = lambda step, now: 0.0
+        self.line = []
+        self.gave_way = False
         self.ranks = {}
         self.sequence = []
         self.refreshed_s = None
@@ -170,8 +177,9 @@
             latest_s += (work - step.job.work_done) / room
         return Rank(
             lost=outlook is Outlook.LOST,
+            in_excess=step.job.in_excess,
             level=step.job.queue.priority + (outlook is Outlook.LATE),
-            share=self.rank_workspace(step, now),
+            share=self.state.shares.level(step.job.job.workspace),
             outlook=outlook,
             latest_s=latest_s,
         )
@@ -194,6 +202,33 @@
             )
         return self.sequence
 
+    def turns(self, now):
+        """Yield the waiting steps in their order, once each unless they give way."""
+        self.line = [
+            (self.ranks[step.key], number, step)
+            for number, step in enumerate(self.waiting(now))
+        ]
+        while self.line:
+            _, number, step = heapq.heappop(self.line)
+            self.gave_way = False
+            if step.pending and not self.gives_way(step):
+                yield step
+            if self.gave_way:
+                heapq.heappush(self.line, (self.ranks[step.key], number, step))
+
+    def gives_way(self, step) -> bool:
+        """Return whether another step comes first by now.
+
+        The level of a workspace rises with each start of one of its tasks.
+        """
+        rank = self.ranks[step.key]
+        share = self.state.shares.level(step.job.job.workspace)
+        if share == rank.share:
+            return False
+        self.ranks[step.key] = rank._replace(share=share)
+        self.gave_way = bool(self.line) and self.ranks[step.key] > self.line[0][0]
+        return self.gave_way
+
     def _refresh(self, now):
         self.refreshed_s = now
         self.room = {}
--- a/wasabipaddle/dispatch/placement.py
+++ b/wasabipaddle/dispatch/placement.py
@@ -63,9 +63,10 @@
         self._forget_answered()
         self.deferred = False
         self.state.capacity_exhausted = self.state.urgent_task_waiting = False
+        self.state.shares.begin_round()
         for step, limit in self.state.order.floor_turns(now):
             self._plan_step(step, now, limit=limit)
-        for step in self.state.order.waiting(now):
+        for step in self.state.order.turns(now):
             self._plan_step(step, now)
 
     def _plan_step(self, step, now, *, limit=None):
@@ -212,6 +213,8 @@
                     return
                 continue
             self._start(task, *best, task.last_run + 1, now)
+            if step.pending and self.state.order.gives_way(step):
+                return
 
     def _waits_for_quota(self, step, now, *, count=1):
         """Return whether the quota leaves no room for `count` tasks; record it."""
--- a/wasabipaddle/dispatch/state.py
+++ b/wasabipaddle/dispatch/state.py
@@ -7,6 +7,7 @@
 from wasabipaddle.dispatch.order import WorkOrder
 from wasabipaddle.dispatch.orders import StopTask
 from wasabipaddle.dispatch.quotas import Quotas
+from wasabipaddle.dispatch.shares import Shares
 from wasabipaddle.jobs import CellConfiguration
 
 __all__ = ["CellState", "Timing"]
@@ -87,6 +88,8 @@
         What the runs of each workspace hold.
     durations : Durations
         Learned durations of tasks.
+    shares : Shares
+        Ranks of the workspaces when there is too little room.
     order : WorkOrder
         Order of the waiting steps.
     """
@@ -113,10 +116,12 @@
     wall_offset_s: float = 0.0
     quotas: Quotas = attrs.field(init=False)
     durations: Durations = attrs.field(factory=Durations)
+    shares: Shares = attrs.field(init=False)
     order: WorkOrder = attrs.field(init=False)
 
     def __attrs_post_init__(self):
         self.quotas = Quotas(state=self)
+        self.shares = Shares(state=self)
         self.order = WorkOrder(state=self)
 
     def add_run(self, run):
