Reserve only runners on which a step is expected to fit soon

Reservations of 2 of 6 runners had expired after 10 s without a start, as their runs took longer, and their step's tickets had lapsed.

Change: the runners on which the step fits first by the projected ends of their runs, within 4 s; the reservation ends after twice that time; the tickets of the step are renewed meanwhile.

--- a/wasabipaddle/dispatch/advisor.py
+++ b/wasabipaddle/dispatch/advisor.py
@@ -49,6 +49,7 @@
             if not self.state.quotas.admits(step, count=_least_start(step)):
                 continue
             renew = not urgent and non_urgent < RENEWED_STEPS
+            renew |= self.placement.reservations.is_reserved_for(step)
             non_urgent += not urgent
             wanted.append(self._request(step, now, renew=renew))
         for step in self._steps_opening_soon(now):
--- a/wasabipaddle/dispatch/reservations.py
+++ b/wasabipaddle/dispatch/reservations.py
@@ -1,16 +1,22 @@
 """Capacity that is kept free for work that smaller work would starve."""
 
+import math
+
 import attrs
 
-from wasabipaddle.dispatch.placement import free_slots, within_runner_limit
+from wasabipaddle.dispatch.model import RunPhase
+from wasabipaddle.dispatch.placement import within_runner_limit
 
 __all__ = ["Reservations"]
 
 # Time that a step waits for capacity before runners are reserved for it.
 RESERVE_AFTER_S = 2.0
-# Longest duration of a reservation. Runs that are in progress on the runners may take
-# longer than that, and other work of the pool must not wait for them for ever.
-MAX_RESERVATION_S = 10.0
+# Longest expected time until a step fits on the runners that are reserved for it. They
+# stand idle in part until then.
+MAX_DRAIN_S = 4.0
+# Factor on the expected time after which a reservation ends, and its least duration.
+DRAIN_MARGIN = 2.0
+LEAST_RESERVATION_S = 2.0
 # Pause before runners are reserved for the same step again.
 RESERVE_AGAIN_S = 5.0
 # Number of steps of a pool that are examined in a planning round.
@@ -94,6 +100,11 @@
         reserved = reservation.runner_ids
         return [row for row in permitted if row[0].id not in reserved]
 
+    def is_reserved_for(self, step) -> bool:
+        """Return whether runners are kept free for a step."""
+        reservation = self.by_pool.get(step.job.queue.pool)
+        return reservation is not None and reservation.step is step
+
     def may_reserve(self, step, now) -> bool:
         """Return whether runners are to be reserved for a step if it is overtaken."""
         pool = step.job.queue.pool
@@ -131,65 +142,115 @@
     def _reserve(self, step, runners, now):
         pool = step.job.queue.pool
         self.waiting.pop(pool)
-        chosen = _choose_runners(step, runners)
+        chosen, drain_s = self._choose_runners(step, runners, now)
         if not chosen:
             self.pauses_s[step.key] = now + RESERVE_AGAIN_S
             return
         self.by_pool[pool] = Reservation(
             step=step,
             runner_ids=frozenset(runner.id for runner in chosen),
-            until_s=now + MAX_RESERVATION_S,
+            until_s=now + max(DRAIN_MARGIN * drain_s, LEAST_RESERVATION_S),
         )
         self.state.journal(
             "runners_reserved",
             job=step.job.id,
             step=step.position,
             runners=len(chosen),
+            drain_ms=int(drain_s * 1000),
             waited_ms=int(_waited_s(step, now) * 1000),
         )
 
+    def _choose_runners(self, step, runners, now):
+        """Return the runners on which a step fits first, and when it does.
 
-def _waited_s(step, now):
-    return now - min(task.waiting_since_s for task in step.pending.values())
+        Returns
+        -------
+        tuple of (list of RunnerState, float)
+            The runners, none if the step does not fit within `MAX_DRAIN_S`, and the
+            expected time until it fits, in seconds.
+        """
+        needed = len(step.pending) if step.spec.gang else 1
+        places = [
+            (drain_s, runner.id, runner)
+            for runner in runners
+            for drain_s in self._places_s(step, runner, needed, now)
+        ]
+        if len(places) < needed:
+            return [], 0.0
+        places.sort(key=lambda place: place[:2])
+        drain_s = places[needed - 1][0]
+        return list({id: r for _, id, r in places[:needed]}.values()), drain_s
 
+    def _places_s(self, step, runner, most, now):
+        """Return the times until a first, second and further task fit on a runner.
 
-def _choose_runners(step, runners):
-    """Return the runners that need to end least work until the step fits on them.
+        Runs are expected to end one after the other; times above `MAX_DRAIN_S` are
+        left out.
+        """
+        if not within_runner_limit(step, runner):
+            return []
+        left_s = sorted(
+            (seconds, number, run.task.spec)
+            for number, run in enumerate(runner.runs.values())
+            if (seconds := self._time_left_s(run, now)) <= MAX_DRAIN_S
+        )
+        free = Room.of_runner(runner)
+        places_s = [0.0] * min(free.count(step.spec), most)
+        for seconds, _, spec in left_s:
+            free.give_back(spec)
+            further = min(free.count(step.spec), most) - len(places_s)
+            places_s += [seconds] * further
+        return places_s
 
-    The list is empty if the step does not fit even after all runs that are not
-    lasting have ended.
-    """
-    needed = len(step.pending) if step.spec.gang else 1
-    rows = []
-    for runner in runners:
-        slots = _slots_without_short_runs(step, runner)
-        if slots > 0:
-            missing = max(min(slots, needed) - free_slots(step, runner), 0)
-            rows.append((missing, -slots, runner.id, runner))
-    rows.sort(key=lambda row: row[:3])
-    chosen = []
-    for _, negative_slots, _, runner in rows:
-        chosen.append(runner)
-        needed += negative_slots
-        if needed <= 0:
-            return chosen
-    return []
-
-
-def _slots_without_short_runs(step, runner):
-    """Return how many tasks of a step fit beside the lasting runs of a runner."""
-    spec, capacity = step.spec, runner.entry.capacity
-    if not within_runner_limit(step, runner):
-        return 0
-    lasting = [r.task.spec for r in runner.runs.values() if r.task.spec.lasting]
-    slots = spec.max_per_runner or spec.count
-    if spec.cpu and not spec.opportunistic:
-        held = sum(s.cpu for s in lasting if not s.opportunistic)
-        slots = min(slots, (capacity.cpu - held) // spec.cpu)
-    if spec.memory_mb:
-        held = sum(s.memory_mb for s in lasting)
-        slots = min(slots, (capacity.memory_mb - held) // spec.memory_mb)
-    if spec.gpus:
-        held = sum(s.gpus for s in lasting)
-        slots = min(slots, (capacity.gpus - held) // spec.gpus)
-    return max(slots, 0)
+    def _time_left_s(self, run, now):
+        """Return the expected time until a run ends, infinite for one that lasts.
+
+        A run that exceeds its expected duration is expected to take as long again.
+        """
+        if run.phase is RunPhase.STOPPING:
+            return self.state.timing.stop_s
+        if run.task.spec.lasting:
+            return math.inf
+        elapsed_s = now - run.started_s
+        left_s = run.projected_s() - elapsed_s
+        return left_s if left_s > 0 else elapsed_s
+
+
+@attrs.define(kw_only=True)
+class Room:
+    """Resources of a runner that are free, or will be; `cpu` in thousandths."""
+
+    cpu: int
+    memory_mb: int
+    gpus: int
+
+    @classmethod
+    def of_runner(cls, runner):
+        """Return what is free on a runner now."""
+        capacity = runner.entry.capacity
+        return cls(
+            cpu=capacity.cpu - runner.cpu,
+            memory_mb=capacity.memory_mb - runner.memory_mb,
+            gpus=capacity.gpus - runner.gpus,
+        )
+
+    def give_back(self, spec):
+        """Add what a task reserves."""
+        self.cpu += 0 if spec.opportunistic else spec.cpu
+        self.memory_mb += spec.memory_mb
+        self.gpus += spec.gpus
+
+    def count(self, spec) -> int:
+        """Return how many tasks fit, at most the number that the step allows."""
+        most = spec.max_per_runner or spec.count
+        if spec.cpu and not spec.opportunistic:
+            most = min(most, self.cpu // spec.cpu)
+        if spec.memory_mb:
+            most = min(most, self.memory_mb // spec.memory_mb)
+        if spec.gpus:
+            most = min(most, self.gpus // spec.gpus)
+        return max(most, 0)
+
+
+def _waited_s(step, now):
+    return now - min(task.waiting_since_s for task in step.pending.values())
--- a/wasabipaddle/dispatch/tests/test_reservations.py
+++ b/wasabipaddle/dispatch/tests/test_reservations.py
@@ -2,7 +2,11 @@
 
 import pytest
 
-from wasabipaddle.dispatch.reservations import MAX_RESERVATION_S, RESERVE_AFTER_S
+from wasabipaddle.dispatch.reservations import (
+    DRAIN_MARGIN,
+    MAX_DRAIN_S,
+    RESERVE_AFTER_S,
+)
 from wasabipaddle.dispatch.tests.conftest import step
 from wasabipaddle.interfaces import EndCause
 
@@ -83,7 +87,7 @@
     cell.read_inventories()
     cell.plan()
     assert len(cell.started) == running
-    cell.now += MAX_RESERVATION_S
+    cell.now += DRAIN_MARGIN * MAX_DRAIN_S
     cell.plan()
     assert len(cell.started) > running
 
