--- a/wasabipaddle/jobs/decoding.py
+++ b/wasabipaddle/jobs/decoding.py
@@ -1,10 +1,13 @@
 """Errors of decoders, and conversions that they share."""
 
+import json
+
 import msgspec
 
 __all__ = [
     "DECODING_ERRORS",
     "MAX_INTEGER",
+    "decode_json",
     "ignore_report",
     "integer",
     "number",
@@ -35,6 +38,23 @@
     """Discard the report of a part of a record that was left out."""
 
 
+def decode_json(data):
+    """Return a JSON value whose strings may contain what is not valid Unicode.
+
+    One odd string must not make a whole document unreadable; `text` refuses it, so only
+    the row with it is left out. A number that JSON does not have is still refused.
+    """
+    try:
+        return msgspec.json.decode(data)
+    except msgspec.DecodeError:
+        lenient = bytes(data).decode("utf-8", "surrogateescape")
+        return json.loads(lenient, parse_constant=_refuse_constant)
+
+
+def _refuse_constant(name):
+    raise ValueError(f"{name} is not a JSON value")
+
+
 def whole(value):
     """Return a float without a fraction as an integer, and any other value as it is."""
     is_whole = isinstance(value, float) and value.is_integer()
--- a/wasabipaddle/platform/configuration.py
+++ b/wasabipaddle/platform/configuration.py
@@ -1,6 +1,5 @@
 """Decoding of the configuration that the operator stores in the platform."""
 
-import msgspec
 from result import Err, Ok, Result
 
 from wasabipaddle.exceptions import ErrorKind, Failure
@@ -16,6 +15,7 @@
 )
 from wasabipaddle.platform.decoding import (
     DECODING_ERRORS,
+    decode_json,
     ignore_report,
     integer,
     number,
@@ -45,7 +45,7 @@
         Called with the reason for each part that is left out.
     """
     try:
-        body = msgspec.json.decode(data)
+        body = decode_json(data)
         version = integer(body["version"], least=0)
         routes, services = body.get("routes") or [], body.get("services") or []
         tenants = body.get("tenants") or []
--- a/wasabipaddle/platform/decoding.py
+++ b/wasabipaddle/platform/decoding.py
@@ -2,6 +2,7 @@
 
 from wasabipaddle.jobs.decoding import (
     DECODING_ERRORS,
+    decode_json,
     ignore_report,
     integer,
     number,
@@ -12,6 +13,7 @@
 
 __all__ = [
     "DECODING_ERRORS",
+    "decode_json",
     "ignore_report",
     "integer",
     "number",
