Refuse jobs that certainly cannot be of use any more

Cause: the entry accepts every job, whatever waits. In a flood far beyond the room, or beyond the quota of a workspace, a caller learns nothing until its job is of no use, and the leader keeps steps in its queue that are.

Change: the leader forecasts the wait of new jobs by pool, workspace and priority from the steps that go before them (dispatch/forecast.py) and sends it, with its age, in the replies to hello messages. cell/admission.py refuses a job only if half of that wait and of its estimated work exceed three times its objective; timed and lasting work, and all work without a forecast of the last 1.5 s, is accepted. Retry-After is the time by which it is too late, spread by a factor of two.

A refusal says that the job never runs. The job may exist already, or an earlier submission may have sent a write that takes effect late. A refusal therefore first stores a mark under the condition that the job does not exist, and jobs are created under the condition that they have no mark; a later submission replaces the mark in the same commit. Marks have a lease of 60 s. If the mark cannot be stored, the job is accepted.

--- /dev/null
+++ b/wasabipaddle/cell/admission.py
@@ -0,0 +1,164 @@
+"""Admission of jobs by the leader's forecast, at the process that received them."""
+
+from result import Err, Ok
+
+from wasabipaddle.cell.keys import JOB_PREFIX, REFUSAL_PREFIX
+from wasabipaddle.dispatch.order import CERTAIN_SHARE, USEFUL_OBJECTIVES
+from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.interfaces import Put
+
+__all__ = ["Admission", "RefusalMarks", "find_excess_s"]
+
+# Age from which a forecast is not used.
+FORECAST_VALID_S = 1.5
+# Limits of the time after which a refused caller may try again, and the factor up to
+# which it is spread, so that callers do not return together.
+MIN_RETRY_S = 1.0
+MAX_RETRY_S = 20.0
+RETRY_SPREAD = 2.0
+# Duration of the store lease of refusals; writes that were sent before a refusal and
+# have not taken effect by then are lost.
+MARK_LEASE_S = 60.0
+
+
+def find_excess_s(queue, workspace, spec, waits) -> float:
+    """Return by how much a job certainly exceeds the time in which it is of use.
+
+    Only a part of the expected wait and of the estimated work counts as certain.
+
+    Parameters
+    ----------
+    waits : tuple of ExpectedWait
+        Forecast of the leader.
+
+    Returns
+    -------
+    float
+        Time in seconds; 0 or less for a job that may be of use.
+    """
+    if spec.scheduled or spec.lasting:
+        return 0.0
+    objective_s = queue.target_s + queue.stretch * spec.chain_s
+    wait_s = max((w.wait_s for w in waits if w.concerns(queue, workspace)), default=0.0)
+    certain_s = CERTAIN_SHARE * (wait_s + spec.chain_s)
+    return certain_s - USEFUL_OBJECTIVES * objective_s
+
+
+class RefusalMarks:
+    """Marks in the store that make refusals hold.
+
+    An earlier submission of the same job may have sent a write that takes effect late.
+    A job is therefore created under the condition that it has no mark, and refused only
+    once the mark is stored under the condition that the job does not exist.
+
+    Parameters
+    ----------
+    context : Context
+        Services of the process.
+    store_plugin : CellStorePlugin
+        The store.
+    """
+
+    def __init__(self, *, context, store_plugin):
+        self.context = context
+        self.store_plugin = store_plugin
+        self.lease = 0
+        self.renew_s = 0.0
+
+    async def set(self, job_id) -> bool:
+        """Mark a job as refused; return whether it certainly does not exist."""
+        store = self.store_plugin.store
+        now = self.context.clock.now()
+        if now >= self.renew_s:
+            lease = await self.store_plugin.call(store.grant_lease(MARK_LEASE_S))
+            if lease.is_err():
+                return False
+            self.lease = lease.ok()
+            self.renew_s = now + MARK_LEASE_S / 2
+        put = Put(key=REFUSAL_PREFIX + job_id, value=b"{}", lease=self.lease)
+        stored = await self.store_plugin.call(
+            store.commit(conditions=((JOB_PREFIX + job_id, 0),), puts=(put,))
+        )
+        if stored.is_err() and stored.err().kind is ErrorKind.NOT_FOUND:
+            self.renew_s = 0.0
+        return stored.is_ok()
+
+    async def replace(self, job_id, put):
+        """Create the key of a job in place of its mark.
+
+        Returns
+        -------
+        result.Result
+            Whether there was a mark to replace, or an `Err`, of kind `timeout` if the
+            mark cannot be read: the job may exist then.
+        """
+        store, key = self.store_plugin.store, REFUSAL_PREFIX + job_id
+        mark = await self.store_plugin.call(store.get(key))
+        if mark.is_err():
+            detail = "the refusal of the job could not be read"
+            return Err(Failure(kind=ErrorKind.TIMEOUT, detail=detail))
+        if mark.ok() is None:
+            return Ok(False)
+        conditions = ((put.key, 0), (key, mark.ok().revision))
+        stored = await self.store_plugin.call(
+            store.commit(conditions=conditions, puts=(put,), deletes=(key,))
+        )
+        return stored.map(lambda _: True)
+
+
+class Admission:
+    """Refuses jobs that cannot be of use any more, before they are stored.
+
+    It answers a load far above the room or the quota of a workspace. It refuses certain
+    cases only: with little room, the order of waiting work serves callers better than
+    refusals, since a job that waits behind others costs them nothing. Without a recent
+    forecast every job is accepted.
+
+    Parameters
+    ----------
+    context : Context
+        Services of the process.
+    members : MembersPlugin
+        Holds the forecast of the leader.
+    store_plugin : CellStorePlugin
+        The store.
+
+    Attributes
+    ----------
+    marks : RefusalMarks
+        Make refusals hold.
+    """
+
+    def __init__(self, *, context, members, store_plugin):
+        self.context = context
+        self.members = members
+        self.marks = RefusalMarks(context=context, store_plugin=store_plugin)
+
+    async def check(self, job):
+        """Return an `Err` of kind `deadline_unmeetable` for a job that is refused.
+
+        A job is not refused if it exists, as after an earlier submission, or if that is
+        not known.
+        """
+        excess_s = self.find_excess_s(job)
+        if excess_s <= 0 or not await self.marks.set(job.id):
+            return Ok(None)
+        spread = 1 + (RETRY_SPREAD - 1) * self.context.random.random()
+        retry_s = min(max(excess_s, MIN_RETRY_S), MAX_RETRY_S) * spread
+        return Err(
+            Failure(
+                kind=ErrorKind.DEADLINE_UNMEETABLE,
+                detail=f"the job would end {excess_s:.1f} s too late to be of use",
+                retry_after_s=retry_s,
+            )
+        )
+
+    def find_excess_s(self, job) -> float:
+        """Return by how much a job certainly ends too late, 0 if that is not known."""
+        forecast = self.members.forecast
+        if forecast is None:
+            return 0.0
+        received_s = self.context.clock.now() - self.members.waiting_received_s
+        if forecast.age_s + received_s > FORECAST_VALID_S:
+            return 0.0
+        return find_excess_s(job.policy, job.workspace, job.spec, forecast.waits)
--- a/wasabipaddle/cell/dispatcher.py
+++ b/wasabipaddle/cell/dispatcher.py
@@ -62,6 +62,7 @@
         self.configuration = plugins[ConfigurationPlugin.name]
         self.members = plugins[MembersPlugin.name]
         self.members.count_waiting = self._count_waiting
+        self.members.forecast_load = self._forecast_load
         transport = self.members.transport
         transport.handle(JobAccepted, self._handle_job_accepted)
         transport.handle(JobCancelled, self._handle_job_cancelled)
@@ -119,6 +120,12 @@
     def _count_waiting(self):
         return self.session.count_waiting() if self.session else None
 
+    def _forecast_load(self):
+        """Return the `LoadForecast` for new jobs, None if there is none."""
+        if self.session is None or not self.session.loaded:
+            return None
+        return self.session.scheduler.forecaster.forecast(self.session.now())
+
     async def _handle_job_accepted(self, message):
         if self.session is None:
             return _not_leader()
--- a/wasabipaddle/cell/entry.py
+++ b/wasabipaddle/cell/entry.py
@@ -4,8 +4,9 @@
 
 from result import Err, Ok
 
+from wasabipaddle.cell.admission import Admission
 from wasabipaddle.cell.configuration import ConfigurationPlugin
-from wasabipaddle.cell.keys import JOB_PREFIX, LEADER_KEY
+from wasabipaddle.cell.keys import JOB_PREFIX, LEADER_KEY, REFUSAL_PREFIX
 from wasabipaddle.cell.members import MembersPlugin
 from wasabipaddle.cell.store import CellStorePlugin
 from wasabipaddle.cell.stored_jobs import (
@@ -85,6 +86,9 @@
         self.store = self.store_plugin.store
         self.configuration = plugins[ConfigurationPlugin.name]
         self.members = plugins[MembersPlugin.name]
+        self.admission = Admission(
+            context=self.context, members=self.members, store_plugin=self.store_plugin
+        )
         self.members.transport.handle(StoreJob, self._store_for_peer)
         self.members.transport.handle(CancelJob, self._cancel_for_peer)
         settings = self.context.settings
@@ -156,9 +160,11 @@
             workspace=workspace,
         )
         began = self.context.clock.now()
-        accepted = await self._store_job(
-            job, until_s=began + wait_s - RESPONSE_RESERVE_S
-        )
+        accepted = await self.admission.check(job)
+        if accepted.is_ok():
+            accepted = await self._store_job(
+                job, until_s=began + wait_s - RESPONSE_RESERVE_S
+            )
         self.context.journal(
             "job_accepted" if accepted.is_ok() else "job_refused",
             job=job_id,
@@ -213,11 +219,11 @@
             Epoch of the leader at the time of the creation, 0 if it is not known; or an
             `Err` if the key may not exist.
         """
-        condition = (JOB_PREFIX + job.id, 0)
+        absent = ((JOB_PREFIX + job.id, 0), (REFUSAL_PREFIX + job.id, 0))
         put = Put(key=JOB_PREFIX + job.id, value=encode_job(job))
         epoch = self.members.leader_epoch if self.members.leader else 0
         if epoch:
-            conditions = (condition, (LEADER_KEY, epoch))
+            conditions = (*absent, (LEADER_KEY, epoch))
             stored = await self.store_plugin.call(
                 self.store.commit(conditions=conditions, puts=(put,))
             )
@@ -226,12 +232,15 @@
             if stored.err().kind is not ErrorKind.REVISION_MISMATCH:
                 return stored
         stored = await self.store_plugin.call(
-            self.store.commit(conditions=(condition,), puts=(put,))
+            self.store.commit(conditions=absent, puts=(put,))
         )
         if stored.is_ok():
             return Ok(0)
         if stored.err().kind is not ErrorKind.REVISION_MISMATCH:
             return stored
+        replaced = await self.admission.marks.replace(job.id, put)
+        if replaced.is_err() or replaced.ok():
+            return replaced.map(lambda _: 0)
         current = self.configuration.current
         existing = await check_existing_job(self.store_plugin, current, job)
         return existing.map(lambda _: 0)
--- a/wasabipaddle/cell/keys.py
+++ b/wasabipaddle/cell/keys.py
@@ -7,6 +7,7 @@
     "JOB_PREFIX",
     "LEADER_KEY",
     "PROGRESS_PREFIX",
+    "REFUSAL_PREFIX",
     "TERM_KEY",
 ]
 
@@ -16,6 +17,9 @@
 JOB_PREFIX = INTAKE_PREFIX + "job/"
 CANCEL_PREFIX = INTAKE_PREFIX + "cancel/"
 
+# Written by the process that has refused a job, attached to a lease.
+REFUSAL_PREFIX = "wasabipaddle/refused/"
+
 # Written by the dispatcher, on the condition that it still holds LEADER_KEY.
 PROGRESS_PREFIX = "wasabipaddle/progress/"
 FLEET_KEY = "wasabipaddle/fleet"
--- a/wasabipaddle/cell/members.py
+++ b/wasabipaddle/cell/members.py
@@ -60,6 +60,11 @@
         its dispatcher recovers.
     waiting_received_s : float
         Monotonic time at which that reply arrived.
+    forecast_load : callable
+        Returns the `LoadForecast` for replies to hello messages, or None; the
+        dispatcher role sets it.
+    forecast : LoadForecast or None
+        Forecast in the last reply of the leader, which arrived at `waiting_received_s`.
     """
 
     name = "cell_members"
@@ -75,6 +80,8 @@
         self.waiting = None
         self.waiting_received_s = 0.0
         self.count_waiting = lambda: None
+        self.forecast_load = lambda: None
+        self.forecast = None
         self.hello_due = asyncio.Event()
         self.refusals = 0
         self.tasks = TaskSet()
@@ -250,7 +257,7 @@
             self.configuration.confirm_by_peer(sent_s, reply)
         self._accept_leader_notice(reply.leader)
         self.election.weak = hello.processor < WEAK_SHARE * reply.strongest
-        self.waiting = reply.waiting
+        self.waiting, self.forecast = reply.waiting, reply.forecast
         self.waiting_received_s = self.context.clock.now()
         if leader != self.own_name:
             self._record_members(reply.members)
@@ -322,6 +329,7 @@
                 members=self.roster.listed_members() if self.is_leader else {},
                 strongest=self.roster.largest_processing_power,
                 leader=self._build_leader_notice(),
+                forecast=self.forecast_load(),
                 configuration_age_s=self.configuration.state_proof_age(),
             )
         )
--- a/wasabipaddle/cell/tests/conftest.py
+++ b/wasabipaddle/cell/tests/conftest.py
@@ -6,6 +6,7 @@
 import pytest
 from result import Err
 
+from wasabipaddle.cell.admission import Admission
 from wasabipaddle.cell.election import ElectionPlugin
 from wasabipaddle.cell.entry import EntryPlugin
 from wasabipaddle.cell.events import LeadershipGained, LeadershipLost
@@ -34,6 +35,7 @@
         self.leader = ""
         self.leader_epoch = 0
         self.waiting = None
+        self.forecast = None
         self.waiting_received_s = 0.0
         self.count_waiting = lambda: None
         self.roster = self
@@ -105,6 +107,9 @@
         self.entry.store_plugin = self.store_plugin
         self.entry.store = self.store_plugin.store
         self.members = self.entry.members = FakeMembers(name, processes)
+        self.entry.admission = Admission(
+            context=self.context, members=self.members, store_plugin=self.store_plugin
+        )
         self.gained = []
         self.lost = []
         bus = self.context.bus
--- a/wasabipaddle/dispatch/scheduler.py
+++ b/wasabipaddle/dispatch/scheduler.py
@@ -5,6 +5,7 @@
 from wasabipaddle.dispatch.advisor import Advisor
 from wasabipaddle.dispatch.evacuation import Evacuation
 from wasabipaddle.dispatch.fleet import runners_to_record
+from wasabipaddle.dispatch.forecast import LoadForecaster
 from wasabipaddle.dispatch.leases import Leases
 from wasabipaddle.dispatch.lifecycle import Lifecycle
 from wasabipaddle.dispatch.model import RemovalReason
@@ -56,6 +57,7 @@
             reservations=self.reservations,
         )
         self.advisor = Advisor(state=self.state, placement=self.placement)
+        self.forecaster = LoadForecaster(state=self.state)
         self.watchdog = Watchdog(state=self.state)
         self.evacuation = Evacuation(state=self.state)
 
--- a/wasabipaddle/messages/jobs.py
+++ b/wasabipaddle/messages/jobs.py
@@ -10,10 +10,12 @@
     "AskAdvice",
     "CancelJob",
     "ConfigurationCopy",
+    "ExpectedWait",
     "HelloReply",
     "JobAccepted",
     "JobCancelled",
     "LeaderNotice",
+    "LoadForecast",
     "MemberHello",
     "Noted",
     "PhaseReply",
@@ -173,6 +175,51 @@
     draining: bool = False
 
 
+@attrs.frozen(kw_only=True)
+class ExpectedWait:
+    """How long new jobs wait for room in a pool, or for the quota of a workspace.
+
+    Parameters
+    ----------
+    priority : int
+        Priority of the jobs.
+    wait_s : float
+        Expected wait.
+    pool, workspace : str
+        Pool whose room, or workspace whose quota the jobs wait for; the other one is
+        empty.
+    """
+
+    priority: int
+    wait_s: float
+    pool: str = ""
+    workspace: str = ""
+
+    def concerns(self, queue, workspace) -> bool:
+        """Return whether new jobs of a workspace in a queue wait like this."""
+        if self.priority != queue.priority:
+            return False
+        if self.workspace:
+            return self.workspace == workspace
+        return self.pool == queue.pool
+
+
+@attrs.frozen(kw_only=True)
+class LoadForecast:
+    """Forecast of the dispatcher for new jobs.
+
+    Parameters
+    ----------
+    age_s : float
+        Age of the forecast when it was sent.
+    waits : tuple of ExpectedWait
+        Waits that are worth reporting; new jobs without one are expected to start soon.
+    """
+
+    age_s: float = 0.0
+    waits: tuple[ExpectedWait, ...] = ()
+
+
 @attrs.frozen(kw_only=True)
 class HelloReply:
     """Reply of the dispatcher to a `MemberHello`.
@@ -193,6 +240,8 @@
     configuration_age_s : float or None
         How long ago `configuration` certainly was the latest version, in seconds; None
         if that is not known.
+    forecast : LoadForecast or None
+        Forecast for new jobs; None while the dispatcher does not know enough.
     """
 
     configuration: int = 0
@@ -200,6 +249,7 @@
     members: dict[str, str] = attrs.field(factory=dict)
     strongest: float = 0.0
     leader: LeaderNotice | None = None
+    forecast: LoadForecast | None = None
     configuration_age_s: float | None = None
 
 
