Rank workspaces by rate first, and by share only far above it

The line of a planning round is also not a heap once a rank has changed, so the first entry may not be the lowest.

Change: a workspace moves behind the others only above s (2 - s) of the fleet, where s is its share, and comes first below its share with jobs that have half of the time to their objective left or less. Jobs in excess come last inside their priority. The line is made a heap in each round. The test of the order of workspaces takes the step in place of the name; it asserts the same.

--- a/wasabipaddle/dispatch/order.py
+++ b/wasabipaddle/dispatch/order.py
@@ -35,11 +35,11 @@
     ----------
     lost : bool
         Whether the job is of no use any more, so that a delay costs its caller nothing.
-    in_excess : bool
-        Whether the workspace submitted the job beyond its rate.
     level : int
         Priority of the queue, or one more if the job will be late in any case, since a
         further delay costs its caller less.
+    in_excess : bool
+        Whether the workspace submitted the job beyond its rate.
     share : int
         Level of the workspace by its share of the room.
     outlook : Outlook
@@ -52,8 +52,8 @@
     """
 
     lost: bool
-    in_excess: bool
     level: int
+    in_excess: bool
     share: int
     outlook: Outlook
     latest_s: float
@@ -177,9 +177,9 @@
             latest_s += (work - step.job.work_done) / room
         return Rank(
             lost=outlook is Outlook.LOST,
-            in_excess=step.job.in_excess,
             level=step.job.queue.priority + (outlook is Outlook.LATE),
-            share=self.state.shares.level(step.job.job.workspace),
+            in_excess=step.job.in_excess,
+            share=self.state.shares.level(step, now),
             outlook=outlook,
             latest_s=latest_s,
         )
@@ -208,21 +208,22 @@
             (self.ranks[step.key], number, step)
             for number, step in enumerate(self.waiting(now))
         ]
+        heapq.heapify(self.line)
         while self.line:
             _, number, step = heapq.heappop(self.line)
             self.gave_way = False
-            if step.pending and not self.gives_way(step):
+            if step.pending and not self.gives_way(step, now):
                 yield step
             if self.gave_way:
                 heapq.heappush(self.line, (self.ranks[step.key], number, step))
 
-    def gives_way(self, step) -> bool:
+    def gives_way(self, step, now) -> bool:
         """Return whether another step comes first by now.
 
         The level of a workspace rises with each start of one of its tasks.
         """
         rank = self.ranks[step.key]
-        share = self.state.shares.level(step.job.job.workspace)
+        share = self.state.shares.level(step, now)
         if share == rank.share:
             return False
         self.ranks[step.key] = rank._replace(share=share)
--- a/wasabipaddle/dispatch/placement.py
+++ b/wasabipaddle/dispatch/placement.py
@@ -213,7 +213,7 @@
                     return
                 continue
             self._start(task, *best, task.last_run + 1, now)
-            if step.pending and self.state.order.gives_way(step):
+            if step.pending and self.state.order.gives_way(step, now):
                 return
 
     def _waits_for_quota(self, step, now, *, count=1):
--- a/wasabipaddle/dispatch/shares.py
+++ b/wasabipaddle/dispatch/shares.py
@@ -17,6 +17,9 @@
 # Ratio between two levels of use above the share. Workspaces that are on the same level
 # are ordered by the objectives of their jobs.
 LEVEL_RATIO = 1.25
+# Part of the time to its objective that a job has left when it comes first, if its
+# workspace is below its share.
+URGENT_PART = 0.5
 RESOURCES = ("cpu", "memory_mb", "gpus")
 
 
@@ -36,11 +39,13 @@
     submits beyond that is in excess and waits first, so that a burst of one workspace
     delays its own jobs only.
 
-    The dominant share of a workspace is the largest fraction of a resource of the fleet
-    that it holds. While it is at most the fraction of its weight among the workspaces
-    that have work, the workspace is on level 0, and its steps are ordered by their
-    objectives. Above that, the level rises with the dominant share. Nothing is kept
-    free: a workspace gets whatever no other one can use.
+    The fair share of a workspace is the part of its weight among the workspaces that
+    have work, and its dominant share the largest part of a resource of the fleet that
+    it holds. Steps are ordered by the objectives of their jobs as long as possible,
+    because that serves all workspaces best while the room suffices for most: only a
+    workspace that holds far more than its share comes later, the later the more, and a
+    workspace below its share comes first with the jobs that are about to miss their
+    objective. Nothing is kept free: what no other workspace can use goes to any.
 
     Parameters
     ----------
@@ -112,22 +117,40 @@
             workspaces[name].weight for name in at_work if name in workspaces
         )
 
-    def level(self, name) -> int:
-        """Return the level of a workspace, 0 up to its share."""
-        ratio = self.use_of_share(name)
-        if ratio <= 1.0:
+    def level(self, step, now) -> int:
+        """Return the level of the workspace of a step, lower first.
+
+        Level 0 is for workspaces below their share if the job has `URGENT_PART` of its
+        time left or less, level 1 for other workspaces up to the upper bound of their
+        share, and higher ones for each further factor of `LEVEL_RATIO`. It is the same
+        for all steps if the configuration has no workspaces.
+        """
+        entry = step.job
+        held, share = self.held_and_share(entry.job.workspace)
+        if not share:
+            return 1
+        left_s = self.state.order.due_s(step) - now
+        if held < share and left_s < URGENT_PART * entry.objective_s:
             return 0
-        return 1 + int(math.log(ratio, LEVEL_RATIO))
+        # Up to twice a small share, and up to the whole fleet for a single workspace.
+        ratio = held / (share * (2.0 - share))
+        return 1 if ratio <= 1.0 else 2 + int(math.log(ratio, LEVEL_RATIO))
+
+    def held_and_share(self, name):
+        """Return the dominant share and the fair share of a workspace.
 
-    def use_of_share(self, name) -> float:
-        """Return the dominant share of a workspace divided by its fair share."""
+        Both are parts of the fleet; the fair share of an unknown workspace is 0.
+        """
         workspace = self.state.configuration.workspaces.get(name)
+        if workspace is None:
+            return 0.0, 0.0
+        weight = max(workspace.weight, LEAST_WEIGHT)
+        share = weight / max(self.weight_at_work, weight)
         usage = self.state.quotas.in_use.get(name)
-        if workspace is None or usage is None or not self.weight_at_work:
-            return 0.0
+        if usage is None:
+            return 0.0, share
         held = max(
-            getattr(usage, resource) / most
+            getattr(usage, resource) / (getattr(self.capacity, resource) or math.inf)
             for resource in RESOURCES
-            if (most := getattr(self.capacity, resource) or math.inf)
         )
-        return held * self.weight_at_work / max(workspace.weight, LEAST_WEIGHT)
+        return held, share
--- a/wasabipaddle/dispatch/tests/test_order.py
+++ b/wasabipaddle/dispatch/tests/test_order.py
@@ -85,7 +85,7 @@
 
 def test_workspace_ranks_behind_the_priority(full_cell):
     """Guards against a workspace over its share that goes before others."""
-    full_cell.state.shares.level = lambda name: int(name == "greedy")
+    full_cell.state.shares.level = lambda step, now: int(step.job.id == "greedy")
     full_cell.submit("greedy", step(1), workspace="greedy")
     full_cell.submit("modest", step(1, estimate_s=9.0))
     full_cell.submit("urgent", step(1), queue="urgent")
