Bound what the clients of a cell process may hold

Cause: the HTTP parser limits single lines only. A head of 128 lines, a body, the bookkeeping of small chunks and pipelined requests are held without a common limit, for any time and any number of connections, and the event loop accepts connections until the process has no descriptors left, its own calls included.

Change: package `ingress`. `Ledger` decides, without a network, who may connect and what connections may reserve; the limits follow from the memory and the descriptors in the settings. A body is reserved by its declared length before it is read, a chunked one as it grows; small contents need no reservation. Who is behind a lowest rate loses a reservation or a connection once others need it. `Connection` counts bytes before the parser of aiohttp gets them and refuses with 408, 413, 431 or 503; a request that was not read whole reaches no handler. The listeners for callers, probes, other processes and metrics use it. Requests that have not arrived whole at the end of a drain are refused, where they delayed the exit before.

--- a/wasabipaddle/cell/entry.py
+++ b/wasabipaddle/cell/entry.py
@@ -14,8 +14,9 @@
     store_cancellation,
 )
 from wasabipaddle.exceptions import ErrorKind, Failure, Outcome
+from wasabipaddle.ingress import RequestLimits
 from wasabipaddle.interfaces import Put
-from wasabipaddle.jobs import Job, encode_job, identify_workspace, may_reach
+from wasabipaddle.jobs import Job, Limits, encode_job, identify_workspace, may_reach
 from wasabipaddle.kernel import Plugin
 from wasabipaddle.messages.jobs import (
     CancelJob,
@@ -106,10 +107,16 @@
         """Whether the load balancer should send calls to this process."""
         return self.configuration.current is not None and not self.draining
 
-    @property
-    def max_body_bytes(self) -> int:
-        """Largest permitted body of a call in bytes."""
-        return self.configuration.current.limits.max_body_bytes
+    def request_limits(self) -> RequestLimits:
+        """Return the limits on a request that begins now."""
+        current = self.configuration.current
+        limits = Limits() if current is None else current.limits
+        return RequestLimits(
+            max_head_bytes=limits.max_header_bytes or Limits().max_header_bytes,
+            max_body_bytes=limits.max_body_bytes,
+            header_s=limits.header_s,
+            idle_s=limits.idle_s,
+        )
 
     def select_queue(self, host, path):
         """Return the queue for the host and path of a call."""
--- a/wasabipaddle/cell/members.py
+++ b/wasabipaddle/cell/members.py
@@ -16,6 +16,7 @@
 from wasabipaddle.cell.roster import LIVENESS_TIMEOUT_S, WEAK_SHARE, Roster
 from wasabipaddle.cell.store import CellStorePlugin
 from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.ingress import Gate, IngressListener, RequestLimits
 from wasabipaddle.jobs.addresses import is_callable_address
 from wasabipaddle.kernel import Plugin
 from wasabipaddle.messages.jobs import (
@@ -39,6 +40,7 @@
 MAX_REFUSALS_FAR = 5
 # Shortest pause before a leader that refused a connection is called again.
 REFUSAL_PAUSE_S = 0.08
+SHUTDOWN_S = 0.5
 
 
 class MembersPlugin(Plugin):
@@ -78,7 +80,7 @@
         self.hello_due = asyncio.Event()
         self.refusals = 0
         self.tasks = TaskSet()
-        self.app_runner = None
+        self.listener = None
 
     async def start(self):
         """Register the handlers and start to send hello messages to the leader."""
@@ -97,16 +99,19 @@
         """Listen for other processes; called once every role has started."""
         app = web.Application()
         app.add_routes(self.transport.routes())
-        self.app_runner = web.AppRunner(app, access_log=None)
-        await self.app_runner.setup()
+        self.listener = IngressListener(
+            ingress=self.context.ingress,
+            runner=web.AppRunner(app, shutdown_timeout=SHUTDOWN_S),
+            gate=Gate(listener="internal", find_limits=RequestLimits),
+        )
         peer = CellPeer.parse(self.context.settings.internal)
-        await web.TCPSite(self.app_runner, peer.host, peer.internal_port).start()
+        await self.listener.open(peer.host, peer.internal_port)
 
     async def stop(self):
         """Close the listener and the connections."""
         await self.tasks.close()
-        if self.app_runner is not None:
-            await self.app_runner.cleanup()
+        if self.listener is not None:
+            await self.listener.close()
         await self.transport.close()
 
     def _on_drain(self, event):
--- a/wasabipaddle/cell/metrics.py
+++ b/wasabipaddle/cell/metrics.py
@@ -2,6 +2,7 @@
 
 from aiohttp import web
 
+from wasabipaddle.ingress import Gate, IngressListener, RequestLimits
 from wasabipaddle.kernel import Plugin
 from wasabipaddle.settings import CellPeer
 
@@ -9,6 +10,7 @@
 
 PATH = "/metrics"
 PREFIX = "wasabipaddle_"
+SHUTDOWN_S = 0.5
 
 
 def render(metrics) -> str:
@@ -32,7 +34,7 @@
 
     def __init__(self, *, context):
         super().__init__(context=context)
-        self.app_runner = None
+        self.listener = None
 
     async def start(self):
         """Open the listener, unless `metrics_port` is 0."""
@@ -41,15 +43,18 @@
             return
         app = web.Application()
         app.router.add_get(PATH, self._show)
-        self.app_runner = web.AppRunner(app, access_log=None)
-        await self.app_runner.setup()
+        self.listener = IngressListener(
+            ingress=self.context.ingress,
+            runner=web.AppRunner(app, shutdown_timeout=SHUTDOWN_S),
+            gate=Gate(listener="metrics", find_limits=RequestLimits),
+        )
         host = CellPeer.parse(settings.internal).host
-        await web.TCPSite(self.app_runner, host, settings.metrics_port).start()
+        await self.listener.open(host, settings.metrics_port)
 
     async def stop(self):
         """Close the listener."""
-        if self.app_runner is not None:
-            await self.app_runner.cleanup()
+        if self.listener is not None:
+            await self.listener.close()
 
     async def _show(self, request):
         return web.Response(text=render(self.context.metrics))
--- a/wasabipaddle/exceptions.py
+++ b/wasabipaddle/exceptions.py
@@ -39,6 +39,7 @@
     PRECONDITION_REQUIRED = "precondition_required"
     BODY_TOO_LARGE = "body_too_large"
     HEADERS_TOO_LARGE = "headers_too_large"
+    REQUEST_TIMEOUT = "request_timeout"
     RATE_LIMITED = "rate_limited"
     QUOTA_EXCEEDED = "quota_exceeded"
     QUEUE_FULL = "queue_full"
@@ -100,6 +101,7 @@
     ErrorKind.PRECONDITION_REQUIRED: _response(428),
     ErrorKind.BODY_TOO_LARGE: _response(413),
     ErrorKind.HEADERS_TOO_LARGE: _response(431),
+    ErrorKind.REQUEST_TIMEOUT: _response(408, retry=True),
     ErrorKind.RATE_LIMITED: _response(429, retry=True),
     ErrorKind.QUOTA_EXCEEDED: _response(429, retry=True),
     ErrorKind.QUEUE_FULL: _response(503, retry=True),
--- a/wasabipaddle/ingress/__init__.py
+++ b/wasabipaddle/ingress/__init__.py
@@ -1,1 +1,20 @@
 """Bounds on what the clients of a listener may hold of the process."""
+
+from wasabipaddle.ingress.ledger import Holding, Ledger, Phase
+from wasabipaddle.ingress.limits import IngressLimits, RequestLimits, derive_limits
+from wasabipaddle.ingress.listener import Ingress, IngressListener, read_body
+from wasabipaddle.ingress.protocol import Gate, failure_response
+
+__all__ = [
+    "Gate",
+    "Holding",
+    "Ingress",
+    "IngressLimits",
+    "IngressListener",
+    "Ledger",
+    "Phase",
+    "RequestLimits",
+    "derive_limits",
+    "failure_response",
+    "read_body",
+]
--- /dev/null
+++ b/wasabipaddle/ingress/ledger.py
@@ -0,0 +1,239 @@
+"""Decides who may connect and what connections may hold, without a network."""
+
+import collections
+import enum
+import math
+
+import attrs
+
+from wasabipaddle.ingress.limits import RequestLimits
+
+__all__ = ["Holding", "Ledger", "Phase"]
+
+# Rate below which a client counts as stalled once others need what it holds.
+MIN_BYTES_PER_S = 65_536
+# Time behind that rate, and time without a request, after which a connection may be
+# evicted.
+STALL_S = 0.5
+IDLE_S = 1.0
+# Longest time from the first to the last byte of a body, also of one that progresses.
+BODY_S = 60.0
+# Time for which a refused client may go on sending, so that it reads the reply.
+LINGER_S = 2.0
+# Most connections that are evicted for a new one; a margin that spares further scans.
+MAX_EVICTED = 8
+# Pause after a scan that found no connection to evict.
+SCAN_PAUSE_S = 0.1
+
+
+class Phase(enum.Enum):
+    """What a connection is doing."""
+
+    IDLE = "idle"
+    HEAD = "head"
+    BODY = "body"
+    SERVING = "serving"
+    UNREAD = "unread"
+    REFUSED = "refused"
+
+
+# Order of eviction. A connection whose request is being served is never evicted.
+EVICTION_RANKS = {
+    Phase.REFUSED: 0,
+    Phase.BODY: 1,
+    Phase.HEAD: 1,
+    Phase.UNREAD: 1,
+    Phase.IDLE: 2,
+}
+EVICTION_DELAYS_S = {
+    Phase.REFUSED: 0.0,
+    Phase.BODY: STALL_S,
+    Phase.HEAD: STALL_S,
+    Phase.UNREAD: STALL_S,
+    Phase.IDLE: IDLE_S,
+}
+
+
+@attrs.define(kw_only=True, eq=False)
+class Holding:
+    """What one connection holds.
+
+    Parameters
+    ----------
+    connection : object
+        The connection, which the decisions only pass on.
+    listener : str
+        Name of its listener.
+    since_s, progress_s : float
+        Time at which the phase began, and time of the last bytes in it.
+    received : int
+        Bytes received in the phase.
+    reserved : int
+        Memory reserved for the content of requests, in bytes.
+    limits : RequestLimits
+        Limits on the current request.
+    """
+
+    connection: object
+    listener: str
+    since_s: float
+    progress_s: float = 0.0
+    phase: Phase = Phase.IDLE
+    received: int = 0
+    reserved: int = 0
+    limits: RequestLimits = attrs.field(factory=RequestLimits)
+
+    def enter(self, phase, now_s):
+        """Begin a phase."""
+        self.phase = phase
+        self.since_s = self.progress_s = now_s
+        self.received = 0
+
+    def receive(self, count, now_s):
+        """Record bytes of the current phase."""
+        self.received += count
+        self.progress_s = now_s
+
+    def lag_s(self, now_s) -> float:
+        """Return by how many seconds the client is behind the lowest rate."""
+        return now_s - self.since_s - self.received / MIN_BYTES_PER_S
+
+    def may_be_evicted(self, now_s) -> bool:
+        """Return whether others may take what the connection holds."""
+        delay_s = EVICTION_DELAYS_S.get(self.phase, math.inf)
+        return self.lag_s(now_s) >= delay_s
+
+    def is_overdue(self, now_s) -> bool:
+        """Return whether the connection has to be closed, whoever else needs room."""
+        age_s = now_s - self.since_s
+        limits = self.limits
+        if self.phase is Phase.HEAD:
+            return age_s > (limits.header_s or math.inf)
+        if self.phase is Phase.BODY:
+            pause_s = now_s - self.progress_s
+            return age_s > BODY_S or pause_s > (limits.idle_s or math.inf)
+        if self.phase is Phase.UNREAD:
+            return age_s > (limits.idle_s or math.inf)
+        return self.phase is Phase.REFUSED and age_s > LINGER_S
+
+
+class Ledger:
+    """Connections of all listeners of a process and the memory that they reserve.
+
+    The load that it answers is a crowd of clients which hold heads, bodies and
+    connections without completing a request. Who makes no progress loses first, so
+    that ordinary clients get room behind such a crowd.
+
+    Parameters
+    ----------
+    limits : IngressLimits
+        Limits on all connections together.
+
+    Attributes
+    ----------
+    reserved : int
+        Reserved memory of all connections, in bytes.
+    """
+
+    def __init__(self, *, limits):
+        self.limits = limits
+        self.holdings = set()
+        self.counts = collections.Counter()
+        self.reserved = 0
+        self.next_scan_s = {}
+
+    def admit(self, listener, now_s):
+        """Decide on a new connection.
+
+        Returns
+        -------
+        list of Holding or None
+            Connections to evict for it, in most cases none; None if it is refused.
+        """
+        if self.counts[listener] < self.limits.connections.get(listener, math.inf):
+            return []
+        if now_s < self.next_scan_s.get(listener, -math.inf):
+            return None
+        evicted = self._find_stalled(now_s, lambda h: h.listener == listener)
+        if not evicted:
+            self.next_scan_s[listener] = now_s + SCAN_PAUSE_S
+            return None
+        return evicted[:MAX_EVICTED]
+
+    def add(self, holding):
+        """Record an open connection."""
+        self.holdings.add(holding)
+        self.counts[holding.listener] += 1
+
+    def remove(self, holding):
+        """Forget a connection that is closed."""
+        if holding in self.holdings:
+            self.release(holding)
+            self.holdings.discard(holding)
+            self.counts[holding.listener] -= 1
+
+    def reserve(self, holding, cost, now_s):
+        """Set the reservation of a connection.
+
+        A connection that is the only one with a reservation gets any size: a single
+        request within its own limits is served.
+
+        Parameters
+        ----------
+        cost : int
+            Memory that the content of its requests needs, in bytes.
+
+        Returns
+        -------
+        list of Holding or None
+            Connections that have lost their reservation to it, in most cases none;
+            None if it gets no reservation.
+        """
+        wanted = max(cost - self.limits.free_content_bytes, 0)
+        missing = self.reserved - holding.reserved + wanted - self.limits.content_bytes
+        evicted = []
+        if missing > 0 and wanted > holding.reserved < self.reserved:
+            evicted = self._find_reserved(holding, missing, now_s)
+            if evicted is None:
+                return None
+        self.reserved += wanted - holding.reserved
+        holding.reserved = wanted
+        return evicted
+
+    def release(self, holding):
+        """Drop the reservation of a connection."""
+        self.reserved -= holding.reserved
+        holding.reserved = 0
+
+    def find_overdue(self, now_s):
+        """Return the connections that have exceeded a time limit."""
+        return [h for h in self.holdings if h.is_overdue(now_s)]
+
+    def _find_reserved(self, holding, missing, now_s):
+        """Release stalled reservations of `missing` bytes; None if there are fewer.
+
+        All others together are enough in any case, as the connection is then alone.
+        """
+        if now_s < self.next_scan_s.get(None, -math.inf):
+            return None
+        evicted = []
+        others = self.reserved - holding.reserved
+        for other in self._find_stalled(now_s, lambda h: h.reserved > 0):
+            if missing <= 0:
+                break
+            if other is not holding:
+                missing -= other.reserved
+                others -= other.reserved
+                evicted.append(other)
+        if missing > 0 and others:
+            self.next_scan_s[None] = now_s + SCAN_PAUSE_S
+            return None
+        for other in evicted:
+            self.release(other)
+        return evicted
+
+    def _find_stalled(self, now_s, condition):
+        """Return the connections that may be evicted, the first ones first."""
+        found = [h for h in self.holdings if condition(h) and h.may_be_evicted(now_s)]
+        found.sort(key=lambda h: (EVICTION_RANKS[h.phase], -h.lag_s(now_s)))
+        return found
--- /dev/null
+++ b/wasabipaddle/ingress/listener.py
@@ -0,0 +1,239 @@
+"""Listeners that share the limits of a process on what clients may hold."""
+
+import asyncio
+import contextlib
+import socket
+
+from result import Ok
+
+from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.ingress.ledger import Holding, Ledger
+from wasabipaddle.ingress.limits import derive_limits
+from wasabipaddle.ingress.protocol import (
+    RETRY_AFTER_S,
+    Connection,
+    RefusedConnection,
+)
+
+__all__ = ["Ingress", "IngressListener", "read_body"]
+
+SWEEP_INTERVAL_S = 0.25
+# Delay of a sweep beyond which the process itself stood still.
+STANDSTILL_S = 1.0
+# Time without a refusal after which the next one is logged.
+CALM_S = 10.0
+# Connections that wait to be accepted, and those accepted before the next event.
+BACKLOG = 512
+ACCEPT_BATCH = 16
+
+
+class Ingress:
+    """Connections of all clients of a process.
+
+    Parameters
+    ----------
+    context : Context
+        Settings, timers, metrics and log of the process.
+
+    Attributes
+    ----------
+    ledger : Ledger
+        Decides what the connections may hold.
+    """
+
+    def __init__(self, *, context):
+        settings = context.settings
+        self.context = context
+        self.ledger = Ledger(
+            limits=derive_limits(
+                memory_mb=getattr(settings, "memory_mb", 0),
+                descriptors=getattr(settings, "descriptors", 0),
+            )
+        )
+        self.listeners = 0
+        self.sweeping = None
+        self.last_sweep_s = 0.0
+        self.last_refusal_s = None
+
+    def now(self) -> float:
+        """Return the time of the running loop, in seconds."""
+        return asyncio.get_running_loop().time()
+
+    def open(self):
+        """Begin to enforce the time limits, with the first listener."""
+        self.listeners += 1
+        if self.sweeping is None:
+            self.last_sweep_s = self.now()
+            timer = self.context.timers.every(SWEEP_INTERVAL_S, jitter=0.0)
+            self.sweeping = timer.subscribe(self._sweep)
+
+    def close(self):
+        """Stop to enforce the time limits, with the last listener."""
+        self.listeners -= 1
+        if not self.listeners:
+            self.sweeping.dispose()
+            self.sweeping = None
+
+    def admit(self, gate) -> bool:
+        """Return whether a new connection is served; evict others for it."""
+        evicted = self.ledger.admit(gate.listener, self.now())
+        if evicted is None:
+            self.count_refusal(gate.listener, ErrorKind.QUEUE_FULL)
+            return False
+        for holding in evicted:
+            self.context.metrics.count(f"ingress_{gate.listener}_evicted")
+            holding.connection.evict()
+        return True
+
+    def add(self, connection) -> Holding:
+        """Record an open connection."""
+        holding = Holding(
+            connection=connection,
+            listener=connection.gate.listener,
+            since_s=self.now(),
+        )
+        self.ledger.add(holding)
+        return holding
+
+    def remove(self, holding):
+        """Forget a closed connection."""
+        self.ledger.remove(holding)
+
+    def reserve(self, holding, cost) -> bool:
+        """Set the reservation of a connection; return whether it is granted."""
+        evicted = self.ledger.reserve(holding, cost, self.now())
+        for other in evicted or ():
+            other.connection.refuse(ErrorKind.QUEUE_FULL)
+        return evicted is not None
+
+    def release(self, holding):
+        """Drop the reservation of a connection."""
+        self.ledger.release(holding)
+
+    def count_refusal(self, listener, kind):
+        """Count a refusal; log the first one after a calm time."""
+        now_s = self.now()
+        metrics = self.context.metrics
+        metrics.count(f"ingress_{listener}_refused_{kind.value}")
+        last_s, self.last_refusal_s = self.last_refusal_s, now_s
+        if last_s is None or now_s - last_s > CALM_S:
+            self.context.journal(
+                "clients_refused",
+                listener=listener,
+                reason=kind.value,
+                connections=len(self.ledger.holdings),
+                reserved=self.ledger.reserved,
+            )
+
+    def _sweep(self, now_s):
+        """Refuse or close the connections that have exceeded a time limit."""
+        late_s = now_s - self.last_sweep_s - SWEEP_INTERVAL_S
+        self.last_sweep_s = now_s
+        self.context.metrics.gauge("ingress_connections", len(self.ledger.holdings))
+        self.context.metrics.gauge("ingress_reserved_bytes", self.ledger.reserved)
+        if late_s > STANDSTILL_S:
+            return
+        for holding in self.ledger.find_overdue(now_s):
+            holding.connection.expire()
+
+
+class IngressListener:
+    """Listener whose connections are within the limits of the process.
+
+    Parameters
+    ----------
+    ingress : Ingress
+        Shared by the listeners of the process.
+    runner : web.BaseRunner
+        Runner of the server or application that handles the requests.
+    gate : Gate
+        What the listener expects of its clients.
+    options : dict
+        Further options of the connections.
+    """
+
+    def __init__(self, *, ingress, runner, gate, options=None):
+        self.ingress = ingress
+        self.runner = runner
+        self.gate = gate
+        self.options = options or {}
+        self.server = None
+        self.handler = None
+
+    async def open(self, host, port, *, ssl=None, ssl_handshake_timeout=None):
+        """Listen on an address."""
+        await self.runner.setup()
+        self.handler = self.runner.server.request_handler
+        self.runner.server.request_handler = self._handle
+        listening_socket = _bind(host, port)
+        self.server = await asyncio.get_running_loop().create_server(
+            self._make_connection,
+            sock=listening_socket,
+            backlog=ACCEPT_BATCH,
+            ssl=ssl,
+            ssl_handshake_timeout=ssl_handshake_timeout,
+        )
+        # The event loop accepts as many connections in a row as its backlog has, which
+        # is far more than a process near its limit of descriptors may open.
+        listening_socket.listen(BACKLOG)
+        self.ingress.open()
+
+    async def close(self):
+        """Stop listening; refuse requests that are not whole, then close."""
+        if self.server is None:
+            return
+        self.server.close()
+        self.server = None
+        for holding in list(self.ingress.ledger.holdings):
+            if holding.listener == self.gate.listener:
+                holding.connection.shut_down()
+        await self.runner.cleanup()
+        self.ingress.close()
+
+    async def _handle(self, request):
+        protocol = request.protocol
+        protocol.begin_request()
+        try:
+            return await self.handler(request)
+        finally:
+            protocol.end_request()
+
+    def _make_connection(self):
+        if not self.ingress.admit(self.gate):
+            failure = Failure(
+                kind=ErrorKind.QUEUE_FULL,
+                detail="too many open connections",
+                retry_after_s=RETRY_AFTER_S,
+            )
+            return RefusedConnection(response=self.gate.render(failure))
+        return Connection(
+            self.runner.server,
+            ingress=self.ingress,
+            gate=self.gate,
+            loop=asyncio.get_running_loop(),
+            **self.options,
+        )
+
+
+def _bind(host, port):
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    bound = socket.socket(family, socket.SOCK_STREAM)
+    with contextlib.suppress(OSError):
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        bound.bind((host, port))
+    except OSError:
+        bound.close()
+        raise
+    return bound
+
+
+async def read_body(request):
+    """Return the body of a request in a `Result`, within the limits of its listener.
+
+    Requests of other servers than `IngressListener` are read as `aiohttp` does.
+    """
+    protocol = getattr(request, "protocol", None)
+    if isinstance(protocol, Connection):
+        return await protocol.read_body(request)
+    return Ok(await request.read())
--- /dev/null
+++ b/wasabipaddle/ingress/tests/test_connection.py
@@ -0,0 +1,226 @@
+"""Replies of a listener to raw bytes."""
+
+import asyncio
+
+import attrs
+import pytest
+from aiohttp import web
+
+from wasabipaddle.clock import LoopClock
+from wasabipaddle.exceptions import ErrorKind
+from wasabipaddle.ingress import (
+    Gate,
+    IngressLimits,
+    IngressListener,
+    Ledger,
+    Phase,
+    RequestLimits,
+    failure_response,
+    read_body,
+)
+from wasabipaddle.kernel import Context
+
+HOST = "127.0.0.1"
+LIMITS = RequestLimits(max_head_bytes=500, max_body_bytes=20_000)
+REPLY_LIMIT_S = 10.0
+SLOW = b"POST /slow HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nok"
+
+
+class RawListener:
+    """Listener that echoes bodies, and its raw clients.
+
+    Attributes
+    ----------
+    released : asyncio.Event
+        Set to let the handler of "/slow" return.
+    """
+
+    def __init__(self, limits):
+        self.context = Context.create(
+            settings=None, clock=LoopClock(), process="p", seed=1
+        )
+        self.released = asyncio.Event()
+        self.received = []
+        self.listener = IngressListener(
+            ingress=self.context.ingress,
+            runner=web.ServerRunner(web.Server(self._handle), shutdown_timeout=0.5),
+            gate=Gate(listener="callers", find_limits=lambda: limits),
+        )
+
+    async def _handle(self, request):
+        body = await read_body(request)
+        if body.is_err():
+            return failure_response(body.err())
+        if request.path == "/slow":
+            await self.released.wait()
+        self.received.append(body.ok())
+        return web.Response(body=request.path.encode() + b"=" + body.ok())
+
+    async def connect(self):
+        port = self.listener.server.sockets[0].getsockname()[1]
+        return await asyncio.open_connection(HOST, port)
+
+    async def exchange(self, *pieces) -> bytes:
+        """Send pieces on one connection; return all that arrives until its end."""
+        reader, writer = await self.connect()
+        for piece in pieces:
+            writer.write(piece)
+            await asyncio.sleep(0.01)
+        async with asyncio.timeout(REPLY_LIMIT_S):
+            reply = await reader.read()
+        writer.close()
+        return reply
+
+    @property
+    def holdings(self):
+        return self.context.ingress.ledger.holdings
+
+
+@pytest.fixture
+def run_listener():
+    """Return a function that runs a check with a `RawListener`."""
+
+    def run(check, **limits):
+        async def main():
+            raw = RawListener(attrs.evolve(LIMITS, **limits))
+            await raw.listener.open(HOST, 0)
+            try:
+                await check(raw)
+                assert raw.context.ingress.ledger.reserved == 0 or raw.holdings
+            finally:
+                await raw.listener.close()
+
+        asyncio.run(main())
+
+    return run
+
+
+def _post(body=b"", headers=""):
+    headers = headers or f"Content-Length: {len(body)}\r\n"
+    return f"POST /a HTTP/1.1\r\nHost: h\r\n{headers}\r\n".encode() + body
+
+
+CLOSE = "Connection: close\r\n"
+CHUNKED = "Transfer-Encoding: chunked\r\n"
+
+
+@pytest.mark.parametrize(
+    ("pieces", "status"),
+    [
+        ((_post(headers="X: " + "x" * 500 + "\r\n"),), 431),
+        ((b"\r\n" * 300,), 431),
+        ((b"GET /" + b"x" * 600,), 431),
+        ((_post(headers="Content-Length: 20001\r\n"),), 413),
+        ((_post(headers=CHUNKED), b"5000\r\n" + b"x" * 20_480), 413),
+        ((b"NONSENSE\r\n\r\n",), 400),
+        ((_post(headers="Content-Length: 3\r\n" + CHUNKED),), 400),
+        ((_post(headers="Content-Length: 3\r\nContent-Length: 4\r\n"),), 400),
+    ],
+)
+def test_request_beyond_the_limits_is_refused_with_a_reply(
+    run_listener, pieces, status
+):
+    """Guards against requests that are refused without a reply, or held."""
+
+    async def check(raw):
+        reply = await raw.exchange(*pieces)
+        assert reply.split()[1] == b"%d" % status
+        assert reply.count(b"HTTP/1.") == 1
+        assert raw.received == []
+
+    run_listener(check)
+
+
+def test_request_at_the_limits_is_served(run_listener):
+    """Guards against a limit that is off by one, in one read or in many."""
+    body = b"x" * LIMITS.max_body_bytes
+    head = _post(headers=f"{CLOSE}Content-Length: {len(body)}\r\nX: \r\n")
+    head = head.replace(b"X: ", b"X: " + b"x" * (LIMITS.max_head_bytes - len(head)))
+    small_chunks = b"1\r\nx\r\n" * len(body) + b"0\r\n\r\n"
+
+    async def check(raw):
+        assert len(head) == LIMITS.max_head_bytes
+        chunked = _post(headers=CLOSE + CHUNKED)
+        for pieces in (
+            (head + body,),
+            (b"\r\n", _post(headers=f"{CLOSE}Content-Length: 20000\r\n"), body),
+            (head[:-1], head[-1:], body[:-1], body[-1:]),
+            (chunked, b"4e20\r\n" + body + b"\r\n0\r\n\r\n"),
+            (chunked, small_chunks),
+        ):
+            assert (await raw.exchange(*pieces)).endswith(b"\r\n\r\n/a=" + body)
+
+    run_listener(check)
+
+
+@pytest.mark.parametrize(
+    "pieces",
+    [
+        (b"GET / HT",),
+        (b"\r\n",),
+        (_post(headers="Content-Length: 9\r\n"), b"x"),
+        (_post(headers=CHUNKED), b"9\r\nx"),
+    ],
+)
+def test_request_that_stops_is_refused_after_its_time(run_listener, pieces):
+    """Guards against heads and bodies that are waited for without a limit."""
+
+    async def check(raw):
+        reply = await raw.exchange(*pieces)
+        assert reply.startswith(b"HTTP/1.1 408 ")
+        assert raw.received == []
+
+    run_listener(check, header_s=0.05, idle_s=0.05)
+
+
+def test_refusal_follows_the_replies_to_earlier_requests(run_listener):
+    """Guards against a refusal that a client takes for the reply to another request."""
+
+    async def check(raw):
+        exchange = asyncio.ensure_future(raw.exchange(SLOW, b"\r\n" * 300))
+        await asyncio.sleep(0.1)
+        raw.released.set()
+        reply = await exchange
+        assert reply.startswith(b"HTTP/1.1 200 ")
+        assert reply.endswith(b"/slow=ok")
+
+    run_listener(check)
+
+
+def test_pipelined_requests_are_answered_in_order(run_listener):
+    """Guards against bytes of one request that are taken for another one."""
+    bodies = [b"%d" % number * number for number in range(1, 6)]
+    requests = [_post(body) for body in bodies]
+
+    async def check(raw):
+        last = _post(b"end", f"{CLOSE}Content-Length: 3\r\n")
+        reply = await raw.exchange(b"".join(requests) + last)
+        assert raw.received == [*bodies, b"end"]
+        assert reply.count(b"HTTP/1.1 200 ") == 6
+
+    run_listener(check)
+
+
+def test_reservation_that_is_lost_is_answered(run_listener):
+    """Guards against an evicted body that is accepted, or closed without a reply."""
+
+    async def check(raw):
+        ledger = Ledger(limits=IngressLimits(content_bytes=1, free_content_bytes=1_000))
+        raw.context.ingress.ledger = ledger
+        stalled = asyncio.ensure_future(
+            raw.exchange(_post(headers="Content-Length: 9000\r\n"), b"x" * 8_999)
+        )
+        while not any(h.phase is Phase.BODY for h in ledger.holdings):
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(1.0)
+        whole = _post(b"y" * 4_000, f"{CLOSE}Content-Length: 4000\r\n")
+        assert (await raw.exchange(whole)).endswith(b"y" * 4_000)
+        reply = await stalled
+        assert reply.startswith(b"HTTP/1.1 503 ")
+        assert b"Retry-After: 1\r\n" in reply
+        assert raw.received == [b"y" * 4_000]
+        counters = raw.context.metrics.snapshot()["counters"]
+        name = f"ingress_callers_refused_{ErrorKind.QUEUE_FULL.value}"
+        assert counters[name] == 1
+
+    run_listener(check)
--- a/wasabipaddle/kernel/kernel.py
+++ b/wasabipaddle/kernel/kernel.py
@@ -7,6 +7,7 @@
 from absl import logging
 
 from wasabipaddle.clock import Clock, HybridClock, TimerService
+from wasabipaddle.ingress import Ingress
 from wasabipaddle.kernel.bus import Bus
 from wasabipaddle.kernel.plugin import PLUGINS
 from wasabipaddle.metrics import Metrics
@@ -45,6 +46,8 @@
         Plugins by name.
     journal : callable
         Structured log; called with a kind and named values for each decision.
+    ingress : Ingress
+        Connections of clients, shared by the listeners.
     """
 
     settings: object
@@ -57,6 +60,10 @@
     random: random.Random
     plugins: dict = attrs.field(factory=dict)
     journal: object = _ignore_event
+    ingress: Ingress = attrs.field(init=False)
+
+    def __attrs_post_init__(self):
+        self.ingress = Ingress(context=self)
 
     @classmethod
     def create(cls, *, settings, clock, process, seed):
--- a/wasabipaddle/platform/callers.py
+++ b/wasabipaddle/platform/callers.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from wasabipaddle.exceptions import ErrorKind
+from wasabipaddle.ingress import Gate, IngressListener, read_body
 from wasabipaddle.platform.jobs import JOB_ID, PHASE_WORDS, decode_spec
 
 __all__ = ["CallerListener", "read_wait_s"]
@@ -19,6 +20,7 @@
 KEY_HEADER = "Key"
 READY_PATH = "/readiness"
 KEEPALIVE_S = 75.0
+SHUTDOWN_S = 0.5
 # The job may have been accepted, so the status must not mean that it never runs.
 OUTCOME_UNKNOWN_STATUS = 504
 STATUS_BY_KIND = {
@@ -51,28 +53,35 @@
 
     def __init__(self, *, service):
         self.service = service
-        self.server_runners = []
+        self.listeners = []
         self.in_progress = 0
         self.closing = False
 
     async def open(self, *, callers_address, readiness_address):
         """Listen for callers and for readiness probes; addresses are "HOST:PORT"."""
-        await self._listen(self._handle, callers_address)
-        await self._listen(self._probe, readiness_address)
+        await self._listen("callers", self._handle, callers_address)
+        await self._listen("readiness", self._probe, readiness_address)
 
-    async def _listen(self, handler, address):
+    async def _listen(self, name, handler, address):
         host, _, port = address.rpartition(":")
-        server = web.Server(handler, keepalive_timeout=KEEPALIVE_S, access_log=None)
-        server_runner = web.ServerRunner(server)
-        await server_runner.setup()
-        await web.TCPSite(server_runner, host, int(port), backlog=512).start()
-        self.server_runners.append(server_runner)
+        listener = IngressListener(
+            ingress=self.service.context.ingress,
+            runner=web.ServerRunner(web.Server(handler), shutdown_timeout=SHUTDOWN_S),
+            gate=Gate(
+                listener=name,
+                find_limits=self.service.request_limits,
+                render=_error_response,
+            ),
+            options={"keepalive_timeout": KEEPALIVE_S},
+        )
+        await listener.open(host, int(port))
+        self.listeners.append(listener)
 
     async def close(self):
-        """Stop listening; no calls may be in progress."""
-        for server_runner in self.server_runners:
+        """Stop listening; refuse the requests that have not arrived whole."""
+        for listener in self.listeners:
             with contextlib.suppress(asyncio.CancelledError):
-                await server_runner.cleanup()
+                await listener.close()
 
     async def _probe(self, request):
         ready = request.path == READY_PATH and self.service.ready
@@ -126,9 +135,10 @@
         return web.Response(status=405)
 
     async def _submit(self, request, queue, job, wait_s):
-        data = await request.read()
-        if len(data) > self.service.max_body_bytes:
-            return web.Response(status=413)
+        body = await read_body(request)
+        if body.is_err():
+            return _error_response(body.err())
+        data = body.ok()
         max_tasks = self.service.context.settings.max_job_tasks
         spec = decode_spec(data, max_tasks=max_tasks)
         if spec.is_err():
--- a/wasabipaddle/transport/http.py
+++ b/wasabipaddle/transport/http.py
@@ -7,6 +7,7 @@
 from result import Err
 
 from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.ingress import read_body
 from wasabipaddle.messages import decode, encode, encode_sparse
 from wasabipaddle.transport.base import Transport
 from wasabipaddle.transport.connections import ConnectionPool
@@ -85,18 +86,26 @@
         return self.pools[peer]
 
     async def _receive(self, request):
-        data = await request.read()
+        body = await read_body(request)
+        if body.is_err():
+            return _build_response(body)
+        data = body.ok()
         name = request.match_info["name"]
         if name in self.handlers:
             self.count_wire_bytes(name, REQUEST_HEADER_BYTES + len(data))
-        reply = await self.serve(name, data)
-        status, body = 200, reply.unwrap_or(None)
-        if reply.is_err():
-            failure = reply.unwrap_err()
-            status, body = failure.response.status, encode(failure)
+        response = _build_response(await self.serve(name, data))
         if name in self.handlers:
-            self.count_wire_bytes(name, RESPONSE_HEADER_BYTES + len(body))
-        return web.Response(status=status, body=body, content_type="application/json")
+            self.count_wire_bytes(name, RESPONSE_HEADER_BYTES + len(response.body))
+        return response
+
+
+def _build_response(reply):
+    """Return the response with an encoded reply or a failure."""
+    status, body = 200, reply.unwrap_or(None)
+    if reply.is_err():
+        failure = reply.unwrap_err()
+        status, body = failure.response.status, encode(failure)
+    return web.Response(status=status, body=body, content_type="application/json")
 
 
 def _open_session():
