Refuse jobs that can never start within the quota of their workspace

Cause: a task or gang that alone exceeds the quota is accepted and waits for ever.

Change: admission compares each step with the quota that the process knows and refuses with 429 and a long Retry-After, which states that the job was not accepted and never runs. The mark of refusals makes that hold; a job that exists already, or may exist, is not refused, since it may run once the quota rises.

--- a/wasabipaddle/cell/admission.py
+++ b/wasabipaddle/cell/admission.py
@@ -1,4 +1,4 @@
-"""Admission of jobs by the leader's forecast, at the process that received them."""
+"""Admission of jobs by quota and forecast, at the process that received them."""
 
 from result import Err, Ok
 
@@ -6,6 +6,7 @@
 from wasabipaddle.dispatch.order import CERTAIN_SHARE, USEFUL_OBJECTIVES
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.interfaces import Put
+from wasabipaddle.jobs import find_quota_problem
 
 __all__ = ["Admission", "RefusalMarks", "find_excess_s"]
 
@@ -16,6 +17,8 @@
 MIN_RETRY_S = 1.0
 MAX_RETRY_S = 20.0
 RETRY_SPREAD = 2.0
+# Time after which a caller may try again whose job exceeds its quota, which people set.
+QUOTA_RETRY_S = 60.0
 # Duration of the store lease of refusals; writes that were sent before a refusal and
 # have not taken effect by then are lost.
 MARK_LEASE_S = 60.0
@@ -109,15 +112,20 @@
 class Admission:
     """Refuses jobs that cannot be of use any more, before they are stored.
 
-    It answers a load far above the room or the quota of a workspace. It refuses certain
-    cases only: with little room, the order of waiting work serves callers better than
-    refusals, since a job that waits behind others costs them nothing. Without a recent
-    forecast every job is accepted.
+    A job is refused if one of its steps alone exceeds the quota of its workspace, so
+    that it could never start.
+
+    Otherwise admission answers a load far above the room or the quota of a workspace.
+    It refuses certain cases only: with little room, the order of waiting work serves
+    callers better than refusals, since a job that waits behind others costs them
+    nothing. Without a recent forecast such a job is accepted.
 
     Parameters
     ----------
     context : Context
         Services of the process.
+    configuration : ConfigurationPlugin
+        Provides the quotas.
     members : MembersPlugin
         Holds the forecast of the leader.
     store_plugin : CellStorePlugin
@@ -129,28 +137,48 @@
         Make refusals hold.
     """
 
-    def __init__(self, *, context, members, store_plugin):
+    def __init__(self, *, context, configuration, members, store_plugin):
         self.context = context
+        self.configuration = configuration
         self.members = members
         self.marks = RefusalMarks(context=context, store_plugin=store_plugin)
 
     async def check(self, job):
-        """Return an `Err` of kind `deadline_unmeetable` for a job that is refused.
+        """Return an `Err` for a job that is refused.
 
-        A job is not refused if it exists, as after an earlier submission, or if that is
-        not known.
+        It is of kind `quota_exceeded` or `deadline_unmeetable`. A job is not refused if
+        it exists, as after an earlier submission, or if that is not known. A job that
+        was accepted before the quota fell waits until the quota rises.
         """
-        excess_s = self.find_excess_s(job)
-        if excess_s <= 0 or not await self.marks.set(job.id):
+        refusal = self._find_quota_refusal(job) or self._find_late_refusal(job)
+        if refusal is None or not await self.marks.set(job.id):
             return Ok(None)
+        return Err(refusal)
+
+    def _find_quota_refusal(self, job):
+        """Return the `Failure` of a job that exceeds its quota, None for others."""
+        current = self.configuration.current
+        workspace = current.workspaces.get(job.workspace) if current else None
+        if workspace is None:
+            return None
+        problem = find_quota_problem(job.spec, workspace.quota)
+        if not problem:
+            return None
+        return Failure(
+            kind=ErrorKind.QUOTA_EXCEEDED, detail=problem, retry_after_s=QUOTA_RETRY_S
+        )
+
+    def _find_late_refusal(self, job):
+        """Return the `Failure` of a job that ends too late, None for others."""
+        excess_s = self.find_excess_s(job)
+        if excess_s <= 0:
+            return None
         spread = 1 + (RETRY_SPREAD - 1) * self.context.random.random()
         retry_s = min(max(excess_s, MIN_RETRY_S), MAX_RETRY_S) * spread
-        return Err(
-            Failure(
-                kind=ErrorKind.DEADLINE_UNMEETABLE,
-                detail=f"the job would end {excess_s:.1f} s too late to be of use",
-                retry_after_s=retry_s,
-            )
+        return Failure(
+            kind=ErrorKind.DEADLINE_UNMEETABLE,
+            detail=f"the job would end {excess_s:.1f} s too late to be of use",
+            retry_after_s=retry_s,
         )
 
     def find_excess_s(self, job) -> float:
--- a/wasabipaddle/cell/entry.py
+++ b/wasabipaddle/cell/entry.py
@@ -87,7 +87,10 @@
         self.configuration = plugins[ConfigurationPlugin.name]
         self.members = plugins[MembersPlugin.name]
         self.admission = Admission(
-            context=self.context, members=self.members, store_plugin=self.store_plugin
+            context=self.context,
+            configuration=self.configuration,
+            members=self.members,
+            store_plugin=self.store_plugin,
         )
         self.members.transport.handle(StoreJob, self._store_for_peer)
         self.members.transport.handle(CancelJob, self._cancel_for_peer)
--- a/wasabipaddle/cell/tests/conftest.py
+++ b/wasabipaddle/cell/tests/conftest.py
@@ -108,7 +108,10 @@
         self.entry.store = self.store_plugin.store
         self.members = self.entry.members = FakeMembers(name, processes)
         self.entry.admission = Admission(
-            context=self.context, members=self.members, store_plugin=self.store_plugin
+            context=self.context,
+            configuration=FakeConfiguration(current=None),
+            members=self.members,
+            store_plugin=self.store_plugin,
         )
         self.gained = []
         self.lost = []
@@ -120,6 +123,7 @@
         """Apply a configuration with one queue."""
         current = CellConfiguration(version=1, queues=(QUEUE,))
         self.entry.configuration = FakeConfiguration(current=current)
+        self.entry.admission.configuration = self.entry.configuration
 
     async def close(self):
         await self.election.stop()
--- a/wasabipaddle/jobs/__init__.py
+++ b/wasabipaddle/jobs/__init__.py
@@ -1,6 +1,7 @@
 """Data model of multi-step jobs, queues and runners, with the stored form of jobs."""
 
 from wasabipaddle.jobs.access import identify_workspace, may_reach, requires_key
+from wasabipaddle.jobs.checks import find_quota_problem
 from wasabipaddle.jobs.configuration import (
     AdvicePolicy,
     CellConfiguration,
@@ -49,6 +50,7 @@
     "encode_fleet",
     "encode_job",
     "encode_progress",
+    "find_quota_problem",
     "identify_workspace",
     "may_reach",
     "requires_key",
--- a/wasabipaddle/jobs/checks.py
+++ b/wasabipaddle/jobs/checks.py
@@ -2,7 +2,7 @@
 
 from wasabipaddle.jobs.decoding import MAX_INTEGER
 
-__all__ = ["find_job_problem", "find_spec_problem"]
+__all__ = ["find_job_problem", "find_quota_problem", "find_spec_problem"]
 
 # Largest number of tasks of a job, over all its occurrences.
 MAX_TASKS = 1_000_000
@@ -60,5 +60,27 @@
     return find_spec_problem(job.spec)
 
 
+def find_quota_problem(spec, quota) -> str:
+    """Return why a `JobSpec` can never run within a quota, an empty string if it can.
+
+    A step needs room for one task, a gang for all of its tasks at the same time.
+
+    Parameters
+    ----------
+    quota : Capacity
+        Quota of the workspace of the job; 0 for no limit.
+    """
+    for position, step in enumerate(spec.steps):
+        count = step.count if step.gang else 1
+        for resource in ("cpu", "memory_mb", "gpus"):
+            needed, most = count * getattr(step, resource), getattr(quota, resource)
+            if most and needed > most:
+                return (
+                    f"step {position} needs {needed} of {resource} at the same time; "
+                    f"the quota of the workspace is {most}"
+                )
+    return ""
+
+
 def _is_in_range(value):
     return abs(value) <= MAX_INTEGER  # false for a value that is not a number
