--- a/wasabipaddle/cell/dispatcher.py
+++ b/wasabipaddle/cell/dispatcher.py
@@ -15,6 +15,7 @@
 from wasabipaddle.cell.members import MembersPlugin
 from wasabipaddle.cell.session import DispatchSession
 from wasabipaddle.cell.store import CellStorePlugin
+from wasabipaddle.cell.workspace_metrics import WorkspaceMetrics
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.kernel import Plugin
 from wasabipaddle.messages.jobs import (
@@ -27,6 +28,7 @@
 __all__ = ["DispatcherPlugin"]
 
 MS_PER_S = 1000
+METRICS_PERIOD_S = 2.0
 
 
 class DispatcherPlugin(Plugin):
@@ -54,6 +56,8 @@
         super().__init__(context=context)
         self.session = None
         self.closing = set()
+        self.workspace_metrics = WorkspaceMetrics(metrics=context.metrics)
+        self.metrics_timer = None
 
     async def start(self):
         """Register the handlers of messages, and subscribe to events."""
@@ -72,12 +76,19 @@
         bus.events(LeadershipLost).subscribe(self._close_session)
         bus.events(ConfigurationChanged).subscribe(self._configure)
         self.context.metrics.gauge("sessions_closing", lambda: len(self.closing))
+        timer = self.context.timers.every(METRICS_PERIOD_S)
+        self.metrics_timer = timer.subscribe(self._update_metrics)
 
     async def stop(self):
         """Close the session, and wait until it and all earlier sessions are closed."""
+        self.metrics_timer.dispose()
         self._close_session(None)
         await asyncio.gather(*self.closing)
 
+    def _update_metrics(self, _):
+        scheduler = self.session.scheduler if self.session else None
+        self.workspace_metrics.update(scheduler.state if scheduler else None)
+
     def _open_session(self, event):
         if event.continued and self.session is not None:
             self.session.continue_with(event.epoch)
--- a/wasabipaddle/logs/explain.py
+++ b/wasabipaddle/logs/explain.py
@@ -1,5 +1,7 @@
 """History of one job, from the structured logs of all processes."""
 
+import collections
+
 import attrs
 import msgspec
 
@@ -35,6 +37,11 @@
 WATCH_EVENTS = frozenset({"watch_lost", "watch_listed"})
 DISPATCHER_WATCHES = frozenset({"intake", "registry"})
 HEADER_FIELDS = ("ms", "process", "event")
+# Sentences that replace the fields of an event.
+SENTENCES = {
+    "waits_for_quota": "step {step} waits for the quota of its workspace, "
+    "{used_percent}% used",
+}
 
 
 @attrs.frozen(kw_only=True)
@@ -47,11 +54,15 @@
     values: dict
 
     def __str__(self):
-        shown = " ".join(
-            f"{key}={value}"
-            for key, value in self.values.items()
-            if key not in HEADER_FIELDS
-        )
+        sentence = SENTENCES.get(self.event)
+        if sentence is not None:
+            shown = sentence.format_map(collections.defaultdict(str, self.values))
+        else:
+            shown = " ".join(
+                f"{key}={value}"
+                for key, value in self.values.items()
+                if key not in HEADER_FIELDS
+            )
         return f"{self.process:24} {self.event:22} {shown}"
 
 
--- a/wasabipaddle/logs/tests/test_logs.py
+++ b/wasabipaddle/logs/tests/test_logs.py
@@ -136,3 +136,12 @@
         explain_command("j9", [str(path)])
     with pytest.raises(WasabipaddleError):
         explain_command("j0", [str(tmp_path / "missing.log")])
+
+
+def test_history_says_in_words_that_a_job_waits_for_a_quota():
+    """Guards against a wait that only a reader of the code can explain."""
+    row = log_row(20, "waits_for_quota", job="j0", step=0, used_percent=96)
+    (line,) = explain("j0", read_lines([row]))
+    assert "step 0 waits for the quota of its workspace, 96% used" in str(line)
+    (line,) = explain("j0", read_lines([log_row(20, "waits_for_quota", job="j0")]))
+    assert "quota" in str(line)
