Teach the soak workspaces, keys and changing quotas

Cause: the soak knows no workspaces, so nothing checks quotas with real processes under faults.

Change: a run may have three workspaces with keys, two of them with quotas that change every few seconds. A start that brings a workspace over the highest quota of the last 8 s on the stand-in runners violates the guarantee `quota`; a call that is answered 401 violates `key`.

--- a/wasabipaddle/commands/soak.py
+++ b/wasabipaddle/commands/soak.py
@@ -42,7 +42,8 @@
 
 
 def _run_seed(run, seed, **options):
-    return run(seed=seed, **options)
+    # Cells with and without workspaces are played by turns.
+    return run(seed=seed, workspaces=seed % 2 == 1, **options)
 
 
 def _select_faults(text):
--- a/wasabipaddle/platform/callers.py
+++ b/wasabipaddle/platform/callers.py
@@ -7,7 +7,12 @@
 from aiohttp import web
 
 from wasabipaddle.exceptions import ErrorKind
-from wasabipaddle.platform.jobs import JOB_ID, PHASE_WORDS, decode_spec
+from wasabipaddle.platform.jobs import (
+    JOB_ID,
+    KEY_HEADER,
+    PHASE_WORDS,
+    decode_spec,
+)
 
 __all__ = ["CallerListener", "read_wait_s"]
 
@@ -16,7 +21,6 @@
 # Number of digits beyond which a wait is longer than `MAX_WAIT_S`.
 MAX_WAIT_DIGITS = 12
 DEFAULT_WAIT_S = 3.0
-KEY_HEADER = "Key"
 READY_PATH = "/readiness"
 KEEPALIVE_S = 75.0
 # The job may have been accepted, so the status must not mean that it never runs.
--- a/wasabipaddle/platform/jobs.py
+++ b/wasabipaddle/platform/jobs.py
@@ -12,9 +12,11 @@
 from wasabipaddle.jobs.submission import find_schedule_problem, find_size_problem
 from wasabipaddle.platform.decoding import DECODING_ERRORS, rounded, whole
 
-__all__ = ["JOB_ID", "PHASE_WORDS", "decode_spec"]
+__all__ = ["JOB_ID", "KEY_HEADER", "PHASE_WORDS", "decode_spec"]
 
 MS_PER_S = 1000
+# Header that carries the key of a caller.
+KEY_HEADER = "Key"
 JOB_ID = re.compile(r"[0-9a-f]{16}")
 PHASE_WORDS = {
     JobPhase.QUEUED: "queued",
--- a/wasabipaddle/soak/callers.py
+++ b/wasabipaddle/soak/callers.py
@@ -30,6 +30,7 @@
 LONG_WORK_S = (5.0, 9.0)
 ACCEPTED_STATUSES = range(200, 300)
 REFUSAL_STATUSES = frozenset({429, 503})
+STATUS_UNAUTHENTICATED = 401
 STATUS_GONE = 410
 STATUS_NOT_FOUND = 404
 # A call that fails sooner may have used a pooled connection that the process was
@@ -146,8 +147,13 @@
         self._spawn(self._submit(record))
 
     def _record(self, job_id, queue, spec, behaviours):
+        workspaces = self.ledger.workspaces
         record = JobRecord(
-            id=job_id, queue=self.queues[queue], spec=spec, behaviours=behaviours
+            id=job_id,
+            queue=self.queues[queue],
+            spec=spec,
+            behaviours=behaviours,
+            workspace=workspaces.choose(lasting=spec.lasting) if workspaces else "",
         )
         self.ledger.jobs[job_id] = record
         return record
@@ -308,7 +314,10 @@
         process = self._choose_process()
         address = callers_address(self.platform, process)
         sent = self.ledger.now()
-        result = await method(address, record.queue, record.id, *arguments)
+        key = self.ledger.workspaces.keys[record.workspace] if record.workspace else ""
+        result = await method(address, record.queue, record.id, *arguments, key=key)
+        if result.status == STATUS_UNAUTHENTICATED:
+            self.ledger.add_violation("key", record.id, f"status 401 from {process}")
         ended = self.ledger.now()
         cut = result.status == 0 and result.sent and ended - sent > IDLE_CLOSE_S
         if cut and self._is_planned_stop(process, ended):
--- a/wasabipaddle/soak/driver.py
+++ b/wasabipaddle/soak/driver.py
@@ -15,6 +15,7 @@
 from wasabipaddle.soak.ledger import SoakLedger
 from wasabipaddle.soak.names import ALL_FAULTS
 from wasabipaddle.soak.platform import QUEUES, SoakPlatform
+from wasabipaddle.soak.workspaces import SoakWorkspaces
 
 __all__ = ["SoakResult", "run_soak"]
 
@@ -73,7 +74,14 @@
 
 
 def run_soak(
-    *, seed, seconds, processes=4, runners=8, keep=None, faults=ALL_FAULTS
+    *,
+    seed,
+    seconds,
+    processes=4,
+    runners=8,
+    keep=None,
+    faults=ALL_FAULTS,
+    workspaces=False,
 ) -> SoakResult:
     """Run the soak test with one seed.
 
@@ -91,6 +99,8 @@
         Directory for settings, logs and the report; None discards them.
     faults : tuple of str
         Names of the faults and planned operations to choose from.
+    workspaces : bool
+        Whether the cell has workspaces, with keys and with quotas that change.
     """
     with tempfile.TemporaryDirectory(prefix="wasabipaddle-soak-") as temporary:
         directory = pathlib.Path(keep or temporary) / f"seed-{seed}"
@@ -103,6 +113,7 @@
                 runners=runners,
                 keep=directory,
                 names=faults,
+                workspaces=workspaces,
             )
         )
         report = [result.line(), *result.faults, *(v.line() for v in result.violations)]
@@ -164,15 +175,18 @@
     departures: Departures
 
 
-def _assemble(seed, *, processes, runners, keep, names) -> _SoakParts:
+def _assemble(seed, *, processes, runners, keep, names, workspaces) -> _SoakParts:
     """Create the parts of a run; all random choices follow from the seed."""
     rng = random.Random(seed)
     ledger = SoakLedger()
+    if workspaces:
+        ledger.workspaces = SoakWorkspaces(ledger=ledger, random=random.Random(seed))
     platform = SoakPlatform(
         ledger=ledger,
         processes=[f"p{i}" for i in range(processes)],
         runner_count=runners,
         seed=rng.random(),
+        workspaces=ledger.workspaces,
     )
     cell = CellProcesses(platform=platform, directory=keep, ledger=ledger)
     faults = SoakFaults(
@@ -218,7 +232,13 @@
         enforcing = group.create_task(parts.cell.enforce_grace_period())
         checking = group.create_task(lasting.run())
         submitting = group.create_task(callers.run(JOBS_PER_S))
+        workspaces = parts.ledger.workspaces
+        if workspaces is not None:
+            changing = group.create_task(workspaces.run(parts.platform))
         await faults.run(until_s)
+        if workspaces is not None:
+            changing.cancel()
+            workspaces.lift(parts.platform)
         parts.platform.heal()
         faults.record_disturbance()
         # Long jobs that are sent later could not end in time.
--- a/wasabipaddle/soak/ledger.py
+++ b/wasabipaddle/soak/ledger.py
@@ -49,6 +49,8 @@
         Specification that the caller sent.
     behaviours : tuple of TaskBehaviour
         Behaviour of the tasks of each step.
+    workspace : str
+        Workspace of the caller, empty if the cell has none.
     accepted_s : float
         Time of the first response that confirms the acceptance; 0 before it.
     in_doubt : bool
@@ -76,6 +78,7 @@
     queue: object
     spec: object
     behaviours: tuple
+    workspace: str = ""
     accepted_s: float = 0.0
     in_doubt: bool = False
     refused: bool = False
@@ -116,6 +119,8 @@
         Time at which the store had the notice of each runner that leaves.
     last_fault_end_s : float
         End of the last fault, infinite while faults are injected.
+    workspaces : SoakWorkspaces or None
+        Checks the quotas, None if the cell has no workspaces.
     """
 
     def __init__(self):
@@ -126,6 +131,7 @@
         self.idle_since_s = {}
         self.draining_since_s = {}
         self.last_fault_end_s = math.inf
+        self.workspaces = None
         self.started_s = asyncio.get_running_loop().time()
 
     def now(self) -> float:
@@ -182,6 +188,8 @@
             self.add_violation("cancelled", record.id, run_label)
         self._check_capacity(runner, record, run_label)
         self._check_draining(runner, record, run_label)
+        if self.workspaces is not None:
+            self.workspaces.check_start(record, run_label)
 
     def _check_draining(self, runner, record, run_label):
         now = self.now()
--- a/wasabipaddle/soak/platform.py
+++ b/wasabipaddle/soak/platform.py
@@ -103,12 +103,16 @@
         Seed of all random choices.
     runner_cpu : int
         Processing power of each runner in millicores.
+    workspaces : SoakWorkspaces or None
+        Workspaces of the configuration, None for a cell without any.
 
     Attributes
     ----------
     internal_ports, caller_ports, readiness_ports : dict of str to int
         Ports on which each process listens for other processes, for callers and for
         readiness probes.
+    queues : tuple of Queue
+        Queues of the latest configuration.
     runners, clients : dict
         Runners, and the clients through which the processes call them, by name.
     reserved_runners : set of str
@@ -123,6 +127,7 @@
         runner_count,
         seed,
         runner_cpu=RUNNER_CPU,
+        workspaces=None,
     ):
         self.ledger = ledger
         self.processes = processes
@@ -147,6 +152,8 @@
         self.listeners = []
         self.proxies = []
         self.tasks = set()
+        self.workspaces = workspaces
+        self.queues = QUEUES
         self.version = 0
         self.sequence = 0
         self.runners_created = 0
@@ -185,11 +192,19 @@
 
     def configure(self, queues):
         """Store a configuration with the given queues and return its version."""
+        self.queues = queues
         self.version += self.random.randint(1, 5)
+        workspaces, keys = {}, {}
+        if self.workspaces is not None:
+            workspaces = self.workspaces.configured()
+            keys = {name: [key] for name, key in self.workspaces.keys.items()}
         configuration = CellConfiguration(
-            version=self.version, queues=queues, pools={POOL: Pool(name=POOL)}
+            version=self.version,
+            queues=queues,
+            pools={POOL: Pool(name=POOL)},
+            workspaces=workspaces,
         )
-        key, value = encode_configuration(configuration)
+        key, value = encode_configuration(configuration, keys=keys)
         self.memory.apply((), (Put(key=key, value=value),), ())
         return self.version
 
--- a/wasabipaddle/soak/regressions.py
+++ b/wasabipaddle/soak/regressions.py
@@ -17,6 +17,7 @@
     processes: int = 4
     runners: int = 8
     faults: tuple[str, ...] = BASIC_FAULTS
+    workspaces: bool = False
 
 
 REGRESSIONS = (
--- a/wasabipaddle/soak/tests/test_soak.py
+++ b/wasabipaddle/soak/tests/test_soak.py
@@ -1,13 +1,17 @@
 """Short soak tests with real processes and fixed seeds."""
 
+import attrs
 import pytest
 
 from wasabipaddle.soak import REGRESSIONS, Regression, run_soak
 
 SHORT = Regression(seed=1, seconds=6.0, cause="", processes=3, runners=6)
+WORKSPACES = attrs.evolve(SHORT, seed=7, seconds=9.0, workspaces=True)
 
 
-@pytest.mark.parametrize("case", [SHORT, *REGRESSIONS], ids=lambda case: case.seed)
+@pytest.mark.parametrize(
+    "case", [SHORT, WORKSPACES, *REGRESSIONS], ids=lambda case: case.seed
+)
 def test_no_guarantee_is_violated(case, tmp_path):
     """Guards against guarantees that real processes violate under injected faults."""
     result = run_soak(
@@ -16,6 +20,7 @@
         processes=case.processes,
         runners=case.runners,
         faults=case.faults,
+        workspaces=case.workspaces,
         keep=tmp_path,
     )
     report = (tmp_path / f"seed-{case.seed}" / "report.txt").read_text()
