--- a/wasabipaddle/platform/callers.py
+++ b/wasabipaddle/platform/callers.py
@@ -8,7 +8,12 @@
 
 from wasabipaddle.exceptions import ErrorKind
 from wasabipaddle.ingress import Gate, IngressListener, read_body
-from wasabipaddle.platform.jobs import JOB_ID, PHASE_WORDS, decode_spec
+from wasabipaddle.platform.jobs import (
+    JOB_ID,
+    KEY_HEADER,
+    PHASE_WORDS,
+    decode_spec,
+)
 
 __all__ = ["CallerListener", "read_wait_s"]
 
@@ -17,7 +22,6 @@
 # Number of digits beyond which a wait is longer than `MAX_WAIT_S`.
 MAX_WAIT_DIGITS = 12
 DEFAULT_WAIT_S = 3.0
-KEY_HEADER = "Key"
 READY_PATH = "/readiness"
 KEEPALIVE_S = 75.0
 SHUTDOWN_S = 0.5
