Weigh the work of a step by the number of steps that wait for it

Cause: an order by deadlines makes nearly all jobs late once not all can be in time: each job that is served is the one with the least time left.

Change: the work of a step postpones it by the time for which it occupies the pool, for each step that waits there. With little to do this is the earliest deadline first, under overload the least work first. The certain part of an estimate is 0.7 for the outlook.

--- a/wasabipaddle/dispatch/forecast.py
+++ b/wasabipaddle/dispatch/forecast.py
@@ -7,8 +7,8 @@
 
 __all__ = ["LoadForecaster"]
 
-MILLICORES = 1000
-# Shorter waits are not reported, so that messages are short while there is room.
+# Shorter waits are not reported, so that messages are short while there is room. Each
+# further point of a forecast stands for twice the wait.
 MIN_WAIT_S = 1.0
 # Interval at which the forecast is computed anew.
 REFRESH_S = 0.5
@@ -18,11 +18,11 @@
 
 
 class LoadForecaster:
-    """Expects how long a new job of each priority waits for its pool and its quota.
+    """Expects how long a new job has to wait for its pool and its quota.
 
-    Counts only the steps that go before such a job and are waiting now. What comes
-    later, what its other steps need, and advice are left out, so that the wait is
-    rather longer.
+    Counts the steps that go before it in the order of waiting work. What comes later
+    and goes before it as well, what its other steps need, and advice are left out, so
+    that the wait is rather longer.
 
     Parameters
     ----------
@@ -38,7 +38,7 @@
     def __init__(self, *, state):
         self.state = state
         self.since_s = None
-        self.latest = None
+        self.latest = ()
         self.measured_s = -math.inf
 
     def forecast(self, now) -> LoadForecast | None:
@@ -48,49 +48,51 @@
         if self.state.suspects or now - self.since_s < SETTLING_S:
             return None
         if now - self.measured_s >= REFRESH_S:
-            self.latest = tuple(self._measure(now))
+            self.latest = self._measure(now)
             self.measured_s = now
         return LoadForecast(age_s=now - self.measured_s, waits=self.latest)
 
     def _measure(self, now):
-        """Return the waits of at least `MIN_WAIT_S`."""
-        pools, workspaces = self._sum_work(now)
-        room = self._measure_room(now)
-        for (pool, priority), work_s in _accumulate(pools):
-            wait_s = work_s / max(room.get(pool, 0), 1)
-            if wait_s >= MIN_WAIT_S:
-                yield ExpectedWait(pool=pool, priority=priority, wait_s=wait_s)
-        for (name, priority), work_s in _accumulate(workspaces):
-            limit = self.state.quotas.limits.get(name)
-            if limit is None or not limit.cpu:
-                continue
-            wait_s = work_s / limit.cpu
-            if wait_s >= MIN_WAIT_S:
-                yield ExpectedWait(workspace=name, priority=priority, wait_s=wait_s)
-
-    def _sum_work(self, now):
-        """Return the waiting work by pool and by workspace, each with the priority.
+        """Return the expected waits by pool, workspace and priority.
 
-        Work is in thousandths of a core times seconds. Late work, and work of no use,
-        goes after that of new jobs of its priority. Steps that wait for their quota
-        take no room of the pool.
+        Late work, and work of no use, goes after new jobs of its priority. Steps that
+        wait for their quota take no room of the pool.
         """
-        pools, workspaces = {}, {}
-        order, durations = self.state.order, self.state.durations
+        room, waits, sums = self._measure_room(now), {}, {}
+        order, durations, quotas = (
+            self.state.order,
+            self.state.durations,
+            self.state.quotas,
+        )
         for step in order.waiting(now):
-            spec = step.spec
-            if spec.lasting or order.ranks[step.key].outlook is not Outlook.IN_TIME:
+            spec, rank = step.spec, order.ranks[step.key]
+            if spec.lasting or rank.outlook is not Outlook.IN_TIME:
                 continue
-            priority = step.job.queue.priority
+            pool, workspace = step.job.queue.pool, step.job.job.workspace
             work = len(step.pending) * spec.cpu * durations.task_s(step)
-            workspace = step.job.job.workspace
-            if workspace:
-                key = (workspace, priority)
-                workspaces[key] = workspaces.get(key, 0) + work
-            if not spec.opportunistic and self.state.quotas.admits(step):
-                key = (step.job.queue.pool, priority)
-                pools[key] = pools.get(key, 0) + work
-        return pools, workspaces
+            lines = []
+            if not spec.opportunistic and quotas.admits(step):
+                lines.append((pool, "", room.get(pool, 0)))
+            limit = quotas.limits.get(workspace)
+            if limit is not None and limit.cpu:
+                lines.append((pool, workspace, limit.cpu))
+            for pool, workspace, capacity in lines:
+                key = (pool, workspace)
+                sums[key] = sums.get(key, 0.0) + work / max(capacity, 1)
+                points = waits.setdefault((*key, step.job.queue.priority), [])
+                if sums[key] >= (2 * points[-1][1] if points else MIN_WAIT_S):
+                    points.append((rank.latest_s - now, sums[key]))
+        return tuple(
+            ExpectedWait(
+                pool=pool,
+                workspace=workspace,
+                priority=priority,
+                work_weight=order.work_weight(pool),
+                points=tuple(points),
+            )
+            for (pool, workspace, priority), points in waits.items()
+            if points
+        )
 
     def _measure_room(self, now):
         """Return the processors by pool that work which ends can use."""
@@ -105,18 +107,3 @@
             pool = runner.entry.pool
             room[pool] = room.get(pool, 0) + free
         return room
-
-
-def _accumulate(work):
-    """Return rows of key and work with that of higher priorities, by rising priority.
-
-    Parameters
-    ----------
-    work : dict of (str, int) to float
-        Work by name and priority.
-    """
-    rows, sums = [], {}
-    for name, priority in sorted(work):
-        sums[name] = sums.get(name, 0.0) + work[name, priority]
-        rows.append(((name, priority), sums[name]))
-    return rows
--- a/wasabipaddle/dispatch/naming.py
+++ b/wasabipaddle/dispatch/naming.py
@@ -17,7 +17,7 @@
 LEARNING_WEIGHT = 0.1
 # Number of standard deviations by which the expected number of places has to exceed
 # the number of tasks.
-CONFIDENCE = 1.0
+CONFIDENCE = 0.7
 
 
 class Naming:
--- a/wasabipaddle/dispatch/order.py
+++ b/wasabipaddle/dispatch/order.py
@@ -1,5 +1,6 @@
 """Order in which waiting steps get room and advice, by what a delay costs callers."""
 
+import collections
 import enum
 import heapq
 import typing
@@ -10,7 +11,7 @@
 # A job that ends later than this multiple of its objective is of no use any more.
 USEFUL_OBJECTIVES = 3.0
 # Part of the expected work that is certainly left, as estimates are too high at times.
-CERTAIN_SHARE = 0.5
+CERTAIN_SHARE = 0.7
 # Part of the room of a pool that is kept for each kind of work that waits, so that none
 # stands still, and time that a step waits before it gets a part of that room.
 FLOOR_SHARE = 0.05
@@ -45,10 +46,12 @@
     outlook : Outlook
         What the caller can still get.
     latest_s : float
-        Latest start for an end in time. If that is possible, it is postponed by the
-        time for which the work left in the step occupies the pool, and advanced by that
-        of the work already done in the job. Small steps thus go before wide ones of
-        about the same deadline, but not before those of much earlier deadlines.
+        Latest start for an end in time. If that is possible, it is postponed by what
+        the step costs others: the time for which the work left in it occupies the pool,
+        for each step that waits there. It is advanced in the same way by the work
+        already done in the job. With little to do the earliest deadline goes first;
+        the more waits, the more small steps go before wide ones, since an order by
+        deadlines alone makes nearly all jobs late once not all can be in time.
     """
 
     lost: bool
@@ -99,6 +102,8 @@
         Time at which the ranks were last computed.
     room : dict of str to int
         Processors of the runners of each pool, in thousandths of a core.
+    waiting_steps : collections.Counter
+        Number of steps that waited for each pool when the ranks were last computed.
     in_use : dict of (str, Kind) to int
         Processors reserved by pool and kind of work, in thousandths of a core.
     counted : dict of Run to (str, Kind)
@@ -113,6 +118,7 @@
         self.sequence = []
         self.refreshed_s = None
         self.room = {}
+        self.waiting_steps = collections.Counter()
         self.in_use = {}
         self.counted = {}
 
@@ -173,8 +179,8 @@
         latest_s = self.due_s(step) - durations.remaining_s(step)
         if outlook is Outlook.IN_TIME:
             work = len(step.pending) * step.spec.cpu * durations.task_s(step)
-            room = self.room.get(step.job.queue.pool) or 1
-            latest_s += (work - step.job.work_done) / room
+            weight = self.work_weight(step.job.queue.pool)
+            latest_s += weight * (work - step.job.work_done)
         return Rank(
             lost=outlook is Outlook.LOST,
             level=step.job.queue.priority + (outlook is Outlook.LATE),
@@ -184,6 +190,13 @@
             latest_s=latest_s,
         )
 
+    def work_weight(self, pool) -> float:
+        """Return by how much work postpones a step, in seconds for each unit of work.
+
+        Work is in thousandths of a core times seconds.
+        """
+        return max(self.waiting_steps.get(pool, 0), 1) / (self.room.get(pool) or 1)
+
     def waiting(self, now):
         """Return the waiting steps in their order."""
         ready = self.state.ready
@@ -237,6 +250,9 @@
             pool = runner.entry.pool
             self.room[pool] = self.room.get(pool, 0) + runner.entry.capacity.cpu
         ready = self.state.ready
+        self.waiting_steps = collections.Counter(
+            step.job.queue.pool for step in ready.values()
+        )
         self.ranks = {key: self.rank(step, now) for key, step in ready.items()}
         self.sequence = sorted(ready.values(), key=lambda step: self.ranks[step.key])
 
--- a/wasabipaddle/messages/jobs.py
+++ b/wasabipaddle/messages/jobs.py
@@ -181,27 +181,43 @@
 
     Parameters
     ----------
+    pool : str
+        Pool of the jobs.
     priority : int
         Priority of the jobs.
-    wait_s : float
-        Expected wait.
-    pool, workspace : str
-        Pool whose room, or workspace whose quota the jobs wait for; the other one is
-        empty.
+    workspace : str
+        Workspace whose quota the jobs wait for, empty for the room of the pool.
+    work_weight : float
+        Time by which the work of a job postpones it in the order, in seconds for each
+        thousandth of a core and second.
+    points : tuple of (float, float)
+        Positions in the order, as the latest start of a job from now with that
+        postponement, and the wait of jobs behind each, both rising.
     """
 
+    pool: str
     priority: int
-    wait_s: float
-    pool: str = ""
     workspace: str = ""
+    work_weight: float = 0.0
+    points: tuple[tuple[float, float], ...] = ()
 
     def concerns(self, queue, workspace) -> bool:
         """Return whether new jobs of a workspace in a queue wait like this."""
-        if self.priority != queue.priority:
-            return False
-        if self.workspace:
-            return self.workspace == workspace
-        return self.pool == queue.pool
+        same_pool = self.pool == queue.pool and self.priority == queue.priority
+        return same_pool and self.workspace in ("", workspace)
+
+    def wait_s(self, latest_s, work) -> float:
+        """Return the expected wait of a job.
+
+        Parameters
+        ----------
+        latest_s : float
+            Time from now until its latest start for an end in time.
+        work : float
+            Work of its first step, in thousandths of a core times seconds.
+        """
+        position_s = latest_s + self.work_weight * work
+        return max((wait for at_s, wait in self.points if at_s < position_s), default=0)
 
 
 @attrs.frozen(kw_only=True)
