Log and measure for which work there is too little room

Cause: an operator sees the numbers of waiting jobs, but not whether they can still be in time, nor what admission goes by.

Change: the forecast logs room_exceeded and room_regained for a pool, a workspace and a priority; gauges show the waiting steps by outlook and the longest wait. tests/test_forecast.py covers the forecast without a network.

--- a/wasabipaddle/cell/dispatcher.py
+++ b/wasabipaddle/cell/dispatcher.py
@@ -1,6 +1,7 @@
 """Role `cell_dispatcher`: dispatches jobs while this process leads."""
 
 import asyncio
+import functools
 
 from result import Err, Ok
 
@@ -16,6 +17,7 @@
 from wasabipaddle.cell.session import DispatchSession
 from wasabipaddle.cell.store import CellStorePlugin
 from wasabipaddle.cell.workspace_metrics import WorkspaceMetrics
+from wasabipaddle.dispatch.order import Outlook
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.kernel import Plugin
 from wasabipaddle.messages.jobs import (
@@ -75,7 +77,12 @@
         bus.events(LeadershipGained).subscribe(self._open_session)
         bus.events(LeadershipLost).subscribe(self._close_session)
         bus.events(ConfigurationChanged).subscribe(self._configure)
-        self.context.metrics.gauge("sessions_closing", lambda: len(self.closing))
+        gauge = self.context.metrics.gauge
+        gauge("sessions_closing", lambda: len(self.closing))
+        gauge("forecast_wait_seconds", self._measure_longest_wait)
+        for outlook in Outlook:
+            name = f"steps_waiting_{outlook.name.lower()}"
+            gauge(name, functools.partial(self._count_steps, outlook))
         timer = self.context.timers.every(METRICS_PERIOD_S)
         self.metrics_timer = timer.subscribe(self._update_metrics)
 
@@ -131,6 +138,18 @@
     def _count_waiting(self):
         return self.session.count_waiting() if self.session else None
 
+    def _measure_longest_wait(self):
+        """Return the longest wait in the forecast, 0 unless this process leads."""
+        if self.session is None:
+            return 0.0
+        return self.session.scheduler.forecaster.longest_wait_s
+
+    def _count_steps(self, outlook):
+        """Return the number of waiting steps with an outlook, 0 unless leading."""
+        if self.session is None:
+            return 0
+        return self.session.scheduler.state.order.count(outlook)
+
     def _forecast_load(self):
         """Return the `LoadForecast` for new jobs, None if there is none."""
         if self.session is None or not self.session.loaded:
--- a/wasabipaddle/dispatch/forecast.py
+++ b/wasabipaddle/dispatch/forecast.py
@@ -10,6 +10,7 @@
 # Shorter waits are not reported, so that messages are short while there is room. Each
 # further point of a forecast stands for twice the wait.
 MIN_WAIT_S = 1.0
+MS_PER_S = 1000
 # Interval at which the forecast is computed anew.
 REFRESH_S = 0.5
 # Time after a takeover in which there is no forecast, since runs that go on and jobs
@@ -48,10 +49,34 @@
         if self.state.suspects or now - self.since_s < SETTLING_S:
             return None
         if now - self.measured_s >= REFRESH_S:
-            self.latest = self._measure(now)
-            self.measured_s = now
+            latest = self._measure(now)
+            self._note_changes(latest)
+            self.latest, self.measured_s = latest, now
         return LoadForecast(age_s=now - self.measured_s, waits=self.latest)
 
+    @property
+    def longest_wait_s(self) -> float:
+        """Longest wait in the latest forecast, 0 if there is room for all."""
+        return max((wait.longest_s for wait in self.latest), default=0.0)
+
+    def _note_changes(self, latest):
+        """Log for which work there is too little room now, and for which no more."""
+        before = {_line(wait): wait for wait in self.latest}
+        after = {_line(wait): wait for wait in latest}
+        for kind, lines in (
+            ("room_exceeded", after.keys() - before.keys()),
+            ("room_regained", before.keys() - after.keys()),
+        ):
+            for line in sorted(lines):
+                wait = after.get(line) or before[line]
+                self.state.journal(
+                    kind,
+                    pool=wait.pool,
+                    workspace=wait.workspace,
+                    priority=wait.priority,
+                    wait_ms=int(wait.longest_s * MS_PER_S),
+                )
+
     def _measure(self, now):
         """Return the expected waits by pool, workspace and priority.
 
@@ -107,3 +132,7 @@
             pool = runner.entry.pool
             room[pool] = room.get(pool, 0) + free
         return room
+
+
+def _line(wait):
+    return (wait.pool, wait.workspace, wait.priority)
--- a/wasabipaddle/dispatch/order.py
+++ b/wasabipaddle/dispatch/order.py
@@ -256,6 +256,10 @@
         self.ranks = {key: self.rank(step, now) for key, step in ready.items()}
         self.sequence = sorted(ready.values(), key=lambda step: self.ranks[step.key])
 
+    def count(self, outlook) -> int:
+        """Return the number of waiting steps with an outlook."""
+        return sum(rank.outlook is outlook for rank in self.ranks.values())
+
     def floor_turns(self, now):
         """Return the steps that go before all others, each with a number of tasks.
 
--- /dev/null
+++ b/wasabipaddle/dispatch/tests/test_forecast.py
@@ -0,0 +1,70 @@
+"""Forecast of the wait of new jobs, without a network."""
+
+from wasabipaddle.dispatch.forecast import SETTLING_S
+from wasabipaddle.dispatch.tests.conftest import step
+
+
+def forecast(cell):
+    """Return the waits that the leader reports now, by priority."""
+    found = cell.scheduler.forecaster.forecast(cell.now)
+    return None if found is None else {w.priority: w for w in found.waits}
+
+
+def fill(cell):
+    """Occupy all runners, and let the time pass after which a forecast is made."""
+    cell.submit("service", step(8, lasting=False, estimate_s=60.0), queue="urgent")
+    cell.plan()
+    forecast(cell)
+    cell.now += SETTLING_S
+
+
+def test_wait_counts_the_work_that_goes_first(cell):
+    """Guards against a forecast that ignores the order or the room."""
+    fill(cell)
+    for i in range(8):
+        cell.submit(f"j{i}", step(10, estimate_s=9.0))
+    wait = forecast(cell)[2]
+    assert wait.longest_s > 8 * 10 * 9.0 / 8 / 2
+    assert wait.wait_s(latest_s=1000.0, work=0.0) == wait.longest_s
+    assert wait.wait_s(latest_s=-1000.0, work=0.0) == 0
+
+
+def test_urgent_jobs_do_not_wait_for_less_urgent_ones(cell):
+    """Guards against urgent callers that are refused for a flood of batch jobs."""
+    fill(cell)
+    for i in range(8):
+        cell.submit(f"j{i}", step(10, estimate_s=9.0))
+    assert 0 not in forecast(cell)
+
+
+def test_there_is_no_wait_while_there_is_room(cell):
+    """Guards against refusals on a cell that is idle."""
+    cell.submit("j", step(2))
+    forecast(cell)
+    cell.now += SETTLING_S
+    cell.plan()
+    assert forecast(cell) == {}
+
+
+def test_there_is_no_forecast_right_after_a_takeover(make_cell):
+    """Guards against refusals by a leader that does not know yet what runs."""
+    cell = make_cell()
+    assert forecast(cell) is None
+    cell.now += SETTLING_S
+    assert forecast(cell) == {}
+    cell.state.suspects["r0"] = cell.now + 5.0
+    assert forecast(cell) is None
+
+
+def test_changes_are_logged_once(cell):
+    """Guards against operators who cannot see for whom there is too little room."""
+    fill(cell)
+    entry = cell.submit("j", step(40, estimate_s=9.0))
+    for _ in range(3):
+        cell.now += 1.0
+        forecast(cell)
+    cell.scheduler.lifecycle.cancel(entry.id, cell.now)
+    cell.now += 1.0
+    forecast(cell)
+    kinds = [kind for kind, _ in cell.events if kind.startswith("room_")]
+    assert kinds == ["room_exceeded", "room_regained"]
--- a/wasabipaddle/messages/jobs.py
+++ b/wasabipaddle/messages/jobs.py
@@ -201,6 +201,11 @@
     work_weight: float = 0.0
     points: tuple[tuple[float, float], ...] = ()
 
+    @property
+    def longest_s(self) -> float:
+        """Wait of the jobs that go last."""
+        return self.points[-1][1] if self.points else 0.0
+
     def concerns(self, queue, workspace) -> bool:
         """Return whether new jobs of a workspace in a queue wait like this."""
         same_pool = self.pool == queue.pool and self.priority == queue.priority
