Choose runners by an index instead of a scan for each task

Cause: each task scores every permitted runner anew, each waiting step examines its runners in every planning round, and the advisor visits the whole fleet for each step. The cost of a start grows with the fleet, and a round costs steps times runners even if nothing can start.

Change: runners note their own changes. `CandidateIndex` keeps those that may get work in a tree of the largest score and free capacity by pool and label; a search visits few nodes. Steps that need tickets score their runners once a plan and keep them in a heap. What the answers for a step say is kept until a runner or an answer changes. Equal scores go to the first runner, as before.

One decision changes: admission is examined for each task, so a runner on probation gets one probe, where several tasks of one step used to start.

--- a/wasabipaddle/dispatch/advisor.py
+++ b/wasabipaddle/dispatch/advisor.py
@@ -3,7 +3,7 @@
 from wasabipaddle.dispatch.model import COMPARED_PERCENT, RunPhase
 from wasabipaddle.dispatch.naming import MAX_RUNNERS_PER_REQUEST, Naming
 from wasabipaddle.dispatch.orders import AdviceRequest
-from wasabipaddle.dispatch.placement import free_slots, within_runner_limit
+from wasabipaddle.dispatch.placement import free_slots
 
 __all__ = ["Advisor"]
 
@@ -85,16 +85,11 @@
         """
         eligibility = step.eligibility
         eligible = self.placement.eligible(step, now)
-        usable = [
-            r for r in eligible if r.fits(step.spec) and within_runner_limit(step, r)
-        ]
+        usable = self.placement.select_fitting(step, eligible, now)
         needed = step.spec.count if step.spec.gang else 1
         enough = sum(free_slots(step, runner) for runner in usable) >= needed
         has_valid_ticket = any(eligibility.ticket(r, now) is not None for r in usable)
-        not_asked = [] if enough else self._runners_not_asked(step, now)
-        if step.opened and not (renew or step.job.queue.priority == 0):
-            # Others go first when room becomes free: an answer would expire unused.
-            not_asked = [r for r in not_asked if r.fits(step.spec)]
+        not_asked = [] if enough else self._runners_not_asked(step, now, renew=renew)
         if not_asked:
             return self.naming.choose(step, not_asked)
         if has_valid_ticket and not renew:
@@ -103,16 +98,15 @@
             return self._runners_to_renew(step, eligible, usable, now)
         return self.naming.choose_known(step, usable)
 
-    def _runners_not_asked(self, step, now):
-        """Return candidates of sufficient size for which no answer is known."""
-        eligibility = step.eligibility
-        return [
-            runner
-            for runner in self.placement.candidates(step, now)
-            if runner.fits_when_empty(step.spec)
-            and not eligibility.is_eligible(runner)
-            and not eligibility.is_ineligible(runner)
-        ]
+    def _runners_not_asked(self, step, now, *, renew):
+        """Return the runners without an answer that are worth a request."""
+        if not step.opened or renew or step.job.queue.priority == 0:
+            return self.placement.not_asked(step, now)
+        # Others go first when room becomes free: an answer would expire unused.
+        if not self.placement.may_fit(step, now):
+            return []
+        runners = self.placement.not_asked(step, now)
+        return self.placement.select_fitting(step, runners, now)
 
     def _runners_to_renew(self, step, eligible, usable, now):
         """Return the runners to name in a request that renews tickets.
--- /dev/null
+++ b/wasabipaddle/dispatch/candidates.py
@@ -0,0 +1,469 @@
+"""Index of the runners that may get work, and the choice of one for each task."""
+
+import abc
+import heapq
+
+import attrs
+
+from wasabipaddle.dispatch.capacity_tree import CapacityTree
+from wasabipaddle.dispatch.fitting import (
+    SPEED_WEIGHT,
+    base_score,
+    demand,
+    fits,
+    score,
+    within_runner_limit,
+)
+
+__all__ = [
+    "CandidateIndex",
+    "FleetChoice",
+    "FullFleetChoice",
+    "RunnerChoice",
+    "TicketChoice",
+]
+
+# Slots of a tree beyond the number of runners, as a fraction of it, for runners that
+# are added later.
+SPARE_SLOTS_FRACTION = 0.25
+# Number of slots of removed runners above which the slots are assigned anew.
+MAX_GAPS = 64
+
+
+@attrs.define(kw_only=True, eq=False)
+class _Group:
+    """Admitted runners of one pool and label, in a tree.
+
+    Parameters
+    ----------
+    pool, label : str
+        Pool, and label that the runners have; an empty one stands for any.
+    speed_weight : float
+        Weight of the speed in the scores.
+    tree : CapacityTree
+        Scores and free capacities by slot of the index.
+    stale : set of int
+        Slots that have changed since the last search.
+    members : list of RunnerState or None
+        Runners in the order of their slots, None if they have changed.
+    """
+
+    pool: str
+    label: str
+    speed_weight: float
+    tree: CapacityTree
+    stale: set
+    members: list | None = None
+
+    def contains(self, runner) -> bool:
+        """Return whether an admitted runner belongs to the group."""
+        entry = runner.entry
+        return entry.pool == self.pool and (
+            not self.label or self.label in entry.labels
+        )
+
+
+# Group of a label that no runner has.
+NO_RUNNERS = _Group(
+    pool="",
+    label="",
+    speed_weight=0.0,
+    tree=CapacityTree(slots=1),
+    stale=set(),
+    members=[],
+)
+
+
+class CandidateIndex:
+    """Runners that may get work, kept by pool, label, score and free capacity.
+
+    Runners note their own changes in `CellState.changed_runners`, so that a decision
+    only costs the work for what has changed since the last one. What changes with time
+    alone, the end of a pause or of a quarantine, is kept in a heap.
+
+    Parameters
+    ----------
+    state : CellState
+        Shared state.
+
+    Attributes
+    ----------
+    slots : dict of str to int
+        Slot by runner, in the order of `state.runners`.
+    runners : list of RunnerState or None
+        Runner by slot.
+    facts : dict of str to tuple
+        What the groups of a runner depend on: whether it may get work, its incarnation
+        and its registry entry.
+    racks : dict of str to set of int
+        Slots by rack.
+    labels : set of str
+        Labels of all runners.
+    version : int
+        Grows whenever `facts` change.
+    """
+
+    def __init__(self, *, state):
+        self.state = state
+        self.slots = {}
+        self.runners = []
+        self.facts = {}
+        self.racks = {}
+        self.labels = set()
+        self.groups = {}
+        self.wakeups = []
+        self.version = 0
+
+    def refresh(self, now):
+        """Take account of all changes until now."""
+        changed = self.state.changed_runners
+        while self.wakeups and self.wakeups[0][0] <= now:
+            changed[heapq.heappop(self.wakeups)[1]] = None
+        if changed:
+            names = list(changed)
+            changed.clear()
+            for runner_id in names:
+                self._update(runner_id, now)
+        gaps = len(self.runners) - len(self.slots)
+        if len(self.slots) != len(self.state.runners) or gaps > MAX_GAPS:
+            self._rebuild(now)
+
+    def _rebuild(self, now):
+        self.slots, self.runners, self.racks, self.labels = {}, [], {}, set()
+        self.groups.clear()
+        self.wakeups.clear()
+        self.facts.clear()
+        for runner_id in self.state.runners:
+            self._update(runner_id, now)
+
+    def _update(self, runner_id, now):
+        runner = self.state.runners.get(runner_id)
+        if runner is None:
+            self._remove(runner_id)
+            return
+        slot = self.slots.get(runner_id)
+        if slot is None:
+            slot = self.slots[runner_id] = len(self.runners)
+            self.runners.append(runner)
+        self.runners[slot] = runner
+        starts_s = [run.started_s for run in runner.runs.values()]
+        admitted = runner.usable(now) and runner.health.admits_task(now, starts_s)
+        if not admitted:
+            at_s = runner.next_change_s(now)
+            if at_s is not None:
+                heapq.heappush(self.wakeups, (at_s, runner_id))
+        facts = (admitted, runner.incarnation, runner.entry)
+        if self.facts.get(runner_id) != facts:
+            self._set_facts(runner_id, slot, facts)
+        for group in self.groups.values():
+            group.stale.add(slot)
+
+    def _set_facts(self, runner_id, slot, facts):
+        previous = self.facts.get(runner_id)
+        if previous is not None:
+            self.racks[previous[2].rack].discard(slot)
+        self.facts[runner_id] = facts
+        self.racks.setdefault(facts[2].rack, set()).add(slot)
+        self.labels.update(facts[2].labels)
+        self._change_members()
+
+    def _change_members(self):
+        self.version += 1
+        for group in self.groups.values():
+            group.members = None
+
+    def _remove(self, runner_id):
+        slot = self.slots.pop(runner_id, None)
+        if slot is None:
+            return
+        self.runners[slot] = None
+        self.racks[self.facts.pop(runner_id)[2].rack].discard(slot)
+        self._change_members()
+        for group in self.groups.values():
+            group.stale.add(slot)
+
+    def admits(self, runner, now) -> bool:
+        """Return whether a runner may get work, regardless of free capacity."""
+        self.refresh(now)
+        facts = self.facts.get(runner.id)
+        return facts is not None and facts[0]
+
+    def group(self, step, now) -> _Group:
+        """Return the group of the runners that may run a step, up to date."""
+        self.refresh(now)
+        label = step.spec.required_label
+        if label and label not in self.labels:
+            return NO_RUNNERS
+        key = (step.job.queue.pool, label, SPEED_WEIGHT)
+        group = self.groups.get(key)
+        if group is None or group.tree.size < len(self.runners):
+            slots = int(len(self.runners) * (1 + SPARE_SLOTS_FRACTION))
+            group = self.groups[key] = _Group(
+                pool=key[0],
+                label=key[1],
+                speed_weight=key[2],
+                tree=CapacityTree(slots=slots),
+                stale=set(range(len(self.runners))),
+            )
+        for slot in group.stale:
+            self._refill(group, slot)
+        group.stale.clear()
+        return group
+
+    def _refill(self, group, slot):
+        runner = self.runners[slot]
+        if runner is None or not self.facts[runner.id][0] or not group.contains(runner):
+            group.tree.clear(slot)
+            return
+        capacity = runner.entry.capacity
+        group.tree.fill(
+            slot,
+            base_score(runner, group.speed_weight),
+            capacity.cpu - runner.cpu,
+            capacity.memory_mb - runner.memory_mb,
+            capacity.gpus - runner.gpus,
+        )
+
+    def members(self, step, now):
+        """Return the runners that may run a step, regardless of free capacity."""
+        if not step.job.may_run_in(step.job.queue.pool):
+            return []
+        group = self.group(step, now)
+        if group.members is None:
+            group.members = [
+                runner
+                for runner in self.runners
+                if runner is not None
+                and self.facts[runner.id][0]
+                and group.contains(runner)
+            ]
+        return list(group.members)
+
+    def may_fit(self, step, now) -> bool:
+        """Return whether a task of a step may fit on a runner; False is certain."""
+        return self.group(step, now).tree.may_hold(*demand(step.spec))
+
+
+class RunnerChoice(abc.ABC):
+    """Choice of the runner for each task of a step within one plan.
+
+    Parameters
+    ----------
+    step : Step
+        Step of the tasks.
+    may_order_start : callable
+        Returns whether a runner may get another start order of the step now.
+    reserved : frozenset of str
+        Runners that are reserved for other steps.
+    """
+
+    def __init__(self, *, step, may_order_start, reserved):
+        self.step = step
+        self.may_order_start = may_order_start
+        self.reserved = reserved
+
+    def select_unreserved(self, runners):
+        """Return those of some runners that are not reserved for other steps."""
+        if not self.reserved:
+            return runners
+        return [runner for runner in runners if runner.id not in self.reserved]
+
+    @abc.abstractmethod
+    def __bool__(self):
+        """Whether any runner may start tasks of the step, regardless of capacity."""
+
+    @abc.abstractmethod
+    def best(self, task):
+        """Return the runner of highest score and its ticket.
+
+        Returns None if no runner fits or may get a start order now. Of runners with
+        equal scores, the first one counts.
+        """
+
+    @abc.abstractmethod
+    def waits_for_replies(self) -> bool:
+        """Return whether a task fits, once replies to start orders arrive.
+
+        To be called after `best` has returned None.
+        """
+
+    @abc.abstractmethod
+    def runners(self):
+        """Return the runners that may start tasks, regardless of capacity."""
+
+
+class TicketChoice(RunnerChoice):
+    """Choice among a list of runners, scored once.
+
+    Parameters
+    ----------
+    permitted : list of tuple of (RunnerState, str)
+        Runners that may start the step, each with its ticket.
+    admits : callable
+        Returns whether a runner may still get work; the start of a probe ends that.
+    """
+
+    def __init__(self, *, permitted, admits, **options):
+        super().__init__(**options)
+        self.permitted = [row for row in permitted if row[0].id not in self.reserved]
+        self.admits = admits
+        self.heap = None
+        self.waiting = False
+
+    def __bool__(self):
+        return bool(self.permitted)
+
+    def best(self, task):
+        """Return the best runner; see the base class."""
+        if task.avoided:
+            return self.scan(task)
+        if self.heap is None:
+            self.heap = [
+                (-score(task, runner, SPEED_WEIGHT), position)
+                for position, (runner, _) in enumerate(self.permitted)
+                if fits(self.step, runner)
+            ]
+            heapq.heapify(self.heap)
+        while self.heap:
+            value, position = self.heap[0]
+            runner = self.permitted[position][0]
+            if not self._is_open(runner):
+                heapq.heappop(self.heap)
+                continue
+            current = -score(task, runner, SPEED_WEIGHT)
+            if current == value:
+                return self.permitted[position]
+            # A start has changed the score of this runner only.
+            heapq.heapreplace(self.heap, (current, position))
+        return None
+
+    def _is_open(self, runner):
+        """Return whether a runner fits and may get a start order."""
+        if not fits(self.step, runner) or not self.admits(runner):
+            return False
+        if self.may_order_start(self.step, runner):
+            return True
+        self.waiting = True
+        return False
+
+    def scan(self, task):
+        """Return the best runner like `best`, with the scores of all runners."""
+        best, best_score = None, None
+        for runner, ticket in self.permitted:
+            if not self._is_open(runner):
+                continue
+            value = score(task, runner, SPEED_WEIGHT)
+            if best is None or value > best_score:
+                best, best_score = (runner, ticket), value
+        return best
+
+    def waits_for_replies(self) -> bool:
+        """Return whether replies may make room; see the base class."""
+        return self.waiting
+
+    def runners(self):
+        """Return the runners of the list."""
+        return [runner for runner, _ in self.permitted if self.admits(runner)]
+
+
+class FleetChoice(RunnerChoice):
+    """Choice among all candidates of a step, by a search of the index.
+
+    Parameters
+    ----------
+    index : CandidateIndex
+        Runners that may get work.
+    now : float
+        Time of the plan.
+    """
+
+    def __init__(self, *, index, now, **options):
+        super().__init__(**options)
+        self.index = index
+        self.now = now
+        self.waiting = False
+
+    def __bool__(self):
+        step = self.step
+        if not step.job.may_run_in(step.job.queue.pool):
+            return False
+        if self.reserved:
+            return bool(self.runners())
+        return not self.index.group(step, self.now).tree.empty
+
+    def best(self, task):
+        """Return the best runner; see the base class."""
+        self.waiting = False
+        group = self.index.group(self.step, self.now)
+
+        def evaluate(slot):
+            return self._evaluate(task, self.index.runners[slot])
+
+        # The preferred rack raises the score above the one in the tree.
+        best, best_slot = float("-inf"), -1
+        for slot in self._preferred_slots(group):
+            value = evaluate(slot)
+            if value is not None and value > best:
+                best, best_slot = value, slot
+        slot = group.tree.find(
+            demand(self.step.spec), evaluate, best=best, best_slot=best_slot
+        )
+        return None if slot < 0 else (self.index.runners[slot], "")
+
+    def _preferred_slots(self, group):
+        rack = self.step.spec.preferred_rack
+        slots = sorted(self.index.racks.get(rack, ())) if rack else ()
+        return [
+            slot
+            for slot in slots
+            if group.tree.score[group.tree.size + slot] > float("-inf")
+            and self.index.runners[slot].fits(self.step.spec)
+        ]
+
+    def _evaluate(self, task, runner):
+        """Return the score of a runner with enough capacity, None if excluded."""
+        if runner.id in self.reserved or not within_runner_limit(self.step, runner):
+            return None
+        if not self.may_order_start(self.step, runner):
+            self.waiting = True
+            return None
+        return score(task, runner, SPEED_WEIGHT)
+
+    def waits_for_replies(self) -> bool:
+        """Return whether replies may make room; see the base class."""
+        return self.waiting
+
+    def runners(self):
+        """Return all candidates."""
+        return self.select_unreserved(self.index.members(self.step, self.now))
+
+
+class FullFleetChoice(RunnerChoice):
+    """Choice for a step whose tasks fit on no runner at present.
+
+    Parameters
+    ----------
+    find_permitted : callable
+        Returns an iterator over the runners that may start the step, with their
+        tickets; examined only as far as necessary.
+    """
+
+    def __init__(self, *, find_permitted, **options):
+        super().__init__(**options)
+        self.find_permitted = find_permitted
+
+    def __bool__(self):
+        rows = self.find_permitted()
+        return any(runner.id not in self.reserved for runner, _ in rows)
+
+    def best(self, task):
+        """Return None, as no runner fits."""
+        return
+
+    def waits_for_replies(self) -> bool:
+        """Return False, as a reply frees no capacity."""
+        return False
+
+    def runners(self):
+        """Return the runners that may start the step."""
+        return self.select_unreserved([runner for runner, _ in self.find_permitted()])
--- a/wasabipaddle/dispatch/eligibility.py
+++ b/wasabipaddle/dispatch/eligibility.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-__all__ = ["Eligibility", "Ticket"]
+__all__ = ["Eligibility", "KnownAnswers", "Ticket"]
 
 # Safety margin before the expiry of a ticket, for the transit of a start order.
 TICKET_MARGIN_S = 0.15
@@ -27,6 +27,25 @@
     incarnation: int
 
 
+@attrs.define(kw_only=True, eq=False)
+class KnownAnswers:
+    """What the answers for a step say about the runners of some time.
+
+    Parameters
+    ----------
+    key : tuple
+        Versions of the runners and of the answers.
+    eligible : list of RunnerState
+        Candidates that are eligible, even with an expired ticket.
+    all_asked : bool
+        Whether an answer is known for all candidates of sufficient size.
+    """
+
+    key: tuple
+    eligible: list
+    all_asked: bool = False
+
+
 @attrs.define(kw_only=True, eq=False)
 class Eligibility:
     """Answers of the eligibility service for one step.
@@ -46,6 +65,10 @@
         Earliest time of the next request.
     last_expiry_s : float
         Latest expiry of any ticket received.
+    version : int
+        Grows whenever answers arrive or a ticket is discarded.
+    known : KnownAnswers or None
+        What the answers say about the present runners, as last computed.
     """
 
     tickets: dict = attrs.field(factory=dict)
@@ -53,6 +76,8 @@
     requested_s: float | None = None
     retry_s: float = 0.0
     last_expiry_s: float = 0.0
+    version: int = 0
+    known: KnownAnswers | None = None
 
     def ticket(self, runner, now) -> str | None:
         """Return the ticket text for `runner`, None if no ticket is valid at `now`."""
@@ -85,6 +110,7 @@
             Validity of the tickets in seconds.
         """
         self.requested_s = None
+        self.version += 1
         expires_s = now + max(valid_s - TICKET_MARGIN_S, 0.0)
         for runner in runners:
             token = advice.get(runner.id)
@@ -104,4 +130,5 @@
 
     def discard_ticket(self, runner_id):
         """Remove a ticket that the runner has refused."""
+        self.version += 1
         self.tickets.pop(runner_id, None)
--- /dev/null
+++ b/wasabipaddle/dispatch/fitting.py
@@ -0,0 +1,82 @@
+"""Whether tasks fit on a runner, and the score of a runner for a task."""
+
+__all__ = [
+    "SPEED_WEIGHT",
+    "base_score",
+    "demand",
+    "fits",
+    "free_slots",
+    "score",
+    "within_runner_limit",
+]
+
+# Weights of the terms in the score of a runner.
+SPEED_WEIGHT = 0.6
+FREE_CPU_WEIGHT = 1.0
+PREFERRED_RACK_WEIGHT = 2.0
+AVOIDED_PENALTY = 4.0
+INTERFERENCE_PENALTY = 1.5
+
+
+def base_score(runner, speed_weight) -> float:
+    """Return the part of the score of a runner that all tasks have in common."""
+    return (
+        speed_weight * runner.health.speed + FREE_CPU_WEIGHT * runner.free_cpu_fraction
+    )
+
+
+def score(task, runner, speed_weight) -> float:
+    """Return the score of a runner for a task.
+
+    Without the preferred rack it is at most the base score.
+    """
+    spec = task.spec
+    value = base_score(runner, speed_weight)
+    if spec.preferred_rack and spec.preferred_rack == runner.entry.rack:
+        value += PREFERRED_RACK_WEIGHT
+    if runner.id in task.avoided:
+        value -= AVOIDED_PENALTY
+    if spec.opportunistic or spec.target_latency_ms:
+        value -= INTERFERENCE_PENALTY * _interferes(spec, runner)
+    return value
+
+
+def demand(spec):
+    """Return the processors, memory and accelerators that a task reserves."""
+    return (0 if spec.opportunistic else spec.cpu, spec.memory_mb, spec.gpus)
+
+
+def fits(step, runner) -> bool:
+    """Return whether another task of a step fits on a runner now."""
+    return runner.fits(step.spec) and within_runner_limit(step, runner)
+
+
+def within_runner_limit(step, runner) -> bool:
+    """Return whether `max_per_runner` of the step admits another task on a runner."""
+    limit = step.spec.max_per_runner
+    return not limit or runner.step_runs.get(step, 0) < limit
+
+
+def free_slots(step, runner) -> int:
+    """Return how many more tasks of a step fit on a runner now."""
+    spec, capacity = step.spec, runner.entry.capacity
+    slots = step.spec.count
+    if spec.cpu and not spec.opportunistic:
+        slots = min(slots, (capacity.cpu - runner.cpu) // spec.cpu)
+    if spec.memory_mb:
+        slots = min(slots, (capacity.memory_mb - runner.memory_mb) // spec.memory_mb)
+    if spec.gpus:
+        slots = min(slots, (capacity.gpus - runner.gpus) // spec.gpus)
+    if spec.max_per_runner:
+        slots = min(slots, spec.max_per_runner - runner.step_runs.get(step, 0))
+    return max(slots, 0)
+
+
+def _interferes(spec, runner):
+    """Return whether a task would share a runner with tasks that it interferes with.
+
+    Opportunistic tasks interfere with tasks that have a latency target.
+    """
+    if spec.opportunistic:
+        return any(run.task.spec.target_latency_ms for run in runner.runs.values())
+    return any(run.task.spec.opportunistic for run in runner.runs.values())
--- a/wasabipaddle/dispatch/health.py
+++ b/wasabipaddle/dispatch/health.py
@@ -17,6 +17,21 @@
 NORMAL_SPEED_RATIO = 0.6
 
 
+def _note_change(health, attribute, value):
+    """Note a change that matters to placement."""
+    if getattr(health, attribute.name) != value:
+        health.note_change()
+    return value
+
+
+def _watched(default):
+    return attrs.field(default=default, on_setattr=_note_change)
+
+
+def _ignore_change():
+    """Take the note of a change if the health belongs to no runner."""
+
+
 @attrs.define(kw_only=True, eq=False)
 class RunnerHealth:
     """Recent results of one runner.
@@ -37,13 +52,16 @@
         at once if the runner is slow.
     last_normal_s : float
         Time at which a task last completed at about the usual speed.
+    note_change : callable
+        Called when a value has changed that decides about new work.
     """
 
-    failures: int = 0
-    quarantined_until_s: float = 0.0
+    failures: int = _watched(0)
+    quarantined_until_s: float = _watched(0.0)
     quarantine_s: float = INITIAL_QUARANTINE_S
-    speed: float = 1.0
+    speed: float = _watched(1.0)
     last_normal_s: float = 0.0
+    note_change: object = _ignore_change
 
     def record_completion(self, ratio, now):
         """Record a completion.
@@ -85,3 +103,17 @@
             return True
         since_s = max(self.quarantined_until_s, now - PROBE_S)
         return all(start_s < since_s for start_s in starts_s)
+
+    def next_change_s(self, now, starts_s) -> float:
+        """Return when the passage of time may let a task start, 0 if one may now.
+
+        Parameters
+        ----------
+        starts_s : list of float
+            Times at which the runs in progress on the runner were started.
+        """
+        if now < self.quarantined_until_s:
+            return self.quarantined_until_s
+        if self.admits_task(now, starts_s):
+            return 0.0
+        return max(now, max(starts_s) + PROBE_S)
--- a/wasabipaddle/dispatch/placement.py
+++ b/wasabipaddle/dispatch/placement.py
@@ -1,17 +1,19 @@
 """Choice of the runner for each waiting task."""
 
+from wasabipaddle.dispatch.candidates import (
+    CandidateIndex,
+    FleetChoice,
+    FullFleetChoice,
+    TicketChoice,
+)
+from wasabipaddle.dispatch.eligibility import KnownAnswers
+from wasabipaddle.dispatch.fitting import fits, free_slots, within_runner_limit
 from wasabipaddle.dispatch.fleet import waits_for_suspects
 from wasabipaddle.dispatch.model import COMPARED_PERCENT, Run, RunPhase
 from wasabipaddle.dispatch.orders import StartTask
 
 __all__ = ["Placement", "free_slots", "within_runner_limit"]
 
-# Weights of the terms in the score of a runner.
-SPEED_WEIGHT = 0.6
-FREE_CPU_WEIGHT = 1.0
-PREFERRED_RACK_WEIGHT = 2.0
-AVOIDED_PENALTY = 4.0
-INTERFERENCE_PENALTY = 1.5
 # A run of a speculative task may be late after LATE_ESTIMATE_FACTOR times its expected
 # duration plus LATE_MARGIN_S.
 LATE_ESTIMATE_FACTOR = 1.3
@@ -38,6 +40,8 @@
 
     Attributes
     ----------
+    index : CandidateIndex
+        Runners that may get work.
     unanswered : dict of str to list of Run
         Runs whose start has no reply yet, by runner.
     deferred : bool
@@ -49,6 +53,7 @@
         self.state = state
         self.preemption = preemption
         self.reservations = reservations
+        self.index = CandidateIndex(state=state)
         self.unanswered = {}
         self.deferred = False
 
@@ -128,7 +133,7 @@
             return
         run = task.runs[0]
         others = [(r, ticket) for r, ticket in permitted if r is not run.runner]
-        best = self._best(task, others)
+        best = self._choose(task.step, others, now).scan(task)
         if best is None:
             return
         self.state.journal(
@@ -144,7 +149,7 @@
 
     def candidates(self, step, now):
         """Return the runners that may run the step, regardless of free capacity."""
-        return [r for r in self.state.runners.values() if self.admits(step, r, now)]
+        return self.index.members(step, now)
 
     def admits(self, step, runner, now) -> bool:
         """Return whether a runner may run the step, regardless of free capacity."""
@@ -152,11 +157,8 @@
         return (
             runner.entry.pool == step.job.queue.pool
             and step.job.may_run_in(runner.entry.pool)
-            and runner.usable(now)
             and (not label or label in runner.entry.labels)
-            and runner.health.admits_task(
-                now, (run.started_s for run in runner.runs.values())
-            )
+            and self.index.admits(runner, now)
         )
 
     def eligible(self, step, now):
@@ -165,48 +167,117 @@
         Only runners with a ticket, valid or expired, are examined, so the cost does
         not grow with the size of the fleet.
         """
-        runners = map(self.state.runners.get, step.eligibility.tickets)
-        return [
-            r
-            for r in runners
-            if r is not None
-            and step.eligibility.is_eligible(r)
-            and self.admits(step, r, now)
+        return list(self._answers(step, now).eligible)
+
+    def not_asked(self, step, now):
+        """Return candidates of sufficient size for which no answer is known."""
+        answers = self._answers(step, now)
+        if answers.all_asked:
+            return []
+        not_asked = [
+            runner
+            for runner in self.candidates(step, now)
+            if runner.fits_when_empty(step.spec)
+            and not step.eligibility.is_eligible(runner)
+            and not step.eligibility.is_ineligible(runner)
         ]
+        answers.all_asked = not not_asked
+        return not_asked
+
+    def may_fit(self, step, now) -> bool:
+        """Return whether a task of a step may fit somewhere; False is certain."""
+        return self.index.may_fit(step, now)
+
+    def select_fitting(self, step, runners, now):
+        """Return those of some runners on which another task of the step fits now."""
+        if not runners or not self.may_fit(step, now):
+            return []
+        return [runner for runner in runners if fits(step, runner)]
+
+    def _answers(self, step, now) -> KnownAnswers:
+        """Return what the answers for a step say about the runners of now.
+
+        The result is kept until a runner or an answer changes, so that a step which
+        waits does not visit its runners in each round.
+        """
+        self.index.refresh(now)
+        eligibility, queue = step.eligibility, step.job.queue
+        may_run = step.job.may_run_in(queue.pool)
+        key = (self.index.version, eligibility.version, queue.pool, may_run)
+        if eligibility.known is None or eligibility.known.key != key:
+            runners = map(self.state.runners.get, eligibility.tickets)
+            eligible = [
+                r
+                for r in runners
+                if r is not None
+                and eligibility.is_eligible(r)
+                and self.admits(step, r, now)
+            ]
+            eligibility.known = KnownAnswers(key=key, eligible=eligible)
+        return eligibility.known
 
     def _permitted(self, step, now):
         """Return the runners that may start the step now, each with its ticket.
 
         The ticket is empty if the queue needs no eligibility answers.
         """
-        eligibility = step.eligibility
         if step.job.queue.advice is None:
             return [(runner, "") for runner in self.candidates(step, now)]
+        return list(self._permitted_by_ticket(step, now))
+
+    def _permitted_by_ticket(self, step, now):
+        """Yield the runners that a valid ticket permits, each with its ticket."""
+        eligibility = step.eligibility
         if now >= eligibility.last_expiry_s:
-            return []
-        runners = self.eligible(step, now)
-        tickets = ((r, eligibility.ticket(r, now)) for r in runners)
-        return [(runner, ticket) for runner, ticket in tickets if ticket is not None]
+            return
+        for runner in self._answers(step, now).eligible:
+            ticket = eligibility.ticket(runner, now)
+            if ticket is not None:
+                yield runner, ticket
+
+    def _choose(self, step, permitted, now):
+        """Return the choice among the permitted runners of a step."""
+        return TicketChoice(
+            step=step,
+            may_order_start=self._may_order_start,
+            reserved=self.reservations.reserved_for_others(step),
+            permitted=permitted,
+            admits=lambda runner: self.index.admits(runner, now),
+        )
+
+    def _open_choice(self, step, now):
+        """Return the choice of runners for the waiting tasks of a step."""
+        options = {
+            "step": step,
+            "may_order_start": self._may_order_start,
+            "reserved": self.reservations.reserved_for_others(step),
+        }
+        if step.job.queue.advice is None:
+            return FleetChoice(index=self.index, now=now, **options)
+        if not self.index.may_fit(step, now):
+            return FullFleetChoice(
+                find_permitted=lambda: self._permitted_by_ticket(step, now), **options
+            )
+        return self._choose(step, self._permitted(step, now), now)
 
     def _plan_tasks(self, step, now, *, limit=None):
         if self._waits_for_quota(step, now):
             return
-        permitted = self._permitted(step, now)
-        permitted = self.reservations.exclude_reserved(step, permitted)
-        if not permitted:
+        choice = self._open_choice(step, now)
+        if not choice:
             return
         for task in list(step.pending.values())[:limit]:
             if self._waits_for_quota(step, now):
                 return
-            best = self._best(task, permitted)
-            if best is None and self._waits_for_replies(step, permitted):
+            best = choice.best(task)
+            if best is None and choice.waits_for_replies():
                 self.deferred = True
                 return
             if best is None:
                 self.state.capacity_exhausted = True
                 self.state.urgent_task_waiting |= step.job.queue.priority == 0
                 if self.preemption.is_allowed(task, now):
-                    self.preemption.free_capacity(task, [r for r, _ in permitted], now)
+                    self.preemption.free_capacity(task, choice.runners(), now)
                 self._note_waiting(step, now)
                 if not task.avoided:
                     return
@@ -220,43 +291,6 @@
         self.state.quotas.note_wait(step, now)
         return True
 
-    def _waits_for_replies(self, step, permitted):
-        """Return whether a task of the step fits, once replies to starts arrive."""
-        return any(
-            not self._may_order_start(step, runner) and _fits(step, runner)
-            for runner, _ in permitted
-        )
-
-    def _best(self, task, permitted):
-        """Return the runner of highest score and its ticket.
-
-        Returns None if no runner fits or may get a start order now.
-        """
-        best, best_score = None, None
-        for runner, ticket in permitted:
-            if not self._may_order_start(task.step, runner):
-                continue
-            if not _fits(task.step, runner):
-                continue
-            score = self._score(task, runner)
-            if best is None or score > best_score:
-                best, best_score = (runner, ticket), score
-        return best
-
-    def _score(self, task, runner):
-        spec = task.spec
-        score = (
-            SPEED_WEIGHT * runner.health.speed
-            + FREE_CPU_WEIGHT * runner.free_cpu_fraction
-        )
-        if spec.preferred_rack and spec.preferred_rack == runner.entry.rack:
-            score += PREFERRED_RACK_WEIGHT
-        if runner.id in task.avoided:
-            score -= AVOIDED_PENALTY
-        if spec.opportunistic or spec.target_latency_ms:
-            score -= INTERFERENCE_PENALTY * _interferes(spec, runner)
-        return score
-
     def _plan_gang(self, step, now):
         """Start all tasks of a gang under one run number, or none of them.
 
@@ -266,6 +300,9 @@
             return
         if self._waits_for_quota(step, now, count=len(step.pending)):
             return
+        if not self.index.may_fit(step, now):
+            self._note_waiting(step, now)
+            return
         permitted = self._permitted(step, now)
         permitted = self.reservations.exclude_reserved(step, permitted)
         if step.spec.same_rack:
@@ -323,20 +360,6 @@
         self.state.outbox.append(StartTask(run=run, ticket=ticket))
 
 
-def _fits(step, runner):
-    return runner.fits(step.spec) and within_runner_limit(step, runner)
-
-
-def within_runner_limit(step, runner) -> bool:
-    """Return whether `max_per_runner` of the step admits another task on a runner."""
-    limit = step.spec.max_per_runner
-    return not limit or _count_tasks(step, runner) < limit
-
-
-def _count_tasks(step, runner):
-    return sum(1 for run in runner.runs.values() if run.task.step is step)
-
-
 def _is_late(run, expected_s, now):
     """Return whether a copy that starts now is expected to end before the run.
 
@@ -365,28 +388,3 @@
         and _is_late(task.runs[0], expected_s, now)
         and len(task.failed_runs) + 1 < entry.queue.max_attempts
     )
-
-
-def free_slots(step, runner) -> int:
-    """Return how many more tasks of a step fit on a runner now."""
-    spec, capacity = step.spec, runner.entry.capacity
-    slots = step.spec.count
-    if spec.cpu and not spec.opportunistic:
-        slots = min(slots, (capacity.cpu - runner.cpu) // spec.cpu)
-    if spec.memory_mb:
-        slots = min(slots, (capacity.memory_mb - runner.memory_mb) // spec.memory_mb)
-    if spec.gpus:
-        slots = min(slots, (capacity.gpus - runner.gpus) // spec.gpus)
-    if spec.max_per_runner:
-        slots = min(slots, spec.max_per_runner - _count_tasks(step, runner))
-    return max(slots, 0)
-
-
-def _interferes(spec, runner):
-    """Return whether a task would share a runner with tasks that it interferes with.
-
-    Opportunistic tasks interfere with tasks that have a latency target.
-    """
-    if spec.opportunistic:
-        return any(run.task.spec.target_latency_ms for run in runner.runs.values())
-    return any(run.task.spec.opportunistic for run in runner.runs.values())
--- a/wasabipaddle/dispatch/reservations.py
+++ b/wasabipaddle/dispatch/reservations.py
@@ -15,6 +15,7 @@
 RESERVE_AGAIN_S = 5.0
 # Number of steps of a pool that are examined in a planning round.
 MAX_WAITING_STEPS = 4
+NO_RUNNERS = frozenset()
 
 
 @attrs.define(kw_only=True)
@@ -86,13 +87,19 @@
 
     def exclude_reserved(self, step, permitted):
         """Return the rows of runners and tickets without those kept for other work."""
+        reserved = self.reserved_for_others(step)
+        if not reserved:
+            return permitted
+        return [row for row in permitted if row[0].id not in reserved]
+
+    def reserved_for_others(self, step) -> frozenset:
+        """Return the identifiers of the runners that a step may not use."""
         reservation = self.by_pool.get(step.job.queue.pool)
         if reservation is None or reservation.step is step:
-            return permitted
+            return NO_RUNNERS
         if step.job.queue.priority < reservation.step.job.queue.priority:
-            return permitted
-        reserved = reservation.runner_ids
-        return [row for row in permitted if row[0].id not in reserved]
+            return NO_RUNNERS
+        return reservation.runner_ids
 
     def may_reserve(self, step, now) -> bool:
         """Return whether runners are to be reserved for a step if it is overtaken."""
--- a/wasabipaddle/dispatch/runners.py
+++ b/wasabipaddle/dispatch/runners.py
@@ -17,6 +17,18 @@
 EXPIRY_MARGIN_MS = 60
 
 
+def _note_change(runner, attribute, value):
+    """Note that a runner has changed in a way that matters to placement."""
+    if getattr(runner, attribute.name) != value:
+        runner.note_change()
+    return value
+
+
+def _watched(**options):
+    """Return a field whose changes matter to placement."""
+    return attrs.field(on_setattr=_note_change, **options)
+
+
 @attrs.define(kw_only=True, eq=False)
 class RunnerState:
     """State of one runner.
@@ -79,35 +91,49 @@
         Time until which the runner gets no new work.
     health : RunnerHealth
         Recent results of the runner.
+    step_runs : dict of Step to int
+        Number of `runs` by step.
+    changed : dict of str to None
+        Runners that have changed since the last decision, shared by all runners.
     """
 
-    entry: RunnerEntry
-    incarnation: int = 0
+    entry: RunnerEntry = _watched()
+    incarnation: int = _watched(default=0)
     incarnation_s: float = 0.0
     leaves_at_s: float = 0.0
-    inventoried: bool = False
-    listed: bool = True
-    exited: bool = False
-    in_fleet_record: bool = False
+    inventoried: bool = _watched(default=False)
+    listed: bool = _watched(default=True)
+    exited: bool = _watched(default=False)
+    in_fleet_record: bool = _watched(default=False)
     clock_ms: int = 0
     clock_s: float = 0.0
     runs: dict = attrs.field(factory=dict)
-    cpu: int = 0
-    memory_mb: int = 0
-    gpus: int = 0
+    cpu: int = _watched(default=0)
+    memory_mb: int = _watched(default=0)
+    gpus: int = _watched(default=0)
     processed_end: int = 0
     acknowledged: int = 0
     pending_acknowledgements: list = attrs.field(factory=list)
     inventory_lease_until_ms: int = 0
     start_lease_until_ms: int = 0
     expired_s: float | None = None
-    lists_unknown_tasks: bool = False
+    lists_unknown_tasks: bool = _watched(default=False)
     unknown_tasks_since_s: float = 0.0
     last_inventory_s: float = 0.0
     lists_all_ends: bool = True
     whole_list_s: float | None = None
-    paused_until_s: float = 0.0
+    paused_until_s: float = _watched(default=0.0)
     health: RunnerHealth = attrs.field(factory=RunnerHealth)
+    step_runs: dict = attrs.field(factory=dict)
+    changed: dict = attrs.field(factory=dict)
+
+    def __attrs_post_init__(self):
+        self.health.note_change = self.note_change
+        self.note_change()
+
+    def note_change(self):
+        """Have the next decision examine the runner anew."""
+        self.changed[self.id] = None
 
     @property
     def id(self) -> str:
@@ -175,8 +201,11 @@
 
     def reserve(self, run):
         """Add a run and its reservation."""
-        spec = run.task.spec
+        spec, step = run.task.spec, run.task.step
         self.runs[run.key] = run
+        self.step_runs[step] = self.step_runs.get(step, 0) + 1
+        # The start of a probe matters even if it reserves nothing.
+        self.note_change()
         self.cpu += 0 if spec.opportunistic else spec.cpu
         self.memory_mb += spec.memory_mb
         self.gpus += spec.gpus
@@ -185,7 +214,11 @@
         """Remove a run and its reservation; return whether the runner had it."""
         if self.runs.pop(run.key, None) is None:
             return False
-        spec = run.task.spec
+        spec, step = run.task.spec, run.task.step
+        self.step_runs[step] -= 1
+        if not self.step_runs[step]:
+            del self.step_runs[step]
+        self.note_change()
         self.cpu -= 0 if spec.opportunistic else spec.cpu
         self.memory_mb -= spec.memory_mb
         self.gpus -= spec.gpus
@@ -224,6 +257,15 @@
             and now >= self.paused_until_s
         )
 
+    def next_change_s(self, now) -> float | None:
+        """Return when the passage of time may make the runner usable.
+
+        Returns None if something else has to change first.
+        """
+        starts_s = [run.started_s for run in self.runs.values()]
+        times_s = (self.paused_until_s, self.health.next_change_s(now, starts_s))
+        return min((at_s for at_s in times_s if at_s >= now), default=None)
+
     @property
     def free_cpu_fraction(self) -> float:
         """Fraction of the processor capacity that is not reserved."""
--- a/wasabipaddle/dispatch/scheduler.py
+++ b/wasabipaddle/dispatch/scheduler.py
@@ -80,7 +80,7 @@
             self._discard_runs(runner, now)
             runner = None
         if runner is None:
-            runner = RunnerState(entry=entry)
+            runner = RunnerState(entry=entry, changed=self.state.changed_runners)
             self.state.runners[entry.id] = runner
         runner.entry = entry
         runner.leaves_at_s = now + entry.leaves_in_s
@@ -133,6 +133,7 @@
         ]
         for runner in departed:
             del self.state.runners[runner.id]
+            runner.note_change()
         return departed
 
     def runners_to_record(self, now, *, with_waits, term=0):
--- a/wasabipaddle/dispatch/state.py
+++ b/wasabipaddle/dispatch/state.py
@@ -61,6 +61,9 @@
         All known jobs, and those without a final state, by identifier.
     runners : dict of str to RunnerState
         Runners by identifier.
+    changed_runners : dict of str to None
+        Runners that have changed since the last decision of placement, in the
+        order of their changes.
     ready : dict
         Steps with tasks that wait for a run, by their keys.
     dirty : dict of str to JobEntry
@@ -100,6 +103,7 @@
     jobs: dict = attrs.field(factory=dict)
     unfinished: dict = attrs.field(factory=dict)
     runners: dict = attrs.field(factory=dict)
+    changed_runners: dict = attrs.field(factory=dict)
     ready: dict = attrs.field(factory=dict)
     dirty: dict = attrs.field(factory=dict)
     final_dirty: bool = False
