Hand the parser one request at a time, and fuzz connections with raw bytes

Cause: after an error the parser drops requests that it has found in the same bytes. A caller that sends a valid request and malformed ones in a row gets the refusal in place of the reply to the first request, depending on how the network cuts the bytes.

Change: bytes are cut at the end of each head, and empty lines before a request are counted and not parsed. A refused body is dropped at once. Reads take 32 kB at most.

A mutation that hands over several heads is found.

--- a/wasabipaddle/fuzz/decoders.py
+++ b/wasabipaddle/fuzz/decoders.py
@@ -8,13 +8,16 @@
 from wasabipaddle.cell.leader_records import decode_leader, decode_term_number
 from wasabipaddle.documents import decode_stored
 from wasabipaddle.exceptions import WasabipaddleError
+from wasabipaddle.fuzz.requests import check_connection, make_requests
 from wasabipaddle.fuzz.samples import SAMPLES
 from wasabipaddle.fuzz.stubs import (
     JOB,
     RUNNER,
+    BrokenResult,
     StubClient,
     StubReports,
     make_scheduler,
+    require,
     run_now,
 )
 from wasabipaddle.interfaces import Entry, Inventory, OrderReply, Put
@@ -69,10 +72,6 @@
 )
 
 
-class BrokenResult(Exception):
-    """A decoder returned something that the program cannot use."""
-
-
 @attrs.frozen(kw_only=True)
 class Target:
     """One decoder.
@@ -85,25 +84,23 @@
         Decodes bytes and checks the result; raises for a fault.
     samples : tuple
         Valid JSON values from which inputs are made.
+    make : callable or None
+        Makes an input from a source of random numbers, in place of the samples.
     """
 
     name: str
     check: object
-    samples: tuple
-
-
-def _require(condition, detail):
-    if not condition:
-        raise BrokenResult(detail)
+    samples: tuple = ()
+    make: object = None
 
 
 def _require_usable(value, value_type):
     """Check that a result has the declared types, and numbers that JSON keeps."""
     encoded = msgspec.json.encode(value)
     again = msgspec.json.decode(encoded, type=value_type)
-    _require(again == value, f"{value_type} is not read back")
+    require(again == value, f"{value_type} is not read back")
     for found in _numbers(msgspec.json.decode(encoded)):
-        _require(abs(found) <= MAX_INTEGER, f"a number of {value_type} is too large")
+        require(abs(found) <= MAX_INTEGER, f"a number of {value_type} is too large")
 
 
 def _numbers(value):
@@ -122,17 +119,17 @@
     runner = decode_runner(_entry(data))
     if runner is None:
         return
-    _require(is_callable_address(runner.address), "an address cannot be called")
+    require(is_callable_address(runner.address), "an address cannot be called")
     _require_usable(runner, RunnerEntry)
     rows = [RecordedRunner.create(runner)]
-    _require(decode_fleet(encode_fleet(rows)) == rows, "a row is not read back")
+    require(decode_fleet(encode_fleet(rows)) == rows, "a row is not read back")
     _plan(make_scheduler(runner=runner))
 
 
 def _check_fleet(data):
     rows = decode_fleet(data)
     _require_usable(rows, list[RecordedRunner])
-    _require(decode_fleet(encode_fleet(rows)) == rows, "the record is not read back")
+    require(decode_fleet(encode_fleet(rows)) == rows, "the record is not read back")
     for row in rows:
         if row.address:
             _plan(make_scheduler(runner=row.entry))
@@ -146,8 +143,8 @@
 
 def _check_planned_job(job):
     _require_usable(job, Job)
-    _require(not find_job_problem(job), "a job cannot be planned")
-    _require(decode_job(encode_job(job)) == job, "a job is not read back")
+    require(not find_job_problem(job), "a job cannot be planned")
+    require(decode_job(encode_job(job)) == job, "a job is not read back")
     tasks = sum(step.count for step in job.spec.steps) * job.spec.occurrences
     if tasks <= MAX_PLANNED_TASKS:
         _plan(make_scheduler(job=job))
@@ -159,7 +156,7 @@
         return
     _require_usable(progress, JobProgress)
     stored = encode_progress(progress)
-    _require(decode_progress(stored) == progress, "progress is not read back")
+    require(decode_progress(stored) == progress, "progress is not read back")
     _plan(make_scheduler(progress=progress))
 
 
@@ -184,7 +181,7 @@
     _plan(scheduler)
     for queue in configuration.queues:
         job = Job(id=JOB.id, policy=queue, accepted_ms=1, spec=JOB.spec)
-        _require(not find_job_problem(job), "a queue makes jobs unreadable")
+        require(not find_job_problem(job), "a queue makes jobs unreadable")
         _check_planned_job(job)
 
 
@@ -196,14 +193,14 @@
     for runner in scheduler.state.runners.values():
         scheduler.leases.extend_by_start(runner, 2.0)
         until_ms = scheduler.leases.extend_by_inventory(runner, 2.0)
-        _require(abs(until_ms) <= MAX_INT64, "a lease is beyond 64 bits")
+        require(abs(until_ms) <= MAX_INT64, "a lease is beyond 64 bits")
         msgspec.json.encode([until_ms, runner.entry.leaves_in_s])
     for entry in scheduler.state.jobs.values():
         progress = scheduler.lifecycle.progress(entry)
         stored = decode_progress(encode_progress(progress))
-        _require(stored == progress, "stored progress is not read back")
+        require(stored == progress, "stored progress is not read back")
     rows = scheduler.runners_to_record(2.0, with_waits=True, term=1)
-    _require(decode_fleet(encode_fleet(rows)) == rows, "the fleet is not read back")
+    require(decode_fleet(encode_fleet(rows)) == rows, "the fleet is not read back")
 
 
 def _check_leader(data):
@@ -214,7 +211,7 @@
 
 def _check_term(data):
     number = decode_term_number(_entry(data), StubReports())
-    _require(0 <= number <= REVISION, "the number of a term is out of range")
+    require(0 <= number <= REVISION, "the number of a term is out of range")
 
 
 def _check_shard_leader(data):
@@ -227,7 +224,7 @@
         found = messages.decode(data, message_type)
         if found.is_ok():
             again = messages.decode(messages.encode(found.ok()), message_type)
-            _require(again == found, f"{message_type.__name__} is not read back")
+            require(again == found, f"{message_type.__name__} is not read back")
 
 
 def _check_runner(data):
@@ -281,7 +278,7 @@
         found = answer.ok()
         reply = job_messages.AdviceReply(tickets=found.tickets, valid_s=found.valid_s)
         again = messages.decode(messages.encode(reply), job_messages.AdviceReply)
-        _require(again.ok() == reply, "an answer is not read back")
+        require(again.ok() == reply, "an answer is not read back")
 
 
 def _check_text(data):
@@ -294,9 +291,9 @@
         if is_callable_address(value):
             CellPeer.parse(value)
         if isinstance(value, str):
-            _require(0 <= read_wait_s(value) <= MAX_WAIT_S, "a wait is out of range")
+            require(0 <= read_wait_s(value) <= MAX_WAIT_S, "a wait is out of range")
         try:
-            _require(decode_task(encode_task(decode_task(value))).index >= 0, "index")
+            require(decode_task(encode_task(decode_task(value))).index >= 0, "index")
         except (TypeError, ValueError):
             continue
 
@@ -336,3 +333,6 @@
     name: Target(name=name, check=check, samples=SAMPLES[name])
     for name, check in CHECKS.items()
 }
+TARGETS["connection"] = Target(
+    name="connection", check=check_connection, make=make_requests
+)
--- a/wasabipaddle/fuzz/records.py
+++ b/wasabipaddle/fuzz/records.py
@@ -62,7 +62,8 @@
     names = list(targets)
     for number in range(inputs):
         target = targets[names[number % len(names)]]
-        data = make_input(random.Random(f"{seed}/{number}"), target.samples)
+        rng = random.Random(f"{seed}/{number}")
+        data = target.make(rng) if target.make else make_input(rng, target.samples)
         error = check_input(target, data)
         if not error:
             continue
--- a/wasabipaddle/fuzz/stubs.py
+++ b/wasabipaddle/fuzz/stubs.py
@@ -19,9 +19,11 @@
 __all__ = [
     "JOB",
     "RUNNER",
+    "BrokenResult",
     "StubClient",
     "StubReports",
     "make_scheduler",
+    "require",
     "run_now",
     "store_journal",
 ]
@@ -42,6 +44,16 @@
 )
 
 
+class BrokenResult(Exception):
+    """A decoder returned something that the program cannot use."""
+
+
+def require(condition, detail):
+    """Raise `BrokenResult` unless a condition holds."""
+    if not condition:
+        raise BrokenResult(detail)
+
+
 class StubClient:
     """HTTP client that answers every call with the same body.
 
--- a/wasabipaddle/fuzz/tests/test_decoders.py
+++ b/wasabipaddle/fuzz/tests/test_decoders.py
@@ -7,6 +7,7 @@
 from wasabipaddle.commands import main
 from wasabipaddle.fuzz.decoders import TARGETS, Target
 from wasabipaddle.fuzz.records import check_input, fuzz_decoders
+from wasabipaddle.ingress import protocol
 from wasabipaddle.jobs import JobProgress, checks, fleet, records
 from wasabipaddle.platform import registry, runner
 
@@ -58,6 +59,12 @@
         "restrict",
         lambda self, spec: self,
     ),
+    "the parser gets several heads at once": (
+        "connection",
+        protocol,
+        "_find_end",
+        lambda last_bytes, data: len(data),
+    ),
     "only format errors are expected": (
         "fleet",
         fleet,
--- a/wasabipaddle/ingress/__init__.py
+++ b/wasabipaddle/ingress/__init__.py
@@ -3,7 +3,7 @@
 from wasabipaddle.ingress.ledger import Holding, Ledger, Phase
 from wasabipaddle.ingress.limits import IngressLimits, RequestLimits, derive_limits
 from wasabipaddle.ingress.listener import Ingress, IngressListener, read_body
-from wasabipaddle.ingress.protocol import Gate, failure_response
+from wasabipaddle.ingress.replies import Gate, failure_response
 
 __all__ = [
     "Gate",
--- a/wasabipaddle/ingress/listener.py
+++ b/wasabipaddle/ingress/listener.py
@@ -6,14 +6,11 @@
 
 from result import Ok
 
-from wasabipaddle.exceptions import ErrorKind, Failure
+from wasabipaddle.exceptions import ErrorKind
 from wasabipaddle.ingress.ledger import Holding, Ledger
 from wasabipaddle.ingress.limits import derive_limits
-from wasabipaddle.ingress.protocol import (
-    RETRY_AFTER_S,
-    Connection,
-    RefusedConnection,
-)
+from wasabipaddle.ingress.protocol import Connection
+from wasabipaddle.ingress.replies import RefusedConnection, busy_failure
 
 __all__ = ["Ingress", "IngressListener", "read_body"]
 
@@ -160,14 +157,18 @@
         self.server = None
         self.handler = None
 
-    async def open(self, host, port, *, ssl=None, ssl_handshake_timeout=None):
-        """Listen on an address."""
+    async def prepare(self):
+        """Set up the handler of requests, which `open` does as well."""
         await self.runner.setup()
         self.handler = self.runner.server.request_handler
         self.runner.server.request_handler = self._handle
+
+    async def open(self, host, port, *, ssl=None, ssl_handshake_timeout=None):
+        """Listen on an address."""
+        await self.prepare()
         listening_socket = _bind(host, port)
         self.server = await asyncio.get_running_loop().create_server(
-            self._make_connection,
+            self.make_connection,
             sock=listening_socket,
             backlog=ACCEPT_BATCH,
             ssl=ssl,
@@ -198,13 +199,10 @@
         finally:
             protocol.end_request()
 
-    def _make_connection(self):
+    def make_connection(self) -> asyncio.Protocol:
+        """Return the protocol of a new connection."""
         if not self.ingress.admit(self.gate):
-            failure = Failure(
-                kind=ErrorKind.QUEUE_FULL,
-                detail="too many open connections",
-                retry_after_s=RETRY_AFTER_S,
-            )
+            failure = busy_failure("too many open connections")
             return RefusedConnection(response=self.gate.render(failure))
         return Connection(
             self.runner.server,
--- a/wasabipaddle/ingress/protocol.py
+++ b/wasabipaddle/ingress/protocol.py
@@ -3,19 +3,26 @@
 import asyncio
 import contextlib
 
-import attrs
 from aiohttp import web
 from result import Err, Ok
 
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.ingress.ledger import Phase
+from wasabipaddle.ingress.replies import busy_failure, raw_reply
 
-__all__ = ["Connection", "Gate", "RefusedConnection", "failure_response", "raw_reply"]
+__all__ = ["Connection"]
 
 # Bytes that one read takes from a socket, and bytes of a chunked body that are parsed
 # before the rest of a read.
-READ_BYTES = 65_536
+READ_BYTES = 32_768
+# Twice this size, or a sixteenth of it in chunks, pauses reading. A single read has to
+# stay below, since a paused parser keeps bytes that are counted no longer.
+BUFFER_BYTES = 262_144
 CHUNKED_PIECE_BYTES = 4_096
+EMPTY_LINE = b"\r\n"
+HEAD_END = b"\r\n\r\n"
+# Places in a chunked body that may be its end, and after which parsing is interrupted.
+MAX_CUTS = 1_000
 # Bytes of replies that may wait for a client before its handler waits.
 REPLY_BUFFER_BYTES = 16_384
 # Memory for each line of a head, and for each line that frames a chunk.
@@ -34,51 +41,22 @@
 MAX_FIELD_BYTES = 100_000_000
 # Time for which the parser's protocol reads on after a reply to an incomplete request.
 LINGERING_S = 1.0
-RETRY_AFTER_S = 1.0
-REASONS = {
-    408: "Request Timeout",
-    413: "Content Too Large",
-    431: "Request Header Fields Too Large",
-    503: "Service Unavailable",
-}
 
 
-def failure_response(failure) -> web.Response:
-    """Return a response without a body to a request that was not read whole."""
-    headers = {}
-    if failure.retry_after_s is not None:
-        headers["Retry-After"] = str(max(1, round(failure.retry_after_s)))
-    return web.Response(status=failure.response.status, headers=headers)
-
-
-@attrs.frozen(kw_only=True)
-class Gate:
-    """What a listener expects of its clients.
+def _find_end(last_bytes, data) -> int:
+    """Return the number of bytes up to the end of a head, or all if it is not there.
 
     Parameters
     ----------
-    listener : str
-        Name of the listener, which selects its part of the connections.
-    find_limits : callable
-        Returns the `RequestLimits` that apply to a request that begins now.
-    render : callable
-        Returns the `web.Response` to a `Failure`.
+    last_bytes : bytes
+        The bytes before `data`, without an end of a head.
     """
-
-    listener: str
-    find_limits: object
-    render: object = failure_response
-
-
-def raw_reply(response) -> bytes:
-    """Return a response as bytes, for connections without a request."""
-    body = response.body or b""
-    lines = [f"HTTP/1.1 {response.status} {REASONS.get(response.status, 'Error')}"]
-    lines += [f"{name}: {value}" for name, value in response.headers.items()]
-    if "Content-Length" not in response.headers:
-        lines.append(f"Content-Length: {len(body)}")
-    lines += ["Connection: close", "", ""]
-    return "\r\n".join(lines).encode() + body
+    joined = last_bytes + data[:3]
+    end = joined.find(HEAD_END)
+    if end >= 0:
+        return end + len(HEAD_END) - len(last_bytes)
+    end = data.find(HEAD_END)
+    return len(data) if end < 0 else end + len(HEAD_END)
 
 
 class Connection(web.RequestHandler):
@@ -89,6 +67,10 @@
     relies on two attributes of the base class, `_messages` and `_request_count`, to see
     where a head ends.
 
+    The parser gets at most one head at a time. After an error it drops the requests
+    that it has found in the same bytes, and the reply to the malformed request would be
+    taken for that to the first of them.
+
     Parameters
     ----------
     ingress : Ingress
@@ -104,7 +86,7 @@
             max_field_size=MAX_FIELD_BYTES,
             max_headers=MAX_HEADERS,
             lingering_time=LINGERING_S,
-            read_bufsize=READ_BYTES,
+            read_bufsize=BUFFER_BYTES,
             auto_decompress=False,
             access_log=None,
             **options,
@@ -123,6 +105,8 @@
         self.body_cost = 0
         self.framing_cost = 0
         self.framed_bytes = 0
+        self.cuts = 0
+        self.last_bytes = b""
 
     def connection_made(self, transport):
         """Record the connection."""
@@ -169,12 +153,16 @@
             if holding.phase is Phase.IDLE:
                 holding.enter(Phase.HEAD, now_s)
         limit = holding.limits.max_head_bytes
-        room = limit - self.head_bytes
-        piece, rest = data[:room], data[room:]
-        self.head_bytes += len(piece)
-        self.head_cost += COPIES * len(piece) + HEADER_BYTES * piece.count(b"\n")
+        if not self.last_bytes:
+            begin = data.lstrip(EMPTY_LINE)
+            self.head_bytes += len(data) - len(begin)
+            data = begin
+        size = min(_find_end(self.last_bytes, data), max(limit - self.head_bytes, 0))
+        piece, rest = data[:size], data[size:]
+        self.head_bytes += size
+        self.head_cost += COPIES * size + HEADER_BYTES * piece.count(b"\n")
         if holding.phase is Phase.HEAD:
-            holding.receive(len(piece), now_s)
+            holding.receive(size, now_s)
         if not self._reserve():
             return b""
         self._feed(piece)
@@ -186,14 +174,10 @@
         """Parse the next bytes of a body; return the bytes that follow them."""
         payload = self.payload
         if self.length is None:
-            piece, rest = data[:CHUNKED_PIECE_BYTES], data[CHUNKED_PIECE_BYTES:]
-            self.framed_bytes += len(piece)
-            self.framing_cost += CHUNK_LINE_BYTES * piece.count(b"\n")
-            held = payload.total_bytes + len(piece)
-            self.body_cost = COPIES * held + self.framing_cost
+            size = self._receive_chunks(data)
         else:
-            missing = self.length - payload.total_bytes
-            piece, rest = data[:missing], data[missing:]
+            size = self.length - payload.total_bytes
+        piece, rest = data[:size], data[size:]
         self.holding.receive(len(piece), self.ingress.now())
         if not self._reserve():
             return b""
@@ -205,6 +189,18 @@
             self.refuse(ErrorKind.BODY_TOO_LARGE)
         return rest
 
+    def _receive_chunks(self, data):
+        """Count the next bytes of a chunked body; return how many to parse."""
+        size = min(len(data), CHUNKED_PIECE_BYTES)
+        if self.cuts < MAX_CUTS:
+            size = min(size, _find_end(self.last_bytes, data[:size]))
+            self.cuts += 1
+        self.framed_bytes += size
+        self.framing_cost += CHUNK_LINE_BYTES * data.count(b"\n", 0, size)
+        held = self.payload.total_bytes + size
+        self.body_cost = COPIES * held + self.framing_cost
+        return size
+
     def _exceeds_body_limit(self, size):
         limit = self.holding.limits.max_body_bytes
         framed_limit = MAX_FRAMING * limit + FRAMING_BYTES
@@ -213,6 +209,7 @@
     def _feed(self, piece):
         """Hand bytes to the parser and note the requests that it finds."""
         before = self._request_count
+        self.last_bytes = (self.last_bytes + piece[-3:])[-3:]
         super().data_received(piece)
         if self._request_count != before:
             self._begin_message(*self._messages[-1])
@@ -223,7 +220,8 @@
 
     def _begin_message(self, message, payload):
         """Note the head of the request that was parsed last."""
-        self.head_bytes = 0
+        self.head_bytes = self.cuts = 0
+        self.last_bytes = b""
         self.payload = payload
         if not hasattr(message, "headers"):
             # What follows malformed HTTP is not parsed; the reply closes.
@@ -244,6 +242,7 @@
         self._reserve()
 
     def _complete_body(self):
+        self.last_bytes = b""
         self.holding.enter(Phase.SERVING, self.ingress.now())
 
     def _reserve(self):
@@ -271,7 +270,7 @@
             return Err(Failure(kind=ErrorKind.BODY_TOO_LARGE))
         self.body_cost = DECODED_COPIES * len(data)
         if not self.ingress.reserve(self.holding, self.head_cost + self.body_cost):
-            return Err(_busy())
+            return Err(busy_failure())
         return Ok(data)
 
     async def _wait_for_body(self, payload):
@@ -316,11 +315,16 @@
             return
         within_body = self.holding.phase is Phase.BODY
         self.discarding = True
-        self.failure = _busy() if kind is ErrorKind.QUEUE_FULL else Failure(kind=kind)
+        self.failure = (
+            busy_failure() if kind is ErrorKind.QUEUE_FULL else Failure(kind=kind)
+        )
         self.ingress.count_refusal(self.gate.listener, kind)
         self.holding.enter(Phase.REFUSED, self.ingress.now())
         self.ingress.release(self.holding)
         if within_body:
+            # A reader that waits has taken everything.
+            with contextlib.suppress(RuntimeError):
+                self.payload.read_nowait()
             # The handler replies, now or when it begins to read.
             if self.refused is not None and not self.refused.done():
                 self.refused.set_result(None)
@@ -357,7 +361,7 @@
         self.ingress.release(self.holding)
         waiting = self.refused is not None or not (self.serving or self._messages)
         if phase in (Phase.HEAD, Phase.BODY) and waiting:
-            self.failure = _busy()
+            self.failure = busy_failure()
             self._reply_without_request()
         self.discarding = True
         self.force_close()
@@ -373,28 +377,3 @@
         response = self.gate.render(failure)
         response.force_close()
         return response
-
-
-def _busy():
-    detail = "too many unfinished requests"
-    return Failure(
-        kind=ErrorKind.QUEUE_FULL, detail=detail, retry_after_s=RETRY_AFTER_S
-    )
-
-
-class RefusedConnection(asyncio.Protocol):
-    """Connection above the limit, closed after a reply.
-
-    Parameters
-    ----------
-    response : web.Response
-        The reply.
-    """
-
-    def __init__(self, *, response):
-        self.response = response
-
-    def connection_made(self, transport):
-        """Reply and close."""
-        transport.write(raw_reply(self.response))
-        transport.close()
