Bound the clients of /v1 and responses from elsewhere

Cause: the listeners of `serve` have a limit on connections and on single lines, and none on what they hold together; replies of runners, of the store, of the eligibility service and of peers are read whole, whatever their size.

A response is read up to 4 MB, from the store up to 16 MB; a larger one counts as unanswered and closes its connection. The replies to earlier requests of a connection are all sent before a refusal or a declined upgrade closes it; they were dropped where the requests arrived at once.

--- a/wasabipaddle/api/state.py
+++ b/wasabipaddle/api/state.py
@@ -13,7 +13,8 @@
 from wasabipaddle.api.readiness import Readiness
 from wasabipaddle.api.responses import fail, unwrap
 from wasabipaddle.documents import Catalogue
-from wasabipaddle.exceptions import ErrorKind
+from wasabipaddle.exceptions import ErrorKind, WasabipaddleError
+from wasabipaddle.ingress import read_body as receive_body
 from wasabipaddle.kernel import Context
 
 __all__ = ["ApiState", "read_body", "read_integer"]
@@ -120,10 +121,13 @@
     """Read the body within the size limit and the time limit for slow senders."""
     try:
         async with asyncio.timeout(BODY_TIMEOUT_S):
-            return await request.read()
+            body = await receive_body(request)
     except TimeoutError:
         detail = f"the body did not arrive within {BODY_TIMEOUT_S:g} s"
         fail(ErrorKind.INVALID_REQUEST, detail)
+    if body.is_err():
+        raise WasabipaddleError(body.err())
+    return body.ok()
 
 
 def read_integer(request, name, default, *, low=0, high) -> int:
--- a/wasabipaddle/ingress/__init__.py
+++ b/wasabipaddle/ingress/__init__.py
@@ -3,9 +3,11 @@
 from wasabipaddle.ingress.ledger import Holding, Ledger, Phase
 from wasabipaddle.ingress.limits import IngressLimits, RequestLimits, derive_limits
 from wasabipaddle.ingress.listener import Ingress, IngressListener, read_body
+from wasabipaddle.ingress.protocol import Connection
 from wasabipaddle.ingress.replies import Gate, failure_response
 
 __all__ = [
+    "Connection",
     "Gate",
     "Holding",
     "Ingress",
--- a/wasabipaddle/ingress/ledger.py
+++ b/wasabipaddle/ingress/ledger.py
@@ -133,6 +133,8 @@
     ----------
     reserved : int
         Reserved memory of all connections, in bytes.
+    connections : dict of str to int
+        Largest number of open connections by listener.
     """
 
     def __init__(self, *, limits):
@@ -141,6 +143,11 @@
         self.counts = collections.Counter()
         self.reserved = 0
         self.next_scan_s = {}
+        self.connections = dict(limits.connections)
+
+    def limit_connections(self, listener, number):
+        """Set the largest number of connections of a listener."""
+        self.connections[listener] = number
 
     def admit(self, listener, now_s):
         """Decide on a new connection.
@@ -150,7 +157,7 @@
         list of Holding or None
             Connections to evict for it, in most cases none; None if it is refused.
         """
-        if self.counts[listener] < self.limits.connections.get(listener, math.inf):
+        if self.counts[listener] < self.connections.get(listener, math.inf):
             return []
         if now_s < self.next_scan_s.get(listener, -math.inf):
             return None
--- a/wasabipaddle/ingress/listener.py
+++ b/wasabipaddle/ingress/listener.py
@@ -147,9 +147,14 @@
         What the listener expects of its clients.
     options : dict
         Further options of the connections.
+    connection_type : type
+        Class of the connections, derived from `Connection`.
     """
 
-    def __init__(self, *, ingress, runner, gate, options=None):
+    def __init__(
+        self, *, ingress, runner, gate, options=None, connection_type=Connection
+    ):
+        self.connection_type = connection_type
         self.ingress = ingress
         self.runner = runner
         self.gate = gate
@@ -195,16 +200,19 @@
         protocol = request.protocol
         protocol.begin_request()
         try:
-            return await self.handler(request)
+            response = await self.handler(request)
         finally:
             protocol.end_request()
+        if protocol.is_last_request:
+            response.force_close()
+        return response
 
     def make_connection(self) -> asyncio.Protocol:
         """Return the protocol of a new connection."""
         if not self.ingress.admit(self.gate):
             failure = busy_failure("too many open connections")
             return RefusedConnection(response=self.gate.render(failure))
-        return Connection(
+        return self.connection_type(
             self.runner.server,
             ingress=self.ingress,
             gate=self.gate,
--- a/wasabipaddle/ingress/protocol.py
+++ b/wasabipaddle/ingress/protocol.py
@@ -64,8 +64,8 @@
 
     The parser of `aiohttp` limits single lines and holds everything else: a head, the
     framing of chunks and pipelined requests. This class counts them from outside. It
-    relies on two attributes of the base class, `_messages` and `_request_count`, to see
-    where a head ends.
+    relies on attributes of the base class (`_messages`, `_request_count`, `_upgraded`
+    and `_message_tail`) to see where a head ends.
 
     The parser gets at most one head at a time. After an error it drops the requests
     that it has found in the same bytes, and the reply to the malformed request would be
@@ -216,7 +216,7 @@
         if self._upgraded:
             # The reply declines the upgrade, and closes the connection.
             self.discarding = True
-            self.close()
+            self._message_tail = b""
 
     def _begin_message(self, message, payload):
         """Note the head of the request that was parsed last."""
@@ -295,6 +295,11 @@
             self.framing_cost = 0
         return bytes(data)
 
+    @property
+    def is_last_request(self) -> bool:
+        """Whether the request that is being handled is the last one that is served."""
+        return self.discarding and not self._messages
+
     def begin_request(self):
         """Note that a handler runs."""
         self.serving = True
@@ -310,7 +315,10 @@
         self.ingress.release(self.holding)
 
     def refuse(self, kind):
-        """Refuse the request that is being received, and close after the reply."""
+        """Refuse the request that is being received, and close after the reply.
+
+        Earlier requests are answered first; a head after them gets no reply of its own.
+        """
         if self.discarding:
             return
         within_body = self.holding.phase is Phase.BODY
@@ -328,10 +336,7 @@
             # The handler replies, now or when it begins to read.
             if self.refused is not None and not self.refused.done():
                 self.refused.set_result(None)
-        elif self.serving or self._messages:
-            # The reply to an earlier request comes first and closes.
-            self.close()
-        else:
+        elif not (self.serving or self._messages):
             self._reply_without_request()
 
     def _reply_without_request(self):
--- a/wasabipaddle/platform/store.py
+++ b/wasabipaddle/platform/store.py
@@ -27,6 +27,8 @@
 THROTTLE_PAUSE_S = 0.2
 # Calls and watches share their connections, so that a timeout of one replaces both.
 CONNECTIONS = 128
+# A watch returns all changes since its revision at once.
+MAX_RESPONSE_BYTES = 16_000_000
 MS_PER_S = 1000
 
 
@@ -42,7 +44,11 @@
     """
 
     def __init__(self, *, address, timeout_s=CALL_TIMEOUT_S):
-        self.client = JsonHttpClient(address=address, connections=CONNECTIONS)
+        self.client = JsonHttpClient(
+            address=address,
+            connections=CONNECTIONS,
+            max_response_bytes=MAX_RESPONSE_BYTES,
+        )
         self.timeout_s = timeout_s
 
     async def get(self, key) -> Result[Entry | None, Failure]:
--- a/wasabipaddle/serve/transport.py
+++ b/wasabipaddle/serve/transport.py
@@ -4,11 +4,14 @@
 
 from aiohttp import web
 
+from wasabipaddle.ingress import Gate, IngressListener, RequestLimits
 from wasabipaddle.kernel import Plugin
 from wasabipaddle.transport import HttpTransport
 
 __all__ = ["TransportPlugin", "peer_client_context", "peer_server_context"]
 
+SHUTDOWN_S = 1.0
+
 
 def peer_server_context(tls) -> ssl.SSLContext | None:
     """Return the TLS context of the internal listener, None if TLS is off.
@@ -58,7 +61,7 @@
             ssl=self.client_ssl,
         )
         self.ssl = peer_server_context(settings.api.tls)
-        self.app_runner = None
+        self.listener = None
 
     async def open(self):
         """Listen on the internal port for messages and internal routes."""
@@ -69,15 +72,15 @@
             for route in plugin.routes():
                 if route.internal:
                     app.router.add_route(route.method, route.path, route.handler)
-        self.app_runner = web.AppRunner(app, access_log=None)
-        await self.app_runner.setup()
-        site = web.TCPSite(
-            self.app_runner, peer.host, peer.internal_port, ssl_context=self.ssl
+        self.listener = IngressListener(
+            ingress=self.context.ingress,
+            runner=web.AppRunner(app, shutdown_timeout=SHUTDOWN_S),
+            gate=Gate(listener="internal", find_limits=RequestLimits),
         )
-        await site.start()
+        await self.listener.open(peer.host, peer.internal_port, ssl=self.ssl)
 
     async def stop(self):
         """Close the listener and the connections to peers."""
-        if self.app_runner is not None:
-            await self.app_runner.cleanup()
+        if self.listener is not None:
+            await self.listener.close()
         await self.transport.close()
--- a/wasabipaddle/transport/connections.py
+++ b/wasabipaddle/transport/connections.py
@@ -6,7 +6,14 @@
 import aiohttp
 import attrs
 
-__all__ = ["NO_TIMEOUT", "ConnectionPool", "call_hedged", "send_once"]
+__all__ = [
+    "NO_TIMEOUT",
+    "ConnectionPool",
+    "ResponseTooLargeError",
+    "call_hedged",
+    "read_response",
+    "send_once",
+]
 
 # Of calls whose duration the pool limits.
 NO_TIMEOUT = aiohttp.ClientTimeout(total=None)
@@ -169,6 +176,27 @@
             call.cancel()
 
 
+class ResponseTooLargeError(aiohttp.ClientError):
+    """A response has more bytes than its reader allows."""
+
+
+async def read_response(response, limit) -> bytes:
+    """Return the body of a response of at most `limit` bytes.
+
+    Raises
+    ------
+    ResponseTooLargeError
+        If the body is larger. The connection is closed, so that no more arrives.
+    """
+    data = bytearray()
+    async for piece in response.content.iter_any():
+        data += piece
+        if len(data) > limit:
+            response.close()
+            raise ResponseTooLargeError(f"more than {limit} bytes")
+    return bytes(data)
+
+
 class _ConnectionLostError(aiohttp.ClientError):
     """The connection was closed before the response."""
 
--- a/wasabipaddle/transport/http.py
+++ b/wasabipaddle/transport/http.py
@@ -10,12 +10,13 @@
 from wasabipaddle.ingress import read_body
 from wasabipaddle.messages import decode, encode, encode_sparse
 from wasabipaddle.transport.base import Transport
-from wasabipaddle.transport.connections import ConnectionPool
+from wasabipaddle.transport.connections import ConnectionPool, read_response
 
 __all__ = ["HttpTransport"]
 
 PATH = "/internal/v1/{name}"
 CONNECT_TIMEOUT_S = 1.0
+MAX_REPLY_BYTES = 4_000_000
 
 # Approximate header sizes for `wire_bytes`; the actual ones depend on the host and
 # the message type.
@@ -65,7 +66,7 @@
                     url, data=body, timeout=timeout, ssl=self.ssl or True
                 ) as response,
             ):
-                data = await response.read()
+                data = await read_response(response, MAX_REPLY_BYTES)
             self.count_wire_bytes(name, RESPONSE_HEADER_BYTES + len(data))
         except aiohttp.ClientConnectorError as error:
             return Err(Failure(kind=ErrorKind.UNREACHABLE, detail=str(error)))
--- a/wasabipaddle/transport/json_client.py
+++ b/wasabipaddle/transport/json_client.py
@@ -7,7 +7,12 @@
 
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.jobs.decoding import DECODING_ERRORS
-from wasabipaddle.transport.connections import ConnectionPool, call_hedged, send_once
+from wasabipaddle.transport.connections import (
+    ConnectionPool,
+    call_hedged,
+    read_response,
+    send_once,
+)
 
 __all__ = ["HttpResponse", "JsonHttpClient"]
 
@@ -16,6 +21,8 @@
 HEDGE_DELAY_S = 0.4
 # Shorter than the idle timeout after which servers close a connection.
 KEEPALIVE_S = 25.0
+# A page of the store has about one megabyte, which base64 makes a third larger.
+MAX_RESPONSE_BYTES = 4_000_000
 NOT_DELIVERED_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 SKIPPED_AUTO_HEADERS = ("Accept", "Accept-Encoding", "User-Agent")
 
@@ -41,6 +48,8 @@
     connections : int
         Largest number of open connections. After a timeout, connections with calls in
         progress do not count.
+    max_response_bytes : int
+        Largest response; the rest of a larger one is not read.
 
     Attributes
     ----------
@@ -48,9 +57,12 @@
         Connections, replaced after a call that timed out.
     """
 
-    def __init__(self, *, address, connections=64):
+    def __init__(
+        self, *, address, connections=64, max_response_bytes=MAX_RESPONSE_BYTES
+    ):
         self.address = address
         self.connections = connections
+        self.max_response_bytes = max_response_bytes
         self.pool = ConnectionPool(open_session=self._open_session)
 
     async def call(
@@ -86,7 +98,8 @@
         result.Result
             The response, an `Err` of kind `unreachable` if the request was certainly
             not delivered, or of kind `timeout` if it may have been processed. The
-            latter includes a response of status 200 whose body is not JSON.
+            latter includes a response of status 200 whose body is not JSON, and one
+            that is too large.
         """
         data = None
         if body is not None:
@@ -119,7 +132,8 @@
         ):
             if responded is not None:
                 responded.set()
-            return response.status, await response.read()
+            data = await read_response(response, self.max_response_bytes)
+            return response.status, data
 
     async def call_hedged(
         self, method, path, *, timeout_s, **options
