Remove keys in the soak while processes are out of contact

Cause: the soak had no keys, so real processes were never called with removed ones while they are cut off, paused or restarted behind a cut. The state of the proof is no longer logged before the first configuration.

--- a/wasabipaddle/cell/configuration.py
+++ b/wasabipaddle/cell/configuration.py
@@ -158,9 +158,10 @@
             unknown = self.watch.revision is None
             sent_s = self.context.clock.boot_s()
             succeeded = await (self._load() if unknown else self._poll())
-            if succeeded and self.current is not None:
-                self.freshness.confirm(sent_s)
-            self.check_proof()
+            if self.current is not None:
+                if succeeded:
+                    self.freshness.confirm(sent_s)
+                self.check_proof()
             if not succeeded or self.current is None:
                 await asyncio.sleep(RETRY_S)
             elif not self.is_leader:
--- a/wasabipaddle/platform/client.py
+++ b/wasabipaddle/platform/client.py
@@ -7,6 +7,7 @@
 import attrs
 import msgspec
 
+from wasabipaddle.platform.callers import KEY_HEADER
 from wasabipaddle.platform.configuration import CONFIGURATION_KEY
 from wasabipaddle.platform.jobs import PHASE_WORDS
 from wasabipaddle.platform.registry import REGISTRY_PREFIX
@@ -55,18 +56,18 @@
         self.wait_s = wait_s
         self.pools = {}
 
-    async def submit(self, address, queue, job_id, spec) -> CallResult:
-        """Submit a job to one process."""
+    async def submit(self, address, queue, job_id, spec, *, key="") -> CallResult:
+        """Submit a job to one process, with a key unless that is empty."""
         data = msgspec.json.encode(_encode_spec(spec))
-        return await self._call("POST", address, queue, job_id, data)
+        return await self._call("POST", address, queue, job_id, key, data)
 
-    async def find_phase(self, address, queue, job_id) -> CallResult:
+    async def find_phase(self, address, queue, job_id, *, key="") -> CallResult:
         """Ask one process for the phase of a job."""
-        return await self._call("GET", address, queue, job_id)
+        return await self._call("GET", address, queue, job_id, key)
 
-    async def cancel(self, address, queue, job_id) -> CallResult:
+    async def cancel(self, address, queue, job_id, *, key="") -> CallResult:
         """Ask one process to cancel a job."""
-        return await self._call("DELETE", address, queue, job_id)
+        return await self._call("DELETE", address, queue, job_id, key)
 
     async def is_ready(self, address) -> bool:
         """Return whether the readiness probe of a process succeeds."""
@@ -80,11 +81,13 @@
         except (aiohttp.ClientError, TimeoutError, OSError):
             return False
 
-    async def _call(self, method, address, queue, job_id, data=None):
+    async def _call(self, method, address, queue, job_id, key, data=None):
         headers = {
             "Host": queue.host,
             "Deadline-Ms": str(int(self.wait_s * MS_PER_S)),
         }
+        if key:
+            headers[KEY_HEADER] = key
         url = f"http://{address}{queue.prefix}{job_id}"
         try:
             async with (
--- a/wasabipaddle/soak/callers.py
+++ b/wasabipaddle/soak/callers.py
@@ -32,6 +32,7 @@
 REFUSAL_STATUSES = frozenset({429, 503})
 STATUS_GONE = 410
 STATUS_NOT_FOUND = 404
+STATUS_UNAUTHENTICATED = 401
 # A call that fails sooner may have used a pooled connection that the process was
 # closing because it was idle.
 IDLE_CLOSE_S = 0.2
@@ -107,11 +108,17 @@
             if process in self.cell.stopping or undisturbed_s < SETTLE_S:
                 continue
             address = callers_address(self.platform, process)
-            result = await self.caller.find_phase(address, queue, record.id)
+            key = self.platform.keys.key_of(record.id)
+            result = await self.caller.find_phase(address, queue, record.id, key=key)
             if result.status == STATUS_NOT_FOUND:
                 detail = f"{queue.name} is not known to {process}"
                 self.ledger.add_violation("configuration", record.id, detail)
 
+    async def ask(self, process, queue, job_id, *, key):
+        """Ask a process for the phase of a job with any key."""
+        address = callers_address(self.platform, process)
+        return await self.caller.find_phase(address, queue, job_id, key=key)
+
     def _make_job(self):
         rng = self.random
         job_id = f"{rng.getrandbits(64):016x}"
@@ -308,7 +315,11 @@
         process = self._choose_process()
         address = callers_address(self.platform, process)
         sent = self.ledger.now()
-        result = await method(address, record.queue, record.id, *arguments)
+        key = self.platform.keys.key_of(record.id)
+        result = await method(address, record.queue, record.id, *arguments, key=key)
+        if result.status == STATUS_UNAUTHENTICATED:
+            detail = f"status 401 from {process} with a key of its workspace"
+            self.ledger.add_violation("key", record.id, detail)
         ended = self.ledger.now()
         cut = result.status == 0 and result.sent and ended - sent > IDLE_CLOSE_S
         if cut and self._is_planned_stop(process, ended):
--- a/wasabipaddle/soak/cell.py
+++ b/wasabipaddle/soak/cell.py
@@ -6,6 +6,7 @@
 import yaml
 
 from wasabipaddle.demo.processes import spawn_process
+from wasabipaddle.soak.keys import REVOCATION_S
 from wasabipaddle.soak.platform import CALLERS, CELL, HOST, STORE
 from wasabipaddle.standins.listener import reserve_port
 
@@ -99,6 +100,8 @@
                 "grace": f"{GRACE_PERIOD_S:g}s",
             },
         }
+        if platform.keys:
+            settings["bounds"]["revocation"] = f"{REVOCATION_S:g}s"
         path = self.directory / f"{name}.yaml"
         path.write_text(yaml.safe_dump(settings))
 
--- a/wasabipaddle/soak/driver.py
+++ b/wasabipaddle/soak/driver.py
@@ -11,6 +11,7 @@
 from wasabipaddle.soak.cell import CellProcesses
 from wasabipaddle.soak.departures import Departures
 from wasabipaddle.soak.faults import SoakFaults
+from wasabipaddle.soak.keys import SoakKeys
 from wasabipaddle.soak.lasting import LastingWatch
 from wasabipaddle.soak.ledger import SoakLedger
 from wasabipaddle.soak.names import ALL_FAULTS
@@ -173,6 +174,7 @@
         processes=[f"p{i}" for i in range(processes)],
         runner_count=runners,
         seed=rng.random(),
+        keys=SoakKeys(),
     )
     cell = CellProcesses(platform=platform, directory=keep, ledger=ledger)
     faults = SoakFaults(
@@ -198,6 +200,7 @@
     faults.probe = callers.probe
     faults.submit_burst = callers.submit_burst
     faults.submit_spread = callers.submit_spread
+    faults.call = callers.ask
     callers.queues = {queue.name: queue for queue in QUEUES}
     return _SoakParts(
         ledger=ledger,
--- a/wasabipaddle/soak/faults.py
+++ b/wasabipaddle/soak/faults.py
@@ -6,6 +6,7 @@
 import attrs
 
 from wasabipaddle.soak.bursts import EndBursts
+from wasabipaddle.soak.keys import KeyRemovals
 from wasabipaddle.soak.names import (
     ALL_FAULTS,
     BASIC_DISRUPTIONS,
@@ -65,6 +66,8 @@
         Called with a label and a duration in seconds to submit many small tasks.
     submit_spread : callable
         Called with a number of tasks to submit a lasting job, one task on a runner.
+    call : callable
+        Called with a process, a queue, a job and a key to ask for the phase of the job.
     """
 
     def __init__(self, *, platform, cell, ledger, random, names=ALL_FAULTS):
@@ -76,6 +79,7 @@
         self.probe = None
         self.submit_burst = None
         self.submit_spread = None
+        self.call = None
         self.names = names
         self.active_names = []
         self.queues_added = 0
@@ -102,6 +106,13 @@
             random=random,
             submit=submit,
         )
+        removals = KeyRemovals(
+            platform=platform,
+            cell=cell,
+            ledger=ledger,
+            random=random,
+            call=lambda *arguments, **options: self.call(*arguments, **options),
+        )
         self.disruptions = {
             **{name: getattr(self, f"_{name}") for name in BASIC_DISRUPTIONS},
             "partition": partitions.partition,
@@ -112,6 +123,7 @@
             "runner_restarted": concurrency.runner_restarted,
             "runner_frozen": concurrency.runner_frozen,
             "odd_entries": odd.odd_entries,
+            "keys_removed": removals.keys_removed,
         }
         # Planned operations, which must not interrupt calls in progress.
         self.planned = {
--- a/wasabipaddle/soak/names.py
+++ b/wasabipaddle/soak/names.py
@@ -57,6 +57,7 @@
     "odd_entries",
     "processes_replaced",
     "runners_replaced",
+    "keys_removed",
 )
 ALL_FAULTS = BASIC_FAULTS + ADDED_FAULTS
 # Faults that never overlap with themselves and come in no series: each takes many
@@ -69,6 +70,7 @@
         "odd_entries",
         "processes_replaced",
         "runners_replaced",
+        "keys_removed",
     }
 )
 # Faults that disturb the cell for a moment only and wait for the effect then.
--- a/wasabipaddle/soak/platform.py
+++ b/wasabipaddle/soak/platform.py
@@ -103,6 +103,8 @@
         Seed of all random choices.
     runner_cpu : int
         Processing power of each runner in millicores.
+    keys : SoakKeys or None
+        Keys of the callers, None if calls need none.
 
     Attributes
     ----------
@@ -123,6 +125,7 @@
         runner_count,
         seed,
         runner_cpu=RUNNER_CPU,
+        keys=None,
     ):
         self.ledger = ledger
         self.processes = processes
@@ -139,6 +142,8 @@
         self.readiness_ports = {}
         self.runner_count = runner_count
         self.runner_cpu = runner_cpu
+        self.keys = keys
+        self.queues = ()
         self.runners = {}
         self.reserved_runners = set()
         self.runner_ports = {}
@@ -186,10 +191,15 @@
     def configure(self, queues):
         """Store a configuration with the given queues and return its version."""
         self.version += self.random.randint(1, 5)
+        self.queues = queues
         configuration = CellConfiguration(
-            version=self.version, queues=queues, pools={POOL: Pool(name=POOL)}
+            version=self.version,
+            queues=queues,
+            pools={POOL: Pool(name=POOL)},
+            workspaces=self.keys.workspaces if self.keys else {},
         )
-        key, value = encode_configuration(configuration)
+        keys = self.keys.by_workspace if self.keys else {}
+        key, value = encode_configuration(configuration, keys=keys)
         self.memory.apply((), (Put(key=key, value=value),), ())
         return self.version
 
--- a/wasabipaddle/soak/tests/test_soak.py
+++ b/wasabipaddle/soak/tests/test_soak.py
@@ -6,8 +6,13 @@
 
 SHORT = Regression(seed=1, seconds=6.0, cause="", processes=3, runners=6)
 
+# A process is cut off while a key is removed.
+KEYS = Regression(seed=3, seconds=4.0, cause="", processes=3, faults=("keys_removed",))
 
-@pytest.mark.parametrize("case", [SHORT, *REGRESSIONS], ids=lambda case: case.seed)
+
+@pytest.mark.parametrize(
+    "case", [SHORT, KEYS, *REGRESSIONS], ids=lambda case: case.seed
+)
 def test_no_guarantee_is_violated(case, tmp_path):
     """Guards against guarantees that real processes violate under injected faults."""
     result = run_soak(
