--- a/wasabipaddle/dispatch/naming.py
+++ b/wasabipaddle/dispatch/naming.py
@@ -53,10 +53,9 @@
         """Release the claim of a step whose request has ended."""
         cpu, runners = self.claims.pop(step.key, (0.0, ()))
         for runner in runners:
-            left = self.claimed_cpu[runner.id] - cpu
-            self.claimed_cpu[runner.id] = left
-            if left < 1.0:
-                del self.claimed_cpu[runner.id]
+            left = self.claimed_cpu.pop(runner.id, 0.0) - cpu
+            if left >= 1.0:
+                self.claimed_cpu[runner.id] = left
 
     def learn(self, step, *, named, eligible):
         """Record how many of the runners that were not known before are eligible."""
--- a/wasabipaddle/measure/real_cell.py
+++ b/wasabipaddle/measure/real_cell.py
@@ -11,6 +11,7 @@
 from wasabipaddle.jobs import JobSpec
 from wasabipaddle.platform.client import JobCaller
 from wasabipaddle.soak.cell import CellProcesses, callers_address
+from wasabipaddle.soak.keys import SoakKeys
 from wasabipaddle.soak.ledger import JobRecord
 from wasabipaddle.soak.platform import QUEUES, SoakPlatform
 from wasabipaddle.standins.runners import TaskBehaviour
@@ -103,6 +104,7 @@
         processes=[f"p{n}" for n in range(processes)],
         runner_count=runners,
         seed=seed,
+        keys=SoakKeys(names=()),
         **options,
     )
     with tempfile.TemporaryDirectory(prefix="wasabipaddle-measure-") as directory:
--- a/wasabipaddle/platform/client.py
+++ b/wasabipaddle/platform/client.py
@@ -56,7 +56,7 @@
         self.pools = {}
 
     async def submit(self, address, queue, job_id, spec, *, key="") -> CallResult:
-        """Submit a job to one process."""
+        """Submit a job to one process, with a key unless that is empty."""
         data = msgspec.json.encode(_encode_spec(spec))
         return await self._call("POST", address, queue, job_id, key, data)
 
--- a/wasabipaddle/soak/callers.py
+++ b/wasabipaddle/soak/callers.py
@@ -30,9 +30,9 @@
 LONG_WORK_S = (5.0, 9.0)
 ACCEPTED_STATUSES = range(200, 300)
 REFUSAL_STATUSES = frozenset({429, 503})
-STATUS_UNAUTHENTICATED = 401
 STATUS_GONE = 410
 STATUS_NOT_FOUND = 404
+STATUS_UNAUTHENTICATED = 401
 # A call that fails sooner may have used a pooled connection that the process was
 # closing because it was idle.
 IDLE_CLOSE_S = 0.2
@@ -100,7 +100,13 @@
 
         A process that does not know the queue responds with status 404.
         """
-        record = JobRecord(id="0" * 16, queue=queue, spec=None, behaviours=())
+        record = JobRecord(
+            id="0" * 16,
+            queue=queue,
+            spec=None,
+            behaviours=(),
+            workspace=self.platform.keys.choose("0"),
+        )
         for process in list(self.platform.processes):
             undisturbed_s = self.ledger.now() - self.cell.last_signal_s.get(
                 process, -SETTLE_S
@@ -108,11 +114,17 @@
             if process in self.cell.stopping or undisturbed_s < SETTLE_S:
                 continue
             address = callers_address(self.platform, process)
-            result = await self.caller.find_phase(address, queue, record.id)
+            key = self.platform.keys.key_of(record.workspace)
+            result = await self.caller.find_phase(address, queue, record.id, key=key)
             if result.status == STATUS_NOT_FOUND:
                 detail = f"{queue.name} is not known to {process}"
                 self.ledger.add_violation("configuration", record.id, detail)
 
+    async def ask(self, process, queue, job_id, *, key):
+        """Ask a process for the phase of a job with any key."""
+        address = callers_address(self.platform, process)
+        return await self.caller.find_phase(address, queue, job_id, key=key)
+
     def _make_job(self):
         rng = self.random
         job_id = f"{rng.getrandbits(64):016x}"
@@ -147,13 +159,16 @@
         self._spawn(self._submit(record))
 
     def _record(self, job_id, queue, spec, behaviours):
-        workspaces = self.ledger.workspaces
+        if self.ledger.workspaces:
+            workspace = self.ledger.workspaces.choose(lasting=spec.lasting)
+        else:
+            workspace = self.platform.keys.choose(job_id)
         record = JobRecord(
             id=job_id,
             queue=self.queues[queue],
             spec=spec,
             behaviours=behaviours,
-            workspace=workspaces.choose(lasting=spec.lasting) if workspaces else "",
+            workspace=workspace,
         )
         self.ledger.jobs[job_id] = record
         return record
@@ -314,10 +329,11 @@
         process = self._choose_process()
         address = callers_address(self.platform, process)
         sent = self.ledger.now()
-        key = self.ledger.workspaces.keys[record.workspace] if record.workspace else ""
+        key = self.platform.keys.key_of(record.workspace)
         result = await method(address, record.queue, record.id, *arguments, key=key)
         if result.status == STATUS_UNAUTHENTICATED:
-            self.ledger.add_violation("key", record.id, f"status 401 from {process}")
+            detail = f"status 401 from {process} with a key of its workspace"
+            self.ledger.add_violation("key", record.id, detail)
         ended = self.ledger.now()
         cut = result.status == 0 and result.sent and ended - sent > IDLE_CLOSE_S
         if cut and self._is_planned_stop(process, ended):
--- a/wasabipaddle/soak/driver.py
+++ b/wasabipaddle/soak/driver.py
@@ -11,6 +11,7 @@
 from wasabipaddle.soak.cell import CellProcesses
 from wasabipaddle.soak.departures import Departures
 from wasabipaddle.soak.faults import SoakFaults
+from wasabipaddle.soak.keys import SoakKeys
 from wasabipaddle.soak.lasting import LastingWatch
 from wasabipaddle.soak.ledger import SoakLedger
 from wasabipaddle.soak.names import ALL_FAULTS
@@ -187,6 +188,7 @@
         runner_count=runners,
         seed=rng.random(),
         workspaces=ledger.workspaces,
+        keys=SoakKeys(names=ledger.workspaces.quotas) if workspaces else SoakKeys(),
     )
     cell = CellProcesses(platform=platform, directory=keep, ledger=ledger)
     faults = SoakFaults(
@@ -212,6 +214,7 @@
     faults.probe = callers.probe
     faults.submit_burst = callers.submit_burst
     faults.submit_spread = callers.submit_spread
+    faults.call = callers.ask
     callers.queues = {queue.name: queue for queue in QUEUES}
     return _SoakParts(
         ledger=ledger,
--- a/wasabipaddle/soak/platform.py
+++ b/wasabipaddle/soak/platform.py
@@ -104,7 +104,9 @@
     runner_cpu : int
         Processing power of each runner in millicores.
     workspaces : SoakWorkspaces or None
-        Workspaces of the configuration, None for a cell without any.
+        Quotas of the workspaces, None for workspaces without any.
+    keys : SoakKeys
+        Workspaces of the configuration and the keys of their callers.
 
     Attributes
     ----------
@@ -128,6 +130,7 @@
         seed,
         runner_cpu=RUNNER_CPU,
         workspaces=None,
+        keys,
     ):
         self.ledger = ledger
         self.processes = processes
@@ -144,6 +147,8 @@
         self.readiness_ports = {}
         self.runner_count = runner_count
         self.runner_cpu = runner_cpu
+        self.keys = keys
+        self.queues = ()
         self.runners = {}
         self.reserved_runners = set()
         self.runner_ports = {}
@@ -194,17 +199,14 @@
         """Store a configuration with the given queues and return its version."""
         self.queues = queues
         self.version += self.random.randint(1, 5)
-        workspaces, keys = {}, {}
-        if self.workspaces is not None:
-            workspaces = self.workspaces.configured()
-            keys = {name: [key] for name, key in self.workspaces.keys.items()}
+        limited = self.workspaces
         configuration = CellConfiguration(
             version=self.version,
             queues=queues,
             pools={POOL: Pool(name=POOL)},
-            workspaces=workspaces,
+            workspaces=limited.configured() if limited else self.keys.workspaces,
         )
-        key, value = encode_configuration(configuration, keys=keys)
+        key, value = encode_configuration(configuration, keys=self.keys.by_workspace)
         self.memory.apply((), (Put(key=key, value=value),), ())
         return self.version
 
--- a/wasabipaddle/soak/workspaces.py
+++ b/wasabipaddle/soak/workspaces.py
@@ -1,9 +1,9 @@
-"""Workspaces of a soak test, with keys and with quotas that change."""
+"""Workspaces of a soak test with quotas that change."""
 
 import asyncio
 import math
 
-from wasabipaddle.jobs import Capacity, Workspace, digest_key
+from wasabipaddle.jobs import Capacity, Workspace
 
 __all__ = ["SoakWorkspaces"]
 
@@ -39,7 +39,6 @@
     def __init__(self, *, ledger, random):
         self.ledger = ledger
         self.random = random
-        self.keys = {name: f"key-of-{name}" for name in (*LIMITED, UNLIMITED)}
         self.quotas = {name: [(0.0, random.choice(QUOTAS_CPU))] for name in LIMITED}
         self.quotas[UNLIMITED] = [(0.0, 0)]
 
@@ -48,7 +47,6 @@
         return {
             name: Workspace(
                 name=name,
-                key_digests=frozenset({digest_key(self.keys[name])}),
                 weight=5.0,
                 quota=Capacity(cpu=quotas[-1][1]),
             )
