Count only jobs within the rate and the share of workspaces in the forecast

Cause: ranks have the rate and the share of the workspace since the shares were merged. A new job goes before the excess of others, so the forecast was too long. Change and evidence: see tests/test_forecast.py; it fails without the change.

--- a/wasabipaddle/dispatch/forecast.py
+++ b/wasabipaddle/dispatch/forecast.py
@@ -10,6 +10,8 @@
 # Shorter waits are not reported, so that messages are short while there is room. Each
 # further point of a forecast stands for twice the wait.
 MIN_WAIT_S = 1.0
+# Level of a workspace that is not above its share, for a job that has just begun.
+NEW_JOB_SHARE = 1
 MS_PER_S = 1000
 # Interval at which the forecast is computed anew.
 REFRESH_S = 0.5
@@ -80,8 +82,7 @@
     def _measure(self, now):
         """Return the expected waits by pool, workspace and priority.
 
-        Late work, and work of no use, goes after new jobs of its priority. Steps that
-        wait for their quota take no room of the pool.
+        Steps that wait for their quota take no room of the pool.
         """
         room, waits, sums = self._measure_room(now), {}, {}
         order, durations, quotas = (
@@ -91,7 +92,7 @@
         )
         for step in order.waiting(now):
             spec, rank = step.spec, order.ranks[step.key]
-            if spec.lasting or rank.outlook is not Outlook.IN_TIME:
+            if spec.lasting or not _goes_before_new(rank):
                 continue
             pool, workspace = step.job.queue.pool, step.job.job.workspace
             work = len(step.pending) * spec.cpu * durations.task_s(step)
@@ -134,5 +135,15 @@
         return room
 
 
+def _goes_before_new(rank) -> bool:
+    """Return whether a step may go before new jobs of its priority.
+
+    A new job can be in time, is taken as within the rate of its workspace, and its
+    workspace as not far above its share.
+    """
+    in_time = rank.outlook is Outlook.IN_TIME
+    return in_time and not rank.in_excess and rank.share <= NEW_JOB_SHARE
+
+
 def _line(wait):
     return (wait.pool, wait.workspace, wait.priority)
--- a/wasabipaddle/dispatch/tests/test_forecast.py
+++ b/wasabipaddle/dispatch/tests/test_forecast.py
@@ -68,3 +68,11 @@
     forecast(cell)
     kinds = [kind for kind, _ in cell.events if kind.startswith("room_")]
     assert kinds == ["room_exceeded", "room_regained"]
+
+
+def test_jobs_beyond_the_rate_of_a_workspace_delay_no_new_jobs(cell):
+    """Guards against callers that are refused for the excess of another one."""
+    fill(cell)
+    for i in range(8):
+        cell.submit(f"j{i}", step(10, estimate_s=9.0)).in_excess = True
+    assert forecast(cell) == {}
--- a/wasabipaddle/dispatch/tests/test_overload.py
+++ b/wasabipaddle/dispatch/tests/test_overload.py
@@ -7,7 +7,7 @@
 
 from wasabipaddle.cell.admission import find_excess_s
 from wasabipaddle.dispatch.durations import Durations
-from wasabipaddle.dispatch.order import FLOOR_SHARE, Outlook, Rank, WorkOrder
+from wasabipaddle.dispatch.order import FLOOR_SHARE, Outlook, WorkOrder
 from wasabipaddle.dispatch.tests.conftest import BATCH, URGENT, Cell, step
 from wasabipaddle.jobs import CellConfiguration
 
@@ -52,7 +52,7 @@
         return Outlook.LATE if elapsed_s <= 3 * objective_s else Outlook.LOST
 
 
-def make_load(seed):
+def make_load(seed, *, load=LOAD):
     """Return the jobs of the load in the order of their arrival."""
     generator = random.Random(seed)
     arrivals = []
@@ -60,7 +60,7 @@
         (QUEUES[0], URGENT_PART, 8, 0.8),
         (QUEUES[1], 1 - URGENT_PART, 12, 4.0),
     ):
-        rate = LOAD * part * RUNNERS * SLOTS / (width * mean_s)
+        rate = load * part * RUNNERS * SLOTS / (width * mean_s)
         at_s = generator.expovariate(rate)
         while at_s < LOAD_S:
             duration_s = mean_s * generator.uniform(0.4, 1.6)
@@ -173,11 +173,16 @@
     """Play by worth for the work left, of jobs that can be in time for certain."""
     exact = [attrs.evolve(a, estimate_s=a.duration_s) for a in arrivals]
 
+    product_rank = WorkOrder.rank
+
     def rank(order, s, now):
         outlook = order.outlook(s, now, share=1.0)
         worth = WORTH[s.job.queue.priority][min(outlook, Outlook.LATE)]
         work = max(s.remaining, 1) * s.spec.estimate_s
-        return Rank(outlook is Outlook.LOST, 0, 0.0, outlook, -worth / work)
+        lost = outlook is Outlook.LOST
+        return product_rank(order, s, now)._replace(
+            lost=lost, level=0, outlook=outlook, latest_s=-worth / work
+        )
 
     with monkeypatch.context() as patch:
         patch.setattr(WorkOrder, "rank", rank)
