--- a/wasabipaddle/dispatch/tests/test_shares.py
+++ b/wasabipaddle/dispatch/tests/test_shares.py
@@ -31,10 +31,18 @@
 class Load:
     """Submits a day of jobs to a cell whose tasks take as long as they say.
 
-    The cell is busy to about four fifths without the burst of the hot workspace.
+    About nine tenths of the cell are in use if the hot workspace does as usual.
+
+    Parameters
+    ----------
+    hot : bool
+        Whether the hot workspace submits `HOT_FACTOR` times its usual for a while.
+    width : int
+        Number of times that the jobs of the hot workspace are as wide as others.
     """
 
-    def __init__(self, *, hot):
+    def __init__(self, *, hot=False, width=1):
+        self.width = width
         self.cell = Cell(runners=12, cpu=4000)
         queues = (URGENT, BATCH)
         self.cell.configuration = attrs.evolve(self.cell.configuration, queues=queues)
@@ -76,7 +84,11 @@
         return self.earned()
 
     def submit(self, name, kind):
-        spec = step(4, estimate_s=0.6) if kind == "urgent" else step(12, estimate_s=3.0)
+        width = self.width if name == HOT else 1
+        if kind == "urgent":
+            spec = step(4 * width, estimate_s=0.6)
+        else:
+            spec = step(12 * width, estimate_s=3.0)
         job = f"j{len(self.jobs)}"
         self.jobs.append(self.cell.submit(job, spec, queue=kind, workspace=name))
 
@@ -121,7 +133,13 @@
 
 def test_burst_of_one_workspace_leaves_the_others_their_part():
     """Guards against a workspace whose burst costs all others their objectives."""
-    usual, beside = Load(hot=False).play(), Load(hot=True).play()
+    usual, beside = Load().play(), Load(hot=True).play()
+    assert worst(beside) >= KEPT_PART * worst(usual)
+
+
+def test_large_jobs_of_one_workspace_leave_the_others_their_part():
+    """Guards against a workspace that keeps to its rate and takes the room of all."""
+    usual, beside = Load().play(), Load(width=5).play()
     assert worst(beside) >= KEPT_PART * worst(usual)
 
 
