Refuse malformed chunks, and keep refusals apart from pipelined requests

Cause: three faults of the new connections, and one of the old ones. A refusal of a head replaced the reply to the request before it, if that had arrived in the same read. New limits from the head of a pipelined request were applied to the body before it. A chunked body could exceed its limit by a piece if its end was in that piece. After a malformed chunk the parser leaves the body without an end, so that its handler waits until the client leaves, or fails with status 500 and a stack trace in the log.

Change: a refusal names the body that it ends; limits are checked where the bytes are counted; a malformed chunk is answered with 400 and is not logged by itself.

--- a/wasabipaddle/fuzz/requests.py
+++ b/wasabipaddle/fuzz/requests.py
@@ -97,6 +97,8 @@
         tags = [tag for _, tag in outcome.replies if tag]
         require(tags == outcome.handled[: len(tags)], "a reply of another request")
         refusals = [status for status, tag in outcome.replies if not tag]
+        statuses = {status for status, _ in outcome.replies}
+        require(max(statuses, default=0) < 500, "an unexpected error of the server")
         require(len(refusals) <= 1, "more than one reply to an invalid request")
         require(not refusals or not outcome.replies[-1][1], "a reply after a refusal")
     require(whole.jobs == cut.jobs, "the cuts decide which jobs are accepted")
--- a/wasabipaddle/ingress/protocol.py
+++ b/wasabipaddle/ingress/protocol.py
@@ -8,7 +8,7 @@
 
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.ingress.ledger import Phase
-from wasabipaddle.ingress.replies import busy_failure, raw_reply
+from wasabipaddle.ingress.replies import busy_failure, malformed_failure, raw_reply
 
 __all__ = ["Connection"]
 
@@ -96,6 +96,7 @@
         self.holding = None
         self.failure = None
         self.refused = None
+        self.refused_payload = None
         self.discarding = False
         self.serving = False
         self.payload = None
@@ -182,11 +183,12 @@
         if not self._reserve():
             return b""
         self._feed(piece)
-        if payload.is_eof():
-            if self.payload is payload:
-                self._complete_body()
-        elif self.length is None and self._exceeds_body_limit(payload.total_bytes):
+        if self.payload is not payload:
+            return rest
+        if self.length is None and self._exceeds_body_limit(payload.total_bytes):
             self.refuse(ErrorKind.BODY_TOO_LARGE)
+        elif payload.is_eof():
+            self._complete_body()
         return rest
 
     def _receive_chunks(self, data):
@@ -220,26 +222,32 @@
 
     def _begin_message(self, message, payload):
         """Note the head of the request that was parsed last."""
+        if not hasattr(message, "headers"):
+            return self._end_at_error()
         self.head_bytes = self.cuts = 0
         self.last_bytes = b""
         self.payload = payload
-        if not hasattr(message, "headers"):
-            # What follows malformed HTTP is not parsed; the reply closes.
-            self.discarding = True
-            self._complete_body()
-            return
         if payload.is_eof():
-            self._complete_body()
-            return
+            return self._complete_body()
         length = message.headers.get("Content-Length")
         self.length = None if message.chunked or length is None else int(length)
         self.framing_cost = self.framed_bytes = 0
         self.holding.enter(Phase.BODY, self.ingress.now())
         if self._exceeds_body_limit(self.length or payload.total_bytes):
-            self.refuse(ErrorKind.BODY_TOO_LARGE)
-            return
+            return self.refuse(ErrorKind.BODY_TOO_LARGE)
         self.body_cost = COPIES * (self.length or payload.total_bytes)
         self._reserve()
+        return None
+
+    def _end_at_error(self):
+        """Stop parsing after malformed HTTP; the reply closes the connection."""
+        if self.holding.phase is Phase.BODY:
+            # The parser leaves the body without an end and reports a further request.
+            self._messages.pop()
+            self.refuse(ErrorKind.INVALID_REQUEST)
+            return
+        self.discarding = True
+        self.holding.enter(Phase.SERVING, self.ingress.now())
 
     def _complete_body(self):
         self.last_bytes = b""
@@ -256,18 +264,23 @@
     async def read_body(self, request):
         """Return the body of the current request, in a `Result`.
 
-        The `Err` has the kind `body_too_large`, `queue_full` or `request_timeout`; the
-        body has then not been read whole.
+        The `Err` has the kind `body_too_large`, `queue_full`, `request_timeout` or, for
+        malformed chunks, `invalid_request`; the body has then not been read whole.
         """
         payload = request.content
+        if payload is self.refused_payload:
+            return Err(self.failure)
         if payload.is_eof():
             data = payload.read_nowait()
         else:
-            data = await self._wait_for_body(payload)
+            try:
+                data = await self._wait_for_body(payload)
+            except web.RequestPayloadError:
+                self.discarding = True
+                payload.feed_eof()
+                return Err(malformed_failure())
             if data is None:
                 return Err(self.failure)
-        if len(data) > self.holding.limits.max_body_bytes:
-            return Err(Failure(kind=ErrorKind.BODY_TOO_LARGE))
         self.body_cost = DECODED_COPIES * len(data)
         if not self.ingress.reserve(self.holding, self.head_cost + self.body_cost):
             return Err(busy_failure())
@@ -275,15 +288,13 @@
 
     async def _wait_for_body(self, payload):
         """Return a body that is still arriving, or None if it is refused."""
-        if self.failure is not None:
-            return None
         self.refused = asyncio.get_running_loop().create_future()
         reading = asyncio.ensure_future(self._collect(payload))
         try:
             await asyncio.wait(
                 (reading, self.refused), return_when=asyncio.FIRST_COMPLETED
             )
-            return None if self.failure is not None else reading.result()
+            return None if payload is self.refused_payload else reading.result()
         finally:
             reading.cancel()
             self.refused = None
@@ -330,6 +341,7 @@
         self.holding.enter(Phase.REFUSED, self.ingress.now())
         self.ingress.release(self.holding)
         if within_body:
+            self.refused_payload = self.payload
             # A reader that waits has taken everything.
             with contextlib.suppress(RuntimeError):
                 self.payload.read_nowait()
@@ -377,8 +389,11 @@
             return super().handle_error(request, status, exc, message)
         if request.writer.output_size > 0 or self.transport is None:
             raise ConnectionError("no reply can be sent")
-        detail = "the request is not valid HTTP"
-        failure = Failure(kind=ErrorKind.INVALID_REQUEST, detail=detail)
-        response = self.gate.render(failure)
+        response = self.gate.render(malformed_failure())
         response.force_close()
         return response
+
+    def log_exception(self, *args, **options):
+        """Log an unexpected error, but not each malformed body."""
+        if not isinstance(options.get("exc_info"), web.RequestPayloadError):
+            super().log_exception(*args, **options)
--- a/wasabipaddle/ingress/replies.py
+++ b/wasabipaddle/ingress/replies.py
@@ -12,6 +12,7 @@
     "RefusedConnection",
     "busy_failure",
     "failure_response",
+    "malformed_failure",
     "raw_reply",
 ]
 
@@ -69,6 +70,12 @@
     )
 
 
+def malformed_failure() -> Failure:
+    """Return the failure of a request that is not valid HTTP."""
+    detail = "the request is not valid HTTP"
+    return Failure(kind=ErrorKind.INVALID_REQUEST, detail=detail)
+
+
 class RefusedConnection(asyncio.Protocol):
     """Connection above the limit, closed after a reply.
 
--- a/wasabipaddle/ingress/tests/conftest.py
+++ b/wasabipaddle/ingress/tests/conftest.py
@@ -172,6 +172,13 @@
                     await asyncio.sleep(POLL_S)
         return False
 
+    async def wait_for_exit(self):
+        """Return the exit code of the process, or None if it does not exit."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(REPLY_LIMIT_S):
+                return await self.child.wait()
+        return None
+
     def _spawn(self, coroutine):
         task = asyncio.get_running_loop().create_task(coroutine)
         self.tasks.add(task)
--- a/wasabipaddle/ingress/tests/test_connection.py
+++ b/wasabipaddle/ingress/tests/test_connection.py
@@ -39,12 +39,13 @@
         self.context = Context.create(
             settings=None, clock=LoopClock(), process="p", seed=1
         )
+        self.limits = limits
         self.released = asyncio.Event()
         self.received = []
         self.listener = IngressListener(
             ingress=self.context.ingress,
             runner=web.ServerRunner(web.Server(self._handle), shutdown_timeout=0.5),
-            gate=Gate(listener="callers", find_limits=lambda: limits),
+            gate=Gate(listener="callers", find_limits=lambda: self.limits),
         )
 
     async def _handle(self, request):
@@ -112,6 +113,11 @@
         ((b"GET /" + b"x" * 600,), 431),
         ((_post(headers="Content-Length: 20001\r\n"),), 413),
         ((_post(headers=CHUNKED), b"5000\r\n" + b"x" * 20_480), 413),
+        (
+            (_post(headers=CHUNKED) + b"4e21\r\n" + b"x" * 20_001 + b"\r\n0\r\n\r\n",),
+            413,
+        ),
+        ((_post(headers=CHUNKED), b"2\r\nxx\r\nnonsense\r\n"), 400),
         ((b"NONSENSE\r\n\r\n",), 400),
         ((_post(headers="Content-Length: 3\r\n" + CHUNKED),), 400),
         ((_post(headers="Content-Length: 3\r\nContent-Length: 4\r\n"),), 400),
@@ -224,3 +230,28 @@
         assert counters[name] == 1
 
     run_listener(check)
+
+
+def test_changed_limits_hold_for_the_next_request(run_listener):
+    """Guards against a change of the limits that cuts a request which is on its way."""
+    body = b"x" * 5_000
+
+    async def check(raw):
+        reader, writer = await raw.connect()
+        writer.write(_post(headers="Content-Length: 5000\r\n") + body[:100])
+        while not any(h.phase is Phase.BODY for h in raw.holdings):
+            await asyncio.sleep(0.01)
+        raw.limits = attrs.evolve(LIMITS, max_body_bytes=4_000, idle_s=0.01)
+        await asyncio.sleep(0.5)
+        writer.write(body[100:] + _post(body))
+        async with asyncio.timeout(REPLY_LIMIT_S):
+            replies = await reader.read()
+        writer.close()
+        assert raw.received == [body]
+        assert [part[:3] for part in replies.split(b"HTTP/1.1 ")] == [
+            b"",
+            b"200",
+            b"413",
+        ]
+
+    run_listener(check)
--- a/wasabipaddle/ingress/tests/test_crowds.py
+++ b/wasabipaddle/ingress/tests/test_crowds.py
@@ -9,6 +9,7 @@
 # Connections whose bodies or heads are held, and connections beyond the descriptors.
 CROWD = 600
 LARGE_CROWD = 1_200
+DRAIN_CROWD = 20
 # One client of this many completes its request.
 COMPLETING_SHARE = 10
 BODY_BYTES = 262_144
@@ -190,3 +191,18 @@
         await cell.check()
 
     run_crowded(check)
+
+
+def test_unfinished_bodies_at_a_drain(run_crowded):
+    """Guards against slow senders that keep a draining process from its exit."""
+
+    async def send(writer, number):
+        await _write(writer, _head(number, _length(BODY_BYTES)) + b"{")
+
+    async def check(cell):
+        await cell.send_crowd(DRAIN_CROWD, send)
+        await cell.check()
+        cell.child.terminate()
+        assert await cell.wait_for_exit() == 0
+
+    run_crowded(check)
