Spend less on usual requests within their limits

Change: the limits of a configuration are converted once, the time is read once for each read, and contents that need no reservation do not reach the ledger.

--- a/wasabipaddle/cell/entry.py
+++ b/wasabipaddle/cell/entry.py
@@ -1,6 +1,7 @@
 """Role `cell_entry`: serves the callers that are connected to this process."""
 
 import asyncio
+import functools
 
 from result import Err, Ok
 
@@ -110,13 +111,7 @@
     def request_limits(self) -> RequestLimits:
         """Return the limits on a request that begins now."""
         current = self.configuration.current
-        limits = Limits() if current is None else current.limits
-        return RequestLimits(
-            max_head_bytes=limits.max_header_bytes or Limits().max_header_bytes,
-            max_body_bytes=limits.max_body_bytes,
-            header_s=limits.header_s,
-            idle_s=limits.idle_s,
-        )
+        return _request_limits(Limits() if current is None else current.limits)
 
     def select_queue(self, host, path):
         """Return the queue for the host and path of a call."""
@@ -377,3 +372,14 @@
 
 def _failure(kind, detail):
     return Err(Failure(kind=kind, detail=detail, retry_after_s=RETRY_AFTER_S))
+
+
+@functools.lru_cache(maxsize=2)
+def _request_limits(limits):
+    """Return the limits of a configuration as the listeners need them."""
+    return RequestLimits(
+        max_head_bytes=limits.max_header_bytes or Limits().max_header_bytes,
+        max_body_bytes=limits.max_body_bytes,
+        header_s=limits.header_s,
+        idle_s=limits.idle_s,
+    )
--- a/wasabipaddle/ingress/listener.py
+++ b/wasabipaddle/ingress/listener.py
@@ -198,12 +198,12 @@
 
     async def _handle(self, request):
         protocol = request.protocol
-        protocol.begin_request()
+        protocol.serving = True
         try:
             response = await self.handler(request)
         finally:
-            protocol.end_request()
-        if protocol.is_last_request:
+            last = protocol.end_request()
+        if last:
             response.force_close()
         return response
 
--- a/wasabipaddle/ingress/protocol.py
+++ b/wasabipaddle/ingress/protocol.py
@@ -8,6 +8,7 @@
 
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.ingress.ledger import Phase
+from wasabipaddle.ingress.limits import FREE_CONTENT_BYTES
 from wasabipaddle.ingress.replies import busy_failure, malformed_failure, raw_reply
 
 __all__ = ["Connection"]
@@ -51,10 +52,10 @@
     last_bytes : bytes
         The bytes before `data`, without an end of a head.
     """
-    joined = last_bytes + data[:3]
-    end = joined.find(HEAD_END)
-    if end >= 0:
-        return end + len(HEAD_END) - len(last_bytes)
+    if last_bytes:
+        end = (last_bytes + data[:3]).find(HEAD_END)
+        if end >= 0:
+            return end + len(HEAD_END) - len(last_bytes)
     end = data.find(HEAD_END)
     return len(data) if end < 0 else end + len(HEAD_END)
 
@@ -64,8 +65,7 @@
 
     The parser of `aiohttp` limits single lines and holds everything else: a head, the
     framing of chunks and pipelined requests. This class counts them from outside. It
-    relies on attributes of the base class (`_messages`, `_request_count`, `_upgraded`
-    and `_message_tail`) to see where a head ends.
+    relies on attributes of the base class to see where a head ends.
 
     The parser gets at most one head at a time. After an error it drops the requests
     that it has found in the same bytes, and the reply to the malformed request would be
@@ -93,6 +93,8 @@
         )
         self.ingress = ingress
         self.gate = gate
+        self.clock = self._loop.time
+        self.now_s = 0.0
         self.holding = None
         self.failure = None
         self.refused = None
@@ -127,16 +129,17 @@
     def pause_writing(self):
         """Record that the client does not read its replies."""
         super().pause_writing()
-        self.holding.enter(Phase.UNREAD, self.ingress.now())
+        self.holding.enter(Phase.UNREAD, self.clock())
 
     def resume_writing(self):
         """Record that the client reads again."""
         super().resume_writing()
         phase = Phase.SERVING if self.serving else Phase.IDLE
-        self.holding.enter(phase, self.ingress.now())
+        self.holding.enter(phase, self.clock())
 
     def data_received(self, data):
         """Parse bytes as far as the limits admit them."""
+        self.now_s = self.clock()
         if not data and not self.discarding:
             self._feed(data)
         while data and not self.discarding:
@@ -147,14 +150,11 @@
 
     def _receive_head(self, data):
         """Parse the next bytes of a head; return the bytes that follow them."""
-        now_s = self.ingress.now()
         holding = self.holding
         if not self.head_bytes:
             holding.limits = self.gate.find_limits()
-            if holding.phase is Phase.IDLE:
-                holding.enter(Phase.HEAD, now_s)
         limit = holding.limits.max_head_bytes
-        if not self.last_bytes:
+        if not self.last_bytes and data[0] in EMPTY_LINE:
             begin = data.lstrip(EMPTY_LINE)
             self.head_bytes += len(data) - len(begin)
             data = begin
@@ -162,13 +162,16 @@
         piece, rest = data[:size], data[size:]
         self.head_bytes += size
         self.head_cost += COPIES * size + HEADER_BYTES * piece.count(b"\n")
-        if holding.phase is Phase.HEAD:
-            holding.receive(size, now_s)
         if not self._reserve():
             return b""
         self._feed(piece)
         if self.head_bytes >= limit:
             self.refuse(ErrorKind.HEADERS_TOO_LARGE)
+        elif self.head_bytes:
+            if holding.phase is Phase.IDLE:
+                holding.enter(Phase.HEAD, self.now_s)
+            if holding.phase is Phase.HEAD:
+                holding.receive(size, self.now_s)
         return rest
 
     def _receive_body(self, data):
@@ -179,7 +182,7 @@
         else:
             size = self.length - payload.total_bytes
         piece, rest = data[:size], data[size:]
-        self.holding.receive(len(piece), self.ingress.now())
+        self.holding.receive(len(piece), self.now_s)
         if not self._reserve():
             return b""
         self._feed(piece)
@@ -232,7 +235,7 @@
         length = message.headers.get("Content-Length")
         self.length = None if message.chunked or length is None else int(length)
         self.framing_cost = self.framed_bytes = 0
-        self.holding.enter(Phase.BODY, self.ingress.now())
+        self.holding.enter(Phase.BODY, self.now_s)
         if self._exceeds_body_limit(self.length or payload.total_bytes):
             return self.refuse(ErrorKind.BODY_TOO_LARGE)
         self.body_cost = COPIES * (self.length or payload.total_bytes)
@@ -244,18 +247,19 @@
         if self.holding.phase is Phase.BODY:
             # The parser leaves the body without an end and reports a further request.
             self._messages.pop()
-            self.refuse(ErrorKind.INVALID_REQUEST)
-            return
+            return self.refuse(ErrorKind.INVALID_REQUEST)
         self.discarding = True
-        self.holding.enter(Phase.SERVING, self.ingress.now())
+        return self.holding.enter(Phase.SERVING, self.now_s)
 
     def _complete_body(self):
         self.last_bytes = b""
-        self.holding.enter(Phase.SERVING, self.ingress.now())
+        self.holding.enter(Phase.SERVING, self.now_s)
 
     def _reserve(self):
         """Reserve memory for what the connection holds, or refuse the request."""
         cost = self.head_cost + self.body_cost
+        if cost <= FREE_CONTENT_BYTES and not self.holding.reserved:
+            return True
         if self.ingress.reserve(self.holding, cost):
             return True
         self.refuse(ErrorKind.QUEUE_FULL)
@@ -282,9 +286,7 @@
             if data is None:
                 return Err(self.failure)
         self.body_cost = DECODED_COPIES * len(data)
-        if not self.ingress.reserve(self.holding, self.head_cost + self.body_cost):
-            return Err(busy_failure())
-        return Ok(data)
+        return Ok(data) if self._reserve() else Err(busy_failure())
 
     async def _wait_for_body(self, payload):
         """Return a body that is still arriving, or None if it is refused."""
@@ -306,24 +308,21 @@
             self.framing_cost = 0
         return bytes(data)
 
-    @property
-    def is_last_request(self) -> bool:
-        """Whether the request that is being handled is the last one that is served."""
-        return self.discarding and not self._messages
-
-    def begin_request(self):
-        """Note that a handler runs."""
-        self.serving = True
-
-    def end_request(self):
-        """Release what the request held, once its handler has returned."""
+    def end_request(self) -> bool:
+        """Release what the request held; return whether it was the last one served."""
         self.serving = False
-        if self.discarding or self._messages or not self.payload.is_eof():
-            return
+        if self.discarding:
+            return not self._messages
+        if self._messages or not self.payload.is_eof():
+            return False
         self.head_cost = self.body_cost = 0
-        if self.holding.phase is not Phase.UNREAD:
-            self.holding.enter(Phase.IDLE, self.ingress.now())
-        self.ingress.release(self.holding)
+        holding = self.holding
+        if holding.phase is not Phase.UNREAD:
+            phase = Phase.HEAD if self.head_bytes else Phase.IDLE
+            holding.enter(phase, self.clock())
+        if holding.reserved:
+            self.ingress.release(holding)
+        return False
 
     def refuse(self, kind):
         """Refuse the request that is being received, and close after the reply.
@@ -338,7 +337,7 @@
             busy_failure() if kind is ErrorKind.QUEUE_FULL else Failure(kind=kind)
         )
         self.ingress.count_refusal(self.gate.listener, kind)
-        self.holding.enter(Phase.REFUSED, self.ingress.now())
+        self.holding.enter(Phase.REFUSED, self.clock())
         self.ingress.release(self.holding)
         if within_body:
             self.refused_payload = self.payload
