Keep the representation of runs, tasks and runners short

Cause: runs, tasks, steps and runners refer to each other, and the representation of each contains that of the others. A failing test of the index of candidates took 26 GB to print its traceback, and the machine ended it; an error that is logged in a process would end that process.

Change: a representation contains only the identifiers of other objects.

--- a/wasabipaddle/dispatch/model.py
+++ b/wasabipaddle/dispatch/model.py
@@ -53,6 +53,15 @@
     RUNNER_MOVED = "runner_moved"
 
 
+def _show_id(value) -> str:
+    """Return the text for an object in the representation of one that refers to it.
+
+    Runs, tasks, steps and runners refer to each other. If each representation contained
+    the next one, that of a single run could exceed the memory.
+    """
+    return repr(value.id)
+
+
 @attrs.define(kw_only=True, eq=False)
 class Run:
     """One run of a task, which keeps its reservation on the runner until removed.
@@ -93,9 +102,9 @@
         stops it or does not know when it started.
     """
 
-    task: "Task"
+    task: "Task" = attrs.field(repr=_show_id)
     number: int
-    runner: object
+    runner: object = attrs.field(repr=_show_id)
     phase: RunPhase
     started_s: float
     start_before_ms: int = 0
@@ -175,8 +184,8 @@
     """
 
     id: TaskId
-    step: "Step"
-    runs: list = attrs.field(factory=list)
+    step: "Step" = attrs.field(repr=False)
+    runs: list = attrs.field(factory=list, repr=False)
     completed: bool = False
     failed_runs: set = attrs.field(factory=set)
     last_run: int = 0
@@ -274,18 +283,18 @@
         Whether the step has ever waited for the quota of its workspace.
     """
 
-    job: "JobEntry"
+    job: "JobEntry" = attrs.field(repr=_show_id)
     occurrence: int
     position: int
     spec: StepSpec
-    tasks: list = attrs.field(factory=list)
+    tasks: list = attrs.field(factory=list, repr=False)
     remaining: int = 0
     opened: bool = False
-    pending: dict = attrs.field(factory=dict)
+    pending: dict = attrs.field(factory=dict, repr=False)
     failed_on: set = attrs.field(factory=set)
     durations_s: list = attrs.field(factory=list)
     gang_failures: set = attrs.field(factory=set)
-    eligibility: Eligibility = attrs.field(factory=Eligibility)
+    eligibility: Eligibility = attrs.field(factory=Eligibility, repr=False)
     has_waited_for_quota: bool = False
 
     def record_duration(self, seconds) -> float | None:
@@ -362,7 +371,7 @@
     queue: Queue
     phase: JobPhase = JobPhase.QUEUED
     durable_phase: JobPhase = JobPhase.QUEUED
-    steps: dict = attrs.field(factory=dict)
+    steps: dict = attrs.field(factory=dict, repr=False)
     due_s: float = 0.0
     accepted_s: float = 0.0
     objective_s: float = 0.0
--- a/wasabipaddle/dispatch/runners.py
+++ b/wasabipaddle/dispatch/runners.py
@@ -107,7 +107,7 @@
     in_fleet_record: bool = _watched(default=False)
     clock_ms: int = 0
     clock_s: float = 0.0
-    runs: dict = attrs.field(factory=dict)
+    runs: dict = attrs.field(factory=dict, repr=False)
     cpu: int = _watched(default=0)
     memory_mb: int = _watched(default=0)
     gpus: int = _watched(default=0)
@@ -124,7 +124,7 @@
     whole_list_s: float | None = None
     paused_until_s: float = _watched(default=0.0)
     health: RunnerHealth = attrs.field(factory=RunnerHealth)
-    step_runs: dict = attrs.field(factory=dict)
+    step_runs: dict = attrs.field(factory=dict, repr=False)
     changed: dict = attrs.field(factory=dict)
 
     def __attrs_post_init__(self):
--- a/wasabipaddle/dispatch/tests/test_runs.py
+++ b/wasabipaddle/dispatch/tests/test_runs.py
@@ -244,3 +244,15 @@
     cell.scheduler.leases.revert_inventory(runner, before_ms)
     assert runner.inventory_lease_until_ms == before_ms < extended_ms
     assert runner.lease_until_ms == started_ms
+
+
+def test_representation_of_a_run_does_not_contain_the_cell(make_cell):
+    """Guards against an error report that takes all memory of the process."""
+    cell = make_cell(runners=20)
+    for n in range(20):
+        cell.submit(f"j{n}", step(8), queue="batch")
+    cell.plan()
+    runner = cell.state.runners["r0"]
+    run = next(iter(runner.runs.values()))
+    for item in (run, run.task, run.task.step, runner):
+        assert len(repr(item)) < 10_000
