Leave time for advice and for waves in the objective of a job

Cause: the objective followed from the estimates alone. A step that is wider than its workspace may run, or than a quarter of its pool, runs in waves, and each step needs an answer of the eligibility service. Jobs of workspaces counted as late or of no use too early and went behind others.

Change: dispatch/objective.py adds the answer for each step and the waves; a gang runs at once. Admission uses the same function, which is now in the package of the decisions.

--- a/wasabipaddle/cell/admission.py
+++ b/wasabipaddle/cell/admission.py
@@ -3,16 +3,13 @@
 from result import Err, Ok
 
 from wasabipaddle.cell.keys import JOB_PREFIX, REFUSAL_PREFIX
-from wasabipaddle.dispatch.order import USEFUL_OBJECTIVES
+from wasabipaddle.dispatch.forecast import find_excess_s
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.interfaces import Put
 from wasabipaddle.jobs import find_quota_problem
 
-__all__ = ["Admission", "RefusalMarks", "find_excess_s"]
+__all__ = ["Admission", "RefusalMarks"]
 
-# Part of the expected wait and work that is taken as certain: the estimates of all jobs
-# that wait may be too high.
-CERTAIN_WAIT_SHARE = 0.5
 # Age from which a forecast is not used.
 FORECAST_VALID_S = 1.5
 # Limits of the time after which a refused caller may try again, and the factor up to
@@ -27,37 +24,6 @@
 MARK_LEASE_S = 60.0
 
 
-def find_excess_s(queue, workspace, spec, waits) -> float:
-    """Return by how much a job certainly exceeds the time in which it is of use.
-
-    Only a part of the expected wait and of the estimated work counts as certain.
-
-    Parameters
-    ----------
-    waits : tuple of ExpectedWait
-        Forecast of the leader.
-
-    Returns
-    -------
-    float
-        Time in seconds; 0 or less for a job that may be of use.
-    """
-    if spec.scheduled or spec.lasting:
-        return 0.0
-    chain_s = spec.chain_s
-    objective_s = queue.target_s + queue.stretch * chain_s
-    work = min(s.count * s.cpu * s.estimate_s for s in spec.steps if not s.after)
-    wait_s = max(
-        (
-            wait.wait_s(objective_s - chain_s, work)
-            for wait in waits
-            if wait.concerns(queue, workspace)
-        ),
-        default=0.0,
-    )
-    return CERTAIN_WAIT_SHARE * (wait_s + chain_s) - USEFUL_OBJECTIVES * objective_s
-
-
 class RefusalMarks:
     """Marks in the store that make refusals hold.
 
--- a/wasabipaddle/cell/tests/test_admission.py
+++ b/wasabipaddle/cell/tests/test_admission.py
@@ -10,11 +10,11 @@
     MARK_LEASE_S,
     MAX_RETRY_S,
     RETRY_SPREAD,
-    find_excess_s,
 )
 from wasabipaddle.cell.keys import JOB_PREFIX, REFUSAL_PREFIX
 from wasabipaddle.cell.tests.conftest import JOB, QUEUE
 from wasabipaddle.clock import run_virtual
+from wasabipaddle.dispatch.forecast import find_excess_s
 from wasabipaddle.exceptions import ErrorKind
 from wasabipaddle.jobs import JobSpec, StepSpec
 from wasabipaddle.messages.codec import decode, encode
--- a/wasabipaddle/dispatch/forecast.py
+++ b/wasabipaddle/dispatch/forecast.py
@@ -2,10 +2,11 @@
 
 import math
 
-from wasabipaddle.dispatch.order import Outlook
+from wasabipaddle.dispatch.objective import measure_objective_s
+from wasabipaddle.dispatch.order import USEFUL_OBJECTIVES, Outlook
 from wasabipaddle.messages.jobs import ExpectedWait, LoadForecast
 
-__all__ = ["LoadForecaster"]
+__all__ = ["LoadForecaster", "find_excess_s"]
 
 # Shorter waits are not reported, so that messages are short while there is room. Each
 # further point of a forecast stands for twice the wait.
@@ -18,6 +19,9 @@
 # Time after a takeover in which there is no forecast, since runs that go on and jobs
 # that come in late are not known yet.
 SETTLING_S = 3.0
+# Part of the expected wait and work that is taken as certain: the estimates of all jobs
+# that wait may be too high.
+CERTAIN_WAIT_SHARE = 0.5
 
 
 class LoadForecaster:
@@ -84,7 +88,7 @@
 
         Steps that wait for their quota take no room of the pool.
         """
-        room, waits, sums = self._measure_room(now), {}, {}
+        room, waits, sums, capacities = self._measure_room(now), {}, {}, {}
         order, durations, quotas = (
             self.state.order,
             self.state.durations,
@@ -104,6 +108,7 @@
                 lines.append((pool, workspace, limit.cpu))
             for pool, workspace, capacity in lines:
                 key = (pool, workspace)
+                capacities[key] = capacity
                 sums[key] = sums.get(key, 0.0) + work / max(capacity, 1)
                 points = waits.setdefault((*key, step.job.queue.priority), [])
                 if sums[key] >= (2 * points[-1][1] if points else MIN_WAIT_S):
@@ -113,6 +118,7 @@
                 pool=pool,
                 workspace=workspace,
                 priority=priority,
+                room=capacities[pool, workspace],
                 work_weight=order.work_weight(pool),
                 points=tuple(points),
             )
@@ -147,3 +153,35 @@
 
 def _line(wait):
     return (wait.pool, wait.workspace, wait.priority)
+
+
+def find_excess_s(queue, workspace, spec, waits) -> float:
+    """Return by how much a job certainly exceeds the time in which it is of use.
+
+    Only a part of the expected wait and of the estimated work counts as certain.
+
+    Parameters
+    ----------
+    waits : tuple of ExpectedWait
+        Forecast of the leader.
+
+    Returns
+    -------
+    float
+        Time in seconds; 0 or less for a job that may be of use.
+    """
+    if spec.scheduled or spec.lasting:
+        return 0.0
+    concerned = [wait for wait in waits if wait.concerns(queue, workspace)]
+    if not concerned:
+        return 0.0
+    objective_s = measure_objective_s(
+        queue,
+        spec,
+        room=max(wait.room for wait in concerned),
+        quota=min(wait.room for wait in concerned),
+    )
+    work = min(s.count * s.cpu * s.estimate_s for s in spec.steps if not s.after)
+    wait_s = max(w.wait_s(objective_s - spec.chain_s, work) for w in concerned)
+    certain_s = CERTAIN_WAIT_SHARE * (wait_s + spec.chain_s)
+    return certain_s - USEFUL_OBJECTIVES * objective_s
--- a/wasabipaddle/dispatch/lifecycle.py
+++ b/wasabipaddle/dispatch/lifecycle.py
@@ -1,6 +1,7 @@
 """Life cycle of jobs: opening of steps, results of runs, final states."""
 
 from wasabipaddle.dispatch.model import JobEntry, RunPhase, Step, Task
+from wasabipaddle.dispatch.objective import measure_objective_s
 from wasabipaddle.interfaces import EndCause
 from wasabipaddle.jobs import JobPhase, JobProgress, TaskId
 from wasabipaddle.jobs.records import GANG_INDEX
@@ -42,7 +43,13 @@
         entry = JobEntry(
             job=job, queue=queue, recovered=recovered, accepted_s=accepted_s
         )
-        entry.objective_s = queue.target_s + queue.stretch * job.spec.chain_s
+        limit = state.quotas.limits.get(job.workspace)
+        entry.objective_s = measure_objective_s(
+            queue,
+            job.spec,
+            room=state.order.room.get(queue.pool, 0),
+            quota=limit.cpu if limit is not None else 0,
+        )
         entry.due_s = accepted_s + entry.objective_s
         state.jobs[job.id] = entry
         state.shares.add_job(entry)
--- a/wasabipaddle/dispatch/tests/test_forecast.py
+++ b/wasabipaddle/dispatch/tests/test_forecast.py
@@ -1,7 +1,8 @@
 """Forecast of the wait of new jobs, without a network."""
 
-from wasabipaddle.dispatch.forecast import SETTLING_S
-from wasabipaddle.dispatch.tests.conftest import step
+from wasabipaddle.dispatch.forecast import SETTLING_S, find_excess_s
+from wasabipaddle.dispatch.tests.conftest import BATCH, URGENT, step
+from wasabipaddle.jobs import JobSpec
 
 
 def forecast(cell):
@@ -76,3 +77,16 @@
     for i in range(8):
         cell.submit(f"j{i}", step(10, estimate_s=9.0)).in_excess = True
     assert forecast(cell) == {}
+
+
+def test_only_the_job_that_goes_behind_all_others_is_of_no_use(cell):
+    """Guards against both errors of admission: a small job goes before the others."""
+    fill(cell)
+    for i in range(40):
+        cell.submit(f"j{i}", step(10, estimate_s=60.0))
+    waits = cell.scheduler.forecaster.forecast(cell.now).waits
+    large = JobSpec(payload="p", steps=(step(11, estimate_s=60.0),))
+    small = JobSpec(payload="p", steps=(step(1, estimate_s=1.0),))
+    assert find_excess_s(BATCH, "", large, waits) > 0
+    assert find_excess_s(BATCH, "", small, waits) <= 0
+    assert find_excess_s(URGENT, "", large, waits) <= 0
--- a/wasabipaddle/dispatch/tests/test_order.py
+++ b/wasabipaddle/dispatch/tests/test_order.py
@@ -3,9 +3,11 @@
 import attrs
 import pytest
 
+from wasabipaddle.dispatch.objective import measure_objective_s
 from wasabipaddle.dispatch.order import FLOOR_SHARE, Outlook, WorkOrder
 from wasabipaddle.dispatch.orders import StopTask
-from wasabipaddle.dispatch.tests.conftest import step
+from wasabipaddle.dispatch.tests.conftest import ADVISED, BATCH, step
+from wasabipaddle.jobs import JobSpec
 
 
 @pytest.fixture
@@ -223,3 +225,15 @@
         full_cell.now += 0.01
         full_cell.plan()
     assert len(computed) == 2000
+
+
+def test_objective_leaves_time_for_advice_and_for_waves():
+    """Guards against jobs that count as late since their room or quota is small."""
+    steps = (step(8, estimate_s=2.0), step(1, estimate_s=3.0, after=(0,)))
+    spec = JobSpec(payload="p", steps=steps)
+    queue = attrs.evolve(BATCH, target_s=1.0, stretch=2.0)
+    assert measure_objective_s(queue, spec) == 1.0 + 2.0 * 5.0
+    assert measure_objective_s(queue, spec, quota=4000) == 1.0 + 2.0 * 7.0
+    assert measure_objective_s(queue, spec, room=8000) == 1.0 + 2.0 * 11.0
+    advised = attrs.evolve(queue, advice=ADVISED.advice)
+    assert measure_objective_s(advised, spec) == pytest.approx(1.0 + 2.0 * 6.4)
--- a/wasabipaddle/dispatch/tests/test_overload.py
+++ b/wasabipaddle/dispatch/tests/test_overload.py
@@ -5,8 +5,8 @@
 import attrs
 import pytest
 
-from wasabipaddle.cell.admission import find_excess_s
 from wasabipaddle.dispatch.durations import Durations
+from wasabipaddle.dispatch.forecast import find_excess_s
 from wasabipaddle.dispatch.order import FLOOR_SHARE, Outlook, WorkOrder
 from wasabipaddle.dispatch.tests.conftest import BATCH, URGENT, Cell, step
 from wasabipaddle.jobs import CellConfiguration
--- a/wasabipaddle/messages/jobs.py
+++ b/wasabipaddle/messages/jobs.py
@@ -187,6 +187,8 @@
         Priority of the jobs.
     workspace : str
         Workspace whose quota the jobs wait for, empty for the room of the pool.
+    room : float
+        Processors of the pool, or quota of the workspace, in thousandths of a core.
     work_weight : float
         Time by which the work of a job postpones it in the order, in seconds for each
         thousandth of a core and second.
@@ -198,6 +200,7 @@
     pool: str
     priority: int
     workspace: str = ""
+    room: float = 0.0
     work_weight: float = 0.0
     points: tuple[tuple[float, float], ...] = ()
 
