Learn the speeds of runners by kind and weigh them by urgency

Cause: all kinds of work prefer fast runners alike, and an idle slow one is preferred to a fast one that is a quarter in use, so urgent tasks end on slow runners. The speed of a runner starts at 1.0 and follows a median of its step, so a slow kind looks fast once it gets steps for itself. Runners of a slow kind count as slowed down, and their runs are restarted.

Change: `Speeds` learns the speed of each runner and kind (labels other than the rack) from completed runs, scaled to a runner of usual speed; a runner without runs has the speed of its kind. The score weighs the speed by 3.0 for priority 0, by 3/(1+4n) for priority n, and by -0.3 for work that lasts. A runner that is slowed down is one whose runs take far longer than its own usual speed explains; it gets a penalty of its own until a run ends normally. A copy is started only if it ends earlier by more than a part of its duration, with the work that the run itself shows.

Tests: `test_speeds`; those of the urgency, the new runner and the restarts fail on the code before.

--- a/wasabipaddle/dispatch/candidates.py
+++ b/wasabipaddle/dispatch/candidates.py
@@ -7,11 +7,11 @@
 
 from wasabipaddle.dispatch.capacity_tree import CapacityTree
 from wasabipaddle.dispatch.fitting import (
-    SPEED_WEIGHT,
     base_score,
     demand,
     fits,
     score,
+    speed_weight,
     within_runner_limit,
 )
 
@@ -194,7 +194,7 @@
         label = step.spec.required_label
         if label and label not in self.labels:
             return NO_RUNNERS
-        key = (step.job.queue.pool, label, SPEED_WEIGHT)
+        key = (step.job.queue.pool, label, speed_weight(step))
         group = self.groups.get(key)
         if group is None or group.tree.size < len(self.runners):
             slots = int(len(self.runners) * (1 + SPARE_SLOTS_FRACTION))
@@ -319,7 +319,7 @@
             return self.scan(task)
         if self.heap is None:
             self.heap = [
-                (-score(task, runner, SPEED_WEIGHT), position)
+                (-score(task, runner), position)
                 for position, (runner, _) in enumerate(self.permitted)
                 if fits(self.step, runner)
             ]
@@ -330,7 +330,7 @@
             if not self._is_open(runner):
                 heapq.heappop(self.heap)
                 continue
-            current = -score(task, runner, SPEED_WEIGHT)
+            current = -score(task, runner)
             if current == value:
                 return self.permitted[position]
             # A start has changed the score of this runner only.
@@ -352,7 +352,7 @@
         for runner, ticket in self.permitted:
             if not self._is_open(runner):
                 continue
-            value = score(task, runner, SPEED_WEIGHT)
+            value = score(task, runner)
             if best is None or value > best_score:
                 best, best_score = (runner, ticket), value
         return best
@@ -427,7 +427,7 @@
         if not self.may_order_start(self.step, runner):
             self.waiting = True
             return None
-        return score(task, runner, SPEED_WEIGHT)
+        return score(task, runner)
 
     def waits_for_replies(self) -> bool:
         """Return whether replies may make room; see the base class."""
--- a/wasabipaddle/dispatch/fitting.py
+++ b/wasabipaddle/dispatch/fitting.py
@@ -1,37 +1,61 @@
 """Whether tasks fit on a runner, and the score of a runner for a task."""
 
 __all__ = [
-    "SPEED_WEIGHT",
     "base_score",
     "demand",
     "fits",
     "free_slots",
     "score",
+    "speed_weight",
     "within_runner_limit",
 ]
 
 # Weights of the terms in the score of a runner.
-SPEED_WEIGHT = 0.6
+URGENT_SPEED_WEIGHT = 3.0
+# A queue of priority n weighs the speed by the weight of urgent work over 1 + 4n.
+PRIORITY_FACTOR = 4
+# Work that lasts gains nothing from a fast runner, which other work can use.
+LASTING_SPEED_WEIGHT = -0.3
+SLOWED_PENALTY = 1.0
 FREE_CPU_WEIGHT = 1.0
 PREFERRED_RACK_WEIGHT = 2.0
 AVOIDED_PENALTY = 4.0
 INTERFERENCE_PENALTY = 1.5
 
 
-def base_score(runner, speed_weight) -> float:
-    """Return the part of the score of a runner that all tasks have in common."""
-    return (
-        speed_weight * runner.health.speed + FREE_CPU_WEIGHT * runner.free_cpu_fraction
-    )
+def speed_weight(step) -> float:
+    """Return how much the speed of a runner counts for a step.
+
+    Answers runners of unequal speed: urgent work gets the fast ones, and what can wait
+    takes the others, so that the fast ones stay free. The most urgent work prefers a
+    full fast runner to an empty slow one.
+    """
+    if step.spec.lasting:
+        return LASTING_SPEED_WEIGHT
+    return URGENT_SPEED_WEIGHT / (1 + PRIORITY_FACTOR * step.job.queue.priority)
+
+
+def base_score(runner, weight) -> float:
+    """Return the part of the score of a runner that all tasks have in common.
+
+    Parameters
+    ----------
+    weight : float
+        Weight of the speed.
+    """
+    value = weight * runner.health.speed + FREE_CPU_WEIGHT * runner.free_cpu_fraction
+    if runner.health.normal_speed is not None:
+        value -= SLOWED_PENALTY
+    return value
 
 
-def score(task, runner, speed_weight) -> float:
+def score(task, runner) -> float:
     """Return the score of a runner for a task.
 
     Without the preferred rack it is at most the base score.
     """
     spec = task.spec
-    value = base_score(runner, speed_weight)
+    value = base_score(runner, speed_weight(task.step))
     if spec.preferred_rack and spec.preferred_rack == runner.entry.rack:
         value += PREFERRED_RACK_WEIGHT
     if runner.id in task.avoided:
--- a/wasabipaddle/dispatch/health.py
+++ b/wasabipaddle/dispatch/health.py
@@ -11,10 +11,11 @@
 # Time after which a task that was started as a probe holds back no other work. Tasks
 # that take long, or last, would otherwise keep the runner from all of it.
 PROBE_S = 3.0
-# Weight of the latest ratio in the moving average of the speed.
-SPEED_WEIGHT = 0.2
-# A ratio of usual to actual duration above this counts as normal speed.
-NORMAL_SPEED_RATIO = 0.6
+# A run of at least this fraction of the usual speed of its runner shows that nothing
+# slows the runner down.
+NORMAL_SPEED_FRACTION = 0.6
+# Lowest speed of a runner that is slowed down.
+MIN_SPEED = 0.1
 
 
 def _note_change(health, attribute, value):
@@ -48,8 +49,13 @@
         Duration of the next quarantine; doubled by each one up to a maximum, and reset
         by a completion.
     speed : float
-        Moving average of the ratio of usual to actual duration; the watchdog lowers it
-        at once if the runner is slow.
+        Expected speed relative to a usual runner; see `Speeds`.
+    own_speed : float
+        Average over the runs of the runner alone.
+    runs_timed : int
+        Number of runs in `own_speed`: how sure it is.
+    normal_speed : float or None
+        Expected speed before the runner was slowed down, None if it is not.
     last_normal_s : float
         Time at which a task last completed at about the usual speed.
     note_change : callable
@@ -60,25 +66,39 @@
     quarantined_until_s: float = _watched(0.0)
     quarantine_s: float = INITIAL_QUARANTINE_S
     speed: float = _watched(1.0)
+    own_speed: float = 1.0
+    runs_timed: int = 0
+    normal_speed: float | None = _watched(None)
     last_normal_s: float = 0.0
     note_change: object = _ignore_change
 
-    def record_completion(self, ratio, now):
+    def record_completion(self, speed, now):
         """Record a completion.
 
         Parameters
         ----------
-        ratio : float or None
-            Usual duration of runs of the step divided by the duration of this run,
-            None if unknown.
+        speed : float or None
+            Speed that the run has shown, None if unknown.
         """
         self.failures = 0
         self.quarantine_s = INITIAL_QUARANTINE_S
         self.quarantined_until_s = 0.0
-        if ratio is not None and ratio > NORMAL_SPEED_RATIO:
+        if speed is not None and speed > NORMAL_SPEED_FRACTION * self.usual_speed:
             self.last_normal_s = now
-        if ratio is not None:
-            self.speed += SPEED_WEIGHT * (min(max(ratio, 0.1), 4.0) - self.speed)
+            if self.normal_speed is not None:
+                self.speed = self.normal_speed
+                self.normal_speed = None
+
+    @property
+    def usual_speed(self) -> float:
+        """Expected speed of the runner while nothing slows it down."""
+        return self.speed if self.normal_speed is None else self.normal_speed
+
+    def slow_down(self, factor):
+        """Record that the runs in progress take longer than usual by a factor."""
+        if self.normal_speed is None:
+            self.normal_speed = self.speed
+        self.speed = min(self.speed, max(self.normal_speed / factor, MIN_SPEED))
 
     def record_failure(self, now) -> bool:
         """Count a failure in `failures` and return whether a quarantine begins."""
--- a/wasabipaddle/dispatch/lifecycle.py
+++ b/wasabipaddle/dispatch/lifecycle.py
@@ -192,12 +192,14 @@
         if cause is EndCause.COMPLETED:
             if task.completed:
                 return
-            ratio = None
+            speed = None
             if elapsed_s and not task.checkpoint:
-                ratio = step.record_duration(elapsed_s)
+                speed = step.record_duration(elapsed_s, runner.health.speed)
                 self.state.durations.record(step, elapsed_s)
                 entry.work_done += task.spec.cpu * elapsed_s
-            runner.health.record_completion(ratio, now)
+            runner.health.record_completion(speed, now)
+            if speed is not None:
+                self.state.speeds.record(runner, speed)
             tasks = step.tasks if step.spec.gang else [task]
             for member in tasks:
                 self._complete(member, now)
--- a/wasabipaddle/dispatch/model.py
+++ b/wasabipaddle/dispatch/model.py
@@ -150,9 +150,13 @@
             return 100 * (self.progress_s - self.started_s) / self.percent
         durations_s = self.task.step.durations_s
         if len(durations_s) >= COMPARED_RUNS:
-            return median(durations_s)
+            return median(durations_s) / (self.runner.health.speed or 1.0)
         return self.task.spec.estimate_s / (self.runner.health.speed or 1.0)
 
+    def work_s(self) -> float:
+        """Return the projected duration of the run at the usual speed."""
+        return self.projected_s() * self.runner.health.speed
+
 
 @attrs.define(kw_only=True, eq=False)
 class Task:
@@ -212,6 +216,8 @@
 class UsualDuration:
     """Median duration of the runs of a step, computed once for many comparisons.
 
+    All durations are scaled to the usual speed of runners.
+
     Parameters
     ----------
     durations_s : list of float
@@ -274,7 +280,8 @@
     failed_on : set of str
         Runners on which tasks of the step failed.
     durations_s : list of float
-        Durations of the runs that completed without a checkpoint, in rising order.
+        Durations of the runs that completed without a checkpoint, scaled to the usual
+        speed of runners, in rising order.
     gang_failures : set of int
         Numbers of the runs of a gang that failed.
     eligibility : Eligibility
@@ -297,13 +304,18 @@
     eligibility: Eligibility = attrs.field(factory=Eligibility, repr=False)
     has_waited_for_quota: bool = False
 
-    def record_duration(self, seconds) -> float | None:
-        """Record the duration of a run and return the usual duration divided by it.
+    def record_duration(self, seconds, speed) -> float | None:
+        """Record the duration of a run and return the speed that it has shown.
 
         Estimates may be off by a factor of several, so a run is compared with the
         median of its step. Returns None if too few runs have completed.
+
+        Parameters
+        ----------
+        speed : float
+            Expected speed of the runner, relative to the usual one.
         """
-        bisect.insort(self.durations_s, seconds)
+        bisect.insort(self.durations_s, seconds * speed)
         if len(self.durations_s) < COMPARED_RUNS:
             return None
         return median(self.durations_s) / max(seconds, MIN_RUN_S)
@@ -313,7 +325,7 @@
         if len(self.durations_s) >= COMPARED_RUNS:
             return UsualDuration(durations_s=self.durations_s)
         projected_s = {
-            run: run.projected_s()
+            run: run.work_s()
             for task in self.tasks
             for run in task.runs
             if run.phase is RunPhase.RUNNING
--- a/wasabipaddle/dispatch/placement.py
+++ b/wasabipaddle/dispatch/placement.py
@@ -6,18 +6,15 @@
     FullFleetChoice,
     TicketChoice,
 )
+from wasabipaddle.dispatch.copies import copy_wins, needs_copy
 from wasabipaddle.dispatch.eligibility import KnownAnswers
 from wasabipaddle.dispatch.fitting import fits, free_slots, within_runner_limit
 from wasabipaddle.dispatch.fleet import waits_for_suspects
-from wasabipaddle.dispatch.model import COMPARED_PERCENT, Run, RunPhase
+from wasabipaddle.dispatch.model import Run, RunPhase
 from wasabipaddle.dispatch.orders import StartTask
 
 __all__ = ["Placement", "free_slots", "within_runner_limit"]
 
-# A run of a speculative task may be late after LATE_ESTIMATE_FACTOR times its expected
-# duration plus LATE_MARGIN_S.
-LATE_ESTIMATE_FACTOR = 1.3
-LATE_MARGIN_S = 0.2
 # Start orders without a reply that a runner may have. Thousands at once delay each
 # other until all run into the time-out of the call.
 MAX_UNANSWERED_STARTS = 32
@@ -111,7 +108,8 @@
     def plan_copies(self, now):
         """Start copies of speculative tasks whose only run is late.
 
-        No copy is started if the last plan left waiting tasks without capacity.
+        No copy is started if the last plan left waiting tasks without capacity. In a
+        step with too few runs to compare with, a late run may be on a slow runner.
         """
         if self.state.capacity_exhausted:
             return
@@ -124,18 +122,18 @@
         for step in steps.values():
             usual_s = step.measure_usual_duration().seconds()
             expected_s = step.spec.estimate_s if usual_s is None else usual_s
-            late = [t for t in step.tasks if _needs_copy(t, expected_s, now)]
+            late = [t for t in step.tasks if needs_copy(t, expected_s, now)]
             permitted = self._permitted(step, now) if late else []
             for task in late:
-                self._start_copy(task, permitted, now)
+                self._start_copy(task, permitted, now, compared=usual_s is not None)
 
-    def _start_copy(self, task, permitted, now):
+    def _start_copy(self, task, permitted, now, *, compared):
         if not self.state.quotas.admits(task.step):
             return
         run = task.runs[0]
         others = [(r, ticket) for r, ticket in permitted if r is not run.runner]
         best = self._choose(task.step, others, now).scan(task)
-        if best is None:
+        if best is None or (compared and not copy_wins(run, best[0], now)):
             return
         self.state.journal(
             "run_copied",
@@ -361,33 +359,3 @@
         self.unanswered.setdefault(runner.id, []).append(run)
         self.reservations.note_start(task.step, runner, now)
         self.state.outbox.append(StartTask(run=run, ticket=ticket))
-
-
-def _is_late(run, expected_s, now):
-    """Return whether a copy that starts now is expected to end before the run.
-
-    A run on a paused runner always counts as late, other runs only once they are far
-    over the expected duration.
-    """
-    if run.phase is not RunPhase.RUNNING:
-        return False
-    if now < run.runner.paused_until_s:
-        return True
-    if now - run.started_s <= LATE_ESTIMATE_FACTOR * expected_s + LATE_MARGIN_S:
-        return False
-    observed_s = run.runner.last_inventory_s - run.started_s
-    if observed_s <= 0 or run.percent < COMPARED_PERCENT:
-        return True
-    remaining_s = observed_s * (100 - run.percent) / run.percent
-    return remaining_s - (now - run.runner.last_inventory_s) > expected_s
-
-
-def _needs_copy(task, expected_s, now):
-    entry = task.step.job
-    return (
-        not task.completed
-        and not entry.phase.final
-        and len(task.runs) == 1
-        and _is_late(task.runs[0], expected_s, now)
-        and len(task.failed_runs) + 1 < entry.queue.max_attempts
-    )
--- a/wasabipaddle/dispatch/scheduler.py
+++ b/wasabipaddle/dispatch/scheduler.py
@@ -85,6 +85,7 @@
             runner = RunnerState(entry=entry, changed=self.state.changed_runners)
             self.state.runners[entry.id] = runner
         runner.entry = entry
+        self.state.speeds.apply(runner)
         runner.leaves_at_s = now + entry.leaves_in_s
         runner.listed = True
         return runner
--- a/wasabipaddle/dispatch/state.py
+++ b/wasabipaddle/dispatch/state.py
@@ -8,6 +8,7 @@
 from wasabipaddle.dispatch.orders import StopTask
 from wasabipaddle.dispatch.quotas import Quotas
 from wasabipaddle.dispatch.shares import Shares
+from wasabipaddle.dispatch.speeds import Speeds
 from wasabipaddle.jobs import CellConfiguration
 
 __all__ = ["CellState", "Timing"]
@@ -93,6 +94,8 @@
         Learned durations of tasks.
     shares : Shares
         Ranks of the workspaces when there is too little room.
+    speeds : Speeds
+        Learned speeds of runners.
     order : WorkOrder
         Order of the waiting steps.
     """
@@ -121,11 +124,13 @@
     quotas: Quotas = attrs.field(init=False)
     durations: Durations = attrs.field(factory=Durations)
     shares: Shares = attrs.field(init=False)
+    speeds: Speeds = attrs.field(init=False)
     order: WorkOrder = attrs.field(init=False)
 
     def __attrs_post_init__(self):
         self.quotas = Quotas(state=self)
         self.shares = Shares(state=self)
+        self.speeds = Speeds(state=self)
         self.order = WorkOrder(state=self)
 
     def add_run(self, run):
--- a/wasabipaddle/dispatch/tests/test_candidates.py
+++ b/wasabipaddle/dispatch/tests/test_candidates.py
@@ -7,7 +7,7 @@
 
 from wasabipaddle.dispatch.candidates import RunnerChoice
 from wasabipaddle.dispatch.capacity_tree import CapacityTree
-from wasabipaddle.dispatch.fitting import SPEED_WEIGHT, fits, score
+from wasabipaddle.dispatch.fitting import fits, score
 from wasabipaddle.dispatch.placement import Placement
 from wasabipaddle.dispatch.tests.conftest import Cell, step
 from wasabipaddle.interfaces import EndCause
@@ -36,7 +36,7 @@
                 continue
             if not fits(self.step, runner) or not self.admits(runner):
                 continue
-            value = score(task, runner, SPEED_WEIGHT)
+            value = score(task, runner)
             if best is None or value > best_score:
                 best, best_score = (runner, ticket), value
         return best
@@ -179,6 +179,8 @@
             runner.health.record_failure(cell.now)
         elif kind == 1:
             runner.health.speed = rng.choice((0.3, 0.7, 1.0, 1.7))
+            if rng.random() < 0.3:
+                runner.health.slow_down(2.0)
         elif kind == 2:
             runner.paused_until_s = cell.now + rng.choice((0.2, 1.5))
         elif kind == 3:
--- a/wasabipaddle/dispatch/watchdog.py
+++ b/wasabipaddle/dispatch/watchdog.py
@@ -14,8 +14,6 @@
 # Shortest run time, and shortest usual duration, used in the ratio of projected to
 # usual duration.
 MIN_OBSERVED_S = 0.6
-# Lowest speed estimate that is set for a slow runner.
-MIN_SPEED = 0.1
 # A runner is slow if each comparable run on it is projected to take this many times
 # the usual duration in its step. A single run may just be a long task, so it needs a
 # larger factor.
@@ -94,19 +92,23 @@
         limit = SLOW_FACTOR if len(comparable) > 1 else SINGLE_RUN_SLOW_FACTOR
         if not comparable or min(comparable) < limit:
             return
-        speed = max(1 / min(comparable), MIN_SPEED)
-        runner.health.speed = min(runner.health.speed, speed)
+        usual_speed = runner.health.usual_speed
+        runner.health.slow_down(min(comparable))
         for run, value in known.items():
             spec = run.task.spec
             # Speculative tasks get a copy instead of a restart. A task that is slow on
             # a second runner as well is a long task.
             if spec.gang or spec.speculative or run.task.given_up:
                 continue
-            if value * (1 - run.percent / 100) > RESTART_FACTOR:
+            if value / usual_speed * (1 - run.percent / 100) > RESTART_FACTOR:
                 self._give_up(runner, run, "slow", now)
 
     def _slowness(self, runner, run):
-        """Return the ratio of projected to usual duration of a run, None if unknown."""
+        """Return the ratio of projected to expected duration of a run.
+
+        The expected duration is the usual one at the speed of the runner, so that a
+        runner of a slow kind does not count as slowed down. None if unknown.
+        """
         elapsed_s = runner.last_inventory_s - run.started_s
         step = run.task.step
         if step.key not in self.usual:
@@ -114,9 +116,11 @@
         usual_s = self.usual[step.key].seconds(without=run)
         if usual_s is None:
             usual_s = ESTIMATE_FACTOR * run.task.spec.estimate_s
-        if elapsed_s < max(MIN_OBSERVED_S, MIN_OBSERVED_FRACTION * usual_s):
+        least_s = MIN_OBSERVED_FRACTION * usual_s / runner.health.usual_speed
+        if elapsed_s < max(MIN_OBSERVED_S, least_s):
             return None
-        return 100 * elapsed_s / max(run.percent, 1) / max(usual_s, MIN_OBSERVED_S)
+        expected_s = max(usual_s, MIN_OBSERVED_S) / runner.health.usual_speed
+        return 100 * elapsed_s / max(run.percent, 1) / expected_s
 
     def _give_up(self, runner, run, reason, now):
         run.task.given_up = True
