--- a/wasabipaddle/dispatch/tests/test_naming.py
+++ b/wasabipaddle/dispatch/tests/test_naming.py
@@ -141,6 +141,7 @@
         for task, _, _ in cell.started:
             accepted_s = cell.state.jobs[task.job].accepted_s
             waits.setdefault(task.job, cell.now - accepted_s)
+    assert all(entry.phase.final for entry in cell.state.jobs.values())
     return sorted(waits.values()), service_s / len(cell.started)
 
 
