Leave malformed heads to the connections of callers

Change: the filter goes, with its counter. The tests of keys in heads use the real listener of callers, and still show that no key is in the log.

--- a/wasabipaddle/cell/process.py
+++ b/wasabipaddle/cell/process.py
@@ -23,7 +23,6 @@
 from wasabipaddle.kernel import Context, Kernel
 from wasabipaddle.logs import StructuredLog
 from wasabipaddle.sighup import consume_sighup
-from wasabipaddle.transport.rejected_heads import count_rejected_heads
 
 __all__ = ["serve_cell"]
 
@@ -78,7 +77,6 @@
         loop.add_signal_handler(signal.SIGHUP, _reload, context, reload)
         if consume_sighup():
             _reload(context, reload)
-    count_rejected_heads(context.metrics)
     kernel = Kernel(context=context, names=ROLES)
     context.journal("process_started", address=settings.internal)
     await kernel.start()
