Count the share of a workspace per priority

Cause: the share counts all runs of a workspace, so its lasting and batch work moves its urgent jobs behind those of others.

Change: the dominant share counts runs of the priority of the step or a more urgent one. The state machine compares this count with a plain one, too.

Evidence: a new test fails with the count of all runs (the urgent job of the workspace with lasting work starts last).

--- a/wasabipaddle/dispatch/shares.py
+++ b/wasabipaddle/dispatch/shares.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from wasabipaddle.dispatch.quotas import Usage
+
 __all__ = ["Shares"]
 
 # Window over which the jobs that a workspace submits are counted.
@@ -41,11 +43,14 @@
 
     The fair share of a workspace is the part of its weight among the workspaces that
     have work, and its dominant share the largest part of a resource of the fleet that
-    it holds. Steps are ordered by the objectives of their jobs as long as possible,
-    because that serves all workspaces best while the room suffices for most: only a
-    workspace that holds far more than its share comes later, the later the more, and a
-    workspace below its share comes first with the jobs that are about to miss their
-    objective. Nothing is kept free: what no other workspace can use goes to any.
+    it holds with runs of the priority in question or a more urgent one, so that its
+    other work does not delay its urgent jobs.
+
+    Steps are ordered by the objectives of their jobs as long as possible, because that
+    serves all workspaces best while the room suffices for most: only a workspace that
+    holds far more than its share comes later, the later the more, and a workspace below
+    its share comes first with the jobs that are about to miss their objective. Nothing
+    is kept free: what no other workspace can use goes to any.
 
     Parameters
     ----------
@@ -58,6 +63,8 @@
         Jobs that were added since the last planning round.
     accepted_ms : dict of str to list of int
         Times of acceptance of the jobs within the rate, by workspace, in rising order.
+    in_use : dict of str to dict of int to Usage
+        Resources of the runs by workspace and priority.
     capacity : FleetCapacity
         Capacity of the runners in this planning round.
     weight_at_work : float
@@ -68,6 +75,7 @@
         self.state = state
         self.unranked = []
         self.accepted_ms = {}
+        self.in_use = {}
         self.capacity = FleetCapacity()
         self.weight_at_work = 0.0
 
@@ -76,6 +84,22 @@
         if entry.job.workspace:
             self.unranked.append(entry)
 
+    def take(self, run):
+        """Count a run that may exist from now on."""
+        self._add(run, 1)
+
+    def release(self, run):
+        """Count a run no longer."""
+        self._add(run, -1)
+
+    def _add(self, run, count):
+        job = run.task.step.job.job
+        if job.workspace:
+            by_priority = self.in_use.setdefault(job.workspace, {})
+            # The priority of the queue may change while the run exists.
+            usage = by_priority.setdefault(job.policy.priority, Usage())
+            usage.add(run.task.spec, count)
+
     def _compare_with_rate(self, entry):
         """Set whether a job is in excess, given the jobs accepted before it.
 
@@ -126,7 +150,7 @@
         for all steps if the configuration has no workspaces.
         """
         entry = step.job
-        held, share = self.held_and_share(entry.job.workspace)
+        held, share = self.held_and_share(entry.job)
         if not share:
             return 1
         left_s = self.state.order.due_s(step) - now
@@ -136,21 +160,24 @@
         ratio = held / (share * (2.0 - share))
         return 1 if ratio <= 1.0 else 2 + int(math.log(ratio, LEVEL_RATIO))
 
-    def held_and_share(self, name):
-        """Return the dominant share and the fair share of a workspace.
+    def held_and_share(self, job):
+        """Return the dominant share and the fair share of the workspace of a job.
 
         Both are parts of the fleet; the fair share of an unknown workspace is 0.
         """
-        workspace = self.state.configuration.workspaces.get(name)
+        workspace = self.state.configuration.workspaces.get(job.workspace)
         if workspace is None:
             return 0.0, 0.0
         weight = max(workspace.weight, LEAST_WEIGHT)
         share = weight / max(self.weight_at_work, weight)
-        usage = self.state.quotas.in_use.get(name)
-        if usage is None:
-            return 0.0, share
+        counted = [
+            usage
+            for priority, usage in self.in_use.get(job.workspace, {}).items()
+            if priority <= job.policy.priority
+        ]
         held = max(
-            getattr(usage, resource) / (getattr(self.capacity, resource) or math.inf)
+            sum(getattr(usage, resource) for usage in counted)
+            / (getattr(self.capacity, resource) or math.inf)
             for resource in RESOURCES
         )
         return held, share
--- a/wasabipaddle/dispatch/state.py
+++ b/wasabipaddle/dispatch/state.py
@@ -138,6 +138,7 @@
         run.runner.reserve(run)
         run.task.runs.append(run)
         self.quotas.take(run)
+        self.shares.take(run)
         self.order.take(run)
         self.unqueue_task(run.task)
 
@@ -145,6 +146,7 @@
         """Remove a run that does not exist any more, and its reservation."""
         if run.runner.release(run):
             self.quotas.release(run)
+            self.shares.release(run)
             self.order.release(run)
         if run in run.task.runs:
             run.task.runs.remove(run)
--- a/wasabipaddle/dispatch/tests/test_quota_machine.py
+++ b/wasabipaddle/dispatch/tests/test_quota_machine.py
@@ -236,13 +236,23 @@
     @invariant()
     def counts_are_exact(self):
         """Compare the counter with a count of all known runs."""
-        counted = {}
+        counted, by_priority = {}, {}
         for runner in self.cell.state.runners.values():
             for run in runner.runs.values():
                 usage = counted.setdefault(run.task.step.job.job.workspace, Usage())
                 usage.add(run.task.spec, 1)
+                job = run.task.step.job.job
+                key = (job.workspace, job.policy.priority)
+                by_priority.setdefault(key, Usage()).add(run.task.spec, 1)
         in_use = self.cell.state.quotas.in_use
         assert {n: u for n, u in in_use.items() if u != Usage()} == counted
+        shares = {
+            (name, priority): usage
+            for name, rows in self.cell.state.shares.in_use.items()
+            for priority, usage in rows.items()
+            if usage != Usage()
+        }
+        assert shares == by_priority
 
     @invariant()
     def nothing_runs_uncounted(self):
--- a/wasabipaddle/dispatch/tests/test_shares.py
+++ b/wasabipaddle/dispatch/tests/test_shares.py
@@ -188,6 +188,22 @@
     assert started_by(shops, "small") == 8
 
 
+def test_batch_work_of_a_workspace_does_not_delay_its_urgent_jobs(make_cell):
+    """Guards against urgent jobs that come last since their workspace has other work.
+
+    The workspace holds most of the cell with work that lasts; of the urgent jobs, its
+    own has the earlier objective.
+    """
+    cell = make_cell(runners=4, cpu=4000)
+    cell.set_workspaces(*(Workspace(name=n, weight=20.0) for n in ("busy", "other")))
+    cell.submit("j0", step(14, lasting=True), workspace="busy")
+    cell.plan()
+    cell.submit("j1", step(2, estimate_s=0.5), workspace="busy", queue="urgent")
+    cell.submit("j2", step(2, estimate_s=5.0), workspace="other", queue="urgent")
+    cell.plan()
+    assert started_by(cell, "busy") == 16
+
+
 def test_priority_counts_before_the_share(shops):
     """Guards against urgent jobs that wait for the batch jobs of others."""
     shops.submit("j0", step(6), workspace="small", queue="urgent")
