Group the steps below their floor once for each computation of the ranks

Change: steps are grouped by kind of work when the ranks are computed, every 0.25 s; a round looks only at kinds that use less than their floor.

--- a/wasabipaddle/dispatch/order.py
+++ b/wasabipaddle/dispatch/order.py
@@ -98,6 +98,9 @@
         Heap of the steps that have not had their turn in this round, by rank.
     gave_way : bool
         Whether the step that has its turn has given way to another one.
+    by_kind : dict of (str, Kind) to list of Step
+        Steps in their order by pool and kind of work, as of the last computation of
+        the ranks.
     refreshed_s : float or None
         Time at which the ranks were last computed.
     room : dict of str to int
@@ -116,6 +119,7 @@
         self.gave_way = False
         self.ranks = {}
         self.sequence = []
+        self.by_kind = {}
         self.refreshed_s = None
         self.room = {}
         self.waiting_steps = collections.Counter()
@@ -255,6 +259,10 @@
         )
         self.ranks = {key: self.rank(step, now) for key, step in ready.items()}
         self.sequence = sorted(ready.values(), key=lambda step: self.ranks[step.key])
+        self.by_kind = {}
+        for step in self.sequence:
+            key = (step.job.queue.pool, self._kind(step))
+            self.by_kind.setdefault(key, []).append(step)
 
     def count(self, outlook) -> int:
         """Return the number of waiting steps with an outlook."""
@@ -266,25 +274,37 @@
         These are the first ones of each kind of work that uses less than its floor,
         unless it is the first kind that waits for its pool.
         """
-        turns, first, left = [], {}, {}
-        for step in self.waiting(now):
-            pool, kind = step.job.queue.pool, self._kind(step)
+        self.waiting(now)
+        turns, first = [], {}
+        for (pool, kind), steps in self.by_kind.items():
             if first.setdefault(pool, kind) == kind:
                 continue
-            key = (pool, kind)
-            if key not in left:
-                left[key] = self._floor(pool) - self.in_use.get(key, 0)
-            task = next(iter(step.pending.values()))
-            if left[key] <= 0 or now - task.waiting_since_s < FLOOR_WAIT_S:
-                continue
-            cpu = _reserved_cpu(step.spec)
-            count = len(step.pending)
-            if cpu and not step.spec.gang:
-                count = min(max(int(left[key] // cpu), 1), count)
-            left[key] -= count * cpu
-            turns.append((step, count))
+            left = self._floor(pool) - self.in_use.get((pool, kind), 0)
+            for step in steps:
+                if left <= 0:
+                    break
+                count = self._floor_tasks(step, left, now)
+                if count:
+                    left -= count * _reserved_cpu(step.spec)
+                    turns.append((step, count))
         return turns
 
+    def _floor_tasks(self, step, left, now) -> int:
+        """Return how many tasks of a step may go before others.
+
+        Parameters
+        ----------
+        left : float
+            Unused part of the floor, in thousandths of a core.
+        """
+        task = next(iter(step.pending.values()), None)
+        if task is None or now - task.waiting_since_s < FLOOR_WAIT_S:
+            return 0
+        cpu, count = _reserved_cpu(step.spec), len(step.pending)
+        if not cpu or step.spec.gang:
+            return count
+        return min(max(int(left // cpu), 1), count)
+
     def _floor(self, pool):
         return FLOOR_SHARE * self.room.get(pool, 0)
 
