--- a/wasabipaddle/dispatch/copies.py
+++ b/wasabipaddle/dispatch/copies.py
@@ -11,7 +11,7 @@
 # Part of the expected duration that an inventory must have observed before little
 # progress counts as late. An inventory right after the start shows nothing.
 OBSERVED_FRACTION = 0.5
-# Age of an inventory from which its progress says nothing; longer than one usually takes.
+# Age from which an inventory says nothing, longer than the wait for one.
 STALE_S = 1.8
 # Time from the decision until a copy works.
 COPY_START_S = 0.1
--- a/wasabipaddle/dispatch/lifecycle.py
+++ b/wasabipaddle/dispatch/lifecycle.py
@@ -204,7 +204,10 @@
                 speed = step.record_duration(elapsed_s, runner.health.speed)
                 self.state.durations.record(step, elapsed_s)
                 entry.work_done += task.spec.cpu * elapsed_s
+            slowed = runner.health.normal_speed is not None
             runner.health.record_completion(speed, now)
+            if slowed and runner.health.normal_speed is None:
+                self.state.journal("runner_at_usual_speed", runner=runner.id)
             if speed is not None:
                 self.state.speeds.record(runner, speed)
             tasks = step.tasks if step.spec.gang else [task]
--- a/wasabipaddle/dispatch/watchdog.py
+++ b/wasabipaddle/dispatch/watchdog.py
@@ -93,6 +93,13 @@
         if not comparable or min(comparable) < limit:
             return
         usual_speed = runner.health.usual_speed
+        if runner.health.normal_speed is None:
+            self.state.journal(
+                "runner_slowed",
+                runner=runner.id,
+                factor=round(min(comparable), 1),
+                runs=len(comparable),
+            )
         runner.health.slow_down(min(comparable))
         for run, value in known.items():
             spec = run.task.spec
