Play more examples of the quota machine

Cause: on the merged code copies are too rare for 150 examples; the mutation that does not count copies was not found.

Change: 300 examples against the code, up to 600 against each mutation.

--- a/wasabipaddle/dispatch/tests/test_quota_machine.py
+++ b/wasabipaddle/dispatch/tests/test_quota_machine.py
@@ -276,7 +276,7 @@
 
 def test_no_start_exceeds_a_quota():
     """Guards against excess starts in any order of events."""
-    run_machine(150)
+    run_machine(300)
 
 
 def release_twice(monkeypatch):
@@ -328,4 +328,4 @@
     """Guards against a machine that would not notice a fault of the counter."""
     mutate(monkeypatch)
     with pytest.raises((AssertionError, BaseExceptionGroup)):
-        run_machine(150, phases=(Phase.generate,))
+        run_machine(600, phases=(Phase.generate,))
