--- a/wasabipaddle/dispatch/placement.py
+++ b/wasabipaddle/dispatch/placement.py
@@ -1,11 +1,7 @@
 """Choice of the runner for each waiting task."""
 
-from wasabipaddle.dispatch.candidates import (
-    CandidateIndex,
-    FleetChoice,
-    FullFleetChoice,
-    TicketChoice,
-)
+from wasabipaddle.dispatch.candidates import CandidateIndex
+from wasabipaddle.dispatch.choices import FleetChoice, FullFleetChoice, TicketChoice
 from wasabipaddle.dispatch.copies import copy_wins, needs_copy
 from wasabipaddle.dispatch.eligibility import KnownAnswers
 from wasabipaddle.dispatch.fitting import fits, free_slots, within_runner_limit
--- a/wasabipaddle/dispatch/tests/test_candidates.py
+++ b/wasabipaddle/dispatch/tests/test_candidates.py
@@ -5,8 +5,8 @@
 import attrs
 import pytest
 
-from wasabipaddle.dispatch.candidates import RunnerChoice
 from wasabipaddle.dispatch.capacity_tree import CapacityTree
+from wasabipaddle.dispatch.choices import RunnerChoice
 from wasabipaddle.dispatch.fitting import fits, score
 from wasabipaddle.dispatch.placement import Placement
 from wasabipaddle.dispatch.tests.conftest import Cell, step
