--- a/wasabipaddle/cell/entry.py
+++ b/wasabipaddle/cell/entry.py
@@ -7,21 +7,18 @@
 
 from wasabipaddle.cell.admission import Admission
 from wasabipaddle.cell.configuration import ConfigurationPlugin
-from wasabipaddle.cell.keys import JOB_PREFIX, LEADER_KEY, REFUSAL_PREFIX
 from wasabipaddle.cell.members import MembersPlugin
 from wasabipaddle.cell.store import CellStorePlugin
 from wasabipaddle.cell.stored_jobs import (
-    check_existing_job,
+    create_job,
     find_stored_phase,
     store_cancellation,
 )
 from wasabipaddle.exceptions import ErrorKind, Failure, Outcome
 from wasabipaddle.ingress import RequestLimits
-from wasabipaddle.interfaces import Put
 from wasabipaddle.jobs import (
     Job,
     Limits,
-    encode_job,
     identify_workspace,
     may_reach,
     requires_key,
@@ -219,45 +216,21 @@
         return await self._store_through_peer(job, until_s=until_s)
 
     async def _create_key(self, job, *, is_new):
-        """Create the key of a job unless it exists, if possible under a known leader.
+        """Create the key of a job, if possible under a known leader; see `create_job`.
 
         Parameters
         ----------
         is_new : bool
-            Whether this is the first try of a submission, which may replace the mark
-            of an earlier refusal.
-
-        Returns
-        -------
-        result.Result
-            Epoch of the leader at the time of the creation, 0 if it is not known; or an
-            `Err` if the key may not exist.
+            Whether this is the first try of a submission.
         """
-        absent = ((JOB_PREFIX + job.id, 0), (REFUSAL_PREFIX + job.id, 0))
-        put = Put(key=JOB_PREFIX + job.id, value=encode_job(job))
-        epoch = self.members.leader_epoch if self.members.leader else 0
-        if epoch:
-            conditions = (*absent, (LEADER_KEY, epoch))
-            stored = await self.store_plugin.call(
-                self.store.commit(conditions=conditions, puts=(put,))
-            )
-            if stored.is_ok():
-                return Ok(epoch)
-            if stored.err().kind is not ErrorKind.REVISION_MISMATCH:
-                return stored
-        stored = await self.store_plugin.call(
-            self.store.commit(conditions=absent, puts=(put,))
+        return await create_job(
+            self.store_plugin,
+            job,
+            epoch=self.members.leader_epoch if self.members.leader else 0,
+            marks=self.admission.marks,
+            configuration=self.configuration.current,
+            is_new=is_new,
         )
-        if stored.is_ok():
-            return Ok(0)
-        if stored.err().kind is not ErrorKind.REVISION_MISMATCH:
-            return stored
-        replaced = await self.admission.marks.replace(job.id, put, is_new=is_new)
-        if replaced.is_err() or replaced.ok():
-            return replaced.map(lambda _: 0)
-        current = self.configuration.current
-        existing = await check_existing_job(self.store_plugin, current, job)
-        return existing.map(lambda _: 0)
 
     def _announce(self, job, epoch):
         """Tell the dispatcher about a job that this process or a peer has stored."""
--- a/wasabipaddle/cell/stored_jobs.py
+++ b/wasabipaddle/cell/stored_jobs.py
@@ -1,17 +1,30 @@
-"""Reads of stored jobs on behalf of calls, which reach jobs of their workspace only."""
+"""Stored jobs on behalf of calls, which reach jobs of their workspace only."""
 
 import msgspec
 from result import Err, Ok
 
-from wasabipaddle.cell.keys import CANCEL_PREFIX, JOB_PREFIX, PROGRESS_PREFIX
+from wasabipaddle.cell.keys import (
+    CANCEL_PREFIX,
+    JOB_PREFIX,
+    LEADER_KEY,
+    PROGRESS_PREFIX,
+    REFUSAL_PREFIX,
+)
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.interfaces import Put
-from wasabipaddle.jobs import JobPhase, decode_job, decode_progress, may_reach
+from wasabipaddle.jobs import (
+    JobPhase,
+    decode_job,
+    decode_progress,
+    encode_job,
+    may_reach,
+)
 from wasabipaddle.messages.jobs import PhaseReply
 
 __all__ = [
     "build_phase_reply",
     "check_existing_job",
+    "create_job",
     "find_stored_phase",
     "store_cancellation",
 ]
@@ -119,3 +132,53 @@
 
 def _failure(kind, detail):
     return Err(Failure(kind=kind, detail=detail))
+
+
+async def create_job(store_plugin, job, *, epoch, marks, configuration, is_new):
+    """Create the key of a job unless it exists.
+
+    Parameters
+    ----------
+    store_plugin : CellStorePlugin
+        The store.
+    job : Job
+        Job to create.
+    epoch : int
+        Epoch of the leader under which the key is created if possible, 0 if no leader
+        is known.
+    marks : RefusalMarks
+        Marks of refusals, which a new submission replaces.
+    configuration : CellConfiguration
+        Current configuration.
+    is_new : bool
+        Whether this is the first try of a submission, which may replace the mark of an
+        earlier refusal.
+
+    Returns
+    -------
+    result.Result
+        Epoch under which the key was created, 0 if it is not known; or an `Err` if the
+        key may not exist.
+    """
+    store = store_plugin.store
+    absent = ((JOB_PREFIX + job.id, 0), (REFUSAL_PREFIX + job.id, 0))
+    put = Put(key=JOB_PREFIX + job.id, value=encode_job(job))
+    if epoch:
+        conditions = (*absent, (LEADER_KEY, epoch))
+        stored = await store_plugin.call(
+            store.commit(conditions=conditions, puts=(put,))
+        )
+        if stored.is_ok():
+            return Ok(epoch)
+        if stored.err().kind is not ErrorKind.REVISION_MISMATCH:
+            return stored
+    stored = await store_plugin.call(store.commit(conditions=absent, puts=(put,)))
+    if stored.is_ok():
+        return Ok(0)
+    if stored.err().kind is not ErrorKind.REVISION_MISMATCH:
+        return stored
+    replaced = await marks.replace(job.id, put, is_new=is_new)
+    if replaced.is_err() or replaced.ok():
+        return replaced.map(lambda _: 0)
+    existing = await check_existing_job(store_plugin, configuration, job)
+    return existing.map(lambda _: 0)
--- a/wasabipaddle/fuzz/tests/test_decoders.py
+++ b/wasabipaddle/fuzz/tests/test_decoders.py
@@ -62,7 +62,7 @@
     "the parser gets several heads at once": (
         "connection",
         protocol,
-        "_find_end",
+        "find_head_end",
         lambda last_bytes, data: len(data),
     ),
     "only format errors are expected": (
--- a/wasabipaddle/ingress/protocol.py
+++ b/wasabipaddle/ingress/protocol.py
@@ -7,6 +7,7 @@
 
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.ingress.content import ContentCost
+from wasabipaddle.ingress.framing import EMPTY_LINE, find_head_end
 from wasabipaddle.ingress.ledger import Phase
 from wasabipaddle.ingress.replies import (
     RETRY_AFTER_S,
@@ -24,8 +25,6 @@
 # stay below, since a paused parser keeps bytes that are counted no longer.
 BUFFER_BYTES = 262_144
 CHUNKED_PIECE_BYTES = 4_096
-EMPTY_LINE = b"\r\n"
-HEAD_END = b"\r\n\r\n"
 # Places in a chunked body that may be its end, and after which parsing is interrupted.
 MAX_CUTS = 1_000
 # Bytes of replies that may wait for a client before its handler waits.
@@ -44,22 +43,6 @@
 CLOSING_KINDS = frozenset({ErrorKind.QUEUE_FULL, ErrorKind.DRAINING})
 
 
-def _find_end(last_bytes, data) -> int:
-    """Return the number of bytes up to the end of a head, or all if it is not there.
-
-    Parameters
-    ----------
-    last_bytes : bytes
-        The bytes before `data`, without an end of a head.
-    """
-    if last_bytes:
-        end = (last_bytes + data[:3]).find(HEAD_END)
-        if end >= 0:
-            return end + len(HEAD_END) - len(last_bytes)
-    end = data.find(HEAD_END)
-    return len(data) if end < 0 else end + len(HEAD_END)
-
-
 class _RefusedBodyError(Exception):
     """Wakes a handler that waits for a body which has been refused."""
 
@@ -99,13 +82,9 @@
         self.gate = gate
         self.clock = self._loop.time
         self.now_s = 0.0
-        self.holding = None
-        self.failure = None
-        self.reading = False
-        self.refused_payload = None
-        self.discarding = False
-        self.serving = False
-        self.payload = None
+        self.holding = self.failure = None
+        self.reading = self.serving = self.discarding = False
+        self.payload = self.refused_payload = None
         self.length = None
         self.head_bytes = 0
         self.cost = ContentCost()
@@ -158,7 +137,9 @@
             begin = data.lstrip(EMPTY_LINE)
             self.head_bytes += len(data) - len(begin)
             data = begin
-        size = min(_find_end(self.last_bytes, data), max(limit - self.head_bytes, 0))
+        size = min(
+            find_head_end(self.last_bytes, data), max(limit - self.head_bytes, 0)
+        )
         piece, rest = data[:size], data[size:]
         self.head_bytes += size
         self.cost.add_head(piece)
@@ -199,7 +180,7 @@
         """Count the next bytes of a chunked body; return how many to parse."""
         size = min(len(data), CHUNKED_PIECE_BYTES)
         if self.cuts < MAX_CUTS:
-            size = min(size, _find_end(self.last_bytes, data[:size]))
+            size = min(size, find_head_end(self.last_bytes, data[:size]))
             self.cuts += 1
         self.framed_bytes += size
         self.cost.add_chunk_lines(data.count(b"\n", 0, size))
