--- a/wasabipaddle/ingress/protocol.py
+++ b/wasabipaddle/ingress/protocol.py
@@ -36,8 +36,7 @@
 # The size of a head is limited in bytes, so the parser's own limits stay out of reach.
 MAX_HEADERS = 100_000
 MAX_FIELD_BYTES = 100_000_000
-# Time for which the rest of a body is awaited after an early reply to its request. The
-# limits on a body, or on a refused client, end it earlier.
+# Time for which the rest of a body is awaited after an early reply to its request.
 EARLY_REPLY_S = 10.0
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 CLOSING_KINDS = frozenset({ErrorKind.QUEUE_FULL, ErrorKind.DRAINING})
