Use plainer names in the listeners and in the order of work

Gate is ListenerProfile, Holding is ConnectionUsage, Rank.share is share_level, and the parameter of outlook says which fraction it is. No behaviour changes.

--- a/wasabipaddle/api/listener.py
+++ b/wasabipaddle/api/listener.py
@@ -7,7 +7,12 @@
 from wasabipaddle.api.middleware import Middleware, http_failure
 from wasabipaddle.api.responses import failure_response
 from wasabipaddle.exceptions import ErrorKind, Failure
-from wasabipaddle.ingress import Connection, Gate, IngressListener, RequestLimits
+from wasabipaddle.ingress import (
+    Connection,
+    IngressListener,
+    ListenerProfile,
+    RequestLimits,
+)
 
 __all__ = ["Listener"]
 
@@ -79,7 +84,7 @@
         self.listener = IngressListener(
             ingress=ingress,
             runner=self.app_runner,
-            gate=Gate(
+            profile=ListenerProfile(
                 listener=LISTENER,
                 find_limits=lambda: limits,
                 render=failure_response,
--- a/wasabipaddle/cell/members.py
+++ b/wasabipaddle/cell/members.py
@@ -16,7 +16,7 @@
 from wasabipaddle.cell.roster import LIVENESS_TIMEOUT_S, WEAK_SHARE, Roster
 from wasabipaddle.cell.store import CellStorePlugin
 from wasabipaddle.exceptions import ErrorKind, Failure
-from wasabipaddle.ingress import Gate, IngressListener
+from wasabipaddle.ingress import IngressListener, ListenerProfile
 from wasabipaddle.jobs.addresses import is_callable_address
 from wasabipaddle.kernel import Plugin
 from wasabipaddle.messages.jobs import (
@@ -109,7 +109,7 @@
         self.listener = IngressListener(
             ingress=self.context.ingress,
             runner=web.AppRunner(app, shutdown_timeout=SHUTDOWN_S),
-            gate=Gate(listener="internal"),
+            profile=ListenerProfile(listener="internal"),
         )
         peer = CellPeer.parse(self.context.settings.internal)
         await self.listener.open(peer.host, peer.internal_port)
--- a/wasabipaddle/cell/metrics.py
+++ b/wasabipaddle/cell/metrics.py
@@ -2,7 +2,7 @@
 
 from aiohttp import web
 
-from wasabipaddle.ingress import Gate, IngressListener
+from wasabipaddle.ingress import IngressListener, ListenerProfile
 from wasabipaddle.kernel import Plugin
 from wasabipaddle.settings import CellPeer
 
@@ -46,7 +46,7 @@
         self.listener = IngressListener(
             ingress=self.context.ingress,
             runner=web.AppRunner(app, shutdown_timeout=SHUTDOWN_S),
-            gate=Gate(listener="metrics"),
+            profile=ListenerProfile(listener="metrics"),
         )
         host = CellPeer.parse(settings.internal).host
         await self.listener.open(host, settings.metrics_port)
--- a/wasabipaddle/dispatch/forecast.py
+++ b/wasabipaddle/dispatch/forecast.py
@@ -153,7 +153,7 @@
     workspace as not far above its share.
     """
     in_time = rank.outlook is Outlook.IN_TIME
-    return in_time and not rank.in_excess and rank.share <= NEW_JOB_SHARE
+    return in_time and not rank.in_excess and rank.share_level <= NEW_JOB_SHARE
 
 
 def _line(wait):
--- a/wasabipaddle/dispatch/order.py
+++ b/wasabipaddle/dispatch/order.py
@@ -13,7 +13,7 @@
 # A job that ends later than this multiple of its objective is of no use any more.
 USEFUL_OBJECTIVES = 3.0
 # Part of the expected work that is certainly left, as estimates are too high at times.
-CERTAIN_SHARE = 0.7
+CERTAIN_FRACTION = 0.7
 # Part of the room of a pool that is kept for each kind of work that waits, so that none
 # stands still, and time that a step waits before it gets a part of that room.
 FLOOR_SHARE = 0.05
@@ -43,7 +43,7 @@
         further delay costs its caller less.
     in_excess : bool
         Whether the workspace submitted the job beyond its rate.
-    share : int
+    share_level : int
         Level of the workspace by its share of the room.
     outlook : Outlook
         What the caller can still get.
@@ -59,7 +59,7 @@
     lost: bool
     level: int
     in_excess: bool
-    share: int
+    share_level: int
     outlook: Outlook
     latest_s: float
 
@@ -158,19 +158,19 @@
         due_ms = spec.first_due_ms + step.occurrence * spec.interval_ms
         return due_ms / MS_PER_S - self.state.wall_offset_s + job.objective_s
 
-    def outlook(self, step, now, *, share=CERTAIN_SHARE) -> Outlook:
+    def outlook(self, step, now, *, certain_fraction=CERTAIN_FRACTION) -> Outlook:
         """Return what the caller of a step can still get from its job.
 
         Work that lasts is useful whenever it starts.
 
         Parameters
         ----------
-        share : float
+        certain_fraction : float
             Part of the expected work that is taken as certainly left.
         """
         if step.spec.lasting:
             return Outlook.IN_TIME
-        end_s = now + share * self.state.durations.remaining_s(step)
+        end_s = now + certain_fraction * self.state.durations.remaining_s(step)
         return self.outlook_at(step, end_s)
 
     def outlook_at(self, step, end_s) -> Outlook:
@@ -194,7 +194,7 @@
             lost=outlook is Outlook.LOST,
             level=step.job.queue.priority + (outlook is Outlook.LATE),
             in_excess=step.job.in_excess,
-            share=self.state.shares.level(step, now),
+            share_level=self.state.shares.level(step, now),
             outlook=outlook,
             latest_s=latest_s,
         )
@@ -246,10 +246,10 @@
         The level of a workspace rises with each start of one of its tasks.
         """
         rank = self.ranks[step.key]
-        share = self.state.shares.level(step, now)
-        if share == rank.share:
+        share_level = self.state.shares.level(step, now)
+        if share_level == rank.share_level:
             return False
-        self.ranks[step.key] = rank._replace(share=share)
+        self.ranks[step.key] = rank._replace(share_level=share_level)
         self.gave_way = bool(self.line) and self.ranks[step.key] > self.line[0][0]
         return self.gave_way
 
--- a/wasabipaddle/dispatch/tests/test_overload.py
+++ b/wasabipaddle/dispatch/tests/test_overload.py
@@ -176,7 +176,7 @@
     product_rank = WorkOrder.rank
 
     def rank(order, s, now):
-        outlook = order.outlook(s, now, share=1.0)
+        outlook = order.outlook(s, now, certain_fraction=1.0)
         worth = WORTH[s.job.queue.priority][min(outlook, Outlook.LATE)]
         work = max(s.remaining, 1) * s.spec.estimate_s
         lost = outlook is Outlook.LOST
--- a/wasabipaddle/fuzz/requests.py
+++ b/wasabipaddle/fuzz/requests.py
@@ -12,7 +12,7 @@
 from wasabipaddle.clock import ManualClock
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.fuzz.stubs import QUEUE, require
-from wasabipaddle.ingress import Gate, IngressListener
+from wasabipaddle.ingress import IngressListener, ListenerProfile
 from wasabipaddle.jobs import JobPhase
 from wasabipaddle.kernel import Context
 from wasabipaddle.platform.callers import CallerListener
@@ -154,9 +154,9 @@
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(lambda _, found: outcome.errors.append(str(found)))
     runner = web.ServerRunner(web.Server(handle), shutdown_timeout=0.0)
-    gate = Gate(listener="callers")
+    profile = ListenerProfile(listener="callers")
     listener = IngressListener(
-        ingress=service.context.ingress, runner=runner, gate=gate
+        ingress=service.context.ingress, runner=runner, profile=profile
     )
     await listener.prepare()
     connection = listener.make_connection()
@@ -170,7 +170,7 @@
     transport.close()
     await asyncio.sleep(0)
     require(service.context.ingress.ledger.reserved == 0, "a reservation is kept")
-    require(not service.context.ingress.ledger.holdings, "a connection is kept")
+    require(not service.context.ingress.ledger.usages, "a connection is kept")
     await runner.cleanup()
     outcome.replies = _split_replies(bytes(transport.written))
     return outcome
--- a/wasabipaddle/ingress/__init__.py
+++ b/wasabipaddle/ingress/__init__.py
@@ -1,15 +1,15 @@
 """Bounds on what the clients of a listener may hold of the process."""
 
-from wasabipaddle.ingress.ledger import Holding, Ledger, Phase
+from wasabipaddle.ingress.ledger import ConnectionUsage, Ledger, Phase
 from wasabipaddle.ingress.limits import IngressLimits, RequestLimits, derive_limits
 from wasabipaddle.ingress.listener import Ingress, IngressListener, read_body
 from wasabipaddle.ingress.protocol import Connection
-from wasabipaddle.ingress.replies import Gate, failure_response
+from wasabipaddle.ingress.replies import ListenerProfile, failure_response
 
 __all__ = [
     "Connection",
-    "Gate",
-    "Holding",
+    "ListenerProfile",
+    "ConnectionUsage",
     "Ingress",
     "IngressLimits",
     "IngressListener",
--- a/wasabipaddle/ingress/ledger.py
+++ b/wasabipaddle/ingress/ledger.py
@@ -8,7 +8,7 @@
 
 from wasabipaddle.ingress.limits import RequestLimits
 
-__all__ = ["Holding", "Ledger", "Phase"]
+__all__ = ["ConnectionUsage", "Ledger", "Phase"]
 
 # Rate below which a client counts as stalled once others need what it holds.
 MIN_BYTES_PER_S = 65_536
@@ -54,7 +54,7 @@
 
 
 @attrs.define(kw_only=True, eq=False)
-class Holding:
+class ConnectionUsage:
     """What one connection holds.
 
     Parameters
@@ -148,7 +148,7 @@
 
     def __init__(self, *, limits):
         self.limits = limits
-        self.holdings = set()
+        self.usages = set()
         self.counts = collections.Counter()
         self.reserved = 0
         self.next_scan_s = {}
@@ -163,7 +163,7 @@
 
         Returns
         -------
-        list of Holding or None
+        list of ConnectionUsage or None
             Connections to evict for it, in most cases none; None if it is refused.
         """
         if self.counts[listener] < self.connections.get(listener, math.inf):
@@ -176,20 +176,20 @@
             return None
         return evicted[:MAX_EVICTED]
 
-    def add(self, holding):
+    def add(self, usage):
         """Record a connection; one that is known is counted once."""
-        if holding not in self.holdings:
-            self.holdings.add(holding)
-            self.counts[holding.listener] += 1
+        if usage not in self.usages:
+            self.usages.add(usage)
+            self.counts[usage.listener] += 1
 
-    def remove(self, holding):
+    def remove(self, usage):
         """Forget a connection that is closed."""
-        if holding in self.holdings:
-            self.release(holding)
-            self.holdings.discard(holding)
-            self.counts[holding.listener] -= 1
+        if usage in self.usages:
+            self.release(usage)
+            self.usages.discard(usage)
+            self.counts[usage.listener] -= 1
 
-    def reserve(self, holding, cost, now_s):
+    def reserve(self, usage, cost, now_s):
         """Set the reservation of a connection.
 
         A connection that is the only one with a reservation gets any size: a single
@@ -202,33 +202,33 @@
 
         Returns
         -------
-        list of Holding or None
+        list of ConnectionUsage or None
             Connections that have lost their reservation to it, in most cases none;
             None if it gets no reservation.
         """
         wanted = max(cost - self.limits.free_content_bytes, 0)
-        missing = self.reserved - holding.reserved + wanted - self.limits.content_bytes
+        missing = self.reserved - usage.reserved + wanted - self.limits.content_bytes
         evicted = []
-        grows = wanted > holding.reserved
-        alone = holding.reserved == self.reserved
+        grows = wanted > usage.reserved
+        alone = usage.reserved == self.reserved
         if missing > 0 and grows and not alone:
-            evicted = self._find_reserved(holding, missing, now_s)
+            evicted = self._find_reserved(usage, missing, now_s)
             if evicted is None:
                 return None
-        self.reserved += wanted - holding.reserved
-        holding.reserved = wanted
+        self.reserved += wanted - usage.reserved
+        usage.reserved = wanted
         return evicted
 
-    def release(self, holding):
+    def release(self, usage):
         """Drop the reservation of a connection."""
-        self.reserved -= holding.reserved
-        holding.reserved = 0
+        self.reserved -= usage.reserved
+        usage.reserved = 0
 
     def find_overdue(self, now_s):
         """Return the connections that have exceeded a time limit."""
-        return [h for h in self.holdings if h.is_overdue(now_s)]
+        return [h for h in self.usages if h.is_overdue(now_s)]
 
-    def _find_reserved(self, holding, missing, now_s):
+    def _find_reserved(self, usage, missing, now_s):
         """Release stalled reservations of `missing` bytes; None if there are fewer.
 
         All others together are enough in any case, as the connection is then alone.
@@ -236,11 +236,11 @@
         if now_s < self.next_scan_s.get(None, -math.inf):
             return None
         evicted = []
-        others = self.reserved - holding.reserved
+        others = self.reserved - usage.reserved
         for other in self._find_stalled(now_s, lambda h: h.reserved > 0):
             if missing <= 0:
                 break
-            if other is not holding:
+            if other is not usage:
                 missing -= other.reserved
                 others -= other.reserved
                 evicted.append(other)
@@ -253,6 +253,6 @@
 
     def _find_stalled(self, now_s, condition):
         """Return the connections that may be evicted, the first ones first."""
-        found = [h for h in self.holdings if condition(h) and h.may_be_evicted(now_s)]
+        found = [h for h in self.usages if condition(h) and h.may_be_evicted(now_s)]
         found.sort(key=lambda h: (EVICTION_RANKS[h.phase], -h.lag_s(now_s)))
         return found
--- a/wasabipaddle/ingress/listener.py
+++ b/wasabipaddle/ingress/listener.py
@@ -7,7 +7,7 @@
 from result import Ok
 
 from wasabipaddle.exceptions import ErrorKind
-from wasabipaddle.ingress.ledger import Holding, Ledger
+from wasabipaddle.ingress.ledger import ConnectionUsage, Ledger
 from wasabipaddle.ingress.limits import derive_limits
 from wasabipaddle.ingress.protocol import Connection
 from wasabipaddle.ingress.replies import RefusedConnection, busy_failure
@@ -16,9 +16,9 @@
 
 SWEEP_INTERVAL_S = 0.25
 # Delay of a sweep beyond which the process itself stood still.
-STANDSTILL_S = 1.0
+SUSPENSION_S = 1.0
 # Time without a refusal after which the next one is logged.
-CALM_S = 10.0
+REFUSAL_LOG_INTERVAL_S = 10.0
 # Time within which an admitted connection opens, its handshake included.
 OPENING_S = 10.0
 # Connections that wait to be accepted, and those accepted before the next event.
@@ -73,16 +73,16 @@
             self.sweeping.dispose()
             self.sweeping = None
 
-    def admit(self, gate) -> bool:
+    def admit(self, profile) -> bool:
         """Return whether a new connection is served; evict others for it."""
-        evicted = self.ledger.admit(gate.listener, self.now())
+        evicted = self.ledger.admit(profile.listener, self.now())
         if evicted is None:
-            self.count_refusal(gate.listener, ErrorKind.QUEUE_FULL)
+            self.count_refusal(profile.listener, ErrorKind.QUEUE_FULL)
             return False
-        for holding in evicted:
-            self.context.metrics.count(f"ingress_{gate.listener}_evicted")
-            holding.connection.evict()
-            self.ledger.remove(holding)
+        for usage in evicted:
+            self.context.metrics.count(f"ingress_{profile.listener}_evicted")
+            usage.connection.evict()
+            self.ledger.remove(usage)
         return True
 
     def expect(self, connection):
@@ -91,38 +91,38 @@
         Several connections are admitted before the first of them opens. One that does
         not open, as after a failed handshake, is forgotten.
         """
-        connection.holding = Holding(
+        connection.usage = ConnectionUsage(
             connection=connection,
-            listener=connection.gate.listener,
+            listener=connection.profile.listener,
             since_s=self.now(),
         )
-        self.ledger.add(connection.holding)
+        self.ledger.add(connection.usage)
         asyncio.get_running_loop().call_later(
             OPENING_S, self._forget_unopened, connection
         )
 
     def _forget_unopened(self, connection):
         if connection.transport is None:
-            self.ledger.remove(connection.holding)
+            self.ledger.remove(connection.usage)
 
     def add(self, connection):
         """Record that a connection has opened."""
-        self.ledger.add(connection.holding)
+        self.ledger.add(connection.usage)
 
-    def remove(self, holding):
+    def remove(self, usage):
         """Forget a closed connection."""
-        self.ledger.remove(holding)
+        self.ledger.remove(usage)
 
-    def reserve(self, holding, cost) -> bool:
+    def reserve(self, usage, cost) -> bool:
         """Set the reservation of a connection; return whether it is granted."""
-        evicted = self.ledger.reserve(holding, cost, self.now())
+        evicted = self.ledger.reserve(usage, cost, self.now())
         for other in evicted or ():
             other.connection.refuse(ErrorKind.QUEUE_FULL)
         return evicted is not None
 
-    def release(self, holding):
+    def release(self, usage):
         """Drop the reservation of a connection."""
-        self.ledger.release(holding)
+        self.ledger.release(usage)
 
     def count_refusal(self, listener, kind):
         """Count a refusal; log the first one after a calm time."""
@@ -130,12 +130,12 @@
         metrics = self.context.metrics
         metrics.count(f"ingress_{listener}_refused_{kind.value}")
         last_s, self.last_refusal_s = self.last_refusal_s, now_s
-        if last_s is None or now_s - last_s > CALM_S:
+        if last_s is None or now_s - last_s > REFUSAL_LOG_INTERVAL_S:
             self.context.journal(
                 "clients_refused",
                 listener=listener,
                 reason=kind.value,
-                connections=len(self.ledger.holdings),
+                connections=len(self.ledger.usages),
                 reserved=self.ledger.reserved,
             )
 
@@ -143,12 +143,12 @@
         """Refuse or close the connections that have exceeded a time limit."""
         late_s = now_s - self.last_sweep_s - SWEEP_INTERVAL_S
         self.last_sweep_s = now_s
-        self.context.metrics.gauge("ingress_connections", len(self.ledger.holdings))
+        self.context.metrics.gauge("ingress_connections", len(self.ledger.usages))
         self.context.metrics.gauge("ingress_reserved_bytes", self.ledger.reserved)
-        if late_s > STANDSTILL_S:
+        if late_s > SUSPENSION_S:
             return
-        for holding in self.ledger.find_overdue(now_s):
-            holding.connection.expire()
+        for usage in self.ledger.find_overdue(now_s):
+            usage.connection.expire()
 
 
 class IngressListener:
@@ -160,7 +160,7 @@
         Shared by the listeners of the process.
     runner : web.BaseRunner
         Runner of the server or application that handles the requests.
-    gate : Gate
+    profile : ListenerProfile
         What the listener expects of its clients.
     options : dict
         Further options of the connections.
@@ -169,12 +169,12 @@
     """
 
     def __init__(
-        self, *, ingress, runner, gate, options=None, connection_type=Connection
+        self, *, ingress, runner, profile, options=None, connection_type=Connection
     ):
         self.connection_type = connection_type
         self.ingress = ingress
         self.runner = runner
-        self.gate = gate
+        self.profile = profile
         self.options = options or {}
         self.server = None
         self.handler = None
@@ -207,9 +207,9 @@
             return
         self.server.close()
         self.server = None
-        for holding in list(self.ingress.ledger.holdings):
-            if holding.listener == self.gate.listener:
-                holding.connection.shut_down()
+        for usage in list(self.ingress.ledger.usages):
+            if usage.listener == self.profile.listener:
+                usage.connection.shut_down()
         await self.runner.cleanup()
         self.ingress.close()
 
@@ -226,13 +226,13 @@
 
     def make_connection(self) -> asyncio.Protocol:
         """Return the protocol of a new connection."""
-        if not self.ingress.admit(self.gate):
+        if not self.ingress.admit(self.profile):
             failure = busy_failure("too many open connections")
-            return RefusedConnection(response=self.gate.render(failure))
+            return RefusedConnection(response=self.profile.render(failure))
         connection = self.connection_type(
             self.runner.server,
             ingress=self.ingress,
-            gate=self.gate,
+            profile=self.profile,
             loop=asyncio.get_running_loop(),
             **self.options,
         )
--- a/wasabipaddle/ingress/protocol.py
+++ b/wasabipaddle/ingress/protocol.py
@@ -61,11 +61,11 @@
     ----------
     ingress : Ingress
         Shared by all connections of the process.
-    gate : Gate
+    profile : ListenerProfile
         What the listener expects.
     """
 
-    def __init__(self, server, *, ingress, gate, **options):
+    def __init__(self, server, *, ingress, profile, **options):
         super().__init__(
             server,
             max_line_size=MAX_FIELD_BYTES,
@@ -78,10 +78,10 @@
             **options,
         )
         self.ingress = ingress
-        self.gate = gate
+        self.profile = profile
         self.clock = self._loop.time
         self.now_s = 0.0
-        self.holding = self.failure = None
+        self.usage = self.failure = None
         self.reading = self.serving = self.discarding = False
         self.payload = self.refused_payload = None
         self.length = None
@@ -101,19 +101,19 @@
 
     def connection_lost(self, exc):
         """Release what the connection holds."""
-        self.ingress.remove(self.holding)
+        self.ingress.remove(self.usage)
         self.discarding = True
         super().connection_lost(exc)
 
     def pause_writing(self):
         """Record that the client does not read its replies."""
         super().pause_writing()
-        self.holding.unread_since_s = self.clock()
+        self.usage.unread_since_s = self.clock()
 
     def resume_writing(self):
         """Record that the client reads again."""
         super().resume_writing()
-        self.holding.unread_since_s = None
+        self.usage.unread_since_s = None
 
     def data_received(self, data):
         """Parse bytes as far as the limits admit them."""
@@ -128,10 +128,10 @@
 
     def _receive_head(self, data):
         """Parse the next bytes of a head; return the bytes that follow them."""
-        holding = self.holding
+        usage = self.usage
         if not self.head_bytes:
-            holding.limits = self.gate.find_limits()
-        limit = holding.limits.max_head_bytes
+            usage.limits = self.profile.find_limits()
+        limit = usage.limits.max_head_bytes
         if not self.last_bytes and data[0] in EMPTY_LINE:
             begin = data.lstrip(EMPTY_LINE)
             self.head_bytes += len(data) - len(begin)
@@ -149,10 +149,10 @@
             self.refuse(ErrorKind.HEADERS_TOO_LARGE)
         elif piece or (self.head_bytes and not self._request_count):
             # An empty line after a body belongs to no request yet.
-            if holding.phase is Phase.IDLE:
-                holding.enter(Phase.HEAD, self.now_s)
-            if holding.phase is Phase.HEAD:
-                holding.receive(size, self.now_s)
+            if usage.phase is Phase.IDLE:
+                usage.enter(Phase.HEAD, self.now_s)
+            if usage.phase is Phase.HEAD:
+                usage.receive(size, self.now_s)
         return rest
 
     def _receive_body(self, data):
@@ -163,7 +163,7 @@
         else:
             size = self.length - payload.total_bytes
         piece, rest = data[:size], data[size:]
-        self.holding.receive(len(piece), self.now_s)
+        self.usage.receive(len(piece), self.now_s)
         if not self._reserve():
             return b""
         self._feed(piece)
@@ -187,7 +187,7 @@
         return size
 
     def _exceeds_body_limit(self, size):
-        limit = self.holding.limits.max_body_bytes
+        limit = self.usage.limits.max_body_bytes
         framed_limit = MAX_FRAMING * limit + FRAMING_BYTES
         return size > limit or self.framed_bytes > framed_limit
 
@@ -216,7 +216,7 @@
         length = message.headers.get("Content-Length")
         self.length = None if message.chunked or length is None else int(length)
         self.framed_bytes = 0
-        self.holding.enter(Phase.BODY, self.now_s)
+        self.usage.enter(Phase.BODY, self.now_s)
         if self._exceeds_body_limit(self.length or payload.total_bytes):
             return self.refuse(ErrorKind.BODY_TOO_LARGE)
         self.cost.set_body(self.length or payload.total_bytes)
@@ -225,35 +225,35 @@
 
     def _end_at_error(self):
         """Stop parsing after malformed HTTP; the reply closes the connection."""
-        if self.holding.phase is Phase.BODY:
+        if self.usage.phase is Phase.BODY:
             # The parser leaves the body without an end and reports a further request.
             self._messages.pop()
             return self.refuse(ErrorKind.INVALID_REQUEST)
         self.discarding = True
-        return self.holding.enter(Phase.SERVING, self.now_s)
+        return self.usage.enter(Phase.SERVING, self.now_s)
 
     def _complete_body(self):
         """Note the end of a body, whose request may have been answered before."""
         self.last_bytes = b""
         if self.cost.waiting:
-            self.holding.enter(Phase.SERVING, self.now_s)
+            self.usage.enter(Phase.SERVING, self.now_s)
         else:
             self._await_request()
 
     def _await_request(self):
         """Release what the requests held, since all of them have ended."""
         phase = Phase.HEAD if self.cost.head else Phase.IDLE
-        self.holding.enter(phase, self.clock())
-        if self.holding.reserved:
-            self.ingress.release(self.holding)
+        self.usage.enter(phase, self.clock())
+        if self.usage.reserved:
+            self.ingress.release(self.usage)
 
     def _reserve(self):
         """Reserve memory for what the connection holds, or refuse the request."""
         cost = self.cost.total
         free_bytes = self.ingress.ledger.limits.free_content_bytes
-        if cost <= free_bytes and not self.holding.reserved:
+        if cost <= free_bytes and not self.usage.reserved:
             return True
-        if self.ingress.reserve(self.holding, cost):
+        if self.ingress.reserve(self.usage, cost):
             return True
         self.refuse(ErrorKind.QUEUE_FULL)
         return False
@@ -322,13 +322,13 @@
         """
         if self.discarding:
             return
-        within_body = self.holding.phase is Phase.BODY
+        within_body = self.usage.phase is Phase.BODY
         self.discarding = True
         retry_after_s = RETRY_AFTER_S if kind in CLOSING_KINDS else None
         self.failure = Failure(kind=kind, retry_after_s=retry_after_s)
-        self.ingress.count_refusal(self.gate.listener, kind)
-        self.holding.enter(Phase.REFUSED, self.clock())
-        self.ingress.release(self.holding)
+        self.ingress.count_refusal(self.profile.listener, kind)
+        self.usage.enter(Phase.REFUSED, self.clock())
+        self.ingress.release(self.usage)
         if within_body:
             self.refused_payload = self.payload
             # The handler replies, now or when it begins to read.
@@ -345,13 +345,13 @@
         transport = self.transport
         if transport is None or transport.is_closing():
             return
-        transport.write(raw_reply(self.gate.render(self.failure)))
+        transport.write(raw_reply(self.profile.render(self.failure)))
         with contextlib.suppress(OSError, NotImplementedError, RuntimeError):
             transport.write_eof()
 
     def expire(self):
         """Refuse or close a connection that has exceeded a time limit."""
-        if self.holding.phase in (Phase.HEAD, Phase.BODY) and not self.holding.unread:
+        if self.usage.phase in (Phase.HEAD, Phase.BODY) and not self.usage.unread:
             self.refuse(ErrorKind.REQUEST_TIMEOUT)
         else:
             self._abort()
@@ -365,18 +365,18 @@
 
     def shut_down(self):
         """Refuse a request that is not whole, since the process ends."""
-        if self.holding.unread:
+        if self.usage.unread:
             self._abort()
-        elif self.holding.phase in (Phase.HEAD, Phase.BODY):
+        elif self.usage.phase in (Phase.HEAD, Phase.BODY):
             self.refuse(ErrorKind.DRAINING)
 
     def evict(self):
         """Close at once, after a reply if a request was being received alone."""
-        if self.holding.unread or self.transport is None:
+        if self.usage.unread or self.transport is None:
             self._abort()
             return
-        phase = self.holding.phase
-        self.holding.enter(Phase.REFUSED, self.clock())
+        phase = self.usage.phase
+        self.usage.enter(Phase.REFUSED, self.clock())
         waiting = self.reading or not (self.serving or self._messages)
         if phase in (Phase.HEAD, Phase.BODY) and waiting:
             self.failure = busy_failure()
@@ -390,7 +390,7 @@
             return super().handle_error(request, status, exc, message)
         if request.writer.output_size > 0 or self.transport is None:
             raise ConnectionError("no reply can be sent")
-        response = self.gate.render(malformed_failure())
+        response = self.profile.render(malformed_failure())
         response.force_close()
         return response
 
--- a/wasabipaddle/ingress/replies.py
+++ b/wasabipaddle/ingress/replies.py
@@ -10,7 +10,7 @@
 from wasabipaddle.ingress.limits import RequestLimits
 
 __all__ = [
-    "Gate",
+    "ListenerProfile",
     "RefusedConnection",
     "busy_failure",
     "failure_response",
@@ -41,7 +41,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class Gate:
+class ListenerProfile:
     """What a listener expects of its clients.
 
     Parameters
--- a/wasabipaddle/ingress/tests/test_connection.py
+++ b/wasabipaddle/ingress/tests/test_connection.py
@@ -9,10 +9,10 @@
 from wasabipaddle.clock import LoopClock
 from wasabipaddle.exceptions import ErrorKind
 from wasabipaddle.ingress import (
-    Gate,
     IngressLimits,
     IngressListener,
     Ledger,
+    ListenerProfile,
     Phase,
     RequestLimits,
     failure_response,
@@ -48,7 +48,9 @@
         self.listener = IngressListener(
             ingress=self.context.ingress,
             runner=web.ServerRunner(web.Server(self._handle), shutdown_timeout=0.5),
-            gate=Gate(listener="callers", find_limits=lambda: self.limits),
+            profile=ListenerProfile(
+                listener="callers", find_limits=lambda: self.limits
+            ),
         )
 
     async def _handle(self, request):
@@ -80,8 +82,8 @@
         return reply
 
     @property
-    def holdings(self):
-        return self.context.ingress.ledger.holdings
+    def usages(self):
+        return self.context.ingress.ledger.usages
 
 
 @pytest.fixture
@@ -97,7 +99,7 @@
             finally:
                 await raw.listener.close()
             await asyncio.sleep(0)
-            assert not raw.holdings
+            assert not raw.usages
             assert raw.context.ingress.ledger.reserved == 0
 
         asyncio.run(main())
@@ -225,7 +227,7 @@
         stalled = asyncio.ensure_future(
             raw.exchange(_post(headers="Content-Length: 9000\r\n"), b"x" * 8_999)
         )
-        while not any(h.phase is Phase.BODY for h in ledger.holdings):
+        while not any(h.phase is Phase.BODY for h in ledger.usages):
             await asyncio.sleep(0.01)
         await asyncio.sleep(1.0)
         whole = _post(b"y" * 4_000, f"{CLOSE}Content-Length: 4000\r\n")
@@ -248,7 +250,7 @@
     async def check(raw):
         reader, writer = await raw.connect()
         writer.write(_post(headers="Content-Length: 5000\r\n") + body[:100])
-        while not any(h.phase is Phase.BODY for h in raw.holdings):
+        while not any(h.phase is Phase.BODY for h in raw.usages):
             await asyncio.sleep(0.01)
         raw.limits = attrs.evolve(LIMITS, max_body_bytes=4_000, idle_s=0.01)
         await asyncio.sleep(0.5)
@@ -282,9 +284,9 @@
         writer.write(head + b"x" * 100)
         assert (await reader.readline()).startswith(b"HTTP/1.1 401 ")
         writer.write(b"x" * 14_900)
-        (holding,) = raw.holdings
-        await _until(lambda: holding.phase is Phase.IDLE)
-        assert holding.reserved == 0
+        (usage,) = raw.usages
+        await _until(lambda: usage.phase is Phase.IDLE)
+        assert usage.reserved == 0
         writer.close()
 
     run_listener(check)
@@ -296,8 +298,8 @@
     async def check(raw):
         _, writer = await raw.connect()
         writer.write(b"GET /long HTTP/1.1\r\nHost: h\r\n\r\n")
-        await _until(lambda: any(h.unread for h in raw.holdings))
-        await _until(lambda: not raw.holdings)
+        await _until(lambda: any(h.unread for h in raw.usages))
+        await _until(lambda: not raw.usages)
         writer.close()
 
     run_listener(check, idle_s=0.1)
@@ -312,7 +314,7 @@
         await asyncio.sleep(IDLE_S + 0.1)
         crowd = await asyncio.gather(*(raw.connect() for _ in range(60)))
         await asyncio.sleep(0.1)
-        open_connections = [h.connection.transport for h in raw.holdings]
+        open_connections = [h.connection.transport for h in raw.usages]
         assert len(open_connections) <= 10
         server_side = raw.listener.runner.server.connections
         assert len([c for c in server_side if c.transport is not None]) <= 10
@@ -349,8 +351,8 @@
             writer.write(_post(b"x"))
             async with asyncio.timeout(REPLY_LIMIT_S):
                 await reader.readuntil(b"/a=x")
-            (holding,) = raw.holdings
-            costs.append(holding.connection.cost.total)
+            (usage,) = raw.usages
+            costs.append(usage.connection.cost.total)
         assert max(costs[25:]) <= max(costs[:25])
         writer.close()
 
--- a/wasabipaddle/ingress/tests/test_ledger.py
+++ b/wasabipaddle/ingress/tests/test_ledger.py
@@ -2,7 +2,13 @@
 
 import pytest
 
-from wasabipaddle.ingress import Holding, IngressLimits, Ledger, Phase, derive_limits
+from wasabipaddle.ingress import (
+    ConnectionUsage,
+    IngressLimits,
+    Ledger,
+    Phase,
+    derive_limits,
+)
 from wasabipaddle.ingress.ledger import BODY_S, IDLE_S, LINGER_S, STALL_S
 from wasabipaddle.ingress.limits import FILE_DESCRIPTORS
 
@@ -23,10 +29,10 @@
 
 
 def connect(ledger, phase=Phase.IDLE, now_s=0.0, listener="callers"):
-    holding = Holding(connection=None, listener=listener, since_s=now_s)
-    holding.enter(phase, now_s)
-    ledger.add(holding)
-    return holding
+    usage = ConnectionUsage(connection=None, listener=listener, since_s=now_s)
+    usage.enter(phase, now_s)
+    ledger.add(usage)
+    return usage
 
 
 def test_small_contents_need_no_reservation(ledger):
@@ -40,23 +46,23 @@
 
 def test_stalled_reservation_is_lost_first_and_only_as_far_as_needed(ledger):
     """Guards against clients without progress that keep others out."""
-    holdings = [connect(ledger, Phase.BODY, now_s) for now_s in (0.0, 0.1, 0.2)]
-    for holding in holdings:
-        assert ledger.reserve(holding, FREE_BYTES + 300, holding.since_s) == []
+    usages = [connect(ledger, Phase.BODY, now_s) for now_s in (0.0, 0.1, 0.2)]
+    for usage in usages:
+        assert ledger.reserve(usage, FREE_BYTES + 300, usage.since_s) == []
     serving = connect(ledger, Phase.SERVING)
     assert ledger.reserve(serving, FREE_BYTES + 100, 0.2) == []
     newcomer = connect(ledger, Phase.BODY, 0.3)
     assert ledger.reserve(newcomer, FREE_BYTES + 300, 0.3) is None
     late_s = 0.2 + STALL_S
-    assert ledger.reserve(newcomer, FREE_BYTES + 300, late_s) == [holdings[0]]
+    assert ledger.reserve(newcomer, FREE_BYTES + 300, late_s) == [usages[0]]
     assert ledger.reserved == CONTENT_BYTES
 
 
 def test_slow_progress_does_not_protect(ledger):
     """Guards against a client that keeps a reservation with a byte now and then."""
     dribbling, steady = (connect(ledger, Phase.BODY) for _ in range(2))
-    for holding in (dribbling, steady):
-        ledger.reserve(holding, FREE_BYTES + 500, 0.0)
+    for usage in (dribbling, steady):
+        ledger.reserve(usage, FREE_BYTES + 500, 0.0)
     for tenth in range(1, 21):
         dribbling.receive(1, tenth / 10)
         steady.receive(10_000, tenth / 10)
@@ -87,14 +93,14 @@
     assert ledger.admit("callers", 0.3) is None
     assert ledger.admit("metrics", 0.3) == []
     assert ledger.admit("callers", IDLE_S) == [unread, head, idle]
-    for holding in (unread, head, idle):
-        ledger.remove(holding)
+    for usage in (unread, head, idle):
+        ledger.remove(usage)
     assert ledger.admit("callers", IDLE_S) == []
 
 
 def test_time_limits(ledger):
     """Guards against heads, bodies and unread replies that last for ever."""
-    holdings = {phase: connect(ledger, phase) for phase in Phase}
+    usages = {phase: connect(ledger, phase) for phase in Phase}
     header_s, idle_s = 3.0, 15.0
     due = {Phase.HEAD: header_s, Phase.BODY: idle_s, Phase.REFUSED: LINGER_S}
     for phase in (Phase.SERVING, Phase.BODY, Phase.IDLE):
@@ -104,11 +110,11 @@
         assert unread.is_overdue(idle_s + 0.1)
         unread.unread_since_s = None
         assert not unread.is_overdue(idle_s + 0.1)
-    for phase, holding in holdings.items():
+    for phase, usage in usages.items():
         limit_s = due.get(phase)
-        assert not holding.is_overdue(limit_s or BODY_S)
-        assert holding.is_overdue((limit_s or BODY_S) + 0.1) == (limit_s is not None)
-    body = holdings[Phase.BODY]
+        assert not usage.is_overdue(limit_s or BODY_S)
+        assert usage.is_overdue((limit_s or BODY_S) + 0.1) == (limit_s is not None)
+    body = usages[Phase.BODY]
     for second in range(0, int(BODY_S), 10):
         body.receive(1, float(second))
     assert not body.is_overdue(BODY_S)
--- a/wasabipaddle/platform/callers.py
+++ b/wasabipaddle/platform/callers.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 
 from wasabipaddle.exceptions import ErrorKind
-from wasabipaddle.ingress import Gate, IngressListener, read_body
+from wasabipaddle.ingress import IngressListener, ListenerProfile, read_body
 from wasabipaddle.platform.jobs import (
     JOB_ID,
     KEY_HEADER,
@@ -72,7 +72,7 @@
         listener = IngressListener(
             ingress=self.service.context.ingress,
             runner=web.ServerRunner(web.Server(handler), shutdown_timeout=SHUTDOWN_S),
-            gate=Gate(
+            profile=ListenerProfile(
                 listener=name,
                 find_limits=self.service.request_limits,
                 render=_error_response,
--- a/wasabipaddle/serve/transport.py
+++ b/wasabipaddle/serve/transport.py
@@ -4,7 +4,7 @@
 
 from aiohttp import web
 
-from wasabipaddle.ingress import Gate, IngressListener
+from wasabipaddle.ingress import IngressListener, ListenerProfile
 from wasabipaddle.kernel import Plugin
 from wasabipaddle.transport import HttpTransport
 
@@ -75,7 +75,7 @@
         self.listener = IngressListener(
             ingress=self.context.ingress,
             runner=web.AppRunner(app, shutdown_timeout=SHUTDOWN_S),
-            gate=Gate(listener="internal"),
+            profile=ListenerProfile(listener="internal"),
         )
         await self.listener.open(peer.host, peer.internal_port, ssl=self.ssl)
 
