Let no call time out before the connections of the test fall silent

Cause: test_watch_after_a_timeout_of_a_call_uses_a_new_connection gives all calls 100 ms. On a busy machine one of the first calls exceeds that, which replaces the connections before they fall silent, and the call that has to fail succeeds.

Change: the time limit is 100 ms only after the connections have fallen silent, and the test checks that none was replaced before.

With the replacement of connections taken out of the client the test fails.

--- a/wasabipaddle/cell/tests/test_silent_store.py
+++ b/wasabipaddle/cell/tests/test_silent_store.py
@@ -112,13 +112,17 @@
     """Guards against watches that do not learn of the timeouts of other calls."""
 
     async def scenario(memory, relay, watch):
-        store = PlatformStore(address=relay.address, timeout_s=0.1)
+        store = PlatformStore(address=relay.address, timeout_s=LONG_S)
         follows = (
             store.follow("k", after_revision=1, wait_s=0.1)
             for _ in range(IDLE_CONNECTIONS)
         )
+        generation = store.connection_generation
         await asyncio.gather(open_idle(store, relay), *follows)
+        # A timeout so far would have replaced the connections that fall silent.
+        assert store.connection_generation == generation
         relay.silence()
+        store.timeout_s = 0.1
         assert (await store.get("k")).is_err()
         batch = await store.follow("k", after_revision=1, wait_s=0.001)
         assert batch.is_ok()
