Count the work that waits when the soak test expects the end of jobs

Cause: the check "lost" expects the end of each accepted job within 20 s after the last submission, however much work waits then.

Change: jobs have to end within 20 s, and later by the time that the work of their priority and above needs on half of the processors. The bound now also holds for each priority by itself: urgent jobs that end late are found although others wait.

--- a/wasabipaddle/soak/callers.py
+++ b/wasabipaddle/soak/callers.py
@@ -11,7 +11,7 @@
 from wasabipaddle.soak.ledger import JobRecord
 from wasabipaddle.standins.runners import TaskBehaviour
 
-__all__ = ["SoakCallers"]
+__all__ = ["LONGEST_LASTING_S", "SoakCallers"]
 
 CALL_TIMEOUT_S = 3.0
 RETRY_INTERVAL_S = 0.4
@@ -21,6 +21,9 @@
 POLL_INTERVAL_S = 0.8
 REPEAT_PROBABILITY = 0.1
 CANCEL_PROBABILITY = 0.15
+# Time within which callers cancel their lasting jobs, and other jobs if they do.
+LONGEST_LASTING_S = 12.0
+LATEST_CANCELLATION_S = 2.0
 # Weights of urgent, batch, gang, lasting, scheduled, always failing and long jobs.
 JOB_WEIGHTS = (51, 20, 8, 7, 5, 5, 4)
 SPREAD_STEP = StepSpec(
@@ -256,7 +259,8 @@
         lasting = record.spec.lasting
         cancel_after_s = None
         if lasting or self.random.random() < cancel_probability:
-            cancel_after_s = self.random.uniform(0.2, 12.0 if lasting else 2.0)
+            latest_s = LONGEST_LASTING_S if lasting else LATEST_CANCELLATION_S
+            cancel_after_s = self.random.uniform(0.2, latest_s)
         started = self.ledger.now()
         while record.shown is None or not record.shown.final:
             due = cancel_after_s is not None
--- a/wasabipaddle/soak/driver.py
+++ b/wasabipaddle/soak/driver.py
@@ -7,7 +7,8 @@
 
 import attrs
 
-from wasabipaddle.soak.callers import SoakCallers
+from wasabipaddle.soak.backlog import find_deadlines
+from wasabipaddle.soak.callers import LONGEST_LASTING_S, SoakCallers
 from wasabipaddle.soak.cell import CellProcesses
 from wasabipaddle.soak.departures import Departures
 from wasabipaddle.soak.faults import SoakFaults
@@ -21,9 +22,6 @@
 __all__ = ["SoakResult", "run_soak"]
 
 JOBS_PER_S = 4.0
-# Time after the last fault within which every accepted job has to reach its final
-# phase.
-FINISH_TIMEOUT_S = 20.0
 LAG_PERIOD_S = 0.05
 USE_PERIOD_S = 0.5
 
@@ -153,15 +151,16 @@
         """Take samples until cancelled."""
         while True:
             await asyncio.sleep(USE_PERIOD_S)
-            runners = [
-                runner
-                for runner in self.platform.runners.values()
-                if not runner.entry.draining
-            ]
-            used = sum(
-                run.spec.cpu for runner in runners for run in runner.runs.values()
-            )
-            self.shares.append(used / sum(r.entry.capacity.cpu for r in runners))
+            runs = (run for r in self._staying() for run in r.runs.values())
+            self.shares.append(sum(run.spec.cpu for run in runs) / self.cpu())
+
+    def cpu(self) -> int:
+        """Return the processors of the runners that do not leave, in millicores."""
+        return sum(runner.entry.capacity.cpu for runner in self._staying())
+
+    def _staying(self):
+        runners = self.platform.runners.values()
+        return [runner for runner in runners if not runner.entry.draining]
 
 
 @attrs.frozen(kw_only=True)
@@ -249,7 +248,11 @@
         await parts.departures.run()
         submitting.cancel()
         watching = group.create_task(use.watch())
-        await callers.finish(FINISH_TIMEOUT_S)
+        deadlines = find_deadlines(
+            parts.ledger, cpu=use.cpu(), longest_run_s=LONGEST_LASTING_S
+        )
+        parts.ledger.deadlines_s = deadlines
+        await callers.finish(max(deadlines.values()) - parts.ledger.now())
         watching.cancel()
         enforcing.cancel()
         checking.cancel()
--- a/wasabipaddle/soak/ledger.py
+++ b/wasabipaddle/soak/ledger.py
@@ -63,6 +63,8 @@
         Time at which a cancellation was acknowledged; 0 before it.
     shown : JobPhase or None
         Last phase that a process reported to the caller.
+    ended_s : float
+        Time at which the caller was first told of the final phase; 0 before it.
     completed : dict
         For each task, the ends of its completed runs and whether each was
         acknowledged.
@@ -85,6 +87,7 @@
     cancel_sent: bool = False
     cancelled_s: float = 0.0
     shown: JobPhase | None = None
+    ended_s: float = 0.0
     completed: dict = attrs.field(factory=dict)
     restarted: dict = attrs.field(factory=dict)
     failed: dict = attrs.field(factory=dict)
@@ -121,6 +124,8 @@
         End of the last fault, infinite while faults are injected.
     workspaces : SoakWorkspaces or None
         Checks the quotas, None if the cell has no workspaces.
+    deadlines_s : dict of int to float
+        Time by which the jobs of each priority have to end; empty before it is known.
     """
 
     def __init__(self):
@@ -132,6 +137,7 @@
         self.draining_since_s = {}
         self.last_fault_end_s = math.inf
         self.workspaces = None
+        self.deadlines_s = {}
         self.started_s = asyncio.get_running_loop().time()
 
     def now(self) -> float:
@@ -269,6 +275,8 @@
     def record_phase(self, record, phase):
         """Record and check a phase that a process reported to a caller."""
         before, record.shown = record.shown, phase
+        if phase.final:
+            record.ended_s = record.ended_s or self.now()
         if before is not None and before.final and phase is not before:
             self.add_violation(
                 "state", record.id, f"{phase.value} after {before.value}"
@@ -301,9 +309,17 @@
                 self.add_violation(
                     "lost", record.id, f"{shown}, {record.missing()} tasks missing"
                 )
+            else:
+                self._check_deadline(record)
             if phase is JobPhase.CANCELLED and self._count_running(record):
                 self.add_violation("cancelled", record.id, "tasks still run at the end")
 
+    def _check_deadline(self, record):
+        late_s = record.ended_s - self.deadlines_s.get(record.queue.priority, math.inf)
+        if late_s > 0.0:
+            detail = f"{record.shown.value} {late_s:.1f} s late"
+            self.add_violation("lost", record.id, detail)
+
     def _check_lasting(self, record):
         expected = sum(1 for _ in record.expected())
         running = self._count_running(record)
--- a/wasabipaddle/soak/tests/test_ledger.py
+++ b/wasabipaddle/soak/tests/test_ledger.py
@@ -4,6 +4,7 @@
 import math
 import types
 
+import attrs
 import pytest
 
 from wasabipaddle.interfaces import EndCause, StartOrder
@@ -16,6 +17,7 @@
     StepSpec,
     TaskId,
 )
+from wasabipaddle.soak.backlog import find_deadlines
 from wasabipaddle.soak.lasting import LastingWatch
 from wasabipaddle.soak.ledger import JobRecord, SoakLedger
 from wasabipaddle.standins.runners import MemoryRunner, TaskBehaviour
@@ -250,6 +252,27 @@
     assert run(scenario()) == (["lost"], ["lost"])
 
 
+@pytest.mark.parametrize(("ends_s", "late"), [(19.0, []), (21.0, ["urgent"])])
+def test_urgent_job_that_ends_late_is_found_behind_other_work(run, ends_s, late):
+    """Guards against a backlog that excuses jobs which go before it."""
+
+    async def scenario():
+        setup = LedgerSetup(step(20), work_s=100.0, fails=True)
+        ledger, batch = setup.ledger, setup.record
+        small = JobSpec(payload="p", steps=(step(cpu=1),))
+        queue = attrs.evolve(QUEUE, priority=-1)
+        urgent = attrs.evolve(batch, id="urgent", spec=small, queue=queue)
+        ledger.jobs[urgent.id] = urgent
+        ledger.deadlines_s = find_deadlines(ledger, cpu=2_000, longest_run_s=12.0)
+        ledger.started_s -= ends_s
+        for record in (urgent, batch):
+            ledger.record_phase(record, JobPhase.FAILED)
+        ledger.check_end()
+        return [violation.job for violation in ledger.violations]
+
+    assert run(scenario()) == late
+
+
 @pytest.mark.parametrize(
     ("since_s", "fault_end_s", "promises"),
     [(-2.6, -math.inf, ["drain"]), (-2.6, -3.9, []), (-2.4, -math.inf, [])],
