Split the choice of runs to preempt from their stops

Cause: free_capacity decides and acts in one function, so nothing else can ask what it would stop. Change: choose_victims returns the runner and the runs; free_capacity stops them. No decision changes.

--- a/wasabipaddle/dispatch/preemption.py
+++ b/wasabipaddle/dispatch/preemption.py
@@ -50,24 +50,11 @@
         return self.state.order.may_preempt(task.step, now)
 
     def free_capacity(self, task, runners, now):
-        """Claim capacity on a runner, and stop runs there as far as necessary.
-
-        The runner on which the stops cost least is chosen.
-        """
-        best = None
-        level = self.state.order.level(task.step, now)
-        for runner in runners:
-            if not runner.fits_when_empty(task.spec):
-                continue
-            victims = self._victims(task, level, runner, now)
-            if victims is None:
-                continue
-            cost = sum(_cost(run, now) for run in victims)
-            if best is None or cost < best[0]:
-                best = (cost, runner, victims)
-        if best is None:
+        """Claim capacity on a runner, and stop runs there as far as necessary."""
+        choice = self.choose_victims(task, runners, now)
+        if choice is None:
             return
-        _, runner, victims = best
+        runner, victims = choice
         spec = task.spec
         cpu, memory, gpus = self.claimed.get(runner.id, (0, 0, 0))
         self.claimed[runner.id] = (
@@ -89,6 +76,24 @@
             self.state.stop_run(run, now)
             self.state.order.release(run)
 
+    def choose_victims(self, task, runners, now):
+        """Return the runner on which stops cost least, and the runs to stop there.
+
+        Returns None if stops make room on no runner.
+        """
+        best = None
+        level = self.state.order.level(task.step, now)
+        for runner in runners:
+            if not runner.fits_when_empty(task.spec):
+                continue
+            victims = self._victims(task, level, runner, now)
+            if victims is None:
+                continue
+            cost = sum(_cost(run, now) for run in victims)
+            if best is None or cost < best[0]:
+                best = (cost, runner, victims)
+        return None if best is None else best[1:]
+
     def _victims(self, task, level, runner, now):
         """Return the runs to stop so that the task fits, None if that is impossible.
 
