Split the expected wait and the refusal from what follows from them

Cause: the wait behind a refusal and the decision to refuse cannot be asked for without a mark in the store. Change: find_wait_s and Admission.find_refusal are functions of their own. No decision changes.

--- a/wasabipaddle/cell/admission.py
+++ b/wasabipaddle/cell/admission.py
@@ -145,11 +145,15 @@
         it exists, as after an earlier submission, or if that is not known. A job that
         was accepted before the quota fell waits until the quota rises.
         """
-        refusal = self._find_quota_refusal(job) or self._find_late_refusal(job)
+        refusal = self.find_refusal(job)
         if refusal is None or not await self.marks.set(job.id):
             return Ok(None)
         return Err(refusal)
 
+    def find_refusal(self, job):
+        """Return the `Failure` of a job that is refused unless it exists, else None."""
+        return self._find_quota_refusal(job) or self._find_late_refusal(job)
+
     def _find_quota_refusal(self, job):
         """Return the `Failure` of a job that exceeds its quota, None for others."""
         current = self.configuration.current
--- a/wasabipaddle/dispatch/forecast.py
+++ b/wasabipaddle/dispatch/forecast.py
@@ -6,7 +6,7 @@
 from wasabipaddle.dispatch.order import USEFUL_OBJECTIVES, Outlook
 from wasabipaddle.messages.jobs import ExpectedWait, LoadForecast
 
-__all__ = ["LoadForecaster", "find_excess_s"]
+__all__ = ["LoadForecaster", "find_excess_s", "find_wait_s"]
 
 # Shorter waits are not reported, so that messages are short while there is room. Each
 # further point of a forecast stands for twice the wait.
@@ -177,16 +177,32 @@
     """
     if spec.scheduled or spec.lasting:
         return 0.0
-    concerned = [wait for wait in waits if wait.concerns(queue, workspace)]
+    concerned = _select_concerned(queue, workspace, waits)
     if not concerned:
         return 0.0
-    objective_s = measure_objective_s(
+    wait_s = find_wait_s(queue, workspace, spec, waits)
+    certain_s = CERTAIN_WAIT_SHARE * (wait_s + spec.chain_s)
+    return certain_s - USEFUL_OBJECTIVES * _expected_objective_s(queue, spec, concerned)
+
+
+def find_wait_s(queue, workspace, spec, waits) -> float:
+    """Return how long a new job is expected to wait for room and quota, in seconds."""
+    concerned = _select_concerned(queue, workspace, waits)
+    if not concerned:
+        return 0.0
+    slack_s = _expected_objective_s(queue, spec, concerned) - spec.chain_s
+    work = min(s.count * s.cpu * s.estimate_s for s in spec.steps if not s.after)
+    return max(wait.wait_s(slack_s, work) for wait in concerned)
+
+
+def _select_concerned(queue, workspace, waits):
+    return [wait for wait in waits if wait.concerns(queue, workspace)]
+
+
+def _expected_objective_s(queue, spec, concerned):
+    return measure_objective_s(
         queue,
         spec,
         room=max(wait.room for wait in concerned),
         quota=min(wait.room for wait in concerned),
     )
-    work = min(s.count * s.cpu * s.estimate_s for s in spec.steps if not s.after)
-    wait_s = max(w.wait_s(objective_s - spec.chain_s, work) for w in concerned)
-    certain_s = CERTAIN_WAIT_SHARE * (wait_s + spec.chain_s)
-    return certain_s - USEFUL_OBJECTIVES * objective_s
