--- a/wasabipaddle/dispatch/runners.py
+++ b/wasabipaddle/dispatch/runners.py
@@ -4,6 +4,7 @@
 
 from wasabipaddle.dispatch.health import RunnerHealth
 from wasabipaddle.jobs import RunnerEntry
+from wasabipaddle.messages.placement import Exclusion
 
 __all__ = ["RunnerState"]
 
@@ -245,22 +246,26 @@
         return self.listed and not self.exited and not self.entry.draining
 
     def usable(self, now) -> bool:
-        """Return whether new work may go to the runner.
+        """Return whether new work may go to the runner."""
+        return self.find_exclusion(now) is None
+
+    def find_exclusion(self, now) -> Exclusion | None:
+        """Return why no new work may go to the runner, None if it may.
 
         The registry entry has to be of the incarnation that answered last, since
         another one may have other labels and capacity; 0 stands for an entry of an
         unknown incarnation.
         """
-        return (
-            self.inventoried
-            and self.entry.incarnation in (0, self.incarnation)
-            and self.listed
-            and not self.exited
-            and self.in_fleet_record
-            and not self.lists_unknown_tasks
-            and not self.entry.draining
-            and now >= self.paused_until_s
-        )
+        if self.exited or not self.listed:
+            return Exclusion.GONE
+        if self.entry.draining:
+            return Exclusion.DRAINING
+        same_incarnation = self.entry.incarnation in (0, self.incarnation)
+        if not (self.inventoried and same_incarnation and self.in_fleet_record):
+            return Exclusion.NOT_READY
+        if self.lists_unknown_tasks:
+            return Exclusion.UNKNOWN_TASKS
+        return Exclusion.PAUSED if now < self.paused_until_s else None
 
     def next_change_s(self, now) -> float | None:
         """Return when the passage of time may make the runner usable.
