--- a/wasabipaddle/dispatch/reservations.py
+++ b/wasabipaddle/dispatch/reservations.py
@@ -157,7 +157,7 @@
         pool = step.job.queue.pool
         self.waiting.pop(pool)
         self.tried.add(pool)
-        chosen, drain_s = self._choose_runners(step, runners, now)
+        chosen, drain_s = self.choose_runners(step, runners, now)
         if not chosen:
             self.pauses_s[step.key] = now + RESERVE_AGAIN_S
             return
@@ -175,7 +175,7 @@
             waited_ms=int(_waited_s(step, now) * 1000),
         )
 
-    def _choose_runners(self, step, runners, now):
+    def choose_runners(self, step, runners, now):
         """Return the runners on which a step fits first, and when it does.
 
         Returns
--- /dev/null
+++ b/wasabipaddle/dispatch/tests/test_dry_run.py
@@ -0,0 +1,309 @@
+"""Dry runs of placement: what they answer happens, and they change nothing."""
+
+import random
+
+import attrs
+import pytest
+
+from wasabipaddle.dispatch import StartTask
+from wasabipaddle.dispatch.dry_run import DryRun
+from wasabipaddle.dispatch.job_placement import MAX_CANDIDATES, MAX_STARTS
+from wasabipaddle.dispatch.reservations import Reservation
+from wasabipaddle.dispatch.tests.conftest import QUEUES, step
+from wasabipaddle.jobs import Capacity, Job, JobPhase, JobSpec, Workspace
+from wasabipaddle.messages.placement import Exclusion, WaitReason
+
+ATOMS = (str, bytes, int, float, type(None))
+ASKED = "asked"
+
+
+def snapshot(value):
+    """Return the content of an object and of all that it refers to.
+
+    References are numbers in the order of the visit, so that exchanged objects show.
+    """
+    numbers, visited = {id(value): 0}, [value]
+
+    def refer(part):
+        if isinstance(part, ATOMS):
+            return part
+        if id(part) not in numbers:
+            numbers[id(part)] = len(visited)
+            visited.append(part)
+        return ("reference", numbers[id(part)])
+
+    return [(type(part), list(map(refer, list_parts(part)))) for part in visited]
+
+
+def list_parts(value):
+    """Return what an object consists of."""
+    if isinstance(value, dict):
+        return [*value.keys(), *value.values()]
+    if isinstance(value, list | tuple):
+        return value
+    if attrs.has(type(value)):
+        return [getattr(value, field.name) for field in attrs.fields(type(value))]
+    if type(value).__module__.startswith("wasabipaddle") and hasattr(value, "__dict__"):
+        return [vars(value)]
+    return [repr(value)]
+
+
+def make_job(cell, *steps, queue="batch", workspace="", job_id=ASKED):
+    return Job(
+        id=job_id,
+        policy=QUEUES[queue],
+        accepted_ms=int(cell.now * 1000),
+        spec=JobSpec(payload="p", steps=steps),
+        workspace=workspace,
+    )
+
+
+def ask(cell, job, **options):
+    return DryRun(scheduler=cell.scheduler, now=cell.now, **options).place(job)
+
+
+def submit(cell, job):
+    """Submit a job; return its starts by runner, and the runners that it asks for."""
+    cell.scheduler.lifecycle.add_job(job, cell.now)
+    requests = cell.scheduler.plan(cell.now)
+    starts = {}
+    for order in cell.scheduler.take_orders():
+        if isinstance(order, StartTask) and order.run.task.id.job == job.id:
+            name = order.run.runner.id
+            starts[name] = starts.get(name, 0) + 1
+    asked = [request.runners for request in requests if request.step.job.id == job.id]
+    return starts, tuple(r.id for r in asked[0]) if asked else ()
+
+
+def draw_step(draw):
+    count = draw.choice([1, 1, 2, 3, 6, 40])
+    return step(
+        count,
+        cpu=draw.choice([500, 500, 1000, 1000, 2000, 3500]),
+        memory_mb=draw.choice([0, 0, 30_000]),
+        estimate_s=draw.choice([0.2, 1.0, 5.0]),
+        gang=draw.random() < 0.25,
+        same_rack=draw.random() < 0.5,
+        lasting=draw.random() < 0.2,
+        opportunistic=draw.random() < 0.1,
+        max_per_runner=draw.choice([0, 0, 0, 1, 2]),
+        required_label=draw.choice(["", "", "", "", "", "rack-r1"]),
+        preferred_rack=draw.choice(["", "", "rack-r0", "rack-r2"]),
+    )
+
+
+def draw_cell(make_cell, draw):
+    """Return a cell with random runners, workspaces and work, as a round leaves it."""
+    cell = make_cell(runners=0)
+    for number in range(draw.randint(2, 7)):
+        cell.add_runner(f"r{number}", cpu=draw.choice([2000, 4000, 8000]))
+    cell.set_workspaces(
+        Workspace(name="w1", weight=draw.choice([0.2, 1.0, 5.0])),
+        Workspace(name="w2", quota=Capacity(cpu=draw.choice([1000, 3000, 9000]))),
+    )
+    for number in range(draw.randint(0, 12)):
+        queue = draw.choice(["urgent", "batch", "batch", "advised"])
+        workspace = draw.choice(["", "w1", "w2"])
+        cell.submit(f"j{number}", draw_step(draw), queue=queue, workspace=workspace)
+        if draw.random() < 0.5:
+            cell.now += 0.3
+            requests, _ = cell.plan(answer=draw.random() < 0.9)
+            for request in requests:
+                tickets = {r.id: "t" for r in request.runners if draw.random() < 0.7}
+                cell.scheduler.advisor.record_answer(
+                    request.step, request.runners, tickets, 0.0, cell.now
+                )
+    for runner in cell.state.runners.values():
+        if draw.random() < 0.2:
+            entry = attrs.evolve(runner.entry, draining=True, leaves_in_s=5.0)
+            cell.scheduler.set_runner(entry, cell.now)
+        if draw.random() < 0.3:
+            runner.health.speed = draw.choice([0.4, 0.7, 1.7])
+        if draw.random() < 0.15:
+            runner.health.quarantined_until_s = cell.now + 3.0
+        if draw.random() < 0.1:
+            cell.scheduler.inventory_failed(runner, cell.now)
+    cell.now += draw.choice([0.01, 0.3, 2.5])
+    cell.plan()
+    return cell
+
+
+@pytest.mark.parametrize("seed", range(150))
+def test_answer_is_what_then_happens_and_changes_nothing(make_cell, seed):
+    """Guards against an answer by other decisions, and a question with an effect."""
+    draw = random.Random(seed)
+    cell = draw_cell(make_cell, draw)
+    queue = draw.choice(["urgent", "batch", "advised"])
+    job = make_job(
+        cell, draw_step(draw), queue=queue, workspace=draw.choice(["", "w1", "w2"])
+    )
+    before = snapshot([cell.scheduler, cell.events])
+    reply = ask(cell, job)
+    assert snapshot([cell.scheduler, cell.events]) == before
+    (answer,) = reply.steps
+    starts, asked = submit(cell, job)
+    assert list(answer.starts.items()) == list(starts.items())
+    assert answer.asked == asked
+    entry = cell.state.jobs[job.id]
+    assert reply.objective_s == entry.objective_s
+    assert answer.in_excess == entry.in_excess
+    if starts and not job.spec.steps[0].gang:
+        assert answer.candidates[0].runner == next(iter(starts))
+        assert answer.candidates[0].exclusion is None
+    position = [s.job.id for s in cell.state.order.sequence]
+    if not starts:
+        assert position.index(job.id) == answer.place
+    assert bool(entry.steps[0, 0].pending) == (answer.waits_for is not WaitReason.NONE)
+
+
+def exclude_room(cell, runner):
+    cell.submit("other", step(4))
+    cell.plan()
+
+
+@pytest.mark.parametrize(
+    ("exclusion", "change"),
+    [
+        (Exclusion.GONE, lambda c, r: c.scheduler.mark_unlisted(r.id)),
+        (Exclusion.GONE, lambda c, r: c.scheduler.runner_exited(r, c.now)),
+        (
+            Exclusion.DRAINING,
+            lambda c, r: c.scheduler.set_runner(
+                attrs.evolve(r.entry, draining=True), c.now
+            ),
+        ),
+        (Exclusion.NOT_READY, lambda c, r: setattr(r, "in_fleet_record", False)),
+        (Exclusion.UNKNOWN_TASKS, lambda c, r: setattr(r, "lists_unknown_tasks", True)),
+        (Exclusion.PAUSED, lambda c, r: c.scheduler.inventory_failed(r, c.now)),
+        (
+            Exclusion.QUARANTINED,
+            lambda c, r: setattr(r.health, "quarantined_until_s", c.now + 1.0),
+        ),
+        (Exclusion.NO_ROOM, exclude_room),
+    ],
+)
+def test_excluded_runner_is_named_with_the_reason(make_cell, exclusion, change):
+    """Guards against a runner that gets no work for a reason that is not shown."""
+    cell = make_cell(runners=1)
+    change(cell, cell.state.runners["r0"])
+    (answer,) = ask(cell, make_job(cell, step())).steps
+    assert [c.exclusion for c in answer.candidates] == [exclusion]
+    assert answer.excluded == {exclusion.value: 1}
+    assert submit(cell, make_job(cell, step())) == ({}, ())
+
+
+@pytest.mark.parametrize(
+    ("changes", "exclusion"),
+    [
+        ({"required_label": "absent"}, Exclusion.LABEL),
+        ({"cpu": 5000}, Exclusion.TOO_SMALL),
+    ],
+)
+def test_step_that_no_runner_can_hold_is_told_from_one_that_waits(
+    cell, changes, exclusion
+):
+    """Guards against the answer that work waits for room which never comes."""
+    (answer,) = ask(cell, make_job(cell, step(**changes))).steps
+    assert answer.waits_for is WaitReason.NO_RUNNER
+    assert answer.excluded == {exclusion.value: 2}
+    assert answer.start_s is None
+
+
+def test_urgent_job_names_the_runs_that_are_then_preempted(make_cell):
+    """Guards against an answer that hides what an urgent job costs others."""
+    cell = make_cell(runners=2)
+    cell.submit("other", step(8, estimate_s=50.0))
+    cell.plan()
+    cell.read_inventories()
+    cell.submit("later", step(1))
+    cell.plan()
+    job = make_job(cell, step(), queue="urgent")
+    (answer,) = ask(cell, job).steps
+    assert (answer.waits_for, answer.place) == (WaitReason.ROOM, 0)
+    submit(cell, job)
+    cell.now += 0.11
+    cell.scheduler.plan(cell.now)
+    stopped = [order.runner.id for order in cell.scheduler.take_orders()]
+    assert stopped == [answer.preempts_on] * answer.preempted
+    assert answer.start_s > 0.1
+
+
+def test_forecast_follows_from_the_runs_that_hold_the_room(make_cell):
+    """Guards against a job that is said to start at once on a full fleet."""
+    cell = make_cell(runners=1)
+    cell.scheduler.forecaster.forecast(cell.now)
+    cell.submit("other", step(4, estimate_s=3.0))
+    cell.advance_time(4.0)
+    (answer,) = ask(cell, make_job(cell, step(estimate_s=2.0))).steps
+    assert answer.waits_for is WaitReason.ROOM
+    assert answer.start_s > 0
+    assert answer.end_s == pytest.approx(answer.start_s + 2.0)
+
+
+def test_only_steps_that_open_at_once_are_placed(cell):
+    """Guards against runners that are named for a step which begins later."""
+    reply = ask(cell, make_job(cell, step(), step(after=(0,)), step(2)))
+    assert [s.step for s in reply.steps] == [0, 2]
+    assert reply.later_steps == 1
+
+
+def test_known_job_is_answered_with_its_phase(cell):
+    """Guards against the answer that a repeated submission starts again."""
+    cell.submit("known", step())
+    cell.plan()
+    reply = ask(cell, make_job(cell, step(), job_id="known"))
+    assert (reply.phase, reply.steps) == (JobPhase.RUNNING, ())
+
+
+def test_no_start_is_promised_without_a_proof_of_leadership(cell):
+    """Guards against runners that are named while the leader may start nothing."""
+    (answer,) = ask(cell, make_job(cell, step()), may_start=False).steps
+    assert answer.waits_for is WaitReason.NOT_GRANTING
+    assert (answer.starts, answer.start_s) == ({}, None)
+
+
+def test_question_between_two_rounds_decides_nothing_for_new_jobs(cell):
+    """Guards against jobs that a question counts in the rate of their workspace."""
+    cell.set_workspaces(Workspace(name="w1", weight=0.2))
+    for number in range(3):
+        cell.submit(f"new{number}", step(), workspace="w1")
+    before = snapshot(cell.scheduler)
+    (answer,) = ask(cell, make_job(cell, step(), workspace="w1")).steps
+    assert snapshot(cell.scheduler) == before
+    assert answer.in_excess
+
+
+def test_answer_on_a_large_job_is_bounded(make_cell):
+    """Guards against an answer that names a start for each of thousands of tasks."""
+    cell = make_cell(runners=20, cpu=100_000)
+    (answer,) = ask(cell, make_job(cell, step(2000))).steps
+    assert answer.waits_for is WaitReason.TRUNCATED
+    assert sum(answer.starts.values()) <= MAX_STARTS
+    assert len(answer.candidates) == MAX_CANDIDATES
+
+
+def test_reservation_that_has_expired_ends_in_the_next_round_only(make_cell):
+    """Guards against a question that frees the runners kept for a gang."""
+    cell = make_cell(runners=1)
+    entry = cell.submit("gang", step(5, gang=True))
+    cell.plan()
+    cell.scheduler.reservations.by_pool["pool"] = Reservation(
+        step=entry.steps[0, 0], runner_ids=frozenset({"r0"}), until_s=cell.now
+    )
+    before = snapshot([cell.scheduler, cell.events])
+    (answer,) = ask(cell, make_job(cell, step())).steps
+    assert snapshot([cell.scheduler, cell.events]) == before
+    assert submit(cell, make_job(cell, step()))[0] == answer.starts == {"r0": 1}
+
+
+def test_new_job_after_a_takeover_is_placed_without_a_forecast(cell):
+    """Guards against a forecast from a state that the new leader does not know yet."""
+    entry = cell.submit("old", step(8))
+    cell.take_over(1, cell.write(), [entry.job])
+    cell.read_inventories("r0")
+    before = snapshot(cell.scheduler)
+    job = make_job(cell, step(9))
+    (answer,) = ask(cell, job).steps
+    assert snapshot(cell.scheduler) == before
+    assert answer.waits_for is WaitReason.ROOM
+    assert list(answer.starts.items()) == list(submit(cell, job)[0].items())
