--- a/wasabipaddle/cell/process.py
+++ b/wasabipaddle/cell/process.py
@@ -18,6 +18,7 @@
     members,
     metrics,
     store,
+    where,
 )
 from wasabipaddle.clock import LoopClock
 from wasabipaddle.kernel import Context, Kernel
@@ -38,6 +39,7 @@
     members,
     metrics,
     store,
+    where,
 )
 
 # Roles that no other role requires; the kernel adds the roles that these require.
@@ -47,6 +49,7 @@
     "cell_handover",
     "cell_metrics",
     "cell_entry",
+    "cell_where",
 )
 
 
--- a/wasabipaddle/commands/cli.py
+++ b/wasabipaddle/commands/cli.py
@@ -102,6 +102,30 @@
             raise UsageError("no log files: name those of the processes")
         return Action(run=lambda: explain(job, files))
 
+    @SetParseFn(str, "file", "process", "queue", "workspace")
+    def where(self, file, process="", queue="", workspace="", json=False):
+        """Tell where a job would go now, and why, without sending it.
+
+        Parameters
+        ----------
+        file : str
+            Request that would submit the job, or with --queue its body only.
+        process : str
+            Host and port of the internal listener of any process of the cell; default
+            WASABIPADDLE_PROCESS.
+        queue : str
+            Name of the queue.
+        workspace : str
+            Name of the workspace that would submit the job.
+        json : bool
+            Print JSON.
+        """
+        from wasabipaddle.commands.where import where_action
+
+        return where_action(
+            file, process=process, queue=queue, workspace=workspace, json=json
+        )
+
     @SetParseFns(examples=str, keep=str)
     def demo(self, examples="examples", seed=1, keep=None, port_offset=0):
         """Run both example deployments under faults and report lost or doubled work.
--- a/wasabipaddle/platform/client.py
+++ b/wasabipaddle/platform/client.py
@@ -12,7 +12,13 @@
 from wasabipaddle.platform.registry import REGISTRY_PREFIX
 from wasabipaddle.transport.connections import NO_TIMEOUT, ConnectionPool
 
-__all__ = ["CallResult", "JobCaller", "encode_configuration", "encode_runner"]
+__all__ = [
+    "CallResult",
+    "JobCaller",
+    "encode_configuration",
+    "encode_runner",
+    "encode_spec",
+]
 
 MS_PER_S = 1000
 KEEPALIVE_S = 60.0
@@ -57,7 +63,7 @@
 
     async def submit(self, address, queue, job_id, spec, *, key="") -> CallResult:
         """Submit a job to one process, with a key unless that is empty."""
-        data = msgspec.json.encode(_encode_spec(spec))
+        data = msgspec.json.encode(encode_spec(spec))
         return await self._call("POST", address, queue, job_id, key, data)
 
     async def find_phase(self, address, queue, job_id, *, key="") -> CallResult:
@@ -121,7 +127,8 @@
     )
 
 
-def _encode_spec(spec):
+def encode_spec(spec):
+    """Return the body, not yet in JSON, with which a caller submits a job."""
     body = {"spec": spec.payload, "steps": [_encode_step(step) for step in spec.steps]}
     if spec.scheduled:
         body["repeat_count"] = spec.occurrences
--- a/wasabipaddle/platform/tests/test_round_trip.py
+++ b/wasabipaddle/platform/tests/test_round_trip.py
@@ -25,9 +25,9 @@
     decode_runner,
 )
 from wasabipaddle.platform.client import (
-    _encode_spec,
     encode_configuration,
     encode_runner,
+    encode_spec,
 )
 from wasabipaddle.platform.jobs import decode_spec
 from wasabipaddle.platform.server import runner_routes, store_routes
@@ -241,4 +241,4 @@
         interval_ms=50,
     )
 
-    assert decode_spec(msgspec.json.encode(_encode_spec(spec))).ok() == spec
+    assert decode_spec(msgspec.json.encode(encode_spec(spec))).ok() == spec
