Bound the share of a leader's time that dry runs take

Change: the pause after a dry run is at least 20 times its duration, and at least 1 s. Evidence: test_slow_dry_runs_are_further_apart.

--- a/wasabipaddle/cell/tests/test_where.py
+++ b/wasabipaddle/cell/tests/test_where.py
@@ -7,8 +7,10 @@
 import pytest
 from result import Err
 
-from wasabipaddle.cell.where import DRY_RUN_INTERVAL_S, MAX_DRY_RUN_TASKS, WherePlugin
-from wasabipaddle.clock import run_virtual
+from wasabipaddle.cell import where
+from wasabipaddle.cell.where import DRY_RUN_PAUSE_S, MAX_DRY_RUN_TASKS, WherePlugin
+from wasabipaddle.clock import ManualClock, run_virtual
+from wasabipaddle.dispatch.dry_run import DryRun
 from wasabipaddle.dispatch.tests.conftest import Cell, step
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.jobs import Capacity, JobPhase, JobSpec, Workspace
@@ -125,7 +127,7 @@
         assert (reply.process, reply.leader) == ("p0", "p1")
         assert (reply.queue, reply.refusal) == ("batch", None)
         assert reply.placement.steps[0].starts == {"r0": 1}
-        await asyncio.sleep(DRY_RUN_INTERVAL_S)
+        await asyncio.sleep(DRY_RUN_PAUSE_S)
         reply = (await setup.ask(queue="", host="h", path=f"/u/{JOB}")).ok()
         assert reply.queue == "urgent"
         assert [kind for (kind,), _ in setup.events] == ["dry_run", "where_asked"] * 2
@@ -234,8 +236,8 @@
         assert (await setup.ask()).is_ok()
         failure = (await setup.ask()).err()
         assert failure.kind is ErrorKind.RATE_LIMITED
-        assert 0 < failure.retry_after_s <= DRY_RUN_INTERVAL_S
-        await asyncio.sleep(DRY_RUN_INTERVAL_S)
+        assert 0 < failure.retry_after_s <= DRY_RUN_PAUSE_S
+        await asyncio.sleep(DRY_RUN_PAUSE_S)
         body = encode_job(step(MAX_DRY_RUN_TASKS + 1))
         assert (await setup.ask(body=body)).err().kind is ErrorKind.BODY_TOO_LARGE
         assert (await setup.ask()).is_ok()
@@ -245,6 +247,27 @@
     play(scenario)
 
 
+def test_slow_dry_runs_are_further_apart(play, monkeypatch):
+    """Guards against questions that take a large part of the time of a leader."""
+    clock = ManualClock()
+
+    class SlowDryRun(DryRun):
+        def place(self, job):
+            clock.advance(0.5)
+            return super().place(job)
+
+    async def scenario(setup):
+        monkeypatch.setattr(where, "DryRun", SlowDryRun)
+        setup.leader.context.clock = clock
+        assert (await setup.ask()).is_ok()
+        clock.advance(0.9 * 0.5 / where.DRY_RUN_SHARE)
+        assert (await setup.ask()).err().kind is ErrorKind.RATE_LIMITED
+        clock.advance(0.2 * 0.5 / where.DRY_RUN_SHARE)
+        assert (await setup.ask()).is_ok()
+
+    play(scenario)
+
+
 def test_job_that_exists_is_not_said_to_be_refused(play):
     """Guards against the refusal of a job that a repeated submission would find."""
 
--- a/wasabipaddle/cell/where.py
+++ b/wasabipaddle/cell/where.py
@@ -24,8 +24,10 @@
 __all__ = ["WherePlugin"]
 
 LEADER_TIMEOUT_S = 3.0
-# Shortest time between two dry runs of a leader, which starts no task meanwhile.
-DRY_RUN_INTERVAL_S = 1.0
+# Shortest pause between two dry runs of a leader, which plans nothing during one, and
+# largest part of its time that they take.
+DRY_RUN_PAUSE_S = 1.0
+DRY_RUN_SHARE = 0.05
 # Largest number of tasks of a job in a dry run, over all steps and occurrences.
 MAX_DRY_RUN_TASKS = 2_000
 # Length of the identifier of a job that has none, in bytes.
@@ -183,18 +185,19 @@
             return Err(
                 Failure(
                     kind=ErrorKind.RATE_LIMITED,
-                    detail=f"the leader makes a dry run each {DRY_RUN_INTERVAL_S:g} s",
+                    detail="the leader has just made a dry run; ask again",
                     retry_after_s=self.next_s - began,
                 )
             )
-        self.next_s = began + DRY_RUN_INTERVAL_S
         dry_run = DryRun(
             scheduler=session.scheduler,
             now=session.now(),
             may_start=session.may_grant(),
         )
         reply = dry_run.place(question.job)
-        took_s = self.context.clock.now() - began
+        ended = self.context.clock.now()
+        took_s = ended - began
+        self.next_s = ended + max(DRY_RUN_PAUSE_S, took_s / DRY_RUN_SHARE)
         self.context.metrics.observe("dry_run", took_s)
         self.context.journal(
             "dry_run",
