Forecast the start of a gang for which each runner has some room

Cause: a dry run looked for when a step fits only if every runner was excluded by itself; a gang that fits on no set of runners had no forecast. Change: the look follows the planning round, for each step that waits for room. The test of exit codes covers the command.

--- a/wasabipaddle/commands/tests/test_commands.py
+++ b/wasabipaddle/commands/tests/test_commands.py
@@ -19,7 +19,7 @@
 
 TOKEN = "archive-token-0001"
 FILE = str(EXAMPLES / "anniversary-pages.yaml")
-VARIABLES = ("SERVER", "TOKEN", "TOKEN_FILE", "AUTHORITY")
+VARIABLES = ("SERVER", "TOKEN", "TOKEN_FILE", "AUTHORITY", "PROCESS")
 
 
 @pytest.fixture
@@ -77,6 +77,10 @@
         (["cluster", "status"], 2),
         (["frobnicate"], 2),
         (["cluster", "status", "--server=http://127.0.0.1:1"], 5),
+        (["where", FILE], 2),
+        (["where", FILE, "--process=127.0.0.1"], 2),
+        (["where", "absent.txt", "--process=127.0.0.1:1"], 3),
+        (["where", FILE, "--queue=q", "--process=127.0.0.1:1"], 5),
     ],
 )
 def test_errors_are_one_line_with_an_exit_code(command, arguments, code):
--- a/wasabipaddle/commands/tests/test_where.py
+++ b/wasabipaddle/commands/tests/test_where.py
@@ -161,7 +161,7 @@
         "behind 2 waiting steps",
         "beyond the rate",
         "starts now on r0 (1)",
-        "2 tasks wait: no runner has room",
+        "2 tasks wait: no runner that may get work has room",
         "start in 0.0 s, end in about 1.0 s",
         "1 no_room",
         "1 other steps",
--- a/wasabipaddle/commands/where_text.py
+++ b/wasabipaddle/commands/where_text.py
@@ -8,7 +8,7 @@
 WAITS = {
     WaitReason.QUOTA: "the quota of the workspace leaves no room",
     WaitReason.ADVICE: "the eligibility service is asked first",
-    WaitReason.ROOM: "no runner has room",
+    WaitReason.ROOM: "no runner that may get work has room",
     WaitReason.REPLIES: "runners have too many starts without a reply",
     WaitReason.NO_RUNNER: "no runner that may get work can hold a task",
     WaitReason.NOT_GRANTING: "the leader has no recent proof that it leads",
--- a/wasabipaddle/dispatch/job_placement.py
+++ b/wasabipaddle/dispatch/job_placement.py
@@ -117,6 +117,8 @@
                 view.waits_for = self._explain_wait(
                     view, may_start=may_start, deferred=key in deferred
                 )
+            if view.waits_for is WaitReason.ROOM and not view.starts:
+                self._look_for_room(view)
         return list(views.values())
 
     def _start_tasks(self, view, deferred):
@@ -140,13 +142,20 @@
         super()._start(task, self.copied[runner.id], ticket, number, now)
 
     def _look_at(self, step, waiting):
+        """Return the `StepView` of a step before its first start.
+
+        Parameters
+        ----------
+        waiting : list of Step
+            All waiting steps in their order.
+        """
         place = waiting.index(step)
         pool = step.job.queue.pool
         rows = self._candidates(step)
         excluded = collections.Counter(
             row.exclusion.value for row in rows if row.exclusion is not None
         )
-        view = StepView(
+        return StepView(
             step=step,
             rank=self.state.order.ranks[step.key],
             place=place,
@@ -156,9 +165,6 @@
             ),
             excluded=dict(excluded),
         )
-        if len(excluded) and sum(excluded.values()) == len(rows):
-            self._look_for_room(view)
-        return view
 
     def _candidates(self, step):
         """Return a `Candidate` for each runner of the pool of a step."""
--- a/wasabipaddle/dispatch/tests/test_dry_run.py
+++ b/wasabipaddle/dispatch/tests/test_dry_run.py
@@ -232,14 +232,27 @@
     """Guards against a job that is said to start at once on a full fleet."""
     cell = make_cell(runners=1)
     cell.scheduler.forecaster.forecast(cell.now)
-    cell.submit("other", step(4, estimate_s=3.0))
     cell.advance_time(4.0)
+    cell.submit("other", step(4, estimate_s=3.0))
+    cell.advance_time(1.0)
     (answer,) = ask(cell, make_job(cell, step(estimate_s=2.0))).steps
     assert answer.waits_for is WaitReason.ROOM
     assert answer.start_s > 0
     assert answer.end_s == pytest.approx(answer.start_s + 2.0)
 
 
+def test_gang_waits_for_the_runs_in_its_way_on_half_empty_runners(make_cell):
+    """Guards against a gang without a forecast since each runner has some room."""
+    cell = make_cell(runners=2)
+    cell.scheduler.forecaster.forecast(cell.now)
+    cell.advance_time(4.0)
+    cell.submit("other", step(4, estimate_s=3.0, max_per_runner=2))
+    cell.advance_time(1.0)
+    (answer,) = ask(cell, make_job(cell, step(6, gang=True))).steps
+    assert (answer.waits_for, answer.excluded) == (WaitReason.ROOM, {})
+    assert answer.start_s > 0
+
+
 def test_only_steps_that_open_at_once_are_placed(cell):
     """Guards against runners that are named for a step which begins later."""
     reply = ask(cell, make_job(cell, step(), step(after=(0,)), step(2)))
