Test that a dry run opens no occurrence and takes no order

Cause: trials that each left out one copy of the dry run showed two whose loss no test noticed: those of the schedule and of the pending orders. Change: a question beside a scheduled job whose occurrence is due, and beside orders that are not sent yet.

--- a/wasabipaddle/dispatch/tests/test_dry_run.py
+++ b/wasabipaddle/dispatch/tests/test_dry_run.py
@@ -320,3 +320,21 @@
     assert snapshot(cell.scheduler) == before
     assert answer.waits_for is WaitReason.ROOM
     assert list(answer.starts.items()) == list(submit(cell, job)[0].items())
+
+
+def test_question_opens_no_occurrence_and_takes_no_order(cell):
+    """Guards against orders that are lost, and occurrences that a question opens."""
+    spec = JobSpec(
+        payload="p", steps=(step(),), occurrences=3, first_due_ms=1, interval_ms=2000
+    )
+    job = attrs.evolve(make_job(cell, job_id="timed"), spec=spec)
+    cell.state.wall_offset_s = -cell.now
+    cell.scheduler.lifecycle.add_job(job, cell.now)
+    cell.submit("other", step())
+    cell.scheduler.plan(cell.now)
+    cell.now += 3.0
+    before = snapshot(cell.scheduler)
+    reply = ask(cell, attrs.evolve(job, id=ASKED))
+    assert snapshot(cell.scheduler) == before
+    assert cell.state.outbox
+    assert (len(reply.steps), reply.later_steps) == (2, 1)
