--- a/wasabipaddle/commands/__init__.py
+++ b/wasabipaddle/commands/__init__.py
@@ -1,5 +1,5 @@
 """Command-line interface."""
 
-from wasabipaddle.commands.cli import main
+from wasabipaddle.commands.program import main
 
 __all__ = ["main"]
