Keep the largest file of where within the limit of the internal listener

Cause: a file of up to 1 MB was taken, but its body in base64 exceeds the 1 MiB that the internal listener accepts. Change: the limit is 750 kB. Evidence: test_largest_file_reaches_the_process fails with the limit before.

--- a/wasabipaddle/commands/tests/test_where.py
+++ b/wasabipaddle/commands/tests/test_where.py
@@ -10,11 +10,14 @@
 from aiohttp import web
 from aiohttp.test_utils import TestServer
 
-from wasabipaddle.commands.where import read_question
+from wasabipaddle.commands.where import MAX_FILE_BYTES, read_question
 from wasabipaddle.commands.where_text import as_text
 from wasabipaddle.exceptions import ErrorKind, Failure, WasabipaddleError
+from wasabipaddle.ingress import RequestLimits
 from wasabipaddle.jobs import JobPhase, JobSpec, StepSpec
+from wasabipaddle.messages import encode
 from wasabipaddle.messages.placement import (
+    AskWhere,
     Candidate,
     Exclusion,
     PlacementReply,
@@ -84,6 +87,12 @@
     assert raised.value.failure.kind is kind
 
 
+def test_largest_file_reaches_the_process():
+    """Guards against a file that the command takes and the listener cuts off."""
+    question = AskWhere(body=b"x" * MAX_FILE_BYTES, queue="q" * 200)
+    assert len(encode(question)) < RequestLimits().max_body_bytes
+
+
 def test_process_of_an_earlier_version_is_named_as_such(tmp_path):
     """Guards against an upgrade in which the answer looks like an unknown queue."""
     file = tmp_path / "job"
--- a/wasabipaddle/commands/where.py
+++ b/wasabipaddle/commands/where.py
@@ -21,7 +21,8 @@
 
 PROCESS_VARIABLE = "WASABIPADDLE_PROCESS"
 TIMEOUT_S = 8.0
-MAX_FILE_BYTES = 1_000_000
+# In base64, a body of this size keeps to the limit of the internal listener.
+MAX_FILE_BYTES = 750_000
 SUBMITTING_METHOD = "POST"
 EMPTY_LINE = re.compile(rb"\r?\n\r?\n")
 
