Add tests for five causes that were mended without one

Cause: mended the objective of recovered jobs, the room of a forecast while runners pause, the end of a slowdown, jobs in excess that start before they are ranked, and the cost of a round with a reservation, but shows a failing test for none.

Change: four tests; test_runners_that_pause_refuse_nobody covers the forecast.

--- a/wasabipaddle/dispatch/tests/test_order.py
+++ b/wasabipaddle/dispatch/tests/test_order.py
@@ -7,7 +7,7 @@
 from wasabipaddle.dispatch.order import FLOOR_SHARE, Outlook, WorkOrder
 from wasabipaddle.dispatch.orders import StopTask
 from wasabipaddle.dispatch.tests.conftest import ADVISED, BATCH, step
-from wasabipaddle.jobs import JobSpec
+from wasabipaddle.jobs import JobSpec, Workspace
 
 
 @pytest.fixture
@@ -237,3 +237,28 @@
     assert measure_objective_s(queue, spec, room=8000) == 1.0 + 2.0 * 11.0
     advised = attrs.evolve(queue, advice=ADVISED.advice)
     assert measure_objective_s(advised, spec) == pytest.approx(1.0 + 2.0 * 6.4)
+
+
+def test_objective_of_a_wide_job_is_the_same_after_a_takeover(make_cell):
+    """Guards against jobs that count as late since a new leader knows no room yet."""
+    cell = make_cell(runners=2)
+    cell.plan()
+    entry = cell.submit("wide", step(40))
+    assert entry.objective_s > 40 * entry.queue.stretch / 8
+    cell.take_over(1, {}, [entry.job])
+    recovered = cell.state.jobs["wide"]
+    assert recovered.objective_s == pytest.approx(entry.objective_s)
+
+
+def test_forecast_puts_no_job_beyond_the_rate_before_others(cell):
+    """Guards against ranks that a forecast computes before the rates are compared."""
+    cell.set_workspaces(*(Workspace(name=name, weight=1.0) for name in ("a", "b")))
+    forecaster = cell.scheduler.forecaster
+    forecaster.forecast(cell.now - 10.0)
+    for n in range(30):
+        cell.submit(f"a{n}", step(1), workspace="a")
+    cell.now += 0.1
+    cell.submit("b0", step(3), workspace="b")
+    assert forecaster.forecast(cell.now) is not None
+    cell.plan()
+    assert [task.job for task, _, _ in cell.started].count("b0") == 3
--- a/wasabipaddle/dispatch/tests/test_reservations.py
+++ b/wasabipaddle/dispatch/tests/test_reservations.py
@@ -2,9 +2,11 @@
 
 import pytest
 
+from wasabipaddle.dispatch.candidates import CandidateIndex
 from wasabipaddle.dispatch.reservations import (
     DRAIN_MARGIN,
     MAX_DRAIN_S,
+    MAX_WAITING_STEPS,
     RESERVE_AFTER_S,
 )
 from wasabipaddle.dispatch.tests.conftest import step
@@ -100,3 +102,29 @@
     cell.plan()
     run_small_tasks(cell, 4.0)
     assert not cell.scheduler.reservations.by_pool
+
+
+def test_round_with_a_reservation_visits_each_runner_a_few_times(
+    make_cell, monkeypatch
+):
+    """Guards against rounds that cost the waiting steps times the runners."""
+    cell = make_cell(runners=20)
+    cell.submit("long", step(20, cpu=3000))
+    cell.plan()
+    cell.submit("wide", step(20, cpu=3000, gang=True))
+    cell.now += RESERVE_AFTER_S
+    submit_small_jobs(cell, 200)
+    cell.plan()
+    assert cell.scheduler.reservations.by_pool
+    visited = []
+    members = CandidateIndex.members
+
+    def list_visited(index, *args):
+        found = members(index, *args)
+        visited.extend(found)
+        return found
+
+    monkeypatch.setattr(CandidateIndex, "members", list_visited)
+    assert len(cell.state.ready) > 100
+    cell.plan()
+    assert len(visited) <= MAX_WAITING_STEPS * len(cell.runners)
--- a/wasabipaddle/dispatch/tests/test_speeds.py
+++ b/wasabipaddle/dispatch/tests/test_speeds.py
@@ -152,3 +152,32 @@
     assert not needs_copy(run.task, 1.0, cell.now + 1.6)
     run.runner.last_inventory_s = cell.now + 1.5
     assert needs_copy(run.task, 1.0, cell.now + 1.6)
+
+
+def run_alone(cell, name, *, percent, seconds):
+    """Run a step of one task for a time, and then to its end."""
+    entry = cell.submit(name, step(1, speculative=True))
+    cell.plan()
+    run = entry.steps[0, 0].tasks[0].runs[0]
+    cell.now += seconds
+    run.percent, run.progress_s = percent, cell.now
+    run.runner.last_inventory_s = cell.now
+    cell.scheduler.watchdog.check(cell.now)
+    cell.runners[run.runner.id].end(*run.key)
+    cell.read_inventories()
+
+
+def test_slowdown_ends_where_steps_show_no_speed(make_cell):
+    """Guards against a runner that counts as slowed down for ever.
+
+    Steps of one task have no others to compare with.
+    """
+    cell = make_cell(runners=1)
+    health = cell.state.runners["r0"].health
+    run_alone(cell, "slow", percent=5, seconds=5.0)
+    assert health.normal_speed is not None
+    for n in range(15):
+        run_alone(cell, f"usual{n}", percent=90, seconds=1.0)
+        if n < 5:
+            assert health.normal_speed is not None
+    assert health.normal_speed is None
