Have only the jobs with runs on a leaving runner wait for it after a takeover

Cause: a runner that drains stays in the fleet record while it has runs or ends that are not durable. If all processes then lose power and the runner leaves, it never answers the new leader, and all recovered jobs of its pool wait 7.8 s for its leases, although it got no work since it began to drain.

The wait itself is needed: the drain time is a minimum, the entry of a runner that is cut off disappears too, and clocks may jump.

Change: the record names the jobs that may have runs on a runner that leaves, at most 64, with the term, and only they wait. The runner gets no work until a record without them is stored. The record is compared at once when a runner drains or is unlisted, and not written again at each end of a run. The suspected pools are computed once a plan in place of once a step.

--- a/wasabipaddle/cell/fleet.py
+++ b/wasabipaddle/cell/fleet.py
@@ -43,8 +43,8 @@
     revision : int
         Revision of the stored record, 0 if there is none.
     recorded : set or None
-        Identifiers of the stored runners with term and wait in full seconds, None if
-        the stored record is not known.
+        Identifiers of the stored runners with term, wait in full seconds and jobs, None
+        if the stored record is not known.
     unstorable : set of str
         Identifiers of the runners that the stored record names only in part, because
         their rows could not be read back; they get no work.
@@ -118,11 +118,23 @@
         return rows
 
     def _exclude_unrecorded(self, rows):
-        """Stop new work on runners that the next record omits or names with a wait."""
-        working = {row.id for row in rows if row.wait_s is None}
+        """Stop new work on runners that the next record does not permit to get any.
+
+        It omits them, or names them with a wait or with the only jobs that may have
+        runs there.
+        """
+        working = {row.id: row for row in rows if row.wait_s is None}
         for runner in self.scheduler.state.runners.values():
-            if runner.id not in working:
+            row = working.get(runner.id)
+            if row is None:
                 runner.in_fleet_record = False
+            elif row.jobs is not None:
+                runner.recorded_jobs = frozenset(row.jobs)
+
+    def describes(self, runner) -> bool:
+        """Return whether the record may be up to date as to a runner."""
+        limited = runner.recorded_jobs is not None
+        return runner.in_fleet_record and runner.stays is not limited
 
     def _admit(self, rows):
         """Permit new work on the runners of the stored record."""
@@ -134,6 +146,9 @@
             if usable and runner is not None:
                 admitted |= not runner.in_fleet_record
                 runner.in_fleet_record = True
+                if row.jobs is None and runner.recorded_jobs is not None:
+                    runner.recorded_jobs = None
+                    admitted = True
         if admitted:
             self.session.wake()
 
@@ -176,6 +191,11 @@
 
 def _summarize(rows):
     return {
-        (row.id, row.term, None if row.wait_s is None else math.ceil(row.wait_s))
+        (
+            row.id,
+            row.term,
+            None if row.wait_s is None else math.ceil(row.wait_s),
+            row.jobs,
+        )
         for row in rows
     }
--- a/wasabipaddle/cell/session.py
+++ b/wasabipaddle/cell/session.py
@@ -239,13 +239,14 @@
         runner = self.scheduler.set_runner(entry, self.now())
         if self.loaded:
             self.calls.ensure_inventory(runner)
-        if not runner.in_fleet_record:
+        if not self.fleet.describes(runner):
             self.fleet.changed.set()
         self.wake()
 
     def _mark_unlisted(self, runner_id):
         self.journal("runner_unlisted", runner=runner_id)
         self.scheduler.mark_unlisted(runner_id)
+        self.fleet.changed.set()
 
     def add_job(self, job, *, epoch=0):
         """Add an accepted job, unless the scheduler already has it.
--- a/wasabipaddle/cell/takeover.py
+++ b/wasabipaddle/cell/takeover.py
@@ -24,19 +24,23 @@
 
     The registry may no longer list some of them, but they may run tasks of the previous
     dispatcher until the leases that it granted have expired. A runner that did not
-    answer the previous dispatcher either has only those of earlier ones. A row without
-    an address is of a runner that can only be waited for.
+    answer the previous dispatcher either has only those of earlier ones. A runner that
+    was about to leave has only runs of the recorded jobs. A row without an address is
+    of a runner that can only be waited for.
     """
     state = session.scheduler.state
     lease_s = state.timing.lease_s * CLOCK_DRIFT_FACTOR
     lease_wait_s = PROOF_LIMIT_S + lease_s + SUCCESSOR_MARGIN_S
     for row in await session.fleet.load():
+        by_predecessor = row.term == session.term - 1
         if row.address:
             runner = session.scheduler.set_runner(row.entry, session.now())
             runner.listed = False
             runner.in_fleet_record = row.wait_s is None
+            if row.jobs is not None and by_predecessor:
+                runner.recorded_jobs = frozenset(row.jobs)
         wait_s = lease_wait_s
-        if row.wait_s is not None and row.term == session.term - 1:
+        if row.wait_s is not None and by_predecessor:
             wait_s = min(row.wait_s, lease_wait_s)
         until_s = session.now() + wait_s
         state.suspects[row.id] = max(state.suspects.get(row.id, 0.0), until_s)
--- a/wasabipaddle/dispatch/fleet.py
+++ b/wasabipaddle/dispatch/fleet.py
@@ -1,21 +1,23 @@
 """Content of the stored fleet record, and the jobs that wait for suspect runners."""
 
+import attrs
+
 from wasabipaddle.jobs import RecordedRunner
 
-__all__ = [
-    "may_run_on_suspects",
-    "runners_to_record",
-    "suspected_pools",
-    "waits_for_suspects",
-]
+__all__ = ["NO_SUSPECTED_RUNS", "SuspectedRuns", "runners_to_record"]
+
+# Jobs that the record names for a runner; with more, any job may have runs there.
+MAX_RECORDED_JOBS = 64
 
 
 def runners_to_record(state, now, *, with_waits, term=0):
     """Return the runners that may have work, for the stored fleet record.
 
     A runner that leaves or has left, and has no runs, is left out: a successor need not
-    wait for it. The wait for a suspect runner goes on over several takeovers, since no
-    dispatcher can have given it work in the meantime.
+    wait for it. One that leaves and has runs is recorded with their jobs, since it gets
+    no further work and no other job need wait for it. The wait for a suspect runner
+    goes on over several takeovers, since no dispatcher can have given it work in the
+    meantime.
 
     Parameters
     ----------
@@ -23,7 +25,7 @@
         Whether to record the remaining wait for suspect runners. A runner with a
         recorded wait must be recorded again before it gets work.
     term : int
-        Term of this dispatcher, recorded with the waits.
+        Term of this dispatcher, recorded with waits and jobs.
 
     Returns
     -------
@@ -32,51 +34,88 @@
     recorded = []
     for runner in state.runners.values():
         suspect = runner.id in state.suspects
+        if not suspect and not _may_have_work(runner):
+            continue
+        wait_s = None
         if suspect and with_waits:
             wait_s = max(state.suspects[runner.id] - now, 0.0)
-            row = RecordedRunner.create(runner.entry, wait_s=wait_s, term=term)
-            recorded.append(row)
-        elif suspect or _may_have_work(runner):
-            recorded.append(RecordedRunner.create(runner.entry))
+        jobs = _find_only_jobs(runner, suspect=suspect)
+        row_term = 0 if wait_s is None and jobs is None else term
+        row = RecordedRunner.create(
+            runner.entry, wait_s=wait_s, jobs=jobs, term=row_term
+        )
+        recorded.append(row)
     return recorded
 
 
 def _may_have_work(runner):
     """Return whether a runner may get work, or has runs or unacknowledged ends."""
-    staying = runner.listed and not runner.entry.draining and not runner.exited
     return (
-        staying
+        runner.stays
         or bool(runner.runs)
         or bool(runner.pending_acknowledgements)
         or runner.lists_unknown_tasks
     )
 
 
-def waits_for_suspects(state, step) -> bool:
-    """Return whether tasks of a step may run on a runner that has not answered."""
-    if not step.job.recovered or not state.suspects:
-        return False
-    return may_run_on_suspects(step.job, suspected_pools(state))
-
+def _find_only_jobs(runner, *, suspect):
+    """Return the only jobs that may have runs on a runner, None if any job may.
 
-def may_run_on_suspects(entry, pools) -> bool:
-    """Return whether tasks of a job may run on suspect runners of these pools.
-
-    Only tasks of jobs from before the takeover may, and only on runners of the pools to
-    which the queue has sent the job.
+    Jobs of an earlier record are kept, so that it is not written at each end of a run.
+    """
+    if runner.lists_unknown_tasks:
+        return None
+    if runner.recorded_jobs is None and suspect:
+        return None
+    if runner.stays and not suspect:
+        return None
+    jobs = {run.task.id.job for run in runner.runs.values()}
+    jobs.update(*(ended for _, _, ended in runner.pending_acknowledgements))
+    jobs.update(runner.recorded_jobs or ())
+    return tuple(sorted(jobs)) if len(jobs) <= MAX_RECORDED_JOBS else None
+
+
+@attrs.frozen(kw_only=True)
+class SuspectedRuns:
+    """Jobs that may have runs on suspect runners.
 
     Parameters
     ----------
-    pools : set
-        Result of `suspected_pools`.
+    pools : frozenset
+        Pools of the suspect runners on which any job may have runs, with None for an
+        unknown pool.
+    jobs : frozenset of str
+        Jobs that may have runs on the other suspect runners.
     """
-    if not entry.recovered:
-        return False
-    used = {entry.queue.pool, entry.job.policy.pool, *entry.pools}
-    return None in pools or not used.isdisjoint(pools)
-
 
-def suspected_pools(state):
-    """Return the pools of the suspect runners, with None for an unknown pool."""
-    suspects = map(state.runners.get, state.suspects)
-    return {None if r is None else r.entry.pool for r in suspects}
+    pools: frozenset = frozenset()
+    jobs: frozenset = frozenset()
+
+    @classmethod
+    def find(cls, state):
+        """Return the jobs that may have runs on the suspect runners of now."""
+        pools, jobs = set(), set()
+        for runner in map(state.runners.get, state.suspects):
+            if runner is None:
+                pools.add(None)
+            elif runner.recorded_jobs is None:
+                pools.add(runner.entry.pool)
+            else:
+                jobs |= runner.recorded_jobs
+        return cls(pools=frozenset(pools), jobs=frozenset(jobs))
+
+    def may_include(self, entry) -> bool:
+        """Return whether tasks of a job may run on a suspect runner.
+
+        Only tasks of jobs from before the takeover may, and, unless the record names
+        the jobs, only on runners of the pools to which the queue has sent the job.
+        """
+        if not entry.recovered or not (self.pools or self.jobs):
+            return False
+        if entry.id in self.jobs or None in self.pools:
+            return True
+        used = {entry.queue.pool, entry.job.policy.pool, *entry.pools}
+        return not used.isdisjoint(self.pools)
+
+
+NO_SUSPECTED_RUNS = SuspectedRuns()
--- a/wasabipaddle/dispatch/order.py
+++ b/wasabipaddle/dispatch/order.py
@@ -5,8 +5,6 @@
 import heapq
 import typing
 
-from wasabipaddle.dispatch.fleet import waits_for_suspects
-
 __all__ = ["Outlook", "Rank", "WorkOrder"]
 
 MS_PER_S = 1000
@@ -321,7 +319,7 @@
             return 0
         cpu, count = _reserved_cpu(step.spec), len(step.pending)
         together = count if step.spec.gang else 1
-        if waits_for_suspects(self.state, step):
+        if self.state.suspected_runs.may_include(step.job):
             return 0
         if not self.state.quotas.admits(step, count=together):
             return 0
--- a/wasabipaddle/dispatch/placement.py
+++ b/wasabipaddle/dispatch/placement.py
@@ -5,7 +5,7 @@
 from wasabipaddle.dispatch.copies import copy_wins, needs_copy
 from wasabipaddle.dispatch.eligibility import KnownAnswers
 from wasabipaddle.dispatch.fitting import fits, free_slots, within_runner_limit
-from wasabipaddle.dispatch.fleet import waits_for_suspects
+from wasabipaddle.dispatch.fleet import SuspectedRuns
 from wasabipaddle.dispatch.model import Run, RunPhase
 from wasabipaddle.dispatch.orders import StartTask
 
@@ -61,6 +61,7 @@
         self._forget_answered()
         self.deferred = False
         self.state.capacity_exhausted = self.state.urgent_task_waiting = False
+        self.state.suspected_runs = SuspectedRuns.find(self.state)
         self.state.shares.begin_round()
         for step, limit in self.state.order.floor_turns(now):
             self._plan_step(step, now, limit=limit)
@@ -69,7 +70,7 @@
 
     def _plan_step(self, step, now, *, limit=None):
         """Start the waiting tasks of a step that fit, at most `limit`."""
-        if waits_for_suspects(self.state, step):
+        if self.state.suspected_runs.may_include(step.job):
             return
         if step.spec.gang:
             self._plan_gang(step, now)
--- a/wasabipaddle/dispatch/quotas.py
+++ b/wasabipaddle/dispatch/quotas.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from wasabipaddle.dispatch.fleet import may_run_on_suspects, suspected_pools
+from wasabipaddle.dispatch.fleet import SuspectedRuns
 from wasabipaddle.jobs import JobPhase
 
 __all__ = ["Quotas", "Usage"]
@@ -193,13 +193,13 @@
         """
         state = self.state
         room = self._suspected_capacity()
-        pools = suspected_pools(state)
+        suspected = SuspectedRuns.find(state)
         wall_ms = max((e.ended_ms for e in state.jobs.values()), default=0)
         earliest_ms = wall_ms - state.timing.lease_max_s * MS_PER_S
         reserved, shared = {}, {}
         for entry in state.jobs.values():
             name = entry.job.workspace
-            if not name or not may_run_on_suspects(entry, pools):
+            if not name or not suspected.may_include(entry):
                 continue
             if entry.phase.final and entry.ended_ms < earliest_ms:
                 continue
--- a/wasabipaddle/dispatch/reports.py
+++ b/wasabipaddle/dispatch/reports.py
@@ -159,7 +159,7 @@
         Returns whether ends remain unprocessed, because the task of the first of them
         is not known yet.
         """
-        durable = True
+        durable, jobs = True, set()
         before = runner.processed_end
         for ended in sorted(inventory.ended, key=lambda e: e.number):
             if ended.number <= runner.processed_end:
@@ -183,6 +183,7 @@
                 task, ended.run, ended.cause, runner, now, elapsed_s=elapsed
             )
             durable &= self.state.is_durable(task.step.job)
+            jobs.add(task.id.job)
             self.state.journal(
                 "run_ended",
                 job=task.id.job,
@@ -200,7 +201,7 @@
             else:
                 generation = self.state.generation
                 runner.pending_acknowledgements.append(
-                    (generation, runner.processed_end)
+                    (generation, runner.processed_end, frozenset(jobs))
                 )
         return any(e.number > runner.processed_end for e in inventory.ended)
 
--- a/wasabipaddle/dispatch/runners.py
+++ b/wasabipaddle/dispatch/runners.py
@@ -54,6 +54,9 @@
     in_fleet_record : bool
         Whether the stored fleet record names the runner, so that the next dispatcher
         asks it for its runs.
+    recorded_jobs : frozenset of str or None
+        Jobs to which the stored fleet record limits the runs on the runner, None if any
+        job may have runs there. The runner gets no work while there is a limit.
     clock_ms, clock_s : int, float
         Last clock reading of the runner, 0 before the first, and the local time at
         which it arrived.
@@ -67,9 +70,9 @@
         runs in increasing order.
     acknowledged : int
         Number of the last ended run whose effects are durable.
-    pending_acknowledgements : list of tuple of (int, int)
-        Pairs of a write generation and the number of the last ended run that becomes
-        durable with it.
+    pending_acknowledgements : list of tuple of (int, int, frozenset)
+        Write generations, each with the number of the last ended run that becomes
+        durable with it and the identifiers of the jobs of these ends.
     inventory_lease_until_ms, start_lease_until_ms : int
         Latest ends of the leases granted with inventories and with starts, on the
         clock of the runner.
@@ -105,6 +108,7 @@
     listed: bool = _watched(default=True)
     exited: bool = _watched(default=False)
     in_fleet_record: bool = _watched(default=False)
+    recorded_jobs: frozenset | None = _watched(default=None)
     clock_ms: int = 0
     clock_s: float = 0.0
     runs: dict = attrs.field(factory=dict, repr=False)
@@ -257,6 +261,7 @@
             and self.listed
             and not self.exited
             and self.in_fleet_record
+            and self.recorded_jobs is None
             and not self.lists_unknown_tasks
             and not self.entry.draining
             and now >= self.paused_until_s
--- a/wasabipaddle/dispatch/state.py
+++ b/wasabipaddle/dispatch/state.py
@@ -3,6 +3,7 @@
 import attrs
 
 from wasabipaddle.dispatch.durations import Durations
+from wasabipaddle.dispatch.fleet import NO_SUSPECTED_RUNS
 from wasabipaddle.dispatch.model import RunPhase
 from wasabipaddle.dispatch.order import WorkOrder
 from wasabipaddle.dispatch.orders import StopTask
@@ -78,6 +79,8 @@
     suspects : dict of str to float
         Runners that may hold runs of the previous dispatcher, with the time at which
         the leases of those runs have certainly expired.
+    suspected_runs : SuspectedRuns
+        Jobs that may have runs on them, as of the beginning of the last plan.
     capacity_exhausted, urgent_task_waiting : bool
         Whether the last plan lacked capacity for a task, and for an urgent task; gangs
         do not count.
@@ -116,6 +119,7 @@
     generation: int = 1
     written_generation: int = 0
     suspects: dict = attrs.field(factory=dict)
+    suspected_runs: object = NO_SUSPECTED_RUNS
     capacity_exhausted: bool = False
     urgent_task_waiting: bool = False
     outbox: list = attrs.field(factory=list)
--- a/wasabipaddle/dispatch/tests/test_takeover.py
+++ b/wasabipaddle/dispatch/tests/test_takeover.py
@@ -331,3 +331,23 @@
     assert lost in cell.state.suspects
     cell.scheduler.advance(cell.now, proved_s=cleared_s + 0.1)
     assert lost not in cell.state.suspects
+
+
+def test_end_that_is_not_durable_yet_is_recorded_for_a_leaving_runner(cell):
+    """Guards against a second run of a task whose end a successor does not know.
+
+    The runner lists the end until its write is acknowledged.
+    """
+    entry = cell.submit("j0", step(1))
+    cell.plan()
+    run = entry.steps[(0, 0)].tasks[0].runs[0]
+    runner = run.runner
+    cell.runners[runner.id].end(*run.key)
+    cell.read_inventories()
+    assert not runner.runs
+    cell.scheduler.set_runner(cell.entry(runner.id, draining=True), cell.now)
+    rows = cell.scheduler.runners_to_record(cell.now, with_waits=False, term=3)
+    assert {row.id: row.jobs for row in rows}[runner.id] == ("j0",)
+    cell.write()
+    rows = cell.scheduler.runners_to_record(cell.now, with_waits=False, term=3)
+    assert runner.id not in {row.id for row in rows}
--- a/wasabipaddle/fuzz/samples.py
+++ b/wasabipaddle/fuzz/samples.py
@@ -43,6 +43,7 @@
 ROWS = [
     RecordedRunner.create(RUNNERS[0]),
     RecordedRunner.create(RUNNERS[1], wait_s=1.5, term=3),
+    RecordedRunner.create(RUNNERS[1], jobs=("j-1", "j-2"), term=3),
     RecordedRunner.create_identified("i-2", wait_s=0.5, term=3),
 ]
 PROGRESS = JobProgress(
--- a/wasabipaddle/jobs/fleet.py
+++ b/wasabipaddle/jobs/fleet.py
@@ -86,18 +86,23 @@
         For a runner that has not answered the dispatcher which wrote the record: time
         in seconds until the leases of earlier dispatchers have certainly expired.
         None if the runner may have work of that dispatcher.
+    jobs : tuple of str or None
+        For a runner that leaves: identifiers of all jobs that may have runs, or ends
+        without an acknowledgement, on the runner. None if any job may.
     term : int
-        Term of the dispatcher that recorded the wait. The dispatcher of a later term
-        may have given the runner work without a new record, if it is of another build.
+        Term of the dispatcher that recorded the wait or the jobs. The dispatcher of a
+        later term may have given the runner work without a new record, if it is of
+        another build.
     """
 
     wait_s: float | None = None
+    jobs: tuple[str, ...] | None = None
     term: int = 0
 
     @classmethod
-    def create(cls, entry, *, wait_s=None, term=0):
+    def create(cls, entry, *, wait_s=None, jobs=None, term=0):
         """Return the record of a runner with this registry entry."""
-        return cls(**_entry_fields(entry), wait_s=wait_s, term=term)
+        return cls(**_entry_fields(entry), wait_s=wait_s, jobs=jobs, term=term)
 
     @property
     def entry(self) -> RunnerEntry:
@@ -163,7 +168,7 @@
 def _decode_fields(row):
     """Return a complete row."""
     wait_s = row.get("wait_s")
-    capacity = row["capacity"]
+    jobs, capacity = row.get("jobs"), row["capacity"]
     if type(row["draining"]) is not bool:
         raise TypeError("`draining` is not a boolean")
     named = row["address"] != ""
@@ -186,10 +191,17 @@
         # Earlier versions stored a fraction if the registry entry had one.
         incarnation=int(number(row["incarnation"])),
         wait_s=None if wait_s is None else number(wait_s, least=0),
+        jobs=None if jobs is None else _decode_jobs(jobs),
         term=integer(row.get("term", 0), least=0),
     )
 
 
+def _decode_jobs(jobs):
+    if not isinstance(jobs, list):
+        raise TypeError("`jobs` is not a list")
+    return tuple(text(job) for job in jobs)
+
+
 def _decode_contact(row):
     """Return a row with identifier, address and pool."""
     if not is_callable_address(row["address"]):
