Record a runner again that starts elsewhere under its identifier

Cause: the fleet record is compared by identifier, term and wait, so a runner that starts again at another address or in another pool stays in it as it was. The successor finds another address in the registry, takes the runner for one without runs of the predecessor and starts recovered tasks that run there a second time; with another pool, it does not wait for the jobs of that pool.

Evidence: on the record keeps 127.0.0.1:9 and pool p, a runner that moves during a write gets work although the record has its former address, and a runner in another pool stays usable (four cases in test_fleet.py, all fail).

Change: address and pool are compared too, and a runner counts as recorded only with those it has now.

Result: the tests of dispatch, and those of the fleet record and of the session, pass.

--- a/wasabipaddle/cell/fleet.py
+++ b/wasabipaddle/cell/fleet.py
@@ -43,11 +43,13 @@
     revision : int
         Revision of the stored record, 0 if there is none.
     recorded : set or None
-        Identifiers of the stored runners with term, wait in full seconds and jobs, None
-        if the stored record is not known.
+        Summaries of the stored rows, with waits in full seconds; None if the stored
+        record is not known.
     unstorable : set of str
         Identifiers of the runners that the stored record names only in part, because
         their rows could not be read back; they get no work.
+    places : dict of str to tuple of (str, str)
+        Address and pool of each runner in the last record that is known to be stored.
     changed : asyncio.Event
         Set to have the record compared with the fleet soon.
     """
@@ -58,6 +60,7 @@
         self.session = session
         self.revision = 0
         self.recorded = set()
+        self.places = {}
         self.unstorable = set()
         self.report_unreadable = store_plugin.unreadable.reporter("fleet", FLEET_KEY)
         self.changed = asyncio.Event()
@@ -78,6 +81,7 @@
         self.revision = entry.revision
         runners = decode_fleet(entry.value, report=self.report_unreadable)
         self.recorded = _summarize(runners)
+        self.places = {row.id: _place(row) for row in runners}
         return runners
 
     async def run(self):
@@ -131,19 +135,27 @@
             elif row.jobs is not None:
                 runner.recorded_jobs = frozenset(row.jobs)
 
-    def describes(self, runner) -> bool:
-        """Return whether the record may be up to date as to a runner."""
+    def note_entry(self, runner):
+        """Have the record compared soon if it does not describe a runner as it is.
+
+        A runner that starts again elsewhere is not in the record any more.
+        """
+        if self.places.get(runner.id) != _place(runner.entry):
+            runner.in_fleet_record = False
         limited = runner.recorded_jobs is not None
-        return runner.in_fleet_record and runner.stays is not limited
+        if not runner.in_fleet_record or runner.stays is limited:
+            self.changed.set()
 
     def _admit(self, rows):
         """Permit new work on the runners of the stored record."""
         runners = self.scheduler.state.runners
+        self.places = {row.id: _place(row) for row in rows}
         admitted = False
         for row in rows:
             runner = runners.get(row.id)
             usable = row.wait_s is None and row.id not in self.unstorable
-            if usable and runner is not None:
+            # It may have moved since the rows were computed.
+            if usable and runner is not None and _place(row) == _place(runner.entry):
                 admitted |= not runner.in_fleet_record
                 runner.in_fleet_record = True
                 if row.jobs is None and runner.recorded_jobs is not None:
@@ -193,9 +205,15 @@
     return {
         (
             row.id,
+            _place(row),
             row.term,
             None if row.wait_s is None else math.ceil(row.wait_s),
             row.jobs,
         )
         for row in rows
     }
+
+
+def _place(entry):
+    """Return where the next dispatcher asks for runs, and for which jobs it waits."""
+    return entry.address, entry.pool
--- a/wasabipaddle/cell/session.py
+++ b/wasabipaddle/cell/session.py
@@ -239,8 +239,7 @@
         runner = self.scheduler.set_runner(entry, self.now())
         if self.loaded:
             self.calls.ensure_inventory(runner)
-        if not self.fleet.describes(runner):
-            self.fleet.changed.set()
+        self.fleet.note_entry(runner)
         self.wake()
 
     def _mark_unlisted(self, runner_id):
