Search once a round for waiting steps that ask for the same

Cause: a profile of planning rounds beside 2,000 waiting steps that do not fit (176 runners, half of the steps advised): each step opens a choice of runners and asks the index for its group two to four times, 400,642 times in 80 rounds, although most steps ask for the same and no runner has changed. A round takes 47 ms, and under overload each inventory leads to one, so that the leader is busy with steps that cannot start.

Change: the index keeps whether a demand may fit until a runner changes; a step that fits nowhere and whose lack of room the plan has recorded is not visited further, unless it may preempt or reserve; the advisor returns early for such steps; the key of a step is built once.

The tests of dispatch and fuzz pass.

--- a/wasabipaddle/dispatch/advisor.py
+++ b/wasabipaddle/dispatch/advisor.py
@@ -49,8 +49,10 @@
             if not self.state.quotas.admits(step, count=_least_start(step)):
                 continue
             renew = not urgent and non_urgent < RENEWED_STEPS
-            renew |= self.placement.reservations.is_reserved_for(step)
             non_urgent += not urgent
+            if step.job.queue.advice is None:
+                continue
+            renew |= self.placement.reservations.is_reserved_for(step)
             wanted.append(self._request(step, now, renew=renew))
         for step in self._steps_opening_soon(now):
             wanted.append(self._request(step, now))
@@ -58,7 +60,7 @@
 
     def _request(self, step, now, *, renew=False):
         policy, eligibility = step.job.queue.advice, step.eligibility
-        if policy is None or eligibility.requested_s is not None:
+        if eligibility.requested_s is not None:
             return None
         if now < eligibility.retry_s:
             return None
@@ -84,6 +86,10 @@
         taken again before an answer arrives, so only a step that already holds a
         ticket can use it.
         """
+        waits = step.opened and not renew and step.job.queue.priority != 0
+        if waits and not self.placement.may_fit(step, now):
+            # Others go first when room becomes free: an answer would expire unused.
+            return []
         eligibility = step.eligibility
         eligible = self.placement.eligible(step, now)
         usable = self.placement.select_fitting(step, eligible, now)
@@ -103,9 +109,6 @@
         """Return the runners without an answer that are worth a request."""
         if not step.opened or renew or step.job.queue.priority == 0:
             return self.placement.not_asked(step, now)
-        # Others go first when room becomes free: an answer would expire unused.
-        if not self.placement.may_fit(step, now):
-            return []
         runners = self.placement.not_asked(step, now)
         return self.placement.select_fitting(step, runners, now)
 
--- a/wasabipaddle/dispatch/candidates.py
+++ b/wasabipaddle/dispatch/candidates.py
@@ -87,6 +87,9 @@
         Labels of all runners.
     version : int
         Grows whenever `facts` change.
+    may_hold : dict of tuple to bool
+        Whether a task may fit somewhere, by pool, label and demand, as long as no
+        runner changes. Most of many waiting steps ask for the same.
     """
 
     def __init__(self, *, state):
@@ -99,6 +102,7 @@
         self.groups = {}
         self.wakeups = []
         self.version = 0
+        self.may_hold = {}
 
     def refresh(self, now):
         """Take account of all changes until now."""
@@ -108,6 +112,7 @@
         if changed:
             names = list(changed)
             changed.clear()
+            self.may_hold.clear()
             for runner_id in names:
                 self._update(runner_id, now)
         gaps = len(self.runners) - len(self.slots)
@@ -119,6 +124,7 @@
         self.groups.clear()
         self.wakeups.clear()
         self.facts.clear()
+        self.may_hold.clear()
         for runner_id in self.state.runners:
             self._update(runner_id, now)
 
@@ -227,4 +233,11 @@
 
     def may_fit(self, step, now) -> bool:
         """Return whether a task of a step may fit on a runner; False is certain."""
-        return self.group(step, now).tree.may_hold(*demand(step.spec))
+        self.refresh(now)
+        needed = demand(step.spec)
+        key = (step.job.queue.pool, step.spec.required_label, needed)
+        found = self.may_hold.get(key)
+        if found is None:
+            found = self.group(step, now).tree.may_hold(*needed)
+            self.may_hold[key] = found
+        return found
--- a/wasabipaddle/dispatch/model.py
+++ b/wasabipaddle/dispatch/model.py
@@ -234,6 +234,11 @@
         Answers of the eligibility service, for queues that use it.
     has_waited_for_quota : bool
         Whether the step has ever waited for the quota of its workspace.
+
+    Attributes
+    ----------
+    key : tuple of (str, int, int)
+        Identity of the step: job, occurrence and position.
     """
 
     job: "JobEntry" = attrs.field(repr=_show_id)
@@ -249,6 +254,10 @@
     gang_failures: set = attrs.field(factory=set)
     eligibility: Eligibility = attrs.field(factory=Eligibility, repr=False)
     has_waited_for_quota: bool = False
+    key: tuple = attrs.field(init=False, repr=False)
+
+    def __attrs_post_init__(self):
+        self.key = (self.job.id, self.occurrence, self.position)
 
     def record_duration(self, seconds, speed) -> float | None:
         """Record the duration of a run and return the speed that it has shown.
@@ -281,11 +290,6 @@
         durations_s = sorted([*projected_s.values(), *self.durations_s])
         return UsualDuration(durations_s=durations_s, projected_s=projected_s)
 
-    @property
-    def key(self):
-        """Identity of the step: job, occurrence and position."""
-        return (self.job.id, self.occurrence, self.position)
-
 
 @attrs.define(kw_only=True, eq=False)
 class JobEntry:
--- a/wasabipaddle/dispatch/placement.py
+++ b/wasabipaddle/dispatch/placement.py
@@ -257,7 +257,7 @@
         return self._choose(step, self._permitted(step, now), now)
 
     def _plan_tasks(self, step, now, *, limit=None):
-        if self._waits_for_quota(step, now):
+        if self._waits_for_quota(step, now) or self._is_recorded(step, now):
             return
         choice = self._open_choice(step, now)
         if not choice:
@@ -282,6 +282,23 @@
             if step.pending and self.state.order.gives_way(step, now):
                 return
 
+    def _is_recorded(self, step, now) -> bool:
+        """Return whether a step fits nowhere and the plan has recorded all about that.
+
+        Nothing would follow then from the search for its runners.
+        """
+        state, urgent = self.state, step.job.queue.priority == 0
+        if not state.capacity_exhausted or self.index.may_fit(step, now):
+            return False
+        if self.reservations.may_reserve(step, now):
+            return False
+        if not urgent:
+            return True
+        allowed = self.preemption.is_allowed
+        return state.urgent_task_waiting and not any(
+            allowed(task, now) for task in step.pending.values()
+        )
+
     def _waits_for_quota(self, step, now, *, count=1):
         """Return whether the quota leaves no room for `count` tasks; record it."""
         if self.state.quotas.admits(step, count=count):
--- a/wasabipaddle/dispatch/tests/test_candidates.py
+++ b/wasabipaddle/dispatch/tests/test_candidates.py
@@ -5,6 +5,7 @@
 import attrs
 import pytest
 
+from wasabipaddle.dispatch.candidates import CandidateIndex
 from wasabipaddle.dispatch.capacity_tree import CapacityTree
 from wasabipaddle.dispatch.choices import RunnerChoice
 from wasabipaddle.dispatch.fitting import fits, score
@@ -301,3 +302,26 @@
         )
     cell.plan()
     assert len(cell.started) == 1
+
+
+def test_round_searches_once_for_steps_that_ask_for_the_same(make_cell, monkeypatch):
+    """Guards against rounds whose cost is a search for each of 2,000 waiting steps."""
+    cell = make_cell(runners=4)
+    cell.submit("running", step(16))
+    cell.plan()
+    for number in range(300):
+        cell.submit(f"batch{number}", step(4))
+        cell.submit(f"advised{number}", step(4), queue="advised")
+    cell.plan()
+    searched = []
+    group = CandidateIndex.group
+
+    def count_search(index, *args):
+        searched.append(args)
+        return group(index, *args)
+
+    monkeypatch.setattr(CandidateIndex, "group", count_search)
+    cell.now += 0.05
+    cell.plan()
+    assert len(cell.state.ready) == 600
+    assert len(searched) <= 30
