--- a/wasabipaddle/dispatch/placement.py
+++ b/wasabipaddle/dispatch/placement.py
@@ -5,7 +5,7 @@
 from wasabipaddle.dispatch.copies import copy_wins, needs_copy
 from wasabipaddle.dispatch.eligibility import KnownAnswers
 from wasabipaddle.dispatch.fitting import fits, free_slots, within_runner_limit
-from wasabipaddle.dispatch.fleet import waits_for_suspects
+from wasabipaddle.dispatch.fleet import SuspectedRuns
 from wasabipaddle.dispatch.model import Run, RunPhase
 from wasabipaddle.dispatch.orders import StartTask
 
@@ -61,6 +61,7 @@
         self._forget_answered()
         self.deferred = False
         self.state.capacity_exhausted = self.state.urgent_task_waiting = False
+        self.state.suspected_runs = SuspectedRuns.find(self.state)
         self.state.shares.begin_round()
         for step, limit in self.state.order.floor_turns(now):
             self._plan_step(step, now, limit=limit)
@@ -69,7 +70,7 @@
 
     def _plan_step(self, step, now, *, limit=None):
         """Start the waiting tasks of a step that fit, at most `limit`."""
-        if waits_for_suspects(self.state, step):
+        if self.state.suspected_runs.may_include(step.job):
             return
         if step.spec.gang:
             self._plan_gang(step, now)
@@ -256,7 +257,7 @@
         return self._choose(step, self._permitted(step, now), now)
 
     def _plan_tasks(self, step, now, *, limit=None):
-        if self._waits_for_quota(step, now):
+        if self._waits_for_quota(step, now) or self._is_recorded(step, now):
             return
         choice = self._open_choice(step, now)
         if not choice:
@@ -281,6 +282,23 @@
             if step.pending and self.state.order.gives_way(step, now):
                 return
 
+    def _is_recorded(self, step, now) -> bool:
+        """Return whether a step fits nowhere and the plan has recorded all about that.
+
+        Nothing would follow then from the search for its runners.
+        """
+        state, urgent = self.state, step.job.queue.priority == 0
+        if not state.capacity_exhausted or self.index.may_fit(step, now):
+            return False
+        if self.reservations.may_reserve(step, now):
+            return False
+        if not urgent:
+            return True
+        allowed = self.preemption.is_allowed
+        return state.urgent_task_waiting and not any(
+            allowed(task, now) for task in step.pending.values()
+        )
+
     def _waits_for_quota(self, step, now, *, count=1):
         """Return whether the quota leaves no room for `count` tasks; record it."""
         if self.state.quotas.admits(step, count=count):
--- a/wasabipaddle/dispatch/runners.py
+++ b/wasabipaddle/dispatch/runners.py
@@ -55,6 +55,9 @@
     in_fleet_record : bool
         Whether the stored fleet record names the runner, so that the next dispatcher
         asks it for its runs.
+    recorded_jobs : frozenset of str or None
+        Jobs to which the stored fleet record limits the runs on the runner, None if any
+        job may have runs there. The runner gets no work while there is a limit.
     clock_ms, clock_s : int, float
         Last clock reading of the runner, 0 before the first, and the local time at
         which it arrived.
@@ -68,9 +71,9 @@
         runs in increasing order.
     acknowledged : int
         Number of the last ended run whose effects are durable.
-    pending_acknowledgements : list of tuple of (int, int)
-        Pairs of a write generation and the number of the last ended run that becomes
-        durable with it.
+    pending_acknowledgements : list of tuple of (int, int, frozenset)
+        Write generations, each with the number of the last ended run that becomes
+        durable with it and the identifiers of the jobs of these ends.
     inventory_lease_until_ms, start_lease_until_ms : int
         Latest ends of the leases granted with inventories and with starts, on the
         clock of the runner.
@@ -106,6 +109,7 @@
     listed: bool = _watched(default=True)
     exited: bool = _watched(default=False)
     in_fleet_record: bool = _watched(default=False)
+    recorded_jobs: frozenset | None = _watched(default=None)
     clock_ms: int = 0
     clock_s: float = 0.0
     runs: dict = attrs.field(factory=dict, repr=False)
@@ -261,7 +265,8 @@
         if self.entry.draining:
             return Exclusion.DRAINING
         same_incarnation = self.entry.incarnation in (0, self.incarnation)
-        if not (self.inventoried and same_incarnation and self.in_fleet_record):
+        recorded = self.in_fleet_record and self.recorded_jobs is None
+        if not (self.inventoried and same_incarnation and recorded):
             return Exclusion.NOT_READY
         if self.lists_unknown_tasks:
             return Exclusion.UNKNOWN_TASKS
