Add tests of five causes that the review of the dispatch parts found

Cause: mended them without a test that fails on the code before.

Change: tests of the floor that steps without a quota took, of the bound of unknown runs when a recovered job opens an occurrence, of the rate beside a clock that is an hour ahead, of a reservation whose step has no quota any more, and of the work that a gang has done. No code changes.

--- a/wasabipaddle/dispatch/tests/test_quotas.py
+++ b/wasabipaddle/dispatch/tests/test_quotas.py
@@ -4,9 +4,9 @@
 import pytest
 
 from wasabipaddle.dispatch import StopTask
-from wasabipaddle.dispatch.tests.conftest import step
+from wasabipaddle.dispatch.tests.conftest import QUEUES, step
 from wasabipaddle.interfaces import EndCause
-from wasabipaddle.jobs import Capacity, Workspace
+from wasabipaddle.jobs import Capacity, Job, JobSpec, Workspace
 
 
 @pytest.fixture
@@ -222,3 +222,54 @@
     shop.read_inventories()
     shop.plan()
     assert len(shop.started) == 6
+
+
+def test_step_without_a_quota_leaves_the_floor_to_others(shop):
+    """Guards against work that takes the floor of its kind and cannot start."""
+    shop.submit("j0", step(3, lasting=True), workspace="shop", queue="urgent")
+    shop.plan()
+    shop.submit("j1", step(9), workspace="other", queue="urgent")
+    shop.submit("j2", step(1), workspace="shop")
+    shop.submit("j3", step(1), workspace="other")
+    shop.advance_time(1.5)
+    task, number, runner = next(s for s in shop.started if s[0].job == "j1")
+    shop.runners[runner].end(task, number)
+    shop.submit("j4", step(1), workspace="other", queue="urgent")
+    shop.read_inventories()
+    shop.plan()
+    assert shop.started[-1][0].job == "j3"
+
+
+def test_occurrences_that_become_due_after_a_takeover_count(shop):
+    """Guards against starts beside runs of an occurrence that a predecessor opened.
+
+    The clock of the new dispatcher is behind, so it opens the occurrence later.
+    """
+    due_ms = int(shop.now * 1000)
+    spec = JobSpec(
+        payload="p",
+        steps=(step(1),),
+        occurrences=2,
+        interval_ms=1000,
+        first_due_ms=due_ms,
+    )
+    job = Job(
+        id="j0",
+        policy=QUEUES["batch"],
+        accepted_ms=due_ms,
+        spec=spec,
+        workspace="shop",
+    )
+    shop.take_over(1, {}, [job])
+    shop.unresponsive.update(shop.runners)
+    shop.add_runner("r9")
+    shop.submit("j1", step(3), workspace="shop")
+    shop.plan()
+    assert len(shop.started) == 2
+    shop.now += 1.0
+    shop.scheduler.lifecycle.open_due(shop.now)
+    task, number, _ = shop.started[0]
+    shop.runners["r9"].end(task, number)
+    shop.read_inventories()
+    shop.plan()
+    assert len(shop.started) == 2
--- a/wasabipaddle/dispatch/tests/test_reservations.py
+++ b/wasabipaddle/dispatch/tests/test_reservations.py
@@ -9,6 +9,7 @@
 )
 from wasabipaddle.dispatch.tests.conftest import step
 from wasabipaddle.interfaces import EndCause
+from wasabipaddle.jobs import Capacity, Workspace
 
 SMALL_RUN_S = 2.0
 PERIOD_S = 0.25
@@ -100,3 +101,14 @@
     cell.plan()
     run_small_tasks(cell, 4.0)
     assert not cell.scheduler.reservations.by_pool
+
+
+def test_reservation_ends_with_the_room_in_the_quota(busy_cell):
+    """Guards against runners that stand idle for work which its quota holds back."""
+    busy_cell.set_workspaces(Workspace(name="shop", quota=Capacity(cpu=8000)))
+    busy_cell.submit("wide", step(2, cpu=4000, gang=True), workspace="shop")
+    run_small_tasks(busy_cell, 2.5)
+    assert busy_cell.scheduler.reservations.by_pool
+    busy_cell.set_workspaces(Workspace(name="shop", quota=Capacity(cpu=4000)))
+    busy_cell.plan()
+    assert not busy_cell.scheduler.reservations.by_pool
--- a/wasabipaddle/dispatch/tests/test_runs.py
+++ b/wasabipaddle/dispatch/tests/test_runs.py
@@ -1,5 +1,7 @@
 """Life cycle of runs: doubtful starts, lost runners, ends, cancellations, gangs."""
 
+import pytest
+
 from wasabipaddle.dispatch import RunPhase, StopTask
 from wasabipaddle.dispatch.tests.conftest import step
 from wasabipaddle.interfaces import EndCause
@@ -256,3 +258,15 @@
     run = next(iter(runner.runs.values()))
     for item in (run, run.task, run.task.step, runner):
         assert len(repr(item)) < 10_000
+
+
+@pytest.mark.parametrize("gang", [False, True])
+def test_work_done_counts_all_members_of_a_gang(cell, gang):
+    """Guards against jobs with a completed gang that come later than others."""
+    entry = cell.submit("j0", step(3, gang=gang), step(1, after=(0,)))
+    cell.plan()
+    cell.now += 1.0
+    for task, number, runner in list(cell.started):
+        cell.runners[runner].end(task, number)
+    cell.read_inventories()
+    assert entry.work_done == pytest.approx(3 * 1000 * 1.0)
--- a/wasabipaddle/dispatch/tests/test_shares.py
+++ b/wasabipaddle/dispatch/tests/test_shares.py
@@ -8,7 +8,7 @@
 from wasabipaddle.dispatch import StopTask
 from wasabipaddle.dispatch.tests import conftest
 from wasabipaddle.dispatch.tests.conftest import Cell, step
-from wasabipaddle.jobs import JobPhase, Workspace
+from wasabipaddle.jobs import Job, JobPhase, JobSpec, Workspace
 
 URGENT = attrs.evolve(conftest.URGENT, stretch=1.5, target_s=0.6)
 BATCH = attrs.evolve(conftest.BATCH, stretch=2.2, target_s=1.5)
@@ -257,6 +257,26 @@
     assert after == before
 
 
+@pytest.mark.parametrize("ahead_s", [0, 3600])
+def test_clock_that_is_ahead_does_not_end_the_rate(cell, ahead_s):
+    """Guards against one process with a wrong clock whose jobs clear the window."""
+    cell.set_workspaces(Workspace(name="a", weight=1.0))
+    spec = JobSpec(payload="p", steps=(step(1),))
+    for n in range(20):
+        accepted_s = cell.now + (ahead_s if n == 0 else 0)
+        job = Job(
+            id=f"j{n}",
+            policy=BATCH,
+            accepted_ms=int(accepted_s * 1000),
+            spec=spec,
+            workspace="a",
+        )
+        cell.scheduler.lifecycle.add_job(job, cell.now)
+        cell.plan()
+    within = [entry for entry in cell.state.jobs.values() if not entry.in_excess]
+    assert len(within) == 5 + bool(ahead_s)
+
+
 def test_memory_counts_in_the_share(shops):
     """Guards against a workspace that takes all memory with few processors."""
     shops.submit("j0", step(20, cpu=100, memory_mb=20_000), workspace="small")
