Keep a part of a quota for work that smaller work of its workspace starves

Cause: a gang that waits for its quota reserves none of it, so each small task of the same workspace takes the room of the one that has just ended.

Evidence: wasabipaddle/dispatch/tests/test_claims.py, a workspace with a quota of four cores and more small jobs than room: on a gang of three and a task of three cores start nothing in 12 s.

Change: dispatch/claims.py keeps the needs of such a step within the quota, one step of a workspace at a time, bounded in time like reservations of runners. `Usage` moves to a module of its own, `Run.time_left_s` to the model, as reservations and claims both use them. The percentage of a wait is computed only when it is logged.

Result: both start; more urgent work, other workspaces and work that leaves room go on; a gang that never fits leaves half of the starts to small work.

--- a/wasabipaddle/cell/tests/test_workspace_metrics.py
+++ b/wasabipaddle/cell/tests/test_workspace_metrics.py
@@ -1,8 +1,8 @@
 """Metrics of workspaces in the dispatcher."""
 
 from wasabipaddle.cell.workspace_metrics import MAX_WORKSPACES, WorkspaceMetrics
-from wasabipaddle.dispatch.quotas import Usage
 from wasabipaddle.dispatch.state import CellState, Timing
+from wasabipaddle.dispatch.usage import Usage
 from wasabipaddle.jobs import Capacity, CellConfiguration, Workspace
 from wasabipaddle.metrics import Metrics
 
--- a/wasabipaddle/dispatch/model.py
+++ b/wasabipaddle/dispatch/model.py
@@ -2,6 +2,7 @@
 
 import bisect
 import enum
+import math
 
 import attrs
 
@@ -152,6 +153,24 @@
             return median(durations_s) / (self.runner.health.speed or 1.0)
         return self.task.spec.estimate_s / (self.runner.health.speed or 1.0)
 
+    def time_left_s(self, now, *, stop_s) -> float:
+        """Return the expected time until the run ends, infinite for one that lasts.
+
+        A run that exceeds its expected duration is expected to take as long again.
+
+        Parameters
+        ----------
+        stop_s : float
+            Expected time until a run that is being stopped ends.
+        """
+        if self.phase is RunPhase.STOPPING:
+            return stop_s
+        if self.task.spec.lasting:
+            return math.inf
+        elapsed_s = now - self.started_s
+        left_s = self.projected_s() - elapsed_s
+        return left_s if left_s > 0 else elapsed_s
+
     def work_s(self) -> float:
         """Return the projected duration of the run at the usual speed."""
         return self.projected_s() * self.runner.health.speed
--- a/wasabipaddle/dispatch/quotas.py
+++ b/wasabipaddle/dispatch/quotas.py
@@ -4,10 +4,12 @@
 
 import attrs
 
+from wasabipaddle.dispatch.claims import QuotaClaims
 from wasabipaddle.dispatch.fleet import may_run_on_suspects, suspected_pools
+from wasabipaddle.dispatch.usage import NOTHING, RESOURCES, Usage
 from wasabipaddle.jobs import JobPhase
 
-__all__ = ["Quotas", "Usage"]
+__all__ = ["Quotas"]
 
 MS_PER_S = 1000
 # Time without a step that waits for the quota after which the wait of a workspace is
@@ -17,24 +19,6 @@
 SPECULATIVE_RUNS = 2
 
 
-@attrs.define(kw_only=True)
-class Usage:
-    """Resources held by runs; `cpu` in thousandths of a core."""
-
-    cpu: float = 0
-    memory_mb: float = 0
-    gpus: float = 0
-
-    def add(self, spec, count):
-        """Add the needs of `count` tasks, negative to subtract them."""
-        self.cpu += spec.cpu * count
-        self.memory_mb += spec.memory_mb * count
-        self.gpus += spec.gpus * count
-
-
-NOTHING = Usage()
-
-
 @attrs.define(kw_only=True)
 class QuotaWait:
     """Wait of a workspace for its quota.
@@ -72,22 +56,28 @@
         configured keep it.
     in_use : dict of str to Usage
         Resources of the known runs by workspace.
+    runs : dict of str to dict of Run to None
+        Known runs of each workspace that has any.
     unknown : dict of str to Usage
         Upper bound of the resources of runs on suspect runners, by workspace.
     job_changes : int
         Number of changes of jobs that may raise `unknown`.
     waits : dict of str to QuotaWait
         Workspaces that wait for their quota.
+    claims : QuotaClaims
+        Parts of quotas that are kept for work which needs much at once.
     """
 
     def __init__(self, *, state):
         self.state = state
         self.limits = {}
         self.in_use = {}
+        self.runs = {}
         self.unknown = {}
         self.unknown_of = None
         self.job_changes = 0
         self.waits = {}
+        self.claims = QuotaClaims(state=state)
 
     def configure(self, workspaces):
         """Set the quotas of the current configuration."""
@@ -101,10 +91,14 @@
     def take(self, run):
         """Count a run that may exist from now on."""
         self._add(run, 1)
+        name = run.task.step.job.job.workspace
+        if name:
+            self.runs.setdefault(name, {})[run] = None
 
     def release(self, run):
         """Count a run no longer, since it does not exist any more."""
         self._add(run, -1)
+        self.runs.get(run.task.step.job.job.workspace, {}).pop(run, None)
 
     def _add(self, run, count):
         name = run.task.step.job.job.workspace
@@ -118,18 +112,11 @@
         if limit is None:
             return True
         self._refresh_unknown()
+        others = self.claims.kept_from(step) if self.claims.by_workspace else ()
+        if name in self.unknown:
+            others = (*others, self.unknown[name])
         used = self.in_use.get(name, NOTHING)
-        unknown = self.unknown.get(name, NOTHING)
-        spec = step.spec
-        return (
-            _is_within(limit.cpu, used.cpu + unknown.cpu, spec.cpu * count)
-            and _is_within(
-                limit.memory_mb,
-                used.memory_mb + unknown.memory_mb,
-                spec.memory_mb * count,
-            )
-            and _is_within(limit.gpus, used.gpus + unknown.gpus, spec.gpus * count)
-        )
+        return used.admits(limit, step.spec, count, *others)
 
     def used_fraction(self, name) -> float:
         """Return the largest fraction of a quota that a workspace may be using."""
@@ -140,18 +127,19 @@
         unknown = self.unknown.get(name, NOTHING)
         fractions = (
             (getattr(used, resource) + getattr(unknown, resource)) / most
-            for resource in ("cpu", "memory_mb", "gpus")
+            for resource in RESOURCES
             if (most := getattr(limit, resource))
         )
         return max(fractions, default=0.0)
 
     def note_wait(self, step, now):
         """Record that a step waits for the quota; log the first wait of each."""
+        self.claims.note_wait(step)
         name = step.job.job.workspace
-        percent = int(100 * self.used_fraction(name))
         wait = self.waits.get(name)
         if wait is None:
             self.waits[name] = QuotaWait(since_s=now, last_s=now)
+            percent = self._used_percent(name)
             self.state.journal("quota_wait_began", workspace=name, used_percent=percent)
         else:
             wait.last_s = now
@@ -162,9 +150,12 @@
                 job=step.job.id,
                 step=step.position,
                 workspace=name,
-                used_percent=percent,
+                used_percent=self._used_percent(name),
             )
 
+    def _used_percent(self, name):
+        return int(100 * self.used_fraction(name))
+
     def end_waits(self, now):
         """End the waits of workspaces whose steps no longer wait."""
         for name, wait in list(self.waits.items()):
@@ -226,10 +217,6 @@
         return room
 
 
-def _is_within(limit, used, needed):
-    return not limit or not needed or used + needed <= limit
-
-
 def _bound(reserved, shared, room):
     """Return what fits into the capacity; opportunistic tasks reserve no processors."""
     return Usage(
--- a/wasabipaddle/dispatch/reservations.py
+++ b/wasabipaddle/dispatch/reservations.py
@@ -1,10 +1,8 @@
 """Capacity that is kept free for work that smaller work would starve."""
 
-import math
-
 import attrs
 
-from wasabipaddle.dispatch.model import RunPhase
+from wasabipaddle.dispatch.claims import needed_together
 from wasabipaddle.dispatch.placement import within_runner_limit
 
 __all__ = ["Reservations"]
@@ -77,7 +75,11 @@
         self.tried = set()
 
     def begin_round(self, now):
-        """End the reservations of steps that have started or have waited too long."""
+        """End the reservations of steps that have started or have waited too long.
+
+        The same goes for claims on quotas.
+        """
+        self.state.quotas.claims.begin_round(now)
         self.waiting = {}
         self.tried = set()
         self.pauses_s = {k: t for k, t in self.pauses_s.items() if now < t}
@@ -85,7 +87,7 @@
             step = reservation.step
             if step.key not in self.state.ready:
                 self._end(pool, "started")
-            elif not self.state.quotas.admits(step, count=_needed(step)):
+            elif not self.state.quotas.admits(step, count=needed_together(step)):
                 self._end(pool, "quota")
             elif now >= reservation.until_s:
                 self.pauses_s[step.key] = now + RESERVE_AGAIN_S
@@ -141,7 +143,8 @@
         steps[step.key] = (step, {runner.id: runner for runner in runners})
 
     def note_start(self, step, runner, now):
-        """Reserve runners for a step that waits, if this start overtakes it."""
+        """Reserve runners, or part of a quota, for a step that this start overtakes."""
+        self.state.quotas.claims.note_start(step, now)
         pool, priority = step.job.queue.pool, step.job.queue.priority
         for waiting, runners in self.waiting.get(pool, {}).values():
             overtaken = (
@@ -184,7 +187,7 @@
             The runners, none if the step does not fit within `MAX_DRAIN_S`, and the
             expected time until it fits, in seconds.
         """
-        needed = _needed(step)
+        needed = needed_together(step)
         places = [
             (drain_s, runner.id, runner)
             for runner in runners
@@ -204,10 +207,11 @@
         """
         if not within_runner_limit(step, runner):
             return []
+        stop_s = self.state.timing.stop_s
         left_s = sorted(
             (seconds, number, run.task.spec)
             for number, run in enumerate(runner.runs.values())
-            if (seconds := self._time_left_s(run, now)) <= MAX_DRAIN_S
+            if (seconds := run.time_left_s(now, stop_s=stop_s)) <= MAX_DRAIN_S
         )
         free = Room.of_runner(runner)
         places_s = [0.0] * min(free.count(step.spec), most)
@@ -217,19 +221,6 @@
             places_s += [seconds] * further
         return places_s
 
-    def _time_left_s(self, run, now):
-        """Return the expected time until a run ends, infinite for one that lasts.
-
-        A run that exceeds its expected duration is expected to take as long again.
-        """
-        if run.phase is RunPhase.STOPPING:
-            return self.state.timing.stop_s
-        if run.task.spec.lasting:
-            return math.inf
-        elapsed_s = now - run.started_s
-        left_s = run.projected_s() - elapsed_s
-        return left_s if left_s > 0 else elapsed_s
-
 
 @attrs.define(kw_only=True)
 class Room:
@@ -267,10 +258,5 @@
         return max(most, 0)
 
 
-def _needed(step) -> int:
-    """Return how many tasks of a step have to start at the same time."""
-    return len(step.pending) if step.spec.gang else 1
-
-
 def _waited_s(step, now):
     return now - min(task.waiting_since_s for task in step.pending.values())
--- a/wasabipaddle/dispatch/shares.py
+++ b/wasabipaddle/dispatch/shares.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from wasabipaddle.dispatch.quotas import Usage
+from wasabipaddle.dispatch.usage import RESOURCES, Usage
 
 __all__ = ["Shares"]
 
@@ -23,7 +23,6 @@
 # Part of the time to its objective that a job has left when it comes first, if its
 # workspace is below its share.
 URGENT_PART = 0.5
-RESOURCES = ("cpu", "memory_mb", "gpus")
 
 
 @attrs.define(kw_only=True)
--- a/wasabipaddle/dispatch/tests/test_quota_machine.py
+++ b/wasabipaddle/dispatch/tests/test_quota_machine.py
@@ -11,9 +11,10 @@
 )
 
 from wasabipaddle.dispatch import StartOutcome, StartTask, StopTask
-from wasabipaddle.dispatch.quotas import Quotas, Usage
+from wasabipaddle.dispatch.quotas import Quotas
 from wasabipaddle.dispatch.replies import Replies
 from wasabipaddle.dispatch.tests.conftest import Cell, step
+from wasabipaddle.dispatch.usage import Usage
 from wasabipaddle.interfaces import EndCause, OrderReply, Refusal
 from wasabipaddle.jobs import Capacity, Workspace
 
