Test that nothing that fits its quota waits for ever

Cause: strict counting of what a predecessor may have started was tested for excess starts only. Not tested: that a job which needs more than half of its quota, and may be running already, starts after the takeover, and that a task above the quota holds back nothing else.

The machine also plays quotas below the need of a task.

--- a/wasabipaddle/dispatch/tests/test_quota_machine.py
+++ b/wasabipaddle/dispatch/tests/test_quota_machine.py
@@ -83,7 +83,9 @@
             job = self.jobs[index % len(self.jobs)]
             self.cell.scheduler.lifecycle.cancel(job.id, self.cell.now)
 
-    @rule(workspace=st.sampled_from(NAMES), quota=st.sampled_from((0, 2000, 6000)))
+    @rule(
+        workspace=st.sampled_from(NAMES), quota=st.sampled_from((0, 1000, 2000, 6000))
+    )
     def change_quota(self, workspace, quota):
         """Change the quota of a workspace."""
         self.quotas[workspace] = quota
@@ -266,9 +268,9 @@
             assert self.running_cpu(name) <= known + unknown, "uncounted run"
 
 
-def run_machine(max_examples, *, phases=tuple(Phase)):
+def run_machine(max_examples, *, phases=tuple(Phase), machine=QuotaMachine):
     run_state_machine_as_test(
-        QuotaMachine,
+        machine,
         settings=settings(
             max_examples=max_examples, stateful_step_count=40, phases=phases
         ),
--- a/wasabipaddle/dispatch/tests/test_quotas.py
+++ b/wasabipaddle/dispatch/tests/test_quotas.py
@@ -273,3 +273,42 @@
     shop.read_inventories()
     shop.plan()
     assert len(shop.started) == 2
+
+
+def test_task_above_the_quota_waits_alone_until_the_quota_rises(shop):
+    """Guards against a workspace that stands still for work that it may not start."""
+    shop.submit("j0", step(1, cpu=3000), workspace="shop")
+    shop.set_workspaces(Workspace(name="shop", quota=Capacity(cpu=2000)))
+    for n in range(8):
+        shop.submit(f"s{n}", step(2), workspace="shop")
+    for _ in range(8):
+        shop.advance_time(1.0)
+        for runner in shop.runners.values():
+            for run in list(runner.running):
+                runner.end(*run)
+    assert sum(task.job != "j0" for task, _, _ in shop.started) == 16
+    shop.set_workspaces(Workspace(name="shop", quota=Capacity(cpu=3000)))
+    shop.advance_time(0.5)
+    assert shop.started[-1][0].job == "j0"
+
+
+def test_job_above_half_of_the_quota_starts_again_after_a_takeover(shop):
+    """Guards against a job that waits for ever for the run that it may have itself.
+
+    The runner of the predecessor's run never answers, and is cleared when no lease can
+    last any longer.
+    """
+    entry = shop.submit("j0", step(1, cpu=2000), workspace="shop")
+    shop.plan()
+    ((_, _, lost),) = shop.started
+    shop.take_over(1, {}, [entry.job])
+    shop.unresponsive.add(lost)
+    shop.submit("j1", step(1, cpu=2000), workspace="shop")
+    shop.advance_time(6.0)
+    assert shop.started == []
+    shop.advance_time(1.0)
+    assert len(shop.started) == 1
+    (run,) = shop.started
+    shop.runners[run[2]].end(run[0], run[1])
+    shop.advance_time(0.5)
+    assert {task.job for task, _, _ in shop.started} == {"j0", "j1"}
