--- a/wasabipaddle/dispatch/tests/test_reservations.py
+++ b/wasabipaddle/dispatch/tests/test_reservations.py
@@ -11,6 +11,7 @@
 )
 from wasabipaddle.dispatch.tests.conftest import step
 from wasabipaddle.interfaces import EndCause
+from wasabipaddle.jobs import Capacity, Workspace
 
 SMALL_RUN_S = 2.0
 PERIOD_S = 0.25
@@ -128,3 +129,14 @@
     assert len(cell.state.ready) > 100
     cell.plan()
     assert len(visited) <= MAX_WAITING_STEPS * len(cell.runners)
+
+
+def test_reservation_ends_with_the_room_in_the_quota(busy_cell):
+    """Guards against runners that stand idle for work which its quota holds back."""
+    busy_cell.set_workspaces(Workspace(name="shop", quota=Capacity(cpu=8000)))
+    busy_cell.submit("wide", step(2, cpu=4000, gang=True), workspace="shop")
+    run_small_tasks(busy_cell, 2.5)
+    assert busy_cell.scheduler.reservations.by_pool
+    busy_cell.set_workspaces(Workspace(name="shop", quota=Capacity(cpu=4000)))
+    busy_cell.plan()
+    assert not busy_cell.scheduler.reservations.by_pool
