Copy the claims on quotas for a dry run

Cause: the dry run of where copies what planning changes in place; claims and the runs by workspace have come with the merge of the parts.

--- a/wasabipaddle/dispatch/preview.py
+++ b/wasabipaddle/dispatch/preview.py
@@ -44,6 +44,17 @@
     copied.state = preview
     copied.in_use = copy.deepcopy(quotas.in_use)
     copied.waits = copy.deepcopy(quotas.waits)
+    copied.runs = {name: copy.copy(runs) for name, runs in quotas.runs.items()}
+    copied.claims = _copy_claims(quotas.claims, preview)
+    return copied
+
+
+def _copy_claims(claims, preview):
+    copied = copy.copy(claims)
+    copied.state = preview
+    copied.by_workspace = {n: copy.copy(c) for n, c in claims.by_workspace.items()}
+    copied.waiting, copied.pauses_s = dict(claims.waiting), dict(claims.pauses_s)
+    copied.expired = dict(claims.expired)
     return copied
 
 
