Search in vain for runs to stop only once a round

Cause: an urgent task that fits nowhere visits all runners and their runs in each planning round. In a flood of urgent work no run may be stopped, so each waiting step makes the same search in vain.

Change: PreemptionSearches remembers in a round what was searched for in vain, until a claim or a start, which may make other runs eligible. Steps of the same workspace, priority, demand and reservations count as alike; those with tickets or a limit for each runner are searched for as before. A step that is known to find nothing is not visited further.

--- a/wasabipaddle/dispatch/placement.py
+++ b/wasabipaddle/dispatch/placement.py
@@ -8,6 +8,7 @@
 from wasabipaddle.dispatch.fleet import SuspectedRuns
 from wasabipaddle.dispatch.model import Run, RunPhase
 from wasabipaddle.dispatch.orders import StartTask
+from wasabipaddle.dispatch.preemption_searches import PreemptionSearches
 
 __all__ = ["Placement", "free_slots", "within_runner_limit"]
 
@@ -27,7 +28,7 @@
     state : CellState
         Shared state.
     preemption : Preemption
-        Frees capacity for urgent tasks.
+        Stops runs for tasks that fit on no runner.
     reservations : Reservations
         Keeps capacity free for work that smaller work would starve.
 
@@ -44,7 +45,7 @@
 
     def __init__(self, *, state, preemption, reservations):
         self.state = state
-        self.preemption = preemption
+        self.preemption = PreemptionSearches(state=state, preemption=preemption)
         self.reservations = reservations
         self.index = CandidateIndex(state=state)
         self.unanswered = {}
@@ -272,8 +273,8 @@
             if best is None:
                 self.state.capacity_exhausted = True
                 self.state.urgent_task_waiting |= step.job.queue.priority == 0
-                if self.preemption.is_allowed(task, now):
-                    self.preemption.free_capacity(task, choice.runners(), now)
+                if self.preemption.may_help(task, choice.reserved, now):
+                    self.preemption.search(task, choice, now)
                 self._note_waiting(step, now)
                 if not task.avoided:
                     return
@@ -292,12 +293,13 @@
             return False
         if self.reservations.may_reserve(step, now):
             return False
-        if not urgent:
-            return True
-        allowed = self.preemption.is_allowed
-        return state.urgent_task_waiting and not any(
-            allowed(task, now) for task in step.pending.values()
-        )
+        reserved = self.reservations.reserved_for_others(step)
+        for task in step.pending.values():
+            if self.preemption.may_help(task, reserved, now):
+                return False
+            if not task.avoided:
+                break
+        return state.urgent_task_waiting or not urgent
 
     def _waits_for_quota(self, step, now, *, count=1):
         """Return whether the quota leaves no room for `count` tasks; record it."""
@@ -371,5 +373,6 @@
         task.last_run = number
         self.state.add_run(run)
         self.unanswered.setdefault(runner.id, []).append(run)
+        self.preemption.note_start()
         self.reservations.note_start(task.step, runner, now)
         self.state.outbox.append(StartTask(run=run, ticket=ticket))
--- a/wasabipaddle/dispatch/tests/test_preemption.py
+++ b/wasabipaddle/dispatch/tests/test_preemption.py
@@ -3,6 +3,7 @@
 import attrs
 
 from wasabipaddle.dispatch.orders import StopTask
+from wasabipaddle.dispatch.preemption import Preemption
 from wasabipaddle.dispatch.tests.conftest import step
 
 
@@ -51,3 +52,42 @@
     cell.submit("cpu", step(3, estimate_s=30.0))
     cell.plan()
     assert stops_for_urgent(cell, step(3, max_per_runner=1)) == []
+
+
+def test_flood_of_urgent_steps_searches_once_for_runs_to_stop(make_cell, monkeypatch):
+    """Guards against rounds that visit all runners for each step of a flood."""
+    cell = make_cell(runners=8)
+    for number in range(100):
+        cell.submit(f"urgent{number}", step(4, estimate_s=30.0), queue="urgent")
+    cell.plan()
+    visited = []
+    victims = Preemption._victims
+
+    def count_visit(*args):
+        visited.append(args)
+        return victims(*args)
+
+    monkeypatch.setattr(Preemption, "_victims", count_visit)
+    cell.now += 0.2
+    cell.plan()
+    assert len(cell.state.ready) == 92
+    assert len(visited) <= 2 * len(cell.runners)
+
+
+def test_search_in_vain_does_not_hide_what_a_later_claim_frees(make_cell):
+    """Guards against an urgent task that waits although a stop makes room for it.
+
+    The run that is stopped for the small task holds enough for the wide one.
+    """
+    cell = make_cell(runners=1)
+    cell.submit("kept", step(1, cpu=1000, lasting=True), queue="urgent")
+    cell.submit("batch", step(1, cpu=3000, estimate_s=30.0))
+    cell.plan()
+    cell.now += 1.0
+    cell.read_inventories()
+    for name in ("first", "second", "third"):
+        cell.submit(name, step(1, estimate_s=30.0), queue="urgent")
+    cell.submit("too wide", step(1, cpu=3500, estimate_s=30.0), queue="urgent")
+    cell.now += 0.2
+    cell.plan()
+    assert cell.scheduler.preemption.claimed == {"r0": (3000, 0, 0)}
