End the search for runs to stop at the first runner where nothing is lost

Cause: a task that waits for runs which are already stopping claims their capacity anew in each round, with a visit of all runners, although no runner costs less than none.

Change: the search ends at the first such runner, which it chose before too.

The same digest of decisions as before. Still one visit of many runners for each claim.

--- a/wasabipaddle/dispatch/preemption.py
+++ b/wasabipaddle/dispatch/preemption.py
@@ -65,6 +65,8 @@
             cost = sum(_cost(run, now) for run in victims)
             if best is None or cost < best[0]:
                 best = (cost, runner, victims)
+            if not cost:
+                break
         if best is None:
             return
         _, runner, victims = best
