Count the quota of a workspace in the objective at admission

Cause: the process that accepts jobs takes the quota of a workspace from the forecast, which names it only while its jobs wait for it. Otherwise a job that its quota makes run in waves is judged by the objective of one wave, and refused although the dispatcher gives it more time.

Change: the quota of the configuration counts as well.

--- a/wasabipaddle/cell/admission.py
+++ b/wasabipaddle/cell/admission.py
@@ -184,4 +184,12 @@
         received_s = self.context.clock.now() - self.members.waiting_received_s
         if forecast.age_s + received_s > FORECAST_VALID_S:
             return 0.0
-        return find_excess_s(job.policy, job.workspace, job.spec, forecast.waits)
+        current = self.configuration.current
+        workspace = current.workspaces.get(job.workspace) if current else None
+        return find_excess_s(
+            job.policy,
+            job.workspace,
+            job.spec,
+            forecast.waits,
+            quota=workspace.quota.cpu if workspace is not None else 0,
+        )
--- a/wasabipaddle/dispatch/forecast.py
+++ b/wasabipaddle/dispatch/forecast.py
@@ -160,7 +160,7 @@
     return (wait.pool, wait.workspace, wait.priority)
 
 
-def find_excess_s(queue, workspace, spec, waits) -> float:
+def find_excess_s(queue, workspace, spec, waits, *, quota=0) -> float:
     """Return by how much a job certainly exceeds the time in which it is of use.
 
     Only a part of the expected wait and of the estimated work counts as certain.
@@ -169,6 +169,10 @@
     ----------
     waits : tuple of ExpectedWait
         Forecast of the leader.
+    quota : int
+        Quota of the workspace in thousandths of a core, 0 if there is none. A job that
+        it makes run in waves has a later objective, also if nothing waits for the
+        quota.
 
     Returns
     -------
@@ -180,12 +184,9 @@
     concerned = [wait for wait in waits if wait.concerns(queue, workspace)]
     if not concerned:
         return 0.0
-    objective_s = measure_objective_s(
-        queue,
-        spec,
-        room=max(wait.room for wait in concerned),
-        quota=min(wait.room for wait in concerned),
-    )
+    rooms = [wait.room for wait in concerned]
+    limit = min(quota, *rooms) if quota else min(rooms)
+    objective_s = measure_objective_s(queue, spec, room=max(rooms), quota=limit)
     work = min(s.count * s.cpu * s.estimate_s for s in spec.steps if not s.after)
     wait_s = max(w.wait_s(objective_s - spec.chain_s, work) for w in concerned)
     certain_s = CERTAIN_WAIT_SHARE * (wait_s + spec.chain_s)
--- a/wasabipaddle/dispatch/tests/test_forecast.py
+++ b/wasabipaddle/dispatch/tests/test_forecast.py
@@ -3,6 +3,7 @@
 from wasabipaddle.dispatch.forecast import SETTLING_S, find_excess_s
 from wasabipaddle.dispatch.tests.conftest import BATCH, URGENT, step
 from wasabipaddle.jobs import JobSpec
+from wasabipaddle.messages.jobs import ExpectedWait
 
 
 def forecast(cell):
@@ -90,3 +91,11 @@
     assert find_excess_s(BATCH, "", large, waits) > 0
     assert find_excess_s(BATCH, "", small, waits) <= 0
     assert find_excess_s(URGENT, "", large, waits) <= 0
+
+
+def test_job_that_its_quota_makes_run_in_waves_is_not_refused_for_that():
+    """Guards against refusals by an objective that leaves out the quota."""
+    wait = ExpectedWait(pool="pool", priority=2, room=800_000, points=((-1.0, 60.0),))
+    spec = JobSpec(payload="p", steps=(step(20, estimate_s=1.0),))
+    assert find_excess_s(BATCH, "", spec, (wait,)) > 0
+    assert find_excess_s(BATCH, "small", spec, (wait,), quota=1000) <= 0
