Bound the forecast in hello messages

Cause: a forecast has a wait for each pool, priority and workspace with a quota, so the reply to each hello message grows with the number of workspaces.

Change: at most 64 waits are reported, those for room first, then the longest. A job whose wait is left out is accepted unless another one concerns it. Metrics and logs keep all waits.

--- a/wasabipaddle/dispatch/forecast.py
+++ b/wasabipaddle/dispatch/forecast.py
@@ -11,6 +11,9 @@
 # Shorter waits are not reported, so that messages are short while there is room. Each
 # further point of a forecast stands for twice the wait.
 MIN_WAIT_S = 1.0
+# Waits in a forecast, since each workspace with a quota may have one for each pool and
+# priority. A job whose wait is left out is accepted, unless another wait concerns it.
+MAX_WAITS = 64
 # Level of a workspace that is not above its share, for a job that has just begun.
 NEW_JOB_SHARE = 1
 MS_PER_S = 1000
@@ -40,6 +43,8 @@
     ----------
     since_s : float or None
         Time at which a forecast was first asked for.
+    latest : tuple of ExpectedWait
+        All waits of the latest measurement.
     """
 
     def __init__(self, *, state):
@@ -58,7 +63,8 @@
             latest = self._measure(now)
             self._note_changes(latest)
             self.latest, self.measured_s = latest, now
-        return LoadForecast(age_s=now - self.measured_s, waits=self.latest)
+        waits = _select_waits(self.latest)
+        return LoadForecast(age_s=now - self.measured_s, waits=waits)
 
     @property
     def longest_wait_s(self) -> float:
@@ -156,6 +162,14 @@
     return in_time and not rank.in_excess and rank.share_level <= NEW_JOB_SHARE
 
 
+def _select_waits(waits):
+    """Return the waits to report: those for room first, then the longest ones."""
+    if len(waits) <= MAX_WAITS:
+        return waits
+    ordered = sorted(waits, key=lambda wait: (bool(wait.workspace), -wait.longest_s))
+    return tuple(ordered[:MAX_WAITS])
+
+
 def _line(wait):
     return (wait.pool, wait.workspace, wait.priority)
 
--- a/wasabipaddle/dispatch/tests/test_forecast.py
+++ b/wasabipaddle/dispatch/tests/test_forecast.py
@@ -1,8 +1,8 @@
 """Forecast of the wait of new jobs, without a network."""
 
-from wasabipaddle.dispatch.forecast import SETTLING_S, find_excess_s
+from wasabipaddle.dispatch.forecast import MAX_WAITS, SETTLING_S, find_excess_s
 from wasabipaddle.dispatch.tests.conftest import BATCH, URGENT, step
-from wasabipaddle.jobs import JobSpec
+from wasabipaddle.jobs import Capacity, JobSpec, Workspace
 from wasabipaddle.messages.jobs import ExpectedWait
 
 
@@ -93,6 +93,28 @@
     assert find_excess_s(URGENT, "", large, waits) <= 0
 
 
+def test_forecast_for_many_workspaces_is_bounded(cell):
+    """Guards against hello messages that grow with the number of workspaces.
+
+    The workspace with the shortest wait is left out, and its jobs are accepted.
+    """
+    names = [f"w{n}" for n in range(MAX_WAITS + 20)]
+    quota = Capacity(cpu=1000)
+    cell.set_workspaces(*(Workspace(name=n, weight=10.0, quota=quota) for n in names))
+    fill(cell)
+    for number, name in enumerate(names):
+        work = step(1, estimate_s=30.0 + number)
+        for i in range(10):
+            cell.submit(f"{name}-{i}", work, workspace=name)
+    waits = cell.scheduler.forecaster.forecast(cell.now).waits
+    assert len(waits) == MAX_WAITS
+    assert any(not wait.workspace for wait in waits)
+    assert any(wait.workspace == names[-1] for wait in waits)
+    spec = JobSpec(payload="p", steps=(step(1, estimate_s=30.0),))
+    own = [wait for wait in waits if wait.workspace]
+    assert find_excess_s(BATCH, names[0], spec, own, quota=quota.cpu) <= 0
+
+
 def test_job_that_its_quota_makes_run_in_waves_is_not_refused_for_that():
     """Guards against refusals by an objective that leaves out the quota."""
     wait = ExpectedWait(pool="pool", priority=2, room=800_000, points=((-1.0, 60.0),))
