--- a/wasabipaddle/dispatch/dry_run.py
+++ b/wasabipaddle/dispatch/dry_run.py
@@ -70,7 +70,14 @@
         forecast = forecaster.forecast(self.now)
         if forecast is None:
             return None
-        return find_wait_s(job.policy, job.workspace, job.spec, forecast.waits)
+        workspace = state.configuration.workspaces.get(job.workspace)
+        return find_wait_s(
+            job.policy,
+            job.workspace,
+            job.spec,
+            forecast.waits,
+            quota=workspace.quota.cpu if workspace is not None else 0,
+        )
 
     def _measure_workspace(self, job):
         if not job.workspace:
--- a/wasabipaddle/dispatch/forecast.py
+++ b/wasabipaddle/dispatch/forecast.py
@@ -11,6 +11,9 @@
 # Shorter waits are not reported, so that messages are short while there is room. Each
 # further point of a forecast stands for twice the wait.
 MIN_WAIT_S = 1.0
+# Waits in a forecast, since each workspace with a quota may have one for each pool and
+# priority. A job whose wait is left out is accepted, unless another wait concerns it.
+MAX_WAITS = 64
 # Level of a workspace that is not above its share, for a job that has just begun.
 NEW_JOB_SHARE = 1
 MS_PER_S = 1000
@@ -40,6 +43,8 @@
     ----------
     since_s : float or None
         Time at which a forecast was first asked for.
+    latest : tuple of ExpectedWait
+        All waits of the latest measurement.
     """
 
     def __init__(self, *, state):
@@ -58,7 +63,8 @@
             latest = self._measure(now)
             self._note_changes(latest)
             self.latest, self.measured_s = latest, now
-        return LoadForecast(age_s=now - self.measured_s, waits=self.latest)
+        waits = _select_waits(self.latest)
+        return LoadForecast(age_s=now - self.measured_s, waits=waits)
 
     @property
     def longest_wait_s(self) -> float:
@@ -156,11 +162,19 @@
     return in_time and not rank.in_excess and rank.share_level <= NEW_JOB_SHARE
 
 
+def _select_waits(waits):
+    """Return the waits to report: those for room first, then the longest ones."""
+    if len(waits) <= MAX_WAITS:
+        return waits
+    ordered = sorted(waits, key=lambda wait: (bool(wait.workspace), -wait.longest_s))
+    return tuple(ordered[:MAX_WAITS])
+
+
 def _line(wait):
     return (wait.pool, wait.workspace, wait.priority)
 
 
-def find_excess_s(queue, workspace, spec, waits) -> float:
+def find_excess_s(queue, workspace, spec, waits, *, quota=0) -> float:
     """Return by how much a job certainly exceeds the time in which it is of use.
 
     Only a part of the expected wait and of the estimated work counts as certain.
@@ -169,6 +183,10 @@
     ----------
     waits : tuple of ExpectedWait
         Forecast of the leader.
+    quota : int
+        Quota of the workspace in thousandths of a core, 0 if there is none. A job that
+        it makes run in waves has a later objective, also if nothing waits for the
+        quota.
 
     Returns
     -------
@@ -180,17 +198,21 @@
     concerned = _select_concerned(queue, workspace, waits)
     if not concerned:
         return 0.0
-    wait_s = find_wait_s(queue, workspace, spec, waits)
+    wait_s = find_wait_s(queue, workspace, spec, waits, quota=quota)
     certain_s = CERTAIN_WAIT_SHARE * (wait_s + spec.chain_s)
-    return certain_s - USEFUL_OBJECTIVES * _expected_objective_s(queue, spec, concerned)
+    objective_s = _expected_objective_s(queue, spec, concerned, quota)
+    return certain_s - USEFUL_OBJECTIVES * objective_s
 
 
-def find_wait_s(queue, workspace, spec, waits) -> float:
-    """Return how long a new job is expected to wait for room and quota, in seconds."""
+def find_wait_s(queue, workspace, spec, waits, *, quota=0) -> float:
+    """Return how long a new job is expected to wait for room and quota, in seconds.
+
+    The parameters are those of `find_excess_s`.
+    """
     concerned = _select_concerned(queue, workspace, waits)
     if not concerned:
         return 0.0
-    slack_s = _expected_objective_s(queue, spec, concerned) - spec.chain_s
+    slack_s = _expected_objective_s(queue, spec, concerned, quota) - spec.chain_s
     work = min(s.count * s.cpu * s.estimate_s for s in spec.steps if not s.after)
     return max(wait.wait_s(slack_s, work) for wait in concerned)
 
@@ -199,10 +221,7 @@
     return [wait for wait in waits if wait.concerns(queue, workspace)]
 
 
-def _expected_objective_s(queue, spec, concerned):
-    return measure_objective_s(
-        queue,
-        spec,
-        room=max(wait.room for wait in concerned),
-        quota=min(wait.room for wait in concerned),
-    )
+def _expected_objective_s(queue, spec, concerned, quota):
+    rooms = [wait.room for wait in concerned]
+    limit = min(quota, *rooms) if quota else min(rooms)
+    return measure_objective_s(queue, spec, room=max(rooms), quota=limit)
--- a/wasabipaddle/dispatch/preemption.py
+++ b/wasabipaddle/dispatch/preemption.py
@@ -92,6 +92,8 @@
             cost = sum(_cost(run, now) for run in victims)
             if best is None or cost < best[0]:
                 best = (cost, runner, victims)
+            if not cost:
+                break
         return None if best is None else best[1:]
 
     def _victims(self, task, level, runner, now):
