Take lent room back for jobs that would be late without it

Cause: a workspace that fills an idle cell with long tasks keeps it until they end, so jobs of others below their share in the same priority miss their objectives.

Change: preemption has rules, urgent tasks and lent room; what is stopped by the first is as before. Lent room is taken back from a workspace above the upper bound of its share, which keeps its share, for a task that has to start now and keeps its workspace within its share. Each task is stopped once, and served once. `run_preempted` names the rule. Runners of the tests may report the progress of their tasks.

--- a/wasabipaddle/dispatch/model.py
+++ b/wasabipaddle/dispatch/model.py
@@ -203,6 +203,9 @@
         Whether a run of the task was stopped because it stalled or was slow.
     waiting_since_s : float
         Time at which the task last began to wait for a run.
+    gave_room, got_room : bool
+        Whether a run of the task was stopped to give back lent room, and whether runs
+        were stopped so that the task gets some.
     """
 
     id: TaskId
@@ -215,6 +218,8 @@
     avoided: set = attrs.field(factory=set)
     given_up: bool = False
     waiting_since_s: float = 0.0
+    gave_room: bool = False
+    got_room: bool = False
 
     @property
     def spec(self) -> StepSpec:
--- a/wasabipaddle/dispatch/preemption.py
+++ b/wasabipaddle/dispatch/preemption.py
@@ -1,28 +1,33 @@
-"""Preemption of less urgent runs by urgent tasks."""
+"""Preemption of runs by tasks that fit on no runner."""
 
 from wasabipaddle.dispatch.model import RunPhase
 from wasabipaddle.dispatch.placement import within_runner_limit
+from wasabipaddle.dispatch.preemption_rules import LentRoom, LessUrgentRuns
 
 __all__ = ["Preemption"]
 
-URGENT_PRIORITY = 0
-# Time that an urgent task waits for free capacity before it may preempt runs.
-PREEMPTION_DELAY_S = 0.1
-# A run with at least this progress is not preempted, since it will end soon.
-PREEMPTION_LIMIT_PERCENT = 85
-
 
 class Preemption:
-    """Stops less urgent runs for urgent tasks that fit on no runner.
+    """Stops runs for tasks that fit on no runner, as far as a rule allows it.
 
     Parameters
     ----------
     state : CellState
         Shared state.
+
+    Attributes
+    ----------
+    rules : tuple of PreemptionRule
+        Rules in the order in which they are tried.
+    claimed : dict of str to tuple of int
+        Processors, memory and GPUs of each runner that tasks wait for in this round.
+    outlooks : dict of tuple to Outlook
+        What callers can still get, by the key of the step.
     """
 
     def __init__(self, *, state):
         self.state = state
+        self.rules = (LessUrgentRuns(state=state), LentRoom(state=state))
         self.claimed = {}
         self.outlooks = {}
 
@@ -30,6 +35,8 @@
         """Clear what was claimed and computed in the previous planning round."""
         self.claimed = {}
         self.outlooks = {}
+        for rule in self.rules:
+            rule.begin_round()
 
     def _outlook(self, step, now):
         """Return what the caller of a step can still get, computed once a round."""
@@ -38,35 +45,41 @@
         return self.outlooks[step.key]
 
     def is_allowed(self, task, now) -> bool:
-        """Return whether a task is urgent and has waited long enough to preempt.
-
-        A task of a job in excess preempts nothing.
-        """
-        entry = task.step.job
-        urgent = entry.queue.priority == URGENT_PRIORITY and not entry.in_excess
-        waited_s = now - task.waiting_since_s
-        if not urgent or waited_s < PREEMPTION_DELAY_S:
-            return False
-        return self.state.order.may_preempt(task.step, now)
+        """Return whether runs may be stopped for a task."""
+        return any(rule.allows(task, now) for rule in self.rules)
 
     def free_capacity(self, task, runners, now):
-        """Claim capacity on a runner, and stop runs there as far as necessary.
-
-        The runner on which the stops cost least is chosen.
-        """
+        """Claim capacity on a runner, and stop runs there as far as necessary."""
+        for rule in self.rules:
+            if not rule.allows(task, now):
+                continue
+            if self._free_by(rule, task, rule.runners(task, runners), now):
+                self._serve_further_tasks(rule, task, runners, now)
+                return
+            rule.note_failure(task, now)
+
+    def _serve_further_tasks(self, rule, task, runners, now):
+        """Free capacity for further tasks of the step as long as there is some."""
+        for other in rule.further_tasks(task):
+            if not rule.allows(other, now):
+                return
+            if not self._free_by(rule, other, rule.runners(other, runners), now):
+                return
+
+    def _free_by(self, rule, task, runners, now) -> bool:
+        """Free capacity by a rule, on the runner on which the stops cost least."""
         best = None
-        level = self.state.order.level(task.step, now)
         for runner in runners:
             if not runner.fits_when_empty(task.spec):
                 continue
-            victims = self._victims(task, level, runner, now)
+            victims = self._victims(rule, task, runner, now)
             if victims is None:
                 continue
             cost = sum(_cost(run, now) for run in victims)
             if best is None or cost < best[0]:
                 best = (cost, runner, victims)
         if best is None:
-            return
+            return False
         _, runner, victims = best
         spec = task.spec
         cpu, memory, gpus = self.claimed.get(runner.id, (0, 0, 0))
@@ -85,11 +98,14 @@
                 runner=runner.id,
                 percent=run.percent,
                 reason=task.id.job,
+                rule=rule.name,
             )
+            rule.note_stop(run, task)
             self.state.stop_run(run, now)
             self.state.order.release(run)
+        return True
 
-    def _victims(self, task, level, runner, now):
+    def _victims(self, rule, task, runner, now):
         """Return the runs to stop so that the task fits, None if that is impossible.
 
         The list is empty if runs that are already stopping release enough.
@@ -110,12 +126,7 @@
                 memory -= run.task.spec.memory_mb
                 gpus -= run.task.spec.gpus
         victims = []
-        order = self.state.order
-        candidates = [
-            run
-            for run in runner.runs.values()
-            if _preemptible(run, task) and order.loses_less(run, level)
-        ]
+        candidates = rule.candidates(task, runner, now)
         candidates.sort(
             key=lambda run: (
                 -self._outlook(run.task.step, now),
@@ -127,11 +138,12 @@
             if cpu <= 0 and memory <= 0 and gpus <= 0:
                 break
             held = run.task.spec
-            if (
+            helps = (
                 (cpu > 0 and _cpu(held))
                 or (memory > 0 and held.memory_mb)
                 or (gpus > 0 and held.gpus)
-            ):
+            )
+            if helps and rule.may_add(run, victims):
                 victims.append(run)
                 cpu -= _cpu(held)
                 memory -= held.memory_mb
@@ -144,17 +156,6 @@
     return 0 if spec.opportunistic else spec.cpu
 
 
-def _preemptible(run, task):
-    spec = run.task.spec
-    return (
-        run.phase is RunPhase.RUNNING
-        and run.task.step.job.queue.priority > task.step.job.queue.priority
-        and not spec.lasting
-        and not spec.gang
-        and run.percent < PREEMPTION_LIMIT_PERCENT
-    )
-
-
 def _cost(run, now):
     """Return the processor time that a stop wastes, in core milliseconds.
 
--- a/wasabipaddle/dispatch/shares.py
+++ b/wasabipaddle/dispatch/shares.py
@@ -5,9 +5,9 @@
 
 import attrs
 
-from wasabipaddle.dispatch.usage import RESOURCES, Usage
+from wasabipaddle.dispatch.usage import Usage
 
-__all__ = ["Shares"]
+__all__ = ["Shares", "upper_share"]
 
 # Window over which the jobs that a workspace submits are counted.
 RATE_WINDOW_MS = 5_000
@@ -165,8 +165,7 @@
         left_s = self.state.order.due_s(step) - now
         if held < share and left_s < URGENT_PART * entry.objective_s:
             return 0
-        # Up to twice a small share, and up to the whole fleet for a single workspace.
-        ratio = held / (share * (2.0 - share))
+        ratio = held / upper_share(share)
         return 1 if ratio <= 1.0 else 2 + int(math.log(ratio, LEVEL_RATIO))
 
     def held_and_share(self, job):
@@ -174,19 +173,43 @@
 
         Both are parts of the fleet; the fair share of an unknown workspace is 0.
         """
-        workspace = self.state.configuration.workspaces.get(job.workspace)
-        if workspace is None:
+        share = self.fair_share(job.workspace)
+        if not share:
             return 0.0, 0.0
+        usage = self.usage(job.workspace, job.policy.priority)
+        return self.dominant_share(usage), share
+
+    def fair_share(self, name) -> float:
+        """Return the fair share of a workspace, 0 if it is not configured."""
+        workspace = self.state.configuration.workspaces.get(name)
+        if workspace is None:
+            return 0.0
         weight = max(workspace.weight, LEAST_WEIGHT)
-        share = weight / max(self.weight_at_work, weight)
-        counted = [
-            usage
-            for priority, usage in self.in_use.get(job.workspace, {}).items()
-            if priority <= job.policy.priority
-        ]
-        held = max(
-            sum(getattr(usage, resource) for usage in counted)
-            / (getattr(self.capacity, resource) or math.inf)
-            for resource in RESOURCES
+        return weight / max(self.weight_at_work, weight)
+
+    def usage(self, name, priority) -> Usage:
+        """Return what runs of a priority and more urgent ones of a workspace hold."""
+        total = Usage()
+        for counted, usage in self.in_use.get(name, {}).items():
+            if counted <= priority:
+                total.cpu += usage.cpu
+                total.memory_mb += usage.memory_mb
+                total.gpus += usage.gpus
+        return total
+
+    def dominant_share(self, usage) -> float:
+        """Return the largest part of a resource of the fleet in some usage."""
+        capacity = self.capacity
+        return max(
+            usage.cpu / (capacity.cpu or math.inf),
+            usage.memory_mb / (capacity.memory_mb or math.inf),
+            usage.gpus / (capacity.gpus or math.inf),
         )
-        return held, share
+
+
+def upper_share(share) -> float:
+    """Return the part of the fleet up to which a workspace comes in its usual order.
+
+    It is up to twice a small share, and the whole fleet for a single workspace.
+    """
+    return share * (2.0 - share)
--- a/wasabipaddle/dispatch/tests/conftest.py
+++ b/wasabipaddle/dispatch/tests/conftest.py
@@ -45,6 +45,8 @@
 
     Attributes
     ----------
+    percents : dict
+        Progress of running tasks, by task and run; others are at 50 percent.
     lag_s : float
         Time for which the clock of the runner has stood still, in seconds.
     """
@@ -55,6 +57,7 @@
         self.incarnation = 1
         self.cpu = cpu
         self.running = {}
+        self.percents = {}
         self.ended = []
         self.number = 0
         self.acknowledged = 0
@@ -79,13 +82,19 @@
         )
 
     def inventory(self, acknowledged):
-        """Return an inventory with all running tasks at 50 percent.
+        """Return an inventory.
 
         Ended runs up to the number `acknowledged` are no longer listed.
         """
         self.acknowledged = max(self.acknowledged, acknowledged)
         rows = tuple(
-            RunningTask(task=task, run=run, checkpoint=saved, percent=50, load=1.0)
+            RunningTask(
+                task=task,
+                run=run,
+                checkpoint=saved,
+                percent=self.percents.get((task, run), 50),
+                load=1.0,
+            )
             for (task, run), saved in self.running.items()
         )
         ended = [e for e in self.ended if e.number > self.acknowledged]
