Forget workspaces that left and have no work

Cause: Quotas.limits and in_use and the tables of Shares kept the name of each workspace that was ever configured or had a run.

Change: usage is kept for workspaces with runs, times of acceptance for configured ones, and quotas for both, for those with unfinished jobs, and for the last hundred others, since accepted jobs may still be on their way. Shares counts a workspace as at work if it has runs, also such that ask for no processors.

--- a/wasabipaddle/dispatch/quotas.py
+++ b/wasabipaddle/dispatch/quotas.py
@@ -15,6 +15,8 @@
 # Time without a step that waits for the quota after which the wait of a workspace is
 # over. It keeps a workspace at its quota from a log line for each end of a run.
 WAIT_OVER_S = 2.0
+# Workspaces without work that are no longer configured whose quotas are kept.
+FORMER_WORKSPACES = 100
 # Most runs of a speculative task that exist at the same time: the first and its copy.
 SPECULATIVE_RUNS = 2
 
@@ -55,7 +57,7 @@
         Last known quota of each workspace. Jobs of a workspace that is no longer
         configured keep it.
     in_use : dict of str to Usage
-        Resources of the known runs by workspace.
+        Resources of the known runs of each workspace that has any.
     runs : dict of str to dict of Run to None
         Known runs of each workspace that has any.
     unknown : dict of str to Usage
@@ -80,7 +82,16 @@
         self.claims = QuotaClaims(state=state)
 
     def configure(self, workspaces):
-        """Set the quotas of the current configuration."""
+        """Set the quotas of the current configuration.
+
+        Those of workspaces that left without work are forgotten, but for the last
+        `FORMER_WORKSPACES`: jobs of them may still be on their way.
+        """
+        at_work = {entry.job.workspace for entry in self.state.unfinished.values()}
+        kept = at_work | self.runs.keys() | workspaces.keys()
+        former = [name for name in self.limits if name not in kept]
+        for name in former[: max(len(former) - FORMER_WORKSPACES, 0)]:
+            del self.limits[name]
         for name, workspace in workspaces.items():
             self.limits[name] = workspace.quota
 
@@ -98,7 +109,11 @@
     def release(self, run):
         """Count a run no longer, since it does not exist any more."""
         self._add(run, -1)
-        self.runs.get(run.task.step.job.job.workspace, {}).pop(run, None)
+        name = run.task.step.job.job.workspace
+        runs = self.runs.get(name, {})
+        runs.pop(run, None)
+        if name in self.runs and not runs:
+            del self.runs[name], self.in_use[name]
 
     def _add(self, run, count):
         name = run.task.step.job.job.workspace
--- a/wasabipaddle/dispatch/shares.py
+++ b/wasabipaddle/dispatch/shares.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from wasabipaddle.dispatch.usage import Usage
+from wasabipaddle.dispatch.usage import NOTHING, Usage
 
 __all__ = ["Shares", "upper_share"]
 
@@ -99,6 +99,10 @@
             # The priority of the queue may change while the run exists.
             usage = by_priority.setdefault(job.policy.priority, Usage())
             usage.add(run.task.spec, count)
+            if usage == NOTHING:
+                del by_priority[job.policy.priority]
+            if not by_priority:
+                del self.in_use[job.workspace]
 
     def _compare_with_rate(self, entry, now):
         """Set whether a job is in excess, given the jobs accepted before it.
@@ -134,6 +138,10 @@
     def begin_round(self):
         """Measure the fleet and the workspaces with work."""
         workspaces = self.state.configuration.workspaces
+        if not self.accepted_ms.keys() <= workspaces.keys():
+            self.accepted_ms = {
+                k: times for k, times in self.accepted_ms.items() if k in workspaces
+            }
         if not workspaces:
             return
         self.capacity = capacity = FleetCapacity()
@@ -142,9 +150,7 @@
                 capacity.cpu += runner.entry.capacity.cpu
                 capacity.memory_mb += runner.entry.capacity.memory_mb
                 capacity.gpus += runner.entry.capacity.gpus
-        at_work = {
-            name for name, usage in self.state.quotas.in_use.items() if usage.cpu > 0
-        }
+        at_work = set(self.state.quotas.runs)
         at_work.update(s.job.job.workspace for s in self.state.ready.values())
         self.weight_at_work = sum(
             workspaces[name].weight for name in at_work if name in workspaces
--- a/wasabipaddle/dispatch/tests/test_quotas.py
+++ b/wasabipaddle/dispatch/tests/test_quotas.py
@@ -4,6 +4,7 @@
 import pytest
 
 from wasabipaddle.dispatch import StopTask
+from wasabipaddle.dispatch.quotas import FORMER_WORKSPACES
 from wasabipaddle.dispatch.tests.conftest import QUEUES, step
 from wasabipaddle.interfaces import EndCause
 from wasabipaddle.jobs import Capacity, Job, JobSpec, Workspace
@@ -312,3 +313,34 @@
     shop.runners[run[2]].end(run[0], run[1])
     shop.advance_time(0.5)
     assert {task.job for task, _, _ in shop.started} == {"j0", "j1"}
+
+
+def test_workspaces_that_left_are_forgotten(shop):
+    """Guards against memory that grows with each workspace that ever existed."""
+    count = FORMER_WORKSPACES + 20
+    for n in range(count):
+        name = f"shop-{n}"
+        shop.set_workspaces(Workspace(name=name, quota=Capacity(cpu=3000)))
+        shop.submit(f"j{n}", step(2), workspace=name)
+        shop.plan()
+        for runner in shop.runners.values():
+            for run in list(runner.running):
+                runner.end(*run)
+        shop.read_inventories()
+    assert len(shop.started) == 2 * count
+    shop.set_workspaces()
+    shop.plan()
+    quotas, shares = shop.state.quotas, shop.state.shares
+    assert len(quotas.limits) == FORMER_WORKSPACES
+    assert f"shop-{count - 1}" in quotas.limits
+    for names in (quotas.in_use, quotas.runs, shares.in_use, shares.accepted_ms):
+        assert not names
+
+
+def test_quota_of_a_removed_workspace_outlives_changes(shop):
+    """Guards against a workspace that loses its quota before its last job ends."""
+    shop.submit("j0", step(6), workspace="shop")
+    for n in range(FORMER_WORKSPACES + 5):
+        shop.set_workspaces(Workspace(name=f"other-{n}"))
+    shop.plan()
+    assert len(shop.started) == 3
