--- a/wasabipaddle/dispatch/dry_run.py
+++ b/wasabipaddle/dispatch/dry_run.py
@@ -5,7 +5,7 @@
 from wasabipaddle.dispatch.forecast import find_wait_s
 from wasabipaddle.dispatch.job_placement import JobPlacement
 from wasabipaddle.dispatch.lifecycle import Lifecycle
-from wasabipaddle.dispatch.preemption import PREEMPTION_DELAY_S
+from wasabipaddle.dispatch.preemption_rules import URGENT_DELAY_S
 from wasabipaddle.dispatch.preview import copy_state
 from wasabipaddle.messages.placement import (
     PlacementReply,
@@ -126,7 +126,7 @@
             return max(view.request.expected_s, wait_s)
         if view.waits_for is WaitReason.ROOM:
             if view.victims is not None:
-                return PREEMPTION_DELAY_S + self.scheduler.state.timing.stop_s
+                return URGENT_DELAY_S + self.scheduler.state.timing.stop_s
             known = view.drain_s is not None and wait_s is not None
             return max(view.drain_s, wait_s) if known else None
         if view.waits_for is WaitReason.QUOTA:
--- a/wasabipaddle/dispatch/job_placement.py
+++ b/wasabipaddle/dispatch/job_placement.py
@@ -12,7 +12,8 @@
 from wasabipaddle.dispatch.order import Rank
 from wasabipaddle.dispatch.orders import AdviceRequest
 from wasabipaddle.dispatch.placement import Placement
-from wasabipaddle.dispatch.preemption import PREEMPTION_DELAY_S, Preemption
+from wasabipaddle.dispatch.preemption import Preemption
+from wasabipaddle.dispatch.preemption_rules import URGENT_DELAY_S
 from wasabipaddle.dispatch.preview import copy_runner
 from wasabipaddle.messages.placement import Candidate, Exclusion, WaitReason
 
@@ -209,13 +210,14 @@
         chosen, drain_s = self.reservations.choose_runners(step, runners, self.now)
         view.drain_s = drain_s if chosen else None
         task = next(iter(step.pending.values()))
-        preempts_s = self.now + 2 * PREEMPTION_DELAY_S
+        preempts_s = self.now + 2 * URGENT_DELAY_S
         if step.spec.gang or step.job.queue.advice is not None:
             return
-        if self.preemption.is_allowed(task, preempts_s):
-            reserved = self.reservations.reserved_for_others(step)
-            permitted = [r for r in runners if r.id not in reserved]
-            view.victims = self.preemption.choose_victims(task, permitted, preempts_s)
+        reserved = self.reservations.reserved_for_others(step)
+        permitted = [r for r in runners if r.id not in reserved]
+        view.victims = self.searches.preemption.choose_victims(
+            task, permitted, preempts_s
+        )
 
     def _explain_wait(self, view, *, may_start, deferred):
         """Return why tasks of a step have not started."""
--- a/wasabipaddle/dispatch/placement.py
+++ b/wasabipaddle/dispatch/placement.py
@@ -45,7 +45,7 @@
 
     def __init__(self, *, state, preemption, reservations):
         self.state = state
-        self.preemption = PreemptionSearches(state=state, preemption=preemption)
+        self.searches = PreemptionSearches(state=state, preemption=preemption)
         self.reservations = reservations
         self.index = CandidateIndex(state=state)
         self.unanswered = {}
@@ -57,7 +57,7 @@
         Recovered jobs wait while suspect runners may hold runs of the previous
         dispatcher.
         """
-        self.preemption.begin_round()
+        self.searches.begin_round()
         self.reservations.begin_round(now)
         self._forget_answered()
         self.deferred = False
@@ -273,8 +273,8 @@
             if best is None:
                 self.state.capacity_exhausted = True
                 self.state.urgent_task_waiting |= step.job.queue.priority == 0
-                if self.preemption.may_help(task, choice.reserved, now):
-                    self.preemption.search(task, choice, now)
+                if self.searches.may_help(task, choice.reserved, now):
+                    self.searches.search(task, choice, now)
                 self._note_waiting(step, now)
                 if not task.avoided:
                     return
@@ -295,7 +295,7 @@
             return False
         reserved = self.reservations.reserved_for_others(step)
         for task in step.pending.values():
-            if self.preemption.may_help(task, reserved, now):
+            if self.searches.may_help(task, reserved, now):
                 return False
             if not task.avoided:
                 break
@@ -373,6 +373,6 @@
         task.last_run = number
         self.state.add_run(run)
         self.unanswered.setdefault(runner.id, []).append(run)
-        self.preemption.note_start()
+        self.searches.note_start()
         self.reservations.note_start(task.step, runner, now)
         self.state.outbox.append(StartTask(run=run, ticket=ticket))
--- a/wasabipaddle/dispatch/preemption_searches.py
+++ b/wasabipaddle/dispatch/preemption_searches.py
@@ -47,22 +47,24 @@
         reserved : frozenset of str
             Runners that are reserved for other steps.
         """
-        if not self.preemption.is_allowed(task, now):
+        rules = self.preemption.rules_for(task, now)
+        if not rules:
             return False
-        return self._key(task.step, reserved, now) not in self.fruitless
+        return self._key(task.step, reserved, rules, now) not in self.fruitless
 
     def search(self, task, choice, now):
         """Free capacity for a task on a runner of a choice, if that is possible."""
+        rules = self.preemption.rules_for(task, now)
+        key = self._key(task.step, choice.reserved, rules, now)
         before = dict(self.preemption.claimed)
         self.preemption.free_capacity(task, choice.runners(), now)
         if self.preemption.claimed != before:
             self.fruitless.clear()
             return
-        key = self._key(task.step, choice.reserved, now)
         if key is not None:
             self.fruitless.add(key)
 
-    def _key(self, step, reserved, now):
+    def _key(self, step, reserved, rules, now):
         """Return what a search depends on, None if it is the step itself."""
         spec, queue = step.spec, step.job.queue
         if queue.advice is not None or spec.max_per_runner:
@@ -76,4 +78,5 @@
             queue.priority,
             self.state.order.level(step, now),
             reserved,
+            tuple(rule.name for rule in rules),
         )
--- a/wasabipaddle/dispatch/shares.py
+++ b/wasabipaddle/dispatch/shares.py
@@ -5,9 +5,9 @@
 
 import attrs
 
-from wasabipaddle.dispatch.usage import RESOURCES, Usage
+from wasabipaddle.dispatch.usage import NOTHING, Usage
 
-__all__ = ["Shares"]
+__all__ = ["Shares", "upper_share"]
 
 # Window over which the jobs that a workspace submits are counted.
 RATE_WINDOW_MS = 5_000
@@ -99,6 +99,10 @@
             # The priority of the queue may change while the run exists.
             usage = by_priority.setdefault(job.policy.priority, Usage())
             usage.add(run.task.spec, count)
+            if usage == NOTHING:
+                del by_priority[job.policy.priority]
+            if not by_priority:
+                del self.in_use[job.workspace]
 
     def _compare_with_rate(self, entry, now):
         """Set whether a job is in excess, given the jobs accepted before it.
@@ -134,6 +138,10 @@
     def begin_round(self):
         """Measure the fleet and the workspaces with work."""
         workspaces = self.state.configuration.workspaces
+        if not self.accepted_ms.keys() <= workspaces.keys():
+            self.accepted_ms = {
+                k: times for k, times in self.accepted_ms.items() if k in workspaces
+            }
         if not workspaces:
             return
         self.capacity = capacity = FleetCapacity()
@@ -142,9 +150,7 @@
                 capacity.cpu += runner.entry.capacity.cpu
                 capacity.memory_mb += runner.entry.capacity.memory_mb
                 capacity.gpus += runner.entry.capacity.gpus
-        at_work = {
-            name for name, usage in self.state.quotas.in_use.items() if usage.cpu > 0
-        }
+        at_work = set(self.state.quotas.runs)
         at_work.update(s.job.job.workspace for s in self.state.ready.values())
         self.weight_at_work = sum(
             workspaces[name].weight for name in at_work if name in workspaces
@@ -165,8 +171,7 @@
         left_s = self.state.order.due_s(step) - now
         if held < share and left_s < URGENT_PART * entry.objective_s:
             return 0
-        # Up to twice a small share, and up to the whole fleet for a single workspace.
-        ratio = held / (share * (2.0 - share))
+        ratio = held / upper_share(share)
         return 1 if ratio <= 1.0 else 2 + int(math.log(ratio, LEVEL_RATIO))
 
     def held_and_share(self, job):
@@ -174,19 +179,43 @@
 
         Both are parts of the fleet; the fair share of an unknown workspace is 0.
         """
-        workspace = self.state.configuration.workspaces.get(job.workspace)
-        if workspace is None:
+        share = self.fair_share(job.workspace)
+        if not share:
             return 0.0, 0.0
+        usage = self.usage(job.workspace, job.policy.priority)
+        return self.dominant_share(usage), share
+
+    def fair_share(self, name) -> float:
+        """Return the fair share of a workspace, 0 if it is not configured."""
+        workspace = self.state.configuration.workspaces.get(name)
+        if workspace is None:
+            return 0.0
         weight = max(workspace.weight, LEAST_WEIGHT)
-        share = weight / max(self.weight_at_work, weight)
-        counted = [
-            usage
-            for priority, usage in self.in_use.get(job.workspace, {}).items()
-            if priority <= job.policy.priority
-        ]
-        held = max(
-            sum(getattr(usage, resource) for usage in counted)
-            / (getattr(self.capacity, resource) or math.inf)
-            for resource in RESOURCES
+        return weight / max(self.weight_at_work, weight)
+
+    def usage(self, name, priority) -> Usage:
+        """Return what runs of a priority and more urgent ones of a workspace hold."""
+        total = Usage()
+        for counted, usage in self.in_use.get(name, {}).items():
+            if counted <= priority:
+                total.cpu += usage.cpu
+                total.memory_mb += usage.memory_mb
+                total.gpus += usage.gpus
+        return total
+
+    def dominant_share(self, usage) -> float:
+        """Return the largest part of a resource of the fleet in some usage."""
+        capacity = self.capacity
+        return max(
+            usage.cpu / (capacity.cpu or math.inf),
+            usage.memory_mb / (capacity.memory_mb or math.inf),
+            usage.gpus / (capacity.gpus or math.inf),
         )
-        return held, share
+
+
+def upper_share(share) -> float:
+    """Return the part of the fleet up to which a workspace comes in its usual order.
+
+    It is up to twice a small share, and the whole fleet for a single workspace.
+    """
+    return share * (2.0 - share)
