Compute the bound of unknown runs only for jobs that may have some

Cause: each new job has the bound of the runs on suspect runners computed again, with a visit of all tasks of all jobs, although only jobs from before the takeover may have runs there.

Change: only occurrences and pools of recovered jobs have it computed again.

--- a/wasabipaddle/dispatch/lifecycle.py
+++ b/wasabipaddle/dispatch/lifecycle.py
@@ -81,7 +81,7 @@
         pool = entry.queue.pool
         if pool != entry.job.policy.pool and pool not in entry.pools:
             entry.pools.add(pool)
-            self.state.quotas.jobs_changed()
+            self._note_recovered(entry)
             self.state.mark_dirty(entry)
 
     def open_due(self, now):
@@ -101,8 +101,13 @@
             if occurrence >= spec.occurrences or entry.phase.final:
                 del self.state.scheduled[job_id]
 
+    def _note_recovered(self, entry):
+        """Have the bound of unknown runs computed again if the job may have some."""
+        if entry.recovered:
+            self.state.quotas.jobs_changed()
+
     def _add_occurrence(self, entry, occurrence, now):
-        self.state.quotas.jobs_changed()
+        self._note_recovered(entry)
         for position, spec in enumerate(entry.job.spec.steps):
             step = Step(
                 job=entry,
--- a/wasabipaddle/dispatch/tests/test_takeover.py
+++ b/wasabipaddle/dispatch/tests/test_takeover.py
@@ -2,9 +2,10 @@
 
 import attrs
 
+from wasabipaddle.dispatch.quotas import Quotas
 from wasabipaddle.dispatch.tests.conftest import step
 from wasabipaddle.interfaces import EndCause
-from wasabipaddle.jobs import JobPhase
+from wasabipaddle.jobs import Capacity, JobPhase, Workspace
 
 
 def test_first_clock_reading_of_a_runner_is_used(cell):
@@ -351,3 +352,31 @@
     cell.write()
     rows = cell.scheduler.runners_to_record(cell.now, with_waits=False, term=3)
     assert runner.id not in {row.id for row in rows}
+
+
+def test_new_jobs_cost_no_visit_of_all_jobs_while_a_runner_is_suspect(
+    cell, monkeypatch
+):
+    """Guards against a visit of all tasks for each job that is submitted.
+
+    Only jobs from before the takeover may have runs on the suspect runner.
+    """
+    cell.set_workspaces(Workspace(name="shop", quota=Capacity(cpu=3000)))
+    entry = cell.submit("j0", step(4), workspace="shop")
+    cell.take_over(1, {}, [entry.job])
+    cell.unresponsive.add("r1")
+    cell.read_inventories()
+    cell.plan()
+    assert cell.state.quotas.unknown["shop"].cpu == 4000
+    visits = []
+    find = Quotas._find_unknown
+
+    def count_visit(quotas):
+        visits.append(quotas)
+        return find(quotas)
+
+    monkeypatch.setattr(Quotas, "_find_unknown", count_visit)
+    for number in range(5):
+        cell.submit(f"new{number}", step(1), workspace="shop")
+        cell.plan()
+    assert not visits
