--- a/wasabipaddle/commands/where.py
+++ b/wasabipaddle/commands/where.py
@@ -25,6 +25,8 @@
 MAX_FILE_BYTES = 750_000
 SUBMITTING_METHOD = "POST"
 EMPTY_LINE = re.compile(rb"\r?\n\r?\n")
+# Line of the head of a request; in JSON no line looks like one.
+HEAD_LINE = re.compile(rb"^(?:\S+[ \t]+\S+[ \t]+HTTP/\d|[\w-]+:)", re.MULTILINE)
 
 
 def where_action(file, *, process, queue, workspace, json):
@@ -68,6 +70,8 @@
     queue, workspace : str
         Names of the queue and of the workspace.
     """
+    if queue and HEAD_LINE.search(data):
+        raise UsageError("the file has the head of a request: leave out --queue")
     if queue:
         return AskWhere(body=data, queue=queue, workspace=workspace)
     head, *body = EMPTY_LINE.split(data, maxsplit=1)
