Leave reserved runners out of the forecast of a step that waits for room

Cause: the forecast of a dry run counted the free room of runners that are kept for other work, so a step that waits for them was said to start in 0.0 s.

Change: reserved runners are left out of the forecast, as they are of the choice of runs to stop. Without another runner the start is not known. The drawn states now know a forecast in half of the cases, and check that only a step that starts now has start 0.

--- a/wasabipaddle/dispatch/job_placement.py
+++ b/wasabipaddle/dispatch/job_placement.py
@@ -205,7 +205,8 @@
     def _look_for_room(self, view):
         """Set when a step without room fits, and what would be stopped for it."""
         step = view.step
-        runners = self.candidates(step, self.now)
+        reserved = self.reservations.reserved_for_others(step)
+        runners = [r for r in self.candidates(step, self.now) if r.id not in reserved]
         chosen, drain_s = self.reservations.choose_runners(step, runners, self.now)
         view.drain_s = drain_s if chosen else None
         task = next(iter(step.pending.values()))
@@ -213,9 +214,7 @@
         if step.spec.gang or step.job.queue.advice is not None:
             return
         if self.preemption.is_allowed(task, preempts_s):
-            reserved = self.reservations.reserved_for_others(step)
-            permitted = [r for r in runners if r.id not in reserved]
-            view.victims = self.preemption.choose_victims(task, permitted, preempts_s)
+            view.victims = self.preemption.choose_victims(task, runners, preempts_s)
 
     def _explain_wait(self, view, *, may_start, deferred):
         """Return why tasks of a step have not started."""
--- a/wasabipaddle/dispatch/tests/test_dry_run.py
+++ b/wasabipaddle/dispatch/tests/test_dry_run.py
@@ -101,6 +101,9 @@
         Workspace(name="w1", weight=draw.choice([0.2, 1.0, 5.0])),
         Workspace(name="w2", quota=Capacity(cpu=draw.choice([1000, 3000, 9000]))),
     )
+    if draw.random() < 0.5:
+        cell.scheduler.forecaster.forecast(cell.now)
+        cell.advance_time(4.0)
     for number in range(draw.randint(0, 12)):
         queue = draw.choice(["urgent", "batch", "batch", "advised"])
         workspace = draw.choice(["", "w1", "w2"])
@@ -144,6 +147,7 @@
     starts, asked = submit(cell, job)
     assert list(answer.starts.items()) == list(starts.items())
     assert answer.asked == asked
+    assert (answer.start_s == 0.0) == bool(starts)
     entry = cell.state.jobs[job.id]
     assert reply.objective_s == entry.objective_s
     assert answer.in_excess == entry.in_excess
@@ -309,6 +313,22 @@
     assert submit(cell, make_job(cell, step()))[0] == answer.starts == {"r0": 1}
 
 
+def test_step_that_waits_for_reserved_runners_has_no_start(make_cell):
+    """Guards against a start at once on runners that are kept for other work."""
+    cell = make_cell(runners=1)
+    cell.scheduler.forecaster.forecast(cell.now)
+    cell.advance_time(4.0)
+    entry = cell.submit("gang", step(5, gang=True))
+    cell.plan()
+    cell.scheduler.reservations.by_pool["pool"] = Reservation(
+        step=entry.steps[0, 0], runner_ids=frozenset({"r0"}), until_s=cell.now + 3.0
+    )
+    (answer,) = ask(cell, make_job(cell, step())).steps
+    assert (answer.waits_for, answer.excluded) == (WaitReason.ROOM, {"reserved": 1})
+    assert (answer.start_s, answer.end_s) == (None, None)
+    assert submit(cell, make_job(cell, step())) == ({}, ())
+
+
 def test_new_job_after_a_takeover_is_placed_without_a_forecast(cell):
     """Guards against a forecast from a state that the new leader does not know yet."""
     entry = cell.submit("old", step(8))
