--- a/wasabipaddle/cell/proof.py
+++ b/wasabipaddle/cell/proof.py
@@ -5,10 +5,23 @@
 
 from wasabipaddle.cell.keys import LEADER_KEY
 
-__all__ = ["LeadershipProof"]
+__all__ = ["LEADERSHIP_EVENTS", "LeadershipProof"]
 
 # Time between two reads of the leader key.
 READ_PERIOD_S = 0.4
+# Events that tell why a run is taken for gone; they are logged with the leadership on
+# which the decision rests.
+LEADERSHIP_EVENTS = frozenset(
+    {
+        "leases_expired",
+        "proof_expired",
+        "proof_regained",
+        "run_removed",
+        "runner_lost",
+        "runner_regained",
+        "suspect_cleared",
+    }
+)
 
 
 class LeadershipProof:
--- a/wasabipaddle/cell/session.py
+++ b/wasabipaddle/cell/session.py
@@ -10,6 +10,7 @@
 from wasabipaddle.cell.calls import RunnerCalls
 from wasabipaddle.cell.fleet import FleetRecord
 from wasabipaddle.cell.intake import IntakeWatcher, RegistryWatcher
+from wasabipaddle.cell.proof import LEADERSHIP_EVENTS
 from wasabipaddle.cell.stored_jobs import build_phase_reply
 from wasabipaddle.cell.takeover import PROOF_LIMIT_S, load_fleet, load_progress
 from wasabipaddle.cell.writer import ProgressWriter
@@ -40,19 +41,6 @@
 # wait after it for the store, which may be unavailable to all processes.
 PAUSE_S = 1.0
 CONFIRM_S = 1.5
-# Events that tell why a run is taken for gone; they are logged with the leadership on
-# which the decision rests.
-LEADERSHIP_EVENTS = frozenset(
-    {
-        "leases_expired",
-        "proof_expired",
-        "proof_regained",
-        "run_removed",
-        "runner_lost",
-        "runner_regained",
-        "suspect_cleared",
-    }
-)
 
 
 class DispatchSession:
--- a/wasabipaddle/cell/tests/test_ended_leadership.py
+++ b/wasabipaddle/cell/tests/test_ended_leadership.py
@@ -6,7 +6,7 @@
 import pytest
 from result import Err
 
-from wasabipaddle.cell.session import LEADERSHIP_EVENTS
+from wasabipaddle.cell.proof import LEADERSHIP_EVENTS
 from wasabipaddle.cell.tests.runner_parts import PartitionedClient, play_cell
 from wasabipaddle.exceptions import ErrorKind, Failure
 
