Make dry runs directly after a planning round

Cause: the dry run takes the other waiting steps as not to fit, but the question was answered at any time. Between the end of a run and the next round it promised the room to a job behind 20 urgent steps, and jobs that had just arrived had no rank.

Change: the session calls functions at the end of a round, in the same step of the event loop. A question waits for that for 2 s at most and does not cause a round. An exception in it is returned to the question.

--- a/wasabipaddle/cell/session.py
+++ b/wasabipaddle/cell/session.py
@@ -7,6 +7,7 @@
 
 from wasabipaddle.cell.accepted import AcceptedJobs
 from wasabipaddle.cell.advice import AdviceBalancer
+from wasabipaddle.cell.after_round import AfterRound
 from wasabipaddle.cell.calls import RunnerCalls
 from wasabipaddle.cell.fleet import FleetRecord
 from wasabipaddle.cell.intake import IntakeWatcher, RegistryWatcher
@@ -78,6 +79,7 @@
         self.loaded = False
         self.tasks = TaskSet()
         self.woken = asyncio.Event()
+        self.after_round = AfterRound()
         bounds = self.settings.bounds
         self.scheduler = Scheduler(
             timing=Timing(
@@ -324,6 +326,7 @@
                     self.spawn(self._request_advice(request))
             for order in self.scheduler.take_orders():
                 self.calls.send(order)
+            self.after_round.make_calls()
 
     def _note_granting(self):
         """Log that the proof of leadership is too old, or young enough again."""
--- a/wasabipaddle/cell/tests/test_where.py
+++ b/wasabipaddle/cell/tests/test_where.py
@@ -1,6 +1,7 @@
 """Answers of the processes of a cell to where a job would go."""
 
 import asyncio
+from types import SimpleNamespace
 
 import attrs
 import msgspec
@@ -8,15 +9,25 @@
 from result import Err
 
 from wasabipaddle.cell import where
+from wasabipaddle.cell.after_round import AfterRound
+from wasabipaddle.cell.session import TICK_S
+from wasabipaddle.cell.tests.conftest import QUEUE
+from wasabipaddle.cell.tests.session_parts import with_leading_session
 from wasabipaddle.cell.where import DRY_RUN_PAUSE_S, MAX_DRY_RUN_TASKS, WherePlugin
 from wasabipaddle.clock import ManualClock, run_virtual
 from wasabipaddle.dispatch.dry_run import DryRun
 from wasabipaddle.dispatch.tests.conftest import Cell, step
 from wasabipaddle.exceptions import ErrorKind, Failure
-from wasabipaddle.jobs import Capacity, JobPhase, JobSpec, Workspace
+from wasabipaddle.jobs import Capacity, Job, JobPhase, JobSpec, Workspace
 from wasabipaddle.messages import decode, encode
 from wasabipaddle.messages.jobs import ExpectedWait, LoadForecast
-from wasabipaddle.messages.placement import AskWhere, WhereReply
+from wasabipaddle.messages.placement import (
+    AskPlacement,
+    AskWhere,
+    PlacementReply,
+    WaitReason,
+    WhereReply,
+)
 from wasabipaddle.platform.client import encode_spec
 
 JOB = "00000000000000aa"
@@ -28,13 +39,29 @@
 
 
 class FakeSession:
-    """Session of a leader with the scheduler of a test."""
+    """Session of a leader with the scheduler of a test.
+
+    Attributes
+    ----------
+    planning : bool
+        Whether it plans every `TICK_S` seconds.
+    """
 
     loaded = True
+    planning = True
 
     def __init__(self, scheduled):
         self.scheduled = scheduled
         self.scheduler = scheduled.scheduler
+        self.after_round = AfterRound()
+
+    async def run(self):
+        """Make planning rounds."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            if self.planning:
+                self.scheduled.plan()
+                self.after_round.make_calls()
 
     def now(self):
         return self.scheduled.now
@@ -111,7 +138,9 @@
             setup = Setup(cell)
             configuration = setup.scheduled.configuration
             await setup.start(attrs.evolve(configuration, requires_keys=requires_keys))
+            planning = asyncio.create_task(setup.session.run())
             await scenario(setup)
+            planning.cancel()
             await cell.close()
 
         run_virtual(main())
@@ -279,3 +308,79 @@
         assert reply.refusal is None
 
     play(scenario, requires_keys=True)
+
+
+def test_room_that_others_get_in_the_next_round_is_not_promised(play):
+    """Guards against a start on room that has become free for work that goes before."""
+
+    async def scenario(setup):
+        scheduled = setup.scheduled
+        scheduled.submit("full", step(8))
+        scheduled.plan()
+        scheduled.read_inventories()
+        for number in range(20):
+            scheduled.submit(f"w{number}", step(), queue="urgent")
+        scheduled.plan()
+        runner = scheduled.runners["r0"]
+        runner.end(*next(iter(runner.running)))
+        scheduled.read_inventories()
+        (answer,) = (await setup.ask()).ok().placement.steps
+        assert (answer.starts, answer.place) == ({}, 19)
+        assert answer.waits_for is WaitReason.ROOM
+
+    play(scenario)
+
+
+def test_leader_that_plans_no_rounds_answers_so(play):
+    """Guards against an answer from a state that the leader is about to confirm."""
+
+    async def scenario(setup):
+        setup.session.planning = False
+        failure = (await setup.ask()).err()
+        assert failure.kind is ErrorKind.NO_LEADER
+        assert failure.detail == "the leader plans no rounds now"
+        setup.session.planning = True
+        assert (await setup.ask()).is_ok()
+
+    play(scenario)
+
+
+def test_error_in_a_dry_run_does_not_end_planning(play):
+    """Guards against a question that stops the dispatcher."""
+
+    def fail():
+        raise KeyError
+
+    async def scenario(setup):
+        with pytest.raises(KeyError):
+            await setup.session.after_round.call(fail, timeout_s=1.0)
+        assert (await setup.ask()).is_ok()
+
+    play(scenario)
+
+
+def test_dry_run_follows_a_round_of_a_session_in_one_step(make_test_cell):
+    """Guards against an answer between the arrival of a job and the round for it."""
+
+    async def main(cell, session):
+        state, process = session.scheduler.state, cell["p0"]
+        state.runners["r0"].inventoried = True
+        session.calls.send = lambda order: None
+        process.context.plugins.update(
+            cell_configuration=process.entry.configuration,
+            cell_dispatcher=SimpleNamespace(session=session),
+            cell_entry=process.entry,
+            cell_members=process.members,
+        )
+        await WherePlugin(context=process.context).start()
+        spec = JobSpec(payload="p", steps=(step(),))
+        jobs = [
+            Job(id=name, policy=QUEUE, accepted_ms=0, spec=spec) for name in ("a", "b")
+        ]
+        session.add_job(jobs[0], epoch=session.epoch)
+        reply = await serve(process, AskPlacement(job=jobs[1]), PlacementReply)
+        (answer,) = reply.ok().steps
+        assert (answer.starts, answer.place) == ({}, 0)
+        assert [key.job for key, _ in state.runners["r0"].runs] == ["a"]
+
+    with_leading_session(make_test_cell, main)
--- a/wasabipaddle/cell/where.py
+++ b/wasabipaddle/cell/where.py
@@ -24,6 +24,8 @@
 __all__ = ["WherePlugin"]
 
 LEADER_TIMEOUT_S = 3.0
+# Longest wait of the leader for the end of its next planning round.
+ROUND_TIMEOUT_S = 2.0
 # Shortest pause between two dry runs of a leader, which plans nothing during one, and
 # largest part of its time that they take.
 DRY_RUN_PAUSE_S = 1.0
@@ -168,7 +170,7 @@
         return "" if known else "no workspace has this name"
 
     async def _place(self, question):
-        """Make a dry run, as the leader."""
+        """Make a dry run after the next planning round, as the leader."""
         session = self.dispatcher.session
         if session is None:
             detail = "process is not the leader"
@@ -179,6 +181,21 @@
         problem = find_size_problem(question.job.spec, MAX_DRY_RUN_TASKS)
         if problem:
             return Err(Failure(kind=ErrorKind.BODY_TOO_LARGE, detail=problem))
+        try:
+            return await session.after_round.call(
+                lambda: self._make_dry_run(session, question.job),
+                timeout_s=ROUND_TIMEOUT_S,
+            )
+        except TimeoutError:
+            detail = "the leader plans no rounds now"
+            return Err(Failure(kind=ErrorKind.NO_LEADER, detail=detail))
+
+    def _make_dry_run(self, session, job):
+        """Make a dry run, unless the last one was just before.
+
+        It follows a planning round, since room that is free before one goes to other
+        steps.
+        """
         began = self.context.clock.now()
         if began < self.next_s:
             self.context.metrics.count("dry_runs_rate_limited")
@@ -194,15 +211,15 @@
             now=session.now(),
             may_start=session.may_grant(),
         )
-        reply = dry_run.place(question.job)
+        reply = dry_run.place(job)
         ended = self.context.clock.now()
         took_s = ended - began
         self.next_s = ended + max(DRY_RUN_PAUSE_S, took_s / DRY_RUN_SHARE)
         self.context.metrics.observe("dry_run", took_s)
         self.context.journal(
             "dry_run",
-            queue=question.job.policy.name,
-            workspace=question.job.workspace,
+            queue=job.policy.name,
+            workspace=job.workspace,
             steps=len(reply.steps),
             starts=sum(sum(step.starts.values()) for step in reply.steps),
             took_ms=int(took_s * MS_PER_S),
--- a/wasabipaddle/dispatch/dry_run.py
+++ b/wasabipaddle/dispatch/dry_run.py
@@ -23,8 +23,8 @@
 class DryRun:
     """Places one job on a copy of the state, with the classes that place all jobs.
 
-    The other waiting steps are taken as not to fit now, since the last planning round
-    has left them waiting.
+    The other waiting steps are taken as not to fit now. That holds directly after a
+    planning round, which has left them waiting.
 
     Parameters
     ----------
