Leave an unknown queue out of the error of where

Cause: the error repeated the name of an unknown queue, which may be a key that was taken for a name; for workspaces the name is left out already.

Result: the case of test_wrong_question_is_explained with a key as the queue fails on the parent commit and passes; cell/tests/test_where.py passes.

--- a/wasabipaddle/cell/where.py
+++ b/wasabipaddle/cell/where.py
@@ -120,7 +120,10 @@
         )
 
     def _make_job(self, question):
-        """Return the job that a submission would create, in a `Result`."""
+        """Return the job that a submission would create, in a `Result`.
+
+        Errors leave names out, since one may be a key that was taken for a name.
+        """
         selected = self._select_queue(question)
         if selected.is_err():
             return selected
@@ -152,7 +155,7 @@
             return selected.or_else(lambda failure: _invalid(failure.detail))
         queue = self.configuration.current.queue(question.queue)
         if queue is None:
-            return _invalid(f"no queue is called {question.queue}")
+            return _invalid("no queue has this name")
         return Ok(queue)
 
     def _find_workspace_problem(self, queue, workspace) -> str:
@@ -166,7 +169,6 @@
         if not workspace:
             return "the queue needs a workspace: name it"
         known = workspace in current.workspaces
-        # The name is left out, since it may be a key that was taken for one.
         return "" if known else "no workspace has this name"
 
     async def _place(self, question):
