Remove the exclusion of runners by the limit of a step from dry runs

Cause: candidates are listed before the first start of a new step, so no runner has reached its limit then. The case could not be tested: its removal survived all tests.

--- a/wasabipaddle/dispatch/job_placement.py
+++ b/wasabipaddle/dispatch/job_placement.py
@@ -7,7 +7,7 @@
 import attrs
 
 from wasabipaddle.dispatch.advisor import Advisor
-from wasabipaddle.dispatch.fitting import score, within_runner_limit
+from wasabipaddle.dispatch.fitting import score
 from wasabipaddle.dispatch.model import Step
 from wasabipaddle.dispatch.order import Rank
 from wasabipaddle.dispatch.orders import AdviceRequest
@@ -196,8 +196,6 @@
             return Exclusion.RESERVED
         if not runner.fits(step.spec):
             return Exclusion.NO_ROOM
-        if not within_runner_limit(step, runner):
-            return Exclusion.RUNNER_LIMIT
         if not step.spec.gang and not self._may_order_start(step, runner):
             return Exclusion.AWAITS_REPLIES
         return None
--- a/wasabipaddle/messages/placement.py
+++ b/wasabipaddle/messages/placement.py
@@ -33,7 +33,6 @@
     LABEL = "label"
     TOO_SMALL = "too_small"
     NO_ROOM = "no_room"
-    RUNNER_LIMIT = "runner_limit"
     RESERVED = "reserved"
     AWAITS_REPLIES = "awaits_replies"
 
