--- a/wasabipaddle/dispatch/job_placement.py
+++ b/wasabipaddle/dispatch/job_placement.py
@@ -7,7 +7,7 @@
 import attrs
 
 from wasabipaddle.dispatch.advisor import Advisor
-from wasabipaddle.dispatch.fitting import score, within_runner_limit
+from wasabipaddle.dispatch.fitting import score
 from wasabipaddle.dispatch.model import Step
 from wasabipaddle.dispatch.order import Rank
 from wasabipaddle.dispatch.orders import AdviceRequest
@@ -197,8 +197,6 @@
             return Exclusion.RESERVED
         if not runner.fits(step.spec):
             return Exclusion.NO_ROOM
-        if not within_runner_limit(step, runner):
-            return Exclusion.RUNNER_LIMIT
         if not step.spec.gang and not self._may_order_start(step, runner):
             return Exclusion.AWAITS_REPLIES
         return None
@@ -206,17 +204,16 @@
     def _look_for_room(self, view):
         """Set when a step without room fits, and what would be stopped for it."""
         step = view.step
-        runners = self.candidates(step, self.now)
+        reserved = self.reservations.reserved_for_others(step)
+        runners = [r for r in self.candidates(step, self.now) if r.id not in reserved]
         chosen, drain_s = self.reservations.choose_runners(step, runners, self.now)
         view.drain_s = drain_s if chosen else None
         task = next(iter(step.pending.values()))
         preempts_s = self.now + 2 * URGENT_DELAY_S
         if step.spec.gang or step.job.queue.advice is not None:
             return
-        reserved = self.reservations.reserved_for_others(step)
-        permitted = [r for r in runners if r.id not in reserved]
         view.victims = self.searches.preemption.choose_victims(
-            task, permitted, preempts_s
+            task, runners, preempts_s
         )
 
     def _explain_wait(self, view, *, may_start, deferred):
