Measure the processor time of usual calls against another checkout

Change: measure `calls` starts cell processes of this code and of the checkout named by `--against` in pairs that take turns, and compares their processor time for submissions with cancellations, phases and numbers of waiting jobs on connections that stay open. JobCaller learns to ask for the number of waiting jobs.

--- a/wasabipaddle/commands/cli.py
+++ b/wasabipaddle/commands/cli.py
@@ -225,8 +225,8 @@
 
         return Action(run=lambda: replay(trace, settings, seed=seed, json=json))
 
-    @SetParseFns(report=str)
-    def measure(self, name, seed=1, quick=False, json=False, report=""):
+    @SetParseFns(report=str, against=str)
+    def measure(self, name, seed=1, quick=False, json=False, report="", against=""):
         """Run one measure or all, and compare with baselines and bounds.
 
         Parameters
@@ -237,12 +237,19 @@
             Use smaller inputs.
         report : str
             Directory for an HTML page with plots, which need matplotlib.
+        against : str
+            Checkout whose processes the measure `calls` compares with this code.
         """
         from wasabipaddle.commands.measure import measure
 
         def run():
             passed = measure(
-                name, seed=seed, quick=quick, json_output=json, report=report
+                name,
+                seed=seed,
+                quick=quick,
+                json_output=json,
+                report=report,
+                against=against,
             )
             return None if passed else EXIT_BROKEN
 
--- a/wasabipaddle/commands/measure.py
+++ b/wasabipaddle/commands/measure.py
@@ -14,7 +14,9 @@
 DEFAULT_SEED = 1
 
 
-def measure(name, *, seed=DEFAULT_SEED, quick=False, json_output=False, report=""):
+def measure(
+    name, *, seed=DEFAULT_SEED, quick=False, json_output=False, report="", against=""
+):
     """Run one measure, or `all`, and print its figures.
 
     Parameters
@@ -29,6 +31,9 @@
         Print JSON; the flag `--json` of the command line.
     report : str
         Directory for an HTML page with plots; empty for none.
+    against : str
+        Checkout that the processes of the measure `calls` are compared with; empty for
+        this code itself.
 
     Returns
     -------
@@ -46,14 +51,17 @@
             f"unknown measure {name}; the measures are {', '.join(sorted(MEASURES))}"
         )
     names = sorted(MEASURES) if name == "all" else [name]
-    outcomes = [_run(n, seed=seed, quick=quick, as_json=json_output) for n in names]
+    outcomes = [
+        _run(MEASURES[n](against=against), seed=seed, quick=quick, as_json=json_output)
+        for n in names
+    ]
     if report:
         print(write_report(outcomes, report))
     return all(o.holds for o in outcomes)
 
 
-def _run(name, *, seed, quick, as_json):
-    outcome = MEASURES[name]().run(seed=seed, quick=quick)
+def _run(measure, *, seed, quick, as_json):
+    outcome = measure.run(seed=seed, quick=quick)
     if as_json:
         print(json.dumps(outcome.as_json()))
     else:
--- a/wasabipaddle/demo/processes.py
+++ b/wasabipaddle/demo/processes.py
@@ -126,7 +126,7 @@
             raise WasabipaddleError(failure)
 
 
-async def spawn_process(log_path, *arguments):
+async def spawn_process(log_path, *arguments, checkout=None):
     """Start a command of wasabipaddle as a child process.
 
     Parameters
@@ -135,6 +135,8 @@
         File to which standard output and standard error are appended.
     arguments : sequence
         Name of the command and its arguments.
+    checkout : str or None
+        Directory whose package is run instead of the one of this process.
 
     Returns
     -------
@@ -142,6 +144,8 @@
         The process.
     """
     environment = {**os.environ, "PYTHONUNBUFFERED": "1"}
+    if checkout is not None:
+        environment["PYTHONPATH"] = str(checkout)
     with open(log_path, "ab") as log:
         return await asyncio.create_subprocess_exec(
             sys.executable,
@@ -151,6 +155,7 @@
             stdout=log,
             stderr=log,
             stdin=asyncio.subprocess.DEVNULL,
+            cwd=checkout,
             env=environment,
         )
 
--- a/wasabipaddle/measure/base.py
+++ b/wasabipaddle/measure/base.py
@@ -73,11 +73,21 @@
 
 
 class Measure(abc.ABC):
-    """Base class of measures; subclasses with a `name` are registered."""
+    """Base class of measures; subclasses with a `name` are registered.
+
+    Parameters
+    ----------
+    against : str
+        Directory of another checkout, for measures that compare its processes with
+        those of this code; empty for none.
+    """
 
     name: ClassVar[str] = ""
     bounds: ClassVar[tuple[Bound, ...]] = ()
 
+    def __init__(self, *, against=""):
+        self.against = against
+
     def __init_subclass__(cls, **kwargs):
         super().__init_subclass__(**kwargs)
         if cls.name:
--- a/wasabipaddle/platform/client.py
+++ b/wasabipaddle/platform/client.py
@@ -30,6 +30,8 @@
         HTTP status, 0 if there was no response.
     phase : JobPhase or None
         Phase of the job, if the response contains it.
+    waiting : int or None
+        Number of waiting jobs, if the response contains it.
     sent : bool
         Whether the request may have reached a process.
     detail : str
@@ -38,6 +40,7 @@
 
     status: int = 0
     phase: object = None
+    waiting: int | None = None
     sent: bool = True
     detail: str = ""
 
@@ -64,6 +67,10 @@
         """Ask one process for the phase of a job."""
         return await self._call("GET", address, queue, job_id, key)
 
+    async def count_waiting(self, address, queue, *, key="") -> CallResult:
+        """Ask one process for the number of waiting jobs of a queue."""
+        return await self._call("GET", address, queue, "", key)
+
     async def cancel(self, address, queue, job_id, *, key="") -> CallResult:
         """Ask one process to cancel a job."""
         return await self._call("DELETE", address, queue, job_id, key)
@@ -96,10 +103,14 @@
                 ) as response,
             ):
                 raw = await response.read()
-                phase = None
+                body = {}
                 if method == "GET" and response.status == 200:
-                    phase = PHASE_BY_NAME[msgspec.json.decode(raw)["state"]]
-                return CallResult(status=response.status, phase=phase)
+                    body = msgspec.json.decode(raw)
+                return CallResult(
+                    status=response.status,
+                    phase=PHASE_BY_NAME.get(body.get("state")),
+                    waiting=body.get("waiting"),
+                )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return CallResult(sent=False, detail=repr(error))
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
