Do less for each usual request within the limits

Cause: a small head that arrives whole, as most do, takes the same steps as one that arrives in pieces; the limits of the configuration are hashed for each request; a body with a declared length is reserved twice; responses from elsewhere are read by an iterator, and a hedged call whose first try has ended still waits for both.

Change: small whole heads have a shorter way, with the same limits. The limits are kept until the configuration changes, the key is looked at only where a queue needs one, and responses are read at once.

--- a/wasabipaddle/cell/entry.py
+++ b/wasabipaddle/cell/entry.py
@@ -1,7 +1,6 @@
 """Role `cell_entry`: serves the callers that are connected to this process."""
 
 import asyncio
-import functools
 
 from result import Err, Ok
 
@@ -38,6 +37,8 @@
 
 __all__ = ["EntryPlugin"]
 
+# Limits until there is a configuration.
+UNCONFIGURED_LIMITS = Limits()
 # Part of the time limit of a call that is reserved for sending the response.
 RESPONSE_RESERVE_S = 0.3
 RETRY_S = 0.05
@@ -80,6 +81,7 @@
         self.listener = CallerListener(service=self)
         self.tasks = TaskSet()
         self.draining = False
+        self.known_limits = self.known_request_limits = None
 
     async def start(self):
         """Register the handlers of messages from peers and listen for callers."""
@@ -127,7 +129,11 @@
     def request_limits(self) -> RequestLimits:
         """Return the limits on a request that begins now."""
         current = self.configuration.current
-        return _request_limits(Limits() if current is None else current.limits)
+        limits = UNCONFIGURED_LIMITS if current is None else current.limits
+        if limits is not self.known_limits:
+            self.known_limits = limits
+            self.known_request_limits = _request_limits(limits)
+        return self.known_request_limits
 
     def select_queue(self, host, path):
         """Return the queue for the host and path of a call."""
@@ -146,11 +152,13 @@
         configuration is young enough, no key is accepted or refused as unknown.
         """
         current = self.configuration.current
-        if requires_key(current, queue) and not self.configuration.check_proof():
+        if not requires_key(current, queue):
+            return Ok("")
+        if self.configuration.check_proof():
+            identified = identify_workspace(current, queue, key)
+        else:
             detail = "the configuration may be out of date"
             identified = _failure(ErrorKind.STALE_CONFIGURATION, detail)
-        else:
-            identified = identify_workspace(current, queue, key)
         if identified.is_err():
             self.context.metrics.count(f"calls_refused_{identified.err().kind.value}")
         return identified
@@ -383,11 +391,10 @@
     return Err(Failure(kind=kind, detail=detail, retry_after_s=RETRY_AFTER_S))
 
 
-@functools.lru_cache(maxsize=2)
 def _request_limits(limits):
     """Return the limits of a configuration as the listeners need them."""
     return RequestLimits(
-        max_head_bytes=limits.max_header_bytes or Limits().max_header_bytes,
+        max_head_bytes=limits.max_header_bytes or UNCONFIGURED_LIMITS.max_header_bytes,
         max_body_bytes=limits.max_body_bytes,
         header_s=limits.header_s,
         idle_s=limits.idle_s,
--- a/wasabipaddle/ingress/framing.py
+++ b/wasabipaddle/ingress/framing.py
@@ -1,9 +1,11 @@
 """Ends of heads and of chunked bodies in raw bytes."""
 
-__all__ = ["EMPTY_LINE", "find_head_end"]
+__all__ = ["EMPTY_LINE", "HEAD_END", "SMALL_HEAD_BYTES", "find_head_end"]
 
 EMPTY_LINE = b"\r\n"
 HEAD_END = b"\r\n\r\n"
+# Size of a head up to which it takes the shorter way if it arrives whole.
+SMALL_HEAD_BYTES = 2_000
 
 
 def find_head_end(last_bytes, data) -> int:
--- a/wasabipaddle/ingress/listener.py
+++ b/wasabipaddle/ingress/listener.py
@@ -4,15 +4,13 @@
 import contextlib
 import socket
 
-from result import Ok
-
 from wasabipaddle.exceptions import ErrorKind
 from wasabipaddle.ingress.ledger import ConnectionUsage, Ledger
 from wasabipaddle.ingress.limits import derive_limits
 from wasabipaddle.ingress.protocol import Connection
 from wasabipaddle.ingress.replies import RefusedConnection, busy_failure
 
-__all__ = ["Ingress", "IngressListener", "read_body"]
+__all__ = ["Ingress", "IngressListener"]
 
 SWEEP_INTERVAL_S = 0.25
 # Delay of a sweep beyond which the process itself stood still.
@@ -251,14 +249,3 @@
         bound.close()
         raise
     return bound
-
-
-async def read_body(request):
-    """Return the body of a request in a `Result`, within the limits of its listener.
-
-    Requests of other servers than `IngressListener` are read as `aiohttp` does.
-    """
-    protocol = getattr(request, "protocol", None)
-    if isinstance(protocol, Connection):
-        return await protocol.read_body(request)
-    return Ok(await request.read())
--- a/wasabipaddle/ingress/protocol.py
+++ b/wasabipaddle/ingress/protocol.py
@@ -3,14 +3,19 @@
 import contextlib
 
 from aiohttp import web
-from result import Err, Ok
 
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.ingress.content import ContentCost
-from wasabipaddle.ingress.framing import EMPTY_LINE, find_head_end
+from wasabipaddle.ingress.framing import (
+    EMPTY_LINE,
+    HEAD_END,
+    SMALL_HEAD_BYTES,
+    find_head_end,
+)
 from wasabipaddle.ingress.ledger import Phase
 from wasabipaddle.ingress.replies import (
     RETRY_AFTER_S,
+    RefusedBodyError,
     busy_failure,
     malformed_failure,
     raw_reply,
@@ -38,14 +43,11 @@
 MAX_FIELD_BYTES = 100_000_000
 # Time for which the rest of a body is awaited after an early reply to its request.
 EARLY_REPLY_S = 10.0
-CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+# Looking up a member of an enum takes longer than a name.
+IDLE, SERVING = Phase.IDLE, Phase.SERVING
 CLOSING_KINDS = frozenset({ErrorKind.QUEUE_FULL, ErrorKind.DRAINING})
 
 
-class _RefusedBodyError(Exception):
-    """Wakes a handler that waits for a body which has been refused."""
-
-
 class Connection(web.RequestHandler):
     """Connection that hands bytes to the parser only within the limits.
 
@@ -80,6 +82,7 @@
         self.ingress = ingress
         self.profile = profile
         self.clock = self._loop.time
+        self.free_bytes = ingress.ledger.limits.free_content_bytes
         self.now_s = 0.0
         self.usage = self.failure = None
         self.reading = self.serving = self.discarding = False
@@ -117,9 +120,13 @@
 
     def data_received(self, data):
         """Parse bytes as far as the limits admit them."""
+        if self.discarding:
+            return
         self.now_s = self.clock()
-        if not data and not self.discarding:
+        if not data:
             self._feed(data)
+        elif self.usage.phase is IDLE and not self.head_bytes:
+            data = self._receive_small_head(data)
         while data and not self.discarding:
             if self.payload is None or self.payload.is_eof():
                 data = self._receive_head(data)
@@ -142,19 +149,44 @@
         piece, rest = data[:size], data[size:]
         self.head_bytes += size
         self.cost.add_head(piece)
-        if not self._reserve():
+        if not self.reserve():
             return b""
         self._feed(piece)
         if self.head_bytes >= limit:
             self.refuse(ErrorKind.HEADERS_TOO_LARGE)
         elif piece or (self.head_bytes and not self._request_count):
             # An empty line after a body belongs to no request yet.
-            if usage.phase is Phase.IDLE:
+            if usage.phase is IDLE:
                 usage.enter(Phase.HEAD, self.now_s)
             if usage.phase is Phase.HEAD:
                 usage.receive(size, self.now_s)
         return rest
 
+    def _receive_small_head(self, data):
+        """Parse a small head that has arrived whole, as most do, in fewer steps.
+
+        Return the bytes that follow it, or all bytes if there is no such head.
+        """
+        usage = self.usage
+        size = data.find(HEAD_END, 0, SMALL_HEAD_BYTES) + len(HEAD_END)
+        limits = self.profile.find_limits()
+        small = len(HEAD_END) <= size < limits.max_head_bytes
+        if not small or data[0] in EMPTY_LINE:
+            return data
+        usage.limits = limits
+        piece, rest = data[:size], data[size:]
+        self.cost.add_head(piece)
+        if self.cost.head > self.free_bytes and not self.reserve():
+            return b""
+        self._parse(piece)
+        if usage.phase is IDLE:
+            # The parser does not take it for a whole head.
+            self.head_bytes = size
+            self.last_bytes = piece[-3:]
+            usage.enter(Phase.HEAD, self.now_s)
+            usage.receive(size, self.now_s)
+        return rest
+
     def _receive_body(self, data):
         """Parse the next bytes of a body; return the bytes that follow them."""
         payload = self.payload
@@ -164,7 +196,8 @@
             size = self.length - payload.total_bytes
         piece, rest = data[:size], data[size:]
         self.usage.receive(len(piece), self.now_s)
-        if not self._reserve():
+        # A declared length is reserved with the head.
+        if self.length is None and not self.reserve():
             return b""
         self._feed(piece)
         if self.payload is not payload:
@@ -192,9 +225,13 @@
         return size > limit or self.framed_bytes > framed_limit
 
     def _feed(self, piece):
+        """Parse bytes, and keep the last ones to find an end that is cut."""
+        self.last_bytes = (self.last_bytes + piece[-3:])[-3:]
+        self._parse(piece)
+
+    def _parse(self, piece):
         """Hand bytes to the parser and note the requests that it finds."""
         before = self._request_count
-        self.last_bytes = (self.last_bytes + piece[-3:])[-3:]
         super().data_received(piece)
         if self._request_count != before:
             self._begin_message(*self._messages[-1])
@@ -212,7 +249,7 @@
         self.payload = payload
         self.cost.begin_request()
         if payload.is_eof():
-            return self._complete_body()
+            return self.usage.enter(SERVING, self.now_s)
         length = message.headers.get("Content-Length")
         self.length = None if message.chunked or length is None else int(length)
         self.framed_bytes = 0
@@ -220,7 +257,7 @@
         if self._exceeds_body_limit(self.length or payload.total_bytes):
             return self.refuse(ErrorKind.BODY_TOO_LARGE)
         self.cost.set_body(self.length or payload.total_bytes)
-        self._reserve()
+        self.reserve()
         return None
 
     def _end_at_error(self):
@@ -230,81 +267,33 @@
             self._messages.pop()
             return self.refuse(ErrorKind.INVALID_REQUEST)
         self.discarding = True
-        return self.usage.enter(Phase.SERVING, self.now_s)
+        return self.usage.enter(SERVING, self.now_s)
 
     def _complete_body(self):
         """Note the end of a body, whose request may have been answered before."""
         self.last_bytes = b""
         if self.cost.waiting:
-            self.usage.enter(Phase.SERVING, self.now_s)
+            self.usage.enter(SERVING, self.now_s)
         else:
             self._await_request()
 
     def _await_request(self):
         """Release what the requests held, since all of them have ended."""
-        phase = Phase.HEAD if self.cost.head else Phase.IDLE
+        phase = Phase.HEAD if self.cost.head else IDLE
         self.usage.enter(phase, self.clock())
         if self.usage.reserved:
             self.ingress.release(self.usage)
 
-    def _reserve(self):
+    def reserve(self):
         """Reserve memory for what the connection holds, or refuse the request."""
         cost = self.cost.total
-        free_bytes = self.ingress.ledger.limits.free_content_bytes
-        if cost <= free_bytes and not self.usage.reserved:
+        if cost <= self.free_bytes and not self.usage.reserved:
             return True
         if self.ingress.reserve(self.usage, cost):
             return True
         self.refuse(ErrorKind.QUEUE_FULL)
         return False
 
-    async def read_body(self, request):
-        """Return the body of the current request, in a `Result`.
-
-        The `Err` has the kind `body_too_large`, `queue_full`, `request_timeout` or, for
-        malformed chunks, `invalid_request`; the body has then not been read whole.
-        """
-        payload = request.content
-        if payload is self.refused_payload:
-            return Err(self.failure)
-        if payload.is_eof():
-            data = payload.read_nowait()
-        else:
-            self._continue(request)
-            try:
-                data = await self._wait_for_body(payload)
-            except web.RequestPayloadError:
-                self.discarding = True
-                payload.feed_eof()
-                return Err(malformed_failure())
-            if data is None:
-                return Err(self.failure)
-        self.cost.decode(data)
-        return Ok(data) if self._reserve() else Err(busy_failure())
-
-    def _continue(self, request):
-        """Tell a client that waits for it to send the body; applications do it too."""
-        expects = request.headers.get("Expect", "").lower() == "100-continue"
-        in_application = isinstance(request, web.Request)
-        if expects and not in_application and self.transport is not None:
-            self.transport.write(CONTINUE)
-
-    async def _wait_for_body(self, payload):
-        """Return a body that is still arriving, or None if it is refused."""
-        data = bytearray()
-        self.reading = True
-        try:
-            while piece := await payload.readany():
-                data += piece
-                self.cost.framing = 0
-        except _RefusedBodyError:
-            # The rest is discarded while the client reads the reply.
-            payload._exception = None
-            return None
-        finally:
-            self.reading = False
-        return bytes(data)
-
     def end_request(self) -> bool:
         """Release what the request held; return whether it was the last one served."""
         self.serving = False
@@ -333,7 +322,7 @@
             self.refused_payload = self.payload
             # The handler replies, now or when it begins to read.
             if self.reading:
-                self.payload.set_exception(_RefusedBodyError())
+                self.payload.set_exception(RefusedBodyError())
             else:
                 # The protocol of aiohttp may wait for the rest after a reply.
                 with contextlib.suppress(RuntimeError):
--- a/wasabipaddle/ingress/replies.py
+++ b/wasabipaddle/ingress/replies.py
@@ -11,6 +11,7 @@
 
 __all__ = [
     "ListenerProfile",
+    "RefusedBodyError",
     "RefusedConnection",
     "busy_failure",
     "failure_response",
@@ -84,6 +85,10 @@
     return Failure(kind=ErrorKind.INVALID_REQUEST, detail=detail)
 
 
+class RefusedBodyError(Exception):
+    """Wakes a handler that waits for a body which has been refused."""
+
+
 class RefusedConnection(asyncio.Protocol):
     """Connection above the limit, closed after a reply.
 
--- a/wasabipaddle/platform/callers.py
+++ b/wasabipaddle/platform/callers.py
@@ -6,6 +6,7 @@
 
 import msgspec
 from aiohttp import web
+from result import Ok
 
 from wasabipaddle.exceptions import ErrorKind
 from wasabipaddle.ingress import IngressListener, ListenerProfile, read_body
@@ -144,7 +145,7 @@
             return selected
         queue = selected.ok()
         identified = self.service.identify(queue, request.headers.get(KEY_HEADER))
-        return identified.map(lambda workspace: (queue, workspace))
+        return identified if identified.is_err() else Ok((queue, identified.ok()))
 
     async def _submit(self, request, job, wait_s):
         body = await read_body(request)
--- a/wasabipaddle/transport/connections.py
+++ b/wasabipaddle/transport/connections.py
@@ -161,7 +161,9 @@
     calls = [asyncio.ensure_future(send(timeout_s, responded))]
     try:
         await asyncio.wait(calls, timeout=delay_s)
-        silent = not (calls[0].done() or responded.is_set())
+        if calls[0].done():
+            return await calls[0]
+        silent = not responded.is_set()
         if silent and timeout_s > delay_s and pool.may_hedge():
             pool.replace(generation)
             again = send(timeout_s - delay_s, asyncio.Event())
@@ -188,12 +190,15 @@
     ResponseTooLargeError
         If the body is larger. The connection is closed, so that no more arrives.
     """
-    data = bytearray()
-    async for piece in response.content.iter_any():
-        data += piece
-        if len(data) > limit:
-            response.close()
-            raise ResponseTooLargeError(f"more than {limit} bytes")
+    content = response.content
+    data = await content.readany()
+    if not content.at_eof():
+        data = bytearray(data)
+    while not content.at_eof() and len(data) <= limit:
+        data += await content.readany()
+    if len(data) > limit:
+        response.close()
+        raise ResponseTooLargeError(f"more than {limit} bytes")
     return bytes(data)
 
 
