Abort connections whose clients do not read their replies

Cause: the base class forgets the transport when it closes it, so the abort after it never took place; the connection kept its buffer of unsent bytes and its place until the client read or left. The test waited for a mark that the class before did not have, so it showed the missing attribute and not the connection.

Change: the transport is kept for the abort. The tests of unread replies, of always pipelining connections and of admissions look at what the process holds and what the client gets, instead of attributes.

--- a/wasabipaddle/ingress/protocol.py
+++ b/wasabipaddle/ingress/protocol.py
@@ -348,9 +348,11 @@
     def _abort(self):
         """Close without sending the rest of a reply that the client does not read."""
         self.discarding = True
+        # The base class forgets the transport, which still has to send the rest.
+        transport = self.transport
         self.force_close()
-        if self.transport is not None:
-            self.transport.abort()
+        if transport is not None:
+            transport.abort()
 
     def shut_down(self):
         """Refuse a request that is not whole, since the process ends."""
--- a/wasabipaddle/ingress/tests/test_connection.py
+++ b/wasabipaddle/ingress/tests/test_connection.py
@@ -1,6 +1,7 @@
 """Replies of a listener to raw bytes."""
 
 import asyncio
+import contextlib
 
 import attrs
 import pytest
@@ -19,6 +20,7 @@
     read_body,
 )
 from wasabipaddle.ingress.ledger import IDLE_S
+from wasabipaddle.ingress.replies import RefusedConnection
 from wasabipaddle.kernel import Context
 
 HOST = "127.0.0.1"
@@ -26,6 +28,7 @@
 REPLY_LIMIT_S = 10.0
 # More than the buffers of a connection hold on both sides.
 LONG_REPLY = b"x" * 30_000_000
+READ_BYTES = 65_536
 SLOW = b"POST /slow HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nok"
 
 
@@ -296,10 +299,15 @@
     """Guards against replies that a client never reads and the process never drops."""
 
     async def check(raw):
-        _, writer = await raw.connect()
+        reader, writer = await raw.connect()
         writer.write(b"GET /long HTTP/1.1\r\nHost: h\r\n\r\n")
-        await _until(lambda: any(h.unread for h in raw.usages))
+        await _until(lambda: raw.usages)
         await _until(lambda: not raw.usages)
+        received = 0
+        with contextlib.suppress(ConnectionError):
+            while piece := await reader.read(READ_BYTES):
+                received += len(piece)
+        assert received < len(LONG_REPLY)
         writer.close()
 
     run_listener(check, idle_s=0.1)
@@ -324,6 +332,20 @@
     run_listener(check)
 
 
+def test_admitted_connections_count_before_they_open(run_listener):
+    """Guards against a crowd that is admitted at once, and gets twice the limit."""
+
+    async def check(raw):
+        raw.context.ingress.ledger.limit_connections("callers", 3)
+        made = [raw.listener.make_connection() for _ in range(5)]
+        refused = [isinstance(each, RefusedConnection) for each in made]
+        assert refused == [False] * 3 + [True] * 2
+        for connection in made[:3]:
+            raw.context.ingress.remove(connection.usage)
+
+    run_listener(check)
+
+
 def test_client_that_waits_for_permission_to_send_gets_it(run_listener):
     """Guards against callers that wait for their own time limit on each call."""
 
@@ -345,15 +367,17 @@
 
     async def check(raw):
         reader, writer = await raw.connect()
-        writer.write(_post(b"x"))
-        costs = []
+        body = b"x" * 300
+        # Part of the next request is always on its way.
+        begin, rest = _post(body)[:-10], _post(body)[-10:]
+        writer.write(begin)
+        reserved = []
         for _ in range(50):
-            writer.write(_post(b"x"))
+            writer.write(rest + begin)
             async with asyncio.timeout(REPLY_LIMIT_S):
-                await reader.readuntil(b"/a=x")
-            (usage,) = raw.usages
-            costs.append(usage.connection.cost.total)
-        assert max(costs[25:]) <= max(costs[:25])
+                await reader.readuntil(b"/a=" + body)
+            reserved.append(raw.context.ingress.ledger.reserved)
+        assert max(reserved[25:]) <= max(reserved[:25])
         writer.close()
 
     run_listener(check)
