Keep the gauges of workspaces with similar names apart

Cause: characters that a metric may not have are replaced and long names are cut, so two workspaces could get the same gauges, and one hid the other.

Change: a name that does not fit gets a digest.

--- a/wasabipaddle/cell/workspace_metrics.py
+++ b/wasabipaddle/cell/workspace_metrics.py
@@ -1,5 +1,6 @@
 """Metrics of workspaces, for a bounded number of them."""
 
+import hashlib
 import re
 
 __all__ = ["WorkspaceMetrics"]
@@ -9,6 +10,7 @@
 # Characters of a name that a metric may have, and the length of a name that is kept.
 UNSAFE = re.compile(r"[^A-Za-z0-9_]")
 MAX_NAME = 40
+DIGEST_DIGITS = 8
 
 
 class WorkspaceMetrics:
@@ -69,4 +71,11 @@
 
 
 def _label(name):
-    return UNSAFE.sub("_", name)[:MAX_NAME]
+    """Return the end of the names of a workspace's gauges.
+
+    Names that do not fit get a digest, since several of them may be alike otherwise.
+    """
+    label = UNSAFE.sub("_", name)[:MAX_NAME]
+    if label == name:
+        return label
+    return f"{label}_{hashlib.sha256(name.encode()).hexdigest()[:DIGEST_DIGITS]}"
