--- a/wasabipaddle/platform/configuration.py
+++ b/wasabipaddle/platform/configuration.py
@@ -137,7 +137,7 @@
 
 
 def _is_key(key):
-    return isinstance(key, str) and 0 < len(key) <= MAX_KEY_BYTES
+    return isinstance(key, str) and 0 < len(key.encode()) <= MAX_KEY_BYTES
 
 
 def _decode_queue(route):
--- a/wasabipaddle/platform/tests/test_keys.py
+++ b/wasabipaddle/platform/tests/test_keys.py
@@ -174,3 +174,12 @@
     assert [report for report in reports if "w1" in report] == reports != []
     assert "secret" not in repr(reports)
     assert str(key)[:10] not in repr(reports) or key in ("", None)
+
+
+@pytest.mark.parametrize(("characters", "valid"), [(128, True), (129, False)])
+def test_length_of_a_key_is_limited_in_bytes(characters, valid):
+    """Guards against a limit that counts characters, which may have several bytes."""
+    rows = [{"name": "w", "api_keys": ["é" * characters]}]
+    value = json.dumps({"version": 1, "tenants": rows}).encode()
+    decoded = decode_configuration(value, report=lambda detail: None).ok()
+    assert list(decoded.workspaces) == (["w"] if valid else [])
