Pause the step that has no use of a claim, not its workspace

Cause: if the oldest waiting step can never fit its quota (lasting work holds the rest, or the quota was lowered), the search for a claim paused the whole workspace. At the end of the pause the same step came first again, so that younger gangs never got a claim. Change: the pause is that of the step. Steps above the whole quota are no candidates. One search in a round for each workspace bounds its cost.

--- a/wasabipaddle/dispatch/claims.py
+++ b/wasabipaddle/dispatch/claims.py
@@ -71,10 +71,13 @@
         Step of each workspace that gets the next claim.
     pauses_s : dict
         Time until which there is no claim, by workspace, and by the key of a step whose
-        claim has expired.
+        claim has expired or that is not expected to fit.
     expired : dict of tuple to int
         Number of claims of a step that ended without a start, by its key. A step with
         fewer comes first, and each lets the next one last longer.
+    searched : set of str
+        Workspaces for which a claim was looked for in this round, since that visits all
+        of their runs.
     now : float
         Time of the planning round.
     """
@@ -85,11 +88,13 @@
         self.waiting = {}
         self.pauses_s = {}
         self.expired = {}
+        self.searched = set()
         self.now = 0.0
 
     def begin_round(self, now):
         """End the claims of steps that wait no more, fit no more or are overdue."""
         self.now = now
+        self.searched = set()
         ready = self.state.ready
         self.pauses_s = {k: t for k, t in self.pauses_s.items() if now < t}
         self.expired = {k: n for k, n in self.expired.items() if k in ready}
@@ -131,7 +136,7 @@
         first = (
             other is None or not other.pending or self._turn(step) < self._turn(other)
         )
-        if first and self._is_large(step):
+        if first and self._is_large(step) and self._can_fit(step):
             self.waiting[name] = step
 
     def note_start(self, step, now):
@@ -149,7 +154,7 @@
             and waiting.pending
             and step.job.queue.priority >= waiting.job.queue.priority
         )
-        if overtaken and name not in self.pauses_s:
+        if overtaken and name not in self.pauses_s and name not in self.searched:
             self._claim(waiting, now)
 
     def _turn(self, step):
@@ -184,10 +189,11 @@
         name = step.job.job.workspace
         if now - _waiting_since_s(step) < CLAIM_AFTER_S or self._fits(step):
             return
+        self.searched.add(name)
         drain_s = self._drain_s(step, now) if self._can_fit(step) else math.inf
         if drain_s == math.inf:
-            self.pauses_s[name] = now + CLAIM_AGAIN_S
             # Another step may fit where this one does not.
+            self.pauses_s[step.key] = now + CLAIM_AGAIN_S
             del self.waiting[name]
             return
         margin = DRAIN_MARGIN * (1 + self._expired(step))
--- a/wasabipaddle/dispatch/tests/test_claims.py
+++ b/wasabipaddle/dispatch/tests/test_claims.py
@@ -150,3 +150,30 @@
     flood(shop, 4.0)
     assert not shop.state.quotas.claims.by_workspace
     assert count_started(shop, "small") > before
+
+
+def test_gang_starts_beside_an_older_one_that_lasting_work_keeps_out(shop):
+    """Guards against a step that can never fit and takes the turns of the others."""
+    shop.submit("lasts", step(1, lasting=True), workspace="shop")
+    flood(shop, 5.0)
+    shop.submit("never", step(4, gang=True), workspace="shop")
+    shop.plan()
+    shop.now += PERIOD_S
+    shop.submit("wide", step(3, gang=True), workspace="shop")
+    flood(shop, 25.0)
+    assert count_started(shop, "wide") == 3
+
+
+def test_gang_starts_beside_an_older_one_above_a_lowered_quota(shop):
+    """Guards against a step that can never fit and takes the turns of the others."""
+    quota = Capacity(cpu=8000)
+    shop.set_workspaces(Workspace(name="shop", weight=100.0, quota=quota))
+    flood(shop, 5.0)
+    shop.submit("over", step(6, gang=True), workspace="shop")
+    shop.plan()
+    quota = Capacity(cpu=4000)
+    shop.set_workspaces(Workspace(name="shop", weight=100.0, quota=quota))
+    shop.now += PERIOD_S
+    shop.submit("wide", step(3, gang=True), workspace="shop")
+    flood(shop, 25.0)
+    assert count_started(shop, "wide") == 3
