Bound the names of jobs in the whole fleet record

Cause: each row of a runner that leaves names up to 64 jobs, without a bound for all rows, while the store takes 1,000,000 bytes. Change: names take half of the value at most. Rows beyond that name none, which is the form in which all jobs wait.

--- a/wasabipaddle/dispatch/fleet.py
+++ b/wasabipaddle/dispatch/fleet.py
@@ -2,12 +2,15 @@
 
 import attrs
 
+from wasabipaddle.interfaces.store import MAX_VALUE_BYTES
 from wasabipaddle.jobs import RecordedRunner
 
 __all__ = ["NO_SUSPECTED_RUNS", "SuspectedRuns", "runners_to_record"]
 
 # Jobs that the record names for a runner; with more, any job may have runs there.
 MAX_RECORDED_JOBS = 64
+# Bytes of the names in all rows; the rest of the value is for what else they hold.
+MAX_NAMED_BYTES = MAX_VALUE_BYTES // 2
 
 
 def runners_to_record(state, now, *, with_waits, term=0):
@@ -15,9 +18,9 @@
 
     A runner that leaves or has left, and has no runs, is left out: a successor need not
     wait for it. One that leaves and has runs is recorded with their jobs, since it gets
-    no further work and no other job need wait for it. The wait for a suspect runner
-    goes on over several takeovers, since no dispatcher can have given it work in the
-    meantime.
+    no further work and no other job need wait for it. Rows beyond `MAX_NAMED_BYTES`
+    name no jobs, so that any job waits. The wait for a suspect runner goes on over
+    several takeovers, since no dispatcher can have given it work in the meantime.
 
     Parameters
     ----------
@@ -31,7 +34,7 @@
     -------
     list of RecordedRunner
     """
-    recorded = []
+    recorded, named_bytes = [], 0
     for runner in state.runners.values():
         suspect = runner.id in state.suspects
         if not suspect and not _may_have_work(runner):
@@ -40,14 +43,19 @@
         if suspect and with_waits:
             wait_s = max(state.suspects[runner.id] - now, 0.0)
         jobs = _find_only_jobs(runner, suspect=suspect)
-        row_term = 0 if wait_s is None and jobs is None else term
-        row = RecordedRunner.create(
-            runner.entry, wait_s=wait_s, jobs=jobs, term=row_term
-        )
+        row = _make_row(runner, wait_s=wait_s, jobs=jobs, term=term)
+        if named_bytes + row.jobs_bytes > MAX_NAMED_BYTES:
+            row = _make_row(runner, wait_s=wait_s, jobs=None, term=term)
+        named_bytes += row.jobs_bytes
         recorded.append(row)
     return recorded
 
 
+def _make_row(runner, *, wait_s, jobs, term):
+    row_term = 0 if wait_s is None and jobs is None else term
+    return RecordedRunner.create(runner.entry, wait_s=wait_s, jobs=jobs, term=row_term)
+
+
 def _may_have_work(runner):
     """Return whether a runner may get work, or has runs or unacknowledged ends."""
     return (
--- a/wasabipaddle/dispatch/tests/test_takeover.py
+++ b/wasabipaddle/dispatch/tests/test_takeover.py
@@ -4,7 +4,8 @@
 
 from wasabipaddle.dispatch.tests.conftest import step
 from wasabipaddle.interfaces import EndCause
-from wasabipaddle.jobs import JobPhase
+from wasabipaddle.interfaces.store import MAX_VALUE_BYTES
+from wasabipaddle.jobs import JobPhase, encode_fleet
 
 
 def test_first_clock_reading_of_a_runner_is_used(cell):
@@ -351,3 +352,21 @@
     cell.write()
     rows = cell.scheduler.runners_to_record(cell.now, with_waits=False, term=3)
     assert runner.id not in {row.id for row in rows}
+
+
+def test_names_of_jobs_leave_room_in_the_fleet_record(make_cell):
+    """Guards against a record that is too large for the store while a fleet leaves.
+
+    The rows beyond the bound let any job wait.
+    """
+    cell = make_cell(runners=20)
+    for name, runner in cell.state.runners.items():
+        runner.recorded_jobs = frozenset(f"{name}-{n}".zfill(1000) for n in range(64))
+        cell.state.suspects[name] = cell.now + 6.0
+    rows = cell.scheduler.runners_to_record(cell.now, with_waits=True, term=3)
+    assert len(encode_fleet(rows)) <= MAX_VALUE_BYTES
+    assert len(rows) == 20
+    named = [row for row in rows if row.jobs is not None]
+    assert 0 < len(named) < 20
+    for row in named:
+        assert set(row.jobs) == cell.state.runners[row.id].recorded_jobs
--- a/wasabipaddle/jobs/fleet.py
+++ b/wasabipaddle/jobs/fleet.py
@@ -109,6 +109,11 @@
         """Registry entry of the runner."""
         return RunnerEntry(**_entry_fields(self))
 
+    @property
+    def jobs_bytes(self) -> int:
+        """Size of the encoded names of jobs in bytes."""
+        return len(msgspec.json.encode(self.jobs)) if self.jobs else 0
+
     @classmethod
     def create_identified(cls, runner_id="", *, wait_s=None, term=0):
         """Return the record of a runner of which only the identifier is known."""
