Give no claim on a quota to steps that no runners can hold

Cause: a claim took no account of the runners, so that gangs with a label or a number of runners that the cell does not have idled their quota in turns. Change: the runners that may run the step have to hold all tasks that start together, if they were empty. Placement and claims share the check of pool and label. Evidence: test_gangs_that_no_runners_can_hold_get_no_claim fails on (both cases). test_room_that_the_gang_leaves_is_used had such a gang; it now has one whose only runner is full of lasting work, with the same checks, and passes without this change too.

--- a/wasabipaddle/dispatch/claims.py
+++ b/wasabipaddle/dispatch/claims.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from wasabipaddle.dispatch.fitting import is_permitted, slots_when_empty
 from wasabipaddle.dispatch.usage import NOTHING, Usage
 
 __all__ = ["Claim", "QuotaClaims", "needed_together"]
@@ -56,7 +57,8 @@
     come last in the order. Steps that need no more than an average run of the workspace
     get none: the end of a run is room enough for them, and the order decides. Work that
     is more urgent passes a claim, and so does work that is expected to end before the
-    step fits. Room that lasting work holds is never counted on.
+    step fits. Room that lasting work holds is never counted on, and a step that the
+    runners could not even hold if they were empty gets no claim.
 
     Parameters
     ----------
@@ -181,6 +183,20 @@
         count = needed_together(step)
         return limit is not None and Usage().admits(limit, step.spec, count)
 
+    def _has_runners(self, step):
+        """Return whether the runners that may run a step would hold it if empty."""
+        needed = needed_together(step)
+        for runner in self.state.runners.values():
+            if (
+                runner.stays
+                and is_permitted(step, runner)
+                and not step.eligibility.is_ineligible(runner)
+            ):
+                needed -= slots_when_empty(step, runner)
+            if needed <= 0:
+                return True
+        return False
+
     def _fits(self, step):
         return self.state.quotas.admits(step, count=needed_together(step))
 
@@ -190,7 +206,8 @@
         if now - _waiting_since_s(step) < CLAIM_AFTER_S or self._fits(step):
             return
         self.searched.add(name)
-        drain_s = self._drain_s(step, now) if self._can_fit(step) else math.inf
+        may_start = self._can_fit(step) and self._has_runners(step)
+        drain_s = self._drain_s(step, now) if may_start else math.inf
         if drain_s == math.inf:
             # Another step may fit where this one does not.
             self.pauses_s[step.key] = now + CLAIM_AGAIN_S
--- a/wasabipaddle/dispatch/fitting.py
+++ b/wasabipaddle/dispatch/fitting.py
@@ -5,7 +5,9 @@
     "demand",
     "fits",
     "free_slots",
+    "is_permitted",
     "score",
+    "slots_when_empty",
     "speed_weight",
     "within_runner_limit",
 ]
@@ -81,19 +83,46 @@
     return not limit or runner.step_runs.get(step, 0) < limit
 
 
+def is_permitted(step, runner) -> bool:
+    """Return whether the pool and the labels of a runner admit a step."""
+    label = step.spec.required_label
+    return (
+        runner.entry.pool == step.job.queue.pool
+        and step.job.may_run_in(runner.entry.pool)
+        and (not label or label in runner.entry.labels)
+    )
+
+
 def free_slots(step, runner) -> int:
     """Return how many more tasks of a step fit on a runner now."""
-    spec, capacity = step.spec, runner.entry.capacity
-    slots = step.spec.count
+    capacity = runner.entry.capacity
+    slots = _count_slots(
+        step.spec,
+        capacity.cpu - runner.cpu,
+        capacity.memory_mb - runner.memory_mb,
+        capacity.gpus - runner.gpus,
+    )
+    if step.spec.max_per_runner:
+        slots = min(slots, step.spec.max_per_runner - runner.step_runs.get(step, 0))
+    return max(slots, 0)
+
+
+def slots_when_empty(step, runner) -> int:
+    """Return how many tasks of a step would fit if a runner had no runs."""
+    capacity = runner.entry.capacity
+    slots = _count_slots(step.spec, capacity.cpu, capacity.memory_mb, capacity.gpus)
+    return min(slots, step.spec.max_per_runner or slots)
+
+
+def _count_slots(spec, cpu, memory_mb, gpus) -> int:
+    slots = spec.count
     if spec.cpu and not spec.opportunistic:
-        slots = min(slots, (capacity.cpu - runner.cpu) // spec.cpu)
+        slots = min(slots, cpu // spec.cpu)
     if spec.memory_mb:
-        slots = min(slots, (capacity.memory_mb - runner.memory_mb) // spec.memory_mb)
+        slots = min(slots, memory_mb // spec.memory_mb)
     if spec.gpus:
-        slots = min(slots, (capacity.gpus - runner.gpus) // spec.gpus)
-    if spec.max_per_runner:
-        slots = min(slots, spec.max_per_runner - runner.step_runs.get(step, 0))
-    return max(slots, 0)
+        slots = min(slots, gpus // spec.gpus)
+    return slots
 
 
 def _interferes(spec, runner):
--- a/wasabipaddle/dispatch/placement.py
+++ b/wasabipaddle/dispatch/placement.py
@@ -4,7 +4,12 @@
 from wasabipaddle.dispatch.choices import FleetChoice, FullFleetChoice, TicketChoice
 from wasabipaddle.dispatch.copies import copy_wins, needs_copy
 from wasabipaddle.dispatch.eligibility import KnownAnswers
-from wasabipaddle.dispatch.fitting import fits, free_slots, within_runner_limit
+from wasabipaddle.dispatch.fitting import (
+    fits,
+    free_slots,
+    is_permitted,
+    within_runner_limit,
+)
 from wasabipaddle.dispatch.fleet import SuspectedRuns
 from wasabipaddle.dispatch.model import Run, RunPhase
 from wasabipaddle.dispatch.orders import StartTask
@@ -150,13 +155,7 @@
 
     def admits(self, step, runner, now) -> bool:
         """Return whether a runner may run the step, regardless of free capacity."""
-        label = step.spec.required_label
-        return (
-            runner.entry.pool == step.job.queue.pool
-            and step.job.may_run_in(runner.entry.pool)
-            and (not label or label in runner.entry.labels)
-            and self.index.admits(runner, now)
-        )
+        return is_permitted(step, runner) and self.index.admits(runner, now)
 
     def eligible(self, step, now):
         """Return the candidates that the eligibility service has allowed for the step.
--- a/wasabipaddle/dispatch/tests/test_claims.py
+++ b/wasabipaddle/dispatch/tests/test_claims.py
@@ -48,6 +48,15 @@
         cell.advance_time(PERIOD_S, step=PERIOD_S)
 
 
+def fill_runner(cell, name):
+    """Add a runner that lasting work of another workspace fills."""
+    cell.add_runner(name)
+    lasting = step(4, lasting=True, required_label=f"rack-{name}")
+    cell.submit(f"full-{name}", lasting, workspace="other")
+    cell.plan()
+    assert len(cell.runners[name].running) == 4
+
+
 def count_started(cell, prefix):
     return sum(task.job.startswith(prefix) for task, _, _ in cell.started)
 
@@ -103,7 +112,8 @@
 
 def test_room_that_the_gang_leaves_is_used(shop):
     """Guards against a claim on more than the work needs."""
-    gang = step(2, gang=True, required_label="no-runner")
+    fill_runner(shop, "r9")
+    gang = step(2, gang=True, required_label="rack-r9")
     shop.submit("wide", gang, workspace="shop")
     flood(shop, 9.0)
     (claim,) = shop.state.quotas.claims.by_workspace.values()
@@ -177,3 +187,19 @@
     shop.submit("wide", step(3, gang=True), workspace="shop")
     flood(shop, 25.0)
     assert count_started(shop, "wide") == 3
+
+
+@pytest.mark.parametrize(
+    "limits",
+    [{"required_label": "no-runner"}, {"max_per_runner": 1, "required_label": "kind"}],
+    ids=["label", "runners"],
+)
+def test_gangs_that_no_runners_can_hold_get_no_claim(shop, limits):
+    """Guards against half of a quota that idles for work without runners."""
+    quota = Capacity(cpu=6000)
+    shop.set_workspaces(Workspace(name="shop", weight=100.0, quota=quota))
+    for n in range(5):
+        gang = step(5, gang=True, **limits)
+        shop.submit(f"wide-{n}", gang, workspace="shop")
+    flood(shop, 15.0)
+    assert not events(shop, "quota_claimed")
