--- a/wasabipaddle/dispatch/claims.py
+++ b/wasabipaddle/dispatch/claims.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from wasabipaddle.dispatch.fitting import is_permitted, slots_when_empty
 from wasabipaddle.dispatch.usage import NOTHING, Usage
 
 __all__ = ["Claim", "QuotaClaims", "needed_together"]
@@ -56,7 +57,8 @@
     come last in the order. Steps that need no more than an average run of the workspace
     get none: the end of a run is room enough for them, and the order decides. Work that
     is more urgent passes a claim, and so does work that is expected to end before the
-    step fits. Room that lasting work holds is never counted on.
+    step fits. Room that lasting work holds is never counted on, and a step that the
+    runners could not even hold if they were empty gets no claim.
 
     Parameters
     ----------
@@ -71,10 +73,13 @@
         Step of each workspace that gets the next claim.
     pauses_s : dict
         Time until which there is no claim, by workspace, and by the key of a step whose
-        claim has expired.
+        claim has expired or that is not expected to fit.
     expired : dict of tuple to int
         Number of claims of a step that ended without a start, by its key. A step with
         fewer comes first, and each lets the next one last longer.
+    searched : set of str
+        Workspaces for which a claim was looked for in this round, since that visits all
+        of their runs.
     now : float
         Time of the planning round.
     """
@@ -85,11 +90,13 @@
         self.waiting = {}
         self.pauses_s = {}
         self.expired = {}
+        self.searched = set()
         self.now = 0.0
 
     def begin_round(self, now):
         """End the claims of steps that wait no more, fit no more or are overdue."""
         self.now = now
+        self.searched = set()
         ready = self.state.ready
         self.pauses_s = {k: t for k, t in self.pauses_s.items() if now < t}
         self.expired = {k: n for k, n in self.expired.items() if k in ready}
@@ -131,7 +138,7 @@
         first = (
             other is None or not other.pending or self._turn(step) < self._turn(other)
         )
-        if first and self._is_large(step):
+        if first and self._is_large(step) and self._can_fit(step):
             self.waiting[name] = step
 
     def note_start(self, step, now):
@@ -149,7 +156,7 @@
             and waiting.pending
             and step.job.queue.priority >= waiting.job.queue.priority
         )
-        if overtaken and name not in self.pauses_s:
+        if overtaken and name not in self.pauses_s and name not in self.searched:
             self._claim(waiting, now)
 
     def _turn(self, step):
@@ -176,6 +183,20 @@
         count = needed_together(step)
         return limit is not None and Usage().admits(limit, step.spec, count)
 
+    def _has_runners(self, step):
+        """Return whether the runners that may run a step would hold it if empty."""
+        needed = needed_together(step)
+        for runner in self.state.runners.values():
+            if (
+                runner.stays
+                and is_permitted(step, runner)
+                and not step.eligibility.is_ineligible(runner)
+            ):
+                needed -= slots_when_empty(step, runner)
+            if needed <= 0:
+                return True
+        return False
+
     def _fits(self, step):
         return self.state.quotas.admits(step, count=needed_together(step))
 
@@ -184,10 +205,12 @@
         name = step.job.job.workspace
         if now - _waiting_since_s(step) < CLAIM_AFTER_S or self._fits(step):
             return
-        drain_s = self._drain_s(step, now) if self._can_fit(step) else math.inf
+        self.searched.add(name)
+        may_start = self._can_fit(step) and self._has_runners(step)
+        drain_s = self._drain_s(step, now) if may_start else math.inf
         if drain_s == math.inf:
-            self.pauses_s[name] = now + CLAIM_AGAIN_S
             # Another step may fit where this one does not.
+            self.pauses_s[step.key] = now + CLAIM_AGAIN_S
             del self.waiting[name]
             return
         margin = DRAIN_MARGIN * (1 + self._expired(step))
