--- a/wasabipaddle/ingress/tests/test_crowds.py
+++ b/wasabipaddle/ingress/tests/test_crowds.py
@@ -6,13 +6,21 @@
 
 import asyncio
 
+from wasabipaddle.ingress.tests.raw_requests import (
+    BODY_BYTES,
+    CHUNKED,
+    body_of,
+    chunked,
+    head,
+    length,
+    write,
+)
+
 # Connections whose bodies or heads are held, and connections beyond the descriptors.
 CROWD = 600
 LARGE_CROWD = 1_200
-DRAIN_CROWD = 20
 # One client of this many completes its request.
 COMPLETING_SHARE = 10
-BODY_BYTES = 262_144
 MISSING_BYTES = 64
 PIECE_BYTES = 8_192
 CHUNK_BYTES = 16_384
@@ -25,41 +33,12 @@
 PAUSE_S = 0.05
 
 
-def _head(number, framing):
-    return (
-        f"POST /q/{number:016x} HTTP/1.1\r\nHost: q.example\r\n{framing}\r\n".encode()
-    )
-
-
-def _body(size):
-    """Return the body of a valid job, filled up with a field that is ignored."""
-    start = b'{"spec":"x","steps":[{"count":1,"cpu":1,"mem_mb":1}],"pad":"'
-    return start + b"x" * (size - len(start) - 2) + b'"}'
-
-
-def _length(size):
-    return f"Content-Length: {size}\r\n"
-
-
-CHUNKED = "Transfer-Encoding: chunked\r\n"
-
-
-def _chunked(body, size):
-    pieces = [body[at : at + size] for at in range(0, len(body), size)]
-    return b"".join(b"%x\r\n%b\r\n" % (len(piece), piece) for piece in pieces)
-
-
-async def _write(writer, data):
-    writer.write(data)
-    await writer.drain()
-
-
 def test_heads_over_the_limit(run_crowded):
     """Guards against heads over the limit that are held until their end."""
 
     async def send(writer, number):
-        head = _head(number, f"X-Fill: {'x' * FIELD_BYTES}\r\n" * FIELDS_OVER_LIMIT)
-        await _write(writer, head[:-2])
+        fields = f"X-Fill: {'x' * FIELD_BYTES}\r\n" * FIELDS_OVER_LIMIT
+        await write(writer, head(number, fields)[:-2])
 
     async def check(cell):
         await cell.send_crowd(CROWD, send)
@@ -72,9 +51,9 @@
     """Guards against heads that grow until the process is out of memory."""
 
     async def send(writer, number):
-        await _write(writer, _head(number, "")[:-2])
+        await write(writer, head(number, "")[:-2])
         for field in range(ENDLESS_FIELDS):
-            await _write(writer, b"X-%d: %b\r\n" % (field, b"x" * FIELD_BYTES))
+            await write(writer, b"X-%d: %b\r\n" % (field, b"x" * FIELD_BYTES))
 
     async def check(cell):
         await cell.send_crowd(CROWD, send)
@@ -90,11 +69,11 @@
         answered = asyncio.Event()
 
         async def send(writer, number):
-            await _write(writer, EMPTY_LINES)
+            await write(writer, EMPTY_LINES)
 
             async def go_on():
                 while not answered.is_set():
-                    await _write(writer, EMPTY_LINES)
+                    await write(writer, EMPTY_LINES)
                     await asyncio.sleep(PAUSE_S)
 
             cell.keep_sending(go_on())
@@ -112,11 +91,11 @@
 
 def test_large_bodies_at_once(run_crowded):
     """Guards against whole large bodies that are all held at the same time."""
-    body = _body(BODY_BYTES)
+    body = body_of(BODY_BYTES)
 
     async def send(writer, number):
         sent = body[: BODY_BYTES - _missing(number)]
-        await _write(writer, _head(number, _length(BODY_BYTES)) + sent)
+        await write(writer, head(number, length(BODY_BYTES)) + sent)
 
     async def check(cell):
         await cell.send_crowd(CROWD, send)
@@ -127,13 +106,13 @@
 
 def test_large_bodies_in_pieces(run_crowded):
     """Guards against large bodies that all grow at the same time."""
-    body = _body(BODY_BYTES)
+    body = body_of(BODY_BYTES)
 
     async def send(writer, number):
-        await _write(writer, _head(number, _length(BODY_BYTES)))
+        await write(writer, head(number, length(BODY_BYTES)))
         sent = body[: BODY_BYTES - _missing(number)]
         for at in range(0, len(sent), PIECE_BYTES):
-            await _write(writer, sent[at : at + PIECE_BYTES])
+            await write(writer, sent[at : at + PIECE_BYTES])
             await asyncio.sleep(0)
 
     async def check(cell):
@@ -145,14 +124,14 @@
 
 def test_bodies_in_large_chunks(run_crowded):
     """Guards against bodies without a declared length that are all held at once."""
-    chunks = _chunked(_body(BODY_BYTES), CHUNK_BYTES)
+    chunks = chunked(body_of(BODY_BYTES), CHUNK_BYTES)
 
     async def send(writer, number):
-        await _write(writer, _head(number, CHUNKED))
+        await write(writer, head(number, CHUNKED))
         if _missing(number):
-            await _write(writer, chunks[: -_missing(number)])
+            await write(writer, chunks[: -_missing(number)])
         else:
-            await _write(writer, chunks + b"0\r\n\r\n")
+            await write(writer, chunks + b"0\r\n\r\n")
 
     async def check(cell):
         await cell.send_crowd(CROWD, send)
@@ -163,14 +142,14 @@
 
 def test_bodies_in_very_small_chunks(run_crowded):
     """Guards against chunks whose bookkeeping needs many times their own bytes."""
-    chunks = _chunked(_body(SMALL_CHUNKS), 1)
+    chunks = chunked(body_of(SMALL_CHUNKS), 1)
 
     async def send(writer, number):
-        await _write(writer, _head(number, CHUNKED))
+        await write(writer, head(number, CHUNKED))
         if _missing(number):
-            await _write(writer, chunks)
+            await write(writer, chunks)
         else:
-            await _write(writer, chunks + b"0\r\n\r\n")
+            await write(writer, chunks + b"0\r\n\r\n")
 
     async def check(cell):
         await cell.send_crowd(CROWD, send)
@@ -191,18 +170,3 @@
         await cell.check()
 
     run_crowded(check)
-
-
-def test_unfinished_bodies_at_a_drain(run_crowded):
-    """Guards against slow senders that keep a draining process from its exit."""
-
-    async def send(writer, number):
-        await _write(writer, _head(number, _length(BODY_BYTES)) + b"{")
-
-    async def check(cell):
-        await cell.send_crowd(DRAIN_CROWD, send)
-        await cell.check()
-        cell.child.terminate()
-        assert await cell.wait_for_exit() == 0
-
-    run_crowded(check)
