Lengthen the pause after claims on a quota that expire

Cause: a claim that expires counts for its step alone, so that many gangs that find no room take turns, and the quota idles half of the time. Change: the pause of the workspace doubles with each claim that expires, up to 60 s, until one ends with a start. Evidence: test_claims_of_no_use_become_rare fails on (144 starts in 150 s, of 300 that four cores can do; the bound is three quarters).

--- a/wasabipaddle/dispatch/claims.py
+++ b/wasabipaddle/dispatch/claims.py
@@ -14,6 +14,9 @@
 # a workspace, in which its other work goes on.
 CLAIM_AFTER_S = 5.0
 CLAIM_AGAIN_S = 5.0
+# Longest time between two claims of a workspace. The time doubles after each claim that
+# expires, so that claims of no use do not idle half of a quota.
+LONGEST_PAUSE_S = 60.0
 # Factor on the expected time until the step fits after which a claim ends, and its
 # least duration.
 DRAIN_MARGIN = 2.0
@@ -77,6 +80,8 @@
     expired : dict of tuple to int
         Number of claims of a step that ended without a start, by its key. A step with
         fewer comes first, and each lets the next one last longer.
+    again_s : dict of str to float
+        Time from a claim to the next one, of workspaces whose last ones have expired.
     searched : set of str
         Workspaces for which a claim was looked for in this round, since that visits all
         of their runs.
@@ -90,6 +95,7 @@
         self.waiting = {}
         self.pauses_s = {}
         self.expired = {}
+        self.again_s = {}
         self.searched = set()
         self.now = 0.0
 
@@ -101,6 +107,8 @@
         self.pauses_s = {k: t for k, t in self.pauses_s.items() if now < t}
         self.expired = {k: n for k, n in self.expired.items() if k in ready}
         self.waiting = {k: s for k, s in self.waiting.items() if s.key in ready}
+        limits = self.state.quotas.limits
+        self.again_s = {k: s for k, s in self.again_s.items() if k in limits}
         for name, claim in list(self.by_workspace.items()):
             if claim.step.key not in ready:
                 self._end(name, "gone")
@@ -116,6 +124,8 @@
         """End a claim that was of no use; the next one for its step comes later."""
         expired = self.expired[step.key] = self._expired(step) + 1
         self.pauses_s[step.key] = self.now + CLAIM_AGAIN_S * (1 + expired)
+        again_s = 2 * self.again_s.get(name, CLAIM_AGAIN_S)
+        self.again_s[name] = min(again_s, LONGEST_PAUSE_S)
         self._end(name, "expired")
 
     def kept_from(self, step) -> tuple:
@@ -147,6 +157,7 @@
         claim = self.by_workspace.get(name)
         if claim is not None:
             if claim.step is step:
+                self.again_s.pop(name, None)
                 self._end(name, "started")
             return
         waiting = self.waiting.get(name)
@@ -234,7 +245,7 @@
     def _end(self, name, reason):
         step = self.by_workspace.pop(name).step
         self.waiting.pop(name, None)
-        self.pauses_s[name] = self.now + CLAIM_AGAIN_S
+        self.pauses_s[name] = self.now + self.again_s.get(name, CLAIM_AGAIN_S)
         self.state.journal(
             "quota_claim_ended",
             job=step.job.id,
--- a/wasabipaddle/dispatch/preview.py
+++ b/wasabipaddle/dispatch/preview.py
@@ -55,6 +55,7 @@
     copied.by_workspace = {n: copy.copy(c) for n, c in claims.by_workspace.items()}
     copied.waiting, copied.pauses_s = dict(claims.waiting), dict(claims.pauses_s)
     copied.expired, copied.searched = dict(claims.expired), set(claims.searched)
+    copied.again_s = dict(claims.again_s)
     return copied
 
 
--- a/wasabipaddle/dispatch/tests/test_claims.py
+++ b/wasabipaddle/dispatch/tests/test_claims.py
@@ -44,6 +44,13 @@
     while cell.now < until_s:
         submit_small(cell, f"{cell.now}-a", queue=queue)
         submit_small(cell, f"{cell.now}-b", queue=queue)
+        pass_time(cell, PERIOD_S)
+
+
+def pass_time(cell, seconds):
+    """Let time pass without new jobs."""
+    until_s = cell.now + seconds
+    while cell.now < until_s:
         end_tasks(cell)
         cell.advance_time(PERIOD_S, step=PERIOD_S)
 
@@ -203,3 +210,18 @@
         shop.submit(f"wide-{n}", gang, workspace="shop")
     flood(shop, 15.0)
     assert not events(shop, "quota_claimed")
+
+
+def test_claims_of_no_use_become_rare(shop):
+    """Guards against many gangs without room that take turns to idle their quota."""
+    fill_runner(shop, "r9")
+    for n in range(20):
+        gang = step(4, gang=True, required_label="rack-r9")
+        shop.submit(f"wide-{n}", gang, workspace="shop")
+    # The first claims may come in quick succession.
+    shop.submit("small", step(1000), workspace="shop")
+    pass_time(shop, 150.0)
+    before = count_started(shop, "small")
+    pass_time(shop, 150.0)
+    # Three quarters of what four cores can start.
+    assert count_started(shop, "small") - before >= 150.0 * 4 / SMALL_RUN_S * 3 / 4
