--- a/wasabipaddle/platform/advice.py
+++ b/wasabipaddle/platform/advice.py
@@ -4,7 +4,7 @@
 
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.interfaces import Advice, AdviceClient
-from wasabipaddle.platform.decoding import DECODING_ERRORS, integer, text
+from wasabipaddle.jobs.decoding import DECODING_ERRORS, integer, text
 from wasabipaddle.transport.json_client import JsonHttpClient
 
 __all__ = ["PlatformAdvice"]
--- a/wasabipaddle/platform/client.py
+++ b/wasabipaddle/platform/client.py
@@ -158,17 +158,12 @@
 
 def encode_runner(entry, sequence):
     """Return the key and value of a runner's entry in the registry."""
-    capacity = entry.capacity
     value = {
         "service": entry.pool,
         "address": entry.address,
         "zone": entry.data_centre,
         "state": "draining" if entry.draining else "ready",
-        "capacity": {
-            "cpu": capacity.cpu,
-            "mem_mb": capacity.memory_mb,
-            "gpu": capacity.gpus,
-        },
+        "capacity": _encode_capacity(entry.capacity),
         "labels": list(entry.labels),
         "born": entry.incarnation,
         "seq": sequence,
@@ -206,12 +201,19 @@
 
 
 def _encode_workspace(workspace, keys):
-    quota = workspace.quota
     return {
         "name": workspace.name,
         "api_keys": list(keys),
         "weight": workspace.weight,
-        "cap": {"cpu": quota.cpu, "mem_mb": quota.memory_mb, "gpu": quota.gpus},
+        "cap": _encode_capacity(workspace.quota),
+    }
+
+
+def _encode_capacity(capacity):
+    return {
+        "cpu": capacity.cpu,
+        "mem_mb": capacity.memory_mb,
+        "gpu": capacity.gpus,
     }
 
 
--- a/wasabipaddle/platform/configuration.py
+++ b/wasabipaddle/platform/configuration.py
@@ -13,7 +13,7 @@
     Workspace,
     digest_key,
 )
-from wasabipaddle.platform.decoding import (
+from wasabipaddle.jobs.decoding import (
     DECODING_ERRORS,
     decode_json,
     ignore_report,
@@ -22,7 +22,7 @@
     text,
 )
 
-__all__ = ["CONFIGURATION_KEY", "decode_configuration"]
+__all__ = ["CONFIGURATION_KEY", "decode_capacity", "decode_configuration"]
 
 CONFIGURATION_KEY = "op/config"
 MS_PER_S = 1000
@@ -128,11 +128,16 @@
         name=text(row["name"]),
         key_digests=frozenset(map(digest_key, keys)),
         weight=1.0 if weight is None else number(weight, least=0),
-        quota=Capacity(
-            cpu=integer(cap.get("cpu") or 0, least=0),
-            memory_mb=integer(cap.get("mem_mb") or 0, least=0),
-            gpus=integer(cap.get("gpu") or 0, least=0),
-        ),
+        quota=decode_capacity({name: n or 0 for name, n in cap.items()}),
+    )
+
+
+def decode_capacity(body) -> Capacity:
+    """Return a capacity; raise one of `DECODING_ERRORS` if it is malformed."""
+    return Capacity(
+        cpu=integer(body.get("cpu", 0), least=0),
+        memory_mb=integer(body.get("mem_mb", 0), least=0),
+        gpus=integer(body.get("gpu", 0), least=0),
     )
 
 
--- a/wasabipaddle/platform/jobs.py
+++ b/wasabipaddle/platform/jobs.py
@@ -9,8 +9,8 @@
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.jobs import JobPhase, JobSpec
 from wasabipaddle.jobs.checks import find_spec_problem
+from wasabipaddle.jobs.decoding import DECODING_ERRORS, rounded, whole
 from wasabipaddle.jobs.submission import find_schedule_problem, find_size_problem
-from wasabipaddle.platform.decoding import DECODING_ERRORS, rounded, whole
 
 __all__ = ["JOB_ID", "KEY_HEADER", "PHASE_WORDS", "decode_spec"]
 
--- a/wasabipaddle/platform/registry.py
+++ b/wasabipaddle/platform/registry.py
@@ -4,9 +4,10 @@
 
 import msgspec
 
-from wasabipaddle.jobs import Capacity, RunnerEntry
+from wasabipaddle.jobs import RunnerEntry
 from wasabipaddle.jobs.addresses import is_callable_address
-from wasabipaddle.platform.decoding import DECODING_ERRORS, integer, number, text
+from wasabipaddle.jobs.decoding import DECODING_ERRORS, integer, number, text
+from wasabipaddle.platform.configuration import decode_capacity
 
 __all__ = ["REGISTRY_PREFIX", "decode_runner"]
 
@@ -52,18 +53,10 @@
         address=body["address"],
         data_centre=text(body["zone"]),
         pool=text(body["service"]),
-        capacity=_read_capacity(body["capacity"]),
+        capacity=decode_capacity(body["capacity"]),
         labels=tuple(text(label, empty=True) for label in labels),
         draining=body["state"] == "draining",
         leaves_in_s=number(body.get("drain_remaining_ms", 0)) / MS_PER_S,
         cold_s=number(body.get("cold_remaining_ms", 0)) / MS_PER_S,
         incarnation=integer(body.get("born", 0)),
     )
-
-
-def _read_capacity(capacity):
-    return Capacity(
-        cpu=integer(capacity.get("cpu", 0), least=0),
-        memory_mb=integer(capacity.get("mem_mb", 0), least=0),
-        gpus=integer(capacity.get("gpu", 0), least=0),
-    )
--- a/wasabipaddle/platform/runner.py
+++ b/wasabipaddle/platform/runner.py
@@ -12,7 +12,7 @@
     RunnerClient,
     RunningTask,
 )
-from wasabipaddle.platform.decoding import DECODING_ERRORS, integer, number
+from wasabipaddle.jobs.decoding import DECODING_ERRORS, integer, number
 from wasabipaddle.platform.tasks import decode_task, encode_task
 from wasabipaddle.transport.json_client import JsonHttpClient
 
@@ -102,21 +102,15 @@
             body["deadline_ms"] = lease_until_ms
         if wait_s:
             body["wait_ms"] = int(wait_s * MS_PER_S)
-        result = await self.client.call(
-            "POST", "/hold", body=body, headers=self.headers, timeout_s=timeout_s
-        )
-        if result.is_err():
-            return result
-        response = result.ok()
-        if response.status in (502, 504):
-            return _gateway_failure("/hold", response)
-        try:
-            return Ok(_decode_inventory(response))
-        except DECODING_ERRORS as error:
-            detail = f"the lists of runs are malformed: {error!r}"
-            return Err(Failure(kind=ErrorKind.ANSWER_BROKEN, detail=detail))
+        broken = ErrorKind.ANSWER_BROKEN
+        return await self._call("/hold", body, timeout_s, _decode_inventory, broken)
 
     async def _send_order(self, path, body, timeout_s):
+        # Whether the order has been carried out is unknown.
+        return await self._call(path, body, timeout_s, _decode_reply, ErrorKind.TIMEOUT)
+
+    async def _call(self, path, body, timeout_s, decode, broken):
+        """Make a call; a response that is malformed gives an `Err` of kind `broken`."""
         result = await self.client.call(
             "POST", path, body=body, headers=self.headers, timeout_s=timeout_s
         )
@@ -124,23 +118,19 @@
             return result
         response = result.ok()
         if response.status in (502, 504):
-            return _gateway_failure(path, response)
+            detail = f"{path}: status {response.status}"
+            return Err(Failure(kind=ErrorKind.TIMEOUT, detail=detail))
         try:
-            return Ok(_decode_reply(response))
+            return Ok(decode(response))
         except DECODING_ERRORS as error:
-            detail = f"{path}: the reply is malformed: {error!r}"
-            return Err(Failure(kind=ErrorKind.TIMEOUT, detail=detail))
+            detail = f"{path}: the response is malformed: {error!r}"
+            return Err(Failure(kind=broken, detail=detail))
 
     async def close(self):
         """Close the connections."""
         await self.client.close()
 
 
-def _gateway_failure(path, response):
-    detail = f"{path}: status {response.status}"
-    return Err(Failure(kind=ErrorKind.TIMEOUT, detail=detail))
-
-
 def _decode_reply(response):
     return OrderReply(
         clock_ms=integer(response.body.get("clock_ms", 0), least=0),
--- a/wasabipaddle/platform/server.py
+++ b/wasabipaddle/platform/server.py
@@ -50,6 +50,13 @@
     return _json_response(body or {}, status)
 
 
+def _respond(request, result, encode=lambda _: {}):
+    """Return the response to a result; `encode` makes the body of that of success."""
+    if result.is_err():
+        return _error_response(request, result.err())
+    return _json_response(encode(result.ok()))
+
+
 async def _read_body(request):
     return msgspec.json.decode(await request.read() or b"{}")
 
@@ -83,28 +90,16 @@
     async def read(self, request):
         """Return the entry of one key."""
         found = await self.store.get(request.query["key"])
-        if found.is_err():
-            return _error_response(request, found.err())
-        entry = found.ok()
-        return (
-            _json_response({}, 404)
-            if entry is None
-            else _json_response(_encode_entry(entry))
-        )
+        if found.is_ok() and found.ok() is None:
+            return _json_response({}, 404)
+        return _respond(request, found, _encode_entry)
 
     async def list(self, request):
         """Return one page of the entries under a prefix."""
         page = await self.store.list(
             request.query["prefix"], after=request.query.get("after", "")
         )
-        if page.is_err():
-            return _error_response(request, page.err())
-        page = page.ok()
-        items = [_encode_entry(entry) for entry in page.entries]
-        more = page.next_after is not None
-        return _json_response(
-            {"items": items, "has_more": more, "as_of": page.revision}
-        )
+        return _respond(request, page, _encode_page)
 
     async def follow(self, request):
         """Return the changes under a prefix as soon as there are any."""
@@ -113,14 +108,9 @@
             after_revision=int(request.query["after"]),
             wait_s=int(request.query["wait_ms"]) / MS_PER_S,
         )
-        if batch.is_err():
-            failure = batch.err()
-            if failure.kind is ErrorKind.REVISION_MISMATCH:
-                return _json_response({}, 410)
-            return _error_response(request, failure)
-        batch = batch.ok()
-        events = [_encode_change(change) for change in batch.changes]
-        return _json_response({"events": events, "as_of": batch.revision})
+        if batch.is_err() and batch.err().kind is ErrorKind.REVISION_MISMATCH:
+            return _json_response({}, 410)
+        return _respond(request, batch, _encode_batch)
 
     async def commit(self, request):
         """Apply one transaction."""
@@ -151,27 +141,28 @@
         """Create a lease."""
         ttl_ms = (await _read_body(request))["ttl_ms"]
         lease = await self.store.grant_lease(ttl_ms / MS_PER_S)
-        if lease.is_err():
-            return _error_response(request, lease.err())
-        return _json_response({"lease": lease.ok(), "ttl_ms": ttl_ms})
+        return _respond(request, lease, lambda n: {"lease": n, "ttl_ms": ttl_ms})
 
     async def renew(self, request):
         """Extend a lease."""
         renewed = await self.store.renew_lease(int(request.match_info["lease"]))
-        return (
-            _error_response(request, renewed.err())
-            if renewed.is_err()
-            else _json_response({})
-        )
+        return _respond(request, renewed)
 
     async def end(self, request):
         """End a lease."""
         ended = await self.store.end_lease(int(request.match_info["lease"]))
-        return (
-            _error_response(request, ended.err())
-            if ended.is_err()
-            else _json_response({})
-        )
+        return _respond(request, ended)
+
+
+def _encode_page(page):
+    items = [_encode_entry(entry) for entry in page.entries]
+    more = page.next_after is not None
+    return {"items": items, "has_more": more, "as_of": page.revision}
+
+
+def _encode_batch(batch):
+    events = [_encode_change(change) for change in batch.changes]
+    return {"events": events, "as_of": batch.revision}
 
 
 def _encode_entry(entry):
@@ -313,14 +304,13 @@
             runners=body["workers"],
             timeout_s=None,
         )
-        if advice.is_err():
-            return _error_response(request, advice.err())
-        advice = advice.ok()
-        return _json_response(
-            {
-                "good": [list(row) for row in advice.tickets.items()],
-                "valid_ms": int(advice.valid_s * MS_PER_S),
-            }
-        )
+        return _respond(request, advice, _encode_advice)
 
     return [web.post("/advise", advise)]
+
+
+def _encode_advice(advice):
+    return {
+        "good": [list(row) for row in advice.tickets.items()],
+        "valid_ms": int(advice.valid_s * MS_PER_S),
+    }
--- a/wasabipaddle/platform/store.py
+++ b/wasabipaddle/platform/store.py
@@ -14,7 +14,7 @@
     TransactionalStore,
     WatchBatch,
 )
-from wasabipaddle.platform.decoding import DECODING_ERRORS, integer
+from wasabipaddle.jobs.decoding import DECODING_ERRORS, integer
 from wasabipaddle.transport.json_client import JsonHttpClient
 
 __all__ = ["PlatformStore"]
