Write the orders and answers of the adapter once

The result of a call of a caller has no name of the wire format, so it moves to the interfaces.

Result: the tests of platform, jobs, fuzz and test_keys of the soak pass.

--- a/wasabipaddle/jobs/decoding.py
+++ b/wasabipaddle/jobs/decoding.py
@@ -3,10 +3,14 @@
 import json
 
 import msgspec
+from result import Err, Ok
+
+from wasabipaddle.exceptions import ErrorKind, Failure
 
 __all__ = [
     "DECODING_ERRORS",
     "MAX_INTEGER",
+    "decode_answer",
     "decode_json",
     "ignore_report",
     "integer",
@@ -38,6 +42,22 @@
     """Discard the report of a part of a record that was left out."""
 
 
+def decode_answer(decode, answer, *, name, kind=ErrorKind.ANSWER_BROKEN):
+    """Return what `decode` makes of an answer, as a `Result`.
+
+    Parameters
+    ----------
+    name : str
+        What the answer is, for the `Err` of a malformed one.
+    kind : ErrorKind
+        Kind of that `Err`.
+    """
+    try:
+        return Ok(decode(answer))
+    except DECODING_ERRORS as error:
+        return Err(Failure(kind=kind, detail=f"{name} is malformed: {error!r}"))
+
+
 def decode_json(data):
     """Return a JSON value whose strings may contain what is not valid Unicode.
 
--- a/wasabipaddle/platform/advice.py
+++ b/wasabipaddle/platform/advice.py
@@ -1,10 +1,10 @@
 """HTTP client of the eligibility service."""
 
-from result import Err, Ok, Result
+from result import Err, Result
 
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.interfaces import Advice, AdviceClient
-from wasabipaddle.jobs.decoding import DECODING_ERRORS, integer, text
+from wasabipaddle.jobs.decoding import decode_answer, integer, text
 from wasabipaddle.transport.json_client import JsonHttpClient
 
 __all__ = ["PlatformAdvice"]
@@ -41,11 +41,8 @@
                 kind = ErrorKind.RATE_LIMITED
             detail = f"the eligibility service returned status {response.status}"
             return Err(Failure(kind=kind, detail=detail))
-        try:
-            return Ok(_decode_advice(response.body))
-        except DECODING_ERRORS as error:
-            detail = f"the answer of the eligibility service is malformed: {error!r}"
-            return Err(Failure(kind=ErrorKind.ANSWER_BROKEN, detail=detail))
+        name = "the answer of the eligibility service"
+        return decode_answer(_decode_advice, response.body, name=name)
 
     async def close(self):
         """Close the connections."""
--- a/wasabipaddle/platform/callers.py
+++ b/wasabipaddle/platform/callers.py
@@ -110,9 +110,7 @@
         wait_s = read_wait_s(request.headers.get("Deadline-Ms", ""))
         if not job and request.method == "GET":
             waiting = await self.service.count_waiting(queue, wait_s=wait_s)
-            if waiting.is_err():
-                return _error_response(waiting.err())
-            return _json_response({"waiting": waiting.ok()})
+            return _respond(waiting, lambda count: {"waiting": count})
         if JOB_ID.fullmatch(job) is None:
             return web.Response(status=400)
         if request.method == "POST":
@@ -121,16 +119,12 @@
             phase = await self.service.find_phase(
                 queue, job, wait_s=wait_s, workspace=workspace
             )
-            if phase.is_err():
-                return _error_response(phase.err())
-            return _json_response({"state": PHASE_WORDS[phase.ok()]})
+            return _respond(phase, lambda found: {"state": PHASE_WORDS[found]})
         if request.method == "DELETE":
             cancelled = await self.service.cancel(
                 queue, job, wait_s=wait_s, workspace=workspace
             )
-            if cancelled.is_err():
-                return _error_response(cancelled.err())
-            return web.Response(status=200)
+            return _respond(cancelled)
         return web.Response(status=405)
 
     def _identify(self, request):
@@ -163,9 +157,7 @@
         accepted = await self.service.submit(
             queue, job, spec.ok(), wait_s=wait_s, workspace=workspace
         )
-        if accepted.is_err():
-            return _error_response(accepted.err())
-        return web.Response(status=200)
+        return _respond(accepted)
 
 
 def read_wait_s(text) -> float:
@@ -195,5 +187,11 @@
     return web.Response(status=status, headers=headers, body=body)
 
 
-def _json_response(body):
-    return web.Response(body=msgspec.json.encode(body), content_type="application/json")
+def _respond(result, encode=None):
+    """Return the response to a result, with a body if there is `encode`."""
+    if result.is_err():
+        return _error_response(result.err())
+    if encode is None:
+        return web.Response(status=200)
+    body = msgspec.json.encode(encode(result.ok()))
+    return web.Response(body=body, content_type="application/json")
--- a/wasabipaddle/platform/client.py
+++ b/wasabipaddle/platform/client.py
@@ -4,15 +4,15 @@
 import types
 
 import aiohttp
-import attrs
 import msgspec
 
+from wasabipaddle.interfaces.callers import CallResult
 from wasabipaddle.platform.configuration import CONFIGURATION_KEY
 from wasabipaddle.platform.jobs import KEY_HEADER, PHASE_WORDS
 from wasabipaddle.platform.registry import REGISTRY_PREFIX
 from wasabipaddle.transport.connections import NO_TIMEOUT, ConnectionPool
 
-__all__ = ["CallResult", "JobCaller", "encode_configuration", "encode_runner"]
+__all__ = ["JobCaller", "encode_configuration", "encode_runner"]
 
 MS_PER_S = 1000
 KEEPALIVE_S = 60.0
@@ -20,28 +20,6 @@
 PHASE_BY_NAME = {name: phase for phase, name in PHASE_WORDS.items()}
 
 
-@attrs.frozen(kw_only=True)
-class CallResult:
-    """Result of one call of a caller.
-
-    Parameters
-    ----------
-    status : int
-        HTTP status, 0 if there was no response.
-    phase : JobPhase or None
-        Phase of the job, if the response contains it.
-    sent : bool
-        Whether the request may have reached a process.
-    detail : str
-        Why there was no response.
-    """
-
-    status: int = 0
-    phase: object = None
-    sent: bool = True
-    detail: str = ""
-
-
 class JobCaller:
     """Caller of a cell that keeps its connections open between calls.
 
--- a/wasabipaddle/platform/runner.py
+++ b/wasabipaddle/platform/runner.py
@@ -1,6 +1,6 @@
 """HTTP client of one runner."""
 
-from result import Err, Ok, Result
+from result import Err, Result
 
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.interfaces import (
@@ -12,7 +12,7 @@
     RunnerClient,
     RunningTask,
 )
-from wasabipaddle.jobs.decoding import DECODING_ERRORS, integer, number
+from wasabipaddle.jobs.decoding import decode_answer, integer, number
 from wasabipaddle.platform.tasks import decode_task, encode_task
 from wasabipaddle.transport.json_client import JsonHttpClient
 
@@ -63,13 +63,9 @@
 
     async def start(self, order, *, timeout_s) -> Result[OrderReply, Failure]:
         """Send a `StartOrder`."""
-        body = {
-            "task": encode_task(order.task),
-            "run": order.run,
-            "spec": order.payload,
-            "deadline_ms": order.start_before_ms,
-            "fencing_token": order.epoch,
-        }
+        body = _encode_order(order.task, order.run, order.epoch)
+        body["spec"] = order.payload
+        body["deadline_ms"] = order.start_before_ms
         if order.checkpoint:
             body["checkpoint"] = order.checkpoint
         if order.ticket:
@@ -78,19 +74,14 @@
 
     async def stop(self, task, run, *, epoch, timeout_s) -> Result[OrderReply, Failure]:
         """Stop a run, or cancel one that has not begun."""
-        body = {"task": encode_task(task), "run": run, "fencing_token": epoch}
+        body = _encode_order(task, run, epoch)
         return await self._send_order("/run-stop", body, timeout_s)
 
     async def pace(
         self, task, run, *, percent, epoch, timeout_s
     ) -> Result[OrderReply, Failure]:
         """Limit a run to a percentage of its full speed."""
-        body = {
-            "task": encode_task(task),
-            "run": run,
-            "percent": percent,
-            "fencing_token": epoch,
-        }
+        body = {**_encode_order(task, run, epoch), "percent": percent}
         return await self._send_order("/pace", body, timeout_s)
 
     async def inventory(
@@ -120,17 +111,17 @@
         if response.status in (502, 504):
             detail = f"{path}: status {response.status}"
             return Err(Failure(kind=ErrorKind.TIMEOUT, detail=detail))
-        try:
-            return Ok(decode(response))
-        except DECODING_ERRORS as error:
-            detail = f"{path}: the response is malformed: {error!r}"
-            return Err(Failure(kind=broken, detail=detail))
+        return decode_answer(decode, response, name=f"response to {path}", kind=broken)
 
     async def close(self):
         """Close the connections."""
         await self.client.close()
 
 
+def _encode_order(task, run, epoch):
+    return {"task": encode_task(task), "run": run, "fencing_token": epoch}
+
+
 def _decode_reply(response):
     return OrderReply(
         clock_ms=integer(response.body.get("clock_ms", 0), least=0),
--- a/wasabipaddle/platform/server.py
+++ b/wasabipaddle/platform/server.py
@@ -1,19 +1,19 @@
 """Server side of the platform's HTTP interface, for stand-ins of its services."""
 
 import base64
+import functools
 
 import msgspec
 from aiohttp import web
 
 from wasabipaddle.exceptions import ErrorKind
 from wasabipaddle.interfaces import Put, Refusal, StartOrder
-from wasabipaddle.platform.runner import END_CAUSES, REFUSALS
+from wasabipaddle.platform.runner import END_CAUSES, ENDS_PER_LIST, REFUSALS
 from wasabipaddle.platform.tasks import decode_task, encode_task
 
 __all__ = ["advice_routes", "runner_routes", "store_routes"]
 
 MS_PER_S = 1000
-MAX_ENDED_TASKS = 500
 CAUSE_NAMES = {cause: name for name, cause in END_CAUSES.items()}
 REFUSAL_REASONS = {refusal: reason for reason, refusal in REFUSALS.items()}
 REFUSAL_STATUS = {
@@ -63,95 +63,81 @@
 
 def store_routes(store):
     """Return the HTTP routes that serve a `TransactionalStore`."""
-    handlers = _StoreHandlers(store=store)
     return [
-        web.get("/kv-key", handlers.read),
-        web.get("/kv-range", handlers.list),
-        web.get("/kv-watch", handlers.follow),
-        web.post("/kv-txn", handlers.commit),
-        web.post("/kv-lease", handlers.grant),
-        web.post("/kv-keep/{lease}", handlers.renew),
-        web.delete("/kv-lease-end/{lease}", handlers.end),
+        web.get("/kv-key", functools.partial(_read, store)),
+        web.get("/kv-range", functools.partial(_list, store)),
+        web.get("/kv-watch", functools.partial(_follow, store)),
+        web.post("/kv-txn", functools.partial(_commit, store)),
+        web.post("/kv-lease", functools.partial(_grant, store)),
+        web.post("/kv-keep/{lease}", functools.partial(_renew, store)),
+        web.delete("/kv-lease-end/{lease}", functools.partial(_end, store)),
     ]
 
 
-class _StoreHandlers:
-    """HTTP handlers that call a store.
+async def _read(store, request):
+    found = await store.get(request.query["key"])
+    if found.is_ok() and found.ok() is None:
+        return _json_response({}, 404)
+    return _respond(request, found, _encode_entry)
 
-    Parameters
-    ----------
-    store : TransactionalStore
-        Store that is called.
-    """
 
-    def __init__(self, *, store):
-        self.store = store
+async def _list(store, request):
+    page = await store.list(
+        request.query["prefix"], after=request.query.get("after", "")
+    )
+    return _respond(request, page, _encode_page)
 
-    async def read(self, request):
-        """Return the entry of one key."""
-        found = await self.store.get(request.query["key"])
-        if found.is_ok() and found.ok() is None:
-            return _json_response({}, 404)
-        return _respond(request, found, _encode_entry)
 
-    async def list(self, request):
-        """Return one page of the entries under a prefix."""
-        page = await self.store.list(
-            request.query["prefix"], after=request.query.get("after", "")
+async def _follow(store, request):
+    batch = await store.follow(
+        request.query["prefix"],
+        after_revision=int(request.query["after"]),
+        wait_s=int(request.query["wait_ms"]) / MS_PER_S,
+    )
+    if batch.is_err() and batch.err().kind is ErrorKind.REVISION_MISMATCH:
+        return _json_response({}, 410)
+    return _respond(request, batch, _encode_batch)
+
+
+async def _commit(store, request):
+    body = await _read_body(request)
+    puts = tuple(
+        Put(
+            key=row["key"],
+            value=base64.b64decode(row["value"]),
+            lease=row.get("lease", 0),
         )
-        return _respond(request, page, _encode_page)
-
-    async def follow(self, request):
-        """Return the changes under a prefix as soon as there are any."""
-        batch = await self.store.follow(
-            request.query["prefix"],
-            after_revision=int(request.query["after"]),
-            wait_s=int(request.query["wait_ms"]) / MS_PER_S,
+        for row in body.get("puts", ())
+    )
+    conditions = tuple(
+        (row["key"], row["revision"]) for row in body.get("expected_rev", ())
+    )
+    committed = await store.commit(
+        conditions=conditions, puts=puts, deletes=tuple(body.get("deletes", ()))
+    )
+    if committed.is_err():
+        return _error_response(
+            request,
+            committed.err(),
+            {"items": [{"key": committed.err().detail}]},
         )
-        if batch.is_err() and batch.err().kind is ErrorKind.REVISION_MISMATCH:
-            return _json_response({}, 410)
-        return _respond(request, batch, _encode_batch)
+    return _json_response({"revision": committed.ok()})
 
-    async def commit(self, request):
-        """Apply one transaction."""
-        body = await _read_body(request)
-        puts = tuple(
-            Put(
-                key=row["key"],
-                value=base64.b64decode(row["value"]),
-                lease=row.get("lease", 0),
-            )
-            for row in body.get("puts", ())
-        )
-        conditions = tuple(
-            (row["key"], row["revision"]) for row in body.get("expected_rev", ())
-        )
-        committed = await self.store.commit(
-            conditions=conditions, puts=puts, deletes=tuple(body.get("deletes", ()))
-        )
-        if committed.is_err():
-            return _error_response(
-                request,
-                committed.err(),
-                {"items": [{"key": committed.err().detail}]},
-            )
-        return _json_response({"revision": committed.ok()})
-
-    async def grant(self, request):
-        """Create a lease."""
-        ttl_ms = (await _read_body(request))["ttl_ms"]
-        lease = await self.store.grant_lease(ttl_ms / MS_PER_S)
-        return _respond(request, lease, lambda n: {"lease": n, "ttl_ms": ttl_ms})
-
-    async def renew(self, request):
-        """Extend a lease."""
-        renewed = await self.store.renew_lease(int(request.match_info["lease"]))
-        return _respond(request, renewed)
-
-    async def end(self, request):
-        """End a lease."""
-        ended = await self.store.end_lease(int(request.match_info["lease"]))
-        return _respond(request, ended)
+
+async def _grant(store, request):
+    ttl_ms = (await _read_body(request))["ttl_ms"]
+    lease = await store.grant_lease(ttl_ms / MS_PER_S)
+    return _respond(request, lease, lambda n: {"lease": n, "ttl_ms": ttl_ms})
+
+
+async def _renew(store, request):
+    renewed = await store.renew_lease(int(request.match_info["lease"]))
+    return _respond(request, renewed)
+
+
+async def _end(store, request):
+    ended = await store.end_lease(int(request.match_info["lease"]))
+    return _respond(request, ended)
 
 
 def _encode_page(page):
@@ -181,105 +167,83 @@
 
 def runner_routes(runner):
     """Return the HTTP routes that serve a `RunnerClient`."""
-    handlers = _RunnerHandlers(runner=runner)
     return [
-        web.post("/run-start", handlers.start),
-        web.post("/run-stop", handlers.stop),
-        web.post("/pace", handlers.pace),
-        web.post("/hold", handlers.hold),
+        web.post("/run-start", functools.partial(_start, runner)),
+        web.post("/run-stop", functools.partial(_stop, runner)),
+        web.post("/pace", functools.partial(_pace, runner)),
+        web.post("/hold", functools.partial(_hold, runner)),
     ]
 
 
-class _RunnerHandlers:
-    """HTTP handlers that call a runner.
+async def _read_order(request):
+    """Return what all orders of a task contain, and the whole body."""
+    body = await _read_body(request)
+    epoch = body.get("fencing_token", 0)
+    return {"task": decode_task(body["task"]), "run": body["run"], "epoch": epoch}, body
 
-    Parameters
-    ----------
-    runner : RunnerClient
-        Runner that is called.
-    """
 
-    def __init__(self, *, runner):
-        self.runner = runner
+async def _start(runner, request):
+    fields, body = await _read_order(request)
+    order = StartOrder(
+        payload=body["spec"],
+        start_before_ms=body["deadline_ms"],
+        checkpoint=body.get("checkpoint", ""),
+        ticket=body.get("ticket", ""),
+        **fields,
+    )
+    return _order_response(request, await runner.start(order, timeout_s=None))
+
 
-    async def start(self, request):
-        """Start a run."""
-        body = await _read_body(request)
-        order = StartOrder(
-            task=decode_task(body["task"]),
-            run=body["run"],
-            payload=body["spec"],
-            start_before_ms=body["deadline_ms"],
-            epoch=body.get("fencing_token", 0),
-            checkpoint=body.get("checkpoint", ""),
-            ticket=body.get("ticket", ""),
-        )
-        return self._order_response(
-            request, await self.runner.start(order, timeout_s=None)
-        )
+async def _stop(runner, request):
+    fields, _ = await _read_order(request)
+    return _order_response(request, await runner.stop(**fields, timeout_s=None))
 
-    async def stop(self, request):
-        """Stop a run."""
-        body = await _read_body(request)
-        stopped = await self.runner.stop(
-            decode_task(body["task"]),
-            body["run"],
-            epoch=body.get("fencing_token", 0),
-            timeout_s=None,
-        )
-        return self._order_response(request, stopped)
 
-    async def pace(self, request):
-        """Change the speed limit of a run."""
-        body = await _read_body(request)
-        paced = await self.runner.pace(
-            decode_task(body["task"]),
-            body["run"],
-            percent=body["percent"],
-            epoch=body.get("fencing_token", 0),
-            timeout_s=None,
-        )
-        return self._order_response(request, paced)
+async def _pace(runner, request):
+    fields, body = await _read_order(request)
+    paced = await runner.pace(**fields, percent=body["percent"], timeout_s=None)
+    return _order_response(request, paced)
 
-    def _order_response(self, request, result):
-        if result.is_err():
-            return _error_response(request, result.err())
-        reply = result.ok()
-        body = {"clock_ms": reply.clock_ms, "born": reply.incarnation}
-        return _json_response(*_add_refusal(body, reply.refusal))
 
-    async def hold(self, request):
-        """Extend the lease and return the running and ended tasks."""
-        body = await _read_body(request)
-        found = await self.runner.inventory(
-            epoch=body.get("fencing_token", 0),
-            acknowledged=body.get("last_seen", 0),
-            lease_until_ms=body.get("deadline_ms", 0),
-            wait_s=body.get("wait_ms", 0) / MS_PER_S,
-            timeout_s=None,
-        )
-        if found.is_err():
-            return _error_response(request, found.err())
-        inventory = found.ok()
-        response_body = {
-            "clock_ms": inventory.clock_ms,
-            "born": inventory.incarnation,
-            "running": [
-                [encode_task(r.task), r.run, r.checkpoint, r.percent, r.load]
-                for r in inventory.running
-            ],
-            "ended": [
-                [
-                    e.number,
-                    encode_task(e.task),
-                    e.run,
-                    CAUSE_NAMES[e.cause],
-                    e.checkpoint,
-                ]
-                for e in inventory.ended[:MAX_ENDED_TASKS]
-            ],
-        }
-        return _json_response(*_add_refusal(response_body, inventory.refusal))
+def _order_response(request, result):
+    if result.is_err():
+        return _error_response(request, result.err())
+    reply = result.ok()
+    body = {"clock_ms": reply.clock_ms, "born": reply.incarnation}
+    return _json_response(*_add_refusal(body, reply.refusal))
+
+
+async def _hold(runner, request):
+    body = await _read_body(request)
+    found = await runner.inventory(
+        epoch=body.get("fencing_token", 0),
+        acknowledged=body.get("last_seen", 0),
+        lease_until_ms=body.get("deadline_ms", 0),
+        wait_s=body.get("wait_ms", 0) / MS_PER_S,
+        timeout_s=None,
+    )
+    if found.is_err():
+        return _error_response(request, found.err())
+    inventory = found.ok()
+    response_body = {
+        "clock_ms": inventory.clock_ms,
+        "born": inventory.incarnation,
+        "running": [
+            [encode_task(r.task), r.run, r.checkpoint, r.percent, r.load]
+            for r in inventory.running
+        ],
+        "ended": [
+            [
+                e.number,
+                encode_task(e.task),
+                e.run,
+                CAUSE_NAMES[e.cause],
+                e.checkpoint,
+            ]
+            for e in inventory.ended[:ENDS_PER_LIST]
+        ],
+    }
+    return _json_response(*_add_refusal(response_body, inventory.refusal))
 
 
 def _add_refusal(body, refusal):
--- a/wasabipaddle/platform/store.py
+++ b/wasabipaddle/platform/store.py
@@ -14,7 +14,7 @@
     TransactionalStore,
     WatchBatch,
 )
-from wasabipaddle.jobs.decoding import DECODING_ERRORS, integer
+from wasabipaddle.jobs.decoding import decode_answer, integer
 from wasabipaddle.transport.json_client import JsonHttpClient
 
 __all__ = ["PlatformStore"]
@@ -241,10 +241,8 @@
     """Decode the body of a response; its outcome is unknown if it is malformed."""
     if response.is_err():
         return response
-    try:
-        return Ok(decode(response.ok().body))
-    except DECODING_ERRORS as error:
-        return _failure(ErrorKind.TIMEOUT, f"the response is malformed: {error!r}")
+    body = response.ok().body
+    return decode_answer(decode, body, name="the response", kind=ErrorKind.TIMEOUT)
 
 
 def _read_keys(body):
--- a/wasabipaddle/soak/tests/test_keys.py
+++ b/wasabipaddle/soak/tests/test_keys.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from wasabipaddle.platform.client import CallResult
+from wasabipaddle.interfaces.callers import CallResult
 from wasabipaddle.soak.keys import REVOCATION_S, KeyRemovals, SoakKeys
 from wasabipaddle.soak.ledger import SoakLedger
 
