Decide which machine of a wave has its maintenance next

Cause: no part knows waves of maintenance, though each deployment may ask for them.

Change: a decision without a network. It counts each machine that is drained, asked or in maintenance for the cap, drains runners within the allowances of their steps, asks for a machine only once it is empty and stored, and completes a wave only when each machine that stays has begun. Nothing calls the decision yet.

Machines that a takeover forgets are found by a test of their own. Tests of dispatch, jobs and platform pass.

--- a/wasabipaddle/dispatch/evacuation.py
+++ b/wasabipaddle/dispatch/evacuation.py
@@ -2,7 +2,7 @@
 
 from wasabipaddle.dispatch.model import RunPhase
 
-__all__ = ["Evacuation"]
+__all__ = ["Evacuation", "evacuate"]
 
 # Time for a stop order to reach the runner and for the checkpoint to be reported.
 STOP_MARGIN_S = 0.5
@@ -31,7 +31,7 @@
                 continue
             for run in runner.runs.values():
                 if run.phase is RunPhase.RUNNING and self._is_due(runner, run, now):
-                    self._evacuate(runner, run, now)
+                    evacuate(self.state, run, now, leaves_at_s=runner.leaves_at_s)
 
     def _is_due(self, runner, run, now):
         """Return whether a run should be stopped now.
@@ -52,15 +52,23 @@
             return True
         return left_s <= self.state.timing.stop_s + STOP_MARGIN_S
 
-    def _evacuate(self, runner, run, now):
-        run.excluded_from_timing = True
-        self.state.journal(
-            "run_evacuated",
-            job=run.task.id.job,
-            task=run.task.id[1:],
-            run=run.number,
-            runner=runner.id,
-            percent=run.percent,
-            leaves_in_ms=int((runner.leaves_at_s - now) * 1000),
-        )
-        self.state.stop_run(run, now)
+
+def evacuate(state, run, now, *, leaves_at_s):
+    """Stop a run, so that its task continues on another runner.
+
+    Parameters
+    ----------
+    leaves_at_s : float
+        Time at which the runner leaves.
+    """
+    run.excluded_from_timing = True
+    state.journal(
+        "run_evacuated",
+        job=run.task.id.job,
+        task=run.task.id[1:],
+        run=run.number,
+        runner=run.runner.id,
+        percent=run.percent,
+        leaves_in_ms=int((leaves_at_s - now) * 1000),
+    )
+    state.stop_run(run, now)
--- /dev/null
+++ b/wasabipaddle/dispatch/maintenance.py
@@ -0,0 +1,395 @@
+"""Decision which machine of a wave has its maintenance next, and when."""
+
+from wasabipaddle.dispatch.drains import Drains
+from wasabipaddle.dispatch.machine_choice import MachineChoice, WavePace, deadline_ms
+from wasabipaddle.dispatch.machines import MachineView
+from wasabipaddle.dispatch.operations import (
+    Operation,
+    OperationPhase,
+    WaitReason,
+    WaveProgress,
+)
+from wasabipaddle.interfaces.machines import MaintenanceReply
+
+__all__ = ["Maintenance"]
+
+MS_PER_S = 1000
+# Time after the end of a drain at which it is given up if runs are left.
+STUCK_S = 5.0
+# Time for which a runner must have been empty, so that it learns that its ended runs
+# are durable.
+QUIET_S = 0.5
+# Longest time after which a call without an answer is expected to be carried out.
+LATE_CALL_S = 15.0
+# First and longest pause between two calls for a machine.
+RETRY_S = 0.5
+MAX_RETRY_S = 4.0
+# Shortest time between two log lines about a late wave.
+LATE_LOG_S = 10.0
+
+
+class Maintenance:
+    """Chooses the next machines of all waves, drains them and follows their progress.
+
+    It counts every machine that is drained, may have been asked or is in maintenance
+    against the `cap` of its waves, and asks for a machine only once its runner is
+    empty and the store has the record of it.
+
+    Parameters
+    ----------
+    state : CellState
+        Shared state.
+    lifecycle : Lifecycle
+        Ends gangs.
+    placement : Placement
+        Knows which runners may run a step.
+
+    Attributes
+    ----------
+    drains : Drains
+        Frees runners.
+    view : MachineView
+        Machines by the latest list of the service.
+    progress : dict of int to WaveProgress
+        Waves by number.
+    operations : dict of str to Operation
+        Operations by machine; a machine has one at a time, whatever its waves.
+    choice : MachineChoice
+        Chooses the next machines.
+    """
+
+    def __init__(self, *, state, lifecycle, placement):
+        self.state = state
+        self.drains = Drains(state=state, lifecycle=lifecycle, placement=placement)
+        self.view = MachineView()
+        self.progress = {}
+        self.operations = {}
+        self.choice = MachineChoice(
+            state=state,
+            drains=self.drains,
+            view=self.view,
+            operations=self.operations,
+        )
+
+    @property
+    def active(self) -> bool:
+        """Whether there is a wave to go on with."""
+        open_waves = any(not p.completed for p in self.progress.values())
+        return bool(open_waves or self.operations)
+
+    def restore(self, number, record, *, revision, calls_from_s):
+        """Continue a wave of the previous dispatcher from its stored record.
+
+        Parameters
+        ----------
+        calls_from_s : float
+            Time from which this dispatcher may call the service.
+        """
+        progress = WaveProgress(
+            number=number,
+            first_seen_ms=record.first_seen_ms,
+            begun=dict.fromkeys(record.begun),
+            absent=dict.fromkeys(record.absent),
+            completed=record.completed,
+            stored_version=1,
+            revision=revision,
+        )
+        self.progress[number] = progress
+        for machine, runner in record.asked.items():
+            if machine in self.operations:
+                continue
+            progress.asked[machine] = runner
+            self.operations[machine] = Operation(
+                machine=machine,
+                runner=runner,
+                wave=number,
+                phase=OperationPhase.ASKED,
+                doubtful_until_s=calls_from_s + LATE_CALL_S,
+                next_call_s=calls_from_s,
+            )
+        self._cordon()
+
+    def set_wave(self, wave, now):
+        """Apply the current request of a wave."""
+        progress = self.progress.get(wave.number)
+        if progress is None:
+            progress = self.progress[wave.number] = WaveProgress(number=wave.number)
+        if not progress.first_seen_ms:
+            wall_s = now + self.state.wall_offset_s
+            progress.first_seen_ms = max(int(wall_s * MS_PER_S), 1)
+            progress.change()
+        progress.withdrawn = False
+        progress.wave = wave
+        if progress.completed and progress.machines_left():
+            progress.completed = False
+            progress.change()
+
+    def withdraw(self, number):
+        """Record that the operator has removed the request of a wave."""
+        progress = self.progress.get(number)
+        if progress is not None:
+            progress.wave = None
+            progress.withdrawn = True
+
+    def forget(self, number):
+        """Remove a withdrawn wave whose record has been deleted."""
+        self.progress.pop(number, None)
+
+    def may_forget(self, progress) -> bool:
+        """Return whether the record of a wave is not needed any more."""
+        return progress.withdrawn and not self._operations_of(progress.number)
+
+    def record_list(self, machines, requested_s):
+        """Record a whole list of the machines."""
+        wanted = set(self.operations)
+        for progress in self.progress.values():
+            if progress.wave is not None:
+                wanted.update(progress.wave.machines)
+        self.view.record(machines, requested_s, wanted=wanted)
+
+    def plan(self, now):
+        """Advance all waves, and drain the runners of their next machines."""
+        for operation in list(self.operations.values()):
+            self._follow_list(operation)
+            self._release_unrequested(operation, now)
+        waves = [p for p in self.progress.values() if p.wave is not None]
+        for progress in sorted(waves, key=deadline_ms):
+            self._advance(progress, now)
+        self._cordon()
+        for operation in self.operations.values():
+            runner = self.state.runners.get(operation.runner)
+            if runner is not None and operation.phase is not OperationPhase.BEGUN:
+                self.drains.advance(runner, operation.drain_until_s, now)
+
+    def take_calls(self, now):
+        """Return the operations to call the service for now, marked as called."""
+        taken = []
+        for operation in self.operations.values():
+            if self._may_call(operation, now):
+                operation.calling = True
+                taken.append(operation)
+        return taken
+
+    def _may_call(self, operation, now):
+        asked = operation.phase is OperationPhase.ASKED and not operation.calling
+        if not asked or now < operation.next_call_s:
+            return False
+        progress = self.progress.get(operation.wave)
+        requested = progress is not None and _requests(progress, operation)
+        if not requested or not progress.stored:
+            return False
+        if not self.view.is_fresh(now) or not self._is_quiet(operation, now):
+            return False
+        others = self._count_down(progress, operation, now)
+        return others < progress.wave.cap
+
+    def _count_down(self, progress, operation, now):
+        """Return the number of other machines that are or may soon be in maintenance.
+
+        A call without an answer counts as long as it may come late.
+        """
+        down = {
+            name
+            for name in progress.wave.machines
+            if name != operation.machine and self.view.is_away(name)
+        }
+        for other in self._operations_of(progress.number, progress.wave.machines):
+            begun = other.phase is OperationPhase.BEGUN
+            if other is not operation and (begun or other.may_begin(now)):
+                down.add(other.machine)
+        return len(down)
+
+    def cancel_call(self, operation):
+        """Record that a call was not made after all."""
+        operation.calling = False
+
+    def record_reply(self, operation, reply, now):
+        """Record the reply to a call.
+
+        Parameters
+        ----------
+        reply : MaintenanceReply or None
+            None if the service has certainly done nothing.
+        """
+        operation.calling = False
+        if reply is MaintenanceReply.ACCEPTED:
+            self._begin(operation, now)
+            return
+        self._back_off(operation, now)
+        refused = reply not in (None, MaintenanceReply.STALE_EPOCH)
+        if refused and not operation.may_begin(now):
+            self._release(operation, now)
+
+    def record_no_reply(self, operation, now):
+        """Record that a call was not answered: it may be carried out later."""
+        operation.calling = False
+        operation.doubtful_until_s = now + LATE_CALL_S
+        self._back_off(operation, now)
+
+    def _back_off(self, operation, now):
+        pause_s = min(RETRY_S * 2**operation.failures, MAX_RETRY_S)
+        operation.failures = min(operation.failures + 1, 16)
+        operation.next_call_s = now + pause_s
+
+    def _begin(self, operation, now):
+        operation.phase = OperationPhase.BEGUN
+        operation.back_after_s = now + self.state.timing.maintenance_s
+        progress = self.progress.get(operation.wave)
+        if progress is not None:
+            progress.asked.pop(operation.machine, None)
+            progress.begun[operation.machine] = None
+            progress.change()
+
+    def _follow_list(self, operation):
+        """End an operation whose machine is back or gone, or drained in vain."""
+        name, view = operation.machine, self.view
+        if operation.phase is OperationPhase.BEGUN:
+            if view.listed_s >= operation.back_after_s and not view.is_away(name):
+                self._end(operation)
+        elif view.is_gone(name) and not operation.calling:
+            self._end(operation)
+        elif operation.phase is OperationPhase.DRAINING:
+            machine = view.machines.get(name)
+            if not view.is_up(name) or machine.runner != operation.runner:
+                self._end(operation)
+
+    def _release_unrequested(self, operation, now):
+        """End an operation that the operator does not ask for any more.
+
+        A call without an answer may yet be carried out, so its machine stays empty for
+        a while.
+        """
+        if self.operations.get(operation.machine) is not operation:
+            return
+        progress = self.progress.get(operation.wave)
+        if progress is not None and _requests(progress, operation):
+            return
+        begun = operation.phase is OperationPhase.BEGUN
+        if not begun and not operation.may_begin(now):
+            self._end(operation)
+
+    def _release(self, operation, now):
+        """Give up an operation for now."""
+        self.choice.pause(operation.machine, now)
+        self._end(operation)
+
+    def _end(self, operation):
+        self.operations.pop(operation.machine, None)
+        progress = self.progress.get(operation.wave)
+        if progress is not None and operation.machine in progress.asked:
+            del progress.asked[operation.machine]
+            progress.change()
+
+    def _cordon(self):
+        """Keep new work from the runners of all operations."""
+        cordoned = frozenset(o.runner for o in self.operations.values() if o.runner)
+        for runner_id in cordoned ^ self.state.cordoned:
+            runner = self.state.runners.get(runner_id)
+            if runner is not None:
+                runner.cordoned = runner_id in cordoned
+        self.state.cordoned = cordoned
+
+    def _operations_of(self, number, machines=()):
+        """Return the operations of a wave, and those of some machines."""
+        return [
+            operation
+            for operation in self.operations.values()
+            if operation.wave == number or operation.machine in machines
+        ]
+
+    def _advance(self, progress, now):
+        wave = progress.wave
+        self._note_absent(progress)
+        left = progress.machines_left()
+        completed = not left
+        if completed is not progress.completed:
+            progress.completed = completed
+            progress.change()
+        if completed:
+            progress.reason, progress.late = WaitReason.NONE, False
+            return
+        pace = WavePace(progress=progress, left=left, state=self.state, now=now)
+        fresh = self.view.is_fresh(now)
+        reasons = [] if fresh else [WaitReason.SERVICE]
+        for operation in self._operations_of(wave.number):
+            reasons.append(self._advance_operation(operation, progress, now))
+        if fresh:
+            reasons += self._begin_drains(progress, left, pace, now)
+        progress.reason = reasons[-1] if reasons else WaitReason.NONE
+        self._note_late(progress, pace, left, now)
+
+    def _note_absent(self, progress):
+        for name in progress.wave.machines:
+            if self.view.is_gone(name):
+                progress.absent[name] = None
+            elif name in self.view.machines:
+                progress.absent.pop(name, None)
+
+    def _advance_operation(self, operation, progress, now):
+        """Ask for a machine that has been drained; return what it waits for."""
+        if operation.phase is OperationPhase.BEGUN:
+            return WaitReason.MAINTENANCE
+        away = self._operations_of(progress.number, progress.wave.machines)
+        if len(away) > progress.wave.cap and not operation.may_begin(now):
+            self._release(operation, now)
+        elif operation.phase is OperationPhase.ASKED:
+            return WaitReason.CALL
+        elif self._is_stuck(operation, now):
+            self._release(operation, now)
+        elif self._is_quiet(operation, now) and self.view.is_fresh(now):
+            operation.phase = OperationPhase.ASKED
+            progress.asked[operation.machine] = operation.runner
+            progress.change()
+        return WaitReason.DRAIN
+
+    def _is_stuck(self, operation, now):
+        """Return whether runs are left that cannot leave."""
+        late = now > operation.drain_until_s + STUCK_S
+        return late and not self.drains.is_empty(operation.runner)
+
+    def _is_quiet(self, operation, now):
+        """Return whether the runner has been empty for long enough."""
+        if not self.drains.is_empty(operation.runner):
+            operation.quiet_since_s = None
+            return False
+        if operation.quiet_since_s is None:
+            operation.quiet_since_s = now
+        return now - operation.quiet_since_s >= QUIET_S
+
+    def _begin_drains(self, progress, left, pace, now):
+        """Drain the next machines as long as the cap allows; return what hinders it."""
+        wave = progress.wave
+        away = {o.machine for o in self._operations_of(wave.number, wave.machines)}
+        away.update(name for name in wave.machines if self.view.is_away(name))
+        free = wave.cap - len(away)
+        if free <= 0:
+            return [] if away else [WaitReason.CAP]
+        chosen, reasons = self.choice.choose(progress, left, pace, now, count=free)
+        for name in chosen:
+            self.operations[name] = Operation(
+                machine=name,
+                runner=self.view.machines[name].runner,
+                wave=wave.number,
+                drain_until_s=now + pace.drain_s,
+            )
+        return reasons
+
+    def _note_late(self, progress, pace, left, now):
+        """Log that a wave cannot end in time, and again when the reason changes."""
+        progress.late = pace.late
+        due = now - progress.logged_s >= LATE_LOG_S
+        if not pace.late or progress.reason is progress.logged_reason or not due:
+            return
+        progress.logged_reason, progress.logged_s = progress.reason, now
+        self.state.journal(
+            "maintenance_late",
+            wave=progress.number,
+            reason=progress.reason.value,
+            machines_left=len(left),
+            time_left_ms=int(pace.left_s * MS_PER_S),
+        )
+
+
+def _requests(progress, operation):
+    """Return whether a wave asks for the machine of an operation."""
+    return progress.wave is not None and operation.machine in progress.wave.machines
--- /dev/null
+++ b/wasabipaddle/dispatch/operations.py
@@ -0,0 +1,163 @@
+"""Progress of waves of maintenance and of their machines."""
+
+import enum
+import math
+
+import attrs
+
+from wasabipaddle.jobs.maintenance import MaintenanceWave, WaveRecord
+
+__all__ = ["Operation", "OperationPhase", "WaitReason", "WaveProgress"]
+
+
+class OperationPhase(enum.Enum):
+    """Phase of the maintenance of one machine.
+
+    ASKED begins before the first call, and goes on until a call is answered.
+    """
+
+    DRAINING = "draining"
+    ASKED = "asked"
+    BEGUN = "begun"
+
+
+class WaitReason(enum.Enum):
+    """What a wave waits for."""
+
+    NONE = "none"
+    CAP = "cap"
+    SERVICE = "service"
+    MACHINE = "machine"
+    OTHER_WAVE = "other_wave"
+    ALLOWANCE = "allowance"
+    ROOM = "room"
+    TAKEOVER = "takeover"
+    LEAVING = "leaving"
+    DRAIN = "drain"
+    CALL = "call"
+    MAINTENANCE = "maintenance"
+
+
+@attrs.define(kw_only=True, eq=False)
+class Operation:
+    """Maintenance of one machine in progress.
+
+    Parameters
+    ----------
+    machine, runner : str
+        Machine and the runner on it, empty if it has none.
+    wave : int
+        Number of the wave.
+    phase : OperationPhase
+        Current phase.
+    drain_until_s : float
+        Time until which runs may end by themselves.
+    calling : bool
+        Whether a call is in progress.
+    doubtful_until_s : float
+        Time until which a call without an answer may yet be carried out.
+    next_call_s : float
+        Time from which the next call is allowed.
+    failures : int
+        Number of calls in a row that were not accepted.
+    back_after_s : float
+        Time from which a list may show that the machine is back.
+    quiet_since_s : float or None
+        Time since which the runner has been empty, None if it is not.
+    """
+
+    machine: str
+    wave: int
+    runner: str = ""
+    phase: OperationPhase = OperationPhase.DRAINING
+    drain_until_s: float = 0.0
+    calling: bool = False
+    doubtful_until_s: float = -math.inf
+    next_call_s: float = 0.0
+    failures: int = 0
+    back_after_s: float = math.inf
+    quiet_since_s: float | None = None
+
+    def may_begin(self, now) -> bool:
+        """Return whether a call may yet begin the maintenance."""
+        return self.calling or now < self.doubtful_until_s
+
+
+@attrs.define(kw_only=True, eq=False)
+class WaveProgress:
+    """Progress of one wave.
+
+    Parameters
+    ----------
+    number : int
+        Number of the wave.
+    wave : MaintenanceWave or None
+        Current request, None if there is none that could be read.
+    withdrawn : bool
+        Whether the operator has removed the request.
+    first_seen_ms : int
+        Unix time in milliseconds at which a dispatcher first saw the wave.
+    asked : dict of str to str
+        Machines with an operation in the phase ASKED, and their runners.
+    begun : dict of str to None
+        Machines whose maintenance has begun, in that order.
+    absent : dict of str to None
+        Machines that were gone when the service last listed the machines.
+    completed : bool
+        Whether each machine has begun its maintenance or is gone.
+    version, stored_version : int
+        Version of what the store should have, and version that it has.
+    revision : int
+        Revision of the stored record, 0 if there is none.
+    reason : WaitReason
+        What the wave waits for.
+    late : bool
+        Whether the wave cannot end in time any more.
+    logged_reason : WaitReason or None
+        Reason in the last log line about a late wave.
+    logged_s : float
+        Time of that line.
+    """
+
+    number: int
+    wave: MaintenanceWave | None = None
+    withdrawn: bool = False
+    first_seen_ms: int = 0
+    asked: dict = attrs.field(factory=dict)
+    begun: dict = attrs.field(factory=dict)
+    absent: dict = attrs.field(factory=dict)
+    completed: bool = False
+    version: int = 1
+    stored_version: int = 0
+    revision: int = 0
+    reason: WaitReason = WaitReason.NONE
+    late: bool = False
+    logged_reason: WaitReason | None = None
+    logged_s: float = -math.inf
+
+    @property
+    def stored(self) -> bool:
+        """Whether the store has the latest version."""
+        return self.stored_version == self.version
+
+    def machines_left(self):
+        """Return the machines that have not begun their maintenance and are there."""
+        return [
+            name
+            for name in self.wave.machines
+            if name not in self.begun and name not in self.absent
+        ]
+
+    def change(self):
+        """Note that the record has to be stored again."""
+        self.version += 1
+
+    def to_record(self) -> WaveRecord:
+        """Return the record to store."""
+        return WaveRecord(
+            first_seen_ms=self.first_seen_ms,
+            asked=dict(self.asked),
+            begun=tuple(self.begun),
+            absent=tuple(self.absent),
+            completed=self.completed,
+        )
--- a/wasabipaddle/dispatch/runners.py
+++ b/wasabipaddle/dispatch/runners.py
@@ -89,6 +89,8 @@
         that listed all its runs and ends, None after another one.
     paused_until_s : float
         Time until which the runner gets no new work.
+    cordoned : bool
+        Whether the runner gets no new work as its machine awaits maintenance.
     health : RunnerHealth
         Recent results of the runner.
     step_runs : dict of Step to int
@@ -123,6 +125,7 @@
     lists_all_ends: bool = True
     whole_list_s: float | None = None
     paused_until_s: float = _watched(default=0.0)
+    cordoned: bool = _watched(default=False)
     health: RunnerHealth = attrs.field(factory=RunnerHealth)
     step_runs: dict = attrs.field(factory=dict, repr=False)
     changed: dict = attrs.field(factory=dict)
@@ -259,6 +262,7 @@
             and self.in_fleet_record
             and not self.lists_unknown_tasks
             and not self.entry.draining
+            and not self.cordoned
             and now >= self.paused_until_s
         )
 
--- a/wasabipaddle/dispatch/scheduler.py
+++ b/wasabipaddle/dispatch/scheduler.py
@@ -8,6 +8,7 @@
 from wasabipaddle.dispatch.forecast import LoadForecaster
 from wasabipaddle.dispatch.leases import Leases
 from wasabipaddle.dispatch.lifecycle import Lifecycle
+from wasabipaddle.dispatch.maintenance import Maintenance
 from wasabipaddle.dispatch.model import RemovalReason
 from wasabipaddle.dispatch.placement import Placement
 from wasabipaddle.dispatch.preemption import Preemption
@@ -60,6 +61,9 @@
         self.forecaster = LoadForecaster(state=self.state)
         self.watchdog = Watchdog(state=self.state)
         self.evacuation = Evacuation(state=self.state)
+        self.maintenance = Maintenance(
+            state=self.state, lifecycle=self.lifecycle, placement=self.placement
+        )
 
     def configure(self, configuration):
         """Set the current configuration and update the queues of known jobs.
@@ -85,6 +89,7 @@
             runner = RunnerState(entry=entry, changed=self.state.changed_runners)
             self.state.runners[entry.id] = runner
         runner.entry = entry
+        runner.cordoned = runner.id in self.state.cordoned
         self.state.speeds.apply(runner)
         runner.leaves_at_s = now + entry.leaves_in_s
         runner.listed = True
--- a/wasabipaddle/dispatch/state.py
+++ b/wasabipaddle/dispatch/state.py
@@ -35,6 +35,8 @@
         Time to resume from a checkpoint.
     remote_slowdown : float
         Factor by which a task takes longer away from its data.
+    maintenance_s : float
+        Time for which a machine is away for its maintenance.
     """
 
     lease_s: float = 4.0
@@ -43,6 +45,7 @@
     lease_max_s: float = 6.0
     restore_s: float = 0.6
     remote_slowdown: float = 1.5
+    maintenance_s: float = 2.0
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -78,6 +81,8 @@
     suspects : dict of str to float
         Runners that may hold runs of the previous dispatcher, with the time at which
         the leases of those runs have certainly expired.
+    cordoned : frozenset of str
+        Runners that get no new work as their machines await maintenance.
     capacity_exhausted, urgent_task_waiting : bool
         Whether the last plan lacked capacity for a task, and for an urgent task; gangs
         do not count.
@@ -116,6 +121,7 @@
     generation: int = 1
     written_generation: int = 0
     suspects: dict = attrs.field(factory=dict)
+    cordoned: frozenset = frozenset()
     capacity_exhausted: bool = False
     urgent_task_waiting: bool = False
     outbox: list = attrs.field(factory=list)
