Serve waves of maintenance in the dispatch session

Cause: the decision about waves is not called. The leader does not read the requests of the operator and does not know the machine service.

Change: while it leads and the settings name the service, a process follows the requests, keeps one record a wave in the store together with its status, lists the machines and asks for one after the other, under its epoch and with a fresh proof of leadership. A successor reads the records before it gives out work, and calls only after a pause. Without the service the cell logs once that waves are not served.

--- a/wasabipaddle/cell/keys.py
+++ b/wasabipaddle/cell/keys.py
@@ -9,6 +9,7 @@
     "PROGRESS_PREFIX",
     "REFUSAL_PREFIX",
     "TERM_KEY",
+    "WAVE_RECORD_PREFIX",
 ]
 
 # Written by the process that received the call, or by a peer on its behalf; watched
@@ -23,6 +24,7 @@
 # Written by the dispatcher, on the condition that it still holds LEADER_KEY.
 PROGRESS_PREFIX = "wasabipaddle/progress/"
 FLEET_KEY = "wasabipaddle/fleet"
+WAVE_RECORD_PREFIX = "wasabipaddle/maintenance/"
 
 # Attached to a lease; the store revision of its last write is the epoch.
 LEADER_KEY = "wasabipaddle/leader"
--- /dev/null
+++ b/wasabipaddle/cell/maintenance.py
@@ -0,0 +1,385 @@
+"""Waves of maintenance in the dispatch session: records, calls and metrics."""
+
+import asyncio
+
+from absl import logging
+
+from wasabipaddle.cell.intake import PrefixWatcher
+from wasabipaddle.cell.keys import LEADER_KEY, WAVE_RECORD_PREFIX
+from wasabipaddle.cell.takeover import PROOF_LIMIT_S
+from wasabipaddle.dispatch.operations import OperationPhase
+from wasabipaddle.exceptions import ErrorKind
+from wasabipaddle.interfaces import Put
+from wasabipaddle.interfaces.machines import MaintenanceReply
+from wasabipaddle.jobs.maintenance import decode_wave_record, encode_wave_record
+from wasabipaddle.platform import (
+    WAVE_PREFIX,
+    PlatformMachines,
+    decode_wave,
+    encode_wave_status,
+)
+
+__all__ = ["MaintenanceSession", "WaveWatcher", "open_maintenance"]
+
+MS_PER_S = 1000
+# Time between two rounds of the decision.
+PERIOD_S = 0.25
+# Time between two lists of the machines, also after a failure, and longest one.
+LIST_PERIOD_S = 1.0
+MAX_LIST_PERIOD_S = 8.0
+LIST_TIMEOUT_S = 2.0
+CALL_TIMEOUT_S = 1.5
+RETRY_S = 0.2
+# Time within which a wave takes effect if its watch stays without an answer. A wave
+# takes much longer, so the watch can wait long.
+WAVE_BOUND_S = 20.0
+WATCH_PAUSE_S = 0.5
+# Failures after which the service has certainly done nothing.
+NOT_EXECUTED_KINDS = frozenset({ErrorKind.UNREACHABLE, ErrorKind.RATE_LIMITED})
+
+
+def open_maintenance(session):
+    """Return what serves the waves, by whether there is a machine service."""
+    address = session.settings.platform.machines
+    if not address:
+        return UnservedMaintenance(session=session)
+    return MaintenanceSession(
+        session=session, service=PlatformMachines(address=address)
+    )
+
+
+class UnservedMaintenance:
+    """Leaves waves alone where there is no machine service, and logs that once.
+
+    Parameters
+    ----------
+    session : DispatchSession
+        Provides the store and the log.
+    """
+
+    def __init__(self, *, session):
+        self.session = session
+
+    async def load(self):
+        """Do nothing; there are no records."""
+
+    async def follow(self):
+        """Do nothing; no wave takes effect."""
+
+    async def run(self):
+        """Log how many waves are not served, if there are any."""
+        store_plugin = self.session.store_plugin
+        page = await store_plugin.call(store_plugin.store.list_all(WAVE_PREFIX))
+        if page.is_ok() and page.ok().entries:
+            waves = len(page.ok().entries)
+            reason = "the settings name no machine service"
+            self.session.journal("maintenance_not_served", waves=waves, reason=reason)
+
+    async def close(self):
+        """Do nothing; there are no connections."""
+
+
+class WaveWatcher(PrefixWatcher):
+    """Watch of the waves that the operator requests.
+
+    A wave that cannot be read any more goes on as it was last read.
+
+    Parameters
+    ----------
+    set_wave, withdraw : callable
+        Called with a `MaintenanceWave`, and with the number of a wave without a key.
+    """
+
+    def __init__(self, *, store_plugin, set_wave, withdraw):
+        super().__init__(
+            store_plugin=store_plugin,
+            name="waves",
+            prefix=WAVE_PREFIX,
+            bound_s=WAVE_BOUND_S,
+            pause_s=WATCH_PAUSE_S,
+        )
+        self.set_wave = set_wave
+        self.withdraw = withdraw
+        self.keys = set()
+
+    def apply_listing(self, entries):
+        """Apply all waves; withdraw those without a key."""
+        before, self.keys = self.keys, {entry.key for entry in entries}
+        for entry in entries:
+            self.attempt(self._apply_entry, entry)
+        for key in before - self.keys:
+            self._withdraw_key(key)
+
+    def apply_change(self, change):
+        """Apply a wave that was written or removed."""
+        if change.value is not None:
+            self.keys.add(change.key)
+            self._apply_entry(change)
+            return
+        self.keys.discard(change.key)
+        self._withdraw_key(change.key)
+
+    def _apply_entry(self, entry):
+        wave = decode_wave(entry)
+        if wave.is_err():
+            self.unreadable.record("wave", entry.key, wave.err().detail)
+            return
+        self.set_wave(wave.ok())
+
+    def _withdraw_key(self, key):
+        number = key.removeprefix(WAVE_PREFIX)
+        if number.isascii() and number.isdecimal():
+            self.withdraw(int(number))
+
+
+class MaintenanceSession:
+    """Serves the waves of maintenance while this process leads.
+
+    Parameters
+    ----------
+    session : DispatchSession
+        Provides the scheduler, the store, the epoch and the background tasks.
+    service : MachineService
+        Machine service.
+
+    Attributes
+    ----------
+    refused_epoch : int
+        Epoch that the service has refused as stale, 0 if it has refused none. This
+        process then makes no more calls under it.
+    """
+
+    def __init__(self, *, session, service):
+        self.session = session
+        self.service = service
+        self.maintenance = session.scheduler.maintenance
+        self.store_plugin = session.store_plugin
+        self.watcher = WaveWatcher(
+            store_plugin=session.store_plugin,
+            set_wave=self._set_wave,
+            withdraw=self.maintenance.withdraw,
+        )
+        self.list_task = None
+        self.next_list_s = 0.0
+        self.list_failures = 0
+        self.refused_epoch = 0
+        self.gauges = self._register_gauges()
+
+    def _register_gauges(self):
+        progress, operations = self.maintenance.progress, self.maintenance.operations
+
+        def count_phase(phase):
+            return lambda: sum(o.phase is phase for o in operations.values())
+
+        gauges = {
+            "waves_running": lambda: sum(not p.completed for p in progress.values()),
+            "waves_late": lambda: sum(p.late for p in progress.values()),
+        }
+        for phase in OperationPhase:
+            gauges[f"maintenance_{phase.value}"] = count_phase(phase)
+        for name, function in gauges.items():
+            self.session.metrics.gauge(name, function)
+        return gauges
+
+    async def load(self):
+        """Read the stored records and the requests, with retries.
+
+        The runners of machines that may have been asked get no work from then on.
+        """
+        while True:
+            page = await self.store_plugin.call(
+                self.store_plugin.store.list_all(WAVE_RECORD_PREFIX)
+            )
+            if page.is_ok():
+                break
+            await asyncio.sleep(RETRY_S)
+        order_pause_s = self.session.settings.bounds.order_pause_s
+        calls_from_s = self.session.now() + PROOF_LIMIT_S + order_pause_s
+        self.maintenance.calls_from_s = calls_from_s
+        for entry in page.ok().entries:
+            self._restore(entry)
+        await self.watcher.load()
+        requested = {key.removeprefix(WAVE_PREFIX) for key in self.watcher.keys}
+        for number in list(self.maintenance.progress):
+            if str(number) not in requested:
+                self.maintenance.withdraw(number)
+
+    def _restore(self, entry):
+        number = entry.key.removeprefix(WAVE_RECORD_PREFIX)
+        report = self.store_plugin.unreadable.reporter("wave_record", entry.key)
+        record = decode_wave_record(entry.value, report=report)
+        if record is not None and number.isdecimal():
+            self.maintenance.restore(int(number), record, revision=entry.revision)
+
+    def _set_wave(self, wave):
+        self.maintenance.set_wave(wave, self.session.now())
+        self.session.journal(
+            "maintenance_requested",
+            wave=wave.number,
+            machines=len(wave.machines),
+            cap=wave.cap,
+            duration_ms=int(wave.duration_s * MS_PER_S),
+        )
+
+    async def follow(self):
+        """Follow the requests until cancelled."""
+        await self.watcher.follow()
+
+    async def run(self):
+        """Advance the waves until cancelled."""
+        while True:
+            await asyncio.sleep(PERIOD_S)
+            if self.maintenance.active or self._withdrawn():
+                await self._advance()
+
+    def _withdrawn(self):
+        progress = self.maintenance.progress.values()
+        return any(p.withdrawn for p in progress)
+
+    async def _advance(self):
+        """Do one round, unless another process may lead."""
+        session = self.session
+        if not session.may_grant():
+            return
+        self._list_if_due()
+        if session.epoch != self.refused_epoch:
+            self.maintenance.plan(session.now())
+            session.wake()
+        await self._store()
+        if not session.may_grant() or session.epoch == self.refused_epoch:
+            return
+        for operation in self.maintenance.take_calls(session.now()):
+            session.spawn(self._call(operation))
+
+    def _list_if_due(self):
+        listing = self.list_task is not None and not self.list_task.done()
+        if not listing and self.session.now() >= self.next_list_s:
+            self.list_task = self.session.spawn(self._list())
+
+    async def _list(self):
+        """Read the list of machines; failures make the next one wait longer."""
+        session = self.session
+        requested_s = session.now()
+        self.next_list_s = requested_s + LIST_PERIOD_S
+        machines = await self.service.list_machines(timeout_s=LIST_TIMEOUT_S)
+        if machines.is_ok():
+            self.list_failures = 0
+            self.maintenance.record_list(machines.ok(), requested_s)
+            return
+        if not self.list_failures:
+            detail = machines.err().detail
+            session.journal("machines_unlisted", reason=detail)
+        session.metrics.count("machine_lists_failed")
+        self.list_failures += 1
+        pause_s = min(LIST_PERIOD_S * 2**self.list_failures, MAX_LIST_PERIOD_S)
+        self.next_list_s = session.now() + pause_s
+
+    async def _store(self):
+        """Store the progress that has changed, one wave at a time."""
+        for progress in list(self.maintenance.progress.values()):
+            if self.maintenance.may_forget(progress):
+                await self._delete(progress)
+            elif not progress.stored and progress.wave is not None:
+                await self._write(progress)
+
+    async def _write(self, progress):
+        version, completed = progress.version, progress.completed
+        record = encode_wave_record(progress.to_record())
+        key, status = encode_wave_status(progress.number, completed=completed)
+        puts = (
+            Put(key=_record_key(progress), value=record),
+            Put(key=key, value=status),
+        )
+        written = await self._commit(progress, puts=puts)
+        if written.is_err():
+            return
+        progress.revision = written.ok()
+        progress.stored_version = version
+        if completed:
+            self.session.journal(
+                "maintenance_completed",
+                wave=progress.number,
+                begun=len(progress.begun),
+                absent=len(progress.absent),
+            )
+
+    async def _delete(self, progress):
+        key, _ = encode_wave_status(progress.number, completed=False)
+        deleted = await self._commit(progress, deletes=(_record_key(progress), key))
+        if deleted.is_ok() and progress.withdrawn:
+            self.maintenance.forget(progress.number)
+
+    async def _commit(self, progress, **changes):
+        """Change the record and status of a wave, as long as this process leads."""
+        conditions = (
+            (LEADER_KEY, self.session.epoch),
+            (_record_key(progress), progress.revision),
+        )
+        store = self.store_plugin.store
+        result = await self.store_plugin.call(
+            store.commit(conditions=conditions, **changes)
+        )
+        if result.is_err() and result.err().kind is ErrorKind.REVISION_MISMATCH:
+            # An earlier write of this process whose answer was lost.
+            found = await self.store_plugin.call(store.get(_record_key(progress)))
+            if found.is_ok():
+                progress.revision = found.ok().revision if found.ok() else 0
+        return result
+
+    async def _call(self, operation):
+        """Ask that the maintenance of a machine begins, and record the outcome."""
+        session = self.session
+        if not session.may_grant():
+            self.maintenance.cancel_call(operation)
+            return
+        began_s, epoch = session.now(), session.epoch
+        try:
+            result = await self.service.begin_maintenance(
+                operation.machine,
+                operation.wave,
+                holder=session.settings.process,
+                epoch=epoch,
+                timeout_s=CALL_TIMEOUT_S,
+            )
+        except Exception:
+            logging.exception("maintenance call for %s failed", operation.machine)
+            self.maintenance.record_no_reply(operation, session.now())
+            return
+        outcome = self._record(operation, result, epoch)
+        session.metrics.count(f"maintenance_calls_{outcome}")
+        session.journal(
+            "maintenance_called",
+            wave=operation.wave,
+            machine=operation.machine,
+            runner=operation.runner,
+            epoch=epoch,
+            outcome=outcome,
+            took_ms=int((session.now() - began_s) * MS_PER_S),
+        )
+
+    def _record(self, operation, result, epoch):
+        """Record the outcome of a call and return its name."""
+        now = self.session.now()
+        if result.is_ok():
+            reply = result.ok()
+            if reply is MaintenanceReply.STALE_EPOCH:
+                self.refused_epoch = epoch
+            self.maintenance.record_reply(operation, reply, now)
+            return reply.value
+        kind = result.err().kind
+        if kind in NOT_EXECUTED_KINDS:
+            self.maintenance.record_reply(operation, None, now)
+        else:
+            self.maintenance.record_no_reply(operation, now)
+        return kind.value
+
+    async def close(self):
+        """Close the connections, and remove the gauges unless a successor set them."""
+        self.watcher.watch.close()
+        for name, function in self.gauges.items():
+            self.session.metrics.remove_gauge(name, function)
+        await self.service.close()
+
+
+def _record_key(progress):
+    return f"{WAVE_RECORD_PREFIX}{progress.number}"
--- a/wasabipaddle/cell/session.py
+++ b/wasabipaddle/cell/session.py
@@ -10,11 +10,12 @@
 from wasabipaddle.cell.calls import RunnerCalls
 from wasabipaddle.cell.fleet import FleetRecord
 from wasabipaddle.cell.intake import IntakeWatcher, RegistryWatcher
+from wasabipaddle.cell.maintenance import open_maintenance
 from wasabipaddle.cell.stored_jobs import build_phase_reply
 from wasabipaddle.cell.takeover import PROOF_LIMIT_S, load_fleet, load_progress
+from wasabipaddle.cell.timing import make_timing
 from wasabipaddle.cell.writer import ProgressWriter
 from wasabipaddle.dispatch import Scheduler
-from wasabipaddle.dispatch.state import Timing
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.messages.jobs import Noted
 from wasabipaddle.serve.tasks import TaskSet
@@ -24,11 +25,6 @@
 # Run numbers reserved for each term; the runs of one task in a term are assumed to need
 # fewer.
 RUNS_PER_TERM = 1000
-# Upper limits of `Timing.lease_s` and `Timing.start_s`: fixed ones, and the share of
-# `CellBounds.lease_max_s`, the platform's limit on leases, that both may use.
-MAX_LEASE_S = 4.5
-LEASE_SHARE = 0.75
-MAX_START_S = 4.0
 # Longest time between two planning rounds, and shortest between two rounds of the work
 # that depends on time.
 TICK_S = 0.1
@@ -90,16 +86,8 @@
         self.loaded = False
         self.tasks = TaskSet()
         self.woken = asyncio.Event()
-        bounds = self.settings.bounds
         self.scheduler = Scheduler(
-            timing=Timing(
-                lease_s=min(bounds.lease_max_s * LEASE_SHARE, MAX_LEASE_S),
-                start_s=min(bounds.lease_max_s * LEASE_SHARE, MAX_START_S),
-                stop_s=bounds.stop_s,
-                lease_max_s=bounds.lease_max_s,
-                restore_s=bounds.restore_s,
-                remote_slowdown=bounds.remote_slowdown,
-            ),
+            timing=make_timing(self.settings.bounds),
             journal=self.journal,
             run_number_base=(term - 1) * RUNS_PER_TERM,
         )
@@ -119,6 +107,7 @@
             set_runner=self._set_runner,
             mark_unlisted=self._mark_unlisted,
         )
+        self.maintenance = open_maintenance(self)
         self.progress = {}
         self.accepted = AcceptedJobs(session=self, epoch=epoch)
         self.granting = True
@@ -187,6 +176,7 @@
         await self.tasks.close()
         self.intake.watch.close()
         self.registry.watch.close()
+        await self.maintenance.close()
         await self.calls.close()
 
     async def _take_over(self):
@@ -196,7 +186,9 @@
         if self.configuration.current is not None:
             self.scheduler.configure(self.configuration.current)
         await load_fleet(self)
-        await asyncio.gather(load_progress(self), self.registry.load())
+        await asyncio.gather(
+            load_progress(self), self.registry.load(), self.maintenance.load()
+        )
         await self.intake.load()
         # Jobs that were stored before the listing count as recovered, so the listing
         # must lie within the leadership.
@@ -223,6 +215,8 @@
             self.writer.run,
             self.writer.sweep,
             self.fleet.run,
+            self.maintenance.follow,
+            self.maintenance.run,
             self._plan,
         ):
             self.keep_running(function)
--- a/wasabipaddle/cell/tests/test_silent_runner.py
+++ b/wasabipaddle/cell/tests/test_silent_runner.py
@@ -8,7 +8,7 @@
 from result import Err, Ok
 
 from wasabipaddle.cell import calls
-from wasabipaddle.cell.session import MAX_LEASE_S
+from wasabipaddle.cell.timing import MAX_LEASE_S
 from wasabipaddle.clock import run_virtual
 from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.interfaces import EndCause, EndedTask, Inventory
--- a/wasabipaddle/commands/cli.py
+++ b/wasabipaddle/commands/cli.py
@@ -87,12 +87,12 @@
 
     @SetParseFn(str)
     def explain(self, job, *files):
-        """Print the history of a job from structured logs.
+        """Print the history of a job or of a wave of maintenance from structured logs.
 
         Parameters
         ----------
         job : str
-            Identifier of the job.
+            Identifier of the job, or wave-N for the wave with the number N.
         files : str
             Log files of the processes.
         """
--- a/wasabipaddle/dispatch/maintenance.py
+++ b/wasabipaddle/dispatch/maintenance.py
@@ -9,6 +9,7 @@
     WaitReason,
     WaveProgress,
 )
+from wasabipaddle.dispatch.wave_log import note_wave
 from wasabipaddle.interfaces.machines import MaintenanceReply
 
 __all__ = ["Maintenance"]
@@ -24,8 +25,6 @@
 # First and longest pause between two calls for a machine.
 RETRY_S = 0.5
 MAX_RETRY_S = 4.0
-# Shortest time between two log lines about a late wave.
-LATE_LOG_S = 10.0
 
 
 class Maintenance:
@@ -56,6 +55,9 @@
         Operations by machine; a machine has one at a time, whatever its waves.
     choice : MachineChoice
         Chooses the next machines.
+    calls_from_s : float
+        Time from which this dispatcher may call the service: the previous one may call
+        it until then.
     """
 
     def __init__(self, *, state, lifecycle, placement):
@@ -64,6 +66,7 @@
         self.view = MachineView()
         self.progress = {}
         self.operations = {}
+        self.calls_from_s = 0.0
         self.choice = MachineChoice(
             state=state,
             drains=self.drains,
@@ -77,14 +80,8 @@
         open_waves = any(not p.completed for p in self.progress.values())
         return bool(open_waves or self.operations)
 
-    def restore(self, number, record, *, revision, calls_from_s):
-        """Continue a wave of the previous dispatcher from its stored record.
-
-        Parameters
-        ----------
-        calls_from_s : float
-            Time from which this dispatcher may call the service.
-        """
+    def restore(self, number, record, *, revision):
+        """Continue a wave of the previous dispatcher from its stored record."""
         progress = WaveProgress(
             number=number,
             first_seen_ms=record.first_seen_ms,
@@ -104,8 +101,7 @@
                 runner=runner,
                 wave=number,
                 phase=OperationPhase.ASKED,
-                doubtful_until_s=calls_from_s + LATE_CALL_S,
-                next_call_s=calls_from_s,
+                doubtful_until_s=self.calls_from_s + LATE_CALL_S,
             )
         self._cordon()
 
@@ -172,7 +168,7 @@
 
     def _may_call(self, operation, now):
         asked = operation.phase is OperationPhase.ASKED and not operation.calling
-        if not asked or now < operation.next_call_s:
+        if not asked or now < max(operation.next_call_s, self.calls_from_s):
             return False
         progress = self.progress.get(operation.wave)
         requested = progress is not None and _requests(progress, operation)
@@ -270,9 +266,18 @@
 
     def _release(self, operation, now):
         """Give up an operation for now."""
+        self._log("maintenance_given_up", operation)
         self.choice.pause(operation.machine, now)
         self._end(operation)
 
+    def _log(self, event, operation):
+        self.state.journal(
+            event,
+            wave=operation.wave,
+            machine=operation.machine,
+            runner=operation.runner,
+        )
+
     def _end(self, operation):
         self.operations.pop(operation.machine, None)
         progress = self.progress.get(operation.wave)
@@ -316,7 +321,7 @@
         if fresh:
             reasons += self._begin_drains(progress, left, pace, now)
         progress.reason = reasons[-1] if reasons else WaitReason.NONE
-        self._note_late(progress, pace, left, now)
+        note_wave(self.state, progress, pace, left, now)
 
     def _note_absent(self, progress):
         for name in progress.wave.machines:
@@ -366,29 +371,15 @@
             return [] if away else [WaitReason.CAP]
         chosen, reasons = self.choice.choose(progress, left, pace, now, count=free)
         for name in chosen:
-            self.operations[name] = Operation(
+            operation = self.operations[name] = Operation(
                 machine=name,
                 runner=self.view.machines[name].runner,
                 wave=wave.number,
                 drain_until_s=now + pace.drain_s,
             )
+            self._log("maintenance_drain", operation)
         return reasons
 
-    def _note_late(self, progress, pace, left, now):
-        """Log that a wave cannot end in time, and again when the reason changes."""
-        progress.late = pace.late
-        due = now - progress.logged_s >= LATE_LOG_S
-        if not pace.late or progress.reason is progress.logged_reason or not due:
-            return
-        progress.logged_reason, progress.logged_s = progress.reason, now
-        self.state.journal(
-            "maintenance_late",
-            wave=progress.number,
-            reason=progress.reason.value,
-            machines_left=len(left),
-            time_left_ms=int(pace.left_s * MS_PER_S),
-        )
-
 
 def _requests(progress, operation):
     """Return whether a wave asks for the machine of an operation."""
--- a/wasabipaddle/dispatch/tests/maintenance_world.py
+++ b/wasabipaddle/dispatch/tests/maintenance_world.py
@@ -328,10 +328,9 @@
             e.id: self.scheduler.lifecycle.progress(e) for e in self.state.jobs.values()
         }
         self.take_over(self.epoch, progress, self.jobs)
+        self.maintenance.calls_from_s = self.now + TAKEOVER_PAUSE_S
         for number, record in self.records.items():
-            self.maintenance.restore(
-                number, record, revision=1, calls_from_s=self.now + TAKEOVER_PAUSE_S
-            )
+            self.maintenance.restore(number, record, revision=1)
         for wave in self.waves.values():
             self.maintenance.set_wave(wave, self.now)
         for number in self.records.keys() - self.waves.keys():
--- a/wasabipaddle/logs/explain.py
+++ b/wasabipaddle/logs/explain.py
@@ -1,6 +1,7 @@
-"""History of one job, from the structured logs of all processes."""
+"""History of a job or a wave of maintenance, from the logs of all processes."""
 
 import collections
+import re
 
 import attrs
 import msgspec
@@ -36,11 +37,16 @@
 # Events of watches, and the watches of the dispatcher.
 WATCH_EVENTS = frozenset({"watch_lost", "watch_listed"})
 DISPATCHER_WATCHES = frozenset({"intake", "registry"})
+WAVE_SUBJECT = re.compile(r"wave-[0-9]{1,15}")
 HEADER_FIELDS = ("ms", "process", "event")
 # Sentences that replace the fields of an event.
 SENTENCES = {
     "waits_for_quota": "step {step} waits for the quota of its workspace, "
     "{used_percent}% used",
+    "maintenance_waits": "wave {wave} waits, reason: {reason}, "
+    "machines left: {machines_left}",
+    "maintenance_late": "wave {wave} will end too late, reason: {reason}, "
+    "machines left: {machines_left}",
 }
 
 
@@ -96,25 +102,29 @@
     return sorted(lines, key=lambda line: line.ms)
 
 
-def explain(job, lines):
-    """Return the lines about a job, and those that explain them.
+def explain(subject, lines):
+    """Return the lines about a job or a wave of maintenance, and what explains them.
 
-    The latter are lines between the first and the last line of the job that have an
-    event in `CONTEXT_EVENTS`, one in `RUNNER_EVENTS` about a runner of the job, or one
-    in `WATCH_EVENTS` about a watch of the dispatcher.
+    For a job, the latter are lines between the first and the last line of the job that
+    have an event in `CONTEXT_EVENTS`, one in `RUNNER_EVENTS` about a runner of the job,
+    or one in `WATCH_EVENTS` about a watch of the dispatcher.
 
     Parameters
     ----------
-    job : str
-        Identifier of the job.
+    subject : str
+        Identifier of the job, or `wave-N` for the wave with the number N. For a wave,
+        the runs that were moved from its runners are shown too.
     lines : list of LogLine
         Lines of all processes in order of time.
 
     Returns
     -------
     list of LogLine
-        Empty if no line is about the job.
+        Empty if no line is about the subject.
     """
+    if WAVE_SUBJECT.fullmatch(subject):
+        return _explain_wave(int(subject.removeprefix("wave-")), lines)
+    job = subject
     job_lines = [line for line in lines if line.values.get("job") == job]
     if not job_lines:
         return []
@@ -127,6 +137,17 @@
     ]
 
 
+def _explain_wave(wave, lines):
+    wave_lines = [line for line in lines if line.values.get("wave") == wave]
+    runners = {line.values["runner"] for line in wave_lines if "runner" in line.values}
+    return [
+        line
+        for line in lines
+        if line.values.get("wave") == wave
+        or (line.event == "run_evacuated" and line.values.get("runner") in runners)
+    ]
+
+
 def _is_relevant(line, job, runners):
     if line.values.get("job") == job or line.event in CONTEXT_EVENTS:
         return True
--- a/wasabipaddle/logs/tests/test_logs.py
+++ b/wasabipaddle/logs/tests/test_logs.py
@@ -145,3 +145,18 @@
     assert "step 0 waits for the quota of its workspace, 96% used" in str(line)
     (line,) = explain("j0", read_lines([log_row(20, "waits_for_quota", job="j0")]))
     assert "quota" in str(line)
+
+
+def test_history_of_a_wave_has_its_machines_and_what_moved():
+    """Guards against a wave whose wait only a reader of the code can explain."""
+    rows = [
+        log_row(10, "maintenance_drain", wave=3, machine="m0", runner="r0"),
+        log_row(11, "run_evacuated", job="j0", runner="r0"),
+        log_row(12, "run_evacuated", job="j0", runner="r1"),
+        log_row(13, "maintenance_drain", wave=4, machine="m1", runner="r1"),
+        log_row(14, "maintenance_waits", wave=3, reason="allowance", machines_left=2),
+    ]
+    found = explain("wave-3", read_lines(rows))
+    assert [line.ms for line in found] == [10, 11, 14]
+    assert "wave 3 waits, reason: allowance, machines left: 2" in str(found[-1])
+    assert explain("wave-5", read_lines(rows)) == []
--- a/wasabipaddle/settings/cell.py
+++ b/wasabipaddle/settings/cell.py
@@ -67,6 +67,10 @@
     revocation_s : float
         Time after which no call with a removed key may be served by any process, in
         contact or not; 0 if removed keys have no such limit.
+    maintenance_s : float
+        Time for which a machine is away for its maintenance.
+    order_pause_s : float
+        Time that must pass between calls of two processes for the same machine.
     """
 
     lease_max_s: float = 6.0
@@ -80,6 +84,8 @@
     configuration_s: float = 2.5
     cancel_s: float = 3.0
     revocation_s: float = 0.0
+    maintenance_s: float = 2.0
+    order_pause_s: float = 3.0
 
 
 @attrs.frozen(kw_only=True)
--- a/wasabipaddle/settings/loader.py
+++ b/wasabipaddle/settings/loader.py
@@ -45,6 +45,8 @@
     ("CellBounds", "configuration_s"): DURATION,
     ("CellBounds", "cancel_s"): DURATION,
     ("CellBounds", "revocation_s"): Bounds(high=3_600),
+    ("CellBounds", "maintenance_s"): Bounds(high=3_600),
+    ("CellBounds", "order_pause_s"): Bounds(high=3_600),
     ("CellSettings", "metrics_port"): Bounds(high=65_535),
     ("CellSettings", "processor_share"): Bounds(low=0.001, high=1_000),
     ("CellSettings", "processor_speed"): Bounds(low=0.001, high=1_000),
--- a/wasabipaddle/soak/cell.py
+++ b/wasabipaddle/soak/cell.py
@@ -16,6 +16,8 @@
 POLL_INTERVAL_S = 0.05
 RESTART_DELAY_S = 0.5
 GRACE_PERIOD_S = 6.0
+MAINTENANCE_S = 1.0
+ORDER_PAUSE_S = 1.0
 KILL_MARGIN_S = 2.0
 
 
@@ -93,11 +95,14 @@
             "platform": {
                 "store": platform.addresses[name, STORE],
                 "eligibility": platform.addresses[name, "advice"],
+                "machines": platform.machines_address,
             },
             "bounds": {
                 "lease_max": "6s",
                 "stop": "300ms",
                 "grace": f"{GRACE_PERIOD_S:g}s",
+                "maintenance": f"{MAINTENANCE_S:g}s",
+                "order_pause": f"{ORDER_PAUSE_S:g}s",
             },
         }
         if platform.keys.names:
--- a/wasabipaddle/soak/platform.py
+++ b/wasabipaddle/soak/platform.py
@@ -115,6 +115,8 @@
         readiness probes.
     queues : tuple of Queue
         Queues of the latest configuration.
+    machines_address : str
+        Address of the machine service, empty if there is none.
     runners, clients : dict
         Runners, and the clients through which the processes call them, by name.
     reserved_runners : set of str
@@ -150,6 +152,7 @@
         self.keys = keys
         self.queues = ()
         self.runners = {}
+        self.machines_address = ""
         self.reserved_runners = set()
         self.runner_ports = {}
         self.clients = {}
