Fuzz the decoders of waves, and keep records of two waves apart

Cause: the new decoders had no fuzzing; a machine that two records name as asked could lose its second operation at a takeover; a full cell held up a wave without end although no allowance protected its tasks.

Change: targets wave, wave_record and machines; no call as long as the record of any wave is not stored; lasting tasks without an allowance give way once a wave is due.

--- a/wasabipaddle/dispatch/drains.py
+++ b/wasabipaddle/dispatch/drains.py
@@ -58,12 +58,14 @@
     def advance(self, runner, until_s, now):
         """Stop the runs that may be stopped now; others end by themselves.
 
+        After `until_s`, all are stopped that no allowance protects.
+
         Parameters
         ----------
         until_s : float
             Time until which runs may end by themselves.
         """
-        moved = False
+        moved, pressed = False, now >= until_s
         for run in list(runner.runs.values()):
             if run.phase is not RunPhase.RUNNING or run.task.completed:
                 continue
@@ -71,7 +73,7 @@
                 if not _ends_in_time(run, until_s, now):
                     self._stop(run, until_s, now)
             # One at a time, so that the next one finds the room that is left.
-            elif not moved and self._find_lasting_obstacle(run, now) is None:
+            elif not moved and self._find_lasting_obstacle(run, now, pressed) is None:
                 self._stop(run, until_s, now)
                 moved = True
 
@@ -81,7 +83,7 @@
         Parameters
         ----------
         pressed : bool
-            Whether there is no time to wait for room for work that does not last.
+            Whether there is no time to wait for room for work without an allowance.
         """
         if runner.id in self.state.suspects:
             return Obstacle.TAKEOVER
@@ -89,7 +91,7 @@
             return Obstacle.LEAVING
         for run in runner.runs.values():
             if run.task.spec.lasting:
-                obstacle = self._find_lasting_obstacle(run, now)
+                obstacle = self._find_lasting_obstacle(run, now, pressed)
                 if obstacle is not None:
                     return obstacle
             elif not pressed and not self._has_room(run, now):
@@ -100,7 +102,7 @@
         """Return the processor time that is lost if a runner is drained, in core s."""
         return sum(_cost(run, until_s, now) for run in runner.runs.values())
 
-    def _find_lasting_obstacle(self, run, now):
+    def _find_lasting_obstacle(self, run, now, pressed):
         """Return why a run of a lasting task may not be stopped now, or None.
 
         A task of the step that waits for a runner would take the room.
@@ -108,6 +110,8 @@
         step = run.task.step
         if not permits_interruption(step, _members(run), now):
             return Obstacle.ALLOWANCE
+        if pressed and step.spec.disruption_allowance < 0:
+            return None
         if step.pending or not self._has_room(run, now):
             return Obstacle.ROOM
         return None
--- a/wasabipaddle/dispatch/maintenance.py
+++ b/wasabipaddle/dispatch/maintenance.py
@@ -93,16 +93,15 @@
         )
         self.progress[number] = progress
         for machine, runner in record.asked.items():
-            if machine in self.operations:
-                continue
-            progress.asked[machine] = runner
-            self.operations[machine] = Operation(
+            operation = Operation(
                 machine=machine,
                 runner=runner,
                 wave=number,
                 phase=OperationPhase.ASKED,
                 doubtful_until_s=self.calls_from_s + LATE_CALL_S,
             )
+            if self.operations.setdefault(machine, operation).wave == number:
+                progress.asked[machine] = runner
         self._cordon()
 
     def set_wave(self, wave, now):
@@ -171,8 +170,10 @@
         if not asked or now < max(operation.next_call_s, self.calls_from_s):
             return False
         progress = self.progress.get(operation.wave)
-        requested = progress is not None and _requests(progress, operation)
-        if not requested or not progress.stored:
+        if progress is None or not _requests(progress, operation):
+            return False
+        # The record of another wave may still name the machine until it is stored.
+        if not all(p.stored for p in self.progress.values() if p.wave is not None):
             return False
         if not self.view.is_fresh(now) or not self._is_quiet(operation, now):
             return False
--- a/wasabipaddle/dispatch/tests/test_maintenance.py
+++ b/wasabipaddle/dispatch/tests/test_maintenance.py
@@ -107,6 +107,18 @@
     assert all(len(runner.running) == 4 for runner in world.runners.values())
 
 
+def test_tasks_without_an_allowance_give_way_to_a_wave_that_is_due(make_world):
+    """Guards against a wave that ends too late because the cell is full."""
+    world = make_world(2)
+    world.submit_lasting("0" * 16, 8, -1)
+    world.run(2.0)
+    world.request(1, ["m0"], cap=1, duration_s=20.0)
+    world.run(10.0)
+    assert chosen(world) == set()
+    world.run(15.0)
+    assert world.done == {(1, "m0")} and world.violations == []
+
+
 def test_cap_of_zero_leaves_the_wave_running(make_world):
     world = make_world()
     world.request(1, ["m0"], cap=0)
--- a/wasabipaddle/fuzz/decoders.py
+++ b/wasabipaddle/fuzz/decoders.py
@@ -41,16 +41,26 @@
 from wasabipaddle.jobs.addresses import is_callable_address
 from wasabipaddle.jobs.checks import find_job_problem
 from wasabipaddle.jobs.decoding import DECODING_ERRORS, MAX_INTEGER
+from wasabipaddle.jobs.maintenance import (
+    Machine,
+    MaintenanceWave,
+    WaveRecord,
+    decode_wave_record,
+    encode_wave_record,
+)
 from wasabipaddle.journal import decode_batch
 from wasabipaddle.leadership.record import decode_leader_record
 from wasabipaddle.messages import jobs as job_messages
 from wasabipaddle.platform import (
     REGISTRY_PREFIX,
+    WAVE_PREFIX,
     PlatformAdvice,
+    PlatformMachines,
     PlatformRunner,
     PlatformStore,
     decode_configuration,
     decode_runner,
+    decode_wave,
 )
 from wasabipaddle.platform.callers import MAX_WAIT_S, read_wait_s
 from wasabipaddle.platform.jobs import decode_spec
@@ -281,6 +291,32 @@
         require(again.ok() == reply, "an answer is not read back")
 
 
+def _check_wave(data):
+    wave = decode_wave(Entry(key=f"{WAVE_PREFIX}7", value=data, revision=REVISION))
+    if wave.is_ok():
+        _require_usable(wave.ok(), MaintenanceWave)
+        require(wave.ok().cap >= 0, "a cap is negative")
+
+
+def _check_wave_record(data):
+    record = decode_wave_record(data)
+    if record is not None:
+        _require_usable(record, WaveRecord)
+        again = decode_wave_record(encode_wave_record(record))
+        require(again == record, "a record of a wave is not read back")
+
+
+def _check_machines(data):
+    for status in (200, 409):
+        machines = PlatformMachines(address=RUNNER.address)
+        machines.client = StubClient(raw=data, status=status)
+        listed = run_now(machines.list_machines(timeout_s=1.0))
+        if listed.is_ok():
+            _require_usable(listed.ok(), tuple[Machine, ...])
+        call = machines.begin_maintenance("m", 7, holder="p", epoch=1, timeout_s=1.0)
+        run_now(call)
+
+
 def _check_text(data):
     """Check the decoders of strings with the strings in a JSON value."""
     try:
@@ -325,6 +361,9 @@
     "runner": _check_runner,
     "store": _check_store,
     "advice": _check_advice,
+    "wave": _check_wave,
+    "wave_record": _check_wave_record,
+    "machines": _check_machines,
     "text": _check_text,
     "batch": _check_batch,
     "documents": _check_documents,
--- a/wasabipaddle/fuzz/samples.py
+++ b/wasabipaddle/fuzz/samples.py
@@ -18,6 +18,7 @@
     encode_job,
     encode_progress,
 )
+from wasabipaddle.jobs.maintenance import WaveRecord, encode_wave_record
 from wasabipaddle.platform.client import encode_configuration, encode_runner
 from wasabipaddle.platform.samples import WIRE_SAMPLES
 
@@ -51,6 +52,9 @@
     failures={"0.0.1": [5], "0.0.gang": [6]},
     ended_ms=7,
 )
+WAVE_RECORD = WaveRecord(
+    first_seen_ms=5, asked={"m": "i-1"}, begun=("n",), absent=("o",), completed=True
+)
 CONFIGURATION = CellConfiguration(
     version=3,
     queues=(QUEUE, Queue(name="b", host="h", prefix="/b/", pool="p", priority=2)),
@@ -79,6 +83,7 @@
         _read(encode_job(attrs.evolve(JOB, policy=QUEUE, spec=SCHEDULED))),
     ),
     "progress": (_read(encode_progress(PROGRESS)),),
+    "wave_record": (_read(encode_wave_record(WAVE_RECORD)),),
     "configuration": (_read(encode_configuration(CONFIGURATION)[1]),),
     "leader": ({"process": "p0", "address": ADDRESS, "life": 5},),
     "term": ({"process": "p0", "number": 5, "life": 5},),
--- a/wasabipaddle/platform/client.py
+++ b/wasabipaddle/platform/client.py
@@ -188,11 +188,7 @@
 
 
 def _encode_capacity(capacity):
-    return {
-        "cpu": capacity.cpu,
-        "mem_mb": capacity.memory_mb,
-        "gpu": capacity.gpus,
-    }
+    return {"cpu": capacity.cpu, "mem_mb": capacity.memory_mb, "gpu": capacity.gpus}
 
 
 def _encode_route(queue):
--- a/wasabipaddle/platform/samples.py
+++ b/wasabipaddle/platform/samples.py
@@ -27,7 +27,13 @@
     "reason": "fence",
 }
 ITEM = {"key": "servers/i-1", "value": "e30=", "revision": 3, "created": 1, "lease": 0}
+MACHINE = {
+    "machine": "m", "pool": "p", "state": "up", "zone": "z", "labels": ["k", "r"],
+    "id": "i-1",
+}  # fmt: skip
 WIRE_SAMPLES = {
+    "wave": ({"wave": 7, "machines": ["m", "n"], "duration_s": 5.5, "cap": 1},),
+    "machines": ({"machines": [MACHINE, MACHINE]}, {"reason": "busy"}),
     "spec": SPECS,
     "runner": (INVENTORY, {"clock_ms": 5000, "born": 17, "reason": "old"}),
     "store": (
--- a/wasabipaddle/platform/server.py
+++ b/wasabipaddle/platform/server.py
@@ -116,11 +116,8 @@
         conditions=conditions, puts=puts, deletes=tuple(body.get("deletes", ()))
     )
     if committed.is_err():
-        return _error_response(
-            request,
-            committed.err(),
-            {"items": [{"key": committed.err().detail}]},
-        )
+        body = {"items": [{"key": committed.err().detail}]}
+        return _error_response(request, committed.err(), body)
     return _json_response({"revision": committed.ok()})
 
 
@@ -232,20 +229,15 @@
             [encode_task(r.task), r.run, r.checkpoint, r.percent, r.load]
             for r in inventory.running
         ],
-        "ended": [
-            [
-                e.number,
-                encode_task(e.task),
-                e.run,
-                CAUSE_NAMES[e.cause],
-                e.checkpoint,
-            ]
-            for e in inventory.ended[:ENDS_PER_LIST]
-        ],
+        "ended": [_encode_ended(e) for e in inventory.ended[:ENDS_PER_LIST]],
     }
     return _json_response(*_add_refusal(response_body, inventory.refusal))
 
 
+def _encode_ended(e):
+    return [e.number, encode_task(e.task), e.run, CAUSE_NAMES[e.cause], e.checkpoint]
+
+
 def _add_refusal(body, refusal):
     """Return the body and status of a runner's response."""
     if refusal is Refusal.NONE:
