Take the longest list of ends from the adapter's one constant in a test

Cause: the adapter had the length of a list of ended runs twice; the copy that the test named is gone since the orders and answers are written once. The value, 500, is the same.

Result: soak/tests/test_faults.py failed with an AttributeError before and passes.

--- a/wasabipaddle/soak/tests/test_faults.py
+++ b/wasabipaddle/soak/tests/test_faults.py
@@ -166,7 +166,7 @@
 
     The runner must not leave later: no other has the label that the tasks require.
     """
-    assert bursts.JOBS * BURST_STEP.count > server.MAX_ENDED_TASKS
+    assert bursts.JOBS * BURST_STEP.count > server.ENDS_PER_LIST
     seen = []
 
     async def scenario():
