Say what really holds up a wave of maintenance

Cause: a machine that is passed over for a while hid the reason for it, so a late wave alternated between its reason and a drain.

Change: the pause keeps the reason, the most common hindrance is shown, and a late wave is logged again only for what holds it up.

--- a/wasabipaddle/dispatch/machine_choice.py
+++ b/wasabipaddle/dispatch/machine_choice.py
@@ -81,8 +81,8 @@
 
     Attributes
     ----------
-    pauses_s : dict of str to float
-        Times until which machines are not chosen.
+    pauses : dict of str to tuple of (float, WaitReason)
+        Times until which machines are not chosen, and why.
     """
 
     def __init__(self, *, state, drains, view, operations):
@@ -90,11 +90,11 @@
         self.drains = drains
         self.view = view
         self.operations = operations
-        self.pauses_s = {}
+        self.pauses = {}
 
-    def pause(self, name, now):
+    def pause(self, name, now, reason):
         """Do not choose a machine for a while."""
-        self.pauses_s[name] = now + PAUSE_S
+        self.pauses[name] = (now + PAUSE_S, reason)
 
     def choose(self, progress, left, pace, now, *, count):
         """Return up to `count` machines to drain, and what hinders others.
@@ -110,10 +110,14 @@
         -------
         tuple of (list of str, list of WaitReason)
         """
-        self.pauses_s = {name: s for name, s in self.pauses_s.items() if now < s}
+        self.pauses = {n: pause for n, pause in self.pauses.items() if now < pause[0]}
         chosen, reasons, candidates = [], [], []
         for name in left:
-            reason = self._find_hindrance(name, progress.number, now)
+            if name in self.operations:
+                if self.operations[name].wave != progress.number:
+                    reasons.append(WaitReason.OTHER_WAVE)
+                continue
+            reason = self._find_hindrance(name, now)
             if reason is None:
                 candidates.append(name)
             else:
@@ -130,21 +134,17 @@
             )
             if obstacle:
                 reasons.append(WaitReason(obstacle.value))
-                self.pause(name, now)
+                self.pause(name, now, reasons[-1])
             else:
                 chosen.append(name)
         return chosen, reasons
 
-    def _find_hindrance(self, name, number, now):
+    def _find_hindrance(self, name, now):
         """Return why a machine cannot be drained now, or None."""
-        operation = self.operations.get(name)
-        if operation is not None:
-            same = operation.wave == number
-            return WaitReason.DRAIN if same else WaitReason.OTHER_WAVE
         if not self.view.is_up(name):
             return WaitReason.MACHINE
-        if now < self.pauses_s.get(name, 0.0):
-            return WaitReason.DRAIN
+        if name in self.pauses:
+            return self.pauses[name][1]
         if self.view.machines[name].runner not in self.state.runners:
             unchanged_s = now - self.view.unchanged_since_s[name]
             if unchanged_s < UNKNOWN_RUNNER_S:
--- a/wasabipaddle/dispatch/maintenance.py
+++ b/wasabipaddle/dispatch/maintenance.py
@@ -1,5 +1,7 @@
 """Decision which machine of a wave has its maintenance next, and when."""
 
+import collections
+
 from wasabipaddle.dispatch.drains import Drains
 from wasabipaddle.dispatch.machine_choice import MachineChoice, WavePace, deadline_ms
 from wasabipaddle.dispatch.machines import MachineView
@@ -268,7 +270,7 @@
     def _release(self, operation, now):
         """Give up an operation for now."""
         self._log("maintenance_given_up", operation)
-        self.choice.pause(operation.machine, now)
+        self.choice.pause(operation.machine, now, WaitReason.DRAIN)
         self._end(operation)
 
     def _log(self, event, operation):
@@ -316,12 +318,15 @@
             return
         pace = WavePace(progress=progress, left=left, state=self.state, now=now)
         fresh = self.view.is_fresh(now)
-        reasons = [] if fresh else [WaitReason.SERVICE]
-        for operation in self._operations_of(wave.number):
-            reasons.append(self._advance_operation(operation, progress, now))
+        phases = [
+            self._advance_operation(operation, progress, now)
+            for operation in self._operations_of(wave.number)
+        ]
+        hindrances = [WaitReason.SERVICE]
         if fresh:
-            reasons += self._begin_drains(progress, left, pace, now)
-        progress.reason = reasons[-1] if reasons else WaitReason.NONE
+            hindrances = self._begin_drains(progress, left, pace, now)
+        reasons = collections.Counter(hindrances or phases or [WaitReason.NONE])
+        ((progress.reason, _),) = reasons.most_common(1)
         note_wave(self.state, progress, pace, left, now)
 
     def _note_absent(self, progress):
--- a/wasabipaddle/dispatch/tests/test_maintenance.py
+++ b/wasabipaddle/dispatch/tests/test_maintenance.py
@@ -90,9 +90,9 @@
     world.run(20.0)
     busy = {name.partition(".")[0] for name, r in world.runners.items() if r.running}
     assert busy and not busy & {name for _, name in world.done}
-    assert progress(world).reason in (WaitReason.ALLOWANCE, WaitReason.DRAIN)
+    assert progress(world).reason is WaitReason.ALLOWANCE
     late = [fields for kind, fields in world.events if kind == "maintenance_late"]
-    assert late and late[0]["wave"] == 1
+    assert late and (late[-1]["wave"], late[-1]["reason"]) == (1, "allowance")
     assert world.violations == []
 
 
--- a/wasabipaddle/dispatch/wave_log.py
+++ b/wasabipaddle/dispatch/wave_log.py
@@ -25,7 +25,7 @@
     """
     became_late = pace.late and not progress.late
     progress.late = pace.late
-    waits = pace.late or progress.reason not in PROGRESS_REASONS
+    waits = progress.reason not in PROGRESS_REASONS
     changed = progress.reason is not progress.logged_reason
     if now - progress.logged_s < REASON_PERIOD_S and not became_late:
         return
