Call for a machine only while its drained runner is still on it

Cause: the runner of an asked machine was never compared with the list, and a runner that had vanished counted as empty. If the machine restarted after its drain, the call ended the work of its new runner. Change: a machine is ready once its runner is empty and a list that was requested later names it; a runner that leaves the registry starts that time anew. A new runner of an asked machine is drained if a call may yet be carried out, else the machine is chosen anew. The property test restarts runners.

--- a/wasabipaddle/dispatch/maintenance.py
+++ b/wasabipaddle/dispatch/maintenance.py
@@ -11,17 +11,13 @@
     WaitReason,
     WaveProgress,
 )
+from wasabipaddle.dispatch.readiness import Readiness
 from wasabipaddle.dispatch.wave_log import note_wave
 from wasabipaddle.interfaces.machines import MaintenanceReply
 
 __all__ = ["Maintenance"]
 
 MS_PER_S = 1000
-# Time after the end of a drain at which it is given up if runs are left.
-STUCK_S = 5.0
-# Time for which a runner must have been empty, so that it learns that its ended runs
-# are durable.
-QUIET_S = 0.5
 # Longest time after which a call without an answer is expected to be carried out.
 LATE_CALL_S = 15.0
 # First and longest pause between two calls for a machine.
@@ -57,6 +53,8 @@
         Operations by machine; a machine has one at a time, whatever its waves.
     choice : MachineChoice
         Chooses the next machines.
+    readiness : Readiness
+        Tells which machines may be called for.
     calls_from_s : float
         Time from which this dispatcher may call the service: the previous one may call
         it until then.
@@ -69,6 +67,7 @@
         self.progress = {}
         self.operations = {}
         self.calls_from_s = 0.0
+        self.readiness = Readiness(state=state, drains=self.drains, view=self.view)
         self.choice = MachineChoice(
             state=state,
             drains=self.drains,
@@ -147,7 +146,7 @@
     def plan(self, now):
         """Advance all waves, and drain the runners of their next machines."""
         for operation in list(self.operations.values()):
-            self._follow_list(operation)
+            self._follow_list(operation, now)
             self._release_unrequested(operation, now)
         waves = [p for p in self.progress.values() if p.wave is not None]
         for progress in sorted(waves, key=deadline_ms):
@@ -177,7 +176,7 @@
         # The record of another wave may still name the machine until it is stored.
         if not all(p.stored for p in self.progress.values() if p.wave is not None):
             return False
-        if not self.view.is_fresh(now) or not self._is_quiet(operation, now):
+        if not self.readiness.is_ready(operation, now):
             return False
         others = self._count_down(progress, operation, now)
         return others < progress.wave.cap
@@ -239,18 +238,33 @@
             progress.begun[operation.machine] = None
             progress.change()
 
-    def _follow_list(self, operation):
-        """End an operation whose machine is back or gone, or drained in vain."""
+    def _follow_list(self, operation, now):
+        """End an operation whose machine is back or gone, or has another runner."""
         name, view = operation.machine, self.view
         if operation.phase is OperationPhase.BEGUN:
             if view.listed_s >= operation.back_after_s and not view.is_away(name):
                 self._end(operation)
         elif view.is_gone(name) and not operation.calling:
             self._end(operation)
-        elif operation.phase is OperationPhase.DRAINING:
-            machine = view.machines.get(name)
-            if not view.is_up(name) or machine.runner != operation.runner:
-                self._end(operation)
+        elif view.is_up(name) and view.machines[name].runner != operation.runner:
+            self._follow_runner(operation, view.machines[name].runner, now)
+        elif operation.phase is OperationPhase.DRAINING and not view.is_up(name):
+            self._end(operation)
+
+    def _follow_runner(self, operation, runner, now):
+        """Go on with the new runner of a machine if a call may yet be carried out.
+
+        Its work has to leave at once. Else the machine is chosen anew.
+        """
+        if not operation.may_begin(now):
+            self._end(operation)
+        elif runner:
+            operation.runner, operation.quiet_since_s = runner, None
+            operation.drain_until_s = now
+            progress = self.progress.get(operation.wave)
+            if progress is not None and operation.machine in progress.asked:
+                progress.asked[operation.machine] = runner
+                progress.change()
 
     def _release_unrequested(self, operation, now):
         """End an operation that the operator does not ask for any more.
@@ -345,28 +359,14 @@
             self._release(operation, now)
         elif operation.phase is OperationPhase.ASKED:
             return WaitReason.CALL
-        elif self._is_stuck(operation, now):
+        elif self.readiness.is_stuck(operation, now):
             self._release(operation, now)
-        elif self._is_quiet(operation, now) and self.view.is_fresh(now):
+        elif self.readiness.is_ready(operation, now):
             operation.phase = OperationPhase.ASKED
             progress.asked[operation.machine] = operation.runner
             progress.change()
         return WaitReason.DRAIN
 
-    def _is_stuck(self, operation, now):
-        """Return whether runs are left that cannot leave."""
-        late = now > operation.drain_until_s + STUCK_S
-        return late and not self.drains.is_empty(operation.runner)
-
-    def _is_quiet(self, operation, now):
-        """Return whether the runner has been empty for long enough."""
-        if not self.drains.is_empty(operation.runner):
-            operation.quiet_since_s = None
-            return False
-        if operation.quiet_since_s is None:
-            operation.quiet_since_s = now
-        return now - operation.quiet_since_s >= QUIET_S
-
     def _begin_drains(self, progress, left, pace, now):
         """Drain the next machines as long as the cap allows; return what hinders it."""
         wave = progress.wave
--- a/wasabipaddle/dispatch/operations.py
+++ b/wasabipaddle/dispatch/operations.py
@@ -64,6 +64,8 @@
         Time from which a list may show that the machine is back.
     quiet_since_s : float or None
         Time since which the runner has been empty, None if it is not.
+    registered : bool
+        Whether the registry listed the runner when that was last examined.
     """
 
     machine: str
@@ -77,6 +79,7 @@
     failures: int = 0
     back_after_s: float = math.inf
     quiet_since_s: float | None = None
+    registered: bool = False
 
     def may_begin(self, now) -> bool:
         """Return whether a call may yet begin the maintenance."""
--- a/wasabipaddle/dispatch/tests/maintenance_world.py
+++ b/wasabipaddle/dispatch/tests/maintenance_world.py
@@ -110,6 +110,11 @@
             runner.listed = False
             self.scheduler.runner_exited(runner, self.now)
 
+    def restart(self, name):
+        """Replace the runner of a machine by a new one."""
+        self._end_runner(self.machines[name].runner)
+        self._boot(self.machines[name])
+
     def request(self, number, machines, *, cap, duration_s=60.0):
         wave = MaintenanceWave(
             number=number, machines=tuple(machines), cap=cap, duration_s=duration_s
--- a/wasabipaddle/dispatch/tests/test_maintenance.py
+++ b/wasabipaddle/dispatch/tests/test_maintenance.py
@@ -4,7 +4,7 @@
 
 from wasabipaddle.dispatch.operations import OperationPhase, WaitReason
 from wasabipaddle.dispatch.tests.conftest import step
-from wasabipaddle.dispatch.tests.maintenance_world import World
+from wasabipaddle.dispatch.tests.maintenance_world import TICK_S, World
 from wasabipaddle.interfaces.machines import MaintenanceReply
 
 
@@ -261,3 +261,62 @@
     world.run(10.0)
     assert world.calls == []
     assert world.maintenance.operations["m0"].phase is OperationPhase.ASKED
+
+
+def refuse_calls(world):
+    """Have the service refuse calls because of their rate; return how it serves."""
+    serve = world.call
+    world.call = lambda o: world.maintenance.record_reply(o, None, world.now)
+    return serve
+
+
+def run_until(world, phase):
+    """Run until the first machine is in a phase."""
+    for _ in range(200):
+        operation = world.maintenance.operations.get("m0")
+        if operation is not None and operation.phase is phase:
+            return
+        world.tick()
+    raise AssertionError(f"m0 is never {phase}")
+
+
+@pytest.mark.parametrize("taken_over", [False, True])
+def test_work_on_a_new_runner_of_an_asked_machine_survives(make_world, taken_over):
+    """Guards against a call that ends the work of a runner that was never drained."""
+    world = make_world(3)
+    world.submit_lasting("0" * 16, 6, 1)
+    world.run(3.0)
+    serve = refuse_calls(world)
+    world.request(1, ["m0"], cap=1, duration_s=300.0)
+    run_until(world, OperationPhase.ASKED)
+    world.restart("m0")
+    if taken_over:
+        world.fail_over()
+    world.run(3.0)
+    world.restart("m1")
+    world.run(6.0)
+    world.call = serve
+    world.run(40.0)
+    assert world.violations == [] and world.done == {(1, "m0")}
+
+
+@pytest.mark.parametrize("ticks", range(6))
+def test_work_on_a_new_runner_of_a_drained_machine_survives(make_world, ticks):
+    """Guards against a decision by a list from before the restart of a runner."""
+    world = make_world(4)
+    world.submit_lasting("0" * 16, 12, 1)
+    world.run(3.0)
+    record, listed_s = world.maintenance.record_list, [0.0]
+
+    def record_rarely(machines, requested_s):
+        if requested_s - listed_s[0] >= 1.0:
+            listed_s[0] = requested_s
+            record(machines, requested_s)
+
+    world.maintenance.record_list = record_rarely
+    world.request(1, ["m0"], cap=1, duration_s=300.0)
+    run_until(world, OperationPhase.DRAINING)
+    world.run(ticks * TICK_S)
+    world.restart("m0")
+    world.run(30.0)
+    assert world.violations == [] and world.done == {(1, "m0")}
--- a/wasabipaddle/dispatch/tests/test_maintenance_machine.py
+++ b/wasabipaddle/dispatch/tests/test_maintenance_machine.py
@@ -38,6 +38,10 @@
         world.request(number, names, cap=max(before.cap if before else 1, 1))
     elif draw < 0.75 and len(world.waves) > 1:
         world.withdraw(rng.choice(list(world.waves)))
+    elif 0.75 <= draw < 0.85:
+        machine = rng.choice(list(world.machines.values()))
+        if not machine.gone and not machine.away_until_s:
+            world.restart(machine.name)
 
 
 def play(seed):
