Count machines in maintenance that have left their wave after a takeover

Cause: a successor counted the machines in maintenance only among those of the present request. Evidence: test_machine_that_left_its_wave_counts_after_a_takeover fails on: a second machine begins with a cap of 1. Change: machines that have begun count for the cap as well while the service lists them in maintenance. Measured: this test and the property test pass.

--- a/wasabipaddle/dispatch/maintenance.py
+++ b/wasabipaddle/dispatch/maintenance.py
@@ -186,17 +186,18 @@
 
         A call without an answer counts as long as it may come late.
         """
-        down = {
-            name
-            for name in progress.wave.machines
-            if name != operation.machine and self.view.is_away(name)
-        }
+        down = self._list_away(progress) - {operation.machine}
         for other in self._operations_of(progress.number, progress.wave.machines):
             begun = other.phase is OperationPhase.BEGUN
             if other is not operation and (begun or other.may_begin(now)):
                 down.add(other.machine)
         return len(down)
 
+    def _list_away(self, progress):
+        """Return the machines of a wave, past ones included, in maintenance."""
+        names = {*progress.wave.machines, *progress.begun}
+        return {name for name in names if self.view.is_away(name)}
+
     def cancel_call(self, operation):
         """Record that a call was not made after all."""
         operation.calling = False
@@ -371,7 +372,7 @@
         """Drain the next machines as long as the cap allows; return what hinders it."""
         wave = progress.wave
         away = {o.machine for o in self._operations_of(wave.number, wave.machines)}
-        away.update(name for name in wave.machines if self.view.is_away(name))
+        away |= self._list_away(progress)
         free = wave.cap - len(away)
         if free <= 0:
             return [] if away else [WaitReason.CAP]
--- a/wasabipaddle/dispatch/tests/test_maintenance.py
+++ b/wasabipaddle/dispatch/tests/test_maintenance.py
@@ -3,6 +3,7 @@
 import pytest
 
 from wasabipaddle.dispatch.operations import OperationPhase, WaitReason
+from wasabipaddle.dispatch.tests import maintenance_world
 from wasabipaddle.dispatch.tests.conftest import step
 from wasabipaddle.dispatch.tests.maintenance_world import TICK_S, World
 from wasabipaddle.interfaces.machines import MaintenanceReply
@@ -320,3 +321,19 @@
     world.restart("m0")
     world.run(30.0)
     assert world.violations == [] and world.done == {(1, "m0")}
+
+
+def test_machine_that_left_its_wave_counts_after_a_takeover(make_world, monkeypatch):
+    """Guards against a machine too many while the first one is in maintenance."""
+    monkeypatch.setattr(maintenance_world, "MAINTENANCE_S", 30.0)
+    world = make_world(3)
+    world.request(1, ["m0", "m1"], cap=1, duration_s=300.0)
+    world.run(4.0)
+    assert world.done == {(1, "m0")}
+    world.request(1, ["m1"], cap=1, duration_s=300.0)
+    world.run(2.0)
+    world.fail_over()
+    world.run(15.0)
+    assert world.done == {(1, "m0")} and chosen(world) == set()
+    world.run(30.0)
+    assert progress(world).completed and world.violations == []
