--- a/wasabipaddle/dispatch/drains.py
+++ b/wasabipaddle/dispatch/drains.py
@@ -43,6 +43,15 @@
         self.lifecycle = lifecycle
         self.placement = placement
 
+    def cordon(self, runner_ids):
+        """Keep new work from these runners, and from no others."""
+        cordoned = frozenset(runner_ids)
+        for runner_id in cordoned ^ self.state.cordoned:
+            runner = self.state.runners.get(runner_id)
+            if runner is not None:
+                runner.cordoned = runner_id in cordoned
+        self.state.cordoned = cordoned
+
     def is_empty(self, runner_id) -> bool:
         """Return whether nothing runs on a runner and all ended runs are durable."""
         runner = self.state.runners.get(runner_id)
--- a/wasabipaddle/dispatch/maintenance.py
+++ b/wasabipaddle/dispatch/maintenance.py
@@ -171,7 +171,7 @@
         if not asked or now < max(operation.next_call_s, self.calls_from_s):
             return False
         progress = self.progress.get(operation.wave)
-        if progress is None or not _requests(progress, operation):
+        if progress is None or not progress.requests(operation.machine):
             return False
         # The record of another wave may still name the machine until it is stored.
         if not all(p.stored for p in self.progress.values() if p.wave is not None):
@@ -276,7 +276,7 @@
         if self.operations.get(operation.machine) is not operation:
             return
         progress = self.progress.get(operation.wave)
-        if progress is not None and _requests(progress, operation):
+        if progress is not None and progress.requests(operation.machine):
             return
         begun = operation.phase is OperationPhase.BEGUN
         if not begun and not operation.may_begin(now):
@@ -305,12 +305,7 @@
 
     def _cordon(self):
         """Keep new work from the runners of all operations."""
-        cordoned = frozenset(o.runner for o in self.operations.values() if o.runner)
-        for runner_id in cordoned ^ self.state.cordoned:
-            runner = self.state.runners.get(runner_id)
-            if runner is not None:
-                runner.cordoned = runner_id in cordoned
-        self.state.cordoned = cordoned
+        self.drains.cordon(o.runner for o in self.operations.values() if o.runner)
 
     def _operations_of(self, number, machines=()):
         """Return the operations of a wave, and those of some machines."""
@@ -322,7 +317,7 @@
 
     def _advance(self, progress, now):
         wave = progress.wave
-        self._note_absent(progress)
+        progress.note_absent(self.view)
         left = progress.machines_left()
         completed = not left
         if completed is not progress.completed:
@@ -344,13 +339,6 @@
         ((progress.reason, _),) = reasons.most_common(1)
         note_wave(self.state, progress, pace, left, now)
 
-    def _note_absent(self, progress):
-        for name in progress.wave.machines:
-            if self.view.is_gone(name):
-                progress.absent[name] = None
-            elif name in self.view.machines:
-                progress.absent.pop(name, None)
-
     def _advance_operation(self, operation, progress, now):
         """Ask for a machine that has been drained; return what it waits for."""
         if operation.phase is OperationPhase.BEGUN:
@@ -386,8 +374,3 @@
             )
             self._log("maintenance_drain", operation)
         return reasons
-
-
-def _requests(progress, operation):
-    """Return whether a wave asks for the machine of an operation."""
-    return progress.wave is not None and operation.machine in progress.wave.machines
--- a/wasabipaddle/dispatch/operations.py
+++ b/wasabipaddle/dispatch/operations.py
@@ -143,6 +143,18 @@
         """Whether the store has the latest version."""
         return self.stored_version == self.version
 
+    def requests(self, machine) -> bool:
+        """Return whether the wave asks for a machine."""
+        return self.wave is not None and machine in self.wave.machines
+
+    def note_absent(self, view):
+        """Record which machines are gone by the latest lists."""
+        for name in self.wave.machines:
+            if view.is_gone(name):
+                self.absent[name] = None
+            elif name in view.machines:
+                self.absent.pop(name, None)
+
     def machines_left(self):
         """Return the machines that have not begun their maintenance and are there."""
         return [
