Release runners when the machine service is silent or refuses all calls

Cause: a drain and an asked machine ended only by a list or a call, so without either their runners got no work for as long as that lasted. Evidence: test_drained_runner_is_released_when_the_service_is_silent, test_asked_runner_is_released_when_the_service_is_silent and test_asked_runner_is_released_when_all_calls_are_refused fail on the commit before. Change: after 10 s without a list, or without an answer for an asked machine whose calls cannot come late, its runner is released and the machine paused for 30 s.

--- a/wasabipaddle/dispatch/machine_choice.py
+++ b/wasabipaddle/dispatch/machine_choice.py
@@ -18,6 +18,8 @@
 UNKNOWN_RUNNER_S = 3.0
 # Pause before a machine is drained again that could not be drained or was refused.
 PAUSE_S = 3.0
+# Pause before a machine is drained again that the service did not answer for.
+SERVICE_PAUSE_S = 30.0
 # Number of machines of a wave that are examined closely in a round.
 MAX_EXAMINED = 8
 
@@ -94,7 +96,8 @@
 
     def pause(self, name, now, reason):
         """Do not choose a machine for a while."""
-        self.pauses[name] = (now + PAUSE_S, reason)
+        pause_s = SERVICE_PAUSE_S if reason is WaitReason.SERVICE else PAUSE_S
+        self.pauses[name] = (now + pause_s, reason)
 
     def choose(self, progress, left, pace, now, *, count):
         """Return up to `count` machines to drain, and what hinders others.
--- a/wasabipaddle/dispatch/maintenance.py
+++ b/wasabipaddle/dispatch/maintenance.py
@@ -1,6 +1,7 @@
 """Decision which machine of a wave has its maintenance next, and when."""
 
 import collections
+import math
 
 from wasabipaddle.dispatch.drains import Drains
 from wasabipaddle.dispatch.machine_choice import MachineChoice, WavePace, deadline_ms
@@ -20,6 +21,8 @@
 MS_PER_S = 1000
 # Longest time after which a call without an answer is expected to be carried out.
 LATE_CALL_S = 15.0
+# Time after which a runner gets work again if the service is silent or refuses calls.
+SILENCE_S = 10.0
 # First and longest pause between two calls for a machine.
 RETRY_S = 0.5
 MAX_RETRY_S = 4.0
@@ -58,6 +61,8 @@
     calls_from_s : float
         Time from which this dispatcher may call the service: the previous one may call
         it until then.
+    answered_s : float
+        Time of the latest answer to a call that was not refused because of its rate.
     """
 
     def __init__(self, *, state, lifecycle, placement):
@@ -67,6 +72,7 @@
         self.progress = {}
         self.operations = {}
         self.calls_from_s = 0.0
+        self.answered_s = -math.inf
         self.readiness = Readiness(state=state, drains=self.drains, view=self.view)
         self.choice = MachineChoice(
             state=state,
@@ -99,6 +105,7 @@
                 runner=runner,
                 wave=number,
                 phase=OperationPhase.ASKED,
+                asked_s=self.calls_from_s,
                 doubtful_until_s=self.calls_from_s + LATE_CALL_S,
             )
             if self.operations.setdefault(machine, operation).wave == number:
@@ -147,7 +154,8 @@
         """Advance all waves, and drain the runners of their next machines."""
         for operation in list(self.operations.values()):
             self._follow_list(operation, now)
-            self._release_unrequested(operation, now)
+            if self.operations.get(operation.machine) is operation:
+                self._release_unserved(operation, now)
         waves = [p for p in self.progress.values() if p.wave is not None]
         for progress in sorted(waves, key=deadline_ms):
             self._advance(progress, now)
@@ -211,6 +219,8 @@
             None if the service has certainly done nothing.
         """
         operation.calling = False
+        if reply is not None:
+            self.answered_s = now
         if reply is MaintenanceReply.ACCEPTED:
             self._begin(operation, now)
             return
@@ -267,25 +277,28 @@
                 progress.asked[operation.machine] = runner
                 progress.change()
 
-    def _release_unrequested(self, operation, now):
-        """End an operation that the operator does not ask for any more.
+    def _release_unserved(self, operation, now):
+        """End an operation that is not asked for, or not answered for, any more.
 
         A call without an answer may yet be carried out, so its machine stays empty for
         a while.
         """
-        if self.operations.get(operation.machine) is not operation:
+        if operation.phase is OperationPhase.BEGUN or operation.may_begin(now):
             return
         progress = self.progress.get(operation.wave)
-        if progress is not None and progress.requests(operation.machine):
-            return
-        begun = operation.phase is OperationPhase.BEGUN
-        if not begun and not operation.may_begin(now):
+        if progress is None or not progress.requests(operation.machine):
             self._end(operation)
+            return
+        since_s = self.view.listed_s
+        if operation.phase is OperationPhase.ASKED:
+            since_s = min(since_s, operation.unanswered_since_s(self.answered_s))
+        if now - since_s > SILENCE_S:
+            self._release(operation, now, WaitReason.SERVICE)
 
-    def _release(self, operation, now):
+    def _release(self, operation, now, reason=WaitReason.DRAIN):
         """Give up an operation for now."""
         self._log("maintenance_given_up", operation)
-        self.choice.pause(operation.machine, now, WaitReason.DRAIN)
+        self.choice.pause(operation.machine, now, reason)
         self._end(operation)
 
     def _log(self, event, operation):
@@ -352,6 +365,7 @@
             self._release(operation, now)
         elif self.readiness.is_ready(operation, now):
             operation.phase = OperationPhase.ASKED
+            operation.asked_s = max(now, self.calls_from_s)
             progress.asked[operation.machine] = operation.runner
             progress.change()
         return WaitReason.DRAIN
--- a/wasabipaddle/dispatch/operations.py
+++ b/wasabipaddle/dispatch/operations.py
@@ -52,6 +52,8 @@
         Current phase.
     drain_until_s : float
         Time until which runs may end by themselves.
+    asked_s : float
+        Time from which the service could be asked, in the phase ASKED.
     calling : bool
         Whether a call is in progress.
     doubtful_until_s : float
@@ -73,6 +75,7 @@
     runner: str = ""
     phase: OperationPhase = OperationPhase.DRAINING
     drain_until_s: float = 0.0
+    asked_s: float = math.inf
     calling: bool = False
     doubtful_until_s: float = -math.inf
     next_call_s: float = 0.0
@@ -85,6 +88,18 @@
         """Return whether a call may yet begin the maintenance."""
         return self.calling or now < self.doubtful_until_s
 
+    def unanswered_since_s(self, answered_s) -> float:
+        """Return the time since which no call has got an answer, in the phase ASKED.
+
+        Parameters
+        ----------
+        answered_s : float
+            Time of the latest answer to a call for any machine. It tells that the
+            service is busy with others if it refuses calls because of their rate.
+        """
+        since_s = max(self.asked_s, self.doubtful_until_s)
+        return max(since_s, answered_s) if self.failures else since_s
+
 
 @attrs.define(kw_only=True, eq=False)
 class WaveProgress:
--- a/wasabipaddle/dispatch/tests/test_maintenance.py
+++ b/wasabipaddle/dispatch/tests/test_maintenance.py
@@ -337,3 +337,48 @@
     assert world.done == {(1, "m0")} and chosen(world) == set()
     world.run(30.0)
     assert progress(world).completed and world.violations == []
+
+
+def test_drained_runner_is_released_when_the_service_is_silent(make_world):
+    """Guards against runners that get no work for as long as no list comes."""
+    world = make_world(3)
+    for runner in world.runners.values():
+        runner.percent = 1
+    world.submit("b1", step(12, estimate_s=12.0))
+    world.run(2.0)
+    world.request(1, ["m0"], cap=1, duration_s=300.0)
+    run_until(world, OperationPhase.DRAINING)
+    world.maintenance.record_list = lambda machines, requested_s: None
+    world.run(15.0)
+    assert world.state.cordoned == frozenset() and world.calls == []
+
+
+def test_asked_runner_is_released_when_all_calls_are_refused(make_world):
+    """Guards against runners that get no work for as long as calls are refused."""
+    world = make_world(3)
+    serve = refuse_calls(world)
+    world.request(1, ["m0"], cap=1, duration_s=300.0)
+    run_until(world, OperationPhase.ASKED)
+    world.run(12.0)
+    assert world.state.cordoned == frozenset()
+    world.run(120.0)
+    drains = [kind for kind, _ in world.events if kind == "maintenance_drain"]
+    assert len(drains) < 6
+    world.call = serve
+    world.run(60.0)
+    assert progress(world).completed and world.violations == []
+
+
+def test_asked_runner_is_released_when_the_service_is_silent(make_world):
+    """Guards against an asked machine that is kept although no call may come late."""
+    world = make_world(3)
+    sent = lose_calls(world)
+    world.request(1, ["m0"], cap=1, duration_s=300.0)
+    run_until(world, OperationPhase.ASKED)
+    world.run(1.0)
+    assert sent
+    world.maintenance.record_list = lambda machines, requested_s: None
+    world.run(12.0)
+    assert world.state.cordoned == {"m0.1"}
+    world.run(10.0)
+    assert world.state.cordoned == frozenset()
