Give runners back when the machine service refuses the epoch

Cause: under a refused epoch the waves were not planned any more, so drains and asked machines kept their runners without work, also after the wave was withdrawn, and its record stayed in the store. Change: without calls, the session ends what no late call can hit.

--- a/wasabipaddle/cell/maintenance.py
+++ b/wasabipaddle/cell/maintenance.py
@@ -244,7 +244,9 @@
         self._list_if_due()
         if session.epoch != self.refused_epoch:
             self.maintenance.plan(session.now())
-            session.wake()
+        else:
+            self.maintenance.release(session.now())
+        session.wake()
         await self._store()
         if not session.may_grant() or session.epoch == self.refused_epoch:
             return
--- a/wasabipaddle/cell/tests/test_maintenance.py
+++ b/wasabipaddle/cell/tests/test_maintenance.py
@@ -178,6 +178,27 @@
     play(scenario)
 
 
+def test_refused_epoch_gives_the_runners_back(play, machines):
+    """Guards against runners that get no work under an epoch without calls."""
+
+    async def scenario(cell):
+        machines.epochs["m1"] = 10**9
+        session = await lead(cell, machines)
+        drains = session.maintenance.maintenance.drains
+        is_empty = drains.is_empty
+        drains.is_empty = lambda runner: runner != "r0" and is_empty(runner)
+        request(cell, 1, "m0", "m1", cap=2)
+        await asyncio.sleep(PAUSE_S + WAVE_S)
+        assert session.maintenance.refused_epoch == session.epoch
+        assert session.scheduler.state.cordoned == frozenset()
+        cell.memory.remove(WAVE_PREFIX + "1")
+        await asyncio.sleep(3.0)
+        assert value(cell, RECORD_KEY) is None
+        await session.close()
+
+    play(scenario)
+
+
 def test_late_execution_of_an_unanswered_call_counts_once(play, machines):
     async def scenario(cell):
         session = await lead(cell, machines)
--- a/wasabipaddle/dispatch/maintenance.py
+++ b/wasabipaddle/dispatch/maintenance.py
@@ -165,6 +165,14 @@
             if runner is not None and operation.phase is not OperationPhase.BEGUN:
                 self.drains.advance(runner, operation.drain_until_s, now)
 
+    def release(self, now):
+        """End all operations that may end, for a dispatcher that makes no calls."""
+        for operation in list(self.operations.values()):
+            begun = operation.phase is OperationPhase.BEGUN
+            if now >= operation.back_after_s if begun else not operation.may_begin(now):
+                self._end(operation)
+        self._cordon()
+
     def take_calls(self, now):
         """Return the operations to call the service for now, marked as called."""
         taken = []
