Keep the session of the leader alive through errors in the waves

Cause: an exception while the records of waves were loaded held up the takeover, and one in their planning left the runners cordoned for as long as it was repeated. Change: the error is logged and counted, the session serves no waves any more, and the runners that no late call can hit get work again.

--- a/wasabipaddle/cell/maintenance.py
+++ b/wasabipaddle/cell/maintenance.py
@@ -89,6 +89,8 @@
     refused_epoch : int
         Epoch that the service has refused as stale, 0 if it has refused none. This
         process then makes no more calls under it.
+    failed : bool
+        Whether an error has ended the service of waves during this session.
     """
 
     def __init__(self, *, session, service):
@@ -105,6 +107,7 @@
         self.next_list_s = 0.0
         self.list_failures = 0
         self.refused_epoch = 0
+        self.failed = False
         self.gauges = self._register_gauges()
 
     def _register_gauges(self):
@@ -126,8 +129,22 @@
     async def load(self):
         """Read the stored records and the requests, with retries.
 
-        The runners of machines that may have been asked get no work from then on.
+        The runners of machines that may have been asked get no work from then on. An
+        error leaves the waves unserved; the rest of the session does not need them.
         """
+        try:
+            await self._load()
+        except Exception:
+            self._fail()
+
+    def _fail(self):
+        """Log the error in progress, and serve no waves during this session."""
+        logging.exception("waves of maintenance are not served any more")
+        self.failed = True
+        self.session.metrics.count("maintenance_errors")
+        self.session.journal("maintenance_not_served", reason="an error in the process")
+
+    async def _load(self):
         while True:
             page = await self.store_plugin.call(
                 self.store_plugin.store.list_all(WAVE_RECORD_PREFIX)
@@ -165,14 +182,29 @@
 
     async def follow(self):
         """Follow the requests until cancelled."""
-        await self.watcher.follow()
+        if not self.failed:
+            await self.watcher.follow()
 
     async def run(self):
-        """Advance the waves until cancelled."""
+        """Advance the waves until cancelled; after an error, give the runners back."""
         while True:
             await asyncio.sleep(PERIOD_S)
-            if self.maintenance.active or self._withdrawn():
-                await self._advance()
+            if self.failed:
+                self._release()
+            elif self.maintenance.active or self._withdrawn():
+                try:
+                    await self._advance()
+                except Exception:
+                    self._fail()
+
+    def _release(self):
+        """Give back the runners that no late call can hit, or all after an error."""
+        try:
+            self.maintenance.release(self.session.now())
+        except Exception:
+            self.maintenance.operations.clear()
+            self.maintenance.drains.cordon(())
+        self.session.wake()
 
     def _withdrawn(self):
         progress = self.maintenance.progress.values()
@@ -285,11 +317,11 @@
                 epoch=epoch,
                 timeout_s=CALL_TIMEOUT_S,
             )
+            outcome = self._record(operation, result, epoch)
         except Exception:
             logging.exception("maintenance call for %s failed", operation.machine)
             self.maintenance.record_no_reply(operation, session.now())
             return
-        outcome = self._record(operation, result, epoch)
         session.metrics.count(f"maintenance_calls_{outcome}")
         session.journal(
             "maintenance_called",
--- a/wasabipaddle/cell/tests/test_maintenance.py
+++ b/wasabipaddle/cell/tests/test_maintenance.py
@@ -15,6 +15,7 @@
     put_runner,
     with_cell,
 )
+from wasabipaddle.dispatch.maintenance import Maintenance
 from wasabipaddle.interfaces.machines import MaintenanceReply
 from wasabipaddle.jobs.maintenance import (
     Machine,
@@ -291,3 +292,46 @@
         await session.close()
 
     play(scenario)
+
+
+def test_error_in_the_records_of_waves_holds_up_no_dispatching(
+    play, machines, monkeypatch
+):
+    """Guards against a cell without a dispatcher because of a fault in this part."""
+    monkeypatch.setattr(Maintenance, "restore", None)
+
+    async def scenario(cell):
+        put(cell, RECORD_KEY, encode_wave_record(WaveRecord(first_seen_ms=1)))
+        request(cell, 1, "m0")
+        events = []
+        session = await lead(cell, machines, events=events)
+        await asyncio.sleep(WAVE_S)
+        assert machines.calls == [] and value(cell, STATUS_KEY) is None
+        kinds = [kind for kind, _ in events]
+        assert kinds.count("maintenance_not_served") == 1
+        await session.close()
+
+    play(scenario)
+
+
+@pytest.mark.parametrize("broken", [["plan"], ["take_calls"], ["plan", "release"]])
+def test_error_in_the_planning_of_waves_gives_the_runners_back(play, machines, broken):
+    """Guards against cordons without end, and against an end of the session."""
+
+    async def scenario(cell):
+        session = await lead(cell, machines)
+        maintenance = session.maintenance.maintenance
+        maintenance.drains.is_empty = lambda runner: False
+        request(cell, 1, "m0")
+        await asyncio.sleep(5.0)
+        assert session.scheduler.state.cordoned
+        for name in broken:
+            setattr(maintenance, name, None)
+        await asyncio.sleep(5.0)
+        assert session.scheduler.state.cordoned == frozenset()
+        assert machines.calls == [] and session.leads
+        counters = session.metrics.snapshot()["counters"]
+        assert counters["maintenance_errors"] == 1
+        await session.close()
+
+    play(scenario)
