--- a/wasabipaddle/dispatch/runners.py
+++ b/wasabipaddle/dispatch/runners.py
@@ -93,6 +93,8 @@
         that listed all its runs and ends, None after another one.
     paused_until_s : float
         Time until which the runner gets no new work.
+    cordoned : bool
+        Whether the runner gets no new work as its machine awaits maintenance.
     health : RunnerHealth
         Recent results of the runner.
     step_runs : dict of Step to int
@@ -128,6 +130,7 @@
     lists_all_ends: bool = True
     whole_list_s: float | None = None
     paused_until_s: float = _watched(default=0.0)
+    cordoned: bool = _watched(default=False)
     health: RunnerHealth = attrs.field(factory=RunnerHealth)
     step_runs: dict = attrs.field(factory=dict, repr=False)
     changed: dict = attrs.field(factory=dict)
@@ -264,6 +267,8 @@
             return Exclusion.GONE
         if self.entry.draining:
             return Exclusion.DRAINING
+        if self.cordoned:
+            return Exclusion.CORDONED
         same_incarnation = self.entry.incarnation in (0, self.incarnation)
         recorded = self.in_fleet_record and self.recorded_jobs is None
         if not (self.inventoried and same_incarnation and recorded):
--- a/wasabipaddle/dispatch/state.py
+++ b/wasabipaddle/dispatch/state.py
@@ -36,6 +36,8 @@
         Time to resume from a checkpoint.
     remote_slowdown : float
         Factor by which a task takes longer away from its data.
+    maintenance_s : float
+        Time for which a machine is away for its maintenance.
     """
 
     lease_s: float = 4.0
@@ -44,6 +46,7 @@
     lease_max_s: float = 6.0
     restore_s: float = 0.6
     remote_slowdown: float = 1.5
+    maintenance_s: float = 2.0
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -81,6 +84,8 @@
         the leases of those runs have certainly expired.
     suspected_runs : SuspectedRuns
         Jobs that may have runs on them, as of the beginning of the last plan.
+    cordoned : frozenset of str
+        Runners that get no new work as their machines await maintenance.
     capacity_exhausted, urgent_task_waiting : bool
         Whether the last plan lacked capacity for a task, and for an urgent task; gangs
         do not count.
@@ -120,6 +125,7 @@
     written_generation: int = 0
     suspects: dict = attrs.field(factory=dict)
     suspected_runs: object = NO_SUSPECTED_RUNS
+    cordoned: frozenset = frozenset()
     capacity_exhausted: bool = False
     urgent_task_waiting: bool = False
     outbox: list = attrs.field(factory=list)
--- a/wasabipaddle/messages/placement.py
+++ b/wasabipaddle/messages/placement.py
@@ -26,6 +26,7 @@
 
     GONE = "gone"
     DRAINING = "draining"
+    CORDONED = "cordoned"
     NOT_READY = "not_ready"
     UNKNOWN_TASKS = "unknown_tasks"
     PAUSED = "paused"
--- a/wasabipaddle/platform/client.py
+++ b/wasabipaddle/platform/client.py
@@ -4,21 +4,15 @@
 import types
 
 import aiohttp
-import attrs
 import msgspec
 
+from wasabipaddle.interfaces.callers import CallResult
 from wasabipaddle.platform.configuration import CONFIGURATION_KEY
 from wasabipaddle.platform.jobs import KEY_HEADER, PHASE_WORDS
 from wasabipaddle.platform.registry import REGISTRY_PREFIX
 from wasabipaddle.transport.connections import NO_TIMEOUT, ConnectionPool
 
-__all__ = [
-    "CallResult",
-    "JobCaller",
-    "encode_configuration",
-    "encode_runner",
-    "encode_spec",
-]
+__all__ = ["JobCaller", "encode_configuration", "encode_runner", "encode_spec"]
 
 MS_PER_S = 1000
 KEEPALIVE_S = 60.0
@@ -26,31 +20,6 @@
 PHASE_BY_NAME = {name: phase for phase, name in PHASE_WORDS.items()}
 
 
-@attrs.frozen(kw_only=True)
-class CallResult:
-    """Result of one call of a caller.
-
-    Parameters
-    ----------
-    status : int
-        HTTP status, 0 if there was no response.
-    phase : JobPhase or None
-        Phase of the job, if the response contains it.
-    waiting : int or None
-        Number of waiting jobs, if the response contains it.
-    sent : bool
-        Whether the request may have reached a process.
-    detail : str
-        Why there was no response.
-    """
-
-    status: int = 0
-    phase: object = None
-    waiting: int | None = None
-    sent: bool = True
-    detail: str = ""
-
-
 class JobCaller:
     """Caller of a cell that keeps its connections open between calls.
 
@@ -176,17 +145,12 @@
 
 def encode_runner(entry, sequence):
     """Return the key and value of a runner's entry in the registry."""
-    capacity = entry.capacity
     value = {
         "service": entry.pool,
         "address": entry.address,
         "zone": entry.data_centre,
         "state": "draining" if entry.draining else "ready",
-        "capacity": {
-            "cpu": capacity.cpu,
-            "mem_mb": capacity.memory_mb,
-            "gpu": capacity.gpus,
-        },
+        "capacity": _encode_capacity(entry.capacity),
         "labels": list(entry.labels),
         "born": entry.incarnation,
         "seq": sequence,
@@ -224,15 +188,18 @@
 
 
 def _encode_workspace(workspace, keys):
-    quota = workspace.quota
     return {
         "name": workspace.name,
         "api_keys": list(keys),
         "weight": workspace.weight,
-        "cap": {"cpu": quota.cpu, "mem_mb": quota.memory_mb, "gpu": quota.gpus},
+        "cap": _encode_capacity(workspace.quota),
     }
 
 
+def _encode_capacity(capacity):
+    return {"cpu": capacity.cpu, "mem_mb": capacity.memory_mb, "gpu": capacity.gpus}
+
+
 def _encode_route(queue):
     route = {
         "name": queue.name,
