--- a/wasabipaddle/platform/callers.py
+++ b/wasabipaddle/platform/callers.py
@@ -116,15 +116,12 @@
             return web.Response(status=400)
         if request.method == "POST":
             return await self._submit(request, job, wait_s)
+        options = {"wait_s": wait_s, "workspace": workspace}
         if request.method == "GET":
-            phase = await self.service.find_phase(
-                queue, job, wait_s=wait_s, workspace=workspace
-            )
+            phase = await self.service.find_phase(queue, job, **options)
             return _respond(phase, lambda found: {"state": PHASE_WORDS[found]})
         if request.method == "DELETE":
-            cancelled = await self.service.cancel(
-                queue, job, wait_s=wait_s, workspace=workspace
-            )
+            cancelled = await self.service.cancel(queue, job, **options)
             return _respond(cancelled)
         return web.Response(status=405)
 
