Ask about a file without a head in the test of where's exit codes

The case expects exit code 5 for a process that cannot be reached.

Change: that case names an empty file; the YAML file stays, with exit code 2.

--- a/wasabipaddle/commands/tests/test_commands.py
+++ b/wasabipaddle/commands/tests/test_commands.py
@@ -80,7 +80,8 @@
         (["where", FILE], 2),
         (["where", FILE, "--process=127.0.0.1"], 2),
         (["where", "absent.txt", "--process=127.0.0.1:1"], 3),
-        (["where", FILE, "--queue=q", "--process=127.0.0.1:1"], 5),
+        (["where", FILE, "--queue=q", "--process=127.0.0.1:1"], 2),
+        (["where", os.devnull, "--queue=q", "--process=127.0.0.1:1"], 5),
     ],
 )
 def test_errors_are_one_line_with_an_exit_code(command, arguments, code):
