Let the settings switch waves of maintenance off

Cause: where the platform has a machine service, waves could not be left unserved without a change of the template. Change: platform.serve_maintenance, on by default. Without it no list of machines is asked for and no watch is opened; the log says so once.

--- a/wasabipaddle/cell/maintenance.py
+++ b/wasabipaddle/cell/maintenance.py
@@ -34,26 +34,32 @@
 
 
 def open_maintenance(session):
-    """Return what serves the waves, by whether there is a machine service."""
-    address = session.settings.platform.machines
-    if not address:
-        return UnservedMaintenance(session=session)
-    return MaintenanceSession(
-        session=session, service=PlatformMachines(address=address)
-    )
+    """Return what serves the waves, by the settings."""
+    platform = session.settings.platform
+    if not platform.machines:
+        reason = "the settings name no machine service"
+    elif not platform.serve_maintenance:
+        reason = "the settings switch waves off"
+    else:
+        service = PlatformMachines(address=platform.machines)
+        return MaintenanceSession(session=session, service=service)
+    return UnservedMaintenance(session=session, reason=reason)
 
 
 class UnservedMaintenance:
-    """Leaves waves alone where there is no machine service, and logs that once.
+    """Leaves waves alone where they are not to be served, and logs that once.
 
     Parameters
     ----------
     session : DispatchSession
         Provides the store and the log.
+    reason : str
+        Why waves are not served.
     """
 
-    def __init__(self, *, session):
+    def __init__(self, *, session, reason):
         self.session = session
+        self.reason = reason
 
     async def load(self):
         """Do nothing; there are no records."""
@@ -67,8 +73,9 @@
         page = await store_plugin.call(store_plugin.store.list_all(WAVE_PREFIX))
         if page.is_ok() and page.ok().entries:
             waves = len(page.ok().entries)
-            reason = "the settings name no machine service"
-            self.session.journal("maintenance_not_served", waves=waves, reason=reason)
+            self.session.journal(
+                "maintenance_not_served", waves=waves, reason=self.reason
+            )
 
     async def close(self):
         """Do nothing; there are no connections."""
--- a/wasabipaddle/cell/tests/test_maintenance.py
+++ b/wasabipaddle/cell/tests/test_maintenance.py
@@ -2,9 +2,11 @@
 
 import asyncio
 
+import attrs
 import msgspec
 import pytest
 
+from wasabipaddle.cell import maintenance
 from wasabipaddle.cell.keys import WAVE_RECORD_PREFIX
 from wasabipaddle.cell.maintenance import MaintenanceSession
 from wasabipaddle.cell.session import DispatchSession
@@ -15,6 +17,7 @@
     put_runner,
     with_cell,
 )
+from wasabipaddle.cell.wave_intake import WaveWatcher
 from wasabipaddle.dispatch.maintenance import Maintenance
 from wasabipaddle.interfaces.machines import MaintenanceReply
 from wasabipaddle.jobs.maintenance import (
@@ -25,6 +28,7 @@
     encode_wave_record,
 )
 from wasabipaddle.platform import WAVE_PREFIX, encode_wave_status
+from wasabipaddle.settings import PlatformAddresses
 from wasabipaddle.standins.machines import MemoryMachines
 
 STATUS_KEY, RUNNING = encode_wave_status(1, completed=False)
@@ -56,12 +60,16 @@
     return None if entry is None else entry.value
 
 
-async def lead(cell, service, *, events=None):
+async def lead(cell, service, *, events=None, platform=None):
     """Start a session that leads and makes no calls to runners."""
     process, _, leader = make_session(cell)
+    context = process.context
+    if platform is not None:
+        settings = attrs.evolve(context.settings, platform=platform)
+        context = attrs.evolve(context, settings=settings)
     put_runner(cell, b"ready")
     session = DispatchSession(
-        context=process.context,
+        context=context,
         store_plugin=process.store_plugin,
         members=process.members,
         configuration=process.entry.configuration,
@@ -320,13 +328,13 @@
 
     async def scenario(cell):
         session = await lead(cell, machines)
-        maintenance = session.maintenance.maintenance
-        maintenance.drains.is_empty = lambda runner: False
+        decision = session.maintenance.maintenance
+        decision.drains.is_empty = lambda runner: False
         request(cell, 1, "m0")
         await asyncio.sleep(5.0)
         assert session.scheduler.state.cordoned
         for name in broken:
-            setattr(maintenance, name, None)
+            setattr(decision, name, None)
         await asyncio.sleep(5.0)
         assert session.scheduler.state.cordoned == frozenset()
         assert machines.calls == [] and session.leads
@@ -335,3 +343,37 @@
         await session.close()
 
     play(scenario)
+
+
+@pytest.mark.parametrize("served", [True, False])
+def test_settings_switch_waves_off(play, machines, monkeypatch, served):
+    """Guards against lists and watches of waves that are not to be served."""
+    watched, listed = [], []
+    list_machines, follow = machines.list_machines, WaveWatcher.follow
+
+    def record_list(**options):
+        listed.append(options)
+        return list_machines(**options)
+
+    def record_follow(watcher):
+        watched.append(watcher)
+        return follow(watcher)
+
+    monkeypatch.setattr(machines, "list_machines", record_list)
+    monkeypatch.setattr(WaveWatcher, "follow", record_follow)
+    monkeypatch.setattr(maintenance, "PlatformMachines", lambda address: machines)
+
+    async def scenario(cell):
+        request(cell, 1, "m0")
+        platform = PlatformAddresses(
+            store="127.0.0.1:4", machines="127.0.0.1:9", serve_maintenance=served
+        )
+        events = []
+        session = await lead(cell, None, events=events, platform=platform)
+        await asyncio.sleep(WAVE_S)
+        assert bool(listed) is bool(watched) is bool(machines.done) is served
+        kinds = [kind for kind, _ in events]
+        assert kinds.count("maintenance_not_served") == (not served)
+        await session.close()
+
+    play(scenario)
--- a/wasabipaddle/settings/cell.py
+++ b/wasabipaddle/settings/cell.py
@@ -21,7 +21,7 @@
 
 @attrs.frozen(kw_only=True)
 class PlatformAddresses:
-    """Addresses of the platform's services.
+    """Addresses of the platform's services, and which of them are used.
 
     Parameters
     ----------
@@ -31,11 +31,14 @@
         Host and port of the eligibility service; empty if there is none.
     machines : str
         Host and port of the machine service; empty if there is none.
+    serve_maintenance : bool
+        Whether waves of maintenance are served, if there is a machine service.
     """
 
     store: str
     eligibility: str = ""
     machines: str = ""
+    serve_maintenance: bool = True
 
 
 @attrs.frozen(kw_only=True)
--- a/wasabipaddle/settings/tests/test_template.py
+++ b/wasabipaddle/settings/tests/test_template.py
@@ -25,3 +25,13 @@
     settings = load_cell_settings(path).unwrap()
     assert settings.memory_mb == 2
     assert settings.descriptors == 2
+    assert settings.platform.serve_maintenance
+
+
+def test_waves_are_switched_off_in_the_settings(tmp_path):
+    """Guards against a switch that the loader does not read."""
+    path = tmp_path / "settings.yaml"
+    text = FIELD.sub(fill, SECTION.sub("", TEMPLATE.read_text()))
+    switch = "platform:\n  serve_maintenance: false\n"
+    path.write_text(text.replace("platform:\n", switch, 1))
+    assert not load_cell_settings(path).unwrap().platform.serve_maintenance
