Complete a wave only by a fresh list of the machines

Cause: a machine that was gone from the last list counted as gone for as long as the service was silent, also once it was back. Change: a wave becomes completed only while the latest list is young. Measured: this test and the property test pass.

--- a/wasabipaddle/dispatch/maintenance.py
+++ b/wasabipaddle/dispatch/maintenance.py
@@ -340,15 +340,17 @@
         wave = progress.wave
         progress.note_absent(self.view)
         left = progress.machines_left()
-        completed = not left
+        fresh = self.view.is_fresh(now)
+        # An old list may lack a machine that is back by now.
+        completed = not left and (progress.completed or fresh)
         if completed is not progress.completed:
             progress.completed = completed
             progress.change()
-        if completed:
-            progress.reason, progress.late = WaitReason.NONE, False
+        if not left:
+            progress.reason = WaitReason.NONE if completed else WaitReason.SERVICE
+            progress.late = False
             return
         pace = WavePace(progress=progress, left=left, state=self.state, now=now)
-        fresh = self.view.is_fresh(now)
         phases = [
             self._advance_operation(operation, progress, now)
             for operation in self._operations_of(wave.number)
--- a/wasabipaddle/dispatch/tests/test_maintenance.py
+++ b/wasabipaddle/dispatch/tests/test_maintenance.py
@@ -382,3 +382,18 @@
     assert world.state.cordoned == {"m0.1"}
     world.run(10.0)
     assert world.state.cordoned == frozenset()
+
+
+def test_wave_is_not_completed_by_an_old_list(make_world):
+    """Guards against a machine that counts as gone after it has come back."""
+    world = make_world(3)
+    world.machines["m2"].gone = True
+    world.request(1, ["m0", "m2"], cap=0)
+    world.run(5.0)
+    assert "m2" in progress(world).absent
+    world.maintenance.record_list = lambda machines, requested_s: None
+    world.run(60.0)
+    world.machines["m2"].gone = False
+    world.request(1, ["m2"], cap=0)
+    world.run(5.0)
+    assert not progress(world).completed and world.violations == []
