Bound the pause between lists of machines, and read refusals by their reason only

Cause: the pause doubles with each failed list and overflows after 1,024 of them, so no more lists are asked for; a refusal whose reason is the number 200 reads as accepted.

Change: failures are counted up to 16; replies by status and by reason are apart. What a wave waits for is `WaveWaitReason`, since `WaitReason` is that of a step.

--- a/wasabipaddle/cell/maintenance.py
+++ b/wasabipaddle/cell/maintenance.py
@@ -7,7 +7,7 @@
 from wasabipaddle.cell.keys import LEADER_KEY, WAVE_RECORD_PREFIX
 from wasabipaddle.cell.takeover import PROOF_LIMIT_S
 from wasabipaddle.cell.wave_intake import WaveWatcher
-from wasabipaddle.dispatch.operations import OperationPhase
+from wasabipaddle.dispatch.operations import MAX_COUNTED_FAILURES, OperationPhase
 from wasabipaddle.exceptions import ErrorKind
 from wasabipaddle.interfaces import Put
 from wasabipaddle.interfaces.machines import MaintenanceReply
@@ -23,7 +23,7 @@
 MS_PER_S = 1000
 # Time between two rounds of the decision.
 PERIOD_S = 0.25
-# Time between two lists of the machines, also after a failure, and longest one.
+# Pause between two lists of the machines, and longest pause after failures.
 LIST_PERIOD_S = 1.0
 MAX_LIST_PERIOD_S = 8.0
 LIST_TIMEOUT_S = 2.0
@@ -253,7 +253,7 @@
             detail = machines.err().detail
             session.journal("machines_unlisted", reason=detail)
         session.metrics.count("machine_lists_failed")
-        self.list_failures += 1
+        self.list_failures = min(self.list_failures + 1, MAX_COUNTED_FAILURES)
         pause_s = min(LIST_PERIOD_S * 2**self.list_failures, MAX_LIST_PERIOD_S)
         self.next_list_s = session.now() + pause_s
 
--- a/wasabipaddle/cell/tests/test_maintenance.py
+++ b/wasabipaddle/cell/tests/test_maintenance.py
@@ -8,7 +8,7 @@
 
 from wasabipaddle.cell import maintenance
 from wasabipaddle.cell.keys import WAVE_RECORD_PREFIX
-from wasabipaddle.cell.maintenance import MaintenanceSession
+from wasabipaddle.cell.maintenance import MAX_LIST_PERIOD_S, MaintenanceSession
 from wasabipaddle.cell.session import DispatchSession
 from wasabipaddle.cell.tests.session_parts import (
     FakeElection,
@@ -243,6 +243,20 @@
     play(scenario)
 
 
+def test_machines_are_listed_again_after_very_many_failures(play, machines):
+    """Guards against a pause between lists that overflows."""
+
+    async def scenario(cell):
+        session = await lead(cell, machines)
+        machines.faults.silent = True
+        session.maintenance.list_failures = 1_024
+        await session.maintenance._list()
+        assert session.maintenance.next_list_s <= session.now() + MAX_LIST_PERIOD_S
+        await session.close()
+
+    play(scenario)
+
+
 def test_unreadable_wave_holds_up_no_other(play, machines):
     async def scenario(cell):
         session = await lead(cell, machines)
--- a/wasabipaddle/dispatch/machine_choice.py
+++ b/wasabipaddle/dispatch/machine_choice.py
@@ -2,7 +2,7 @@
 
 import math
 
-from wasabipaddle.dispatch.operations import WaitReason
+from wasabipaddle.dispatch.operations import WaveWaitReason
 
 __all__ = ["MachineChoice", "WavePace", "deadline_ms"]
 
@@ -66,7 +66,7 @@
 class MachineChoice:
     """Chooses the machines whose maintenance costs callers least.
 
-    Answers a wave under load: runners that give no service go first, then those of
+    Under load, runners that give no service go first, then those of
     racks and data centres with the fewest machines away, then those with the least
     work to lose.
 
@@ -83,7 +83,7 @@
 
     Attributes
     ----------
-    pauses : dict of str to tuple of (float, WaitReason)
+    pauses : dict of str to tuple of (float, WaveWaitReason)
         Times until which machines are not chosen, and why.
     """
 
@@ -96,7 +96,7 @@
 
     def pause(self, name, now, reason):
         """Do not choose a machine for a while."""
-        pause_s = SERVICE_PAUSE_S if reason is WaitReason.SERVICE else PAUSE_S
+        pause_s = SERVICE_PAUSE_S if reason is WaveWaitReason.SERVICE else PAUSE_S
         self.pauses[name] = (now + pause_s, reason)
 
     def choose(self, progress, left, pace, now, *, count):
@@ -111,14 +111,14 @@
 
         Returns
         -------
-        tuple of (list of str, list of WaitReason)
+        tuple of (list of str, list of WaveWaitReason)
         """
         self.pauses = {n: pause for n, pause in self.pauses.items() if now < pause[0]}
         chosen, reasons, candidates = [], [], []
         for name in left:
             if name in self.operations:
                 if self.operations[name].wave != progress.number:
-                    reasons.append(WaitReason.OTHER_WAVE)
+                    reasons.append(WaveWaitReason.OTHER_WAVE)
                 continue
             reason = self._find_hindrance(name, now)
             if reason is None:
@@ -136,7 +136,7 @@
                 runner, now, pressed=pace.pressed
             )
             if obstacle:
-                reasons.append(WaitReason(obstacle.value))
+                reasons.append(WaveWaitReason(obstacle.value))
                 self.pause(name, now, reasons[-1])
             else:
                 chosen.append(name)
@@ -145,13 +145,13 @@
     def _find_hindrance(self, name, now):
         """Return why a machine cannot be drained now, or None."""
         if not self.view.is_up(name):
-            return WaitReason.MACHINE
+            return WaveWaitReason.MACHINE
         if name in self.pauses:
             return self.pauses[name][1]
         if self.view.machines[name].runner not in self.state.runners:
             unchanged_s = now - self.view.unchanged_since_s[name]
             if unchanged_s < UNKNOWN_RUNNER_S:
-                return WaitReason.MACHINE
+                return WaveWaitReason.MACHINE
         return None
 
     def _cost(self, name, until_s, now):
--- a/wasabipaddle/dispatch/maintenance.py
+++ b/wasabipaddle/dispatch/maintenance.py
@@ -7,10 +7,11 @@
 from wasabipaddle.dispatch.machine_choice import MachineChoice, WavePace, deadline_ms
 from wasabipaddle.dispatch.machines import MachineView
 from wasabipaddle.dispatch.operations import (
+    MAX_COUNTED_FAILURES,
     Operation,
     OperationPhase,
-    WaitReason,
     WaveProgress,
+    WaveWaitReason,
 )
 from wasabipaddle.dispatch.readiness import Readiness
 from wasabipaddle.dispatch.wave_log import note_wave
@@ -194,10 +195,10 @@
             return False
         if not self.readiness.is_ready(operation, now):
             return False
-        others = self._count_down(progress, operation, now)
+        others = self._count_others_away(progress, operation, now)
         return others < progress.wave.cap
 
-    def _count_down(self, progress, operation, now):
+    def _count_others_away(self, progress, operation, now):
         """Return the number of other machines that are or may soon be in maintenance.
 
         A call without an answer counts as long as it may come late.
@@ -245,7 +246,7 @@
 
     def _back_off(self, operation, now):
         pause_s = min(RETRY_S * 2**operation.failures, MAX_RETRY_S)
-        operation.failures = min(operation.failures + 1, 16)
+        operation.failures = min(operation.failures + 1, MAX_COUNTED_FAILURES)
         operation.next_call_s = now + pause_s
 
     def _begin(self, operation, now):
@@ -301,9 +302,9 @@
         if operation.phase is OperationPhase.ASKED:
             since_s = min(since_s, operation.unanswered_since_s(self.answered_s))
         if now - since_s > SILENCE_S:
-            self._release(operation, now, WaitReason.SERVICE)
+            self._release(operation, now, WaveWaitReason.SERVICE)
 
-    def _release(self, operation, now, reason=WaitReason.DRAIN):
+    def _release(self, operation, now, reason=WaveWaitReason.DRAIN):
         """Give up an operation for now."""
         self._log("maintenance_given_up", operation)
         self.choice.pause(operation.machine, now, reason)
@@ -347,7 +348,9 @@
             progress.completed = completed
             progress.change()
         if not left:
-            progress.reason = WaitReason.NONE if completed else WaitReason.SERVICE
+            progress.reason = (
+                WaveWaitReason.NONE if completed else WaveWaitReason.SERVICE
+            )
             progress.late = False
             return
         pace = WavePace(progress=progress, left=left, state=self.state, now=now)
@@ -355,22 +358,22 @@
             self._advance_operation(operation, progress, now)
             for operation in self._operations_of(wave.number)
         ]
-        hindrances = [WaitReason.SERVICE]
+        hindrances = [WaveWaitReason.SERVICE]
         if fresh:
             hindrances = self._begin_drains(progress, left, pace, now)
-        reasons = collections.Counter(hindrances or phases or [WaitReason.NONE])
+        reasons = collections.Counter(hindrances or phases or [WaveWaitReason.NONE])
         ((progress.reason, _),) = reasons.most_common(1)
         note_wave(self.state, progress, pace, left, now)
 
     def _advance_operation(self, operation, progress, now):
         """Ask for a machine that has been drained; return what it waits for."""
         if operation.phase is OperationPhase.BEGUN:
-            return WaitReason.MAINTENANCE
+            return WaveWaitReason.MAINTENANCE
         away = self._operations_of(progress.number, progress.wave.machines)
         if len(away) > progress.wave.cap and not operation.may_begin(now):
             self._release(operation, now)
         elif operation.phase is OperationPhase.ASKED:
-            return WaitReason.CALL
+            return WaveWaitReason.CALL
         elif self.readiness.is_stuck(operation, now):
             self._release(operation, now)
         elif self.readiness.is_ready(operation, now):
@@ -378,7 +381,7 @@
             operation.asked_s = max(now, self.calls_from_s)
             progress.asked[operation.machine] = operation.runner
             progress.change()
-        return WaitReason.DRAIN
+        return WaveWaitReason.DRAIN
 
     def _begin_drains(self, progress, left, pace, now):
         """Drain the next machines as long as the cap allows; return what hinders it."""
@@ -387,7 +390,7 @@
         away |= self._list_away(progress)
         free = wave.cap - len(away)
         if free <= 0:
-            return [] if away else [WaitReason.CAP]
+            return [] if away else [WaveWaitReason.CAP]
         chosen, reasons = self.choice.choose(progress, left, pace, now, count=free)
         for name in chosen:
             operation = self.operations[name] = Operation(
--- a/wasabipaddle/dispatch/operations.py
+++ b/wasabipaddle/dispatch/operations.py
@@ -7,7 +7,16 @@
 
 from wasabipaddle.jobs.maintenance import MaintenanceWave, WaveRecord
 
-__all__ = ["Operation", "OperationPhase", "WaitReason", "WaveProgress"]
+__all__ = [
+    "MAX_COUNTED_FAILURES",
+    "Operation",
+    "OperationPhase",
+    "WaveProgress",
+    "WaveWaitReason",
+]
+
+# Failures in a row that a pause counts; it has reached its longest value by then.
+MAX_COUNTED_FAILURES = 16
 
 
 class OperationPhase(enum.Enum):
@@ -21,7 +30,7 @@
     BEGUN = "begun"
 
 
-class WaitReason(enum.Enum):
+class WaveWaitReason(enum.Enum):
     """What a wave waits for."""
 
     NONE = "none"
@@ -127,11 +136,11 @@
         Version of what the store should have, and version that it has.
     revision : int
         Revision of the stored record, 0 if there is none.
-    reason : WaitReason
+    reason : WaveWaitReason
         What the wave waits for.
     late : bool
         Whether the wave cannot end in time any more.
-    logged_reason : WaitReason or None
+    logged_reason : WaveWaitReason or None
         Reason in the last log line about a late wave.
     logged_s : float
         Time of that line.
@@ -148,9 +157,9 @@
     version: int = 1
     stored_version: int = 0
     revision: int = 0
-    reason: WaitReason = WaitReason.NONE
+    reason: WaveWaitReason = WaveWaitReason.NONE
     late: bool = False
-    logged_reason: WaitReason | None = None
+    logged_reason: WaveWaitReason | None = None
     logged_s: float = -math.inf
 
     @property
--- a/wasabipaddle/dispatch/tests/test_maintenance.py
+++ b/wasabipaddle/dispatch/tests/test_maintenance.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from wasabipaddle.dispatch.operations import OperationPhase, WaitReason
+from wasabipaddle.dispatch.operations import OperationPhase, WaveWaitReason
 from wasabipaddle.dispatch.tests import maintenance_world
 from wasabipaddle.dispatch.tests.conftest import step
 from wasabipaddle.dispatch.tests.maintenance_world import TICK_S, World
@@ -91,7 +91,7 @@
     world.run(20.0)
     busy = {name.partition(".")[0] for name, r in world.runners.items() if r.running}
     assert busy and not busy & {name for _, name in world.done}
-    assert progress(world).reason is WaitReason.ALLOWANCE
+    assert progress(world).reason is WaveWaitReason.ALLOWANCE
     late = [fields for kind, fields in world.events if kind == "maintenance_late"]
     assert late and (late[-1]["wave"], late[-1]["reason"]) == (1, "allowance")
     assert world.violations == []
@@ -125,7 +125,7 @@
     world.request(1, ["m0"], cap=0)
     world.run(10.0)
     assert chosen(world) == set() and not progress(world).completed
-    assert progress(world).reason is WaitReason.CAP and progress(world).late
+    assert progress(world).reason is WaveWaitReason.CAP and progress(world).late
 
 
 def test_unknown_machines_do_not_hold_up_the_others(make_world):
@@ -144,7 +144,7 @@
     world.request(1, ["nowhere"], cap=1)
     world.run(20.0)
     assert not progress(world).completed
-    assert progress(world).reason is WaitReason.SERVICE
+    assert progress(world).reason is WaveWaitReason.SERVICE
 
 
 def test_machine_of_two_waves_has_one_maintenance_after_the_other(make_world):
--- a/wasabipaddle/dispatch/wave_log.py
+++ b/wasabipaddle/dispatch/wave_log.py
@@ -1,6 +1,6 @@
 """Log lines about waves of maintenance."""
 
-from wasabipaddle.dispatch.operations import WaitReason
+from wasabipaddle.dispatch.operations import WaveWaitReason
 
 __all__ = ["note_wave"]
 
@@ -9,7 +9,12 @@
 REASON_PERIOD_S = 10.0
 # Reasons with which a wave makes progress.
 PROGRESS_REASONS = frozenset(
-    {WaitReason.NONE, WaitReason.DRAIN, WaitReason.CALL, WaitReason.MAINTENANCE}
+    {
+        WaveWaitReason.NONE,
+        WaveWaitReason.DRAIN,
+        WaveWaitReason.CALL,
+        WaveWaitReason.MAINTENANCE,
+    }
 )
 
 
--- a/wasabipaddle/platform/machines.py
+++ b/wasabipaddle/platform/machines.py
@@ -25,9 +25,8 @@
     "upkeep": MachineState.MAINTENANCE,
     "down": MachineState.DOWN,
 }
-REPLIES = {
-    200: MaintenanceReply.ACCEPTED,
-    400: MaintenanceReply.INVALID,
+REPLIES_BY_STATUS = {200: MaintenanceReply.ACCEPTED, 400: MaintenanceReply.INVALID}
+REPLIES_BY_REASON = {
     "fence": MaintenanceReply.STALE_EPOCH,
     "busy": MaintenanceReply.BUSY,
     "wave": MaintenanceReply.NOT_IN_WAVE,
@@ -109,8 +108,9 @@
 
 
 def _decode_reply(response):
-    conflict = response.status == 409
-    return REPLIES[response.body["reason"] if conflict else response.status]
+    if response.status == 409:
+        return REPLIES_BY_REASON[response.body["reason"]]
+    return REPLIES_BY_STATUS[response.status]
 
 
 def _decode_page(response):
--- a/wasabipaddle/platform/tests/machine_routes.py
+++ b/wasabipaddle/platform/tests/machine_routes.py
@@ -4,11 +4,13 @@
 from aiohttp import web
 
 from wasabipaddle.exceptions import ErrorKind
-from wasabipaddle.platform.machines import REPLIES, STATES
+from wasabipaddle.platform.machines import REPLIES_BY_REASON, REPLIES_BY_STATUS, STATES
 
 PAGE_ROWS = 2
 STATE_NAMES = {state: name for name, state in STATES.items()}
-REASONS = {reply: key for key, reply in REPLIES.items()}
+REASONS = {
+    reply: key for key, reply in {**REPLIES_BY_STATUS, **REPLIES_BY_REASON}.items()
+}
 
 
 def machine_routes(service):
--- a/wasabipaddle/platform/tests/test_machines.py
+++ b/wasabipaddle/platform/tests/test_machines.py
@@ -143,6 +143,7 @@
         (answer(429), ErrorKind.RATE_LIMITED),
         (answer(503), ErrorKind.TIMEOUT),
         (answer(409, reason="new"), ErrorKind.TIMEOUT),
+        (answer(409, reason=200), ErrorKind.TIMEOUT),
         (Err(Failure(kind=ErrorKind.UNREACHABLE)), ErrorKind.UNREACHABLE),
     ],
 )
