--- a/wasabipaddle/cell/entry.py
+++ b/wasabipaddle/cell/entry.py
@@ -37,7 +37,6 @@
 
 __all__ = ["EntryPlugin"]
 
-# Limits until there is a configuration.
 UNCONFIGURED_LIMITS = Limits()
 # Part of the time limit of a call that is reserved for sending the response.
 RESPONSE_RESERVE_S = 0.3
@@ -71,6 +70,11 @@
 
     A job exists once its key has been created in the store. A repeated submission with
     the same identifier, at any process, finds that key and creates no second job.
+
+    Attributes
+    ----------
+    known_limits, known_request_limits : Limits and RequestLimits
+        Latest limits of the configuration, and the same as the listeners need them.
     """
 
     name = "cell_entry"
--- a/wasabipaddle/cell/fleet.py
+++ b/wasabipaddle/cell/fleet.py
@@ -215,5 +215,5 @@
 
 
 def _place(entry):
-    """Return where the next dispatcher asks for runs, and for which jobs it waits."""
+    """Return the address and pool by which the next dispatcher finds a runner."""
     return entry.address, entry.pool
--- a/wasabipaddle/cell/where.py
+++ b/wasabipaddle/cell/where.py
@@ -26,8 +26,8 @@
 LEADER_TIMEOUT_S = 3.0
 # Longest wait of the leader for the end of its next planning round.
 ROUND_TIMEOUT_S = 2.0
-# Shortest pause between two dry runs of a leader, which plans nothing during one, and
-# largest part of its time that they take.
+# Shortest pause between two dry runs, and largest part of a leader's time that they
+# take; it plans nothing meanwhile.
 DRY_RUN_PAUSE_S = 1.0
 DRY_RUN_SHARE = 0.05
 # Largest number of tasks of a job in a dry run, over all steps and occurrences.
@@ -159,9 +159,9 @@
         return Ok(queue)
 
     def _find_workspace_problem(self, queue, workspace) -> str:
-        """Return why no call to a queue acts for a workspace, an empty string if any.
+        """Return why a workspace cannot submit to a queue, an empty string if it can.
 
-        The name stands for the key of a call.
+        The name takes the place of the key of a submission.
         """
         current = self.configuration.current
         if not requires_key(current, queue):
--- a/wasabipaddle/commands/where_text.py
+++ b/wasabipaddle/commands/where_text.py
@@ -42,7 +42,7 @@
     retry = (
         ""
         if failure.retry_after_s is None
-        else (f" (again after {failure.retry_after_s:.0f} s)")
+        else f" (again after {failure.retry_after_s:.0f} s)"
     )
     return (
         f"refused by {reply.process}, {failure.kind.value}: {failure.detail}{retry}; "
--- a/wasabipaddle/dispatch/advisor.py
+++ b/wasabipaddle/dispatch/advisor.py
@@ -1,5 +1,6 @@
 """Planning of requests to the eligibility service."""
 
+from wasabipaddle.dispatch.claims import needed_together
 from wasabipaddle.dispatch.model import COMPARED_PERCENT, RunPhase
 from wasabipaddle.dispatch.naming import MAX_RUNNERS_PER_REQUEST, Naming
 from wasabipaddle.dispatch.orders import AdviceRequest
@@ -46,7 +47,7 @@
         non_urgent = 0
         for step in self.state.order.waiting(now):
             urgent = step.job.queue.priority == 0
-            if not self.state.quotas.admits(step, count=_least_start(step)):
+            if not self.state.quotas.admits(step, count=needed_together(step)):
                 continue
             renew = not urgent and non_urgent < RENEWED_STEPS
             non_urgent += not urgent
@@ -186,11 +187,6 @@
         step.eligibility.record_failure(now, URGENT_RETRY_S if urgent else RETRY_S)
 
 
-def _least_start(step):
-    """Return how many tasks of a step have to start at the same time."""
-    return len(step.pending) if step.spec.gang else 1
-
-
 def _remaining_s(task, now, *, urgent) -> float:
     """Return the expected time until a task ends.
 
--- a/wasabipaddle/dispatch/candidates.py
+++ b/wasabipaddle/dispatch/candidates.py
@@ -87,9 +87,9 @@
         Labels of all runners.
     version : int
         Grows whenever `facts` change.
-    may_hold : dict of tuple to bool
+    fit_cache : dict of tuple to bool
         Whether a task may fit somewhere, by pool, label and demand, as long as no
-        runner changes. Most of many waiting steps ask for the same.
+        runner changes. Many waiting steps have the same demand.
     """
 
     def __init__(self, *, state):
@@ -102,7 +102,7 @@
         self.groups = {}
         self.wakeups = []
         self.version = 0
-        self.may_hold = {}
+        self.fit_cache = {}
 
     def refresh(self, now):
         """Take account of all changes until now."""
@@ -112,7 +112,7 @@
         if changed:
             names = list(changed)
             changed.clear()
-            self.may_hold.clear()
+            self.fit_cache.clear()
             for runner_id in names:
                 self._update(runner_id, now)
         gaps = len(self.runners) - len(self.slots)
@@ -124,7 +124,7 @@
         self.groups.clear()
         self.wakeups.clear()
         self.facts.clear()
-        self.may_hold.clear()
+        self.fit_cache.clear()
         for runner_id in self.state.runners:
             self._update(runner_id, now)
 
@@ -236,8 +236,8 @@
         self.refresh(now)
         needed = demand(step.spec)
         key = (step.job.queue.pool, step.spec.required_label, needed)
-        found = self.may_hold.get(key)
+        found = self.fit_cache.get(key)
         if found is None:
             found = self.group(step, now).tree.may_hold(*needed)
-            self.may_hold[key] = found
+            self.fit_cache[key] = found
         return found
--- a/wasabipaddle/dispatch/claims.py
+++ b/wasabipaddle/dispatch/claims.py
@@ -7,7 +7,7 @@
 from wasabipaddle.dispatch.fitting import is_permitted, slots_when_empty
 from wasabipaddle.dispatch.usage import NOTHING, Usage
 
-__all__ = ["Claim", "QuotaClaims", "needed_together"]
+__all__ = ["Claim", "QuotaClaims", "needed_together", "waiting_since_s"]
 
 MS_PER_S = 1000
 # Time that a step waits before it gets a claim, and time without a claim between two of
@@ -54,14 +54,14 @@
 class QuotaClaims:
     """Keeps a part of a quota for a gang or a large task that other work overtakes.
 
-    Answers a workspace at its quota that has much small work: each small task takes the
-    room of the one that has just ended. A workspace has one claim at most, for the step
-    that has waited longest, whatever its rank, since wide steps and those of late jobs
-    come last in the order. Steps that need no more than an average run of the workspace
-    get none: the end of a run is room enough for them, and the order decides. Work that
-    is more urgent passes a claim, and so does work that is expected to end before the
-    step fits. Room that lasting work holds is never counted on, and a step that the
-    runners could not even hold if they were empty gets no claim.
+    Meant for a workspace at its quota that has much small work: each small task takes
+    the room of the one that has just ended. A workspace has one claim at most, for the
+    step that has waited longest, whatever its rank, since wide steps and those of late
+    jobs come last in the order. Steps that need no more than an average run of the
+    workspace get none: the end of a run is room enough for them, and the order decides.
+    Work that is more urgent passes a claim, and so does work that is expected to end
+    before the step fits. Room that lasting work holds is never counted on, and a step
+    that the runners could not even hold if they were empty gets no claim.
 
     Parameters
     ----------
@@ -172,7 +172,7 @@
 
     def _turn(self, step):
         """Return the position of a step among those that wait for one quota."""
-        return (self._expired(step), _waiting_since_s(step))
+        return (self._expired(step), waiting_since_s(step))
 
     def _expired(self, step):
         return self.expired.get(step.key, 0)
@@ -214,7 +214,7 @@
     def _claim(self, step, now):
         """Give a step a claim if it has waited for long and is going to fit."""
         name = step.job.job.workspace
-        if now - _waiting_since_s(step) < CLAIM_AFTER_S or self._fits(step):
+        if now - waiting_since_s(step) < CLAIM_AFTER_S or self._fits(step):
             return
         self.searched.add(name)
         may_start = self._can_fit(step) and self._has_runners(step)
@@ -239,7 +239,7 @@
             step=step.position,
             workspace=name,
             drain_ms=int(drain_s * MS_PER_S),
-            waited_ms=int((now - _waiting_since_s(step)) * MS_PER_S),
+            waited_ms=int((now - waiting_since_s(step)) * MS_PER_S),
         )
 
     def _end(self, name, reason):
@@ -283,5 +283,6 @@
     return len(step.pending) if step.spec.gang else 1
 
 
-def _waiting_since_s(step):
+def waiting_since_s(step) -> float:
+    """Return since when the first waiting task of a step has waited."""
     return min(task.waiting_since_s for task in step.pending.values())
--- a/wasabipaddle/dispatch/drains.py
+++ b/wasabipaddle/dispatch/drains.py
@@ -54,9 +54,11 @@
 
     def is_empty(self, runner_id) -> bool:
         """Return whether nothing runs on a runner and all ended runs are durable."""
+        if runner_id in self.state.suspects:
+            return False
         runner = self.state.runners.get(runner_id)
-        if runner_id in self.state.suspects or runner is None:
-            return runner_id not in self.state.suspects
+        if runner is None:
+            return True
         return (
             not runner.runs
             and not runner.lists_unknown_tasks
--- a/wasabipaddle/dispatch/job_placement.py
+++ b/wasabipaddle/dispatch/job_placement.py
@@ -7,6 +7,7 @@
 import attrs
 
 from wasabipaddle.dispatch.advisor import Advisor
+from wasabipaddle.dispatch.claims import needed_together
 from wasabipaddle.dispatch.fitting import score
 from wasabipaddle.dispatch.model import Step
 from wasabipaddle.dispatch.order import Rank
@@ -221,7 +222,7 @@
         step = view.step
         if not may_start:
             return WaitReason.NOT_GRANTING
-        together = len(step.pending) if step.spec.gang else 1
+        together = needed_together(step)
         if not self.state.quotas.admits(step, count=together):
             return WaitReason.QUOTA
         runners = self.candidates(step, self.now)
--- a/wasabipaddle/dispatch/preemption_rules.py
+++ b/wasabipaddle/dispatch/preemption_rules.py
@@ -254,7 +254,7 @@
         return order.outlook_at(step, starts_again_s + again_s + later_s) > kept
 
     def runners(self, task, runners) -> list:
-        """Return the runners on which room is on its way, if there are any."""
+        """Return the runners to search, and count a search of all of them."""
         if not task.got_room:
             self.searches += 1
             return runners
--- a/wasabipaddle/dispatch/preemption_searches.py
+++ b/wasabipaddle/dispatch/preemption_searches.py
@@ -8,9 +8,9 @@
 class PreemptionSearches:
     """Has runs stopped for tasks, unless a search of the round shows that none help.
 
-    Answers a flood of urgent steps: a search visits all runners and their runs, and
-    steps that ask for the same find nothing either, until another search claims
-    capacity or a start takes a kind of work above its floor.
+    Bounds the cost of a flood of urgent steps: a search visits all runners and their
+    runs, and steps that ask for the same find nothing either, until another search
+    claims capacity or a start takes a kind of work above its floor.
 
     Parameters
     ----------
--- a/wasabipaddle/dispatch/reservations.py
+++ b/wasabipaddle/dispatch/reservations.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from wasabipaddle.dispatch.claims import needed_together
+from wasabipaddle.dispatch.claims import needed_together, waiting_since_s
 from wasabipaddle.dispatch.placement import within_runner_limit
 
 __all__ = ["Reservations"]
@@ -265,4 +265,4 @@
 
 
 def _waited_s(step, now):
-    return now - min(task.waiting_since_s for task in step.pending.values())
+    return now - waiting_since_s(step)
--- a/wasabipaddle/ingress/protocol.py
+++ b/wasabipaddle/ingress/protocol.py
@@ -43,7 +43,7 @@
 MAX_FIELD_BYTES = 100_000_000
 # Time for which the rest of a body is awaited after an early reply to its request.
 EARLY_REPLY_S = 10.0
-# Looking up a member of an enum takes longer than a name.
+# Bound once, since they are compared for each piece of data.
 IDLE, SERVING = Phase.IDLE, Phase.SERVING
 CLOSING_KINDS = frozenset({ErrorKind.QUEUE_FULL, ErrorKind.DRAINING})
 
