--- a/wasabipaddle/dispatch/lifecycle.py
+++ b/wasabipaddle/dispatch/lifecycle.py
@@ -273,6 +273,7 @@
                 run=run.number,
                 runner=run.runner.id,
                 phase=run.phase.value,
+                listed=run.listed,
                 reason=reason.value,
                 inventory_age_ms=int((now - run.runner.last_inventory_s) * MS_PER_S),
                 lease_left_ms=run.runner.lease_left_ms(now),
--- a/wasabipaddle/dispatch/model.py
+++ b/wasabipaddle/dispatch/model.py
@@ -84,6 +84,9 @@
         Clock of the runner when it confirmed the run or its stop, 0 before.
     confirmed_s : float
         Time at which the dispatcher learned of that.
+    listed : bool
+        Whether an inventory of the present incarnation of the runner has listed the
+        run. Replies to orders name no incarnation.
     missing : bool
         Whether the last inventory that could prove it did not list the run.
     percent : int
@@ -110,6 +113,7 @@
     start_before_ms: int = 0
     confirmed_ms: int = 0
     confirmed_s: float = 0.0
+    listed: bool = False
     missing: bool = False
     percent: int = 0
     progress_s: float = 0.0
--- a/wasabipaddle/dispatch/reports.py
+++ b/wasabipaddle/dispatch/reports.py
@@ -132,7 +132,13 @@
         """
         reborn = bool(runner.incarnation)
         if reborn:
-            self.state.journal("runner_reborn", runner=runner.id, runs=len(runner.runs))
+            self.state.journal(
+                "runner_reborn",
+                runner=runner.id,
+                runs=len(runner.runs),
+                listed=sum(run.listed for run in runner.runs.values()),
+                acknowledged=runner.acknowledged,
+            )
         runner.incarnation = incarnation
         runner.incarnation_s = now
         runner.whole_list_s = None
@@ -234,6 +240,7 @@
             stopped = run.stop_sent_s > 0
             run.phase = RunPhase.STOPPING if stopped else RunPhase.RUNNING
         run.confirm(inventory.clock_ms, now)
+        run.listed = True
         if row.percent != run.percent or not run.progress_s:
             run.percent = row.percent
             run.progress_s = now
@@ -265,6 +272,7 @@
             started_s=now,
             confirmed_ms=inventory.clock_ms,
             confirmed_s=now,
+            listed=True,
             percent=row.percent,
             progress_s=now,
             load=row.load,
