Keep runs that a new life of their runner may have begun

Cause: replies to orders name no incarnation. A start that a new incarnation had confirmed counted as one of the earlier, and was removed with it. Change: a new incarnation removes the runs that the earlier one had listed. Others go on until two later inventories lack them, those to be stopped with another stop. Evidence: test_run_that_the_new_life_has_begun_is_kept_beside_an_older_list fails before. test_restart_of_a_runner_removes_its_runs took a run for one of the earlier life that no list had shown; it has an inventory before the restart now, and a second test holds that the other run is removed by the second list that lacks it.

--- a/wasabipaddle/dispatch/model.py
+++ b/wasabipaddle/dispatch/model.py
@@ -134,9 +134,9 @@
 
     @property
     def uncertain(self) -> bool:
-        """Whether the run is missing, or was stopped without a sign that it began."""
+        """Whether the run is missing, or no sign of it followed a stop or a restart."""
         stopped = self.phase in (RunPhase.DOUBTFUL, RunPhase.STOPPING)
-        return self.missing or (stopped and not self.seen)
+        return self.missing or (not self.seen and (stopped or self.confirmed_ms > 0))
 
     def confirm(self, clock_ms, now):
         """Record that the runner has confirmed the run or its stop."""
@@ -144,6 +144,18 @@
             self.confirmed_ms = max(clock_ms, 1)
             self.confirmed_s = now
 
+    def doubt_incarnation(self, clock_ms):
+        """Forget signs of the run that may be of an earlier incarnation of the runner.
+
+        Parameters
+        ----------
+        clock_ms : int
+            Clock of the present incarnation.
+        """
+        self.missing = False
+        self.percent, self.progress_s = 0, 0.0
+        self.confirmed_ms = min(self.confirmed_ms, max(clock_ms, 1))
+
     def projected_s(self) -> float:
         """Return the projected duration of the run.
 
--- a/wasabipaddle/dispatch/reports.py
+++ b/wasabipaddle/dispatch/reports.py
@@ -116,7 +116,7 @@
                 if run.missing:
                     self.lifecycle.remove_run(run, now, reason=RemovalReason.MISSING)
                 run.missing = True
-            elif inventory.complete and not run.seen and run.confirmed_ms:
+            elif inventory.complete and _has_only_been_stopped(run):
                 # For a run without a sign, an earlier request counts as the first list.
                 run.missing |= inventory.clock_ms > run.confirmed_ms
 
@@ -142,8 +142,9 @@
     def begin_incarnation(self, runner, incarnation, clock_ms, now):
         """Discard the runs and end numbers of the previous incarnation of a runner.
 
-        Starts that neither incarnation has confirmed are kept, since the new one may
-        have carried them out; those without a reply are stopped.
+        Runs that the previous incarnation has not listed are kept, since the new one
+        may have begun them: replies to orders name no incarnation. Those that were to
+        be stopped are stopped again.
         """
         reborn = bool(runner.incarnation)
         if reborn:
@@ -158,10 +159,13 @@
         runner.incarnation_s = now
         runner.whole_list_s = None
         for run in list(runner.runs.values()):
-            if run.confirmed_ms:
+            if run.listed:
                 reason = RemovalReason.NEW_INCARNATION
                 self.lifecycle.remove_run(run, now, reason=reason)
-            elif run.phase is RunPhase.DOUBTFUL:
+                continue
+            if run.confirmed_ms:
+                run.doubt_incarnation(clock_ms)
+            if run.phase in (RunPhase.DOUBTFUL, RunPhase.STOPPING):
                 self.state.stop_run(run, now)
         runner.processed_end = runner.acknowledged = 0
         runner.pending_acknowledgements.clear()
@@ -342,3 +346,8 @@
                 runner.acknowledged = max(
                     runner.acknowledged, runner.pending_acknowledgements.pop(0)[1]
                 )
+
+
+def _has_only_been_stopped(run):
+    """Return whether the reply to a stop is all that is known of a run."""
+    return not run.seen and run.stop_sent_s > 0 and run.confirmed_ms > 0
--- a/wasabipaddle/dispatch/tests/test_incarnations.py
+++ b/wasabipaddle/dispatch/tests/test_incarnations.py
@@ -60,3 +60,30 @@
     set_entry(cell, "r0", 2, ["gpu"])
     cell.advance_time(1.0)
     assert len(cell.runners["r0"].running) == 1
+
+
+def test_run_that_the_new_life_has_begun_is_kept_beside_an_older_list(make_cell):
+    """Guards against a second run of a task that runs or has ended in the new life.
+
+    The reply to the start names no life, and overtakes an inventory from before it.
+    """
+    cell = make_cell(runners=1)
+    cell.read_inventories()
+    fake, runner = cell.runners["r0"], cell.state.runners["r0"]
+    fake.crash()
+    older = fake.inventory(0)
+    requested_s = cell.now
+    cell.submit("j0", step(1))
+    cell.now += 0.1
+    cell.plan()
+    (task, number, _) = cell.started[0]
+    process = cell.scheduler.reports.process_inventory
+    process(runner, older, cell.now, requested_s=requested_s)
+    cell.plan()
+    assert len(cell.started) == 1
+    fake.end(task, number)
+    cell.now += 0.1
+    cell.read_inventories()
+    cell.plan()
+    assert len(cell.started) == 1
+    assert cell.state.jobs["j0"].phase.final
--- a/wasabipaddle/dispatch/tests/test_runs.py
+++ b/wasabipaddle/dispatch/tests/test_runs.py
@@ -83,6 +83,7 @@
     """Guards against runs that are kept although their runner has crashed."""
     cell.submit("j0", step(1))
     cell.plan()
+    cell.read_inventories()
     name = cell.started[0][2]
     cell.runners[name].crash()
     cell.read_inventories()
@@ -91,6 +92,21 @@
     assert sum(len(r.runs) for r in cell.state.runners.values()) == 1
 
 
+def test_restart_of_a_runner_removes_runs_that_neither_life_lists(cell):
+    """Guards against the same if the earlier life has not listed its runs."""
+    cell.submit("j0", step(1))
+    cell.plan()
+    name = cell.started[0][2]
+    cell.runners[name].crash()
+    for _ in range(2):
+        assert len(cell.started) == 1
+        cell.now += 0.1
+        cell.read_inventories()
+        cell.plan()
+    assert len(cell.started) == 2
+    assert sum(len(r.runs) for r in cell.state.runners.values()) == 1
+
+
 def test_tasks_of_a_departed_runner_restart_after_its_leases_expire(cell):
     """Guards against a second run beside a draining runner behind a cut that refuses.
 
