Give no work to a runner while a clock contradicts its incarnation

Cause: a reply whose clock lies before that of the last inventory shows the restart, but starts went on until the open call to the runner had timed out. Change: the runner gets no work until an inventory that was requested later arrives. Evidence: test_runner_gets_no_work_while_a_clock_contradicts_its_life fails before.

--- a/wasabipaddle/dispatch/runners.py
+++ b/wasabipaddle/dispatch/runners.py
@@ -84,7 +84,8 @@
         clock of the runner.
     doubted_s : float or None
         Time of the last reply that does not fit the clock of the incarnation, None once
-        an inventory that was requested later has arrived.
+        an inventory that was requested later has arrived. The runner gets no work until
+        then, as its incarnation may have begun unnoticed.
     late_lease_until_s, late_acknowledgement_until_s : float
         Times until which calls that got no answer may yet extend the lease, or have the
         runner forget ended runs.
@@ -138,7 +139,7 @@
     pending_acknowledgements: list = attrs.field(factory=list)
     inventory_lease_until_ms: int = 0
     start_lease_until_ms: int = 0
-    doubted_s: float | None = None
+    doubted_s: float | None = _watched(default=None)
     late_lease_until_s: float = 0.0
     late_acknowledgement_until_s: float = 0.0
     quiet_until_s: float = _watched(default=0.0)
@@ -308,7 +309,8 @@
             return Exclusion.CORDONED
         same_incarnation = self.entry.incarnation in (0, self.incarnation)
         recorded = self.in_fleet_record and self.recorded_jobs is None
-        if not (self.inventoried and same_incarnation and recorded):
+        known = self.inventoried and self.doubted_s is None
+        if not (known and same_incarnation and recorded):
             return Exclusion.NOT_READY
         if self.lists_unknown_tasks:
             return Exclusion.UNKNOWN_TASKS
--- a/wasabipaddle/dispatch/tests/test_incarnations.py
+++ b/wasabipaddle/dispatch/tests/test_incarnations.py
@@ -3,6 +3,7 @@
 import pytest
 
 from wasabipaddle.dispatch.tests.conftest import step
+from wasabipaddle.interfaces import OrderReply
 
 
 def set_entry(cell, name, incarnation, labels):
@@ -87,3 +88,29 @@
     cell.plan()
     assert len(cell.started) == 1
     assert cell.state.jobs["j0"].phase.final
+
+
+def test_runner_gets_no_work_while_a_clock_contradicts_its_life(make_cell):
+    """Guards against starts that reach a later life than the inventories are of.
+
+    A call that was meant for the life before may yet make it forget their ends.
+    """
+    cell = make_cell(runners=1)
+    cell.submit("j0", step(1))
+    cell.plan()
+    runner = cell.state.runners["r0"]
+    (key,) = runner.runs
+    reply = OrderReply(clock_ms=runner.clock_ms - 1000)
+    cell.scheduler.replies.stop_replied(runner, *key, reply, cell.now)
+    cell.submit("j1", step(1))
+    cell.plan()
+    assert len(cell.started) == 1
+    requested_s, cell.now = cell.now - 0.1, cell.now + 0.1
+    inventory = cell.runners["r0"].inventory(0)
+    process = cell.scheduler.reports.process_inventory
+    process(runner, inventory, cell.now, requested_s=requested_s)
+    cell.plan()
+    assert len(cell.started) == 1
+    cell.read_inventories()
+    cell.plan()
+    assert len(cell.started) == 2
