Keep ends of occurrences that are due soon by another clock

What callers may see: a task of a job with times starts again after its end was acknowledged, or its run is stopped, after a takeover. A successor whose wall clock is behind does not know an occurrence that its predecessor has started. It took the end of such a task for that of an unknown job, acknowledged it after 3 s without a record, and stopped its runs at once. Change: ends and runs of an occurrence that is due within 10 s wait until it is.

--- a/wasabipaddle/dispatch/reports.py
+++ b/wasabipaddle/dispatch/reports.py
@@ -9,6 +9,9 @@
 # Time for which ended runs of unknown tasks are not acknowledged, and runs of unknown
 # jobs are not stopped, because the store watch that delivers the job may lag behind.
 UNKNOWN_TASK_RETENTION_S = 3.0
+# Longest time before its due time, by the wall clock of this process, at which another
+# dispatcher may have started an occurrence.
+MAX_WALL_CLOCK_LEAD_S = 10.0
 # Difference from the estimated clock of a runner that is logged.
 LOGGED_LAG_MS = 1000
 
@@ -196,6 +199,8 @@
                 continue
             task = self._find_task(ended.task)
             if task is None:
+                if self._is_due_soon(ended.task, now):
+                    break
                 if not self._unknown_task_wait_expired(runner, now):
                     break
                 runner.processed_end = ended.number
@@ -241,6 +246,19 @@
             runner.unknown_tasks_since_s = now
         return now - runner.unknown_tasks_since_s > UNKNOWN_TASK_RETENTION_S
 
+    def _is_due_soon(self, task_id, now):
+        """Return whether a task becomes known when its occurrence is due.
+
+        A dispatcher whose wall clock was ahead may have started it before.
+        """
+        next_occurrence = self.state.scheduled.get(task_id.job)
+        if next_occurrence is None or task_id.occurrence < next_occurrence:
+            return False
+        spec = self.state.jobs[task_id.job].job.spec
+        due_ms = spec.first_due_ms + task_id.occurrence * spec.interval_ms
+        lead_s = due_ms / MS_PER_S - (now + self.state.wall_offset_s)
+        return task_id.occurrence < spec.occurrences and lead_s < MAX_WALL_CLOCK_LEAD_S
+
     def _find_task(self, task_id):
         entry = self.state.jobs.get(task_id.job)
         if entry is None:
@@ -278,10 +296,13 @@
 
         The run is stopped if its task needs no run, or has another run and is not
         speculative. A run of an unknown job is stopped after
-        `UNKNOWN_TASK_RETENTION_S`, a run of an unknown task of a known job at once.
+        `UNKNOWN_TASK_RETENTION_S`, a run of an unknown task of a known job at once,
+        unless its occurrence is due soon.
         """
         task = self._find_task(row.task)
         if task is None:
+            if self._is_due_soon(row.task, now):
+                return True
             known = self.state.jobs.get(row.task.job)
             if known is None and not self._unknown_task_wait_expired(runner, now):
                 return True
