Leave the incarnation out of the replies of the stand-in to orders

Change: the served stand-in sends the clock only. Evidence: the tests of platform, soak, standins and fuzz pass. The unit tests of dispatch had replies without an incarnation before.

--- a/wasabipaddle/platform/server.py
+++ b/wasabipaddle/platform/server.py
@@ -206,7 +206,8 @@
     if result.is_err():
         return _error_response(request, result.err())
     reply = result.ok()
-    body = {"clock_ms": reply.clock_ms, "born": reply.incarnation}
+    # Only inventories name the incarnation.
+    body = {"clock_ms": reply.clock_ms}
     return _json_response(*_add_refusal(body, reply.refusal))
 
 
