Count an unanswered acknowledgement that extends no lease

Cause: found on reading the mend again: a call that acknowledges ends while the proof of leadership is too old to extend leases was not remembered as unanswered. Change: it is; tests without a network for the decisions on acknowledgements. Evidence: the six tests pass; by the trace of the code, not by a test of the call.

--- a/wasabipaddle/cell/calls.py
+++ b/wasabipaddle/cell/calls.py
@@ -277,7 +277,7 @@
         self.scheduler.inventory_failed(runner, now)
         if result.is_err() and result.err().kind is ErrorKind.UNREACHABLE:
             self.scheduler.leases.revert_inventory(runner, call.previous_until_ms)
-        elif result.is_err() and call.lease_until_ms:
+        elif result.is_err() and (call.lease_until_ms or call.acknowledged):
             self.scheduler.acknowledgements.record_unanswered(
                 runner, call.acknowledged, sent_s=call.requested_s
             )
