--- a/wasabipaddle/logs/explain.py
+++ b/wasabipaddle/logs/explain.py
@@ -27,6 +27,8 @@
         "runner_lost",
         "runner_regained",
         "runner_reborn",
+        "runner_kept_quiet",
+        "acknowledgement_misdirected",
         "runner_quarantined",
         "runner_draining",
         "runner_unlisted",
