--- a/wasabipaddle/soak/regressions.py
+++ b/wasabipaddle/soak/regressions.py
@@ -47,4 +47,13 @@
             "for 9 s, and runs were started on runners that were leaving"
         ),
     ),
+    Regression(
+        seed=4302,
+        seconds=20.0,
+        cause=(
+            "an acknowledgement that was meant for the earlier life of a runner made "
+            "the next one forget ends that nobody had seen"
+        ),
+        faults=("runner_restarted", "replies_overtake"),
+    ),
 )
