Wait for the runs of a suspect runner in its recorded pool, too

What callers may see: a task runs twice after a takeover, if the registry entry of a runner that has not answered yet names another pool at the same address. Cause: recovered jobs waited for suspect runners by the pool of their present entry, though their runs are in the pool of the stored fleet record. Change: both pools count, and the next record keeps the earlier pool for as long as the runner is suspect. Evidence: test_runs_on_a_runner_whose_entry_names_another_pool_are_waited_for fails before, after one takeover and after two.

--- a/wasabipaddle/cell/takeover.py
+++ b/wasabipaddle/cell/takeover.py
@@ -36,6 +36,7 @@
         if row.address:
             runner = session.scheduler.set_runner(row.entry, session.now())
             runner.listed = False
+            runner.recorded_pool = row.pool
             runner.in_fleet_record = row.wait_s is None
             if row.jobs is not None and by_predecessor:
                 runner.recorded_jobs = frozenset(row.jobs)
--- a/wasabipaddle/cell/tests/test_leaving_runners.py
+++ b/wasabipaddle/cell/tests/test_leaving_runners.py
@@ -145,3 +145,35 @@
         assert plan(scheduler, session) == started
 
     with_cell(make_test_cell, scenario)
+
+
+@pytest.mark.parametrize("takeovers", [1, 2])
+def test_runs_on_a_runner_whose_entry_names_another_pool_are_waited_for(
+    make_test_cell, takeovers
+):
+    """Guards against a second run of a task on another runner of its pool.
+
+    The entry changes between the takeover and the answer of the runner, and a second
+    successor knows only what the first has recorded.
+    """
+
+    async def main(cell, tasks):
+        record = encode_fleet([RecordedRunner.create(LEAVING)])
+        put(cell, FLEET_KEY, record)
+        for term in range(4, 4 + takeovers):
+            scheduler, session = make_leader(cell, term=term)
+            await load_fleet(session)
+            moved = attrs.evolve(LEAVING, pool="other")
+            scheduler.set_runner(moved, session.now())
+            rows = scheduler.runners_to_record(
+                session.now(), with_waits=True, term=term
+            )
+            put(cell, FLEET_KEY, encode_fleet(rows))
+        add_job(scheduler, session, "recovered", recovered=True)
+        answer(scheduler, session, STAYING)
+        scheduler.state.runners["staying"].in_fleet_record = True
+        assert plan(scheduler, session) == {}
+        answer(scheduler, session, moved)
+        assert plan(scheduler, session) == {"recovered": "staying"}
+
+    with_cell(make_test_cell, main)
--- a/wasabipaddle/dispatch/fleet.py
+++ b/wasabipaddle/dispatch/fleet.py
@@ -1,5 +1,7 @@
 """Content of the stored fleet record, and the jobs that wait for suspect runners."""
 
+import functools
+
 import attrs
 
 from wasabipaddle.interfaces.store import MAX_VALUE_BYTES
@@ -43,17 +45,24 @@
         if suspect and with_waits:
             wait_s = max(state.suspects[runner.id] - now, 0.0)
         jobs = _find_only_jobs(runner, suspect=suspect)
-        row = _make_row(runner, wait_s=wait_s, jobs=jobs, term=term)
+        make_row = functools.partial(
+            _make_row, runner, wait_s=wait_s, term=term, suspect=suspect
+        )
+        row = make_row(jobs=jobs)
         if named_bytes + row.jobs_bytes > MAX_NAMED_BYTES:
-            row = _make_row(runner, wait_s=wait_s, jobs=None, term=term)
+            row = make_row(jobs=None)
         named_bytes += row.jobs_bytes
         recorded.append(row)
     return recorded
 
 
-def _make_row(runner, *, wait_s, jobs, term):
+def _make_row(runner, *, wait_s, jobs, term, suspect):
+    """Return the row of a runner; a suspect one stays in the pool of its runs."""
     row_term = 0 if wait_s is None and jobs is None else term
-    return RecordedRunner.create(runner.entry, wait_s=wait_s, jobs=jobs, term=row_term)
+    entry = runner.entry
+    if suspect and runner.recorded_pool is not None:
+        entry = attrs.evolve(entry, pool=runner.recorded_pool)
+    return RecordedRunner.create(entry, wait_s=wait_s, jobs=jobs, term=row_term)
 
 
 def _may_have_work(runner):
@@ -108,6 +117,8 @@
                 pools.add(None)
             elif runner.recorded_jobs is None:
                 pools.add(runner.entry.pool)
+                if runner.recorded_pool is not None:
+                    pools.add(runner.recorded_pool)
             else:
                 jobs |= runner.recorded_jobs
         return cls(pools=frozenset(pools), jobs=frozenset(jobs))
--- a/wasabipaddle/dispatch/runners.py
+++ b/wasabipaddle/dispatch/runners.py
@@ -60,6 +60,9 @@
     recorded_jobs : frozenset of str or None
         Jobs to which the stored fleet record limits the runs on the runner, None if any
         job may have runs there. The runner gets no work while there is a limit.
+    recorded_pool : str or None
+        Pool in the stored fleet record of the previous dispatcher, None without one.
+        The entry may name another one by now.
     clock_ms, clock_s : int, float
         Last clock reading of the runner, 0 before the first, and the local time at
         which it arrived.
@@ -127,6 +130,7 @@
     exited: bool = _watched(default=False)
     in_fleet_record: bool = _watched(default=False)
     recorded_jobs: frozenset | None = _watched(default=None)
+    recorded_pool: str | None = None
     clock_ms: int = 0
     clock_s: float = 0.0
     runs: dict = attrs.field(factory=dict, repr=False)
