--- a/wasabipaddle/dispatch/acknowledgements.py
+++ b/wasabipaddle/dispatch/acknowledgements.py
@@ -48,7 +48,7 @@
         number : int
             Number that the call acknowledged, 0 for none.
         incarnation_before : int
-            Incarnation of the runner as known when the call was sent.
+            Incarnation of the runner before this answer was processed.
         """
         if runner.incarnation == incarnation_before:
             runner.forgotten_end = max(runner.forgotten_end, number)
@@ -67,9 +67,10 @@
         sent_s : float
             Time at which the call was sent.
         """
-        runner.late_lease_until_s = sent_s + LATE_CALL_S
+        late_s = sent_s + LATE_CALL_S
+        runner.late_lease_until_s = max(runner.late_lease_until_s, late_s)
         if number:
-            runner.late_acknowledgement_until_s = sent_s + LATE_CALL_S
+            runner.late_acknowledgement_until_s = late_s
 
     def begin_incarnation(self, runner, now):
         """Allow for calls to the previous incarnation that may yet be carried out.
@@ -80,8 +81,7 @@
         runner.forgotten_end = 0
         runner.quiet_until_s = runner.late_acknowledgement_until_s
         late_ms = int(max(runner.late_lease_until_s - now, 0.0) * MS_PER_S)
-        if late_ms:
-            runner.inventory_lease_until_ms += late_ms
+        runner.inventory_lease_until_ms += late_ms
         if runner.quiet_until_s > now:
             self.state.journal(
                 "runner_kept_quiet",
--- a/wasabipaddle/dispatch/runners.py
+++ b/wasabipaddle/dispatch/runners.py
@@ -232,7 +232,8 @@
         """
         if not (self.clock_ms and clock_ms):
             return True
-        if sent_s >= self.clock_s and clock_ms < self.clock_ms:
+        least_ms = self.clock_ms - READING_TOLERANCE_MS
+        if sent_s >= self.clock_s and clock_ms < least_ms:
             return False
         elapsed_ms = (now - self.clock_s + READING_TRANSIT_S) * MS_PER_S
         return clock_ms <= self.clock_ms + elapsed_ms * (1 + CLOCK_DRIFT_FRACTION)
