Log what keeps a task that lasts from running

Change: once a second the dispatcher logs task_waits, with the reason and the numbers of runners with room, eligible, reserved and asked, and run_in_doubt for a run that holds its task; the gauge lasting_wait_seconds; the line advice says how many of the named runners had room.

--- a/wasabipaddle/cell/dispatcher.py
+++ b/wasabipaddle/cell/dispatcher.py
@@ -80,6 +80,7 @@
         gauge = self.context.metrics.gauge
         gauge("sessions_closing", lambda: len(self.closing))
         gauge("forecast_wait_seconds", self._measure_longest_wait)
+        gauge("lasting_wait_seconds", self._measure_lasting_wait)
         for outlook in Outlook:
             name = f"steps_waiting_{outlook.name.lower()}"
             gauge(name, functools.partial(self._count_steps, outlook))
@@ -144,6 +145,12 @@
             return 0.0
         return self.session.scheduler.forecaster.longest_wait_s
 
+    def _measure_lasting_wait(self):
+        """Return the longest wait of a task that lasts, with room for it."""
+        if self.session is None:
+            return 0.0
+        return self.session.scheduler.delays.longest_wait_s
+
     def _count_steps(self, outlook):
         """Return the number of waiting steps with an outlook, 0 unless leading."""
         if self.session is None:
--- a/wasabipaddle/cell/session.py
+++ b/wasabipaddle/cell/session.py
@@ -369,6 +369,7 @@
             job=step.job.id,
             step=step.position,
             named=len(request.runners),
+            with_room=request.with_room,
             good=len(reply.ok().tickets) if reply.is_ok() else None,
             took_ms=int((now - began) * 1000),
             expected_ms=int(request.expected_s * 1000),
--- a/wasabipaddle/dispatch/advisor.py
+++ b/wasabipaddle/dispatch/advisor.py
@@ -1,6 +1,7 @@
 """Planning of requests to the eligibility service."""
 
 from wasabipaddle.dispatch.claims import needed_together
+from wasabipaddle.dispatch.fitting import fits
 from wasabipaddle.dispatch.model import COMPARED_PERCENT, RunPhase
 from wasabipaddle.dispatch.naming import MAX_RUNNERS_PER_REQUEST, Naming
 from wasabipaddle.dispatch.orders import AdviceRequest
@@ -76,6 +77,7 @@
             runners=runners,
             urgent=step.job.queue.priority == 0,
             expected_s=policy.base_s + policy.per_runner_s * len(runners),
+            with_room=sum(fits(step, runner) for runner in runners),
         )
 
     def _runners_to_ask(self, step, now, *, renew):
--- a/wasabipaddle/dispatch/orders.py
+++ b/wasabipaddle/dispatch/orders.py
@@ -81,9 +81,12 @@
         Whether the request may use the capacity reserved for urgent requests.
     expected_s : float
         Expected response time of the service.
+    with_room : int
+        Number of these runners on which a task of the step fits now.
     """
 
     step: Step
     runners: tuple
     urgent: bool
     expected_s: float
+    with_room: int = 0
--- a/wasabipaddle/dispatch/scheduler.py
+++ b/wasabipaddle/dispatch/scheduler.py
@@ -4,6 +4,7 @@
 
 from wasabipaddle.dispatch.acknowledgements import Acknowledgements
 from wasabipaddle.dispatch.advisor import Advisor
+from wasabipaddle.dispatch.delays import DelayLog
 from wasabipaddle.dispatch.evacuation import Evacuation
 from wasabipaddle.dispatch.fleet import runners_to_record
 from wasabipaddle.dispatch.forecast import LoadForecaster
@@ -64,6 +65,7 @@
             reservations=self.reservations,
         )
         self.advisor = Advisor(state=self.state, placement=self.placement)
+        self.delays = DelayLog(state=self.state, placement=self.placement)
         self.forecaster = LoadForecaster(state=self.state)
         self.watchdog = Watchdog(state=self.state)
         self.evacuation = Evacuation(state=self.state)
@@ -179,6 +181,7 @@
     def plan(self, now):
         """Start the tasks that fit and return the eligibility requests to send."""
         self.placement.plan(now)
+        self.delays.check(now)
         return self.advisor.plan(now)
 
     def take_orders(self):
