--- /dev/null
+++ b/wasabipaddle/dispatch/tests/test_usable_runners.py
@@ -0,0 +1,69 @@
+"""Whether requests for advice and placement agree on which runners are usable."""
+
+import pytest
+
+from wasabipaddle.dispatch.reservations import Reservation
+from wasabipaddle.dispatch.tests.advice_play import NEEDS, AdvicePlay
+from wasabipaddle.dispatch.tests.conftest import step
+
+# Time after its last run within which a task that lasts has to run again.
+RESTART_LIMIT_S = 6.0
+SEEDS = range(6)
+SCARCE = sorted(NEEDS)
+
+
+@pytest.mark.parametrize(("size", "roomy"), [(60, 12), (176, 90)])
+@pytest.mark.parametrize("scarce", SCARCE)
+def test_task_restarts_on_an_eligible_runner_with_room(scarce, size, roomy):
+    """Guards against tickets that are renewed for runners without room only."""
+    for seed in SEEDS:
+        play = AdvicePlay(size=size, roomy=roomy, scarce=scarce, seed=seed)
+        play.submit(8)
+        play.play(8.0)
+        play.submit_others()
+        play.play(4.0)
+        play.fail_a_task()
+        assert play.measure_wait_s(RESTART_LIMIT_S) is not None
+
+
+@pytest.mark.parametrize(("size", "roomy"), [(60, 12), (176, 40), (176, 90)])
+@pytest.mark.parametrize("scarce", SCARCE)
+def test_first_request_asks_about_runners_with_room(scarce, size, roomy):
+    """Guards against requests that go through the runners without room first."""
+    for seed in SEEDS:
+        play = AdvicePlay(size=size, roomy=roomy, scarce=scarce, seed=seed)
+        play.submit_others()
+        play.submit(1)
+        assert play.measure_wait_s(RESTART_LIMIT_S) is not None
+
+
+def test_task_restarts_while_the_known_runners_are_reserved_for_a_gang():
+    """Guards against steps that ask about no other runners during a reservation."""
+    play = AdvicePlay(size=20, roomy=20, scarce="memory", seed=0)
+    play.submit(4)
+    play.play(4.0)
+    cell, (task, _, _) = play.cell, play.cell.started[0]
+    svc = cell.state.jobs[task.job].steps[(0, 0)]
+    gang = cell.submit("gang", step(30, cpu=4000, gang=True)).steps[(0, 0)]
+    cell.scheduler.reservations.by_pool["pool"] = Reservation(
+        step=gang,
+        runner_ids=frozenset(svc.eligibility.tickets),
+        until_s=cell.now + 2 * RESTART_LIMIT_S,
+    )
+    play.fail_a_task()
+    assert play.measure_wait_s(RESTART_LIMIT_S) is not None
+
+
+@pytest.mark.parametrize("scarce", SCARCE)
+def test_steps_that_ask_at_the_same_time_name_different_runners_with_room(scarce):
+    """Guards against answers for places that the first of the steps takes."""
+    play = AdvicePlay(size=60, roomy=30, scarce=scarce, seed=0)
+    play.submit_others()
+    spec = step(4, **{**play.needs, "cpu": 100})
+    for i in range(3):
+        play.cell.submit(f"j{i}", spec, queue="advised")
+    requests, _ = play.cell.plan()
+    named = [runner.id for request in requests for runner in request.runners]
+    assert len(requests) == 3
+    assert set(named) <= set(play.roomy)
+    assert len(named) == len(set(named))
