Count the tasks that fit into free resources in one place

Cause: fitting, reservations and the naming of runners each had their own count of the tasks that fit into free processors, memory and accelerators.

Change: dispatch/room.py holds the free resources and the count; fitting and reservations use it, and the naming of runners will.

--- a/wasabipaddle/dispatch/fitting.py
+++ b/wasabipaddle/dispatch/fitting.py
@@ -1,5 +1,7 @@
 """Whether tasks fit on a runner, and the score of a runner for a task."""
 
+from wasabipaddle.dispatch.room import Room
+
 __all__ = [
     "base_score",
     "demand",
@@ -95,13 +97,7 @@
 
 def free_slots(step, runner) -> int:
     """Return how many more tasks of a step fit on a runner now."""
-    capacity = runner.entry.capacity
-    slots = _count_slots(
-        step.spec,
-        capacity.cpu - runner.cpu,
-        capacity.memory_mb - runner.memory_mb,
-        capacity.gpus - runner.gpus,
-    )
+    slots = Room.of_runner(runner).count(step.spec)
     if step.spec.max_per_runner:
         slots = min(slots, step.spec.max_per_runner - runner.step_runs.get(step, 0))
     return max(slots, 0)
@@ -109,22 +105,10 @@
 
 def slots_when_empty(step, runner) -> int:
     """Return how many tasks of a step would fit if a runner had no runs."""
-    capacity = runner.entry.capacity
-    slots = _count_slots(step.spec, capacity.cpu, capacity.memory_mb, capacity.gpus)
+    slots = Room.of_empty_runner(runner).count(step.spec)
     return min(slots, step.spec.max_per_runner or slots)
 
 
-def _count_slots(spec, cpu, memory_mb, gpus) -> int:
-    slots = spec.count
-    if spec.cpu and not spec.opportunistic:
-        slots = min(slots, cpu // spec.cpu)
-    if spec.memory_mb:
-        slots = min(slots, memory_mb // spec.memory_mb)
-    if spec.gpus:
-        slots = min(slots, gpus // spec.gpus)
-    return slots
-
-
 def _interferes(spec, runner):
     """Return whether a task would share a runner with tasks that it interferes with.
 
--- a/wasabipaddle/dispatch/reservations.py
+++ b/wasabipaddle/dispatch/reservations.py
@@ -4,6 +4,7 @@
 
 from wasabipaddle.dispatch.claims import needed_together, waiting_since_s
 from wasabipaddle.dispatch.placement import within_runner_limit
+from wasabipaddle.dispatch.room import Room
 
 __all__ = ["Reservations"]
 
@@ -216,6 +217,7 @@
             for number, run in enumerate(runner.runs.values())
             if (seconds := run.time_left_s(now, stop_s=stop_s)) <= MAX_DRAIN_S
         )
+        most = min(most, step.spec.max_per_runner or most)
         free = Room.of_runner(runner)
         count = min(free.count(step.spec), most)
         places_s = [(0.0, count)] if count else []
@@ -228,41 +230,5 @@
         return places_s
 
 
-@attrs.define(kw_only=True)
-class Room:
-    """Resources of a runner that are free, or will be; `cpu` in thousandths."""
-
-    cpu: int
-    memory_mb: int
-    gpus: int
-
-    @classmethod
-    def of_runner(cls, runner):
-        """Return what is free on a runner now."""
-        capacity = runner.entry.capacity
-        return cls(
-            cpu=capacity.cpu - runner.cpu,
-            memory_mb=capacity.memory_mb - runner.memory_mb,
-            gpus=capacity.gpus - runner.gpus,
-        )
-
-    def give_back(self, spec):
-        """Add what a task reserves."""
-        self.cpu += 0 if spec.opportunistic else spec.cpu
-        self.memory_mb += spec.memory_mb
-        self.gpus += spec.gpus
-
-    def count(self, spec) -> int:
-        """Return how many tasks fit, at most the number that the step allows."""
-        most = spec.max_per_runner or spec.count
-        if spec.cpu and not spec.opportunistic:
-            most = min(most, self.cpu // spec.cpu)
-        if spec.memory_mb:
-            most = min(most, self.memory_mb // spec.memory_mb)
-        if spec.gpus:
-            most = min(most, self.gpus // spec.gpus)
-        return max(most, 0)
-
-
 def _waited_s(step, now):
     return now - waiting_since_s(step)
