Take no step for one without room whose runners are all reserved

Cause: the choice among all runners counted reserved ones as runners that may start the step. The two choices for queues with an eligibility service did not.

Change: the choice exists only if a runner that is not reserved may run the step.

--- a/wasabipaddle/dispatch/candidates.py
+++ b/wasabipaddle/dispatch/candidates.py
@@ -218,6 +218,13 @@
 
     def members(self, step, now):
         """Return the runners that may run a step, regardless of free capacity."""
+        return list(self._members(step, now))
+
+    def has_member_outside(self, step, runner_ids, now) -> bool:
+        """Return whether a runner besides some may run a step, whatever its room."""
+        return any(r.id not in runner_ids for r in self._members(step, now))
+
+    def _members(self, step, now):
         if not step.job.may_run_in(step.job.queue.pool):
             return []
         group = self.group(step, now)
@@ -229,7 +236,7 @@
                 and self.facts[runner.id][0]
                 and group.contains(runner)
             ]
-        return list(group.members)
+        return group.members
 
     def may_fit(self, step, now) -> bool:
         """Return whether a task of a step may fit on a runner; False is certain."""
--- a/wasabipaddle/dispatch/choices.py
+++ b/wasabipaddle/dispatch/choices.py
@@ -148,10 +148,7 @@
         self.waiting = False
 
     def __bool__(self):
-        step = self.step
-        if not step.job.may_run_in(step.job.queue.pool):
-            return False
-        return not self.index.group(step, self.now).tree.empty
+        return self.index.has_member_outside(self.step, self.reserved, self.now)
 
     def best(self, task):
         """Return the best runner; see the base class."""
--- a/wasabipaddle/dispatch/tests/test_reservations.py
+++ b/wasabipaddle/dispatch/tests/test_reservations.py
@@ -140,3 +140,13 @@
     busy_cell.set_workspaces(Workspace(name="shop", quota=Capacity(cpu=4000)))
     busy_cell.plan()
     assert not busy_cell.scheduler.reservations.by_pool
+
+
+def test_step_whose_runners_are_all_reserved_does_not_count_as_lack_of_room(busy_cell):
+    """Guards against plans that report a full cell because of a reservation."""
+    busy_cell.submit("wide", step(2, cpu=4000, gang=True))
+    run_small_tasks(busy_cell, 3.0)
+    (reservation,) = busy_cell.scheduler.reservations.by_pool.values()
+    assert reservation.runner_ids == frozenset(busy_cell.runners)
+    busy_cell.plan()
+    assert not busy_cell.state.capacity_exhausted
