Name the runners with room for a task first, by any scarce resource

What callers saw: a task that lasts, and whose run has failed, never runs again while eligible runners have room for it; a first start takes up to 12.5 s.

Cause: requests to the eligibility service named runners by their free processors. Where memory or accelerators bind first, those are the runners without room: each renewal named the same four full runners, and first requests went through all full runners before those with room. A runner without room counted as a place.

Change: runners with room for a task of the step come first, then those with the largest free part of the scarcest resource that a task needs. Requests in progress claim all resources, not only processors. A runner without room counts as half a place.

--- a/wasabipaddle/dispatch/fitting.py
+++ b/wasabipaddle/dispatch/fitting.py
@@ -1,6 +1,6 @@
 """Whether tasks fit on a runner, and the score of a runner for a task."""
 
-from wasabipaddle.dispatch.room import Room
+from wasabipaddle.dispatch.room import Room, demand
 
 __all__ = [
     "base_score",
@@ -69,11 +69,6 @@
     return value
 
 
-def demand(spec):
-    """Return the processors, memory and accelerators that a task reserves."""
-    return (0 if spec.opportunistic else spec.cpu, spec.memory_mb, spec.gpus)
-
-
 def fits(step, runner) -> bool:
     """Return whether another task of a step fits on a runner now."""
     return runner.fits(step.spec) and within_runner_limit(step, runner)
--- a/wasabipaddle/dispatch/job_placement.py
+++ b/wasabipaddle/dispatch/job_placement.py
@@ -268,6 +268,6 @@
 def _copy_naming(naming):
     copied = copy.copy(naming)
     copied.shares = dict(naming.shares)
-    copied.claims = dict(naming.claims)
-    copied.claimed_cpu = dict(naming.claimed_cpu)
+    copied.requests = dict(naming.requests)
+    copied.claims = copy.deepcopy(naming.claims)
     return copied
--- a/wasabipaddle/dispatch/naming.py
+++ b/wasabipaddle/dispatch/naming.py
@@ -2,6 +2,10 @@
 
 import math
 
+import attrs
+
+from wasabipaddle.dispatch.room import Room
+
 __all__ = ["MAX_RUNNERS_PER_REQUEST", "Naming"]
 
 # Largest number of runners named in one request.
@@ -18,44 +22,67 @@
 # Number of standard deviations by which the expected number of places has to exceed
 # the number of tasks.
 CONFIDENCE = 0.7
+# Chance that a runner without room for a task gets some until the answer arrives.
+ROOM_CHANCE = 0.5
+
+
+@attrs.define(kw_only=True)
+class Claims:
+    """What requests without an answer claim on one runner.
+
+    Parameters
+    ----------
+    requests : int
+        Number of the requests.
+    needs : Room
+        Resources that their tasks are expected to reserve.
+    """
+
+    requests: int = 0
+    needs: Room = attrs.field(factory=Room)
 
 
 class Naming:
     """Names as many runners as the tasks of a step are likely to need.
 
     The response time of the service grows with the number of runners, and steps that
-    ask at the same time must not all name the same free runners.
+    ask at the same time must not all name the same free runners. Runners with room for
+    a task come first, whichever of its resources is scarce.
 
     Attributes
     ----------
     shares : dict of str to float
         Learned part of the named runners that is eligible, by queue.
-    claims : dict of tuple to (float, tuple of RunnerState)
-        Requests without an answer by the key of their step: processors that the step is
-        expected to use on each named runner, in thousandths of a core, and the runners.
-    claimed_cpu : dict of str to float
-        Sum of these processors by runner.
+    requests : dict of tuple to (float, tuple of RunnerState)
+        Requests without an answer by the key of their step: number of tasks that are
+        expected to start on each named runner, and the runners.
+    claims : dict of str to Claims
+        What these requests claim, by runner.
     """
 
     def __init__(self):
         self.shares = {}
+        self.requests = {}
         self.claims = {}
-        self.claimed_cpu = {}
 
     def begin(self, step, runners):
         """Claim room for a step whose request names the runners."""
-        cpu = _waiting_tasks(step) * step.spec.cpu / len(runners)
-        self.claims[step.key] = (cpu, runners)
+        tasks = _waiting_tasks(step) / len(runners)
+        self.requests[step.key] = (tasks, runners)
         for runner in runners:
-            self.claimed_cpu[runner.id] = self.claimed_cpu.get(runner.id, 0.0) + cpu
+            claims = self.claims.setdefault(runner.id, Claims())
+            claims.requests += 1
+            claims.needs.add(step.spec, tasks)
 
     def end(self, step):
-        """Release the claim of a step whose request has ended."""
-        cpu, runners = self.claims.pop(step.key, (0.0, ()))
+        """Release the claims of a step whose request has ended."""
+        tasks, runners = self.requests.pop(step.key, (0.0, ()))
         for runner in runners:
-            left = self.claimed_cpu.pop(runner.id, 0.0) - cpu
-            if left >= 1.0:
-                self.claimed_cpu[runner.id] = left
+            claims = self.claims[runner.id]
+            claims.requests -= 1
+            claims.needs.add(step.spec, -tasks)
+            if not claims.requests:
+                del self.claims[runner.id]
 
     def learn(self, step, *, named, eligible):
         """Record how many of the runners that were not known before are eligible."""
@@ -64,11 +91,6 @@
             share = self.shares.get(name, INITIAL_SHARE)
             self.shares[name] = share + LEARNING_WEIGHT * (eligible / named - share)
 
-    def free_cpu(self, runner) -> float:
-        """Return the part of the processors that is neither reserved nor claimed."""
-        claimed = self.claimed_cpu.get(runner.id, 0.0)
-        return runner.free_cpu_fraction - claimed / (runner.entry.capacity.cpu or 1)
-
     def choose(self, step, runners):
         """Return the runners to name of those that are not known for a step."""
         share = self.shares.get(step.job.queue.name, INITIAL_SHARE)
@@ -79,37 +101,47 @@
         return self._take(step, runners, 1.0)
 
     def _take(self, step, runners, share):
-        """Return the freest runners, up to the number that is likely to be enough."""
-        policy = step.job.queue.advice
-        further = int(FURTHER_RUNNERS_S / max(policy.per_runner_s, 1e-6))
+        """Return the first runners by their room, up to the number likely to suffice.
+
+        A runner without room may get room for one task until the answer arrives.
+        """
         tasks = _waiting_tasks(step)
+        further = self._count_further(step)
         expected = variance = 0.0
-        ordered = sorted(runners, key=self.free_cpu, reverse=True)
-        for number, runner in enumerate(ordered, start=1):
-            places = self._places(step, runner, tasks)
-            expected += share * places
-            variance += share * (1 - share) * places**2
+        ordered = sorted(
+            ((*self._measure(step, runner, tasks), runner) for runner in runners),
+            key=lambda row: (not row[0], -row[1]),
+        )
+        for number, (places, _, _) in enumerate(ordered, start=1):
+            chance = share if places else share * ROOM_CHANCE
+            places = max(places, 1)
+            expected += chance * places
+            variance += chance * (1 - chance) * places**2
             if expected - CONFIDENCE * math.sqrt(variance) >= tasks:
-                least = max(number + further, MIN_RUNNERS_PER_REQUEST)
-                return ordered[: min(least, MAX_RUNNERS_PER_REQUEST)]
-        return ordered[:MAX_RUNNERS_PER_REQUEST]
+                named = max(number + further, MIN_RUNNERS_PER_REQUEST)
+                break
+        else:
+            named = MAX_RUNNERS_PER_REQUEST
+        named = min(named, MAX_RUNNERS_PER_REQUEST)
+        return [runner for _, _, runner in ordered[:named]]
+
+    def _count_further(self, step):
+        """Return how many further runners prolong a request by little."""
+        return int(FURTHER_RUNNERS_S / max(step.job.queue.advice.per_runner_s, 1e-6))
 
-    def _places(self, step, runner, tasks) -> int:
-        """Return how many tasks of a step a runner is expected to hold at the answer.
+    def _measure(self, step, runner, tasks):
+        """Return how many of some tasks a runner may hold, and its free part.
 
-        A runner without room counts as one place, since it may get room until then.
+        What requests without an answer claim counts as taken.
         """
-        spec = step.spec
-        places = tasks
+        room, spec = Room.of_runner(runner), step.spec
+        claims = self.claims.get(runner.id)
+        if claims is not None:
+            room.take(claims.needs)
+        places = min(room.count(spec), tasks)
         if spec.max_per_runner:
-            places = min(places, spec.max_per_runner)
-        if spec.cpu and not spec.opportunistic:
-            free = self.free_cpu(runner) * runner.entry.capacity.cpu
-            places = min(places, int(free // spec.cpu))
-        if spec.memory_mb:
-            free_mb = runner.entry.capacity.memory_mb - runner.memory_mb
-            places = min(places, free_mb // spec.memory_mb)
-        return max(places, 1)
+            places = min(places, spec.max_per_runner - runner.step_runs.get(step, 0))
+        return max(places, 0), room.share_of(runner.entry.capacity, spec)
 
 
 def _waiting_tasks(step) -> int:
--- a/wasabipaddle/dispatch/reservations.py
+++ b/wasabipaddle/dispatch/reservations.py
@@ -222,7 +222,7 @@
         count = min(free.count(step.spec), most)
         places_s = [(0.0, count)] if count else []
         for seconds, _, spec in left_s:
-            free.give_back(spec)
+            free.add(spec)
             further = min(free.count(step.spec), most) - count
             if further > 0:
                 places_s.append((seconds, further))
