Ask about other runners while the known ones are reserved for other work

What callers saw: a task that lasts waits as long as a reservation, up to 8 s, while other eligible runners have room.

Cause: the advisor counted eligible runners with room as enough although placement leaves them to the gang that they are reserved for. Nobody asked about the others, and renewals named reserved runners.

Change: placement says which runners are usable, and the advisor uses that. Runners reserved for others are neither enough nor named; those reserved for the step itself are named first while it fits nowhere.

--- a/wasabipaddle/dispatch/advisor.py
+++ b/wasabipaddle/dispatch/advisor.py
@@ -54,7 +54,7 @@
             non_urgent += not urgent
             if step.job.queue.advice is None:
                 continue
-            renew |= self.placement.reservations.is_reserved_for(step)
+            renew |= bool(self.placement.reservations.reserved_for(step))
             wanted.append(self._request(step, now, renew=renew))
         for step in self._steps_opening_soon(now):
             wanted.append(self._request(step, now))
@@ -95,7 +95,7 @@
             return []
         eligibility = step.eligibility
         eligible = self.placement.eligible(step, now)
-        usable = self.placement.select_fitting(step, eligible, now)
+        usable = self.placement.select_usable(step, eligible, now)
         needed = step.spec.count if step.spec.gang else 1
         enough = sum(free_slots(step, runner) for runner in usable) >= needed
         has_valid_ticket = any(eligibility.ticket(r, now) is not None for r in usable)
@@ -105,26 +105,36 @@
         if has_valid_ticket and not renew:
             return []
         if renew and eligible:
+            usable = usable if enough else []
             return self._runners_to_renew(step, eligible, usable, now)
         return self.naming.choose_known(step, usable)
 
     def _runners_not_asked(self, step, now, *, renew):
         """Return the runners without an answer that are worth a request."""
-        if not step.opened or renew or step.job.queue.priority == 0:
-            return self.placement.not_asked(step, now)
         runners = self.placement.not_asked(step, now)
-        return self.placement.select_fitting(step, runners, now)
+        if step.opened and not renew and step.job.queue.priority != 0:
+            return self.placement.select_usable(step, runners, now)
+        return self.placement.reservations.select_unreserved(step, runners)
 
     def _runners_to_renew(self, step, eligible, usable, now):
         """Return the runners to name in a request that renews tickets.
 
         The list is empty if a ticket will still be valid when the answer is expected.
+
+        Parameters
+        ----------
+        usable : list of RunnerState
+            Eligible runners on which the step fits now; none if it fits nowhere. Then
+            the runners that are kept free for it come first.
         """
-        policy = step.job.queue.advice
+        policy, reservations = step.job.queue.advice, self.placement.reservations
         horizon = now + policy.base_s + policy.per_runner_s * len(eligible)
-        if any(step.eligibility.ticket(r, horizon) for r in usable or eligible):
+        others = reservations.select_unreserved(step, eligible)
+        kept_ids = reservations.reserved_for(step)
+        kept = [] if usable else [r for r in eligible if r.id in kept_ids]
+        if any(step.eligibility.ticket(r, horizon) for r in usable or kept or others):
             return []
-        return self.naming.choose_known(step, eligible)
+        return self.naming.choose_known(step, kept or others)
 
     def _steps_opening_soon(self, now):
         """Yield unopened steps without tickets that are expected to open soon.
--- a/wasabipaddle/dispatch/placement.py
+++ b/wasabipaddle/dispatch/placement.py
@@ -184,11 +184,16 @@
         """Return whether a task of a step may fit somewhere; False is certain."""
         return self.index.may_fit(step, now)
 
-    def select_fitting(self, step, runners, now):
-        """Return those of some runners on which another task of the step fits now."""
+    def select_usable(self, step, runners, now):
+        """Return those of some runners on which another task of the step may start now.
+
+        A ticket may be missing, and replies to other starts, as these arrive sooner
+        than an answer of the eligibility service.
+        """
         if not runners or not self.may_fit(step, now):
             return []
-        return [runner for runner in runners if fits(step, runner)]
+        fitting = [runner for runner in runners if fits(step, runner)]
+        return self.reservations.select_unreserved(step, fitting)
 
     def _answers(self, step, now) -> KnownAnswers:
         """Return what the answers for a step say about the runners of now.
--- a/wasabipaddle/dispatch/reservations.py
+++ b/wasabipaddle/dispatch/reservations.py
@@ -107,6 +107,13 @@
             return permitted
         return [row for row in permitted if row[0].id not in reserved]
 
+    def select_unreserved(self, step, runners):
+        """Return those of some runners that are not kept for other work."""
+        reserved = self.reserved_for_others(step)
+        if not reserved:
+            return runners
+        return [runner for runner in runners if runner.id not in reserved]
+
     def reserved_for_others(self, step) -> frozenset:
         """Return the identifiers of the runners that a step may not use."""
         reservation = self.by_pool.get(step.job.queue.pool)
@@ -116,10 +123,12 @@
             return NO_RUNNERS
         return reservation.runner_ids
 
-    def is_reserved_for(self, step) -> bool:
-        """Return whether runners are kept free for a step."""
+    def reserved_for(self, step) -> frozenset:
+        """Return the identifiers of the runners that are kept free for a step."""
         reservation = self.by_pool.get(step.job.queue.pool)
-        return reservation is not None and reservation.step is step
+        if reservation is None or reservation.step is not step:
+            return NO_RUNNERS
+        return reservation.runner_ids
 
     def may_reserve(self, step, now) -> bool:
         """Return whether runners are to be reserved for a step if it is overtaken."""
--- a/wasabipaddle/dispatch/tests/test_candidates.py
+++ b/wasabipaddle/dispatch/tests/test_candidates.py
@@ -91,9 +91,10 @@
         """Examine all candidates."""
         return any(r.fits(step.spec) for r in self.candidates(step, now))
 
-    def select_fitting(self, step, runners, now):
+    def select_usable(self, step, runners, now):
         """Examine all of the runners."""
-        return [runner for runner in runners if fits(step, runner)]
+        reserved = self.reservations.reserved_for_others(step)
+        return [r for r in runners if fits(step, r) and r.id not in reserved]
 
     def _permitted_by_ticket(self, step, now):
         tickets = (
