Test the restart of the last task of a step whose run has failed

The other work of the plays comes from a queue of the same priority, as urgent work preempts tasks that do not last.

--- a/wasabipaddle/dispatch/tests/conftest.py
+++ b/wasabipaddle/dispatch/tests/conftest.py
@@ -46,7 +46,7 @@
     Attributes
     ----------
     percents : dict
-        Progress of running tasks, by task and run; others are at 50 percent.
+        Progress of running tasks, by task and run; others are at `usual_percent`.
     lag_s : float
         Time for which the clock of the runner has stood still, in seconds.
     """
@@ -58,6 +58,7 @@
         self.cpu = cpu
         self.running = {}
         self.percents = {}
+        self.usual_percent = 50
         self.ended = []
         self.number = 0
         self.acknowledged = 0
@@ -92,7 +93,7 @@
                 task=task,
                 run=run,
                 checkpoint=saved,
-                percent=self.percents.get((task, run), 50),
+                percent=self.percents.get((task, run), self.usual_percent),
                 load=1.0,
             )
             for (task, run), saved in self.running.items()
--- a/wasabipaddle/dispatch/tests/test_usable_runners.py
+++ b/wasabipaddle/dispatch/tests/test_usable_runners.py
@@ -26,6 +26,23 @@
         assert play.measure_wait_s(RESTART_LIMIT_S) is not None
 
 
+@pytest.mark.parametrize(("size", "roomy"), [(60, 12), (176, 40)])
+@pytest.mark.parametrize("scarce", SCARCE)
+def test_failed_task_runs_again_after_the_others_of_its_step(scarce, size, roomy):
+    """Guards against jobs that never end as their last task finds no runner."""
+    for seed in SEEDS:
+        play = AdvicePlay(
+            size=size, roomy=roomy, scarce=scarce, seed=seed, lasting=False
+        )
+        play.submit(14)
+        play.play(8.0)
+        play.submit_others()
+        play.play(2.0)
+        play.end_all_but_one()
+        play.fail_a_task()
+        assert play.measure_wait_s(RESTART_LIMIT_S) is not None
+
+
 @pytest.mark.parametrize(("size", "roomy"), [(60, 12), (176, 40), (176, 90)])
 @pytest.mark.parametrize("scarce", SCARCE)
 def test_first_request_asks_about_runners_with_room(scarce, size, roomy):
