Exclude a process whose requests for advice are refused

Cause: only time-outs and unreachable processes lead to an exclusion. A process that refuses at once, for example since the service rate-limits its machine after calls that were given up, never has an outstanding request. It is thus the least busy one and gets each request.

Evidence: test_process_that_refuses_each_request_is_excluded fails before the change for all three kinds, with 20 of 20 requests refused.

Change: each failure excludes the process for 1 s, doubled up to 8 s, as time-outs do. While most processes are excluded, all are used, as before.

--- a/wasabipaddle/cell/advice.py
+++ b/wasabipaddle/cell/advice.py
@@ -21,13 +21,12 @@
 RELAY_MARGIN_S = 0.3
 # Share of the processes that is reserved for urgent requests.
 RESERVED_SHARE = 0.4
-# Time for which a process that did not reply is excluded. It doubles with each further
-# request without a reply, up to the maximum.
+# Time for which a process whose request has failed is excluded. It doubles with each
+# further failure, up to the maximum.
 EXCLUSION_S = 1.0
 MAX_EXCLUSION_S = 8.0
 # Interval at which the process of an outstanding request is checked for silence.
 SILENCE_CHECK_S = 0.25
-EXCLUSION_KINDS = frozenset({ErrorKind.TIMEOUT, ErrorKind.UNREACHABLE})
 # A process whose outstanding requests are expected to take longer than this gets only
 # urgent requests.
 MAX_OUTSTANDING_S = 0.7
@@ -77,7 +76,7 @@
     failures : int
         Number of consecutive exclusions.
     excluded_until_s : float
-        Monotonic time until which the process is excluded, as it did not reply.
+        Monotonic time until which the process is excluded, as its requests failed.
     """
 
     outstanding: int = 0
@@ -153,7 +152,9 @@
             relay.end(request.expected_s)
         if reply.is_ok():
             relay.record_reply()
-        elif reply.err().kind in EXCLUSION_KINDS:
+        else:
+            # A process that refuses at once has nothing outstanding, so it would be
+            # chosen for each request.
             relay.record_failure(self.members.context.clock.now())
         return reply
 
--- a/wasabipaddle/cell/tests/test_advice.py
+++ b/wasabipaddle/cell/tests/test_advice.py
@@ -25,6 +25,8 @@
     ----------
     unresponsive : set of str
         Processes that get no request, though they are heard from.
+    refusing : dict of str to ErrorKind
+        Processes that refuse each request at once, with the kind of their error.
     last_heard_s : dict of str to float
         Time of the latest sign of life of the processes that are silent since.
     """
@@ -35,6 +37,7 @@
         self.roster = self
         self.asked = []
         self.unresponsive = set()
+        self.refusing = {}
         self.last_heard_s = {}
 
     def live(self):
@@ -46,6 +49,8 @@
 
     async def ask(self, process, message, reply_type, *, timeout_s):
         self.asked.append((process, message.step))
+        if process in self.refusing:
+            return Err(Failure(kind=self.refusing[process], detail="refused"))
         if process in self.unresponsive or process in self.last_heard_s:
             await asyncio.sleep(timeout_s)
             return Err(Failure(kind=ErrorKind.TIMEOUT, detail="none"))
@@ -127,6 +132,26 @@
     with_cell(make_test_cell, scenario)
 
 
+@pytest.mark.parametrize(
+    "kind", [ErrorKind.RATE_LIMITED, ErrorKind.ANSWER_BROKEN, ErrorKind.INTERNAL]
+)
+def test_process_that_refuses_each_request_is_excluded(with_balancer, kind):
+    """Guards against steps that never get an answer since one process refuses at once.
+
+    Such a process has no outstanding requests, so it seems to be the least busy one.
+    """
+
+    async def scenario(balancer, members, scheduler):
+        members.refusing["p4"] = kind
+        request = advice_request(scheduler, urgent=False)
+        assert (await balancer.ask(request)).is_err()
+        # Exclusions of 1, 2, 4 and 8 s in the 10 s that 20 answers take.
+        replies = [await balancer.ask(request) for _ in range(20)]
+        assert sum(reply.is_err() for reply in replies) <= 4
+
+    with_balancer(scenario, count=8)
+
+
 def test_silent_processes_get_no_request_however_many_they_are(with_balancer):
     """Guards against requests to removed processes when most of them are gone.
 
