Let steps ask for advice in their order, with a floor

Callers saw: during a burst of other work, tasks that last do not run again for many seconds although runners have room for them.

Cause: the advisor hands out a request for each step that needs one. The balancer refuses what its processes cannot take, and a refused step asks again after 0.2 s. Whichever step asks first once a process is free gets it, so the order of the work does not matter, and nothing bounds the wait of a step of low priority.

Change: the balancer counts the processes that can take a non-urgent request, and the advisor plans no more than these, in the order. Every second request goes to the work that has waited longest without one, if that is more than 1 s: a kind of work as a whole, and each step that lasts by itself. Urgent requests are not limited. The answer to a request starts the next round, which fills the free process, so no pause is lost.

--- a/wasabipaddle/cell/advice.py
+++ b/wasabipaddle/cell/advice.py
@@ -179,20 +179,27 @@
         detail = f"{process} is silent"
         return Err(Failure(kind=ErrorKind.UNREACHABLE, detail=detail))
 
+    def count_slots(self) -> int:
+        """Return how many non-urgent requests can be made at once, one a process."""
+        return sum(map(self._takes_non_urgent, self._allowed(urgent=False)))
+
+    def _takes_non_urgent(self, process) -> bool:
+        return self.relays[process].outstanding_s <= MAX_OUTSTANDING_S
+
     def _choose(self, request):
         """Return the process for a request, or None if a non-urgent one has to wait."""
+        allowed = self._allowed(urgent=request.urgent)
+        process = min(allowed, key=lambda name: self.relays[name].outstanding_s)
+        return process if request.urgent or self._takes_non_urgent(process) else None
+
+    def _allowed(self, *, urgent):
+        """Return the processes that may make a request."""
         available = self._available()
-        reserved = math.ceil(len(available) * RESERVED_SHARE)
-        if len(available) == 1:
-            reserved = 0
+        if urgent or len(available) == 1:
+            return available
         # The leader, unless excluded, is first in the list and thus reserved: its
         # requests need no relay.
-        allowed = available if request.urgent else available[reserved:]
-        process = min(allowed, key=lambda name: self.relays[name].outstanding_s)
-        waiting_s = self.relays[process].outstanding_s
-        if not request.urgent and waiting_s > MAX_OUTSTANDING_S:
-            return None
-        return process
+        return available[math.ceil(len(available) * RESERVED_SHARE) :]
 
     def _available(self):
         """Return the processes to choose from.
--- a/wasabipaddle/cell/session.py
+++ b/wasabipaddle/cell/session.py
@@ -316,12 +316,17 @@
                     self.journal("runner_forgotten", runner=runner.id)
                     self.fleet.changed.set()
             if self.may_grant():
-                for request in self.scheduler.plan(now):
-                    self.spawn(self._request_advice(request))
+                self._plan_work(now)
             for order in self.scheduler.take_orders():
                 self.calls.send(order)
             self.after_round.make_calls()
 
+    def _plan_work(self, now):
+        """Start the tasks that fit, and send the requests for advice."""
+        slots = self.advice_balancer.count_slots()
+        for request in self.scheduler.plan(now, advice_slots=slots):
+            self.spawn(self._request_advice(request))
+
     def _note_granting(self):
         """Log that the proof of leadership is too old, or young enough again."""
         granting = self.may_grant()
--- a/wasabipaddle/cell/tests/conftest.py
+++ b/wasabipaddle/cell/tests/conftest.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import zlib
+from types import SimpleNamespace
 
 import pytest
 from result import Err
@@ -39,6 +40,7 @@
         self.waiting_received_s = 0.0
         self.count_waiting = lambda: None
         self.roster = self
+        self.context = SimpleNamespace(clock=LoopClock())
         self.asked = []
         self.phase = None
         self.unresponsive = {}
@@ -49,6 +51,10 @@
         names = [name for name in self.processes if name != self.process]
         return sorted(names, key=lambda p: (p in self.unresponsive, p != leader))
 
+    def live(self):
+        """Return no processes; the stand-in makes no requests for advice."""
+        return []
+
     async def ask_leader(self, message, reply_type, *, timeout_s):
         """Record the message; return `phase`, or an error as long as it is not set."""
         self.asked.append(message)
--- a/wasabipaddle/cell/tests/test_advice.py
+++ b/wasabipaddle/cell/tests/test_advice.py
@@ -116,6 +116,23 @@
     with_cell(make_test_cell, scenario)
 
 
+def test_as_many_requests_are_accepted_as_there_are_slots(with_balancer):
+    """Guards against refused requests, whose steps ask again in no order."""
+
+    async def scenario(balancer, members, scheduler):
+        request = advice_request(scheduler, urgent=False)
+        answers, counts = [], []
+        while counts[-1:] != [0]:
+            counts.append(balancer.count_slots())
+            for _ in range(counts[-1]):
+                answers.append(asyncio.create_task(balancer.ask(request)))
+            await asyncio.sleep(0.01)
+        assert counts == [4, 4, 0]
+        assert all(reply.is_ok() for reply in await asyncio.gather(*answers))
+
+    with_balancer(scenario, count=8)
+
+
 def test_process_that_does_not_reply_is_excluded(make_test_cell):
     """Guards against repeated requests to a process that does not reply."""
 
--- a/wasabipaddle/cell/tests/test_unexpected_errors.py
+++ b/wasabipaddle/cell/tests/test_unexpected_errors.py
@@ -49,7 +49,7 @@
         assert session.scheduler.state.runners["r0"].entry.draining
         assert JOB in session.scheduler.state.jobs
         planned = []
-        session.scheduler.plan = lambda now: planned.append(now) or []
+        session.scheduler.plan = lambda now, **_: planned.append(now) or []
         await asyncio.sleep(1.0)
         assert planned
 
--- a/wasabipaddle/dispatch/advisor.py
+++ b/wasabipaddle/dispatch/advisor.py
@@ -1,5 +1,8 @@
 """Planning of requests to the eligibility service."""
 
+import math
+
+from wasabipaddle.dispatch.advice_line import AdviceLine
 from wasabipaddle.dispatch.claims import needed_together
 from wasabipaddle.dispatch.fitting import fits
 from wasabipaddle.dispatch.model import COMPARED_PERCENT, RunPhase
@@ -31,34 +34,53 @@
     ----------
     naming : Naming
         Chooses which runners a request names.
+    line : AdviceLine
+        Chooses which steps ask while the service is busy.
     """
 
     def __init__(self, *, state, placement):
         self.state = state
         self.placement = placement
         self.naming = Naming()
+        self.line = AdviceLine(order=state.order)
 
-    def plan(self, now):
+    def plan(self, now, *, slots=math.inf):
         """Return the requests to send now.
 
         Ready steps come first, in their order, then steps about to open. Ready
         steps that wait for the quota of their workspace need no answer yet.
+
+        Parameters
+        ----------
+        slots : float
+            Number of non-urgent requests that can be sent now; infinite by default.
         """
-        wanted = []
-        non_urgent = 0
+        steps, renewed = self._ready_steps(now)
+        steps += self._steps_opening_soon(now)
+
+        def make_request(step):
+            reserved = self.placement.reservations.is_reserved_for(step)
+            return self._request(step, now, renew=reserved or step.key in renewed)
+
+        urgent = [step for step in steps if step.job.queue.priority == 0]
+        others = [step for step in steps if step.job.queue.priority != 0]
+        requests = [make_request(step) for step in urgent]
+        requests = [request for request in requests if request is not None]
+        return requests + self.line.share_out(others, make_request, now, slots=slots)
+
+    def _ready_steps(self, now):
+        """Return ready steps in their order, and the keys of those that renew."""
+        steps, renewed, non_urgent = [], set(), 0
         for step in self.state.order.waiting(now):
-            urgent = step.job.queue.priority == 0
             if not self.state.quotas.admits(step, count=needed_together(step)):
                 continue
-            renew = not urgent and non_urgent < RENEWED_STEPS
-            non_urgent += not urgent
-            if step.job.queue.advice is None:
-                continue
-            renew |= self.placement.reservations.is_reserved_for(step)
-            wanted.append(self._request(step, now, renew=renew))
-        for step in self._steps_opening_soon(now):
-            wanted.append(self._request(step, now))
-        return [request for request in wanted if request is not None]
+            if step.job.queue.priority != 0:
+                if non_urgent < RENEWED_STEPS:
+                    renewed.add(step.key)
+                non_urgent += 1
+            if step.job.queue.advice is not None:
+                steps.append(step)
+        return steps, renewed
 
     def _request(self, step, now, *, renew=False):
         policy, eligibility = step.job.queue.advice, step.eligibility
--- a/wasabipaddle/dispatch/order.py
+++ b/wasabipaddle/dispatch/order.py
@@ -131,7 +131,7 @@
 
     def take(self, run):
         """Count the processors of a run that may exist from now on."""
-        kind = self._kind(run.task.step)
+        kind = self.kind(run.task.step)
         key = (run.runner.entry.pool, kind)
         self.counted[run] = key
         self.in_use[key] = self.in_use.get(key, 0) + _reserved_cpu(run.task.spec)
@@ -142,7 +142,8 @@
         if key is not None:
             self.in_use[key] -= _reserved_cpu(run.task.spec)
 
-    def _kind(self, step):
+    def kind(self, step) -> Kind:
+        """Return the kind of work of a step, as of its latest rank."""
         rank = self.ranks.get(step.key)
         outlook = Outlook.IN_TIME if rank is None else rank.outlook
         lost = outlook is Outlook.LOST
@@ -262,7 +263,7 @@
         self.sequence = sorted(ready.values(), key=lambda step: self.ranks[step.key])
         self.by_kind = {}
         for step in self.sequence:
-            key = (step.job.queue.pool, self._kind(step))
+            key = (step.job.queue.pool, self.kind(step))
             self.by_kind.setdefault(key, []).append(step)
 
     def pool_room(self, pool) -> int:
--- a/wasabipaddle/dispatch/scheduler.py
+++ b/wasabipaddle/dispatch/scheduler.py
@@ -178,11 +178,17 @@
         if may_start:
             self.placement.plan_copies(now)
 
-    def plan(self, now):
-        """Start the tasks that fit and return the eligibility requests to send."""
+    def plan(self, now, *, advice_slots=math.inf):
+        """Start the tasks that fit and return the eligibility requests to send.
+
+        Parameters
+        ----------
+        advice_slots : float
+            Number of non-urgent requests that can be sent now; infinite by default.
+        """
         self.placement.plan(now)
         self.delays.check(now)
-        return self.advisor.plan(now)
+        return self.advisor.plan(now, slots=advice_slots)
 
     def take_orders(self):
         """Remove and return the orders to send."""
--- a/wasabipaddle/dispatch/tests/conftest.py
+++ b/wasabipaddle/dispatch/tests/conftest.py
@@ -1,5 +1,7 @@
 """Fixtures: a scheduler with in-memory runners, driven step by step."""
 
+import math
+
 import attrs
 import pytest
 
@@ -117,13 +119,16 @@
 class Cell:
     """A scheduler, its runners and the starts that it has ordered."""
 
-    def __init__(self, *, runners=2, cpu=4000, term=0):
+    def __init__(self, *, runners=2, cpu=4000, term=0, queues=()):
         self.now = 100.0
         self.events = []
         self.runners = {}
         self.started = []
         self.unresponsive = set()
-        self.configuration = CellConfiguration(version=1, queues=tuple(QUEUES.values()))
+        self.queues = QUEUES | {queue.name: queue for queue in queues}
+        self.configuration = CellConfiguration(
+            version=1, queues=tuple(self.queues.values())
+        )
         self.scheduler = self._make_scheduler(term)
         for i in range(runners):
             self.add_runner(f"r{i}", cpu=cpu)
@@ -180,7 +185,7 @@
         """Add a job and return its entry."""
         job = Job(
             id=job_id,
-            policy=QUEUES[queue],
+            policy=self.queues[queue],
             accepted_ms=int(self.now * 1000),
             spec=JobSpec(payload="p", steps=steps),
             workspace=workspace,
@@ -213,14 +218,15 @@
         self.scheduler.reports.record_write(written, generation)
         return records
 
-    def plan(self, *, answer=True):
+    def plan(self, *, answer=True, advice_slots=math.inf):
         """Plan and execute the orders; without `answer`, starts get lost.
 
         As a session does, this plans again as long as tasks wait for replies to starts.
         """
         requests, orders = [], []
         while True:
-            requests += self.scheduler.plan(self.now)
+            slots = advice_slots - len(requests)
+            requests += self.scheduler.plan(self.now, advice_slots=slots)
             taken = self.scheduler.take_orders()
             for order in taken:
                 self.execute(order, answer=answer)
