Derive simple calls of a transactional store from its transactions

The adapter and the stand-in each have their own put, delete, watch and list_all, of which those of the stand-in only raise. `TransactionalStore` provides them by commit, follow and list, so that the adapter has only what speaks to the platform.

--- a/wasabipaddle/interfaces/transactions.py
+++ b/wasabipaddle/interfaces/transactions.py
@@ -3,7 +3,7 @@
 import abc
 
 import attrs
-from result import Result
+from result import Ok, Result
 
 from wasabipaddle.exceptions import Failure
 from wasabipaddle.interfaces.store import Change, Page, Store
@@ -68,9 +68,40 @@
     ) -> Result[WatchBatch, Failure]:
         """Wait for changes like `watch`, and return the revision to continue from."""
 
-    @abc.abstractmethod
+    async def put(
+        self, key, value, *, expected_revision=None, lease=None
+    ) -> Result[int, Failure]:
+        """Write one key and return its new revision."""
+        conditions = () if expected_revision is None else ((key, expected_revision),)
+        put = Put(key=key, value=value, lease=lease or 0)
+        return await self.commit(conditions=conditions, puts=(put,))
+
+    async def delete(self, key, *, expected_revision=None) -> Result[int, Failure]:
+        """Delete one key and return the revision of the deletion."""
+        conditions = () if expected_revision is None else ((key, expected_revision),)
+        return await self.commit(conditions=conditions, deletes=(key,))
+
+    async def watch(
+        self, prefix, *, after_revision, wait_s
+    ) -> Result[tuple[Change, ...], Failure]:
+        """Wait for changes with a revision above `after_revision`."""
+        batch = await self.follow(prefix, after_revision=after_revision, wait_s=wait_s)
+        return batch.map(lambda b: b.changes)
+
     async def list_all(self, prefix) -> Result[Page, Failure]:
         """Read all pages of a prefix; the revision is that of the first page."""
+        entries = []
+        revision = None
+        after = ""
+        while after is not None:
+            page = await self.list(prefix, after=after)
+            if page.is_err():
+                return page
+            page = page.ok()
+            entries.extend(page.entries)
+            revision = page.revision if revision is None else revision
+            after = page.next_after
+        return Ok(Page(entries=tuple(entries), revision=revision))
 
     @property
     def connection_generation(self) -> int:
--- a/wasabipaddle/platform/store.py
+++ b/wasabipaddle/platform/store.py
@@ -6,14 +6,7 @@
 from result import Err, Ok, Result
 
 from wasabipaddle.exceptions import ErrorKind, Failure
-from wasabipaddle.interfaces import (
-    Change,
-    Entry,
-    Page,
-    Put,
-    TransactionalStore,
-    WatchBatch,
-)
+from wasabipaddle.interfaces import Change, Entry, Page, TransactionalStore, WatchBatch
 from wasabipaddle.jobs.decoding import decode_answer, integer
 from wasabipaddle.transport.json_client import JsonHttpClient
 
@@ -72,34 +65,6 @@
         response = await self._call("GET", "/kv-range", query=query, hedged=True)
         return _decode(response, _decode_page)
 
-    async def list_all(self, prefix) -> Result[Page, Failure]:
-        """Read all pages of a prefix; the revision is that of the first page."""
-        entries = []
-        revision = None
-        after = ""
-        while after is not None:
-            page = await self.list(prefix, after=after)
-            if page.is_err():
-                return page
-            page = page.ok()
-            entries.extend(page.entries)
-            revision = page.revision if revision is None else revision
-            after = page.next_after
-        return Ok(Page(entries=tuple(entries), revision=revision))
-
-    async def put(
-        self, key, value, *, expected_revision=None, lease=None
-    ) -> Result[int, Failure]:
-        """Write one key and return its new revision."""
-        conditions = () if expected_revision is None else ((key, expected_revision),)
-        put = Put(key=key, value=value, lease=lease or 0)
-        return await self.commit(conditions=conditions, puts=(put,))
-
-    async def delete(self, key, *, expected_revision=None) -> Result[int, Failure]:
-        """Delete one key and return the revision of the deletion."""
-        conditions = () if expected_revision is None else ((key, expected_revision),)
-        return await self.commit(conditions=conditions, deletes=(key,))
-
     async def commit(
         self, *, conditions=(), puts=(), deletes=()
     ) -> Result[int, Failure]:
@@ -120,13 +85,6 @@
             return _failure(ErrorKind.NOT_FOUND, "the lease has ended")
         return _decode(response, lambda body: integer(body["revision"]))
 
-    async def watch(
-        self, prefix, *, after_revision, wait_s
-    ) -> Result[tuple[Change, ...], Failure]:
-        """Wait for changes with a revision above `after_revision`."""
-        batch = await self.follow(prefix, after_revision=after_revision, wait_s=wait_s)
-        return batch.map(lambda b: b.changes)
-
     async def follow(
         self, prefix, *, after_revision, wait_s
     ) -> Result[WatchBatch, Failure]:
--- a/wasabipaddle/standins/transactions.py
+++ b/wasabipaddle/standins/transactions.py
@@ -170,11 +170,7 @@
         return await self._refusal() or Ok(self.memory.items.get(key))
 
     async def list(self, prefix, *, after="", limit=0):
-        """Return all entries with a prefix as one page."""
-        return await self.list_all(prefix)
-
-    async def list_all(self, prefix):
-        """Return all entries with a prefix and the revision of the store."""
+        """Return all entries with a prefix, and the revision of the store."""
         refusal = await self._refusal()
         if refusal:
             return refusal
@@ -182,18 +178,6 @@
         entries = tuple(self.memory.items[k] for k in keys)
         return Ok(Page(entries=entries, revision=self.memory.revision))
 
-    async def put(self, key, value, *, expected_revision=None, lease=None):
-        """Not implemented, because cells write with `commit`."""
-        raise NotImplementedError
-
-    async def delete(self, key, *, expected_revision=None):
-        """Not implemented, because cells write with `commit`."""
-        raise NotImplementedError
-
-    async def watch(self, prefix, *, after_revision, wait_s):
-        """Not implemented, because cells use `follow`."""
-        raise NotImplementedError
-
     async def commit(self, *, conditions=(), puts=(), deletes=()):
         """Apply all changes if all conditions hold, or none of them."""
         refusal = await self._refusal()
