Fill in the settings template by plain placeholders only

Cause: the template has sections for three bounds, and names two limits that a platform may leave out.

Change: the template passes the tables `bounds` and `limits` as JSON under the key `platform_fields`. A field that is absent gives no setting, and a setting of the file holds before one of the tables.

--- a/wasabipaddle/settings/loader.py
+++ b/wasabipaddle/settings/loader.py
@@ -16,6 +16,7 @@
     check_settings,
 )
 from wasabipaddle.settings.model import Deployment, Settings
+from wasabipaddle.settings.platform_fields import include_platform_fields
 
 __all__ = ["load_cell_settings", "load_deployment", "load_settings"]
 
@@ -148,12 +149,14 @@
 def load_cell_settings(path) -> Result[CellSettings, Failure]:
     """Read the settings of a process of a cell that schedules jobs.
 
-    Errors are as in `load_settings`.
+    The key `platform_fields` holds tables of the platform, from which the settings
+    that the platform may leave out are taken. Errors are as in `load_settings`.
     """
     reader = _reader(path)
     node = _compose_file(path, reader)
     settings = None
     if node is not None:
+        include_platform_fields(node, reader)
         settings = reader.read_class(CellSettings, node)
     if settings is not None:
         check_cell_settings(settings, reader)
