Count the machines of a wave that are away in a module of their own

`MachinesAway` tells which machines count against the cap of a wave, and an operation keeps the pauses between its calls itself.

The test of mutations replaces the method at its new place, which it did not find at first (`ignore_unanswered_calls` failed), so it still covers the count.

No change of behaviour; the tests of maintenance in dispatch and cell pass.

--- a/wasabipaddle/dispatch/maintenance.py
+++ b/wasabipaddle/dispatch/maintenance.py
@@ -6,8 +6,8 @@
 from wasabipaddle.dispatch.drains import Drains
 from wasabipaddle.dispatch.machine_choice import MachineChoice, WavePace, deadline_ms
 from wasabipaddle.dispatch.machines import MachineView
+from wasabipaddle.dispatch.machines_away import MachinesAway
 from wasabipaddle.dispatch.operations import (
-    MAX_COUNTED_FAILURES,
     Operation,
     OperationPhase,
     WaveProgress,
@@ -23,9 +23,6 @@
 MS_PER_S = 1000
 # Time after which a runner gets work again if the service is silent or refuses calls.
 SILENCE_S = 10.0
-# First and longest pause between two calls for a machine.
-RETRY_S = 0.5
-MAX_RETRY_S = 4.0
 
 
 class Maintenance:
@@ -54,6 +51,8 @@
         Waves by number.
     operations : dict of str to Operation
         Operations by machine; a machine has one at a time, whatever its waves.
+    away : MachinesAway
+        Tells which machines of a wave are away.
     choice : MachineChoice
         Chooses the next machines.
     readiness : Readiness
@@ -73,6 +72,7 @@
         self.operations = {}
         self.calls_from_s = 0.0
         self.answered_s = -math.inf
+        self.away = MachinesAway(view=self.view, operations=self.operations)
         self.readiness = Readiness(state=state, drains=self.drains, view=self.view)
         self.choice = MachineChoice(
             state=state,
@@ -140,7 +140,7 @@
 
     def may_forget(self, progress) -> bool:
         """Return whether the record of a wave is not needed any more."""
-        return progress.withdrawn and not self._operations_of(progress.number)
+        return progress.withdrawn and not self.away.operations_of(progress.number)
 
     def record_list(self, machines, requested_s):
         """Record a whole list of the machines."""
@@ -194,26 +194,9 @@
             return False
         if not self.readiness.is_ready(operation, now):
             return False
-        others = self._count_others_away(progress, operation, now)
+        others = self.away.count_others(progress, operation, now)
         return others < progress.wave.cap
 
-    def _count_others_away(self, progress, operation, now):
-        """Return the number of other machines that are or may soon be in maintenance.
-
-        A call without an answer counts as long as it may come late.
-        """
-        down = self._list_away(progress) - {operation.machine}
-        for other in self._operations_of(progress.number, progress.wave.machines):
-            begun = other.phase is OperationPhase.BEGUN
-            if other is not operation and (begun or other.may_begin(now)):
-                down.add(other.machine)
-        return len(down)
-
-    def _list_away(self, progress):
-        """Return the machines of a wave, past ones included, in maintenance."""
-        names = {*progress.wave.machines, *progress.begun}
-        return {name for name in names if self.view.is_away(name)}
-
     def cancel_call(self, operation):
         """Record that a call was not made after all."""
         operation.calling = False
@@ -232,7 +215,7 @@
         if reply is MaintenanceReply.ACCEPTED:
             self._begin(operation, now)
             return
-        self._back_off(operation, now)
+        operation.back_off(now)
         refused = reply not in (None, MaintenanceReply.STALE_EPOCH)
         if refused and not operation.may_begin(now):
             self._release(operation, now)
@@ -241,12 +224,7 @@
         """Record that a call was not answered: it may be carried out later."""
         operation.calling = False
         operation.doubtful_until_s = now + LATE_CALL_S
-        self._back_off(operation, now)
-
-    def _back_off(self, operation, now):
-        pause_s = min(RETRY_S * 2**operation.failures, MAX_RETRY_S)
-        operation.failures = min(operation.failures + 1, MAX_COUNTED_FAILURES)
-        operation.next_call_s = now + pause_s
+        operation.back_off(now)
 
     def _begin(self, operation, now):
         operation.phase = OperationPhase.BEGUN
@@ -328,14 +306,6 @@
         """Keep new work from the runners of all operations."""
         self.drains.cordon(o.runner for o in self.operations.values() if o.runner)
 
-    def _operations_of(self, number, machines=()):
-        """Return the operations of a wave, and those of some machines."""
-        return [
-            operation
-            for operation in self.operations.values()
-            if operation.wave == number or operation.machine in machines
-        ]
-
     def _advance(self, progress, now):
         wave = progress.wave
         progress.note_absent(self.view)
@@ -355,7 +325,7 @@
         pace = WavePace(progress=progress, left=left, state=self.state, now=now)
         phases = [
             self._advance_operation(operation, progress, now)
-            for operation in self._operations_of(wave.number)
+            for operation in self.away.operations_of(wave.number)
         ]
         hindrances = [WaveWaitReason.SERVICE]
         if fresh:
@@ -368,7 +338,7 @@
         """Ask for a machine that has been drained; return what it waits for."""
         if operation.phase is OperationPhase.BEGUN:
             return WaveWaitReason.MAINTENANCE
-        away = self._operations_of(progress.number, progress.wave.machines)
+        away = self.away.operations_of(progress.number, progress.wave.machines)
         if len(away) > progress.wave.cap and not operation.may_begin(now):
             self._release(operation, now)
         elif operation.phase is OperationPhase.ASKED:
@@ -385,8 +355,7 @@
     def _begin_drains(self, progress, left, pace, now):
         """Drain the next machines as long as the cap allows; return what hinders it."""
         wave = progress.wave
-        away = {o.machine for o in self._operations_of(wave.number, wave.machines)}
-        away |= self._list_away(progress)
+        away = self.away.list_claimed(progress)
         free = wave.cap - len(away)
         if free <= 0:
             return [] if away else [WaveWaitReason.CAP]
--- a/wasabipaddle/dispatch/operations.py
+++ b/wasabipaddle/dispatch/operations.py
@@ -8,13 +8,15 @@
 from wasabipaddle.jobs.maintenance import MaintenanceWave, WaveRecord
 
 __all__ = [
-    "MAX_COUNTED_FAILURES",
     "Operation",
     "OperationPhase",
     "WaveProgress",
     "WaveWaitReason",
 ]
 
+# First and longest pause between two calls for a machine.
+RETRY_S = 0.5
+MAX_RETRY_S = 4.0
 # Failures in a row that a pause counts; it has reached its longest value by then.
 MAX_COUNTED_FAILURES = 16
 
@@ -97,6 +99,12 @@
         """Return whether a call may yet begin the maintenance."""
         return self.calling or now < self.doubtful_until_s
 
+    def back_off(self, now):
+        """Allow the next call after a pause, which grows with the failures in a row."""
+        pause_s = min(RETRY_S * 2**self.failures, MAX_RETRY_S)
+        self.failures = min(self.failures + 1, MAX_COUNTED_FAILURES)
+        self.next_call_s = now + pause_s
+
     def unanswered_since_s(self, answered_s) -> float:
         """Return the time since which no call has got an answer, in the phase ASKED.
 
--- a/wasabipaddle/dispatch/tests/test_maintenance_machine.py
+++ b/wasabipaddle/dispatch/tests/test_maintenance_machine.py
@@ -4,7 +4,7 @@
 
 from wasabipaddle.dispatch import availability
 from wasabipaddle.dispatch.drains import Drains
-from wasabipaddle.dispatch.maintenance import Maintenance
+from wasabipaddle.dispatch.machines_away import MachinesAway
 from wasabipaddle.dispatch.operations import OperationPhase, WaveProgress
 from wasabipaddle.dispatch.tests.maintenance_world import World
 
@@ -92,13 +92,13 @@
 
 def ignore_unanswered_calls(monkeypatch):
     """Count only machines whose maintenance is known to have begun."""
-    find = Maintenance._operations_of
+    find = MachinesAway.operations_of
 
     def find_begun(self, number, machines=()):
         found = find(self, number, machines)
         return [o for o in found if o.phase is not OperationPhase.ASKED or o.calling]
 
-    monkeypatch.setattr(Maintenance, "_operations_of", find_begun)
+    monkeypatch.setattr(MachinesAway, "operations_of", find_begun)
 
 
 def ignore_sick_runners(monkeypatch):
