Move the storage of jobs and cancellations out of the entry plug-in

`JobStorage` writes jobs and cancellations, through a peer if the store is out of reach, and notifies the dispatcher; the plug-in serves the callers, identifies them and logs the outcome. Tests reach the moved methods through `entry.storage`.

--- a/wasabipaddle/cell/entry.py
+++ b/wasabipaddle/cell/entry.py
@@ -2,18 +2,15 @@
 
 import asyncio
 
-from result import Err, Ok
+from result import Ok
 
 from wasabipaddle.cell.admission import Admission
 from wasabipaddle.cell.configuration import ConfigurationPlugin
+from wasabipaddle.cell.job_storage import JobStorage, fail, not_configured
 from wasabipaddle.cell.members import MembersPlugin
 from wasabipaddle.cell.store import CellStorePlugin
-from wasabipaddle.cell.stored_jobs import (
-    create_job,
-    find_stored_phase,
-    store_cancellation,
-)
-from wasabipaddle.exceptions import ErrorKind, Failure, Outcome
+from wasabipaddle.cell.stored_jobs import find_stored_phase
+from wasabipaddle.exceptions import ErrorKind
 from wasabipaddle.ingress import RequestLimits
 from wasabipaddle.jobs import (
     Job,
@@ -25,9 +22,7 @@
 from wasabipaddle.kernel import Plugin
 from wasabipaddle.messages.jobs import (
     CancelJob,
-    JobAccepted,
     JobCancelled,
-    Noted,
     PhaseReply,
     QueryPhase,
     StoreJob,
@@ -40,29 +35,17 @@
 UNCONFIGURED_LIMITS = Limits()
 # Part of the time limit of a call that is reserved for sending the response.
 RESPONSE_RESERVE_S = 0.3
-RETRY_S = 0.05
 # Longest wait for the phase of a job from the dispatcher; also limited to half of the
 # time limit of the call, so that the store can still be read.
 LEADER_TIMEOUT_S = 0.5
-PEER_TIMEOUT_S = 1.5
-# Limit of the peers that are asked in turn to store a job or a cancellation, the leader
-# first.
-MAX_PEERS = 3
-NOTICE_TIMEOUT_S = 0.5
-NOTICE_TRIES = 3
 # Age up to which the numbers of waiting jobs in a reply of the leader are used.
 WAITING_VALID_S = 2.0
-RETRY_AFTER_S = 1.0
 # Time for two failed probes, after which the load balancer stops sending calls to a
 # draining process.
 PROBE_GRACE_S = 2.2
 DRAIN_CHECK_S = 0.02
 # Part of the grace period that is kept for the rest of the shutdown.
 DRAIN_RESERVE_S = 1.5
-# Kinds of failure that another try does not change, and kinds after which it is certain
-# that a write has not taken effect.
-FINAL_KINDS = frozenset({ErrorKind.CONFLICT, ErrorKind.DEADLINE_UNMEETABLE})
-NOT_STORED_KINDS = frozenset({ErrorKind.STORE_UNAVAILABLE, ErrorKind.STORE_THROTTLED})
 
 
 class EntryPlugin(Plugin):
@@ -100,8 +83,16 @@
             members=self.members,
             store_plugin=self.store_plugin,
         )
-        self.members.transport.handle(StoreJob, self._store_for_peer)
-        self.members.transport.handle(CancelJob, self._cancel_for_peer)
+        self.storage = JobStorage(
+            context=self.context,
+            configuration=self.configuration,
+            members=self.members,
+            store_plugin=self.store_plugin,
+            marks=self.admission.marks,
+            tasks=self.tasks,
+        )
+        self.members.transport.handle(StoreJob, self.storage.store_for_peer)
+        self.members.transport.handle(CancelJob, self.storage.cancel_for_peer)
         settings = self.context.settings
         await self.listener.open(
             callers_address=settings.callers, readiness_address=settings.readiness
@@ -143,10 +134,10 @@
         """Return the queue for the host and path of a call."""
         current = self.configuration.current
         if current is None:
-            return _unconfigured()
+            return not_configured()
         queue = current.match(host, path)
         if queue is None:
-            return _failure(ErrorKind.NOT_FOUND, "no queue for this host and path")
+            return fail(ErrorKind.NOT_FOUND, "no queue for this host and path")
         return Ok(queue)
 
     def identify(self, queue, key):
@@ -162,7 +153,7 @@
             identified = identify_workspace(current, queue, key)
         else:
             detail = "the configuration may be out of date"
-            identified = _failure(ErrorKind.STALE_CONFIGURATION, detail)
+            identified = fail(ErrorKind.STALE_CONFIGURATION, detail)
         if identified.is_err():
             self.context.metrics.count(f"calls_refused_{identified.err().kind.value}")
         return identified
@@ -179,7 +170,7 @@
         began = self.context.clock.now()
         accepted = await self.admission.check(job)
         if accepted.is_ok():
-            accepted = await self._store_job(
+            accepted = await self.storage.store(
                 job, until_s=began + wait_s - RESPONSE_RESERVE_S
             )
         self.context.journal(
@@ -196,122 +187,11 @@
         metrics.observe("acceptance", self.context.clock.now() - began)
         if accepted.is_ok():
             metrics.count("jobs_accepted")
-            self._announce(job, accepted.ok())
+            self.storage.announce(job, accepted.ok())
         else:
             metrics.count(f"jobs_refused_{accepted.err().kind.value}")
         return accepted
 
-    async def _store_job(self, job, *, until_s):
-        """Create the key of a job.
-
-        Returns
-        -------
-        result.Result
-            Epoch as returned by `_create_key`, or an `Err` whose outcome is `NOT_RUN`
-            only if no write that was sent may still take effect.
-        """
-        if self.store_plugin.health.unavailable:
-            return await self._store_through_peer(job, until_s=until_s)
-        in_doubt = False
-        failure = None
-        while self.context.clock.now() < until_s:
-            stored = await self._create_key(job, is_new=failure is None)
-            if stored.is_ok() or stored.err().kind in FINAL_KINDS:
-                return stored
-            failure = stored.err()
-            in_doubt |= failure.kind not in NOT_STORED_KINDS
-            if self.store_plugin.health.unavailable:
-                break
-            await asyncio.sleep(RETRY_S)
-        if in_doubt:
-            return _failure(ErrorKind.ACCEPTANCE_UNKNOWN, failure.detail)
-        return await self._store_through_peer(job, until_s=until_s)
-
-    async def _create_key(self, job, *, is_new):
-        """Create the key of a job, if possible under a known leader; see `create_job`.
-
-        Parameters
-        ----------
-        is_new : bool
-            Whether this is the first try of a submission.
-        """
-        return await create_job(
-            self.store_plugin,
-            job,
-            epoch=self.members.leader_epoch if self.members.leader else 0,
-            marks=self.admission.marks,
-            configuration=self.configuration.current,
-            is_new=is_new,
-        )
-
-    def _announce(self, job, epoch):
-        """Tell the dispatcher about a job that this process or a peer has stored."""
-        self.tasks.spawn(self._notify(JobAccepted(job=job, epoch=epoch)))
-
-    async def _store_through_peer(self, job, *, until_s):
-        """Have a peer store a job, since this process does not reach the store.
-
-        Storing a job again changes nothing, so the next peer is asked even if the
-        previous one may have stored it.
-        """
-        in_doubt = None
-        async for peer, stored in self._ask_peers(StoreJob(job=job), until_s=until_s):
-            if stored.is_ok():
-                return Ok(0)
-            if stored.err().kind is ErrorKind.CONFLICT:
-                return stored
-            not_run = stored.err().outcome is Outcome.NOT_RUN
-            if stored.err().kind is not ErrorKind.UNREACHABLE and not not_run:
-                in_doubt = f"{peer}: {stored.err().detail}"
-        if in_doubt is not None:
-            return _failure(ErrorKind.ACCEPTANCE_UNKNOWN, in_doubt)
-        return Err(
-            Failure(
-                kind=ErrorKind.STORE_UNAVAILABLE,
-                detail="the store does not answer",
-                retry_after_s=RETRY_AFTER_S,
-            )
-        )
-
-    async def _ask_peers(self, message, *, until_s):
-        """Ask up to `MAX_PEERS` peers in turn; yield each with its reply.
-
-        Each call may take half of the time that is left, the last one all of it, so
-        that a silent peer leaves time for the next.
-        """
-        peers = self.members.roster.peers(leader=self.members.leader)[:MAX_PEERS]
-        for peer in peers:
-            left_s = until_s - self.context.clock.now()
-            if left_s <= 0:
-                return
-            limit_s = left_s if peer == peers[-1] else left_s / 2
-            reply = await self.members.ask(
-                peer, message, Noted, timeout_s=min(PEER_TIMEOUT_S, limit_s)
-            )
-            yield peer, reply
-
-    async def _store_for_peer(self, message):
-        """Store a job for a process that does not reach the store."""
-        if self.store_plugin.health.unavailable:
-            return _failure(ErrorKind.STORE_UNAVAILABLE, "the store does not answer")
-        if self.configuration.current is None:
-            return _unconfigured()
-        stored = await self._create_key(message.job, is_new=False)
-        if stored.is_err():
-            return stored
-        self._announce(message.job, stored.ok())
-        return Ok(Noted())
-
-    async def _notify(self, message):
-        """Notify the dispatcher, so that it does not depend on its slower watch."""
-        for _ in range(NOTICE_TRIES):
-            noted = await self.members.ask_leader(
-                message, Noted, timeout_s=NOTICE_TIMEOUT_S
-            )
-            if noted.is_ok():
-                return
-            await asyncio.sleep(RETRY_S)
-
     async def find_phase(self, queue, job_id, *, wait_s, workspace=""):
         """Return the phase of a job, from the dispatcher or else from the store."""
         reply = await self.members.ask_leader(
@@ -330,7 +210,7 @@
         ):
             return Ok(known.phase)
         if known.phase is not None and known.workspace is not None:
-            return _failure(ErrorKind.GONE, "no such job")
+            return fail(ErrorKind.GONE, "no such job")
         return await find_stored_phase(
             self.store_plugin, current, queue.name, job_id, workspace=workspace
         )
@@ -339,42 +219,16 @@
         """Store the cancellation of a job and notify the dispatcher."""
         until_s = self.context.clock.now() + wait_s - RESPONSE_RESERVE_S
         message = CancelJob(job=job_id, queue=queue.name, workspace=workspace)
-        cancelled = await self._store_cancel(message)
-        while cancelled.is_err() and cancelled.err().kind is not ErrorKind.GONE:
-            if self.context.clock.now() >= until_s:
-                break
-            async for _, cancelled in self._ask_peers(message, until_s=until_s):
-                if cancelled.is_ok() or cancelled.err().kind is ErrorKind.GONE:
-                    break
-            if cancelled.is_err() and cancelled.err().kind is not ErrorKind.GONE:
-                await asyncio.sleep(RETRY_S)
-                cancelled = await self._store_cancel(message)
+        cancelled = await self.storage.cancel(message, until_s=until_s)
         self.context.journal(
             "job_cancelled" if cancelled.is_ok() else "cancel_refused",
             job=job_id,
             reason=cancelled.err().kind.value if cancelled.is_err() else None,
         )
         if cancelled.is_ok():
-            self.tasks.spawn(self._notify(JobCancelled(job=job_id)))
+            self.storage.notify(JobCancelled(job=job_id))
         return cancelled
 
-    async def _store_cancel(self, message):
-        """Store the cancellation that a `CancelJob` of any process asks for."""
-        return await store_cancellation(
-            self.store_plugin,
-            self.configuration.current,
-            message.queue,
-            message.job,
-            workspace=message.workspace,
-            wall_ms=self.context.clock.wall_ms(),
-        )
-
-    async def _cancel_for_peer(self, message):
-        if self.configuration.current is None:
-            return _unconfigured()
-        stored = await self._store_cancel(message)
-        return stored.map(lambda _: Noted())
-
     async def count_waiting(self, queue, *, wait_s):
         """Return the number of waiting jobs of a queue."""
         members = self.members
@@ -383,18 +237,10 @@
         if waiting is None and fresh:
             waiting = members.waiting
         if waiting is None:
-            return _failure(ErrorKind.NO_LEADER, "no recent reply from the dispatcher")
+            return fail(ErrorKind.NO_LEADER, "no recent reply from the dispatcher")
         return Ok(waiting.get(queue.name, 0))
 
 
-def _unconfigured():
-    return _failure(ErrorKind.DRAINING, "no configuration has been applied yet")
-
-
-def _failure(kind, detail):
-    return Err(Failure(kind=kind, detail=detail, retry_after_s=RETRY_AFTER_S))
-
-
 def _request_limits(limits):
     """Return the limits of a configuration as the listeners need them."""
     return RequestLimits(
--- a/wasabipaddle/cell/tests/conftest.py
+++ b/wasabipaddle/cell/tests/conftest.py
@@ -10,6 +10,7 @@
 from wasabipaddle.cell.election import ElectionPlugin
 from wasabipaddle.cell.entry import EntryPlugin
 from wasabipaddle.cell.events import LeadershipGained, LeadershipLost
+from wasabipaddle.cell.job_storage import JobStorage
 from wasabipaddle.cell.store import CellStorePlugin
 from wasabipaddle.cell.tests.members_parts import FakeConfiguration, with_members
 from wasabipaddle.clock import LoopClock
@@ -64,10 +65,10 @@
         """
         self.peers_asked.append((process, timeout_s))
         handler = {
-            "StoreJob": "_store_for_peer",
-            "CancelJob": "_cancel_for_peer",
+            "StoreJob": "store_for_peer",
+            "CancelJob": "cancel_for_peer",
         }[type(message).__name__]
-        call = getattr(self.processes[process].entry, handler)
+        call = getattr(self.processes[process].entry.storage, handler)
         if process not in self.unresponsive:
             return await call(message)
         delay_s = self.unresponsive[process]
@@ -113,6 +114,14 @@
             members=self.members,
             store_plugin=self.store_plugin,
         )
+        self.entry.storage = JobStorage(
+            context=self.context,
+            configuration=self.entry.admission.configuration,
+            members=self.members,
+            store_plugin=self.store_plugin,
+            marks=self.entry.admission.marks,
+            tasks=self.entry.tasks,
+        )
         self.gained = []
         self.lost = []
         bus = self.context.bus
@@ -124,6 +133,7 @@
         current = CellConfiguration(version=1, queues=(QUEUE,))
         self.entry.configuration = FakeConfiguration(current=current)
         self.entry.admission.configuration = self.entry.configuration
+        self.entry.storage.configuration = self.entry.configuration
 
     async def close(self):
         await self.election.stop()
--- a/wasabipaddle/cell/tests/test_admission.py
+++ b/wasabipaddle/cell/tests/test_admission.py
@@ -172,7 +172,7 @@
         assert (await submit(cell["p1"])).err().outcome is Outcome.NOT_RUN
         assert (await first).is_err()
         job = Job(id=JOB, policy=QUEUE, accepted_ms=0, spec=SPEC)
-        stored = await cell["p1"].entry._store_for_peer(StoreJob(job=job))
+        stored = await cell["p1"].entry.storage.store_for_peer(StoreJob(job=job))
         assert stored.err().outcome is Outcome.NOT_RUN
         assert JOB_PREFIX + JOB not in cell.memory.items
 
--- a/wasabipaddle/cell/tests/test_entry.py
+++ b/wasabipaddle/cell/tests/test_entry.py
@@ -206,7 +206,7 @@
     async def scenario(cell):
         entry, put = cell["p0"].entry, Put(key=LEADER_KEY, value=b"p1")
         announced = []
-        entry._announce = lambda job, epoch: announced.append(epoch)
+        entry.storage.announce = lambda job, epoch: announced.append(epoch)
         first = cell.memory.apply((), (put,), ()).ok()
         entry.members.leader, entry.members.leader_epoch = "p1", first
         assert (await submit(cell["p0"])).is_ok()
--- a/wasabipaddle/cell/tests/test_job_access.py
+++ b/wasabipaddle/cell/tests/test_job_access.py
@@ -182,7 +182,7 @@
     async def scenario(cell):
         await submit(cell["p0"], "w1")
         message = decode(b'{"job":"%s"}' % JOB.encode(), CancelJob).ok()
-        reply = await cell["p1"].entry._cancel_for_peer(message)
+        reply = await cell["p1"].entry.storage.cancel_for_peer(message)
         assert kind_of(reply) is ErrorKind.GONE
 
     run_keyed(scenario)
