--- a/wasabipaddle/placement/gangs.py
+++ b/wasabipaddle/placement/gangs.py
@@ -87,17 +87,8 @@
 
     def place(self, fleet, need, count, allowed):
         """Return tasks on workers with room, in the order in which these were added."""
-        counts = {}
-        for worker in fleet.workers.values():
-            if not worker.open or (allowed and worker.data_centre not in allowed):
-                continue
-            fitting = fit_count(need, worker.free, count)
-            if fitting:
-                counts[worker.name] = fitting
-                count -= fitting
-            if count == 0:
-                return counts
-        return None
+        workers = (worker for worker in fleet.workers.values() if worker.open)
+        return _fill(workers, need, count, allowed)
 
     def plan(self, fleet, running, need, count, allowed, now):
         """Return None, because this policy reserves nothing."""
@@ -121,18 +112,7 @@
 
     def place(self, fleet, need, count, allowed):
         """Return tasks on workers with room, those with the least room first."""
-        candidates = fleet.candidates(need, count)
-        if allowed:
-            candidates = [w for w in candidates if w.data_centre in allowed]
-        counts = {}
-        for worker in candidates:
-            fitting = fit_count(need, worker.free, count)
-            if fitting:
-                counts[worker.name] = fitting
-                count -= fitting
-            if count == 0:
-                return counts
-        return None
+        return _fill(fleet.candidates(need, count), need, count, allowed)
 
     def plan(self, fleet, running, need, count, allowed, now):
         """Return tasks per worker and the earliest time at which all of them fit."""
@@ -176,6 +156,21 @@
         return dominant_share(wanted, fleet.total)
 
 
+def _fill(workers, need, count, allowed):
+    """Return the tasks per worker, each filled in turn; None if not all fit."""
+    counts = {}
+    for worker in workers:
+        if allowed and worker.data_centre not in allowed:
+            continue
+        fitting = fit_count(need, worker.free, count)
+        if fitting:
+            counts[worker.name] = fitting
+            count -= fitting
+        if count == 0:
+            return counts
+    return None
+
+
 def _ready_times(worker, running, need, count, now):
     """Return `(time, name)` for each of up to `count` tasks that the worker can run.
 
