--- a/wasabipaddle/dispatch/drains.py
+++ b/wasabipaddle/dispatch/drains.py
@@ -156,8 +156,7 @@
 
 
 def _ends_in_time(run, until_s, now):
-    left_s = run.projected_s() - (now - run.started_s)
-    return now < until_s and now + left_s <= until_s
+    return now < until_s and now + run.projected_left_s(now) <= until_s
 
 
 def _cost(run, until_s, now):
--- a/wasabipaddle/dispatch/evacuation.py
+++ b/wasabipaddle/dispatch/evacuation.py
@@ -46,7 +46,7 @@
         if spec.lasting:
             return True
         left_s = runner.leaves_at_s - now
-        if run.projected_s() - (now - run.started_s) <= left_s:
+        if run.projected_left_s(now) <= left_s:
             return False
         if not spec.checkpoints:
             return True
--- a/wasabipaddle/dispatch/run.py
+++ b/wasabipaddle/dispatch/run.py
@@ -153,6 +153,10 @@
             return median(durations_s) / (self.runner.health.speed or 1.0)
         return self.task.spec.estimate_s / (self.runner.health.speed or 1.0)
 
+    def projected_left_s(self, now) -> float:
+        """Return the projected time until the run ends, negative once it is overdue."""
+        return self.projected_s() - (now - self.started_s)
+
     def time_left_s(self, now, *, stop_s) -> float:
         """Return the expected time until the run ends, infinite for one that lasts.
 
@@ -167,9 +171,8 @@
             return stop_s
         if self.task.spec.lasting:
             return math.inf
-        elapsed_s = now - self.started_s
-        left_s = self.projected_s() - elapsed_s
-        return left_s if left_s > 0 else elapsed_s
+        left_s = self.projected_left_s(now)
+        return left_s if left_s > 0 else now - self.started_s
 
     def work_s(self) -> float:
         """Return the projected duration of the run at the usual speed."""
