--- a/wasabipaddle/measure/drain.py
+++ b/wasabipaddle/measure/drain.py
@@ -8,6 +8,7 @@
 from wasabipaddle.interfaces import VmStatus
 from wasabipaddle.measure.base import Bound, Measure
 from wasabipaddle.measure.request_cell import (
+    MEAN_FACTOR,
     SLOTS,
     Caller,
     RequestCell,
@@ -19,7 +20,7 @@
 __all__ = ["DrainMeasure"]
 
 MEDIAN_S = 0.2
-MEAN_S = MEDIAN_S * 1.46  # approximate mean of the capped lognormal
+MEAN_S = MEDIAN_S * MEAN_FACTOR
 LOAD = 0.9
 DEADLINE_S = 10.0
 WARM_S = 2.0
--- a/wasabipaddle/measure/flood.py
+++ b/wasabipaddle/measure/flood.py
@@ -9,6 +9,7 @@
 from wasabipaddle.measure.base import Bound, Measure
 from wasabipaddle.measure.flood_runs import run_flood
 from wasabipaddle.measure.request_cell import (
+    MEAN_FACTOR,
     SLOTS,
     Caller,
     RequestCell,
@@ -20,7 +21,7 @@
 __all__ = ["FloodMeasure"]
 
 MEDIAN_S = 0.3
-MEAN_S = MEDIAN_S * 1.46  # approximate mean of the capped lognormal
+MEAN_S = MEDIAN_S * MEAN_FACTOR
 # Loads as a multiple of the capacity of all endpoints.
 OTHER_LOAD = 0.6
 FLOOD_LOAD = 10.0
--- a/wasabipaddle/measure/request_cell.py
+++ b/wasabipaddle/measure/request_cell.py
@@ -27,6 +27,7 @@
 from wasabipaddle.transport import MemoryNetwork, MemoryTransport
 
 __all__ = [
+    "MEAN_FACTOR",
     "Caller",
     "BaselineRouting",
     "RequestCell",
@@ -39,6 +40,8 @@
 CENTRE = "dc"
 SHARD = "dc-0"
 SLOTS = 8
+# Approximate mean of `lognormal_s`, as a multiple of its median.
+MEAN_FACTOR = 1.46
 BASELINE_ATTEMPTS = 4
 BASELINE_QUEUE = 2_000
 
--- a/wasabipaddle/measure/retries.py
+++ b/wasabipaddle/measure/retries.py
@@ -7,6 +7,7 @@
 from wasabipaddle.clock import run_virtual
 from wasabipaddle.measure.base import Bound, Measure
 from wasabipaddle.measure.request_cell import (
+    MEAN_FACTOR,
     SLOTS,
     Caller,
     RequestCell,
@@ -18,7 +19,7 @@
 __all__ = ["RetriesMeasure"]
 
 MEDIAN_S = 0.1
-MEAN_S = MEDIAN_S * 1.46  # approximate mean of the capped lognormal
+MEAN_S = MEDIAN_S * MEAN_FACTOR
 LOAD = 0.5
 DEADLINE_S = 8.0
 PHASE_S = 4.0
