List entries of the stand-in by the method that views override

The views of the soak translate addresses in `list_all`, but the HTTP routes call `list`, so processes got the addresses without the proxies of the link.

Change: `list` calls `list_all` again, as before.

--- a/wasabipaddle/standins/transactions.py
+++ b/wasabipaddle/standins/transactions.py
@@ -170,7 +170,11 @@
         return await self._refusal() or Ok(self.memory.items.get(key))
 
     async def list(self, prefix, *, after="", limit=0):
-        """Return all entries with a prefix, and the revision of the store."""
+        """Return all entries with a prefix as one page."""
+        return await self.list_all(prefix)
+
+    async def list_all(self, prefix):
+        """Return all entries with a prefix and the revision of the store."""
         refusal = await self._refusal()
         if refusal:
             return refusal
