--- a/wasabipaddle/standins/transactions.py
+++ b/wasabipaddle/standins/transactions.py
@@ -182,18 +182,6 @@
         entries = tuple(self.memory.items[k] for k in keys)
         return Ok(Page(entries=entries, revision=self.memory.revision))
 
-    async def put(self, key, value, *, expected_revision=None, lease=None):
-        """Not implemented, because cells write with `commit`."""
-        raise NotImplementedError
-
-    async def delete(self, key, *, expected_revision=None):
-        """Not implemented, because cells write with `commit`."""
-        raise NotImplementedError
-
-    async def watch(self, prefix, *, after_revision, wait_s):
-        """Not implemented, because cells use `follow`."""
-        raise NotImplementedError
-
     async def commit(self, *, conditions=(), puts=(), deletes=()):
         """Apply all changes if all conditions hold, or none of them."""
         refusal = await self._refusal()
