Take a task that works on as a sign that its runner is sound

What callers see: where nearly all work lasts, a step with many such tasks starts in pieces, 3 s apart, though its runners are sound and have room.

Cause: two failures quarantine a runner, and after the quarantine it gets one task each 3 s until a run completes. A run that lasts never completes, so failures by the own fault of tasks add up, and the runner stays so for good.

Change: a run that lasts, was started after the last failure and has been at work for 3 s counts like a completion for the failures of its runner. A run from before the failure does not count, as a runner that fails whatever it starts may let earlier runs go on.

--- a/wasabipaddle/dispatch/health.py
+++ b/wasabipaddle/dispatch/health.py
@@ -1,5 +1,7 @@
 """Health of runners by the results of their tasks."""
 
+import math
+
 import attrs
 
 __all__ = ["RunnerHealth"]
@@ -11,6 +13,9 @@
 # Time after which a task that was started as a probe holds back no other work. Tasks
 # that take long, or last, would otherwise keep the runner from all of it.
 PROBE_S = 3.0
+# Time for which a task that lasts, and so never completes, has to be at work to show
+# that its runner is sound.
+SOUND_WORK_S = 3.0
 # A run of at least this fraction of the usual speed of its runner shows that nothing
 # slows the runner down.
 NORMAL_SPEED_FRACTION = 0.6
@@ -46,13 +51,15 @@
     ----------
     failures : int
         Failed and stalled runs, and starts refused as unhealthy, since the last
-        completion.
+        completion, or the last work as long as `SOUND_WORK_S`.
     quarantined_until_s : float
         Time until which the runner gets no work; afterwards it gets one task as a probe
-        each `PROBE_S`, until one completes.
+        each `PROBE_S`, until one completes or works on as long as `SOUND_WORK_S`.
     quarantine_s : float
         Duration of the next quarantine; doubled by each one up to a maximum, and reset
-        by a completion.
+        by a completion or by such work.
+    last_failure_s : float
+        Time of the last failure, minus infinity before the first.
     speed : float
         Expected speed relative to a usual runner; see `Speeds`.
     own_speed : float
@@ -72,6 +79,7 @@
     failures: int = _watched(0)
     quarantined_until_s: float = _watched(0.0)
     quarantine_s: float = INITIAL_QUARANTINE_S
+    last_failure_s: float = -math.inf
     speed: float = _watched(1.0)
     own_speed: float = 1.0
     runs_timed: int = 0
@@ -88,15 +96,34 @@
         speed : float or None
             Speed that the run has shown, None if unknown.
         """
-        self.failures = 0
-        self.quarantine_s = INITIAL_QUARANTINE_S
-        self.quarantined_until_s = 0.0
+        self._forget_failures()
         if speed is not None and speed > NORMAL_SPEED_FRACTION * self.usual_speed:
             self.last_normal_s = now
             self.end_slowdown()
         elif speed is None and now - self.slowed_s > SLOWDOWN_S:
             self.end_slowdown()
 
+    def _forget_failures(self):
+        self.failures = 0
+        self.quarantine_s = INITIAL_QUARANTINE_S
+        self.quarantined_until_s = 0.0
+
+    def record_work(self, started_s, at_work_since_s, now):
+        """Record that a run that lasts is at work.
+
+        Failures from after its start count on: a runner that fails whatever it starts
+        may let earlier runs go on.
+
+        Parameters
+        ----------
+        started_s, at_work_since_s : float
+            Times at which the run was started and at which it was first at work.
+        """
+        if not self.failures or now - at_work_since_s < SOUND_WORK_S:
+            return
+        if started_s > self.last_failure_s:
+            self._forget_failures()
+
     @property
     def usual_speed(self) -> float:
         """Expected speed of the runner while nothing slows it down."""
@@ -118,6 +145,7 @@
     def record_failure(self, now) -> bool:
         """Count a failure in `failures` and return whether a quarantine begins."""
         self.failures += 1
+        self.last_failure_s = now
         if self.failures < FAILURES_TO_QUARANTINE or now < self.quarantined_until_s:
             return False
         self.quarantined_until_s = now + self.quarantine_s
--- a/wasabipaddle/dispatch/reports.py
+++ b/wasabipaddle/dispatch/reports.py
@@ -12,6 +12,8 @@
 # Longest time before its due time, by the wall clock of this process, at which another
 # dispatcher may have started an occurrence.
 MAX_WALL_CLOCK_LEAD_S = 10.0
+# Progress that a run which lasts shows all the time while it is at work.
+FULL_PERCENT = 100
 # Difference from the estimated clock of a runner that is logged.
 LOGGED_LAG_MS = 1000
 
@@ -287,6 +289,8 @@
             run.percent = row.percent
             run.progress_s = now
         run.load = row.load
+        if run.task.spec.lasting and run.percent == FULL_PERCENT:
+            runner.health.record_work(run.started_s, run.progress_s, now)
         if row.checkpoint:
             self._save_checkpoint(run.task, row.checkpoint)
         return False
