Wait for a suspect runner no longer than its leases can last

What callers see: after a takeover, a task that lasts waits for 10.3 s after its last run, though other runners have room. Its runner has answered the new dispatcher once and is then lost, and the platform grants leases of up to 10 s. All other recovered tasks of the pool wait as long.

Cause: each answer of a suspect runner moved the end of the wait to the longest lease of the platform from then, and so did the stored wait for the next dispatcher. No dispatcher asks for such a lease.

Proof that the shorter wait suffices: all that runs on a runner has one lease, whose end never moves but by a call, and a call names its end on the clock of the runner. Calls of the previous dispatcher are bounded as for a runner that never answers (its proof of leadership and a lease), which stays the least wait. Calls of this dispatcher, answered or not, are all counted in `lease_until_ms`, and the wait lasts until the slowest clock has passed the latest of them and a later proof of leadership exists. A runner that goes on to answer stays suspect as before, now for a lease after each answer. The stored wait counts the same leases.

--- a/wasabipaddle/dispatch/fleet.py
+++ b/wasabipaddle/dispatch/fleet.py
@@ -43,7 +43,7 @@
             continue
         wait_s = None
         if suspect and with_waits:
-            wait_s = max(state.suspects[runner.id] - now, 0.0)
+            wait_s = max(state.suspected_until_s(runner.id) - now, 0.0)
         jobs = _find_only_jobs(runner, suspect=suspect)
         make_row = functools.partial(
             _make_row, runner, wait_s=wait_s, term=term, suspect=suspect
--- a/wasabipaddle/dispatch/leases.py
+++ b/wasabipaddle/dispatch/leases.py
@@ -35,7 +35,8 @@
         proved_s : float
             Latest time at which the dispatcher was certainly the leader.
         """
-        for runner_id, until_s in list(self.state.suspects.items()):
+        for runner_id in list(self.state.suspects):
+            until_s = self.state.suspected_until_s(runner_id)
             if now >= until_s and proved_s >= until_s:
                 del self.state.suspects[runner_id]
                 self.state.journal("suspect_cleared", runner=runner_id)
--- a/wasabipaddle/dispatch/reports.py
+++ b/wasabipaddle/dispatch/reports.py
@@ -94,7 +94,8 @@
         """Clear a suspect runner once all its runs and ends are known.
 
         A run that ends between the moments at which the runner lists running and ended
-        runs is in neither list, so two whole inventories in a row are needed.
+        runs is in neither list, so two whole inventories in a row are needed. A runner
+        that goes on to answer stays suspect until then, even if its leases end.
         """
         first_s = runner.whole_list_s
         if whole and first_s is not None and requested_s >= first_s:
@@ -102,7 +103,7 @@
             runner.whole_list_s = None
             return
         runner.whole_list_s = (first_s or now) if whole else None
-        until_s = now + self.state.timing.lease_max_s
+        until_s = now + self.state.timing.lease_s
         self.state.suspects[runner.id] = max(self.state.suspects[runner.id], until_s)
 
     def _remove_missing(self, runner, listed, inventory, now, requested_s):
--- a/wasabipaddle/dispatch/runners.py
+++ b/wasabipaddle/dispatch/runners.py
@@ -177,6 +177,17 @@
         """Time on the runner's clock at which the last lease on it ends."""
         return max(self.inventory_lease_until_ms, self.start_lease_until_ms)
 
+    @property
+    def lease_expiry_s(self) -> float:
+        """Local time from which the last known lease has certainly passed.
+
+        0 while the clock of the runner is unknown; it has no lease then.
+        """
+        if not self.clock_ms:
+            return 0.0
+        left_ms = max(self.lease_until_ms + EXPIRY_MARGIN_MS - self.clock_ms, 0)
+        return self.clock_s + left_ms / MS_PER_S / (1 - CLOCK_DRIFT_FRACTION)
+
     def lease_left_ms(self, now) -> int:
         """Return the estimated time until the last known lease ends, in milliseconds.
 
--- a/wasabipaddle/dispatch/state.py
+++ b/wasabipaddle/dispatch/state.py
@@ -81,7 +81,7 @@
         durable.
     suspects : dict of str to float
         Runners that may hold runs of the previous dispatcher, with the time at which
-        the leases of those runs have certainly expired.
+        the leases that it granted have certainly expired; see `suspected_until_s`.
     suspected_runs : SuspectedRuns
         Jobs that may have runs on them, as of the beginning of the last plan.
     cordoned : frozenset of str
@@ -143,6 +143,16 @@
         self.speeds = Speeds(state=self)
         self.order = WorkOrder(state=self)
 
+    def suspected_until_s(self, runner_id) -> float:
+        """Return when nothing can run any more on a suspect runner that stays silent.
+
+        All that runs on a runner has the same lease, which this dispatcher may have
+        extended as well.
+        """
+        runner = self.runners.get(runner_id)
+        until_s = self.suspects[runner_id]
+        return until_s if runner is None else max(until_s, runner.lease_expiry_s)
+
     def add_run(self, run):
         """Add a run that may exist from now on, with its reservation."""
         run.runner.reserve(run)
