Count the wait for suspect runners from the begin of the leadership

What callers see: after a takeover beside a slow store, recovered tasks wait longer for a runner that is gone than after one beside a fast store.

Cause: the wait of a successor began once the stored fleet record had been read, with retries while the store does not answer.

Proof: an earlier leader has no proof of leadership from after the begin of this one, as each proof is a read of the leader key that shows its own epoch, and no stored wait is younger, as its write needs that epoch. The begin is taken when the commit of the campaign has been answered, which is later.

--- a/wasabipaddle/cell/session.py
+++ b/wasabipaddle/cell/session.py
@@ -58,6 +58,11 @@
         key and wins it again.
     election : ElectionPlugin
         Confirms and ends the leadership of this process.
+
+    Attributes
+    ----------
+    began_s : float
+        Time at which the leadership had certainly begun.
     """
 
     def __init__(
@@ -72,6 +77,7 @@
         self.epoch = epoch
         self.term = term
         self.election = election
+        self.began_s = self.clock.now()
         self.loaded = False
         self.tasks = TaskSet()
         self.woken = asyncio.Event()
--- a/wasabipaddle/cell/takeover.py
+++ b/wasabipaddle/cell/takeover.py
@@ -26,7 +26,8 @@
     dispatcher until the leases that it granted have expired. A runner that did not
     answer the previous dispatcher either has only those of earlier ones. A runner that
     was about to leave has only runs of the recorded jobs. A row without an address is
-    of a runner that can only be waited for.
+    of a runner that can only be waited for. All waits last from the begin of this
+    leadership: no proof of an earlier one, and no recorded wait, is younger.
     """
     state = session.scheduler.state
     lease_s = state.timing.lease_s * CLOCK_DRIFT_FACTOR
@@ -43,7 +44,7 @@
         wait_s = lease_wait_s
         if row.wait_s is not None and by_predecessor:
             wait_s = min(row.wait_s, lease_wait_s)
-        until_s = session.now() + wait_s
+        until_s = session.began_s + wait_s
         state.suspects[row.id] = max(state.suspects.get(row.id, 0.0), until_s)
 
 
--- a/wasabipaddle/cell/tests/session_parts.py
+++ b/wasabipaddle/cell/tests/session_parts.py
@@ -25,6 +25,7 @@
     def __init__(self, process):
         self.settings = process.context.settings
         self.clock = process.context.clock
+        self.began_s = self.clock.now()
         self.epoch = 0
         self.term = 3
 
