Have runners refuse calls that are late by a higher epoch

What callers see: a runner starts again under its identifier, gets tasks that last and is lost for good some seconds later. The tasks wait for up to 24 s, though others have room. If the call that was open at the restart acknowledged ends, the runner gets no work for up to 15 s. And a task that is done runs again (TWICE) if such a call, sent long before the restart, is carried out before the restart is noticed.

Cause: a call without an answer may be carried out late by the next life of its runner, where it grants the longest lease or removes ends that nobody has seen. The leader could only wait until no call can be late any more.

Change: after a call without an answer and after a restart, the calls to that runner carry the revision of the latest write that the store has accepted from this leader. Once the present life has answered one, the wait for late calls is over.

Proof that no task runs twice: a runner does nothing for a call with a lower epoch than it has seen. The write was accepted under the condition that the leader key has the epoch of this leader, so its revision lies above that epoch and all earlier ones, and below the epoch of each later leader, of any build. All calls that may be late have at most the highest epoch that was used for the runner before, and the answer counts only for a call above it. The lease that one of them granted before that answer ends at most the longest lease after it, and is counted. A later life starts the wait anew.

The cut of the test cells told two leaders apart by one epoch. It now takes all epochs up to the revision at the cut for those of the leader that is cut off, as this one may use several.

--- a/wasabipaddle/cell/calls.py
+++ b/wasabipaddle/cell/calls.py
@@ -104,7 +104,7 @@
             run=run.number,
             payload=task.step.job.job.spec.payload,
             start_before_ms=run.start_before_ms,
-            epoch=session.epoch,
+            epoch=self.polling.choose_epoch(runner),
             checkpoint=task.checkpoint,
             ticket=order.ticket,
         )
@@ -143,11 +143,13 @@
             session.wake()
 
     def _check_epoch(self, runner, reply, epoch):
-        """Step down if a runner refuses the epoch under which this process leads.
+        """Step down if a runner refuses the highest epoch of this process for it.
 
         An order that was sent under an earlier epoch of this leadership says nothing.
         """
-        if reply.refusal is Refusal.STALE_EPOCH and epoch == self.session.epoch:
+        if reply.refusal is not Refusal.STALE_EPOCH:
+            return
+        if epoch == max(runner.epoch, self.session.epoch):
             self.session.step_down(f"{runner.id} has seen a later epoch")
 
     async def _stop(self, order):
@@ -167,9 +169,10 @@
 
     async def _send_stop(self, order):
         session, runner = self.session, order.runner
-        client, epoch = self.clients.get(runner.id), session.epoch
+        client = self.clients.get(runner.id)
         if client is None:
             return
+        epoch = self.polling.choose_epoch(runner)
         sent_s = session.now()
         result = await client.stop(
             order.task, order.number, epoch=epoch, timeout_s=ORDER_TIMEOUT_S
@@ -214,7 +217,7 @@
             run.task.id,
             run.number,
             percent=order.percent,
-            epoch=session.epoch,
+            epoch=self.polling.choose_epoch(run.runner),
             timeout_s=ORDER_TIMEOUT_S,
         )
         if result.is_ok() and result.ok().refusal is Refusal.NONE:
@@ -256,6 +259,7 @@
                 now,
                 requested_s=call.requested_s,
                 acknowledged=call.acknowledged,
+                epoch=call.epoch,
             )
             if not result.ok().complete:
                 session.metrics.count("inventories_incomplete")
--- a/wasabipaddle/cell/fleet.py
+++ b/wasabipaddle/cell/fleet.py
@@ -98,12 +98,21 @@
             now = self.session.now()
             rows = self._rows_to_record(now, with_waits=now >= settled_s)
             self._exclude_unrecorded(rows)
-            if _summarize(rows) == self.recorded or await self._write(rows):
+            if self._is_stored(rows) or await self._write(rows):
                 self._admit(rows)
                 continue
             self.changed.set()
             await asyncio.sleep(RETRY_S)
 
+    def _is_stored(self, rows):
+        """Return whether no write is needed, neither for these rows nor for an epoch.
+
+        The revision of a write is a higher epoch for calls to a runner.
+        """
+        if self.scheduler.acknowledgements.awaits_revision():
+            return False
+        return _summarize(rows) == self.recorded
+
     def _rows_to_record(self, now, *, with_waits):
         """Return the rows of the runners, and those of suspects without a runner.
 
@@ -179,6 +188,7 @@
         )
         if written.is_ok():
             self.revision = written.ok()
+            self.scheduler.state.note_write(self.revision)
             self.recorded = _summarize(rows)
             return True
         if written.err().kind is ErrorKind.REVISION_MISMATCH:
--- a/wasabipaddle/cell/polling.py
+++ b/wasabipaddle/cell/polling.py
@@ -22,6 +22,9 @@
 # Such time while the next inventories decide whether a run exists, so that its task can
 # start again soon if it does not.
 UNCERTAIN_WAIT_S = 0.1
+# Such time while a runner has to answer a call of a higher epoch than those that it may
+# carry out late, and none is known yet.
+FENCE_WAIT_S = 0.4
 # Interval and limit of the pause after an inventory with ended runs, so that the next
 # inventory lists several of them.
 ENDED_RUNS_DELAY_S = 0.05
@@ -37,7 +40,7 @@
     requested_s : float
         Time of the request.
     epoch : int
-        Epoch of the leader.
+        Epoch of the call.
     acknowledged : int
         Number up to which the runner forgets its ended runs, 0 for none.
     lease_until_ms, previous_until_ms : int
@@ -74,7 +77,8 @@
         and the lease is not extended, or that of a silent runner would never expire.
         """
         session, scheduler = self.session, self.scheduler
-        wait_s = self._wait_s(runner, failures)
+        epoch = self.choose_epoch(runner)
+        wait_s = self._wait_s(runner, failures, epoch)
         previous_until_ms = runner.inventory_lease_until_ms
         acknowledged = lease_until_ms = 0
         if not failures:
@@ -85,13 +89,17 @@
                 )
         return InventoryCall(
             requested_s=session.now(),
-            epoch=session.epoch,
+            epoch=epoch,
             acknowledged=acknowledged,
             lease_until_ms=lease_until_ms,
             previous_until_ms=previous_until_ms,
             wait_s=wait_s,
         )
 
+    def choose_epoch(self, runner) -> int:
+        """Return the epoch of the next call to a runner."""
+        return self.scheduler.acknowledgements.choose_epoch(runner, self.session.epoch)
+
     async def wait_for_ended_runs(self, runner):
         """Pause until more runs may have ended, or until urgent work waits for them.
 
@@ -108,9 +116,11 @@
             if self.scheduler.state.urgent_task_waiting or _ends_urgent_step(runner):
                 return
 
-    def _wait_s(self, runner, failures):
+    def _wait_s(self, runner, failures, epoch):
         if failures or not runner.inventoried or self._needs_second_list(runner):
             return 0.0
+        if runner.late_epoch is not None:
+            return 0.0 if epoch > runner.late_epoch else FENCE_WAIT_S
         if any(run.uncertain for run in runner.runs.values()):
             return UNCERTAIN_WAIT_S
         if self.session.election.proof.age_s() > OLD_PROOF_S:
--- a/wasabipaddle/cell/tests/runner_parts.py
+++ b/wasabipaddle/cell/tests/runner_parts.py
@@ -88,8 +88,9 @@
 
     Attributes
     ----------
-    epoch : int or None
-        Epoch of the leader that is cut off; None without a cut.
+    epoch : float or None
+        Highest epoch of the calls of the leader that is cut off, infinite while it may
+        write to the store; None without a cut. The epochs of others are higher.
     near : tuple of str
         Runners that only this leader reaches; it reaches no others.
     """
@@ -116,7 +117,7 @@
     def reaches(self, runner, epoch):
         if self.epoch is None:
             return True
-        return (epoch == self.epoch) == (runner in self.near)
+        return (epoch <= self.epoch) == (runner in self.near)
 
 
 class PartitionedClient(RunnerClient):
@@ -215,7 +216,7 @@
 def cut_off(cell, partition, leader):
     """Cut a leader off from the store, its peers and most of the runners."""
     cell.memory.cut_off_clients.add(leader.name)
-    partition.epoch = leader.election.epoch
+    partition.epoch = cell.memory.revision
 
 
 def heal(cell, partition):
--- a/wasabipaddle/cell/tests/test_partitions.py
+++ b/wasabipaddle/cell/tests/test_partitions.py
@@ -1,6 +1,7 @@
 """Leaders that are cut off from the store while they reach some of the runners."""
 
 import asyncio
+import math
 
 import attrs
 import pytest
@@ -139,9 +140,9 @@
         step = attrs.evolve(LASTING, max_per_runner=3)
         submit(cell, partition, "00000000000000a1", step)
         await asyncio.sleep(3.0 + offset_s)
-        partition.epoch = leader.election.epoch
+        partition.epoch = math.inf
         await asyncio.sleep(2.2)
-        cell.memory.cut_off_clients.add(leader.name)
+        cut_off(cell, partition, leader)
         await asyncio.sleep(12.0)
         assert partition.record.doubled == []
 
@@ -156,7 +157,7 @@
         job = submit(cell, partition, "00000000000000a1", step)
         await asyncio.sleep(3.0)
         partition.near = ("r1", "r2", "r3", "r4", "r5")
-        partition.epoch = leader.election.epoch
+        partition.epoch = math.inf
         await asyncio.sleep(6.0)
         assert partition.record.count(job) == LASTING.count
         assert partition.record.doubled == []
--- a/wasabipaddle/cell/tests/test_restarted_runners.py
+++ b/wasabipaddle/cell/tests/test_restarted_runners.py
@@ -4,6 +4,7 @@
 
 import attrs
 import pytest
+from result import Err
 
 from wasabipaddle.cell.tests.runner_parts import (
     PartitionedClient,
@@ -11,10 +12,12 @@
     put,
     submit,
 )
+from wasabipaddle.exceptions import ErrorKind, Failure
 from wasabipaddle.jobs import StepSpec
 from wasabipaddle.platform.client import encode_runner
 
 SHORT = StepSpec(count=6, cpu=500, max_per_runner=1)
+LASTING = StepSpec(count=9, cpu=500, max_per_runner=2, lasting=True)
 WORK_S = 0.1
 JOB_PERIOD_S = 0.1
 # Time in which all runners have acknowledged ends.
@@ -25,6 +28,14 @@
 RETURN_S = 20.0
 REGISTRY_LAG_S = 1.0
 CLOCK_S = 5.0
+# Time in which a failed call shows the restart of a runner, and time in which the
+# runner gets work after it, and a task that lasts runs again.
+NOTICED_S = 3.0
+WORK_AGAIN_S = 6.0
+
+
+def no_answer():
+    return Err(Failure(kind=ErrorKind.TIMEOUT, detail="no answer from the runner"))
 
 
 class RestartingClient(PartitionedClient):
@@ -35,9 +46,19 @@
     answered, carry_out_late : callable or None
         Called, once, with an inventory of r0 that is answered and on its way, and with
         the fields of one that acknowledges ends and gets no answer.
+    lost : set of str
+        Runners that get no call any more.
     """
 
     answered = carry_out_late = None
+    lost = frozenset()
+
+    async def _call(self, call, epoch, timeout_s):
+        if self.id in self.lost:
+            call.close()
+            call = asyncio.sleep(timeout_s + 1.0)
+        result = await super()._call(call, epoch, timeout_s)
+        return no_answer() if self.id in self.lost else result
 
     async def start(self, order, *, timeout_s):
         reply = await super().start(order, timeout_s=timeout_s)
@@ -53,7 +74,10 @@
             carry_out_late, hooks.carry_out_late = hooks.carry_out_late, None
             carry_out_late(fields)
             return await self._call(asyncio.sleep(99.0), None, fields["timeout_s"])
+        incarnation = self.runner.entry.incarnation
         result = await super().inventory(**fields)
+        if self.runner.entry.incarnation != incarnation:
+            return no_answer()
         if self.id == "r0" and hooks.answered:
             answered, hooks.answered = hooks.answered, None
             answered()
@@ -65,8 +89,8 @@
 def play(make_test_cell, monkeypatch):
     """Return a function that plays a disturbance of r0 beside a stream of jobs."""
 
-    def play_disturbance(disturb):
-        async def scenario(cell, partition, leader):
+    def play_disturbance(disturb, scenario=None):
+        async def stream_jobs(cell, partition, leader):
             partition.record.work_s = WORK_S
             stream = asyncio.create_task(submit_jobs(cell, partition, leader))
             await asyncio.sleep(WARM_UP_S)
@@ -76,10 +100,12 @@
             await asyncio.sleep(RETURN_S)
             check(partition)
 
+        scenario = scenario or stream_jobs
         play_cell(make_test_cell, monkeypatch, scenario, client_type=RestartingClient)
 
     yield play_disturbance
     RestartingClient.answered = RestartingClient.carry_out_late = None
+    RestartingClient.lost = frozenset()
 
 
 async def submit_jobs(cell, partition, leader):
@@ -135,3 +161,78 @@
         RestartingClient.carry_out_late = carry_out_late
 
     play(disturb)
+
+
+@pytest.mark.parametrize("after_s", [0.2, 0.5])
+def test_call_from_long_before_a_restart_loses_no_end_of_the_next_life(play, after_s):
+    """Guards against an end that such a call removes before the restart is noticed.
+
+    The new life has begun a task by then, and its inventory is still held back.
+    """
+
+    def disturb(cell, partition):
+        def carry_out_late(fields):
+            runner, loop = partition.runners["r0"], asyncio.get_running_loop()
+            fields = {**fields, "wait_s": 0.0}
+            loop.call_later(5.0, restart, cell, partition)
+            loop.call_later(
+                5.0 + after_s, lambda: loop.create_task(runner.inventory(**fields))
+            )
+
+        RestartingClient.carry_out_late = carry_out_late
+
+    play(disturb)
+
+
+def count_starts(partition):
+    """Return how many starts r0 has carried out."""
+    return sum(runner == "r0" for _, _, runner in partition.record.starts)
+
+
+def test_restarted_runner_gets_work_while_a_call_may_be_carried_out_late(play):
+    """Guards against a runner without work for as long as any call may be late.
+
+    The call acknowledges ends, and the runner carries it out 10 s later.
+    """
+    starts = []
+
+    def disturb(cell, partition):
+        def carry_out_late(fields):
+            runner, loop = partition.runners["r0"], asyncio.get_running_loop()
+            restart(cell, partition)
+            for later_s in (NOTICED_S, WORK_AGAIN_S):
+                loop.call_later(later_s, lambda: starts.append(count_starts(partition)))
+            fields = {**fields, "wait_s": 0.0}
+            loop.call_later(10.0, lambda: loop.create_task(runner.inventory(**fields)))
+
+        RestartingClient.carry_out_late = carry_out_late
+
+    play(disturb)
+    assert starts[1] > starts[0]
+
+
+@pytest.mark.parametrize("work_s", [4.0, 8.0])
+def test_tasks_of_a_restarted_runner_that_is_lost_do_not_wait_for_late_calls(
+    play, work_s
+):
+    """Guards against a task that lasts and waits until no call can be late any more.
+
+    The calls that were open at the restart may extend the lease of the next life.
+    """
+
+    async def scenario(cell, partition, leader):
+        submit(cell, partition, "a" * 16, LASTING, accepted_by=[leader])
+        await asyncio.sleep(WARM_UP_S)
+        restart(cell, partition)
+        await asyncio.sleep(NOTICED_S)
+        job = submit(cell, partition, "b" * 16, LASTING, accepted_by=[leader])
+        await asyncio.sleep(work_s - NOTICED_S)
+        assert partition.record.count(job) == LASTING.count
+        assert partition.runners["r0"].runs
+        RestartingClient.lost = {"r0"}
+        partition.runners["r0"].shut_down()
+        await asyncio.sleep(WORK_AGAIN_S)
+        assert partition.record.count(job) == LASTING.count
+        assert partition.record.doubled == []
+
+    play(None, scenario)
--- a/wasabipaddle/cell/tests/test_silent_runner.py
+++ b/wasabipaddle/cell/tests/test_silent_runner.py
@@ -65,6 +65,7 @@
         runs={0: SimpleNamespace(task=task, uncertain=False)},
         acknowledged=0,
         doubted_s=None,
+        late_epoch=None,
         inventory_lease_until_ms=0,
         last_inventory_s=0.0,
         lease_left_ms=lambda now: 0,
--- a/wasabipaddle/cell/writer.py
+++ b/wasabipaddle/cell/writer.py
@@ -91,6 +91,7 @@
             self.store_plugin.store.commit(conditions=conditions, puts=puts)
         )
         if written.is_ok():
+            self.scheduler.state.note_write(written.ok())
             for entry, _, _ in rows:
                 self.revisions[entry.id] = written.ok()
             return True
--- a/wasabipaddle/dispatch/acknowledgements.py
+++ b/wasabipaddle/dispatch/acknowledgements.py
@@ -1,4 +1,4 @@
-"""Acknowledgements of ended runs, for the incarnation of a runner that listed them."""
+"""Acknowledgements of ended runs, and calls to earlier incarnations of a runner."""
 
 from wasabipaddle.dispatch.model import RunPhase
 from wasabipaddle.dispatch.orders import LATE_CALL_S
@@ -17,6 +17,11 @@
     therefore sent only once, only while nothing suggests another incarnation, and only
     while each start that the runner has received is known to belong to this one.
 
+    A call without an answer may be carried out late, by a later incarnation. A runner
+    refuses calls with a lower epoch than it has seen, so the calls after one without an
+    answer, and those to a new incarnation, get a higher epoch than all before. No late
+    call counts once one of them has been answered.
+
     Parameters
     ----------
     state : CellState
@@ -67,17 +72,67 @@
         sent_s : float
             Time at which the call was sent.
         """
+        runner.late_epoch = runner.epoch
         late_s = sent_s + LATE_CALL_S
         runner.late_lease_until_s = max(runner.late_lease_until_s, late_s)
         if number:
             runner.late_acknowledgement_until_s = late_s
 
+    def choose_epoch(self, runner, leader_epoch) -> int:
+        """Return the epoch of the next call to a runner.
+
+        While earlier calls may be late, that is the revision of the latest write of
+        this leader, which no earlier or later leader uses.
+
+        Parameters
+        ----------
+        leader_epoch : int
+            Epoch of this leadership.
+        """
+        runner.epoch = max(runner.epoch, leader_epoch)
+        if runner.late_epoch is not None:
+            runner.epoch = max(runner.epoch, self.state.proved_revision)
+        return runner.epoch
+
+    def awaits_revision(self) -> bool:
+        """Return whether a runner needs a higher epoch than the latest write gives."""
+        revision = self.state.proved_revision
+        return any(
+            runner.late_epoch is not None and revision <= runner.late_epoch
+            for runner in self.state.runners.values()
+        )
+
+    def record_epoch(self, runner, epoch, clock_ms):
+        """Record that the present incarnation of a runner has answered a call.
+
+        Calls of lower epochs are refused from then on. Until then, one of them may have
+        granted the longest lease.
+
+        Parameters
+        ----------
+        epoch : int
+            Epoch of the call.
+        clock_ms : int
+            Clock of the runner in the answer.
+        """
+        if runner.late_epoch is None or epoch <= runner.late_epoch:
+            return
+        runner.late_epoch = None
+        runner.quiet_until_s = 0.0
+        longest_ms = int(self.state.timing.lease_max_s * MS_PER_S)
+        runner.inventory_lease_until_ms = min(
+            runner.inventory_lease_until_ms, clock_ms + longest_ms
+        )
+        self.state.journal("late_calls_fenced", runner=runner.id, epoch=epoch)
+
     def begin_incarnation(self, runner, now):
         """Allow for calls to the previous incarnation that may yet be carried out.
 
         The runner gets no work while one of them may make it forget ends. Another may
         grant it the longest lease, as its time is on the clock of the previous one.
+        Both end with `record_epoch`.
         """
+        runner.late_epoch = runner.epoch
         runner.forgotten_end = 0
         runner.quiet_until_s = runner.late_acknowledgement_until_s
         late_ms = int(max(runner.late_lease_until_s - now, 0.0) * MS_PER_S)
--- a/wasabipaddle/dispatch/reports.py
+++ b/wasabipaddle/dispatch/reports.py
@@ -40,7 +40,7 @@
         self.acknowledgements = acknowledgements
 
     def process_inventory(
-        self, runner, inventory, now, *, requested_s=None, acknowledged=0
+        self, runner, inventory, now, *, requested_s=None, acknowledged=0, epoch=0
     ):
         """Process an inventory; delayed ones of other incarnations are ignored.
 
@@ -54,6 +54,8 @@
             Time at which the inventory was requested, None for `now`.
         acknowledged : int
             Number of the last end that the request acknowledged, 0 for none.
+        epoch : int
+            Epoch of the request.
         """
         requested_s = now if requested_s is None else requested_s
         before = runner.incarnation
@@ -68,6 +70,7 @@
         self.acknowledgements.record_answer(
             runner, acknowledged, incarnation_before=before
         )
+        self.acknowledgements.record_epoch(runner, epoch, inventory.clock_ms)
         if runner.doubted_s is not None and requested_s >= runner.doubted_s:
             runner.doubted_s = None
         runner.inventoried = True
--- a/wasabipaddle/dispatch/runners.py
+++ b/wasabipaddle/dispatch/runners.py
@@ -95,6 +95,11 @@
     quiet_until_s : float
         Time until which the runner gets no new work, as a call to an earlier
         incarnation may yet be carried out.
+    epoch : int
+        Highest epoch of the calls to the runner; no later one has a lower epoch.
+    late_epoch : int or None
+        Highest epoch of the calls that the runner may yet carry out late, None if there
+        are no such calls.
     expired_s : float or None
         Time at which the last lease was first seen as expired, None before.
     lists_unknown_tasks : bool
@@ -147,6 +152,8 @@
     late_lease_until_s: float = 0.0
     late_acknowledgement_until_s: float = 0.0
     quiet_until_s: float = _watched(default=0.0)
+    epoch: int = 0
+    late_epoch: int | None = None
     expired_s: float | None = None
     lists_unknown_tasks: bool = _watched(default=False)
     unknown_tasks_since_s: float = 0.0
--- a/wasabipaddle/dispatch/state.py
+++ b/wasabipaddle/dispatch/state.py
@@ -94,6 +94,9 @@
     scheduled : dict of str to int
         Index of the next occurrence of each scheduled job with occurrences left, by job
         identifier.
+    proved_revision : int
+        Revision of the latest write that the store has accepted from this dispatcher as
+        the leader. It lies between the epochs of this and of the next leadership.
     wall_offset_s : float
         Unix time minus the monotonic time used in decisions.
     quotas : Quotas
@@ -130,6 +133,7 @@
     urgent_task_waiting: bool = False
     outbox: list = attrs.field(factory=list)
     scheduled: dict = attrs.field(factory=dict)
+    proved_revision: int = 0
     wall_offset_s: float = 0.0
     quotas: Quotas = attrs.field(init=False)
     durations: Durations = attrs.field(factory=Durations)
@@ -143,6 +147,10 @@
         self.speeds = Speeds(state=self)
         self.order = WorkOrder(state=self)
 
+    def note_write(self, revision):
+        """Note that the store has accepted a write of this dispatcher as the leader."""
+        self.proved_revision = max(self.proved_revision, revision)
+
     def suspected_until_s(self, runner_id) -> float:
         """Return when nothing can run any more on a suspect runner that stays silent.
 
--- a/wasabipaddle/dispatch/tests/test_acknowledgements.py
+++ b/wasabipaddle/dispatch/tests/test_acknowledgements.py
@@ -23,11 +23,15 @@
     return cell.scheduler.acknowledgements.select(cell.state.runners["r0"])
 
 
-def answer(cell, acknowledged):
+def answer(cell, acknowledged, *, epoch=0):
     """Have the runner answer a call that acknowledges ends."""
     inventory = cell.runners["r0"].inventory(acknowledged)
     cell.scheduler.reports.process_inventory(
-        cell.state.runners["r0"], inventory, cell.now, acknowledged=acknowledged
+        cell.state.runners["r0"],
+        inventory,
+        cell.now,
+        acknowledged=acknowledged,
+        epoch=epoch,
     )
 
 
@@ -91,3 +95,28 @@
     lease_max_s = ended.state.timing.lease_max_s
     left_s = runner.lease_left_ms(ended.now) / 1000
     assert left_s == pytest.approx(LATE_CALL_S - 0.5 + lease_max_s, abs=0.1)
+
+
+def test_late_calls_count_until_the_new_life_answers_one_of_a_higher_epoch(ended):
+    """Guards against a runner without work, and against leases that last too long.
+
+    The leader has the epoch 7, and a write of it the revision 9.
+    """
+    acknowledgements = ended.scheduler.acknowledgements
+    runner = ended.state.runners["r0"]
+    acknowledgements.choose_epoch(runner, 7)
+    restart(ended, 1)
+    assert acknowledgements.awaits_revision()
+    answer(ended, 0, epoch=acknowledgements.choose_epoch(runner, 7))
+    assert not runner.usable(ended.now)
+    ended.state.note_write(9)
+    assert not acknowledgements.awaits_revision()
+    answer(ended, 0, epoch=7)
+    assert not runner.usable(ended.now)
+    epoch = acknowledgements.choose_epoch(runner, 7)
+    answer(ended, 0, epoch=epoch)
+    assert epoch == 9 and runner.usable(ended.now)
+    assert runner.lease_left_ms(ended.now) <= ended.state.timing.lease_max_s * 1000
+    restart(ended, 1)
+    answer(ended, 0, epoch=acknowledgements.choose_epoch(runner, 7))
+    assert not runner.usable(ended.now), "a call of the epoch 9 may be late"
--- a/wasabipaddle/logs/explain.py
+++ b/wasabipaddle/logs/explain.py
@@ -28,6 +28,7 @@
         "runner_regained",
         "runner_reborn",
         "runner_kept_quiet",
+        "late_calls_fenced",
         "acknowledgement_misdirected",
         "runner_quarantined",
         "runner_draining",
