Seek the proof of leadership as soon as only it is missing

What callers see: the tasks of a lost runner, and after a takeover all recovered tasks that wait for one, start up to half a second later than they could.

Cause: the end of a lease counts only with a read of the leader key from after it, and the key was read each 0.4 s regardless. The end was also taken to be the round in which it was noticed, so a read between the two did not count.

Proof: a read that shows this process as the leader and was sent at the end of the lease or later shows that no later leader had extended the lease before it ended. The end follows from the lease and the slowest clock, as for suspect runners.

The unit test uses the new attribute.

--- a/wasabipaddle/cell/proof.py
+++ b/wasabipaddle/cell/proof.py
@@ -40,12 +40,15 @@
     proved_s : float
         Time on the boot clock at which the latest call that showed this process as the
         leader was sent.
+    early_read : asyncio.Task or None
+        Latest read that did not wait for the period.
     """
 
     def __init__(self, *, election):
         self.election = election
         self.clock = election.context.clock
         self.proved_s = -math.inf
+        self.early_read = None
 
     def age_s(self) -> float:
         """Return how long ago this process certainly led, in seconds.
@@ -71,6 +74,11 @@
         self.proved_s = max(self.proved_s, began_s)
         return True
 
+    def read_now(self):
+        """Read the key in the background without waiting for the period."""
+        if self.early_read is None or self.early_read.done():
+            self.early_read = self.election.tasks.spawn(self.read())
+
     async def read_periodically(self):
         """Read the key again and again; a lost answer does not delay the next read."""
         while True:
--- a/wasabipaddle/cell/session.py
+++ b/wasabipaddle/cell/session.py
@@ -318,6 +318,8 @@
                 self.scheduler.advance(
                     now, proved_s=proved_s, may_start=self.may_grant()
                 )
+                if self.scheduler.leases.awaits_proof:
+                    self.election.proof.read_now()
                 for runner in self.scheduler.remove_departed_runners(now):
                     self.journal("runner_forgotten", runner=runner.id)
                     self.fleet.changed.set()
--- a/wasabipaddle/cell/tests/test_partitions.py
+++ b/wasabipaddle/cell/tests/test_partitions.py
@@ -6,6 +6,7 @@
 import attrs
 import pytest
 
+from wasabipaddle.cell import proof
 from wasabipaddle.cell.tests.runner_parts import (
     NEAR,
     cut_off,
@@ -149,13 +150,18 @@
     play(scenario)
 
 
-def test_leader_restarts_the_runs_of_a_lost_runner(play):
-    """Guards against a proof of leadership that is never sought."""
+@pytest.mark.parametrize("offset_s", [0.0, 1.0, 2.0])
+def test_leader_restarts_the_runs_of_a_lost_runner(play, monkeypatch, offset_s):
+    """Guards against a proof of leadership that is not sought once it is missing.
+
+    The reads of the leader key that happen anyway are 2.8 s apart.
+    """
+    monkeypatch.setattr(proof, "READ_PERIOD_S", 2.8)
 
     async def scenario(cell, partition, leader):
         step = attrs.evolve(LASTING, max_per_runner=2)
         job = submit(cell, partition, "00000000000000a1", step)
-        await asyncio.sleep(3.0)
+        await asyncio.sleep(3.0 + offset_s)
         partition.near = ("r1", "r2", "r3", "r4", "r5")
         partition.epoch = math.inf
         await asyncio.sleep(6.0)
--- a/wasabipaddle/dispatch/leases.py
+++ b/wasabipaddle/dispatch/leases.py
@@ -16,11 +16,17 @@
         Shared state.
     lifecycle : Lifecycle
         Removes the runs of expired leases.
+
+    Attributes
+    ----------
+    awaits_proof : bool
+        Whether only a later proof of leadership was missing in the last `expire`.
     """
 
     def __init__(self, *, state, lifecycle):
         self.state = state
         self.lifecycle = lifecycle
+        self.awaits_proof = False
 
     def expire(self, now, *, proved_s):
         """Remove the runs of runners whose leases have certainly expired.
@@ -35,20 +41,16 @@
         proved_s : float
             Latest time at which the dispatcher was certainly the leader.
         """
+        self.awaits_proof = False
         for runner_id in list(self.state.suspects):
             until_s = self.state.suspected_until_s(runner_id)
-            if now >= until_s and proved_s >= until_s:
+            if self._is_over(until_s, now, proved_s):
                 del self.state.suspects[runner_id]
                 self.state.journal("suspect_cleared", runner=runner_id)
         for runner in self.state.runners.values():
             if not runner.runs or not runner.clock_ms:
                 continue
-            if not runner.has_passed(runner.lease_until_ms, now):
-                runner.expired_s = None
-                continue
-            if runner.expired_s is None:
-                runner.expired_s = now
-            if proved_s < runner.expired_s:
+            if not self._is_over(runner.lease_expiry_s, now, proved_s):
                 continue
             self.state.journal(
                 "leases_expired",
@@ -63,6 +65,12 @@
                     reason = RemovalReason.LEASE_EXPIRED
                     self.lifecycle.remove_run(run, now, reason=reason)
 
+    def _is_over(self, until_s, now, proved_s):
+        """Return whether leases that end at a time have certainly ended there."""
+        if now >= until_s > proved_s:
+            self.awaits_proof = True
+        return now >= until_s and proved_s >= until_s
+
     def extend_by_start(self, runner, now) -> int:
         """Record the lease of a new start order and return its end.
 
--- a/wasabipaddle/dispatch/runners.py
+++ b/wasabipaddle/dispatch/runners.py
@@ -100,8 +100,6 @@
     late_epoch : int or None
         Highest epoch of the calls that the runner may yet carry out late, None if there
         are no such calls.
-    expired_s : float or None
-        Time at which the last lease was first seen as expired, None before.
     lists_unknown_tasks : bool
         Whether the last inventory listed running or ended tasks that are not known.
     unknown_tasks_since_s : float
@@ -154,7 +152,6 @@
     quiet_until_s: float = _watched(default=0.0)
     epoch: int = 0
     late_epoch: int | None = None
-    expired_s: float | None = None
     lists_unknown_tasks: bool = _watched(default=False)
     unknown_tasks_since_s: float = 0.0
     last_inventory_s: float = 0.0
--- a/wasabipaddle/dispatch/tests/test_suspects.py
+++ b/wasabipaddle/dispatch/tests/test_suspects.py
@@ -72,3 +72,22 @@
     started_s, recorded_s = play(5.5, unanswered_s=unanswered_s)
     assert end_s <= started_s <= end_s + MARGIN_S
     assert end_s <= recorded_s <= started_s
+
+
+def test_leases_that_only_lack_a_proof_of_leadership_ask_for_one(cell):
+    """Guards against a task that waits until the leader key happens to be read."""
+    cell.submit("j0", step(1, lasting=True))
+    cell.plan()
+    leases, lost = cell.scheduler.leases, cell.started[0][2]
+    cell.unresponsive.add(lost)
+    expiry_s = cell.state.runners[lost].lease_expiry_s
+    asked = []
+    for now, proved_s in (
+        (expiry_s - 0.1, expiry_s - 0.2),
+        (expiry_s + 0.1, expiry_s - 0.1),
+        (expiry_s + 0.2, expiry_s),
+    ):
+        leases.expire(now, proved_s=proved_s)
+        asked.append(leases.awaits_proof)
+    assert asked == [False, True, False]
+    assert not cell.state.runners[lost].runs
