Take a start that its runner refuses by its epoch for gone

What callers see: a task whose start gets no reply, and whose stop gets none either, waits until the start is void (4 s), though the runner answers its inventories and refuses both by the higher epoch that follows a call without an answer.

Proof: a runner that answers an inventory of a higher epoch does nothing for the start from then on. A run that began before is listed by this inventory or has ended. It may have ended between the moments at which the runner lists running and ended runs, so two whole inventories in a row have to lack it, as for other missing runs.

Evidence: without the new condition the test fails, as the run is still held after the second such inventory.

--- a/wasabipaddle/cell/calls.py
+++ b/wasabipaddle/cell/calls.py
@@ -99,12 +99,13 @@
         run.start_before_ms = self.scheduler.leases.extend_by_start(
             runner, session.now()
         )
+        run.start_epoch = self.polling.choose_epoch(runner)
         message = StartOrder(
             task=task.id,
             run=run.number,
             payload=task.step.job.job.spec.payload,
             start_before_ms=run.start_before_ms,
-            epoch=self.polling.choose_epoch(runner),
+            epoch=run.start_epoch,
             checkpoint=task.checkpoint,
             ticket=order.ticket,
         )
--- a/wasabipaddle/dispatch/model.py
+++ b/wasabipaddle/dispatch/model.py
@@ -80,6 +80,8 @@
         Time of the start order, or of the discovery after a takeover.
     start_before_ms : int
         Time on the runner's clock from which the start order is void.
+    start_epoch : int
+        Epoch of the start order.
     confirmed_ms : int
         Clock of the runner when it confirmed the run or its stop, 0 before.
     confirmed_s : float
@@ -111,6 +113,7 @@
     phase: RunPhase
     started_s: float
     start_before_ms: int = 0
+    start_epoch: int = 0
     confirmed_ms: int = 0
     confirmed_s: float = 0.0
     listed: bool = False
--- a/wasabipaddle/dispatch/reports.py
+++ b/wasabipaddle/dispatch/reports.py
@@ -91,7 +91,7 @@
         if runner.id in self.state.suspects:
             whole = inventory.complete and not lists_unknown_tasks
             self._check_suspect(runner, whole, now, requested_s)
-        self._remove_missing(runner, listed, inventory, now, requested_s)
+        self._remove_missing(runner, listed, inventory, now, requested_s, epoch)
 
     def _check_suspect(self, runner, whole, now, requested_s):
         """Clear a suspect runner once all its runs and ends are known.
@@ -109,19 +109,22 @@
         until_s = now + self.state.timing.lease_s
         self.state.suspects[runner.id] = max(self.state.suspects[runner.id], until_s)
 
-    def _remove_missing(self, runner, listed, inventory, now, requested_s):
+    def _remove_missing(self, runner, listed, inventory, now, requested_s, epoch):
         """Remove the runs that an inventory proves to be gone, or not to begin.
 
         An inventory without a run proves something only if it lists all ended runs and
         was requested after the run or its stop was confirmed: an earlier request may
-        have been answered from the time before. A run may also end between the moments
-        at which the runner lists running and ended runs, so it must be missing
-        twice.
+        have been answered from the time before. A start without a reply must be void
+        by then, or refused, as its epoch is lower than that of the request. A run may
+        also end between the moments at which the runner lists running and ended runs,
+        so it must be missing twice.
         """
         for run in list(runner.runs.values()):
             if run.key in listed:
                 run.missing = False
-            elif inventory.complete and self._may_be_gone(run, inventory, requested_s):
+            elif inventory.complete and self._may_be_gone(
+                run, inventory, requested_s, epoch
+            ):
                 if run.missing:
                     self.lifecycle.remove_run(run, now, reason=RemovalReason.MISSING)
                 run.missing = True
@@ -343,14 +346,15 @@
             self.state.stop_run(run, now)
         return False
 
-    def _may_be_gone(self, run, inventory, requested_s):
+    def _may_be_gone(self, run, inventory, requested_s, epoch):
         """Return whether an inventory is later than the last sign of a missing run."""
         if run.confirmed_ms:
             later = inventory.clock_ms > run.confirmed_ms
             return later and requested_s >= run.confirmed_s
         if run.phase is RunPhase.STARTING:
             return False
-        return run.runner.least_clock_ms(requested_s) > run.start_before_ms
+        refused = epoch > run.start_epoch > 0
+        return refused or run.runner.least_clock_ms(requested_s) > run.start_before_ms
 
     def record_write(self, jobs, generation):
         """Record a write of progress and acknowledge the ends that it made durable.
--- a/wasabipaddle/dispatch/tests/test_acknowledgements.py
+++ b/wasabipaddle/dispatch/tests/test_acknowledgements.py
@@ -120,3 +120,21 @@
     restart(ended, 1)
     answer(ended, 0, epoch=acknowledgements.choose_epoch(runner, 7))
     assert not runner.usable(ended.now), "a call of the epoch 9 may be late"
+
+
+def test_start_that_a_runner_refuses_by_its_epoch_holds_its_task_no_longer(make_cell):
+    """Guards against a task that waits until a start without a reply is void.
+
+    One inventory of a higher epoch does not show that the run has not begun and ended.
+    """
+    cell = make_cell(runners=1)
+    cell.submit("j0", step(1))
+    cell.plan(answer=False)
+    (run,) = cell.state.runners["r0"].runs.values()
+    run.start_epoch = 7
+    left = []
+    for epoch in (7, 7, 9, 9):
+        cell.now += 0.1
+        answer(cell, 0, epoch=epoch)
+        left.append(run.key in run.runner.runs)
+    assert left == [True, True, True, False]
