--- a/wasabipaddle/dispatch/runners.py
+++ b/wasabipaddle/dispatch/runners.py
@@ -95,8 +95,11 @@
     quiet_until_s : float
         Time until which the runner gets no new work, as a call to an earlier
         incarnation may yet be carried out.
-    expired_s : float or None
-        Time at which the last lease was first seen as expired, None before.
+    epoch : int
+        Highest epoch of the calls to the runner; no later one has a lower epoch.
+    late_epoch : int or None
+        Highest epoch of the calls that the runner may yet carry out late, None if there
+        are no such calls.
     lists_unknown_tasks : bool
         Whether the last inventory listed running or ended tasks that are not known.
     unknown_tasks_since_s : float
@@ -147,7 +150,8 @@
     late_lease_until_s: float = 0.0
     late_acknowledgement_until_s: float = 0.0
     quiet_until_s: float = _watched(default=0.0)
-    expired_s: float | None = None
+    epoch: int = 0
+    late_epoch: int | None = None
     lists_unknown_tasks: bool = _watched(default=False)
     unknown_tasks_since_s: float = 0.0
     last_inventory_s: float = 0.0
@@ -177,6 +181,17 @@
         """Time on the runner's clock at which the last lease on it ends."""
         return max(self.inventory_lease_until_ms, self.start_lease_until_ms)
 
+    @property
+    def lease_expiry_s(self) -> float:
+        """Local time from which the last known lease has certainly passed.
+
+        0 while the clock of the runner is unknown; it has no lease then.
+        """
+        if not self.clock_ms:
+            return 0.0
+        left_ms = max(self.lease_until_ms + EXPIRY_MARGIN_MS - self.clock_ms, 0)
+        return self.clock_s + left_ms / MS_PER_S / (1 - CLOCK_DRIFT_FRACTION)
+
     def lease_left_ms(self, now) -> int:
         """Return the estimated time until the last known lease ends, in milliseconds.
 
