Start tasks that have run before first starts of their step

Cause: a task whose run has ended was queued behind all tasks of its step that have not started yet. In a wide step each place that became free went to one of those.

Change: of the tasks of a step that last, those whose run has begun and ended come first. Other tasks keep their order: with the same order for all of them test_overload.py misses its bound, since retries then delay small steps.

Result: the new test and the tests of dispatch pass.

--- a/wasabipaddle/dispatch/lifecycle.py
+++ b/wasabipaddle/dispatch/lifecycle.py
@@ -265,6 +265,7 @@
         """
         self.state.discard_run(run)
         task = run.task
+        task.has_run |= run.seen
         if reason is not None:
             self.state.journal(
                 "run_removed",
--- a/wasabipaddle/dispatch/model.py
+++ b/wasabipaddle/dispatch/model.py
@@ -57,6 +57,8 @@
         Runners on which a run of the task failed, stalled or was slow.
     given_up : bool
         Whether a run of the task was stopped because it stalled or was slow.
+    has_run : bool
+        Whether a run of the task is known to have begun and ended.
     waiting_since_s : float
         Time at which the task last began to wait for a run.
     gave_room, got_room : bool
@@ -73,6 +75,7 @@
     checkpoint: str = ""
     avoided: set = attrs.field(factory=set)
     given_up: bool = False
+    has_run: bool = False
     waiting_since_s: float = 0.0
     gave_room: bool = False
     got_room: bool = False
@@ -139,6 +142,17 @@
     def __attrs_post_init__(self):
         self.key = (self.job.id, self.occurrence, self.position)
 
+    def tasks_to_start(self):
+        """Return the waiting tasks in the order in which they get room.
+
+        Of tasks that last, those whose run has ended come first: their users have lost
+        them.
+        """
+        tasks = list(self.pending.values())
+        if self.spec.lasting:
+            tasks.sort(key=lambda task: not task.has_run)
+        return tasks
+
     def record_duration(self, seconds, speed) -> float | None:
         """Record the duration of a run and return the speed that it has shown.
 
--- a/wasabipaddle/dispatch/placement.py
+++ b/wasabipaddle/dispatch/placement.py
@@ -267,7 +267,7 @@
         choice = self._open_choice(step, now)
         if not choice:
             return
-        for task in list(step.pending.values())[:limit]:
+        for task in step.tasks_to_start()[:limit]:
             if self._waits_for_quota(step, now):
                 return
             best = choice.best(task)
--- a/wasabipaddle/dispatch/tests/test_runs.py
+++ b/wasabipaddle/dispatch/tests/test_runs.py
@@ -286,3 +286,16 @@
         cell.runners[runner].end(task, number)
     cell.read_inventories()
     assert entry.work_done == pytest.approx(3 * 1000 * 1.0)
+
+
+def test_task_that_has_run_goes_before_first_starts_of_its_step(make_cell):
+    """Guards against a task that lasts and waits behind all new tasks of its step."""
+    cell = make_cell(runners=3, cpu=1000)
+    cell.submit("service", step(8, lasting=True))
+    cell.plan()
+    assert [task.index for task, _, _ in cell.started] == [0, 1, 2]
+    failed, run, host = cell.started[1]
+    cell.runners[host].end(failed, run, EndCause.FAILED)
+    cell.read_inventories()
+    cell.plan()
+    assert cell.started[-1][0] == failed
