Let memory bind lasting work with advice in the fault soak

The soak checks that a lasting task runs again within 9 s of its last run, but could not show that one waits beside room. Its lasting queue needed no advice, its tasks had 256 MB and its runners 16 GB, so processors were the only resource that bound and no ticket had to be renewed. The service took 2 ms for a runner, with which a request names at least 6 of 8 runners, and the runners took starts with tickets that had expired. No run of a lasting task failed by itself, so tasks had to be placed again after faults only, and what happens then is checked after 7 s of calm.

Half of the seeds now play a cell in which a lasting cache takes the memory of most runners, and other runners have memory and few free processors. Lasting jobs of a queue with slow advice need 6 to 10 GB a task, and their runs fail by themselves. A large task is owed a run under the same limits as before, once eligible runners have room for two of its kind for 3 s; it is also owed its first run. The check of the small tasks stays as it was: they are owed a run without a look at the room. The stand-in of a runner refuses starts without a valid ticket.

A replaced runner is followed by one of its shape, in one place of the code.

--- a/wasabipaddle/commands/soak.py
+++ b/wasabipaddle/commands/soak.py
@@ -9,6 +9,8 @@
 
 MAX_PROCESSES = 64
 MAX_PARALLEL_SEEDS = 8
+# With fewer, a step has too few eligible runners whose memory is full.
+LEAST_MEMORY_BOUND_RUNNERS = 12
 
 
 def soak(*, seed, seeds, seconds, processes, runners, at_once, keep, faults="") -> bool:
@@ -41,9 +43,19 @@
     return passed
 
 
-def _run_seed(run, seed, **options):
-    # Cells with and without workspaces are played by turns.
-    return run(seed=seed, workspaces=seed % 2 == 1, **options)
+def _run_seed(run, seed, *, runners, **options):
+    # Cells with and without workspaces, and cells with and without lasting work that
+    # memory binds, are played by turns.
+    memory_bound = seed // 2 % 2 == 1
+    if memory_bound:
+        runners = max(runners, LEAST_MEMORY_BOUND_RUNNERS)
+    return run(
+        seed=seed,
+        workspaces=seed % 2 == 1,
+        memory_bound=memory_bound,
+        runners=runners,
+        **options,
+    )
 
 
 def _select_faults(text):
--- a/wasabipaddle/commands/tests/test_where.py
+++ b/wasabipaddle/commands/tests/test_where.py
@@ -31,7 +31,8 @@
 from wasabipaddle.soak.cell import CellProcesses, callers_address
 from wasabipaddle.soak.keys import SoakKeys
 from wasabipaddle.soak.ledger import JobRecord, SoakLedger
-from wasabipaddle.soak.platform import HOST, QUEUES, SoakPlatform
+from wasabipaddle.soak.platform import HOST, SoakPlatform
+from wasabipaddle.soak.queues import QUEUES
 from wasabipaddle.standins.runners import TaskBehaviour
 from wasabipaddle.transport import HttpTransport
 
--- a/wasabipaddle/measure/large_jobs.py
+++ b/wasabipaddle/measure/large_jobs.py
@@ -5,10 +5,11 @@
 import attrs
 
 from wasabipaddle.interfaces import EndCause
-from wasabipaddle.jobs import StepSpec
+from wasabipaddle.jobs import Capacity, StepSpec
 from wasabipaddle.measure.base import Bound, Measure
 from wasabipaddle.measure.real_cell import open_cell
 from wasabipaddle.soak.ledger import SoakLedger
+from wasabipaddle.soak.shapes import GENERAL
 
 __all__ = ["LargeJobsMeasure"]
 
@@ -17,7 +18,7 @@
 RUNNERS = 6
 # All tasks of the largest job fit at once.
 TASK_CPU = 50
-RUNNER_CPU = 48_000
+RUNNER = attrs.evolve(GENERAL, capacity=Capacity(cpu=48_000, memory_mb=16_000))
 TASK_MEMORY_MB = 1
 LARGE = StepSpec(count=1, cpu=TASK_CPU, memory_mb=TASK_MEMORY_MB, lasting=True)
 SMALL = StepSpec(count=3, cpu=TASK_CPU, memory_mb=TASK_MEMORY_MB, estimate_s=0.2)
@@ -134,7 +135,7 @@
         processes=PROCESSES,
         runners=RUNNERS,
         seed=seed,
-        runner_cpu=RUNNER_CPU,
+        shapes=(RUNNER,),
     ) as cell:
         return await _run_jobs(cell, size)
 
--- a/wasabipaddle/measure/real_cell.py
+++ b/wasabipaddle/measure/real_cell.py
@@ -13,7 +13,8 @@
 from wasabipaddle.soak.cell import CellProcesses, callers_address
 from wasabipaddle.soak.keys import SoakKeys
 from wasabipaddle.soak.ledger import JobRecord
-from wasabipaddle.soak.platform import QUEUES, SoakPlatform
+from wasabipaddle.soak.platform import SoakPlatform
+from wasabipaddle.soak.queues import QUEUES
 from wasabipaddle.standins.runners import TaskBehaviour
 
 __all__ = ["RealCell", "open_cell"]
--- a/wasabipaddle/measure/silent_store.py
+++ b/wasabipaddle/measure/silent_store.py
@@ -8,7 +8,8 @@
 from wasabipaddle.measure.base import Bound, Measure
 from wasabipaddle.measure.real_cell import open_cell
 from wasabipaddle.soak.ledger import SoakLedger
-from wasabipaddle.soak.platform import QUEUES, STORE
+from wasabipaddle.soak.platform import STORE
+from wasabipaddle.soak.queues import QUEUES
 
 __all__ = ["SilentStoreMeasure"]
 
--- a/wasabipaddle/soak/callers.py
+++ b/wasabipaddle/soak/callers.py
@@ -155,10 +155,21 @@
 
     def submit_spread(self, count):
         """Submit a lasting job, never cancelled, with each task on its own runner."""
+        self.submit_lasting("lasting", SPREAD_STEP, count=count)
+
+    def submit_lasting(self, queue, step, *, count, mean_life_s=math.inf):
+        """Submit a lasting job of one step that is never cancelled.
+
+        Parameters
+        ----------
+        mean_life_s : float
+            Mean time until a run of a task fails by itself.
+        """
         job_id = f"{self.random.getrandbits(64):016x}"
-        step = attrs.evolve(SPREAD_STEP, count=count)
-        steps = [(step, TaskBehaviour(work_s=math.inf))]
-        record = self._record(job_id, *self._job("lasting", f"spread {job_id}", steps))
+        step = attrs.evolve(step, count=count)
+        behaviour = TaskBehaviour(work_s=math.inf, mean_life_s=mean_life_s)
+        steps = [(step, behaviour)]
+        record = self._record(job_id, *self._job(queue, f"lasting {job_id}", steps))
         self._spawn(self._submit(record))
 
     def _record(self, job_id, queue, spec, behaviours):
--- a/wasabipaddle/soak/concurrency.py
+++ b/wasabipaddle/soak/concurrency.py
@@ -10,7 +10,7 @@
 import attrs
 from result import Ok
 
-from wasabipaddle.interfaces import Refusal, RunnerClient
+from wasabipaddle.interfaces import OrderReply, Refusal, RunnerClient
 
 __all__ = ["ConcurrentRunner"]
 
@@ -30,10 +30,13 @@
         Runner, whose `faults` say how replies are delayed.
     seed : float
         Seed of all random choices.
+    admits : callable
+        Returns whether a start order has the ticket that it needs on a runner.
     """
 
-    def __init__(self, *, runner, seed):
+    def __init__(self, *, runner, seed, admits=lambda order, runner: True):
         self.runner = runner
+        self.admits = admits
         self.random = random.Random(seed)
         self.awake = asyncio.Event()
         self.awake.set()
@@ -70,10 +73,19 @@
         return reply
 
     async def start(self, order, *, timeout_s):
-        """Start a run."""
+        """Start a run, unless its ticket is not valid."""
         await self.awake.wait()
+        if not self.admits(order, self.runner.entry.id):
+            return await self._deliver(Ok(self._refuse(Refusal.TICKET)))
         return await self._deliver(await self.runner.start(order, timeout_s=timeout_s))
 
+    def _refuse(self, refusal):
+        return OrderReply(
+            clock_ms=self.runner.clock_ms(),
+            refusal=refusal,
+            incarnation=self.runner.entry.incarnation,
+        )
+
     async def stop(self, task, run, *, epoch, timeout_s):
         """Stop a run."""
         await self.awake.wait()
--- a/wasabipaddle/soak/departures.py
+++ b/wasabipaddle/soak/departures.py
@@ -70,9 +70,8 @@
         memory.watches_answered = True
 
     async def _replace(self, name):
-        await self.platform.add_runner()
         self._note(f"{name} begins to leave")
-        await self.platform.remove_runner(name, LEAVES_IN_S)
+        await self.platform.replace_runner(name, LEAVES_IN_S)
 
     def _note(self, text):
         self.log.append(f"{self.ledger.now():.1f} {text}")
--- a/wasabipaddle/soak/driver.py
+++ b/wasabipaddle/soak/driver.py
@@ -15,8 +15,12 @@
 from wasabipaddle.soak.keys import SoakKeys
 from wasabipaddle.soak.lasting import LastingWatch
 from wasabipaddle.soak.ledger import SoakLedger
+from wasabipaddle.soak.memory_bound import MemoryBoundWork
 from wasabipaddle.soak.names import ALL_FAULTS
-from wasabipaddle.soak.platform import QUEUES, SoakPlatform
+from wasabipaddle.soak.platform import SoakPlatform
+from wasabipaddle.soak.queues import QUEUES
+from wasabipaddle.soak.room import Room
+from wasabipaddle.soak.shapes import GENERAL, MIXED_SHAPES
 from wasabipaddle.soak.workspaces import SoakWorkspaces
 
 __all__ = ["SoakResult", "run_soak"]
@@ -81,6 +85,7 @@
     keep=None,
     faults=ALL_FAULTS,
     workspaces=False,
+    memory_bound=False,
 ) -> SoakResult:
     """Run the soak test with one seed.
 
@@ -100,6 +105,9 @@
         Names of the faults and planned operations to choose from.
     workspaces : bool
         Whether the cell has workspaces, with keys and with quotas that change.
+    memory_bound : bool
+        Whether the runners have unequal shapes, and large lasting tasks fill the memory
+        of some of them.
     """
     with tempfile.TemporaryDirectory(prefix="wasabipaddle-soak-") as temporary:
         directory = pathlib.Path(keep or temporary) / f"seed-{seed}"
@@ -113,6 +121,7 @@
                 keep=directory,
                 names=faults,
                 workspaces=workspaces,
+                memory_bound=memory_bound,
             )
         )
         report = [result.line(), *result.faults, *(v.line() for v in result.violations)]
@@ -173,9 +182,12 @@
     faults: SoakFaults
     callers: SoakCallers
     departures: Departures
+    memory_bound: MemoryBoundWork | None
 
 
-def _assemble(seed, *, processes, runners, keep, names, workspaces) -> _SoakParts:
+def _assemble(
+    seed, *, processes, runners, keep, names, workspaces, memory_bound
+) -> _SoakParts:
     """Create the parts of a run; all random choices follow from the seed."""
     rng = random.Random(seed)
     ledger = SoakLedger()
@@ -186,6 +198,7 @@
         processes=[f"p{i}" for i in range(processes)],
         runner_count=runners,
         seed=rng.random(),
+        shapes=MIXED_SHAPES if memory_bound else (GENERAL,),
         workspaces=ledger.workspaces,
         keys=SoakKeys(names=ledger.workspaces.quotas) if workspaces else SoakKeys(),
     )
@@ -210,6 +223,9 @@
         random=random.Random(rng.random()),
         log=faults.log,
     )
+    work = MemoryBoundWork(
+        platform=platform, random=random.Random(seed), submit=callers.submit_lasting
+    )
     faults.probe = callers.probe
     faults.submit_burst = callers.submit_burst
     faults.submit_spread = callers.submit_spread
@@ -222,6 +238,7 @@
         faults=faults,
         callers=callers,
         departures=departures,
+        memory_bound=work if memory_bound else None,
     )
 
 
@@ -229,11 +246,14 @@
     """Inject the faults, let runners leave and wait for the end of all jobs."""
     callers, faults = parts.callers, parts.faults
     until_s = parts.ledger.now() + seconds
-    lasting = LastingWatch(ledger=parts.ledger, faults=faults)
+    room = Room(platform=parts.platform)
+    lasting = LastingWatch(ledger=parts.ledger, faults=faults, room=room)
     async with asyncio.TaskGroup() as group:
         enforcing = group.create_task(parts.cell.enforce_grace_period())
         checking = group.create_task(lasting.run())
         submitting = group.create_task(callers.run(JOBS_PER_S))
+        if parts.memory_bound is not None:
+            group.create_task(parts.memory_bound.run())
         workspaces = parts.ledger.workspaces
         if workspaces is not None:
             changing = group.create_task(workspaces.run(parts.platform))
--- a/wasabipaddle/soak/faults.py
+++ b/wasabipaddle/soak/faults.py
@@ -16,7 +16,8 @@
 )
 from wasabipaddle.soak.odd_entries import OddEntries
 from wasabipaddle.soak.partitions import Partitions
-from wasabipaddle.soak.platform import CALLERS, CELL, QUEUES, STORE
+from wasabipaddle.soak.platform import CALLERS, CELL, STORE
+from wasabipaddle.soak.queues import QUEUES
 from wasabipaddle.soak.replacements import Replacements
 from wasabipaddle.soak.runner_faults import RunnerDisruptions
 
@@ -364,8 +365,7 @@
         name = self._choose_runner()
         runner = self.platform.runners[name]
         if not runner.entry.draining and name not in self.platform.reserved_runners:
-            await self.platform.add_runner()
-            await self.platform.remove_runner(name, LEAVES_IN_S)
+            await self.platform.replace_runner(name, LEAVES_IN_S)
         return name
 
     async def _configured(self, seconds):
--- a/wasabipaddle/soak/keys.py
+++ b/wasabipaddle/soak/keys.py
@@ -3,7 +3,8 @@
 import asyncio
 
 from wasabipaddle.jobs import Workspace
-from wasabipaddle.soak.platform import CELL, QUEUES, STORE
+from wasabipaddle.soak.platform import CELL, STORE
+from wasabipaddle.soak.queues import QUEUES
 
 __all__ = ["REVOCATION_S", "KeyRemovals", "SoakKeys"]
 
--- a/wasabipaddle/soak/ledger.py
+++ b/wasabipaddle/soak/ledger.py
@@ -7,6 +7,7 @@
 
 from wasabipaddle.interfaces import EndCause
 from wasabipaddle.jobs import JobPhase
+from wasabipaddle.soak.queues import SIZED_QUEUES
 
 __all__ = ["JobRecord", "SoakLedger", "Violation"]
 
@@ -302,6 +303,8 @@
             if not record.accepted_s:
                 continue
             phase = record.shown
+            if record.queue.name in SIZED_QUEUES:
+                continue  # `LastingWatch` checks them, since they may wait for room
             if record.spec.lasting and not record.cancel_sent:
                 self._check_lasting(record)
             elif phase is None or not phase.final:
--- a/wasabipaddle/soak/platform.py
+++ b/wasabipaddle/soak/platform.py
@@ -6,22 +6,17 @@
 
 import attrs
 import msgspec
-from result import Ok
 
 from wasabipaddle.cell.keys import LEADER_KEY
-from wasabipaddle.interfaces import Advice, AdviceClient, Put
-from wasabipaddle.jobs import (
-    AdvicePolicy,
-    Capacity,
-    CellConfiguration,
-    Pool,
-    Queue,
-    RunnerEntry,
-)
+from wasabipaddle.interfaces import Put
+from wasabipaddle.jobs import CellConfiguration, Pool, RunnerEntry
 from wasabipaddle.platform.client import encode_configuration, encode_runner
 from wasabipaddle.platform.server import advice_routes, runner_routes, store_routes
 from wasabipaddle.settings import LinkSettings
 from wasabipaddle.soak.concurrency import ConcurrentRunner
+from wasabipaddle.soak.eligibility import EligibilityService, SoakEligibility
+from wasabipaddle.soak.queues import POOL, QUEUES
+from wasabipaddle.soak.shapes import GENERAL
 from wasabipaddle.soak.views import ProcessView, RunnerAddresses
 from wasabipaddle.standins.link import Link
 from wasabipaddle.standins.listener import Listener
@@ -36,56 +31,14 @@
 STORE = "store"
 CALLERS = "callers"
 CELL = "cell"
-POOL = "pool"
 DATA_CENTRE = "a"
 HEARTBEAT_INTERVAL_S = 1.5
 MAX_MISSED_HEARTBEATS = 3
-RUNNER_CPU = 6_000
-RUNNER_MEMORY_MB = 16_000
 RUNNERS_PER_RACK = 3
 # Lowest rate of the monotonic clock of a runner, relative to that of a process.
 MIN_CLOCK_RATE = 0.98
 LEASE_MAX_S = 6.0
 RUNNER_STOP_S = 0.3
-ADVICE = AdvicePolicy(base_s=0.05, per_runner_s=0.002, valid_s=2.5)
-QUEUES = (
-    Queue(
-        name="urgent", host="u.example", prefix="/urgent/", pool=POOL, max_attempts=2
-    ),
-    Queue(
-        name="lasting", host="u.example", prefix="/lasting/", pool=POOL, priority=1,
-        max_attempts=3,
-    ),
-    Queue(
-        name="batch", host="b.example", prefix="/batch/", pool=POOL, priority=2,
-        max_attempts=4, advice=ADVICE,
-    ),
-)  # fmt: skip
-
-
-class _EligibilityService(AdviceClient):
-    """Eligibility service that allows each step on two thirds of the runners."""
-
-    def __init__(self):
-        self.lock = asyncio.Lock()
-
-    async def ask(self, *, job, occurrence, step, runners, timeout_s):
-        """Return tickets for the eligible runners; calls are served one at a time."""
-        async with self.lock:
-            await asyncio.sleep(ADVICE.base_s + ADVICE.per_runner_s * len(runners))
-        # Runners are numbered consecutively, so some are always eligible.
-        excluded = (int(job, 16) + step) % 3
-        tickets = {
-            runner: f"{job}.{step}.{runner}"
-            for runner in runners
-            if _is_own(runner) and int(runner.removeprefix("w")) % 3 != excluded
-        }
-        return Ok(Advice(tickets=tickets, valid_s=ADVICE.valid_s))
-
-
-def _is_own(runner):
-    """Return whether an id is that of a runner, and not one of an odd entry."""
-    return runner.startswith("w") and runner[1:].isdecimal()
 
 
 class SoakPlatform:
@@ -101,8 +54,8 @@
         Number of runners at the start.
     seed : float
         Seed of all random choices.
-    runner_cpu : int
-        Processing power of each runner in millicores.
+    shapes : tuple of RunnerShape
+        Shapes that the runners get by turns.
     workspaces : SoakWorkspaces or None
         Quotas of the workspaces, None for workspaces without any.
     keys : SoakKeys
@@ -130,7 +83,7 @@
         processes,
         runner_count,
         seed,
-        runner_cpu=RUNNER_CPU,
+        shapes=(GENERAL,),
         workspaces=None,
         keys,
     ):
@@ -148,7 +101,8 @@
         self.caller_ports = {}
         self.readiness_ports = {}
         self.runner_count = runner_count
-        self.runner_cpu = runner_cpu
+        self.shapes = shapes
+        self.eligibility = SoakEligibility(ledger=ledger)
         self.keys = keys
         self.queues = ()
         self.runners = {}
@@ -182,7 +136,8 @@
         )
         port = await self._listen(store_routes(client))
         self.addresses[process, STORE] = await self._proxy(port, process, STORE)
-        port = await self._listen(advice_routes(_EligibilityService()))
+        service = EligibilityService(eligibility=self.eligibility)
+        port = await self._listen(advice_routes(service))
         self.addresses[process, "advice"] = f"{HOST}:{port}"
         self.addresses[process, CELL] = await self._proxy(
             self.internal_ports[process], CELL, process
@@ -247,8 +202,9 @@
         free = sorted(set(self.runners) - self.reserved_runners)
         return rng.choice(free or sorted(self.runners))
 
-    async def add_runner(self, *, rack="") -> str:
+    async def add_runner(self, *, rack="", shape=None) -> str:
         """Start a runner with an id that was not used before, and return the id."""
+        shape = shape or self.shapes[self.runners_created % len(self.shapes)]
         self.runners_created += 1
         name = f"w{self.runners_created:03d}"
         self.link.regions[name] = "region"
@@ -259,8 +215,8 @@
                 address="",
                 data_centre=DATA_CENTRE,
                 pool=POOL,
-                capacity=Capacity(cpu=self.runner_cpu, memory_mb=RUNNER_MEMORY_MB),
-                labels=("kind", rack),
+                capacity=shape.capacity,
+                labels=(shape.label, rack),
                 incarnation=self.next_incarnation(),
             ),
             ledger=self.ledger,
@@ -270,7 +226,11 @@
             clock_offset_s=self.random.uniform(10.0, 5_000.0),
             seed=self.random.random(),
         )
-        client = ConcurrentRunner(runner=runner, seed=self.random.random())
+        client = ConcurrentRunner(
+            runner=runner,
+            seed=self.random.random(),
+            admits=self.eligibility.admits,
+        )
         port = await self._listen(runner_routes(client))
         self.runner_ports[name] = port
         address = f"{HOST}:{port}"
@@ -293,6 +253,13 @@
         self.runners[name].crash(self.next_incarnation())
         self.link.reset(CELL, name)
 
+    async def replace_runner(self, name, leaves_in_s):
+        """Add a runner of the shape of another one, which is removed then."""
+        entry = self.runners[name].entry
+        shape = next(shape for shape in self.shapes if shape.label in entry.labels)
+        await self.add_runner(shape=shape)
+        await self.remove_runner(name, leaves_in_s)
+
     async def remove_runner(self, name, leaves_in_s):
         """Drain a runner and remove it after `leaves_in_s`."""
         runner = self.runners[name]
--- a/wasabipaddle/soak/regressions.py
+++ b/wasabipaddle/soak/regressions.py
@@ -18,6 +18,7 @@
     runners: int = 8
     faults: tuple[str, ...] = BASIC_FAULTS
     workspaces: bool = False
+    memory_bound: bool = False
 
 
 REGRESSIONS = (
--- a/wasabipaddle/soak/replacements.py
+++ b/wasabipaddle/soak/replacements.py
@@ -45,7 +45,6 @@
             runner = self.platform.runners.get(name)
             if runner is None or runner.entry.draining:
                 continue
-            await self.platform.add_runner()
-            await self.platform.remove_runner(name, LEAVES_IN_S)
+            await self.platform.replace_runner(name, LEAVES_IN_S)
             await asyncio.sleep(self.random.uniform(0.0, MAX_PAUSE_S))
         return ",".join(replaced)
--- a/wasabipaddle/soak/tests/test_faults.py
+++ b/wasabipaddle/soak/tests/test_faults.py
@@ -51,6 +51,11 @@
         self.runners[name] = types.SimpleNamespace(entry=ENTRY, ends=[])
         return name
 
+    async def replace_runner(self, name, leaves_in_s):
+        """Add a runner and remove another one."""
+        await self.add_runner()
+        await self.remove_runner(name, leaves_in_s)
+
     async def remove_runner(self, name, leaves_in_s):
         """Remove a runner."""
         self.left.append(name)
--- a/wasabipaddle/soak/tests/test_ledger.py
+++ b/wasabipaddle/soak/tests/test_ledger.py
@@ -318,7 +318,7 @@
         (task,) = setup.ledger.idle_since_s
         setup.ledger.idle_since_s[task] = now - idle_s
         faults = types.SimpleNamespace(last_disturbance_end_s=now + fault_end_s)
-        watch = LastingWatch(ledger=setup.ledger, faults=faults)
+        watch = LastingWatch(ledger=setup.ledger, faults=faults, room=None)
         watch.check()
         watch.check()
         await setup.start(1, run=2)
--- a/wasabipaddle/soak/tests/test_maintenance.py
+++ b/wasabipaddle/soak/tests/test_maintenance.py
@@ -15,7 +15,8 @@
 from wasabipaddle.soak.cell import MAINTENANCE_S, CellProcesses, callers_address
 from wasabipaddle.soak.keys import SoakKeys
 from wasabipaddle.soak.ledger import JobRecord, SoakLedger
-from wasabipaddle.soak.platform import HOST, QUEUES, SoakPlatform
+from wasabipaddle.soak.platform import HOST, SoakPlatform
+from wasabipaddle.soak.queues import QUEUES
 from wasabipaddle.standins.listener import Listener
 from wasabipaddle.standins.machines import MemoryMachines
 from wasabipaddle.standins.runs import TaskBehaviour
--- a/wasabipaddle/soak/tests/test_soak.py
+++ b/wasabipaddle/soak/tests/test_soak.py
@@ -24,6 +24,7 @@
         runners=case.runners,
         faults=case.faults,
         workspaces=case.workspaces,
+        memory_bound=case.memory_bound,
         keep=tmp_path,
     )
     report = (tmp_path / f"seed-{case.seed}" / "report.txt").read_text()
--- a/wasabipaddle/standins/runners.py
+++ b/wasabipaddle/standins/runners.py
@@ -1,6 +1,7 @@
 """In-memory stand-in of a runner, which runs tasks under a lease."""
 
 import asyncio
+import math
 import random
 
 import attrs
@@ -160,7 +161,9 @@
                 self._end(run, EndCause.FAILED)
                 continue
             run.done_s += elapsed_s * run.pace / FULL_PERCENT / self.faults.slowness
-            if run.done_s >= run.behaviour.work_s:
+            if run.done_s >= run.life_s:
+                self._end(run, EndCause.FAILED)
+            elif run.done_s >= run.behaviour.work_s:
                 failed = run.behaviour.fails
                 self._end(run, EndCause.FAILED if failed else EndCause.COMPLETED)
 
@@ -246,11 +249,18 @@
             began_s=self._now(),
             done_s=float(order.checkpoint or 0.0),
             touched_s=self._now(),
+            life_s=self._draw_life(behaviour),
         )
         self.runs[order.task, order.run] = run
         self.ledger.record_start(self, run, order)
         return self._reply(Refusal.NONE)
 
+    def _draw_life(self, behaviour):
+        """Return the work after which a run fails by itself, in seconds."""
+        if math.isinf(behaviour.mean_life_s):
+            return math.inf
+        return self.random.expovariate(1 / behaviour.mean_life_s)
+
     def _extend(self, until_ms):
         longest_ms = self.clock_ms() + int(self.lease_max_s * MS_PER_S)
         self.lease_until_ms = max(self.lease_until_ms, min(until_ms, longest_ms))
--- a/wasabipaddle/standins/runs.py
+++ b/wasabipaddle/standins/runs.py
@@ -19,10 +19,13 @@
         Duration on a runner without faults; infinite for a lasting task.
     fails : bool
         Whether the task fails at the end of its work, on any runner.
+    mean_life_s : float
+        Mean time until a run fails by itself.
     """
 
     work_s: float
     fails: bool = False
+    mean_life_s: float = math.inf
 
 
 @attrs.define(kw_only=True)
@@ -71,6 +74,7 @@
     done_s: float = 0.0
     touched_s: float = 0.0
     stop_at_s: float = math.inf
+    life_s: float = math.inf
     pace: int = FULL_PERCENT
 
     @property
