Let connections wait for the end of a cut without looking at it

The proxy of the stand-ins looked every 50 ms at each connection that a cut held back. A call that runs into its time-out during a cut closes its connection, which the proxy did not notice before the cut had ended, and the next attempt opens another one. With hundreds of stop orders for a runner that is cut off, thousands of connections waited and kept the event loop that runs all stand-ins busy, other calls timed out too, and at the end of the cut all abandoned requests arrived at once.

Connections wait for an event now, and one that its client closes before the cut ends never reaches the target, as of a TCP connection that could not be established. Connections that were open before a cut still deliver late what they held, and `runner_orders_late` delays orders as before.

Both new tests fail on the code before.

--- a/wasabipaddle/standins/link.py
+++ b/wasabipaddle/standins/link.py
@@ -45,6 +45,7 @@
         self.pair_bytes = {}
         self.region_bytes = {}
         self.cuts = set()
+        self.restored = asyncio.Event()
         self.extra_latency_s = {}
         self.busy_until_s = {}
         self.connections = set()
@@ -70,6 +71,7 @@
     def restore(self, source, target):
         """Remove the cuts between two places."""
         self.cuts -= self._pairs(source, target) | self._pairs(target, source)
+        self._wake_waiting()
 
     def reset(self, source, target):
         """Close the open connections between two places."""
@@ -98,6 +100,7 @@
     def heal(self):
         """Remove every cut."""
         self.cuts.clear()
+        self._wake_waiting()
 
     def silence(self, source, target):
         """Make the open connections between two places silent, but not later ones."""
@@ -108,6 +111,16 @@
         """Return whether traffic from source to target is not cut at present."""
         return (source, target) not in self.cuts
 
+    async def wait_until_passes(self, source, target):
+        """Wait while traffic from source to target is cut."""
+        while not self.passes(source, target):
+            await self.restored.wait()
+
+    def _wake_waiting(self):
+        """Let the tasks that wait for the end of a cut look again."""
+        restored, self.restored = self.restored, asyncio.Event()
+        restored.set()
+
     def latency_s(self, source, target) -> float:
         """Return the latency from source to target."""
         extra_s = self.extra_latency_s.get((source, target), 0.0)
@@ -153,6 +166,8 @@
 
     Attributes
     ----------
+    established : bool
+        Whether the target has accepted the connection; `LinkProxy` sets it.
     reset : callable
         Closes both ends; `LinkProxy` sets it for the connections that it relays.
     """
@@ -162,6 +177,7 @@
         self.source = source
         self.target = target
         self.silent = False
+        self.established = False
         self.reset = lambda: None
 
     async def carry(self, size, *, back=False):
--- a/wasabipaddle/standins/proxy.py
+++ b/wasabipaddle/standins/proxy.py
@@ -2,7 +2,8 @@
 
 While two places are cut off from each other, bytes on open connections are held back
 and delivered after the cut is removed, as TCP does. A new connection is accepted but
-makes no progress before that.
+makes no progress before that. If its client closes it during the cut, the target never
+learns of it, as of a TCP connection that could not be established.
 """
 
 import asyncio
@@ -13,7 +14,6 @@
 
 CHUNK_BYTES = 16_384
 QUEUE_CHUNKS = 32
-CUT_POLL_INTERVAL_S = 0.05
 
 
 @attrs.frozen(kw_only=True)
@@ -96,24 +96,26 @@
 
     async def _relay(self, route, reader, writer):
         """Relay one connection until both directions have ended."""
-        connection = self.link.connect(route.source, route.target)
+        source, target = route.source, route.target
+        connection = self.link.connect(source, target)
+        queue = asyncio.Queue(maxsize=QUEUE_CHUNKS)
         upstream = None
         try:
-            await asyncio.sleep(self.link.latency_s(route.source, route.target))
-            await self._wait_while_cut(connection, route.source, route.target)
-            target_reader, upstream = await asyncio.open_connection(
-                route.target_host, route.target_port, limit=CHUNK_BYTES
-            )
-            connection.reset = _make_reset(writer, upstream)
             async with asyncio.TaskGroup() as group:
+                group.create_task(self._read(connection, source, target, reader, queue))
+                await asyncio.sleep(self.link.latency_s(source, target))
+                await self._wait_while_cut(connection, source, target)
+                target_reader, upstream = await asyncio.open_connection(
+                    route.target_host, route.target_port, limit=CHUNK_BYTES
+                )
+                connection.established = True
+                connection.reset = _make_reset(writer, upstream)
                 group.create_task(
-                    self._relay_direction(
-                        connection, route.source, route.target, reader, upstream
-                    )
+                    self._write(connection, source, target, upstream, queue)
                 )
                 group.create_task(
                     self._relay_direction(
-                        connection, route.target, route.source, target_reader, writer
+                        connection, target, source, target_reader, writer
                     )
                 )
         except* OSError:
@@ -138,8 +140,8 @@
             delay_s = self.link.latency_s(source, target)
             if data:
                 delay_s = self.link.schedule_transfer(source, target, len(data), now)
-            if not data and connection.silent:
-                raise ConnectionResetError("connection closed while silent")
+            if not data and not self._may_deliver_end(connection, source, target):
+                raise ConnectionResetError("closed while nothing is delivered")
             await queue.put((now + delay_s, data))
             if not data:
                 return
@@ -159,8 +161,15 @@
 
     async def _wait_while_cut(self, connection, source, target):
         """Wait while the link is cut; on a silent connection, wait for ever."""
-        while connection.silent or not self.link.passes(source, target):
-            await asyncio.sleep(CUT_POLL_INTERVAL_S)
+        await self.link.wait_until_passes(source, target)
+        if connection.silent:
+            await asyncio.get_running_loop().create_future()
+
+    def _may_deliver_end(self, connection, source, target):
+        """Return whether the other side may learn that this one has closed."""
+        if connection.silent:
+            return False
+        return connection.established or self.link.passes(source, target)
 
 
 def _make_reset(*writers):
--- a/wasabipaddle/standins/tests/test_links.py
+++ b/wasabipaddle/standins/tests/test_links.py
@@ -10,6 +10,8 @@
 
 HOST = "127.0.0.1"
 ANSWER_TIMEOUT_S = 0.3
+CLOSE_TIMEOUT_S = 5.0
+POLL_S = 0.01
 
 
 async def echo(reader, writer):
@@ -46,6 +48,13 @@
         return None
 
 
+async def wait_for_connections(link, count):
+    """Wait until a link has a number of connections."""
+    async with asyncio.timeout(CLOSE_TIMEOUT_S):
+        while len(link.connections) != count:
+            await asyncio.sleep(POLL_S)
+
+
 @pytest.fixture
 def run_scenario():
     def run(scenario):
@@ -78,6 +87,44 @@
     assert run_scenario(scenario) == (b"x\n", None, (False, True), b"x\n")
 
 
+@pytest.mark.parametrize("closed", [True, False])
+def test_connection_closed_during_a_cut_never_reaches_the_target(run_scenario, closed):
+    """Guards against thousands of abandoned calls that arrive at the end of a cut."""
+
+    async def scenario(link, reader, writer):
+        link.cut("a", "b")
+        port = writer.get_extra_info("peername")[1]
+        new_reader, new_writer = await asyncio.open_connection(HOST, port)
+        new_writer.write(b"x\n")
+        await wait_for_connections(link, 2)
+        if closed:
+            new_writer.close()
+            await wait_for_connections(link, 1)
+        link.restore("a", "b")
+        answer = None if closed else await new_reader.readline()
+        new_writer.close()
+        return answer
+
+    assert run_scenario(scenario) == (None if closed else b"x\n")
+
+
+def test_connections_take_no_time_while_they_wait(run_scenario):
+    """Guards against connections that are looked at all the time during a cut."""
+
+    async def scenario(link, reader, writer):
+        looks = []
+        passes = link.passes
+        link.passes = lambda *ends: looks.append(ends) or passes(*ends)
+        link.cut("a", "b")
+        await send_line(reader, writer)
+        before = len(looks)
+        await send_line(reader, writer)
+        return before, len(looks)
+
+    before, after = run_scenario(scenario)
+    assert 0 < before == after
+
+
 def test_reset_closes_open_connections(run_scenario):
     """Guards against a reset that leaves the client's connection open."""
 
