Add the soak seed that breaks the restart of lasting work before the fix

Seed 47 with configurations as the only fault is calm all the time, so the check of lasting tasks looks at all of it.

Of the first cells with 12 runners both with memory were ineligible for one step in three, which then was owed nothing. Every fifth runner has memory now, and each step may run on at least one of them; the new test fails with the shapes before.

Runs fail by themselves after 20 s on average in place of 10 s.

--- a/wasabipaddle/soak/eligibility.py
+++ b/wasabipaddle/soak/eligibility.py
@@ -7,7 +7,7 @@
 from wasabipaddle.interfaces import Advice, AdviceClient
 from wasabipaddle.soak.queues import ADVICE
 
-__all__ = ["EligibilityService", "SoakEligibility"]
+__all__ = ["PARTS", "EligibilityService", "SoakEligibility"]
 
 # A step may not run on one in `PARTS` of the runners.
 PARTS = 3
--- a/wasabipaddle/soak/memory_bound.py
+++ b/wasabipaddle/soak/memory_bound.py
@@ -34,7 +34,7 @@
 ADVISED_MEMORY_MB = (6_000, 8_000, 10_000)
 SUBMISSION_INTERVAL_S = 3.0
 # Mean time after which a run of an advised job fails by itself.
-MEAN_LIFE_S = 10.0
+MEAN_LIFE_S = 20.0
 
 
 class MemoryBoundWork:
--- a/wasabipaddle/soak/regressions.py
+++ b/wasabipaddle/soak/regressions.py
@@ -57,4 +57,16 @@
         ),
         faults=("runner_restarted", "replies_overtake"),
     ),
+    Regression(
+        seed=47,
+        seconds=16.0,
+        cause=(
+            "requests that renew tickets named the eligible runners with the most free "
+            "processors, whose memory was full, so lasting tasks had no valid ticket "
+            "for the runners with room"
+        ),
+        runners=12,
+        faults=("configured",),
+        memory_bound=True,
+    ),
 )
--- a/wasabipaddle/soak/shapes.py
+++ b/wasabipaddle/soak/shapes.py
@@ -19,4 +19,6 @@
 # Few large tasks fill the memory of these and leave most processors free.
 COMPUTE = RunnerShape(label="compute", capacity=Capacity(cpu=8_000, memory_mb=16_000))
 MEMORY = RunnerShape(label="memory", capacity=Capacity(cpu=16_000, memory_mb=96_000))
-MIXED_SHAPES = (COMPUTE, COMPUTE, COMPUTE, COMPUTE, COMPUTE, MEMORY)
+# Not a multiple of `eligibility.PARTS` shapes: otherwise all runners of one shape would
+# be ineligible for some steps.
+MIXED_SHAPES = (COMPUTE, COMPUTE, COMPUTE, COMPUTE, MEMORY)
--- a/wasabipaddle/soak/tests/test_lasting.py
+++ b/wasabipaddle/soak/tests/test_lasting.py
@@ -7,16 +7,17 @@
 import attrs
 import pytest
 
+from wasabipaddle.commands.soak import LEAST_MEMORY_BOUND_RUNNERS
 from wasabipaddle.interfaces import EndCause, Refusal, StartOrder
 from wasabipaddle.jobs import JobSpec, RunnerEntry, StepSpec, TaskId
 from wasabipaddle.soak import memory_bound
 from wasabipaddle.soak.concurrency import ConcurrentRunner
-from wasabipaddle.soak.eligibility import EligibilityService, SoakEligibility
+from wasabipaddle.soak.eligibility import PARTS, EligibilityService, SoakEligibility
 from wasabipaddle.soak.lasting import LastingWatch
 from wasabipaddle.soak.ledger import JobRecord, SoakLedger
 from wasabipaddle.soak.queues import ADVISED, RESIDENT
 from wasabipaddle.soak.room import Room
-from wasabipaddle.soak.shapes import COMPUTE, GENERAL, MEMORY
+from wasabipaddle.soak.shapes import COMPUTE, GENERAL, MEMORY, MIXED_SHAPES
 from wasabipaddle.standins.runners import MemoryRunner, TaskBehaviour
 
 # Steps of this job may not run on w003, w006 and so on.
@@ -162,6 +163,22 @@
     assert run_virtual(scenario) == [(JOB, EndCause.FAILED)]
 
 
+def test_every_step_may_run_on_a_runner_with_memory(run_virtual):
+    """Guards against steps that are owed nothing: no runner with room is eligible."""
+    shapes = MIXED_SHAPES * LEAST_MEMORY_BOUND_RUNNERS
+    numbered = enumerate(shapes[:LEAST_MEMORY_BOUND_RUNNERS], start=1)
+    names = [f"w{number:03d}" for number, shape in numbered if shape is MEMORY]
+
+    async def scenario():
+        eligibility = Cell([]).eligibility
+        return [
+            any(eligibility.is_eligible(JOB, step, name) for name in names)
+            for step in range(PARTS)
+        ]
+
+    assert all(run_virtual(scenario))
+
+
 def test_memory_is_full_where_processors_are_free():
     """Guards against sizes with which memory does not bind, or binds everywhere."""
     cache, index = memory_bound.CACHE_STEP, memory_bound.INDEX_STEP
