--- a/wasabipaddle/cell/advice.py
+++ b/wasabipaddle/cell/advice.py
@@ -21,13 +21,12 @@
 RELAY_MARGIN_S = 0.3
 # Share of the processes that is reserved for urgent requests.
 RESERVED_SHARE = 0.4
-# Time for which a process that did not reply is excluded. It doubles with each further
-# request without a reply, up to the maximum.
+# Time for which a process whose request has failed is excluded. It doubles with each
+# further failure, up to the maximum.
 EXCLUSION_S = 1.0
 MAX_EXCLUSION_S = 8.0
 # Interval at which the process of an outstanding request is checked for silence.
 SILENCE_CHECK_S = 0.25
-EXCLUSION_KINDS = frozenset({ErrorKind.TIMEOUT, ErrorKind.UNREACHABLE})
 # A process whose outstanding requests are expected to take longer than this gets only
 # urgent requests.
 MAX_OUTSTANDING_S = 0.7
@@ -77,7 +76,7 @@
     failures : int
         Number of consecutive exclusions.
     excluded_until_s : float
-        Monotonic time until which the process is excluded, as it did not reply.
+        Monotonic time until which the process is excluded, as its requests failed.
     """
 
     outstanding: int = 0
@@ -153,7 +152,9 @@
             relay.end(request.expected_s)
         if reply.is_ok():
             relay.record_reply()
-        elif reply.err().kind in EXCLUSION_KINDS:
+        else:
+            # A process that refuses at once has nothing outstanding, so it would be
+            # chosen for each request.
             relay.record_failure(self.members.context.clock.now())
         return reply
 
@@ -178,20 +179,27 @@
         detail = f"{process} is silent"
         return Err(Failure(kind=ErrorKind.UNREACHABLE, detail=detail))
 
+    def count_slots(self) -> int:
+        """Return how many non-urgent requests can be made at once, one a process."""
+        return sum(map(self._takes_non_urgent, self._allowed(urgent=False)))
+
+    def _takes_non_urgent(self, process) -> bool:
+        return self.relays[process].outstanding_s <= MAX_OUTSTANDING_S
+
     def _choose(self, request):
         """Return the process for a request, or None if a non-urgent one has to wait."""
+        allowed = self._allowed(urgent=request.urgent)
+        process = min(allowed, key=lambda name: self.relays[name].outstanding_s)
+        return process if request.urgent or self._takes_non_urgent(process) else None
+
+    def _allowed(self, *, urgent):
+        """Return the processes that may make a request."""
         available = self._available()
-        reserved = math.ceil(len(available) * RESERVED_SHARE)
-        if len(available) == 1:
-            reserved = 0
+        if urgent or len(available) == 1:
+            return available
         # The leader, unless excluded, is first in the list and thus reserved: its
         # requests need no relay.
-        allowed = available if request.urgent else available[reserved:]
-        process = min(allowed, key=lambda name: self.relays[name].outstanding_s)
-        waiting_s = self.relays[process].outstanding_s
-        if not request.urgent and waiting_s > MAX_OUTSTANDING_S:
-            return None
-        return process
+        return available[math.ceil(len(available) * RESERVED_SHARE) :]
 
     def _available(self):
         """Return the processes to choose from.
--- a/wasabipaddle/cell/session.py
+++ b/wasabipaddle/cell/session.py
@@ -58,6 +58,11 @@
         key and wins it again.
     election : ElectionPlugin
         Confirms and ends the leadership of this process.
+
+    Attributes
+    ----------
+    began_s : float
+        Time at which the leadership had certainly begun.
     """
 
     def __init__(
@@ -72,6 +77,7 @@
         self.epoch = epoch
         self.term = term
         self.election = election
+        self.began_s = self.clock.now()
         self.loaded = False
         self.tasks = TaskSet()
         self.woken = asyncio.Event()
@@ -312,16 +318,23 @@
                 self.scheduler.advance(
                     now, proved_s=proved_s, may_start=self.may_grant()
                 )
+                if self.scheduler.leases.awaits_proof:
+                    self.election.proof.read_now()
                 for runner in self.scheduler.remove_departed_runners(now):
                     self.journal("runner_forgotten", runner=runner.id)
                     self.fleet.changed.set()
             if self.may_grant():
-                for request in self.scheduler.plan(now):
-                    self.spawn(self._request_advice(request))
+                self._plan_work(now)
             for order in self.scheduler.take_orders():
                 self.calls.send(order)
             self.after_round.make_calls()
 
+    def _plan_work(self, now):
+        """Start the tasks that fit, and send the requests for advice."""
+        slots = self.advice_balancer.count_slots()
+        for request in self.scheduler.plan(now, advice_slots=slots):
+            self.spawn(self._request_advice(request))
+
     def _note_granting(self):
         """Log that the proof of leadership is too old, or young enough again."""
         granting = self.may_grant()
--- a/wasabipaddle/dispatch/reports.py
+++ b/wasabipaddle/dispatch/reports.py
@@ -12,6 +12,8 @@
 # Longest time before its due time, by the wall clock of this process, at which another
 # dispatcher may have started an occurrence.
 MAX_WALL_CLOCK_LEAD_S = 10.0
+# Progress that a run which lasts shows all the time while it is at work.
+FULL_PERCENT = 100
 # Difference from the estimated clock of a runner that is logged.
 LOGGED_LAG_MS = 1000
 
@@ -38,7 +40,7 @@
         self.acknowledgements = acknowledgements
 
     def process_inventory(
-        self, runner, inventory, now, *, requested_s=None, acknowledged=0
+        self, runner, inventory, now, *, requested_s=None, acknowledged=0, epoch=0
     ):
         """Process an inventory; delayed ones of other incarnations are ignored.
 
@@ -52,6 +54,8 @@
             Time at which the inventory was requested, None for `now`.
         acknowledged : int
             Number of the last end that the request acknowledged, 0 for none.
+        epoch : int
+            Epoch of the request.
         """
         requested_s = now if requested_s is None else requested_s
         before = runner.incarnation
@@ -66,6 +70,7 @@
         self.acknowledgements.record_answer(
             runner, acknowledged, incarnation_before=before
         )
+        self.acknowledgements.record_epoch(runner, epoch, inventory.clock_ms)
         if runner.doubted_s is not None and requested_s >= runner.doubted_s:
             runner.doubted_s = None
         runner.inventoried = True
@@ -86,13 +91,14 @@
         if runner.id in self.state.suspects:
             whole = inventory.complete and not lists_unknown_tasks
             self._check_suspect(runner, whole, now, requested_s)
-        self._remove_missing(runner, listed, inventory, now, requested_s)
+        self._remove_missing(runner, listed, inventory, now, requested_s, epoch)
 
     def _check_suspect(self, runner, whole, now, requested_s):
         """Clear a suspect runner once all its runs and ends are known.
 
         A run that ends between the moments at which the runner lists running and ended
-        runs is in neither list, so two whole inventories in a row are needed.
+        runs is in neither list, so two whole inventories in a row are needed. A runner
+        that goes on to answer stays suspect until then, even if its leases end.
         """
         first_s = runner.whole_list_s
         if whole and first_s is not None and requested_s >= first_s:
@@ -100,22 +106,25 @@
             runner.whole_list_s = None
             return
         runner.whole_list_s = (first_s or now) if whole else None
-        until_s = now + self.state.timing.lease_max_s
+        until_s = now + self.state.timing.lease_s
         self.state.suspects[runner.id] = max(self.state.suspects[runner.id], until_s)
 
-    def _remove_missing(self, runner, listed, inventory, now, requested_s):
+    def _remove_missing(self, runner, listed, inventory, now, requested_s, epoch):
         """Remove the runs that an inventory proves to be gone, or not to begin.
 
         An inventory without a run proves something only if it lists all ended runs and
         was requested after the run or its stop was confirmed: an earlier request may
-        have been answered from the time before. A run may also end between the moments
-        at which the runner lists running and ended runs, so it must be missing
-        twice.
+        have been answered from the time before. A start without a reply must be void
+        by then, or refused, as its epoch is lower than that of the request. A run may
+        also end between the moments at which the runner lists running and ended runs,
+        so it must be missing twice.
         """
         for run in list(runner.runs.values()):
             if run.key in listed:
                 run.missing = False
-            elif inventory.complete and self._may_be_gone(run, inventory, requested_s):
+            elif inventory.complete and self._may_be_gone(
+                run, inventory, requested_s, epoch
+            ):
                 if run.missing:
                     self.lifecycle.remove_run(run, now, reason=RemovalReason.MISSING)
                 run.missing = True
@@ -287,6 +296,8 @@
             run.percent = row.percent
             run.progress_s = now
         run.load = row.load
+        if run.task.spec.lasting and run.percent == FULL_PERCENT:
+            runner.health.record_work(run.started_s, run.progress_s, now)
         if row.checkpoint:
             self._save_checkpoint(run.task, row.checkpoint)
         return False
@@ -335,14 +346,15 @@
             self.state.stop_run(run, now)
         return False
 
-    def _may_be_gone(self, run, inventory, requested_s):
+    def _may_be_gone(self, run, inventory, requested_s, epoch):
         """Return whether an inventory is later than the last sign of a missing run."""
         if run.confirmed_ms:
             later = inventory.clock_ms > run.confirmed_ms
             return later and requested_s >= run.confirmed_s
         if run.phase is RunPhase.STARTING:
             return False
-        return run.runner.least_clock_ms(requested_s) > run.start_before_ms
+        refused = epoch > run.start_epoch > 0
+        return refused or run.runner.least_clock_ms(requested_s) > run.start_before_ms
 
     def record_write(self, jobs, generation):
         """Record a write of progress and acknowledge the ends that it made durable.
