Renew tickets for all runners that a gang needs at the same time

What callers saw: a gang that needs more runners than one request names (30) never starts once its first tickets have expired, with room for it.

Cause: the advisor took one valid ticket as enough for any step, while placement starts a gang only with valid tickets for all of its tasks. Each renewal waited for the expiry of all tickets, and then named the same 30 runners.

Change: a gang that fits needs valid tickets for all of its tasks, and a further request names the runners whose tickets expire before the answer.

Requests of other steps are as before.

--- a/wasabipaddle/dispatch/advisor.py
+++ b/wasabipaddle/dispatch/advisor.py
@@ -93,21 +93,20 @@
         if waits and not self.placement.may_fit(step, now):
             # Others go first when room becomes free: an answer would expire unused.
             return []
-        eligibility = step.eligibility
         eligible = self.placement.eligible(step, now)
         usable = self.placement.select_usable(step, eligible, now)
         needed = step.spec.count if step.spec.gang else 1
-        enough = sum(free_slots(step, runner) for runner in usable) >= needed
-        has_valid_ticket = any(eligibility.ticket(r, now) is not None for r in usable)
+        enough = _count_slots(step, usable) >= needed
         not_asked = [] if enough else self._runners_not_asked(step, now, renew=renew)
         if not_asked:
             return self.naming.choose(step, not_asked)
-        if has_valid_ticket and not renew:
-            return []
-        if renew and eligible:
+        if renew:
             usable = usable if enough else []
             return self._runners_to_renew(step, eligible, usable, now)
-        return self.naming.choose_known(step, usable)
+        valid = _with_ticket(step, usable, now)
+        if _are_enough(step, valid, usable):
+            return []
+        return self.naming.choose_known(step, [r for r in usable if r not in valid])
 
     def _runners_not_asked(self, step, now, *, renew):
         """Return the runners without an answer that are worth a request."""
@@ -119,7 +118,7 @@
     def _runners_to_renew(self, step, eligible, usable, now):
         """Return the runners to name in a request that renews tickets.
 
-        The list is empty if a ticket will still be valid when the answer is expected.
+        The list is empty if enough tickets will be valid when the answer is expected.
 
         Parameters
         ----------
@@ -132,9 +131,11 @@
         others = reservations.select_unreserved(step, eligible)
         kept_ids = reservations.reserved_for(step)
         kept = [] if usable else [r for r in eligible if r.id in kept_ids]
-        if any(step.eligibility.ticket(r, horizon) for r in usable or kept or others):
+        known = kept or others
+        valid = _with_ticket(step, usable or known, horizon)
+        if _are_enough(step, valid, usable or known):
             return []
-        return self.naming.choose_known(step, kept or others)
+        return self.naming.choose_known(step, [r for r in known if r not in valid])
 
     def _steps_opening_soon(self, now):
         """Yield unopened steps without tickets that are expected to open soon.
@@ -199,6 +200,32 @@
         step.eligibility.record_failure(now, URGENT_RETRY_S if urgent else RETRY_S)
 
 
+def _with_ticket(step, runners, at_s):
+    """Return those of some runners for which the step has a ticket valid at a time."""
+    return [r for r in runners if step.eligibility.ticket(r, at_s) is not None]
+
+
+def _are_enough(step, valid, runners) -> bool:
+    """Return whether a step needs no tickets besides those of some of its runners.
+
+    A gang that fits on its runners needs tickets for all of its tasks at the same time,
+    which may be more than one request names. Other steps need one.
+
+    Parameters
+    ----------
+    valid : list of RunnerState
+        Those of the runners with a valid ticket.
+    """
+    if not step.spec.gang or _count_slots(step, runners) < step.spec.count:
+        return bool(valid)
+    return _count_slots(step, valid) >= step.spec.count
+
+
+def _count_slots(step, runners) -> int:
+    """Return how many more tasks of a step fit on some runners now."""
+    return sum(free_slots(step, runner) for runner in runners)
+
+
 def _remaining_s(task, now, *, urgent) -> float:
     """Return the expected time until a task ends.
 
--- a/wasabipaddle/dispatch/tests/test_usable_runners.py
+++ b/wasabipaddle/dispatch/tests/test_usable_runners.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from wasabipaddle.dispatch.naming import MAX_RUNNERS_PER_REQUEST
 from wasabipaddle.dispatch.reservations import Reservation
 from wasabipaddle.dispatch.tests.advice_play import NEEDS, AdvicePlay
 from wasabipaddle.dispatch.tests.conftest import step
@@ -67,3 +68,18 @@
     assert len(requests) == 3
     assert set(named) <= set(play.roomy)
     assert len(named) == len(set(named))
+
+
+def test_gang_starts_on_more_runners_than_one_request_names():
+    """Guards against renewals that name the same part of a gang's runners each time."""
+    size = MAX_RUNNERS_PER_REQUEST + 1
+    play = AdvicePlay(size=size, roomy=size, scarce="memory", seed=0)
+    play.eligible = set(play.roomy)
+    for name in play.roomy:
+        play.submit_on(name, f"other-{name}", cpu=3500)
+    play.cell.plan()
+    play.cell.submit("svc", step(size, gang=True, cpu=4000), queue="advised")
+    play.play(6.0)
+    for runner in play.cell.runners.values():
+        runner.end(*next(iter(runner.running)))
+    assert play.measure_wait_s(RESTART_LIMIT_S) is not None
