Count no room that is reserved for other work as room after a drain

What callers saw: planned maintenance stops a task that lasts, which then waits as long as a reservation, although the drain waits for room for such tasks.

Cause: drains took a runner with room as one that can take the task although placement leaves it to the step that it is reserved for.

Evidence: test_drain_leaves_a_lasting_task_whose_only_other_room_is_reserved fails on the parent (no obstacle is found).

Change: room on runners that are reserved for other steps does not count.

--- a/wasabipaddle/dispatch/drains.py
+++ b/wasabipaddle/dispatch/drains.py
@@ -130,8 +130,10 @@
     def _has_room(self, run, now):
         """Return whether another runner could take a task now."""
         step = run.task.step
+        reserved = self.placement.reservations.reserved_for_others(step)
         return any(
             runner is not run.runner
+            and runner.id not in reserved
             and fits(step, runner)
             and not step.eligibility.is_ineligible(runner)
             and self.placement.admits(step, runner, now)
--- a/wasabipaddle/dispatch/tests/test_usable_runners.py
+++ b/wasabipaddle/dispatch/tests/test_usable_runners.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from wasabipaddle.dispatch.drains import Obstacle
 from wasabipaddle.dispatch.naming import MAX_RUNNERS_PER_REQUEST
 from wasabipaddle.dispatch.reservations import Reservation
 from wasabipaddle.dispatch.tests.advice_play import NEEDS, AdvicePlay
@@ -83,3 +84,18 @@
     for runner in play.cell.runners.values():
         runner.end(*next(iter(runner.running)))
     assert play.measure_wait_s(RESTART_LIMIT_S) is not None
+
+
+def test_drain_leaves_a_lasting_task_whose_only_other_room_is_reserved(make_cell):
+    """Guards against stops of tasks that no other runner may take."""
+    cell = make_cell()
+    cell.submit("svc", step(1, lasting=True))
+    cell.plan()
+    ((_, _, host),) = cell.started
+    (other,) = set(cell.runners) - {host}
+    gang = cell.submit("gang", step(2, cpu=4000, gang=True)).steps[(0, 0)]
+    cell.scheduler.reservations.by_pool["pool"] = Reservation(
+        step=gang, runner_ids=frozenset({other}), until_s=cell.now + RESTART_LIMIT_S
+    )
+    drains, runner = cell.scheduler.maintenance.drains, cell.state.runners[host]
+    assert drains.find_obstacle(runner, cell.now, pressed=False) is Obstacle.ROOM
