Count the answers for a step in its expected share of eligible runners

What callers saw: a step that few runners may run asks about few of them at a time, and starts late although two eligible runners have room.

Cause: the number of runners that a request names follows from the share of eligible runners that the queue has learned, whatever the step has been answered itself. The share moves by a tenth with each answer.

Change: the answers known for a step count beside the share of its queue.

--- a/wasabipaddle/dispatch/naming.py
+++ b/wasabipaddle/dispatch/naming.py
@@ -19,6 +19,8 @@
 # and weight of the latest answer in its moving average.
 INITIAL_SHARE = 0.5
 LEARNING_WEIGHT = 0.1
+# Number of answers for a step itself that count as much as the learned part.
+QUEUE_WEIGHT = 6
 # Number of standard deviations by which the expected number of places has to exceed
 # the number of tasks.
 CONFIDENCE = 0.7
@@ -93,13 +95,22 @@
 
     def choose(self, step, runners):
         """Return the runners to name of those that are not known for a step."""
-        share = self.shares.get(step.job.queue.name, INITIAL_SHARE)
-        return self._take(step, runners, share)
+        return self._take(step, runners, self._expect_share(step))
 
     def choose_known(self, step, runners):
         """Return the runners to name of those that are eligible, to renew tickets."""
         return self._take(step, runners, 1.0)
 
+    def _expect_share(self, step) -> float:
+        """Return the part of the runners not known for a step that is likely eligible.
+
+        Steps of a queue differ, so that the known answers for a step count as well.
+        """
+        share = self.shares.get(step.job.queue.name, INITIAL_SHARE)
+        eligible = len(step.eligibility.tickets)
+        known = eligible + len(step.eligibility.ineligible)
+        return (QUEUE_WEIGHT * share + eligible) / (QUEUE_WEIGHT + known)
+
     def _take(self, step, runners, share):
         """Return the first runners by their room, up to the number likely to suffice.
 
