Log the wait of a step with room behind many steps without

What callers saw: none; a task that waits although runners have room has no line in the log while eight older steps that last wait for room.

Cause: task_waits looked at the eight oldest steps, and only then at their room.

Evidence: the new test in test_delays.py fails on the parent (no line).

Change: only steps that may fit somewhere count for the limit.

Result: test_delays.py passes.

--- a/wasabipaddle/dispatch/delays.py
+++ b/wasabipaddle/dispatch/delays.py
@@ -76,12 +76,12 @@
         waiting = [
             (waiting_since_s(step), step)
             for step in self.state.ready.values()
-            if step.spec.lasting
+            if step.spec.lasting and self.placement.may_fit(step, now)
         ]
         waiting.sort(key=lambda pair: pair[0])
         for since_s, step in waiting[:MAX_STEPS]:
-            if now - since_s < LOGGED_S or not self.placement.may_fit(step, now):
-                continue
+            if now - since_s < LOGGED_S:
+                break
             candidates = self.placement.candidates(step, now)
             with_room = [runner for runner in candidates if fits(step, runner)]
             room = sum(free_slots(step, runner) for runner in with_room)
--- a/wasabipaddle/dispatch/tests/test_delays.py
+++ b/wasabipaddle/dispatch/tests/test_delays.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from wasabipaddle.dispatch.delays import Delay
+from wasabipaddle.dispatch.delays import MAX_STEPS, Delay
 from wasabipaddle.dispatch.tests.conftest import step
 from wasabipaddle.interfaces import EndCause
 
@@ -110,3 +110,15 @@
     cell.runners[host].end(task, run, EndCause.COMPLETED)
     plan_later(cell, 2.5)
     assert not find_lines(cell, "run_in_doubt")
+
+
+def test_steps_without_room_hide_no_step_that_has_room(cell):
+    """Guards against a limit of lines that steps without room use up."""
+    for i in range(MAX_STEPS):
+        cell.submit(f"large{i}", step(1, lasting=True, cpu=5000))
+    cell.now += 1.0
+    cell.submit("svc", step(1, lasting=True), queue="advised")
+    cell.plan()
+    plan_later(cell, 2.5)
+    (line,) = find_lines(cell, "task_waits")
+    assert line["job"] == "svc"
