--- a/wasabipaddle/dispatch/tests/test_usable_runners.py
+++ b/wasabipaddle/dispatch/tests/test_usable_runners.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from wasabipaddle.dispatch.drains import Obstacle
+from wasabipaddle.dispatch.naming import MAX_RUNNERS_PER_REQUEST
 from wasabipaddle.dispatch.reservations import Reservation
 from wasabipaddle.dispatch.tests.advice_play import NEEDS, AdvicePlay
 from wasabipaddle.dispatch.tests.conftest import step
@@ -56,7 +58,7 @@
 
 def test_task_restarts_while_the_known_runners_are_reserved_for_a_gang():
     """Guards against steps that ask about no other runners during a reservation."""
-    play = AdvicePlay(size=20, roomy=20, scarce="memory", seed=0)
+    play = AdvicePlay(size=30, roomy=30, scarce="memory", seed=0)
     play.submit(4)
     play.play(4.0)
     cell, (task, _, _) = play.cell, play.cell.started[0]
@@ -84,3 +86,43 @@
     assert len(requests) == 3
     assert set(named) <= set(play.roomy)
     assert len(named) == len(set(named))
+
+
+def test_gang_starts_on_more_runners_than_one_request_names():
+    """Guards against renewals that name the same part of a gang's runners each time."""
+    size = MAX_RUNNERS_PER_REQUEST + 1
+    play = AdvicePlay(size=size, roomy=size, scarce="memory", seed=0)
+    play.eligible = set(play.roomy)
+    for name in play.roomy:
+        play.submit_on(name, f"other-{name}", cpu=3500)
+    play.cell.plan()
+    play.cell.submit("svc", step(size, gang=True, cpu=4000), queue="advised")
+    play.play(6.0)
+    for runner in play.cell.runners.values():
+        runner.end(*next(iter(runner.running)))
+    assert play.measure_wait_s(RESTART_LIMIT_S) is not None
+
+
+def test_drain_leaves_a_lasting_task_whose_only_other_room_is_reserved(make_cell):
+    """Guards against stops of tasks that no other runner may take."""
+    cell = make_cell()
+    cell.submit("svc", step(1, lasting=True))
+    cell.plan()
+    ((_, _, host),) = cell.started
+    (other,) = set(cell.runners) - {host}
+    gang = cell.submit("gang", step(2, cpu=4000, gang=True)).steps[(0, 0)]
+    cell.scheduler.reservations.by_pool["pool"] = Reservation(
+        step=gang, runner_ids=frozenset({other}), until_s=cell.now + RESTART_LIMIT_S
+    )
+    drains, runner = cell.scheduler.maintenance.drains, cell.state.runners[host]
+    assert drains.find_obstacle(runner, cell.now, pressed=False) is Obstacle.ROOM
+
+
+def test_task_finds_the_few_eligible_runners_among_many_with_room():
+    """Guards against steps that ask about few runners at a time, by a learned share."""
+    play = AdvicePlay(size=176, roomy=176, scarce="memory", seed=0)
+    play.eligible = set(play.roomy[-2:])
+    play.cell.scheduler.advisor.naming.shares["advised"] = 1.0
+    play.submit_others()
+    play.submit(1)
+    assert play.measure_wait_s(RESTART_LIMIT_S) is not None
