Name all runners with room that a request may use, known and unknown

Cause: one eligible runner with room was enough for a step that is no gang, however many of its tasks waited, so nobody asked about the others with room; and runners not yet asked about went before eligible ones whose tickets had expired.

The new test in test_usable_runners.py fails on the parent (one runner with room named, 29 have room).

Change: a request names, in the order of their room, the eligible runners that lack a ticket and those not asked about, until the waiting tasks are likely to fit. A step that renews asks until all of its waiting tasks have tickets for usable runners.

Result: the new test and the tests of dispatch and cell pass.

--- a/wasabipaddle/dispatch/advisor.py
+++ b/wasabipaddle/dispatch/advisor.py
@@ -105,11 +105,11 @@
     def _runners_to_ask(self, step, now, *, renew):
         """Return the runners to name in a request, or an empty list for no request.
 
-        These are eligible runners with free capacity, or runners not yet asked about
-        if the eligible ones do not suffice. With `renew`, tickets are renewed before
-        they expire even without free capacity: capacity that becomes free is usually
-        taken again before an answer arrives, so only a step that already holds a
-        ticket can use it.
+        These are the usable runners without a valid ticket, eligible ones and those not
+        yet asked about, if the ones with a ticket do not suffice. With `renew`, tickets
+        are renewed before they expire, also without free capacity: capacity that
+        becomes free is usually taken again before an answer arrives, so only a step
+        that already holds a ticket can use it.
         """
         waits = step.opened and not renew and step.job.queue.priority != 0
         if waits and not self.placement.may_fit(step, now):
@@ -117,18 +117,27 @@
             return []
         eligible = self.placement.eligible(step, now)
         usable = self.placement.select_usable(step, eligible, now)
+        valid_s = self._answered_s(step, len(eligible), now) if renew else now
+        lacking = [r for r in usable if step.eligibility.ticket(r, valid_s) is None]
         needed = step.spec.count if step.spec.gang else 1
-        enough = _count_slots(step, usable) >= needed
-        not_asked = [] if enough else self._runners_not_asked(step, now, renew=renew)
-        if not_asked:
-            return self.naming.choose(step, not_asked)
-        if renew:
-            usable = usable if enough else []
-            return self._runners_to_renew(step, eligible, usable, now)
-        valid = _with_ticket(step, usable, now)
-        if _are_enough(step, valid, usable):
+        wanted = max(needed, len(step.pending)) if renew else needed
+        places = _count_places(step, usable)
+        if places - _count_places(step, lacking) >= wanted:
             return []
-        return self.naming.choose_known(step, [r for r in usable if r not in valid])
+        not_asked = self._runners_not_asked(step, now, renew=renew)
+        with_room = self.placement.select_usable(step, not_asked, now)
+        if lacking or with_room:
+            spare = self._without_room(step, eligible, usable) if renew else []
+            return self.naming.choose(step, lacking + spare, with_room)
+        if not_asked and places < needed:
+            return self.naming.choose(step, [], not_asked)
+        return self._runners_to_renew(step, eligible, valid_s) if renew else []
+
+    def _without_room(self, step, eligible, usable):
+        """Return the eligible runners that may get room for a step."""
+        names = {runner.id for runner in usable}
+        unreserved = self.placement.reservations.select_unreserved(step, eligible)
+        return [runner for runner in unreserved if runner.id not in names]
 
     def _runners_not_asked(self, step, now, *, renew):
         """Return the runners without an answer that are worth a request."""
@@ -137,27 +146,24 @@
             return self.placement.select_usable(step, runners, now)
         return self.placement.reservations.select_unreserved(step, runners)
 
-    def _runners_to_renew(self, step, eligible, usable, now):
-        """Return the runners to name in a request that renews tickets.
+    def _runners_to_renew(self, step, eligible, valid_s):
+        """Return the runners to name while no usable runner lacks a ticket.
 
-        The list is empty if enough tickets will be valid when the answer is expected.
-
-        Parameters
-        ----------
-        usable : list of RunnerState
-            Eligible runners on which the step fits now; none if it fits nowhere. Then
-            the runners that are kept free for it come first.
+        Those that are kept free for the step come first. The list is empty if a ticket
+        will still be valid at a time.
         """
-        policy, reservations = step.job.queue.advice, self.placement.reservations
-        horizon = now + policy.base_s + policy.per_runner_s * len(eligible)
-        others = reservations.select_unreserved(step, eligible)
+        reservations = self.placement.reservations
         kept_ids = reservations.reserved_for(step)
-        kept = [] if usable else [r for r in eligible if r.id in kept_ids]
-        known = kept or others
-        valid = _with_ticket(step, usable or known, horizon)
-        if _are_enough(step, valid, usable or known):
+        kept = [runner for runner in eligible if runner.id in kept_ids]
+        awaited = kept or reservations.select_unreserved(step, eligible)
+        if any(step.eligibility.ticket(r, valid_s) for r in awaited):
             return []
-        return self.naming.choose_known(step, [r for r in known if r not in valid])
+        return self.naming.choose(step, awaited, [])
+
+    def _answered_s(self, step, named, now):
+        """Return when a request that names a number of runners is answered."""
+        policy = step.job.queue.advice
+        return now + policy.base_s + policy.per_runner_s * named
 
     def _steps_opening_soon(self, now):
         """Yield unopened steps without tickets that are expected to open soon.
@@ -222,28 +228,7 @@
         step.eligibility.record_failure(now, URGENT_RETRY_S if urgent else RETRY_S)
 
 
-def _with_ticket(step, runners, at_s):
-    """Return those of some runners for which the step has a ticket valid at a time."""
-    return [r for r in runners if step.eligibility.ticket(r, at_s) is not None]
-
-
-def _are_enough(step, valid, runners) -> bool:
-    """Return whether a step needs no tickets besides those of some of its runners.
-
-    A gang that fits on its runners needs tickets for all of its tasks at the same time,
-    which may be more than one request names. Other steps need one.
-
-    Parameters
-    ----------
-    valid : list of RunnerState
-        Those of the runners with a valid ticket.
-    """
-    if not step.spec.gang or _count_slots(step, runners) < step.spec.count:
-        return bool(valid)
-    return _count_slots(step, valid) >= step.spec.count
-
-
-def _count_slots(step, runners) -> int:
+def _count_places(step, runners) -> int:
     """Return how many more tasks of a step fit on some runners now."""
     return sum(free_slots(step, runner) for runner in runners)
 
--- a/wasabipaddle/dispatch/naming.py
+++ b/wasabipaddle/dispatch/naming.py
@@ -20,7 +20,7 @@
 INITIAL_SHARE = 0.5
 LEARNING_WEIGHT = 0.1
 # Number of answers for a step itself that count as much as the learned part.
-QUEUE_WEIGHT = 6
+QUEUE_WEIGHT = 10
 # Number of standard deviations by which the expected number of places has to exceed
 # the number of tasks.
 CONFIDENCE = 0.7
@@ -93,13 +93,31 @@
             share = self.shares.get(name, INITIAL_SHARE)
             self.shares[name] = share + LEARNING_WEIGHT * (eligible / named - share)
 
-    def choose(self, step, runners):
-        """Return the runners to name of those that are not known for a step."""
-        return self._take(step, runners, self._expect_share(step))
+    def choose(self, step, known, unknown):
+        """Return the runners to name in a request.
 
-    def choose_known(self, step, runners):
-        """Return the runners to name of those that are eligible, to renew tickets."""
-        return self._take(step, runners, 1.0)
+        Runners with room come first, and of these the eligible ones. Their number is
+        that which is likely to suffice for the waiting tasks. A runner without room may
+        get room for one task until the answer arrives.
+
+        Parameters
+        ----------
+        known, unknown : list of RunnerState
+            Runners that are eligible, and those that the service has not been asked
+            about.
+        """
+        tasks = _waiting_tasks(step)
+        share = self._expect_share(step)
+        rows = [
+            (*self._measure(step, runner, tasks), chance, runner)
+            for runners, chance in ((known, 1.0), (unknown, share))
+            for runner in runners
+        ]
+        rows.sort(key=lambda row: (not row[0], -row[2], -row[1]))
+        number = self._count_needed(rows, tasks)
+        if number < len(rows):
+            number = max(number + self._count_further(step), MIN_RUNNERS_PER_REQUEST)
+        return [row[3] for row in rows[: min(number, MAX_RUNNERS_PER_REQUEST)]]
 
     def _expect_share(self, step) -> float:
         """Return the part of the runners not known for a step that is likely eligible.
@@ -111,30 +129,17 @@
         known = eligible + len(step.eligibility.ineligible)
         return (QUEUE_WEIGHT * share + eligible) / (QUEUE_WEIGHT + known)
 
-    def _take(self, step, runners, share):
-        """Return the first runners by their room, up to the number likely to suffice.
-
-        A runner without room may get room for one task until the answer arrives.
-        """
-        tasks = _waiting_tasks(step)
-        further = self._count_further(step)
+    def _count_needed(self, rows, tasks):
+        """Return how many of the first runners are likely to suffice for some tasks."""
         expected = variance = 0.0
-        ordered = sorted(
-            ((*self._measure(step, runner, tasks), runner) for runner in runners),
-            key=lambda row: (not row[0], -row[1]),
-        )
-        for number, (places, _, _) in enumerate(ordered, start=1):
-            chance = share if places else share * ROOM_CHANCE
-            places = max(places, 1)
+        for number, (places, _, chance, _) in enumerate(rows, start=1):
+            if not places:
+                places, chance = 1, chance * ROOM_CHANCE
             expected += chance * places
             variance += chance * (1 - chance) * places**2
             if expected - CONFIDENCE * math.sqrt(variance) >= tasks:
-                named = max(number + further, MIN_RUNNERS_PER_REQUEST)
-                break
-        else:
-            named = MAX_RUNNERS_PER_REQUEST
-        named = min(named, MAX_RUNNERS_PER_REQUEST)
-        return [runner for _, _, runner in ordered[:named]]
+                return number
+        return len(rows)
 
     def _count_further(self, step):
         """Return how many further runners prolong a request by little."""
--- a/wasabipaddle/dispatch/tests/test_usable_runners.py
+++ b/wasabipaddle/dispatch/tests/test_usable_runners.py
@@ -3,7 +3,10 @@
 import pytest
 
 from wasabipaddle.dispatch.drains import Obstacle
-from wasabipaddle.dispatch.naming import MAX_RUNNERS_PER_REQUEST
+from wasabipaddle.dispatch.naming import (
+    MAX_RUNNERS_PER_REQUEST,
+    MIN_RUNNERS_PER_REQUEST,
+)
 from wasabipaddle.dispatch.reservations import Reservation
 from wasabipaddle.dispatch.tests.advice_play import NEEDS, AdvicePlay
 from wasabipaddle.dispatch.tests.conftest import step
@@ -126,3 +129,17 @@
     play.submit_others()
     play.submit(1)
     assert play.measure_wait_s(RESTART_LIMIT_S) is not None
+
+
+def test_request_names_other_runners_with_room_beside_the_only_known_one():
+    """Guards against requests for one place, which others take before the answer."""
+    cell = AdvicePlay(size=30, roomy=30, scarce="memory", seed=0).cell
+    cell.submit("svc", step(1, lasting=True), queue="advised")
+    (first,), _ = cell.plan()
+    known = first.runners[0].id
+    cell.scheduler.advisor.record_answer(
+        first.step, first.runners, {known: "expires at once"}, 0.1, cell.now
+    )
+    (request,), _ = cell.plan()
+    assert known in [runner.id for runner in request.runners]
+    assert request.with_room >= MIN_RUNNERS_PER_REQUEST
