Compute the needs of a step once for each request, and name expected uses

Cause: the needs of a step were computed anew for each runner that a request may name, and what requests in progress will use was called claims, as the claims on quotas are.

Change: Room takes the needs as a tuple; ExpectedUse in dispatch/naming.py.

--- a/wasabipaddle/dispatch/fitting.py
+++ b/wasabipaddle/dispatch/fitting.py
@@ -92,7 +92,7 @@
 
 def free_slots(step, runner) -> int:
     """Return how many more tasks of a step fit on a runner now."""
-    slots = Room.of_runner(runner).count(step.spec)
+    slots = Room.of_runner(runner).count(demand(step.spec), step.spec.count)
     if step.spec.max_per_runner:
         slots = min(slots, step.spec.max_per_runner - runner.step_runs.get(step, 0))
     return max(slots, 0)
@@ -100,7 +100,7 @@
 
 def slots_when_empty(step, runner) -> int:
     """Return how many tasks of a step would fit if a runner had no runs."""
-    slots = Room.of_empty_runner(runner).count(step.spec)
+    slots = Room.of_empty_runner(runner).count(demand(step.spec), step.spec.count)
     return min(slots, step.spec.max_per_runner or slots)
 
 
--- a/wasabipaddle/dispatch/job_placement.py
+++ b/wasabipaddle/dispatch/job_placement.py
@@ -269,5 +269,5 @@
     copied = copy.copy(naming)
     copied.shares = dict(naming.shares)
     copied.requests = dict(naming.requests)
-    copied.claims = copy.deepcopy(naming.claims)
+    copied.expected_uses = copy.deepcopy(naming.expected_uses)
     return copied
--- a/wasabipaddle/dispatch/naming.py
+++ b/wasabipaddle/dispatch/naming.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from wasabipaddle.dispatch.room import Room
+from wasabipaddle.dispatch.room import Room, demand
 
 __all__ = ["MAX_RUNNERS_PER_REQUEST", "Naming"]
 
@@ -29,19 +29,19 @@
 
 
 @attrs.define(kw_only=True)
-class Claims:
-    """What requests without an answer claim on one runner.
+class ExpectedUse:
+    """What requests without an answer are expected to lead to on one runner.
 
     Parameters
     ----------
     requests : int
         Number of the requests.
-    needs : Room
-        Resources that their tasks are expected to reserve.
+    amounts : Room
+        Resources that their tasks will reserve.
     """
 
     requests: int = 0
-    needs: Room = attrs.field(factory=Room)
+    amounts: Room = attrs.field(factory=Room)
 
 
 class Naming:
@@ -58,33 +58,34 @@
     requests : dict of tuple to (float, tuple of RunnerState)
         Requests without an answer by the key of their step: number of tasks that are
         expected to start on each named runner, and the runners.
-    claims : dict of str to Claims
-        What these requests claim, by runner.
+    expected_uses : dict of str to ExpectedUse
+        What these requests are expected to lead to, by runner.
     """
 
     def __init__(self):
         self.shares = {}
         self.requests = {}
-        self.claims = {}
+        self.expected_uses = {}
 
     def begin(self, step, runners):
-        """Claim room for a step whose request names the runners."""
-        tasks = _waiting_tasks(step) / len(runners)
+        """Count on the room of the named runners for a step."""
+        tasks, needs = _waiting_tasks(step) / len(runners), demand(step.spec)
         self.requests[step.key] = (tasks, runners)
         for runner in runners:
-            claims = self.claims.setdefault(runner.id, Claims())
-            claims.requests += 1
-            claims.needs.add(step.spec, tasks)
+            use = self.expected_uses.setdefault(runner.id, ExpectedUse())
+            use.requests += 1
+            use.amounts.add(needs, tasks)
 
     def end(self, step):
-        """Release the claims of a step whose request has ended."""
+        """Count no longer on room for a step whose request has ended."""
         tasks, runners = self.requests.pop(step.key, (0.0, ()))
+        needs = demand(step.spec)
         for runner in runners:
-            claims = self.claims[runner.id]
-            claims.requests -= 1
-            claims.needs.add(step.spec, -tasks)
-            if not claims.requests:
-                del self.claims[runner.id]
+            use = self.expected_uses[runner.id]
+            use.requests -= 1
+            use.amounts.add(needs, -tasks)
+            if not use.requests:
+                del self.expected_uses[runner.id]
 
     def learn(self, step, *, named, eligible):
         """Record how many of the runners that were not known before are eligible."""
@@ -106,10 +107,10 @@
             Runners that are eligible, and those that the service has not been asked
             about.
         """
-        tasks = _waiting_tasks(step)
+        tasks, needs = _waiting_tasks(step), demand(step.spec)
         share = self._expect_share(step)
         rows = [
-            (*self._measure(step, runner, tasks), chance, runner)
+            (*self._measure(step, runner, needs, tasks), chance, runner)
             for runners, chance in ((known, 1.0), (unknown, share))
             for runner in runners
         ]
@@ -145,19 +146,19 @@
         """Return how many further runners prolong a request by little."""
         return int(FURTHER_RUNNERS_S / max(step.job.queue.advice.per_runner_s, 1e-6))
 
-    def _measure(self, step, runner, tasks):
+    def _measure(self, step, runner, needs, tasks):
         """Return how many of some tasks a runner may hold, and its free part.
 
-        What requests without an answer claim counts as taken.
+        What requests without an answer will use counts as taken.
         """
-        room, spec = Room.of_runner(runner), step.spec
-        claims = self.claims.get(runner.id)
-        if claims is not None:
-            room.take(claims.needs)
-        places = min(room.count(spec), tasks)
-        if spec.max_per_runner:
-            places = min(places, spec.max_per_runner - runner.step_runs.get(step, 0))
-        return max(places, 0), room.share_of(runner.entry.capacity, spec)
+        room = Room.of_runner(runner)
+        use = self.expected_uses.get(runner.id)
+        if use is not None:
+            room.subtract(use.amounts)
+        limit = step.spec.max_per_runner
+        if limit:
+            tasks = min(tasks, limit - runner.step_runs.get(step, 0))
+        return room.count(needs, tasks), room.share_of(runner.entry.capacity, needs)
 
 
 def _waiting_tasks(step) -> int:
--- a/wasabipaddle/dispatch/reservations.py
+++ b/wasabipaddle/dispatch/reservations.py
@@ -4,7 +4,7 @@
 
 from wasabipaddle.dispatch.claims import needed_together, waiting_since_s
 from wasabipaddle.dispatch.placement import within_runner_limit
-from wasabipaddle.dispatch.room import Room
+from wasabipaddle.dispatch.room import Room, demand
 
 __all__ = ["Reservations"]
 
@@ -226,13 +226,14 @@
             for number, run in enumerate(runner.runs.values())
             if (seconds := run.time_left_s(now, stop_s=stop_s)) <= MAX_DRAIN_S
         )
+        needs = demand(step.spec)
         most = min(most, step.spec.max_per_runner or most)
         free = Room.of_runner(runner)
-        count = min(free.count(step.spec), most)
+        count = free.count(needs, most)
         places_s = [(0.0, count)] if count else []
         for seconds, _, spec in left_s:
-            free.add(spec)
-            further = min(free.count(step.spec), most) - count
+            free.add(demand(spec))
+            further = free.count(needs, most) - count
             if further > 0:
                 places_s.append((seconds, further))
                 count += further
--- a/wasabipaddle/dispatch/room.py
+++ b/wasabipaddle/dispatch/room.py
@@ -1,5 +1,7 @@
 """Free resources of a runner, and how many tasks fit into them."""
 
+import math
+
 import attrs
 
 __all__ = ["Room", "demand"]
@@ -37,26 +39,31 @@
         capacity = runner.entry.capacity
         return cls(cpu=capacity.cpu, memory_mb=capacity.memory_mb, gpus=capacity.gpus)
 
-    def add(self, spec, count=1):
-        """Add what a number of tasks reserve; a negative number takes it away."""
-        cpu, memory_mb, gpus = demand(spec)
+    def add(self, needs, count=1):
+        """Add the needs of a number of tasks.
+
+        Parameters
+        ----------
+        needs : tuple of (int, int, int)
+            What a task reserves, as by `demand`.
+        """
+        cpu, memory_mb, gpus = needs
         self.cpu += cpu * count
         self.memory_mb += memory_mb * count
         self.gpus += gpus * count
 
-    def take(self, other):
-        """Take away other amounts."""
+    def subtract(self, other):
+        """Take away the amounts of another `Room`."""
         self.cpu -= other.cpu
         self.memory_mb -= other.memory_mb
         self.gpus -= other.gpus
 
-    def count(self, spec) -> int:
-        """Return how many tasks of a step fit, at most all of its tasks.
+    def count(self, needs, most) -> int:
+        """Return how many tasks fit, at most a given number.
 
-        The limit of tasks on a runner is not considered.
+        The limit of the tasks of a step on a runner is not considered.
         """
-        cpu, memory_mb, gpus = demand(spec)
-        most = spec.count
+        cpu, memory_mb, gpus = needs
         if cpu:
             most = min(most, int((self.cpu + TOLERANCE) // cpu))
         if memory_mb:
@@ -65,18 +72,18 @@
             most = min(most, int((self.gpus + TOLERANCE) // gpus))
         return max(most, 0)
 
-    def share_of(self, capacity, spec) -> float:
+    def share_of(self, capacity, needs) -> float:
         """Return the smallest part of a capacity that this is.
 
         Only the resources that a task reserves are considered, and the processors if
         it reserves none.
         """
-        cpu, memory_mb, gpus = demand(spec)
-        shares = []
+        cpu, memory_mb, gpus = needs
+        share = math.inf
         if memory_mb:
-            shares.append(self.memory_mb / (capacity.memory_mb or 1))
+            share = self.memory_mb / (capacity.memory_mb or 1)
         if gpus:
-            shares.append(self.gpus / (capacity.gpus or 1))
-        if cpu or not shares:
-            shares.append(self.cpu / (capacity.cpu or 1))
-        return min(shares)
+            share = min(share, self.gpus / (capacity.gpus or 1))
+        if cpu or share == math.inf:
+            share = min(share, self.cpu / (capacity.cpu or 1))
+        return share
--- a/wasabipaddle/dispatch/tests/test_naming.py
+++ b/wasabipaddle/dispatch/tests/test_naming.py
@@ -70,11 +70,11 @@
     large_cell.submit("b", step(8), queue="advised")
     (a, b), _ = large_cell.plan()
     naming = large_cell.scheduler.advisor.naming
-    assert naming.claims
+    assert naming.expected_uses
     answer(large_cell, a)
     large_cell.scheduler.advisor.record_failure(b.step, large_cell.now)
     assert not naming.requests
-    assert not naming.claims
+    assert not naming.expected_uses
 
 
 def test_steps_far_back_do_not_ask_while_there_is_no_room(large_cell):
