--- a/wasabipaddle/dispatch/naming.py
+++ b/wasabipaddle/dispatch/naming.py
@@ -15,6 +15,9 @@
 # Time by which further runners may prolong a request, since a second request takes
 # much longer.
 FURTHER_RUNNERS_S = 0.01
+# Largest number of runners not yet asked about that are compared for a request, which
+# bounds its cost to the dispatcher. Successive requests compare others.
+MAX_COMPARED = 150
 # Part of the named runners that is taken as eligible until answers show another one,
 # and weight of the latest answer in its moving average.
 INITIAL_SHARE = 0.5
@@ -60,12 +63,15 @@
         expected to start on each named runner, and the runners.
     expected_uses : dict of str to ExpectedUse
         What these requests are expected to lead to, by runner.
+    compared : int
+        Number of runners not yet asked about that requests have compared.
     """
 
     def __init__(self):
         self.shares = {}
         self.requests = {}
         self.expected_uses = {}
+        self.compared = 0
 
     def begin(self, step, runners):
         """Count on the room of the named runners for a step."""
@@ -111,7 +117,7 @@
         share = self._expect_share(step)
         rows = [
             (*self._measure(step, runner, needs, tasks), chance, runner)
-            for runners, chance in ((known, 1.0), (unknown, share))
+            for runners, chance in ((known, 1.0), (self._sample(unknown), share))
             for runner in runners
         ]
         rows.sort(key=lambda row: (not row[0], -row[2], -row[1]))
@@ -120,6 +126,14 @@
             number = max(number + self._count_further(step), MIN_RUNNERS_PER_REQUEST)
         return [row[3] for row in rows[: min(number, MAX_RUNNERS_PER_REQUEST)]]
 
+    def _sample(self, runners):
+        """Return the next of some runners to compare, in a cycle."""
+        if len(runners) <= MAX_COMPARED:
+            return runners
+        begin = self.compared % len(runners)
+        self.compared += MAX_COMPARED
+        return (runners[begin:] + runners[:begin])[:MAX_COMPARED]
+
     def _expect_share(self, step) -> float:
         """Return the part of the runners not known for a step that is likely eligible.
 
--- a/wasabipaddle/dispatch/tests/test_naming.py
+++ b/wasabipaddle/dispatch/tests/test_naming.py
@@ -5,7 +5,11 @@
 
 import pytest
 
-from wasabipaddle.dispatch.naming import MAX_RUNNERS_PER_REQUEST
+from wasabipaddle.dispatch.naming import (
+    MAX_COMPARED,
+    MAX_RUNNERS_PER_REQUEST,
+    Naming,
+)
 from wasabipaddle.dispatch.tests.conftest import Cell, step
 from wasabipaddle.interfaces import EndCause
 
@@ -163,3 +167,20 @@
     long_s = statistics.mean(waits[int(0.95 * len(waits))] for waits, _ in plays)
     assert half_s <= HALF_WAIT_S
     assert long_s <= LONG_WAIT_S
+
+
+def test_request_compares_a_bounded_number_of_runners(make_cell, monkeypatch):
+    """Guards against requests whose cost grows with the fleet."""
+    cell = make_cell(runners=2 * MAX_COMPARED)
+    measured = []
+    measure = Naming._measure
+
+    def note(self, step, runner, needs, tasks):
+        measured.append(runner.id)
+        return measure(self, step, runner, needs, tasks)
+
+    monkeypatch.setattr(Naming, "_measure", note)
+    for i in range(2):
+        cell.submit(f"j{i}", step(1), queue="advised")
+    cell.plan()
+    assert len(measured) == len(set(measured)) == 2 * MAX_COMPARED
