Log which version answers 404 and whether a configuration is confirmed

A refusal with 404 left no line, the age of the configuration was known with a bound on removed keys only, and notices of a new leader and copies of a configuration were lost without a trace.

Change: lines queue_not_found (version and age; one a second at most), configuration_unconfirmed, configuration_confirmed and leadership_announced (with the number of unanswered notices); counts calls_without_queue, configuration_copies_delivered and configuration_copies_failed; the gauge configuration_proof_age_s is always set.

Result: no change of behaviour; the tests of cell pass.

--- a/wasabipaddle/cell/configuration.py
+++ b/wasabipaddle/cell/configuration.py
@@ -46,6 +46,9 @@
         a failed poll.
     freshness : ConfigurationFreshness
         Proof that the current configuration is young enough to admit calls with keys.
+    unconfirmed_since_s : float or None
+        Time on the boot clock since which the proof is older than the time within which
+        a configuration must be in force, None while it is younger.
     """
 
     name = "cell_configuration"
@@ -61,13 +64,14 @@
         self.known_version = 0
         self.unreadable_value = None
         self.freshness = ConfigurationFreshness()
+        self.unconfirmed_since_s = None
 
     async def start(self):
         """Start to follow the configuration in the store."""
+        self.context.metrics.gauge("configuration_proof_age_s", self.proof_age_s)
         bound_s = self.context.settings.bounds.configuration_s
         if self.revocation_s:
             bound_s = min(bound_s, WATCH_SHARE * self.revocation_s)
-            self.context.metrics.gauge("configuration_proof_age_s", self.proof_age_s)
         self.watch = StoreWatch(
             store_plugin=self.context.plugins[CellStorePlugin.name],
             name="configuration",
@@ -123,6 +127,7 @@
         Without a proof the store is polled at once, as after a suspension.
         """
         now_s, bound_s = self.context.clock.boot_s(), self.revocation_s
+        self._log_confirmation(now_s)
         holds = self.freshness.holds(now_s, bound_s)
         since_s = self.freshness.lost_since_s
         if self.freshness.observe(now_s, bound_s):
@@ -137,6 +142,27 @@
             self.poll_due.set()
         return holds
 
+    def _log_confirmation(self, now_s):
+        """Log when the proof is too old for changes to be in force in time."""
+        age_s, since_s = self.state_proof_age(), self.unconfirmed_since_s
+        bound_s = self.context.settings.bounds.configuration_s
+        unconfirmed = age_s is None or age_s > bound_s
+        if unconfirmed is (since_s is not None):
+            return
+        self.unconfirmed_since_s = now_s if unconfirmed else None
+        if not unconfirmed:
+            lost_ms = int((now_s - since_s) * MS_PER_S)
+            self.context.journal(
+                "configuration_confirmed", version=self.version, lost_ms=lost_ms
+            )
+            return
+        self.context.journal(
+            "configuration_unconfirmed",
+            version=self.version,
+            age_ms=None if age_s is None else int(age_s * MS_PER_S),
+            leads=self.is_leader,
+        )
+
     def _set_leader(self, is_leader):
         self.is_leader = is_leader
         self.poll_due.set()
--- a/wasabipaddle/cell/distribution.py
+++ b/wasabipaddle/cell/distribution.py
@@ -74,9 +74,11 @@
     async def _deliver(self, process, version):
         try:
             async with self.slots:
-                await self.members.ask(
+                noted = await self.members.ask(
                     process, self._build_copy(), Noted, timeout_s=COPY_TIMEOUT_S
                 )
+            outcome = "delivered" if noted.is_ok() else "failed"
+            self.context.metrics.count(f"configuration_copies_{outcome}")
         finally:
             self.sending.discard((process, version))
 
--- a/wasabipaddle/cell/entry.py
+++ b/wasabipaddle/cell/entry.py
@@ -46,6 +46,11 @@
 DRAIN_CHECK_S = 0.02
 # Part of the grace period that is kept for the rest of the shutdown.
 DRAIN_RESERVE_S = 1.5
+MS_PER_S = 1000
+# Shortest time between two log lines on calls without a queue, and the longest part of
+# a host or path in them.
+REPORT_INTERVAL_S = 1.0
+MAX_LOGGED_CHARACTERS = 200
 
 
 class EntryPlugin(Plugin):
@@ -69,6 +74,7 @@
         self.tasks = TaskSet()
         self.draining = False
         self.known_limits = self.known_request_limits = None
+        self.next_report_s = 0.0
 
     async def start(self):
         """Register the handlers of messages from peers and listen for callers."""
@@ -137,9 +143,26 @@
             return not_configured()
         queue = current.match(host, path)
         if queue is None:
+            self._report_unknown_queue(host, path)
             return fail(ErrorKind.NOT_FOUND, "no queue for this host and path")
         return Ok(queue)
 
+    def _report_unknown_queue(self, host, path):
+        """Count a call without a queue; log the version that decided it."""
+        self.context.metrics.count("calls_without_queue")
+        now = self.context.clock.now()
+        if now < self.next_report_s:
+            return
+        self.next_report_s = now + REPORT_INTERVAL_S
+        age_s = self.configuration.state_proof_age()
+        self.context.journal(
+            "queue_not_found",
+            host=host[:MAX_LOGGED_CHARACTERS],
+            path=path[:MAX_LOGGED_CHARACTERS],
+            version=self.configuration.version,
+            age_ms=None if age_s is None else int(age_s * MS_PER_S),
+        )
+
     def identify(self, queue, key):
         """Return the workspace for which a call acts, in a `Result`.
 
@@ -179,7 +202,7 @@
             queue=queue.name,
             workspace=workspace,
             configuration=self.configuration.version,
-            took_ms=int((self.context.clock.now() - began) * 1000),
+            took_ms=int((self.context.clock.now() - began) * MS_PER_S),
             reason=accepted.err().kind.value if accepted.is_err() else None,
             detail=accepted.err().detail if accepted.is_err() else None,
         )
--- a/wasabipaddle/cell/members.py
+++ b/wasabipaddle/cell/members.py
@@ -152,11 +152,20 @@
             address=settings.advertised_address,
             epoch=event.epoch,
         )
+        self.tasks.spawn(self._send_notices(notice))
+
+    async def _send_notices(self, notice):
         # The number of connections is limited, so live processes come first.
-        for process in self.roster.peers(leader=self.own_name):
-            self.tasks.spawn(
-                self.ask(process, notice, Noted, timeout_s=NOTICE_TIMEOUT_S)
-            )
+        peers = self.roster.peers(leader=self.own_name)
+        replies = await asyncio.gather(
+            *(self.ask(p, notice, Noted, timeout_s=NOTICE_TIMEOUT_S) for p in peers)
+        )
+        self.context.journal(
+            "leadership_announced",
+            epoch=notice.epoch,
+            processes=len(peers),
+            unanswered=sum(reply.is_err() for reply in replies),
+        )
 
     async def _handle_leader_notice(self, notice):
         self._accept_leader_notice(notice)
