--- a/wasabipaddle/cell/tests/connected_cell.py
+++ b/wasabipaddle/cell/tests/connected_cell.py
@@ -23,7 +23,12 @@
 from wasabipaddle.transport import MemoryNetwork, MemoryTransport
 
 LATENCY_S = 0.002
+# Latency of messages that arrive after the time limits of their senders.
+DELAY_S = 3.0
+# Time within which a version must be in force.
 BOUND_S = 4.0
+# Time for the election and a few hello messages of each process.
+SETTLE_S = 4.0
 
 
 class ConnectedProcess:
@@ -65,10 +70,12 @@
         self.members.transport.peers = {}
 
     async def start(self):
+        """Start all roles in the order in which they require each other."""
         for role in self.roles:
             await role.start()
 
     async def stop(self):
+        """Stop all roles without a drain, as if the process were killed."""
         for role in reversed(self.roles):
             if role is not self.members:
                 await role.stop()
@@ -80,13 +87,13 @@
 
     Attributes
     ----------
-    slow_until_s : dict of str to float
+    delayed_until_s : dict of str to float
         Time of the loop until which the messages of a process arrive too late, by name.
     """
 
     def __init__(self, count):
         self.memory = MemoryTransactions()
-        self.slow_until_s = {}
+        self.delayed_until_s = {}
         self.network = MemoryNetwork(latency_s=self._latency_s)
         self.processes = {}
         for i in range(count):
@@ -97,13 +104,24 @@
 
     def _latency_s(self, source, target):
         now = asyncio.get_running_loop().time()
-        return 2.0 if now < self.slow_until_s.get(source, 0.0) else LATENCY_S
+        return DELAY_S if now < self.delayed_until_s.get(source, 0.0) else LATENCY_S
+
+    def delay_messages(self, name, seconds):
+        """Have the messages that a process sends from now on arrive too late."""
+        now = asyncio.get_running_loop().time()
+        self.delayed_until_s[name] = now + seconds
 
     def add(self, name):
+        """Add a process that has not been started, also in place of an earlier one."""
         process = ConnectedProcess(name, self.memory, self.network)
         self.processes[name] = process
         return process
 
+    async def restart(self, name):
+        """Kill a process and start it again; it knows nothing of before."""
+        await self[name].stop()
+        await self.add(name).start()
+
     def leaders(self):
         """Return the names of the processes that take themselves for the leader."""
         return [p.name for p in self.processes.values() if p.election.epoch]
@@ -129,7 +147,7 @@
         cell.store_version(1)
         for process in cell.processes.values():
             await process.start()
-        await asyncio.sleep(4.0)
+        await asyncio.sleep(SETTLE_S)
         try:
             return await scenario(cell)
         finally:
