Ask other processes when nothing has confirmed the configuration for a while

Cause: a process that the store refuses took who leads and which version is the latest from the process it took for the leader, and asked others only if that one was silent or if removed keys have a time limit. A former leader that the store refuses as well answers on, so it and its followers keep their version; only the one notice of the new leader, with a limit of 0.5 s, ends that.

Change: a process that for 0.6 of the time within which a version must be in force has had no answer of the store and no recent proof of a process asks others in turn, each 0.5 s and beside its hello messages. Their replies name the leader, and a newer process sends its copy. That holds for a leader too. Because any process that is up to date ends the state, it no longer depends on which message was lost.

--- a/wasabipaddle/cell/configuration.py
+++ b/wasabipaddle/cell/configuration.py
@@ -30,6 +30,9 @@
 # long as the store answers.
 POLL_SHARE = 0.2
 WATCH_SHARE = 0.4
+# Part of the time within which a version must be in force after which other processes
+# are asked. Longer than the wait of the leader's watch, so that none asks on calm days.
+CONFIRMATION_SHARE = 0.6
 
 
 class ConfigurationPlugin(Plugin):
@@ -46,9 +49,12 @@
         a failed poll.
     freshness : ConfigurationFreshness
         Proof that the current configuration is young enough to admit calls with keys.
+    answered_s : float
+        Time on the boot clock of the last answer of the store, which is later than that
+        of a proof if the store held the call back.
     unconfirmed_since_s : float or None
-        Time on the boot clock since which the proof is older than the time within which
-        a configuration must be in force, None while it is younger.
+        Time on the boot clock at which `unconfirmed_s` exceeded the time within which a
+        version must be in force, None while it does not.
     """
 
     name = "cell_configuration"
@@ -64,6 +70,7 @@
         self.known_version = 0
         self.unreadable_value = None
         self.freshness = ConfigurationFreshness()
+        self.answered_s = -math.inf
         self.unconfirmed_since_s = None
 
     async def start(self):
@@ -111,6 +118,21 @@
         """Whether calls with keys may soon have to be refused."""
         return self.freshness.overdue(self.context.clock.boot_s(), self.revocation_s)
 
+    def unconfirmed_s(self) -> float:
+        """Return for how long neither the store nor a process has told the version."""
+        answer_age_s = self.context.clock.boot_s() - self.answered_s
+        return min(answer_age_s, self.proof_age_s())
+
+    @property
+    def needs_confirmation(self) -> bool:
+        """Whether to ask other processes for a newer version, or for their proof.
+
+        The store has not answered for a while, and no process has passed on a recent
+        proof. The leader may be a former one that the store refuses as well.
+        """
+        bound_s = self.context.settings.bounds.configuration_s
+        return self.unconfirmed_s() > CONFIRMATION_SHARE * bound_s or self.proof_overdue
+
     def confirm_by_peer(self, sent_s, reply):
         """Use the proof in a `HelloReply` to a message sent at boot time `sent_s`."""
         self.freshness.confirm_by_peer(
@@ -143,25 +165,24 @@
         return holds
 
     def _log_confirmation(self, now_s):
-        """Log when the proof is too old for changes to be in force in time."""
-        age_s, since_s = self.state_proof_age(), self.unconfirmed_since_s
-        bound_s = self.context.settings.bounds.configuration_s
-        unconfirmed = age_s is None or age_s > bound_s
-        if unconfirmed is (since_s is not None):
+        """Log when changes may no longer be in force in time, and when they are."""
+        age_s, since_s = self.unconfirmed_s(), self.unconfirmed_since_s
+        unconfirmed = age_s > self.context.settings.bounds.configuration_s
+        if self.current is None or unconfirmed is (since_s is not None):
             return
         self.unconfirmed_since_s = now_s if unconfirmed else None
-        if not unconfirmed:
+        if unconfirmed:
+            self.context.journal(
+                "configuration_unconfirmed",
+                version=self.version,
+                age_ms=int(age_s * MS_PER_S) if age_s < math.inf else None,
+                leads=self.is_leader,
+            )
+        else:
             lost_ms = int((now_s - since_s) * MS_PER_S)
             self.context.journal(
                 "configuration_confirmed", version=self.version, lost_ms=lost_ms
             )
-            return
-        self.context.journal(
-            "configuration_unconfirmed",
-            version=self.version,
-            age_ms=None if age_s is None else int(age_s * MS_PER_S),
-            leads=self.is_leader,
-        )
 
     def _set_leader(self, is_leader):
         self.is_leader = is_leader
@@ -187,6 +208,7 @@
             if self.current is not None:
                 if succeeded:
                     self.freshness.confirm(sent_s)
+                    self.answered_s = self.context.clock.boot_s()
                 self.check_proof()
             if not succeeded or self.current is None:
                 await asyncio.sleep(RETRY_S)
--- a/wasabipaddle/cell/members.py
+++ b/wasabipaddle/cell/members.py
@@ -67,6 +67,8 @@
         dispatcher role sets it.
     forecast : LoadForecast or None
         Forecast in the last reply of the leader, which arrived at `waiting_received_s`.
+    unasked : list of str
+        Processes still to be asked before one is asked again.
     """
 
     name = "cell_members"
@@ -85,6 +87,7 @@
         self.forecast_load = lambda: None
         self.forecast = None
         self.hello_due = asyncio.Event()
+        self.unasked = []
         self.refusals = 0
         self.tasks = TaskSet()
         self.listener = None
@@ -101,6 +104,7 @@
         bus.events(LeaderChanged).subscribe(self._on_leader_changed)
         bus.events(LeadershipGained).subscribe(self._announce_leadership)
         self.tasks.keep_running(self._send_hellos)
+        self.tasks.keep_running(self._ask_peers)
 
     async def open(self):
         """Listen for other processes; called once every role has started."""
@@ -168,10 +172,10 @@
         )
 
     async def _handle_leader_notice(self, notice):
-        self._accept_leader_notice(notice)
+        self.accept_leader_notice(notice)
         return Ok(Noted())
 
-    def _accept_leader_notice(self, notice):
+    def accept_leader_notice(self, notice):
         """Follow the leader that another process names, if its epoch is higher."""
         if notice is None or notice.epoch <= self.leader_epoch:
             return
@@ -226,7 +230,8 @@
             process, message, reply_type, timeout_s=timeout_s
         )
 
-    def _build_leader_notice(self):
+    def build_leader_notice(self) -> LeaderNotice | None:
+        """Return who leads as far as this process knows, None if it does not."""
         address = self.roster.addresses.get(self.leader)
         if address is None:
             return None
@@ -238,9 +243,8 @@
 
     async def _send_hellos(self):
         while True:
-            delay_s = HELLO_INTERVAL_S * (0.9 + 0.2 * self.context.random.random())
             try:
-                async with asyncio.timeout(delay_s):
+                async with asyncio.timeout(self._draw_interval_s()):
                     await self.hello_due.wait()
             except TimeoutError:
                 pass
@@ -249,9 +253,9 @@
                 self.transport.peers.pop(process, None)
             if self.leader:
                 await self._send_hello()
-            silent = not self.roster.heard_within(self.leader, LIVENESS_TIMEOUT_S)
-            if silent or self.configuration.proof_overdue:
-                await self._ask_peer()
+
+    def _draw_interval_s(self):
+        return HELLO_INTERVAL_S * (0.9 + 0.2 * self.context.random.random())
 
     async def _send_hello(self):
         """Send a hello message to the leader and process the reply."""
@@ -269,23 +273,42 @@
         self.configuration.observe(reply.configuration)
         if leader != self.own_name:
             self.configuration.confirm_by_peer(sent_s, reply)
-        self._accept_leader_notice(reply.leader)
+        self.accept_leader_notice(reply.leader)
         self.election.weak = hello.processor < WEAK_SHARE * reply.strongest
         self.waiting, self.forecast = reply.waiting, reply.forecast
         self.waiting_received_s = self.context.clock.now()
         if leader != self.own_name:
             self._record_members(reply.members)
 
-    async def _ask_peer(self):
-        """Ask any other process who leads and how recent its configuration is.
+    async def _ask_peers(self):
+        """Ask other processes as long as the leader is silent or its word is old.
 
         A process that does not reach the store may have missed the announcement of the
-        successor of a leader that is gone, and the leader may not reach it either.
+        successor of its leader, and that leader may not reach the store either.
+        """
+        while True:
+            await asyncio.sleep(self._draw_interval_s())
+            silent = not self.roster.heard_within(self.leader, LIVENESS_TIMEOUT_S)
+            if silent or self.configuration.needs_confirmation:
+                await self._ask_peer()
+
+    def _choose_peer(self):
+        """Return another process, each once before one again; None if none is known.
+
+        Those that this process takes for live may all follow the same former leader.
         """
         peers = self.roster.peers(leader="")
-        if not peers:
+        self.unasked = [p for p in self.unasked if p in peers]
+        if not self.unasked:
+            self.unasked = peers
+            self.context.random.shuffle(self.unasked)
+        return self.unasked.pop() if self.unasked else None
+
+    async def _ask_peer(self):
+        """Ask another process who leads and how recent its configuration is."""
+        process = self._choose_peer()
+        if process is None:
             return
-        process = self.context.random.choice(peers)
         sent_s = self.context.clock.boot_s()
         reply = await self.ask(
             process, self._build_hello(), HelloReply, timeout_s=HELLO_TIMEOUT_S
@@ -293,7 +316,7 @@
         if reply.is_ok():
             self.configuration.observe(reply.ok().configuration)
             self.configuration.confirm_by_peer(sent_s, reply.ok())
-            self._accept_leader_notice(reply.ok().leader)
+            self.accept_leader_notice(reply.ok().leader)
 
     def _build_hello(self):
         settings = self.context.settings
@@ -342,7 +365,7 @@
                 # whom they listed would keep removed processes live.
                 members=self.roster.listed_members() if self.is_leader else {},
                 strongest=self.roster.largest_processing_power,
-                leader=self._build_leader_notice(),
+                leader=self.build_leader_notice(),
                 forecast=self.forecast_load(),
                 configuration_age_s=self.configuration.state_proof_age(),
             )
--- a/wasabipaddle/cell/tests/members_parts.py
+++ b/wasabipaddle/cell/tests/members_parts.py
@@ -26,6 +26,11 @@
         self.current = current
         self.proofs = []
 
+    @property
+    def needs_confirmation(self):
+        """Whether to ask other processes, which an overdue proof requires as well."""
+        return self.proof_overdue
+
     def observe(self, version):
         """Do nothing; no process has a newer version."""
 
