Name the leader in copies of the configuration

Cause: the leader counts a process as live for up to 2 s after its last hello message and sends it the copies of that time, also if it has been restarted since. Such a process cannot read the leader key and knows no other process; it has a version from then on and no way to a later one.

Change: a copy names the leader that its sender knows of, and the receiver follows it if its epoch is higher than that of the one it knows. The field is optional, so processes of both builds read each other's copies.

--- a/wasabipaddle/cell/distribution.py
+++ b/wasabipaddle/cell/distribution.py
@@ -3,6 +3,7 @@
 import asyncio
 import zlib
 
+import attrs
 from result import Err, Ok
 
 from wasabipaddle.cell.configuration import ConfigurationPlugin
@@ -74,8 +75,10 @@
     async def _deliver(self, process, version):
         try:
             async with self.slots:
+                leader = self.members.build_leader_notice()
+                copy = attrs.evolve(self._build_copy(), leader=leader)
                 noted = await self.members.ask(
-                    process, self._build_copy(), Noted, timeout_s=COPY_TIMEOUT_S
+                    process, copy, Noted, timeout_s=COPY_TIMEOUT_S
                 )
             outcome = "delivered" if noted.is_ok() else "failed"
             self.context.metrics.count(f"configuration_copies_{outcome}")
@@ -99,6 +102,7 @@
                 detail = "the copy of the configuration cannot be decompressed"
                 return Err(Failure(kind=ErrorKind.INVALID_REQUEST, detail=detail))
             self.configuration.apply_copy(value, copy.revision)
+        self.members.accept_leader_notice(copy.leader)
         return Ok(Noted())
 
 
--- a/wasabipaddle/cell/tests/test_distribution.py
+++ b/wasabipaddle/cell/tests/test_distribution.py
@@ -50,6 +50,12 @@
     def live(self):
         return list(self.distributions)
 
+    def build_leader_notice(self):
+        return None
+
+    def accept_leader_notice(self, notice):
+        assert notice is None
+
     async def ask(self, process, message, reply_type, *, timeout_s):
         self.sent.append((process, message))
         if process in self.removed:
--- a/wasabipaddle/messages/jobs.py
+++ b/wasabipaddle/messages/jobs.py
@@ -112,23 +112,6 @@
     workspace: str | None = None
 
 
-@attrs.frozen(kw_only=True)
-class ConfigurationCopy:
-    """Copy of the configuration in the store.
-
-    Parameters
-    ----------
-    version, revision : int
-        Version of the configuration, and store revision at which it was the latest.
-    data : bytes
-        Stored value, compressed with zlib.
-    """
-
-    version: int
-    revision: int
-    data: bytes
-
-
 @attrs.frozen(kw_only=True)
 class LeaderNotice:
     """Tells which process leads, for processes that cannot read it from the store.
@@ -146,6 +129,26 @@
     epoch: int
 
 
+@attrs.frozen(kw_only=True)
+class ConfigurationCopy:
+    """Copy of the configuration in the store.
+
+    Parameters
+    ----------
+    version, revision : int
+        Version of the configuration, and store revision at which it was the latest.
+    data : bytes
+        Stored value, compressed with zlib.
+    leader : LeaderNotice or None
+        Latest leader that the sender knows of, for a receiver that knows no process.
+    """
+
+    version: int
+    revision: int
+    data: bytes
+    leader: LeaderNotice | None = None
+
+
 @attrs.frozen(kw_only=True)
 class MemberHello:
     """Periodic message of a process to the dispatcher.
