Stop leading when another process names a later leader

Cause: a leader that the store refuses learned from a notice whom to follow, but went on as leader of its own dispatcher. It starts nothing, as its proof of leadership is too old, but counts the waiting jobs and tells the phases of jobs as of the time of its replacement, to its own callers and to those that follow it.

Change: a notice with a higher epoch than the one known ends the leadership. The epoch is the revision of the leader key, so the key has certainly been replaced.

--- a/wasabipaddle/cell/members.py
+++ b/wasabipaddle/cell/members.py
@@ -176,7 +176,10 @@
         return Ok(Noted())
 
     def accept_leader_notice(self, notice):
-        """Follow the leader that another process names, if its epoch is higher."""
+        """Follow the leader that another process names, if its epoch is higher.
+
+        A leader stops leading; if the store refuses it, it has no other way to know.
+        """
         if notice is None or notice.epoch <= self.leader_epoch:
             return
         self.context.journal(
@@ -186,6 +189,8 @@
             before=self.leader_epoch,
         )
         self._follow(notice)
+        reason = f"{notice.process} leads under epoch {notice.epoch}"
+        self.election.step_down(reason, epoch=self.election.epoch)
 
     def _set_address(self, process, address) -> bool:
         """Record the address of a process; return whether it can be called."""
--- a/wasabipaddle/cell/tests/members_parts.py
+++ b/wasabipaddle/cell/tests/members_parts.py
@@ -50,6 +50,8 @@
 class FakeElection:
     """Stand-in for `ElectionPlugin` that wins no campaign."""
 
+    epoch = 0
+
     def __init__(self):
         self.weak = False
         self.record = type("Record", (), {"life": 1})()
@@ -57,6 +59,9 @@
     async def replace_leader(self):
         return False
 
+    def step_down(self, reason, *, epoch):
+        """Do nothing; the tests publish the end of a leadership."""
+
     def check_leader(self):
         """Do nothing; the tests publish changes of the leader key."""
 
--- a/wasabipaddle/cell/tests/test_refused_processes.py
+++ b/wasabipaddle/cell/tests/test_refused_processes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import attrs
 import pytest
 
 from wasabipaddle.cell.events import LeadershipGained
@@ -39,6 +40,25 @@
     assert set(play_connected(scenario, count=count).values()) == {2}
 
 
+def test_leader_that_is_told_of_its_successor_stops_leading():
+    """Guards against a former leader that goes on answering from its own state.
+
+    It counts waiting jobs and tells their phases as of the time of its replacement.
+    """
+
+    async def scenario(cell):
+        (leader,) = cell.leaders()
+        cell.memory.refused_clients = {leader}
+        members = cell[leader].members
+        notice = attrs.evolve(members.build_leader_notice(), process="p9")
+        members.accept_leader_notice(notice)
+        before = cell.leaders()
+        members.accept_leader_notice(attrs.evolve(notice, epoch=notice.epoch + 1))
+        return before == [leader], cell.leaders()
+
+    assert play_connected(scenario, count=2) == (True, [])
+
+
 def test_restarted_process_that_the_store_refuses_gets_later_versions_too():
     """Guards against a process that knows nobody but has got one copy.
 
