Add refusals with versions in a series to the fault soak

Its cells always had a time limit on removed keys, with which processes ask others; it checked a version only without a newer one and without a fault; and it never restarted a process that the store refuses.

Seeds 4 to 7 of each eight play without a time limit on removed keys.

--- a/wasabipaddle/commands/soak.py
+++ b/wasabipaddle/commands/soak.py
@@ -44,8 +44,8 @@
 
 
 def _run_seed(run, seed, *, runners, **options):
-    # Cells with and without workspaces, and cells with and without lasting work that
-    # memory binds, are played by turns.
+    # Cells with and without workspaces, with and without lasting work that memory
+    # binds, and with and without a time limit on removed keys are played by turns.
     memory_bound = seed // 2 % 2 == 1
     if memory_bound:
         runners = max(runners, LEAST_MEMORY_BOUND_RUNNERS)
@@ -54,6 +54,7 @@
         workspaces=seed % 2 == 1,
         memory_bound=memory_bound,
         runners=runners,
+        removal_limited=seed // 4 % 2 == 0,
         **options,
     )
 
--- a/wasabipaddle/soak/cell.py
+++ b/wasabipaddle/soak/cell.py
@@ -105,7 +105,7 @@
                 "order_pause": f"{ORDER_PAUSE_S:g}s",
             },
         }
-        if platform.keys.names:
+        if platform.keys.names and platform.keys.removal_limited:
             settings["bounds"]["revocation"] = f"{REVOCATION_S:g}s"
         path = self.directory / f"{name}.yaml"
         path.write_text(yaml.safe_dump(settings))
--- a/wasabipaddle/soak/driver.py
+++ b/wasabipaddle/soak/driver.py
@@ -12,7 +12,7 @@
 from wasabipaddle.soak.cell import CellProcesses
 from wasabipaddle.soak.departures import Departures
 from wasabipaddle.soak.faults import SoakFaults
-from wasabipaddle.soak.keys import SoakKeys
+from wasabipaddle.soak.keys import WORKSPACES, SoakKeys
 from wasabipaddle.soak.lasting import LastingWatch
 from wasabipaddle.soak.ledger import SoakLedger
 from wasabipaddle.soak.memory_bound import MemoryBoundWork
@@ -86,6 +86,7 @@
     faults=ALL_FAULTS,
     workspaces=False,
     memory_bound=False,
+    removal_limited=True,
 ) -> SoakResult:
     """Run the soak test with one seed.
 
@@ -108,7 +109,11 @@
     memory_bound : bool
         Whether the runners have unequal shapes, and large lasting tasks fill the memory
         of some of them.
+    removal_limited : bool
+        Whether removed keys have a time limit. Without one, no key is removed.
     """
+    if not removal_limited:
+        faults = tuple(name for name in faults if name != "keys_removed")
     with tempfile.TemporaryDirectory(prefix="wasabipaddle-soak-") as temporary:
         directory = pathlib.Path(keep or temporary) / f"seed-{seed}"
         directory.mkdir(parents=True, exist_ok=True)
@@ -122,6 +127,7 @@
                 names=faults,
                 workspaces=workspaces,
                 memory_bound=memory_bound,
+                removal_limited=removal_limited,
             )
         )
         report = [result.line(), *result.faults, *(v.line() for v in result.violations)]
@@ -186,7 +192,7 @@
 
 
 def _assemble(
-    seed, *, processes, runners, keep, names, workspaces, memory_bound
+    seed, *, processes, runners, keep, names, workspaces, memory_bound, removal_limited
 ) -> _SoakParts:
     """Create the parts of a run; all random choices follow from the seed."""
     rng = random.Random(seed)
@@ -200,7 +206,10 @@
         seed=rng.random(),
         shapes=MIXED_SHAPES if memory_bound else (GENERAL,),
         workspaces=ledger.workspaces,
-        keys=SoakKeys(names=ledger.workspaces.quotas) if workspaces else SoakKeys(),
+        keys=SoakKeys(
+            names=ledger.workspaces.quotas if workspaces else WORKSPACES,
+            removal_limited=removal_limited,
+        ),
     )
     cell = CellProcesses(platform=platform, directory=keep, ledger=ledger)
     faults = SoakFaults(
--- a/wasabipaddle/soak/faults.py
+++ b/wasabipaddle/soak/faults.py
@@ -18,6 +18,7 @@
 from wasabipaddle.soak.partitions import Partitions
 from wasabipaddle.soak.platform import CALLERS, CELL, STORE
 from wasabipaddle.soak.queues import QUEUES
+from wasabipaddle.soak.refusals import Refusals
 from wasabipaddle.soak.replacements import Replacements
 from wasabipaddle.soak.runner_faults import RunnerDisruptions
 
@@ -114,6 +115,7 @@
             random=random,
             call=lambda *arguments, **options: self.call(*arguments, **options),
         )
+        refusals = Refusals(platform=platform, cell=cell, faults=self, random=random)
         self.disruptions = {
             **{name: getattr(self, f"_{name}") for name in BASIC_DISRUPTIONS},
             "partition": partitions.partition,
@@ -125,6 +127,7 @@
             "runner_frozen": concurrency.runner_frozen,
             "odd_entries": odd.odd_entries,
             "keys_removed": removals.keys_removed,
+            "versions_refused": refusals.versions_refused,
         }
         # Planned operations, which must not interrupt calls in progress.
         self.planned = {
--- a/wasabipaddle/soak/keys.py
+++ b/wasabipaddle/soak/keys.py
@@ -6,7 +6,7 @@
 from wasabipaddle.soak.platform import CELL, STORE
 from wasabipaddle.soak.queues import QUEUES
 
-__all__ = ["REVOCATION_S", "KeyRemovals", "SoakKeys"]
+__all__ = ["REVOCATION_S", "WORKSPACES", "KeyRemovals", "SoakKeys"]
 
 # Time after which no process may admit a call with a removed key.
 REVOCATION_S = 5.0
@@ -31,6 +31,8 @@
     ----------
     names : iterable of str
         Names of the workspaces; without any, calls need no key.
+    removal_limited : bool
+        Whether removed keys have a time limit.
 
     Attributes
     ----------
@@ -38,8 +40,9 @@
         Workspaces of the additional keys.
     """
 
-    def __init__(self, *, names=WORKSPACES):
+    def __init__(self, *, names=WORKSPACES, removal_limited=True):
         self.names = tuple(names)
+        self.removal_limited = removal_limited
         self.added = {}
         self.count = 0
 
--- a/wasabipaddle/soak/names.py
+++ b/wasabipaddle/soak/names.py
@@ -58,6 +58,7 @@
     "processes_replaced",
     "runners_replaced",
     "keys_removed",
+    "versions_refused",
 )
 ALL_FAULTS = BASIC_FAULTS + ADDED_FAULTS
 # Faults that never overlap with themselves and come in no series: each takes many
@@ -71,6 +72,7 @@
         "processes_replaced",
         "runners_replaced",
         "keys_removed",
+        "versions_refused",
     }
 )
 # Faults that disturb the cell for a moment only and wait for the effect then.
--- a/wasabipaddle/soak/regressions.py
+++ b/wasabipaddle/soak/regressions.py
@@ -19,6 +19,7 @@
     faults: tuple[str, ...] = BASIC_FAULTS
     workspaces: bool = False
     memory_bound: bool = False
+    removal_limited: bool = True
 
 
 REGRESSIONS = (
--- a/wasabipaddle/soak/tests/test_soak.py
+++ b/wasabipaddle/soak/tests/test_soak.py
@@ -10,10 +10,19 @@
 WORKSPACES = attrs.evolve(SHORT, seed=7, seconds=9.0, workspaces=True)
 # A process is cut off while a key is removed.
 KEYS = Regression(seed=3, seconds=4.0, cause="", processes=3, faults=("keys_removed",))
+# The store refuses the leader and others while queues are added.
+REFUSED = Regression(
+    seed=5,
+    seconds=4.0,
+    cause="",
+    processes=6,
+    faults=("versions_refused",),
+    removal_limited=False,
+)
 
 
 @pytest.mark.parametrize(
-    "case", [SHORT, KEYS, WORKSPACES, *REGRESSIONS], ids=lambda case: case.seed
+    "case", [SHORT, KEYS, WORKSPACES, REFUSED, *REGRESSIONS], ids=lambda case: case.seed
 )
 def test_no_guarantee_is_violated(case, tmp_path):
     """Guards against guarantees that real processes violate under injected faults."""
@@ -25,6 +34,7 @@
         faults=case.faults,
         workspaces=case.workspaces,
         memory_bound=case.memory_bound,
+        removal_limited=case.removal_limited,
         keep=tmp_path,
     )
     report = (tmp_path / f"seed-{case.seed}" / "report.txt").read_text()
