Compare the hosts of queues without regard to case

Cause: hosts were compared byte by byte. Host names have no case in HTTP.

Evidence: test_host_selects_the_queue_in_any_case fails on the parent.

Change: queues are found by the host in lower case. Paths keep their case.

--- a/wasabipaddle/jobs/configuration.py
+++ b/wasabipaddle/jobs/configuration.py
@@ -176,10 +176,10 @@
 
     @functools.cached_property
     def by_host(self) -> dict[str, list[Queue]]:
-        """Queues by host, sorted by descending length of the prefix."""
+        """Queues by host in lower case, sorted by descending length of the prefix."""
         found = {}
         for queue in sorted(self.queues, key=lambda q: -len(q.prefix)):
-            found.setdefault(queue.host, []).append(queue)
+            found.setdefault(queue.host.lower(), []).append(queue)
         return found
 
     @functools.cached_property
@@ -197,8 +197,11 @@
         }
 
     def match(self, host, path) -> Queue | None:
-        """Return the queue with the longest matching prefix of `path` on `host`."""
-        queues = self.by_host.get(host, ())
+        """Return the queue with the longest matching prefix of `path` on `host`.
+
+        Names of hosts are compared without regard to case, as HTTP does.
+        """
+        queues = self.by_host.get(host.lower(), ())
         return next((q for q in queues if path.startswith(q.prefix)), None)
 
     def queue(self, name) -> Queue | None:
--- a/wasabipaddle/platform/tests/test_decoding.py
+++ b/wasabipaddle/platform/tests/test_decoding.py
@@ -94,6 +94,16 @@
     assert current.match("nobody", "/x/0123") is None
 
 
+def test_host_selects_the_queue_in_any_case():
+    """Guards against a 404 for a caller that writes the host in other capitals."""
+    routes = [{"name": "a", "host": "Print.example", "prefix": "/x/", "service": "s"}]
+    body = {"version": 4, "routes": routes, "services": [], "limits": {}}
+    current = decode_configuration(json.dumps(body).encode()).ok()
+    found = [current.match(host, "/x/1") for host in ("print.EXAMPLE", "Print.example")]
+    assert [queue.name for queue in found] == ["a", "a"]
+    assert current.match("print.example", "/X/1") is None
+
+
 @pytest.mark.parametrize(
     "body",
     [
