Take a null field of the configuration for an absent one

Cause: a row with a null field was left out as invalid, except for a few fields.

Change: null fields of queues, pools, limits, workspaces and policies for advice are dropped before they are decoded. A row without a name or prefix is left out as before.

--- a/wasabipaddle/jobs/decoding.py
+++ b/wasabipaddle/jobs/decoding.py
@@ -12,6 +12,7 @@
     "MAX_INTEGER",
     "decode_answer",
     "decode_json",
+    "drop_null",
     "ignore_report",
     "integer",
     "number",
@@ -75,6 +76,11 @@
     raise ValueError(f"{name} is not a JSON value")
 
 
+def drop_null(row):
+    """Return the fields of a JSON object that are not null."""
+    return {name: value for name, value in row.items() if value is not None}
+
+
 def whole(value):
     """Return a float without a fraction as an integer, and any other value as it is."""
     is_whole = isinstance(value, float) and value.is_integer()
--- a/wasabipaddle/platform/configuration.py
+++ b/wasabipaddle/platform/configuration.py
@@ -16,6 +16,7 @@
 from wasabipaddle.jobs.decoding import (
     DECODING_ERRORS,
     decode_json,
+    drop_null,
     ignore_report,
     integer,
     number,
@@ -36,8 +37,9 @@
     """Return the configuration in a stored value.
 
     A queue, pool or workspace that is not valid is left out, and invalid limits are
-    replaced by the default ones, so that the others come into force. A value that is
-    not valid as a whole gives an `Err` of kind `invalid_document`.
+    replaced by the default ones, so that the others come into force. A field that is
+    null counts as absent. A value that is not valid as a whole gives an `Err` of kind
+    `invalid_document`.
 
     Parameters
     ----------
@@ -73,7 +75,7 @@
     decoded = []
     for row in rows:
         try:
-            decoded.append(decode(row))
+            decoded.append(decode(drop_null(row)))
         except DECODING_ERRORS as error:
             report(repr(error))
     return decoded
@@ -97,7 +99,7 @@
     workspaces, digests = {}, set()
     for row in rows:
         try:
-            workspace = _decode_workspace(row)
+            workspace = _decode_workspace(drop_null(row))
         except DECODING_ERRORS as error:
             report(f"workspace {_name_of(row)}: {type(error).__name__}")
             continue
@@ -123,11 +125,10 @@
     keys, cap = row.get("api_keys") or [], row.get("cap") or {}
     if not isinstance(keys, list) or not all(map(_is_key, keys)):
         raise TypeError("the keys are not a list of strings")
-    weight = row.get("weight")
     return Workspace(
         name=text(row["name"]),
         key_digests=frozenset(map(digest_key, keys)),
-        weight=1.0 if weight is None else number(weight, least=0),
+        weight=number(row.get("weight", 1.0), least=0),
         quota=decode_capacity({name: n or 0 for name, n in cap.items()}),
     )
 
@@ -162,6 +163,7 @@
 
 
 def _decode_advice_policy(advice):
+    advice = drop_null(advice)
     return AdvicePolicy(
         base_s=number(advice.get("decide_ms", 0), least=0) / MS_PER_S,
         per_runner_s=number(advice.get("each_ms", 0), least=0) / MS_PER_S,
--- a/wasabipaddle/platform/tests/test_decoding.py
+++ b/wasabipaddle/platform/tests/test_decoding.py
@@ -5,7 +5,7 @@
 import pytest
 
 from wasabipaddle.interfaces import Entry
-from wasabipaddle.jobs import Capacity, digest_key
+from wasabipaddle.jobs import Capacity, Queue, digest_key
 from wasabipaddle.platform import decode_configuration, decode_runner
 from wasabipaddle.platform.jobs import decode_spec
 from wasabipaddle.platform.runner import _decode_inventory
@@ -104,6 +104,28 @@
     assert current.match("print.example", "/X/1") is None
 
 
+@pytest.mark.parametrize(
+    "name", ["service", "priority", "max_attempts", "stretch", "advice", "public"]
+)
+def test_queue_with_a_field_that_is_null_is_kept(name):
+    """Guards against a 404 at every process for a queue with an optional field."""
+    route = {"name": "a", "host": "h", "prefix": "/x/", "service": "s", name: None}
+    advised = {**route, "name": "b", "advice": {"decide_ms": 5, "valid_ms": None}}
+    body = {
+        "version": 4,
+        "routes": [route, advised],
+        "limits": {"max_body_bytes": None},
+    }
+    reports = []
+    current = decode_configuration(json.dumps(body).encode(), report=reports.append)
+    assert [queue.name for queue in current.ok().queues] == ["a", "b"]
+    plain = Queue(
+        name="a", host="h", prefix="/x/", pool="s" if name != "service" else ""
+    )
+    assert current.ok().queues[0] == plain
+    assert not reports
+
+
 @pytest.mark.parametrize(
     "body",
     [
