--- a/wasabipaddle/dispatch/reports.py
+++ b/wasabipaddle/dispatch/reports.py
@@ -141,9 +141,9 @@
         if not runner.fits_clock(clock_ms, now, sent_s=sent_s):
             runner.doubted_s = now
         lag_ms = runner.estimate_clock_ms(now) - clock_ms
-        age_s = now - runner.clock_s
+        age_s, is_first = now - runner.clock_s, not runner.clock_ms
         used = runner.set_clock(clock_ms, now, sent_s=sent_s)
-        if clock_ms and runner.incarnation and lag_ms > LOGGED_LAG_MS:
+        if clock_ms and not is_first and lag_ms > LOGGED_LAG_MS:
             self.state.journal(
                 "clock_set_back" if used else "clock_reading_ignored",
                 runner=runner.id,
--- a/wasabipaddle/dispatch/tests/test_takeover.py
+++ b/wasabipaddle/dispatch/tests/test_takeover.py
@@ -19,6 +19,22 @@
     assert until_ms - cell.runners["r0"].clock_ms == 4000
 
 
+def test_first_clock_readings_after_a_takeover_are_no_corrections(cell):
+    """Guards against a log line for each runner that hides those on real corrections.
+
+    A successor knows the incarnation of a runner before it has read its clock.
+    """
+    cell.take_over(1, {}, [])
+    cell.now += 100.0
+    for name, fake in cell.runners.items():
+        runner = cell.state.runners[name]
+        runner.incarnation = 1
+        inventory = attrs.evolve(fake.inventory(0), clock_ms=500)
+        cell.scheduler.reports.process_inventory(runner, inventory, cell.now)
+    kinds = {kind for kind, _ in cell.events}
+    assert not kinds & {"clock_set_back", "clock_reading_ignored"}
+
+
 def test_runs_found_at_takeover_keep_their_lease(cell):
     """Guards against a second run of a task while the first run continues.
 
