--- a/review/lib-2/world.py
+++ b/review/lib-2/world.py
@@ -329,6 +329,8 @@
 
     def begin_life(self):
         """Begin a life that knows nothing of the one before."""
+        if self.lives:
+            self.crash()
         self.lives += 1
         self.born = int(time.time() * 1000)
         self.born_s = time.monotonic()
