--- a/review/lib-2/world.py
+++ b/review/lib-2/world.py
@@ -14,6 +14,7 @@
 import pathlib
 import random
 import re
+import shutil
 import signal
 import socket
 import sys
@@ -65,10 +66,14 @@
 
 
 def run_case(main):
-    """Run a script; exit with 2 if it could not run, which is no broken rule."""
+    """Run a script; exit with 2 if it could not run, which is no broken rule.
+
+    A script that is terminated ends its processes, too.
+    """
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         code = asyncio.run(main())
-    except Exception:
+    except (Exception, KeyboardInterrupt):
         traceback.print_exc()
         code = 2
     sys.exit(code)
@@ -568,6 +573,7 @@
                 child.kill()
         for child in self.children.values():
             await child.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 class World:
