--- a/wasabipaddle/cell/admission.py
+++ b/wasabipaddle/cell/admission.py
@@ -89,7 +89,9 @@
             return Err(Failure(kind=ErrorKind.TIMEOUT, detail=detail))
         if mark.ok() is None:
             return Ok(False)
+        revision = mark.ok().revision
         if not is_new:
+            self.context.journal("refusal_kept", job=job_id, revision=revision)
             return Err(
                 Failure(
                     kind=ErrorKind.DEADLINE_UNMEETABLE,
@@ -97,10 +99,16 @@
                     retry_after_s=MIN_RETRY_S,
                 )
             )
-        conditions = ((put.key, 0), (key, mark.ok().revision))
+        conditions = ((put.key, 0), (key, revision))
         stored = await self.store_plugin.call(
             store.commit(conditions=conditions, puts=(put,), deletes=(key,))
         )
+        self.context.journal(
+            "refusal_replaced",
+            job=job_id,
+            revision=revision,
+            failure=stored.err().kind.value if stored.is_err() else None,
+        )
         return stored.map(lambda _: True)
 
 
