Give the marks of refusals a module of their own

admission.py decides whom to refuse; how a refusal is made to hold in the store is another job. No change of behaviour.

--- a/wasabipaddle/cell/admission.py
+++ b/wasabipaddle/cell/admission.py
@@ -2,114 +2,21 @@
 
 from result import Err, Ok
 
-from wasabipaddle.cell.keys import JOB_PREFIX, REFUSAL_PREFIX
+from wasabipaddle.cell.refusal_marks import MIN_RETRY_S, RefusalMarks
 from wasabipaddle.dispatch.forecast import find_excess_s
 from wasabipaddle.exceptions import ErrorKind, Failure
-from wasabipaddle.interfaces import Put
 from wasabipaddle.jobs import find_quota_problem
 
-__all__ = ["Admission", "RefusalMarks"]
+__all__ = ["Admission"]
 
 # Age from which a forecast is not used.
 FORECAST_VALID_S = 1.5
-# Limits of the time after which a refused caller may try again, and the factor up to
-# which it is spread, so that callers do not return together.
-MIN_RETRY_S = 1.0
+# Longest time after which a refused caller may try again, and the factor up to which it
+# is spread, so that callers do not return together.
 MAX_RETRY_S = 20.0
 RETRY_SPREAD = 2.0
 # Time after which a caller may try again whose job exceeds its quota, which people set.
 QUOTA_RETRY_S = 60.0
-# Duration of the store lease of refusals, and time for which a lease is used for new
-# ones. Writes that were sent before a refusal and have not taken effect within the
-# difference are lost.
-MARK_LEASE_S = 90.0
-MARK_LEASE_USE_S = 30.0
-
-
-class RefusalMarks:
-    """Marks in the store that make refusals hold.
-
-    An earlier submission of the same job may have sent a write that takes effect late.
-    A job is therefore created under the condition that it has no mark, and refused only
-    once the mark is stored under the condition that the job does not exist.
-
-    Parameters
-    ----------
-    context : Context
-        Services of the process.
-    store_plugin : CellStorePlugin
-        The store.
-    """
-
-    def __init__(self, *, context, store_plugin):
-        self.context = context
-        self.store_plugin = store_plugin
-        self.lease = 0
-        self.renew_s = 0.0
-
-    async def set(self, job_id) -> bool:
-        """Mark a job as refused; return whether it certainly does not exist."""
-        store = self.store_plugin.store
-        now = self.context.clock.now()
-        if now >= self.renew_s:
-            lease = await self.store_plugin.call(store.grant_lease(MARK_LEASE_S))
-            if lease.is_err():
-                return False
-            self.lease = lease.ok()
-            self.renew_s = now + MARK_LEASE_USE_S
-        put = Put(key=REFUSAL_PREFIX + job_id, value=b"{}", lease=self.lease)
-        stored = await self.store_plugin.call(
-            store.commit(conditions=((JOB_PREFIX + job_id, 0),), puts=(put,))
-        )
-        if stored.is_err() and stored.err().kind is ErrorKind.NOT_FOUND:
-            self.renew_s = 0.0
-        return stored.is_ok()
-
-    async def replace(self, job_id, put, *, is_new):
-        """Create the key of a job in place of its mark.
-
-        Parameters
-        ----------
-        is_new : bool
-            Whether the submission has not tried to create the key before. Otherwise
-            the mark may be the answer to a repetition of the same submission, and
-            holds.
-
-        Returns
-        -------
-        result.Result
-            Whether there was a mark to replace, or an `Err`: of kind `timeout` if the
-            mark cannot be read, so that the job may exist, and of kind
-            `deadline_unmeetable` if the mark holds.
-        """
-        store, key = self.store_plugin.store, REFUSAL_PREFIX + job_id
-        mark = await self.store_plugin.call(store.get(key))
-        if mark.is_err():
-            detail = "the refusal of the job could not be read"
-            return Err(Failure(kind=ErrorKind.TIMEOUT, detail=detail))
-        if mark.ok() is None:
-            return Ok(False)
-        revision = mark.ok().revision
-        if not is_new:
-            self.context.journal("refusal_kept", job=job_id, revision=revision)
-            return Err(
-                Failure(
-                    kind=ErrorKind.DEADLINE_UNMEETABLE,
-                    detail="a repetition of the submission has been refused",
-                    retry_after_s=MIN_RETRY_S,
-                )
-            )
-        conditions = ((put.key, 0), (key, revision))
-        stored = await self.store_plugin.call(
-            store.commit(conditions=conditions, puts=(put,), deletes=(key,))
-        )
-        self.context.journal(
-            "refusal_replaced",
-            job=job_id,
-            revision=revision,
-            failure=stored.err().kind.value if stored.is_err() else None,
-        )
-        return stored.map(lambda _: True)
 
 
 class Admission:
--- a/wasabipaddle/cell/tests/test_admission.py
+++ b/wasabipaddle/cell/tests/test_admission.py
@@ -7,11 +7,11 @@
 
 from wasabipaddle.cell.admission import (
     FORECAST_VALID_S,
-    MARK_LEASE_S,
     MAX_RETRY_S,
     RETRY_SPREAD,
 )
 from wasabipaddle.cell.keys import JOB_PREFIX, REFUSAL_PREFIX
+from wasabipaddle.cell.refusal_marks import MARK_LEASE_S
 from wasabipaddle.cell.tests.conftest import JOB, QUEUE
 from wasabipaddle.clock import run_virtual
 from wasabipaddle.dispatch.forecast import find_excess_s
@@ -31,9 +31,9 @@
 )
 
 
-def run(make_test_cell, scenario):
+def run(make_test_cell, scenario, count=2):
     async def main():
-        cell = make_test_cell(2)
+        cell = make_test_cell(count)
         await scenario(cell)
         await cell.close()
 
@@ -45,7 +45,7 @@
 
 
 def set_forecast(cell, forecast=FLOOD):
-    for process in (cell["p0"], cell["p1"]):
+    for process in cell.processes.values():
         process.members.forecast = forecast
         process.members.waiting_received_s = process.context.clock.now()
 
