Refuse a job only by a mark that has just been set

Cause: the second attempt replaces the mark of the first refusal, in a commit that has the revision of the mark as its condition. If that commit gets no answer, the next try of the same attempt found the mark unchanged, took it for the answer to a repetition, and refused at once, whatever was in doubt. The mark was only read: the commit in doubt, whose condition still held, took effect later. The same refusal let the mark end with its old lease, and did not stop such commits of other processes.

Change: a submission remembers the revision of the mark that it replaces, and replaces it again as long as it is unchanged. Another mark makes it refuse, but only once the mark has been set anew and that was acknowledged; then no commit that was sent before can take effect. A peer that stores for a process refuses in the same way, so its refusal is final there.

Why it works: each creation of a job has the absence or the revision of the mark as a condition, and setting the mark changes both, under the condition that the job does not exist.

--- a/wasabipaddle/cell/job_storage.py
+++ b/wasabipaddle/cell/job_storage.py
@@ -5,6 +5,7 @@
 from result import Err, Ok
 
 from wasabipaddle.cell.stored_jobs import create_job, store_cancellation
+from wasabipaddle.cell.submission import Submission
 from wasabipaddle.exceptions import ErrorKind, Failure, Outcome
 from wasabipaddle.messages.jobs import JobAccepted, Noted, StoreJob
 
@@ -19,8 +20,8 @@
 NOTICE_TRIES = 3
 RETRY_AFTER_S = 1.0
 NO_STORE = "the store does not answer"
-# Kinds of failure that another try does not change, and kinds after which it is certain
-# that a write has not taken effect.
+# Kinds of failure that another try does not change, nor a commit in doubt, and kinds
+# after which it is certain that a commit has not taken effect.
 FINAL_KINDS = frozenset({ErrorKind.CONFLICT, ErrorKind.DEADLINE_UNMEETABLE})
 NOT_STORED_KINDS = frozenset({ErrorKind.STORE_UNAVAILABLE, ErrorKind.STORE_THROTTLED})
 
@@ -63,10 +64,11 @@
         """
         if self.store_plugin.health.unavailable:
             return await self._store_through_peer(job, until_s=until_s)
+        submission = Submission(job=job)
         in_doubt = False
-        failure = None
         while self.context.clock.now() < until_s:
-            stored = await self._create_key(job, is_new=failure is None)
+            stored = await self._create_key(submission)
+            submission.is_new = False
             if stored.is_ok() or stored.err().kind in FINAL_KINDS:
                 return stored
             failure = stored.err()
@@ -78,21 +80,14 @@
             return fail(ErrorKind.ACCEPTANCE_UNKNOWN, failure.detail)
         return await self._store_through_peer(job, until_s=until_s)
 
-    async def _create_key(self, job, *, is_new):
-        """Create the key of a job, if possible under a known leader; see `create_job`.
-
-        Parameters
-        ----------
-        is_new : bool
-            Whether this is the first try of a submission.
-        """
+    async def _create_key(self, submission):
+        """Create the key of a job; see `create_job`."""
         return await create_job(
             self.store_plugin,
-            job,
+            submission,
             epoch=self.members.leader_epoch if self.members.leader else 0,
             marks=self.marks,
             configuration=self.configuration.current,
-            is_new=is_new,
         )
 
     def announce(self, job, epoch):
@@ -123,7 +118,7 @@
         async for peer, stored in self._ask_peers(StoreJob(job=job), until_s=until_s):
             if stored.is_ok():
                 return Ok(0)
-            if stored.err().kind is ErrorKind.CONFLICT:
+            if stored.err().kind in FINAL_KINDS:
                 return stored
             not_run = stored.err().outcome is Outcome.NOT_RUN
             if stored.err().kind is not ErrorKind.UNREACHABLE and not not_run:
@@ -155,7 +150,9 @@
             return fail(ErrorKind.STORE_UNAVAILABLE, NO_STORE)
         if self.configuration.current is None:
             return not_configured()
-        stored = await self._create_key(message.job, is_new=False)
+        # The message may have been on its way for long.
+        submission = Submission(job=message.job, is_new=False)
+        stored = await self._create_key(submission)
         if stored.is_err():
             return stored
         self.announce(message.job, stored.ok())
--- a/wasabipaddle/cell/refusal_marks.py
+++ b/wasabipaddle/cell/refusal_marks.py
@@ -10,9 +10,8 @@
 
 # Shortest time after which a refused caller may try again.
 MIN_RETRY_S = 1.0
-# Duration of the store lease of refusals, and time for which a lease is used for new
-# ones. Writes that were sent before a refusal and have not taken effect within the
-# difference are lost.
+# Duration of the store lease of marks, and time for which a lease is used for new ones.
+# A refusal holds against commits in doubt that take effect within the difference.
 MARK_LEASE_S = 90.0
 MARK_LEASE_USE_S = 30.0
 
@@ -20,9 +19,10 @@
 class RefusalMarks:
     """Marks in the store that make refusals hold.
 
-    An earlier submission of the same job may have sent a write that takes effect late.
-    A job is therefore created under the condition that it has no mark, and refused only
-    once the mark is stored under the condition that the job does not exist.
+    An earlier try or submission of the same job may have sent a commit that takes
+    effect late. A job is therefore created under the condition that it has no mark, or
+    that its mark has a known revision, and refused only once a new mark is stored under
+    the condition that the job does not exist. A mark that was only read proves nothing.
 
     Parameters
     ----------
@@ -56,40 +56,33 @@
             self.renew_s = 0.0
         return stored.is_ok()
 
-    async def replace(self, job_id, put, *, is_new):
-        """Create the key of a job in place of its mark.
+    async def replace(self, submission, put):
+        """Create the key of a job in place of the mark of an earlier refusal.
 
         Parameters
         ----------
-        is_new : bool
-            Whether the submission has not tried to create the key before. Otherwise
-            the mark may be the answer to a repetition of the same submission, and
-            holds.
+        submission : Submission
+            Submission of the job.
+        put : Put
+            Key and value of the job.
 
         Returns
         -------
         result.Result
-            Whether there was a mark to replace, or an `Err`: of kind `timeout` if the
-            mark cannot be read, so that the job may exist, and of kind
-            `deadline_unmeetable` if the mark holds.
+            Whether there was a mark to replace, or an `Err`: of kind
+            `deadline_unmeetable` if the job is refused, of kind `timeout` if it may
+            exist or come to exist, or another one of the commit.
         """
-        store, key = self.store_plugin.store, REFUSAL_PREFIX + job_id
+        store, job_id = self.store_plugin.store, submission.job.id
+        key = REFUSAL_PREFIX + job_id
         mark = await self.store_plugin.call(store.get(key))
         if mark.is_err():
-            detail = "the refusal of the job could not be read"
-            return Err(Failure(kind=ErrorKind.TIMEOUT, detail=detail))
+            return _in_doubt("the refusal of the job could not be read")
         if mark.ok() is None:
             return Ok(False)
         revision = mark.ok().revision
-        if not is_new:
-            self.context.journal("refusal_kept", job=job_id, revision=revision)
-            return Err(
-                Failure(
-                    kind=ErrorKind.DEADLINE_UNMEETABLE,
-                    detail="a repetition of the submission has been refused",
-                    retry_after_s=MIN_RETRY_S,
-                )
-            )
+        if not submission.may_replace(revision):
+            return await self._refuse_again(job_id, revision)
         conditions = ((put.key, 0), (key, revision))
         stored = await self.store_plugin.call(
             store.commit(conditions=conditions, puts=(put,), deletes=(key,))
@@ -101,3 +94,27 @@
             failure=stored.err().kind.value if stored.is_err() else None,
         )
         return stored.map(lambda _: True)
+
+    async def _refuse_again(self, job_id, revision):
+        """Refuse a submission because of a mark that it may not replace.
+
+        The mark is set anew. Commits in doubt, of this process or another, may have the
+        present one as their condition, or take effect after its lease has ended.
+        """
+        renewed = await self.set(job_id)
+        self.context.journal(
+            "refusal_kept", job=job_id, revision=revision, renewed=renewed
+        )
+        if not renewed:
+            return _in_doubt("the refusal of the job could not be set anew")
+        return Err(
+            Failure(
+                kind=ErrorKind.DEADLINE_UNMEETABLE,
+                detail="a repetition of the submission has been refused",
+                retry_after_s=MIN_RETRY_S,
+            )
+        )
+
+
+def _in_doubt(detail):
+    return Err(Failure(kind=ErrorKind.TIMEOUT, detail=detail))
--- a/wasabipaddle/cell/stored_jobs.py
+++ b/wasabipaddle/cell/stored_jobs.py
@@ -134,25 +134,22 @@
     return Err(Failure(kind=kind, detail=detail))
 
 
-async def create_job(store_plugin, job, *, epoch, marks, configuration, is_new):
+async def create_job(store_plugin, submission, *, epoch, marks, configuration):
     """Create the key of a job unless it exists.
 
     Parameters
     ----------
     store_plugin : CellStorePlugin
         The store.
-    job : Job
-        Job to create.
+    submission : Submission
+        Submission of the job.
     epoch : int
         Epoch of the leader under which the key is created if possible, 0 if no leader
         is known.
     marks : RefusalMarks
-        Marks of refusals, which a new submission replaces.
+        Marks of refusals, which a later submission replaces.
     configuration : CellConfiguration
         Current configuration.
-    is_new : bool
-        Whether this is the first try of a submission, which may replace the mark of an
-        earlier refusal.
 
     Returns
     -------
@@ -160,7 +157,7 @@
         Epoch under which the key was created, 0 if it is not known; or an `Err` if the
         key may not exist.
     """
-    store = store_plugin.store
+    store, job = store_plugin.store, submission.job
     absent = ((JOB_PREFIX + job.id, 0), (REFUSAL_PREFIX + job.id, 0))
     put = Put(key=JOB_PREFIX + job.id, value=encode_job(job))
     if epoch:
@@ -177,7 +174,7 @@
         return Ok(0)
     if stored.err().kind is not ErrorKind.REVISION_MISMATCH:
         return stored
-    replaced = await marks.replace(job.id, put, is_new=is_new)
+    replaced = await marks.replace(submission, put)
     if replaced.is_err() or replaced.ok():
         return replaced.map(lambda _: 0)
     existing = await check_existing_job(store_plugin, configuration, job)
--- /dev/null
+++ b/wasabipaddle/cell/submission.py
@@ -0,0 +1,45 @@
+"""State of the submission of a job over several tries to store it."""
+
+import attrs
+
+from wasabipaddle.jobs import Job
+
+__all__ = ["Submission"]
+
+
+@attrs.define(kw_only=True)
+class Submission:
+    """A call that hands a job in.
+
+    A mark in the store says that a submission of the job has been refused. One that was
+    set before this submission began is replaced by the job. One that was set since then
+    answers a repetition of the call, which its caller may have seen: it holds.
+
+    Parameters
+    ----------
+    job : Job
+        Job to store.
+    is_new : bool
+        Whether nothing has been tried yet, so that a mark that is found was set before.
+    known_revision : int
+        Revision of the store up to which marks were set before the submission.
+    """
+
+    job: Job
+    is_new: bool = True
+    known_revision: int = 0
+
+    def may_replace(self, revision) -> bool:
+        """Return whether the submission replaces a mark, and remember that it does.
+
+        A commit that replaces the mark may get no answer and not have taken effect when
+        the mark is found again.
+
+        Parameters
+        ----------
+        revision : int
+            Revision of the mark.
+        """
+        if self.is_new:
+            self.known_revision = max(self.known_revision, revision)
+        return revision <= self.known_revision
--- /dev/null
+++ b/wasabipaddle/cell/tests/test_refused_jobs.py
@@ -0,0 +1,197 @@
+"""Refusals that hold while commits get no answer and take effect late."""
+
+import asyncio
+import random
+
+import pytest
+from result import Err
+
+from wasabipaddle.cell.keys import JOB_PREFIX, REFUSAL_PREFIX
+from wasabipaddle.cell.refusal_marks import MARK_LEASE_S
+from wasabipaddle.cell.tests.conftest import JOB
+from wasabipaddle.cell.tests.test_admission import run, set_forecast, submit
+from wasabipaddle.exceptions import ErrorKind, Failure, Outcome
+from wasabipaddle.messages.jobs import LoadForecast
+from wasabipaddle.standins.transactions import CALL_TIMEOUT_S
+
+
+def delay_commits(process, selects, *, delay_s, count=1):
+    """Have the first `count` selected commits of a process take effect late.
+
+    They get no answer.
+
+    Parameters
+    ----------
+    selects : callable
+        Receives the arguments of a commit; returns whether to delay it.
+    delay_s : float
+        Time after which the commit takes effect if its conditions hold.
+    """
+    store = process.store_plugin.store
+    commit = store.commit
+    left = count
+
+    async def commit_late(*, conditions=(), puts=(), deletes=()):
+        nonlocal left
+        options = {"conditions": conditions, "puts": puts, "deletes": deletes}
+        if not left or not selects(options):
+            return await commit(**options)
+        left -= 1
+        asyncio.get_running_loop().call_later(
+            delay_s, store.memory.apply, conditions, puts, deletes
+        )
+        await asyncio.sleep(CALL_TIMEOUT_S)
+        return Err(Failure(kind=ErrorKind.TIMEOUT, detail="no answer"))
+
+    store.commit = commit_late
+
+
+def replaces_mark(options):
+    """Return whether a commit creates a job in place of its mark."""
+    return bool(options["deletes"])
+
+
+def creates_job(options):
+    """Return whether a commit creates a job."""
+    return any(put.key.startswith(JOB_PREFIX) for put in options["puts"])
+
+
+async def refuse_once(cell):
+    """Have a job refused for its forecast, and the forecast end."""
+    set_forecast(cell)
+    assert (await submit(cell["p0"])).err().outcome is Outcome.NOT_RUN
+    set_forecast(cell, LoadForecast())
+
+
+def exists(cell, job=JOB):
+    return JOB_PREFIX + job in cell.memory.items
+
+
+def test_late_commit_in_place_of_a_mark_does_not_start_a_refused_job(make_test_cell):
+    """Guards against a job that starts after "never runs" was the answer each time.
+
+    The mark of the first refusal was taken for one of a repetition of the submission
+    whose own commit was to replace it (review, case 6).
+    """
+
+    async def scenario(cell):
+        await refuse_once(cell)
+        delay_commits(cell["p1"], replaces_mark, delay_s=3.0)
+        accepted = await submit(cell["p1"])
+        await asyncio.sleep(10.0)
+        assert accepted.is_ok()
+        assert exists(cell)
+
+    run(make_test_cell, scenario)
+
+
+def test_submission_without_any_answer_of_the_store_is_not_refused(make_test_cell):
+    """Guards against "never runs" as long as a commit of the submission is in doubt."""
+
+    async def scenario(cell):
+        await refuse_once(cell)
+        delay_commits(cell["p1"], replaces_mark, delay_s=5.0, count=9)
+        failure = (await submit(cell["p1"])).err()
+        assert failure.outcome is Outcome.UNKNOWN
+        await asyncio.sleep(10.0)
+        assert exists(cell)
+
+    run(make_test_cell, scenario)
+
+
+def test_refusal_by_an_earlier_mark_stops_the_commits_of_other_processes(
+    make_test_cell,
+):
+    """Guards against a refused job that a process which is gone creates late."""
+
+    async def scenario(cell):
+        await refuse_once(cell)
+        delay_commits(cell["p0"], replaces_mark, delay_s=4.0)
+        gone = asyncio.create_task(submit(cell["p0"]))
+        await asyncio.sleep(0.2)
+        gone.cancel()
+        delay_commits(cell["p1"], creates_job, delay_s=4.0)
+        refused = (await submit(cell["p1"])).err()
+        assert refused.outcome is Outcome.NOT_RUN
+        await asyncio.sleep(10.0)
+        assert not exists(cell)
+
+    run(make_test_cell, scenario)
+
+
+def test_refusal_by_an_earlier_mark_outlasts_the_lease_of_that_mark(make_test_cell):
+    """Guards against a refused job that is created once its mark has expired."""
+
+    async def scenario(cell):
+        await refuse_once(cell)
+        delay_commits(cell["p1"], creates_job, delay_s=3.0)
+        await asyncio.sleep(MARK_LEASE_S - CALL_TIMEOUT_S - 0.2)
+        assert (await submit(cell["p1"])).err().outcome is Outcome.NOT_RUN
+        await asyncio.sleep(10.0)
+        assert not exists(cell)
+
+    run(make_test_cell, scenario)
+
+
+def test_refusal_through_a_peer_stops_the_commits_of_other_peers(make_test_cell):
+    """Guards against a refused job that a peer without an answer creates late."""
+
+    async def scenario(cell):
+        await refuse_once(cell)
+        before = cell.memory.items[REFUSAL_PREFIX + JOB].revision
+        cell.memory.refused_clients.add("p0")
+        cell["p0"].store_plugin.health.failures = 2
+        cell["p0"].members.unresponsive["p1"] = 2.0
+        cell["p0"].members.leader = "p1"
+        refused = (await submit(cell["p0"])).err()
+        assert refused.kind is ErrorKind.DEADLINE_UNMEETABLE
+        assert cell.memory.items[REFUSAL_PREFIX + JOB].revision > before
+        await asyncio.sleep(10.0)
+        assert not exists(cell)
+
+    run(make_test_cell, scenario, count=3)
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_refusals_hold_under_random_late_commits(make_test_cell, seed):
+    """Guards against false refusals and lost jobs in other orders of the same steps.
+
+    A job that was refused each time does not exist at the end, nor does one whose last
+    submission was refused for the forecast or by a mark. A job that was accepted does.
+    """
+    rng = random.Random(seed)
+
+    async def submit_often(cell, job):
+        answers = []
+        for _ in range(rng.randrange(1, 5)):
+            process = cell[rng.choice(("p0", "p1"))]
+            if rng.random() < 0.4:
+                set_forecast(cell)
+            answers.append(await submit(process, job=job))
+            set_forecast(cell, LoadForecast())
+            await asyncio.sleep(rng.uniform(0.0, 2.0))
+        return answers
+
+    async def vary_delay(cell):
+        while True:
+            cell.memory.delay_s = rng.uniform(1.0, 6.0)
+            await asyncio.sleep(0.01)
+
+    async def scenario(cell):
+        cell.memory.random.seed(seed)
+        cell.memory.lost_share = 0.35
+        varying = asyncio.create_task(vary_delay(cell))
+        jobs = [f"{n:016x}" for n in range(60)]
+        answers = await asyncio.gather(*(submit_often(cell, job) for job in jobs))
+        varying.cancel()
+        await asyncio.sleep(10.0)
+        for job, results in zip(jobs, answers, strict=True):
+            failures = [result.err() for result in results]
+            refused = all(f and f.outcome is Outcome.NOT_RUN for f in failures)
+            last = failures[-1]
+            if refused or (last and last.kind is ErrorKind.DEADLINE_UNMEETABLE):
+                assert not exists(cell, job), results
+            if any(result.is_ok() for result in results):
+                assert exists(cell, job), results
+
+    run(make_test_cell, scenario)
