Read a job before its repetition is acknowledged

What callers see: 200 for a job that does not exist and never runs.

Cause: a commit that creates a job fails because of the job or because of the mark of a refusal. If no mark was found afterwards, the job was taken to exist. A mark that ends with its lease between the two leaves neither.

Change: the job is read in all deployments, not only where calls need keys. If there is none, the submission goes on with its next try. Costs a read for each repetition of a submission.

--- a/wasabipaddle/cell/stored_jobs.py
+++ b/wasabipaddle/cell/stored_jobs.py
@@ -44,17 +44,13 @@
 async def check_existing_job(store_plugin, configuration, job):
     """Check that a job that could not be created exists for the same workspace.
 
-    The job is read only where calls need keys.
-
     Returns
     -------
     result.Result
         An `Err` of kind `conflict` if the identifier is in use by a job that the caller
-        does not reach, or of kind `timeout` if that is not known, since the existing
-        job may be the same one.
+        does not reach, or of kind `timeout` if no job is found, as after the end of the
+        mark that kept it from being created, or if the store does not answer.
     """
-    if not (configuration.requires_keys or job.workspace):
-        return Ok(None)
     found = await store_plugin.call(store_plugin.store.get(JOB_PREFIX + job.id))
     if found.is_err() or found.ok() is None:
         return _failure(ErrorKind.TIMEOUT, "the existing job could not be read")
--- a/wasabipaddle/cell/tests/test_refused_jobs.py
+++ b/wasabipaddle/cell/tests/test_refused_jobs.py
@@ -152,6 +152,29 @@
     run(make_test_cell, scenario, count=3)
 
 
+def test_job_is_not_accepted_because_its_mark_has_just_ended(make_test_cell):
+    """Guards against an accepted job that does not exist.
+
+    What has kept a job from being created was taken for the job, once the mark was not
+    there any more.
+    """
+
+    async def scenario(cell):
+        await refuse_once(cell)
+        store = cell["p1"].store_plugin.store
+        get = store.get
+
+        async def get_after_the_end_of_the_mark(key):
+            cell.memory.remove(REFUSAL_PREFIX + JOB)
+            return await get(key)
+
+        store.get = get_after_the_end_of_the_mark
+        assert (await submit(cell["p1"])).is_ok()
+        assert exists(cell)
+
+    run(make_test_cell, scenario)
+
+
 @pytest.mark.parametrize("seed", range(12))
 def test_refusals_hold_under_random_late_commits(make_test_cell, seed):
     """Guards against false refusals and lost jobs in other orders of the same steps.
