Tell an earlier refusal from a later one by the revision that was seen

What callers saw: after a refusal they come back as told, the first try gets no answer or a refusal of the store, and they are refused once more for their own earlier mark, with room free. Through a peer a job that was refused once could not be stored until its mark ended. Nothing false was said.

Cause: a mark counted as earlier than a submission only at its first try, and never at a peer.

Change: a process notes the highest revision of the store that any answer has shown. A mark up to the one seen when the submission begins was set before it, at whatever try and by whatever peer it is found.

--- a/wasabipaddle/cell/entry.py
+++ b/wasabipaddle/cell/entry.py
@@ -191,10 +191,11 @@
             workspace=workspace,
         )
         began = self.context.clock.now()
+        submission = self.storage.begin(job)
         accepted = await self.admission.check(job)
         if accepted.is_ok():
             accepted = await self.storage.store(
-                job, until_s=began + wait_s - RESPONSE_RESERVE_S
+                submission, until_s=began + wait_s - RESPONSE_RESERVE_S
             )
         self.context.journal(
             "job_accepted" if accepted.is_ok() else "job_refused",
--- a/wasabipaddle/cell/job_storage.py
+++ b/wasabipaddle/cell/job_storage.py
@@ -53,7 +53,11 @@
         self.marks = marks
         self.tasks = tasks
 
-    async def store(self, job, *, until_s):
+    def begin(self, job) -> Submission:
+        """Return a submission that begins now."""
+        return Submission(job=job, known_revision=self.store_plugin.seen_revision)
+
+    async def store(self, submission, *, until_s):
         """Create the key of a job.
 
         Returns
@@ -63,8 +67,7 @@
             only if no write that was sent may still take effect.
         """
         if self.store_plugin.health.unavailable:
-            return await self._store_through_peer(job, until_s=until_s)
-        submission = Submission(job=job)
+            return await self._store_through_peer(submission, until_s=until_s)
         in_doubt = False
         while self.context.clock.now() < until_s:
             stored = await self._create_key(submission)
@@ -78,7 +81,7 @@
             await asyncio.sleep(RETRY_S)
         if in_doubt:
             return fail(ErrorKind.ACCEPTANCE_UNKNOWN, failure.detail)
-        return await self._store_through_peer(job, until_s=until_s)
+        return await self._store_through_peer(submission, until_s=until_s)
 
     async def _create_key(self, submission):
         """Create the key of a job; see `create_job`."""
@@ -108,14 +111,15 @@
                 return
             await asyncio.sleep(RETRY_S)
 
-    async def _store_through_peer(self, job, *, until_s):
+    async def _store_through_peer(self, submission, *, until_s):
         """Have a peer store a job, since this process does not reach the store.
 
         Storing a job again changes nothing, so the next peer is asked even if the
         previous one may have stored it.
         """
         in_doubt = None
-        async for peer, stored in self._ask_peers(StoreJob(job=job), until_s=until_s):
+        message = StoreJob(job=submission.job, known_revision=submission.known_revision)
+        async for peer, stored in self._ask_peers(message, until_s=until_s):
             if stored.is_ok():
                 return Ok(0)
             if stored.err().kind in FINAL_KINDS:
@@ -151,7 +155,9 @@
         if self.configuration.current is None:
             return not_configured()
         # The message may have been on its way for long.
-        submission = Submission(job=message.job, is_new=False)
+        submission = Submission(
+            job=message.job, is_new=False, known_revision=message.known_revision
+        )
         stored = await self._create_key(submission)
         if stored.is_err():
             return stored
--- a/wasabipaddle/cell/refusal_marks.py
+++ b/wasabipaddle/cell/refusal_marks.py
@@ -49,8 +49,8 @@
             self.lease = lease.ok()
             self.renew_s = now + MARK_LEASE_USE_S
         put = Put(key=REFUSAL_PREFIX + job_id, value=b"{}", lease=self.lease)
-        stored = await self.store_plugin.call(
-            store.commit(conditions=((JOB_PREFIX + job_id, 0),), puts=(put,))
+        stored = await self.store_plugin.commit(
+            conditions=((JOB_PREFIX + job_id, 0),), puts=(put,)
         )
         if stored.is_err() and stored.err().kind is ErrorKind.NOT_FOUND:
             self.renew_s = 0.0
@@ -84,8 +84,8 @@
         if not submission.may_replace(revision):
             return await self._refuse_again(job_id, revision)
         conditions = ((put.key, 0), (key, revision))
-        stored = await self.store_plugin.call(
-            store.commit(conditions=conditions, puts=(put,), deletes=(key,))
+        stored = await self.store_plugin.commit(
+            conditions=conditions, puts=(put,), deletes=(key,)
         )
         self.context.journal(
             "refusal_replaced",
--- a/wasabipaddle/cell/store.py
+++ b/wasabipaddle/cell/store.py
@@ -75,6 +75,8 @@
         Health of the store as seen from this process.
     unreadable : UnreadableRecords
         Records of the store that this process could not decode.
+    seen_revision : int
+        Highest revision of the store that an answer has shown, 0 before the first.
     """
 
     name = "cell_store"
@@ -84,6 +86,7 @@
         self.store = PlatformStore(address=context.settings.platform.store)
         self.health = StoreHealth(journal=context.journal)
         self.unreadable = UnreadableRecords(context=context)
+        self.seen_revision = 0
 
     async def call(self, coroutine):
         """Await a call of the store; record its result and duration."""
@@ -94,8 +97,20 @@
         self.health.record(result, now - began, now)
         self.context.metrics.count("store_calls")
         self.context.metrics.observe("store_call", now - began)
+        if result.is_ok():
+            self._note_revision(getattr(result.ok(), "revision", 0))
         return result
 
+    async def commit(self, **changes):
+        """Make a commit as with `call`, and note its revision."""
+        result = await self.call(self.store.commit(**changes))
+        if result.is_ok():
+            self._note_revision(result.ok())
+        return result
+
+    def _note_revision(self, revision):
+        self.seen_revision = max(self.seen_revision, revision)
+
     async def stop(self):
         """Close the connections."""
         await self.store.close()
--- a/wasabipaddle/cell/stored_jobs.py
+++ b/wasabipaddle/cell/stored_jobs.py
@@ -153,19 +153,17 @@
         Epoch under which the key was created, 0 if it is not known; or an `Err` if the
         key may not exist.
     """
-    store, job = store_plugin.store, submission.job
+    job = submission.job
     absent = ((JOB_PREFIX + job.id, 0), (REFUSAL_PREFIX + job.id, 0))
     put = Put(key=JOB_PREFIX + job.id, value=encode_job(job))
     if epoch:
         conditions = (*absent, (LEADER_KEY, epoch))
-        stored = await store_plugin.call(
-            store.commit(conditions=conditions, puts=(put,))
-        )
+        stored = await store_plugin.commit(conditions=conditions, puts=(put,))
         if stored.is_ok():
             return Ok(epoch)
         if stored.err().kind is not ErrorKind.REVISION_MISMATCH:
             return stored
-    stored = await store_plugin.call(store.commit(conditions=absent, puts=(put,)))
+    stored = await store_plugin.commit(conditions=absent, puts=(put,))
     if stored.is_ok():
         return Ok(0)
     if stored.err().kind is not ErrorKind.REVISION_MISMATCH:
--- a/wasabipaddle/cell/submission.py
+++ b/wasabipaddle/cell/submission.py
@@ -22,7 +22,8 @@
     is_new : bool
         Whether nothing has been tried yet, so that a mark that is found was set before.
     known_revision : int
-        Revision of the store up to which marks were set before the submission.
+        Revision of the store up to which marks were set before the submission: the
+        highest one that this process had seen by then.
     """
 
     job: Job
--- a/wasabipaddle/cell/tests/test_refused_jobs.py
+++ b/wasabipaddle/cell/tests/test_refused_jobs.py
@@ -11,6 +11,7 @@
 from wasabipaddle.cell.tests.conftest import JOB
 from wasabipaddle.cell.tests.test_admission import run, set_forecast, submit
 from wasabipaddle.exceptions import ErrorKind, Failure, Outcome
+from wasabipaddle.interfaces import Put
 from wasabipaddle.messages.jobs import LoadForecast
 from wasabipaddle.standins.transactions import CALL_TIMEOUT_S
 
@@ -56,10 +57,10 @@
     return any(put.key.startswith(JOB_PREFIX) for put in options["puts"])
 
 
-async def refuse_once(cell):
+async def refuse_once(cell, process="p0"):
     """Have a job refused for its forecast, and the forecast end."""
     set_forecast(cell)
-    assert (await submit(cell["p0"])).err().outcome is Outcome.NOT_RUN
+    assert (await submit(cell[process])).err().outcome is Outcome.NOT_RUN
     set_forecast(cell, LoadForecast())
 
 
@@ -137,7 +138,7 @@
     """Guards against a refused job that a peer without an answer creates late."""
 
     async def scenario(cell):
-        await refuse_once(cell)
+        await refuse_once(cell, "p2")
         before = cell.memory.items[REFUSAL_PREFIX + JOB].revision
         cell.memory.refused_clients.add("p0")
         cell["p0"].store_plugin.health.failures = 2
@@ -152,6 +153,49 @@
     run(make_test_cell, scenario, count=3)
 
 
+def test_caller_that_returns_is_accepted_at_the_second_try(make_test_cell):
+    """Guards against a caller that is refused once more for its earlier refusal."""
+
+    async def scenario(cell):
+        await refuse_once(cell)
+        delay_commits(cell["p0"], creates_job, delay_s=3.0)
+        assert (await submit(cell["p0"])).is_ok()
+        assert exists(cell)
+
+    run(make_test_cell, scenario)
+
+
+def test_caller_that_returns_is_accepted_through_a_peer(make_test_cell):
+    """Guards against refusals by an earlier mark where a peer has to store jobs."""
+
+    async def scenario(cell):
+        await refuse_once(cell)
+        cell.memory.refused_clients.add("p0")
+        assert (await submit(cell["p0"])).is_ok()
+        assert exists(cell)
+
+    run(make_test_cell, scenario)
+
+
+def test_answers_of_the_store_show_its_revision(make_test_cell):
+    """Guards against earlier marks that are taken for later ones."""
+
+    async def scenario(cell):
+        plugin = cell["p0"].store_plugin
+        assert (await submit(cell["p0"])).is_ok()
+        assert plugin.seen_revision == cell.memory.revision
+        cell.memory.apply((), (Put(key="k", value=b""),), ())
+        await plugin.call(plugin.store.get("k"))
+        assert plugin.seen_revision == cell.memory.revision
+        cell.memory.apply((), (), ("k",))
+        await plugin.call(plugin.store.list("k"))
+        assert plugin.seen_revision == cell.memory.revision
+        await plugin.call(plugin.store.grant_lease(1e9))
+        assert plugin.seen_revision == cell.memory.revision
+
+    run(make_test_cell, scenario)
+
+
 def test_job_is_not_accepted_because_its_mark_has_just_ended(make_test_cell):
     """Guards against an accepted job that does not exist.
 
--- a/wasabipaddle/messages/jobs.py
+++ b/wasabipaddle/messages/jobs.py
@@ -55,9 +55,17 @@
 
 @attrs.frozen(kw_only=True)
 class StoreJob:
-    """Asks a peer to store a job, since the sender cannot reach the store."""
+    """Asks a peer to store a job, since the sender cannot reach the store.
+
+    Parameters
+    ----------
+    known_revision : int
+        Revision of the store up to which marks of refusals were set before the
+        submission; 0 from processes of earlier versions.
+    """
 
     job: Job = attrs.field(validator=_check_job)
+    known_revision: int = 0
 
 
 @attrs.frozen(kw_only=True)
