Mark a job as refused before a cancellation finds none

A job that was stored between the read and the answer ran as well.

The store was read while a commit that creates the job was in doubt.

Evidence: two of the three new tests fail on the parent, the third holds the way back: the identifier can be used by a later submission.

Change: where a cancellation finds no job, it sets the mark of a refusal under the condition that there is none. If that is not acknowledged, the cancellation goes on with its next try, and answers 504 in the end. Costs a commit for each DELETE without a job.

--- a/wasabipaddle/cell/job_storage.py
+++ b/wasabipaddle/cell/job_storage.py
@@ -190,6 +190,7 @@
             message.job,
             workspace=message.workspace,
             wall_ms=self.context.clock.wall_ms(),
+            marks=self.marks,
         )
 
     async def cancel_for_peer(self, message):
--- a/wasabipaddle/cell/keys.py
+++ b/wasabipaddle/cell/keys.py
@@ -18,7 +18,8 @@
 JOB_PREFIX = INTAKE_PREFIX + "job/"
 CANCEL_PREFIX = INTAKE_PREFIX + "cancel/"
 
-# Written by the process that has refused a job, attached to a lease.
+# Written by the process that has refused a job or found none to cancel; attached to a
+# lease.
 REFUSAL_PREFIX = "wasabipaddle/refused/"
 
 # Written by the dispatcher, on the condition that it still holds LEADER_KEY.
--- a/wasabipaddle/cell/refusal_marks.py
+++ b/wasabipaddle/cell/refusal_marks.py
@@ -23,6 +23,7 @@
     effect late. A job is therefore created under the condition that it has no mark, or
     that its mark has a known revision, and refused only once a new mark is stored under
     the condition that the job does not exist. A mark that was only read proves nothing.
+    The same holds for the answer that there is no job to cancel.
 
     Parameters
     ----------
@@ -110,7 +111,7 @@
         return Err(
             Failure(
                 kind=ErrorKind.DEADLINE_UNMEETABLE,
-                detail="a repetition of the submission has been refused",
+                detail="a later call has been told that the job does not run",
                 retry_after_s=MIN_RETRY_S,
             )
         )
--- a/wasabipaddle/cell/stored_jobs.py
+++ b/wasabipaddle/cell/stored_jobs.py
@@ -86,10 +86,13 @@
 
 
 async def store_cancellation(
-    store_plugin, configuration, queue, job_id, *, workspace, wall_ms
+    store_plugin, configuration, queue, job_id, *, workspace, wall_ms, marks
 ):
     """Write the key of a cancellation; repeating the write is harmless.
 
+    A job that does not exist is marked as refused before the answer says so, since a
+    submission of it may have sent a commit that takes effect late.
+
     Returns
     -------
     result.Result
@@ -100,6 +103,8 @@
     found = await store_plugin.call(store.get(JOB_PREFIX + job_id))
     if found.is_err():
         return found
+    if found.ok() is None and not await marks.set(job_id):
+        return _failure(ErrorKind.TIMEOUT, "the job may come to exist")
     if not _may_reach_stored(configuration, queue, workspace, found.ok()):
         return _failure(ErrorKind.GONE, "no such job")
     put = Put(key=CANCEL_PREFIX + job_id, value=msgspec.json.encode(wall_ms))
--- a/wasabipaddle/cell/submission.py
+++ b/wasabipaddle/cell/submission.py
@@ -11,9 +11,10 @@
 class Submission:
     """A call that hands a job in.
 
-    A mark in the store says that a submission of the job has been refused. One that was
-    set before this submission began is replaced by the job. One that was set since then
-    answers a repetition of the call, which its caller may have seen: it holds.
+    A mark in the store says that a call was told that the job does not run, as a
+    refused submission or a cancellation that found no job. One that was set before this
+    submission began is replaced by the job. One that was set since then is the answer
+    to a later call, which the caller may have seen: it holds.
 
     Parameters
     ----------
--- a/wasabipaddle/cell/tests/test_refused_jobs.py
+++ b/wasabipaddle/cell/tests/test_refused_jobs.py
@@ -6,9 +6,9 @@
 import pytest
 from result import Err
 
-from wasabipaddle.cell.keys import JOB_PREFIX, REFUSAL_PREFIX
+from wasabipaddle.cell.keys import CANCEL_PREFIX, JOB_PREFIX, REFUSAL_PREFIX
 from wasabipaddle.cell.refusal_marks import MARK_LEASE_S
-from wasabipaddle.cell.tests.conftest import JOB
+from wasabipaddle.cell.tests.conftest import JOB, QUEUE
 from wasabipaddle.cell.tests.test_admission import run, set_forecast, submit
 from wasabipaddle.exceptions import ErrorKind, Failure, Outcome
 from wasabipaddle.interfaces import Put
@@ -196,6 +196,54 @@
     run(make_test_cell, scenario)
 
 
+def test_job_does_not_run_after_a_call_to_cancel_it_found_none(make_test_cell):
+    """Guards against "no such job" while a commit that creates the job is in doubt."""
+
+    async def scenario(cell):
+        delay_commits(cell["p0"], creates_job, delay_s=4.0)
+        gone = asyncio.create_task(submit(cell["p0"]))
+        await asyncio.sleep(0.2)
+        gone.cancel()
+        cancelled = await cell["p1"].entry.cancel(QUEUE, JOB, wait_s=3.0)
+        assert cancelled.err().kind is ErrorKind.GONE
+        await asyncio.sleep(10.0)
+        assert not exists(cell)
+
+    run(make_test_cell, scenario)
+
+
+def test_job_that_comes_to_exist_during_its_cancellation_is_cancelled(make_test_cell):
+    """Guards against "no such job" for one that is stored between read and answer."""
+
+    async def scenario(cell):
+        store = cell["p1"].store_plugin.store
+        get = store.get
+
+        async def get_before_the_submission(key):
+            found = await get(key)
+            if not exists(cell):
+                assert (await submit(cell["p0"])).is_ok()
+            return found
+
+        store.get = get_before_the_submission
+        assert (await cell["p1"].entry.cancel(QUEUE, JOB, wait_s=3.0)).is_ok()
+        assert CANCEL_PREFIX + JOB in cell.memory.items
+
+    run(make_test_cell, scenario)
+
+
+def test_job_is_accepted_after_a_call_to_cancel_it_found_none(make_test_cell):
+    """Guards against an identifier that an early cancellation makes useless."""
+
+    async def scenario(cell):
+        cancelled = await cell["p0"].entry.cancel(QUEUE, JOB, wait_s=3.0)
+        assert cancelled.err().kind is ErrorKind.GONE
+        assert (await submit(cell["p1"])).is_ok()
+        assert exists(cell)
+
+    run(make_test_cell, scenario)
+
+
 def test_job_is_not_accepted_because_its_mark_has_just_ended(make_test_cell):
     """Guards against an accepted job that does not exist.
 
