Refuse no job that a commit of this process may create

What callers saw: 504 and then, from the same process, 503, "never runs", and the job runs seconds later.

Cause: a process that takes the store for unavailable refuses within milliseconds, although it has itself sent a commit for the job that has got no answer.

The three new tests fail on the parent.

Change: a process remembers for 60 s, for up to 10,000 jobs, that a commit of its own, also for a peer, may yet create the job, and answers 504 until a later submission settles it.

--- a/wasabipaddle/cell/job_storage.py
+++ b/wasabipaddle/cell/job_storage.py
@@ -5,7 +5,7 @@
 from result import Err, Ok
 
 from wasabipaddle.cell.stored_jobs import create_job, store_cancellation
-from wasabipaddle.cell.submission import Submission
+from wasabipaddle.cell.submission import JobsInDoubt, Submission
 from wasabipaddle.exceptions import ErrorKind, Failure, Outcome
 from wasabipaddle.messages.jobs import JobAccepted, Noted, StoreJob
 
@@ -52,6 +52,7 @@
         self.store_plugin = store_plugin
         self.marks = marks
         self.tasks = tasks
+        self.in_doubt = JobsInDoubt(clock=context.clock)
 
     def begin(self, job) -> Submission:
         """Return a submission that begins now."""
@@ -64,8 +65,27 @@
         -------
         result.Result
             Epoch as returned by `_create_key`, or an `Err` whose outcome is `NOT_RUN`
-            only if no write that was sent may still take effect.
+            only if no commit of this process may still take effect.
         """
+        stored = await self._try_to_store(submission, until_s=until_s)
+        return self._settle(submission.job.id, stored)
+
+    def _settle(self, job_id, stored):
+        """Record whether a commit of a job is in doubt, and return the result for it.
+
+        A failure that says nothing of earlier submissions is no refusal of a job that
+        one of them may yet create.
+        """
+        if stored.is_ok() or stored.err().kind in FINAL_KINDS:
+            self.in_doubt.discard(job_id)
+        elif stored.err().outcome is not Outcome.NOT_RUN:
+            self.in_doubt.add(job_id)
+        elif job_id in self.in_doubt:
+            return fail(ErrorKind.ACCEPTANCE_UNKNOWN, stored.err().detail)
+        return stored
+
+    async def _try_to_store(self, submission, *, until_s):
+        """Create the key of a job, through a peer if the store is out of reach."""
         if self.store_plugin.health.unavailable:
             return await self._store_through_peer(submission, until_s=until_s)
         in_doubt = False
@@ -150,6 +170,10 @@
 
     async def store_for_peer(self, message):
         """Store a job for a process that does not reach the store."""
+        stored = await self._try_for_peer(message)
+        return self._settle(message.job.id, stored)
+
+    async def _try_for_peer(self, message):
         if self.store_plugin.health.unavailable:
             return fail(ErrorKind.STORE_UNAVAILABLE, NO_STORE)
         if self.configuration.current is None:
--- a/wasabipaddle/cell/submission.py
+++ b/wasabipaddle/cell/submission.py
@@ -1,10 +1,14 @@
-"""State of the submission of a job over several tries to store it."""
+"""Submissions of jobs, and what is in doubt about them after tries to store them."""
 
 import attrs
 
 from wasabipaddle.jobs import Job
 
-__all__ = ["Submission"]
+__all__ = ["JobsInDoubt", "Submission"]
+
+# Time after a submission for which its commits without an answer may take effect.
+IN_DOUBT_S = 60.0
+MAX_IN_DOUBT = 10_000
 
 
 @attrs.define(kw_only=True)
@@ -45,3 +49,40 @@
         if self.is_new:
             self.known_revision = max(self.known_revision, revision)
         return revision <= self.known_revision
+
+
+class JobsInDoubt:
+    """Jobs that a commit of this process may yet create.
+
+    Parameters
+    ----------
+    clock : Clock
+        Provides the time.
+
+    Attributes
+    ----------
+    until_s : dict of str to float
+        Time until which each job is in doubt, the earliest first; at most
+        `MAX_IN_DOUBT` jobs.
+    """
+
+    def __init__(self, *, clock):
+        self.clock = clock
+        self.until_s = {}
+
+    def add(self, job_id):
+        """Record that a commit of a job has got no answer."""
+        self.discard(job_id)
+        self.until_s[job_id] = self.clock.now() + IN_DOUBT_S
+        while len(self.until_s) > MAX_IN_DOUBT or self._first_has_passed():
+            del self.until_s[next(iter(self.until_s))]
+
+    def _first_has_passed(self):
+        return next(iter(self.until_s.values())) <= self.clock.now()
+
+    def discard(self, job_id):
+        """Record that no commit of a job is in doubt."""
+        self.until_s.pop(job_id, None)
+
+    def __contains__(self, job_id):
+        return self.until_s.get(job_id, 0.0) > self.clock.now()
--- a/wasabipaddle/cell/tests/test_refused_jobs.py
+++ b/wasabipaddle/cell/tests/test_refused_jobs.py
@@ -8,6 +8,7 @@
 
 from wasabipaddle.cell.keys import CANCEL_PREFIX, JOB_PREFIX, REFUSAL_PREFIX
 from wasabipaddle.cell.refusal_marks import MARK_LEASE_S
+from wasabipaddle.cell.submission import IN_DOUBT_S, MAX_IN_DOUBT
 from wasabipaddle.cell.tests.conftest import JOB, QUEUE
 from wasabipaddle.cell.tests.test_admission import run, set_forecast, submit
 from wasabipaddle.exceptions import ErrorKind, Failure, Outcome
@@ -153,6 +154,58 @@
     run(make_test_cell, scenario, count=3)
 
 
+def test_process_without_the_store_refuses_no_job_that_it_may_have_stored(
+    make_test_cell,
+):
+    """Guards against "never runs" from the process whose commit is on its way."""
+
+    async def scenario(cell):
+        delay_commits(cell["p0"], creates_job, delay_s=9.0, count=9)
+        assert (await submit(cell["p0"])).err().outcome is Outcome.UNKNOWN
+        cell.memory.down = True
+        assert (await submit(cell["p0"])).err().outcome is Outcome.UNKNOWN
+        assert (await submit(cell["p1"], job="b" * 16)).err().outcome is Outcome.NOT_RUN
+        cell.memory.down = False
+        await asyncio.sleep(10.0)
+        assert exists(cell)
+
+    run(make_test_cell, scenario)
+
+
+def test_peer_without_the_store_refuses_no_job_that_it_may_have_stored(make_test_cell):
+    """Guards against the same where the commit was made for another process."""
+
+    async def scenario(cell):
+        cell.memory.refused_clients.update({"p0", "p2"})
+        delay_commits(cell["p1"], creates_job, delay_s=9.0)
+        assert (await submit(cell["p0"])).err().outcome is Outcome.UNKNOWN
+        cell.memory.down = True
+        assert (await submit(cell["p2"])).err().outcome is Outcome.UNKNOWN
+
+    run(make_test_cell, scenario, count=3)
+
+
+def test_job_is_in_doubt_until_its_commits_have_had_their_time(make_test_cell):
+    """Guards against doubts that grow without end, or end with the next submission."""
+
+    async def scenario(cell):
+        in_doubt = cell["p0"].entry.storage.in_doubt
+        in_doubt.add(JOB)
+        await asyncio.sleep(IN_DOUBT_S - 1.0)
+        assert JOB in in_doubt
+        for n in range(MAX_IN_DOUBT):
+            in_doubt.add(f"{n:016x}")
+        assert len(in_doubt.until_s) == MAX_IN_DOUBT
+        await asyncio.sleep(IN_DOUBT_S)
+        assert f"{1:016x}" not in in_doubt
+        in_doubt.add(JOB)
+        assert list(in_doubt.until_s) == [JOB]
+        assert (await submit(cell["p0"])).is_ok()
+        assert JOB not in in_doubt
+
+    run(make_test_cell, scenario)
+
+
 def test_caller_that_returns_is_accepted_at_the_second_try(make_test_cell):
     """Guards against a caller that is refused once more for its earlier refusal."""
 
