Take a mark that changes under a commit for a job in doubt

What callers would see: 503, "never runs", for a job that is stored while a peer replaces the mark of an earlier refusal for a process without the store.

Cause: a peer replaces marks since, and the failed condition of its commit counted as a refusal.

Evidence: test_peer_that_finds_another_mark_than_before_has_not_refused fails on the parent.

Change: the failed condition leaves the job in doubt, as it already did at the process that got the call. Its next try, or the next peer, finds the job.

--- a/wasabipaddle/cell/refusal_marks.py
+++ b/wasabipaddle/cell/refusal_marks.py
@@ -94,6 +94,8 @@
             revision=revision,
             failure=stored.err().kind.value if stored.is_err() else None,
         )
+        if stored.is_err() and stored.err().kind is ErrorKind.REVISION_MISMATCH:
+            return _in_doubt("the job or its refusal has changed meanwhile")
         return stored.map(lambda _: True)
 
     async def _refuse_again(self, job_id, revision):
--- a/wasabipaddle/cell/tests/test_refused_jobs.py
+++ b/wasabipaddle/cell/tests/test_refused_jobs.py
@@ -9,10 +9,11 @@
 from wasabipaddle.cell.keys import CANCEL_PREFIX, JOB_PREFIX, REFUSAL_PREFIX
 from wasabipaddle.cell.refusal_marks import MARK_LEASE_S
 from wasabipaddle.cell.submission import IN_DOUBT_S, MAX_IN_DOUBT
-from wasabipaddle.cell.tests.conftest import JOB, QUEUE
+from wasabipaddle.cell.tests.conftest import JOB, QUEUE, SPEC
 from wasabipaddle.cell.tests.test_admission import run, set_forecast, submit
 from wasabipaddle.exceptions import ErrorKind, Failure, Outcome
 from wasabipaddle.interfaces import Put
+from wasabipaddle.jobs import Job, encode_job
 from wasabipaddle.messages.jobs import LoadForecast
 from wasabipaddle.standins.transactions import CALL_TIMEOUT_S
 
@@ -154,6 +155,28 @@
     run(make_test_cell, scenario, count=3)
 
 
+def test_peer_that_finds_another_mark_than_before_has_not_refused(make_test_cell):
+    """Guards against "never runs" for a job that is stored while a peer is asked."""
+
+    async def scenario(cell):
+        await refuse_once(cell)
+        store = cell["p1"].store_plugin.store
+        commit = store.commit
+        job = Job(id=JOB, policy=QUEUE, accepted_ms=0, spec=SPEC)
+
+        async def commit_after_another(**options):
+            if options.get("deletes"):
+                put = Put(key=JOB_PREFIX + JOB, value=encode_job(job))
+                cell.memory.apply((), (put,), (REFUSAL_PREFIX + JOB,))
+            return await commit(**options)
+
+        store.commit = commit_after_another
+        cell.memory.refused_clients.add("p0")
+        assert (await submit(cell["p0"])).err().outcome is Outcome.UNKNOWN
+
+    run(make_test_cell, scenario)
+
+
 def test_process_without_the_store_refuses_no_job_that_it_may_have_stored(
     make_test_cell,
 ):
